--- /dev/null
+++ b/Makefile
@@ -0,0 +1,64 @@
+# Builds libcomfrey, its daemons, stand-ins and tests.  `make help` lists
+# the targets.
+
+CC ?= cc
+PKGS = glib-2.0 libmicrohttpd jansson libcurl msgpack ck libxxhash
+CFLAGS ?= -O2 -g
+CFLAGS += -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Wno-unused-parameter -pthread \
+	$(shell pkg-config --cflags $(PKGS))
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -pthread -lm
+TEST_LDLIBS = $(shell pkg-config --libs check) $(LDLIBS)
+
+LIB_OBJS = error.o log.o settings.o net.o wire.o http-server.o \
+	http-client.o records.o route.o guard.o ring.o config-watch.o \
+	vm-list.o agent-link.o entry.o agent.o expert-map.o daemon.o
+PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
+	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
+	comfrey-load
+TESTS = t/t-records t/t-settings t/t-wire t/t-route t/t-guard \
+	t/t-session
+
+all: $(PROGRAMS) $(TESTS)
+
+libcomfrey.a: $(LIB_OBJS)
+	$(AR) rcs $@ $^
+
+$(PROGRAMS): %: %.o libcomfrey.a
+	$(CC) $(CFLAGS) -o $@ $< libcomfrey.a $(LDLIBS)
+
+t/%: t/%.c t/harness.o libcomfrey.a
+	$(CC) $(CFLAGS) -I. $(shell pkg-config --cflags check) -o $@ $< \
+		t/harness.o libcomfrey.a $(TEST_LDLIBS)
+
+t/harness.o: t/harness.c t/harness.h
+	$(CC) $(CFLAGS) -I. $(shell pkg-config --cflags check) -c -o $@ $<
+
+%.o: %.c *.h
+	$(CC) $(CFLAGS) -c -o $@ $<
+
+test: all
+	sh t/run-tests.sh $(TESTS)
+
+demo:
+	sh scripts/demo.sh
+
+bench: all
+	sh scripts/bench.sh
+
+style:
+	clang-format --dry-run --Werror *.c *.h t/*.c t/*.h
+
+tidy:
+	clang-tidy --quiet *.c -- $(CFLAGS)
+
+clean:
+	rm -f *.o t/*.o libcomfrey.a $(PROGRAMS) $(TESTS)
+
+help:
+	@echo "make          build everything"
+	@echo "make demo     install packages, build, start stand-ins, play a session"
+	@echo "make test     run the tests under t/"
+	@echo "make bench    run comfrey-bench"
+	@echo "make style    check formatting with clang-format"
+
+.PHONY: all test demo bench style tidy clean help
--- /dev/null
+++ b/agent-link.c
@@ -0,0 +1,224 @@
+#include "agent-link.h"
+
+#include "log.h"
+#include "net.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define CONNECT_TIMEOUT_MS 500
+#define BACKOFF_MAX_MS 2000
+#define SEND_TIMEOUT_MS 1000
+
+typedef struct
+{
+  CfMsg reply;
+  gboolean done;
+  gboolean lost;
+} CfPending;
+
+static void
+fail_all (CfLink *l, const char *why)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, l->pending);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    ((CfPending *) v)->lost = TRUE;
+  g_hash_table_remove_all (l->pending);
+  if (l->fd >= 0)
+    {
+      close (l->fd);
+      l->fd = -1;
+      cf_log (LOG_WARNING, CF_EV_LINK_DOWN, "target=%s reason=%s", l->addr,
+              why);
+    }
+  pthread_cond_broadcast (&l->cond);
+}
+
+static void
+take_reply (CfLink *l, CfMsg *m)
+{
+  CfPending *p;
+
+  l->load = m->load;
+  if (m->kind != CF_MSG_ANSWER && m->kind != CF_MSG_REFUSAL)
+    {
+      cf_msg_clear (m);
+      return;
+    }
+  p = g_hash_table_lookup (l->pending, &m->id);
+  if (p == NULL)
+    {
+      /* A reply to a call that timed out already: nobody waits for it. */
+      cf_msg_clear (m);
+      return;
+    }
+  g_hash_table_remove (l->pending, &m->id);
+  p->reply = *m;
+  p->done = TRUE;
+  memset (m, 0, sizeof *m);
+  pthread_cond_broadcast (&l->cond);
+}
+
+static void
+heartbeat (CfLink *l, long long now)
+{
+  CfMsg ping = { .kind = CF_MSG_PING };
+
+  if (now - l->last_rx_ms > CF_LINK_SILENT_MS)
+    {
+      fail_all (l, "silent");
+      return;
+    }
+  if (now - l->last_ping_ms >= CF_LINK_PING_MS)
+    {
+      l->last_ping_ms = now;
+      if (cf_msg_write (l->fd, &ping) != CF_OK)
+        fail_all (l, "write-failed");
+    }
+}
+
+static void *
+link_thread (void *data)
+{
+  CfLink *l = data;
+  long long backoff = 100;
+
+  for (;;)
+    {
+      struct timeval tv = { .tv_sec = SEND_TIMEOUT_MS / 1000 };
+      struct pollfd pfd;
+      CfMsg m;
+      int fd;
+
+      pthread_mutex_lock (&l->lock);
+      fd = l->fd;
+      pthread_mutex_unlock (&l->lock);
+      if (fd < 0)
+        {
+          if (cf_connect_tcp (l->addr, CONNECT_TIMEOUT_MS, &fd) != CF_OK)
+            {
+              usleep (backoff * 1000);
+              backoff = MIN (backoff * 2, BACKOFF_MAX_MS);
+              continue;
+            }
+          /* A peer that stops reading must not hold a writer for ever. */
+          setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof tv);
+          backoff = 100;
+          pthread_mutex_lock (&l->lock);
+          l->fd = fd;
+          l->last_rx_ms = cf_now_ms ();
+          l->last_ping_ms = 0;
+          pthread_mutex_unlock (&l->lock);
+          cf_log (LOG_INFO, CF_EV_LINK_UP, "target=%s", l->addr);
+        }
+
+      pfd.fd = fd;
+      pfd.events = POLLIN;
+      if (poll (&pfd, 1, CF_LINK_PING_MS / 2) <= 0)
+        {
+          pthread_mutex_lock (&l->lock);
+          if (l->fd == fd)
+            heartbeat (l, cf_now_ms ());
+          pthread_mutex_unlock (&l->lock);
+          continue;
+        }
+      if (cf_msg_read (fd, &m) != CF_OK)
+        {
+          pthread_mutex_lock (&l->lock);
+          if (l->fd == fd)
+            fail_all (l, "closed");
+          pthread_mutex_unlock (&l->lock);
+          continue;
+        }
+      pthread_mutex_lock (&l->lock);
+      l->last_rx_ms = cf_now_ms ();
+      take_reply (l, &m);
+      heartbeat (l, l->last_rx_ms);
+      pthread_mutex_unlock (&l->lock);
+    }
+  return NULL;
+}
+
+CfLink *
+cf_link_new (const char *addr)
+{
+  CfLink *l = g_new0 (CfLink, 1);
+  pthread_condattr_t ca;
+
+  l->addr = g_strdup (addr);
+  l->fd = -1;
+  l->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
+  pthread_mutex_init (&l->lock, NULL);
+  pthread_condattr_init (&ca);
+  pthread_condattr_setclock (&ca, CLOCK_MONOTONIC);
+  pthread_cond_init (&l->cond, &ca);
+  pthread_condattr_destroy (&ca);
+  pthread_create (&l->thread, NULL, link_thread, l);
+  pthread_detach (l->thread);
+  return l;
+}
+
+CfCallResult
+cf_link_call (CfLink *l, CfMsg *req, long long deadline_ms, CfMsg *reply)
+{
+  CfPending p = { 0 };
+  struct timespec ts = { .tv_sec = deadline_ms / 1000,
+                         .tv_nsec = (deadline_ms % 1000) * 1000000 };
+  CfCallResult res;
+
+  pthread_mutex_lock (&l->lock);
+  if (l->fd < 0)
+    {
+      res = CF_CALL_NOT_SENT;
+      goto out;
+    }
+  req->id = ++l->next_id;
+  if (cf_msg_write (l->fd, req) != CF_OK)
+    {
+      /* send() took none or part of the frame; a part is never decoded. */
+      fail_all (l, "write-failed");
+      res = CF_CALL_NOT_SENT;
+      goto out;
+    }
+  g_hash_table_insert (l->pending, &req->id, &p);
+  l->outstanding++;
+  while (!p.done && !p.lost)
+    if (pthread_cond_timedwait (&l->cond, &l->lock, &ts) == ETIMEDOUT)
+      break;
+  l->outstanding--;
+  if (p.done)
+    {
+      *reply = p.reply;
+      res = CF_CALL_REPLY;
+    }
+  else if (p.lost)
+    res = CF_CALL_LOST;
+  else
+    {
+      g_hash_table_remove (l->pending, &req->id);
+      res = CF_CALL_TIMEOUT;
+    }
+out:
+  pthread_mutex_unlock (&l->lock);
+  return res;
+}
+
+gboolean
+cf_link_snapshot (CfLink *l, CfLoad *load, gint64 *outstanding)
+{
+  gboolean up;
+
+  pthread_mutex_lock (&l->lock);
+  up = l->fd >= 0;
+  *load = l->load;
+  *outstanding = l->outstanding;
+  pthread_mutex_unlock (&l->lock);
+  return up;
+}
--- /dev/null
+++ b/agent-link.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "wire.h"
+
+#include <pthread.h>
+
+/** How often a link sends a heartbeat, and when silence means it is lost. */
+#define CF_LINK_PING_MS 1000
+#define CF_LINK_SILENT_MS 3000
+
+/**
+ * CfLink:
+ * An entry's connection to one agent, shared by all requests to it.
+ * Requests are told apart by id, so answers may come in any order; a
+ * thread of its own connects, reads replies, sends heartbeats, and
+ * declares the link lost when the agent closes it or falls silent.
+ */
+typedef struct
+{
+  char *addr;
+  pthread_mutex_t lock;
+  pthread_cond_t cond; /**< broadcast when any pending call ends */
+  int fd;              /**< -1 while down */
+  guint64 next_id;
+  GHashTable *pending; /**< id -> CfPending */
+  CfLoad load;         /**< as the agent last reported it */
+  gint64 outstanding;  /**< our calls waiting on it now */
+  long long last_rx_ms;
+  long long last_ping_ms;
+  pthread_t thread;
+} CfLink;
+
+/** CfCallResult: how a call on a link ended. */
+typedef enum
+{
+  CF_CALL_REPLY,    /**< @reply holds the agent's answer or refusal */
+  CF_CALL_NOT_SENT, /**< the link was down: the agent never saw it */
+  CF_CALL_LOST,     /**< sent, then the link was lost: fate unknown */
+  CF_CALL_TIMEOUT,  /**< sent, no reply by the deadline: fate unknown */
+} CfCallResult;
+
+/** cf_link_new: starts the link's thread, which connects at once. */
+CfLink *cf_link_new (const char *addr);
+
+/**
+ * cf_link_call:
+ * @req: the request; its id is set here
+ * @deadline_ms: on the cf_now_ms() clock
+ * @reply: (out): the agent's reply, for %CF_CALL_REPLY
+ */
+CfCallResult cf_link_call (CfLink *l, CfMsg *req, long long deadline_ms,
+                           CfMsg *reply);
+
+/** cf_link_snapshot: whether the link is up, and the agent's load. */
+gboolean cf_link_snapshot (CfLink *l, CfLoad *load, gint64 *outstanding);
--- /dev/null
+++ b/agent.c
@@ -0,0 +1,423 @@
+#include "agent.h"
+
+#include "http-client.h"
+#include "log.h"
+#include "net.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+const char cf_agent_defaults[] = "[agent]\n"
+                                 "listen = \"127.0.0.1:7101\"\n"
+                                 "target_url = \"http://127.0.0.1:7201\"\n"
+                                 "workers = 32\n"
+                                 "queue = 256\n"
+                                 "guard_ttl_ms = 600000\n"
+                                 "guard_max = 100000\n"
+                                 "drain_grace_ms = 30000\n";
+
+const char *const cf_agent_keys[] = {
+  "agent.listen",       "agent.target_url", "agent.workers",
+  "agent.queue",        "agent.guard_ttl_ms", "agent.guard_max",
+  "agent.drain_grace_ms", NULL,
+};
+
+CfStatus
+cf_agent_settings_read (CfSettings *s, CfAgentSettings *o)
+{
+  CfStatus st;
+
+  st = cf_settings_only (s, cf_agent_keys);
+  if (st == CF_OK)
+    st = cf_settings_string (s, "agent", "listen", &o->listen);
+  if (st == CF_OK)
+    st = cf_settings_string (s, "agent", "target_url", &o->target_url);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "agent", "workers", 1, 1024, &o->workers);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "agent", "queue", 4, 65536, &o->queue);
+  if (st == CF_OK && (o->queue & (o->queue - 1)) != 0)
+    st = cf_fail (CF_ERR_SETTINGS, "choose a power of two such as 256",
+                  "%s: [agent] queue = %" G_GINT64_FORMAT
+                  " is not a power of two", s->origin, o->queue);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "agent", "guard_ttl_ms", 1000, 86400000,
+                          &o->guard_ttl_ms);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "agent", "guard_max", 16, 10000000,
+                          &o->guard_max);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "agent", "drain_grace_ms", 0, 3600000,
+                          &o->drain_grace_ms);
+  return st;
+}
+
+/* What lives for one connection from an entry or an operator. */
+typedef struct
+{
+  CfAgent *agent;
+  int fd;
+  pthread_mutex_t write_lock;
+  int refs;
+} Conn;
+
+/* What lives for one request, from its frame to its reply. */
+typedef struct
+{
+  Conn *conn;
+  CfMsg msg;
+  long long deadline_at;
+} Job;
+
+static void
+conn_unref (Conn *c)
+{
+  if (__atomic_sub_fetch (&c->refs, 1, __ATOMIC_ACQ_REL) != 0)
+    return;
+  close (c->fd);
+  pthread_mutex_destroy (&c->write_lock);
+  g_free (c);
+}
+
+CfLoad
+cf_agent_load (CfAgent *a)
+{
+  unsigned int queued = cf_ring_length (&a->work);
+  CfLoad l = { .in_flight = ck_pr_load_int (&a->in_flight) - (int) queued,
+               .queued = queued,
+               .draining = ck_pr_load_int (&a->draining) };
+
+  return l;
+}
+
+static void
+reply (Conn *c, CfMsg *m)
+{
+  m->load = cf_agent_load (c->agent);
+  pthread_mutex_lock (&c->write_lock);
+  /* A failed write means the entry is gone; it will see the link lost. */
+  if (cf_msg_write (c->fd, m) != CF_OK)
+    shutdown (c->fd, SHUT_RDWR);
+  pthread_mutex_unlock (&c->write_lock);
+}
+
+static void
+refuse (Conn *c, guint64 id, CfRan ran, const char *reason, gint64 retry_ms)
+{
+  CfMsg m = { .kind = CF_MSG_REFUSAL, .id = id };
+
+  m.u.refusal.ran = ran;
+  m.u.refusal.reason = (char *) reason;
+  m.u.refusal.retry_after_ms = retry_ms;
+  ck_pr_inc_64 (&c->agent->refused);
+  cf_log (LOG_INFO, CF_EV_AGENT_REFUSE, "id=%" G_GUINT64_FORMAT
+          " ran=%s reason=%s", id, cf_ran_name (ran), reason);
+  reply (c, &m);
+}
+
+static void
+answer (Conn *c, guint64 id, gint64 code, const char *body)
+{
+  CfMsg m = { .kind = CF_MSG_ANSWER, .id = id };
+
+  m.u.answer.code = code;
+  m.u.answer.body = (char *) body;
+  ck_pr_inc_64 (&c->agent->served);
+  reply (c, &m);
+}
+
+static void
+run_job (CfAgent *a, Job *j)
+{
+  CfMsg *m = &j->msg;
+  g_autofree char *url = g_strconcat (a->set.target_url, m->u.request.path,
+                                      NULL);
+  g_autofree char *prio = g_strdup_printf ("X-Comfrey-Priority: %"
+                                           G_GINT64_FORMAT,
+                                           m->u.request.priority);
+  g_autofree char *key = m->u.request.key
+                             ? g_strdup_printf ("Idempotency-Key: %s",
+                                                m->u.request.key)
+                             : NULL;
+  const char *headers[] = { prio, key, NULL };
+  g_autofree char *body = NULL;
+  long long left = j->deadline_at - cf_now_ms ();
+  long code = 0;
+  CfStatus st;
+
+  if (left <= 0)
+    {
+      if (m->u.request.key)
+        cf_guard_forget (&a->guard, m->u.request.key);
+      refuse (j->conn, m->id, CF_RAN_NO, "deadline-before-start", 0);
+      return;
+    }
+  st = cf_http_call ("POST", url, m->u.request.body, headers, left, &code,
+                     &body);
+  switch (st)
+    {
+    case CF_OK:
+      if (m->u.request.key)
+        cf_guard_finish (&a->guard, m->u.request.key, TRUE, code, body,
+                         cf_now_ms ());
+      answer (j->conn, m->id, code, body);
+      return;
+    case CF_ERR_NET:
+      if (m->u.request.key)
+        cf_guard_forget (&a->guard, m->u.request.key);
+      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "id=%" G_GUINT64_FORMAT
+              " ran=no error=\"%s\"", m->id, cf_last_error ());
+      refuse (j->conn, m->id, CF_RAN_NO, "target-unreachable", 1000);
+      return;
+    default:
+      if (m->u.request.key)
+        cf_guard_finish (&a->guard, m->u.request.key, FALSE, 0, NULL,
+                         cf_now_ms ());
+      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "id=%" G_GUINT64_FORMAT
+              " ran=unknown error=\"%s\"", m->id, cf_last_error ());
+      refuse (j->conn, m->id, CF_RAN_UNKNOWN, "target-failed", 1000);
+      return;
+    }
+}
+
+static void *
+worker (void *data)
+{
+  CfAgent *a = data;
+
+  for (;;)
+    {
+      Job *j = cf_ring_pop (&a->work);
+
+      run_job (a, j);
+      ck_pr_dec_int (&a->in_flight);
+      cf_msg_clear (&j->msg);
+      conn_unref (j->conn);
+      g_free (j);
+    }
+  return NULL;
+}
+
+/* Decides, before queueing, whether a request may run at all. */
+static gboolean
+admit (Conn *c, CfMsg *m)
+{
+  CfAgent *a = c->agent;
+  g_autofree char *kept = NULL;
+  gint64 code = 0;
+
+  if (ck_pr_load_int (&a->draining))
+    {
+      refuse (c, m->id, CF_RAN_NO, "draining", 1000);
+      return FALSE;
+    }
+  if (m->u.request.key == NULL)
+    return TRUE;
+  switch (cf_guard_begin (&a->guard, m->u.request.key, cf_now_ms (), &code,
+                          &kept))
+    {
+    case CF_GUARD_NEW:
+      return TRUE;
+    case CF_GUARD_DONE:
+      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "key=%s outcome=replay",
+              m->u.request.key);
+      answer (c, m->id, code, kept);
+      return FALSE;
+    case CF_GUARD_RUNNING:
+      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "key=%s outcome=running",
+              m->u.request.key);
+      refuse (c, m->id, CF_RAN_UNKNOWN, "running", 1000);
+      return FALSE;
+    case CF_GUARD_UNKNOWN:
+      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "key=%s outcome=unknown",
+              m->u.request.key);
+      refuse (c, m->id, CF_RAN_UNKNOWN, "fate-unknown", 0);
+      return FALSE;
+    case CF_GUARD_FULL:
+      refuse (c, m->id, CF_RAN_NO, "guard-full", 1000);
+      return FALSE;
+    }
+  return FALSE;
+}
+
+static void
+take_request (Conn *c, CfMsg *m)
+{
+  CfAgent *a = c->agent;
+  Job *j;
+
+  if (!admit (c, m))
+    {
+      cf_msg_clear (m);
+      return;
+    }
+  j = g_new0 (Job, 1);
+  j->conn = c;
+  j->msg = *m;
+  j->deadline_at = cf_now_ms () + m->u.request.deadline_ms;
+  memset (m, 0, sizeof *m);
+  __atomic_add_fetch (&c->refs, 1, __ATOMIC_ACQ_REL);
+  /* Counted before the push, so that a drain never sees a job in between. */
+  ck_pr_inc_int (&a->in_flight);
+  if (!cf_ring_push (&a->work, j))
+    {
+      ck_pr_dec_int (&a->in_flight);
+      if (j->msg.u.request.key)
+        cf_guard_forget (&a->guard, j->msg.u.request.key);
+      refuse (c, j->msg.id, CF_RAN_NO, "overloaded", 500);
+      cf_msg_clear (&j->msg);
+      conn_unref (c);
+      g_free (j);
+    }
+}
+
+static void
+take_order (Conn *c, CfMsg *m)
+{
+  CfAgent *a = c->agent;
+  g_autofree char *url = g_strconcat (a->set.target_url, "/v1/order", NULL);
+  g_autofree char *body = NULL;
+  g_autofree char *out = NULL;
+  gint64 fence;
+  long code = 0;
+
+  pthread_mutex_lock (&a->fence_lock);
+  fence = a->fence;
+  if (m->u.order.fence >= fence)
+    a->fence = m->u.order.fence;
+  pthread_mutex_unlock (&a->fence_lock);
+  if (m->u.order.fence < fence)
+    {
+      cf_log (LOG_WARNING, CF_EV_FENCE_STALE, "op=%s fence=%" G_GINT64_FORMAT
+              " highest=%" G_GINT64_FORMAT, m->u.order.op, m->u.order.fence,
+              fence);
+      refuse (c, m->id, CF_RAN_NO, "stale-fencing-token", 0);
+      return;
+    }
+  body = g_strdup_printf ("{\"fence\":%" G_GINT64_FORMAT ",\"op\":\"%s\"}",
+                          m->u.order.fence, m->u.order.op);
+  cf_log (LOG_INFO, CF_EV_ORDER, "op=%s fence=%" G_GINT64_FORMAT,
+          m->u.order.op, m->u.order.fence);
+  if (cf_http_call ("POST", url, body, NULL, 5000, &code, &out) != CF_OK)
+    refuse (c, m->id, CF_RAN_UNKNOWN, "target-failed", 1000);
+  else
+    answer (c, m->id, code, out);
+}
+
+static void
+take_status (Conn *c, CfMsg *m)
+{
+  CfAgent *a = c->agent;
+  CfMsg s = { .kind = CF_MSG_STATUS, .id = m->id };
+
+  pthread_mutex_lock (&a->fence_lock);
+  s.u.status.fence = a->fence;
+  pthread_mutex_unlock (&a->fence_lock);
+  s.u.status.served = (gint64) ck_pr_load_64 (&a->served);
+  s.u.status.refused = (gint64) ck_pr_load_64 (&a->refused);
+  reply (c, &s);
+}
+
+static void *
+conn_thread (void *data)
+{
+  Conn *c = data;
+  CfMsg m;
+
+  while (cf_msg_read (c->fd, &m) == CF_OK)
+    {
+      switch (m.kind)
+        {
+        case CF_MSG_REQUEST:
+          take_request (c, &m);
+          break;
+        case CF_MSG_ORDER:
+          take_order (c, &m);
+          break;
+        case CF_MSG_DRAIN:
+          ck_pr_store_int (&c->agent->draining, 1);
+          cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "by=operator");
+          take_status (c, &m);
+          break;
+        case CF_MSG_PING:
+          take_status (c, &m);
+          break;
+        case CF_MSG_ANSWER:
+        case CF_MSG_REFUSAL:
+        case CF_MSG_STATUS:
+          break;
+        }
+      cf_msg_clear (&m);
+    }
+  conn_unref (c);
+  return NULL;
+}
+
+static void *
+accept_thread (void *data)
+{
+  CfAgent *a = data;
+
+  for (;;)
+    {
+      int fd = accept4 (a->listen_fd, NULL, NULL, SOCK_CLOEXEC);
+      struct timeval tv = { .tv_sec = 1 };
+      pthread_t t;
+      Conn *c;
+
+      if (fd < 0)
+        {
+          usleep (10000);
+          continue;
+        }
+      setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof tv);
+      c = g_new0 (Conn, 1);
+      c->agent = a;
+      c->fd = fd;
+      c->refs = 1;
+      pthread_mutex_init (&c->write_lock, NULL);
+      pthread_create (&t, NULL, conn_thread, c);
+      pthread_detach (t);
+    }
+  return NULL;
+}
+
+CfStatus
+cf_agent_start (CfAgent *a)
+{
+  pthread_t t;
+  CfStatus st;
+
+  st = cf_listen_tcp (a->set.listen, &a->listen_fd);
+  if (st != CF_OK)
+    return st;
+  cf_ring_init (&a->work, (unsigned int) a->set.queue);
+  cf_guard_init (&a->guard, a->set.guard_ttl_ms, (guint) a->set.guard_max);
+  pthread_mutex_init (&a->fence_lock, NULL);
+  for (gint64 i = 0; i < a->set.workers; i++)
+    {
+      pthread_create (&t, NULL, worker, a);
+      pthread_detach (t);
+    }
+  pthread_create (&t, NULL, accept_thread, a);
+  pthread_detach (t);
+  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s target=%s", a->set.listen,
+          a->set.target_url);
+  return CF_OK;
+}
+
+void
+cf_agent_drain (CfAgent *a, const char *why)
+{
+  long long until = cf_now_ms () + a->set.drain_grace_ms;
+
+  ck_pr_store_int (&a->draining, 1);
+  cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "by=%s in_flight=%d queued=%u", why,
+          ck_pr_load_int (&a->in_flight), cf_ring_length (&a->work));
+  while (ck_pr_load_int (&a->in_flight) > 0 && cf_now_ms () < until)
+    usleep (10000);
+  cf_log (LOG_NOTICE, CF_EV_DRAIN_DONE, "in_flight=%d queued=%u",
+          ck_pr_load_int (&a->in_flight), cf_ring_length (&a->work));
+}
--- /dev/null
+++ b/agent.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "guard.h"
+#include "ring.h"
+#include "settings.h"
+#include "wire.h"
+
+#include <ck_pr.h>
+#include <pthread.h>
+
+/** CfAgentSettings: the [agent] table; docs/SETTINGS.md. */
+typedef struct
+{
+  char *listen;     /**< for entries and operators, "IP:PORT" */
+  char *target_url; /**< the target's HTTP base URL */
+  gint64 workers;   /**< calls to the target at once */
+  gint64 queue;     /**< waiting calls before refusing, a power of two */
+  gint64 guard_ttl_ms;
+  gint64 guard_max;
+  gint64 drain_grace_ms;
+} CfAgentSettings;
+
+/**
+ * CfAgent:
+ * The agent beside one target, for the life of the process: it forwards
+ * entries' requests, keeps the at-most-once guard, refuses orders that
+ * carry an old fencing token, reports load and drains.
+ */
+typedef struct
+{
+  CfAgentSettings set;
+  int listen_fd;
+  CfRing work;
+  CfGuard guard;
+  pthread_mutex_t fence_lock;
+  gint64 fence; /**< highest fencing token seen */
+  int in_flight; /**< accepted and not yet answered, queued ones too */
+  int draining;
+  uint64_t served;
+  uint64_t refused;
+} CfAgent;
+
+extern const char cf_agent_defaults[];
+extern const char *const cf_agent_keys[];
+
+CfStatus cf_agent_settings_read (CfSettings *s, CfAgentSettings *out);
+
+/** cf_agent_start: binds the listener and starts the workers. */
+CfStatus cf_agent_start (CfAgent *a);
+
+/** cf_agent_drain: refuses new work, waits until none is in flight. */
+void cf_agent_drain (CfAgent *a, const char *why);
+
+/** cf_agent_load: the load reported on every reply. */
+CfLoad cf_agent_load (CfAgent *a);
--- /dev/null
+++ b/comfrey-agent.c
@@ -0,0 +1,38 @@
+#include "agent.h"
+#include "daemon.h"
+#include "log.h"
+
+#include <stdio.h>
+
+int
+main (int argc, char **argv)
+{
+  static CfAgent a;
+  CfDaemonArgs args = { 0 };
+  CfSettings s = { 0 };
+  int rc;
+
+  rc = cf_daemon_init (&argc, &argv, "comfrey-agent",
+                       "The agent beside one target: forwards requests, "
+                       "guards non-repeatable calls, fences orders, drains.",
+                       NULL, cf_agent_defaults, cf_agent_keys, &args, &s);
+  if (rc >= 0)
+    return rc;
+  if (cf_agent_settings_read (&s, &a.set) != CF_OK)
+    return cf_daemon_settings_failed ();
+  if (args.check_settings)
+    {
+      printf ("settings ok: %s\n", s.origin);
+      return 0;
+    }
+  if (cf_agent_start (&a) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
+      return 1;
+    }
+  cf_log (LOG_INFO, CF_EV_START, "listen=%s", a.set.listen);
+  rc = cf_daemon_wait ();
+  cf_agent_drain (&a, "signal");
+  cf_log (LOG_INFO, CF_EV_STOP, "signal=%d", rc);
+  return 0;
+}
--- /dev/null
+++ b/comfrey-fake-engine.c
@@ -0,0 +1,313 @@
+/*
+ * A stand-in for a model engine group: ranks that step in lock-step on one
+ * expert map.  Each step every running request makes one token, routed to
+ * an expert by a skewed popularity; the step lasts as long as the most
+ * loaded rank needs.  It is met over HTTP, as a real engine would be.
+ */
+#include "daemon.h"
+#include "expert-map.h"
+#include "http-server.h"
+#include "log.h"
+#include "net.h"
+
+#include <jansson.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+static const char defaults[] = "[engine]\n"
+                               "listen = \"127.0.0.1:7201\"\n"
+                               "ranks = 8\n"
+                               "experts = 128\n"
+                               "batch_max = 64\n"
+                               "step_base_us = 2000\n"
+                               "step_per_token_us = 100\n"
+                               "load_lag_ms = 500\n"
+                               "check_fence = true\n"
+                               "seed = 1\n";
+static const char *const keys[] = {
+  "engine.listen",      "engine.ranks",        "engine.experts",
+  "engine.batch_max",   "engine.step_base_us", "engine.step_per_token_us",
+  "engine.load_lag_ms", "engine.check_fence",  "engine.seed",
+  NULL,
+};
+
+/* What lives for one generation request. */
+typedef struct Gen
+{
+  struct Gen *next; /* intrusive: waiting queue or batch */
+  guint64 seq;
+  char *prompt;
+  gint64 priority;
+  int want;
+  int made;
+  gboolean done;
+  gboolean cancelled;
+} Gen;
+
+static struct
+{
+  pthread_mutex_t lock;
+  pthread_cond_t done;
+  pthread_cond_t work;
+  Gen *waiting;
+  Gen *batch;
+  int running;
+  guint64 seq;
+  CfExpertMap *map;
+  double *popularity; /* cumulative */
+  GRand *rand;
+  gint64 steps;
+  gint64 fence;
+  gint64 batch_max, base_us, per_token_us, lag_ms, ranks, experts;
+  gboolean check_fence;
+  int reported_running; /* load as the lagging report shows it */
+  long long reported_at;
+} eng;
+
+static void
+admit_waiting (void)
+{
+  while (eng.waiting && eng.running < eng.batch_max)
+    {
+      Gen *g = eng.waiting;
+
+      eng.waiting = g->next;
+      g->next = eng.batch;
+      eng.batch = g;
+      eng.running++;
+    }
+}
+
+static int
+pick_expert (void)
+{
+  double u = g_rand_double (eng.rand);
+  int lo = 0;
+  int hi = (int) eng.experts - 1;
+
+  while (lo < hi)
+    {
+      int mid = (lo + hi) / 2;
+
+      if (eng.popularity[mid] < u)
+        lo = mid + 1;
+      else
+        hi = mid;
+    }
+  return lo;
+}
+
+static void *
+step_thread (void *unused)
+{
+  g_autofree int *tokens = g_new0 (int, eng.experts);
+  g_autofree int *load = g_new0 (int, eng.ranks);
+
+  for (;;)
+    {
+      int max;
+
+      pthread_mutex_lock (&eng.lock);
+      while (eng.batch == NULL && eng.waiting == NULL)
+        pthread_cond_wait (&eng.work, &eng.lock);
+      admit_waiting ();
+      memset (tokens, 0, sizeof *tokens * eng.experts);
+      for (Gen *g = eng.batch; g; g = g->next)
+        tokens[pick_expert ()]++;
+      max = cf_expert_map_step_load (eng.map, tokens, load);
+      pthread_mutex_unlock (&eng.lock);
+
+      usleep (eng.base_us + eng.per_token_us * max);
+
+      pthread_mutex_lock (&eng.lock);
+      eng.steps++;
+      for (Gen **p = &eng.batch; *p;)
+        {
+          Gen *g = *p;
+
+          if (!g->cancelled)
+            g->made++;
+          if (g->made >= g->want || g->cancelled)
+            {
+              *p = g->next;
+              g->done = TRUE;
+              eng.running--;
+              continue;
+            }
+          p = &g->next;
+        }
+      if (cf_now_ms () - eng.reported_at >= eng.lag_ms)
+        {
+          eng.reported_running = eng.running;
+          eng.reported_at = cf_now_ms ();
+        }
+      pthread_cond_broadcast (&eng.done);
+      pthread_mutex_unlock (&eng.lock);
+    }
+  return NULL;
+}
+
+/* Higher priority first; equal priorities keep their order of arrival. */
+static void
+enqueue (Gen *g)
+{
+  Gen **p = &eng.waiting;
+
+  while (*p && (*p)->priority >= g->priority)
+    p = &(*p)->next;
+  g->next = *p;
+  *p = g;
+}
+
+static void
+generate (const CfHttpRequest *req, CfHttpReply *rep)
+{
+  json_t *o = json_loads (req->body, 0, NULL);
+  const char *prompt = json_string_value (json_object_get (o, "prompt"));
+  json_t *mt = json_object_get (o, "max_tokens");
+  const char *prio = cf_http_header (req, "X-Comfrey-Priority");
+  Gen g = { 0 };
+  json_t *r;
+
+  if (prompt == NULL)
+    {
+      cf_http_reply_error (rep, 400, "bad-request",
+                           "'prompt' must be a string");
+      json_decref (o);
+      return;
+    }
+  g.prompt = g_strdup (prompt);
+  g.want = json_is_integer (mt) ? CLAMP (json_integer_value (mt), 1, 4096) : 8;
+  g.priority = prio ? g_ascii_strtoll (prio, NULL, 10) : 0;
+  json_decref (o);
+
+  pthread_mutex_lock (&eng.lock);
+  g.seq = ++eng.seq;
+  enqueue (&g);
+  pthread_cond_signal (&eng.work);
+  while (!g.done)
+    pthread_cond_wait (&eng.done, &eng.lock);
+  pthread_mutex_unlock (&eng.lock);
+
+  r = json_pack ("{s:s, s:i, s:I}", "text", g.prompt, "tokens", g.made,
+                 "map_version", (json_int_t) eng.map->version);
+  rep->body = json_dumps (r, JSON_COMPACT);
+  json_decref (r);
+  g_free (g.prompt);
+}
+
+static void
+order (const CfHttpRequest *req, CfHttpReply *rep)
+{
+  json_t *o = json_loads (req->body, 0, NULL);
+  json_t *f = json_object_get (o, "fence");
+  gint64 fence = json_is_integer (f) ? json_integer_value (f) : 0;
+  gboolean stale;
+
+  pthread_mutex_lock (&eng.lock);
+  stale = eng.check_fence && fence < eng.fence;
+  if (!stale)
+    eng.fence = MAX (eng.fence, fence);
+  pthread_mutex_unlock (&eng.lock);
+  json_decref (o);
+  if (stale)
+    cf_http_reply_error (rep, 409, "stale-fence",
+                         "the order's fencing token is older than one seen");
+  else
+    rep->body = g_strdup_printf ("{\"accepted\":true,\"fence\":%"
+                                 G_GINT64_FORMAT "}", fence);
+}
+
+static void
+on_http (void *data, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  if (g_str_equal (req->path, "/v1/generate"))
+    generate (req, rep);
+  else if (g_str_equal (req->path, "/v1/order"))
+    order (req, rep);
+  else if (g_str_equal (req->path, "/v1/load"))
+    {
+      pthread_mutex_lock (&eng.lock);
+      rep->body = g_strdup_printf ("{\"running\":%d,\"steps\":%" G_GINT64_FORMAT
+                                   ",\"map_version\":%" G_GINT64_FORMAT "}",
+                                   eng.reported_running, eng.steps,
+                                   eng.map->version);
+      pthread_mutex_unlock (&eng.lock);
+    }
+  else
+    cf_http_reply_error (rep, 404, "not-found",
+                         "use /v1/generate, /v1/order or /v1/load");
+}
+
+static void
+set_popularity (double skew)
+{
+  double sum = 0;
+
+  eng.popularity = g_new (double, eng.experts);
+  for (int e = 0; e < eng.experts; e++)
+    sum += 1.0 / pow (e + 1, skew);
+  for (int e = 0; e < eng.experts; e++)
+    eng.popularity[e] = (e ? eng.popularity[e - 1] : 0)
+                        + 1.0 / pow (e + 1, skew) / sum;
+}
+
+int
+main (int argc, char **argv)
+{
+  CfDaemonArgs args = { 0 };
+  CfSettings s = { 0 };
+  CfHttpServer *http = NULL;
+  g_autofree char *listen = NULL;
+  gint64 seed = 1;
+  pthread_t t;
+  int rc;
+
+  rc = cf_daemon_init (&argc, &argv, "comfrey-fake-engine",
+                       "A stand-in for a model engine group of lock-step "
+                       "ranks on an expert map, for tests and the demo.",
+                       NULL, defaults, keys, &args, &s);
+  if (rc >= 0)
+    return rc;
+  if (cf_settings_string (&s, "engine", "listen", &listen) != CF_OK
+      || cf_settings_int (&s, "engine", "ranks", 1, 1024, &eng.ranks) != CF_OK
+      || cf_settings_int (&s, "engine", "experts", 1, 4096, &eng.experts)
+             != CF_OK
+      || cf_settings_int (&s, "engine", "batch_max", 1, 4096, &eng.batch_max)
+             != CF_OK
+      || cf_settings_int (&s, "engine", "step_base_us", 0, 1000000,
+                          &eng.base_us) != CF_OK
+      || cf_settings_int (&s, "engine", "step_per_token_us", 0, 100000,
+                          &eng.per_token_us) != CF_OK
+      || cf_settings_int (&s, "engine", "load_lag_ms", 0, 60000, &eng.lag_ms)
+             != CF_OK
+      || cf_settings_bool (&s, "engine", "check_fence", &eng.check_fence)
+             != CF_OK
+      || cf_settings_int (&s, "engine", "seed", 0, G_MAXINT32, &seed) != CF_OK)
+    return cf_daemon_settings_failed ();
+  if (args.check_settings)
+    {
+      printf ("settings ok: %s\n", s.origin);
+      return 0;
+    }
+  pthread_mutex_init (&eng.lock, NULL);
+  pthread_cond_init (&eng.done, NULL);
+  pthread_cond_init (&eng.work, NULL);
+  eng.map = cf_expert_map_new ((int) eng.experts, (int) eng.ranks);
+  eng.rand = g_rand_new_with_seed ((guint32) seed);
+  set_popularity (1.0);
+  pthread_create (&t, NULL, step_thread, NULL);
+  if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
+      return 1;
+    }
+  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s ranks=%" G_GINT64_FORMAT
+          " experts=%" G_GINT64_FORMAT, listen, eng.ranks, eng.experts);
+  cf_daemon_wait ();
+  cf_http_server_stop (http);
+  return 0;
+}
--- /dev/null
+++ b/comfrey-fake-service.c
@@ -0,0 +1,108 @@
+/*
+ * A stand-in for a plain service, such as an order desk or a booking
+ * service, whose calls may not be repeated.  It counts how often each
+ * idempotency key ran, so that a doubled call shows.
+ */
+#include "daemon.h"
+#include "http-server.h"
+#include "log.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <unistd.h>
+
+static const char defaults[] = "[service]\n"
+                               "listen = \"127.0.0.1:7301\"\n"
+                               "work_ms = 3\n";
+static const char *const keys[] = { "service.listen", "service.work_ms", NULL };
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *runs; /* key -> count */
+static gint64 work_ms;
+static gint64 calls;
+
+static void
+call (const CfHttpRequest *req, CfHttpReply *rep)
+{
+  const char *key = cf_http_header (req, "Idempotency-Key");
+  json_t *body = json_loads (req->body, JSON_DECODE_ANY, NULL);
+  guint n = 0;
+  json_t *o;
+
+  pthread_mutex_lock (&lock);
+  calls++;
+  if (key)
+    {
+      n = GPOINTER_TO_UINT (g_hash_table_lookup (runs, key)) + 1;
+      g_hash_table_insert (runs, g_strdup (key), GUINT_TO_POINTER (n));
+    }
+  pthread_mutex_unlock (&lock);
+  usleep (work_ms * 1000);
+  o = json_pack ("{s:o, s:i}", "done", body ? body : json_null (), "runs",
+                 (int) n);
+  rep->body = json_dumps (o, JSON_COMPACT);
+  json_decref (o);
+}
+
+static void
+counts (CfHttpReply *rep)
+{
+  json_t *o = json_object ();
+  GHashTableIter it;
+  gpointer k, v;
+
+  pthread_mutex_lock (&lock);
+  g_hash_table_iter_init (&it, runs);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    json_object_set_new (o, k, json_integer (GPOINTER_TO_UINT (v)));
+  pthread_mutex_unlock (&lock);
+  rep->body = json_dumps (o, JSON_COMPACT | JSON_SORT_KEYS);
+  json_decref (o);
+}
+
+static void
+on_http (void *data, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  if (g_str_equal (req->path, "/v1/call"))
+    call (req, rep);
+  else if (g_str_equal (req->path, "/test/counts"))
+    counts (rep);
+  else
+    cf_http_reply_error (rep, 404, "not-found", "use /v1/call");
+}
+
+int
+main (int argc, char **argv)
+{
+  CfDaemonArgs args = { 0 };
+  CfSettings s = { 0 };
+  CfHttpServer *http = NULL;
+  g_autofree char *listen = NULL;
+  int rc;
+
+  rc = cf_daemon_init (&argc, &argv, "comfrey-fake-service",
+                       "A stand-in for a plain service with non-repeatable "
+                       "calls; counts runs per idempotency key.",
+                       NULL, defaults, keys, &args, &s);
+  if (rc >= 0)
+    return rc;
+  if (cf_settings_string (&s, "service", "listen", &listen) != CF_OK
+      || cf_settings_int (&s, "service", "work_ms", 0, 60000, &work_ms)
+             != CF_OK)
+    return cf_daemon_settings_failed ();
+  if (args.check_settings)
+    {
+      printf ("settings ok: %s\n", s.origin);
+      return 0;
+    }
+  runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
+      return 1;
+    }
+  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s", listen);
+  cf_daemon_wait ();
+  cf_http_server_stop (http);
+  return 0;
+}
--- /dev/null
+++ b/comfrey-fake-vmlist.c
@@ -0,0 +1,126 @@
+/*
+ * A stand-in for the platform's lagging list of live and leaving VMs.  A
+ * change put in through the test hook shows only after the lag.
+ */
+#include "daemon.h"
+#include "http-server.h"
+#include "log.h"
+#include "net.h"
+
+#include <jansson.h>
+#include <stdio.h>
+
+static const char defaults[] = "[vmlist]\n"
+                               "listen = \"127.0.0.1:7001\"\n"
+                               "lag_ms = 2000\n";
+static const char *const keys[] = { "vmlist.listen", "vmlist.lag_ms", NULL };
+
+typedef struct
+{
+  char *state;
+  long long visible_at; /* when the change shows in the list */
+  char *shown;          /* the state shown before then */
+} Vm;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *vms;
+static gint64 lag_ms;
+
+static void
+list (CfHttpReply *rep)
+{
+  json_t *a = json_array ();
+  json_t *o;
+  GHashTableIter it;
+  gpointer k, v;
+  long long now = cf_now_ms ();
+
+  pthread_mutex_lock (&lock);
+  g_hash_table_iter_init (&it, vms);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    {
+      Vm *vm = v;
+      const char *state = now >= vm->visible_at ? vm->state : vm->shown;
+
+      if (state)
+        json_array_append_new (a, json_pack ("{s:s, s:s}", "addr", (char *) k,
+                                             "state", state));
+    }
+  pthread_mutex_unlock (&lock);
+  o = json_pack ("{s:o}", "vms", a);
+  rep->body = json_dumps (o, JSON_COMPACT | JSON_SORT_KEYS);
+  json_decref (o);
+}
+
+static void
+set_state (const CfHttpRequest *req, CfHttpReply *rep)
+{
+  const char *addr = cf_http_query (req, "addr");
+  const char *state = cf_http_query (req, "state");
+  Vm *vm;
+
+  if (!addr || !state)
+    {
+      cf_http_reply_error (rep, 400, "bad-request", "give addr and state");
+      return;
+    }
+  pthread_mutex_lock (&lock);
+  vm = g_hash_table_lookup (vms, addr);
+  if (vm == NULL)
+    {
+      vm = g_new0 (Vm, 1);
+      g_hash_table_insert (vms, g_strdup (addr), vm);
+    }
+  g_free (vm->shown);
+  vm->shown = vm->state;
+  vm->state = g_strdup (state);
+  vm->visible_at = cf_now_ms () + lag_ms;
+  pthread_mutex_unlock (&lock);
+  rep->body = g_strdup ("{\"ok\":true}");
+}
+
+static void
+on_http (void *data, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  if (g_str_equal (req->path, "/v1/vms"))
+    list (rep);
+  else if (g_str_equal (req->path, "/test/vm"))
+    set_state (req, rep);
+  else
+    cf_http_reply_error (rep, 404, "not-found", "use /v1/vms");
+}
+
+int
+main (int argc, char **argv)
+{
+  CfDaemonArgs args = { 0 };
+  CfSettings s = { 0 };
+  CfHttpServer *http = NULL;
+  g_autofree char *listen = NULL;
+  int rc;
+
+  rc = cf_daemon_init (&argc, &argv, "comfrey-fake-vmlist",
+                       "A stand-in for the platform's lagging VM list.", NULL,
+                       defaults, keys, &args, &s);
+  if (rc >= 0)
+    return rc;
+  if (cf_settings_string (&s, "vmlist", "listen", &listen) != CF_OK
+      || cf_settings_int (&s, "vmlist", "lag_ms", 0, 600000, &lag_ms) != CF_OK)
+    return cf_daemon_settings_failed ();
+  if (args.check_settings)
+    {
+      printf ("settings ok: %s\n", s.origin);
+      return 0;
+    }
+  vms = g_hash_table_new (g_str_hash, g_str_equal);
+  if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
+      return 1;
+    }
+  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s lag_ms=%" G_GINT64_FORMAT, listen,
+          lag_ms);
+  cf_daemon_wait ();
+  cf_http_server_stop (http);
+  return 0;
+}
--- /dev/null
+++ b/comfrey.c
@@ -0,0 +1,104 @@
+/*
+ * The operator's command line: check records, show an agent's status,
+ * drain an agent.
+ */
+#include "error.h"
+#include "net.h"
+#include "records.h"
+#include "wire.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CF_VERSION "0.1.0"
+
+static int
+check (const char *path)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) err = NULL;
+  CfConfig *c = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, &err))
+    {
+      fprintf (stderr, "comfrey check: %s\n", err->message);
+      return 2;
+    }
+  if (cf_config_parse_lines (text, path, 0, &c) != CF_OK)
+    {
+      fprintf (stderr, "comfrey check: %s\n", cf_last_error ());
+      return 1;
+    }
+  printf ("%s: ok: %u intents, %u groups\n", path, c->intents->len,
+          g_hash_table_size (c->groups));
+  cf_config_unref (c);
+  return 0;
+}
+
+static int
+ask (const char *addr, CfMsgKind kind)
+{
+  CfMsg m = { .kind = kind, .id = 1 };
+  CfMsg r = { 0 };
+  int fd;
+
+  if (cf_connect_tcp (addr, 2000, &fd) != CF_OK
+      || cf_msg_write (fd, &m) != CF_OK || cf_msg_read (fd, &r) != CF_OK)
+    {
+      fprintf (stderr, "comfrey: %s\n", cf_last_error ());
+      return 1;
+    }
+  close (fd);
+  printf ("agent %s: in_flight=%" G_GINT64_FORMAT " queued=%" G_GINT64_FORMAT
+          " draining=%s fence=%" G_GINT64_FORMAT " served=%" G_GINT64_FORMAT
+          " refused=%" G_GINT64_FORMAT "\n",
+          addr, r.load.in_flight, r.load.queued,
+          r.load.draining ? "yes" : "no", r.u.status.fence,
+          r.u.status.served, r.u.status.refused);
+  cf_msg_clear (&r);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  gboolean version = FALSE;
+  GOptionEntry entries[] = {
+    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version", NULL },
+    { NULL },
+  };
+  g_autoptr (GOptionContext) ctx = g_option_context_new ("COMMAND ARG");
+  g_autoptr (GError) err = NULL;
+
+  g_option_context_set_summary (
+      ctx, "Commands:\n"
+           "  check FILE    check configuration records (schema 1 and 2)\n"
+           "  status ADDR   show an agent's load, fencing token and counts\n"
+           "  drain ADDR    tell an agent to take no new work");
+  g_option_context_add_main_entries (ctx, entries, NULL);
+  if (!g_option_context_parse (ctx, &argc, &argv, &err))
+    {
+      fprintf (stderr, "comfrey: %s (try --help)\n", err->message);
+      return 2;
+    }
+  if (version)
+    {
+      printf ("comfrey %s\n", CF_VERSION);
+      return 0;
+    }
+  if (argc != 3)
+    {
+      fprintf (stderr, "comfrey: give a command and its argument (try --help)\n");
+      return 2;
+    }
+  if (strcmp (argv[1], "check") == 0)
+    return check (argv[2]);
+  if (strcmp (argv[1], "status") == 0)
+    return ask (argv[2], CF_MSG_PING);
+  if (strcmp (argv[1], "drain") == 0)
+    return ask (argv[2], CF_MSG_DRAIN);
+  fprintf (stderr, "comfrey: unknown command '%s' (try --help)\n", argv[1]);
+  return 2;
+}
--- /dev/null
+++ b/config-watch.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "records.h"
+
+#include <pthread.h>
+
+/**
+ * CfConfigWatch:
+ * Follows the read-and-watch configuration service with a long-poll watch
+ * and keeps the newest valid version in force.  A version is put in force
+ * only if it is newer than the one in force, so a stale read or a
+ * restarted service never brings an older one back.
+ */
+typedef struct
+{
+  char *url;      /**< the service's base URL */
+  gint64 wait_ms; /**< how long one watch may wait on the service */
+  pthread_mutex_t lock;
+  CfConfig *current; /**< in force; %NULL until the first version */
+  pthread_t thread;
+  gboolean down; /**< the service failed the last call */
+  void (*on_change) (void *data, CfConfig *c);
+  void *data;
+} CfConfigWatch;
+
+/**
+ * cf_config_watch_start:
+ * @on_change: (nullable): called on the watch thread with each version put
+ *   in force
+ */
+void cf_config_watch_start (CfConfigWatch *w, const char *url, gint64 wait_ms,
+                            void (*on_change) (void *, CfConfig *),
+                            void *data);
+
+/** cf_config_watch_get: the version in force, with a reference, or %NULL. */
+CfConfig *cf_config_watch_get (CfConfigWatch *w);
+
+/**
+ * cf_config_watch_offer:
+ * Puts @c in force if it is newer than the version in force.
+ * Returns: %TRUE if it was put in force.  Takes the caller's reference.
+ */
+gboolean cf_config_watch_offer (CfConfigWatch *w, CfConfig *c);
--- /dev/null
+++ b/daemon.c
@@ -0,0 +1,74 @@
+#include "daemon.h"
+
+#include "log.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+#define CF_VERSION "0.1.0"
+
+int
+cf_daemon_init (int *argc, char ***argv, const char *prog,
+                const char *summary, GOptionEntry *extra,
+                const char *defaults, const char *const *known,
+                CfDaemonArgs *a, CfSettings *s)
+{
+  GOptionEntry common[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &a->settings,
+      "Read settings from FILE (TOML)", "FILE" },
+    { "check-settings", 0, 0, G_OPTION_ARG_NONE, &a->check_settings,
+      "Check the settings, print them and exit", NULL },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &a->version,
+      "Print the version and exit", NULL },
+    { NULL },
+  };
+  g_autoptr (GOptionContext) ctx = g_option_context_new (NULL);
+  g_autoptr (GError) err = NULL;
+  sigset_t set;
+
+  cf_log_init (prog);
+  g_option_context_set_summary (ctx, summary);
+  g_option_context_add_main_entries (ctx, common, NULL);
+  if (extra)
+    g_option_context_add_main_entries (ctx, extra, NULL);
+  if (!g_option_context_parse (ctx, argc, argv, &err))
+    {
+      fprintf (stderr, "%s: %s (try --help)\n", prog, err->message);
+      return 2;
+    }
+  if (a->version)
+    {
+      printf ("%s %s\n", prog, CF_VERSION);
+      return 0;
+    }
+  if (cf_settings_load (s, a->settings, defaults) != CF_OK
+      || cf_settings_only (s, known) != CF_OK)
+    return cf_daemon_settings_failed ();
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &set, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  return -1;
+}
+
+int
+cf_daemon_settings_failed (void)
+{
+  cf_log (LOG_ERR, CF_EV_SETTINGS, "error=\"%s\"", cf_last_error ());
+  return 2;
+}
+
+int
+cf_daemon_wait (void)
+{
+  sigset_t set;
+  int sig = 0;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigwait (&set, &sig);
+  return sig;
+}
--- /dev/null
+++ b/daemon.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "settings.h"
+
+#include <glib.h>
+
+/** CfDaemonArgs: the options every program of ours takes. */
+typedef struct
+{
+  char *settings;          /**< --settings FILE */
+  gboolean check_settings; /**< --check-settings: check, print, exit */
+  gboolean version;        /**< --version */
+} CfDaemonArgs;
+
+/**
+ * cf_daemon_init:
+ * @prog: the program's name, for --help and logs
+ * @summary: one paragraph for --help
+ * @extra: (nullable): options of the program's own
+ * @defaults: the embedded default settings
+ * @known: the settings keys the program reads
+ * @s: (out): the settings, loaded and checked for unknown keys
+ *
+ * Parses the command line, loads settings, prints --version, and blocks
+ * SIGTERM, SIGINT and SIGPIPE in every thread to come, so that
+ * cf_daemon_wait() receives them.
+ *
+ * Returns: -1 to go on, or an exit status to return from main().
+ */
+int cf_daemon_init (int *argc, char ***argv, const char *prog,
+                    const char *summary, GOptionEntry *extra,
+                    const char *defaults, const char *const *known,
+                    CfDaemonArgs *a, CfSettings *s);
+
+/** cf_daemon_settings_failed: logs a settings error; returns exit status 2. */
+int cf_daemon_settings_failed (void);
+
+/** cf_daemon_wait: waits for SIGTERM or SIGINT; returns its number. */
+int cf_daemon_wait (void);
--- /dev/null
+++ b/entry.c
@@ -0,0 +1,550 @@
+#include "entry.h"
+
+#include "log.h"
+#include "net.h"
+#include "route.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <unistd.h>
+
+#define KEY_MAX 128
+#define DEADLINE_MAX_MS 600000
+#define HIGH_PRIORITY 5
+
+const char cf_entry_defaults[] = "[entry]\n"
+                                 "name = \"e1\"\n"
+                                 "listen = \"127.0.0.1:8080\"\n"
+                                 "datacentre = \"dc1\"\n"
+                                 "max_in_flight = 512\n"
+                                 "deadline_ms = 10000\n"
+                                 "max_attempts = 3\n"
+                                 "retry_after_ms = 1000\n"
+                                 "low_priority_share = 80\n"
+                                 "[config]\n"
+                                 "url = \"http://127.0.0.1:7000\"\n"
+                                 "watch_wait_ms = 5000\n"
+                                 "[vmlist]\n"
+                                 "url = \"http://127.0.0.1:7001\"\n"
+                                 "poll_ms = 500\n";
+
+const char *const cf_entry_keys[] = {
+  "entry.name",          "entry.listen",        "entry.datacentre",
+  "entry.max_in_flight", "entry.deadline_ms",   "entry.max_attempts",
+  "entry.retry_after_ms", "entry.low_priority_share", "config.url",
+  "config.watch_wait_ms", "vmlist.url",         "vmlist.poll_ms",
+  NULL,
+};
+
+CfStatus
+cf_entry_settings_read (CfSettings *s, CfEntrySettings *o)
+{
+  CfStatus st;
+
+  st = cf_settings_only (s, cf_entry_keys);
+  if (st == CF_OK)
+    st = cf_settings_string (s, "entry", "name", &o->name);
+  if (st == CF_OK)
+    st = cf_settings_string (s, "entry", "listen", &o->listen);
+  if (st == CF_OK)
+    st = cf_settings_string (s, "entry", "datacentre", &o->datacentre);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "max_in_flight", 1, 1000000,
+                          &o->max_in_flight);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "deadline_ms", 1, DEADLINE_MAX_MS,
+                          &o->deadline_ms);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "max_attempts", 1, 16, &o->max_attempts);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "retry_after_ms", 1, 3600000,
+                          &o->retry_after_ms);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "low_priority_share", 0, 100,
+                          &o->low_priority_share);
+  if (st == CF_OK)
+    st = cf_settings_string (s, "config", "url", &o->config_url);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "config", "watch_wait_ms", 100, 60000,
+                          &o->watch_wait_ms);
+  if (st == CF_OK)
+    st = cf_settings_string (s, "vmlist", "url", &o->vmlist_url);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "vmlist", "poll_ms", 50, 60000,
+                          &o->vmlist_poll_ms);
+  return st;
+}
+
+/* What lives for one caller request. */
+typedef struct
+{
+  char id[64];
+  char *org;
+  char *service;
+  char *model;
+  char *key;
+  char *body;
+  gint64 priority;
+  long long deadline_at;
+  gboolean maybe_ran; /**< sent once with no reply: fate unknown */
+  gint64 retry_hint_ms;
+  const CfIntent *intent;
+  const CfGroup *group;
+} Request;
+
+static void
+request_clear (Request *r)
+{
+  g_free (r->org);
+  g_free (r->service);
+  g_free (r->model);
+  g_free (r->key);
+  g_free (r->body);
+}
+
+static CfLink *
+link_for (CfEntry *e, const char *addr)
+{
+  CfLink *l;
+
+  pthread_mutex_lock (&e->links_lock);
+  l = g_hash_table_lookup (e->links, addr);
+  if (l == NULL)
+    {
+      l = cf_link_new (addr);
+      g_hash_table_insert (e->links, l->addr, l);
+    }
+  pthread_mutex_unlock (&e->links_lock);
+  return l;
+}
+
+static void
+on_config (void *data, CfConfig *c)
+{
+  CfEntry *e = data;
+  GHashTableIter it;
+  gpointer v;
+
+  /* Connect to every agent now, so that the first request pays nothing. */
+  g_hash_table_iter_init (&it, c->groups);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      CfGroup *g = v;
+
+      for (guint i = 0; i < g->agents->len; i++)
+        link_for (e, g_ptr_array_index (g->agents, i));
+    }
+}
+
+static const char *
+field_string (json_t *o, const char *name)
+{
+  json_t *v = json_object_get (o, name);
+
+  return json_is_string (v) && json_string_length (v) > 0
+             ? json_string_value (v)
+             : NULL;
+}
+
+/* Reads the caller's JSON into @r; on a fault fills @rep and returns FALSE. */
+static gboolean
+parse_request (CfEntry *e, const CfHttpRequest *req, Request *r,
+               CfHttpReply *rep)
+{
+  g_autofree char *msg = NULL;
+  json_error_t jerr;
+  json_t *o = json_loads (req->body, 0, &jerr);
+  json_t *v;
+  gint64 deadline = e->set.deadline_ms;
+  gboolean ok = FALSE;
+
+  if (!json_is_object (o))
+    {
+      msg = g_strdup_printf ("body is not a JSON object (line %d: %s); send "
+                             "the fields in docs/API.md", jerr.line, jerr.text);
+      goto out;
+    }
+  r->org = g_strdup (field_string (o, "org"));
+  r->service = g_strdup (field_string (o, "service"));
+  r->model = g_strdup (field_string (o, "model"));
+  if (!r->org || !r->service || !r->model)
+    {
+      msg = g_strdup ("'org', 'service' and 'model' must be non-empty "
+                      "strings; name who asks for what");
+      goto out;
+    }
+  v = json_object_get (o, "priority");
+  if (v && (!json_is_integer (v) || json_integer_value (v) < 0
+            || json_integer_value (v) > CF_PRIORITY_MAX))
+    {
+      msg = g_strdup ("'priority' must be an integer from 0 to 9");
+      goto out;
+    }
+  r->priority = v ? json_integer_value (v) : 0;
+  v = json_object_get (o, "deadline_ms");
+  if (v && (!json_is_integer (v) || json_integer_value (v) < 1
+            || json_integer_value (v) > DEADLINE_MAX_MS))
+    {
+      msg = g_strdup ("'deadline_ms' must be an integer from 1 to 600000");
+      goto out;
+    }
+  if (v)
+    deadline = json_integer_value (v);
+  v = json_object_get (o, "worth");
+  if (v && (!json_is_number (v) || json_number_value (v) < 0))
+    {
+      msg = g_strdup ("'worth' must be a number of 0 or more");
+      goto out;
+    }
+  v = json_object_get (o, "idempotency_key");
+  if (v && (!json_is_string (v) || json_string_length (v) == 0
+            || json_string_length (v) > KEY_MAX))
+    {
+      msg = g_strdup ("'idempotency_key' must be a string of 1 to 128 bytes");
+      goto out;
+    }
+  r->key = v ? g_strdup (json_string_value (v)) : NULL;
+  v = json_object_get (o, "body");
+  if (v == NULL)
+    {
+      msg = g_strdup ("'body' is missing; give what the target should get");
+      goto out;
+    }
+  r->body = json_dumps (v, JSON_COMPACT | JSON_ENCODE_ANY);
+  r->deadline_at = cf_now_ms () + deadline;
+  ok = TRUE;
+out:
+  if (!ok)
+    cf_http_reply_error (rep, 400, "bad-request", msg);
+  json_decref (o);
+  return ok;
+}
+
+static void
+refuse (CfEntry *e, Request *r, CfHttpReply *rep, int code, const char *what,
+        CfRan ran, gint64 retry_ms, const char *message)
+{
+  json_t *o = json_pack ("{s:s, s:s, s:s, s:s}", "id", r->id, "error", what,
+                         "ran", cf_ran_name (ran), "message", message);
+
+  if (retry_ms > 0)
+    json_object_set_new (o, "retry_after_ms", json_integer (retry_ms));
+  rep->code = code;
+  rep->body = json_dumps (o, JSON_COMPACT);
+  rep->retry_after_ms = retry_ms;
+  json_decref (o);
+  ck_pr_inc_64 (&e->refused);
+  cf_log (LOG_INFO, CF_EV_ANSWER, "req=%s code=%d ran=%s error=%s", r->id,
+          code, cf_ran_name (ran), what);
+}
+
+static void
+answer (CfEntry *e, Request *r, CfHttpReply *rep, CfMsg *m, const char *addr)
+{
+  json_t *inner = json_loads (m->u.answer.body ? m->u.answer.body : "null",
+                              JSON_DECODE_ANY, NULL);
+  json_t *o = json_pack ("{s:s, s:s, s:s, s:s}", "id", r->id, "ran", "yes",
+                         "group", r->group->name, "target", addr);
+
+  json_object_set_new (o, "answer",
+                       inner ? inner : json_string (m->u.answer.body));
+  rep->code = (int) m->u.answer.code;
+  rep->body = json_dumps (o, JSON_COMPACT);
+  json_decref (o);
+  ck_pr_inc_64 (&e->answered);
+  cf_log (LOG_INFO, CF_EV_ANSWER, "req=%s code=%d ran=yes target=%s", r->id,
+          rep->code, addr);
+}
+
+/* Fills @c with the group's targets as this entry sees them now. */
+static size_t
+candidates (CfEntry *e, Request *r, CfCandidate *c, GHashTable *tried)
+{
+  size_t n = r->group->agents->len;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      const char *addr = g_ptr_array_index (r->group->agents, i);
+      CfLink *l = link_for (e, addr);
+      gint64 outstanding;
+      CfLoad load;
+      gboolean up = cf_link_snapshot (l, &load, &outstanding);
+
+      c[i].addr = addr;
+      c[i].load = MAX (load.in_flight + load.queued, outstanding);
+      c[i].excluded = !up || load.draining
+                      || cf_vm_list_leaving (&e->vms, addr)
+                      || g_hash_table_contains (tried, addr);
+    }
+  return cf_route_order (c, n, r->key, r->id);
+}
+
+static const char *
+exclusion (CfEntry *e, const char *addr, GHashTable *tried)
+{
+  CfLoad load;
+  gint64 outstanding;
+
+  if (g_hash_table_contains (tried, addr))
+    return "tried";
+  if (cf_vm_list_leaving (&e->vms, addr))
+    return "leaving";
+  if (!cf_link_snapshot (link_for (e, addr), &load, &outstanding))
+    return "down";
+  return load.draining ? "draining" : "usable";
+}
+
+/* Tries targets until one answers or it is no longer safe or useful. */
+static void
+route (CfEntry *e, Request *r, CfHttpReply *rep)
+{
+  g_autoptr (GHashTable) tried = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autofree CfCandidate *c = g_new0 (CfCandidate, r->group->agents->len);
+  const char *last_reason = "no-target";
+
+  for (gint64 attempt = 0; attempt < e->set.max_attempts; attempt++)
+    {
+      CfMsg req = { .kind = CF_MSG_REQUEST };
+      CfMsg reply = { 0 };
+      long long left = r->deadline_at - cf_now_ms ();
+      CfCallResult res;
+      const char *addr;
+
+      if (left <= 0)
+        {
+          refuse (e, r, rep, 504, "deadline",
+                  r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO, 0,
+                  "the deadline passed before a target answered");
+          return;
+        }
+      if (candidates (e, r, c, tried) == 0)
+        break;
+      addr = c[0].addr;
+      cf_log (LOG_INFO, CF_EV_ROUTE,
+              "req=%s org=%s service=%s model=%s intent=%s group=%s target=%s "
+              "attempt=%" G_GINT64_FORMAT " reason=%s", r->id, r->org,
+              r->service, r->model, r->intent->name, r->group->name, addr,
+              attempt + 1, r->key ? "key-owner" : "least-loaded");
+      g_hash_table_add (tried, (gpointer) addr);
+      req.u.request.org = r->org;
+      req.u.request.service = r->service;
+      req.u.request.model = r->model;
+      req.u.request.key = r->key;
+      req.u.request.body = r->body;
+      req.u.request.path = r->group->kind == CF_TARGET_ENGINE ? "/v1/generate"
+                                                              : "/v1/call";
+      req.u.request.priority = r->priority;
+      req.u.request.deadline_ms = left;
+      res = cf_link_call (link_for (e, addr), &req, r->deadline_at, &reply);
+      switch (res)
+        {
+        case CF_CALL_REPLY:
+          if (reply.kind == CF_MSG_ANSWER)
+            {
+              answer (e, r, rep, &reply, addr);
+              cf_msg_clear (&reply);
+              return;
+            }
+          r->retry_hint_ms = MAX (r->retry_hint_ms,
+                                  reply.u.refusal.retry_after_ms);
+          if (reply.u.refusal.ran != CF_RAN_NO)
+            {
+              g_autofree char *m = g_strdup_printf (
+                  "the target refused after it may have run: %s; retry with "
+                  "the same idempotency key", reply.u.refusal.reason);
+
+              refuse (e, r, rep, 409, "fate-unknown", reply.u.refusal.ran,
+                      MAX (r->retry_hint_ms, e->set.retry_after_ms), m);
+              cf_msg_clear (&reply);
+              return;
+            }
+          last_reason = "refused";
+          cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=%s ran=no",
+                  r->id, addr, reply.u.refusal.reason);
+          cf_msg_clear (&reply);
+          break;
+        case CF_CALL_NOT_SENT:
+          last_reason = "link-down";
+          cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=link-down "
+                  "ran=no", r->id, addr);
+          break;
+        case CF_CALL_LOST:
+        case CF_CALL_TIMEOUT:
+          r->maybe_ran = TRUE;
+          if (r->key || res == CF_CALL_TIMEOUT)
+            {
+              refuse (e, r, rep, 504, res == CF_CALL_LOST ? "link-lost"
+                                                          : "deadline",
+                      CF_RAN_UNKNOWN, e->set.retry_after_ms,
+                      "the target may have run the request; a call with an "
+                      "idempotency key may be sent again with the same key");
+              return;
+            }
+          last_reason = "link-lost";
+          cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=link-lost "
+                  "ran=unknown", r->id, addr);
+          ck_pr_inc_64 (&e->retries);
+          continue;
+        }
+      ck_pr_inc_64 (&e->retries);
+    }
+
+  for (guint i = 0; i < r->group->agents->len; i++)
+    {
+      const char *addr = g_ptr_array_index (r->group->agents, i);
+
+      cf_log (LOG_INFO, CF_EV_NO_ROUTE, "req=%s group=%s target=%s state=%s",
+              r->id, r->group->name, addr, exclusion (e, addr, tried));
+    }
+  {
+    g_autofree char *m = g_strdup_printf (
+        "no target of group '%s' could take the request (%s); come back "
+        "after retry_after_ms", r->group->name, last_reason);
+
+    refuse (e, r, rep, 503, "unavailable",
+            r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO,
+            MAX (r->retry_hint_ms, e->set.retry_after_ms), m);
+  }
+}
+
+static gboolean
+admit (CfEntry *e, Request *r)
+{
+  gint64 limit = e->set.max_in_flight;
+  gint now = g_atomic_int_add (&e->in_flight, 1) + 1;
+
+  if (r->priority < HIGH_PRIORITY)
+    limit = limit * e->set.low_priority_share / 100;
+  return now <= limit;
+}
+
+static void
+handle_request (CfEntry *e, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  Request r = { 0 };
+  CfConfig *c = NULL;
+
+  g_snprintf (r.id, sizeof r.id, "%s-%" G_GUINT64_FORMAT, e->set.name,
+              (guint64) __atomic_add_fetch (&e->seq, 1, __ATOMIC_RELAXED));
+  if (!parse_request (e, req, &r, rep))
+    goto out_unadmitted;
+  if (g_atomic_int_get (&e->draining))
+    {
+      refuse (e, &r, rep, 503, "draining", CF_RAN_NO, e->set.retry_after_ms,
+              "this entry is shutting down; send the request to another");
+      goto out_unadmitted;
+    }
+  if (!admit (e, &r))
+    {
+      cf_log (LOG_INFO, CF_EV_ADMIT_REFUSE, "req=%s org=%s priority=%"
+              G_GINT64_FORMAT " in_flight=%d", r.id, r.org, r.priority,
+              g_atomic_int_get (&e->in_flight));
+      refuse (e, &r, rep, 503, "overloaded", CF_RAN_NO, e->set.retry_after_ms,
+              "the entry is at its admission limit; come back after "
+              "retry_after_ms");
+      goto out;
+    }
+  c = cf_config_watch_get (&e->watch);
+  if (c == NULL)
+    {
+      refuse (e, &r, rep, 503, "no-config", CF_RAN_NO, e->set.retry_after_ms,
+              "no configuration is in force yet; check the config service");
+      goto out;
+    }
+  r.intent = cf_config_match (c, r.org, r.service, r.model);
+  if (r.intent == NULL)
+    {
+      cf_log (LOG_INFO, CF_EV_NO_ROUTE, "req=%s org=%s service=%s model=%s "
+              "reason=no-intent", r.id, r.org, r.service, r.model);
+      refuse (e, &r, rep, 403, "no-intent", CF_RAN_NO, 0,
+              "no routing intent permits this organisation, service and "
+              "model; ask an operator to add one");
+      goto out;
+    }
+  r.group = cf_config_group (c, g_ptr_array_index (r.intent->groups, 0));
+  r.priority = MIN (r.priority, r.intent->priority);
+  route (e, &r, rep);
+out:
+  g_atomic_int_add (&e->in_flight, -1);
+out_unadmitted:
+  cf_config_unref (c);
+  request_clear (&r);
+}
+
+static void
+handle_health (CfEntry *e, CfHttpReply *rep)
+{
+  CfConfig *c = cf_config_watch_get (&e->watch);
+  gint64 up = 0;
+  GHashTableIter it;
+  gpointer v;
+  json_t *o;
+
+  pthread_mutex_lock (&e->links_lock);
+  g_hash_table_iter_init (&it, e->links);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      CfLoad load;
+      gint64 out;
+
+      up += cf_link_snapshot (v, &load, &out);
+    }
+  pthread_mutex_unlock (&e->links_lock);
+  o = json_pack ("{s:I, s:I, s:i, s:b, s:I, s:I, s:I}", "config_version",
+                 (json_int_t) (c ? c->version : 0), "links_up",
+                 (json_int_t) up, "in_flight", g_atomic_int_get (&e->in_flight),
+                 "draining", g_atomic_int_get (&e->draining), "answered",
+                 (json_int_t) e->answered, "refused", (json_int_t) e->refused,
+                 "retries", (json_int_t) e->retries);
+  rep->body = json_dumps (o, JSON_COMPACT);
+  json_decref (o);
+  cf_config_unref (c);
+}
+
+static void
+on_http (void *data, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  CfEntry *e = data;
+
+  if (g_str_equal (req->path, "/v1/requests")
+      && g_str_equal (req->method, "POST"))
+    handle_request (e, req, rep);
+  else if (g_str_equal (req->path, "/v1/health"))
+    handle_health (e, rep);
+  else
+    cf_http_reply_error (rep, 404, "not-found",
+                         "use POST /v1/requests or GET /v1/health");
+}
+
+CfStatus
+cf_entry_start (CfEntry *e)
+{
+  CfStatus st;
+
+  pthread_mutex_init (&e->links_lock, NULL);
+  e->links = g_hash_table_new (g_str_hash, g_str_equal);
+  cf_config_watch_start (&e->watch, e->set.config_url, e->set.watch_wait_ms,
+                         on_config, e);
+  cf_vm_list_start (&e->vms, e->set.vmlist_url, e->set.vmlist_poll_ms);
+  st = cf_http_server_start (e->set.listen, on_http, e, &e->http);
+  if (st == CF_OK)
+    cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s datacentre=%s", e->set.listen,
+            e->set.datacentre);
+  return st;
+}
+
+void
+cf_entry_drain (CfEntry *e, gint64 grace_ms)
+{
+  long long until = cf_now_ms () + grace_ms;
+
+  g_atomic_int_set (&e->draining, 1);
+  cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "in_flight=%d",
+          g_atomic_int_get (&e->in_flight));
+  cf_http_server_quiesce (e->http);
+  while (g_atomic_int_get (&e->in_flight) > 0 && cf_now_ms () < until)
+    usleep (10000);
+  cf_log (LOG_NOTICE, CF_EV_DRAIN_DONE, "in_flight=%d",
+          g_atomic_int_get (&e->in_flight));
+  cf_http_server_stop (e->http);
+}
--- /dev/null
+++ b/entry.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "agent-link.h"
+#include "config-watch.h"
+#include "http-server.h"
+#include "settings.h"
+#include "vm-list.h"
+
+#include <ck_pr.h>
+
+/** CfEntrySettings: the [entry] table and its neighbours; docs/SETTINGS.md. */
+typedef struct
+{
+  char *name;   /**< prefix of request ids, unique per entry */
+  char *listen; /**< caller HTTP, "IP:PORT" */
+  char *datacentre;
+  char *config_url;
+  char *vmlist_url;
+  gint64 max_in_flight;       /**< admission limit, requests */
+  gint64 deadline_ms;         /**< when the caller gives none */
+  gint64 max_attempts;        /**< targets tried for one request */
+  gint64 retry_after_ms;      /**< told to callers refused for load */
+  gint64 low_priority_share;  /**< percent of max_in_flight open to prio < 5 */
+  gint64 watch_wait_ms;
+  gint64 vmlist_poll_ms;
+} CfEntrySettings;
+
+/**
+ * CfEntry:
+ * The entry daemon's state for the life of the process: admission,
+ * routing by intent, deadlines and retries where safe.
+ */
+typedef struct
+{
+  CfEntrySettings set;
+  CfHttpServer *http;
+  CfConfigWatch watch;
+  CfVmList vms;
+  pthread_mutex_t links_lock;
+  GHashTable *links; /**< "IP:PORT" -> CfLink */
+  gint in_flight;
+  gint draining;
+  guint64 seq;
+  uint64_t answered;
+  uint64_t refused;
+  uint64_t retries;
+} CfEntry;
+
+/** The defaults, in TOML, that --settings overrides. */
+extern const char cf_entry_defaults[];
+/** The keys an entry reads, for cf_settings_only(). */
+extern const char *const cf_entry_keys[];
+
+/** cf_entry_settings_read: reads and checks every key. */
+CfStatus cf_entry_settings_read (CfSettings *s, CfEntrySettings *out);
+
+/** cf_entry_start: starts the watch, the VM list and the HTTP server. */
+CfStatus cf_entry_start (CfEntry *e);
+
+/**
+ * cf_entry_drain:
+ * A graceful shutdown: takes no new connections, refuses new requests on
+ * open ones as not run, and returns once nothing is in flight or
+ * @grace_ms has passed.
+ */
+void cf_entry_drain (CfEntry *e, gint64 grace_ms);
--- /dev/null
+++ b/guard.c
@@ -0,0 +1,120 @@
+#include "guard.h"
+
+typedef struct
+{
+  CfGuardState state;
+  gint64 code;
+  char *body;
+  gint64 expires_ms; /**< 0 while running */
+} Call;
+
+static void
+free_call (gpointer p)
+{
+  Call *c = p;
+
+  g_free (c->body);
+  g_free (c);
+}
+
+void
+cf_guard_init (CfGuard *g, gint64 ttl_ms, guint max_calls)
+{
+  pthread_mutex_init (&g->lock, NULL);
+  g->calls = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_call);
+  g->ttl_ms = ttl_ms;
+  g->max_calls = max_calls;
+}
+
+void
+cf_guard_clear (CfGuard *g)
+{
+  g_hash_table_unref (g->calls);
+  pthread_mutex_destroy (&g->lock);
+}
+
+static gboolean
+expired (gpointer key, gpointer value, gpointer now)
+{
+  Call *c = value;
+
+  (void) key;
+  return c->expires_ms != 0 && c->expires_ms <= *(gint64 *) now;
+}
+
+CfGuardState
+cf_guard_begin (CfGuard *g, const char *key, gint64 now_ms, gint64 *code,
+                char **body)
+{
+  CfGuardState st;
+  Call *c;
+
+  pthread_mutex_lock (&g->lock);
+  c = g_hash_table_lookup (g->calls, key);
+  if (c && c->expires_ms != 0 && c->expires_ms <= now_ms)
+    {
+      g_hash_table_remove (g->calls, key);
+      c = NULL;
+    }
+  if (c)
+    {
+      st = c->state;
+      if (st == CF_GUARD_DONE)
+        {
+          *code = c->code;
+          *body = g_strdup (c->body);
+        }
+      goto out;
+    }
+  if (g_hash_table_size (g->calls) >= g->max_calls)
+    g_hash_table_foreach_remove (g->calls, expired, &now_ms);
+  if (g_hash_table_size (g->calls) >= g->max_calls)
+    {
+      st = CF_GUARD_FULL;
+      goto out;
+    }
+  c = g_new0 (Call, 1);
+  c->state = CF_GUARD_RUNNING;
+  g_hash_table_insert (g->calls, g_strdup (key), c);
+  st = CF_GUARD_NEW;
+out:
+  pthread_mutex_unlock (&g->lock);
+  return st;
+}
+
+void
+cf_guard_finish (CfGuard *g, const char *key, gboolean known, gint64 code,
+                 const char *body, gint64 now_ms)
+{
+  Call *c;
+
+  pthread_mutex_lock (&g->lock);
+  c = g_hash_table_lookup (g->calls, key);
+  if (c)
+    {
+      c->state = known ? CF_GUARD_DONE : CF_GUARD_UNKNOWN;
+      c->code = code;
+      c->body = g_strdup (body);
+      c->expires_ms = now_ms + g->ttl_ms;
+    }
+  pthread_mutex_unlock (&g->lock);
+}
+
+void
+cf_guard_forget (CfGuard *g, const char *key)
+{
+  pthread_mutex_lock (&g->lock);
+  g_hash_table_remove (g->calls, key);
+  pthread_mutex_unlock (&g->lock);
+}
+
+guint
+cf_guard_size (CfGuard *g)
+{
+  guint n;
+
+  pthread_mutex_lock (&g->lock);
+  n = g_hash_table_size (g->calls);
+  pthread_mutex_unlock (&g->lock);
+  return n;
+}
--- /dev/null
+++ b/http-client.c
@@ -0,0 +1,83 @@
+#include "http-client.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <pthread.h>
+
+static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
+static __thread CURL *thread_handle;
+
+static void
+init_curl (void)
+{
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+}
+
+static size_t
+collect (char *ptr, size_t size, size_t n, void *data)
+{
+  g_string_append_len (data, ptr, size * n);
+  return size * n;
+}
+
+CfStatus
+cf_http_call (const char *method, const char *url, const char *body,
+              const char *const *headers, long timeout_ms, long *code,
+              char **out)
+{
+  struct curl_slist *list = NULL;
+  GString *reply = g_string_new (NULL);
+  CfStatus st = CF_OK;
+  CURLcode rc;
+  CURL *h;
+
+  pthread_once (&curl_once, init_curl);
+  if (thread_handle == NULL)
+    thread_handle = curl_easy_init ();
+  h = thread_handle;
+  curl_easy_reset (h);
+  curl_easy_setopt (h, CURLOPT_URL, url);
+  curl_easy_setopt (h, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (h, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt (h, CURLOPT_CONNECTTIMEOUT_MS, timeout_ms < 1000 ? timeout_ms : 1000L);
+  curl_easy_setopt (h, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (h, CURLOPT_WRITEFUNCTION, collect);
+  curl_easy_setopt (h, CURLOPT_WRITEDATA, reply);
+  list = curl_slist_append (list, "Content-Type: application/json");
+  list = curl_slist_append (list, "Expect:");
+  for (const char *const *p = headers; p && *p; p++)
+    list = curl_slist_append (list, *p);
+  curl_easy_setopt (h, CURLOPT_HTTPHEADER, list);
+  if (body)
+    curl_easy_setopt (h, CURLOPT_POSTFIELDS, body);
+  else if (g_str_equal (method, "GET"))
+    curl_easy_setopt (h, CURLOPT_HTTPGET, 1L);
+
+  rc = curl_easy_perform (h);
+  switch (rc)
+    {
+    case CURLE_OK:
+      curl_easy_getinfo (h, CURLINFO_RESPONSE_CODE, code);
+      break;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+      st = cf_fail (CF_ERR_NET, "check that the peer is up and the URL right",
+                    "%s %s: %s", method, url, curl_easy_strerror (rc));
+      break;
+    case CURLE_OPERATION_TIMEDOUT:
+      st = cf_fail (CF_ERR_TIMEOUT, "check the peer's load or raise the timeout",
+                    "%s %s: no answer within %ld ms", method, url, timeout_ms);
+      break;
+    default:
+      st = cf_fail (CF_ERR_HTTP, "check the peer's logs",
+                    "%s %s: %s", method, url, curl_easy_strerror (rc));
+      break;
+    }
+  curl_slist_free_all (list);
+  if (out && st == CF_OK)
+    *out = g_string_free (reply, FALSE);
+  else
+    g_string_free (reply, TRUE);
+  return st;
+}
--- /dev/null
+++ b/http-server.c
@@ -0,0 +1,180 @@
+#include "http-server.h"
+
+#include "net.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <unistd.h>
+
+struct CfHttpServer
+{
+  struct MHD_Daemon *daemon;
+  CfHttpHandler fn;
+  void *data;
+  int fd;
+};
+
+typedef struct
+{
+  GString *body;
+  gboolean too_big;
+} Upload;
+
+static enum MHD_Result
+send_reply (struct MHD_Connection *conn, CfHttpReply *rep)
+{
+  struct MHD_Response *r;
+  enum MHD_Result ret;
+  const char *body = rep->body ? rep->body : "";
+
+  r = MHD_create_response_from_buffer (strlen (body), (void *) body,
+                                       MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (r, "Content-Type",
+                           rep->ctype ? rep->ctype : "application/json");
+  if (rep->retry_after_ms > 0)
+    {
+      char secs[32];
+
+      /* Retry-After counts whole seconds; round up so none comes early. */
+      g_snprintf (secs, sizeof secs, "%ld", (rep->retry_after_ms + 999) / 1000);
+      MHD_add_response_header (r, "Retry-After", secs);
+    }
+  ret = MHD_queue_response (conn, rep->code, r);
+  MHD_destroy_response (r);
+  g_free (rep->body);
+  return ret;
+}
+
+static enum MHD_Result
+on_request (void *cls, struct MHD_Connection *conn, const char *url,
+            const char *method, const char *version, const char *upload,
+            size_t *upload_size, void **con_cls)
+{
+  CfHttpServer *s = cls;
+  Upload *up = *con_cls;
+  CfHttpRequest req = { 0 };
+  CfHttpReply rep = { 0 };
+
+  (void) version;
+  if (up == NULL)
+    {
+      up = g_new0 (Upload, 1);
+      up->body = g_string_new (NULL);
+      *con_cls = up;
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      if (up->body->len + *upload_size > CF_HTTP_BODY_MAX)
+        up->too_big = TRUE;
+      else
+        g_string_append_len (up->body, upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (up->too_big)
+    {
+      cf_http_reply_error (&rep, MHD_HTTP_CONTENT_TOO_LARGE, "too-large",
+                           "request body is over 1 MiB; send a smaller body");
+      return send_reply (conn, &rep);
+    }
+  req.method = method;
+  req.path = url;
+  req.body = up->body->str;
+  req.body_len = up->body->len;
+  req.conn = conn;
+  rep.code = MHD_HTTP_OK;
+  s->fn (s->data, &req, &rep);
+  return send_reply (conn, &rep);
+}
+
+static void
+on_completed (void *cls, struct MHD_Connection *conn, void **con_cls,
+              enum MHD_RequestTerminationCode code)
+{
+  Upload *up = *con_cls;
+
+  (void) cls;
+  (void) conn;
+  (void) code;
+  if (up == NULL)
+    return;
+  g_string_free (up->body, TRUE);
+  g_free (up);
+  *con_cls = NULL;
+}
+
+CfStatus
+cf_http_server_start (const char *addr, CfHttpHandler fn, void *data,
+                      CfHttpServer **out)
+{
+  CfHttpServer *s;
+  CfStatus st;
+  int fd;
+
+  st = cf_listen_tcp (addr, &fd);
+  if (st != CF_OK)
+    return st;
+  s = g_new0 (CfHttpServer, 1);
+  s->fn = fn;
+  s->data = data;
+  s->fd = fd;
+  s->daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
+          | MHD_USE_ITC,
+      0, NULL, NULL, on_request, s, MHD_OPTION_LISTEN_SOCKET, fd,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int) 60, MHD_OPTION_END);
+  if (s->daemon == NULL)
+    {
+      close (fd);
+      g_free (s);
+      return cf_fail (CF_ERR_NET, "check the address and the file limit",
+                      "cannot start HTTP server on %s", addr);
+    }
+  *out = s;
+  return CF_OK;
+}
+
+void
+cf_http_server_quiesce (CfHttpServer *s)
+{
+  int fd = MHD_quiesce_daemon (s->daemon);
+
+  if (fd >= 0)
+    close (fd);
+}
+
+void
+cf_http_server_stop (CfHttpServer *s)
+{
+  if (s == NULL)
+    return;
+  MHD_stop_daemon (s->daemon);
+  g_free (s);
+}
+
+const char *
+cf_http_query (const CfHttpRequest *req, const char *name)
+{
+  return MHD_lookup_connection_value (req->conn, MHD_GET_ARGUMENT_KIND, name);
+}
+
+const char *
+cf_http_header (const CfHttpRequest *req, const char *name)
+{
+  return MHD_lookup_connection_value (req->conn, MHD_HEADER_KIND, name);
+}
+
+void
+cf_http_reply_error (CfHttpReply *rep, int code, const char *what,
+                     const char *message)
+{
+  json_t *o = json_pack ("{s:s, s:s}", "error", what, "message", message);
+
+  rep->code = code;
+  rep->body = json_dumps (o, JSON_COMPACT);
+  json_decref (o);
+}
--- /dev/null
+++ b/log.c
@@ -0,0 +1,95 @@
+#include "log.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#define CF_LOG_LINE_MAX 2048
+
+static const char *log_prog = "comfrey";
+
+void
+cf_log_init (const char *prog)
+{
+  log_prog = prog;
+}
+
+const char *
+cf_event_name (CfEvent ev)
+{
+  switch (ev)
+    {
+    case CF_EV_START:
+      return "start";
+    case CF_EV_STOP:
+      return "stop";
+    case CF_EV_SETTINGS:
+      return "settings";
+    case CF_EV_LISTEN:
+      return "listen";
+    case CF_EV_CONFIG_ACCEPT:
+      return "config-accept";
+    case CF_EV_CONFIG_OLDER:
+      return "config-older";
+    case CF_EV_CONFIG_DOWN:
+      return "config-down";
+    case CF_EV_CONFIG_BAD:
+      return "config-bad";
+    case CF_EV_ADMIT_REFUSE:
+      return "admit-refuse";
+    case CF_EV_ROUTE:
+      return "route";
+    case CF_EV_RETRY:
+      return "retry";
+    case CF_EV_ANSWER:
+      return "answer";
+    case CF_EV_NO_ROUTE:
+      return "no-route";
+    case CF_EV_VM_LEAVING:
+      return "vm-leaving";
+    case CF_EV_LINK_DOWN:
+      return "link-down";
+    case CF_EV_LINK_UP:
+      return "link-up";
+    case CF_EV_VMLIST_DOWN:
+      return "vmlist-down";
+    case CF_EV_AGENT_REFUSE:
+      return "agent-refuse";
+    case CF_EV_FENCE_STALE:
+      return "fence-stale";
+    case CF_EV_GUARD_DUP:
+      return "guard-duplicate";
+    case CF_EV_DRAIN_BEGIN:
+      return "drain-begin";
+    case CF_EV_DRAIN_DONE:
+      return "drain-done";
+    case CF_EV_TARGET_FAIL:
+      return "target-fail";
+    case CF_EV_ORDER:
+      return "order";
+    }
+  return "event";
+}
+
+void
+cf_log (int prio, CfEvent ev, const char *fmt, ...)
+{
+  char line[CF_LOG_LINE_MAX];
+  va_list ap;
+  int n;
+  int m;
+
+  n = snprintf (line, sizeof line, "<%d>%s[%d]: E%d %s ", prio, log_prog,
+                (int) getpid (), (int) ev, cf_event_name (ev));
+  va_start (ap, fmt);
+  m = vsnprintf (line + n, sizeof line - n - 1, fmt, ap);
+  va_end (ap);
+  if (m < 0)
+    m = 0;
+  n += m;
+  if ((size_t) n > sizeof line - 2)
+    n = sizeof line - 2;
+  line[n++] = '\n';
+  if (write (STDERR_FILENO, line, n) < 0)
+    return;
+}
--- /dev/null
+++ b/log.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <syslog.h>
+
+/**
+ * CfEvent:
+ * Numbered log events.  Every number is described in docs/EVENTS.md; a
+ * number, once given, keeps its meaning.
+ */
+typedef enum
+{
+  CF_EV_START = 1001,         /**< process started */
+  CF_EV_STOP = 1002,          /**< process stopped */
+  CF_EV_SETTINGS = 1003,      /**< settings rejected */
+  CF_EV_LISTEN = 1004,        /**< listening on an address */
+  CF_EV_CONFIG_ACCEPT = 1101, /**< a configuration version was put in force */
+  CF_EV_CONFIG_OLDER = 1102,  /**< an older or equal version was ignored */
+  CF_EV_CONFIG_DOWN = 1103,   /**< the configuration service did not answer */
+  CF_EV_CONFIG_BAD = 1104,    /**< a configuration version was rejected */
+  CF_EV_ADMIT_REFUSE = 1202,  /**< admission refused a request */
+  CF_EV_ROUTE = 1203,         /**< a request was routed to a target */
+  CF_EV_RETRY = 1204,         /**< a request was retried elsewhere */
+  CF_EV_ANSWER = 1205,        /**< a request got its final answer */
+  CF_EV_NO_ROUTE = 1207,      /**< no intent or no target for a request */
+  CF_EV_VM_LEAVING = 1301,    /**< the VM list says a target is leaving */
+  CF_EV_LINK_DOWN = 1302,     /**< a connection to an agent was lost */
+  CF_EV_LINK_UP = 1303,       /**< a connection to an agent was made */
+  CF_EV_VMLIST_DOWN = 1304,   /**< the VM list did not answer */
+  CF_EV_AGENT_REFUSE = 1402,  /**< the agent refused a request, not run */
+  CF_EV_FENCE_STALE = 1403,   /**< an order with an old fencing token */
+  CF_EV_GUARD_DUP = 1404,     /**< a repeated non-repeatable call */
+  CF_EV_DRAIN_BEGIN = 1405,   /**< drain began */
+  CF_EV_DRAIN_DONE = 1406,    /**< drain finished, nothing in flight */
+  CF_EV_TARGET_FAIL = 1407,   /**< the target failed a call */
+  CF_EV_ORDER = 1408,         /**< an order was passed to the target */
+} CfEvent;
+
+/**
+ * cf_log_init:
+ * @prog: the program name shown in each line
+ *
+ * Lines go to standard error as `<PRI>prog[pid]: Ennnn name k=v ...`.
+ */
+void cf_log_init (const char *prog);
+
+/**
+ * cf_log:
+ * @prio: a syslog priority (LOG_ERR, LOG_INFO, ...)
+ * @ev: the event number
+ * @fmt: printf-style `key=value` pairs, space separated
+ *
+ * Writes one whole line with a single write(2), so that lines of
+ * concurrent threads do not interleave.
+ */
+void cf_log (int prio, CfEvent ev, const char *fmt, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+/** cf_event_name: the short name of @ev, as in docs/EVENTS.md. */
+const char *cf_event_name (CfEvent ev);
--- /dev/null
+++ b/net.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "error.h"
+
+#include <stddef.h>
+
+/**
+ * cf_listen_tcp:
+ * @addr: "IP:PORT", or "[IPv6]:PORT"; names are not looked up
+ * @fd: (out): the listening socket
+ *
+ * Returns: %CF_OK or %CF_ERR_NET naming the address.
+ */
+CfStatus cf_listen_tcp (const char *addr, int *fd);
+
+/**
+ * cf_connect_tcp:
+ * @addr: as for cf_listen_tcp()
+ * @timeout_ms: how long the connect may take
+ * @fd: (out): the connected socket, with TCP_NODELAY set
+ *
+ * Returns: %CF_OK, %CF_ERR_NET or %CF_ERR_TIMEOUT.
+ */
+CfStatus cf_connect_tcp (const char *addr, int timeout_ms, int *fd);
+
+/** cf_write_all: writes all @n bytes, or fails with %CF_ERR_NET. */
+CfStatus cf_write_all (int fd, const void *buf, size_t n);
+
+/** cf_read_all: reads exactly @n bytes; %CF_ERR_NET on close or error. */
+CfStatus cf_read_all (int fd, void *buf, size_t n);
+
+/** cf_now_ms: a monotonic clock in ms, for deadlines and durations. */
+long long cf_now_ms (void);
--- /dev/null
+++ b/route.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <glib.h>
+
+/**
+ * CfCandidate:
+ * A target an entry may send a request to, as the entry sees it now.
+ */
+typedef struct
+{
+  const char *addr;   /**< the agent's "IP:PORT" */
+  gint64 load;        /**< in flight and queued, as last reported, plus ours */
+  gboolean excluded;  /**< leaving, draining, unreachable or tried already */
+  guint64 score;      /**< set by cf_route_order(): the rendezvous hash */
+} CfCandidate;
+
+/**
+ * cf_route_order:
+ * @c: candidates, sorted in place into the order to try them
+ * @n: how many
+ * @key: (nullable): the idempotency key of a non-repeatable call
+ * @req_id: the request's id
+ *
+ * A non-repeatable call goes by rendezvous (highest random weight) hashing
+ * of @key alone, so that every entry, and every retry of the caller, picks
+ * the same agent first and meets the same at-most-once guard.  Other calls
+ * go to the least loaded candidate, ties broken by rendezvous hashing of
+ * @req_id.  Excluded candidates sort last.
+ *
+ * Returns: the number of candidates not excluded.
+ */
+size_t cf_route_order (CfCandidate *c, size_t n, const char *key,
+                       const char *req_id);
--- /dev/null
+++ b/settings.c
@@ -0,0 +1,167 @@
+#include "settings.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static CfStatus
+load_into (GKeyFile *keys, const char *data, gsize len, const char *origin)
+{
+  g_autoptr (GError) err = NULL;
+
+  if (!g_key_file_load_from_data (keys, data, len, G_KEY_FILE_NONE, &err))
+    return cf_fail (CF_ERR_SETTINGS, "write the file as TOML tables of key = value lines",
+                    "%s: %s", origin, err->message);
+  return CF_OK;
+}
+
+CfStatus
+cf_settings_load (CfSettings *s, const char *path, const char *defaults)
+{
+  g_autoptr (GKeyFile) over = NULL;
+  g_autofree char *text = NULL;
+  g_autoptr (GError) err = NULL;
+  g_auto (GStrv) tables = NULL;
+  gsize len;
+  CfStatus st;
+
+  s->keys = g_key_file_new ();
+  s->origin = g_strdup (path ? path : "embedded defaults");
+  st = load_into (s->keys, defaults, strlen (defaults), "embedded defaults");
+  if (st != CF_OK || path == NULL)
+    return st;
+
+  if (!g_file_get_contents (path, &text, &len, &err))
+    return cf_fail (CF_ERR_SETTINGS, "give --settings a readable file",
+                    "%s", err->message);
+  over = g_key_file_new ();
+  st = load_into (over, text, len, path);
+  if (st != CF_OK)
+    return st;
+
+  tables = g_key_file_get_groups (over, NULL);
+  for (char **t = tables; *t; t++)
+    {
+      g_auto (GStrv) keys = g_key_file_get_keys (over, *t, NULL, NULL);
+
+      for (char **k = keys; k && *k; k++)
+        {
+          g_autofree char *v = g_key_file_get_value (over, *t, *k, NULL);
+
+          g_key_file_set_value (s->keys, *t, *k, v);
+        }
+    }
+  return CF_OK;
+}
+
+void
+cf_settings_clear (CfSettings *s)
+{
+  g_clear_pointer (&s->keys, g_key_file_free);
+  g_clear_pointer (&s->origin, g_free);
+}
+
+static CfStatus
+raw_value (CfSettings *s, const char *table, const char *key, char **out)
+{
+  *out = g_key_file_get_value (s->keys, table, key, NULL);
+  if (*out == NULL)
+    return cf_fail (CF_ERR_SETTINGS, "add the key to the settings file",
+                    "%s: [%s] %s is missing", s->origin, table, key);
+  g_strstrip (*out);
+  return CF_OK;
+}
+
+CfStatus
+cf_settings_string (CfSettings *s, const char *table, const char *key,
+                    char **out)
+{
+  g_autofree char *raw = NULL;
+  size_t n;
+  CfStatus st;
+
+  st = raw_value (s, table, key, &raw);
+  if (st != CF_OK)
+    return st;
+  n = strlen (raw);
+  if (n < 2 || raw[0] != '"' || raw[n - 1] != '"')
+    return cf_fail (CF_ERR_SETTINGS, "quote strings, as TOML requires",
+                    "%s: [%s] %s = %s is not a quoted string", s->origin,
+                    table, key, raw);
+  raw[n - 1] = '\0';
+  *out = g_strcompress (raw + 1);
+  if (**out == '\0')
+    {
+      g_clear_pointer (out, g_free);
+      return cf_fail (CF_ERR_SETTINGS, "give the key a value",
+                      "%s: [%s] %s is empty", s->origin, table, key);
+    }
+  return CF_OK;
+}
+
+CfStatus
+cf_settings_int (CfSettings *s, const char *table, const char *key,
+                 gint64 min, gint64 max, gint64 *out)
+{
+  g_autofree char *raw = NULL;
+  char *end;
+  CfStatus st;
+
+  st = raw_value (s, table, key, &raw);
+  if (st != CF_OK)
+    return st;
+  *out = g_ascii_strtoll (raw, &end, 10);
+  if (*raw == '\0' || *end != '\0')
+    return cf_fail (CF_ERR_SETTINGS, "write a whole number without quotes",
+                    "%s: [%s] %s = %s is not an integer", s->origin, table,
+                    key, raw);
+  if (*out < min || *out > max)
+    return cf_fail (CF_ERR_SETTINGS, "choose a value within the bounds",
+                    "%s: [%s] %s = %" G_GINT64_FORMAT
+                    " is outside [%" G_GINT64_FORMAT ", %" G_GINT64_FORMAT "]",
+                    s->origin, table, key, *out, min, max);
+  return CF_OK;
+}
+
+CfStatus
+cf_settings_bool (CfSettings *s, const char *table, const char *key,
+                  gboolean *out)
+{
+  g_autofree char *raw = NULL;
+  CfStatus st;
+
+  st = raw_value (s, table, key, &raw);
+  if (st != CF_OK)
+    return st;
+  if (strcmp (raw, "true") == 0)
+    *out = TRUE;
+  else if (strcmp (raw, "false") == 0)
+    *out = FALSE;
+  else
+    return cf_fail (CF_ERR_SETTINGS, "write true or false",
+                    "%s: [%s] %s = %s is not a boolean", s->origin, table,
+                    key, raw);
+  return CF_OK;
+}
+
+CfStatus
+cf_settings_only (CfSettings *s, const char *const *known)
+{
+  g_auto (GStrv) tables = g_key_file_get_groups (s->keys, NULL);
+
+  for (char **t = tables; *t; t++)
+    {
+      g_auto (GStrv) keys = g_key_file_get_keys (s->keys, *t, NULL, NULL);
+
+      for (char **k = keys; k && *k; k++)
+        {
+          g_autofree char *name = g_strdup_printf ("%s.%s", *t, *k);
+
+          if (!g_strv_contains (known, name))
+            return cf_fail (CF_ERR_SETTINGS,
+                            "remove the key or correct its spelling; "
+                            "--help-settings lists the keys",
+                            "%s: unknown key [%s] %s", s->origin, *t, *k);
+        }
+    }
+  return CF_OK;
+}
--- /dev/null
+++ b/settings.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "error.h"
+
+#include <glib.h>
+
+/**
+ * CfSettings:
+ * A settings file in TOML, read through GLib's GKeyFile.  Only the part of
+ * TOML that both agree on is accepted: `[table]` headers, `key = value`
+ * lines, quoted strings, integers and booleans.  docs/SETTINGS.md says why.
+ */
+typedef struct
+{
+  GKeyFile *keys;
+  char *origin; /**< the file name, or "embedded defaults" */
+} CfSettings;
+
+/**
+ * cf_settings_load:
+ * @s: settings to fill
+ * @path: (nullable): a TOML file; %NULL takes @defaults alone
+ * @defaults: the embedded default settings, in the same syntax
+ *
+ * Values in @path override @defaults key by key.
+ *
+ * Returns: %CF_OK, or %CF_ERR_SETTINGS naming the file and line.
+ */
+CfStatus cf_settings_load (CfSettings *s, const char *path,
+                           const char *defaults);
+
+/** cf_settings_clear: frees what cf_settings_load() took. */
+void cf_settings_clear (CfSettings *s);
+
+/**
+ * cf_settings_string:
+ * Reads a quoted string @table.@key into a new string at @out.
+ * Returns: %CF_ERR_SETTINGS if missing, unquoted or empty.
+ */
+CfStatus cf_settings_string (CfSettings *s, const char *table,
+                             const char *key, char **out);
+
+/**
+ * cf_settings_int:
+ * Reads an integer @table.@key that must lie in [@min, @max].
+ * Returns: %CF_ERR_SETTINGS naming the key, the value and the bounds.
+ */
+CfStatus cf_settings_int (CfSettings *s, const char *table, const char *key,
+                          gint64 min, gint64 max, gint64 *out);
+
+/** cf_settings_bool: reads `true` or `false` at @table.@key. */
+CfStatus cf_settings_bool (CfSettings *s, const char *table, const char *key,
+                           gboolean *out);
+
+/**
+ * cf_settings_only:
+ * @known: %NULL-terminated list of "table.key" names the program reads
+ *
+ * Returns: %CF_ERR_SETTINGS for the first table or key not in @known, so
+ * that a misspelt key is an error and not a silent default.
+ */
+CfStatus cf_settings_only (CfSettings *s, const char *const *known);
--- /dev/null
+++ b/t/harness.h
@@ -0,0 +1,1 @@
+#pragma once
--- /dev/null
+++ b/wire.c
@@ -0,0 +1,383 @@
+#include "wire.h"
+
+#include "net.h"
+
+#include <arpa/inet.h>
+#include <msgpack.h>
+#include <string.h>
+
+static void
+pack_str (msgpack_packer *pk, const char *s)
+{
+  size_t n = strlen (s);
+
+  msgpack_pack_str (pk, n);
+  msgpack_pack_str_body (pk, s, n);
+}
+
+static void
+pack_kv_str (msgpack_packer *pk, const char *k, const char *v)
+{
+  pack_str (pk, k);
+  if (v)
+    pack_str (pk, v);
+  else
+    msgpack_pack_nil (pk);
+}
+
+static void
+pack_kv_int (msgpack_packer *pk, const char *k, gint64 v)
+{
+  pack_str (pk, k);
+  msgpack_pack_int64 (pk, v);
+}
+
+static int
+field_count (CfMsgKind kind)
+{
+  switch (kind)
+    {
+    case CF_MSG_REQUEST:
+      return 8;
+    case CF_MSG_ANSWER:
+      return 2;
+    case CF_MSG_REFUSAL:
+      return 3;
+    case CF_MSG_STATUS:
+      return 3;
+    case CF_MSG_ORDER:
+      return 2;
+    case CF_MSG_PING:
+    case CF_MSG_DRAIN:
+      return 0;
+    }
+  return 0;
+}
+
+GByteArray *
+cf_msg_encode (const CfMsg *m)
+{
+  msgpack_sbuffer sb;
+  msgpack_packer pk;
+  GByteArray *out;
+  guint32 len;
+
+  msgpack_sbuffer_init (&sb);
+  msgpack_packer_init (&pk, &sb, msgpack_sbuffer_write);
+  msgpack_pack_map (&pk, 4 + field_count (m->kind));
+  pack_kv_int (&pk, "v", CF_WIRE_VERSION);
+  pack_kv_int (&pk, "k", m->kind);
+  pack_str (&pk, "id");
+  msgpack_pack_uint64 (&pk, m->id);
+  pack_str (&pk, "load");
+  msgpack_pack_array (&pk, 3);
+  msgpack_pack_int64 (&pk, m->load.in_flight);
+  msgpack_pack_int64 (&pk, m->load.queued);
+  if (m->load.draining)
+    msgpack_pack_true (&pk);
+  else
+    msgpack_pack_false (&pk);
+
+  switch (m->kind)
+    {
+    case CF_MSG_REQUEST:
+      pack_kv_str (&pk, "org", m->u.request.org);
+      pack_kv_str (&pk, "service", m->u.request.service);
+      pack_kv_str (&pk, "model", m->u.request.model);
+      pack_kv_str (&pk, "key", m->u.request.key);
+      pack_kv_str (&pk, "body", m->u.request.body);
+      pack_kv_str (&pk, "path", m->u.request.path);
+      pack_kv_int (&pk, "prio", m->u.request.priority);
+      pack_kv_int (&pk, "deadline", m->u.request.deadline_ms);
+      break;
+    case CF_MSG_ANSWER:
+      pack_kv_int (&pk, "code", m->u.answer.code);
+      pack_kv_str (&pk, "body", m->u.answer.body);
+      break;
+    case CF_MSG_REFUSAL:
+      pack_kv_int (&pk, "ran", m->u.refusal.ran);
+      pack_kv_str (&pk, "reason", m->u.refusal.reason);
+      pack_kv_int (&pk, "retry", m->u.refusal.retry_after_ms);
+      break;
+    case CF_MSG_STATUS:
+      pack_kv_int (&pk, "fence", m->u.status.fence);
+      pack_kv_int (&pk, "served", m->u.status.served);
+      pack_kv_int (&pk, "refused", m->u.status.refused);
+      break;
+    case CF_MSG_ORDER:
+      pack_kv_int (&pk, "fence", m->u.order.fence);
+      pack_kv_str (&pk, "op", m->u.order.op);
+      break;
+    case CF_MSG_PING:
+    case CF_MSG_DRAIN:
+      break;
+    }
+
+  out = g_byte_array_sized_new (sb.size + 4);
+  len = htonl ((guint32) sb.size);
+  g_byte_array_append (out, (const guint8 *) &len, 4);
+  g_byte_array_append (out, (const guint8 *) sb.data, sb.size);
+  msgpack_sbuffer_destroy (&sb);
+  return out;
+}
+
+static gboolean
+key_is (const msgpack_object *k, const char *name)
+{
+  size_t n = strlen (name);
+
+  return k->type == MSGPACK_OBJECT_STR && k->via.str.size == n
+         && memcmp (k->via.str.ptr, name, n) == 0;
+}
+
+static CfStatus
+get_int (const msgpack_object *v, const char *name, gint64 *out)
+{
+  if (v->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
+    *out = (gint64) v->via.u64;
+  else if (v->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    *out = v->via.i64;
+  else
+    return cf_fail (CF_ERR_PROTO, "upgrade the peer to the same wire version",
+                    "field '%s' is not an integer", name);
+  return CF_OK;
+}
+
+static CfStatus
+get_str (const msgpack_object *v, const char *name, char **out)
+{
+  if (v->type == MSGPACK_OBJECT_NIL)
+    return CF_OK;
+  if (v->type != MSGPACK_OBJECT_STR)
+    return cf_fail (CF_ERR_PROTO, "upgrade the peer to the same wire version",
+                    "field '%s' is not a string", name);
+  g_free (*out);
+  *out = g_strndup (v->via.str.ptr, v->via.str.size);
+  return CF_OK;
+}
+
+static CfStatus
+decode_load (const msgpack_object *v, CfLoad *load)
+{
+  const msgpack_object *a;
+
+  if (v->type != MSGPACK_OBJECT_ARRAY || v->via.array.size != 3)
+    return cf_fail (CF_ERR_PROTO, "upgrade the peer to the same wire version",
+                    "field 'load' is not a 3-array");
+  a = v->via.array.ptr;
+  if (get_int (&a[0], "load", &load->in_flight) != CF_OK
+      || get_int (&a[1], "load", &load->queued) != CF_OK)
+    return CF_ERR_PROTO;
+  load->draining = a[2].type == MSGPACK_OBJECT_BOOLEAN && a[2].via.boolean;
+  return CF_OK;
+}
+
+static CfStatus
+decode_field (const msgpack_object *k, const msgpack_object *v, CfMsg *m)
+{
+  gint64 n = 0;
+
+  if (key_is (k, "id"))
+    {
+      if (get_int (v, "id", &n) != CF_OK)
+        return CF_ERR_PROTO;
+      m->id = (guint64) n;
+      return CF_OK;
+    }
+  if (key_is (k, "load"))
+    return decode_load (v, &m->load);
+
+  switch (m->kind)
+    {
+    case CF_MSG_REQUEST:
+      if (key_is (k, "org"))
+        return get_str (v, "org", &m->u.request.org);
+      if (key_is (k, "service"))
+        return get_str (v, "service", &m->u.request.service);
+      if (key_is (k, "model"))
+        return get_str (v, "model", &m->u.request.model);
+      if (key_is (k, "key"))
+        return get_str (v, "key", &m->u.request.key);
+      if (key_is (k, "body"))
+        return get_str (v, "body", &m->u.request.body);
+      if (key_is (k, "path"))
+        return get_str (v, "path", &m->u.request.path);
+      if (key_is (k, "prio"))
+        return get_int (v, "prio", &m->u.request.priority);
+      if (key_is (k, "deadline"))
+        return get_int (v, "deadline", &m->u.request.deadline_ms);
+      break;
+    case CF_MSG_ANSWER:
+      if (key_is (k, "code"))
+        return get_int (v, "code", &m->u.answer.code);
+      if (key_is (k, "body"))
+        return get_str (v, "body", &m->u.answer.body);
+      break;
+    case CF_MSG_REFUSAL:
+      if (key_is (k, "ran"))
+        {
+          if (get_int (v, "ran", &n) != CF_OK)
+            return CF_ERR_PROTO;
+          m->u.refusal.ran = n == CF_RAN_NO    ? CF_RAN_NO
+                             : n == CF_RAN_YES ? CF_RAN_YES
+                                               : CF_RAN_UNKNOWN;
+          return CF_OK;
+        }
+      if (key_is (k, "reason"))
+        return get_str (v, "reason", &m->u.refusal.reason);
+      if (key_is (k, "retry"))
+        return get_int (v, "retry", &m->u.refusal.retry_after_ms);
+      break;
+    case CF_MSG_STATUS:
+      if (key_is (k, "fence"))
+        return get_int (v, "fence", &m->u.status.fence);
+      if (key_is (k, "served"))
+        return get_int (v, "served", &m->u.status.served);
+      if (key_is (k, "refused"))
+        return get_int (v, "refused", &m->u.status.refused);
+      break;
+    case CF_MSG_ORDER:
+      if (key_is (k, "fence"))
+        return get_int (v, "fence", &m->u.order.fence);
+      if (key_is (k, "op"))
+        return get_str (v, "op", &m->u.order.op);
+      break;
+    case CF_MSG_PING:
+    case CF_MSG_DRAIN:
+      break;
+    }
+  /* Unknown fields are skipped, so that a newer peer may add some. */
+  return CF_OK;
+}
+
+CfStatus
+cf_msg_decode (const char *buf, size_t len, CfMsg *m)
+{
+  msgpack_unpacked und;
+  const msgpack_object *o;
+  CfStatus st = CF_OK;
+  gint64 version = 0;
+  gint64 kind = 0;
+  size_t off = 0;
+
+  memset (m, 0, sizeof *m);
+  msgpack_unpacked_init (&und);
+  if (msgpack_unpack_next (&und, buf, len, &off) != MSGPACK_UNPACK_SUCCESS
+      || und.data.type != MSGPACK_OBJECT_MAP)
+    {
+      st = cf_fail (CF_ERR_PROTO, "check that the peer speaks comfrey frames",
+                    "frame of %zu bytes is not a msgpack map", len);
+      goto out;
+    }
+  o = &und.data;
+  for (uint32_t i = 0; i < o->via.map.size; i++)
+    {
+      const msgpack_object_kv *kv = &o->via.map.ptr[i];
+
+      if (key_is (&kv->key, "v"))
+        st = get_int (&kv->val, "v", &version);
+      else if (key_is (&kv->key, "k"))
+        st = get_int (&kv->val, "k", &kind);
+      if (st != CF_OK)
+        goto out;
+    }
+  if (version != CF_WIRE_VERSION)
+    {
+      st = cf_fail (CF_ERR_PROTO, "run the same comfreypost release on both ends",
+                    "wire version %" G_GINT64_FORMAT ", want %d", version,
+                    CF_WIRE_VERSION);
+      goto out;
+    }
+  if (kind < CF_MSG_REQUEST || kind > CF_MSG_ORDER)
+    {
+      st = cf_fail (CF_ERR_PROTO, "run the same comfreypost release on both ends",
+                    "unknown message kind %" G_GINT64_FORMAT, kind);
+      goto out;
+    }
+  m->kind = (CfMsgKind) kind;
+  for (uint32_t i = 0; i < o->via.map.size; i++)
+    {
+      st = decode_field (&o->via.map.ptr[i].key, &o->via.map.ptr[i].val, m);
+      if (st != CF_OK)
+        goto out;
+    }
+out:
+  msgpack_unpacked_destroy (&und);
+  if (st != CF_OK)
+    cf_msg_clear (m);
+  return st;
+}
+
+CfStatus
+cf_msg_write (int fd, const CfMsg *m)
+{
+  g_autoptr (GByteArray) frame = cf_msg_encode (m);
+
+  return cf_write_all (fd, frame->data, frame->len);
+}
+
+CfStatus
+cf_msg_read (int fd, CfMsg *m)
+{
+  g_autofree char *body = NULL;
+  guint32 len;
+  CfStatus st;
+
+  st = cf_read_all (fd, &len, 4);
+  if (st != CF_OK)
+    return st;
+  len = ntohl (len);
+  if (len == 0 || len > CF_FRAME_MAX)
+    return cf_fail (CF_ERR_PROTO, "check that the peer speaks comfrey frames",
+                    "frame length %u is outside 1..%d", len, CF_FRAME_MAX);
+  body = g_malloc (len);
+  st = cf_read_all (fd, body, len);
+  if (st != CF_OK)
+    return st;
+  return cf_msg_decode (body, len, m);
+}
+
+void
+cf_msg_clear (CfMsg *m)
+{
+  switch (m->kind)
+    {
+    case CF_MSG_REQUEST:
+      g_free (m->u.request.org);
+      g_free (m->u.request.service);
+      g_free (m->u.request.model);
+      g_free (m->u.request.key);
+      g_free (m->u.request.body);
+      g_free (m->u.request.path);
+      break;
+    case CF_MSG_ANSWER:
+      g_free (m->u.answer.body);
+      break;
+    case CF_MSG_REFUSAL:
+      g_free (m->u.refusal.reason);
+      break;
+    case CF_MSG_ORDER:
+      g_free (m->u.order.op);
+      break;
+    case CF_MSG_PING:
+    case CF_MSG_STATUS:
+    case CF_MSG_DRAIN:
+      break;
+    }
+  memset (m, 0, sizeof *m);
+}
+
+const char *
+cf_ran_name (CfRan ran)
+{
+  switch (ran)
+    {
+    case CF_RAN_NO:
+      return "no";
+    case CF_RAN_UNKNOWN:
+      return "unknown";
+    case CF_RAN_YES:
+      return "yes";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/wire.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "error.h"
+
+#include <glib.h>
+
+/** The version of the frames between our processes; see docs/WIRE.md. */
+#define CF_WIRE_VERSION 1
+/** The largest frame body we send or accept, in bytes. */
+#define CF_FRAME_MAX (1024 * 1024)
+
+/**
+ * CfRan:
+ * What a refusal says of whether the request ran.  %CF_RAN_NO is sent only
+ * when the sender knows the target never saw the request.
+ */
+typedef enum
+{
+  CF_RAN_NO = 0,
+  CF_RAN_UNKNOWN = 1,
+  CF_RAN_YES = 2,
+} CfRan;
+
+/** CfLoad: an agent's load, sent on every answer, refusal and status. */
+typedef struct
+{
+  gint64 in_flight; /**< requests at the target now */
+  gint64 queued;    /**< requests waiting for a worker */
+  gboolean draining;
+} CfLoad;
+
+/** CfMsgKind: the tag of a #CfMsg. */
+typedef enum
+{
+  CF_MSG_REQUEST = 1, /**< entry to agent: run this */
+  CF_MSG_ANSWER,      /**< agent to entry: the target's whole answer */
+  CF_MSG_REFUSAL,     /**< agent to entry: not answered, and why */
+  CF_MSG_PING,        /**< either way: heartbeat, asks for a status */
+  CF_MSG_STATUS,      /**< agent's reply to a ping */
+  CF_MSG_DRAIN,       /**< operator to agent: take no new work */
+  CF_MSG_ORDER,       /**< to agent: an order for the target, fenced */
+} CfMsgKind;
+
+/**
+ * CfMsg:
+ * One frame between our processes, a tagged union on @kind.  @id pairs a
+ * reply with its request on one connection.  Strings are owned by the
+ * message and freed by cf_msg_clear().
+ */
+typedef struct
+{
+  CfMsgKind kind;
+  guint64 id;
+  CfLoad load;
+  union
+  {
+    struct
+    {
+      char *org;
+      char *service;
+      char *model;
+      char *key;  /**< idempotency key; %NULL if the call is repeatable */
+      char *body;
+      char *path; /**< the target's path, such as "/v1/generate" */
+      gint64 priority;
+      gint64 deadline_ms; /**< time left when sent, in ms */
+    } request;
+    struct
+    {
+      gint64 code; /**< the target's HTTP status */
+      char *body;
+    } answer;
+    struct
+    {
+      CfRan ran;
+      char *reason;
+      gint64 retry_after_ms;
+    } refusal;
+    struct
+    {
+      gint64 fence; /**< highest fencing token seen */
+      gint64 served;
+      gint64 refused;
+    } status;
+    struct
+    {
+      gint64 fence;
+      char *op;
+    } order;
+  } u;
+} CfMsg;
+
+/**
+ * cf_msg_encode:
+ * Packs @m with msgpack behind a 4-byte big-endian length.
+ * Returns: a new byte array holding the whole frame.
+ */
+GByteArray *cf_msg_encode (const CfMsg *m);
+
+/**
+ * cf_msg_decode:
+ * @buf: a frame body (without its length)
+ * @len: its size in bytes
+ * @m: (out): the message; clear it with cf_msg_clear()
+ *
+ * Returns: %CF_OK, or %CF_ERR_PROTO naming what was wrong.
+ */
+CfStatus cf_msg_decode (const char *buf, size_t len, CfMsg *m);
+
+/** cf_msg_write: encodes and writes @m; the caller serialises writers. */
+CfStatus cf_msg_write (int fd, const CfMsg *m);
+
+/** cf_msg_read: reads one whole frame from @fd, blocking. */
+CfStatus cf_msg_read (int fd, CfMsg *m);
+
+/** cf_msg_clear: frees the strings of @m and zeroes it. */
+void cf_msg_clear (CfMsg *m);
+
+/** cf_ran_name: "no", "unknown" or "yes". */
+const char *cf_ran_name (CfRan ran);
