--- a/agent-link.c
+++ b/agent-link.c
@@ -29,7 +29,7 @@
 
   g_hash_table_iter_init (&it, l->pending);
   while (g_hash_table_iter_next (&it, NULL, &v))
-    ((CfPending *) v)->lost = TRUE;
+    ((CfPending *)v)->lost = TRUE;
   g_hash_table_remove_all (l->pending);
   if (l->fd >= 0)
     {
--- a/agent.c
+++ b/agent.c
@@ -19,8 +19,9 @@
                                  "drain_grace_ms = 30000\n";
 
 const char *const cf_agent_keys[] = {
-  "agent.listen",       "agent.target_url", "agent.workers",
-  "agent.queue",        "agent.guard_ttl_ms", "agent.guard_max",
+  "agent.listen",         "agent.target_url",
+  "agent.workers",        "agent.queue",
+  "agent.guard_ttl_ms",   "agent.guard_max",
   "agent.drain_grace_ms", NULL,
 };
 
@@ -41,13 +42,13 @@
   if (st == CF_OK && (o->queue & (o->queue - 1)) != 0)
     st = cf_fail (CF_ERR_SETTINGS, "choose a power of two such as 256",
                   "%s: [agent] queue = %" G_GINT64_FORMAT
-                  " is not a power of two", s->origin, o->queue);
+                  " is not a power of two",
+                  s->origin, o->queue);
   if (st == CF_OK)
     st = cf_settings_int (s, "agent", "guard_ttl_ms", 1000, 86400000,
                           &o->guard_ttl_ms);
   if (st == CF_OK)
-    st = cf_settings_int (s, "agent", "guard_max", 16, 10000000,
-                          &o->guard_max);
+    st = cf_settings_int (s, "agent", "guard_max", 16, 10000000, &o->guard_max);
   if (st == CF_OK)
     st = cf_settings_int (s, "agent", "drain_grace_ms", 0, 3600000,
                           &o->drain_grace_ms);
@@ -85,7 +86,7 @@
 cf_agent_load (CfAgent *a)
 {
   unsigned int queued = cf_ring_length (&a->work);
-  CfLoad l = { .in_flight = ck_pr_load_int (&a->in_flight) - (int) queued,
+  CfLoad l = { .in_flight = ck_pr_load_int (&a->in_flight) - (int)queued,
                .queued = queued,
                .draining = ck_pr_load_int (&a->draining) };
 
@@ -109,11 +110,12 @@
   CfMsg m = { .kind = CF_MSG_REFUSAL, .id = id };
 
   m.u.refusal.ran = ran;
-  m.u.refusal.reason = (char *) reason;
+  m.u.refusal.reason = (char *)reason;
   m.u.refusal.retry_after_ms = retry_ms;
   ck_pr_inc_64 (&c->agent->refused);
-  cf_log (LOG_INFO, CF_EV_AGENT_REFUSE, "id=%" G_GUINT64_FORMAT
-          " ran=%s reason=%s", id, cf_ran_name (ran), reason);
+  cf_log (LOG_INFO, CF_EV_AGENT_REFUSE,
+          "id=%" G_GUINT64_FORMAT " ran=%s reason=%s", id, cf_ran_name (ran),
+          reason);
   reply (c, &m);
 }
 
@@ -123,60 +125,62 @@
   CfMsg m = { .kind = CF_MSG_ANSWER, .id = id };
 
   m.u.answer.code = code;
-  m.u.answer.body = (char *) body;
+  m.u.answer.body = (char *)body;
   ck_pr_inc_64 (&c->agent->served);
   reply (c, &m);
 }
 
+/* Calls the target; the job counts as in flight until just before its
+ * reply, so that the load on the reply no longer includes it. */
 static void
 run_job (CfAgent *a, Job *j)
 {
   CfMsg *m = &j->msg;
-  g_autofree char *url = g_strconcat (a->set.target_url, m->u.request.path,
-                                      NULL);
-  g_autofree char *prio = g_strdup_printf ("X-Comfrey-Priority: %"
-                                           G_GINT64_FORMAT,
-                                           m->u.request.priority);
-  g_autofree char *key = m->u.request.key
-                             ? g_strdup_printf ("Idempotency-Key: %s",
-                                                m->u.request.key)
-                             : NULL;
-  const char *headers[] = { prio, key, NULL };
+  const char *key = m->u.request.key;
+  g_autofree char *url
+      = g_strconcat (a->set.target_url, m->u.request.path, NULL);
+  g_autofree char *prio = g_strdup_printf (
+      "X-Comfrey-Priority: %" G_GINT64_FORMAT, m->u.request.priority);
+  g_autofree char *key_header
+      = key ? g_strdup_printf ("Idempotency-Key: %s", key) : NULL;
+  const char *headers[] = { prio, key_header, NULL };
   g_autofree char *body = NULL;
   long long left = j->deadline_at - cf_now_ms ();
   long code = 0;
-  CfStatus st;
+  CfStatus st = CF_ERR_TIMEOUT;
 
+  if (left > 0)
+    st = cf_http_call ("POST", url, m->u.request.body, headers, left, &code,
+                       &body);
+  ck_pr_dec_int (&a->in_flight);
   if (left <= 0)
     {
-      if (m->u.request.key)
-        cf_guard_forget (&a->guard, m->u.request.key);
+      if (key)
+        cf_guard_forget (&a->guard, key);
       refuse (j->conn, m->id, CF_RAN_NO, "deadline-before-start", 0);
       return;
     }
-  st = cf_http_call ("POST", url, m->u.request.body, headers, left, &code,
-                     &body);
   switch (st)
     {
     case CF_OK:
-      if (m->u.request.key)
-        cf_guard_finish (&a->guard, m->u.request.key, TRUE, code, body,
-                         cf_now_ms ());
+      if (key)
+        cf_guard_finish (&a->guard, key, TRUE, code, body, cf_now_ms ());
       answer (j->conn, m->id, code, body);
       return;
     case CF_ERR_NET:
-      if (m->u.request.key)
-        cf_guard_forget (&a->guard, m->u.request.key);
-      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "id=%" G_GUINT64_FORMAT
-              " ran=no error=\"%s\"", m->id, cf_last_error ());
+      if (key)
+        cf_guard_forget (&a->guard, key);
+      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
+              "id=%" G_GUINT64_FORMAT " ran=no error=\"%s\"", m->id,
+              cf_last_error ());
       refuse (j->conn, m->id, CF_RAN_NO, "target-unreachable", 1000);
       return;
     default:
-      if (m->u.request.key)
-        cf_guard_finish (&a->guard, m->u.request.key, FALSE, 0, NULL,
-                         cf_now_ms ());
-      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "id=%" G_GUINT64_FORMAT
-              " ran=unknown error=\"%s\"", m->id, cf_last_error ());
+      if (key)
+        cf_guard_finish (&a->guard, key, FALSE, 0, NULL, cf_now_ms ());
+      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
+              "id=%" G_GUINT64_FORMAT " ran=unknown error=\"%s\"", m->id,
+              cf_last_error ());
       refuse (j->conn, m->id, CF_RAN_UNKNOWN, "target-failed", 1000);
       return;
     }
@@ -192,7 +196,6 @@
       Job *j = cf_ring_pop (&a->work);
 
       run_job (a, j);
-      ck_pr_dec_int (&a->in_flight);
       cf_msg_clear (&j->msg);
       conn_unref (j->conn);
       g_free (j);
@@ -215,8 +218,8 @@
     }
   if (m->u.request.key == NULL)
     return TRUE;
-  switch (cf_guard_begin (&a->guard, m->u.request.key, cf_now_ms (), &code,
-                          &kept))
+  switch (
+      cf_guard_begin (&a->guard, m->u.request.key, cf_now_ms (), &code, &kept))
     {
     case CF_GUARD_NEW:
       return TRUE;
@@ -290,16 +293,16 @@
   pthread_mutex_unlock (&a->fence_lock);
   if (m->u.order.fence < fence)
     {
-      cf_log (LOG_WARNING, CF_EV_FENCE_STALE, "op=%s fence=%" G_GINT64_FORMAT
-              " highest=%" G_GINT64_FORMAT, m->u.order.op, m->u.order.fence,
-              fence);
+      cf_log (LOG_WARNING, CF_EV_FENCE_STALE,
+              "op=%s fence=%" G_GINT64_FORMAT " highest=%" G_GINT64_FORMAT,
+              m->u.order.op, m->u.order.fence, fence);
       refuse (c, m->id, CF_RAN_NO, "stale-fencing-token", 0);
       return;
     }
   body = g_strdup_printf ("{\"fence\":%" G_GINT64_FORMAT ",\"op\":\"%s\"}",
                           m->u.order.fence, m->u.order.op);
-  cf_log (LOG_INFO, CF_EV_ORDER, "op=%s fence=%" G_GINT64_FORMAT,
-          m->u.order.op, m->u.order.fence);
+  cf_log (LOG_INFO, CF_EV_ORDER, "op=%s fence=%" G_GINT64_FORMAT, m->u.order.op,
+          m->u.order.fence);
   if (cf_http_call ("POST", url, body, NULL, 5000, &code, &out) != CF_OK)
     refuse (c, m->id, CF_RAN_UNKNOWN, "target-failed", 1000);
   else
@@ -315,8 +318,8 @@
   pthread_mutex_lock (&a->fence_lock);
   s.u.status.fence = a->fence;
   pthread_mutex_unlock (&a->fence_lock);
-  s.u.status.served = (gint64) ck_pr_load_64 (&a->served);
-  s.u.status.refused = (gint64) ck_pr_load_64 (&a->refused);
+  s.u.status.served = (gint64)ck_pr_load_64 (&a->served);
+  s.u.status.refused = (gint64)ck_pr_load_64 (&a->refused);
   reply (c, &s);
 }
 
@@ -393,8 +396,8 @@
   st = cf_listen_tcp (a->set.listen, &a->listen_fd);
   if (st != CF_OK)
     return st;
-  cf_ring_init (&a->work, (unsigned int) a->set.queue);
-  cf_guard_init (&a->guard, a->set.guard_ttl_ms, (guint) a->set.guard_max);
+  cf_ring_init (&a->work, (unsigned int)a->set.queue);
+  cf_guard_init (&a->guard, a->set.guard_ttl_ms, (guint)a->set.guard_max);
   pthread_mutex_init (&a->fence_lock, NULL);
   for (gint64 i = 0; i < a->set.workers; i++)
     {
--- a/agent.h
+++ b/agent.h
@@ -33,7 +33,7 @@
   CfRing work;
   CfGuard guard;
   pthread_mutex_t fence_lock;
-  gint64 fence; /**< highest fencing token seen */
+  gint64 fence;  /**< highest fencing token seen */
   int in_flight; /**< accepted and not yet answered, queued ones too */
   int draining;
   uint64_t served;
--- a/comfrey-fake-config.c
+++ b/comfrey-fake-config.c
@@ -70,8 +70,9 @@
   json_decref (svc.records);
   svc.records = records;
   pthread_cond_broadcast (&svc.changed);
-  cf_log (LOG_NOTICE, CF_EV_CONFIG_ACCEPT, "version=%" G_GINT64_FORMAT
-          " records=%zu", svc.version, json_array_size (records));
+  cf_log (LOG_NOTICE, CF_EV_CONFIG_ACCEPT,
+          "version=%" G_GINT64_FORMAT " records=%zu", svc.version,
+          json_array_size (records));
 }
 
 static void
@@ -97,13 +98,13 @@
       cf_http_reply_error (rep, 503, "down", "the service is down (test)");
       break;
     case MODE_STALE:
-      o = json_pack ("{s:I, s:O}", "version", (json_int_t) svc.stale_version,
+      o = json_pack ("{s:I, s:O}", "version", (json_int_t)svc.stale_version,
                      "records", svc.stale_records);
       rep->body = json_dumps (o, JSON_COMPACT);
       json_decref (o);
       break;
     case MODE_UP:
-      o = json_pack ("{s:I, s:O}", "version", (json_int_t) svc.version,
+      o = json_pack ("{s:I, s:O}", "version", (json_int_t)svc.version,
                      "records", svc.records);
       rep->body = json_dumps (o, JSON_COMPACT);
       json_decref (o);
@@ -164,8 +165,8 @@
         }
       pthread_mutex_lock (&svc.lock);
       publish (records);
-      rep->body = g_strdup_printf ("{\"version\":%" G_GINT64_FORMAT "}",
-                                   svc.version);
+      rep->body
+          = g_strdup_printf ("{\"version\":%" G_GINT64_FORMAT "}", svc.version);
       pthread_mutex_unlock (&svc.lock);
     }
   else if (g_str_equal (req->path, "/test/mode"))
--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -28,10 +28,11 @@
                                "check_fence = true\n"
                                "seed = 1\n";
 static const char *const keys[] = {
-  "engine.listen",      "engine.ranks",        "engine.experts",
-  "engine.batch_max",   "engine.step_base_us", "engine.step_per_token_us",
-  "engine.load_lag_ms", "engine.check_fence",  "engine.seed",
-  NULL,
+  "engine.listen",       "engine.ranks",
+  "engine.experts",      "engine.batch_max",
+  "engine.step_base_us", "engine.step_per_token_us",
+  "engine.load_lag_ms",  "engine.check_fence",
+  "engine.seed",         NULL,
 };
 
 /* What lives for one generation request. */
@@ -86,7 +87,7 @@
 {
   double u = g_rand_double (eng.rand);
   int lo = 0;
-  int hi = (int) eng.experts - 1;
+  int hi = (int)eng.experts - 1;
 
   while (lo < hi)
     {
@@ -193,7 +194,7 @@
   pthread_mutex_unlock (&eng.lock);
 
   r = json_pack ("{s:s, s:i, s:I}", "text", g.prompt, "tokens", g.made,
-                 "map_version", (json_int_t) eng.map->version);
+                 "map_version", (json_int_t)eng.map->version);
   rep->body = json_dumps (r, JSON_COMPACT);
   json_decref (r);
   g_free (g.prompt);
@@ -217,8 +218,8 @@
     cf_http_reply_error (rep, 409, "stale-fence",
                          "the order's fencing token is older than one seen");
   else
-    rep->body = g_strdup_printf ("{\"accepted\":true,\"fence\":%"
-                                 G_GINT64_FORMAT "}", fence);
+    rep->body = g_strdup_printf (
+        "{\"accepted\":true,\"fence\":%" G_GINT64_FORMAT "}", fence);
 }
 
 static void
@@ -231,10 +232,10 @@
   else if (g_str_equal (req->path, "/v1/load"))
     {
       pthread_mutex_lock (&eng.lock);
-      rep->body = g_strdup_printf ("{\"running\":%d,\"steps\":%" G_GINT64_FORMAT
-                                   ",\"map_version\":%" G_GINT64_FORMAT "}",
-                                   eng.reported_running, eng.steps,
-                                   eng.map->version);
+      rep->body
+          = g_strdup_printf ("{\"running\":%d,\"steps\":%" G_GINT64_FORMAT
+                             ",\"map_version\":%" G_GINT64_FORMAT "}",
+                             eng.reported_running, eng.steps, eng.map->version);
       pthread_mutex_unlock (&eng.lock);
     }
   else
@@ -251,8 +252,8 @@
   for (int e = 0; e < eng.experts; e++)
     sum += 1.0 / pow (e + 1, skew);
   for (int e = 0; e < eng.experts; e++)
-    eng.popularity[e] = (e ? eng.popularity[e - 1] : 0)
-                        + 1.0 / pow (e + 1, skew) / sum;
+    eng.popularity[e]
+        = (e ? eng.popularity[e - 1] : 0) + 1.0 / pow (e + 1, skew) / sum;
 }
 
 int
@@ -279,9 +280,11 @@
       || cf_settings_int (&s, "engine", "batch_max", 1, 4096, &eng.batch_max)
              != CF_OK
       || cf_settings_int (&s, "engine", "step_base_us", 0, 1000000,
-                          &eng.base_us) != CF_OK
+                          &eng.base_us)
+             != CF_OK
       || cf_settings_int (&s, "engine", "step_per_token_us", 0, 100000,
-                          &eng.per_token_us) != CF_OK
+                          &eng.per_token_us)
+             != CF_OK
       || cf_settings_int (&s, "engine", "load_lag_ms", 0, 60000, &eng.lag_ms)
              != CF_OK
       || cf_settings_bool (&s, "engine", "check_fence", &eng.check_fence)
@@ -296,8 +299,8 @@
   pthread_mutex_init (&eng.lock, NULL);
   pthread_cond_init (&eng.done, NULL);
   pthread_cond_init (&eng.work, NULL);
-  eng.map = cf_expert_map_new ((int) eng.experts, (int) eng.ranks);
-  eng.rand = g_rand_new_with_seed ((guint32) seed);
+  eng.map = cf_expert_map_new ((int)eng.experts, (int)eng.ranks);
+  eng.rand = g_rand_new_with_seed ((guint32)seed);
   set_popularity (1.0);
   pthread_create (&t, NULL, step_thread, NULL);
   if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
@@ -305,8 +308,9 @@
       cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
       return 1;
     }
-  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s ranks=%" G_GINT64_FORMAT
-          " experts=%" G_GINT64_FORMAT, listen, eng.ranks, eng.experts);
+  cf_log (LOG_INFO, CF_EV_LISTEN,
+          "addr=%s ranks=%" G_GINT64_FORMAT " experts=%" G_GINT64_FORMAT,
+          listen, eng.ranks, eng.experts);
   cf_daemon_wait ();
   cf_http_server_stop (http);
   return 0;
--- a/comfrey-fake-service.c
+++ b/comfrey-fake-service.c
@@ -39,7 +39,7 @@
   pthread_mutex_unlock (&lock);
   usleep (work_ms * 1000);
   o = json_pack ("{s:o, s:i}", "done", body ? body : json_null (), "runs",
-                 (int) n);
+                 (int)n);
   rep->body = json_dumps (o, JSON_COMPACT);
   json_decref (o);
 }
--- a/comfrey-fake-vmlist.c
+++ b/comfrey-fake-vmlist.c
@@ -43,8 +43,8 @@
       const char *state = now >= vm->visible_at ? vm->state : vm->shown;
 
       if (state)
-        json_array_append_new (a, json_pack ("{s:s, s:s}", "addr", (char *) k,
-                                             "state", state));
+        json_array_append_new (
+            a, json_pack ("{s:s, s:s}", "addr", (char *)k, "state", state));
     }
   pthread_mutex_unlock (&lock);
   o = json_pack ("{s:o}", "vms", a);
--- a/comfrey-load.c
+++ b/comfrey-load.c
@@ -65,7 +65,7 @@
       pthread_mutex_lock (&run->lock);
       i = run->next++;
       pthread_mutex_unlock (&run->lock);
-      if (i >= (gint) json_array_size (run->reqs) * repeat)
+      if (i >= (gint)json_array_size (run->reqs) * repeat)
         return NULL;
       req = json_array_get (run->reqs, i % json_array_size (run->reqs));
       if (direct)
@@ -76,17 +76,16 @@
       else
         {
           json_t *e = json_object_get (req, "entry");
-          gint n = (gint) g_strv_length (entries);
+          gint n = (gint)g_strv_length (entries);
 
           url = g_strdup_printf ("%s/v1/requests",
                                  entries[(json_integer_value (e)) % n]);
           body = json_dumps (req, JSON_COMPACT);
         }
       t0 = cf_now_ms ();
-      if (cf_http_call ("POST", url, body, NULL, 60000, &code, &reply)
-          != CF_OK)
+      if (cf_http_call ("POST", url, body, NULL, 60000, &code, &reply) != CF_OK)
         code = 0;
-      ms = (double) (cf_now_ms () - t0);
+      ms = (double)(cf_now_ms () - t0);
       pthread_mutex_lock (&run->lock);
       g_array_append_val (run->ms, ms);
       if (code == 0)
@@ -104,8 +103,8 @@
 static int
 compare_double (gconstpointer a, gconstpointer b)
 {
-  double x = *(const double *) a;
-  double y = *(const double *) b;
+  double x = *(const double *)a;
+  double y = *(const double *)b;
 
   return x < y ? -1 : x > y;
 }
@@ -130,9 +129,7 @@
           return -1;
         }
       o = json_loads (reply, 0, NULL);
-      json_object_foreach (o, key, v)
-        if (json_integer_value (v) > 1)
-          doubled++;
+      json_object_foreach (o, key, v) if (json_integer_value (v) > 1) doubled++;
       json_decref (o);
     }
   return doubled;
@@ -207,8 +204,9 @@
           " lost=%" G_GINT64_FORMAT " doubled=%" G_GINT64_FORMAT
           " p99_ms=%.0f\n",
           run.answered, run.refused, run.lost + run.wrong, doubled, p99);
-  fprintf (stderr, "comfrey-load: requests=%u p50_ms=%.0f p99_ms=%.0f "
-                   "wrong_answers=%" G_GINT64_FORMAT "\n",
+  fprintf (stderr,
+           "comfrey-load: requests=%u p50_ms=%.0f p99_ms=%.0f "
+           "wrong_answers=%" G_GINT64_FORMAT "\n",
            run.ms->len, p50, p99, run.wrong);
   return run.lost + run.wrong + (doubled != 0) ? 1 : 0;
 }
--- a/comfrey.c
+++ b/comfrey.c
@@ -54,9 +54,8 @@
   printf ("agent %s: in_flight=%" G_GINT64_FORMAT " queued=%" G_GINT64_FORMAT
           " draining=%s fence=%" G_GINT64_FORMAT " served=%" G_GINT64_FORMAT
           " refused=%" G_GINT64_FORMAT "\n",
-          addr, r.load.in_flight, r.load.queued,
-          r.load.draining ? "yes" : "no", r.u.status.fence,
-          r.u.status.served, r.u.status.refused);
+          addr, r.load.in_flight, r.load.queued, r.load.draining ? "yes" : "no",
+          r.u.status.fence, r.u.status.served, r.u.status.refused);
   cf_msg_clear (&r);
   return 0;
 }
@@ -90,7 +89,8 @@
     }
   if (argc != 3)
     {
-      fprintf (stderr, "comfrey: give a command and its argument (try --help)\n");
+      fprintf (stderr,
+               "comfrey: give a command and its argument (try --help)\n");
       return 2;
     }
   if (strcmp (argv[1], "check") == 0)
--- a/config-watch.c
+++ b/config-watch.c
@@ -101,8 +101,9 @@
                              json_integer_value (version), &c);
   if (st != CF_OK)
     {
-      cf_log (LOG_ERR, CF_EV_CONFIG_BAD, "version=%" JSON_INTEGER_FORMAT
-              " error=\"%s\"", json_integer_value (version), cf_last_error ());
+      cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
+              "version=%" JSON_INTEGER_FORMAT " error=\"%s\"",
+              json_integer_value (version), cf_last_error ());
       goto out;
     }
   cf_config_watch_offer (w, c);
--- a/config-watch.h
+++ b/config-watch.h
@@ -29,8 +29,7 @@
  *   in force
  */
 void cf_config_watch_start (CfConfigWatch *w, const char *url, gint64 wait_ms,
-                            void (*on_change) (void *, CfConfig *),
-                            void *data);
+                            void (*on_change) (void *, CfConfig *), void *data);
 
 /** cf_config_watch_get: the version in force, with a reference, or %NULL. */
 CfConfig *cf_config_watch_get (CfConfigWatch *w);
--- a/daemon.c
+++ b/daemon.c
@@ -8,10 +8,9 @@
 #define CF_VERSION "0.1.0"
 
 int
-cf_daemon_init (int *argc, char ***argv, const char *prog,
-                const char *summary, GOptionEntry *extra,
-                const char *defaults, const char *const *known,
-                CfDaemonArgs *a, CfSettings *s)
+cf_daemon_init (int *argc, char ***argv, const char *prog, const char *summary,
+                GOptionEntry *extra, const char *defaults,
+                const char *const *known, CfDaemonArgs *a, CfSettings *s)
 {
   GOptionEntry common[] = {
     { "settings", 's', 0, G_OPTION_ARG_FILENAME, &a->settings,
--- a/entry.c
+++ b/entry.c
@@ -29,10 +29,18 @@
                                  "poll_ms = 500\n";
 
 const char *const cf_entry_keys[] = {
-  "entry.name",          "entry.listen",        "entry.datacentre",
-  "entry.max_in_flight", "entry.deadline_ms",   "entry.max_attempts",
-  "entry.retry_after_ms", "entry.low_priority_share", "config.url",
-  "config.watch_wait_ms", "vmlist.url",         "vmlist.poll_ms",
+  "entry.name",
+  "entry.listen",
+  "entry.datacentre",
+  "entry.max_in_flight",
+  "entry.deadline_ms",
+  "entry.max_attempts",
+  "entry.retry_after_ms",
+  "entry.low_priority_share",
+  "config.url",
+  "config.watch_wait_ms",
+  "vmlist.url",
+  "vmlist.poll_ms",
   NULL,
 };
 
@@ -161,7 +169,8 @@
   if (!json_is_object (o))
     {
       msg = g_strdup_printf ("body is not a JSON object (line %d: %s); send "
-                             "the fields in docs/API.md", jerr.line, jerr.text);
+                             "the fields in docs/API.md",
+                             jerr.line, jerr.text);
       goto out;
     }
   r->org = g_strdup (field_string (o, "org"));
@@ -174,16 +183,18 @@
       goto out;
     }
   v = json_object_get (o, "priority");
-  if (v && (!json_is_integer (v) || json_integer_value (v) < 0
-            || json_integer_value (v) > CF_PRIORITY_MAX))
+  if (v
+      && (!json_is_integer (v) || json_integer_value (v) < 0
+          || json_integer_value (v) > CF_PRIORITY_MAX))
     {
       msg = g_strdup ("'priority' must be an integer from 0 to 9");
       goto out;
     }
   r->priority = v ? json_integer_value (v) : 0;
   v = json_object_get (o, "deadline_ms");
-  if (v && (!json_is_integer (v) || json_integer_value (v) < 1
-            || json_integer_value (v) > DEADLINE_MAX_MS))
+  if (v
+      && (!json_is_integer (v) || json_integer_value (v) < 1
+          || json_integer_value (v) > DEADLINE_MAX_MS))
     {
       msg = g_strdup ("'deadline_ms' must be an integer from 1 to 600000");
       goto out;
@@ -197,8 +208,9 @@
       goto out;
     }
   v = json_object_get (o, "idempotency_key");
-  if (v && (!json_is_string (v) || json_string_length (v) == 0
-            || json_string_length (v) > KEY_MAX))
+  if (v
+      && (!json_is_string (v) || json_string_length (v) == 0
+          || json_string_length (v) > KEY_MAX))
     {
       msg = g_strdup ("'idempotency_key' must be a string of 1 to 128 bytes");
       goto out;
@@ -234,8 +246,8 @@
   rep->retry_after_ms = retry_ms;
   json_decref (o);
   ck_pr_inc_64 (&e->refused);
-  cf_log (LOG_INFO, CF_EV_ANSWER, "req=%s code=%d ran=%s error=%s", r->id,
-          code, cf_ran_name (ran), what);
+  cf_log (LOG_INFO, CF_EV_ANSWER, "req=%s code=%d ran=%s error=%s", r->id, code,
+          cf_ran_name (ran), what);
 }
 
 static void
@@ -248,7 +260,7 @@
 
   json_object_set_new (o, "answer",
                        inner ? inner : json_string (m->u.answer.body));
-  rep->code = (int) m->u.answer.code;
+  rep->code = (int)m->u.answer.code;
   rep->body = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   ck_pr_inc_64 (&e->answered);
@@ -272,8 +284,7 @@
 
       c[i].addr = addr;
       c[i].load = MAX (load.in_flight + load.queued, outstanding);
-      c[i].excluded = !up || load.draining
-                      || cf_vm_list_leaving (&e->vms, addr)
+      c[i].excluded = !up || load.draining || cf_vm_list_leaving (&e->vms, addr)
                       || g_hash_table_contains (tried, addr);
     }
   return cf_route_order (c, n, r->key, r->id);
@@ -322,17 +333,18 @@
       addr = c[0].addr;
       cf_log (LOG_INFO, CF_EV_ROUTE,
               "req=%s org=%s service=%s model=%s intent=%s group=%s target=%s "
-              "attempt=%" G_GINT64_FORMAT " reason=%s", r->id, r->org,
-              r->service, r->model, r->intent->name, r->group->name, addr,
-              attempt + 1, r->key ? "key-owner" : "least-loaded");
-      g_hash_table_add (tried, (gpointer) addr);
+              "attempt=%" G_GINT64_FORMAT " reason=%s",
+              r->id, r->org, r->service, r->model, r->intent->name,
+              r->group->name, addr, attempt + 1,
+              r->key ? "key-owner" : "least-loaded");
+      g_hash_table_add (tried, (gpointer)addr);
       req.u.request.org = r->org;
       req.u.request.service = r->service;
       req.u.request.model = r->model;
       req.u.request.key = r->key;
       req.u.request.body = r->body;
-      req.u.request.path = r->group->kind == CF_TARGET_ENGINE ? "/v1/generate"
-                                                              : "/v1/call";
+      req.u.request.path
+          = r->group->kind == CF_TARGET_ENGINE ? "/v1/generate" : "/v1/call";
       req.u.request.priority = r->priority;
       req.u.request.deadline_ms = left;
       res = cf_link_call (link_for (e, addr), &req, r->deadline_at, &reply);
@@ -345,13 +357,14 @@
               cf_msg_clear (&reply);
               return;
             }
-          r->retry_hint_ms = MAX (r->retry_hint_ms,
-                                  reply.u.refusal.retry_after_ms);
+          r->retry_hint_ms
+              = MAX (r->retry_hint_ms, reply.u.refusal.retry_after_ms);
           if (reply.u.refusal.ran != CF_RAN_NO)
             {
               g_autofree char *m = g_strdup_printf (
                   "the target refused after it may have run: %s; retry with "
-                  "the same idempotency key", reply.u.refusal.reason);
+                  "the same idempotency key",
+                  reply.u.refusal.reason);
 
               refuse (e, r, rep, 409, "fate-unknown", reply.u.refusal.ran,
                       MAX (r->retry_hint_ms, e->set.retry_after_ms), m);
@@ -365,24 +378,28 @@
           break;
         case CF_CALL_NOT_SENT:
           last_reason = "link-down";
-          cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=link-down "
-                  "ran=no", r->id, addr);
+          cf_log (LOG_INFO, CF_EV_RETRY,
+                  "req=%s target=%s reason=link-down "
+                  "ran=no",
+                  r->id, addr);
           break;
         case CF_CALL_LOST:
         case CF_CALL_TIMEOUT:
           r->maybe_ran = TRUE;
           if (r->key || res == CF_CALL_TIMEOUT)
             {
-              refuse (e, r, rep, 504, res == CF_CALL_LOST ? "link-lost"
-                                                          : "deadline",
+              refuse (e, r, rep, 504,
+                      res == CF_CALL_LOST ? "link-lost" : "deadline",
                       CF_RAN_UNKNOWN, e->set.retry_after_ms,
                       "the target may have run the request; a call with an "
                       "idempotency key may be sent again with the same key");
               return;
             }
           last_reason = "link-lost";
-          cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=link-lost "
-                  "ran=unknown", r->id, addr);
+          cf_log (LOG_INFO, CF_EV_RETRY,
+                  "req=%s target=%s reason=link-lost "
+                  "ran=unknown",
+                  r->id, addr);
           ck_pr_inc_64 (&e->retries);
           continue;
         }
@@ -399,7 +416,8 @@
   {
     g_autofree char *m = g_strdup_printf (
         "no target of group '%s' could take the request (%s); come back "
-        "after retry_after_ms", r->group->name, last_reason);
+        "after retry_after_ms",
+        r->group->name, last_reason);
 
     refuse (e, r, rep, 503, "unavailable",
             r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO,
@@ -425,7 +443,7 @@
   CfConfig *c = NULL;
 
   g_snprintf (r.id, sizeof r.id, "%s-%" G_GUINT64_FORMAT, e->set.name,
-              (guint64) __atomic_add_fetch (&e->seq, 1, __ATOMIC_RELAXED));
+              (guint64)__atomic_add_fetch (&e->seq, 1, __ATOMIC_RELAXED));
   if (!parse_request (e, req, &r, rep))
     goto out_unadmitted;
   if (g_atomic_int_get (&e->draining))
@@ -436,9 +454,9 @@
     }
   if (!admit (e, &r))
     {
-      cf_log (LOG_INFO, CF_EV_ADMIT_REFUSE, "req=%s org=%s priority=%"
-              G_GINT64_FORMAT " in_flight=%d", r.id, r.org, r.priority,
-              g_atomic_int_get (&e->in_flight));
+      cf_log (LOG_INFO, CF_EV_ADMIT_REFUSE,
+              "req=%s org=%s priority=%" G_GINT64_FORMAT " in_flight=%d", r.id,
+              r.org, r.priority, g_atomic_int_get (&e->in_flight));
       refuse (e, &r, rep, 503, "overloaded", CF_RAN_NO, e->set.retry_after_ms,
               "the entry is at its admission limit; come back after "
               "retry_after_ms");
@@ -454,8 +472,10 @@
   r.intent = cf_config_match (c, r.org, r.service, r.model);
   if (r.intent == NULL)
     {
-      cf_log (LOG_INFO, CF_EV_NO_ROUTE, "req=%s org=%s service=%s model=%s "
-              "reason=no-intent", r.id, r.org, r.service, r.model);
+      cf_log (LOG_INFO, CF_EV_NO_ROUTE,
+              "req=%s org=%s service=%s model=%s "
+              "reason=no-intent",
+              r.id, r.org, r.service, r.model);
       refuse (e, &r, rep, 403, "no-intent", CF_RAN_NO, 0,
               "no routing intent permits this organisation, service and "
               "model; ask an operator to add one");
@@ -491,11 +511,11 @@
     }
   pthread_mutex_unlock (&e->links_lock);
   o = json_pack ("{s:I, s:I, s:i, s:b, s:I, s:I, s:I}", "config_version",
-                 (json_int_t) (c ? c->version : 0), "links_up",
-                 (json_int_t) up, "in_flight", g_atomic_int_get (&e->in_flight),
-                 "draining", g_atomic_int_get (&e->draining), "answered",
-                 (json_int_t) e->answered, "refused", (json_int_t) e->refused,
-                 "retries", (json_int_t) e->retries);
+                 (json_int_t)(c ? c->version : 0), "links_up", (json_int_t)up,
+                 "in_flight", g_atomic_int_get (&e->in_flight), "draining",
+                 g_atomic_int_get (&e->draining), "answered",
+                 (json_int_t)e->answered, "refused", (json_int_t)e->refused,
+                 "retries", (json_int_t)e->retries);
   rep->body = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   cf_config_unref (c);
--- a/entry.h
+++ b/entry.h
@@ -16,11 +16,11 @@
   char *datacentre;
   char *config_url;
   char *vmlist_url;
-  gint64 max_in_flight;       /**< admission limit, requests */
-  gint64 deadline_ms;         /**< when the caller gives none */
-  gint64 max_attempts;        /**< targets tried for one request */
-  gint64 retry_after_ms;      /**< told to callers refused for load */
-  gint64 low_priority_share;  /**< percent of max_in_flight open to prio < 5 */
+  gint64 max_in_flight;      /**< admission limit, requests */
+  gint64 deadline_ms;        /**< when the caller gives none */
+  gint64 max_attempts;       /**< targets tried for one request */
+  gint64 retry_after_ms;     /**< told to callers refused for load */
+  gint64 low_priority_share; /**< percent of max_in_flight open to prio < 5 */
   gint64 watch_wait_ms;
   gint64 vmlist_poll_ms;
 } CfEntrySettings;
--- a/error.c
+++ b/error.c
@@ -16,7 +16,7 @@
   va_start (ap, fmt);
   n = vsnprintf (last_error, sizeof last_error, fmt, ap);
   va_end (ap);
-  if (n >= 0 && (size_t) n < sizeof last_error)
+  if (n >= 0 && (size_t)n < sizeof last_error)
     snprintf (last_error + n, sizeof last_error - n, "; remedy: %s", remedy);
   return st;
 }
--- a/expert-map.h
+++ b/expert-map.h
@@ -27,5 +27,5 @@
  * Returns: the largest rank load, which sets the group's step time since
  * every rank waits for the slowest.
  */
-int cf_expert_map_step_load (const CfExpertMap *m,
-                             const int *tokens_per_expert, int *load);
+int cf_expert_map_step_load (const CfExpertMap *m, const int *tokens_per_expert,
+                             int *load);
--- a/guard.c
+++ b/guard.c
@@ -38,8 +38,8 @@
 {
   Call *c = value;
 
-  (void) key;
-  return c->expires_ms != 0 && c->expires_ms <= *(gint64 *) now;
+  (void)key;
+  return c->expires_ms != 0 && c->expires_ms <= *(gint64 *)now;
 }
 
 CfGuardState
--- a/guard.h
+++ b/guard.h
@@ -52,8 +52,8 @@
  * Keeps the answer of a claimed call; with @known %FALSE (the target may
  * or may not have run it) the key stays %CF_GUARD_UNKNOWN instead.
  */
-void cf_guard_finish (CfGuard *g, const char *key, gboolean known,
-                      gint64 code, const char *body, gint64 now_ms);
+void cf_guard_finish (CfGuard *g, const char *key, gboolean known, gint64 code,
+                      const char *body, gint64 now_ms);
 
 /** cf_guard_forget: the call surely did not run; the key is free again. */
 void cf_guard_forget (CfGuard *g, const char *key);
--- a/http-client.c
+++ b/http-client.c
@@ -39,7 +39,8 @@
   curl_easy_setopt (h, CURLOPT_URL, url);
   curl_easy_setopt (h, CURLOPT_CUSTOMREQUEST, method);
   curl_easy_setopt (h, CURLOPT_TIMEOUT_MS, timeout_ms);
-  curl_easy_setopt (h, CURLOPT_CONNECTTIMEOUT_MS, timeout_ms < 1000 ? timeout_ms : 1000L);
+  curl_easy_setopt (h, CURLOPT_CONNECTTIMEOUT_MS,
+                    timeout_ms < 1000 ? timeout_ms : 1000L);
   curl_easy_setopt (h, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (h, CURLOPT_WRITEFUNCTION, collect);
   curl_easy_setopt (h, CURLOPT_WRITEDATA, reply);
@@ -66,12 +67,13 @@
                     "%s %s: %s", method, url, curl_easy_strerror (rc));
       break;
     case CURLE_OPERATION_TIMEDOUT:
-      st = cf_fail (CF_ERR_TIMEOUT, "check the peer's load or raise the timeout",
+      st = cf_fail (CF_ERR_TIMEOUT,
+                    "check the peer's load or raise the timeout",
                     "%s %s: no answer within %ld ms", method, url, timeout_ms);
       break;
     default:
-      st = cf_fail (CF_ERR_HTTP, "check the peer's logs",
-                    "%s %s: %s", method, url, curl_easy_strerror (rc));
+      st = cf_fail (CF_ERR_HTTP, "check the peer's logs", "%s %s: %s", method,
+                    url, curl_easy_strerror (rc));
       break;
     }
   curl_slist_free_all (list);
--- a/http-client.h
+++ b/http-client.h
@@ -20,5 +20,5 @@
  * %CF_ERR_HTTP if it was sent and no whole answer came.
  */
 CfStatus cf_http_call (const char *method, const char *url, const char *body,
-                       const char *const *headers, long timeout_ms,
-                       long *code, char **out);
+                       const char *const *headers, long timeout_ms, long *code,
+                       char **out);
--- a/http-server.c
+++ b/http-server.c
@@ -29,7 +29,7 @@
   enum MHD_Result ret;
   const char *body = rep->body ? rep->body : "";
 
-  r = MHD_create_response_from_buffer (strlen (body), (void *) body,
+  r = MHD_create_response_from_buffer (strlen (body), (void *)body,
                                        MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (r, "Content-Type",
                            rep->ctype ? rep->ctype : "application/json");
@@ -57,7 +57,7 @@
   CfHttpRequest req = { 0 };
   CfHttpReply rep = { 0 };
 
-  (void) version;
+  (void)version;
   if (up == NULL)
     {
       up = g_new0 (Upload, 1);
@@ -96,9 +96,9 @@
 {
   Upload *up = *con_cls;
 
-  (void) cls;
-  (void) conn;
-  (void) code;
+  (void)cls;
+  (void)conn;
+  (void)code;
   if (up == NULL)
     return;
   g_string_free (up->body, TRUE);
@@ -126,7 +126,7 @@
           | MHD_USE_ITC,
       0, NULL, NULL, on_request, s, MHD_OPTION_LISTEN_SOCKET, fd,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int) 60, MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)60, MHD_OPTION_END);
   if (s->daemon == NULL)
     {
       close (fd);
--- a/http-server.h
+++ b/http-server.h
@@ -23,9 +23,9 @@
 typedef struct
 {
   int code;
-  char *body;            /**< JSON text, owned */
-  long retry_after_ms;   /**< >0 adds a Retry-After header, in seconds */
-  const char *ctype;     /**< %NULL means application/json */
+  char *body;          /**< JSON text, owned */
+  long retry_after_ms; /**< >0 adds a Retry-After header, in seconds */
+  const char *ctype;   /**< %NULL means application/json */
 } CfHttpReply;
 
 /**
@@ -44,8 +44,8 @@
  *
  * Returns: %CF_OK, or %CF_ERR_NET if the address cannot be bound.
  */
-CfStatus cf_http_server_start (const char *addr, CfHttpHandler fn,
-                               void *data, CfHttpServer **out);
+CfStatus cf_http_server_start (const char *addr, CfHttpHandler fn, void *data,
+                               CfHttpServer **out);
 
 /** cf_http_server_quiesce: stops accepting connections; open ones go on. */
 void cf_http_server_quiesce (CfHttpServer *s);
--- a/log.c
+++ b/log.c
@@ -80,14 +80,14 @@
   int m;
 
   n = snprintf (line, sizeof line, "<%d>%s[%d]: E%d %s ", prio, log_prog,
-                (int) getpid (), (int) ev, cf_event_name (ev));
+                (int)getpid (), (int)ev, cf_event_name (ev));
   va_start (ap, fmt);
   m = vsnprintf (line + n, sizeof line - n - 1, fmt, ap);
   va_end (ap);
   if (m < 0)
     m = 0;
   n += m;
-  if ((size_t) n > sizeof line - 2)
+  if ((size_t)n > sizeof line - 2)
     n = sizeof line - 2;
   line[n++] = '\n';
   if (write (STDERR_FILENO, line, n) < 0)
--- a/net.c
+++ b/net.c
@@ -52,8 +52,8 @@
   s = socket (ai->ai_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (s < 0)
     {
-      st = cf_fail (CF_ERR_NET, "check the process's file limit",
-                    "socket: %s", strerror (errno));
+      st = cf_fail (CF_ERR_NET, "check the process's file limit", "socket: %s",
+                    strerror (errno));
       goto out;
     }
   setsockopt (s, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -88,8 +88,8 @@
   s = socket (ai->ai_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (s < 0)
     {
-      st = cf_fail (CF_ERR_NET, "check the process's file limit",
-                    "socket: %s", strerror (errno));
+      st = cf_fail (CF_ERR_NET, "check the process's file limit", "socket: %s",
+                    strerror (errno));
       goto out;
     }
   if (connect (s, ai->ai_addr, ai->ai_addrlen) < 0 && errno != EINPROGRESS)
@@ -134,8 +134,8 @@
       if (k < 0 && errno == EINTR)
         continue;
       if (k <= 0)
-        return cf_fail (CF_ERR_NET, "the peer will be reconnected",
-                        "write: %s", k < 0 ? strerror (errno) : "closed");
+        return cf_fail (CF_ERR_NET, "the peer will be reconnected", "write: %s",
+                        k < 0 ? strerror (errno) : "closed");
       p += k;
       n -= k;
     }
@@ -154,8 +154,8 @@
       if (k < 0 && errno == EINTR)
         continue;
       if (k <= 0)
-        return cf_fail (CF_ERR_NET, "the peer will be reconnected",
-                        "read: %s", k < 0 ? strerror (errno) : "closed");
+        return cf_fail (CF_ERR_NET, "the peer will be reconnected", "read: %s",
+                        k < 0 ? strerror (errno) : "closed");
       p += k;
       n -= k;
     }
@@ -168,5 +168,5 @@
   struct timespec ts;
 
   clock_gettime (CLOCK_MONOTONIC, &ts);
-  return (long long) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+  return (long long)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
--- a/records.c
+++ b/records.c
@@ -89,14 +89,14 @@
     goto wrong;
   *out = g_ptr_array_new_with_free_func (g_free);
   json_array_foreach (v, i, e)
-    {
-      if (!json_is_string (e) || json_string_length (e) == 0)
-        {
-          g_clear_pointer (out, g_ptr_array_unref);
-          goto wrong;
-        }
-      g_ptr_array_add (*out, g_strdup (json_string_value (e)));
-    }
+  {
+    if (!json_is_string (e) || json_string_length (e) == 0)
+      {
+        g_clear_pointer (out, g_ptr_array_unref);
+        goto wrong;
+      }
+    g_ptr_array_add (*out, g_strdup (json_string_value (e)));
+  }
   return CF_OK;
 wrong:
   what = g_strdup_printf ("field '%s' must be a non-empty array of strings",
@@ -114,9 +114,10 @@
   if (!json_is_integer (v) || json_integer_value (v) < min
       || json_integer_value (v) > max)
     {
-      what = g_strdup_printf ("field '%s' must be an integer from %"
-                              G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
-                              field, min, max);
+      what = g_strdup_printf (
+          "field '%s' must be an integer from %" G_GINT64_FORMAT
+          " to %" G_GINT64_FORMAT,
+          field, min, max);
       return bad (where, what, REMEDY_DOCS);
     }
   *out = json_integer_value (v);
@@ -190,21 +191,23 @@
   json_t *e;
 
   if (!json_is_array (v) || json_array_size (v) == 0)
-    return bad (where, "field 'groups' must be a non-empty array of "
-                       "{\"name\": ...} objects", REMEDY_DOCS);
+    return bad (where,
+                "field 'groups' must be a non-empty array of "
+                "{\"name\": ...} objects",
+                REMEDY_DOCS);
   *out = g_ptr_array_new_with_free_func (g_free);
   json_array_foreach (v, i, e)
-    {
-      char *name = NULL;
+  {
+    char *name = NULL;
 
-      if (!json_is_object (e) || get_string (e, "name", where, &name) != CF_OK)
-        {
-          g_clear_pointer (out, g_ptr_array_unref);
-          return bad (where, "each entry of 'groups' must have a 'name'",
-                      REMEDY_DOCS);
-        }
-      g_ptr_array_add (*out, name);
-    }
+    if (!json_is_object (e) || get_string (e, "name", where, &name) != CF_OK)
+      {
+        g_clear_pointer (out, g_ptr_array_unref);
+        return bad (where, "each entry of 'groups' must have a 'name'",
+                    REMEDY_DOCS);
+      }
+    g_ptr_array_add (*out, name);
+  }
   return CF_OK;
 }
 
@@ -242,8 +245,10 @@
   CfStatus st;
 
   if (!json_is_object (match))
-    return bad (where, "field 'match' must be an object with 'orgs', "
-                       "'services' and 'models'", REMEDY_DOCS);
+    return bad (where,
+                "field 'match' must be an object with 'orgs', "
+                "'services' and 'models'",
+                REMEDY_DOCS);
   st = get_strings (match, "orgs", where, &it->orgs);
   if (st == CF_OK)
     st = get_strings (match, "services", where, &it->services);
@@ -252,8 +257,7 @@
   if (st == CF_OK)
     st = parse_intent_v2_groups (o, where, &it->groups);
   if (st == CF_OK)
-    st = get_int (o, "worth_milli", where, 0, G_MAXINT64 / 2,
-                  &it->worth_milli);
+    st = get_int (o, "worth_milli", where, 0, G_MAXINT64 / 2, &it->worth_milli);
   return st;
 }
 
@@ -299,7 +303,7 @@
   if (kind && g_str_equal (kind, "group"))
     return parse_group (c, o, where);
   if (kind && g_str_equal (kind, "intent"))
-    return parse_intent (c, o, (int) json_integer_value (schema), where);
+    return parse_intent (c, o, (int)json_integer_value (schema), where);
   return bad (where, "field 'kind' must be \"group\" or \"intent\"",
               REMEDY_DOCS);
 }
@@ -318,7 +322,8 @@
           if (!g_hash_table_contains (c->groups, g))
             return cf_fail (CF_ERR_RECORD, "add a group record of that name",
                             "%s: intent '%s' names group '%s', which no "
-                            "record defines", origin, it->name, g);
+                            "record defines",
+                            origin, it->name, g);
         }
     }
   return CF_OK;
@@ -376,13 +381,13 @@
                     "%s: 'records' is not an array", origin);
   c = config_new (version);
   json_array_foreach (records, i, o)
-    {
-      g_autofree char *where = g_strdup_printf ("%s: record %zu", origin, i + 1);
+  {
+    g_autofree char *where = g_strdup_printf ("%s: record %zu", origin, i + 1);
 
-      st = parse_record (c, o, where);
-      if (st != CF_OK)
-        break;
-    }
+    st = parse_record (c, o, where);
+    if (st != CF_OK)
+      break;
+  }
   if (st == CF_OK)
     st = check_references (c, origin);
   if (st != CF_OK)
--- a/records.h
+++ b/records.h
@@ -33,9 +33,9 @@
   GPtrArray *orgs;
   GPtrArray *services;
   GPtrArray *models;
-  GPtrArray *groups;   /**< group names, in order of preference */
-  gint64 priority;     /**< 0 (lowest) to 9 */
-  gint64 worth_milli;  /**< stated worth of one request, in thousandths */
+  GPtrArray *groups;  /**< group names, in order of preference */
+  gint64 priority;    /**< 0 (lowest) to 9 */
+  gint64 worth_milli; /**< stated worth of one request, in thousandths */
 } CfIntent;
 
 /**
--- a/route.c
+++ b/route.c
@@ -37,7 +37,7 @@
       if (!c[i].excluded)
         usable++;
     }
-  g_qsort_with_data (c, (gint) n, sizeof *c, compare,
+  g_qsort_with_data (c, (gint)n, sizeof *c, compare,
                      GINT_TO_POINTER (key != NULL));
   return usable;
 }
--- a/route.h
+++ b/route.h
@@ -8,10 +8,10 @@
  */
 typedef struct
 {
-  const char *addr;   /**< the agent's "IP:PORT" */
-  gint64 load;        /**< in flight and queued, as last reported, plus ours */
-  gboolean excluded;  /**< leaving, draining, unreachable or tried already */
-  guint64 score;      /**< set by cf_route_order(): the rendezvous hash */
+  const char *addr;  /**< the agent's "IP:PORT" */
+  gint64 load;       /**< in flight and queued, as last reported, plus ours */
+  gboolean excluded; /**< leaving, draining, unreachable or tried already */
+  guint64 score;     /**< set by cf_route_order(): the rendezvous hash */
 } CfCandidate;
 
 /**
--- a/settings.c
+++ b/settings.c
@@ -9,7 +9,8 @@
   g_autoptr (GError) err = NULL;
 
   if (!g_key_file_load_from_data (keys, data, len, G_KEY_FILE_NONE, &err))
-    return cf_fail (CF_ERR_SETTINGS, "write the file as TOML tables of key = value lines",
+    return cf_fail (CF_ERR_SETTINGS,
+                    "write the file as TOML tables of key = value lines",
                     "%s: %s", origin, err->message);
   return CF_OK;
 }
@@ -31,8 +32,8 @@
     return st;
 
   if (!g_file_get_contents (path, &text, &len, &err))
-    return cf_fail (CF_ERR_SETTINGS, "give --settings a readable file",
-                    "%s", err->message);
+    return cf_fail (CF_ERR_SETTINGS, "give --settings a readable file", "%s",
+                    err->message);
   over = g_key_file_new ();
   st = load_into (over, text, len, path);
   if (st != CF_OK)
@@ -85,8 +86,8 @@
   n = strlen (raw);
   if (n < 2 || raw[0] != '"' || raw[n - 1] != '"')
     return cf_fail (CF_ERR_SETTINGS, "quote strings, as TOML requires",
-                    "%s: [%s] %s = %s is not a quoted string", s->origin,
-                    table, key, raw);
+                    "%s: [%s] %s = %s is not a quoted string", s->origin, table,
+                    key, raw);
   raw[n - 1] = '\0';
   *out = g_strcompress (raw + 1);
   if (**out == '\0')
@@ -99,8 +100,8 @@
 }
 
 CfStatus
-cf_settings_int (CfSettings *s, const char *table, const char *key,
-                 gint64 min, gint64 max, gint64 *out)
+cf_settings_int (CfSettings *s, const char *table, const char *key, gint64 min,
+                 gint64 max, gint64 *out)
 {
   g_autofree char *raw = NULL;
   char *end;
@@ -112,8 +113,8 @@
   *out = g_ascii_strtoll (raw, &end, 10);
   if (*raw == '\0' || *end != '\0')
     return cf_fail (CF_ERR_SETTINGS, "write a whole number without quotes",
-                    "%s: [%s] %s = %s is not an integer", s->origin, table,
-                    key, raw);
+                    "%s: [%s] %s = %s is not an integer", s->origin, table, key,
+                    raw);
   if (*out < min || *out > max)
     return cf_fail (CF_ERR_SETTINGS, "choose a value within the bounds",
                     "%s: [%s] %s = %" G_GINT64_FORMAT
@@ -138,8 +139,8 @@
     *out = FALSE;
   else
     return cf_fail (CF_ERR_SETTINGS, "write true or false",
-                    "%s: [%s] %s = %s is not a boolean", s->origin, table,
-                    key, raw);
+                    "%s: [%s] %s = %s is not a boolean", s->origin, table, key,
+                    raw);
   return CF_OK;
 }
 
--- a/settings.h
+++ b/settings.h
@@ -37,8 +37,8 @@
  * Reads a quoted string @table.@key into a new string at @out.
  * Returns: %CF_ERR_SETTINGS if missing, unquoted or empty.
  */
-CfStatus cf_settings_string (CfSettings *s, const char *table,
-                             const char *key, char **out);
+CfStatus cf_settings_string (CfSettings *s, const char *table, const char *key,
+                             char **out);
 
 /**
  * cf_settings_int:
--- a/t/harness.c
+++ b/t/harness.c
@@ -1,1 +1,73 @@
+#include "harness.h"
 
+#include "http-client.h"
+
+#include <string.h>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static GArray *started;
+
+pid_t
+t_start (const char *name, const char *prog, const char *settings)
+{
+  g_autofree char *conf = g_strdup_printf ("t/out/%s.toml", name);
+  g_autofree char *log = g_strdup_printf ("t/out/%s.log", name);
+  pid_t pid;
+
+  g_mkdir_with_parents ("t/out", 0755);
+  g_file_set_contents (conf, settings, -1, NULL);
+  if (started == NULL)
+    started = g_array_new (FALSE, FALSE, sizeof (pid_t));
+  pid = fork ();
+  if (pid == 0)
+    {
+      int fd = open (log, O_WRONLY | O_CREAT | O_TRUNC, 0644);
+
+      dup2 (fd, 2);
+      execl (prog, prog, "--settings", conf, (char *)NULL);
+      _exit (127);
+    }
+  g_array_append_val (started, pid);
+  return pid;
+}
+
+void
+t_stop_all (void)
+{
+  for (guint i = 0; started && i < started->len; i++)
+    kill (g_array_index (started, pid_t, i), SIGTERM);
+  for (guint i = 0; started && i < started->len; i++)
+    waitpid (g_array_index (started, pid_t, i), NULL, 0);
+  if (started)
+    g_array_set_size (started, 0);
+}
+
+gboolean
+t_wait_for (const char *url, const char *needle, int timeout_ms)
+{
+  for (int waited = 0; waited < timeout_ms; waited += 50)
+    {
+      g_autofree char *body = NULL;
+      long code = 0;
+
+      if (cf_http_call ("GET", url, NULL, NULL, 1000, &code, &body) == CF_OK
+          && strstr (body, needle))
+        return TRUE;
+      usleep (50000);
+    }
+  return FALSE;
+}
+
+char *
+t_read_log (const char *name)
+{
+  g_autofree char *log = g_strdup_printf ("t/out/%s.log", name);
+  char *text = NULL;
+
+  g_file_get_contents (log, &text, NULL, NULL);
+  return text ? text : g_strdup ("");
+}
--- a/t/harness.h
+++ b/t/harness.h
@@ -1,1 +1,20 @@
 #pragma once
+
+#include <glib.h>
+#include <sys/types.h>
+
+/**
+ * t_start:
+ * Starts a program of ours with a settings file written from @settings,
+ * its standard error going to t/out/@name.log.  Returns its pid.
+ */
+pid_t t_start (const char *name, const char *prog, const char *settings);
+
+/** t_stop_all: sends SIGTERM to everything t_start() started and waits. */
+void t_stop_all (void);
+
+/** t_wait_for: polls @url until its body contains @needle; FALSE on timeout. */
+gboolean t_wait_for (const char *url, const char *needle, int timeout_ms);
+
+/** t_read_log: the log of @name, as written so far. */
+char *t_read_log (const char *name);
--- a/vm-list.c
+++ b/vm-list.c
@@ -30,13 +30,13 @@
   doc = json_loads (body, 0, NULL);
   leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   json_array_foreach (json_object_get (doc, "vms"), i, vm)
-    {
-      const char *addr = json_string_value (json_object_get (vm, "addr"));
-      const char *state = json_string_value (json_object_get (vm, "state"));
+  {
+    const char *addr = json_string_value (json_object_get (vm, "addr"));
+    const char *state = json_string_value (json_object_get (vm, "state"));
 
-      if (addr && state && g_str_equal (state, "leaving"))
-        g_hash_table_add (leaving, g_strdup (addr));
-    }
+    if (addr && state && g_str_equal (state, "leaving"))
+      g_hash_table_add (leaving, g_strdup (addr));
+  }
   json_decref (doc);
 
   pthread_mutex_lock (&v->lock);
@@ -45,7 +45,7 @@
   g_hash_table_iter_init (&it, leaving);
   while (g_hash_table_iter_next (&it, &addr, NULL))
     if (!g_hash_table_contains (v->leaving, addr))
-      cf_log (LOG_NOTICE, CF_EV_VM_LEAVING, "target=%s", (char *) addr);
+      cf_log (LOG_NOTICE, CF_EV_VM_LEAVING, "target=%s", (char *)addr);
   g_hash_table_unref (v->leaving);
   v->leaving = leaving;
   pthread_mutex_unlock (&v->lock);
--- a/wire.c
+++ b/wire.c
@@ -114,9 +114,9 @@
     }
 
   out = g_byte_array_sized_new (sb.size + 4);
-  len = htonl ((guint32) sb.size);
-  g_byte_array_append (out, (const guint8 *) &len, 4);
-  g_byte_array_append (out, (const guint8 *) sb.data, sb.size);
+  len = htonl ((guint32)sb.size);
+  g_byte_array_append (out, (const guint8 *)&len, 4);
+  g_byte_array_append (out, (const guint8 *)sb.data, sb.size);
   msgpack_sbuffer_destroy (&sb);
   return out;
 }
@@ -134,7 +134,7 @@
 get_int (const msgpack_object *v, const char *name, gint64 *out)
 {
   if (v->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
-    *out = (gint64) v->via.u64;
+    *out = (gint64)v->via.u64;
   else if (v->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
     *out = v->via.i64;
   else
@@ -181,7 +181,7 @@
     {
       if (get_int (v, "id", &n) != CF_OK)
         return CF_ERR_PROTO;
-      m->id = (guint64) n;
+      m->id = (guint64)n;
       return CF_OK;
     }
   if (key_is (k, "load"))
@@ -283,18 +283,20 @@
     }
   if (version != CF_WIRE_VERSION)
     {
-      st = cf_fail (CF_ERR_PROTO, "run the same comfreypost release on both ends",
+      st = cf_fail (CF_ERR_PROTO,
+                    "run the same comfreypost release on both ends",
                     "wire version %" G_GINT64_FORMAT ", want %d", version,
                     CF_WIRE_VERSION);
       goto out;
     }
   if (kind < CF_MSG_REQUEST || kind > CF_MSG_ORDER)
     {
-      st = cf_fail (CF_ERR_PROTO, "run the same comfreypost release on both ends",
+      st = cf_fail (CF_ERR_PROTO,
+                    "run the same comfreypost release on both ends",
                     "unknown message kind %" G_GINT64_FORMAT, kind);
       goto out;
     }
-  m->kind = (CfMsgKind) kind;
+  m->kind = (CfMsgKind)kind;
   for (uint32_t i = 0; i < o->via.map.size; i++)
     {
       st = decode_field (&o->via.map.ptr[i].key, &o->via.map.ptr[i].val, m);
--- a/wire.h
+++ b/wire.h
@@ -59,7 +59,7 @@
       char *org;
       char *service;
       char *model;
-      char *key;  /**< idempotency key; %NULL if the call is repeatable */
+      char *key; /**< idempotency key; %NULL if the call is repeatable */
       char *body;
       char *path; /**< the target's path, such as "/v1/generate" */
       gint64 priority;
