Keep the Makefile's flags when CFLAGS is given on the command line

Ruled out: missing packages (they were installed). Change: the Makefile adds its own flags in ALL_CFLAGS around the user's CFLAGS.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 CC ?= cc
 PKGS = glib-2.0 libmicrohttpd jansson libcurl msgpack ck libxxhash
 CFLAGS ?= -O2 -g
-CFLAGS += -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Wno-unused-parameter -pthread \
-	$(shell pkg-config --cflags $(PKGS))
+ALL_CFLAGS = $(CFLAGS) -std=gnu11 -D_GNU_SOURCE -Wall -Wextra \
+	-Wno-unused-parameter -pthread $(shell pkg-config --cflags $(PKGS))
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -pthread -lm
 TEST_LDLIBS = $(shell pkg-config --libs check) $(LDLIBS)
 
@@ -24,17 +24,17 @@
 	$(AR) rcs $@ $^
 
 $(PROGRAMS): %: %.o libcomfrey.a
-	$(CC) $(CFLAGS) -o $@ $< libcomfrey.a $(LDLIBS)
+	$(CC) $(ALL_CFLAGS) -o $@ $< libcomfrey.a $(LDLIBS)
 
 t/%: t/%.c t/harness.o libcomfrey.a
-	$(CC) $(CFLAGS) -I. $(shell pkg-config --cflags check) -o $@ $< \
+	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -o $@ $< \
 		t/harness.o libcomfrey.a $(TEST_LDLIBS)
 
 t/harness.o: t/harness.c t/harness.h
-	$(CC) $(CFLAGS) -I. $(shell pkg-config --cflags check) -c -o $@ $<
+	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -c -o $@ $<
 
 %.o: %.c *.h
-	$(CC) $(CFLAGS) -c -o $@ $<
+	$(CC) $(ALL_CFLAGS) -c -o $@ $<
 
 test: all
 	sh t/run-tests.sh $(TESTS)
@@ -49,7 +49,7 @@
 	clang-format --dry-run --Werror *.c *.h t/*.c t/*.h
 
 tidy:
-	clang-tidy --quiet *.c -- $(CFLAGS)
+	clang-tidy --quiet *.c -- $(ALL_CFLAGS)
 
 clean:
 	rm -f *.o t/*.o libcomfrey.a $(PROGRAMS) $(TESTS)
