--- a/comfrey-load.c
+++ b/comfrey-load.c
@@ -56,7 +56,7 @@
       g_autofree char *url = NULL;
       g_autofree char *body = NULL;
       g_autofree char *reply = NULL;
-      long long t0;
+      gint64 t0;
       json_t *req;
       long code = 0;
       double ms;
@@ -82,10 +82,10 @@
                                  entries[(json_integer_value (e)) % n]);
           body = json_dumps (req, JSON_COMPACT);
         }
-      t0 = cf_now_ms ();
+      t0 = g_get_monotonic_time ();
       if (cf_http_call ("POST", url, body, NULL, 60000, &code, &reply) != CF_OK)
         code = 0;
-      ms = (double)(cf_now_ms () - t0);
+      ms = (double)(g_get_monotonic_time () - t0) / 1000.0;
       pthread_mutex_lock (&run->lock);
       g_array_append_val (run->ms, ms);
       if (code == 0)
@@ -205,7 +205,7 @@
           " p99_ms=%.0f\n",
           run.answered, run.refused, run.lost + run.wrong, doubled, p99);
   fprintf (stderr,
-           "comfrey-load: requests=%u p50_ms=%.0f p99_ms=%.0f "
+           "comfrey-load: requests=%u p50_ms=%.2f p99_ms=%.2f "
            "wrong_answers=%" G_GINT64_FORMAT "\n",
            run.ms->len, p50, p99, run.wrong);
   return run.lost + run.wrong + (doubled != 0) ? 1 : 0;
--- /dev/null
+++ b/scripts/latency.sh
@@ -0,0 +1,37 @@
+#!/bin/sh
+# Measures what entry and agent add over calling the fake engine directly:
+# the same one-token requests, one caller at a time, both ways, one run.
+set -eu
+cd "$(dirname "$0")/.."
+make -s comfrey-entry comfrey-agent comfrey-fake-engine comfrey-fake-config \
+	comfrey-fake-vmlist comfrey-load
+run=$(mktemp -d /tmp/comfrey-latency.XXXXXX)
+pids=""
+trap 'kill -TERM $pids 2>/dev/null; wait 2>/dev/null' EXIT
+start() {
+	name=$1
+	shift
+	"$@" 2>"$run/$name.log" &
+	pids="$pids $!"
+}
+printf '[config]\nlisten = "127.0.0.1:7000"\nrecords = "demo/records.jsonl"\n' >"$run/c.toml"
+printf '[engine]\nlisten = "127.0.0.1:7201"\nstep_base_us = 1000\n' >"$run/g.toml"
+printf '[agent]\nlisten = "127.0.0.1:7101"\n' >"$run/a1.toml"
+printf '[agent]\nlisten = "127.0.0.1:7102"\n' >"$run/a2.toml"
+start config ./comfrey-fake-config --settings "$run/c.toml"
+start vmlist ./comfrey-fake-vmlist
+start engine ./comfrey-fake-engine --settings "$run/g.toml"
+start agent1 ./comfrey-agent --settings "$run/a1.toml"
+start agent2 ./comfrey-agent --settings "$run/a2.toml"
+start entry ./comfrey-entry
+sleep 1.5
+echo "direct:"
+./comfrey-load --session demo/latency.jsonl --threads 1 \
+	--direct http://127.0.0.1:7201 2>&1
+echo "through entry and agent:"
+./comfrey-load --session demo/latency.jsonl --threads 1 \
+	--entry http://127.0.0.1:8080 2>&1
+for p in $pids; do
+	printf '%s rss_kb=%s\n' "$(cat /proc/$p/comm)" \
+		"$(awk '/VmRSS/ {print $2}' /proc/$p/status)"
+done
