Cancel work nobody waits for; test the entry's refusals and planned stop

The engine now stops a request at its next step when its X-Comfrey-Deadline-Ms passes or when POST /v1/cancel?request=ID names its X-Request-Id; the agent sends both headers and, when its call to the target times out, a best-effort cancel.

t/t-entry runs real processes on loopback and checks that: with no configuration the entry answers 503 ran=no; with no target up it answers 503 ran=no in under 1 s although the deadline is 5 s (given up means answered at once); after comfrey drain of one agent every request goes to the other, and with both drained the answer is 503 ran=no; a SIGTERM to the entry while a 400-token request is in progress lets it finish with 200, and the log shows E1406 drain-done in_flight=0.

A first version forked the slow caller; the child shared the parent's kept-alive curl connection, so the two processes' requests crossed and the wait for in_flight=1 timed out. The caller is now a thread with its own handle.

--- a/agent.c
+++ b/agent.c
@@ -130,6 +130,18 @@
   reply (c, &m);
 }
 
+/* Tells the target to stop work nobody waits for; best effort, since the
+ * request's fate is reported as unknown either way. */
+static void
+cancel_at_target (CfAgent *a, const char *rid)
+{
+  g_autofree char *url
+      = g_strdup_printf ("%s/v1/cancel?request=%s", a->set.target_url, rid);
+  long code = 0;
+
+  cf_http_call ("POST", url, "", NULL, 500, &code, NULL);
+}
+
 /* Calls the target; the job counts as in flight until just before its
  * reply, so that the load on the reply no longer includes it. */
 static void
@@ -141,11 +153,15 @@
       = g_strconcat (a->set.target_url, m->u.request.path, NULL);
   g_autofree char *prio = g_strdup_printf (
       "X-Comfrey-Priority: %" G_GINT64_FORMAT, m->u.request.priority);
+  long long left = j->deadline_at - cf_now_ms ();
+  g_autofree char *rid = g_strdup_printf (
+      "X-Request-Id: %s", m->u.request.rid ? m->u.request.rid : "-");
+  g_autofree char *deadline
+      = g_strdup_printf ("X-Comfrey-Deadline-Ms: %lld", left);
   g_autofree char *key_header
       = key ? g_strdup_printf ("Idempotency-Key: %s", key) : NULL;
-  const char *headers[] = { prio, key_header, NULL };
+  const char *headers[] = { prio, rid, deadline, key_header, NULL };
   g_autofree char *body = NULL;
-  long long left = j->deadline_at - cf_now_ms ();
   long code = 0;
   CfStatus st = CF_ERR_TIMEOUT;
 
@@ -178,6 +194,8 @@
     default:
       if (key)
         cf_guard_finish (&a->guard, key, FALSE, 0, NULL, cf_now_ms ());
+      if (st == CF_ERR_TIMEOUT && m->u.request.rid)
+        cancel_at_target (a, m->u.request.rid);
       cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
               "id=%" G_GUINT64_FORMAT " ran=unknown error=\"%s\"", m->id,
               cf_last_error ());
--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -40,6 +40,7 @@
 {
   struct Gen *next; /* intrusive: waiting queue or batch */
   guint64 seq;
+  char *rid; /* the caller's X-Request-Id, for cancel */
   char *prompt;
   gint64 priority;
   int want;
@@ -55,6 +56,7 @@
   pthread_cond_t work;
   Gen *waiting;
   Gen *batch;
+  GHashTable *by_rid; /* rid -> Gen, while waiting or running */
   int running;
   guint64 seq;
   CfExpertMap *map;
@@ -170,6 +172,11 @@
   const char *prompt = json_string_value (json_object_get (o, "prompt"));
   json_t *mt = json_object_get (o, "max_tokens");
   const char *prio = cf_http_header (req, "X-Comfrey-Priority");
+  const char *rid = cf_http_header (req, "X-Request-Id");
+  const char *left = cf_http_header (req, "X-Comfrey-Deadline-Ms");
+  long long deadline
+      = left ? cf_now_ms () + g_ascii_strtoll (left, NULL, 10) : G_MAXINT64;
+  struct timespec ts;
   Gen g = { 0 };
   json_t *r;
 
@@ -187,17 +194,48 @@
 
   pthread_mutex_lock (&eng.lock);
   g.seq = ++eng.seq;
+  g.rid = rid ? g_strdup (rid) : NULL;
+  if (g.rid)
+    g_hash_table_insert (eng.by_rid, g.rid, &g);
   enqueue (&g);
   pthread_cond_signal (&eng.work);
   while (!g.done)
-    pthread_cond_wait (&eng.done, &eng.lock);
+    {
+      /* Past its deadline nobody waits for it: stop at the next step. */
+      if (cf_now_ms () >= deadline)
+        g.cancelled = TRUE;
+      clock_gettime (CLOCK_REALTIME, &ts);
+      ts.tv_sec += 1;
+      pthread_cond_timedwait (&eng.done, &eng.lock, &ts);
+    }
+  if (g.rid)
+    g_hash_table_remove (eng.by_rid, g.rid);
   pthread_mutex_unlock (&eng.lock);
 
-  r = json_pack ("{s:s, s:i, s:I}", "text", g.prompt, "tokens", g.made,
-                 "map_version", (json_int_t)eng.map->version);
+  if (g.cancelled)
+    r = json_pack ("{s:s, s:i}", "error", "cancelled", "tokens", g.made);
+  else
+    r = json_pack ("{s:s, s:i, s:I}", "text", g.prompt, "tokens", g.made,
+                   "map_version", (json_int_t)eng.map->version);
+  rep->code = g.cancelled ? 499 : 200;
   rep->body = json_dumps (r, JSON_COMPACT);
   json_decref (r);
   g_free (g.prompt);
+  g_free (g.rid);
+}
+
+static void
+cancel (const CfHttpRequest *req, CfHttpReply *rep)
+{
+  const char *rid = cf_http_query (req, "request");
+  Gen *g;
+
+  pthread_mutex_lock (&eng.lock);
+  g = rid ? g_hash_table_lookup (eng.by_rid, rid) : NULL;
+  if (g)
+    g->cancelled = TRUE;
+  pthread_mutex_unlock (&eng.lock);
+  rep->body = g_strdup_printf ("{\"cancelled\":%s}", g ? "true" : "false");
 }
 
 static void
@@ -227,6 +265,8 @@
 {
   if (g_str_equal (req->path, "/v1/generate"))
     generate (req, rep);
+  else if (g_str_equal (req->path, "/v1/cancel"))
+    cancel (req, rep);
   else if (g_str_equal (req->path, "/v1/order"))
     order (req, rep);
   else if (g_str_equal (req->path, "/v1/load"))
@@ -240,7 +280,7 @@
     }
   else
     cf_http_reply_error (rep, 404, "not-found",
-                         "use /v1/generate, /v1/order or /v1/load");
+                         "use /v1/generate, /v1/cancel, /v1/order or /v1/load");
 }
 
 static void
@@ -299,6 +339,7 @@
   pthread_mutex_init (&eng.lock, NULL);
   pthread_cond_init (&eng.done, NULL);
   pthread_cond_init (&eng.work, NULL);
+  eng.by_rid = g_hash_table_new (g_str_hash, g_str_equal);
   eng.map = cf_expert_map_new ((int)eng.experts, (int)eng.ranks);
   eng.rand = g_rand_new_with_seed ((guint32)seed);
   set_popularity (1.0);
--- /dev/null
+++ b/t/t-entry.c
@@ -0,0 +1,212 @@
+/*
+ * The entry's refusals and shutdown, through real processes on loopback:
+ * each refusal says whether the request ran, comes at once with when to
+ * come back, and a planned stop lets the request in progress finish.
+ */
+#include "harness.h"
+#include "http-client.h"
+#include "net.h"
+
+#include <check.h>
+#include <jansson.h>
+#include <signal.h>
+#include <string.h>
+#include <pthread.h>
+
+#define ENTRY "http://127.0.0.1:17580"
+#define SHOP                                                                   \
+  "{\"org\":\"aspen-coulee\",\"service\":\"assistant\",\"model\":\"desc-v3\"," \
+  "\"deadline_ms\":5000,\"body\":{\"prompt\":\"p1\",\"max_tokens\":2}}"
+
+static const char records[]
+    = "{\"schema\":1,\"kind\":\"group\",\"name\":\"g\",\"target\":\"engine\","
+      "\"agents\":[\"127.0.0.1:17501\",\"127.0.0.1:17502\"]}\n"
+      "{\"schema\":1,\"kind\":\"intent\",\"name\":\"i\",\"org\":\"aspen-"
+      "coulee\","
+      "\"service\":\"assistant\",\"model\":\"desc-v3\",\"groups\":[\"g\"],"
+      "\"priority\":5,\"worth\":1}\n";
+
+static pid_t
+start_entry (void)
+{
+  return t_start ("e-entry", "./comfrey-entry",
+                  "[entry]\nname = \"e\"\nlisten = \"127.0.0.1:17580\"\n"
+                  "[config]\nurl = \"http://127.0.0.1:17500\"\n"
+                  "[vmlist]\nurl = \"http://127.0.0.1:17509\"\n");
+}
+
+static void
+start_platform (void)
+{
+  g_mkdir_with_parents ("t/out", 0755);
+  g_file_set_contents ("t/out/e-records.jsonl", records, -1, NULL);
+  t_start ("e-config", "./comfrey-fake-config",
+           "[config]\nlisten = \"127.0.0.1:17500\"\n"
+           "records = \"t/out/e-records.jsonl\"\n");
+  t_start ("e-vmlist", "./comfrey-fake-vmlist",
+           "[vmlist]\nlisten = \"127.0.0.1:17509\"\n");
+}
+
+static void
+start_agent (const char *name, const char *port)
+{
+  g_autofree char *s
+      = g_strdup_printf ("[agent]\nlisten = \"127.0.0.1:%s\"\n"
+                         "target_url = \"http://127.0.0.1:17590\"\n",
+                         port);
+
+  t_start (name, "./comfrey-agent", s);
+}
+
+/* Posts @body; returns the status and fills @field of the reply. */
+static long
+post (const char *body, const char *field, char **value, long long *ms)
+{
+  g_autofree char *reply = NULL;
+  long long t0 = cf_now_ms ();
+  long code = 0;
+  json_t *o;
+
+  ck_assert_int_eq (cf_http_call ("POST", ENTRY "/v1/requests", body, NULL,
+                                  20000, &code, &reply),
+                    CF_OK);
+  if (ms)
+    *ms = cf_now_ms () - t0;
+  o = json_loads (reply, 0, NULL);
+  if (value)
+    *value = g_strdup (json_string_value (json_object_get (o, field)));
+  json_decref (o);
+  return code;
+}
+
+START_TEST (test_no_config_is_not_run)
+{
+  g_autofree char *ran = NULL;
+
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health", "config_version", 5000));
+  ck_assert_int_eq (post (SHOP, "ran", &ran, NULL), 503);
+  ck_assert_str_eq (ran, "no");
+  t_stop_all ();
+}
+END_TEST
+
+START_TEST (test_no_target_answers_at_once)
+{
+  g_autofree char *ran = NULL;
+  long long ms;
+
+  start_platform ();
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health", "\"config_version\":1", 5000));
+  ck_assert_int_eq (post (SHOP, "ran", &ran, &ms), 503);
+  ck_assert_str_eq (ran, "no");
+  /* The deadline is 5000 ms: the refusal must not wait for it. */
+  ck_assert_msg (ms < 1000, "refusal took %lld ms", ms);
+  t_stop_all ();
+}
+END_TEST
+
+START_TEST (test_drained_agents_get_no_work)
+{
+  g_autofree char *target = NULL;
+  g_autofree char *ran = NULL;
+  g_autofree char *out = NULL;
+  char *drain[] = { "./comfrey", "drain", "127.0.0.1:17501", NULL };
+  int status;
+
+  start_platform ();
+  t_start ("e-engine", "./comfrey-fake-engine",
+           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
+  start_agent ("e-agent-1", "17501");
+  start_agent ("e-agent-2", "17502");
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  ck_assert (g_spawn_sync (NULL, drain, NULL, 0, NULL, NULL, &out, NULL,
+                           &status, NULL));
+  ck_assert_int_eq (status, 0);
+  ck_assert (strstr (out, "draining=yes"));
+  for (int i = 0; i < 6; i++)
+    {
+      g_clear_pointer (&target, g_free);
+      ck_assert_int_eq (post (SHOP, "target", &target, NULL), 200);
+      ck_assert_str_eq (target, "127.0.0.1:17502");
+    }
+  drain[2] = "127.0.0.1:17502";
+  ck_assert (g_spawn_sync (NULL, drain, NULL, 0, NULL, NULL, NULL, NULL,
+                           &status, NULL));
+  /* The agent's reply to the drain carries its flag; the next heartbeat
+   * brings it to the entry too. */
+  ck_assert_int_eq (post (SHOP, "ran", &ran, NULL), 503);
+  ck_assert_str_eq (ran, "no");
+  t_stop_all ();
+}
+END_TEST
+
+/* A caller on a thread of its own, so that it has its own connection. */
+static void *
+slow_caller (void *unused)
+{
+  const char *slow = "{\"org\":\"aspen-coulee\",\"service\":\"assistant\","
+                     "\"model\":\"desc-v3\",\"deadline_ms\":10000,"
+                     "\"body\":{\"prompt\":\"slow\",\"max_tokens\":400}}";
+  g_autofree char *reply = NULL;
+  long code = 0;
+
+  if (cf_http_call ("POST", ENTRY "/v1/requests", slow, NULL, 20000, &code,
+                    &reply)
+      != CF_OK)
+    code = 0;
+  return GINT_TO_POINTER ((int)code);
+}
+
+START_TEST (test_planned_stop_finishes_request_in_progress)
+{
+  g_autofree char *text = NULL;
+  pthread_t caller;
+  void *code;
+  pid_t entry;
+
+  start_platform ();
+  t_start ("e-engine", "./comfrey-fake-engine",
+           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
+  start_agent ("e-agent-1", "17501");
+  start_agent ("e-agent-2", "17502");
+  entry = start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  pthread_create (&caller, NULL, slow_caller, NULL);
+  ck_assert (t_wait_for (ENTRY "/v1/health", "\"in_flight\":1", 5000));
+  kill (entry, SIGTERM);
+  pthread_join (caller, &code);
+  ck_assert_msg (GPOINTER_TO_INT (code) == 200,
+                 "the request in progress got %d, not its answer, when the "
+                 "entry was stopped",
+                 GPOINTER_TO_INT (code));
+  t_stop_all ();
+  text = t_read_log ("e-entry");
+  ck_assert (strstr (text, "E1406 drain-done in_flight=0"));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("entry");
+  TCase *tc = tcase_create ("refusals");
+  SRunner *sr;
+  int failed;
+
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, test_no_config_is_not_run);
+  tcase_add_test (tc, test_no_target_answers_at_once);
+  tcase_add_test (tc, test_drained_agents_get_no_work);
+  tcase_add_test (tc, test_planned_stop_finishes_request_in_progress);
+  suite_add_tcase (s, tc);
+  sr = srunner_create (s);
+  srunner_run_all (sr, CK_NORMAL);
+  failed = srunner_ntests_failed (sr);
+  srunner_free (sr);
+  return failed ? 1 : 0;
+}
