Test the agent's fencing and drain; a doubled booking after agent restart is known red

- with an engine that ignores fencing numbers, an order with fence 5 is passed and a later one with fence 3 is refused (ran=no, stale-fencing-token), though the engine alone takes fence 3: passes;
- after SIGTERM a request already in flight gets its 200, and one sent 100 ms after the signal is refused at once (ran=no, draining) before the first ends: passes;
- a keyed booking (service work 500 ms) whose agent is killed with SIGKILL 200 ms in, then retried with the same key on the restarted agent: FAILS, the service counts {"shift-77":2}.

Cause of the failure: the at-most-once guard lives only in the agent's memory, and a restarted agent cannot tell a retry from a first call.

--- a/comfrey-load.c
+++ b/comfrey-load.c
@@ -6,6 +6,7 @@
  */
 #include "http-client.h"
 #include "net.h"
+#include "version.h"
 
 #include <jansson.h>
 #include <pthread.h>
@@ -18,6 +19,7 @@
 static char *direct;
 static gint threads = 8;
 static gint repeat = 1;
+static gboolean version;
 
 typedef struct
 {
@@ -150,6 +152,7 @@
     { "threads", 0, 0, G_OPTION_ARG_INT, &threads, "Callers at once", "N" },
     { "repeat", 0, 0, G_OPTION_ARG_INT, &repeat, "Play the session N times",
       "N" },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version", NULL },
     { NULL },
   };
   g_autoptr (GOptionContext) ctx = g_option_context_new (NULL);
@@ -169,6 +172,11 @@
       fprintf (stderr, "comfrey-load: %s (try --help)\n", err->message);
       return 2;
     }
+  if (version)
+    {
+      printf ("comfrey-load %s\n", CF_VERSION);
+      return 0;
+    }
   if (!session_path || (!entries && !direct) || threads < 1 || repeat < 1)
     {
       fprintf (stderr, "comfrey-load: give --session and --entry or --direct "
--- a/comfrey.c
+++ b/comfrey.c
@@ -5,6 +5,7 @@
 #include "error.h"
 #include "net.h"
 #include "records.h"
+#include "version.h"
 #include "wire.h"
 
 #include <glib.h>
@@ -12,8 +13,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#define CF_VERSION "0.1.0"
-
 static int
 check (const char *path)
 {
--- a/daemon.c
+++ b/daemon.c
@@ -1,12 +1,11 @@
 #include "daemon.h"
 
 #include "log.h"
+#include "version.h"
 
 #include <signal.h>
 #include <stdio.h>
 
-#define CF_VERSION "0.1.0"
-
 int
 cf_daemon_init (int *argc, char ***argv, const char *prog, const char *summary,
                 GOptionEntry *extra, const char *defaults,
--- /dev/null
+++ b/t/t-agent.c
@@ -0,0 +1,191 @@
+/*
+ * The agent beside a target, spoken to over its own frames: fencing,
+ * graceful drain on SIGTERM, and the at-most-once guard across an agent
+ * restart.
+ */
+#include "harness.h"
+#include "http-client.h"
+#include "net.h"
+#include "wire.h"
+
+#include <check.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define AGENT "127.0.0.1:17701"
+#define ENGINE "http://127.0.0.1:17790"
+#define SERVICE "http://127.0.0.1:17791"
+
+static pid_t
+start_agent (const char *target)
+{
+  g_autofree char *s = g_strdup_printf (
+      "[agent]\nlisten = \"" AGENT "\"\ntarget_url = \"%s\"\n", target);
+
+  return t_start ("a-agent", "./comfrey-agent", s);
+}
+
+static int
+connect_agent (void)
+{
+  int fd = -1;
+
+  for (int i = 0; i < 100 && cf_connect_tcp (AGENT, 500, &fd) != CF_OK; i++)
+    usleep (50000);
+  ck_assert_int_ge (fd, 0);
+  return fd;
+}
+
+static void
+send_order (int fd, guint64 id, gint64 fence, CfMsg *reply)
+{
+  CfMsg m = { .kind = CF_MSG_ORDER, .id = id };
+
+  m.u.order.fence = fence;
+  m.u.order.op = "load-model";
+  ck_assert_int_eq (cf_msg_write (fd, &m), CF_OK);
+  ck_assert_int_eq (cf_msg_read (fd, reply), CF_OK);
+  ck_assert_int_eq (reply->id, id);
+}
+
+static void
+send_request (int fd, guint64 id, const char *path, const char *key,
+              const char *body)
+{
+  CfMsg m = { .kind = CF_MSG_REQUEST, .id = id };
+
+  m.u.request.org = "o";
+  m.u.request.service = "s";
+  m.u.request.model = "m";
+  m.u.request.path = (char *)path;
+  m.u.request.key = (char *)key;
+  m.u.request.body = (char *)body;
+  m.u.request.rid = "t-1";
+  m.u.request.deadline_ms = 10000;
+  ck_assert_int_eq (cf_msg_write (fd, &m), CF_OK);
+}
+
+START_TEST (test_stale_order_refused_when_engine_ignores_fences)
+{
+  g_autofree char *reply = NULL;
+  CfMsg r;
+  long code = 0;
+  int fd;
+
+  t_start ("a-engine", "./comfrey-fake-engine",
+           "[engine]\nlisten = \"127.0.0.1:17790\"\ncheck_fence = false\n");
+  start_agent (ENGINE);
+  fd = connect_agent ();
+  send_order (fd, 1, 5, &r);
+  ck_assert_int_eq (r.kind, CF_MSG_ANSWER);
+  ck_assert_int_eq (r.u.answer.code, 200);
+  cf_msg_clear (&r);
+  send_order (fd, 2, 3, &r);
+  ck_assert_int_eq (r.kind, CF_MSG_REFUSAL);
+  ck_assert_int_eq (r.u.refusal.ran, CF_RAN_NO);
+  ck_assert_str_eq (r.u.refusal.reason, "stale-fencing-token");
+  cf_msg_clear (&r);
+  /* The engine itself would have taken it: the agent is the only fence. */
+  ck_assert_int_eq (cf_http_call ("POST", ENGINE "/v1/order",
+                                  "{\"fence\":3,\"op\":\"load-model\"}", NULL,
+                                  2000, &code, &reply),
+                    CF_OK);
+  ck_assert_int_eq (code, 200);
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
+START_TEST (test_sigterm_finishes_in_flight_and_refuses_new)
+{
+  CfMsg first;
+  CfMsg second;
+  pid_t agent;
+  int fd;
+
+  t_start ("a-engine", "./comfrey-fake-engine",
+           "[engine]\nlisten = \"127.0.0.1:17790\"\n");
+  agent = start_agent (ENGINE);
+  fd = connect_agent ();
+  send_request (fd, 1, "/v1/generate", NULL,
+                "{\"prompt\":\"long\",\"max_tokens\":300}");
+  usleep (200000);
+  kill (agent, SIGTERM);
+  usleep (100000);
+  send_request (fd, 2, "/v1/generate", NULL, "{\"prompt\":\"late\"}");
+  ck_assert_int_eq (cf_msg_read (fd, &first), CF_OK);
+  ck_assert_int_eq (cf_msg_read (fd, &second), CF_OK);
+  /* The late one is refused at once, before the long one ends. */
+  ck_assert_int_eq (first.id, 2);
+  ck_assert_int_eq (first.kind, CF_MSG_REFUSAL);
+  ck_assert_int_eq (first.u.refusal.ran, CF_RAN_NO);
+  ck_assert_str_eq (first.u.refusal.reason, "draining");
+  ck_assert_int_eq (second.id, 1);
+  ck_assert_int_eq (second.kind, CF_MSG_ANSWER);
+  ck_assert_int_eq (second.u.answer.code, 200);
+  cf_msg_clear (&first);
+  cf_msg_clear (&second);
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
+START_TEST (test_keyed_call_once_across_agent_restart)
+{
+  g_autofree char *counts = NULL;
+  pid_t agent;
+  CfMsg r;
+  long code = 0;
+  int fd;
+
+  t_start ("a-service", "./comfrey-fake-service",
+           "[service]\nlisten = \"127.0.0.1:17791\"\nwork_ms = 500\n");
+  agent = start_agent (SERVICE);
+  fd = connect_agent ();
+  send_request (fd, 1, "/v1/call", "shift-77", "{\"note\":\"crew to row 4\"}");
+  usleep (200000);
+  kill (agent, SIGKILL);
+  waitpid (agent, NULL, 0);
+  close (fd);
+  /* The caller was told "fate unknown" and retries with the same key. */
+  start_agent (SERVICE);
+  fd = connect_agent ();
+  send_request (fd, 2, "/v1/call", "shift-77", "{\"note\":\"crew to row 4\"}");
+  ck_assert_int_eq (cf_msg_read (fd, &r), CF_OK);
+  cf_msg_clear (&r);
+  usleep (600000);
+  ck_assert_int_eq (cf_http_call ("GET", SERVICE "/test/counts", NULL, NULL,
+                                  2000, &code, &counts),
+                    CF_OK);
+  ck_assert_msg (strstr (counts, "\"shift-77\":1"),
+                 "the booking ran more than once: %s", counts);
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("agent");
+  TCase *tc = tcase_create ("core");
+  TCase *restart = tcase_create ("restart");
+  SRunner *sr;
+  int failed;
+
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, test_stale_order_refused_when_engine_ignores_fences);
+  tcase_add_test (tc, test_sigterm_finishes_in_flight_and_refuses_new);
+  suite_add_tcase (s, tc);
+  tcase_set_timeout (restart, 60);
+  tcase_set_tags (restart, "restart");
+  tcase_add_test (restart, test_keyed_call_once_across_agent_restart);
+  suite_add_tcase (s, restart);
+  sr = srunner_create (s);
+  srunner_run_all (sr, CK_NORMAL);
+  failed = srunner_ntests_failed (sr);
+  srunner_free (sr);
+  return failed ? 1 : 0;
+}
