Back off when the config service answers at once with nothing newer

Cause: a stale replica answers a watch at once with its old version; the entry rightly ignored the older version (E1102) but re-armed the watch immediately, so the long poll became a hot loop. Ruled out: the never-older rule itself (the version in force stayed 2 throughout), and the fake service holding watches (it holds them when up; a stale one answering at once is what a lagging replica does).

Change: a watch that brings nothing newer and returned sooner than half its wait now backs off as a failed one does (200 ms doubling to 3 s); a watch the service held for its whole wait re-arms at once, so a new version is not delayed. The fake service keeps every version, and stale mode can serve any older one (?mode=stale&version=N).

--- a/comfrey-fake-config.c
+++ b/comfrey-fake-config.c
@@ -32,8 +32,8 @@
   pthread_cond_t changed;
   gint64 version;
   json_t *records;      /* the newest version's array */
+  GPtrArray *history;   /* every version's records, version 1 first */
   gint64 stale_version; /* what MODE_STALE serves */
-  json_t *stale_records;
   Mode mode;
   gint64 reads;
 } svc;
@@ -67,8 +67,8 @@
 publish (json_t *records)
 {
   svc.version++;
-  json_decref (svc.records);
   svc.records = records;
+  g_ptr_array_add (svc.history, records);
   pthread_cond_broadcast (&svc.changed);
   cf_log (LOG_NOTICE, CF_EV_CONFIG_ACCEPT,
           "version=%" G_GINT64_FORMAT " records=%zu", svc.version,
@@ -99,7 +99,8 @@
       break;
     case MODE_STALE:
       o = json_pack ("{s:I, s:O}", "version", (json_int_t)svc.stale_version,
-                     "records", svc.stale_records);
+                     "records",
+                     g_ptr_array_index (svc.history, svc.stale_version - 1));
       rep->body = json_dumps (o, JSON_COMPACT);
       json_decref (o);
       break;
@@ -121,26 +122,31 @@
   return v ? g_ascii_strtoll (v, NULL, 10) : def;
 }
 
+/* ?mode=up|down|stale; stale serves ?version=N (default: the newest)
+ * from then on, as a lagging replica of the real service would. */
 static void
 set_mode (const CfHttpRequest *req, CfHttpReply *rep)
 {
   const char *m = cf_http_query (req, "mode");
+  const char *v = cf_http_query (req, "version");
 
+  if (m == NULL)
+    {
+      cf_http_reply_error (rep, 400, "bad-request", "give mode=up|down|stale");
+      return;
+    }
   pthread_mutex_lock (&svc.lock);
-  if (m && g_str_equal (m, "stale") && svc.mode != MODE_STALE)
+  if (g_str_equal (m, "stale"))
     {
-      /* Stale serves the version in force now, from now on. */
-      svc.stale_version = svc.version;
-      json_decref (svc.stale_records);
-      svc.stale_records = json_incref (svc.records);
+      svc.stale_version = v ? g_ascii_strtoll (v, NULL, 10) : svc.version;
+      svc.stale_version = CLAMP (svc.stale_version, 1, svc.version);
     }
-  svc.mode = !m                         ? svc.mode
-             : g_str_equal (m, "down")  ? MODE_DOWN
+  svc.mode = g_str_equal (m, "down")    ? MODE_DOWN
              : g_str_equal (m, "stale") ? MODE_STALE
                                         : MODE_UP;
   pthread_cond_broadcast (&svc.changed);
   pthread_mutex_unlock (&svc.lock);
-  rep->body = g_strdup_printf ("{\"mode\":\"%s\"}", m ? m : "unchanged");
+  rep->body = g_strdup_printf ("{\"mode\":\"%s\"}", m);
 }
 
 static void
@@ -219,6 +225,7 @@
     }
   pthread_mutex_init (&svc.lock, NULL);
   pthread_cond_init (&svc.changed, NULL);
+  svc.history = g_ptr_array_new_with_free_func ((GDestroyNotify)json_decref);
   publish (records);
   if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
     {
--- a/config-watch.c
+++ b/config-watch.c
@@ -2,6 +2,7 @@
 
 #include "http-client.h"
 #include "log.h"
+#include "net.h"
 
 #include <unistd.h>
 
@@ -63,12 +64,23 @@
   return v;
 }
 
-/* One watch call.  Returns FALSE if the service failed. */
-static gboolean
+/* How a watch call ended. */
+typedef enum
+{
+  WATCH_NEWER,   /* a newer valid version is in force */
+  WATCH_WAITED,  /* the service held the call and had nothing newer */
+  WATCH_NOTHING, /* an answer at once with nothing newer: stale, or bad */
+  WATCH_FAILED,  /* the service did not answer */
+} WatchResult;
+
+/* One watch call. */
+static WatchResult
 watch_once (CfConfigWatch *w)
 {
   g_autofree char *url = NULL;
   g_autofree char *body = NULL;
+  long long t0 = cf_now_ms ();
+  WatchResult res = WATCH_NOTHING;
   json_error_t jerr;
   CfConfig *c = NULL;
   json_t *doc = NULL;
@@ -86,7 +98,7 @@
         cf_log (LOG_WARNING, CF_EV_CONFIG_DOWN, "url=%s code=%ld error=\"%s\"",
                 w->url, code, st != CF_OK ? cf_last_error () : "status");
       w->down = TRUE;
-      return FALSE;
+      return WATCH_FAILED;
     }
   w->down = FALSE;
   doc = json_loads (body, 0, &jerr);
@@ -106,10 +118,13 @@
               json_integer_value (version), cf_last_error ());
       goto out;
     }
-  cf_config_watch_offer (w, c);
+  if (cf_config_watch_offer (w, c))
+    res = WATCH_NEWER;
+  else if (cf_now_ms () - t0 >= w->wait_ms / 2)
+    res = WATCH_WAITED;
 out:
   json_decref (doc);
-  return TRUE;
+  return res;
 }
 
 static void *
@@ -120,13 +135,20 @@
 
   for (;;)
     {
-      if (watch_once (w))
+      switch (watch_once (w))
         {
+        case WATCH_NEWER:
+        case WATCH_WAITED:
           backoff = BACKOFF_MIN_MS;
           continue;
+        case WATCH_NOTHING:
+          /* A stale replica answers at once; asking again at once would
+           * spend the service's shared read budget for nothing. */
+        case WATCH_FAILED:
+          usleep (backoff * 1000);
+          backoff = MIN (backoff * 2, BACKOFF_MAX_MS);
+          break;
         }
-      usleep (backoff * 1000);
-      backoff = MIN (backoff * 2, BACKOFF_MAX_MS);
     }
   return NULL;
 }
