Use a new link only once the agent answers on it, so a paused agent is passed over

Found by the new test in t/t-entry that pauses an agent with SIGSTOP: its connection stays open and silent for good while new ones 'work'. Failing run before the change: the entry's links_up never fell to 1 within 6 s.

Cause: the link thread declared the silent link lost after 3 s, as designed, then reconnected at once; the kernel completes a TCP connect to a stopped process, so the link counted as up again within a millisecond and kept taking requests that would hang to their deadlines. Ruled out: the heartbeat (pings were sent, no reply came) and the silence timeout (the E1302 line came after 3 s).

Change: a new connection sends a ping at once and is used only after the agent has answered on it; a connection that never answered logs no link-down line, so a paused agent costs one connect every 3 s and no log noise.

--- a/agent-link.c
+++ b/agent-link.c
@@ -24,6 +24,7 @@
 static void
 fail_all (CfLink *l, const char *why)
 {
+  gboolean was_ready = l->ready;
   GHashTableIter it;
   gpointer v;
 
@@ -31,12 +32,15 @@
   while (g_hash_table_iter_next (&it, NULL, &v))
     ((CfPending *)v)->lost = TRUE;
   g_hash_table_remove_all (l->pending);
+  l->ready = FALSE;
   if (l->fd >= 0)
     {
       close (l->fd);
       l->fd = -1;
-      cf_log (LOG_WARNING, CF_EV_LINK_DOWN, "target=%s reason=%s", l->addr,
-              why);
+      /* A connection that never answered was never up: no line for it. */
+      if (was_ready)
+        cf_log (LOG_WARNING, CF_EV_LINK_DOWN, "target=%s reason=%s", l->addr,
+                why);
     }
   pthread_cond_broadcast (&l->cond);
 }
@@ -113,10 +117,11 @@
           backoff = 100;
           pthread_mutex_lock (&l->lock);
           l->fd = fd;
+          l->ready = FALSE;
           l->last_rx_ms = cf_now_ms ();
           l->last_ping_ms = 0;
+          heartbeat (l, l->last_rx_ms);
           pthread_mutex_unlock (&l->lock);
-          cf_log (LOG_INFO, CF_EV_LINK_UP, "target=%s", l->addr);
         }
 
       pfd.fd = fd;
@@ -139,6 +144,11 @@
         }
       pthread_mutex_lock (&l->lock);
       l->last_rx_ms = cf_now_ms ();
+      if (!l->ready)
+        {
+          l->ready = TRUE;
+          cf_log (LOG_INFO, CF_EV_LINK_UP, "target=%s", l->addr);
+        }
       take_reply (l, &m);
       heartbeat (l, l->last_rx_ms);
       pthread_mutex_unlock (&l->lock);
@@ -174,7 +184,7 @@
   CfCallResult res;
 
   pthread_mutex_lock (&l->lock);
-  if (l->fd < 0)
+  if (l->fd < 0 || !l->ready)
     {
       res = CF_CALL_NOT_SENT;
       goto out;
@@ -216,7 +226,7 @@
   gboolean up;
 
   pthread_mutex_lock (&l->lock);
-  up = l->fd >= 0;
+  up = l->fd >= 0 && l->ready;
   *load = l->load;
   *outstanding = l->outstanding;
   pthread_mutex_unlock (&l->lock);
--- a/agent-link.h
+++ b/agent-link.h
@@ -13,7 +13,9 @@
  * An entry's connection to one agent, shared by all requests to it.
  * Requests are told apart by id, so answers may come in any order; a
  * thread of its own connects, reads replies, sends heartbeats, and
- * declares the link lost when the agent closes it or falls silent.
+ * declares the link lost when the agent closes it or falls silent.  A new
+ * connection is used only once the agent has answered on it, since the
+ * kernel completes a connect to a paused process as well.
  */
 typedef struct
 {
@@ -21,6 +23,7 @@
   pthread_mutex_t lock;
   pthread_cond_t cond; /**< broadcast when any pending call ends */
   int fd;              /**< -1 while down */
+  gboolean ready;      /**< the agent answered on this fd: usable */
   guint64 next_id;
   GHashTable *pending; /**< id -> CfPending */
   CfLoad load;         /**< as the agent last reported it */
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -8,6 +8,7 @@
 #include "net.h"
 
 #include <check.h>
+#include <stdio.h>
 #include <jansson.h>
 #include <signal.h>
 #include <string.h>
@@ -190,6 +191,90 @@
 }
 END_TEST
 
+/* Sends requests until none goes to @addr; returns how long that took. */
+static long long
+ms_until_no_work_for (const char *addr, long long limit_ms)
+{
+  long long t0 = cf_now_ms ();
+  int clean = 0;
+
+  while (cf_now_ms () - t0 < limit_ms)
+    {
+      g_autofree char *target = NULL;
+
+      ck_assert_int_eq (post (SHOP, "target", &target, NULL), 200);
+      clean = strcmp (target, addr) == 0 ? 0 : clean + 1;
+      /* Ten in a row elsewhere: least-loaded routing would have sent some
+       * of them to @addr were it still a candidate. */
+      if (clean == 10)
+        return cf_now_ms () - t0;
+      usleep (20000);
+    }
+  return -1;
+}
+
+START_TEST (test_leaving_target_gets_no_work_within_bound)
+{
+  long long ms;
+
+  start_platform ();
+  t_start ("e-engine", "./comfrey-fake-engine",
+           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
+  start_agent ("e-agent-1", "17501");
+  start_agent ("e-agent-2", "17502");
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  /* The VM list shows the change only after its lag of 2000 ms. */
+  ck_assert (t_wait_for ("http://127.0.0.1:17509/test/vm?addr=127.0.0.1:17501"
+                         "&state=leaving",
+                         "ok", 1000));
+  ms = ms_until_no_work_for ("127.0.0.1:17501", 10000);
+  fprintf (stderr,
+           "t-entry: leaving target got its last request within "
+           "%lld ms (VM list lag 2000 ms, poll 500 ms)\n",
+           ms);
+  ck_assert_msg (ms >= 0 && ms < 3000, "leaving target still got work: %lld",
+                 ms);
+  t_stop_all ();
+}
+END_TEST
+
+START_TEST (test_silent_agent_is_passed_over)
+{
+  g_autofree char *target = NULL;
+  long long t0;
+  long long ms;
+  pid_t agent;
+
+  start_platform ();
+  t_start ("e-engine", "./comfrey-fake-engine",
+           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
+  agent = t_start ("e-agent-1", "./comfrey-agent",
+                   "[agent]\nlisten = \"127.0.0.1:17501\"\n"
+                   "target_url = \"http://127.0.0.1:17590\"\n");
+  start_agent ("e-agent-2", "17502");
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  /* Paused: its connection stays open and says nothing, for good. */
+  kill (agent, SIGSTOP);
+  t0 = cf_now_ms ();
+  ck_assert (t_wait_for (ENTRY "/v1/health", "\"links_up\":1", 6000));
+  ms = cf_now_ms () - t0;
+  fprintf (stderr, "t-entry: silent agent's link declared lost after %lld ms\n",
+           ms);
+  for (int i = 0; i < 5; i++)
+    {
+      g_clear_pointer (&target, g_free);
+      ck_assert_int_eq (post (SHOP, "target", &target, NULL), 200);
+      ck_assert_str_eq (target, "127.0.0.1:17502");
+    }
+  kill (agent, SIGCONT);
+  t_stop_all ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -203,6 +288,8 @@
   tcase_add_test (tc, test_no_target_answers_at_once);
   tcase_add_test (tc, test_drained_agents_get_no_work);
   tcase_add_test (tc, test_planned_stop_finishes_request_in_progress);
+  tcase_add_test (tc, test_leaving_target_gets_no_work_within_bound);
+  tcase_add_test (tc, test_silent_agent_is_passed_over);
   suite_add_tcase (s, tc);
   sr = srunner_create (s);
   srunner_run_all (sr, CK_NORMAL);
