Fuzz the whole path with seeded sequences of requests and faults against an oracle

A step is a request (shop calls, bookings of which half repeat an earlier key, calls no intent permits) or, one time in five, a fault: an agent paused with SIGSTOP or woken late with SIGCONT, the config service stale (serving version 1) or down or back up, a new version published, an engine agent marked leaving or live in the VM list.

The oracle: every request gets an answer within its deadline plus 1 s; a 200 carries the caller's own marker; a refusal says ran=no or unknown; at the end the service's count for each key is at most 1, is 0 when every answer for it said ran=no, and is 1 when any said yes. Failures name the seed and step; FUZZ_SEED=N replays one seed.

Agent restarts are not among the faults yet: that case is the known red one in t/t-agent.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
 	comfrey-load
 TESTS = t/t-records t/t-settings t/t-wire t/t-route t/t-guard \
-	t/t-entry t/t-agent t/t-config \
+	t/t-entry t/t-agent t/t-config t/t-fuzz \
 	t/t-session
 
 all: $(PROGRAMS) $(TESTS)
