--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,65 @@
+#!/bin/sh
+# Measures the slopes docs/CAPACITY.md is worked from, on this machine:
+# CPU per request of entry and agent, idle control CPU of an entry with
+# six links, resident memory, and config reads.  One run; small stand-ins.
+set -eu
+cd "$(dirname "$0")/.."
+make -s comfrey-entry comfrey-agent comfrey-fake-engine comfrey-fake-config \
+	comfrey-fake-vmlist comfrey-fake-service comfrey-load
+run=$(mktemp -d /tmp/comfrey-capacity.XXXXXX)
+pids=""
+trap 'kill -TERM $pids 2>/dev/null; wait 2>/dev/null' EXIT
+start() {
+	name=$1
+	shift
+	"$@" 2>"$run/$name.log" &
+	eval "pid_$name=$!"
+	pids="$pids $!"
+}
+conf() {
+	printf "$2" >"$run/$1.toml"
+	echo "$run/$1.toml"
+}
+# utime + stime of a process, in clock ticks.
+ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+rss() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
+
+start config ./comfrey-fake-config --settings "$(conf c '[config]\nlisten = "127.0.0.1:7000"\nrecords = "demo/records.jsonl"\n')"
+start vmlist ./comfrey-fake-vmlist
+start ea ./comfrey-fake-engine --settings "$(conf ea '[engine]\nlisten = "127.0.0.1:7201"\nstep_base_us = 500\n')"
+start eb ./comfrey-fake-engine --settings "$(conf eb '[engine]\nlisten = "127.0.0.1:7202"\nstep_base_us = 500\n')"
+start sa ./comfrey-fake-service --settings "$(conf sa '[service]\nlisten = "127.0.0.1:7301"\nwork_ms = 0\n')"
+start sb ./comfrey-fake-service --settings "$(conf sb '[service]\nlisten = "127.0.0.1:7302"\nwork_ms = 0\n')"
+for a in 1:7201 2:7201 3:7202 4:7202 5:7301 6:7302; do
+	n=${a%%:*}
+	start agent$n ./comfrey-agent --settings "$(conf a$n "[agent]\nlisten = \"127.0.0.1:710$n\"\ntarget_url = \"http://127.0.0.1:${a#*:}\"\n")"
+done
+start entry ./comfrey-entry
+sleep 2
+hz=$(getconf CLK_TCK)
+
+e0=$(ticks $pid_entry)
+a0=$(ticks $pid_agent1)
+r0=$(curl -s http://127.0.0.1:7000/test/reads | tr -dc 0-9)
+sleep 10
+e1=$(ticks $pid_entry)
+a1=$(ticks $pid_agent1)
+r1=$(curl -s http://127.0.0.1:7000/test/reads | tr -dc 0-9)
+echo "idle 10 s: entry cpu_ms=$(((e1 - e0) * 1000 / hz)) (6 links)" \
+	"agent cpu_ms=$(((a1 - a0) * 1000 / hz)) (1 link)" \
+	"config_reads=$((r1 - r0)) entry_rss_kb=$(rss $pid_entry)" \
+	"agent_rss_kb=$(rss $pid_agent1)"
+
+e0=$(ticks $pid_entry)
+t0=0
+for n in 1 2 3 4 5 6; do eval "t=\$(ticks \$pid_agent$n)"; t0=$((t0 + t)); done
+./comfrey-load --session demo/session.jsonl --repeat 8 --threads 16 \
+	--entry http://127.0.0.1:8080 >"$run/load.out" 2>&1 || true
+e1=$(ticks $pid_entry)
+t1=0
+for n in 1 2 3 4 5 6; do eval "t=\$(ticks \$pid_agent$n)"; t1=$((t1 + t)); done
+reqs=$((246 * 8))
+echo "load $reqs requests: entry cpu_ms=$(((e1 - e0) * 1000 / hz))" \
+	"agents cpu_ms=$(((t1 - t0) * 1000 / hz))" \
+	"entry_rss_kb=$(rss $pid_entry) agent_rss_kb=$(rss $pid_agent1)"
+tail -1 "$run/load.out"
