Fuzz with kill -9 of engine agents, and check that 'not run' never reached the engine

The fake engine now records every prompt it takes (GET /test/seen, a test hook), and t/t-fuzz gains a sixth fault, kill -9 of an engine agent and a fresh start of it on the same port. The oracle adds: every shop request answered ran=no is absent from the engine's record. Booking agents are not killed: that case is the known red one.

--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -57,6 +57,7 @@
   Gen *waiting;
   Gen *batch;
   GHashTable *by_rid; /* rid -> Gen, while waiting or running */
+  GHashTable *seen;   /* prompts ever taken, for tests' oracles */
   int running;
   guint64 seq;
   CfExpertMap *map;
@@ -194,6 +195,7 @@
 
   pthread_mutex_lock (&eng.lock);
   g.seq = ++eng.seq;
+  g_hash_table_add (eng.seen, g_strdup (g.prompt));
   g.rid = rid ? g_strdup (rid) : NULL;
   if (g.rid)
     g_hash_table_insert (eng.by_rid, g.rid, &g);
@@ -260,6 +262,24 @@
         "{\"accepted\":true,\"fence\":%" G_GINT64_FORMAT "}", fence);
 }
 
+/* Every prompt the engine ever took, so that a test can check that a
+ * request answered "not run" never reached it. */
+static void
+seen (CfHttpReply *rep)
+{
+  json_t *a = json_array ();
+  GHashTableIter it;
+  gpointer k;
+
+  pthread_mutex_lock (&eng.lock);
+  g_hash_table_iter_init (&it, eng.seen);
+  while (g_hash_table_iter_next (&it, &k, NULL))
+    json_array_append_new (a, json_string (k));
+  pthread_mutex_unlock (&eng.lock);
+  rep->body = json_dumps (a, JSON_COMPACT);
+  json_decref (a);
+}
+
 static void
 on_http (void *data, const CfHttpRequest *req, CfHttpReply *rep)
 {
@@ -269,6 +289,8 @@
     cancel (req, rep);
   else if (g_str_equal (req->path, "/v1/order"))
     order (req, rep);
+  else if (g_str_equal (req->path, "/test/seen"))
+    seen (rep);
   else if (g_str_equal (req->path, "/v1/load"))
     {
       pthread_mutex_lock (&eng.lock);
@@ -340,6 +362,7 @@
   pthread_cond_init (&eng.done, NULL);
   pthread_cond_init (&eng.work, NULL);
   eng.by_rid = g_hash_table_new (g_str_hash, g_str_equal);
+  eng.seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   eng.map = cf_expert_map_new ((int)eng.experts, (int)eng.ranks);
   eng.rand = g_rand_new_with_seed ((guint32)seed);
   set_popularity (1.0);
--- a/t/t-fuzz.c
+++ b/t/t-fuzz.c
@@ -9,7 +9,8 @@
  * - a refusal says ran=no or ran=unknown, and names when to come back
  *   when it says to come back;
  * - a keyed call runs at most once, and not at all if every answer to
- *   it said ran=no.
+ *   it said ran=no;
+ * - a shop request answered ran=no never reached the engine.
  *
  * FUZZ_SEED=N plays one sequence with seed N; by default three fixed
  * seeds are played, so the verdict is the same every run.
@@ -23,6 +24,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define ENTRY "http://127.0.0.1:17880"
@@ -59,6 +61,8 @@
 typedef struct
 {
   pid_t agents[3];
+  char *agent_settings[3];
+  GPtrArray *not_run; /* prompts answered ran=no */
   gboolean paused[3];
   GHashTable *keys; /* key -> KeyFate */
   int requests;
@@ -80,7 +84,7 @@
 fault (World *w, GRand *r, guint32 seed, int step)
 {
   int a = g_rand_int_range (r, 0, 3);
-  int kind = g_rand_int_range (r, 0, 5);
+  int kind = g_rand_int_range (r, 0, 6);
   g_autofree char *url = NULL;
   long code = 0;
 
@@ -103,6 +107,14 @@
       cf_http_call ("POST", CONFIG "/test/publish", records, NULL, 2000, &code,
                     NULL);
       break;
+    case 5: /* kill -9 an engine agent and start it again */
+      a %= 2;
+      kill (w->agents[a], SIGKILL);
+      waitpid (w->agents[a], NULL, 0);
+      w->paused[a] = FALSE;
+      url = g_strdup_printf ("f-agent-%d", a + 1);
+      w->agents[a] = t_start (url, "./comfrey-agent", w->agent_settings[a]);
+      break;
     case 4: /* the VM list marks an engine agent leaving, or live */
       url = g_strdup_printf (VMLIST "/test/vm?addr=127.0.0.1:1780%d&state=%s",
                              1 + a % 2,
@@ -168,6 +180,8 @@
                  reply);
   w->ran_yes += g_str_equal (ran, "yes");
   w->ran_no += g_str_equal (ran, "no");
+  if (g_str_equal (ran, "no") && kind < 5)
+    g_ptr_array_add (w->not_run, g_strdup (marker));
   w->ran_unknown += g_str_equal (ran, "unknown");
   if (code == 200)
     {
@@ -201,6 +215,27 @@
   json_decref (o);
 }
 
+static void
+check_not_run (World *w, guint32 seed)
+{
+  g_autofree char *seen = NULL;
+  long code = 0;
+
+  ck_assert_int_eq (cf_http_call ("GET", "http://127.0.0.1:17890/test/seen",
+                                  NULL, NULL, 2000, &code, &seen),
+                    CF_OK);
+  for (guint i = 0; i < w->not_run->len; i++)
+    {
+      g_autofree char *quoted = g_strdup_printf (
+          "\"%s\"", (char *)g_ptr_array_index (w->not_run, i));
+
+      ck_assert_msg (strstr (seen, quoted) == NULL,
+                     "seed %u: %s was answered 'not run' but the engine "
+                     "took it",
+                     seed, quoted);
+    }
+}
+
 static void
 check_keys (World *w, guint32 seed)
 {
@@ -264,6 +299,7 @@
                              ports[i], targets[i]);
 
       w.agents[i] = t_start (name, "./comfrey-agent", s);
+      w.agent_settings[i] = g_strdup (s);
     }
   t_start ("f-entry", "./comfrey-entry",
            "[entry]\nlisten = \"127.0.0.1:17880\"\n"
@@ -271,6 +307,7 @@
            "[vmlist]\nurl = \"http://127.0.0.1:17809\"\n");
   ck_assert (t_wait_for (ENTRY "/v1/health",
                          "\"config_version\":1,\"links_up\":3", 5000));
+  w.not_run = g_ptr_array_new_with_free_func (g_free);
   w.keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (int step = 0; step < STEPS; step++)
     {
@@ -283,6 +320,7 @@
     if (w.paused[i])
       kill (w.agents[i], SIGCONT);
   check_keys (&w, seed);
+  check_not_run (&w, seed);
   fprintf (stderr,
            "t-fuzz: seed %u: %d requests (ran yes %d, no %d, unknown %d), "
            "%d faults, %u keys\n",
@@ -290,6 +328,9 @@
            g_hash_table_size (w.keys));
   t_stop_all ();
   g_hash_table_unref (w.keys);
+  g_ptr_array_unref (w.not_run);
+  for (int i = 0; i < 3; i++)
+    g_free (w.agent_settings[i]);
   g_rand_free (r);
 }
 
