--- a/comfrey-entry.c
+++ b/comfrey-entry.c
@@ -20,11 +20,8 @@
     return rc;
   if (cf_entry_settings_read (&s, &e.set) != CF_OK)
     return cf_daemon_settings_failed ();
-  if (args.check_settings)
-    {
-      printf ("settings ok: %s\n", s.origin);
-      return 0;
-    }
+  if (cf_daemon_checked (&args, &s))
+    return 0;
   if (cf_entry_start (&e) != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
--- a/comfrey-fake-config.c
+++ b/comfrey-fake-config.c
@@ -189,7 +189,6 @@
 {
   CfDaemonArgs args = { 0 };
   CfSettings s = { 0 };
-  CfHttpServer *http = NULL;
   g_autofree char *listen = NULL;
   g_autofree char *path = NULL;
   g_autofree char *text = NULL;
@@ -218,22 +217,11 @@
       cf_log (LOG_ERR, CF_EV_CONFIG_BAD, "error=\"%s\"", error);
       return 2;
     }
-  if (args.check_settings)
-    {
-      printf ("settings ok: %s\n", s.origin);
-      return 0;
-    }
+  if (cf_daemon_checked (&args, &s))
+    return 0;
   pthread_mutex_init (&svc.lock, NULL);
   pthread_cond_init (&svc.changed, NULL);
   svc.history = g_ptr_array_new_with_free_func ((GDestroyNotify)json_decref);
   publish (records);
-  if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
-    {
-      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
-      return 1;
-    }
-  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s", listen);
-  cf_daemon_wait ();
-  cf_http_server_stop (http);
-  return 0;
+  return cf_daemon_serve_http (listen, on_http, NULL);
 }
--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -323,7 +323,6 @@
 {
   CfDaemonArgs args = { 0 };
   CfSettings s = { 0 };
-  CfHttpServer *http = NULL;
   g_autofree char *listen = NULL;
   gint64 seed = 1;
   pthread_t t;
@@ -353,11 +352,8 @@
              != CF_OK
       || cf_settings_int (&s, "engine", "seed", 0, G_MAXINT32, &seed) != CF_OK)
     return cf_daemon_settings_failed ();
-  if (args.check_settings)
-    {
-      printf ("settings ok: %s\n", s.origin);
-      return 0;
-    }
+  if (cf_daemon_checked (&args, &s))
+    return 0;
   pthread_mutex_init (&eng.lock, NULL);
   pthread_cond_init (&eng.done, NULL);
   pthread_cond_init (&eng.work, NULL);
@@ -367,15 +363,8 @@
   eng.rand = g_rand_new_with_seed ((guint32)seed);
   set_popularity (1.0);
   pthread_create (&t, NULL, step_thread, NULL);
-  if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
-    {
-      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
-      return 1;
-    }
-  cf_log (LOG_INFO, CF_EV_LISTEN,
-          "addr=%s ranks=%" G_GINT64_FORMAT " experts=%" G_GINT64_FORMAT,
-          listen, eng.ranks, eng.experts);
-  cf_daemon_wait ();
-  cf_http_server_stop (http);
-  return 0;
+  cf_log (LOG_INFO, CF_EV_START,
+          "ranks=%" G_GINT64_FORMAT " experts=%" G_GINT64_FORMAT, eng.ranks,
+          eng.experts);
+  return cf_daemon_serve_http (listen, on_http, NULL);
 }
--- a/comfrey-fake-service.c
+++ b/comfrey-fake-service.c
@@ -76,7 +76,6 @@
 {
   CfDaemonArgs args = { 0 };
   CfSettings s = { 0 };
-  CfHttpServer *http = NULL;
   g_autofree char *listen = NULL;
   int rc;
 
@@ -90,19 +89,8 @@
       || cf_settings_int (&s, "service", "work_ms", 0, 60000, &work_ms)
              != CF_OK)
     return cf_daemon_settings_failed ();
-  if (args.check_settings)
-    {
-      printf ("settings ok: %s\n", s.origin);
-      return 0;
-    }
+  if (cf_daemon_checked (&args, &s))
+    return 0;
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
-    {
-      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
-      return 1;
-    }
-  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s", listen);
-  cf_daemon_wait ();
-  cf_http_server_stop (http);
-  return 0;
+  return cf_daemon_serve_http (listen, on_http, NULL);
 }
--- a/comfrey-fake-vmlist.c
+++ b/comfrey-fake-vmlist.c
@@ -95,7 +95,6 @@
 {
   CfDaemonArgs args = { 0 };
   CfSettings s = { 0 };
-  CfHttpServer *http = NULL;
   g_autofree char *listen = NULL;
   int rc;
 
@@ -107,20 +106,9 @@
   if (cf_settings_string (&s, "vmlist", "listen", &listen) != CF_OK
       || cf_settings_int (&s, "vmlist", "lag_ms", 0, 600000, &lag_ms) != CF_OK)
     return cf_daemon_settings_failed ();
-  if (args.check_settings)
-    {
-      printf ("settings ok: %s\n", s.origin);
-      return 0;
-    }
+  if (cf_daemon_checked (&args, &s))
+    return 0;
   vms = g_hash_table_new (g_str_hash, g_str_equal);
-  if (cf_http_server_start (listen, on_http, NULL, &http) != CF_OK)
-    {
-      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
-      return 1;
-    }
-  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s lag_ms=%" G_GINT64_FORMAT, listen,
-          lag_ms);
-  cf_daemon_wait ();
-  cf_http_server_stop (http);
-  return 0;
+  cf_log (LOG_INFO, CF_EV_START, "lag_ms=%" G_GINT64_FORMAT, lag_ms);
+  return cf_daemon_serve_http (listen, on_http, NULL);
 }
--- a/daemon.c
+++ b/daemon.c
@@ -58,6 +58,32 @@
   return 2;
 }
 
+gboolean
+cf_daemon_checked (const CfDaemonArgs *a, const CfSettings *s)
+{
+  if (a->check_settings)
+    printf ("settings ok: %s\n", s->origin);
+  return a->check_settings;
+}
+
+int
+cf_daemon_serve_http (const char *listen, CfHttpHandler fn, void *data)
+{
+  CfHttpServer *http = NULL;
+  int sig;
+
+  if (cf_http_server_start (listen, fn, data, &http) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
+      return 1;
+    }
+  cf_log (LOG_INFO, CF_EV_LISTEN, "addr=%s", listen);
+  sig = cf_daemon_wait ();
+  cf_http_server_stop (http);
+  cf_log (LOG_INFO, CF_EV_STOP, "signal=%d", sig);
+  return 0;
+}
+
 int
 cf_daemon_wait (void)
 {
--- a/daemon.h
+++ b/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http-server.h"
 #include "settings.h"
 
 #include <glib.h>
@@ -37,3 +38,17 @@
 
 /** cf_daemon_wait: waits for SIGTERM or SIGINT; returns its number. */
 int cf_daemon_wait (void);
+
+/**
+ * cf_daemon_checked:
+ * For --check-settings: prints that the settings are good.
+ * Returns: %TRUE if the program should now exit with status 0.
+ */
+gboolean cf_daemon_checked (const CfDaemonArgs *a, const CfSettings *s);
+
+/**
+ * cf_daemon_serve_http:
+ * Serves @fn on @listen until SIGTERM or SIGINT, as the stand-ins do.
+ * Returns: the exit status: 0, or 1 if the address could not be bound.
+ */
+int cf_daemon_serve_http (const char *listen, CfHttpHandler fn, void *data);
--- a/t/harness.c
+++ b/t/harness.c
@@ -62,6 +62,18 @@
   return FALSE;
 }
 
+int
+t_run (Suite *s)
+{
+  SRunner *sr = srunner_create (s);
+  int failed;
+
+  srunner_run_all (sr, CK_NORMAL);
+  failed = srunner_ntests_failed (sr);
+  srunner_free (sr);
+  return failed ? 1 : 0;
+}
+
 char *
 t_read_log (const char *name)
 {
--- a/t/harness.h
+++ b/t/harness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <check.h>
 #include <glib.h>
 #include <sys/types.h>
 
@@ -18,3 +19,6 @@
 
 /** t_read_log: the log of @name, as written so far. */
 char *t_read_log (const char *name);
+
+/** t_run: runs @s, frees it; returns main()'s exit status. */
+int t_run (Suite *s);
--- a/t/t-agent.c
+++ b/t/t-agent.c
@@ -172,8 +172,6 @@
   Suite *s = suite_create ("agent");
   TCase *tc = tcase_create ("core");
   TCase *restart = tcase_create ("restart");
-  SRunner *sr;
-  int failed;
 
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_stale_order_refused_when_engine_ignores_fences);
@@ -183,9 +181,5 @@
   tcase_set_tags (restart, "restart");
   tcase_add_test (restart, test_keyed_call_once_across_agent_restart);
   suite_add_tcase (s, restart);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
--- a/t/t-config.c
+++ b/t/t-config.c
@@ -112,15 +112,9 @@
 {
   Suite *s = suite_create ("config");
   TCase *tc = tcase_create ("watch");
-  SRunner *sr;
-  int failed;
 
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_in_force_within_seconds_and_never_older);
   suite_add_tcase (s, tc);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -280,8 +280,6 @@
 {
   Suite *s = suite_create ("entry");
   TCase *tc = tcase_create ("refusals");
-  SRunner *sr;
-  int failed;
 
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_no_config_is_not_run);
@@ -291,9 +289,5 @@
   tcase_add_test (tc, test_leaving_target_gets_no_work_within_bound);
   tcase_add_test (tc, test_silent_agent_is_passed_over);
   suite_add_tcase (s, tc);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
--- a/t/t-fuzz.c
+++ b/t/t-fuzz.c
@@ -352,15 +352,9 @@
 {
   Suite *s = suite_create ("fuzz");
   TCase *tc = tcase_create ("oracle");
-  SRunner *sr;
-  int failed;
 
   tcase_set_timeout (tc, 600);
   tcase_add_test (tc, test_sequences_against_oracle);
   suite_add_tcase (s, tc);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
--- a/t/t-guard.c
+++ b/t/t-guard.c
@@ -1,4 +1,5 @@
 #include "guard.h"
+#include "harness.h"
 
 #include <check.h>
 
@@ -46,15 +47,9 @@
 {
   Suite *s = suite_create ("guard");
   TCase *tc = tcase_create ("core");
-  SRunner *sr;
-  int failed;
 
   tcase_add_test (tc, test_at_most_once);
   tcase_add_test (tc, test_unknown_never_runs_again_and_full_refuses);
   suite_add_tcase (s, tc);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
--- a/t/t-records.c
+++ b/t/t-records.c
@@ -1,4 +1,5 @@
 #include "records.h"
+#include "harness.h"
 
 #include <check.h>
 
@@ -83,15 +84,9 @@
 {
   Suite *s = suite_create ("records");
   TCase *tc = tcase_create ("core");
-  SRunner *sr;
-  int failed;
 
   tcase_add_test (tc, test_both_schemas_side_by_side);
   tcase_add_test (tc, test_errors_name_line_and_remedy);
   suite_add_tcase (s, tc);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
--- a/t/t-route.c
+++ b/t/t-route.c
@@ -1,4 +1,5 @@
 #include "route.h"
+#include "harness.h"
 
 #include <check.h>
 #include <string.h>
@@ -49,15 +50,9 @@
 {
   Suite *s = suite_create ("route");
   TCase *tc = tcase_create ("core");
-  SRunner *sr;
-  int failed;
 
   tcase_add_test (tc, test_least_loaded_first_excluded_last);
   tcase_add_test (tc, test_key_owner_ignores_load_and_is_stable);
   suite_add_tcase (s, tc);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
--- a/t/t-settings.c
+++ b/t/t-settings.c
@@ -1,4 +1,5 @@
 #include "settings.h"
+#include "harness.h"
 
 #include <check.h>
 
@@ -64,15 +65,9 @@
 {
   Suite *s = suite_create ("settings");
   TCase *tc = tcase_create ("core");
-  SRunner *sr;
-  int failed;
 
   tcase_add_test (tc, test_defaults_and_override);
   tcase_add_test (tc, test_errors_name_key_and_remedy);
   suite_add_tcase (s, tc);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
--- a/t/t-wire.c
+++ b/t/t-wire.c
@@ -1,4 +1,5 @@
 #include "wire.h"
+#include "harness.h"
 
 #include <check.h>
 
@@ -70,16 +71,10 @@
 {
   Suite *s = suite_create ("wire");
   TCase *tc = tcase_create ("core");
-  SRunner *sr;
-  int failed;
 
   tcase_add_test (tc, test_request_round_trip);
   tcase_add_test (tc, test_refusal_keeps_ran);
   tcase_add_test (tc, test_bad_frames_are_refused);
   suite_add_tcase (s, tc);
-  sr = srunner_create (s);
-  srunner_run_all (sr, CK_NORMAL);
-  failed = srunner_ntests_failed (sr);
-  srunner_free (sr);
-  return failed ? 1 : 0;
+  return t_run (s);
 }
