Split the entry's routing loop; share the records' closing checks

In records.c both parse entry points ended with the same reference check and hand-off, now finish(). The fake config service's deadline arithmetic lost a comma operator.

--- a/comfrey-fake-config.c
+++ b/comfrey-fake-config.c
@@ -89,7 +89,10 @@
       clock_gettime (CLOCK_REALTIME, &ts);
       ts.tv_nsec += 50L * 1000000;
       if (ts.tv_nsec >= 1000000000)
-        ts.tv_sec++, ts.tv_nsec -= 1000000000;
+        {
+          ts.tv_sec++;
+          ts.tv_nsec -= 1000000000;
+        }
       pthread_cond_timedwait (&svc.changed, &svc.lock, &ts);
     }
   switch (svc.mode)
--- a/entry.c
+++ b/entry.c
@@ -305,6 +305,47 @@
   return load.draining ? "draining" : "usable";
 }
 
+/* Sends @r to the agent at @addr once, with @left ms of its deadline. */
+static CfCallResult
+send_to (CfEntry *e, Request *r, const char *addr, long long left, CfMsg *reply)
+{
+  CfMsg req = { .kind = CF_MSG_REQUEST };
+
+  req.u.request.org = r->org;
+  req.u.request.service = r->service;
+  req.u.request.model = r->model;
+  req.u.request.key = r->key;
+  req.u.request.body = r->body;
+  req.u.request.path
+      = r->group->kind == CF_TARGET_ENGINE ? "/v1/generate" : "/v1/call";
+  req.u.request.rid = r->id;
+  req.u.request.priority = r->priority;
+  req.u.request.deadline_ms = left;
+  return cf_link_call (link_for (e, addr), &req, r->deadline_at, reply);
+}
+
+/* No target could take @r: logs why for each and answers at once. */
+static void
+give_up (CfEntry *e, Request *r, CfHttpReply *rep, GHashTable *tried,
+         const char *last_reason)
+{
+  g_autofree char *m = NULL;
+
+  for (guint i = 0; i < r->group->agents->len; i++)
+    {
+      const char *addr = g_ptr_array_index (r->group->agents, i);
+
+      cf_log (LOG_INFO, CF_EV_NO_ROUTE, "req=%s group=%s target=%s state=%s",
+              r->id, r->group->name, addr, exclusion (e, addr, tried));
+    }
+  m = g_strdup_printf ("no target of group '%s' could take the request (%s); "
+                       "come back after retry_after_ms",
+                       r->group->name, last_reason);
+  refuse (e, r, rep, 503, "unavailable",
+          r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO,
+          MAX (r->retry_hint_ms, e->set.retry_after_ms), m);
+}
+
 /* Tries targets until one answers or it is no longer safe or useful. */
 static void
 route (CfEntry *e, Request *r, CfHttpReply *rep)
@@ -315,7 +356,6 @@
 
   for (gint64 attempt = 0; attempt < e->set.max_attempts; attempt++)
     {
-      CfMsg req = { .kind = CF_MSG_REQUEST };
       CfMsg reply = { 0 };
       long long left = r->deadline_at - cf_now_ms ();
       CfCallResult res;
@@ -338,17 +378,7 @@
               r->group->name, addr, attempt + 1,
               r->key ? "key-owner" : "least-loaded");
       g_hash_table_add (tried, (gpointer)addr);
-      req.u.request.org = r->org;
-      req.u.request.service = r->service;
-      req.u.request.model = r->model;
-      req.u.request.key = r->key;
-      req.u.request.body = r->body;
-      req.u.request.path
-          = r->group->kind == CF_TARGET_ENGINE ? "/v1/generate" : "/v1/call";
-      req.u.request.rid = r->id;
-      req.u.request.priority = r->priority;
-      req.u.request.deadline_ms = left;
-      res = cf_link_call (link_for (e, addr), &req, r->deadline_at, &reply);
+      res = send_to (e, r, addr, left, &reply);
       switch (res)
         {
         case CF_CALL_REPLY:
@@ -406,24 +436,7 @@
         }
       ck_pr_inc_64 (&e->retries);
     }
-
-  for (guint i = 0; i < r->group->agents->len; i++)
-    {
-      const char *addr = g_ptr_array_index (r->group->agents, i);
-
-      cf_log (LOG_INFO, CF_EV_NO_ROUTE, "req=%s group=%s target=%s state=%s",
-              r->id, r->group->name, addr, exclusion (e, addr, tried));
-    }
-  {
-    g_autofree char *m = g_strdup_printf (
-        "no target of group '%s' could take the request (%s); come back "
-        "after retry_after_ms",
-        r->group->name, last_reason);
-
-    refuse (e, r, rep, 503, "unavailable",
-            r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO,
-            MAX (r->retry_hint_ms, e->set.retry_after_ms), m);
-  }
+  give_up (e, r, rep, tried, last_reason);
 }
 
 static gboolean
--- a/records.c
+++ b/records.c
@@ -330,6 +330,21 @@
   return CF_OK;
 }
 
+/* Checks what all records say together, and hands @c out or frees it. */
+static CfStatus
+finish (CfConfig *c, CfStatus st, const char *origin, CfConfig **out)
+{
+  if (st == CF_OK)
+    st = check_references (c, origin);
+  if (st != CF_OK)
+    {
+      cf_config_unref (c);
+      return st;
+    }
+  *out = c;
+  return CF_OK;
+}
+
 CfStatus
 cf_config_parse_lines (const char *text, const char *origin, gint64 version,
                        CfConfig **out)
@@ -357,15 +372,7 @@
       st = parse_record (c, o, where);
       json_decref (o);
     }
-  if (st == CF_OK)
-    st = check_references (c, origin);
-  if (st != CF_OK)
-    {
-      cf_config_unref (c);
-      return st;
-    }
-  *out = c;
-  return CF_OK;
+  return finish (c, st, origin, out);
 }
 
 CfStatus
@@ -389,15 +396,7 @@
     if (st != CF_OK)
       break;
   }
-  if (st == CF_OK)
-    st = check_references (c, origin);
-  if (st != CF_OK)
-    {
-      cf_config_unref (c);
-      return st;
-    }
-  *out = c;
-  return CF_OK;
+  return finish (c, st, origin, out);
 }
 
 static gboolean
