--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,11 @@
 %.o: %.c *.h
 	$(CC) $(ALL_CFLAGS) -c -o $@ $<
 
-test: all
+# The packages come first, in a make of their own, since the flags above
+# are read from pkg-config when this file is parsed.
+test:
+	sh scripts/install-deps.sh
+	$(MAKE) all
 	sh t/run-tests.sh $(TESTS)
 
 demo:
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -59,6 +59,17 @@
   t_start (name, "./comfrey-agent", s);
 }
 
+/* The platform, an engine and its two agents. */
+static void
+start_group (void)
+{
+  start_platform ();
+  t_start ("e-engine", "./comfrey-fake-engine",
+           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
+  start_agent ("e-agent-1", "17501");
+  start_agent ("e-agent-2", "17502");
+}
+
 /* Posts @body; returns the status and fills @field of the reply. */
 static long
 post (const char *body, const char *field, char **value, long long *ms)
@@ -116,11 +127,7 @@
   char *drain[] = { "./comfrey", "drain", "127.0.0.1:17501", NULL };
   int status;
 
-  start_platform ();
-  t_start ("e-engine", "./comfrey-fake-engine",
-           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
-  start_agent ("e-agent-1", "17501");
-  start_agent ("e-agent-2", "17502");
+  start_group ();
   start_entry ();
   ck_assert (t_wait_for (ENTRY "/v1/health",
                          "\"config_version\":1,\"links_up\":2", 5000));
@@ -169,11 +176,7 @@
   void *code;
   pid_t entry;
 
-  start_platform ();
-  t_start ("e-engine", "./comfrey-fake-engine",
-           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
-  start_agent ("e-agent-1", "17501");
-  start_agent ("e-agent-2", "17502");
+  start_group ();
   entry = start_entry ();
   ck_assert (t_wait_for (ENTRY "/v1/health",
                          "\"config_version\":1,\"links_up\":2", 5000));
@@ -217,11 +220,7 @@
 {
   long long ms;
 
-  start_platform ();
-  t_start ("e-engine", "./comfrey-fake-engine",
-           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
-  start_agent ("e-agent-1", "17501");
-  start_agent ("e-agent-2", "17502");
+  start_group ();
   start_entry ();
   ck_assert (t_wait_for (ENTRY "/v1/health",
                          "\"config_version\":1,\"links_up\":2", 5000));
