Ping only idle links, and never let libcurl send a booking twice

Silence is now counted from the first unanswered ping, not from the last frame. The links moved out of entry.c into a table of their own.

A doubled booking, found by reading what libcurl does: when a reused connection closes before any answer, libcurl sends the request again, POST too. Ruled out: the guard and the entry's retries, neither saw a second call. cf_http_call_once() takes a connection of its own, which libcurl never retries; keyed calls and orders go through it.

--- a/agent-link.c
+++ b/agent-link.c
@@ -74,15 +74,23 @@
 heartbeat (CfLink *l, long long now)
 {
   CfMsg ping = { .kind = CF_MSG_PING };
+  long long every = l->outstanding > 0 || l->unanswered_ms > 0
+                        ? CF_LINK_PING_MS
+                        : l->idle_ping_ms;
 
-  if (now - l->last_rx_ms > CF_LINK_SILENT_MS)
+  if (l->unanswered_ms > 0 && now - l->unanswered_ms > CF_LINK_SILENT_MS)
     {
       fail_all (l, "silent");
       return;
     }
-  if (now - l->last_ping_ms >= CF_LINK_PING_MS)
+  /* Replies carry the agent's load and prove it alive, so a link that
+   * heard from its agent within the interval needs no ping. */
+  if (now - l->last_ping_ms >= every && now - l->last_rx_ms >= every)
     {
       l->last_ping_ms = now;
+      l->pings++;
+      if (l->unanswered_ms == 0)
+        l->unanswered_ms = now;
       if (cf_msg_write (l->fd, &ping) != CF_OK)
         fail_all (l, "write-failed");
     }
@@ -118,9 +126,11 @@
           pthread_mutex_lock (&l->lock);
           l->fd = fd;
           l->ready = FALSE;
-          l->last_rx_ms = cf_now_ms ();
+          /* Long ago, so that the first ping goes out at once. */
+          l->last_rx_ms = 0;
           l->last_ping_ms = 0;
-          heartbeat (l, l->last_rx_ms);
+          l->unanswered_ms = 0;
+          heartbeat (l, cf_now_ms ());
           pthread_mutex_unlock (&l->lock);
         }
 
@@ -144,6 +154,7 @@
         }
       pthread_mutex_lock (&l->lock);
       l->last_rx_ms = cf_now_ms ();
+      l->unanswered_ms = 0;
       if (!l->ready)
         {
           l->ready = TRUE;
@@ -164,6 +175,7 @@
 
   l->addr = g_strdup (addr);
   l->fd = -1;
+  l->idle_ping_ms = CF_LINK_PING_MS;
   l->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
   pthread_mutex_init (&l->lock, NULL);
   pthread_condattr_init (&ca);
@@ -220,6 +232,25 @@
   return res;
 }
 
+void
+cf_link_set_idle_ping (CfLink *l, gint64 ms)
+{
+  pthread_mutex_lock (&l->lock);
+  l->idle_ping_ms = MAX (ms, CF_LINK_PING_MS);
+  pthread_mutex_unlock (&l->lock);
+}
+
+guint64
+cf_link_pings (CfLink *l)
+{
+  guint64 n;
+
+  pthread_mutex_lock (&l->lock);
+  n = l->pings;
+  pthread_mutex_unlock (&l->lock);
+  return n;
+}
+
 gboolean
 cf_link_snapshot (CfLink *l, CfLoad *load, gint64 *outstanding)
 {
--- a/agent-link.h
+++ b/agent-link.h
@@ -30,6 +30,9 @@
   gint64 outstanding;  /**< our calls waiting on it now */
   long long last_rx_ms;
   long long last_ping_ms;
+  long long unanswered_ms; /**< oldest ping without an answer; 0 if none */
+  gint64 idle_ping_ms;     /**< ping interval while nothing is outstanding */
+  guint64 pings;           /**< heartbeats sent, for the capacity page */
   pthread_t thread;
 } CfLink;
 
@@ -54,5 +57,15 @@
 CfCallResult cf_link_call (CfLink *l, CfMsg *req, long long deadline_ms,
                            CfMsg *reply);
 
+/**
+ * cf_link_set_idle_ping:
+ * @ms: how often to ping while no call is outstanding, in ms; a link with
+ *   calls outstanding is always pinged every %CF_LINK_PING_MS
+ */
+void cf_link_set_idle_ping (CfLink *l, gint64 ms);
+
+/** cf_link_pings: heartbeats sent on @l so far. */
+guint64 cf_link_pings (CfLink *l);
+
 /** cf_link_snapshot: whether the link is up, and the agent's load. */
 gboolean cf_link_snapshot (CfLink *l, CfLoad *load, gint64 *outstanding);
--- a/agent.c
+++ b/agent.c
@@ -165,7 +165,10 @@
   long code = 0;
   CfStatus st = CF_ERR_TIMEOUT;
 
-  if (left > 0)
+  if (left > 0 && key)
+    st = cf_http_call_once ("POST", url, m->u.request.body, headers, left,
+                            &code, &body);
+  else if (left > 0)
     st = cf_http_call ("POST", url, m->u.request.body, headers, left, &code,
                        &body);
   ck_pr_dec_int (&a->in_flight);
@@ -321,7 +324,7 @@
                           m->u.order.fence, m->u.order.op);
   cf_log (LOG_INFO, CF_EV_ORDER, "op=%s fence=%" G_GINT64_FORMAT, m->u.order.op,
           m->u.order.fence);
-  if (cf_http_call ("POST", url, body, NULL, 5000, &code, &out) != CF_OK)
+  if (cf_http_call_once ("POST", url, body, NULL, 5000, &code, &out) != CF_OK)
     refuse (c, m->id, CF_RAN_UNKNOWN, "target-failed", 1000);
   else
     answer (c, m->id, code, out);
--- a/comfrey-fake-service.c
+++ b/comfrey-fake-service.c
@@ -20,6 +20,7 @@
 static GHashTable *runs; /* key -> count */
 static gint64 work_ms;
 static gint64 calls;
+static gint drop_next; /* test hook: run the next call, lose its answer */
 
 static void
 call (const CfHttpRequest *req, CfHttpReply *rep)
@@ -38,6 +39,7 @@
     }
   pthread_mutex_unlock (&lock);
   usleep (work_ms * 1000);
+  rep->drop = g_atomic_int_compare_and_exchange (&drop_next, 1, 0);
   o = json_pack ("{s:o, s:i}", "done", body ? body : json_null (), "runs",
                  (int)n);
   rep->body = json_dumps (o, JSON_COMPACT);
@@ -67,6 +69,11 @@
     call (req, rep);
   else if (g_str_equal (req->path, "/test/counts"))
     counts (rep);
+  else if (g_str_equal (req->path, "/test/drop-next"))
+    {
+      g_atomic_int_set (&drop_next, 1);
+      rep->body = g_strdup ("{\"ok\":true}");
+    }
   else
     cf_http_reply_error (rep, 404, "not-found", "use /v1/call");
 }
--- a/entry.c
+++ b/entry.c
@@ -110,22 +110,6 @@
   g_free (r->body);
 }
 
-static CfLink *
-link_for (CfEntry *e, const char *addr)
-{
-  CfLink *l;
-
-  pthread_mutex_lock (&e->links_lock);
-  l = g_hash_table_lookup (e->links, addr);
-  if (l == NULL)
-    {
-      l = cf_link_new (addr);
-      g_hash_table_insert (e->links, l->addr, l);
-    }
-  pthread_mutex_unlock (&e->links_lock);
-  return l;
-}
-
 static void
 on_config (void *data, CfConfig *c)
 {
@@ -140,7 +124,7 @@
       CfGroup *g = v;
 
       for (guint i = 0; i < g->agents->len; i++)
-        link_for (e, g_ptr_array_index (g->agents, i));
+        cf_link_table_get (&e->links, g_ptr_array_index (g->agents, i));
     }
 }
 
@@ -277,7 +261,7 @@
   for (size_t i = 0; i < n; i++)
     {
       const char *addr = g_ptr_array_index (r->group->agents, i);
-      CfLink *l = link_for (e, addr);
+      CfLink *l = cf_link_table_get (&e->links, addr);
       gint64 outstanding;
       CfLoad load;
       gboolean up = cf_link_snapshot (l, &load, &outstanding);
@@ -300,7 +284,8 @@
     return "tried";
   if (cf_vm_list_leaving (&e->vms, addr))
     return "leaving";
-  if (!cf_link_snapshot (link_for (e, addr), &load, &outstanding))
+  if (!cf_link_snapshot (cf_link_table_get (&e->links, addr), &load,
+                         &outstanding))
     return "down";
   return load.draining ? "draining" : "usable";
 }
@@ -321,7 +306,8 @@
   req.u.request.rid = r->id;
   req.u.request.priority = r->priority;
   req.u.request.deadline_ms = left;
-  return cf_link_call (link_for (e, addr), &req, r->deadline_at, reply);
+  return cf_link_call (cf_link_table_get (&e->links, addr), &req,
+                       r->deadline_at, reply);
 }
 
 /* No target could take @r: logs why for each and answers at once. */
@@ -509,27 +495,16 @@
 handle_health (CfEntry *e, CfHttpReply *rep)
 {
   CfConfig *c = cf_config_watch_get (&e->watch);
-  gint64 up = 0;
-  GHashTableIter it;
-  gpointer v;
+  CfLinkTotals links = cf_link_table_totals (&e->links);
   json_t *o;
 
-  pthread_mutex_lock (&e->links_lock);
-  g_hash_table_iter_init (&it, e->links);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      CfLoad load;
-      gint64 out;
-
-      up += cf_link_snapshot (v, &load, &out);
-    }
-  pthread_mutex_unlock (&e->links_lock);
-  o = json_pack ("{s:I, s:I, s:i, s:b, s:I, s:I, s:I}", "config_version",
-                 (json_int_t)(c ? c->version : 0), "links_up", (json_int_t)up,
-                 "in_flight", g_atomic_int_get (&e->in_flight), "draining",
-                 g_atomic_int_get (&e->draining), "answered",
-                 (json_int_t)e->answered, "refused", (json_int_t)e->refused,
-                 "retries", (json_int_t)e->retries);
+  o = json_pack (
+      "{s:I, s:I, s:i, s:b, s:I, s:I, s:I, s:I}", "config_version",
+      (json_int_t)(c ? c->version : 0), "links_up", (json_int_t)links.up,
+      "in_flight", g_atomic_int_get (&e->in_flight), "draining",
+      g_atomic_int_get (&e->draining), "answered", (json_int_t)e->answered,
+      "refused", (json_int_t)e->refused, "retries", (json_int_t)e->retries,
+      "pings", (json_int_t)links.pings);
   rep->body = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   cf_config_unref (c);
@@ -555,8 +530,7 @@
 {
   CfStatus st;
 
-  pthread_mutex_init (&e->links_lock, NULL);
-  e->links = g_hash_table_new (g_str_hash, g_str_equal);
+  cf_link_table_init (&e->links);
   cf_config_watch_start (&e->watch, e->set.config_url, e->set.watch_wait_ms,
                          on_config, e);
   cf_vm_list_start (&e->vms, e->set.vmlist_url, e->set.vmlist_poll_ms);
--- a/entry.h
+++ b/entry.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "agent-link.h"
 #include "config-watch.h"
 #include "http-server.h"
+#include "link-table.h"
 #include "settings.h"
 #include "vm-list.h"
 
@@ -36,8 +36,7 @@
   CfHttpServer *http;
   CfConfigWatch watch;
   CfVmList vms;
-  pthread_mutex_t links_lock;
-  GHashTable *links; /**< "IP:PORT" -> CfLink */
+  CfLinkTable links;
   gint in_flight;
   gint draining;
   guint64 seq;
--- a/http-client.c
+++ b/http-client.c
@@ -20,10 +20,10 @@
   return size * n;
 }
 
-CfStatus
-cf_http_call (const char *method, const char *url, const char *body,
-              const char *const *headers, long timeout_ms, long *code,
-              char **out)
+static CfStatus
+perform (const char *method, const char *url, const char *body,
+         const char *const *headers, long timeout_ms, gboolean once, long *code,
+         char **out)
 {
   struct curl_slist *list = NULL;
   GString *reply = g_string_new (NULL);
@@ -42,6 +42,9 @@
   curl_easy_setopt (h, CURLOPT_CONNECTTIMEOUT_MS,
                     timeout_ms < 1000 ? timeout_ms : 1000L);
   curl_easy_setopt (h, CURLOPT_NOSIGNAL, 1L);
+  /* libcurl sends a request again, POST too, when a reused connection
+   * closes before any answer; only a new connection is never retried. */
+  curl_easy_setopt (h, CURLOPT_FRESH_CONNECT, once ? 1L : 0L);
   curl_easy_setopt (h, CURLOPT_WRITEFUNCTION, collect);
   curl_easy_setopt (h, CURLOPT_WRITEDATA, reply);
   list = curl_slist_append (list, "Content-Type: application/json");
@@ -83,3 +86,19 @@
     g_string_free (reply, TRUE);
   return st;
 }
+
+CfStatus
+cf_http_call (const char *method, const char *url, const char *body,
+              const char *const *headers, long timeout_ms, long *code,
+              char **out)
+{
+  return perform (method, url, body, headers, timeout_ms, FALSE, code, out);
+}
+
+CfStatus
+cf_http_call_once (const char *method, const char *url, const char *body,
+                   const char *const *headers, long timeout_ms, long *code,
+                   char **out)
+{
+  return perform (method, url, body, headers, timeout_ms, TRUE, code, out);
+}
--- a/http-server.c
+++ b/http-server.c
@@ -87,6 +87,11 @@
   req.conn = conn;
   rep.code = MHD_HTTP_OK;
   s->fn (s->data, &req, &rep);
+  if (rep.drop)
+    {
+      g_free (rep.body);
+      return MHD_NO;
+    }
   return send_reply (conn, &rep);
 }
 
--- a/http-server.h
+++ b/http-server.h
@@ -26,6 +26,7 @@
   char *body;          /**< JSON text, owned */
   long retry_after_ms; /**< >0 adds a Retry-After header, in seconds */
   const char *ctype;   /**< %NULL means application/json */
+  int drop; /**< non-zero closes the connection without any reply (tests) */
 } CfHttpReply;
 
 /**
--- /dev/null
+++ b/link-table.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "agent-link.h"
+
+/**
+ * CfLinkTable:
+ * A process's links to agents, one for each address it ever asked for, for
+ * the life of the process.
+ */
+typedef struct
+{
+  pthread_mutex_t lock;
+  GHashTable *links; /**< "IP:PORT" -> CfLink */
+} CfLinkTable;
+
+/** CfLinkTotals: what the table's links add up to, for the health page. */
+typedef struct
+{
+  gint64 up;
+  guint64 pings;
+} CfLinkTotals;
+
+void cf_link_table_init (CfLinkTable *t);
+
+/** cf_link_table_get: the link to @addr, started at the first call. */
+CfLink *cf_link_table_get (CfLinkTable *t, const char *addr);
+
+/** cf_link_table_totals: sums over the links. */
+CfLinkTotals cf_link_table_totals (CfLinkTable *t);
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -50,6 +50,8 @@
 	"config_reads=$((r1 - r0)) entry_rss_kb=$(rss $pid_entry)" \
 	"agent_rss_kb=$(rss $pid_agent1)"
 
+p0=$(curl -s http://127.0.0.1:8080/v1/health | sed 's/.*"pings":\([0-9]*\).*/\1/')
+l0=$(date +%s%N)
 e0=$(ticks $pid_entry)
 t0=0
 for n in 1 2 3 4 5 6; do eval "t=\$(ticks \$pid_agent$n)"; t0=$((t0 + t)); done
@@ -58,8 +60,34 @@
 e1=$(ticks $pid_entry)
 t1=0
 for n in 1 2 3 4 5 6; do eval "t=\$(ticks \$pid_agent$n)"; t1=$((t1 + t)); done
+p1=$(curl -s http://127.0.0.1:8080/v1/health | sed 's/.*"pings":\([0-9]*\).*/\1/')
+l1=$(date +%s%N)
 reqs=$((246 * 8))
+echo "load: pings=$((p1 - p0)) over 6 links in $(((l1 - l0) / 1000000)) ms"
 echo "load $reqs requests: entry cpu_ms=$(((e1 - e0) * 1000 / hz))" \
 	"agents cpu_ms=$(((t1 - t0) * 1000 / hz))" \
 	"entry_rss_kb=$(rss $pid_entry) agent_rss_kb=$(rss $pid_agent1)"
 tail -1 "$run/load.out"
+
+# The same idle control cost with letter 1's 340 links: 340 addresses of the
+# loopback range, all answered by one agent that listens on every address.
+kill -TERM $pid_entry && wait $pid_entry 2>/dev/null || true
+start agentall ./comfrey-agent --settings "$(conf all '[agent]\nlisten = "0.0.0.0:7199"\n')"
+for i in $(seq 340); do
+	printf '"127.0.%d.%d:7199"\n' $((1 + i / 200)) $((1 + i % 200))
+done | paste -sd, >"$run/addrs"
+printf '{"schema":1,"kind":"group","name":"g","target":"engine","agents":[%s]}\n' \
+	"$(cat "$run/addrs")" >"$run/wide.jsonl"
+start wideconfig ./comfrey-fake-config --settings "$(conf w "[config]\nlisten = \"127.0.0.1:7010\"\nrecords = \"$run/wide.jsonl\"\n")"
+start wide ./comfrey-entry --settings "$(conf we '[entry]\nlisten = "127.0.0.1:8090"\n[config]\nurl = "http://127.0.0.1:7010"\n')"
+sleep 15
+pings() { curl -s http://127.0.0.1:8090/v1/health | sed 's/.*"pings":\([0-9]*\).*/\1/'; }
+e0=$(ticks $pid_wide)
+p0=$(pings)
+sleep 30
+e1=$(ticks $pid_wide)
+p1=$(pings)
+echo "idle 30 s, 340 links: entry cpu_ms=$(((e1 - e0) * 1000 / hz))" \
+	"pings=$((p1 - p0)) bytes_per_s=$(((p1 - p0) * 86 / 30))" \
+	"entry_rss_kb=$(rss $pid_wide)" \
+	"$(curl -s http://127.0.0.1:8090/v1/health)"
--- a/t/t-agent.c
+++ b/t/t-agent.c
@@ -19,14 +19,20 @@
 #define SERVICE "http://127.0.0.1:17791"
 
 static pid_t
-start_agent (const char *target)
+start_agent_with (const char *target, const char *more)
 {
   g_autofree char *s = g_strdup_printf (
-      "[agent]\nlisten = \"" AGENT "\"\ntarget_url = \"%s\"\n", target);
+      "[agent]\nlisten = \"" AGENT "\"\ntarget_url = \"%s\"\n%s", target, more);
 
   return t_start ("a-agent", "./comfrey-agent", s);
 }
 
+static pid_t
+start_agent (const char *target)
+{
+  return start_agent_with (target, "");
+}
+
 static int
 connect_agent (void)
 {
@@ -166,6 +172,41 @@
 }
 END_TEST
 
+START_TEST (test_lost_answer_on_reused_connection_runs_once)
+{
+  g_autofree char *counts = NULL;
+  CfMsg r;
+  long code = 0;
+  int fd;
+
+  t_start ("a-service", "./comfrey-fake-service",
+           "[service]\nlisten = \"127.0.0.1:17791\"\nwork_ms = 1\n");
+  start_agent_with (SERVICE, "workers = 1\n");
+  fd = connect_agent ();
+  /* The one worker's first call leaves it a connection to reuse. */
+  send_request (fd, 1, "/v1/call", NULL, "{\"note\":\"first\"}");
+  ck_assert_int_eq (cf_msg_read (fd, &r), CF_OK);
+  ck_assert_int_eq (r.kind, CF_MSG_ANSWER);
+  cf_msg_clear (&r);
+  ck_assert_int_eq (cf_http_call ("GET", SERVICE "/test/drop-next", NULL, NULL,
+                                  2000, &code, NULL),
+                    CF_OK);
+  send_request (fd, 2, "/v1/call", "shift-78", "{\"note\":\"crew to row 5\"}");
+  ck_assert_int_eq (cf_msg_read (fd, &r), CF_OK);
+  ck_assert_int_eq (cf_http_call ("GET", SERVICE "/test/counts", NULL, NULL,
+                                  2000, &code, &counts),
+                    CF_OK);
+  ck_assert_msg (strstr (counts, "\"shift-78\":1"),
+                 "the booking ran more than once: %s", counts);
+  /* Its answer is lost: nobody can know that it ran. */
+  ck_assert_int_eq (r.kind, CF_MSG_REFUSAL);
+  ck_assert_int_eq (r.u.refusal.ran, CF_RAN_UNKNOWN);
+  cf_msg_clear (&r);
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -176,6 +217,7 @@
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_stale_order_refused_when_engine_ignores_fences);
   tcase_add_test (tc, test_sigterm_finishes_in_flight_and_refuses_new);
+  tcase_add_test (tc, test_lost_answer_on_reused_connection_runs_once);
   suite_add_tcase (s, tc);
   tcase_set_timeout (restart, 60);
   tcase_set_tags (restart, "restart");
--- /dev/null
+++ b/t/t-link.c
@@ -0,0 +1,211 @@
+/*
+ * An entry's link to an agent, against a fake agent in this process that
+ * speaks frames: heartbeats, and answers that come late, twice and out of
+ * order.
+ */
+#include "agent-link.h"
+#include "harness.h"
+#include "log.h"
+#include "net.h"
+
+#include <check.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ADDR "127.0.0.1:17950"
+#define CALLERS 8
+
+/* What the fake agent does with requests. */
+typedef enum
+{
+  HOLD,            /* answers pings only */
+  REVERSE_DOUBLED, /* once all callers' requests are in: last first, twice */
+  DEAF,            /* answers one ping, then reads no more, never closes */
+} Manner;
+
+static struct
+{
+  int listen_fd;
+  Manner manner;
+  gint pings;
+} fake;
+
+static void
+send_answer (int fd, guint64 id, const char *body)
+{
+  CfMsg a = { .kind = CF_MSG_ANSWER, .id = id };
+
+  a.u.answer.code = 200;
+  a.u.answer.body = (char *)body;
+  cf_msg_write (fd, &a);
+}
+
+static void
+answer_reversed_twice (int fd, CfMsg *held, int n)
+{
+  for (int i = n - 1; i >= 0; i--)
+    {
+      send_answer (fd, held[i].id, held[i].u.request.body);
+      send_answer (fd, held[i].id, held[i].u.request.body);
+    }
+  /* A late answer to a call nobody made on this connection. */
+  send_answer (fd, 999999, "nobody's");
+}
+
+static void *
+fake_agent (void *unused)
+{
+  CfMsg status = { .kind = CF_MSG_STATUS };
+  CfMsg held[CALLERS] = { 0 };
+  int fd = accept (fake.listen_fd, NULL, NULL);
+  int n = 0;
+  CfMsg m;
+
+  while (cf_msg_read (fd, &m) == CF_OK)
+    {
+      if (m.kind == CF_MSG_PING)
+        {
+          g_atomic_int_inc (&fake.pings);
+          cf_msg_write (fd, &status);
+          if (fake.manner == DEAF)
+            break;
+        }
+      else if (n < CALLERS)
+        held[n++] = m;
+      if (n == CALLERS && fake.manner == REVERSE_DOUBLED)
+        {
+          answer_reversed_twice (fd, held, n);
+          n = 0;
+        }
+    }
+  return NULL;
+}
+
+static CfLink *
+start_link (Manner manner)
+{
+  pthread_t t;
+  CfLink *l;
+  CfLoad load;
+  gint64 out;
+
+  cf_log_init ("t-link");
+  fake.manner = manner;
+  ck_assert_int_eq (cf_listen_tcp (ADDR, &fake.listen_fd), CF_OK);
+  pthread_create (&t, NULL, fake_agent, NULL);
+  pthread_detach (t);
+  l = cf_link_new (ADDR);
+  for (int i = 0; i < 100 && !cf_link_snapshot (l, &load, &out); i++)
+    usleep (20000);
+  ck_assert (cf_link_snapshot (l, &load, &out));
+  return l;
+}
+
+typedef struct
+{
+  CfLink *link;
+  char body[32];
+  CfCallResult res;
+  CfMsg reply;
+  long long deadline;
+} Caller;
+
+static void *
+call (void *data)
+{
+  Caller *c = data;
+  CfMsg m = { .kind = CF_MSG_REQUEST };
+
+  m.u.request.org = "o";
+  m.u.request.service = "s";
+  m.u.request.model = "m";
+  m.u.request.path = "/v1/call";
+  m.u.request.rid = "r";
+  m.u.request.body = c->body;
+  c->res = cf_link_call (c->link, &m, c->deadline, &c->reply);
+  return NULL;
+}
+
+START_TEST (test_idle_link_is_pinged_at_its_interval)
+{
+  CfLink *l = start_link (HOLD);
+  Caller c = { .link = l, .body = "x" };
+  pthread_t t;
+  gint idle;
+  gint busy;
+
+  cf_link_set_idle_ping (l, 3000);
+  usleep (100000);
+  idle = g_atomic_int_get (&fake.pings);
+  usleep (4000000);
+  idle = g_atomic_int_get (&fake.pings) - idle;
+  ck_assert_msg (idle >= 1 && idle <= 2, "%d pings in 4 s at 3 s", idle);
+
+  /* With a call outstanding a dead agent must be found soon: 1 s again. */
+  c.deadline = cf_now_ms () + 4500;
+  pthread_create (&t, NULL, call, &c);
+  busy = g_atomic_int_get (&fake.pings);
+  pthread_join (t, NULL);
+  busy = g_atomic_int_get (&fake.pings) - busy;
+  ck_assert_msg (busy >= 3, "%d pings in 4.5 s with a call outstanding", busy);
+  ck_assert_int_eq (c.res, CF_CALL_TIMEOUT);
+}
+END_TEST
+
+START_TEST (test_each_caller_gets_its_own_answer)
+{
+  CfLink *l = start_link (REVERSE_DOUBLED);
+  Caller c[CALLERS] = { 0 };
+  pthread_t t[CALLERS];
+
+  /* The second round meets the first round's duplicates on the way. */
+  for (int round = 0; round < 2; round++)
+    {
+      for (int i = 0; i < CALLERS; i++)
+        {
+          c[i].link = l;
+          c[i].deadline = cf_now_ms () + 5000;
+          g_snprintf (c[i].body, sizeof c[i].body, "round%d-caller%d", round,
+                      i);
+          pthread_create (&t[i], NULL, call, &c[i]);
+        }
+      for (int i = 0; i < CALLERS; i++)
+        {
+          pthread_join (t[i], NULL);
+          ck_assert_int_eq (c[i].res, CF_CALL_REPLY);
+          ck_assert_str_eq (c[i].reply.u.answer.body, c[i].body);
+          cf_msg_clear (&c[i].reply);
+        }
+    }
+}
+END_TEST
+
+START_TEST (test_deaf_agent_is_lost_with_its_calls)
+{
+  CfLink *l = start_link (DEAF);
+  Caller c = { .link = l, .body = "x", .deadline = cf_now_ms () + 20000 };
+  long long t0 = cf_now_ms ();
+
+  cf_link_set_idle_ping (l, 10000);
+  call (&c);
+  ck_assert_int_eq (c.res, CF_CALL_LOST);
+  ck_assert_msg (cf_now_ms () - t0 < 6000, "lost after %lld ms",
+                 cf_now_ms () - t0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("link");
+  TCase *tc = tcase_create ("core");
+
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, test_idle_link_is_pinged_at_its_interval);
+  tcase_add_test (tc, test_each_caller_gets_its_own_answer);
+  tcase_add_test (tc, test_deaf_agent_is_lost_with_its_calls);
+  suite_add_tcase (s, tc);
+  return t_run (s);
+}
