Claim a non-repeatable call at a majority of guards before it is sent

Cause: the at-most-once record lived only in the memory of the agent the call ran at. When that agent died the record was gone (t/t-agent restart, known red), and the retry went to the next agent in rendezvous order, which had never heard of the key.

Ruled out: the runner's memory alone; moving a dead owner's keys after a wait (refuses every key of a dead agent, unsafe when two entries disagree on who is dead); times in the key (clocks jump).

Change: every agent is a guard. Another sending's claim is answered with the agent it runs at, which is asked for its kept answer only. A restarted guard abstains for guard_quiet_ms (5 s) and a keyed call's deadline is at most key_horizon_ms (5 s), so a guard without memory cannot help a second majority. For that horizon after a configuration change the claim must win in both versions' guard sets. Also: a watch that waited in vain no longer logs E1102 for the version in force.

--- a/agent-link.c
+++ b/agent-link.c
@@ -51,7 +51,9 @@
   CfPending *p;
 
   l->load = m->load;
-  if (m->kind != CF_MSG_ANSWER && m->kind != CF_MSG_REFUSAL)
+  l->quiet_until_ms = l->last_rx_ms + m->load.quiet_ms;
+  if (m->kind != CF_MSG_ANSWER && m->kind != CF_MSG_REFUSAL
+      && m->kind != CF_MSG_CLAIMED)
     {
       cf_msg_clear (m);
       return;
@@ -232,6 +234,15 @@
   return res;
 }
 
+void
+cf_link_send (CfLink *l, const CfMsg *m)
+{
+  pthread_mutex_lock (&l->lock);
+  if (l->fd >= 0 && l->ready && cf_msg_write (l->fd, m) != CF_OK)
+    fail_all (l, "write-failed");
+  pthread_mutex_unlock (&l->lock);
+}
+
 void
 cf_link_set_idle_ping (CfLink *l, gint64 ms)
 {
@@ -259,6 +270,8 @@
   pthread_mutex_lock (&l->lock);
   up = l->fd >= 0 && l->ready;
   *load = l->load;
+  /* The heartbeat may be seconds old; the time it names has gone on. */
+  load->quiet_ms = MAX (l->quiet_until_ms - cf_now_ms (), 0);
   *outstanding = l->outstanding;
   pthread_mutex_unlock (&l->lock);
   return up;
--- a/agent-link.h
+++ b/agent-link.h
@@ -29,6 +29,7 @@
   CfLoad load;         /**< as the agent last reported it */
   gint64 outstanding;  /**< our calls waiting on it now */
   long long last_rx_ms;
+  long long quiet_until_ms; /**< until when its guard abstains */
   long long last_ping_ms;
   long long unanswered_ms; /**< oldest ping without an answer; 0 if none */
   gint64 idle_ping_ms;     /**< ping interval while nothing is outstanding */
@@ -57,6 +58,9 @@
 CfCallResult cf_link_call (CfLink *l, CfMsg *req, long long deadline_ms,
                            CfMsg *reply);
 
+/** cf_link_send: sends @m if the link is up; no reply is awaited. */
+void cf_link_send (CfLink *l, const CfMsg *m);
+
 /**
  * cf_link_set_idle_ping:
  * @ms: how often to ping while no call is outstanding, in ms; a link with
--- a/agent.c
+++ b/agent.c
@@ -16,13 +16,13 @@
                                  "queue = 256\n"
                                  "guard_ttl_ms = 600000\n"
                                  "guard_max = 100000\n"
+                                 "guard_quiet_ms = 5000\n"
                                  "drain_grace_ms = 30000\n";
 
 const char *const cf_agent_keys[] = {
-  "agent.listen",         "agent.target_url",
-  "agent.workers",        "agent.queue",
-  "agent.guard_ttl_ms",   "agent.guard_max",
-  "agent.drain_grace_ms", NULL,
+  "agent.listen",         "agent.target_url",     "agent.workers",
+  "agent.queue",          "agent.guard_ttl_ms",   "agent.guard_max",
+  "agent.guard_quiet_ms", "agent.drain_grace_ms", NULL,
 };
 
 CfStatus
@@ -49,6 +49,9 @@
                           &o->guard_ttl_ms);
   if (st == CF_OK)
     st = cf_settings_int (s, "agent", "guard_max", 16, 10000000, &o->guard_max);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "agent", "guard_quiet_ms", 0, 3600000,
+                          &o->guard_quiet_ms);
   if (st == CF_OK)
     st = cf_settings_int (s, "agent", "drain_grace_ms", 0, 3600000,
                           &o->drain_grace_ms);
@@ -88,7 +91,8 @@
   unsigned int queued = cf_ring_length (&a->work);
   CfLoad l = { .in_flight = ck_pr_load_int (&a->in_flight) - (int)queued,
                .queued = queued,
-               .draining = ck_pr_load_int (&a->draining) };
+               .draining = ck_pr_load_int (&a->draining),
+               .quiet_ms = cf_guard_quiet_ms (&a->guard, cf_now_ms ()) };
 
   return l;
 }
@@ -239,8 +243,8 @@
     }
   if (m->u.request.key == NULL)
     return TRUE;
-  switch (
-      cf_guard_begin (&a->guard, m->u.request.key, cf_now_ms (), &code, &kept))
+  switch (cf_guard_begin (&a->guard, m->u.request.key, m->u.request.keyed,
+                          cf_now_ms (), &code, &kept))
     {
     case CF_GUARD_NEW:
       return TRUE;
@@ -262,6 +266,11 @@
     case CF_GUARD_FULL:
       refuse (c, m->id, CF_RAN_NO, "guard-full", 1000);
       return FALSE;
+    case CF_GUARD_QUIET:
+      /* It did not run now, but it may have before this agent started. */
+      refuse (c, m->id, CF_RAN_UNKNOWN, "guard-quiet",
+              cf_guard_quiet_ms (&a->guard, cf_now_ms ()));
+      return FALSE;
     }
   return FALSE;
 }
@@ -330,6 +339,22 @@
     answer (c, m->id, code, out);
 }
 
+static void
+take_claim (Conn *c, CfMsg *m)
+{
+  CfMsg r = { .kind = CF_MSG_CLAIMED, .id = m->id };
+  g_autofree char *holder = NULL;
+
+  r.u.claimed.verdict
+      = cf_guard_claim (&c->agent->guard, m->u.claim.key, m->u.claim.token,
+                        m->u.claim.runner, cf_now_ms (), &holder);
+  r.u.claimed.runner = holder;
+  cf_log (LOG_INFO, CF_EV_GUARD_CLAIM, "key=%s token=%s runner=%s verdict=%s",
+          m->u.claim.key, m->u.claim.token, m->u.claim.runner,
+          cf_verdict_name (r.u.claimed.verdict));
+  reply (c, &r);
+}
+
 static void
 take_status (Conn *c, CfMsg *m)
 {
@@ -368,9 +393,18 @@
         case CF_MSG_PING:
           take_status (c, &m);
           break;
+        case CF_MSG_CLAIM:
+          if (m.u.claim.key && m.u.claim.token && m.u.claim.runner)
+            take_claim (c, &m);
+          break;
+        case CF_MSG_RELEASE:
+          if (m.u.claim.key && m.u.claim.token)
+            cf_guard_release (&c->agent->guard, m.u.claim.key, m.u.claim.token);
+          break;
         case CF_MSG_ANSWER:
         case CF_MSG_REFUSAL:
         case CF_MSG_STATUS:
+        case CF_MSG_CLAIMED:
           break;
         }
       cf_msg_clear (&m);
@@ -418,7 +452,8 @@
   if (st != CF_OK)
     return st;
   cf_ring_init (&a->work, (unsigned int)a->set.queue);
-  cf_guard_init (&a->guard, a->set.guard_ttl_ms, (guint)a->set.guard_max);
+  cf_guard_init (&a->guard, a->set.guard_ttl_ms, (guint)a->set.guard_max,
+                 cf_now_ms () + a->set.guard_quiet_ms);
   pthread_mutex_init (&a->fence_lock, NULL);
   for (gint64 i = 0; i < a->set.workers; i++)
     {
--- a/agent.h
+++ b/agent.h
@@ -17,6 +17,7 @@
   gint64 queue;     /**< waiting calls before refusing, a power of two */
   gint64 guard_ttl_ms;
   gint64 guard_max;
+  gint64 guard_quiet_ms; /**< the guard's quiet time after a start; guard.h */
   gint64 drain_grace_ms;
 } CfAgentSettings;
 
--- a/config-watch.c
+++ b/config-watch.c
@@ -21,15 +21,19 @@
   newer = w->current == NULL || c->version > in_force;
   if (newer)
     {
-      old = w->current;
+      old = w->previous;
+      w->previous = w->current;
       w->current = c;
+      w->changed_ms = cf_now_ms ();
     }
   pthread_mutex_unlock (&w->lock);
   if (!newer)
     {
-      cf_log (LOG_INFO, CF_EV_CONFIG_OLDER,
-              "version=%" G_GINT64_FORMAT " in_force=%" G_GINT64_FORMAT,
-              c->version, in_force);
+      /* The same version is what a watch that waited in vain returns. */
+      if (c->version < in_force)
+        cf_log (LOG_INFO, CF_EV_CONFIG_OLDER,
+                "version=%" G_GINT64_FORMAT " in_force=%" G_GINT64_FORMAT,
+                c->version, in_force);
       cf_config_unref (c);
       return FALSE;
     }
@@ -53,6 +57,18 @@
   return c;
 }
 
+CfConfig *
+cf_config_watch_previous (CfConfigWatch *w, gint64 within_ms)
+{
+  CfConfig *c = NULL;
+
+  pthread_mutex_lock (&w->lock);
+  if (w->previous && cf_now_ms () - w->changed_ms < within_ms)
+    c = cf_config_ref (w->previous);
+  pthread_mutex_unlock (&w->lock);
+  return c;
+}
+
 static gint64
 version_in_force (CfConfigWatch *w)
 {
--- a/config-watch.h
+++ b/config-watch.h
@@ -16,7 +16,9 @@
   char *url;      /**< the service's base URL */
   gint64 wait_ms; /**< how long one watch may wait on the service */
   pthread_mutex_t lock;
-  CfConfig *current; /**< in force; %NULL until the first version */
+  CfConfig *current;    /**< in force; %NULL until the first version */
+  CfConfig *previous;   /**< in force before @current, or %NULL */
+  long long changed_ms; /**< when @current came in force */
   pthread_t thread;
   gboolean down; /**< the service failed the last call */
   void (*on_change) (void *data, CfConfig *c);
@@ -34,6 +36,13 @@
 /** cf_config_watch_get: the version in force, with a reference, or %NULL. */
 CfConfig *cf_config_watch_get (CfConfigWatch *w);
 
+/**
+ * cf_config_watch_previous:
+ * Returns: the version before the one in force, with a reference, if it
+ *   was replaced less than @within_ms ago; else %NULL.
+ */
+CfConfig *cf_config_watch_previous (CfConfigWatch *w, gint64 within_ms);
+
 /**
  * cf_config_watch_offer:
  * Puts @c in force if it is newer than the version in force.
--- a/entry.c
+++ b/entry.c
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include "claim.h"
 #include "log.h"
 #include "net.h"
 #include "route.h"
@@ -18,6 +19,7 @@
                                  "datacentre = \"dc1\"\n"
                                  "max_in_flight = 512\n"
                                  "deadline_ms = 10000\n"
+                                 "key_horizon_ms = 5000\n"
                                  "max_attempts = 3\n"
                                  "retry_after_ms = 1000\n"
                                  "low_priority_share = 80\n"
@@ -34,6 +36,7 @@
   "entry.datacentre",
   "entry.max_in_flight",
   "entry.deadline_ms",
+  "entry.key_horizon_ms",
   "entry.max_attempts",
   "entry.retry_after_ms",
   "entry.low_priority_share",
@@ -62,6 +65,9 @@
   if (st == CF_OK)
     st = cf_settings_int (s, "entry", "deadline_ms", 1, DEADLINE_MAX_MS,
                           &o->deadline_ms);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "key_horizon_ms", 1, DEADLINE_MAX_MS,
+                          &o->key_horizon_ms);
   if (st == CF_OK)
     st = cf_settings_int (s, "entry", "max_attempts", 1, 16, &o->max_attempts);
   if (st == CF_OK)
@@ -96,8 +102,12 @@
   long long deadline_at;
   gboolean maybe_ran; /**< sent once with no reply: fate unknown */
   gint64 retry_hint_ms;
+  const CfConfig *config;
+  CfConfig *prev_config; /**< what other entries may still route by */
   const CfIntent *intent;
   const CfGroup *group;
+  char token[96];   /**< this sending, to the key's guards */
+  gboolean claimed; /**< a majority of the guards granted the key */
 } Request;
 
 static void
@@ -108,6 +118,7 @@
   g_free (r->model);
   g_free (r->key);
   g_free (r->body);
+  cf_config_unref (r->prev_config);
 }
 
 static void
@@ -224,6 +235,15 @@
       msg = g_strdup ("'body' is missing; give what the target should get");
       goto out;
     }
+  if (r->key && json_object_get (o, "deadline_ms") == NULL)
+    deadline = MIN (deadline, e->set.key_horizon_ms);
+  if (r->key && deadline > e->set.key_horizon_ms)
+    {
+      msg = g_strdup_printf ("'deadline_ms' of a call with an idempotency key "
+                             "must be at most %" G_GINT64_FORMAT,
+                             e->set.key_horizon_ms);
+      goto out;
+    }
   r->body = json_dumps (v, JSON_COMPACT | JSON_ENCODE_ANY);
   r->deadline_at = cf_now_ms () + deadline;
   ok = TRUE;
@@ -292,7 +312,8 @@
 
 /* Sends @r to the agent at @addr once, with @left ms of its deadline. */
 static CfCallResult
-send_to (CfEntry *e, Request *r, const char *addr, long long left, CfMsg *reply)
+send_to (CfEntry *e, Request *r, const char *addr, CfKeyed keyed,
+         long long left, CfMsg *reply)
 {
   CfMsg req = { .kind = CF_MSG_REQUEST };
 
@@ -304,6 +325,7 @@
   req.u.request.path
       = r->group->kind == CF_TARGET_ENGINE ? "/v1/generate" : "/v1/call";
   req.u.request.rid = r->id;
+  req.u.request.keyed = keyed;
   req.u.request.priority = r->priority;
   req.u.request.deadline_ms = left;
   return cf_link_call (cf_link_table_get (&e->links, addr), &req,
@@ -332,6 +354,72 @@
           MAX (r->retry_hint_ms, e->set.retry_after_ms), m);
 }
 
+/* Another sending holds @r's key: asks its runner for the kept answer. */
+static void
+replay (CfEntry *e, Request *r, CfHttpReply *rep, const char *runner)
+{
+  CfMsg reply = { 0 };
+  long long left = r->deadline_at - cf_now_ms ();
+
+  if (runner
+      && send_to (e, r, runner, CF_KEYED_REPLAY, left, &reply) == CF_CALL_REPLY
+      && reply.kind == CF_MSG_ANSWER)
+    answer (e, r, rep, &reply, runner);
+  else
+    refuse (e, r, rep, 409, "fate-unknown", CF_RAN_UNKNOWN,
+            e->set.retry_after_ms,
+            "the call was sent before and may have run; retry with the same "
+            "idempotency key");
+  cf_msg_clear (&reply);
+}
+
+/*
+ * Claims @r's key from its guards before it is sent to @addr.
+ * Returns: %TRUE if it may be sent; otherwise @r has its final answer.
+ */
+static gboolean
+claim (CfEntry *e, Request *r, CfHttpReply *rep, const char *addr)
+{
+  CfClaim c = { .key = r->key, .token = r->token, .runner = addr };
+  CfClaimResult res = cf_claim_take (&e->links, r->config, r->prev_config, &c,
+                                     r->deadline_at);
+
+  cf_log (LOG_INFO, CF_EV_CLAIM, "req=%s target=%s result=%s granted=%u/%u",
+          r->id, addr,
+          res == CF_CLAIM_TAKEN       ? "taken"
+          : res == CF_CLAIM_ELSEWHERE ? "elsewhere"
+                                      : "no-majority",
+          c.granted, c.guards);
+  r->claimed = res == CF_CLAIM_TAKEN;
+  switch (res)
+    {
+    case CF_CLAIM_TAKEN:
+      break;
+    case CF_CLAIM_ELSEWHERE:
+      replay (e, r, rep, c.holder);
+      break;
+    case CF_CLAIM_NO_MAJORITY:
+      refuse (e, r, rep, 503, "guards-unavailable", CF_RAN_NO,
+              MAX (c.retry_ms, e->set.retry_after_ms),
+              "too few guards of the idempotency key could vouch for it; come "
+              "back after retry_after_ms");
+      break;
+    }
+  g_free (c.holder);
+  return r->claimed;
+}
+
+/* The final answer says that @r did not run: a retry may claim its key. */
+static void
+release (CfEntry *e, Request *r)
+{
+  CfClaim c = { .key = r->key, .token = r->token, .runner = "" };
+
+  if (r->claimed)
+    cf_claim_release (&e->links, r->config, r->prev_config, &c);
+  r->claimed = FALSE;
+}
+
 /* Tries targets until one answers or it is no longer safe or useful. */
 static void
 route (CfEntry *e, Request *r, CfHttpReply *rep)
@@ -349,6 +437,8 @@
 
       if (left <= 0)
         {
+          if (!r->maybe_ran)
+            release (e, r);
           refuse (e, r, rep, 504, "deadline",
                   r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO, 0,
                   "the deadline passed before a target answered");
@@ -364,7 +454,11 @@
               r->group->name, addr, attempt + 1,
               r->key ? "key-owner" : "least-loaded");
       g_hash_table_add (tried, (gpointer)addr);
-      res = send_to (e, r, addr, left, &reply);
+      if (r->key && !claim (e, r, rep, addr))
+        return;
+      left = r->deadline_at - cf_now_ms ();
+      res = send_to (e, r, addr, r->claimed ? CF_KEYED_CLAIMED : 0, left,
+                     &reply);
       switch (res)
         {
         case CF_CALL_REPLY:
@@ -422,6 +516,8 @@
         }
       ck_pr_inc_64 (&e->retries);
     }
+  if (!r->maybe_ran)
+    release (e, r);
   give_up (e, r, rep, tried, last_reason);
 }
 
@@ -481,6 +577,14 @@
               "model; ask an operator to add one");
       goto out;
     }
+  r.config = c;
+  if (r.key)
+    {
+      r.prev_config
+          = cf_config_watch_previous (&e->watch, e->set.key_horizon_ms);
+      g_snprintf (r.token, sizeof r.token, "%s-%016" G_GINT64_MODIFIER "x",
+                  r.id, e->boot);
+    }
   r.group = cf_config_group (c, g_ptr_array_index (r.intent->groups, 0));
   r.priority = MIN (r.priority, r.intent->priority);
   route (e, &r, rep);
@@ -498,13 +602,14 @@
   CfLinkTotals links = cf_link_table_totals (&e->links);
   json_t *o;
 
-  o = json_pack (
-      "{s:I, s:I, s:i, s:b, s:I, s:I, s:I, s:I}", "config_version",
-      (json_int_t)(c ? c->version : 0), "links_up", (json_int_t)links.up,
-      "in_flight", g_atomic_int_get (&e->in_flight), "draining",
-      g_atomic_int_get (&e->draining), "answered", (json_int_t)e->answered,
-      "refused", (json_int_t)e->refused, "retries", (json_int_t)e->retries,
-      "pings", (json_int_t)links.pings);
+  o = json_pack ("{s:I, s:I, s:I, s:i, s:b, s:I, s:I, s:I, s:I}",
+                 "config_version", (json_int_t)(c ? c->version : 0), "links_up",
+                 (json_int_t)links.up, "guards_quiet", (json_int_t)links.quiet,
+                 "in_flight", g_atomic_int_get (&e->in_flight), "draining",
+                 g_atomic_int_get (&e->draining), "answered",
+                 (json_int_t)e->answered, "refused", (json_int_t)e->refused,
+                 "retries", (json_int_t)e->retries, "pings",
+                 (json_int_t)links.pings);
   rep->body = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   cf_config_unref (c);
@@ -531,6 +636,7 @@
   CfStatus st;
 
   cf_link_table_init (&e->links);
+  e->boot = (guint64)g_random_int () << 32 | g_random_int ();
   cf_config_watch_start (&e->watch, e->set.config_url, e->set.watch_wait_ms,
                          on_config, e);
   cf_vm_list_start (&e->vms, e->set.vmlist_url, e->set.vmlist_poll_ms);
--- a/entry.h
+++ b/entry.h
@@ -18,6 +18,7 @@
   char *vmlist_url;
   gint64 max_in_flight;      /**< admission limit, requests */
   gint64 deadline_ms;        /**< when the caller gives none */
+  gint64 key_horizon_ms;     /**< longest deadline of a keyed call; API.md */
   gint64 max_attempts;       /**< targets tried for one request */
   gint64 retry_after_ms;     /**< told to callers refused for load */
   gint64 low_priority_share; /**< percent of max_in_flight open to prio < 5 */
@@ -37,6 +38,7 @@
   CfConfigWatch watch;
   CfVmList vms;
   CfLinkTable links;
+  guint64 boot; /**< random, tells this start from any other */
   gint in_flight;
   gint draining;
   guint64 seq;
--- a/guard.c
+++ b/guard.c
@@ -8,6 +8,24 @@
   gint64 expires_ms; /**< 0 while running */
 } Call;
 
+typedef struct
+{
+  char *token;
+  char *runner;
+  gboolean granted; /* FALSE for one taken in the quiet time */
+  gint64 expires_ms;
+} Claim;
+
+static void
+free_claim (gpointer p)
+{
+  Claim *c = p;
+
+  g_free (c->token);
+  g_free (c->runner);
+  g_free (c);
+}
+
 static void
 free_call (gpointer p)
 {
@@ -18,10 +36,14 @@
 }
 
 void
-cf_guard_init (CfGuard *g, gint64 ttl_ms, guint max_calls)
+cf_guard_init (CfGuard *g, gint64 ttl_ms, guint max_calls,
+               gint64 quiet_until_ms)
 {
   pthread_mutex_init (&g->lock, NULL);
   g->calls = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_call);
+  g->claims
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_claim);
+  g->quiet_until_ms = quiet_until_ms;
   g->ttl_ms = ttl_ms;
   g->max_calls = max_calls;
 }
@@ -30,6 +52,7 @@
 cf_guard_clear (CfGuard *g)
 {
   g_hash_table_unref (g->calls);
+  g_hash_table_unref (g->claims);
   pthread_mutex_destroy (&g->lock);
 }
 
@@ -42,9 +65,71 @@
   return c->expires_ms != 0 && c->expires_ms <= *(gint64 *)now;
 }
 
+static gboolean
+claim_expired (gpointer key, gpointer value, gpointer now)
+{
+  return ((Claim *)value)->expires_ms <= *(gint64 *)now;
+}
+
+CfVerdict
+cf_guard_claim (CfGuard *g, const char *key, const char *token,
+                const char *runner, gint64 now_ms, char **holder)
+{
+  CfVerdict verdict;
+  Claim *c;
+
+  pthread_mutex_lock (&g->lock);
+  c = g_hash_table_lookup (g->claims, key);
+  if (c && c->expires_ms > now_ms && !g_str_equal (c->token, token))
+    {
+      *holder = g_strdup (c->runner);
+      verdict = CF_VERDICT_HELD;
+      goto out;
+    }
+  if (c == NULL || c->expires_ms <= now_ms)
+    {
+      if (g_hash_table_size (g->claims) >= g->max_calls)
+        g_hash_table_foreach_remove (g->claims, claim_expired, &now_ms);
+      if (g_hash_table_size (g->claims) >= g->max_calls)
+        {
+          verdict = CF_VERDICT_ABSTAIN;
+          goto out;
+        }
+      c = g_new0 (Claim, 1);
+      c->token = g_strdup (token);
+      c->granted = now_ms >= g->quiet_until_ms;
+      g_hash_table_replace (g->claims, g_strdup (key), c);
+    }
+  g_free (c->runner);
+  c->runner = g_strdup (runner);
+  c->expires_ms = now_ms + g->ttl_ms;
+  verdict = c->granted ? CF_VERDICT_GRANTED : CF_VERDICT_ABSTAIN;
+out:
+  pthread_mutex_unlock (&g->lock);
+  return verdict;
+}
+
+void
+cf_guard_release (CfGuard *g, const char *key, const char *token)
+{
+  Claim *c;
+
+  pthread_mutex_lock (&g->lock);
+  c = g_hash_table_lookup (g->claims, key);
+  if (c && g_str_equal (c->token, token))
+    g_hash_table_remove (g->claims, key);
+  pthread_mutex_unlock (&g->lock);
+}
+
+gint64
+cf_guard_quiet_ms (CfGuard *g, gint64 now_ms)
+{
+  return MAX (g->quiet_until_ms - now_ms, 0);
+}
+
 CfGuardState
-cf_guard_begin (CfGuard *g, const char *key, gint64 now_ms, gint64 *code,
-                char **body)
+cf_guard_begin (CfGuard *g, const char *key, CfKeyed keyed, gint64 now_ms,
+                gint64 *code, char **body)
 {
   CfGuardState st;
   Call *c;
@@ -66,6 +151,12 @@
         }
       goto out;
     }
+  if (keyed == CF_KEYED_REPLAY
+      || (keyed == CF_KEYED_UNCLAIMED && now_ms < g->quiet_until_ms))
+    {
+      st = keyed == CF_KEYED_REPLAY ? CF_GUARD_UNKNOWN : CF_GUARD_QUIET;
+      goto out;
+    }
   if (g_hash_table_size (g->calls) >= g->max_calls)
     g_hash_table_foreach_remove (g->calls, expired, &now_ms);
   if (g_hash_table_size (g->calls) >= g->max_calls)
--- a/link-table.c
+++ b/link-table.c
@@ -57,6 +57,7 @@
       gboolean up = cf_link_snapshot (v, &load, &out);
 
       sum.up += up;
+      sum.quiet += up && load.quiet_ms > 0;
       sum.pings += cf_link_pings (v);
     }
   pthread_mutex_unlock (&t->lock);
--- a/link-table.h
+++ b/link-table.h
@@ -17,6 +17,7 @@
 typedef struct
 {
   gint64 up;
+  gint64 quiet; /**< links up whose agent's guard abstains; see guard.h */
   guint64 pings;
 } CfLinkTotals;
 
--- a/log.c
+++ b/log.c
@@ -45,6 +45,8 @@
       return "answer";
     case CF_EV_NO_ROUTE:
       return "no-route";
+    case CF_EV_CLAIM:
+      return "claim";
     case CF_EV_VM_LEAVING:
       return "vm-leaving";
     case CF_EV_LINK_DOWN:
@@ -57,6 +59,8 @@
       return "agent-refuse";
     case CF_EV_FENCE_STALE:
       return "fence-stale";
+    case CF_EV_GUARD_CLAIM:
+      return "guard-claim";
     case CF_EV_GUARD_DUP:
       return "guard-duplicate";
     case CF_EV_DRAIN_BEGIN:
--- a/log.h
+++ b/log.h
@@ -22,6 +22,7 @@
   CF_EV_RETRY = 1204,         /**< a request was retried elsewhere */
   CF_EV_ANSWER = 1205,        /**< a request got its final answer */
   CF_EV_NO_ROUTE = 1207,      /**< no intent or no target for a request */
+  CF_EV_CLAIM = 1208,         /**< the claim of a non-repeatable call */
   CF_EV_VM_LEAVING = 1301,    /**< the VM list says a target is leaving */
   CF_EV_LINK_DOWN = 1302,     /**< a connection to an agent was lost */
   CF_EV_LINK_UP = 1303,       /**< a connection to an agent was made */
@@ -33,6 +34,7 @@
   CF_EV_DRAIN_DONE = 1406,    /**< drain finished, nothing in flight */
   CF_EV_TARGET_FAIL = 1407,   /**< the target failed a call */
   CF_EV_ORDER = 1408,         /**< an order was passed to the target */
+  CF_EV_GUARD_CLAIM = 1409,   /**< a guard's verdict on a claim */
 } CfEvent;
 
 /**
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -35,7 +35,7 @@
 	start agent$n ./comfrey-agent --settings "$(conf a$n "[agent]\nlisten = \"127.0.0.1:710$n\"\ntarget_url = \"http://127.0.0.1:${a#*:}\"\n")"
 done
 start entry ./comfrey-entry
-sleep 2
+sleep 7
 hz=$(getconf CLK_TCK)
 
 e0=$(ticks $pid_entry)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -53,12 +53,13 @@
 listen = \"127.0.0.1:808$((n - 1))\"")"
 done
 
-# Wait until both entries have a configuration and links to all six agents.
-for i in $(seq 100); do
+# Wait until both entries have a configuration and links to all six agents,
+# and the agents' guards have sat out their quiet time (5 s).
+for i in $(seq 200); do
 	ok=0
 	for p in 8080 8081; do
 		curl -s "http://127.0.0.1:$p/v1/health" 2>/dev/null |
-			grep -q '"config_version":1,"links_up":6' && ok=$((ok + 1))
+			grep -q '"config_version":1,"links_up":6,"guards_quiet":0' && ok=$((ok + 1))
 	done
 	[ $ok = 2 ] && break
 	sleep 0.1
--- a/t/t-agent.c
+++ b/t/t-agent.c
@@ -148,7 +148,8 @@
 
   t_start ("a-service", "./comfrey-fake-service",
            "[service]\nlisten = \"127.0.0.1:17791\"\nwork_ms = 500\n");
-  agent = start_agent (SERVICE);
+  /* Long past its quiet time; the one started next is not. */
+  agent = start_agent_with (SERVICE, "guard_quiet_ms = 0\n");
   fd = connect_agent ();
   send_request (fd, 1, "/v1/call", "shift-77", "{\"note\":\"crew to row 4\"}");
   usleep (200000);
@@ -181,7 +182,7 @@
 
   t_start ("a-service", "./comfrey-fake-service",
            "[service]\nlisten = \"127.0.0.1:17791\"\nwork_ms = 1\n");
-  start_agent_with (SERVICE, "workers = 1\n");
+  start_agent_with (SERVICE, "workers = 1\nguard_quiet_ms = 0\n");
   fd = connect_agent ();
   /* The one worker's first call leaves it a connection to reuse. */
   send_request (fd, 1, "/v1/call", NULL, "{\"note\":\"first\"}");
--- a/t/t-fuzz.c
+++ b/t/t-fuzz.c
@@ -61,6 +61,7 @@
 typedef struct
 {
   pid_t agents[3];
+  pid_t entry;
   char *agent_settings[3];
   GPtrArray *not_run; /* prompts answered ran=no */
   gboolean paused[3];
@@ -80,11 +81,20 @@
   cf_http_call ("GET", url, NULL, NULL, 2000, &code, NULL);
 }
 
+static pid_t
+start_entry (void)
+{
+  return t_start ("f-entry", "./comfrey-entry",
+                  "[entry]\nlisten = \"127.0.0.1:17880\"\n"
+                  "[config]\nurl = \"http://127.0.0.1:17800\"\n"
+                  "[vmlist]\nurl = \"http://127.0.0.1:17809\"\n");
+}
+
 static void
 fault (World *w, GRand *r, guint32 seed, int step)
 {
   int a = g_rand_int_range (r, 0, 3);
-  int kind = g_rand_int_range (r, 0, 6);
+  int kind = g_rand_int_range (r, 0, 7);
   g_autofree char *url = NULL;
   long code = 0;
 
@@ -107,14 +117,21 @@
       cf_http_call ("POST", CONFIG "/test/publish", records, NULL, 2000, &code,
                     NULL);
       break;
-    case 5: /* kill -9 an engine agent and start it again */
-      a %= 2;
+    case 5: /* kill -9 an agent and start it again */
       kill (w->agents[a], SIGKILL);
       waitpid (w->agents[a], NULL, 0);
       w->paused[a] = FALSE;
       url = g_strdup_printf ("f-agent-%d", a + 1);
       w->agents[a] = t_start (url, "./comfrey-agent", w->agent_settings[a]);
       break;
+    case 6: /* kill -9 the entry and start it again */
+      kill (w->entry, SIGKILL);
+      waitpid (w->entry, NULL, 0);
+      w->entry = start_entry ();
+      ck_assert_msg (t_wait_for (ENTRY "/v1/health", "config_version", 5000),
+                     "seed %u step %d: the entry did not come back", seed,
+                     step);
+      break;
     case 4: /* the VM list marks an engine agent leaving, or live */
       url = g_strdup_printf (VMLIST "/test/vm?addr=127.0.0.1:1780%d&state=%s",
                              1 + a % 2,
@@ -122,8 +139,6 @@
       get (url);
       break;
     }
-  (void)seed;
-  (void)step;
 }
 
 static void
@@ -301,12 +316,10 @@
       w.agents[i] = t_start (name, "./comfrey-agent", s);
       w.agent_settings[i] = g_strdup (s);
     }
-  t_start ("f-entry", "./comfrey-entry",
-           "[entry]\nlisten = \"127.0.0.1:17880\"\n"
-           "[config]\nurl = \"http://127.0.0.1:17800\"\n"
-           "[vmlist]\nurl = \"http://127.0.0.1:17809\"\n");
-  ck_assert (t_wait_for (ENTRY "/v1/health",
-                         "\"config_version\":1,\"links_up\":3", 5000));
+  w.entry = start_entry ();
+  ck_assert (t_wait_for (
+      ENTRY "/v1/health",
+      "\"config_version\":1,\"links_up\":3,\"guards_quiet\":0", 15000));
   w.not_run = g_ptr_array_new_with_free_func (g_free);
   w.keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (int step = 0; step < STEPS; step++)
--- a/t/t-session.c
+++ b/t/t-session.c
@@ -77,7 +77,9 @@
            "[config]\nurl = \"http://127.0.0.1:17000\"\n"
            "[vmlist]\nurl = \"http://127.0.0.1:17001\"\n");
   ck_assert_msg (t_wait_for (ENTRY "/v1/health",
-                             "\"config_version\":1,\"links_up\":3", 10000),
+                             "\"config_version\":1,\"links_up\":3,"
+                             "\"guards_quiet\":0",
+                             15000),
                  "the entry never had its configuration and three links");
 
   g_file_get_contents ("t/session.jsonl", &session, NULL, NULL);
--- a/wire.c
+++ b/wire.c
@@ -38,7 +38,7 @@
   switch (kind)
     {
     case CF_MSG_REQUEST:
-      return 9;
+      return 10;
     case CF_MSG_ANSWER:
       return 2;
     case CF_MSG_REFUSAL:
@@ -47,6 +47,11 @@
       return 3;
     case CF_MSG_ORDER:
       return 2;
+    case CF_MSG_CLAIM:
+    case CF_MSG_RELEASE:
+      return 3;
+    case CF_MSG_CLAIMED:
+      return 2;
     case CF_MSG_PING:
     case CF_MSG_DRAIN:
       return 0;
@@ -70,13 +75,14 @@
   pack_str (&pk, "id");
   msgpack_pack_uint64 (&pk, m->id);
   pack_str (&pk, "load");
-  msgpack_pack_array (&pk, 3);
+  msgpack_pack_array (&pk, 4);
   msgpack_pack_int64 (&pk, m->load.in_flight);
   msgpack_pack_int64 (&pk, m->load.queued);
   if (m->load.draining)
     msgpack_pack_true (&pk);
   else
     msgpack_pack_false (&pk);
+  msgpack_pack_int64 (&pk, m->load.quiet_ms);
 
   switch (m->kind)
     {
@@ -88,6 +94,7 @@
       pack_kv_str (&pk, "body", m->u.request.body);
       pack_kv_str (&pk, "path", m->u.request.path);
       pack_kv_str (&pk, "rid", m->u.request.rid);
+      pack_kv_int (&pk, "keyed", m->u.request.keyed);
       pack_kv_int (&pk, "prio", m->u.request.priority);
       pack_kv_int (&pk, "deadline", m->u.request.deadline_ms);
       break;
@@ -109,6 +116,16 @@
       pack_kv_int (&pk, "fence", m->u.order.fence);
       pack_kv_str (&pk, "op", m->u.order.op);
       break;
+    case CF_MSG_CLAIM:
+    case CF_MSG_RELEASE:
+      pack_kv_str (&pk, "key", m->u.claim.key);
+      pack_kv_str (&pk, "token", m->u.claim.token);
+      pack_kv_str (&pk, "runner", m->u.claim.runner);
+      break;
+    case CF_MSG_CLAIMED:
+      pack_kv_int (&pk, "verdict", m->u.claimed.verdict);
+      pack_kv_str (&pk, "runner", m->u.claimed.runner);
+      break;
     case CF_MSG_PING:
     case CF_MSG_DRAIN:
       break;
@@ -162,12 +179,13 @@
 {
   const msgpack_object *a;
 
-  if (v->type != MSGPACK_OBJECT_ARRAY || v->via.array.size != 3)
+  if (v->type != MSGPACK_OBJECT_ARRAY || v->via.array.size < 4)
     return cf_fail (CF_ERR_PROTO, "upgrade the peer to the same wire version",
-                    "field 'load' is not a 3-array");
+                    "field 'load' is not an array of 4 or more");
   a = v->via.array.ptr;
   if (get_int (&a[0], "load", &load->in_flight) != CF_OK
-      || get_int (&a[1], "load", &load->queued) != CF_OK)
+      || get_int (&a[1], "load", &load->queued) != CF_OK
+      || get_int (&a[3], "load", &load->quiet_ms) != CF_OK)
     return CF_ERR_PROTO;
   load->draining = a[2].type == MSGPACK_OBJECT_BOOLEAN && a[2].via.boolean;
   return CF_OK;
@@ -205,6 +223,16 @@
         return get_str (v, "path", &m->u.request.path);
       if (key_is (k, "rid"))
         return get_str (v, "rid", &m->u.request.rid);
+      if (key_is (k, "keyed"))
+        {
+          if (get_int (v, "keyed", &n) != CF_OK)
+            return CF_ERR_PROTO;
+          /* A value we do not know must never let a call run. */
+          m->u.request.keyed = n == CF_KEYED_UNCLAIMED ? CF_KEYED_UNCLAIMED
+                               : n == CF_KEYED_CLAIMED ? CF_KEYED_CLAIMED
+                                                       : CF_KEYED_REPLAY;
+          return CF_OK;
+        }
       if (key_is (k, "prio"))
         return get_int (v, "prio", &m->u.request.priority);
       if (key_is (k, "deadline"))
@@ -245,6 +273,28 @@
       if (key_is (k, "op"))
         return get_str (v, "op", &m->u.order.op);
       break;
+    case CF_MSG_CLAIM:
+    case CF_MSG_RELEASE:
+      if (key_is (k, "key"))
+        return get_str (v, "key", &m->u.claim.key);
+      if (key_is (k, "token"))
+        return get_str (v, "token", &m->u.claim.token);
+      if (key_is (k, "runner"))
+        return get_str (v, "runner", &m->u.claim.runner);
+      break;
+    case CF_MSG_CLAIMED:
+      if (key_is (k, "verdict"))
+        {
+          if (get_int (v, "verdict", &n) != CF_OK)
+            return CF_ERR_PROTO;
+          m->u.claimed.verdict = n == CF_VERDICT_GRANTED ? CF_VERDICT_GRANTED
+                                 : n == CF_VERDICT_HELD  ? CF_VERDICT_HELD
+                                                         : CF_VERDICT_ABSTAIN;
+          return CF_OK;
+        }
+      if (key_is (k, "runner"))
+        return get_str (v, "runner", &m->u.claimed.runner);
+      break;
     case CF_MSG_PING:
     case CF_MSG_DRAIN:
       break;
@@ -292,7 +342,7 @@
                     CF_WIRE_VERSION);
       goto out;
     }
-  if (kind < CF_MSG_REQUEST || kind > CF_MSG_ORDER)
+  if (kind < CF_MSG_REQUEST || kind > CF_MSG_RELEASE)
     {
       st = cf_fail (CF_ERR_PROTO,
                     "run the same comfreypost release on both ends",
@@ -365,6 +415,15 @@
     case CF_MSG_ORDER:
       g_free (m->u.order.op);
       break;
+    case CF_MSG_CLAIM:
+    case CF_MSG_RELEASE:
+      g_free (m->u.claim.key);
+      g_free (m->u.claim.token);
+      g_free (m->u.claim.runner);
+      break;
+    case CF_MSG_CLAIMED:
+      g_free (m->u.claimed.runner);
+      break;
     case CF_MSG_PING:
     case CF_MSG_STATUS:
     case CF_MSG_DRAIN:
@@ -387,3 +446,18 @@
     }
   return "unknown";
 }
+
+const char *
+cf_verdict_name (CfVerdict v)
+{
+  switch (v)
+    {
+    case CF_VERDICT_GRANTED:
+      return "granted";
+    case CF_VERDICT_HELD:
+      return "held";
+    case CF_VERDICT_ABSTAIN:
+      return "abstain";
+    }
+  return "abstain";
+}
--- a/wire.h
+++ b/wire.h
@@ -27,8 +27,25 @@
   gint64 in_flight; /**< requests at the target now */
   gint64 queued;    /**< requests waiting for a worker */
   gboolean draining;
+  gint64 quiet_ms; /**< how much longer its guard abstains, in ms; guard.h */
 } CfLoad;
 
+/** CfVerdict: a guard's answer to a claim of an idempotency key. */
+typedef enum
+{
+  CF_VERDICT_GRANTED = 0,
+  CF_VERDICT_HELD = 1,    /**< another sending claimed the key before */
+  CF_VERDICT_ABSTAIN = 2, /**< started too lately to know, or full */
+} CfVerdict;
+
+/** CfKeyed: what an entry knows of a request's idempotency key. */
+typedef enum
+{
+  CF_KEYED_UNCLAIMED = 0, /**< nothing: the agent's own guard decides */
+  CF_KEYED_CLAIMED = 1,   /**< a majority of guards granted the claim */
+  CF_KEYED_REPLAY = 2,    /**< held by another sending: kept answers only */
+} CfKeyed;
+
 /** CfMsgKind: the tag of a #CfMsg. */
 typedef enum
 {
@@ -39,6 +56,9 @@
   CF_MSG_STATUS,      /**< agent's reply to a ping */
   CF_MSG_DRAIN,       /**< operator to agent: take no new work */
   CF_MSG_ORDER,       /**< to agent: an order for the target, fenced */
+  CF_MSG_CLAIM,       /**< entry to agent as guard: may this key run? */
+  CF_MSG_CLAIMED,     /**< the guard's verdict */
+  CF_MSG_RELEASE,     /**< entry to guard: it did not run; no reply */
 } CfMsgKind;
 
 /**
@@ -61,8 +81,9 @@
       char *model;
       char *key; /**< idempotency key; %NULL if the call is repeatable */
       char *body;
-      char *path; /**< the target's path, such as "/v1/generate" */
-      char *rid;  /**< the entry's request id, for logs and cancel */
+      char *path;    /**< the target's path, such as "/v1/generate" */
+      char *rid;     /**< the entry's request id, for logs and cancel */
+      CfKeyed keyed; /**< with a key: what the entry knows of it */
       gint64 priority;
       gint64 deadline_ms; /**< time left when sent, in ms */
     } request;
@@ -88,6 +109,17 @@
       gint64 fence;
       char *op;
     } order;
+    struct
+    {
+      char *key;
+      char *token;  /**< tells one sending of the call from any other */
+      char *runner; /**< the agent the call is to run at */
+    } claim;        /**< of a claim and of a release */
+    struct
+    {
+      CfVerdict verdict;
+      char *runner; /**< for %CF_VERDICT_HELD, where the other was to run */
+    } claimed;
   } u;
 } CfMsg;
 
@@ -117,5 +149,8 @@
 /** cf_msg_clear: frees the strings of @m and zeroes it. */
 void cf_msg_clear (CfMsg *m);
 
+/** cf_verdict_name: "granted", "held" or "abstain". */
+const char *cf_verdict_name (CfVerdict v);
+
 /** cf_ran_name: "no", "unknown" or "yes". */
 const char *cf_ran_name (CfRan ran);
