Place experts by bounded moves; bench the policies; protocol for map changes

Expert maps now have places, so an expert can be on several ranks. The weights are each deployment's own.

The fake engine's ranks now obey such orders one by one (fake-ranks.c) and count steps in which maps differ.

--- a/Makefile
+++ b/Makefile
@@ -11,12 +11,13 @@
 
 LIB_OBJS = error.o log.o settings.o net.o wire.o http-server.o \
 	http-client.o records.o route.o guard.o ring.o config-watch.o \
-	vm-list.o agent-link.o link-table.o claim.o entry.o agent.o expert-map.o daemon.o
+	vm-list.o agent-link.o link-table.o claim.o entry.o agent.o \
+	expert-map.o map-change.o placement.o daemon.o
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
-	comfrey-load
+	comfrey-load comfrey-bench
 TESTS = t/t-records t/t-settings t/t-wire t/t-route t/t-guard t/t-link \
-	t/t-entry t/t-agent t/t-config t/t-once t/t-fuzz \
+	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-fuzz \
 	t/t-session
 
 all: $(PROGRAMS) $(TESTS)
@@ -27,6 +28,10 @@
 $(PROGRAMS): %: %.o libcomfrey.a
 	$(CC) $(ALL_CFLAGS) -o $@ $< libcomfrey.a $(LDLIBS)
 
+comfrey-fake-engine: fake-ranks.o
+comfrey-fake-engine: LDLIBS := fake-ranks.o libcomfrey.a $(LDLIBS)
+comfrey-bench: LDLIBS += $(shell pkg-config --libs gsl)
+
 t/%: t/%.c t/harness.o libcomfrey.a
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -o $@ $< \
 		t/harness.o libcomfrey.a $(TEST_LDLIBS)
@@ -47,8 +52,9 @@
 demo:
 	sh scripts/demo.sh
 
-bench: all
-	sh scripts/bench.sh
+# One table: each placement policy's skew and cost, both sites' weights.
+bench: comfrey-bench
+	./comfrey-bench --csv bench.csv
 
 style:
 	clang-format --dry-run --Werror *.c *.h t/*.c t/*.h
@@ -57,13 +63,13 @@
 	clang-tidy --quiet *.c -- $(ALL_CFLAGS)
 
 clean:
-	rm -f *.o t/*.o libcomfrey.a $(PROGRAMS) $(TESTS)
+	rm -f *.o t/*.o libcomfrey.a $(PROGRAMS) $(TESTS) bench.csv
 
 help:
 	@echo "make          build everything"
 	@echo "make demo     install packages, build, start stand-ins, play a session"
 	@echo "make test     run the tests under t/"
-	@echo "make bench    run comfrey-bench"
+	@echo "make bench    run comfrey-bench: placement policies side by side"
 	@echo "make style    check formatting with clang-format"
 
 .PHONY: all test demo bench style tidy clean help
--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -1,11 +1,12 @@
 /*
- * A stand-in for a model engine group: ranks that step in lock-step on one
- * expert map.  Each step every running request makes one token, routed to
- * an expert by a skewed popularity; the step lasts as long as the most
- * loaded rank needs.  It is met over HTTP, as a real engine would be.
+ * A stand-in for a model engine group: ranks that step in lock-step on an
+ * expert map (fake-ranks.c).  Each step every running request makes one
+ * token, routed to an expert by a skewed popularity; the step lasts as long
+ * as the most loaded rank needs.  It is met over HTTP, as a real engine
+ * would be.
  */
 #include "daemon.h"
-#include "expert-map.h"
+#include "fake-ranks.h"
 #include "http-server.h"
 #include "log.h"
 #include "net.h"
@@ -21,6 +22,8 @@
                                "listen = \"127.0.0.1:7201\"\n"
                                "ranks = 8\n"
                                "experts = 128\n"
+                               "places = 0\n"
+                               "copy_ms = 10\n"
                                "batch_max = 64\n"
                                "step_base_us = 2000\n"
                                "step_per_token_us = 100\n"
@@ -29,7 +32,8 @@
                                "seed = 1\n";
 static const char *const keys[] = {
   "engine.listen",       "engine.ranks",
-  "engine.experts",      "engine.batch_max",
+  "engine.experts",      "engine.places",
+  "engine.copy_ms",      "engine.batch_max",
   "engine.step_base_us", "engine.step_per_token_us",
   "engine.load_lag_ms",  "engine.check_fence",
   "engine.seed",         NULL,
@@ -60,14 +64,17 @@
   GHashTable *seen;   /* prompts ever taken, for tests' oracles */
   int running;
   guint64 seq;
-  CfExpertMap *map;
+  FakeRanks ranks;
   double *popularity; /* cumulative */
+  gint64 shift;       /* which expert is the most popular */
   GRand *rand;
-  gint64 steps;
   gint64 fence;
-  gint64 batch_max, base_us, per_token_us, lag_ms, ranks, experts;
+  gint64 batch_max, base_us, per_token_us, lag_ms, n_ranks, experts, places,
+      copy_ms;
   gboolean check_fence;
   int reported_running; /* load as the lagging report shows it */
+  double *counts;       /* tokens each expert drew since the start */
+  double *reported;     /* the same, as the lagging report shows it */
   long long reported_at;
 } eng;
 
@@ -101,33 +108,52 @@
       else
         hi = mid;
     }
-  return lo;
+  return (lo + (int)eng.shift) % (int)eng.experts;
+}
+
+/* The load report moves on every lag_ms only; call with the lock held. */
+static void
+refresh_report (void)
+{
+  if (cf_now_ms () - eng.reported_at < eng.lag_ms)
+    return;
+  eng.reported_running = eng.running;
+  memcpy (eng.reported, eng.counts, sizeof *eng.counts * eng.experts);
+  eng.reported_at = cf_now_ms ();
 }
 
 static void *
 step_thread (void *unused)
 {
-  g_autofree int *tokens = g_new0 (int, eng.experts);
-  g_autofree int *load = g_new0 (int, eng.ranks);
+  g_autofree double *tokens = g_new0 (double, eng.experts);
+  g_autofree double *load = g_new0 (double, eng.n_ranks);
 
   for (;;)
     {
-      int max;
+      const CfExpertMap *map;
+      gint64 stall_ms;
+      double max;
 
       pthread_mutex_lock (&eng.lock);
       while (eng.batch == NULL && eng.waiting == NULL)
         pthread_cond_wait (&eng.work, &eng.lock);
+      map = fake_ranks_begin_step (&eng.ranks, &stall_ms);
       admit_waiting ();
       memset (tokens, 0, sizeof *tokens * eng.experts);
       for (Gen *g = eng.batch; g; g = g->next)
-        tokens[pick_expert ()]++;
-      max = cf_expert_map_step_load (eng.map, tokens, load);
+        {
+          int e = pick_expert ();
+
+          tokens[e]++;
+          eng.counts[e]++;
+        }
+      max = cf_expert_map_load (map, tokens, load);
       pthread_mutex_unlock (&eng.lock);
 
-      usleep (eng.base_us + eng.per_token_us * max);
+      usleep (eng.base_us + (gint64)((double)eng.per_token_us * max)
+              + stall_ms * 1000);
 
       pthread_mutex_lock (&eng.lock);
-      eng.steps++;
       for (Gen **p = &eng.batch; *p;)
         {
           Gen *g = *p;
@@ -143,11 +169,7 @@
             }
           p = &g->next;
         }
-      if (cf_now_ms () - eng.reported_at >= eng.lag_ms)
-        {
-          eng.reported_running = eng.running;
-          eng.reported_at = cf_now_ms ();
-        }
+      refresh_report ();
       pthread_cond_broadcast (&eng.done);
       pthread_mutex_unlock (&eng.lock);
     }
@@ -178,6 +200,7 @@
   long long deadline
       = left ? cf_now_ms () + g_ascii_strtoll (left, NULL, 10) : G_MAXINT64;
   struct timespec ts;
+  gint64 map_version;
   Gen g = { 0 };
   json_t *r;
 
@@ -212,13 +235,14 @@
     }
   if (g.rid)
     g_hash_table_remove (eng.by_rid, g.rid);
+  map_version = fake_ranks_version (&eng.ranks);
   pthread_mutex_unlock (&eng.lock);
 
   if (g.cancelled)
     r = json_pack ("{s:s, s:i}", "error", "cancelled", "tokens", g.made);
   else
     r = json_pack ("{s:s, s:i, s:I}", "text", g.prompt, "tokens", g.made,
-                   "map_version", (json_int_t)eng.map->version);
+                   "map_version", (json_int_t)map_version);
   rep->code = g.cancelled ? 499 : 200;
   rep->body = json_dumps (r, JSON_COMPACT);
   json_decref (r);
@@ -280,9 +304,53 @@
   json_decref (a);
 }
 
+static void
+picked (CfHttpReply *rep)
+{
+  json_t *o;
+  json_t *counts = json_array ();
+
+  pthread_mutex_lock (&eng.lock);
+  for (gint64 e = 0; e < eng.experts; e++)
+    json_array_append_new (counts, json_integer ((json_int_t)eng.reported[e]));
+  o = json_pack ("{s:I, s:o}", "step", (json_int_t)eng.ranks.step, "counts",
+                 counts);
+  pthread_mutex_unlock (&eng.lock);
+  rep->body = json_dumps (o, JSON_COMPACT);
+  json_decref (o);
+}
+
+static int
+unfinished (void)
+{
+  int n;
+
+  pthread_mutex_lock (&eng.lock);
+  n = eng.running;
+  for (Gen *g = eng.waiting; g; g = g->next)
+    n++;
+  pthread_mutex_unlock (&eng.lock);
+  return n;
+}
+
+/* /test/drift?shift=N: other experts are in demand from now on. */
+static void
+drift (const CfHttpRequest *req, CfHttpReply *rep)
+{
+  const char *shift = cf_http_query (req, "shift");
+
+  pthread_mutex_lock (&eng.lock);
+  eng.shift = shift ? g_ascii_strtoll (shift, NULL, 10) % eng.experts : 0;
+  eng.shift = MAX (eng.shift, 0);
+  pthread_mutex_unlock (&eng.lock);
+  rep->body = g_strdup ("{\"ok\":true}");
+}
+
 static void
 on_http (void *data, const CfHttpRequest *req, CfHttpReply *rep)
 {
+  if (fake_ranks_http (&eng.ranks, req, unfinished (), rep))
+    return;
   if (g_str_equal (req->path, "/v1/generate"))
     generate (req, rep);
   else if (g_str_equal (req->path, "/v1/cancel"))
@@ -291,18 +359,23 @@
     order (req, rep);
   else if (g_str_equal (req->path, "/test/seen"))
     seen (rep);
+  else if (g_str_equal (req->path, "/test/drift"))
+    drift (req, rep);
+  else if (g_str_equal (req->path, "/v1/picked"))
+    picked (rep);
   else if (g_str_equal (req->path, "/v1/load"))
     {
       pthread_mutex_lock (&eng.lock);
-      rep->body
-          = g_strdup_printf ("{\"running\":%d,\"steps\":%" G_GINT64_FORMAT
-                             ",\"map_version\":%" G_GINT64_FORMAT "}",
-                             eng.reported_running, eng.steps, eng.map->version);
+      rep->body = g_strdup_printf ("{\"running\":%d,\"steps\":%" G_GINT64_FORMAT
+                                   ",\"map_version\":%" G_GINT64_FORMAT "}",
+                                   eng.reported_running, eng.ranks.step,
+                                   fake_ranks_version (&eng.ranks));
       pthread_mutex_unlock (&eng.lock);
     }
   else
     cf_http_reply_error (rep, 404, "not-found",
-                         "use /v1/generate, /v1/cancel, /v1/order or /v1/load");
+                         "use /v1/generate, /v1/cancel, /v1/order, /v1/load, "
+                         "/v1/picked or /v1/ranks/N/order and report");
 }
 
 static void
@@ -335,9 +408,12 @@
   if (rc >= 0)
     return rc;
   if (cf_settings_string (&s, "engine", "listen", &listen) != CF_OK
-      || cf_settings_int (&s, "engine", "ranks", 1, 1024, &eng.ranks) != CF_OK
+      || cf_settings_int (&s, "engine", "ranks", 1, 1024, &eng.n_ranks) != CF_OK
       || cf_settings_int (&s, "engine", "experts", 1, 4096, &eng.experts)
              != CF_OK
+      || cf_settings_int (&s, "engine", "places", 0, 4096, &eng.places) != CF_OK
+      || cf_settings_int (&s, "engine", "copy_ms", 0, 60000, &eng.copy_ms)
+             != CF_OK
       || cf_settings_int (&s, "engine", "batch_max", 1, 4096, &eng.batch_max)
              != CF_OK
       || cf_settings_int (&s, "engine", "step_base_us", 0, 1000000,
@@ -359,12 +435,16 @@
   pthread_cond_init (&eng.work, NULL);
   eng.by_rid = g_hash_table_new (g_str_hash, g_str_equal);
   eng.seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  eng.map = cf_expert_map_new ((int)eng.experts, (int)eng.ranks);
+  fake_ranks_init (&eng.ranks, &eng.lock, (int)eng.experts, (int)eng.n_ranks,
+                   (int)eng.places, eng.copy_ms);
+  eng.ranks.check_fence = eng.check_fence;
+  eng.counts = g_new0 (double, eng.experts);
+  eng.reported = g_new0 (double, eng.experts);
   eng.rand = g_rand_new_with_seed ((guint32)seed);
   set_popularity (1.0);
   pthread_create (&t, NULL, step_thread, NULL);
   cf_log (LOG_INFO, CF_EV_START,
-          "ranks=%" G_GINT64_FORMAT " experts=%" G_GINT64_FORMAT, eng.ranks,
+          "ranks=%" G_GINT64_FORMAT " experts=%" G_GINT64_FORMAT, eng.n_ranks,
           eng.experts);
   return cf_daemon_serve_http (listen, on_http, NULL);
 }
--- a/expert-map.c
+++ b/expert-map.c
@@ -2,39 +2,170 @@
 
 #include <string.h>
 
-CfExpertMap *
-cf_expert_map_new (int experts, int ranks)
+static CfExpertMap *
+map_empty (int experts, int ranks, int places)
 {
   CfExpertMap *m = g_new0 (CfExpertMap, 1);
 
   m->version = 1;
   m->experts = experts;
   m->ranks = ranks;
-  m->rank_of = g_new (int, experts);
+  m->places = places;
+  m->held = g_new (int, (gsize)ranks *places);
+  m->copies = g_new0 (int, experts);
+  for (int i = 0; i < ranks * places; i++)
+    m->held[i] = -1;
+  return m;
+}
+
+CfExpertMap *
+cf_expert_map_new (int experts, int ranks, int places)
+{
+  int need = (experts + ranks - 1) / ranks;
+  CfExpertMap *m = map_empty (experts, ranks, MAX (places, need));
+
   for (int e = 0; e < experts; e++)
-    m->rank_of[e] = e % ranks;
+    cf_expert_map_set (m, e % ranks, e / ranks, e);
   return m;
 }
 
+CfExpertMap *
+cf_expert_map_copy (const CfExpertMap *m)
+{
+  CfExpertMap *c = map_empty (m->experts, m->ranks, m->places);
+
+  c->version = m->version;
+  memcpy (c->held, m->held, sizeof *m->held * m->ranks * m->places);
+  memcpy (c->copies, m->copies, sizeof *m->copies * m->experts);
+  return c;
+}
+
 void
 cf_expert_map_free (CfExpertMap *m)
 {
   if (m == NULL)
     return;
-  g_free (m->rank_of);
+  g_free (m->held);
+  g_free (m->copies);
   g_free (m);
 }
 
+gboolean
+cf_expert_map_holds (const CfExpertMap *m, int rank, int expert)
+{
+  for (int p = 0; p < m->places; p++)
+    if (m->held[rank * m->places + p] == expert)
+      return TRUE;
+  return FALSE;
+}
+
+void
+cf_expert_map_set (CfExpertMap *m, int rank, int place, int expert)
+{
+  int *at = &m->held[rank * m->places + place];
+
+  if (*at >= 0)
+    m->copies[*at]--;
+  *at = expert;
+  if (expert >= 0)
+    m->copies[expert]++;
+}
+
 int
-cf_expert_map_step_load (const CfExpertMap *m, const int *tokens_per_expert,
-                         int *load)
+cf_expert_map_added (const CfExpertMap *from, const CfExpertMap *to)
 {
-  int max = 0;
+  int added = 0;
+
+  for (int r = 0; r < to->ranks; r++)
+    for (int p = 0; p < to->places; p++)
+      {
+        int e = to->held[r * to->places + p];
+
+        added += e >= 0 && !cf_expert_map_holds (from, r, e);
+      }
+  return added;
+}
+
+double
+cf_expert_map_load (const CfExpertMap *m, const double *tokens, double *load)
+{
+  double max = 0;
 
-  memset (load, 0, sizeof *load * m->ranks);
-  for (int e = 0; e < m->experts; e++)
-    load[m->rank_of[e]] += tokens_per_expert[e];
   for (int r = 0; r < m->ranks; r++)
-    max = MAX (max, load[r]);
+    {
+      load[r] = 0;
+      for (int p = 0; p < m->places; p++)
+        {
+          int e = m->held[r * m->places + p];
+
+          if (e >= 0)
+            load[r] += tokens[e] / m->copies[e];
+        }
+      max = MAX (max, load[r]);
+    }
   return max;
 }
+
+json_t *
+cf_expert_map_to_json (const CfExpertMap *m)
+{
+  json_t *ranks = json_array ();
+
+  for (int r = 0; r < m->ranks; r++)
+    {
+      json_t *held = json_array ();
+
+      for (int p = 0; p < m->places; p++)
+        if (m->held[r * m->places + p] >= 0)
+          json_array_append_new (held,
+                                 json_integer (m->held[r * m->places + p]));
+      json_array_append_new (ranks, held);
+    }
+  return ranks;
+}
+
+CfStatus
+cf_expert_map_from_json (const json_t *ranks, int experts, int places,
+                         gint64 version, CfExpertMap **out)
+{
+  CfExpertMap *m = map_empty (experts, (int)json_array_size (ranks), places);
+  CfStatus st = CF_OK;
+  json_t *held;
+  json_t *v;
+  size_t r, p;
+
+  m->version = version;
+  json_array_foreach (ranks, r, held)
+  {
+    if (json_array_size (held) > (size_t)places)
+      {
+        st = cf_fail (CF_ERR_RECORD, "hold fewer experts on that rank",
+                      "rank %zu has %zu experts for %d places", r,
+                      json_array_size (held), places);
+        goto out;
+      }
+    json_array_foreach (held, p, v)
+    {
+      gint64 e = json_is_integer (v) ? json_integer_value (v) : -1;
+
+      if (e < 0 || e >= experts || cf_expert_map_holds (m, (int)r, (int)e))
+        {
+          st = cf_fail (CF_ERR_RECORD, "name each expert once a rank",
+                        "rank %zu place %zu is no expert of 0..%d", r, p,
+                        experts - 1);
+          goto out;
+        }
+      cf_expert_map_set (m, (int)r, (int)p, (int)e);
+    }
+  }
+  for (int e = 0; e < experts && st == CF_OK; e++)
+    if (m->copies[e] == 0)
+      st = cf_fail (CF_ERR_RECORD, "hold every expert on some rank",
+                    "expert %d is on no rank", e);
+out:
+  if (st == CF_OK)
+    *out = m;
+  else
+    cf_expert_map_free (m);
+  return st;
+}
--- /dev/null
+++ b/placement.c
@@ -0,0 +1,302 @@
+#include "placement.h"
+
+#include <math.h>
+#include <string.h>
+
+/* A norm this high follows the slowest rank closely, yet still sees gain
+ * in relieving one of several equally slow ranks. */
+#define NORM 12.0
+
+void
+cf_popularity_init (CfPopularity *p, int experts)
+{
+  p->experts = experts;
+  p->tokens = g_new0 (double, experts);
+  p->last = g_new0 (double, experts);
+  p->any = FALSE;
+}
+
+void
+cf_popularity_clear (CfPopularity *p)
+{
+  g_free (p->tokens);
+  g_free (p->last);
+}
+
+void
+cf_popularity_report (CfPopularity *p, const double *counts, double weight)
+{
+  double w = p->any ? weight : 1.0;
+
+  for (int e = 0; e < p->experts; e++)
+    {
+      double fresh = counts[e] - (counts[e] < p->last[e] ? 0 : p->last[e]);
+
+      p->tokens[e] += w * (fresh - p->tokens[e]);
+      p->last[e] = counts[e];
+    }
+  p->any = TRUE;
+}
+
+static double
+mean_load (const CfExpertMap *m, const double *tokens)
+{
+  double sum = 0;
+
+  for (int e = 0; e < m->experts; e++)
+    sum += tokens[e];
+  return sum / m->ranks;
+}
+
+double
+cf_placement_skew (const CfExpertMap *m, const double *tokens)
+{
+  g_autofree double *load = g_new (double, m->ranks);
+  double mean = mean_load (m, tokens);
+
+  return mean > 0 ? cf_expert_map_load (m, tokens, load) / mean : 1.0;
+}
+
+/* A smooth stand-in for the skew; see NORM. */
+static double
+smooth_skew (const double *load, int ranks, double mean)
+{
+  double sum = 0;
+
+  for (int r = 0; r < ranks; r++)
+    sum += pow (load[r] / mean, NORM);
+  return pow (sum / ranks, 1.0 / NORM);
+}
+
+/* One candidate move: put @expert in @place of @rank. */
+typedef struct
+{
+  int rank;
+  int place;
+  int expert;
+  double score;
+} Move;
+
+/* What the smooth skew would be after @mv; @load is scratch. */
+static double
+score_move (CfExpertMap *m, const double *tokens, double mean, const Move *mv,
+            double *load)
+{
+  int old = m->held[mv->rank * m->places + mv->place];
+  double s;
+
+  cf_expert_map_set (m, mv->rank, mv->place, mv->expert);
+  cf_expert_map_load (m, tokens, load);
+  s = smooth_skew (load, m->ranks, mean);
+  cf_expert_map_set (m, mv->rank, mv->place, old);
+  return s;
+}
+
+/*
+ * The best single copy of an expert of the slowest rank to one of the
+ * lighter half of the ranks, in an empty place or over a copy that other
+ * ranks hold too.
+ */
+static Move
+best_move (CfExpertMap *m, const double *tokens, double mean)
+{
+  g_autofree double *load = g_new (double, m->ranks);
+  g_autofree double *scratch = g_new (double, m->ranks);
+  Move best = { .rank = -1 };
+  int hot = 0;
+
+  cf_expert_map_load (m, tokens, load);
+  best.score = smooth_skew (load, m->ranks, mean);
+  for (int r = 1; r < m->ranks; r++)
+    if (load[r] > load[hot])
+      hot = r;
+  for (int hp = 0; hp < m->places; hp++)
+    for (int r = 0; r < m->ranks; r++)
+      for (int p = 0; p < m->places; p++)
+        {
+          int old = m->held[r * m->places + p];
+          Move mv = { .rank = r,
+                      .place = p,
+                      .expert = m->held[hot * m->places + hp] };
+
+          if (mv.expert < 0 || load[r] >= mean
+              || cf_expert_map_holds (m, r, mv.expert)
+              || (old >= 0 && m->copies[old] < 2))
+            continue;
+          mv.score = score_move (m, tokens, mean, &mv, scratch);
+          if (mv.score < best.score)
+            best = mv;
+        }
+  return best;
+}
+
+static CfExpertMap *
+plan_bounded (const CfPlacement *p, const CfExpertMap *current,
+              const double *tokens)
+{
+  CfExpertMap *m = cf_expert_map_copy (current);
+  g_autofree double *load = g_new (double, m->ranks);
+  double mean = mean_load (m, tokens);
+
+  for (int i = 0; i < p->u.bounded.max_moves; i++)
+    {
+      Move mv = best_move (m, tokens, mean);
+      double now;
+
+      if (mv.rank < 0)
+        break;
+      cf_expert_map_load (m, tokens, load);
+      now = smooth_skew (load, m->ranks, mean);
+      if ((now - mv.score) * p->u.bounded.skew_weight
+          < p->u.bounded.move_weight)
+        break;
+      cf_expert_map_set (m, mv.rank, mv.place, mv.expert);
+    }
+  return m;
+}
+
+/* One copy of an expert, to be packed. */
+typedef struct
+{
+  int expert;
+  double load;
+} Copy;
+
+static int
+heavier_first (gconstpointer a, gconstpointer b)
+{
+  const Copy *x = a;
+  const Copy *y = b;
+
+  if (x->load != y->load)
+    return x->load > y->load ? -1 : 1;
+  return x->expert - y->expert;
+}
+
+/* Gives each spare place to the expert whose copies are most loaded. */
+static void
+count_copies (const CfExpertMap *m, const double *tokens, int *copies)
+{
+  for (int e = 0; e < m->experts; e++)
+    copies[e] = 1;
+  for (int spare = m->ranks * m->places - m->experts; spare > 0; spare--)
+    {
+      int hot = -1;
+
+      for (int e = 0; e < m->experts; e++)
+        if (copies[e] < m->ranks
+            && (hot < 0 || tokens[e] / copies[e] > tokens[hot] / copies[hot]))
+          hot = e;
+      if (hot < 0)
+        return;
+      copies[hot]++;
+    }
+}
+
+/* The lightest rank with an empty place that does not hold @expert. */
+static int
+lightest (const CfExpertMap *m, const double *load, int expert)
+{
+  int best = -1;
+
+  for (int r = 0; r < m->ranks; r++)
+    if (cf_expert_map_holds (m, r, -1) && !cf_expert_map_holds (m, r, expert)
+        && (best < 0 || load[r] < load[best]))
+      best = r;
+  return best;
+}
+
+static CfExpertMap *
+plan_greedy (const CfExpertMap *current, const double *tokens)
+{
+  CfExpertMap *m = cf_expert_map_copy (current);
+  g_autofree double *load = g_new0 (double, m->ranks);
+  g_autofree int *copies = g_new (int, m->experts);
+  g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (Copy));
+
+  for (int r = 0; r < m->ranks; r++)
+    for (int p = 0; p < m->places; p++)
+      cf_expert_map_set (m, r, p, -1);
+  count_copies (m, tokens, copies);
+  for (int e = 0; e < m->experts; e++)
+    for (int i = 0; i < copies[e]; i++)
+      {
+        Copy c = { .expert = e, .load = tokens[e] / copies[e] };
+
+        g_array_append_val (all, c);
+      }
+  g_array_sort (all, heavier_first);
+  for (guint i = 0; i < all->len; i++)
+    {
+      const Copy *c = &g_array_index (all, Copy, i);
+      int r = lightest (m, load, c->expert);
+      int p = 0;
+
+      if (r < 0)
+        continue;
+      while (m->held[r * m->places + p] >= 0)
+        p++;
+      cf_expert_map_set (m, r, p, c->expert);
+      load[r] += c->load;
+    }
+  /* Every rank with room may already have held an expert's only copy. */
+  for (int e = 0; e < m->experts; e++)
+    if (m->copies[e] == 0)
+      {
+        cf_expert_map_free (m);
+        return cf_expert_map_copy (current);
+      }
+  return m;
+}
+
+CfPlacementPlan
+cf_placement_plan (const CfPlacement *p, const CfExpertMap *current,
+                   const double *tokens)
+{
+  CfPlacementPlan plan = { 0 };
+
+  plan.before = plan.after = cf_placement_skew (current, tokens);
+  if (mean_load (current, tokens) <= 0)
+    return plan;
+  switch (p->kind)
+    {
+    case CF_PLACE_NONE:
+      return plan;
+    case CF_PLACE_GREEDY:
+      plan.map = plan_greedy (current, tokens);
+      break;
+    case CF_PLACE_BOUNDED:
+      plan.map = plan_bounded (p, current, tokens);
+      break;
+    }
+  plan.moves = cf_expert_map_added (current, plan.map);
+  plan.after = cf_placement_skew (plan.map, tokens);
+  if (plan.moves == 0 || plan.after >= plan.before)
+    {
+      g_clear_pointer (&plan.map, cf_expert_map_free);
+      plan.moves = 0;
+      plan.after = plan.before;
+    }
+  return plan;
+}
+
+static const char *const names[] = { "none", "greedy", "bounded" };
+
+CfStatus
+cf_placement_kind (const char *name, CfPlacementKind *out)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    if (g_str_equal (name, names[i]))
+      {
+        *out = (CfPlacementKind)i;
+        return CF_OK;
+      }
+  return cf_fail (CF_ERR_SETTINGS, "write none, greedy or bounded",
+                  "'%s' is no placement policy", name);
+}
+
+const char *
+cf_placement_name (CfPlacementKind kind)
+{
+  return names[kind];
+}
