Change a group's expert map through the agents beside its ranks

Rank 0's agent decides placement every interval_ms, higher ranks only when they hear no coordinator; any agent takes over and settles a group that is held or stands still with work waiting. `comfrey rebalance ADDR` asks for a decision now.

--- a/agent.c
+++ b/agent.c
@@ -17,12 +17,25 @@
                                  "guard_ttl_ms = 600000\n"
                                  "guard_max = 100000\n"
                                  "guard_quiet_ms = 5000\n"
-                                 "drain_grace_ms = 30000\n";
+                                 "drain_grace_ms = 30000\n"
+                                 "[group]\n"
+                                 "members = []\n"
+                                 "rank = 0\n"
+                                 "interval_ms = 30000\n"
+                                 "hold_max_ms = 2000\n"
+                                 "prepare_ms = 60000\n"
+                                 "policy = \"bounded\"\n"
+                                 "skew_weight = 1.0\n"
+                                 "move_weight = 0.01\n"
+                                 "max_moves = 16\n";
 
 const char *const cf_agent_keys[] = {
   "agent.listen",         "agent.target_url",     "agent.workers",
   "agent.queue",          "agent.guard_ttl_ms",   "agent.guard_max",
-  "agent.guard_quiet_ms", "agent.drain_grace_ms", NULL,
+  "agent.guard_quiet_ms", "agent.drain_grace_ms", "group.members",
+  "group.rank",           "group.interval_ms",    "group.hold_max_ms",
+  "group.prepare_ms",     "group.policy",         "group.skew_weight",
+  "group.move_weight",    "group.max_moves",      NULL,
 };
 
 CfStatus
@@ -55,6 +68,8 @@
   if (st == CF_OK)
     st = cf_settings_int (s, "agent", "drain_grace_ms", 0, 3600000,
                           &o->drain_grace_ms);
+  if (st == CF_OK)
+    st = cf_rank_group_settings_read (s, &o->group);
   return st;
 }
 
@@ -306,27 +321,67 @@
     }
 }
 
+/* Checks a target order's fencing token on the target's behalf. */
+static gboolean
+pass_fence (CfAgent *a, gint64 fence, gint64 *highest)
+{
+  pthread_mutex_lock (&a->fence_lock);
+  *highest = a->fence;
+  a->fence = MAX (a->fence, fence);
+  pthread_mutex_unlock (&a->fence_lock);
+  return fence >= *highest;
+}
+
 static void
-take_order (Conn *c, CfMsg *m)
+refuse_stale (Conn *c, const CfMsg *m, gint64 highest)
+{
+  cf_log (LOG_WARNING, CF_EV_FENCE_STALE,
+          "op=%s fence=%" G_GINT64_FORMAT " highest=%" G_GINT64_FORMAT,
+          m->u.order.op, m->u.order.fence, highest);
+  refuse (c, m->id, CF_RAN_NO, CF_REASON_STALE_FENCE, 0);
+}
+
+/* An order to the rank this agent stands beside, from a coordinator. */
+static void
+take_rank_order (Conn *c, CfMsg *m)
+{
+  CfRankGroup *g = c->agent->group;
+  g_autofree char *out = NULL;
+  long code = 0;
+
+  switch (cf_rank_group_admit (g, m->u.order.op, m->u.order.fence))
+    {
+    case CF_OK:
+      break;
+    case CF_ERR_STALE:
+      refuse_stale (c, m, cf_rank_group_fence (g));
+      return;
+    default:
+      refuse (c, m->id, CF_RAN_NO, "no-coordinator", 0);
+      return;
+    }
+  if (cf_rank_group_order (g, m->u.order.op, m->u.order.args, m->u.order.fence,
+                           &code, &out)
+      == CF_OK)
+    answer (c, m->id, code, out);
+  else
+    refuse (c, m->id, CF_RAN_UNKNOWN, "target-failed", 0);
+}
+
+/* An order to the target as a whole, such as to load a model. */
+static void
+take_target_order (Conn *c, CfMsg *m)
 {
   CfAgent *a = c->agent;
   g_autofree char *url = g_strconcat (a->set.target_url, "/v1/order", NULL);
   g_autofree char *body = NULL;
   g_autofree char *out = NULL;
-  gint64 fence;
+  gint64 highest;
   long code = 0;
 
-  pthread_mutex_lock (&a->fence_lock);
-  fence = a->fence;
-  if (m->u.order.fence >= fence)
-    a->fence = m->u.order.fence;
-  pthread_mutex_unlock (&a->fence_lock);
-  if (m->u.order.fence < fence)
+  if (!pass_fence (a, m->u.order.fence, &highest))
     {
-      cf_log (LOG_WARNING, CF_EV_FENCE_STALE,
-              "op=%s fence=%" G_GINT64_FORMAT " highest=%" G_GINT64_FORMAT,
-              m->u.order.op, m->u.order.fence, fence);
-      refuse (c, m->id, CF_RAN_NO, "stale-fencing-token", 0);
+      refuse_stale (c, m, highest);
       return;
     }
   body = g_strdup_printf ("{\"fence\":%" G_GINT64_FORMAT ",\"op\":\"%s\"}",
@@ -339,6 +394,30 @@
     answer (c, m->id, code, out);
 }
 
+static void
+take_order (Conn *c, CfMsg *m)
+{
+  CfAgent *a = c->agent;
+
+  if (m->u.order.op == NULL)
+    refuse (c, m->id, CF_RAN_NO, "no-op", 0);
+  else if (cf_rank_group_knows (m->u.order.op)
+           || g_str_equal (m->u.order.op, "rebalance"))
+    {
+      if (a->group == NULL)
+        refuse (c, m->id, CF_RAN_NO, "no-group", 0);
+      else if (g_str_equal (m->u.order.op, "rebalance"))
+        {
+          cf_rank_group_rebalance (a->group);
+          answer (c, m->id, 202, "{\"accepted\":true}");
+        }
+      else
+        take_rank_order (c, m);
+    }
+  else
+    take_target_order (c, m);
+}
+
 static void
 take_claim (Conn *c, CfMsg *m)
 {
@@ -364,6 +443,8 @@
   pthread_mutex_lock (&a->fence_lock);
   s.u.status.fence = a->fence;
   pthread_mutex_unlock (&a->fence_lock);
+  if (a->group)
+    s.u.status.fence = MAX (s.u.status.fence, cf_rank_group_fence (a->group));
   s.u.status.served = (gint64)ck_pr_load_64 (&a->served);
   s.u.status.refused = (gint64)ck_pr_load_64 (&a->refused);
   reply (c, &s);
@@ -455,6 +536,8 @@
   cf_guard_init (&a->guard, a->set.guard_ttl_ms, (guint)a->set.guard_max,
                  cf_now_ms () + a->set.guard_quiet_ms);
   pthread_mutex_init (&a->fence_lock, NULL);
+  if (a->set.group.members->len > 0)
+    a->group = cf_rank_group_start (&a->set.group, a->set.target_url);
   for (gint64 i = 0; i < a->set.workers; i++)
     {
       pthread_create (&t, NULL, worker, a);
--- a/agent.h
+++ b/agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "guard.h"
+#include "rank-group.h"
 #include "ring.h"
 #include "settings.h"
 #include "wire.h"
@@ -19,6 +20,7 @@
   gint64 guard_max;
   gint64 guard_quiet_ms; /**< the guard's quiet time after a start; guard.h */
   gint64 drain_grace_ms;
+  CfRankGroupSettings group;
 } CfAgentSettings;
 
 /**
@@ -33,6 +35,7 @@
   int listen_fd;
   CfRing work;
   CfGuard guard;
+  CfRankGroup *group; /**< %NULL unless its target is a rank of a group */
   pthread_mutex_t fence_lock;
   gint64 fence;  /**< highest fencing token seen */
   int in_flight; /**< accepted and not yet answered, queued ones too */
--- a/comfrey.c
+++ b/comfrey.c
@@ -37,19 +37,51 @@
 }
 
 static int
-ask (const char *addr, CfMsgKind kind)
+exchange (const char *addr, const CfMsg *m, CfMsg *r)
 {
-  CfMsg m = { .kind = kind, .id = 1 };
-  CfMsg r = { 0 };
   int fd;
 
-  if (cf_connect_tcp (addr, 2000, &fd) != CF_OK
-      || cf_msg_write (fd, &m) != CF_OK || cf_msg_read (fd, &r) != CF_OK)
+  if (cf_connect_tcp (addr, 2000, &fd) != CF_OK || cf_msg_write (fd, m) != CF_OK
+      || cf_msg_read (fd, r) != CF_OK)
     {
       fprintf (stderr, "comfrey: %s\n", cf_last_error ());
       return 1;
     }
   close (fd);
+  return 0;
+}
+
+static int
+rebalance (const char *addr)
+{
+  CfMsg m = { .kind = CF_MSG_ORDER, .id = 1 };
+  CfMsg r = { 0 };
+  int rc;
+
+  m.u.order.op = "rebalance";
+  rc = exchange (addr, &m, &r);
+  if (rc == 0 && r.kind != CF_MSG_ANSWER)
+    {
+      fprintf (stderr,
+               "comfrey: agent %s refused: %s; ask the agent of a rank that "
+               "has a [group] table\n",
+               addr, r.kind == CF_MSG_REFUSAL ? r.u.refusal.reason : "?");
+      rc = 1;
+    }
+  else if (rc == 0)
+    printf ("agent %s: deciding placement; see its log for E1501\n", addr);
+  cf_msg_clear (&r);
+  return rc;
+}
+
+static int
+ask (const char *addr, CfMsgKind kind)
+{
+  CfMsg m = { .kind = kind, .id = 1 };
+  CfMsg r = { 0 };
+
+  if (exchange (addr, &m, &r) != 0)
+    return 1;
   printf ("agent %s: in_flight=%" G_GINT64_FORMAT " queued=%" G_GINT64_FORMAT
           " draining=%s fence=%" G_GINT64_FORMAT " served=%" G_GINT64_FORMAT
           " refused=%" G_GINT64_FORMAT "\n",
@@ -74,7 +106,9 @@
       ctx, "Commands:\n"
            "  check FILE    check configuration records (schema 1 and 2)\n"
            "  status ADDR   show an agent's load, fencing token and counts\n"
-           "  drain ADDR    tell an agent to take no new work");
+           "  drain ADDR    tell an agent to take no new work\n"
+           "  rebalance ADDR  have a rank's agent decide expert placement "
+           "now");
   g_option_context_add_main_entries (ctx, entries, NULL);
   if (!g_option_context_parse (ctx, &argc, &argv, &err))
     {
@@ -96,6 +130,8 @@
     return check (argv[2]);
   if (strcmp (argv[1], "status") == 0)
     return ask (argv[2], CF_MSG_PING);
+  if (strcmp (argv[1], "rebalance") == 0)
+    return rebalance (argv[2]);
   if (strcmp (argv[1], "drain") == 0)
     return ask (argv[2], CF_MSG_DRAIN);
   fprintf (stderr, "comfrey: unknown command '%s' (try --help)\n", argv[1]);
--- a/log.c
+++ b/log.c
@@ -61,6 +61,14 @@
       return "fence-stale";
     case CF_EV_GUARD_CLAIM:
       return "guard-claim";
+    case CF_EV_PLACEMENT:
+      return "placement";
+    case CF_EV_MAP_CHANGE:
+      return "map-change";
+    case CF_EV_MAP_SETTLE:
+      return "map-settle";
+    case CF_EV_RANK_ORDER:
+      return "rank-order";
     case CF_EV_GUARD_DUP:
       return "guard-duplicate";
     case CF_EV_DRAIN_BEGIN:
--- a/log.h
+++ b/log.h
@@ -35,6 +35,10 @@
   CF_EV_TARGET_FAIL = 1407,   /**< the target failed a call */
   CF_EV_ORDER = 1408,         /**< an order was passed to the target */
   CF_EV_GUARD_CLAIM = 1409,   /**< a guard's verdict on a claim */
+  CF_EV_PLACEMENT = 1501,     /**< an expert placement decision */
+  CF_EV_MAP_CHANGE = 1502,    /**< how a change of the expert map ended */
+  CF_EV_MAP_SETTLE = 1503,    /**< a group was taken over and settled */
+  CF_EV_RANK_ORDER = 1504,    /**< an order to a rank was not carried out */
 } CfEvent;
 
 /**
--- a/settings.c
+++ b/settings.c
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -123,6 +124,61 @@
   return CF_OK;
 }
 
+CfStatus
+cf_settings_double (CfSettings *s, const char *table, const char *key,
+                    double min, double max, double *out)
+{
+  g_autofree char *raw = NULL;
+  char *end;
+  CfStatus st;
+
+  st = raw_value (s, table, key, &raw);
+  if (st != CF_OK)
+    return st;
+  *out = g_ascii_strtod (raw, &end);
+  if (*raw == '\0' || *end != '\0')
+    return cf_fail (CF_ERR_SETTINGS, "write a number without quotes",
+                    "%s: [%s] %s = %s is not a number", s->origin, table, key,
+                    raw);
+  if (!(*out >= min && *out <= max))
+    return cf_fail (CF_ERR_SETTINGS, "choose a value within the bounds",
+                    "%s: [%s] %s = %s is outside [%g, %g]", s->origin, table,
+                    key, raw, min, max);
+  return CF_OK;
+}
+
+CfStatus
+cf_settings_strings (CfSettings *s, const char *table, const char *key,
+                     GPtrArray **out)
+{
+  g_autofree char *raw = NULL;
+  json_t *a = NULL;
+  json_t *v;
+  CfStatus st;
+  size_t i;
+
+  st = raw_value (s, table, key, &raw);
+  if (st != CF_OK)
+    return st;
+  /* A one-line TOML array of basic strings is JSON too. */
+  a = json_loads (raw, 0, NULL);
+  *out = g_ptr_array_new_with_free_func (g_free);
+  json_array_foreach (a, i, v)
+  {
+    if (json_is_string (v))
+      g_ptr_array_add (*out, g_strdup (json_string_value (v)));
+  }
+  if (!json_is_array (a) || json_array_size (a) != (*out)->len)
+    {
+      g_clear_pointer (out, g_ptr_array_unref);
+      st = cf_fail (CF_ERR_SETTINGS,
+                    "write an array of quoted strings on one line",
+                    "%s: [%s] %s = %s is not one", s->origin, table, key, raw);
+    }
+  json_decref (a);
+  return st;
+}
+
 CfStatus
 cf_settings_bool (CfSettings *s, const char *table, const char *key,
                   gboolean *out)
--- a/settings.h
+++ b/settings.h
@@ -52,6 +52,18 @@
 CfStatus cf_settings_bool (CfSettings *s, const char *table, const char *key,
                            gboolean *out);
 
+/** cf_settings_double: a number within [@min, @max]. */
+CfStatus cf_settings_double (CfSettings *s, const char *table, const char *key,
+                             double min, double max, double *out);
+
+/**
+ * cf_settings_strings:
+ * An array of quoted strings on one line, such as ["a", "b"].
+ * @out: (out): a new array that owns its strings; may be empty
+ */
+CfStatus cf_settings_strings (CfSettings *s, const char *table, const char *key,
+                              GPtrArray **out);
+
 /**
  * cf_settings_only:
  * @known: %NULL-terminated list of "table.key" names the program reads
--- a/wire.c
+++ b/wire.c
@@ -46,7 +46,7 @@
     case CF_MSG_STATUS:
       return 3;
     case CF_MSG_ORDER:
-      return 2;
+      return 3;
     case CF_MSG_CLAIM:
     case CF_MSG_RELEASE:
       return 3;
@@ -115,6 +115,7 @@
     case CF_MSG_ORDER:
       pack_kv_int (&pk, "fence", m->u.order.fence);
       pack_kv_str (&pk, "op", m->u.order.op);
+      pack_kv_str (&pk, "args", m->u.order.args);
       break;
     case CF_MSG_CLAIM:
     case CF_MSG_RELEASE:
@@ -272,6 +273,8 @@
         return get_int (v, "fence", &m->u.order.fence);
       if (key_is (k, "op"))
         return get_str (v, "op", &m->u.order.op);
+      if (key_is (k, "args"))
+        return get_str (v, "args", &m->u.order.args);
       break;
     case CF_MSG_CLAIM:
     case CF_MSG_RELEASE:
@@ -414,6 +417,7 @@
       break;
     case CF_MSG_ORDER:
       g_free (m->u.order.op);
+      g_free (m->u.order.args);
       break;
     case CF_MSG_CLAIM:
     case CF_MSG_RELEASE:
--- a/wire.h
+++ b/wire.h
@@ -108,6 +108,7 @@
     {
       gint64 fence;
       char *op;
+      char *args; /**< a JSON object for the target, or %NULL */
     } order;
     struct
     {
@@ -149,6 +150,9 @@
 /** cf_msg_clear: frees the strings of @m and zeroes it. */
 void cf_msg_clear (CfMsg *m);
 
+/** The reason of a refusal for an old fencing token. */
+#define CF_REASON_STALE_FENCE "stale-fencing-token"
+
 /** cf_verdict_name: "granted", "held" or "abstain". */
 const char *cf_verdict_name (CfVerdict v);
 
