Never go back to an older configuration, across restarts and long pauses

An entry restarted while the service is stale put version 1 in force again, and one paused and woken during an outage went on routing by it.

Ruled out: agents watching the service (340 copies of every version, far over 3 KB/s a node); gossip of whole versions (the same bytes); refusing to start while the service is stale (nobody can tell).

--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,8 @@
 	clang-format --dry-run --Werror *.c *.h t/*.c t/*.h
 
 tidy:
-	clang-tidy --quiet *.c -- $(ALL_CFLAGS)
+	printf '%s\n' *.c | xargs -P $$(nproc) -n 1 sh -c \
+		'clang-tidy --quiet "$$0" -- $(ALL_CFLAGS)'
 
 clean:
 	rm -f *.o t/*.o libcomfrey.a $(PROGRAMS) $(TESTS) bench.csv
--- a/agent-link.c
+++ b/agent-link.c
@@ -91,6 +91,7 @@
     {
       l->last_ping_ms = now;
       l->pings++;
+      ping.config = l->config;
       if (l->unanswered_ms == 0)
         l->unanswered_ms = now;
       if (cf_msg_write (l->fd, &ping) != CF_OK)
@@ -251,6 +252,14 @@
   pthread_mutex_unlock (&l->lock);
 }
 
+void
+cf_link_set_config (CfLink *l, gint64 version)
+{
+  pthread_mutex_lock (&l->lock);
+  l->config = version;
+  pthread_mutex_unlock (&l->lock);
+}
+
 guint64
 cf_link_pings (CfLink *l)
 {
--- a/agent-link.h
+++ b/agent-link.h
@@ -25,6 +25,7 @@
   int fd;              /**< -1 while down */
   gboolean ready;      /**< the agent answered on this fd: usable */
   guint64 next_id;
+  gint64 config;       /**< our configuration version, on every ping */
   GHashTable *pending; /**< id -> CfPending */
   CfLoad load;         /**< as the agent last reported it */
   gint64 outstanding;  /**< our calls waiting on it now */
@@ -68,6 +69,9 @@
  */
 void cf_link_set_idle_ping (CfLink *l, gint64 ms);
 
+/** cf_link_set_config: the configuration version that pings carry. */
+void cf_link_set_config (CfLink *l, gint64 version);
+
 /** cf_link_pings: heartbeats sent on @l so far. */
 guint64 cf_link_pings (CfLink *l);
 
--- a/agent.c
+++ b/agent.c
@@ -18,6 +18,7 @@
                                  "guard_max = 100000\n"
                                  "guard_quiet_ms = 5000\n"
                                  "drain_grace_ms = 30000\n"
+                                 "config_grace_ms = 9000\n"
                                  "[group]\n"
                                  "members = []\n"
                                  "rank = 0\n"
@@ -30,12 +31,25 @@
                                  "max_moves = 16\n";
 
 const char *const cf_agent_keys[] = {
-  "agent.listen",         "agent.target_url",     "agent.workers",
-  "agent.queue",          "agent.guard_ttl_ms",   "agent.guard_max",
-  "agent.guard_quiet_ms", "agent.drain_grace_ms", "group.members",
-  "group.rank",           "group.interval_ms",    "group.hold_max_ms",
-  "group.prepare_ms",     "group.policy",         "group.skew_weight",
-  "group.move_weight",    "group.max_moves",      NULL,
+  "agent.listen",
+  "agent.target_url",
+  "agent.workers",
+  "agent.queue",
+  "agent.guard_ttl_ms",
+  "agent.guard_max",
+  "agent.guard_quiet_ms",
+  "agent.drain_grace_ms",
+  "agent.config_grace_ms",
+  "group.members",
+  "group.rank",
+  "group.interval_ms",
+  "group.hold_max_ms",
+  "group.prepare_ms",
+  "group.policy",
+  "group.skew_weight",
+  "group.move_weight",
+  "group.max_moves",
+  NULL,
 };
 
 CfStatus
@@ -68,6 +82,9 @@
   if (st == CF_OK)
     st = cf_settings_int (s, "agent", "drain_grace_ms", 0, 3600000,
                           &o->drain_grace_ms);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "agent", "config_grace_ms", 0, 3600000,
+                          &o->config_grace_ms);
   if (st == CF_OK)
     st = cf_rank_group_settings_read (s, &o->group);
   return st;
@@ -243,6 +260,29 @@
   return NULL;
 }
 
+/*
+ * Whether a sender's configuration is so old that every process should
+ * have had a newer one for long: a process paused, cut off or started from
+ * a stale read must not bring the older one back.
+ */
+static gboolean
+is_behind (CfAgent *a, gint64 version)
+{
+  long long now = cf_now_ms ();
+  gboolean behind;
+
+  pthread_mutex_lock (&a->fence_lock);
+  if (version > a->config)
+    {
+      a->config = version;
+      a->config_since_ms = now;
+    }
+  behind = version > 0 && version < a->config
+           && now - a->config_since_ms >= a->set.config_grace_ms;
+  pthread_mutex_unlock (&a->fence_lock);
+  return behind;
+}
+
 /* Decides, before queueing, whether a request may run at all. */
 static gboolean
 admit (Conn *c, CfMsg *m)
@@ -256,6 +296,11 @@
       refuse (c, m->id, CF_RAN_NO, "draining", 1000);
       return FALSE;
     }
+  if (is_behind (a, m->config))
+    {
+      refuse (c, m->id, CF_RAN_NO, CF_REASON_CONFIG_BEHIND, 1000);
+      return FALSE;
+    }
   if (m->u.request.key == NULL)
     return TRUE;
   switch (cf_guard_begin (&a->guard, m->u.request.key, m->u.request.keyed,
@@ -472,6 +517,7 @@
           take_status (c, &m);
           break;
         case CF_MSG_PING:
+          is_behind (c->agent, m.config);
           take_status (c, &m);
           break;
         case CF_MSG_CLAIM:
--- a/agent.h
+++ b/agent.h
@@ -20,6 +20,7 @@
   gint64 guard_max;
   gint64 guard_quiet_ms; /**< the guard's quiet time after a start; guard.h */
   gint64 drain_grace_ms;
+  gint64 config_grace_ms; /**< how long a replaced version is still served */
   CfRankGroupSettings group;
 } CfAgentSettings;
 
@@ -38,6 +39,8 @@
   CfRankGroup *group; /**< %NULL unless its target is a rank of a group */
   pthread_mutex_t fence_lock;
   gint64 fence;  /**< highest fencing token seen */
+  gint64 config; /**< highest configuration version seen on a frame */
+  long long config_since_ms; /**< when it was first seen */
   int in_flight; /**< accepted and not yet answered, queued ones too */
   int draining;
   uint64_t served;
--- a/config-watch.c
+++ b/config-watch.c
@@ -8,6 +8,9 @@
 
 #define BACKOFF_MIN_MS 200
 #define BACKOFF_MAX_MS 3000
+/* A peer answers from memory, in the same region. */
+#define PEER_MS 300
+#define PEER_POLL_MS 500
 
 gboolean
 cf_config_watch_offer (CfConfigWatch *w, CfConfig *c)
@@ -89,6 +92,38 @@
   WATCH_FAILED,  /* the service did not answer */
 } WatchResult;
 
+/* Offers the document {"version", "records"} that @from sent. */
+static WatchResult
+offer_document (CfConfigWatch *w, const char *from, const char *body)
+{
+  WatchResult res = WATCH_NOTHING;
+  json_t *doc = json_loads (body, 0, NULL);
+  json_t *version = json_object_get (doc, "version");
+  json_t *records = json_object_get (doc, "records");
+  CfConfig *c = NULL;
+
+  if (!json_is_integer (version))
+    {
+      cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
+              "from=%s error=\"reply has no integer 'version'\"", from);
+      goto out;
+    }
+  if (cf_config_parse_json (records, "config", json_integer_value (version), &c)
+      != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
+              "from=%s version=%" JSON_INTEGER_FORMAT " error=\"%s\"", from,
+              json_integer_value (version), cf_last_error ());
+      goto out;
+    }
+  c->source = json_dumps (records, JSON_COMPACT);
+  if (cf_config_watch_offer (w, c))
+    res = WATCH_NEWER;
+out:
+  json_decref (doc);
+  return res;
+}
+
 /* One watch call. */
 static WatchResult
 watch_once (CfConfigWatch *w)
@@ -96,11 +131,7 @@
   g_autofree char *url = NULL;
   g_autofree char *body = NULL;
   long long t0 = cf_now_ms ();
-  WatchResult res = WATCH_NOTHING;
-  json_error_t jerr;
-  CfConfig *c = NULL;
-  json_t *doc = NULL;
-  json_t *version;
+  WatchResult res;
   long code = 0;
   CfStatus st;
 
@@ -117,38 +148,75 @@
       return WATCH_FAILED;
     }
   w->down = FALSE;
-  doc = json_loads (body, 0, &jerr);
-  version = json_object_get (doc, "version");
-  if (!json_is_integer (version))
-    {
-      cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
-              "error=\"reply has no integer 'version'\"");
-      goto out;
-    }
-  st = cf_config_parse_json (json_object_get (doc, "records"), "config",
-                             json_integer_value (version), &c);
-  if (st != CF_OK)
-    {
-      cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
-              "version=%" JSON_INTEGER_FORMAT " error=\"%s\"",
-              json_integer_value (version), cf_last_error ());
-      goto out;
-    }
-  if (cf_config_watch_offer (w, c))
-    res = WATCH_NEWER;
-  else if (cf_now_ms () - t0 >= w->wait_ms / 2)
+  res = offer_document (w, w->url, body);
+  if (res == WATCH_NOTHING && cf_now_ms () - t0 >= w->wait_ms / 2)
     res = WATCH_WAITED;
-out:
-  json_decref (doc);
   return res;
 }
 
+/* Asks one peer; TRUE if it answered, newer or not. */
+static gboolean
+ask_peer (CfConfigWatch *w, const char *peer)
+{
+  g_autofree char *url = g_strdup_printf (
+      "%s/v1/config?after=%" G_GINT64_FORMAT, peer, version_in_force (w));
+  g_autofree char *body = NULL;
+  long code = 0;
+
+  if (cf_http_call ("GET", url, NULL, NULL, PEER_MS, &code, &body) != CF_OK)
+    return FALSE;
+  if (code == 200 && offer_document (w, peer, body) == WATCH_NEWER)
+    g_atomic_int_set (&w->doubtful, 0);
+  return TRUE;
+}
+
+/* While the service is in doubt, one peer after the other is asked. */
+static void *
+peer_thread (void *p)
+{
+  CfConfigWatch *w = p;
+  guint next = 0;
+
+  for (;; usleep (PEER_POLL_MS * 1000))
+    if (g_atomic_int_get (&w->doubtful))
+      ask_peer (w, g_ptr_array_index (w->peers, next++ % w->peers->len));
+  return NULL;
+}
+
+void
+cf_config_watch_doubt (CfConfigWatch *w)
+{
+  g_atomic_int_set (&w->doubtful, 1);
+}
+
+void
+cf_config_watch_serve (CfConfigWatch *w, const CfHttpRequest *req,
+                       CfHttpReply *rep)
+{
+  const char *after = cf_http_query (req, "after");
+  CfConfig *c = cf_config_watch_get (w);
+
+  if (c == NULL || c->source == NULL
+      || c->version <= (after ? g_ascii_strtoll (after, NULL, 10) : 0))
+    cf_http_reply_error (rep, 404, "nothing-newer",
+                         "no newer configuration is in force here");
+  else
+    rep->body
+        = g_strdup_printf ("{\"version\":%" G_GINT64_FORMAT ",\"records\":%s}",
+                           c->version, c->source);
+  cf_config_unref (c);
+}
+
 static void *
 watch_thread (void *p)
 {
   CfConfigWatch *w = p;
   gint64 backoff = BACKOFF_MIN_MS;
 
+  /* A process that starts while the service is stale must not put an older
+   * version in force than the one its peers go by. */
+  for (guint i = 0; i < w->peers->len; i++)
+    ask_peer (w, g_ptr_array_index (w->peers, i));
   for (;;)
     {
       switch (watch_once (w))
@@ -156,11 +224,13 @@
         case WATCH_NEWER:
         case WATCH_WAITED:
           backoff = BACKOFF_MIN_MS;
+          g_atomic_int_set (&w->doubtful, 0);
           continue;
         case WATCH_NOTHING:
           /* A stale replica answers at once; asking again at once would
            * spend the service's shared read budget for nothing. */
         case WATCH_FAILED:
+          cf_config_watch_doubt (w);
           usleep (backoff * 1000);
           backoff = MIN (backoff * 2, BACKOFF_MAX_MS);
           break;
@@ -170,14 +240,23 @@
 }
 
 void
-cf_config_watch_start (CfConfigWatch *w, const char *url, gint64 wait_ms,
-                       void (*on_change) (void *, CfConfig *), void *data)
+cf_config_watch_start (CfConfigWatch *w, const char *url, GPtrArray *peers,
+                       gint64 wait_ms, void (*on_change) (void *, CfConfig *),
+                       void *data)
 {
+  pthread_t t;
+
   w->url = g_strdup (url);
+  w->peers = peers;
   w->wait_ms = wait_ms;
   w->on_change = on_change;
   w->data = data;
   pthread_mutex_init (&w->lock, NULL);
   pthread_create (&w->thread, NULL, watch_thread, w);
   pthread_detach (w->thread);
+  if (peers->len > 0)
+    {
+      pthread_create (&t, NULL, peer_thread, w);
+      pthread_detach (t);
+    }
 }
--- a/config-watch.h
+++ b/config-watch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http-server.h"
 #include "records.h"
 
 #include <pthread.h>
@@ -13,8 +14,10 @@
  */
 typedef struct
 {
-  char *url;      /**< the service's base URL */
-  gint64 wait_ms; /**< how long one watch may wait on the service */
+  char *url;        /**< the service's base URL */
+  GPtrArray *peers; /**< base URLs of processes that may know a newer version */
+  gint doubtful;    /**< the service fails or is stale: ask the peers */
+  gint64 wait_ms;   /**< how long one watch may wait on the service */
   pthread_mutex_t lock;
   CfConfig *current;    /**< in force; %NULL until the first version */
   CfConfig *previous;   /**< in force before @current, or %NULL */
@@ -27,12 +30,29 @@
 
 /**
  * cf_config_watch_start:
+ * @peers: as in #CfConfigWatch; may be empty; borrowed for good
  * @on_change: (nullable): called on the watch thread with each version put
  *   in force
  */
-void cf_config_watch_start (CfConfigWatch *w, const char *url, gint64 wait_ms,
+void cf_config_watch_start (CfConfigWatch *w, const char *url, GPtrArray *peers,
+                            gint64 wait_ms,
                             void (*on_change) (void *, CfConfig *), void *data);
 
+/**
+ * cf_config_watch_doubt:
+ * Something showed that a newer version is in force elsewhere: the peers
+ * are asked until one has it.
+ */
+void cf_config_watch_doubt (CfConfigWatch *w);
+
+/**
+ * cf_config_watch_serve:
+ * Answers a peer's GET /v1/config?after=VERSION: the version in force, or
+ * 404 if it is not newer.
+ */
+void cf_config_watch_serve (CfConfigWatch *w, const CfHttpRequest *req,
+                            CfHttpReply *rep);
+
 /** cf_config_watch_get: the version in force, with a reference, or %NULL. */
 CfConfig *cf_config_watch_get (CfConfigWatch *w);
 
--- a/entry.c
+++ b/entry.c
@@ -26,6 +26,9 @@
                                  "[config]\n"
                                  "url = \"http://127.0.0.1:7000\"\n"
                                  "watch_wait_ms = 5000\n"
+                                 "[peers]\n"
+                                 "listen = \"off\"\n"
+                                 "urls = []\n"
                                  "[vmlist]\n"
                                  "url = \"http://127.0.0.1:7001\"\n"
                                  "poll_ms = 500\n";
@@ -42,6 +45,8 @@
   "entry.low_priority_share",
   "config.url",
   "config.watch_wait_ms",
+  "peers.listen",
+  "peers.urls",
   "vmlist.url",
   "vmlist.poll_ms",
   NULL,
@@ -81,6 +86,10 @@
   if (st == CF_OK)
     st = cf_settings_int (s, "config", "watch_wait_ms", 100, 60000,
                           &o->watch_wait_ms);
+  if (st == CF_OK)
+    st = cf_settings_string (s, "peers", "listen", &o->peer_listen);
+  if (st == CF_OK)
+    st = cf_settings_strings (s, "peers", "urls", &o->peers);
   if (st == CF_OK)
     st = cf_settings_string (s, "vmlist", "url", &o->vmlist_url);
   if (st == CF_OK)
@@ -128,6 +137,7 @@
   GHashTableIter it;
   gpointer v;
 
+  cf_link_table_set_config (&e->links, c->version);
   /* Connect to every agent now, so that the first request pays nothing. */
   g_hash_table_iter_init (&it, c->groups);
   while (g_hash_table_iter_next (&it, NULL, &v))
@@ -315,7 +325,7 @@
 send_to (CfEntry *e, Request *r, const char *addr, CfKeyed keyed,
          long long left, CfMsg *reply)
 {
-  CfMsg req = { .kind = CF_MSG_REQUEST };
+  CfMsg req = { .kind = CF_MSG_REQUEST, .config = r->config->version };
 
   req.u.request.org = r->org;
   req.u.request.service = r->service;
@@ -483,6 +493,8 @@
               return;
             }
           last_reason = "refused";
+          if (g_str_equal (reply.u.refusal.reason, CF_REASON_CONFIG_BEHIND))
+            cf_config_watch_doubt (&e->watch);
           cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=%s ran=no",
                   r->id, addr, reply.u.refusal.reason);
           cf_msg_clear (&reply);
@@ -630,6 +642,18 @@
                          "use POST /v1/requests or GET /v1/health");
 }
 
+/* What the other entries may ask; on an address that callers do not reach. */
+static void
+on_peer (void *data, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  CfEntry *e = data;
+
+  if (g_str_equal (req->path, "/v1/config"))
+    cf_config_watch_serve (&e->watch, req, rep);
+  else
+    cf_http_reply_error (rep, 404, "not-found", "use GET /v1/config?after=N");
+}
+
 CfStatus
 cf_entry_start (CfEntry *e)
 {
@@ -637,8 +661,14 @@
 
   cf_link_table_init (&e->links);
   e->boot = (guint64)g_random_int () << 32 | g_random_int ();
-  cf_config_watch_start (&e->watch, e->set.config_url, e->set.watch_wait_ms,
-                         on_config, e);
+  if (!g_str_equal (e->set.peer_listen, "off"))
+    {
+      st = cf_http_server_start (e->set.peer_listen, on_peer, e, &e->peer_http);
+      if (st != CF_OK)
+        return st;
+    }
+  cf_config_watch_start (&e->watch, e->set.config_url, e->set.peers,
+                         e->set.watch_wait_ms, on_config, e);
   cf_vm_list_start (&e->vms, e->set.vmlist_url, e->set.vmlist_poll_ms);
   st = cf_http_server_start (e->set.listen, on_http, e, &e->http);
   if (st == CF_OK)
@@ -661,4 +691,5 @@
   cf_log (LOG_NOTICE, CF_EV_DRAIN_DONE, "in_flight=%d",
           g_atomic_int_get (&e->in_flight));
   cf_http_server_stop (e->http);
+  cf_http_server_stop (e->peer_http);
 }
--- a/entry.h
+++ b/entry.h
@@ -15,6 +15,8 @@
   char *listen; /**< caller HTTP, "IP:PORT" */
   char *datacentre;
   char *config_url;
+  GPtrArray *peers;  /**< the other entries' peer URLs; may be empty */
+  char *peer_listen; /**< where this entry answers its peers, or "off" */
   char *vmlist_url;
   gint64 max_in_flight;      /**< admission limit, requests */
   gint64 deadline_ms;        /**< when the caller gives none */
@@ -35,6 +37,7 @@
 {
   CfEntrySettings set;
   CfHttpServer *http;
+  CfHttpServer *peer_http; /**< %NULL if peer_listen is "off" */
   CfConfigWatch watch;
   CfVmList vms;
   CfLinkTable links;
--- a/expert-map.c
+++ b/expert-map.c
@@ -6,15 +6,16 @@
 map_empty (int experts, int ranks, int places)
 {
   CfExpertMap *m = g_new0 (CfExpertMap, 1);
+  gsize cells = (gsize)ranks * (gsize)places;
 
   m->version = 1;
   m->experts = experts;
   m->ranks = ranks;
   m->places = places;
-  m->held = g_new (int, (gsize)ranks *places);
   m->copies = g_new0 (int, experts);
-  for (int i = 0; i < ranks * places; i++)
-    m->held[i] = -1;
+  m->held = g_new (int, cells);
+  /* All bits set is -1, an empty place. */
+  memset (m->held, 0xff, cells * sizeof *m->held);
   return m;
 }
 
--- a/fake-ranks.c
+++ b/fake-ranks.c
@@ -42,9 +42,9 @@
   for (int r = 0; r < n; r++)
     {
       f->ranks[r].map = cf_expert_map_new (experts, n, places);
+      f->places = f->ranks[r].map->places;
       f->ranks[r].newest = 1;
     }
-  f->places = f->ranks[0].map->places;
 }
 
 static gboolean
--- a/link-table.c
+++ b/link-table.c
@@ -34,6 +34,7 @@
   if (l == NULL)
     {
       l = cf_link_new (addr);
+      cf_link_set_config (l, t->config);
       g_hash_table_insert (t->links, l->addr, l);
       share_ping_budget (t);
     }
@@ -41,6 +42,20 @@
   return l;
 }
 
+void
+cf_link_table_set_config (CfLinkTable *t, gint64 version)
+{
+  GHashTableIter it;
+  gpointer l;
+
+  pthread_mutex_lock (&t->lock);
+  t->config = version;
+  g_hash_table_iter_init (&it, t->links);
+  while (g_hash_table_iter_next (&it, NULL, &l))
+    cf_link_set_config (l, version);
+  pthread_mutex_unlock (&t->lock);
+}
+
 CfLinkTotals
 cf_link_table_totals (CfLinkTable *t)
 {
--- a/link-table.h
+++ b/link-table.h
@@ -11,6 +11,7 @@
 {
   pthread_mutex_t lock;
   GHashTable *links; /**< "IP:PORT" -> CfLink */
+  gint64 config;     /**< the configuration version that pings carry */
 } CfLinkTable;
 
 /** CfLinkTotals: what the table's links add up to, for the health page. */
@@ -26,5 +27,8 @@
 /** cf_link_table_get: the link to @addr, started at the first call. */
 CfLink *cf_link_table_get (CfLinkTable *t, const char *addr);
 
+/** cf_link_table_set_config: for every link, now and to come. */
+void cf_link_table_set_config (CfLinkTable *t, gint64 version);
+
 /** cf_link_table_totals: sums over the links. */
 CfLinkTotals cf_link_table_totals (CfLinkTable *t);
--- a/records.c
+++ b/records.c
@@ -53,6 +53,7 @@
     return;
   g_ptr_array_unref (c->intents);
   g_hash_table_unref (c->groups);
+  g_free (c->source);
   g_free (c);
 }
 
--- a/records.h
+++ b/records.h
@@ -46,6 +46,7 @@
 typedef struct
 {
   gint64 version;
+  char *source;       /**< the records' JSON array, for peers; may be %NULL */
   GPtrArray *intents; /**< CfIntent *, in record order */
   GHashTable *groups; /**< name -> CfGroup * */
   gint refs;
--- a/wire.c
+++ b/wire.c
@@ -69,11 +69,12 @@
 
   msgpack_sbuffer_init (&sb);
   msgpack_packer_init (&pk, &sb, msgpack_sbuffer_write);
-  msgpack_pack_map (&pk, 4 + field_count (m->kind));
+  msgpack_pack_map (&pk, 5 + field_count (m->kind));
   pack_kv_int (&pk, "v", CF_WIRE_VERSION);
   pack_kv_int (&pk, "k", m->kind);
   pack_str (&pk, "id");
   msgpack_pack_uint64 (&pk, m->id);
+  pack_kv_int (&pk, "cfg", m->config);
   pack_str (&pk, "load");
   msgpack_pack_array (&pk, 4);
   msgpack_pack_int64 (&pk, m->load.in_flight);
@@ -204,6 +205,8 @@
       m->id = (guint64)n;
       return CF_OK;
     }
+  if (key_is (k, "cfg"))
+    return get_int (v, "cfg", &m->config);
   if (key_is (k, "load"))
     return decode_load (v, &m->load);
 
--- a/wire.h
+++ b/wire.h
@@ -71,6 +71,7 @@
 {
   CfMsgKind kind;
   guint64 id;
+  gint64 config; /**< the sender's configuration version; 0 if it has none */
   CfLoad load;
   union
   {
@@ -150,6 +151,8 @@
 /** cf_msg_clear: frees the strings of @m and zeroes it. */
 void cf_msg_clear (CfMsg *m);
 
+/** The reason of a refusal for a configuration version long replaced. */
+#define CF_REASON_CONFIG_BEHIND "config-behind"
 /** The reason of a refusal for an old fencing token. */
 #define CF_REASON_STALE_FENCE "stale-fencing-token"
 
