Route by preference of groups, within a retry budget and fair shares

Read as an operator would expect of a load balancer, the entry fell short in four places. Only the first of an intent's groups was ever used, though the records call them an order of preference (new test in t/t-entry, failing first: 503 where the second group was up). Retries were limited for one request but not for an entry, so targets that refuse got up to three times the load. One organisation could fill the whole entry. And the caller's own priority counted at admission, before the intent's cap, so anyone could ask for the part kept for high priorities.

Change: route() tries the intent's groups in order; retry-budget.c is a token bucket of retry_percent (20) of requests plus retry_slack (20), not charged for a try whose link was down; admission.c keeps the last fair_reserve (10%) of max_in_flight for organisations below their fair share, which alone answers 429; admission comes after the intent. route() is split by what each outcome means.

--- a/entry.c
+++ b/entry.c
@@ -11,7 +11,6 @@
 
 #define KEY_MAX 128
 #define DEADLINE_MAX_MS 600000
-#define HIGH_PRIORITY 5
 
 const char cf_entry_defaults[] = "[entry]\n"
                                  "name = \"e1\"\n"
@@ -23,6 +22,9 @@
                                  "max_attempts = 3\n"
                                  "retry_after_ms = 1000\n"
                                  "low_priority_share = 80\n"
+                                 "fair_reserve = 10\n"
+                                 "retry_percent = 20\n"
+                                 "retry_slack = 20\n"
                                  "[config]\n"
                                  "url = \"http://127.0.0.1:7000\"\n"
                                  "watch_wait_ms = 5000\n"
@@ -43,6 +45,9 @@
   "entry.max_attempts",
   "entry.retry_after_ms",
   "entry.low_priority_share",
+  "entry.fair_reserve",
+  "entry.retry_percent",
+  "entry.retry_slack",
   "config.url",
   "config.watch_wait_ms",
   "peers.listen",
@@ -81,6 +86,14 @@
   if (st == CF_OK)
     st = cf_settings_int (s, "entry", "low_priority_share", 0, 100,
                           &o->low_priority_share);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "fair_reserve", 0, 100, &o->fair_reserve);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "retry_percent", 0, 1000,
+                          &o->retry_percent);
+  if (st == CF_OK)
+    st = cf_settings_int (s, "entry", "retry_slack", 1, 100000,
+                          &o->retry_slack);
   if (st == CF_OK)
     st = cf_settings_string (s, "config", "url", &o->config_url);
   if (st == CF_OK)
@@ -109,7 +122,11 @@
   char *body;
   gint64 priority;
   long long deadline_at;
-  gboolean maybe_ran; /**< sent once with no reply: fate unknown */
+  gboolean admitted;       /**< counts in the entry's admission */
+  gboolean maybe_ran;      /**< sent once with no reply: fate unknown */
+  gboolean reached_target; /**< the last try put load on a target */
+  gint64 attempts;
+  const char *last_reason; /**< why the last try did not end it */
   gint64 retry_hint_ms;
   const CfConfig *config;
   CfConfig *prev_config; /**< what other entries may still route by */
@@ -344,21 +361,27 @@
 
 /* No target could take @r: logs why for each and answers at once. */
 static void
-give_up (CfEntry *e, Request *r, CfHttpReply *rep, GHashTable *tried,
-         const char *last_reason)
+give_up (CfEntry *e, Request *r, CfHttpReply *rep, GHashTable *tried)
 {
   g_autofree char *m = NULL;
 
-  for (guint i = 0; i < r->group->agents->len; i++)
+  for (guint g = 0; g < r->intent->groups->len; g++)
     {
-      const char *addr = g_ptr_array_index (r->group->agents, i);
+      const CfGroup *group = cf_config_group (
+          r->config, g_ptr_array_index (r->intent->groups, g));
 
-      cf_log (LOG_INFO, CF_EV_NO_ROUTE, "req=%s group=%s target=%s state=%s",
-              r->id, r->group->name, addr, exclusion (e, addr, tried));
+      for (guint i = 0; i < group->agents->len; i++)
+        {
+          const char *addr = g_ptr_array_index (group->agents, i);
+
+          cf_log (LOG_INFO, CF_EV_NO_ROUTE,
+                  "req=%s group=%s target=%s state=%s", r->id, group->name,
+                  addr, exclusion (e, addr, tried));
+        }
     }
-  m = g_strdup_printf ("no target of group '%s' could take the request (%s); "
+  m = g_strdup_printf ("no target of intent '%s' could take the request (%s); "
                        "come back after retry_after_ms",
-                       r->group->name, last_reason);
+                       r->intent->name, r->last_reason);
   refuse (e, r, rep, 503, "unavailable",
           r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO,
           MAX (r->retry_hint_ms, e->set.retry_after_ms), m);
@@ -430,144 +453,203 @@
   r->claimed = FALSE;
 }
 
-/* Tries targets until one answers or it is no longer safe or useful. */
-static void
-route (CfEntry *e, Request *r, CfHttpReply *rep)
+/* What a target's refusal means for @r; TRUE if @r has its final answer. */
+static gboolean
+take_refusal (CfEntry *e, Request *r, CfHttpReply *rep, const char *addr,
+              const CfMsg *m)
+{
+  const char *reason = m->u.refusal.reason;
+
+  r->retry_hint_ms = MAX (r->retry_hint_ms, m->u.refusal.retry_after_ms);
+  if (m->u.refusal.ran != CF_RAN_NO)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "the target refused after it may have run: %s; retry with the same "
+          "idempotency key",
+          reason);
+
+      refuse (e, r, rep, 409, "fate-unknown", m->u.refusal.ran,
+              MAX (r->retry_hint_ms, e->set.retry_after_ms), text);
+      return TRUE;
+    }
+  r->last_reason = "refused";
+  if (g_str_equal (reason, CF_REASON_CONFIG_BEHIND))
+    cf_config_watch_doubt (&e->watch);
+  cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=%s ran=no", r->id,
+          addr, reason);
+  return FALSE;
+}
+
+/* The link to @addr was lost, or silent to the deadline, with @r sent; TRUE
+ * if @r has its final answer. */
+static gboolean
+take_loss (CfEntry *e, Request *r, CfHttpReply *rep, const char *addr,
+           gboolean timeout)
+{
+  r->maybe_ran = TRUE;
+  if (r->key || timeout)
+    {
+      refuse (e, r, rep, 504, timeout ? "deadline" : "link-lost",
+              CF_RAN_UNKNOWN, e->set.retry_after_ms,
+              "the target may have run the request; a call with an "
+              "idempotency key may be sent again with the same key");
+      return TRUE;
+    }
+  r->last_reason = "link-lost";
+  cf_log (LOG_INFO, CF_EV_RETRY,
+          "req=%s target=%s reason=link-lost ran=unknown", r->id, addr);
+  return FALSE;
+}
+
+/* Sends @r to one target; TRUE if @r has its final answer. */
+static gboolean
+try_target (CfEntry *e, Request *r, CfHttpReply *rep, const char *addr)
+{
+  CfMsg reply = { 0 };
+  gboolean final = FALSE;
+
+  r->attempts++;
+  cf_log (LOG_INFO, CF_EV_ROUTE,
+          "req=%s org=%s service=%s model=%s intent=%s group=%s target=%s "
+          "attempt=%" G_GINT64_FORMAT " reason=%s",
+          r->id, r->org, r->service, r->model, r->intent->name, r->group->name,
+          addr, r->attempts, r->key ? "key-owner" : "least-loaded");
+  if (r->key && !claim (e, r, rep, addr))
+    return TRUE;
+  r->reached_target = TRUE;
+  switch (send_to (e, r, addr,
+                   r->claimed ? CF_KEYED_CLAIMED : CF_KEYED_UNCLAIMED,
+                   r->deadline_at - cf_now_ms (), &reply))
+    {
+    case CF_CALL_REPLY:
+      if (reply.kind == CF_MSG_ANSWER)
+        {
+          answer (e, r, rep, &reply, addr);
+          final = TRUE;
+        }
+      else
+        final = take_refusal (e, r, rep, addr, &reply);
+      break;
+    case CF_CALL_NOT_SENT:
+      r->reached_target = FALSE;
+      r->last_reason = "link-down";
+      cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=link-down ran=no",
+              r->id, addr);
+      break;
+    case CF_CALL_LOST:
+      final = take_loss (e, r, rep, addr, FALSE);
+      break;
+    case CF_CALL_TIMEOUT:
+      final = take_loss (e, r, rep, addr, TRUE);
+      break;
+    }
+  cf_msg_clear (&reply);
+  return final;
+}
+
+/* Whether one more try may be made; a retry after one that reached a
+ * target is charged to the retry budget. */
+static gboolean
+may_try (CfEntry *e, Request *r)
+{
+  if (r->attempts == 0)
+    return TRUE;
+  if (r->attempts >= e->set.max_attempts)
+    return FALSE;
+  if (r->reached_target && !cf_retry_budget_take (&e->retry_budget))
+    {
+      r->last_reason = "retry-budget";
+      return FALSE;
+    }
+  ck_pr_inc_64 (&e->retries);
+  return TRUE;
+}
+
+/* Tries the targets of one group; TRUE if @r has its final answer. */
+static gboolean
+try_group (CfEntry *e, Request *r, CfHttpReply *rep, GHashTable *tried)
 {
-  g_autoptr (GHashTable) tried = g_hash_table_new (g_str_hash, g_str_equal);
   g_autofree CfCandidate *c = g_new0 (CfCandidate, r->group->agents->len);
-  const char *last_reason = "no-target";
 
-  for (gint64 attempt = 0; attempt < e->set.max_attempts; attempt++)
+  while (candidates (e, r, c, tried) > 0 && may_try (e, r))
     {
-      CfMsg reply = { 0 };
-      long long left = r->deadline_at - cf_now_ms ();
-      CfCallResult res;
-      const char *addr;
+      const char *addr = c[0].addr;
 
-      if (left <= 0)
+      if (r->deadline_at <= cf_now_ms ())
         {
           if (!r->maybe_ran)
             release (e, r);
           refuse (e, r, rep, 504, "deadline",
                   r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO, 0,
                   "the deadline passed before a target answered");
-          return;
+          return TRUE;
         }
-      if (candidates (e, r, c, tried) == 0)
-        break;
-      addr = c[0].addr;
-      cf_log (LOG_INFO, CF_EV_ROUTE,
-              "req=%s org=%s service=%s model=%s intent=%s group=%s target=%s "
-              "attempt=%" G_GINT64_FORMAT " reason=%s",
-              r->id, r->org, r->service, r->model, r->intent->name,
-              r->group->name, addr, attempt + 1,
-              r->key ? "key-owner" : "least-loaded");
       g_hash_table_add (tried, (gpointer)addr);
-      if (r->key && !claim (e, r, rep, addr))
+      if (try_target (e, r, rep, addr))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Tries the intent's groups in the operators' order of preference until a
+ * target answers, or no other try is safe or useful. */
+static void
+route (CfEntry *e, Request *r, CfHttpReply *rep)
+{
+  g_autoptr (GHashTable) tried = g_hash_table_new (g_str_hash, g_str_equal);
+
+  cf_retry_budget_request (&e->retry_budget);
+  for (guint i = 0; i < r->intent->groups->len; i++)
+    {
+      r->group = cf_config_group (r->config,
+                                  g_ptr_array_index (r->intent->groups, i));
+      if (try_group (e, r, rep, tried))
         return;
-      left = r->deadline_at - cf_now_ms ();
-      res = send_to (e, r, addr, r->claimed ? CF_KEYED_CLAIMED : 0, left,
-                     &reply);
-      switch (res)
-        {
-        case CF_CALL_REPLY:
-          if (reply.kind == CF_MSG_ANSWER)
-            {
-              answer (e, r, rep, &reply, addr);
-              cf_msg_clear (&reply);
-              return;
-            }
-          r->retry_hint_ms
-              = MAX (r->retry_hint_ms, reply.u.refusal.retry_after_ms);
-          if (reply.u.refusal.ran != CF_RAN_NO)
-            {
-              g_autofree char *m = g_strdup_printf (
-                  "the target refused after it may have run: %s; retry with "
-                  "the same idempotency key",
-                  reply.u.refusal.reason);
-
-              refuse (e, r, rep, 409, "fate-unknown", reply.u.refusal.ran,
-                      MAX (r->retry_hint_ms, e->set.retry_after_ms), m);
-              cf_msg_clear (&reply);
-              return;
-            }
-          last_reason = "refused";
-          if (g_str_equal (reply.u.refusal.reason, CF_REASON_CONFIG_BEHIND))
-            cf_config_watch_doubt (&e->watch);
-          cf_log (LOG_INFO, CF_EV_RETRY, "req=%s target=%s reason=%s ran=no",
-                  r->id, addr, reply.u.refusal.reason);
-          cf_msg_clear (&reply);
-          break;
-        case CF_CALL_NOT_SENT:
-          last_reason = "link-down";
-          cf_log (LOG_INFO, CF_EV_RETRY,
-                  "req=%s target=%s reason=link-down "
-                  "ran=no",
-                  r->id, addr);
-          break;
-        case CF_CALL_LOST:
-        case CF_CALL_TIMEOUT:
-          r->maybe_ran = TRUE;
-          if (r->key || res == CF_CALL_TIMEOUT)
-            {
-              refuse (e, r, rep, 504,
-                      res == CF_CALL_LOST ? "link-lost" : "deadline",
-                      CF_RAN_UNKNOWN, e->set.retry_after_ms,
-                      "the target may have run the request; a call with an "
-                      "idempotency key may be sent again with the same key");
-              return;
-            }
-          last_reason = "link-lost";
-          cf_log (LOG_INFO, CF_EV_RETRY,
-                  "req=%s target=%s reason=link-lost "
-                  "ran=unknown",
-                  r->id, addr);
-          ck_pr_inc_64 (&e->retries);
-          continue;
-        }
-      ck_pr_inc_64 (&e->retries);
     }
   if (!r->maybe_ran)
     release (e, r);
-  give_up (e, r, rep, tried, last_reason);
+  give_up (e, r, rep, tried);
 }
 
+/* Takes @r on, or refuses it for want of room. */
 static gboolean
-admit (CfEntry *e, Request *r)
+admit (CfEntry *e, Request *r, CfHttpReply *rep)
 {
-  gint64 limit = e->set.max_in_flight;
-  gint now = g_atomic_int_add (&e->in_flight, 1) + 1;
-
-  if (r->priority < HIGH_PRIORITY)
-    limit = limit * e->set.low_priority_share / 100;
-  return now <= limit;
+  CfAdmit res = cf_admission_enter (&e->admission, r->org, r->priority);
+
+  r->admitted = res == CF_ADMIT_OK;
+  if (r->admitted)
+    return TRUE;
+  cf_log (LOG_INFO, CF_EV_ADMIT_REFUSE,
+          "req=%s org=%s priority=%" G_GINT64_FORMAT " reason=%s", r->id,
+          r->org, r->priority,
+          res == CF_ADMIT_FULL ? "overloaded" : "fair-share");
+  if (res == CF_ADMIT_FULL)
+    refuse (e, r, rep, 503, "overloaded", CF_RAN_NO, e->set.retry_after_ms,
+            "the entry is at its admission limit; come back after "
+            "retry_after_ms");
+  else
+    refuse (e, r, rep, 429, "fair-share", CF_RAN_NO, e->set.retry_after_ms,
+            "the organisation is at its fair share of a full entry; come back "
+            "after retry_after_ms");
+  return FALSE;
 }
 
 static void
 handle_request (CfEntry *e, const CfHttpRequest *req, CfHttpReply *rep)
 {
-  Request r = { 0 };
+  Request r = { .last_reason = "no-target" };
   CfConfig *c = NULL;
 
   g_snprintf (r.id, sizeof r.id, "%s-%" G_GUINT64_FORMAT, e->set.name,
               (guint64)__atomic_add_fetch (&e->seq, 1, __ATOMIC_RELAXED));
+  g_atomic_int_inc (&e->in_flight);
   if (!parse_request (e, req, &r, rep))
-    goto out_unadmitted;
+    goto out;
   if (g_atomic_int_get (&e->draining))
     {
       refuse (e, &r, rep, 503, "draining", CF_RAN_NO, e->set.retry_after_ms,
               "this entry is shutting down; send the request to another");
-      goto out_unadmitted;
-    }
-  if (!admit (e, &r))
-    {
-      cf_log (LOG_INFO, CF_EV_ADMIT_REFUSE,
-              "req=%s org=%s priority=%" G_GINT64_FORMAT " in_flight=%d", r.id,
-              r.org, r.priority, g_atomic_int_get (&e->in_flight));
-      refuse (e, &r, rep, 503, "overloaded", CF_RAN_NO, e->set.retry_after_ms,
-              "the entry is at its admission limit; come back after "
-              "retry_after_ms");
       goto out;
     }
   c = cf_config_watch_get (&e->watch);
@@ -597,12 +679,13 @@
       g_snprintf (r.token, sizeof r.token, "%s-%016" G_GINT64_MODIFIER "x",
                   r.id, e->boot);
     }
-  r.group = cf_config_group (c, g_ptr_array_index (r.intent->groups, 0));
   r.priority = MIN (r.priority, r.intent->priority);
-  route (e, &r, rep);
+  if (admit (e, &r, rep))
+    route (e, &r, rep);
 out:
+  if (r.admitted)
+    cf_admission_leave (&e->admission, r.org);
   g_atomic_int_add (&e->in_flight, -1);
-out_unadmitted:
   cf_config_unref (c);
   request_clear (&r);
 }
@@ -660,6 +743,10 @@
   CfStatus st;
 
   cf_link_table_init (&e->links);
+  cf_admission_init (&e->admission, e->set.max_in_flight,
+                     e->set.low_priority_share, e->set.fair_reserve);
+  cf_retry_budget_init (&e->retry_budget, e->set.retry_percent,
+                        e->set.retry_slack);
   e->boot = (guint64)g_random_int () << 32 | g_random_int ();
   if (!g_str_equal (e->set.peer_listen, "off"))
     {
--- a/entry.h
+++ b/entry.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "admission.h"
 #include "config-watch.h"
 #include "http-server.h"
 #include "link-table.h"
+#include "retry-budget.h"
 #include "settings.h"
 #include "vm-list.h"
 
@@ -24,6 +26,9 @@
   gint64 max_attempts;       /**< targets tried for one request */
   gint64 retry_after_ms;     /**< told to callers refused for load */
   gint64 low_priority_share; /**< percent of max_in_flight open to prio < 5 */
+  gint64 fair_reserve;       /**< percent of it kept for fair shares */
+  gint64 retry_percent;      /**< retries for 100 requests */
+  gint64 retry_slack;        /**< retries beyond that share */
   gint64 watch_wait_ms;
   gint64 vmlist_poll_ms;
 } CfEntrySettings;
@@ -42,7 +47,9 @@
   CfVmList vms;
   CfLinkTable links;
   guint64 boot; /**< random, tells this start from any other */
-  gint in_flight;
+  CfAdmission admission;
+  CfRetryBudget retry_budget;
+  gint in_flight; /**< requests whose answer is not ready yet, refused too */
   gint draining;
   guint64 seq;
   uint64_t answered;
--- /dev/null
+++ b/retry-budget.c
@@ -0,0 +1,37 @@
+#include "retry-budget.h"
+
+void
+cf_retry_budget_init (CfRetryBudget *b, gint64 percent, gint64 slack)
+{
+  pthread_mutex_init (&b->lock, NULL);
+  b->per_request = (double)percent / 100;
+  b->max = (double)slack;
+  b->tokens = b->max;
+}
+
+void
+cf_retry_budget_clear (CfRetryBudget *b)
+{
+  pthread_mutex_destroy (&b->lock);
+}
+
+void
+cf_retry_budget_request (CfRetryBudget *b)
+{
+  pthread_mutex_lock (&b->lock);
+  b->tokens = MIN (b->tokens + b->per_request, b->max);
+  pthread_mutex_unlock (&b->lock);
+}
+
+gboolean
+cf_retry_budget_take (CfRetryBudget *b)
+{
+  gboolean ok;
+
+  pthread_mutex_lock (&b->lock);
+  ok = b->tokens >= 1;
+  if (ok)
+    b->tokens -= 1;
+  pthread_mutex_unlock (&b->lock);
+  return ok;
+}
--- /dev/null
+++ b/t/t-admission.c
@@ -0,0 +1,68 @@
+/*
+ * Admission: the limit by priority, and that large organisations cannot
+ * shut small ones out.
+ */
+#include "admission.h"
+#include "harness.h"
+
+#include <check.h>
+
+/* Enters @n requests of @org; returns how many were taken on. */
+static int
+enter (CfAdmission *a, const char *org, gint64 priority, int n)
+{
+  int taken = 0;
+
+  for (int i = 0; i < n; i++)
+    taken += cf_admission_enter (a, org, priority) == CF_ADMIT_OK;
+  return taken;
+}
+
+START_TEST (test_low_priority_uses_only_its_part)
+{
+  CfAdmission a;
+
+  cf_admission_init (&a, 100, 80, 0);
+  ck_assert_int_eq (enter (&a, "o", 4, 200), 80);
+  ck_assert_int_eq (cf_admission_enter (&a, "o", 4), CF_ADMIT_FULL);
+  ck_assert_int_eq (enter (&a, "o", 5, 200), 20);
+  ck_assert_int_eq (cf_admission_enter (&a, "o", 9), CF_ADMIT_FULL);
+  cf_admission_leave (&a, "o");
+  ck_assert_int_eq (cf_admission_in_progress (&a), 99);
+  ck_assert_int_eq (cf_admission_enter (&a, "o", 9), CF_ADMIT_OK);
+  cf_admission_clear (&a);
+}
+END_TEST
+
+START_TEST (test_large_cannot_shut_small_out)
+{
+  CfAdmission a;
+
+  cf_admission_init (&a, 100, 100, 10);
+  /* Alone, one organisation is its own fair share: nothing is wasted. */
+  ck_assert_int_eq (enter (&a, "large", 5, 200), 100);
+  for (int i = 0; i < 100; i++)
+    cf_admission_leave (&a, "large");
+  ck_assert_int_eq (cf_admission_in_progress (&a), 0);
+
+  /* Beside another it stops at the reserve, which the small one gets. */
+  ck_assert_int_eq (enter (&a, "small", 5, 1), 1);
+  ck_assert_int_eq (enter (&a, "large", 5, 200), 89);
+  ck_assert_int_eq (cf_admission_enter (&a, "large", 5), CF_ADMIT_FAIR_SHARE);
+  ck_assert_int_eq (enter (&a, "small", 5, 20), 10);
+  ck_assert_int_eq (cf_admission_enter (&a, "small", 5), CF_ADMIT_FULL);
+  cf_admission_clear (&a);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("admission");
+  TCase *tc = tcase_create ("core");
+
+  tcase_add_test (tc, test_low_priority_uses_only_its_part);
+  tcase_add_test (tc, test_large_cannot_shut_small_out);
+  suite_add_tcase (s, tc);
+  return t_run (s);
+}
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -274,6 +274,42 @@
 }
 END_TEST
 
+/* An intent whose first group is down, then the group of start_group(). */
+static const char two_groups[]
+    = "{\"schema\":1,\"kind\":\"group\",\"name\":\"first\",\"target\":"
+      "\"engine\",\"agents\":[\"127.0.0.1:17503\"]}\n"
+      "{\"schema\":1,\"kind\":\"group\",\"name\":\"g\",\"target\":\"engine\","
+      "\"agents\":[\"127.0.0.1:17501\",\"127.0.0.1:17502\"]}\n"
+      "{\"schema\":1,\"kind\":\"intent\",\"name\":\"i\",\"org\":\"aspen-"
+      "coulee\",\"service\":\"assistant\",\"model\":\"desc-v3\",\"groups\":["
+      "\"first\",\"g\"],\"priority\":5,\"worth\":1}\n";
+
+START_TEST (test_next_group_takes_what_the_first_cannot)
+{
+  g_autofree char *group = NULL;
+  g_autofree char *target = NULL;
+  long code = 0;
+
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health", "\"config_version\":1", 5000));
+  ck_assert_int_eq (cf_http_call ("POST", "http://127.0.0.1:17500/test/publish",
+                                  two_groups, NULL, 2000, &code, NULL),
+                    CF_OK);
+  ck_assert_int_eq (code, 200);
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":2,\"links_up\":2", 5000));
+  ck_assert_int_eq (post (SHOP, "group", &group, NULL), 200);
+  ck_assert_str_eq (group, "g");
+  /* Once the preferred group is there it is preferred. */
+  start_agent ("e-agent-3", "17503");
+  ck_assert (t_wait_for (ENTRY "/v1/health", "\"links_up\":3", 5000));
+  ck_assert_int_eq (post (SHOP, "target", &target, NULL), 200);
+  ck_assert_str_eq (target, "127.0.0.1:17503");
+  t_stop_all ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -284,6 +320,7 @@
   tcase_add_test (tc, test_no_config_is_not_run);
   tcase_add_test (tc, test_no_target_answers_at_once);
   tcase_add_test (tc, test_drained_agents_get_no_work);
+  tcase_add_test (tc, test_next_group_takes_what_the_first_cannot);
   tcase_add_test (tc, test_planned_stop_finishes_request_in_progress);
   tcase_add_test (tc, test_leaving_target_gets_no_work_within_bound);
   tcase_add_test (tc, test_silent_agent_is_passed_over);
