Keep a frame too large from taking a link down; a weight store stand-in

Cause: the HTTP limit is 1 MiB and so is a frame's, so a body near the limit made a frame its receiver refuses, which closes the link and leaves every other request on it with an unknown fate; a target's large answer did the same the other way. New tests failing first: t/t-entry got 503 (and lost links) for one such request, t/t-agent's link closed without an answer.

Log values come from callers too: a newline in an organisation's name could forge a line (t/t-log, failing first). Control characters are written as '?'.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 	expert-map.o map-change.o placement.o daemon.o
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
-	comfrey-load comfrey-bench comfrey-slopes
-TESTS = t/t-records t/t-settings t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-link \
+	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
+TESTS = t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-link \
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
 	t/t-session
 
--- a/agent-link.c
+++ b/agent-link.c
@@ -197,6 +197,7 @@
   struct timespec ts = { .tv_sec = deadline_ms / 1000,
                          .tv_nsec = (deadline_ms % 1000) * 1000000 };
   CfCallResult res;
+  CfStatus st;
 
   pthread_mutex_lock (&l->lock);
   if (l->fd < 0 || !l->ready)
@@ -205,7 +206,13 @@
       goto out;
     }
   req->id = ++l->next_id;
-  if (cf_msg_write (l->fd, req) != CF_OK)
+  st = cf_msg_write (l->fd, req);
+  if (st == CF_ERR_FULL)
+    {
+      res = CF_CALL_TOO_LARGE;
+      goto out;
+    }
+  if (st != CF_OK)
     {
       /* send() took none or part of the frame; a part is never decoded. */
       fail_all (l, "write-failed");
--- a/agent-link.h
+++ b/agent-link.h
@@ -41,10 +41,11 @@
 /** CfCallResult: how a call on a link ended. */
 typedef enum
 {
-  CF_CALL_REPLY,    /**< @reply holds the agent's answer or refusal */
-  CF_CALL_NOT_SENT, /**< the link was down: the agent never saw it */
-  CF_CALL_LOST,     /**< sent, then the link was lost: fate unknown */
-  CF_CALL_TIMEOUT,  /**< sent, no reply by the deadline: fate unknown */
+  CF_CALL_REPLY,     /**< @reply holds the agent's answer or refusal */
+  CF_CALL_NOT_SENT,  /**< the link was down: the agent never saw it */
+  CF_CALL_LOST,      /**< sent, then the link was lost: fate unknown */
+  CF_CALL_TOO_LARGE, /**< does not fit a frame: not sent */
+  CF_CALL_TIMEOUT,   /**< sent, no reply by the deadline: fate unknown */
 } CfCallResult;
 
 /** cf_link_new: starts the link's thread, which connects at once. */
--- a/agent.c
+++ b/agent.c
@@ -127,15 +127,20 @@
   return l;
 }
 
-static void
+/* %CF_ERR_FULL if @m does not fit a frame; nothing is sent then. */
+static CfStatus
 reply (Conn *c, CfMsg *m)
 {
+  CfStatus st;
+
   m->load = cf_agent_load (c->agent);
   pthread_mutex_lock (&c->write_lock);
+  st = cf_msg_write (c->fd, m);
   /* A failed write means the entry is gone; it will see the link lost. */
-  if (cf_msg_write (c->fd, m) != CF_OK)
+  if (st == CF_ERR_NET)
     shutdown (c->fd, SHUT_RDWR);
   pthread_mutex_unlock (&c->write_lock);
+  return st;
 }
 
 static void
@@ -161,7 +166,8 @@
   m.u.answer.code = code;
   m.u.answer.body = (char *)body;
   ck_pr_inc_64 (&c->agent->served);
-  reply (c, &m);
+  if (reply (c, &m) == CF_ERR_FULL)
+    refuse (c, id, CF_RAN_YES, "answer-too-large", 0);
 }
 
 /* Tells the target to stop work nobody waits for; best effort, since the
--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -24,6 +24,8 @@
                                "experts = 128\n"
                                "places = 0\n"
                                "copy_ms = 10\n"
+                               "weights_url = \"off\"\n"
+                               "expert_mb = 24\n"
                                "batch_max = 64\n"
                                "step_base_us = 2000\n"
                                "step_per_token_us = 100\n"
@@ -64,6 +66,8 @@
       copy_ms;
   gboolean check_fence;
   char *listen;
+  char *weights_url; /* of the weight store, or "off" */
+  gint64 expert_mb;
   gint64 seed;
   int reported_running; /* load as the lagging report shows it */
   double *counts;       /* tokens each expert drew since the start */
@@ -77,6 +81,10 @@
   { CF_SETTING_INT, "engine", "experts", offsetof (Engine, experts), 1, 4096 },
   { CF_SETTING_INT, "engine", "places", offsetof (Engine, places), 0, 4096 },
   { CF_SETTING_INT, "engine", "copy_ms", offsetof (Engine, copy_ms), 0, 60000 },
+  { CF_SETTING_STRING, "engine", "weights_url", offsetof (Engine, weights_url),
+    0, 0 },
+  { CF_SETTING_INT, "engine", "expert_mb", offsetof (Engine, expert_mb), 1,
+    100000 },
   { CF_SETTING_INT, "engine", "batch_max", offsetof (Engine, batch_max), 1,
     4096 },
   { CF_SETTING_INT, "engine", "step_base_us", offsetof (Engine, base_us), 0,
@@ -162,6 +170,8 @@
           eng.counts[e]++;
         }
       max = cf_expert_map_load (map, tokens, load);
+      eng.ranks.slowest += max;
+      eng.ranks.mean += (double)eng.running / (double)eng.n_ranks;
       pthread_mutex_unlock (&eng.lock);
 
       usleep (eng.base_us + (gint64)((double)eng.per_token_us * max)
@@ -431,6 +441,8 @@
   fake_ranks_init (&eng.ranks, &eng.lock, (int)eng.experts, (int)eng.n_ranks,
                    (int)eng.places, eng.copy_ms);
   eng.ranks.check_fence = eng.check_fence;
+  if (!g_str_equal (eng.weights_url, "off"))
+    fake_ranks_copy_from (&eng.ranks, eng.weights_url, eng.expert_mb);
   eng.counts = g_new0 (double, eng.experts);
   eng.reported = g_new0 (double, eng.experts);
   eng.rand = g_rand_new_with_seed ((guint32)eng.seed);
--- a/entry-route.c
+++ b/entry-route.c
@@ -167,6 +167,13 @@
   const char *reason = m->u.refusal.reason;
 
   r->retry_hint_ms = MAX (r->retry_hint_ms, m->u.refusal.retry_after_ms);
+  if (m->u.refusal.ran == CF_RAN_YES)
+    {
+      cf_request_refuse (e, r, rep, 502, reason, CF_RAN_YES, 0,
+                         "the request ran, but its answer cannot be passed "
+                         "on; ask for a smaller one");
+      return TRUE;
+    }
   if (m->u.refusal.ran != CF_RAN_NO)
     {
       g_autofree char *text = g_strdup_printf (
@@ -236,6 +243,13 @@
       else
         final = take_refusal (e, r, rep, addr, &reply);
       break;
+    case CF_CALL_TOO_LARGE:
+      release (e, r);
+      cf_request_refuse (e, r, rep, 413, "too-large", CF_RAN_NO, 0,
+                         "the request does not fit a frame of 1 MiB; send a "
+                         "smaller body");
+      final = TRUE;
+      break;
     case CF_CALL_NOT_SENT:
       r->reached_target = FALSE;
       r->last_reason = "link-down";
--- a/fake-ranks.c
+++ b/fake-ranks.c
@@ -1,5 +1,6 @@
 #include "fake-ranks.h"
 
+#include "http-client.h"
 #include "net.h"
 
 #include <stdio.h>
@@ -47,6 +48,78 @@
     }
 }
 
+void
+fake_ranks_copy_from (FakeRanks *f, const char *url, gint64 expert_mb)
+{
+  f->weights_url = g_strdup (url);
+  f->expert_mb = expert_mb;
+}
+
+/* What lives for one copy of experts from the weight store to a rank. */
+typedef struct
+{
+  FakeRanks *ranks;
+  int rank;
+  gint64 version;
+  int experts;
+} Copy;
+
+#define COPY_MS 60000
+#define COPY_AGAIN_MS 200
+
+static void *
+copy_thread (void *data)
+{
+  Copy *c = data;
+  g_autofree char *url = g_strdup_printf ("%s/v1/weights?mb=%" G_GINT64_FORMAT,
+                                          c->ranks->weights_url,
+                                          c->experts * c->ranks->expert_mb);
+  FakeRank *k = &c->ranks->ranks[c->rank];
+  gboolean wanted = TRUE;
+  long code = 0;
+
+  while (wanted)
+    {
+      gboolean whole
+          = cf_http_call ("GET", url, NULL, NULL, COPY_MS, &code, NULL) == CF_OK
+            && code == 200;
+
+      pthread_mutex_lock (c->ranks->lock);
+      wanted = k->prepared && k->prepared->version == c->version;
+      if (wanted && whole)
+        k->copied_at = cf_now_ms ();
+      pthread_mutex_unlock (c->ranks->lock);
+      if (whole)
+        break;
+      usleep (COPY_AGAIN_MS * 1000);
+    }
+  g_free (c);
+  return NULL;
+}
+
+/* Starts to copy @experts of the version just prepared at @rank. */
+static void
+start_copy (FakeRanks *f, int rank, int experts)
+{
+  FakeRank *k = &f->ranks[rank];
+  pthread_t t;
+  Copy *c;
+
+  if (f->weights_url == NULL || experts == 0)
+    {
+      k->copied_at = cf_now_ms () + experts * f->copy_ms;
+      return;
+    }
+  k->copied_at = G_MAXINT64;
+  c = g_new0 (Copy, 1);
+  c->ranks = f;
+  c->rank = rank;
+  c->version = k->prepared->version;
+  c->experts = experts;
+  pthread_create (&t, NULL, copy_thread, c);
+  pthread_detach (t);
+}
+
 static gboolean
 is_held (const FakeRanks *f, gint64 step)
 {
@@ -132,7 +205,7 @@
   cf_expert_map_free (k->prepared);
   k->prepared = m;
   k->newest = m->version;
-  k->copied_at = cf_now_ms () + added * f->copy_ms;
+  start_copy (f, rank, added);
   return NULL;
 }
 
@@ -281,8 +354,10 @@
   else if (g_str_equal (req->path, "/test/steps"))
     rep->body = g_strdup_printf (
         "{\"steps\":%" G_GINT64_FORMAT ",\"switches\":%" G_GINT64_FORMAT
-        ",\"mixed\":%" G_GINT64_FORMAT ",\"map\":%" G_GINT64_FORMAT "}",
-        f->step, f->switches, f->mixed, f->ranks[0].map->version);
+        ",\"mixed\":%" G_GINT64_FORMAT ",\"map\":%" G_GINT64_FORMAT
+        ",\"slowest\":%.0f,\"mean\":%.0f}",
+        f->step, f->switches, f->mixed, f->ranks[0].map->version, f->slowest,
+        f->mean);
   else
     ours = FALSE;
   pthread_mutex_unlock (f->lock);
--- a/fake-ranks.h
+++ b/fake-ranks.h
@@ -21,10 +21,14 @@
   int n;
   int experts;
   int places;
-  gint64 copy_ms; /**< to copy one expert to a rank */
-  gint64 step;    /**< the last step begun */
-  gint64 mixed;   /**< steps in which two ranks used different maps */
+  gint64 copy_ms;    /**< to copy one expert to a rank, without a store */
+  char *weights_url; /**< the weight store to copy from, or %NULL */
+  gint64 expert_mb;
+  gint64 step;  /**< the last step begun */
+  gint64 mixed; /**< steps in which two ranks used different maps */
   gint64 switches;
+  double slowest; /**< tokens of the slowest rank, summed over the steps */
+  double mean;    /**< tokens of a rank on average, summed likewise */
   gboolean check_fence;
   gint64 fence;
 } FakeRanks;
@@ -32,6 +36,9 @@
 void fake_ranks_init (FakeRanks *f, pthread_mutex_t *lock, int experts, int n,
                       int places, gint64 copy_ms);
 
+/** fake_ranks_copy_from: copies come from a weight store from now on. */
+void fake_ranks_copy_from (FakeRanks *f, const char *url, gint64 expert_mb);
+
 /**
  * fake_ranks_begin_step:
  * Waits while any rank holds the next step, begins it, and switches the
--- a/log.c
+++ b/log.c
@@ -101,6 +101,10 @@
   n += m;
   if ((size_t)n > sizeof line - 2)
     n = sizeof line - 2;
+  /* Callers choose some of the values; none may end the line or begin one. */
+  for (int i = 0; i < n; i++)
+    if ((unsigned char)line[i] < ' ' || line[i] == 0x7f)
+      line[i] = '?';
   line[n++] = '\n';
   if (write (STDERR_FILENO, line, n) < 0)
     return;
--- a/t/t-agent.c
+++ b/t/t-agent.c
@@ -5,6 +5,7 @@
  */
 #include "harness.h"
 #include "http-client.h"
+#include "http-server.h"
 #include "net.h"
 #include "wire.h"
 
@@ -216,6 +217,38 @@
 }
 END_TEST
 
+/* A target in this process whose answers do not fit a frame. */
+static void
+huge_answer (void *data, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  (void)data;
+  (void)req;
+  rep->body = g_strnfill (CF_FRAME_MAX + 1000, 'a');
+}
+
+START_TEST (test_answer_too_large_for_a_frame)
+{
+  CfHttpServer *target = NULL;
+  CfMsg r;
+  int fd;
+
+  ck_assert_int_eq (
+      cf_http_server_start ("127.0.0.1:17790", huge_answer, NULL, &target),
+      CF_OK);
+  start_agent (ENGINE);
+  fd = connect_agent ();
+  send_request (fd, 1, "/v1/generate", NULL, "{\"prompt\":\"p\"}");
+  ck_assert_int_eq (cf_msg_read (fd, &r), CF_OK);
+  ck_assert_int_eq (r.kind, CF_MSG_REFUSAL);
+  ck_assert_int_eq (r.u.refusal.ran, CF_RAN_YES);
+  ck_assert_str_eq (r.u.refusal.reason, "answer-too-large");
+  cf_msg_clear (&r);
+  close (fd);
+  t_stop_all ();
+  cf_http_server_stop (target);
+}
+END_TEST
+
 START_TEST (test_keyed_call_once_across_agent_restart)
 {
   g_autofree char *counts = NULL;
@@ -298,6 +331,7 @@
   tcase_add_test (tc, test_sigterm_finishes_in_flight_and_refuses_new);
   tcase_add_test (tc, test_sigterm_waits_for_answers_being_sent);
   tcase_add_test (tc, test_sigterm_is_told_to_entries_at_once);
+  tcase_add_test (tc, test_answer_too_large_for_a_frame);
   tcase_add_test (tc, test_lost_answer_on_reused_connection_runs_once);
   suite_add_tcase (s, tc);
   tcase_set_timeout (restart, 60);
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -5,6 +5,7 @@
  */
 #include "harness.h"
 #include "http-client.h"
+#include "http-server.h"
 #include "net.h"
 
 #include <check.h>
@@ -259,6 +260,37 @@
 }
 END_TEST
 
+START_TEST (test_request_too_large_for_a_frame_harms_no_link)
+{
+  static const char head[]
+      = "{\"org\":\"aspen-coulee\",\"service\":\"assistant\",\"model\":"
+        "\"desc-v3\",\"body\":{\"prompt\":\"";
+  static const char tail[] = "\"}}";
+  /* Just the HTTP limit, so that its frame's other fields are too much. */
+  g_autofree char *prompt
+      = g_strnfill (CF_HTTP_BODY_MAX - strlen (head) - strlen (tail), 'p');
+  g_autofree char *body = g_strconcat (head, prompt, tail, NULL);
+  g_autofree char *ran = NULL;
+  g_autofree char *log = NULL;
+  pthread_t caller;
+  void *code;
+
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  pthread_create (&caller, NULL, slow_caller, NULL);
+  ck_assert (t_wait_for (ENTRY "/v1/health", "\"in_flight\":1", 5000));
+  ck_assert_int_eq (post (body, "ran", &ran, NULL), 413);
+  ck_assert_str_eq (ran, "no");
+  pthread_join (caller, &code);
+  ck_assert_int_eq (GPOINTER_TO_INT (code), 200);
+  t_stop_all ();
+  log = t_read_log ("e-entry");
+  ck_assert_msg (strstr (log, "E1302") == NULL, "a link was lost: %s", log);
+}
+END_TEST
+
 /* Sends requests until none goes to @addr; returns how long that took. */
 static long long
 ms_until_no_work_for (const char *addr, long long limit_ms)
@@ -388,6 +420,7 @@
   tcase_add_test (tc, test_next_group_takes_what_the_first_cannot);
   tcase_add_test (tc, test_planned_stop_finishes_request_in_progress);
   tcase_add_test (tc, test_planned_stop_waits_for_an_answer_being_sent);
+  tcase_add_test (tc, test_request_too_large_for_a_frame_harms_no_link);
   tcase_add_test (tc, test_leaving_target_gets_no_work_within_bound);
   tcase_add_test (tc, test_silent_agent_is_passed_over);
   suite_add_tcase (s, tc);
--- a/t/t-rebalance.c
+++ b/t/t-rebalance.c
@@ -129,9 +129,12 @@
 static void
 start_all (pthread_t *load)
 {
+  t_start ("r-weights", "./comfrey-fake-weights",
+           "[weights]\nlisten = \"127.0.0.1:18291\"\nmb_per_s = 4000\n");
   t_start ("r-engine", "./comfrey-fake-engine",
            "[engine]\nlisten = \"127.0.0.1:18290\"\nranks = 4\n"
-           "experts = 32\nplaces = 10\ncopy_ms = 2\ncheck_fence = false\n"
+           "experts = 32\nplaces = 10\ncheck_fence = false\n"
+           "weights_url = \"http://127.0.0.1:18291\"\n"
            "step_base_us = 1000\nload_lag_ms = 100\n");
   for (int r = 0; r < RANKS; r++)
     agents[r] = start_agent (r);
@@ -217,6 +220,37 @@
     }
 }
 
+START_TEST (test_change_waits_for_the_weight_store)
+{
+  g_autofree char *log = NULL;
+  pthread_t load[CALLERS];
+  long code = 0;
+
+  start_all (load);
+  /* The store is busy for 3 s with others, longer than prepare_ms. */
+  ck_assert_int_eq (cf_http_call ("GET",
+                                  "http://127.0.0.1:18291/test/busy?ms=3000",
+                                  NULL, NULL, 2000, &code, NULL),
+                    CF_OK);
+  ck_assert_int_eq (code, 200);
+  rebalance (0);
+  usleep (2500000);
+  log = t_read_log ("r-agent-0");
+  ck_assert_msg (strstr (log, "result=aborted"), "%s", log);
+  ck_assert_int_eq (steps_field ("switches"), 0);
+  /* Once it has room again the change goes through. */
+  usleep (1000000);
+  for (int i = 0; i < 10 && steps_field ("switches") == 0; i++)
+    {
+      rebalance (0);
+      usleep (500000);
+    }
+  ck_assert_int_ge (steps_field ("switches"), 1);
+  ck_assert_int_eq (steps_field ("mixed"), 0);
+  stop_all (load);
+}
+END_TEST
+
 START_TEST (test_no_step_mixes_maps_under_faults)
 {
   const char *env = g_getenv ("FUZZ_SEED");
@@ -269,6 +303,7 @@
 
   tcase_set_timeout (tc, 240);
   tcase_add_test (tc, test_change_takes_effect_on_every_rank);
+  tcase_add_test (tc, test_change_waits_for_the_weight_store);
   tcase_add_test (tc, test_no_step_mixes_maps_under_faults);
   suite_add_tcase (s, tc);
   return t_run (s);
--- a/wire.c
+++ b/wire.c
@@ -374,6 +374,10 @@
 {
   g_autoptr (GByteArray) frame = cf_msg_encode (m);
 
+  if (frame->len - 4 > CF_FRAME_MAX)
+    return cf_fail (CF_ERR_FULL, "send a smaller body",
+                    "frame of %u bytes is over %d", frame->len - 4,
+                    CF_FRAME_MAX);
   return cf_write_all (fd, frame->data, frame->len);
 }
 
--- a/wire.h
+++ b/wire.h
@@ -142,7 +142,12 @@
  */
 CfStatus cf_msg_decode (const char *buf, size_t len, CfMsg *m);
 
-/** cf_msg_write: encodes and writes @m; the caller serialises writers. */
+/**
+ * cf_msg_write:
+ * Encodes and writes @m; the caller serialises writers.
+ * Returns: %CF_OK; %CF_ERR_FULL, with nothing written, if the frame would
+ * be larger than %CF_FRAME_MAX; or %CF_ERR_NET.
+ */
 CfStatus cf_msg_write (int fd, const CfMsg *m);
 
 /** cf_msg_read: reads one whole frame from @fd, blocking. */
