Eject failing targets; cancel work whose caller left

A target that fails fast always looks the least loaded, so it drew most of the work: with one of two agents beside a target that was not there, t/t-entry's new test (120 requests) first got a refusal, the retry budget spent on the black hole. outlier.c: after three failures in a row (unreachable, failed, 5xx, link lost, a second of silence) an entry passes the target over for 1 s, doubling to 30 s while it goes on failing; one success clears it; when most of a group is ejected none is.

A caller that closed its connection left its tokens to be generated: in t/t-entry the engine was still running a 4,000-token request 3 s later (failing first). The entry now looks a few times a second whether the caller is still there, tells the agent (frame 11, cancel), and the agent the engine. Calls with a key run on, since their retry wants the answer. On the way the new test failed with the mend too: the fake engine's load report stood still while no step began; it now ages while idle as well.

--- a/Makefile
+++ b/Makefile
@@ -11,13 +11,13 @@
 
 LIB_OBJS = error.o log.o settings.o net.o wire.o http-server.o \
 	http-client.o records.o route.o guard.o ring.o config-watch.o \
-	vm-list.o agent-link.o link-table.o claim.o admission.o \
+	vm-list.o outlier.o agent-link.o link-table.o claim.o admission.o \
 	retry-budget.o entry.o entry-request.o entry-route.o agent.o rank-group.o \
 	expert-map.o map-change.o placement.o daemon.o
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
 	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
-TESTS = t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-link \
+TESTS = t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-outlier t/t-link \
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
 	t/t-session
 
--- a/agent-link.c
+++ b/agent-link.c
@@ -13,6 +13,8 @@
 #define CONNECT_TIMEOUT_MS 500
 #define BACKOFF_MAX_MS 2000
 #define SEND_TIMEOUT_MS 1000
+/* How often a waiting call asks whether anybody still waits for it. */
+#define WANTED_MS 250
 
 typedef struct
 {
@@ -190,12 +192,34 @@
   return l;
 }
 
+/* Whether @p's caller gave up; call with the lock held. */
+static gboolean
+wait_reply (CfLink *l, CfPending *p, long long deadline_ms,
+            gboolean (*wanted) (void *data), void *data)
+{
+  while (!p->done && !p->lost)
+    {
+      long long now = cf_now_ms ();
+      long long until
+          = wanted ? MIN (deadline_ms, now + WANTED_MS) : deadline_ms;
+      struct timespec ts
+          = { .tv_sec = until / 1000, .tv_nsec = (until % 1000) * 1000000 };
+
+      if (now >= deadline_ms)
+        return FALSE;
+      if (pthread_cond_timedwait (&l->cond, &l->lock, &ts) == ETIMEDOUT
+          && wanted && !wanted (data))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 CfCallResult
-cf_link_call (CfLink *l, CfMsg *req, long long deadline_ms, CfMsg *reply)
+cf_link_call_while (CfLink *l, CfMsg *req, long long deadline_ms,
+                    gboolean (*wanted) (void *data), void *data, CfMsg *reply)
 {
   CfPending p = { 0 };
-  struct timespec ts = { .tv_sec = deadline_ms / 1000,
-                         .tv_nsec = (deadline_ms % 1000) * 1000000 };
+  gboolean abandoned;
   CfCallResult res;
   CfStatus st;
 
@@ -221,9 +245,7 @@
     }
   g_hash_table_insert (l->pending, &req->id, &p);
   l->outstanding++;
-  while (!p.done && !p.lost)
-    if (pthread_cond_timedwait (&l->cond, &l->lock, &ts) == ETIMEDOUT)
-      break;
+  abandoned = wait_reply (l, &p, deadline_ms, wanted, data);
   l->outstanding--;
   if (p.done)
     {
@@ -235,13 +257,27 @@
   else
     {
       g_hash_table_remove (l->pending, &req->id);
-      res = CF_CALL_TIMEOUT;
+      res = abandoned ? CF_CALL_ABANDONED : CF_CALL_TIMEOUT;
+    }
+  if (res == CF_CALL_ABANDONED)
+    {
+      CfMsg cancel = { .kind = CF_MSG_CANCEL };
+
+      cancel.u.cancel.rid = req->u.request.rid;
+      if (cf_msg_write (l->fd, &cancel) != CF_OK)
+        fail_all (l, "write-failed");
     }
 out:
   pthread_mutex_unlock (&l->lock);
   return res;
 }
 
+CfCallResult
+cf_link_call (CfLink *l, CfMsg *req, long long deadline_ms, CfMsg *reply)
+{
+  return cf_link_call_while (l, req, deadline_ms, NULL, NULL, reply);
+}
+
 void
 cf_link_send (CfLink *l, const CfMsg *m)
 {
@@ -278,17 +314,35 @@
   return n;
 }
 
-gboolean
-cf_link_snapshot (CfLink *l, CfLoad *load, gint64 *outstanding)
+CfLinkView
+cf_link_view (CfLink *l)
 {
-  gboolean up;
+  long long now = cf_now_ms ();
+  CfLinkView v;
 
   pthread_mutex_lock (&l->lock);
-  up = l->fd >= 0 && l->ready;
-  *load = l->load;
+  v.up = l->fd >= 0 && l->ready;
+  v.ejected = cf_outlier_ejected (&l->outlier, now);
+  v.load = l->load;
   /* The heartbeat may be seconds old; the time it names has gone on. */
-  load->quiet_ms = MAX (l->quiet_until_ms - cf_now_ms (), 0);
-  *outstanding = l->outstanding;
+  v.load.quiet_ms = MAX (l->quiet_until_ms - now, 0);
+  v.outstanding = l->outstanding;
+  pthread_mutex_unlock (&l->lock);
+  return v;
+}
+
+void
+cf_link_judge (CfLink *l, gboolean healthy)
+{
+  gint64 ms = 0;
+
+  pthread_mutex_lock (&l->lock);
+  if (healthy)
+    cf_outlier_success (&l->outlier);
+  else
+    ms = cf_outlier_failure (&l->outlier, cf_now_ms ());
   pthread_mutex_unlock (&l->lock);
-  return up;
+  if (ms > 0)
+    cf_log (LOG_WARNING, CF_EV_OUTLIER, "target=%s ms=%" G_GINT64_FORMAT,
+            l->addr, ms);
 }
--- a/agent-link.h
+++ b/agent-link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "outlier.h"
 #include "wire.h"
 
 #include <pthread.h>
@@ -34,6 +35,7 @@
   long long last_ping_ms;
   long long unanswered_ms; /**< oldest ping without an answer; 0 if none */
   gint64 idle_ping_ms;     /**< ping interval while nothing is outstanding */
+  CfOutlier outlier;       /**< failures of the target behind it */
   guint64 pings;           /**< heartbeats sent, for the capacity page */
   pthread_t thread;
 } CfLink;
@@ -45,6 +47,7 @@
   CF_CALL_NOT_SENT,  /**< the link was down: the agent never saw it */
   CF_CALL_LOST,      /**< sent, then the link was lost: fate unknown */
   CF_CALL_TOO_LARGE, /**< does not fit a frame: not sent */
+  CF_CALL_ABANDONED, /**< sent, then given up by the caller: fate unknown */
   CF_CALL_TIMEOUT,   /**< sent, no reply by the deadline: fate unknown */
 } CfCallResult;
 
@@ -60,6 +63,17 @@
 CfCallResult cf_link_call (CfLink *l, CfMsg *req, long long deadline_ms,
                            CfMsg *reply);
 
+/**
+ * cf_link_call_while:
+ * @wanted: asked a few times a second whether anybody still waits
+ *
+ * As cf_link_call(), until @wanted says no: then the agent is told to
+ * cancel, and the call ends with %CF_CALL_ABANDONED.
+ */
+CfCallResult cf_link_call_while (CfLink *l, CfMsg *req, long long deadline_ms,
+                                 gboolean (*wanted) (void *data), void *data,
+                                 CfMsg *reply);
+
 /** cf_link_send: sends @m if the link is up; no reply is awaited. */
 void cf_link_send (CfLink *l, const CfMsg *m);
 
@@ -76,5 +90,20 @@
 /** cf_link_pings: heartbeats sent on @l so far. */
 guint64 cf_link_pings (CfLink *l);
 
-/** cf_link_snapshot: whether the link is up, and the agent's load. */
-gboolean cf_link_snapshot (CfLink *l, CfLoad *load, gint64 *outstanding);
+/** CfLinkView: a link and the agent behind it, as seen now. */
+typedef struct
+{
+  gboolean up;
+  gboolean ejected;   /**< its target failed too often in a row; outlier.h */
+  CfLoad load;        /**< as the agent last reported it */
+  gint64 outstanding; /**< our calls waiting on it */
+} CfLinkView;
+
+/** cf_link_view: what is known of @l now. */
+CfLinkView cf_link_view (CfLink *l);
+
+/**
+ * cf_link_judge:
+ * Records whether the target behind @l answered as a healthy one would.
+ */
+void cf_link_judge (CfLink *l, gboolean healthy);
--- a/agent.c
+++ b/agent.c
@@ -119,10 +119,11 @@
 cf_agent_load (CfAgent *a)
 {
   unsigned int queued = cf_ring_length (&a->work);
-  CfLoad l = { .in_flight = ck_pr_load_int (&a->in_flight) - (int)queued,
-               .queued = queued,
-               .draining = ck_pr_load_int (&a->draining),
-               .quiet_ms = cf_guard_quiet_ms (&a->guard, cf_now_ms ()) };
+  CfLoad l
+      = { .in_flight = MAX (ck_pr_load_int (&a->in_flight) - (int)queued, 0),
+          .queued = queued,
+          .draining = ck_pr_load_int (&a->draining),
+          .quiet_ms = cf_guard_quiet_ms (&a->guard, cf_now_ms ()) };
 
   return l;
 }
@@ -232,7 +233,7 @@
       cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
               "id=%" G_GUINT64_FORMAT " ran=no error=\"%s\"", m->id,
               cf_last_error ());
-      refuse (j->conn, m->id, CF_RAN_NO, "target-unreachable", 1000);
+      refuse (j->conn, m->id, CF_RAN_NO, CF_REASON_TARGET_UNREACHABLE, 1000);
       return;
     default:
       if (key)
@@ -242,11 +243,32 @@
       cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
               "id=%" G_GUINT64_FORMAT " ran=unknown error=\"%s\"", m->id,
               cf_last_error ());
-      refuse (j->conn, m->id, CF_RAN_UNKNOWN, "target-failed", 1000);
+      refuse (j->conn, m->id, CF_RAN_UNKNOWN, CF_REASON_TARGET_FAILED, 1000);
       return;
     }
 }
 
+/* A job for the workers, which takes @m over and a reference on @c. */
+static Job *
+job_new (Conn *c, CfMsg *m)
+{
+  Job *j = g_new0 (Job, 1);
+
+  j->conn = c;
+  j->msg = *m;
+  memset (m, 0, sizeof *m);
+  __atomic_add_fetch (&c->refs, 1, __ATOMIC_ACQ_REL);
+  return j;
+}
+
+static void
+job_free (Job *j)
+{
+  cf_msg_clear (&j->msg);
+  conn_unref (j->conn);
+  g_free (j);
+}
+
 static void *
 worker (void *data)
 {
@@ -256,11 +278,14 @@
     {
       Job *j = cf_ring_pop (&a->work);
 
-      run_job (a, j);
-      ck_pr_dec_int (&a->unanswered);
-      cf_msg_clear (&j->msg);
-      conn_unref (j->conn);
-      g_free (j);
+      if (j->msg.kind == CF_MSG_CANCEL)
+        cancel_at_target (a, j->msg.u.cancel.rid);
+      else
+        {
+          run_job (a, j);
+          ck_pr_dec_int (&a->unanswered);
+        }
+      job_free (j);
     }
   return NULL;
 }
@@ -351,12 +376,8 @@
       cf_msg_clear (m);
       return;
     }
-  j = g_new0 (Job, 1);
-  j->conn = c;
-  j->msg = *m;
-  j->deadline_at = cf_now_ms () + m->u.request.deadline_ms;
-  memset (m, 0, sizeof *m);
-  __atomic_add_fetch (&c->refs, 1, __ATOMIC_ACQ_REL);
+  j = job_new (c, m);
+  j->deadline_at = cf_now_ms () + j->msg.u.request.deadline_ms;
   /* Counted before the push, so that a drain never sees a job in between. */
   ck_pr_inc_int (&a->unanswered);
   ck_pr_inc_int (&a->in_flight);
@@ -367,12 +388,22 @@
       if (j->msg.u.request.key)
         cf_guard_forget (&a->guard, j->msg.u.request.key);
       refuse (c, j->msg.id, CF_RAN_NO, "overloaded", 500);
-      cf_msg_clear (&j->msg);
-      conn_unref (c);
-      g_free (j);
+      job_free (j);
     }
 }
 
+/* Nobody waits for a request any more.  The target is told by a worker,
+ * which takes the request itself first if it still waits in the ring. */
+static void
+take_cancel (Conn *c, CfMsg *m)
+{
+  Job *j = job_new (c, m);
+
+  /* A full ring drops it: the request's deadline ends it then. */
+  if (j->msg.u.cancel.rid == NULL || !cf_ring_push (&c->agent->work, j))
+    job_free (j);
+}
+
 /* Checks a target order's fencing token on the target's behalf. */
 static gboolean
 pass_fence (CfAgent *a, gint64 fence, gint64 *highest)
@@ -417,7 +448,7 @@
       == CF_OK)
     answer (c, m->id, code, out);
   else
-    refuse (c, m->id, CF_RAN_UNKNOWN, "target-failed", 0);
+    refuse (c, m->id, CF_RAN_UNKNOWN, CF_REASON_TARGET_FAILED, 0);
 }
 
 /* An order to the target as a whole, such as to load a model. */
@@ -441,7 +472,7 @@
   cf_log (LOG_INFO, CF_EV_ORDER, "op=%s fence=%" G_GINT64_FORMAT, m->u.order.op,
           m->u.order.fence);
   if (cf_http_call_once ("POST", url, body, NULL, 5000, &code, &out) != CF_OK)
-    refuse (c, m->id, CF_RAN_UNKNOWN, "target-failed", 1000);
+    refuse (c, m->id, CF_RAN_UNKNOWN, CF_REASON_TARGET_FAILED, 1000);
   else
     answer (c, m->id, code, out);
 }
@@ -573,6 +604,9 @@
           if (m.u.claim.key && m.u.claim.token)
             cf_guard_release (&c->agent->guard, m.u.claim.key, m.u.claim.token);
           break;
+        case CF_MSG_CANCEL:
+          take_cancel (c, &m);
+          break;
         case CF_MSG_ANSWER:
         case CF_MSG_REFUSAL:
         case CF_MSG_STATUS:
--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -133,7 +133,8 @@
   return (lo + (int)eng.shift) % (int)eng.experts;
 }
 
-/* The load report moves on every lag_ms only; call with the lock held. */
+/* The load report moves on every lag_ms only, also while no step is begun;
+ * call with the lock held. */
 static void
 refresh_report (void)
 {
@@ -335,6 +336,7 @@
   json_t *counts = json_array ();
 
   pthread_mutex_lock (&eng.lock);
+  refresh_report ();
   for (gint64 e = 0; e < eng.experts; e++)
     json_array_append_new (counts, json_integer ((json_int_t)eng.reported[e]));
   o = json_pack ("{s:I, s:o}", "step", (json_int_t)eng.ranks.step, "counts",
@@ -390,6 +392,7 @@
   else if (g_str_equal (req->path, "/v1/load"))
     {
       pthread_mutex_lock (&eng.lock);
+      refresh_report ();
       rep->body = g_strdup_printf ("{\"running\":%d,\"steps\":%" G_GINT64_FORMAT
                                    ",\"map_version\":%" G_GINT64_FORMAT "}",
                                    eng.reported_running, eng.ranks.step,
--- a/entry-request.h
+++ b/entry-request.h
@@ -20,6 +20,7 @@
   gint64 attempts;
   const char *last_reason; /**< why the last try did not end it */
   gint64 retry_hint_ms;
+  const CfHttpRequest *http; /**< the caller's own, for whether it left */
   const CfConfig *config;
   CfConfig *prev_config; /**< what other entries may still route by */
   const CfIntent *intent;
--- a/entry-route.c
+++ b/entry-route.c
@@ -5,41 +5,56 @@
 #include "net.h"
 #include "route.h"
 
-/* Fills @c with the group's targets as this entry sees them now. */
+/* Why a target may not be tried now; NULL if it may. */
+static const char *
+exclusion (CfEntry *e, const char *addr, const CfLinkView *v, GHashTable *tried)
+{
+  if (g_hash_table_contains (tried, addr))
+    return "tried";
+  if (cf_vm_list_leaving (&e->vms, addr))
+    return "leaving";
+  if (!v->up)
+    return "down";
+  return v->load.draining ? "draining" : NULL;
+}
+
+/*
+ * Fills @c with the group's targets as this entry sees them now.  Ejected
+ * ones are passed over too, unless they are most of those that are left:
+ * then something else is wrong, and the rest would only be overrun.
+ */
 static void
 look_at_targets (CfEntry *e, CfRequest *r, CfCandidate *c, GHashTable *tried)
 {
   size_t n = r->group->agents->len;
+  g_autofree gboolean *ejected = g_new (gboolean, n);
+  size_t usable = 0;
+  size_t out = 0;
 
   for (size_t i = 0; i < n; i++)
     {
       const char *addr = g_ptr_array_index (r->group->agents, i);
-      CfLink *l = cf_link_table_get (&e->links, addr);
-      gint64 outstanding;
-      CfLoad load;
-      gboolean up = cf_link_snapshot (l, &load, &outstanding);
+      CfLinkView v = cf_link_view (cf_link_table_get (&e->links, addr));
 
       c[i].addr = addr;
-      c[i].load = MAX (load.in_flight + load.queued, outstanding);
-      c[i].excluded = !up || load.draining || cf_vm_list_leaving (&e->vms, addr)
-                      || g_hash_table_contains (tried, addr);
+      c[i].load = MAX (v.load.in_flight + v.load.queued, v.outstanding);
+      c[i].excluded = exclusion (e, addr, &v, tried) != NULL;
+      ejected[i] = v.ejected;
+      usable += !c[i].excluded;
+      out += !c[i].excluded && v.ejected;
     }
+  for (size_t i = 0; i < n && out * 2 <= usable; i++)
+    c[i].excluded |= ejected[i];
 }
 
-static const char *
-exclusion (CfEntry *e, const char *addr, GHashTable *tried)
+/* A non-repeatable call runs on without its caller, whose retry will want
+ * the answer. */
+static gboolean
+is_wanted (void *data)
 {
-  CfLoad load;
-  gint64 outstanding;
+  const CfRequest *r = data;
 
-  if (g_hash_table_contains (tried, addr))
-    return "tried";
-  if (cf_vm_list_leaving (&e->vms, addr))
-    return "leaving";
-  if (!cf_link_snapshot (cf_link_table_get (&e->links, addr), &load,
-                         &outstanding))
-    return "down";
-  return load.draining ? "draining" : "usable";
+  return r->key != NULL || !cf_http_caller_gone (r->http);
 }
 
 /* Sends @r to the agent at @addr once, with @left ms of its deadline. */
@@ -60,8 +75,8 @@
   req.u.request.keyed = keyed;
   req.u.request.priority = r->priority;
   req.u.request.deadline_ms = left;
-  return cf_link_call (cf_link_table_get (&e->links, addr), &req,
-                       r->deadline_at, reply);
+  return cf_link_call_while (cf_link_table_get (&e->links, addr), &req,
+                             r->deadline_at, is_wanted, r, reply);
 }
 
 /* No target could take @r: logs why for each and answers at once. */
@@ -78,10 +93,15 @@
       for (guint i = 0; i < group->agents->len; i++)
         {
           const char *addr = g_ptr_array_index (group->agents, i);
+          CfLinkView v = cf_link_view (cf_link_table_get (&e->links, addr));
+          const char *why = exclusion (e, addr, &v, tried);
 
           cf_log (LOG_INFO, CF_EV_NO_ROUTE,
                   "req=%s group=%s target=%s state=%s", r->id, group->name,
-                  addr, exclusion (e, addr, tried));
+                  addr,
+                  why         ? why
+                  : v.ejected ? "ejected"
+                              : "usable");
         }
     }
   m = g_strdup_printf ("no target of intent '%s' could take the request (%s); "
@@ -214,12 +234,47 @@
   return FALSE;
 }
 
+/* A silence shorter than this says more of the deadline than of the target. */
+#define SILENT_TARGET_MS 1000
+
+/* Judges the target at @addr by how a try of @waited_ms ended. */
+static void
+judge (CfEntry *e, const char *addr, CfCallResult res, const CfMsg *m,
+       long long waited_ms)
+{
+  CfLink *l = cf_link_table_get (&e->links, addr);
+
+  switch (res)
+    {
+    case CF_CALL_REPLY:
+      if (m->kind == CF_MSG_ANSWER)
+        cf_link_judge (l, m->u.answer.code < 500);
+      else if (g_str_equal (m->u.refusal.reason, CF_REASON_TARGET_UNREACHABLE)
+               || g_str_equal (m->u.refusal.reason, CF_REASON_TARGET_FAILED))
+        cf_link_judge (l, FALSE);
+      break;
+    case CF_CALL_LOST:
+      cf_link_judge (l, FALSE);
+      break;
+    case CF_CALL_TIMEOUT:
+      if (waited_ms >= SILENT_TARGET_MS)
+        cf_link_judge (l, FALSE);
+      break;
+    case CF_CALL_NOT_SENT:
+    case CF_CALL_TOO_LARGE:
+    case CF_CALL_ABANDONED:
+      break;
+    }
+}
+
 /* Sends @r to one target; TRUE if @r has its final answer. */
 static gboolean
 try_target (CfEntry *e, CfRequest *r, CfHttpReply *rep, const char *addr)
 {
   CfMsg reply = { 0 };
   gboolean final = FALSE;
+  CfCallResult res;
+  long long t0;
 
   r->attempts++;
   cf_log (LOG_INFO, CF_EV_ROUTE,
@@ -230,9 +285,11 @@
   if (r->key && !claim (e, r, rep, addr))
     return TRUE;
   r->reached_target = TRUE;
-  switch (send_to (e, r, addr,
-                   r->claimed ? CF_KEYED_CLAIMED : CF_KEYED_UNCLAIMED,
-                   r->deadline_at - cf_now_ms (), &reply))
+  t0 = cf_now_ms ();
+  res = send_to (e, r, addr, r->claimed ? CF_KEYED_CLAIMED : CF_KEYED_UNCLAIMED,
+                 r->deadline_at - t0, &reply);
+  judge (e, addr, res, &reply, cf_now_ms () - t0);
+  switch (res)
     {
     case CF_CALL_REPLY:
       if (reply.kind == CF_MSG_ANSWER)
@@ -243,6 +300,11 @@
       else
         final = take_refusal (e, r, rep, addr, &reply);
       break;
+    case CF_CALL_ABANDONED:
+      cf_request_refuse (e, r, rep, 499, "caller-left", CF_RAN_UNKNOWN, 0,
+                         "the caller closed its connection");
+      final = TRUE;
+      break;
     case CF_CALL_TOO_LARGE:
       release (e, r);
       cf_request_refuse (e, r, rep, 413, "too-large", CF_RAN_NO, 0,
--- a/entry.c
+++ b/entry.c
@@ -124,7 +124,7 @@
 static void
 handle_request (CfEntry *e, const CfHttpRequest *req, CfHttpReply *rep)
 {
-  CfRequest r = { .last_reason = "no-target" };
+  CfRequest r = { .http = req, .last_reason = "no-target" };
   CfConfig *c = NULL;
 
   g_snprintf (r.id, sizeof r.id, "%s-%" G_GUINT64_FORMAT, e->set.name,
@@ -187,14 +187,14 @@
   CfLinkTotals links = cf_link_table_totals (&e->links);
   json_t *o;
 
-  o = json_pack ("{s:I, s:I, s:I, s:i, s:b, s:I, s:I, s:I, s:I}",
-                 "config_version", (json_int_t)(c ? c->version : 0), "links_up",
-                 (json_int_t)links.up, "guards_quiet", (json_int_t)links.quiet,
-                 "in_flight", g_atomic_int_get (&e->in_flight), "draining",
-                 g_atomic_int_get (&e->draining), "answered",
-                 (json_int_t)e->answered, "refused", (json_int_t)e->refused,
-                 "retries", (json_int_t)e->retries, "pings",
-                 (json_int_t)links.pings);
+  o = json_pack (
+      "{s:I, s:I, s:I, s:I, s:i, s:b, s:I, s:I, s:I, s:I}", "config_version",
+      (json_int_t)(c ? c->version : 0), "links_up", (json_int_t)links.up,
+      "guards_quiet", (json_int_t)links.quiet, "ejected",
+      (json_int_t)links.ejected, "in_flight", g_atomic_int_get (&e->in_flight),
+      "draining", g_atomic_int_get (&e->draining), "answered",
+      (json_int_t)e->answered, "refused", (json_int_t)e->refused, "retries",
+      (json_int_t)e->retries, "pings", (json_int_t)links.pings);
   rep->body = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   cf_config_unref (c);
--- a/http-server.c
+++ b/http-server.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -184,6 +185,20 @@
   return MHD_lookup_connection_value (req->conn, MHD_HEADER_KIND, name);
 }
 
+gboolean
+cf_http_caller_gone (const CfHttpRequest *req)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (req->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct pollfd pfd = { .events = POLLRDHUP };
+
+  if (info == NULL)
+    return FALSE;
+  pfd.fd = info->connect_fd;
+  return poll (&pfd, 1, 0) > 0
+         && (pfd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void
 cf_http_reply_error (CfHttpReply *rep, int code, const char *what,
                      const char *message)
--- a/http-server.h
+++ b/http-server.h
@@ -67,6 +67,12 @@
 /** cf_http_header: a request header of @req, or %NULL. */
 const char *cf_http_header (const CfHttpRequest *req, const char *name);
 
+/**
+ * cf_http_caller_gone: whether the caller has closed its connection, or its
+ * half of it, before the answer.
+ */
+gboolean cf_http_caller_gone (const CfHttpRequest *req);
+
 /** cf_http_reply_error: fills @rep with `{"error": @what, "message": ...}`. */
 void cf_http_reply_error (CfHttpReply *rep, int code, const char *what,
                           const char *message);
--- a/link-table.c
+++ b/link-table.c
@@ -67,12 +67,11 @@
   g_hash_table_iter_init (&it, t->links);
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
-      CfLoad load;
-      gint64 out;
-      gboolean up = cf_link_snapshot (v, &load, &out);
+      CfLinkView view = cf_link_view (v);
 
-      sum.up += up;
-      sum.quiet += up && load.quiet_ms > 0;
+      sum.up += view.up;
+      sum.quiet += view.up && view.load.quiet_ms > 0;
+      sum.ejected += view.ejected;
       sum.pings += cf_link_pings (v);
     }
   pthread_mutex_unlock (&t->lock);
--- a/link-table.h
+++ b/link-table.h
@@ -18,7 +18,8 @@
 typedef struct
 {
   gint64 up;
-  gint64 quiet; /**< links up whose agent's guard abstains; see guard.h */
+  gint64 quiet;   /**< links up whose agent's guard abstains; see guard.h */
+  gint64 ejected; /**< links whose target failed too often; outlier.h */
   guint64 pings;
 } CfLinkTotals;
 
--- a/log.c
+++ b/log.c
@@ -47,6 +47,8 @@
       return "no-route";
     case CF_EV_CLAIM:
       return "claim";
+    case CF_EV_OUTLIER:
+      return "outlier-eject";
     case CF_EV_VM_LEAVING:
       return "vm-leaving";
     case CF_EV_LINK_DOWN:
--- a/log.h
+++ b/log.h
@@ -23,6 +23,7 @@
   CF_EV_ANSWER = 1205,        /**< a request got its final answer */
   CF_EV_NO_ROUTE = 1207,      /**< no intent or no target for a request */
   CF_EV_CLAIM = 1208,         /**< the claim of a non-repeatable call */
+  CF_EV_OUTLIER = 1209,       /**< a failing target was ejected for a while */
   CF_EV_VM_LEAVING = 1301,    /**< the VM list says a target is leaving */
   CF_EV_LINK_DOWN = 1302,     /**< a connection to an agent was lost */
   CF_EV_LINK_UP = 1303,       /**< a connection to an agent was made */
--- a/rank-group.c
+++ b/rank-group.c
@@ -268,8 +268,6 @@
 connect_members (CfRankGroup *g)
 {
   long long until = cf_now_ms () + ORDER_MS;
-  CfLoad load;
-  gint64 out;
 
   for (guint i = 0; i < g->set.members->len; i++)
     if (g->links[i] == NULL)
@@ -278,7 +276,7 @@
         cf_link_set_idle_ping (g->links[i], g->set.interval_ms);
       }
   for (guint i = 0; i < g->set.members->len; i++)
-    while (!cf_link_snapshot (g->links[i], &load, &out) && cf_now_ms () < until)
+    while (!cf_link_view (g->links[i]).up && cf_now_ms () < until)
       usleep (1000);
 }
 
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -260,6 +260,36 @@
 }
 END_TEST
 
+START_TEST (test_caller_that_leaves_frees_the_engine)
+{
+  static const char body[]
+      = "{\"org\":\"aspen-coulee\",\"service\":\"assistant\",\"model\":"
+        "\"desc-v3\",\"deadline_ms\":30000,\"body\":{\"prompt\":\"left\","
+        "\"max_tokens\":4000}}";
+  g_autofree char *request
+      = g_strdup_printf ("POST /v1/requests HTTP/1.1\r\nHost: e\r\n"
+                         "Content-Length: %zu\r\n\r\n%s",
+                         strlen (body), body);
+  int fd = -1;
+
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  ck_assert_int_eq (cf_connect_tcp ("127.0.0.1:17580", 1000, &fd), CF_OK);
+  ck_assert_int_eq (cf_write_all (fd, request, strlen (request)), CF_OK);
+  ck_assert (
+      t_wait_for ("http://127.0.0.1:17590/v1/load", "\"running\":1", 3000));
+  close (fd);
+  /* 4000 tokens would keep the engine busy for over 8 s. */
+  ck_assert_msg (
+      t_wait_for ("http://127.0.0.1:17590/v1/load", "\"running\":0", 3000),
+      "the engine still works for a caller that left");
+  ck_assert (t_wait_for (ENTRY "/v1/health", "\"in_flight\":0", 2000));
+  t_stop_all ();
+}
+END_TEST
+
 START_TEST (test_request_too_large_for_a_frame_harms_no_link)
 {
   static const char head[]
@@ -381,6 +411,35 @@
       "coulee\",\"service\":\"assistant\",\"model\":\"desc-v3\",\"groups\":["
       "\"first\",\"g\"],\"priority\":5,\"worth\":1}\n";
 
+START_TEST (test_failing_target_draws_no_work)
+{
+  g_autofree char *log = NULL;
+  int tries = 0;
+
+  start_platform ();
+  t_start ("e-engine", "./comfrey-fake-engine",
+           "[engine]\nlisten = \"127.0.0.1:17590\"\n");
+  /* Its agent is well, but nothing listens where its target should be. */
+  t_start ("e-agent-1", "./comfrey-agent",
+           "[agent]\nlisten = \"127.0.0.1:17501\"\n"
+           "target_url = \"http://127.0.0.1:17599\"\n");
+  start_agent ("e-agent-2", "17502");
+  start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  for (int i = 0; i < 120; i++)
+    ck_assert_int_eq (post (SHOP, NULL, NULL, NULL), 200);
+  t_stop_all ();
+  log = t_read_log ("e-entry");
+  for (const char *p = log; (p = strstr (p, "target=127.0.0.1:17501 attempt="));
+       p++)
+    tries++;
+  ck_assert_msg (tries <= 6, "the failing target was tried %d times", tries);
+  ck_assert (
+      strstr (log, "E1209 outlier-eject target=127.0.0.1:17501 ms=1000"));
+}
+END_TEST
+
 START_TEST (test_next_group_takes_what_the_first_cannot)
 {
   g_autofree char *group = NULL;
@@ -417,9 +476,11 @@
   tcase_add_test (tc, test_no_config_is_not_run);
   tcase_add_test (tc, test_no_target_answers_at_once);
   tcase_add_test (tc, test_drained_agents_get_no_work);
+  tcase_add_test (tc, test_failing_target_draws_no_work);
   tcase_add_test (tc, test_next_group_takes_what_the_first_cannot);
   tcase_add_test (tc, test_planned_stop_finishes_request_in_progress);
   tcase_add_test (tc, test_planned_stop_waits_for_an_answer_being_sent);
+  tcase_add_test (tc, test_caller_that_leaves_frees_the_engine);
   tcase_add_test (tc, test_request_too_large_for_a_frame_harms_no_link);
   tcase_add_test (tc, test_leaving_target_gets_no_work_within_bound);
   tcase_add_test (tc, test_silent_agent_is_passed_over);
--- a/t/t-link.c
+++ b/t/t-link.c
@@ -88,8 +88,6 @@
 {
   pthread_t t;
   CfLink *l;
-  CfLoad load;
-  gint64 out;
 
   cf_log_init ("t-link");
   fake.manner = manner;
@@ -97,9 +95,9 @@
   pthread_create (&t, NULL, fake_agent, NULL);
   pthread_detach (t);
   l = cf_link_new (ADDR);
-  for (int i = 0; i < 100 && !cf_link_snapshot (l, &load, &out); i++)
+  for (int i = 0; i < 100 && !cf_link_view (l).up; i++)
     usleep (20000);
-  ck_assert (cf_link_snapshot (l, &load, &out));
+  ck_assert (cf_link_view (l).up);
   return l;
 }
 
--- a/wire.c
+++ b/wire.c
@@ -52,6 +52,8 @@
       return 3;
     case CF_MSG_CLAIMED:
       return 2;
+    case CF_MSG_CANCEL:
+      return 1;
     case CF_MSG_PING:
     case CF_MSG_DRAIN:
       return 0;
@@ -128,6 +130,9 @@
       pack_kv_int (&pk, "verdict", m->u.claimed.verdict);
       pack_kv_str (&pk, "runner", m->u.claimed.runner);
       break;
+    case CF_MSG_CANCEL:
+      pack_kv_str (&pk, "rid", m->u.cancel.rid);
+      break;
     case CF_MSG_PING:
     case CF_MSG_DRAIN:
       break;
@@ -301,6 +306,10 @@
       if (key_is (k, "runner"))
         return get_str (v, "runner", &m->u.claimed.runner);
       break;
+    case CF_MSG_CANCEL:
+      if (key_is (k, "rid"))
+        return get_str (v, "rid", &m->u.cancel.rid);
+      break;
     case CF_MSG_PING:
     case CF_MSG_DRAIN:
       break;
@@ -348,7 +357,7 @@
                     CF_WIRE_VERSION);
       goto out;
     }
-  if (kind < CF_MSG_REQUEST || kind > CF_MSG_RELEASE)
+  if (kind < CF_MSG_REQUEST || kind > CF_MSG_CANCEL)
     {
       st = cf_fail (CF_ERR_PROTO,
                     "run the same comfreypost release on both ends",
@@ -435,6 +444,9 @@
     case CF_MSG_CLAIMED:
       g_free (m->u.claimed.runner);
       break;
+    case CF_MSG_CANCEL:
+      g_free (m->u.cancel.rid);
+      break;
     case CF_MSG_PING:
     case CF_MSG_STATUS:
     case CF_MSG_DRAIN:
--- a/wire.h
+++ b/wire.h
@@ -59,6 +59,7 @@
   CF_MSG_CLAIM,       /**< entry to agent as guard: may this key run? */
   CF_MSG_CLAIMED,     /**< the guard's verdict */
   CF_MSG_RELEASE,     /**< entry to guard: it did not run; no reply */
+  CF_MSG_CANCEL,      /**< entry to agent: nobody waits for it; no reply */
 } CfMsgKind;
 
 /**
@@ -122,6 +123,10 @@
       CfVerdict verdict;
       char *runner; /**< for %CF_VERDICT_HELD, where the other was to run */
     } claimed;
+    struct
+    {
+      char *rid; /**< the request's rid */
+    } cancel;
   } u;
 } CfMsg;
 
@@ -158,6 +163,9 @@
 
 /** The reason of a refusal for a configuration version long replaced. */
 #define CF_REASON_CONFIG_BEHIND "config-behind"
+/** The reasons of a refusal for a target that cannot be reached or fails. */
+#define CF_REASON_TARGET_UNREACHABLE "target-unreachable"
+#define CF_REASON_TARGET_FAILED "target-failed"
 /** The reason of a refusal for an old fencing token. */
 #define CF_REASON_STALE_FENCE "stale-fencing-token"
 
