Let the bench drive the fake engine's ranks by the agents' protocol

It now steps FakeRanks and changes their maps through map-change.c, and fails if any step had two maps. rank-group.c's and the bench's orders are made by one function.

--- a/Makefile
+++ b/Makefile
@@ -29,8 +29,8 @@
 $(PROGRAMS): %: %.o libcomfrey.a
 	$(CC) $(ALL_CFLAGS) -o $@ $< libcomfrey.a $(LDLIBS)
 
-comfrey-fake-engine: fake-ranks.o
-comfrey-fake-engine: LDLIBS := fake-ranks.o libcomfrey.a $(LDLIBS)
+comfrey-fake-engine comfrey-bench: fake-ranks.o
+comfrey-fake-engine comfrey-bench: LDLIBS := fake-ranks.o libcomfrey.a $(LDLIBS)
 comfrey-bench: LDLIBS += $(shell pkg-config --libs gsl)
 
 t/%: t/%.c t/harness.o libcomfrey.a
--- a/comfrey-bench.c
+++ b/comfrey-bench.c
@@ -3,15 +3,17 @@
  * drifts over groups of lock-step ranks, once for each placement policy,
  * and prints what each cost and gained side by side.
  *
- * It is the placement policy that is measured, in the time of the modelled
- * steps, so a run says the same on every machine.  A group's step takes
- * base + per-token x the tokens of its most loaded rank, as in
+ * It drives the fake engine's own ranks (fake-ranks.c), and changes their
+ * maps by the agents' protocol (map-change.c), but in the time of the
+ * modelled steps, so a run says the same on every machine.  A group's step
+ * takes base + per-token x the tokens of its most loaded rank, as in
  * comfrey-fake-engine; experts are copied through one weight store that
  * all groups share.
  */
 #include "daemon.h"
-#include "expert-map.h"
+#include "fake-ranks.h"
 #include "placement.h"
+#include "rank-group.h"
 
 #include <gsl/gsl_randist.h>
 #include <gsl/gsl_rng.h>
@@ -68,8 +70,10 @@
 typedef struct
 {
   int ranks;
-  CfExpertMap *map;
-  CfExpertMap *next; /* being copied */
+  FakeRanks fake;
+  pthread_mutex_t lock; /* the fake ranks want one; there is one thread */
+  gint64 turn;          /* of map changes */
+  CfExpertMap *next;    /* being copied */
   CfPopularity seen;
   double counts[EXPERTS];                    /* tokens drawn since the start */
   double reported[EXPERTS];                  /* the report on its way */
@@ -85,6 +89,7 @@
   GArray *skew; /* per step: slowest rank / mean */
   GArray *step; /* per step, ms */
   gint64 moved, changes, copy_steps, answered;
+  gint64 mixed; /* steps in which two ranks used different maps */
 } Totals;
 
 static int
@@ -153,7 +158,9 @@
   int places = (EXPERTS + ranks - 1) / ranks;
 
   g->ranks = ranks;
-  g->map = cf_expert_map_new (EXPERTS, ranks, places + MAX (places / 4, 1));
+  pthread_mutex_init (&g->lock, NULL);
+  fake_ranks_init (&g->fake, &g->lock, EXPERTS, ranks,
+                   places + MAX (places / 4, 1), 0);
   cf_popularity_init (&g->seen, EXPERTS);
   g->left = g_new0 (int, SLOTS_PER_RANK *ranks);
   /* Groups do not all report and plan at the same moment. */
@@ -164,7 +171,8 @@
 static void
 group_clear (Group *g)
 {
-  cf_expert_map_free (g->map);
+  fake_ranks_clear (&g->fake);
+  pthread_mutex_destroy (&g->lock);
   cf_expert_map_free (g->next);
   cf_popularity_clear (&g->seen);
   g_free (g->left);
@@ -183,22 +191,64 @@
   g->report_sent = TRUE;
 }
 
+static CfRankAck
+on_order (void *data, int rank, const CfRankOp *op)
+{
+  Group *g = data;
+  json_t *o = cf_rank_op_json (op);
+  const char *why = fake_ranks_obey (&g->fake, rank, o);
+
+  json_decref (o);
+  return why ? CF_ACK_REFUSED : CF_ACK_DONE;
+}
+
+static CfRankAck
+on_report (void *data, int rank, CfRankReport *out)
+{
+  Group *g = data;
+
+  fake_ranks_read (&g->fake, rank, out);
+  return CF_ACK_DONE;
+}
+
+static gboolean
+on_pause (void *data, int ms)
+{
+  (void)data;
+  (void)ms;
+  return FALSE;
+}
+
+/* The copies are whole: changes the map a few steps from now. */
+static void
+change_map (Group *g, Totals *t)
+{
+  const CfMapLimits limits
+      = { .prepare_ms = 0, .settle_ms = 0, .lead_steps = 8 };
+  CfRankOps ops = { .data = g,
+                    .ranks = g->ranks,
+                    .order = on_order,
+                    .report = on_report,
+                    .pause = on_pause };
+
+  t->changes += cf_map_change (&ops, ++g->turn, fake_ranks_map (&g->fake),
+                               g->next, &limits)
+                == CF_MAP_CHANGED;
+  g_clear_pointer (&g->next, cf_expert_map_free);
+  g->now += SWITCH_HOLD_US;
+}
+
 static void
 plan (Group *g, const CfPlacement *policy, double *store_free, Totals *t)
 {
   CfPlacementPlan p;
 
   if (g->next && g->now >= g->copied_at)
-    {
-      cf_expert_map_free (g->map);
-      g->map = g_steal_pointer (&g->next);
-      g->now += SWITCH_HOLD_US;
-      t->changes++;
-    }
+    change_map (g, t);
   if (g->next || g->now < g->plan_at)
     return;
   g->plan_at = g->now + PLAN_US;
-  p = cf_placement_plan (policy, g->map, g->seen.tokens);
+  p = cf_placement_plan (policy, fake_ranks_map (&g->fake), g->seen.tokens);
   if (p.map == NULL)
     return;
   g->next = p.map;
@@ -220,9 +270,14 @@
         / (TOKENS_PER_REQUEST
            * (STEP_BASE_US
               + STEP_PER_TOKEN_US * SLOTS_PER_RANK * EXPERTS_PER_TOKEN));
+  const CfExpertMap *map;
+  gint64 stall_ms;
   double skew;
   double us;
 
+  pthread_mutex_lock (&g->lock);
+  map = fake_ranks_begin_step (&g->fake, &stall_ms);
+  pthread_mutex_unlock (&g->lock);
   while (g->running < slots && g->waiting > 0)
     {
       g->left[g->running++] = TOKENS_PER_REQUEST;
@@ -237,7 +292,7 @@
       g->counts[e] += drawn[e];
     }
   us = STEP_BASE_US
-       + STEP_PER_TOKEN_US * cf_expert_map_load (g->map, tokens, load);
+       + STEP_PER_TOKEN_US * cf_expert_map_load (map, tokens, load);
   if (g->next)
     {
       us *= COPY_SLOWDOWN;
@@ -245,7 +300,7 @@
     }
   if (g->running > 0)
     {
-      skew = cf_placement_skew (g->map, tokens);
+      skew = cf_placement_skew (map, tokens);
       g_array_append_val (t->skew, skew);
       us /= 1000;
       g_array_append_val (t->step, us);
@@ -293,7 +348,10 @@
       step (g, share, rng, t);
     }
   for (int i = 0; i < GROUPS; i++)
-    group_clear (&groups[i]);
+    {
+      t->mixed += groups[i].fake.mixed;
+      group_clear (&groups[i]);
+    }
   gsl_rng_free (rng);
 }
 
@@ -342,6 +400,7 @@
     { NULL },
   };
   int rc;
+  gint64 mixed = 0;
   FILE *csv = NULL;
 
   rc = cf_daemon_options (
@@ -385,11 +444,16 @@
 
           run (d, &policies[p], seconds * 1e6, (unsigned long)seed, &t);
           print_row (d, &policies[p], &t, csv);
+          mixed += t.mixed;
           g_array_unref (t.skew);
           g_array_unref (t.step);
         }
     }
   if (csv)
     fclose (csv);
-  return 0;
+  if (mixed > 0)
+    fprintf (stderr,
+             "comfrey-bench: %" G_GINT64_FORMAT " steps with two maps\n",
+             mixed);
+  return mixed > 0;
 }
--- a/fake-ranks.c
+++ b/fake-ranks.c
@@ -157,6 +157,25 @@
   return f->ranks[0].map;
 }
 
+const CfExpertMap *
+fake_ranks_map (const FakeRanks *f)
+{
+  return f->ranks[0].map;
+}
+
+void
+fake_ranks_clear (FakeRanks *f)
+{
+  for (int r = 0; r < f->n; r++)
+    {
+      cf_expert_map_free (f->ranks[r].map);
+      cf_expert_map_free (f->ranks[r].prepared);
+    }
+  g_free (f->ranks);
+  g_free (f->weights_url);
+  pthread_cond_destroy (&f->moved);
+}
+
 gint64
 fake_ranks_version (const FakeRanks *f)
 {
@@ -209,9 +228,8 @@
   return NULL;
 }
 
-/* Carries an order out; NULL, or why it is refused. */
-static const char *
-carry_out (FakeRanks *f, int rank, json_t *o)
+const char *
+fake_ranks_obey (FakeRanks *f, int rank, json_t *o)
 {
   const char *op = json_string_value (json_object_get (o, "op"));
   gint64 version = int_field (o, "version");
@@ -280,7 +298,7 @@
       pthread_mutex_lock (f->lock);
     }
   if (fault != FAULT_DROP)
-    why = carry_out (f, rank, o);
+    why = fake_ranks_obey (f, rank, o);
   rep->drop = fault == FAULT_DROP || fault == FAULT_LOSE;
   if (why)
     cf_http_reply_error (rep, 409, "refused", why);
@@ -289,19 +307,35 @@
   json_decref (o);
 }
 
+void
+fake_ranks_read (const FakeRanks *f, int rank, CfRankReport *out)
+{
+  const FakeRank *k = &f->ranks[rank];
+
+  *out = (CfRankReport){ .step = f->step,
+                         .map = k->map->version,
+                         .prepared = prepared_version (k),
+                         .newest = k->newest,
+                         .armed = k->armed,
+                         .armed_step = k->armed_step,
+                         .held = k->held };
+}
+
 static void
 report (FakeRanks *f, int rank, int waiting, CfHttpReply *rep)
 {
-  const FakeRank *k = &f->ranks[rank];
-  json_t *all = cf_expert_map_to_json (k->map);
-  json_t *o = json_pack (
+  json_t *all = cf_expert_map_to_json (f->ranks[rank].map);
+  CfRankReport r;
+  json_t *o;
+
+  fake_ranks_read (f, rank, &r);
+  o = json_pack (
       "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:O}", "step",
-      (json_int_t)f->step, "map", (json_int_t)k->map->version, "prepared",
-      (json_int_t)prepared_version (k), "newest", (json_int_t)k->newest,
-      "armed", (json_int_t)k->armed, "armed_step", (json_int_t)k->armed_step,
-      "held", (json_int_t)k->held, "waiting", waiting, "places", f->places,
+      (json_int_t)r.step, "map", (json_int_t)r.map, "prepared",
+      (json_int_t)r.prepared, "newest", (json_int_t)r.newest, "armed",
+      (json_int_t)r.armed, "armed_step", (json_int_t)r.armed_step, "held",
+      (json_int_t)r.held, "waiting", waiting, "places", f->places,
       "experts_total", f->experts, "experts", json_array_get (all, rank));
-
   rep->body = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   json_decref (all);
--- a/fake-ranks.h
+++ b/fake-ranks.h
@@ -2,6 +2,7 @@
 
 #include "expert-map.h"
 #include "http-server.h"
+#include "map-change.h"
 
 #include <pthread.h>
 
@@ -48,6 +49,22 @@
  */
 const CfExpertMap *fake_ranks_begin_step (FakeRanks *f, gint64 *stall_ms);
 
+/**
+ * fake_ranks_obey:
+ * @o: an order's JSON object, as /v1/ranks/N/order takes it
+ * Returns: %NULL once carried out, or why it is refused.
+ */
+const char *fake_ranks_obey (FakeRanks *f, int rank, json_t *o);
+
+/** fake_ranks_read: what /v1/ranks/N/report says of @rank. */
+void fake_ranks_read (const FakeRanks *f, int rank, CfRankReport *out);
+
+/** fake_ranks_map: the map in use at rank 0. */
+const CfExpertMap *fake_ranks_map (const FakeRanks *f);
+
+/** fake_ranks_clear: frees what fake_ranks_init() took. */
+void fake_ranks_clear (FakeRanks *f);
+
 /** fake_ranks_version: the version of rank 0's map. */
 gint64 fake_ranks_version (const FakeRanks *f);
 
--- a/rank-group.c
+++ b/rank-group.c
@@ -179,13 +179,10 @@
   return ack;
 }
 
-static CfRankAck
-on_order (void *data, int rank, const CfRankOp *op)
+json_t *
+cf_rank_op_json (const CfRankOp *op)
 {
-  CfRankGroup *g = data;
-  g_autofree char *args = NULL;
-  json_t *o = json_object ();
-  CfRankAck ack;
+  json_t *o = json_pack ("{s:s}", "op", op_name (op->kind));
 
   switch (op->kind)
     {
@@ -203,6 +200,17 @@
       json_object_set_new (o, "step", json_integer (op->u.hold.step));
       break;
     }
+  return o;
+}
+
+static CfRankAck
+on_order (void *data, int rank, const CfRankOp *op)
+{
+  CfRankGroup *g = data;
+  json_t *o = cf_rank_op_json (op);
+  g_autofree char *args = NULL;
+  CfRankAck ack;
+
   args = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   ack = call_rank (g, rank, op_name (op->kind), args, NULL);
--- a/rank-group.h
+++ b/rank-group.h
@@ -60,6 +60,12 @@
 CfStatus cf_rank_group_order (CfRankGroup *g, const char *op, const char *args,
                               gint64 fence, long *code, char **out);
 
+/**
+ * cf_rank_op_json: @op as the JSON object that a rank's engine takes, with
+ * its name and without a fencing token.
+ */
+json_t *cf_rank_op_json (const CfRankOp *op);
+
 /** cf_rank_group_knows: whether @op is an order to a rank. */
 gboolean cf_rank_group_knows (const char *op);
 
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,6 +1,6 @@
 # Helpers for scripts that start our programs as sibling processes; read
 # with `.`, after `cd` to the repository.  Settings and logs go to $run.
-run=$(mktemp -d "/tmp/comfrey-$(basename "$0" .sh).XXXXXX")
+run=$(mktemp -d -t "comfrey-$(basename "$0" .sh).XXXXXX")
 pids=""
 stop() {
 	[ -n "$pids" ] && kill -TERM $pids 2>/dev/null || true
