Serve the platform's callers by an event-driven gateway

Cause: the platform has no disk, no VM for control and thin entry VMs; the entry daemon (a thread a connection, whole bodies, a new connection a call, agents as a second hop) does not fit them. comfrey-gateway sends straight from the VM that callers reach to the target, on kept connections, from one event thread (libev, http-parser). platform/ holds the platform's names, formats and calls; gateway/ decides.

Ruled out for now: a second hop through the VM beside the target, which would cost a copy and a wake-up for each event and gain nothing.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -pthread -lm
 TEST_LDLIBS = $(shell pkg-config --libs check) $(LDLIBS)
 
-LIB_OBJS = error.o log.o settings.o net.o wire.o http-server.o \
+LIB_OBJS = error.o log.o log-writer.o settings.o net.o wire.o http-server.o \
 	http-client.o records.o route.o guard.o ring.o config-watch.o \
 	vm-list.o outlier.o agent-link.o link-table.o claim.o admission.o \
 	retry-budget.o entry.o entry-request.o entry-route.o agent.o rank-group.o \
@@ -33,6 +33,26 @@
 comfrey-fake-engine comfrey-bench: LDLIBS := fake-ranks.o libcomfrey.a $(LDLIBS)
 comfrey-bench: LDLIBS += $(shell pkg-config --libs gsl)
 
+# What runs on the platform: the gateway and the parts of the library it
+# uses, built under target/ alone.
+GW_PKGS = glib-2.0 jansson msgpack ck
+GW_SRCS = comfrey-gateway.c $(wildcard gateway/*.c) $(wildcard platform/*.c) \
+	error.c log.c log-writer.c net.c outlier.c retry-budget.c
+GW_OBJS = $(GW_SRCS:%.c=target/obj/%.o)
+GW_CFLAGS = $(CFLAGS) -std=gnu11 -D_GNU_SOURCE -Wall -Wextra \
+	-Wno-unused-parameter -pthread -I. -Igateway \
+	$(shell pkg-config --cflags $(GW_PKGS))
+GW_LDLIBS = $(shell pkg-config --libs $(GW_PKGS)) -lev -lhttp_parser -lm
+
+deploy: target/comfrey-gateway
+
+target/comfrey-gateway: $(GW_OBJS)
+	$(CC) $(GW_CFLAGS) -Wl,--as-needed -o $@ $(GW_OBJS) $(GW_LDLIBS)
+
+target/obj/%.o: %.c *.h gateway/*.h platform/*.h
+	@mkdir -p $(dir $@)
+	@$(CC) $(GW_CFLAGS) -c -o $@ $<
+
 t/%: t/%.c t/harness.o libcomfrey.a
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -o $@ $< \
 		t/harness.o libcomfrey.a $(TEST_LDLIBS)
--- /dev/null
+++ b/comfrey-gateway.c
@@ -0,0 +1,260 @@
+#include "gateway/caller.h"
+#include "gateway/exchange.h"
+#include "gateway/gateway.h"
+#include "gateway/ops.h"
+#include "gateway/socket.h"
+#include "gateway/store-watch.h"
+#include "gateway/target-feed.h"
+#include "log-writer.h"
+#include "log.h"
+#include "net.h"
+#include "platform/names.h"
+#include "version.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <unistd.h>
+
+/** The metrics page's port, on the VM's own address; deploy/system.toml
+ * names it to the platform. */
+#define METRICS_PORT 9464
+/** Housekeeping: those that wait are looked at again, for targets whose
+ * pause or ejection is over. */
+#define TICK_S 0.05
+/** After SIGTERM, callers are still sent here until the platform has asked
+ * for readiness twice, a second apart; then idle connections are closed. */
+#define STOP_CLOSE_IDLE_MS 2600
+/** Before SIGKILL comes, what is left is cut off in an orderly way. */
+#define STOP_MARGIN_MS 400
+/** Of the memory limit, the part that request bodies may take. */
+#define BODY_MEMORY_PART 4
+/** Log lines may take so long to be written at the end. */
+#define LOG_FLUSH_MS 200
+
+static CfGateway gw;
+static CfStoreWatch policy_watch;
+static CfStoreWatch target_watch;
+static ev_io front_io;
+static ev_timer tick;
+static ev_check clock_check;
+
+static void
+policy_item (CfGateway *g, const CfStoreItem *it)
+{
+  gsize n;
+  const char *json;
+
+  if (!it->value || strcmp (it->key, PF_KEY_CONFIG) != 0)
+    return;
+  json = g_bytes_get_data (it->value, &n);
+  cf_gateway_take_policy (g, json, n, it->rev, "store");
+}
+
+static void
+policy_snapshot (CfGateway *g, GHashTable *seen, gint64 as_of)
+{
+}
+
+static void
+policy_fresh (CfGateway *g, gint64 as_of)
+{
+}
+
+static void
+policy_contact (CfGateway *g, gboolean up)
+{
+}
+
+static const CfStoreWatchCalls policy_calls
+    = { policy_item, policy_snapshot, policy_fresh, policy_contact };
+
+/* The loop's own idea of the time of day may jump; durations and deadlines
+ * are taken from the steady clock, read once a turn. */
+static void
+on_turn (struct ev_loop *loop, ev_check *w, int revents)
+{
+  gw.now_ms = cf_now_ms ();
+}
+
+static void
+on_front (struct ev_loop *loop, ev_io *w, int revents)
+{
+  cf_caller_accept (&gw, w->fd);
+}
+
+static void
+stop_step (CfGateway *g)
+{
+  gint64 ms = cf_gateway_now (g) - g->stop_at_ms;
+
+  if (ms < STOP_CLOSE_IDLE_MS)
+    return;
+  cf_caller_close_idle (g);
+  if (g->n_callers == 0 || ms > g->set.grace_ms - STOP_MARGIN_MS)
+    ev_break (g->loop, EVBREAK_ALL);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  cf_exchange_pump (&gw);
+  if (gw.stopping)
+    stop_step (&gw);
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *w, int revents)
+{
+  if (gw.stopping)
+    return;
+  gw.stopping = TRUE;
+  gw.stop_at_ms = cf_gateway_now (&gw);
+  cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN,
+          "signal=%d callers=%u requests=%u grace_ms=%" G_GINT64_FORMAT,
+          w->signum, gw.n_callers, gw.n_exchanges, gw.set.grace_ms);
+  cf_log (LOG_NOTICE, CF_EV_READY, "ready=no reason=stopping");
+}
+
+/* The addresses are bound for the life of the process; what can change
+ * without cutting anything off is taken over. */
+static void
+on_reload (struct ev_loop *loop, ev_signal *w, int revents)
+{
+  CfPlatformSettings s;
+
+  if (cf_platform_settings_load (cf_platform_settings_path (), &s) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_SETTINGS, "action=keep-old error=\"%s\"",
+              cf_last_error ());
+      return;
+    }
+  gw.set.grace_ms = s.grace_ms;
+  gw.set.stall_ms = s.stall_ms;
+  cf_platform_settings_clear (&s);
+  cf_log (LOG_NOTICE, CF_EV_RELOAD, "outcome=done");
+}
+
+static CfStatus
+listen_all (CfGateway *g)
+{
+  char *metrics = g_strdup_printf ("%s:%d", g->set.ip, METRICS_PORT);
+  CfStatus st;
+  int fd;
+
+  st = cf_socket_listen (g->set.front_addr, &fd);
+  if (st == CF_OK)
+    {
+      ev_io_init (&front_io, on_front, fd, EV_READ);
+      ev_io_start (g->loop, &front_io);
+      st = cf_ops_listen (g, g->set.ready_addr);
+    }
+  if (st == CF_OK)
+    st = cf_ops_listen (g, metrics);
+  g_free (metrics);
+  return st;
+}
+
+static void
+catch_signals (struct ev_loop *loop)
+{
+  static ev_signal term;
+  static ev_signal intr;
+  static ev_signal hup;
+
+  ev_signal_init (&term, on_stop, SIGTERM);
+  ev_signal_start (loop, &term);
+  ev_signal_init (&intr, on_stop, SIGINT);
+  ev_signal_start (loop, &intr);
+  ev_signal_init (&hup, on_reload, SIGHUP);
+  ev_signal_start (loop, &hup);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+static int
+run (CfGateway *g)
+{
+  cf_target_table_init (&g->targets);
+  TAILQ_INIT (&g->callers);
+  g->lanes = NULL;
+  g->fleet_size = MAX (g_strv_length (g->set.seed_addrs), 1);
+  g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
+  catch_signals (g->loop);
+  g->now_ms = cf_now_ms ();
+  ev_check_init (&clock_check, on_turn);
+  ev_set_priority (&clock_check, EV_MAXPRI);
+  ev_check_start (g->loop, &clock_check);
+  if (listen_all (g) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
+      return 1;
+    }
+  cf_gateway_lane (g, "");
+  cf_store_watch_start (&policy_watch, g, PF_KEY_CONFIG, &policy_calls);
+  cf_target_feed_start (&target_watch, g);
+  ev_timer_init (&tick, on_tick, TICK_S, TICK_S);
+  ev_timer_start (g->loop, &tick);
+  cf_log (LOG_NOTICE, CF_EV_START, "name=%s version=%s dc=%s front=%s",
+          g->set.node_name ? g->set.node_name : "-", CF_VERSION,
+          g->set.data_centre ? g->set.data_centre : "-", g->set.front_addr);
+  ev_run (g->loop, 0);
+  cf_log (LOG_NOTICE, CF_EV_STOP, "callers=%u requests=%u", g->n_callers,
+          g->n_exchanges);
+  cf_caller_abort_all (g);
+  return 0;
+}
+
+static int
+parse_options (int *argc, char ***argv, gboolean *check)
+{
+  GOptionEntry entries[] = {
+    { "check-settings", 0, 0, G_OPTION_ARG_NONE, check,
+      "Check the platform's settings file, and exit", NULL },
+    { NULL },
+  };
+  GOptionContext *ctx = g_option_context_new (NULL);
+  GError *err = NULL;
+  int rc = 0;
+
+  g_option_context_set_summary (
+      ctx, "The gateway daemon: takes callers' requests and streams on the "
+           "platform and sends each to a target.\nThe settings file is named "
+           "by " PF_ENV_SETTINGS ".");
+  g_option_context_add_main_entries (ctx, entries, NULL);
+  if (!g_option_context_parse (ctx, argc, argv, &err))
+    {
+      fprintf (stderr, "comfrey-gateway: %s; see --help\n", err->message);
+      g_error_free (err);
+      rc = 2;
+    }
+  g_option_context_free (ctx);
+  return rc;
+}
+
+int
+main (int argc, char **argv)
+{
+  gboolean check = FALSE;
+  int rc = parse_options (&argc, &argv, &check);
+
+  if (rc)
+    return rc;
+  cf_log_init ("comfrey-gateway");
+  if (cf_platform_settings_load (cf_platform_settings_path (), &gw.set)
+      != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_SETTINGS, "error=\"%s\"", cf_last_error ());
+      return 2;
+    }
+  if (check)
+    {
+      printf ("%s: good\n", cf_platform_settings_path ());
+      return 0;
+    }
+  if (!cf_log_writer_start (STDOUT_FILENO))
+    cf_log (LOG_WARNING, CF_EV_START, "error=\"no thread for the log writer\"");
+  gw.loop = ev_default_loop (EVBACKEND_EPOLL | EVFLAG_NOENV);
+  rc = run (&gw);
+  cf_log_writer_stop (LOG_FLUSH_MS);
+  return rc;
+}
--- /dev/null
+++ b/gateway/answer.c
@@ -0,0 +1,59 @@
+#include "answer.h"
+
+const char *
+cf_answer_kind_name (CfAnswerKind k)
+{
+  switch (k)
+    {
+    case CF_ANSWER_GOOD:
+      return "good";
+    case CF_ANSWER_FAILURE:
+      return "failure";
+    case CF_ANSWER_NOT_RUN:
+      return "not-run";
+    case CF_ANSWER_UNSIGNED:
+      return "unsigned";
+    }
+  return "unknown";
+}
+
+CfAnswerKind
+cf_answer_kind (const CfHttpReader *r)
+{
+  int status = (int)r->parser.status_code;
+  gboolean is_signed = cf_http_reader_header (r, CF_HDR_SIGNATURE) != NULL;
+
+  if (cf_http_reader_header (r, CF_HDR_NOT_RUN)
+      || (status == HTTP_STATUS_MISDIRECTED_REQUEST && !is_signed))
+    return CF_ANSWER_NOT_RUN;
+  if (!is_signed)
+    return CF_ANSWER_UNSIGNED;
+  return status >= 200 && status < 300 ? CF_ANSWER_GOOD : CF_ANSWER_FAILURE;
+}
+
+static gboolean
+promises_not_run (int status)
+{
+  return status == HTTP_STATUS_REQUEST_TIMEOUT
+         || status == HTTP_STATUS_MISDIRECTED_REQUEST
+         || status == HTTP_STATUS_TOO_MANY_REQUESTS
+         || status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+}
+
+gboolean
+cf_answer_passes (int status, CfRepeat repeat)
+{
+  return repeat != CF_REPEAT_NEVER || !promises_not_run (status);
+}
+
+void
+cf_answer_headers (const CfHttpReader *r, GString *out)
+{
+  for (guint i = 0; i < r->headers->len; i++)
+    {
+      const CfHeader *h = &g_array_index (r->headers, CfHeader, i);
+
+      if (cf_http_reader_passes (r, h))
+        g_string_append_printf (out, "%s: %s\r\n", h->name, h->value);
+    }
+}
--- /dev/null
+++ b/gateway/balancer.c
@@ -0,0 +1,67 @@
+#include "balancer.h"
+
+#include <string.h>
+
+/** How a target may be used for a request. */
+typedef enum
+{
+  USE_NO,    /**< leaving, or it had the request already */
+  USE_FULL,  /**< no room for it now */
+  USE_GUESS, /**< ejected: only when nothing better is left */
+  USE_YES,
+} Use;
+
+static gboolean
+was_tried (const GPtrArray *tried, const CfTarget *t)
+{
+  return tried && g_ptr_array_find ((GPtrArray *)tried, t, NULL);
+}
+
+static Use
+use_of (const CfTarget *t, const CfPickInput *in)
+{
+  if (t->record.leaving || was_tried (in->tried, t))
+    return USE_NO;
+  if (t->in_flight >= (guint)t->record.slots || in->now_ms < t->full_until_ms)
+    return USE_FULL;
+  return cf_outlier_ejected (&t->outlier, in->now_ms) ? USE_GUESS : USE_YES;
+}
+
+/* Load in 1/1024 slots, one less in our own data centre to break ties. */
+static guint
+load_of (const CfTarget *t, const CfPickInput *in)
+{
+  guint load = t->in_flight * 1024 / (guint)t->record.slots * 2 + 1;
+
+  if (in->data_centre && t->record.data_centre
+      && strcmp (in->data_centre, t->record.data_centre) == 0)
+    load--;
+  return load;
+}
+
+CfPickWhy
+cf_balancer_pick (CfTargetTable *t, const CfPickInput *in, CfTarget **out)
+{
+  const GPtrArray *a = cf_target_table_service (t, in->service);
+  guint n = a ? a->len : 0;
+  guint turn = t->turn++;
+  Use best_use = USE_NO;
+  guint best_load = 0;
+
+  *out = NULL;
+  for (guint i = 0; i < n; i++)
+    {
+      CfTarget *c = a->pdata[(turn + i) % n];
+      Use use = use_of (c, in);
+      guint load = load_of (c, in);
+
+      if (use < best_use || (use == best_use && *out && load >= best_load))
+        continue;
+      best_use = use;
+      best_load = load;
+      *out = use >= USE_GUESS ? c : NULL;
+    }
+  if (*out)
+    return CF_PICK_OK;
+  return best_use == USE_FULL ? CF_PICK_FULL : CF_PICK_NO_TARGET;
+}
--- /dev/null
+++ b/gateway/balancer.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "target.h"
+
+/** CfPickWhy: why a request got a target, or none. */
+typedef enum
+{
+  CF_PICK_OK,
+  CF_PICK_NO_TARGET, /**< the service has none that takes new work */
+  CF_PICK_FULL,      /**< each has as much as it may have from us */
+} CfPickWhy;
+
+/** CfPickInput: what the choice of a target is made from. */
+typedef struct
+{
+  const char *service;
+  const char *data_centre; /**< (nullable): ours; wins among equals */
+  const GPtrArray *tried;  /**< (nullable): targets that had it already */
+  gint64 now_ms;           /**< of the monotonic clock */
+} CfPickInput;
+
+/**
+ * cf_balancer_pick:
+ * The target with the least of our requests for its slots; among equals one
+ * in our own data centre, then by turns.  A target that is leaving, ejected
+ * or has said that it is full is passed over; when only ejected ones are
+ * left these are used, since an ejection is a guess and no service should
+ * end by guesses.
+ *
+ * @out: (out): the target, not referenced
+ */
+CfPickWhy cf_balancer_pick (CfTargetTable *t, const CfPickInput *in,
+                            CfTarget **out);
--- /dev/null
+++ b/gateway/event-stream.c
@@ -0,0 +1,101 @@
+#include "event-stream.h"
+
+#include <string.h>
+
+void
+cf_event_stream_init (CfEventStream *s)
+{
+  memset (s, 0, sizeof *s);
+  s->partial = g_string_new (NULL);
+  s->last_id = -1;
+}
+
+void
+cf_event_stream_clear (CfEventStream *s)
+{
+  if (s->partial)
+    g_string_free (s->partial, TRUE);
+  s->partial = NULL;
+}
+
+/* The length of the first whole event in @p, its blank line included; 0 if
+ * there is none.  Lines end with LF or CRLF. */
+static gsize
+event_length (const char *p, gsize n)
+{
+  for (gsize i = 0; i + 1 < n; i++)
+    {
+      if (p[i] != '\n')
+        continue;
+      if (p[i + 1] == '\n')
+        return i + 2;
+      if (p[i + 1] == '\r' && i + 2 < n && p[i + 2] == '\n')
+        return i + 3;
+    }
+  return 0;
+}
+
+/* The number in the event's "id:" line; -1 if it has none. */
+static gint64
+event_id (const char *p, gsize n)
+{
+  const char *end = p + n;
+
+  while (p < end)
+    {
+      const char *nl = memchr (p, '\n', (gsize)(end - p));
+
+      if (end - p > 3 && memcmp (p, "id:", 3) == 0)
+        return g_ascii_strtoll (p + 3, NULL, 10);
+      if (!nl)
+        break;
+      p = nl + 1;
+    }
+  return -1;
+}
+
+static guint
+take_event (CfEventStream *s, const char *p, gsize n, GString *out)
+{
+  gint64 id = event_id (p, n);
+
+  if (id >= 0 && id <= s->last_id)
+    {
+      s->n_dropped++;
+      return 0;
+    }
+  if (id >= 0)
+    s->last_id = id;
+  s->n_events++;
+  g_string_append_len (out, p, (gssize)n);
+  return 1;
+}
+
+guint
+cf_event_stream_feed (CfEventStream *s, const char *data, gsize n, GString *out)
+{
+  gsize at = 0;
+  gsize len;
+  guint taken = 0;
+
+  g_string_append_len (s->partial, data, (gssize)n);
+  while ((len = event_length (s->partial->str + at, s->partial->len - at)))
+    {
+      taken += take_event (s, s->partial->str + at, len, out);
+      at += len;
+    }
+  g_string_erase (s->partial, 0, (gssize)at);
+  return taken;
+}
+
+void
+cf_event_stream_restart (CfEventStream *s)
+{
+  g_string_truncate (s->partial, 0);
+}
+
+gboolean
+cf_event_stream_torn (const CfEventStream *s)
+{
+  return s->partial->len > 0;
+}
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,162 @@
+#include "gateway.h"
+
+#include "exchange.h"
+#include "log.h"
+#include "platform/platform-policy.h"
+#include "upstream.h"
+
+#include <string.h>
+
+/** Of the fleet's retry allowance, the part that all gateways use together;
+ * the rest covers one that counts itself as one of fewer. */
+#define RETRY_PART 0.8
+
+static void
+lane_free (gpointer data)
+{
+  CfLane *l = data;
+
+  cf_retry_budget_clear (&l->budget);
+  g_free (l);
+}
+
+/* No one counts retries for the whole fleet, so each gateway keeps to an
+ * even share of the slack; the ratio is of its own requests. */
+CfLane *
+cf_gateway_lane (CfGateway *g, const char *service)
+{
+  CfLane *l;
+  double slack;
+
+  if (!g->lanes)
+    g->lanes
+        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, lane_free);
+  l = g_hash_table_lookup (g->lanes, service);
+  if (l)
+    return l;
+  l = g_new0 (CfLane, 1);
+  cf_wait_queue_init (&l->queue);
+  slack = (double)g->set.retry_slack * RETRY_PART / MAX (g->fleet_size, 1);
+  cf_retry_budget_init (&l->budget,
+                        (gint64)(g->set.retry_ratio * RETRY_PART * 100),
+                        (gint64)MAX (slack, 1));
+  g_hash_table_insert (g->lanes, g_strdup (service), l);
+  return l;
+}
+
+gint64
+cf_gateway_now (const CfGateway *g)
+{
+  return g->now_ms;
+}
+
+gboolean
+cf_gateway_ready (const CfGateway *g)
+{
+  return g->policy && !g->stopping;
+}
+
+void
+cf_gateway_take_policy (CfGateway *g, const char *json, gsize n, gint64 rev,
+                        const char *source)
+{
+  CfPolicy *p;
+
+  if (g->policy && rev <= g->policy_rev)
+    return;
+  if (cf_platform_policy_parse (json, n, &p) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
+              "rev=%" G_GINT64_FORMAT " source=%s in_force=%" G_GINT64_FORMAT
+              " error=\"%s\"",
+              rev, source, g->policy ? g->policy->version : 0,
+              cf_last_error ());
+      return;
+    }
+  if (g->policy && p->version <= g->policy->version)
+    {
+      cf_log (LOG_NOTICE, CF_EV_CONFIG_OLDER,
+              "version=%" G_GINT64_FORMAT " in_force=%" G_GINT64_FORMAT
+              " source=%s",
+              p->version, g->policy->version, source);
+      cf_policy_unref (p);
+      return;
+    }
+  if (!g->policy)
+    cf_log (LOG_NOTICE, CF_EV_READY, "ready=yes");
+  cf_policy_unref (g->policy);
+  g->policy = p;
+  g->policy_rev = rev;
+  g->policy_at_ms = cf_gateway_now (g);
+  cf_log (LOG_NOTICE, CF_EV_CONFIG_ACCEPT,
+          "version=%" G_GINT64_FORMAT " rev=%" G_GINT64_FORMAT
+          " source=%s routes=%u services=%u",
+          p->version, rev, source, p->routes->len,
+          g_hash_table_size (p->services));
+}
+
+static const char *
+change_name (CfTargetChange c)
+{
+  switch (c)
+    {
+    case CF_TARGET_SAME:
+      return "same";
+    case CF_TARGET_NEW:
+      return "new";
+    case CF_TARGET_LEAVING:
+      return "leaving";
+    case CF_TARGET_UPDATED:
+      return "updated";
+    case CF_TARGET_BAD:
+      return "bad-address";
+    }
+  return "unknown";
+}
+
+void
+cf_gateway_take_target (CfGateway *g, const char *key, const char *json,
+                        gsize n, gint64 rev, const char *source)
+{
+  CfTargetRecord r;
+  CfTargetChange c;
+  const char *id;
+  CfTarget *t;
+
+  if (cf_platform_target_parse (key, json, n, &r) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_TARGET_LIST, "key=%s outcome=bad error=\"%s\"",
+              key, cf_last_error ());
+      return;
+    }
+  id = cf_platform_target_id (key);
+  c = cf_target_table_put (&g->targets, &r, rev);
+  if (c == CF_TARGET_SAME)
+    return;
+  t = g_hash_table_lookup (g->targets.by_id, id);
+  if (t && c == CF_TARGET_LEAVING)
+    cf_upstream_close_idle (t);
+  cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
+          "target=%s service=%s addr=%s outcome=%s rev=%" G_GINT64_FORMAT
+          " source=%s",
+          id, t ? t->record.service : "-", t ? t->record.addr : "-",
+          change_name (c), rev, source);
+  cf_exchange_pump (g);
+}
+
+void
+cf_gateway_drop_target (CfGateway *g, const char *key, gint64 rev,
+                        const char *source)
+{
+  const char *id = cf_platform_target_id (key);
+  CfTarget *t = id ? g_hash_table_lookup (g->targets.by_id, id) : NULL;
+
+  if (!t || rev < t->rev)
+    return;
+  cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
+          "target=%s service=%s addr=%s outcome=gone rev=%" G_GINT64_FORMAT
+          " source=%s",
+          id, t->record.service, t->record.addr, rev, source);
+  cf_upstream_close_idle (t);
+  cf_target_table_remove (&g->targets, id);
+}
--- /dev/null
+++ b/gateway/gateway.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "platform/platform-settings.h"
+#include "policy.h"
+#include "retry-budget.h"
+#include "stats.h"
+#include "target.h"
+#include "wait-queue.h"
+
+#include <ev.h>
+
+typedef struct CfCaller CfCaller;
+typedef struct CfGateway CfGateway;
+typedef TAILQ_HEAD (CfCallerList, CfCaller) CfCallerList;
+
+/** CfLane: what this process keeps for each service it sends work to. */
+typedef struct
+{
+  CfWaitQueue queue;
+  CfRetryBudget budget;
+} CfLane;
+
+/**
+ * CfGateway:
+ * What lives as long as the process: the settings, the newest policy, the
+ * targets, the callers' connections.  All of it belongs to the one event
+ * thread.
+ */
+struct CfGateway
+{
+  struct ev_loop *loop;
+  gint64 now_ms; /**< steady clock, as of this turn of the loop */
+  CfPlatformSettings set;
+  CfPolicy *policy;    /**< in force; %NULL until one is known */
+  gint64 policy_rev;   /**< the store's revision of it */
+  gint64 policy_at_ms; /**< when it came into force here */
+  CfTargetTable targets;
+  gint64 targets_rev;   /**< the store's revision the table is as of */
+  gint64 targets_at_ms; /**< when the store last confirmed the table */
+  guint fleet_size;     /**< gateways that share the retry budget */
+  GHashTable *lanes;    /**< service -> #CfLane */
+  CfCallerList callers;
+  guint n_callers;
+  guint n_exchanges;
+  gsize body_bytes; /**< of requests that are held in memory */
+  gsize body_bytes_max;
+  gboolean stopping; /**< SIGTERM came */
+  gint64 stop_at_ms;
+  CfStats stats;
+};
+
+/** cf_gateway_lane: the lane of @service, made when first asked for. */
+CfLane *cf_gateway_lane (CfGateway *g, const char *service);
+
+/** cf_gateway_now: a steady clock, as of this turn of the loop, in ms. */
+gint64 cf_gateway_now (const CfGateway *g);
+
+/** cf_gateway_ready: whether callers should be sent here. */
+gboolean cf_gateway_ready (const CfGateway *g);
+
+/**
+ * cf_gateway_take_policy:
+ * Puts @json in force if it is good and newer than what is.
+ * @rev: the store's revision of it
+ * @source: "store" or "peer", for the log
+ */
+void cf_gateway_take_policy (CfGateway *g, const char *json, gsize n,
+                             gint64 rev, const char *source);
+
+/** cf_gateway_take_target: a record of a target came. */
+void cf_gateway_take_target (CfGateway *g, const char *key, const char *json,
+                             gsize n, gint64 rev, const char *source);
+
+/** cf_gateway_drop_target: the target under @key is gone. */
+void cf_gateway_drop_target (CfGateway *g, const char *key, gint64 rev,
+                             const char *source);
--- /dev/null
+++ b/gateway/policy.c
@@ -0,0 +1,128 @@
+#include "policy.h"
+
+#include <string.h>
+
+/** Longest "host prefix" key that a look-up builds. */
+#define PLACE_MAX 1024
+
+static void
+route_free (gpointer data)
+{
+  CfRoute *r = data;
+
+  for (guint i = 0; i < r->n_splits; i++)
+    g_free (r->splits[i].service);
+  g_free (r->splits);
+  g_free (r->name);
+  g_free (r->host);
+  g_free (r->prefix);
+  g_free (r);
+}
+
+static void
+service_free (gpointer data)
+{
+  CfService *s = data;
+
+  g_free (s->name);
+  g_free (s);
+}
+
+CfPolicy *
+cf_policy_new (void)
+{
+  CfPolicy *p = g_new0 (CfPolicy, 1);
+
+  p->ref_count = 1;
+  p->routes = g_ptr_array_new_with_free_func (route_free);
+  p->by_place = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  p->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  p->tenants = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  p->org_rank = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return p;
+}
+
+CfPolicy *
+cf_policy_ref (CfPolicy *p)
+{
+  p->ref_count++;
+  return p;
+}
+
+void
+cf_policy_unref (CfPolicy *p)
+{
+  if (!p || --p->ref_count > 0)
+    return;
+  g_hash_table_destroy (p->by_place);
+  g_hash_table_destroy (p->services);
+  g_hash_table_destroy (p->tenants);
+  g_hash_table_destroy (p->org_rank);
+  g_ptr_array_free (p->routes, TRUE);
+  g_free (p);
+}
+
+void
+cf_policy_add_route (CfPolicy *p, CfRoute *r)
+{
+  char *host = g_ascii_strdown (r->host, -1);
+
+  g_ptr_array_add (p->routes, r);
+  g_hash_table_insert (p->by_place, g_strconcat (host, " ", r->prefix, NULL),
+                       r);
+  g_free (host);
+}
+
+/* Prefixes end with a slash, so only the places just after a slash of the
+ * path can end one; they are tried from the longest down. */
+const CfRoute *
+cf_policy_route (const CfPolicy *p, const char *host, const char *path)
+{
+  char place[PLACE_MAX];
+  gsize host_len = strcspn (host, ":");
+  gsize path_len = strcspn (path, "?#");
+  char *start = place + host_len + 1;
+
+  if (host_len + path_len + 2 > sizeof place)
+    return NULL;
+  for (gsize i = 0; i < host_len; i++)
+    place[i] = g_ascii_tolower (host[i]);
+  place[host_len] = ' ';
+  memcpy (start, path, path_len);
+  for (gsize n = path_len; n > 0; n--)
+    {
+      const CfRoute *r;
+
+      if (start[n - 1] != '/')
+        continue;
+      start[n] = '\0';
+      r = g_hash_table_lookup (p->by_place, place);
+      if (r)
+        return r;
+    }
+  return NULL;
+}
+
+const CfService *
+cf_policy_service (const CfPolicy *p, const char *name)
+{
+  return g_hash_table_lookup (p->services, name);
+}
+
+const char *
+cf_route_pick (const CfRoute *r, guint hash)
+{
+  guint at;
+
+  if (r->n_splits == 1 || r->total_weight == 0)
+    return r->splits[0].service;
+  at = hash % r->total_weight;
+  for (guint i = 0; i < r->n_splits; i++)
+    {
+      if (at < r->splits[i].weight)
+        return r->splits[i].service;
+      at -= r->splits[i].weight;
+    }
+  return r->splits[r->n_splits - 1].service;
+}
--- /dev/null
+++ b/gateway/policy.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <glib.h>
+
+/**
+ * CfRepeat: what may be done with a request that a target may have run.
+ */
+typedef enum
+{
+  CF_REPEAT_NEVER,  /**< it runs at most once */
+  CF_REPEAT_ALWAYS, /**< it is idempotent */
+  CF_REPEAT_RESUME, /**< a stream that another target can go on with */
+} CfRepeat;
+
+/** CfSplit: one service's share of a route's requests. */
+typedef struct
+{
+  char *service;
+  guint weight;
+} CfSplit;
+
+/** CfRoute: which service answers requests for a host and path prefix. */
+typedef struct
+{
+  char *name;
+  char *host;
+  char *prefix; /**< begins and ends with a slash */
+  CfRepeat repeat;
+  gboolean stream;   /**< answers are event streams */
+  gboolean keyless;  /**< requests need no API key */
+  gint64 timeout_ms; /**< the longest a caller may be kept waiting */
+  gint64 aim_ms;     /**< latency objective: first event, or whole answer */
+  gint64 gap_aim_ms; /**< objective for the pause between events; 0: none */
+  gint64 priority;   /**< 0 is the most urgent */
+  guint max_attempts;
+  CfSplit *splits;
+  guint n_splits;
+  guint total_weight;
+} CfRoute;
+
+/**
+ * CfEngineModel:
+ * The published speed of a service's engines; 0 where none is published.
+ */
+typedef struct
+{
+  double step_ms;      /**< fixed part of a step */
+  double per_seq_ms;   /**< added by each request that writes */
+  double read_per_ms;  /**< prompt tokens read in a ms */
+  double stride;       /**< steps in a pass that has writers */
+  double usual_prompt; /**< mean prompt tokens */
+  double usual_answer; /**< mean answer tokens */
+  double form_ms;      /**< a rank group opens so long after its last rank */
+} CfEngineModel;
+
+/** CfService: a group of like targets. */
+typedef struct
+{
+  char *name;
+  gint64 max_conns; /**< connections one target takes from all callers */
+  CfEngineModel engine;
+} CfService;
+
+/** CfCallerLimits: what a caller may send, and how slowly. */
+typedef struct
+{
+  gint64 max_header_bytes;
+  gint64 max_body_bytes;
+  gint64 header_timeout_ms;
+  gint64 idle_timeout_ms;
+} CfCallerLimits;
+
+/**
+ * CfPolicy:
+ * One version of the configuration, immutable once built and shared by
+ * reference: a request keeps the version it was routed by.
+ */
+typedef struct
+{
+  gint ref_count;
+  gint64 version;
+  GPtrArray *routes;    /**< of #CfRoute, owned */
+  GHashTable *by_place; /**< "host prefix" -> #CfRoute */
+  GHashTable *services; /**< name -> #CfService, owned */
+  GHashTable *tenants;  /**< API key -> organisation's name, owned */
+  GHashTable *org_rank; /**< organisation -> priority + 1, if it has one */
+  gboolean needs_keys;
+  CfCallerLimits limits;
+} CfPolicy;
+
+CfPolicy *cf_policy_new (void);
+CfPolicy *cf_policy_ref (CfPolicy *p);
+void cf_policy_unref (CfPolicy *p);
+
+/** cf_policy_add_route: takes @r, made with g_new0(). */
+void cf_policy_add_route (CfPolicy *p, CfRoute *r);
+
+/**
+ * cf_policy_route:
+ * @host: the Host header; a port after it is ignored
+ * @path: the request's path, with or without a query
+ * Returns: the route of @host with the longest prefix of @path, or %NULL.
+ */
+const CfRoute *cf_policy_route (const CfPolicy *p, const char *host,
+                                const char *path);
+
+/** cf_policy_service: (nullable): the service called @name. */
+const CfService *cf_policy_service (const CfPolicy *p, const char *name);
+
+/**
+ * cf_route_pick:
+ * @hash: spreads requests over the route's services by their weights
+ * Returns: the service's name.
+ */
+const char *cf_route_pick (const CfRoute *r, guint hash);
--- /dev/null
+++ b/gateway/stats.c
@@ -0,0 +1,100 @@
+#include "stats.h"
+
+const char *
+cf_outcome_name (CfOutcome o)
+{
+  switch (o)
+    {
+    case CF_OUT_SUCCESS:
+      return "success";
+    case CF_OUT_TARGET_FAIL:
+      return "target-fail";
+    case CF_OUT_REFUSED:
+      return "refused";
+    case CF_OUT_DENIED:
+      return "denied";
+    case CF_OUT_FAILED:
+      return "failed";
+    case CF_OUT_TIMEOUT:
+      return "timeout";
+    case CF_OUT_BROKEN:
+      return "broken";
+    case CF_OUT_GONE:
+      return "gone";
+    case CF_N_OUTCOMES:
+      break;
+    }
+  return "unknown";
+}
+
+void
+cf_histogram_add (CfHistogram *h, gint64 ms)
+{
+  guint i = 0;
+
+  while (i < CF_HISTOGRAM_BUCKETS - 1 && ms > (gint64)1 << i)
+    i++;
+  h->counts[i]++;
+  h->n++;
+  h->sum_ms += (double)ms;
+}
+
+static void
+print_counter (GString *out, const char *name, guint64 value)
+{
+  g_string_append_printf (out,
+                          "# TYPE comfrey_%s counter\ncomfrey_%s "
+                          "%" G_GUINT64_FORMAT "\n",
+                          name, name, value);
+}
+
+void
+cf_stats_gauge (GString *out, const char *name, double value)
+{
+  g_string_append_printf (out, "# TYPE comfrey_%s gauge\ncomfrey_%s %g\n", name,
+                          name, value);
+}
+
+static void
+print_histogram (GString *out, const char *name, const CfHistogram *h)
+{
+  guint64 below = 0;
+
+  g_string_append_printf (out, "# TYPE comfrey_%s histogram\n", name);
+  for (guint i = 0; i < CF_HISTOGRAM_BUCKETS - 1; i++)
+    {
+      below += h->counts[i];
+      g_string_append_printf (out,
+                              "comfrey_%s_bucket{le=\"%u\"} "
+                              "%" G_GUINT64_FORMAT "\n",
+                              name, 1U << i, below);
+    }
+  g_string_append_printf (out,
+                          "comfrey_%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
+                          "\ncomfrey_%s_sum %g\ncomfrey_%s_count "
+                          "%" G_GUINT64_FORMAT "\n",
+                          name, h->n, name, h->sum_ms, name, h->n);
+}
+
+void
+cf_stats_print (const CfStats *s, GString *out)
+{
+  print_counter (out, "requests_total", s->requests);
+  g_string_append (out, "# TYPE comfrey_outcomes_total counter\n");
+  for (guint i = 0; i < CF_N_OUTCOMES; i++)
+    g_string_append_printf (out,
+                            "comfrey_outcomes_total{outcome=\"%s\"} "
+                            "%" G_GUINT64_FORMAT "\n",
+                            cf_outcome_name (i), s->outcomes[i]);
+  print_counter (out, "sends_total", s->sends);
+  print_counter (out, "retries_total", s->retries);
+  print_counter (out, "resumes_total", s->resumes);
+  print_counter (out, "connects_total", s->connects);
+  print_counter (out, "store_calls_total", s->store_calls);
+  print_counter (out, "store_errors_total", s->store_errors);
+  print_counter (out, "queued_total", s->queued);
+  print_histogram (out, "first_event_ms", &s->first_ms);
+  print_histogram (out, "answer_ms", &s->whole_ms);
+  print_histogram (out, "event_pause_ms", &s->pause_ms);
+  print_histogram (out, "queue_ms", &s->queue_ms);
+}
--- /dev/null
+++ b/gateway/stats.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <glib.h>
+
+/** CfOutcome: how a request ended, for the counters. */
+typedef enum
+{
+  CF_OUT_SUCCESS,     /**< the target's 2xx, whole */
+  CF_OUT_TARGET_FAIL, /**< the target's own failure, passed on */
+  CF_OUT_REFUSED,     /**< not run: no room, no target, no configuration */
+  CF_OUT_DENIED,      /**< not allowed, or not a proper request */
+  CF_OUT_FAILED,      /**< it may have run, and no good answer came */
+  CF_OUT_TIMEOUT,     /**< its time was over */
+  CF_OUT_BROKEN,      /**< a stream that broke off in the middle */
+  CF_OUT_GONE,        /**< its caller left */
+  CF_N_OUTCOMES,
+} CfOutcome;
+
+const char *cf_outcome_name (CfOutcome o);
+
+/** CfHistogram: latencies in ms, by powers of two. */
+#define CF_HISTOGRAM_BUCKETS 16
+typedef struct
+{
+  guint64 counts[CF_HISTOGRAM_BUCKETS]; /**< i: up to 2^i ms */
+  guint64 n;
+  double sum_ms;
+} CfHistogram;
+
+void cf_histogram_add (CfHistogram *h, gint64 ms);
+
+/** CfStats: what this process has counted since its start. */
+typedef struct
+{
+  guint64 requests;
+  guint64 outcomes[CF_N_OUTCOMES];
+  guint64 sends;    /**< requests sent to targets, again ones included */
+  guint64 retries;  /**< of these, sent again */
+  guint64 resumes;  /**< streams taken up at another target */
+  guint64 connects; /**< connections made to targets */
+  guint64 store_calls;
+  guint64 store_errors;
+  guint64 queued;       /**< requests that waited for room */
+  CfHistogram first_ms; /**< to the first event of a stream */
+  CfHistogram whole_ms; /**< to the end of any other answer */
+  CfHistogram pause_ms; /**< between two events of a stream */
+  CfHistogram queue_ms; /**< waiting for room */
+} CfStats;
+
+/** cf_stats_print: appends all in the Prometheus text format. */
+void cf_stats_print (const CfStats *s, GString *out);
+
+/** cf_stats_gauge: appends one gauge. */
+void cf_stats_gauge (GString *out, const char *name, double value);
--- /dev/null
+++ b/gateway/target.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "outlier.h"
+#include "platform/platform-target.h"
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/queue.h>
+
+typedef struct CfUpstream CfUpstream;
+typedef TAILQ_HEAD (CfUpstreamList, CfUpstream) CfUpstreamList;
+
+/**
+ * CfTarget:
+ * One start of a target, as the platform lists it, with what this process
+ * knows from using it.  Shared by reference: work in progress keeps the
+ * target it was sent to, also after it has left the list.
+ */
+typedef struct
+{
+  gint ref_count;
+  CfTargetRecord record;
+  struct sockaddr_in addr;
+  gint64 rev;          /**< store revision of @record */
+  gboolean listed;     /**< still on the platform's list */
+  guint in_flight;     /**< requests of ours it has */
+  guint conns;         /**< connections of ours, idle ones included */
+  CfUpstreamList idle; /**< of these the idle ones, last used first */
+  CfOutlier outlier;
+  gint64 full_until_ms; /**< it said it was full; not asked before */
+} CfTarget;
+
+CfTarget *cf_target_ref (CfTarget *t);
+void cf_target_unref (CfTarget *t);
+
+/** CfTargetTable: all listed targets, by id and by service. */
+typedef struct
+{
+  GHashTable *by_id;      /**< id -> #CfTarget */
+  GHashTable *by_service; /**< service -> GPtrArray of #CfTarget */
+  guint turn;             /**< where a search for the least loaded begins */
+} CfTargetTable;
+
+void cf_target_table_init (CfTargetTable *t);
+void cf_target_table_clear (CfTargetTable *t);
+
+/** CfTargetChange: what a record changed. */
+typedef enum
+{
+  CF_TARGET_SAME,    /**< nothing that matters */
+  CF_TARGET_NEW,     /**< a target came */
+  CF_TARGET_LEAVING, /**< it wants no new work from now on */
+  CF_TARGET_UPDATED, /**< something else */
+  CF_TARGET_BAD,     /**< its address cannot be read; not listed */
+} CfTargetChange;
+
+/**
+ * cf_target_table_put:
+ * @r: taken over
+ * @rev: the store's revision; a record older than the known one is dropped
+ */
+CfTargetChange cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
+                                    gint64 rev);
+
+/** cf_target_table_remove: @id is gone; %FALSE if it was not listed. */
+gboolean cf_target_table_remove (CfTargetTable *t, const char *id);
+
+/** cf_target_table_service: (nullable): the targets of @service. */
+const GPtrArray *cf_target_table_service (const CfTargetTable *t,
+                                          const char *service);
--- /dev/null
+++ b/gateway/wait-queue.c
@@ -0,0 +1,80 @@
+#include "wait-queue.h"
+
+/** Of the latency objective, the part a request may wait for room: the rest
+ * is needed by the target, whose own work takes about half of it when it is
+ * full (a prompt of usual size read beside 11 writers). */
+#define WAIT_PART_OF_AIM 0.8
+/** Of the time left, the part it may wait, so that a refusal still leaves
+ * its caller time to come back. */
+#define WAIT_PART_OF_LEFT 0.33
+/** Callers honour a Retry-After of up to a third of the time they have. */
+#define RETRY_AFTER_PART 0.32
+
+void
+cf_wait_queue_init (CfWaitQueue *q)
+{
+  TAILQ_INIT (&q->waiters);
+  q->n = 0;
+}
+
+/* Goes behind all that are as urgent or more. */
+static void
+insert_in_order (CfWaitQueue *q, CfWaiter *w)
+{
+  CfWaiter *at;
+
+  TAILQ_FOREACH (at, &q->waiters, link)
+  if (at->priority > w->priority)
+    {
+      TAILQ_INSERT_BEFORE (at, w, link);
+      return;
+    }
+  TAILQ_INSERT_TAIL (&q->waiters, w, link);
+}
+
+gboolean
+cf_wait_queue_add (CfWaitQueue *q, CfWaiter *w, guint max, CfWaiter **evicted)
+{
+  CfWaiter *last = TAILQ_LAST (&q->waiters, CfWaiterList);
+
+  *evicted = NULL;
+  if (q->n >= max)
+    {
+      if (!last || last->priority <= w->priority)
+        return FALSE;
+      cf_wait_queue_remove (q, last);
+      *evicted = last;
+    }
+  insert_in_order (q, w);
+  w->queued = TRUE;
+  q->n++;
+  return TRUE;
+}
+
+void
+cf_wait_queue_remove (CfWaitQueue *q, CfWaiter *w)
+{
+  if (!w->queued)
+    return;
+  TAILQ_REMOVE (&q->waiters, w, link);
+  w->queued = FALSE;
+  q->n--;
+}
+
+gint64
+cf_wait_limit_ms (gint64 aim_ms, gint64 left_ms)
+{
+  double by_aim = (double)aim_ms * WAIT_PART_OF_AIM;
+  double by_left = (double)left_ms * WAIT_PART_OF_LEFT;
+
+  return (gint64)MIN (by_aim, by_left);
+}
+
+gint64
+cf_retry_after_ms (gint64 left_ms, gint64 busy_ms, guint spread)
+{
+  gint64 most = (gint64)((double)left_ms * RETRY_AFTER_PART);
+  gint64 at = busy_ms + (gint64)(spread % (guint)MAX (busy_ms, 1));
+
+  return CLAMP (at, 0, MAX (most, 0));
+}
--- a/log.c
+++ b/log.c
@@ -1,5 +1,7 @@
 #include "log.h"
 
+#include "log-writer.h"
+
 #include <stdarg.h>
 #include <stdio.h>
 #include <unistd.h>
@@ -27,6 +29,10 @@
       return "settings";
     case CF_EV_LISTEN:
       return "listen";
+    case CF_EV_RELOAD:
+      return "reload";
+    case CF_EV_READY:
+      return "ready";
     case CF_EV_CONFIG_ACCEPT:
       return "config-accept";
     case CF_EV_CONFIG_OLDER:
@@ -49,6 +55,20 @@
       return "claim";
     case CF_EV_OUTLIER:
       return "outlier-eject";
+    case CF_EV_QUEUE:
+      return "queue";
+    case CF_EV_CALLER_GONE:
+      return "caller-gone";
+    case CF_EV_RESUME:
+      return "resume";
+    case CF_EV_STORE_LOST:
+      return "store-lost";
+    case CF_EV_STORE_BACK:
+      return "store-back";
+    case CF_EV_TARGET_LIST:
+      return "target-list";
+    case CF_EV_PEER:
+      return "peer";
     case CF_EV_VM_LEAVING:
       return "vm-leaving";
     case CF_EV_LINK_DOWN:
@@ -108,6 +128,8 @@
     if ((unsigned char)line[i] < ' ' || line[i] == 0x7f)
       line[i] = '?';
   line[n++] = '\n';
-  if (write (STDERR_FILENO, line, n) < 0)
+  if (cf_log_writer_active ())
+    cf_log_writer_put (line, n);
+  else if (write (STDERR_FILENO, line, n) < 0)
     return;
 }
--- a/log.h
+++ b/log.h
@@ -9,10 +9,13 @@
  */
 typedef enum
 {
-  CF_EV_START = 1001,         /**< process started */
-  CF_EV_STOP = 1002,          /**< process stopped */
-  CF_EV_SETTINGS = 1003,      /**< settings rejected */
-  CF_EV_LISTEN = 1004,        /**< listening on an address */
+  CF_EV_START = 1001,    /**< process started */
+  CF_EV_STOP = 1002,     /**< process stopped */
+  CF_EV_SETTINGS = 1003, /**< settings rejected */
+  CF_EV_LISTEN = 1004,   /**< listening on an address */
+  /* 1005, log-dropped, is written by the log writer itself. */
+  CF_EV_RELOAD = 1006,        /**< settings were read again */
+  CF_EV_READY = 1007,         /**< readiness changed */
   CF_EV_CONFIG_ACCEPT = 1101, /**< a configuration version was put in force */
   CF_EV_CONFIG_OLDER = 1102,  /**< an older or equal version was ignored */
   CF_EV_CONFIG_DOWN = 1103,   /**< the configuration service did not answer */
@@ -24,6 +27,13 @@
   CF_EV_NO_ROUTE = 1207,      /**< no intent or no target for a request */
   CF_EV_CLAIM = 1208,         /**< the claim of a non-repeatable call */
   CF_EV_OUTLIER = 1209,       /**< a failing target was ejected for a while */
+  CF_EV_QUEUE = 1210,         /**< a request waits for room */
+  CF_EV_CALLER_GONE = 1211,   /**< a caller left before its answer */
+  CF_EV_RESUME = 1212,        /**< a stream goes on at another target */
+  CF_EV_STORE_LOST = 1105,    /**< the metadata store does not answer */
+  CF_EV_STORE_BACK = 1106,    /**< the metadata store answers again */
+  CF_EV_TARGET_LIST = 1305,   /**< a target came, changed or left */
+  CF_EV_PEER = 1306,          /**< a peer was found, lost or taught us */
   CF_EV_VM_LEAVING = 1301,    /**< the VM list says a target is leaving */
   CF_EV_LINK_DOWN = 1302,     /**< a connection to an agent was lost */
   CF_EV_LINK_UP = 1303,       /**< a connection to an agent was made */
@@ -56,8 +66,9 @@
  * @ev: the event number
  * @fmt: printf-style `key=value` pairs, space separated
  *
- * Writes one whole line with a single write(2), so that lines of
- * concurrent threads do not interleave.
+ * Hands one whole line to the log writer if it runs (log-writer.h); else
+ * writes it with a single write(2), so that lines of concurrent threads do
+ * not interleave.
  */
 void cf_log (int prio, CfEvent ev, const char *fmt, ...)
     __attribute__ ((format (printf, 3, 4)));
