--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # What runs on the platform: the gateway and the parts of the library it
 # uses, built under target/ alone.
 GW_PKGS = glib-2.0 jansson msgpack ck
-GW_SRCS = comfrey-gateway.c $(wildcard gateway/*.c) $(wildcard platform/*.c) \
+GW_SRCS = $(wildcard gateway/*.c) $(wildcard platform/*.c) \
 	error.c log.c log-writer.c net.c outlier.c retry-budget.c
 GW_OBJS = $(GW_SRCS:%.c=target/obj/%.o)
 GW_CFLAGS = $(CFLAGS) -std=gnu11 -D_GNU_SOURCE -Wall -Wextra \
@@ -44,10 +44,16 @@
 	$(shell pkg-config --cflags $(GW_PKGS))
 GW_LDLIBS = $(shell pkg-config --libs $(GW_PKGS)) -lev -lhttp_parser -lm
 
-deploy: target/comfrey-gateway
+GW_PROGRAMS = target/comfrey-gateway target/comfrey-rank-agent
 
-target/comfrey-gateway: $(GW_OBJS)
-	$(CC) $(GW_CFLAGS) -Wl,--as-needed -o $@ $(GW_OBJS) $(GW_LDLIBS)
+deploy: $(GW_PROGRAMS)
+
+# An archive, so that each program takes only the modules it uses.
+target/libcomfrey-gateway.a: $(GW_OBJS)
+	$(AR) rcs $@ $^
+
+$(GW_PROGRAMS): target/%: target/obj/%.o target/libcomfrey-gateway.a
+	$(CC) $(GW_CFLAGS) -Wl,--as-needed -o $@ $^ $(GW_LDLIBS)
 
 target/obj/%.o: %.c *.h gateway/*.h platform/*.h
 	@mkdir -p $(dir $@)
--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -2,6 +2,7 @@
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/ops.h"
+#include "gateway/rank-service.h"
 #include "gateway/socket.h"
 #include "gateway/store-watch.h"
 #include "gateway/target-feed.h"
@@ -36,6 +37,8 @@
 static CfStoreWatch policy_watch;
 static CfStoreWatch target_watch;
 static ev_io front_io;
+static ev_io control_io;
+static CfRankService *ranks;
 static ev_timer tick;
 static ev_check clock_check;
 
@@ -83,6 +86,15 @@
   cf_caller_accept (&gw, w->fd);
 }
 
+static void
+on_control (struct ev_loop *loop, ev_io *w, int revents)
+{
+  int fd = cf_socket_accept (w->fd);
+
+  if (fd >= 0)
+    cf_rank_service_accept (ranks, fd);
+}
+
 static void
 stop_step (CfGateway *g)
 {
@@ -99,6 +111,7 @@
 on_tick (struct ev_loop *loop, ev_timer *w, int revents)
 {
   cf_exchange_pump (&gw);
+  cf_rank_service_tick (ranks);
   if (gw.stopping)
     stop_step (&gw);
 }
@@ -123,7 +136,9 @@
 {
   CfPlatformSettings s;
 
-  if (cf_platform_settings_load (cf_platform_settings_path (), &s) != CF_OK)
+  if (cf_platform_settings_load (cf_platform_settings_path (), CF_ROLE_GATEWAY,
+                                 &s)
+      != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_SETTINGS, "action=keep-old error=\"%s\"",
               cf_last_error ());
@@ -151,6 +166,13 @@
     }
   if (st == CF_OK)
     st = cf_ops_listen (g, metrics);
+  if (st == CF_OK && g->set.control_addr)
+    {
+      st = cf_socket_listen (g->set.control_addr, &fd);
+      ev_io_init (&control_io, on_control, fd, EV_READ);
+      if (st == CF_OK)
+        ev_io_start (g->loop, &control_io);
+    }
   g_free (metrics);
   return st;
 }
@@ -190,6 +212,7 @@
       return 1;
     }
   cf_gateway_lane (g, "");
+  ranks = cf_rank_service_new (g);
   cf_store_watch_start (&policy_watch, g, PF_KEY_CONFIG, &policy_calls);
   cf_target_feed_start (&target_watch, g);
   ev_timer_init (&tick, on_tick, TICK_S, TICK_S);
@@ -240,7 +263,8 @@
   if (rc)
     return rc;
   cf_log_init ("comfrey-gateway");
-  if (cf_platform_settings_load (cf_platform_settings_path (), &gw.set)
+  if (cf_platform_settings_load (cf_platform_settings_path (), CF_ROLE_GATEWAY,
+                                 &gw.set)
       != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_SETTINGS, "error=\"%s\"", cf_last_error ());
--- /dev/null
+++ b/comfrey-rank-agent.c
@@ -0,0 +1,85 @@
+#include "gateway/rank-agent.h"
+#include "log-writer.h"
+#include "log.h"
+#include "platform/names.h"
+#include "version.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <unistd.h>
+
+/** Log lines may take so long to be written at the end. */
+#define LOG_FLUSH_MS 200
+
+static CfRankAgent agent;
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *w, int revents)
+{
+  cf_log (LOG_NOTICE, CF_EV_STOP, "signal=%d", w->signum);
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+on_reload (struct ev_loop *loop, ev_signal *w, int revents)
+{
+  cf_log (LOG_NOTICE, CF_EV_RELOAD, "outcome=nothing-to-change");
+}
+
+static void
+catch_signals (struct ev_loop *loop)
+{
+  static ev_signal term;
+  static ev_signal intr;
+  static ev_signal hup;
+
+  ev_signal_init (&term, on_stop, SIGTERM);
+  ev_signal_start (loop, &term);
+  ev_signal_init (&intr, on_stop, SIGINT);
+  ev_signal_start (loop, &intr);
+  ev_signal_init (&hup, on_reload, SIGHUP);
+  ev_signal_start (loop, &hup);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+int
+main (int argc, char **argv)
+{
+  GOptionContext *ctx = g_option_context_new (NULL);
+  GError *err = NULL;
+
+  g_option_context_set_summary (
+      ctx, "The rank agent: reads the state of the rank on its VM for the "
+           "gateway that leads the group, and passes on that gateway's "
+           "orders.\nThe settings file is named by " PF_ENV_SETTINGS ".");
+  if (!g_option_context_parse (ctx, &argc, &argv, &err))
+    {
+      fprintf (stderr, "comfrey-rank-agent: %s; see --help\n", err->message);
+      return 2;
+    }
+  g_option_context_free (ctx);
+  cf_log_init ("comfrey-rank-agent");
+  if (cf_platform_settings_load (cf_platform_settings_path (),
+                                 CF_ROLE_RANK_AGENT, &agent.set)
+      != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_SETTINGS, "error=\"%s\"", cf_last_error ());
+      return 2;
+    }
+  if (!cf_log_writer_start (STDOUT_FILENO))
+    cf_log (LOG_WARNING, CF_EV_START, "error=\"no thread for the log writer\"");
+  agent.loop = ev_default_loop (EVBACKEND_EPOLL | EVFLAG_NOENV);
+  catch_signals (agent.loop);
+  if (cf_rank_agent_start (&agent) != CF_OK)
+    {
+      cf_log (LOG_ERR, CF_EV_SETTINGS, "error=\"%s\"", cf_last_error ());
+      return 2;
+    }
+  cf_log (LOG_NOTICE, CF_EV_START, "name=%s version=%s target=%s seeds=%d",
+          agent.set.node_name ? agent.set.node_name : "-", CF_VERSION,
+          agent.set.target_addr, agent.n_seeds);
+  ev_run (agent.loop, 0);
+  cf_log_writer_stop (LOG_FLUSH_MS);
+  return 0;
+}
--- /dev/null
+++ b/gateway/group-map.c
@@ -0,0 +1,379 @@
+#include "group-map.h"
+
+#include <string.h>
+
+/** Moves looked for in a set at most: each copies an expert or two. */
+#define MOVES_MAX 64
+
+CfGroupMap *
+cf_group_map_new (const CfGroupShape *shape)
+{
+  CfGroupMap *m = g_new0 (CfGroupMap, 1);
+  gsize n = (gsize)shape->sets * shape->ranks * shape->places;
+
+  m->shape = *shape;
+  m->held = g_new (gint16, n);
+  for (gsize i = 0; i < n; i++)
+    m->held[i] = -1;
+  return m;
+}
+
+CfGroupMap *
+cf_group_map_copy (const CfGroupMap *m)
+{
+  CfGroupMap *c = cf_group_map_new (&m->shape);
+  gsize n = (gsize)m->shape.sets * m->shape.ranks * m->shape.places;
+
+  memcpy (c->held, m->held, n * sizeof *c->held);
+  return c;
+}
+
+void
+cf_group_map_free (CfGroupMap *m)
+{
+  if (!m)
+    return;
+  g_free (m->held);
+  g_free (m);
+}
+
+gint16 *
+cf_group_map_at (const CfGroupMap *m, int set, int rank)
+{
+  return m->held + ((gsize)set * m->shape.ranks + rank) * m->shape.places;
+}
+
+gboolean
+cf_group_map_holds (const CfGroupMap *m, int set, int rank, int expert)
+{
+  const gint16 *at = cf_group_map_at (m, set, rank);
+
+  for (int p = 0; p < m->shape.places; p++)
+    if (at[p] == expert)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+count_copies (const CfGroupMap *m, int set, int *copies)
+{
+  memset (copies, 0, sizeof *copies * m->shape.experts);
+  for (int r = 0; r < m->shape.ranks; r++)
+    for (int p = 0; p < m->shape.places; p++)
+      {
+        int e = cf_group_map_at (m, set, r)[p];
+
+        if (e >= 0 && e < m->shape.experts)
+          copies[e]++;
+      }
+}
+
+gboolean
+cf_group_map_whole (const CfGroupMap *m)
+{
+  g_autofree int *copies = g_new (int, m->shape.experts);
+
+  for (int s = 0; s < m->shape.sets; s++)
+    {
+      count_copies (m, s, copies);
+      for (int e = 0; e < m->shape.experts; e++)
+        if (copies[e] == 0)
+          return FALSE;
+    }
+  return TRUE;
+}
+
+static int
+rank_added (const CfGroupMap *from, const CfGroupMap *to, int set, int rank)
+{
+  int n = 0;
+
+  for (int p = 0; p < to->shape.places; p++)
+    {
+      int e = cf_group_map_at (to, set, rank)[p];
+
+      if (e >= 0 && !cf_group_map_holds (from, set, rank, e))
+        n++;
+    }
+  return n;
+}
+
+int
+cf_group_map_added (const CfGroupMap *from, const CfGroupMap *to)
+{
+  int n = 0;
+
+  for (int s = 0; s < to->shape.sets; s++)
+    for (int r = 0; r < to->shape.ranks; r++)
+      n += rank_added (from, to, s, r);
+  return n;
+}
+
+/* CfSetPlan: one set while its moves are looked for. */
+typedef struct
+{
+  const CfGroupMap *from;
+  CfGroupMap *m;
+  int set;
+  const double *tokens; /* of the set's experts, in even parts of a rank */
+  int *copies;
+  double *load; /* of each rank */
+  int max_new;
+} CfSetPlan;
+
+/* CfMove: @expert goes to @place of @rank; if @back is set, what was there
+ * takes its place at @from_rank. */
+typedef struct
+{
+  int expert;
+  int rank;
+  int place;
+  int from_rank;
+  int from_place;
+  gboolean back;
+  double score;
+} CfMove;
+
+static void
+compute_load (CfSetPlan *s)
+{
+  const CfGroupShape *sh = &s->m->shape;
+
+  count_copies (s->m, s->set, s->copies);
+  memset (s->load, 0, sizeof *s->load * sh->ranks);
+  for (int r = 0; r < sh->ranks; r++)
+    for (int p = 0; p < sh->places; p++)
+      {
+        int e = cf_group_map_at (s->m, s->set, r)[p];
+
+        if (e >= 0)
+          s->load[r] += s->tokens[e] / s->copies[e];
+      }
+}
+
+/* Rises steeply with a rank's load, so that the most loaded rank counts
+ * most, and relieving one of several such still counts. */
+static double
+cost_of (double load)
+{
+  double sq = load * load;
+
+  return sq * sq * sq;
+}
+
+static double
+cost_change (const CfSetPlan *s, int rank, double by)
+{
+  return cost_of (s->load[rank] + by) - cost_of (s->load[rank]);
+}
+
+/* The cost of one copy more of @e at @rank, and one less of @old there;
+ * ranks that hold both are few, and their error is put right when the
+ * loads are computed anew after the move. */
+static double
+score_copy (const CfSetPlan *s, int e, int rank, int old)
+{
+  const CfGroupShape *sh = &s->m->shape;
+  double share = s->tokens[e] / s->copies[e];
+  double less = s->tokens[e] / (s->copies[e] + 1);
+  double gone = old >= 0 ? s->tokens[old] / s->copies[old] : 0;
+  double more = old >= 0 && s->copies[old] > 1
+                    ? s->tokens[old] / (s->copies[old] - 1) - gone
+                    : 0;
+  double score = cost_change (s, rank, less - gone);
+
+  for (int r = 0; r < sh->ranks; r++)
+    {
+      double by = 0;
+
+      if (r == rank)
+        continue;
+      if (cf_group_map_holds (s->m, s->set, r, e))
+        by += less - share;
+      if (more > 0 && cf_group_map_holds (s->m, s->set, r, old))
+        by += more;
+      if (by != 0)
+        score += cost_change (s, r, by);
+    }
+  return score;
+}
+
+static double
+score_swap (const CfSetPlan *s, int e, int from, int rank, int old)
+{
+  double a = s->tokens[e] / s->copies[e];
+  double b = s->tokens[old] / s->copies[old];
+
+  return cost_change (s, from, b - a) + cost_change (s, rank, a - b);
+}
+
+/* Whether @rank may hold @e in @place: within what it may copy. */
+static gboolean
+may_take (CfSetPlan *s, int rank, int place, int e)
+{
+  gint16 *at = cf_group_map_at (s->m, s->set, rank) + place;
+  gint16 old = *at;
+  int added;
+
+  if (cf_group_map_holds (s->m, s->set, rank, e))
+    return FALSE;
+  *at = (gint16)e;
+  added = rank_added (s->from, s->m, s->set, rank);
+  *at = old;
+  return added <= s->max_new;
+}
+
+static int
+most_loaded (const CfSetPlan *s)
+{
+  int hot = 0;
+
+  for (int r = 1; r < s->m->shape.ranks; r++)
+    if (s->load[r] > s->load[hot])
+      hot = r;
+  return hot;
+}
+
+static void
+consider (CfSetPlan *s, CfMove *best, const CfMove *mv)
+{
+  int old = cf_group_map_at (s->m, s->set, mv->rank)[mv->place];
+  CfMove c = *mv;
+
+  if (!may_take (s, c.rank, c.place, c.expert))
+    return;
+  if (old < 0 || s->copies[old] > 1)
+    {
+      c.back = FALSE;
+      c.score = score_copy (s, c.expert, c.rank, old);
+      if (c.score < best->score)
+        *best = c;
+    }
+  if (old >= 0 && may_take (s, c.from_rank, c.from_place, old))
+    {
+      c.back = TRUE;
+      c.score = score_swap (s, c.expert, c.from_rank, c.rank, old);
+      if (c.score < best->score)
+        *best = c;
+    }
+}
+
+static CfMove
+best_move (CfSetPlan *s)
+{
+  const CfGroupShape *sh = &s->m->shape;
+  int hot = most_loaded (s);
+  CfMove best = { .rank = -1, .score = 0 };
+
+  for (int hp = 0; hp < sh->places; hp++)
+    for (int r = 0; r < sh->ranks; r++)
+      for (int p = 0; p < sh->places; p++)
+        {
+          CfMove mv = { .rank = r, .place = p };
+
+          mv.expert = cf_group_map_at (s->m, s->set, hot)[hp];
+          mv.from_rank = hot;
+          mv.from_place = hp;
+          if (mv.expert >= 0 && s->load[r] < s->load[hot])
+            consider (s, &best, &mv);
+        }
+  return best;
+}
+
+static void
+apply (CfSetPlan *s, const CfMove *mv)
+{
+  gint16 *at = cf_group_map_at (s->m, s->set, mv->rank) + mv->place;
+  gint16 old = *at;
+
+  *at = (gint16)mv->expert;
+  if (mv->back)
+    cf_group_map_at (s->m, s->set, mv->from_rank)[mv->from_place] = old;
+  compute_load (s);
+}
+
+/* Moves in one set until none saves @move_gain of an even part's cost. */
+static void
+plan_set (CfSetPlan *s, double move_gain)
+{
+  compute_load (s);
+  for (int i = 0; i < MOVES_MAX; i++)
+    {
+      double before = s->load[most_loaded (s)];
+      CfMove mv = best_move (s);
+
+      /* Near the top a rank's cost falls by six times its relief. */
+      if (mv.rank < 0 || -mv.score < 6 * move_gain * cost_of (before) / before)
+        return;
+      apply (s, &mv);
+    }
+}
+
+/* The set's tokens in even parts of a rank; FALSE if there are none. */
+static gboolean
+even_parts (const CfGroupMap *m, int set, const double *tokens, double *out)
+{
+  const double *t = tokens + (gsize)set * m->shape.experts;
+  double sum = 0;
+
+  for (int e = 0; e < m->shape.experts; e++)
+    sum += t[e];
+  if (sum <= 0)
+    return FALSE;
+  for (int e = 0; e < m->shape.experts; e++)
+    out[e] = t[e] * m->shape.ranks / sum;
+  return TRUE;
+}
+
+double
+cf_group_map_skew (const CfGroupMap *m, const double *tokens)
+{
+  const CfGroupShape *sh = &m->shape;
+  g_autofree double *parts = g_new (double, sh->experts);
+  g_autofree double *load = g_new (double, sh->ranks);
+  g_autofree int *copies = g_new (int, sh->experts);
+  double sum = 0;
+
+  for (int set = 0; set < sh->sets; set++)
+    {
+      CfSetPlan s = { .m = (CfGroupMap *)m, .set = set, .tokens = parts };
+
+      s.copies = copies;
+      s.load = load;
+      if (!even_parts (m, set, tokens, parts))
+        {
+          sum += 1;
+          continue;
+        }
+      compute_load (&s);
+      sum += load[most_loaded (&s)];
+    }
+  return sum / sh->sets;
+}
+
+CfGroupMap *
+cf_group_map_plan (const CfGroupMap *from, const double *tokens,
+                   const CfPlanLimits *limits)
+{
+  const CfGroupShape *sh = &from->shape;
+  CfGroupMap *m = cf_group_map_copy (from);
+  g_autofree double *parts = g_new (double, sh->experts);
+  g_autofree double *load = g_new (double, sh->ranks);
+  g_autofree int *copies = g_new (int, sh->experts);
+  double gain;
+
+  for (int set = 0; set < sh->sets; set++)
+    {
+      CfSetPlan s = { .from = from, .m = m, .set = set, .tokens = parts };
+
+      s.copies = copies;
+      s.load = load;
+      s.max_new = MIN (limits->max_new, sh->spare);
+      if (even_parts (from, set, tokens, parts))
+        plan_set (&s, limits->move_gain);
+    }
+  gain = cf_group_map_skew (from, tokens) - cf_group_map_skew (m, tokens);
+  if (gain < limits->min_gain || !cf_group_map_whole (m))
+    g_clear_pointer (&m, cf_group_map_free);
+  return m;
+}
--- /dev/null
+++ b/gateway/group-map.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <glib.h>
+
+/**
+ * CfGroupShape: the size of a rank group's expert maps.  Each of @sets
+ * layers of experts has a map of its own; all change together.
+ */
+typedef struct
+{
+  int sets;
+  int experts; /**< in a set */
+  int ranks;
+  int places; /**< experts that a rank can hold of a set */
+  int spare;  /**< new experts a rank can take of a set in one change */
+} CfGroupShape;
+
+/** CfGroupMap: which experts each rank holds, for all sets. */
+typedef struct
+{
+  CfGroupShape shape;
+  gint16 *held; /**< sets x ranks x places; an expert, or -1 */
+} CfGroupMap;
+
+CfGroupMap *cf_group_map_new (const CfGroupShape *shape);
+CfGroupMap *cf_group_map_copy (const CfGroupMap *m);
+void cf_group_map_free (CfGroupMap *m);
+
+/** cf_group_map_at: the places of @rank for @set. */
+gint16 *cf_group_map_at (const CfGroupMap *m, int set, int rank);
+
+/** cf_group_map_holds: whether @rank holds @expert of @set. */
+gboolean cf_group_map_holds (const CfGroupMap *m, int set, int rank,
+                             int expert);
+
+/** cf_group_map_whole: whether each expert is on a rank or more. */
+gboolean cf_group_map_whole (const CfGroupMap *m);
+
+/** cf_group_map_added: experts that ranks of @to have to copy. */
+int cf_group_map_added (const CfGroupMap *from, const CfGroupMap *to);
+
+/**
+ * cf_group_map_skew:
+ * @tokens: sets x experts: what each expert draws
+ * Returns: the mean over the sets of the most loaded rank's part against
+ *   an even part; 1 is even.
+ */
+double cf_group_map_skew (const CfGroupMap *m, const double *tokens);
+
+/** CfPlanLimits: how far one change may go, and when it is worth it. */
+typedef struct
+{
+  int max_new;      /**< experts a rank copies of a set; at most its spare */
+  double min_gain;  /**< skew that a change must take away to be made */
+  double move_gain; /**< load, of an even part, that a copy must save */
+} CfPlanLimits;
+
+/**
+ * cf_group_map_plan:
+ * A map that evens the load, a bounded number of copies away from @from:
+ * popular experts of the most loaded rank are copied to light ranks, in
+ * place of copies that other ranks have too, or change places with less
+ * popular ones.
+ *
+ * Returns: (nullable): the map, or %NULL if no change is worth it.
+ */
+CfGroupMap *cf_group_map_plan (const CfGroupMap *from, const double *tokens,
+                               const CfPlanLimits *limits);
--- /dev/null
+++ b/gateway/map-coordinator.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "rank.h"
+
+/**
+ * Changing a rank group's expert maps at one pass, on every rank or none.
+ *
+ * The coordinator moves forward from what the ranks report, never from what
+ * it remembers having sent: an order may be lost, carried out seconds late
+ * or twice.  It keeps these rules, which docs/MAP-CHANGE.md argues for:
+ *
+ *  - A rank is armed only while a pass is known to be held, and after every
+ *    rank is known to have the version prepared.
+ *  - The hold is ended only once every rank is known to be armed.
+ *  - From the first order to arm there is no way back: whoever leads next
+ *    arms the rest and ends the hold.
+ *  - A version is never used twice: it holds its leader's fencing token.
+ *
+ * It has no clock and no network: statuses, acknowledgements and the time
+ * come in, orders go out through a call, so that tests drive it alone.
+ */
+
+/** CfMapState: what the coordinator is doing. */
+typedef enum
+{
+  CF_MAP_SETTLING,  /**< learns what an earlier leader left */
+  CF_MAP_IDLE,      /**< nothing is pending; a plan may be made */
+  CF_MAP_PREPARING, /**< the ranks copy experts */
+  CF_MAP_HOLDING,   /**< a pass is being held */
+  CF_MAP_ARMING,    /**< the ranks are told to switch at that pass */
+  CF_MAP_RELEASING, /**< the hold is being ended */
+  CF_MAP_SWITCHING, /**< the pass has not been begun everywhere yet */
+  CF_MAP_BURNING,   /**< orders that may still come are made void */
+} CfMapState;
+
+const char *cf_map_state_name (CfMapState s);
+
+/** CfRankView: what the coordinator knows of one rank. */
+typedef struct
+{
+  CfRankStatus status;
+  gint64 seen_ms;   /**< when @status came in; 0 if never */
+  gint64 asked_ms;  /**< when the last order was sent; 0: none is open */
+  gint64 lists_map; /**< version that its row of @in_use is of; -1: none */
+  double *counts;   /**< as last reported */
+  gboolean has_counts;
+} CfRankView;
+
+/** CfMapCoordinatorCalls: how orders get out. */
+typedef struct
+{
+  void (*order) (void *data, int rank, const CfRankOrder *o);
+  /** Asks which experts a rank holds. */
+  void (*want_lists) (void *data, int rank);
+  /** A state was left; for the log. */
+  void (*moved) (void *data, CfMapState from, CfMapState to, const char *why);
+} CfMapCoordinatorCalls;
+
+/** CfMapCoordinator: the changes of one group's maps. */
+typedef struct
+{
+  const CfMapCoordinatorCalls *calls;
+  void *data;
+  CfGroupShape shape;
+  CfPlanLimits limits;
+  CfMapState state;
+  gint64 state_ms; /**< when @state was entered */
+  gint64 fence;
+  gint64 epoch;
+  gint64 last_tick_ms;
+  gint64 idle_until_ms; /**< no plan before */
+  CfRankView *ranks;
+  double *tokens; /**< sets x experts: drawn lately */
+  double *fresh;  /**< the same, since the last decay */
+  gint64 decayed_ms;
+  CfGroupMap *in_use;
+  CfGroupMap *next;
+  gint64 version;   /**< of @next */
+  guint n_versions; /**< used by this leader */
+  guint salt;       /**< differs from one life of a leader to the next */
+  gint64 step;      /**< the pass held */
+  int holder;       /**< the rank that holds it */
+  int lead;         /**< passes between the newest known and @step */
+  guint64 n_changes;
+  int last_copies;    /**< experts that the last change copied */
+  double skew_before; /**< as planned */
+  double skew_after;
+} CfMapCoordinator;
+
+void cf_map_coordinator_init (CfMapCoordinator *c, const CfGroupShape *shape,
+                              const CfPlanLimits *limits,
+                              const CfMapCoordinatorCalls *calls, void *data);
+void cf_map_coordinator_clear (CfMapCoordinator *c);
+
+/** cf_map_version_fence: the token of the leader that made @version. */
+gint64 cf_map_version_fence (gint64 version);
+
+/**
+ * cf_map_coordinator_lead:
+ * Takes the lead with @fence, which has to be higher than any seen.
+ * @salt: random, so that a leader that forgot its past uses other versions
+ */
+void cf_map_coordinator_lead (CfMapCoordinator *c, gint64 fence, guint salt,
+                              gint64 now_ms);
+
+/** cf_map_coordinator_status: a rank's status came in. */
+void cf_map_coordinator_status (CfMapCoordinator *c, const CfRankStatus *s,
+                                gint64 now_ms);
+
+/** cf_map_coordinator_counts: its counts, sets x experts numbers. */
+void cf_map_coordinator_counts (CfMapCoordinator *c, int rank,
+                                const gint64 *counts, guint n);
+
+/** cf_map_coordinator_lists: the experts it holds, sets ended by -1. */
+void cf_map_coordinator_lists (CfMapCoordinator *c, int rank, gint64 epoch,
+                               gint64 version, const gint64 *experts, guint n);
+
+/** cf_map_coordinator_ack: what is known of the order last sent to @rank. */
+void cf_map_coordinator_ack (CfMapCoordinator *c, int rank, CfRankAck ack,
+                             gint64 now_ms);
+
+/** cf_map_coordinator_tick: does what is to be done now. */
+void cf_map_coordinator_tick (CfMapCoordinator *c, gint64 now_ms);
--- /dev/null
+++ b/gateway/peer-msg.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "error.h"
+#include "rank.h"
+
+#include <msgpack.h>
+
+/** CfPeerMsgKind: the tag of a #CfPeerMsg; the numbers go over the wire. */
+typedef enum
+{
+  CF_PEER_AGENT_HELLO = 1,   /**< rank agent: who I am */
+  CF_PEER_RANK_STATUS = 2,   /**< rank agent: my rank's state, and counts */
+  CF_PEER_TICK = 3,          /**< gateway: I live, and lead or not */
+  CF_PEER_ORDER = 4,         /**< gateway: give your rank this order */
+  CF_PEER_ORDER_ACK = 5,     /**< rank agent: what came of it */
+  CF_PEER_WANT_LISTS = 6,    /**< gateway: which experts does it hold? */
+  CF_PEER_LISTS = 7,         /**< rank agent: these */
+  CF_PEER_GATEWAY_HELLO = 8, /**< gateway: where I am, and what I know */
+  CF_PEER_POLICY = 9,        /**< gateway: the newest configuration I have */
+  CF_PEER_TARGETS = 10,      /**< gateway: the targets as I know them */
+} CfPeerMsgKind;
+
+/** CfPeerBytes: bytes within a frame that was read. */
+typedef struct
+{
+  const char *data;
+  gsize n;
+} CfPeerBytes;
+
+/** CfPeerMsg: a message between two of our processes. */
+typedef struct
+{
+  CfPeerMsgKind kind;
+  union
+  {
+    struct
+    {
+      CfPeerBytes target_addr; /**< of the target on the agent's VM */
+    } agent_hello;
+    struct
+    {
+      CfRankStatus status;
+      gint64 fence_seen; /**< the highest token the agent has obeyed */
+      guint seeds_up;    /**< bit i: seed i was heard from lately */
+      GArray *counts;    /**< (nullable): of gint64, owned */
+    } rank_status;
+    struct
+    {
+      gint64 fence; /**< of the leader; 0 if this gateway stands by */
+    } tick;
+    struct
+    {
+      gint64 seq;
+      gint64 fence;
+      CfRankOrderKind order;
+      gint64 version; /**< of a prepare: told again once its copy is whole */
+      CfPeerBytes body;
+    } order;
+    struct
+    {
+      gint64 seq;
+      gint64 http_status; /**< 0: no answer */
+      CfRankStatus status;
+    } order_ack;
+    struct
+    {
+      gint64 epoch;
+      gint64 version;  /**< of the map in use */
+      GArray *experts; /**< of gint64, sets ended by -1; owned */
+    } lists;
+    struct
+    {
+      CfPeerBytes addr; /**< where the gateway takes links */
+      gint64 policy_rev;
+      gint64 targets_rev;
+    } gateway_hello;
+    struct
+    {
+      gint64 rev;
+      CfPeerBytes json;
+    } policy;
+    struct
+    {
+      gint64 as_of;  /**< the store's revision of the whole list */
+      GArray *items; /**< of #CfPeerTarget, owned */
+    } targets;
+  } u;
+} CfPeerMsg;
+
+/** CfPeerTarget: a target's record as the store holds it. */
+typedef struct
+{
+  CfPeerBytes key;
+  CfPeerBytes json;
+  gint64 rev;
+} CfPeerTarget;
+
+/** cf_peer_msg_pack: appends the frame of @m to @out. */
+void cf_peer_msg_pack (const CfPeerMsg *m, msgpack_sbuffer *out);
+
+/**
+ * cf_peer_msg_unpack:
+ * @zone: (out): holds what @m points to; free it with
+ * msgpack_unpacked_destroy() Returns: %CF_ERR_PROTO if the frame is no message;
+ * @zone is to be freed all the same.
+ */
+CfStatus cf_peer_msg_unpack (const char *data, gsize n, msgpack_unpacked *zone,
+                             CfPeerMsg *m);
+
+/** cf_peer_msg_clear: frees the arrays of @m. */
+void cf_peer_msg_clear (CfPeerMsg *m);
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -50,6 +50,10 @@
   double stride;       /**< steps in a pass that has writers */
   double usual_prompt; /**< mean prompt tokens */
   double usual_answer; /**< mean answer tokens */
+  int sets;            /**< layers of experts; 0: no rank groups */
+  int experts;         /**< in a set */
+  int places;          /**< experts that a rank can hold of a set */
+  int spare;           /**< new ones it can take of a set in one change */
   double form_ms;      /**< a rank group opens so long after its last rank */
 } CfEngineModel;
 
--- /dev/null
+++ b/gateway/rank-agent.c
@@ -0,0 +1,437 @@
+#include "rank-agent.h"
+
+#include "log.h"
+#include "net.h"
+#include "platform/platform-rank.h"
+#include "rank-call.h"
+#include "socket.h"
+
+#include <string.h>
+
+/** How often the leader gets status and counts: a change of demand is seen
+ * after two readings; more often costs 0.2 ms of processor each. */
+#define READ_MS 250
+/** While the rank copies experts, so that the group can switch soon after
+ * the last copy. */
+#define READ_COPYING_MS 50
+/** A copy that takes longer is not waited for any more. */
+#define COPYING_MAX_MS 5000
+/** How often gateways that stand by get the status. */
+#define STANDBY_MS 1000
+/** A gateway that did not tick for so long is taken as down: three ticks. */
+#define HEARD_MS 1300
+#define RECONNECT_MS 500
+/** The rank answers in a ms; a slow one is asked again. */
+#define CALL_TIMEOUT_MS 1000
+#define ORDER_TIMEOUT_MS 150
+
+/* Messages out */
+
+static void
+send_msg (CfPeerLink *l, const CfPeerMsg *m)
+{
+  msgpack_sbuffer buf;
+
+  msgpack_sbuffer_init (&buf);
+  cf_peer_msg_pack (m, &buf);
+  cf_peer_link_send (l, buf.data, buf.size);
+  msgpack_sbuffer_destroy (&buf);
+}
+
+static gboolean
+heard (const CfSeed *s, gint64 now)
+{
+  return s->up && s->heard_ms && now - s->heard_ms < HEARD_MS;
+}
+
+static guint
+seeds_up (const CfRankAgent *a, gint64 now)
+{
+  guint bits = 0;
+
+  for (int i = 0; i < a->n_seeds; i++)
+    if (heard (&a->seeds[i], now))
+      bits |= 1U << i;
+  return bits;
+}
+
+/* The gateway that leads: the one with the highest token. */
+static CfSeed *
+leader (CfRankAgent *a, gint64 now)
+{
+  CfSeed *best = NULL;
+
+  for (int i = 0; i < a->n_seeds; i++)
+    {
+      CfSeed *s = &a->seeds[i];
+
+      if (heard (s, now) && s->fence > 0 && (!best || s->fence > best->fence))
+        best = s;
+    }
+  return best;
+}
+
+static void
+tell_status (CfRankAgent *a, GArray *counts)
+{
+  gint64 now = cf_now_ms ();
+  CfSeed *lead = leader (a, now);
+  CfPeerMsg m = { .kind = CF_PEER_RANK_STATUS };
+
+  m.u.rank_status.status = a->status;
+  m.u.rank_status.fence_seen = a->fence_seen;
+  m.u.rank_status.seeds_up = seeds_up (a, now);
+  for (int i = 0; i < a->n_seeds; i++)
+    {
+      CfSeed *s = &a->seeds[i];
+
+      if (!s->up || (s != lead && now - s->told_ms < STANDBY_MS))
+        continue;
+      m.u.rank_status.counts = s == lead ? counts : NULL;
+      s->told_ms = now;
+      send_msg (s->link, &m);
+    }
+}
+
+/* Readings of the rank */
+
+static void
+plan_read (CfRankAgent *a, gint64 ms)
+{
+  ev_timer_stop (a->loop, &a->poll);
+  ev_timer_set (&a->poll, (double)ms / 1000, 0);
+  ev_timer_start (a->loop, &a->poll);
+}
+
+static void
+note_rank (CfRankAgent *a, gboolean answers)
+{
+  if (a->rank_lost == !answers)
+    return;
+  a->rank_lost = !answers;
+  cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL, "target=%s outcome=%s",
+          a->set.target_addr, answers ? "answers-again" : "no-answer");
+}
+
+static gboolean
+take_report (CfRankAgent *a, int status, const GString *body)
+{
+  CfRankStatus s;
+
+  note_rank (a, status == 200);
+  if (status != 200)
+    return FALSE;
+  if (cf_platform_rank_status (body->str, body->len, &s) != CF_OK)
+    {
+      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "target=%s error=\"%s\"",
+              a->set.target_addr, cf_last_error ());
+      return FALSE;
+    }
+  a->status = s;
+  a->has_status = TRUE;
+  if (a->awaited
+      && (s.prepared == a->awaited
+          || cf_now_ms () - a->awaited_ms > COPYING_MAX_MS))
+    a->awaited = 0;
+  return TRUE;
+}
+
+static void
+reading_done (CfRankAgent *a)
+{
+  a->reading = FALSE;
+  plan_read (a, a->awaited ? READ_COPYING_MS : READ_MS);
+}
+
+static void
+on_counts (void *data, int status, const GString *body)
+{
+  CfRankAgent *a = data;
+  GArray *counts = NULL;
+
+  if (status == 200
+      && cf_platform_rank_counts (body->str, body->len, &counts) != CF_OK)
+    cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "target=%s error=\"%s\"",
+            a->set.target_addr, cf_last_error ());
+  tell_status (a, counts);
+  if (counts)
+    g_array_unref (counts);
+  reading_done (a);
+}
+
+static void
+on_report (void *data, int status, const GString *body)
+{
+  CfRankAgent *a = data;
+
+  if (!take_report (a, status, body) || !a->status.group[0])
+    reading_done (a);
+  else if (a->awaited || !leader (a, cf_now_ms ()))
+    {
+      tell_status (a, NULL);
+      reading_done (a);
+    }
+  else
+    cf_rank_call (a->loop, a->target,
+                  cf_platform_rank_counts_call (a->set.target_addr),
+                  CALL_TIMEOUT_MS, on_counts, a);
+}
+
+static void
+on_poll (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  CfRankAgent *a = t->data;
+
+  if (a->reading)
+    return;
+  if (seeds_up (a, cf_now_ms ()) == 0)
+    {
+      plan_read (a, READ_MS);
+      return;
+    }
+  a->reading = TRUE;
+  cf_rank_call (loop, a->target,
+                cf_platform_rank_report_call (a->set.target_addr),
+                CALL_TIMEOUT_MS, on_report, a);
+}
+
+/* Orders */
+
+/** OrderCall: an order on its way to the rank. */
+typedef struct
+{
+  CfRankAgent *a;
+  CfSeed *from;
+  gint64 seq;
+  gint64 fence;
+  CfRankOrderKind kind;
+  gint64 version;
+  int http_status;
+} OrderCall;
+
+static void
+answer_order (OrderCall *o)
+{
+  CfPeerMsg m = { .kind = CF_PEER_ORDER_ACK };
+
+  m.u.order_ack.seq = o->seq;
+  m.u.order_ack.http_status = o->http_status;
+  m.u.order_ack.status = o->a->status;
+  if (o->from->up)
+    send_msg (o->from->link, &m);
+  cf_log (LOG_INFO, CF_EV_RANK_ORDER,
+          "order=%s version=%" G_GINT64_FORMAT " fence=%" G_GINT64_FORMAT
+          " status=%d step=%" G_GINT64_FORMAT " map=%" G_GINT64_FORMAT
+          " prepared=%" G_GINT64_FORMAT " armed=%" G_GINT64_FORMAT
+          " held=%" G_GINT64_FORMAT,
+          cf_rank_order_name (o->kind), o->version, o->fence, o->http_status,
+          o->a->status.step, o->a->status.map, o->a->status.prepared,
+          o->a->status.armed, o->a->status.held);
+  g_free (o);
+}
+
+static void
+on_report_after (void *data, int status, const GString *body)
+{
+  OrderCall *o = data;
+
+  take_report (o->a, status, body);
+  answer_order (o);
+}
+
+static void
+on_order_done (void *data, int status, const GString *body)
+{
+  OrderCall *o = data;
+
+  o->http_status = status;
+  if (o->kind == CF_ORDER_PREPARE && status > 0)
+    {
+      o->a->awaited = o->version;
+      o->a->awaited_ms = cf_now_ms ();
+      plan_read (o->a, READ_COPYING_MS);
+    }
+  cf_rank_call (o->a->loop, o->a->target,
+                cf_platform_rank_report_call (o->a->set.target_addr),
+                ORDER_TIMEOUT_MS, on_report_after, o);
+}
+
+/* The rank may not check tokens itself, so old ones end here. */
+#define STATUS_FENCED 412
+
+static void
+take_order (CfSeed *s, const CfPeerMsg *m)
+{
+  CfRankAgent *a = s->a;
+  OrderCall *o = g_new0 (OrderCall, 1);
+
+  o->a = a;
+  o->from = s;
+  o->seq = m->u.order.seq;
+  o->fence = m->u.order.fence;
+  o->kind = m->u.order.order;
+  o->version = m->u.order.version;
+  if (o->fence < a->fence_seen)
+    {
+      o->http_status = STATUS_FENCED;
+      answer_order (o);
+      return;
+    }
+  a->fence_seen = o->fence;
+  cf_rank_call (a->loop, a->target,
+                cf_platform_rank_order_call (a->set.target_addr,
+                                             m->u.order.body.data,
+                                             m->u.order.body.n),
+                ORDER_TIMEOUT_MS, on_order_done, o);
+}
+
+static void
+on_lists (void *data, int status, const GString *body)
+{
+  CfSeed *s = data;
+  CfPeerMsg m = { .kind = CF_PEER_LISTS };
+
+  if (status != 200
+      || cf_platform_rank_lists (body->str, body->len, &m.u.lists.version,
+                                 &m.u.lists.experts)
+             != CF_OK)
+    {
+      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
+              "target=%s call=lists status=%d error=\"%s\"",
+              s->a->set.target_addr, status,
+              status == 200 ? cf_last_error () : "");
+      return;
+    }
+  m.u.lists.epoch = s->a->status.epoch;
+  if (s->up)
+    send_msg (s->link, &m);
+  cf_peer_msg_clear (&m);
+}
+
+/* Links to the gateways */
+
+static void
+on_up (void *owner, CfPeerLink *l)
+{
+  CfSeed *s = owner;
+  CfPeerMsg m = { .kind = CF_PEER_AGENT_HELLO };
+  const char *addr = s->a->set.target_addr;
+
+  s->up = TRUE;
+  s->told_ms = 0;
+  m.u.agent_hello.target_addr.data = addr;
+  m.u.agent_hello.target_addr.n = strlen (addr);
+  send_msg (l, &m);
+  cf_log (LOG_NOTICE, CF_EV_PEER, "seed=%d outcome=up", s->index);
+}
+
+static void
+on_down (void *owner, CfPeerLink *l)
+{
+  CfSeed *s = owner;
+
+  if (s->up)
+    cf_log (LOG_NOTICE, CF_EV_PEER, "seed=%d outcome=down", s->index);
+  s->up = FALSE;
+  s->link = NULL;
+  s->fence = 0;
+}
+
+static void
+on_frame (void *owner, CfPeerLink *l, const char *data, gsize n)
+{
+  CfSeed *s = owner;
+  msgpack_unpacked zone;
+  CfPeerMsg m;
+
+  if (cf_peer_msg_unpack (data, n, &zone, &m) != CF_OK)
+    cf_log (LOG_WARNING, CF_EV_PEER, "seed=%d outcome=bad error=\"%s\"",
+            s->index, cf_last_error ());
+  else
+    switch (m.kind)
+      {
+      case CF_PEER_TICK:
+        s->heard_ms = cf_now_ms ();
+        s->fence = m.u.tick.fence;
+        break;
+      case CF_PEER_ORDER:
+        take_order (s, &m);
+        break;
+      case CF_PEER_WANT_LISTS:
+        cf_rank_call (s->a->loop, s->a->target,
+                      cf_platform_rank_lists_call (s->a->set.target_addr),
+                      CALL_TIMEOUT_MS, on_lists, s);
+        break;
+      default:
+        break;
+      }
+  cf_peer_msg_clear (&m);
+  msgpack_unpacked_destroy (&zone);
+}
+
+static const CfPeerLinkCalls link_calls = { on_up, on_frame, on_down };
+
+static void
+reconnect (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  CfRankAgent *a = t->data;
+
+  for (int i = 0; i < a->n_seeds; i++)
+    {
+      CfSeed *s = &a->seeds[i];
+      gint64 quiet = cf_now_ms () - s->heard_ms;
+
+      /* A link that went silent is made anew. */
+      if (s->up && s->heard_ms && quiet > 2 * HEARD_MS)
+        {
+          cf_peer_link_close (s->link);
+          on_down (s, s->link);
+        }
+      if (s->valid && !s->link)
+        {
+          s->heard_ms = 0;
+          s->link = cf_peer_link_connect (loop, &s->addr, &link_calls, s);
+        }
+    }
+}
+
+static CfTarget *
+local_target (const char *addr)
+{
+  CfTarget *t = g_new0 (CfTarget, 1);
+
+  t->ref_count = 1;
+  t->listed = TRUE;
+  t->record.id = g_strdup ("local");
+  t->record.slots = 1;
+  TAILQ_INIT (&t->idle);
+  if (cf_socket_parse (addr, &t->addr) == CF_OK)
+    return t;
+  cf_target_unref (t);
+  return NULL;
+}
+
+CfStatus
+cf_rank_agent_start (CfRankAgent *a)
+{
+  static ev_timer again;
+
+  a->target = local_target (a->set.target_addr);
+  if (!a->target)
+    return CF_ERR_SETTINGS;
+  for (char **s = a->set.seed_addrs; *s && a->n_seeds < CF_SEEDS_MAX; s++)
+    {
+      CfSeed *seed = &a->seeds[a->n_seeds];
+
+      seed->a = a;
+      seed->index = a->n_seeds++;
+      seed->valid = cf_socket_parse (*s, &seed->addr) == CF_OK;
+    }
+  ev_timer_init (&a->poll, on_poll, 0, 0);
+  a->poll.data = a;
+  plan_read (a, READ_MS);
+  ev_timer_init (&again, reconnect, 0.01, (double)RECONNECT_MS / 1000);
+  again.data = a;
+  ev_timer_start (a->loop, &again);
+  return CF_OK;
+}
--- /dev/null
+++ b/gateway/rank-call.c
@@ -0,0 +1,88 @@
+#include "rank-call.h"
+
+#include "upstream.h"
+
+/** Reports and counts are some kilobytes; lists of large groups more. */
+#define BODY_MAX 4194304
+
+/** RankCall: one call, until its end. */
+typedef struct
+{
+  struct ev_loop *loop;
+  CfUpstream *up;
+  ev_timer timer;
+  int status;
+  GString *body;
+  CfRankCallDone done;
+  void *data;
+} RankCall;
+
+static void
+end (RankCall *c, int status)
+{
+  ev_timer_stop (c->loop, &c->timer);
+  c->done (c->data, status, c->body);
+  g_string_free (c->body, TRUE);
+  g_free (c);
+}
+
+static void
+on_head (void *owner, const CfHttpReader *r)
+{
+  ((RankCall *)owner)->status = (int)r->parser.status_code;
+}
+
+static void
+on_body (void *owner, const char *data, gsize n)
+{
+  RankCall *c = owner;
+
+  if (c->body->len + n <= BODY_MAX)
+    g_string_append_len (c->body, data, (gssize)n);
+}
+
+static void
+on_done (void *owner)
+{
+  RankCall *c = owner;
+
+  end (c, c->status);
+}
+
+static void
+on_fail (void *owner, CfUpstreamFail f)
+{
+  end (owner, 0);
+}
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  RankCall *c = t->data;
+
+  cf_upstream_cancel (c->up);
+  end (c, 0);
+}
+
+static const CfUpstreamCalls calls = { on_head, on_body, on_done, on_fail };
+
+void
+cf_rank_call (struct ev_loop *loop, CfTarget *t, GString *request,
+              gint64 timeout_ms, CfRankCallDone done, void *data)
+{
+  RankCall *c = g_new0 (RankCall, 1);
+
+  c->loop = loop;
+  c->body = g_string_new (NULL);
+  c->done = done;
+  c->data = data;
+  ev_timer_init (&c->timer, on_timeout, (double)timeout_ms / 1000, 0);
+  c->timer.data = c;
+  c->up = cf_upstream_send (loop, t, request, NULL, FALSE, &calls, c);
+  if (!c->up)
+    {
+      end (c, 0);
+      return;
+    }
+  ev_timer_start (loop, &c->timer);
+}
--- /dev/null
+++ b/gateway/rank-service.c
@@ -0,0 +1,556 @@
+#include "rank-service.h"
+
+#include "log.h"
+#include "map-coordinator.h"
+#include "net.h"
+#include "peer-link.h"
+#include "peer-msg.h"
+#include "platform/platform-rank.h"
+#include "rank-call.h"
+
+#include <string.h>
+
+/** How often agents are told that this gateway lives. */
+#define TICK_MS 400
+/** An order whose agent has not answered by then counts as unanswered. */
+#define ORDER_LOST_MS 160
+/** A rank's status that is older says nothing of who it can hear. */
+#define STATUS_FRESH_MS 2500
+/** While a pass is held, a rank not heard of for so long is asked directly:
+ * the whole group waits for it. */
+#define DIRECT_AFTER_MS 500
+#define DIRECT_TIMEOUT_MS 300
+/** Tokens rise by this much a takeover, so that the gateways named as
+ * seeds never use the same one. */
+#define FENCE_STEP 8
+/** Skew that a change must take away: below this the copies slow the
+ * passes for longer than the gain lasts. */
+#define MIN_GAIN 0.08
+/** Load, of an even part, that one copy must save. */
+#define MOVE_GAIN 0.02
+/** Experts that a rank copies of a set in one change. */
+#define MAX_NEW 1
+
+typedef struct Group Group;
+
+/** AgentLink: the link of one rank's agent. */
+typedef struct AgentLink
+{
+  TAILQ_ENTRY (AgentLink) link;
+  CfRankService *s;
+  CfPeerLink *peer;
+  char *target_addr;
+  Group *group; /**< %NULL until its first status */
+  int rank;
+  guint seeds_up; /**< as its last status says */
+  gint64 seen_ms;
+} AgentLink;
+
+/** Group: one rank group, and this gateway's part in it. */
+struct Group
+{
+  CfRankService *s;
+  char name[CF_GROUP_NAME_MAX];
+  CfMapCoordinator c;
+  AgentLink **agents; /**< by rank */
+  char **addrs;       /**< by rank: where it was last */
+  gint64 *pending;    /**< by rank: the order that is unanswered; 0: none */
+  gint64 *pending_ms;
+  gint64 *direct_ms; /**< by rank: when it was last asked directly */
+  gint64 fence_seen;
+  gboolean leads;
+};
+
+struct CfRankService
+{
+  CfGateway *g;
+  int seed; /**< which seed this gateway is; -1: none */
+  gint64 ticked_ms;
+  gint64 seq;
+  GHashTable *groups; /**< name -> #Group */
+  TAILQ_HEAD (, AgentLink) agents;
+};
+
+static void
+send_msg (CfPeerLink *l, const CfPeerMsg *m)
+{
+  msgpack_sbuffer buf;
+
+  msgpack_sbuffer_init (&buf);
+  cf_peer_msg_pack (m, &buf);
+  cf_peer_link_send (l, buf.data, buf.size);
+  msgpack_sbuffer_destroy (&buf);
+}
+
+static CfTarget *
+target_at (const CfRankService *s, const char *addr)
+{
+  GHashTableIter it;
+  gpointer t;
+
+  g_hash_table_iter_init (&it, s->g->targets.by_id);
+  while (addr && g_hash_table_iter_next (&it, NULL, &t))
+    if (strcmp (((CfTarget *)t)->record.addr, addr) == 0)
+      return t;
+  return NULL;
+}
+
+/* Orders to ranks: through the agent, where they cost nothing, or straight
+ * to the rank when its agent is away. */
+
+/** DirectCall: an order or a question that goes straight to a rank. */
+typedef struct
+{
+  Group *g;
+  int rank;
+  int http_status;
+  gboolean is_order;
+} DirectCall;
+
+static void
+on_direct_report (void *data, int status, const GString *body)
+{
+  DirectCall *d = data;
+  CfRankStatus st;
+
+  if (status == 200
+      && cf_platform_rank_status (body->str, body->len, &st) == CF_OK
+      && strcmp (st.group, d->g->name) == 0)
+    cf_map_coordinator_status (&d->g->c, &st, cf_gateway_now (d->g->s->g));
+  if (d->is_order)
+    cf_map_coordinator_ack (&d->g->c, d->rank,
+                            cf_platform_rank_ack (d->http_status),
+                            cf_gateway_now (d->g->s->g));
+  g_free (d);
+}
+
+static void
+ask_report (DirectCall *d)
+{
+  CfRankService *s = d->g->s;
+  CfTarget *t = target_at (s, d->g->addrs[d->rank]);
+
+  if (t)
+    cf_rank_call (s->g->loop, t, cf_platform_rank_report_call (t->record.addr),
+                  DIRECT_TIMEOUT_MS, on_direct_report, d);
+  else
+    on_direct_report (d, 0, NULL);
+}
+
+static void
+on_direct_order (void *data, int status, const GString *body)
+{
+  DirectCall *d = data;
+
+  d->http_status = status;
+  ask_report (d);
+}
+
+static void
+send_direct (Group *g, int rank, const char *json)
+{
+  CfTarget *t = target_at (g->s, g->addrs[rank]);
+  DirectCall *d;
+
+  if (!t)
+    return;
+  d = g_new0 (DirectCall, 1);
+  d->g = g;
+  d->rank = rank;
+  d->is_order = TRUE;
+  cf_rank_call (
+      g->s->g->loop, t,
+      cf_platform_rank_order_call (t->record.addr, json, strlen (json)),
+      DIRECT_TIMEOUT_MS, on_direct_order, d);
+}
+
+static void
+on_order (void *data, int rank, const CfRankOrder *o)
+{
+  Group *g = data;
+  char *json = cf_platform_rank_order (o);
+  AgentLink *a = g->agents[rank];
+
+  cf_log (LOG_INFO, CF_EV_RANK_ORDER,
+          "group=%s rank=%d order=%s version=%" G_GINT64_FORMAT
+          " step=%" G_GINT64_FORMAT " epoch=%" G_GINT64_FORMAT
+          " fence=%" G_GINT64_FORMAT " way=%s",
+          g->name, rank, cf_rank_order_name (o->kind), o->version, o->step,
+          o->epoch, o->fence, a ? "agent" : "direct");
+  if (a)
+    {
+      CfPeerMsg m = { .kind = CF_PEER_ORDER };
+
+      m.u.order.seq = ++g->s->seq;
+      m.u.order.fence = o->fence;
+      m.u.order.order = o->kind;
+      m.u.order.version = o->version;
+      m.u.order.body.data = json;
+      m.u.order.body.n = strlen (json);
+      g->pending[rank] = m.u.order.seq;
+      g->pending_ms[rank] = cf_gateway_now (g->s->g);
+      send_msg (a->peer, &m);
+    }
+  else
+    send_direct (g, rank, json);
+  g_free (json);
+}
+
+static void
+on_want_lists (void *data, int rank)
+{
+  Group *g = data;
+  CfPeerMsg m = { .kind = CF_PEER_WANT_LISTS };
+
+  if (g->agents[rank])
+    send_msg (g->agents[rank]->peer, &m);
+}
+
+static void
+on_moved (void *data, CfMapState from, CfMapState to, const char *why)
+{
+  Group *g = data;
+  const CfMapCoordinator *c = &g->c;
+
+  cf_log (LOG_NOTICE,
+          to == CF_MAP_PREPARING ? CF_EV_PLACEMENT
+          : to == CF_MAP_IDLE    ? CF_EV_MAP_CHANGE
+                                 : CF_EV_MAP_SETTLE,
+          "group=%s from=%s to=%s why=%s version=%" G_GINT64_FORMAT
+          " step=%" G_GINT64_FORMAT " epoch=%" G_GINT64_FORMAT
+          " fence=%" G_GINT64_FORMAT " copies=%d skew=%.2f planned=%.2f",
+          g->name, cf_map_state_name (from), cf_map_state_name (to), why,
+          c->version, c->step, c->epoch, c->fence, c->last_copies,
+          c->skew_before, c->skew_after);
+}
+
+static const CfMapCoordinatorCalls coordinator_calls
+    = { on_order, on_want_lists, on_moved };
+
+/* Groups */
+
+static const CfEngineModel *
+engine_of (const AgentLink *a)
+{
+  CfTarget *t = target_at (a->s, a->target_addr);
+  const CfService *sv = NULL;
+
+  if (t && a->s->g->policy)
+    sv = cf_policy_service (a->s->g->policy, t->record.service);
+  return sv && sv->engine.sets > 0 ? &sv->engine : NULL;
+}
+
+static Group *
+new_group (AgentLink *a, const CfRankStatus *st)
+{
+  const CfEngineModel *e = engine_of (a);
+  const CfPlanLimits limits = { MAX_NEW, MIN_GAIN, MOVE_GAIN };
+  CfGroupShape shape;
+  Group *g;
+
+  if (!e || st->size <= 0)
+    return NULL;
+  shape.sets = e->sets;
+  shape.experts = e->experts;
+  shape.places = e->places;
+  shape.spare = e->spare;
+  shape.ranks = st->size;
+  g = g_new0 (Group, 1);
+  g->s = a->s;
+  g_strlcpy (g->name, st->group, sizeof g->name);
+  cf_map_coordinator_init (&g->c, &shape, &limits, &coordinator_calls, g);
+  g->agents = g_new0 (AgentLink *, shape.ranks);
+  g->addrs = g_new0 (char *, shape.ranks);
+  g->pending = g_new0 (gint64, shape.ranks);
+  g->pending_ms = g_new0 (gint64, shape.ranks);
+  g->direct_ms = g_new0 (gint64, shape.ranks);
+  g_hash_table_insert (a->s->groups, g->name, g);
+  return g;
+}
+
+static void
+leave_group (AgentLink *a)
+{
+  if (a->group && a->group->agents[a->rank] == a)
+    a->group->agents[a->rank] = NULL;
+  a->group = NULL;
+}
+
+static void
+join_group (AgentLink *a, const CfRankStatus *st)
+{
+  Group *g = g_hash_table_lookup (a->s->groups, st->group);
+
+  if (!g)
+    g = new_group (a, st);
+  if (a->group && (a->group != g || a->rank != st->rank))
+    leave_group (a);
+  if (!g || st->rank < 0 || st->rank >= g->c.shape.ranks)
+    return;
+  a->group = g;
+  a->rank = st->rank;
+  g->agents[a->rank] = a;
+  if (g_strcmp0 (g->addrs[a->rank], a->target_addr) != 0)
+    {
+      g_free (g->addrs[a->rank]);
+      g->addrs[a->rank] = g_strdup (a->target_addr);
+    }
+}
+
+/* Whether most ranks hear no seed before this gateway. */
+static gboolean
+should_lead (const Group *g)
+{
+  gint64 now = cf_gateway_now (g->s->g);
+  guint before = (1U << g->s->seed) - 1;
+  int votes = 0;
+
+  for (int r = 0; r < g->c.shape.ranks; r++)
+    {
+      const AgentLink *a = g->agents[r];
+
+      if (a && now - a->seen_ms < STATUS_FRESH_MS
+          && (a->seeds_up & before) == 0)
+        votes++;
+    }
+  return votes * 2 > g->c.shape.ranks;
+}
+
+static void
+decide_lead (Group *g)
+{
+  gint64 now = cf_gateway_now (g->s->g);
+  gboolean lead = should_lead (g) && !g->s->g->stopping;
+
+  if (lead && g->c.fence == 0)
+    {
+      gint64 fence = (g->fence_seen / FENCE_STEP + 1) * FENCE_STEP + g->s->seed;
+
+      g->fence_seen = fence;
+      cf_map_coordinator_lead (&g->c, fence, g_random_int (), now);
+    }
+  /* In the middle of a change the next leader's token ends it better. */
+  else if (!lead && g->c.fence && g->c.state == CF_MAP_IDLE)
+    g->c.fence = 0;
+  g->leads = g->c.fence != 0;
+}
+
+/* While a pass is held everyone waits: ranks without an agent are asked
+ * directly. */
+static void
+ask_silent_ranks (Group *g)
+{
+  gint64 now = cf_gateway_now (g->s->g);
+  gboolean held = FALSE;
+
+  for (int r = 0; r < g->c.shape.ranks; r++)
+    held |= g->c.ranks[r].status.held != 0;
+  for (int r = 0; held && r < g->c.shape.ranks; r++)
+    {
+      DirectCall *d;
+
+      if (now - g->c.ranks[r].seen_ms < DIRECT_AFTER_MS
+          || now - g->direct_ms[r] < DIRECT_AFTER_MS)
+        continue;
+      g->direct_ms[r] = now;
+      d = g_new0 (DirectCall, 1);
+      d->g = g;
+      d->rank = r;
+      ask_report (d);
+    }
+}
+
+static void
+expire_orders (Group *g)
+{
+  gint64 now = cf_gateway_now (g->s->g);
+
+  for (int r = 0; r < g->c.shape.ranks; r++)
+    if (g->pending[r] && now - g->pending_ms[r] > ORDER_LOST_MS)
+      {
+        g->pending[r] = 0;
+        cf_map_coordinator_ack (&g->c, r, CF_RANK_ACK_UNKNOWN, now);
+      }
+}
+
+static void
+tell_agents (CfRankService *s)
+{
+  AgentLink *a;
+
+  TAILQ_FOREACH (a, &s->agents, link)
+  {
+    CfPeerMsg m = { .kind = CF_PEER_TICK };
+
+    m.u.tick.fence = a->group ? a->group->c.fence : 0;
+    send_msg (a->peer, &m);
+  }
+}
+
+void
+cf_rank_service_tick (CfRankService *s)
+{
+  gint64 now = cf_gateway_now (s->g);
+  gboolean tick = now - s->ticked_ms >= TICK_MS;
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, s->groups);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      Group *g = v;
+
+      if (tick && s->seed >= 0)
+        decide_lead (g);
+      expire_orders (g);
+      if (g->leads)
+        ask_silent_ranks (g);
+      cf_map_coordinator_tick (&g->c, now);
+    }
+  if (!tick)
+    return;
+  s->ticked_ms = now;
+  tell_agents (s);
+}
+
+/* Frames from agents */
+
+static void
+take_status (AgentLink *a, const CfPeerMsg *m)
+{
+  const CfRankStatus *st = &m->u.rank_status.status;
+  const GArray *counts = m->u.rank_status.counts;
+  gint64 now = cf_gateway_now (a->s->g);
+
+  join_group (a, st);
+  if (!a->group)
+    return;
+  a->seen_ms = now;
+  a->seeds_up = m->u.rank_status.seeds_up;
+  /* A version holds its leader's token, so it tells of leaders whose
+   * orders the agent has forgotten. */
+  a->group->fence_seen
+      = MAX (a->group->fence_seen, m->u.rank_status.fence_seen);
+  a->group->fence_seen
+      = MAX (a->group->fence_seen, cf_map_version_fence (st->map));
+  a->group->fence_seen
+      = MAX (a->group->fence_seen, cf_map_version_fence (st->prepared));
+  cf_map_coordinator_status (&a->group->c, st, now);
+  if (counts && counts->len)
+    cf_map_coordinator_counts (&a->group->c, st->rank,
+                               (const gint64 *)(gpointer)counts->data,
+                               counts->len);
+  cf_map_coordinator_tick (&a->group->c, now);
+}
+
+static void
+take_ack (AgentLink *a, const CfPeerMsg *m)
+{
+  Group *g = a->group;
+  gint64 now = cf_gateway_now (a->s->g);
+
+  if (!g || g->pending[a->rank] != m->u.order_ack.seq)
+    return;
+  g->pending[a->rank] = 0;
+  if (m->u.order_ack.status.group[0])
+    cf_map_coordinator_status (&g->c, &m->u.order_ack.status, now);
+  cf_map_coordinator_ack (
+      &g->c, a->rank, cf_platform_rank_ack ((int)m->u.order_ack.http_status),
+      now);
+  cf_map_coordinator_tick (&g->c, now);
+}
+
+static void
+take_msg (AgentLink *a, const CfPeerMsg *m)
+{
+  switch (m->kind)
+    {
+    case CF_PEER_AGENT_HELLO:
+      g_free (a->target_addr);
+      a->target_addr = g_strndup (m->u.agent_hello.target_addr.data,
+                                  m->u.agent_hello.target_addr.n);
+      break;
+    case CF_PEER_RANK_STATUS:
+      take_status (a, m);
+      break;
+    case CF_PEER_ORDER_ACK:
+      take_ack (a, m);
+      break;
+    case CF_PEER_LISTS:
+      if (a->group)
+        cf_map_coordinator_lists (
+            &a->group->c, a->rank, m->u.lists.epoch, m->u.lists.version,
+            (const gint64 *)(gpointer)m->u.lists.experts->data,
+            m->u.lists.experts->len);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_frame (void *owner, CfPeerLink *l, const char *data, gsize n)
+{
+  AgentLink *a = owner;
+  msgpack_unpacked zone;
+  CfPeerMsg m;
+
+  if (cf_peer_msg_unpack (data, n, &zone, &m) != CF_OK)
+    cf_log (LOG_WARNING, CF_EV_PEER, "agent=%s outcome=bad error=\"%s\"",
+            a->target_addr ? a->target_addr : "-", cf_last_error ());
+  else
+    take_msg (a, &m);
+  cf_peer_msg_clear (&m);
+  msgpack_unpacked_destroy (&zone);
+}
+
+static void
+on_up (void *owner, CfPeerLink *l)
+{
+}
+
+static void
+on_down (void *owner, CfPeerLink *l)
+{
+  AgentLink *a = owner;
+
+  cf_log (LOG_NOTICE, CF_EV_PEER, "agent=%s outcome=down",
+          a->target_addr ? a->target_addr : "-");
+  leave_group (a);
+  TAILQ_REMOVE (&a->s->agents, a, link);
+  g_free (a->target_addr);
+  g_free (a);
+}
+
+static const CfPeerLinkCalls link_calls = { on_up, on_frame, on_down };
+
+void
+cf_rank_service_accept (CfRankService *s, int fd)
+{
+  AgentLink *a = g_new0 (AgentLink, 1);
+
+  a->s = s;
+  a->peer = cf_peer_link_accept (s->g->loop, fd, &link_calls, a);
+  TAILQ_INSERT_TAIL (&s->agents, a, link);
+}
+
+static int
+seed_index (const CfPlatformSettings *set)
+{
+  for (int i = 0; set->control_addr && set->seed_addrs[i]; i++)
+    if (strcmp (set->seed_addrs[i], set->control_addr) == 0)
+      return i;
+  return -1;
+}
+
+CfRankService *
+cf_rank_service_new (CfGateway *g)
+{
+  CfRankService *s = g_new0 (CfRankService, 1);
+
+  s->g = g;
+  s->seed = seed_index (&g->set);
+  s->groups = g_hash_table_new (g_str_hash, g_str_equal);
+  TAILQ_INIT (&s->agents);
+  return s;
+}
--- /dev/null
+++ b/gateway/rank-service.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "gateway.h"
+
+/**
+ * The gateway's side of the rank agents: takes their links, decides whether
+ * this gateway leads a rank group, and carries the coordinator's orders.
+ *
+ * Of the gateways that the settings name as seeds, the first that most
+ * ranks of a group can hear leads it; the next one takes over when they
+ * cannot.  Two may lead for a moment: fencing tokens and the coordinator's
+ * rules keep that safe.
+ */
+typedef struct CfRankService CfRankService;
+
+CfRankService *cf_rank_service_new (CfGateway *g);
+
+/** cf_rank_service_accept: a rank agent's link, with its first frame. */
+void cf_rank_service_accept (CfRankService *s, int fd);
+
+/** cf_rank_service_tick: call it some twenty times a second. */
+void cf_rank_service_tick (CfRankService *s);
--- /dev/null
+++ b/gateway/rank.c
@@ -0,0 +1,37 @@
+#include "rank.h"
+
+const char *
+cf_rank_order_name (CfRankOrderKind k)
+{
+  switch (k)
+    {
+    case CF_ORDER_PREPARE:
+      return "prepare";
+    case CF_ORDER_ARM:
+      return "arm";
+    case CF_ORDER_DISARM:
+      return "disarm";
+    case CF_ORDER_HOLD:
+      return "hold";
+    case CF_ORDER_GO:
+      return "go";
+    }
+  return "unknown";
+}
+
+const char *
+cf_rank_ack_name (CfRankAck a)
+{
+  switch (a)
+    {
+    case CF_RANK_ACK_DONE:
+      return "done";
+    case CF_RANK_ACK_REFUSED:
+      return "refused";
+    case CF_RANK_ACK_FENCED:
+      return "fenced";
+    case CF_RANK_ACK_UNKNOWN:
+      return "unknown";
+    }
+  return "unknown";
+}
