Refuse what comes late in a planned stop

Ruled out: closing the listener (a reset promises nothing and costs the caller its connection attempt). Change: after the platform has asked twice, new requests get 503 with Retry-After 20 ms; the process ends when its last request has.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -24,8 +24,10 @@
  * pause or ejection is over. */
 #define TICK_S 0.05
 /** After SIGTERM, callers are still sent here until the platform has asked
- * for readiness twice, a second apart; then idle connections are closed. */
-#define STOP_CLOSE_IDLE_MS 2600
+ * for readiness twice, a second apart.  Then idle connections are closed,
+ * and what still comes, as where no other VM serves a data centre, is
+ * refused: taken on later, a stream could not be ended before SIGKILL. */
+#define STOP_REFUSE_MS 2300
 /** Before SIGKILL comes, what is left is cut off in an orderly way. */
 #define STOP_MARGIN_MS 400
 /** Of the memory limit, the part that request bodies may take. */
@@ -100,8 +102,13 @@
 {
   gint64 ms = cf_gateway_now (g) - g->stop_at_ms;
 
-  if (ms < STOP_CLOSE_IDLE_MS)
+  if (ms < STOP_REFUSE_MS)
     return;
+  if (!g->refusing)
+    cf_log (LOG_NOTICE, CF_EV_DRAIN_DONE,
+            "action=refuse-new callers=%u requests=%u", g->n_callers,
+            g->n_exchanges);
+  g->refusing = TRUE;
   cf_caller_close_idle (g);
   if (g->n_callers == 0 || ms > g->set.grace_ms - STOP_MARGIN_MS)
     ev_break (g->loop, EVBREAK_ALL);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -27,6 +27,9 @@
 #define FULL_PAUSE_MS 50
 /** Back-off asked of callers when no configuration or target is known. */
 #define UNKNOWN_BUSY_MS 1000
+/** Back-off asked of callers that come to a process about to end: another
+ * connection reaches another VM. */
+#define STOPPING_BUSY_MS 20
 /** Back-off asked of callers when all targets are full. */
 #define FULL_BUSY_MS 400
 /** Requests that may wait for room, for each slot of their service: with
@@ -747,6 +750,12 @@
       answer_self (x, CF_OUT_DENIED, 400, "no-host", -1);
       return;
     }
+  if (g->refusing)
+    {
+      x->deadline_ms += UNKNOWN_BUSY_MS;
+      refuse (x, "stopping", STOPPING_BUSY_MS);
+      return;
+    }
   if (!g->policy)
     {
       x->deadline_ms += UNKNOWN_BUSY_MS * 4;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -45,6 +45,7 @@
   gsize body_bytes; /**< of requests that are held in memory */
   gsize body_bytes_max;
   gboolean stopping; /**< SIGTERM came */
+  gboolean refusing;  /**< too late for new work: the process will end */
   gint64 stop_at_ms;
   CfStats stats;
 };
