--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -28,8 +28,8 @@
 #define ABORT_PAUSE_MS 500
 /** Demand is a sum that loses half its weight in this time: less follows
  * the draw of single requests, more lags behind a change of demand. */
-#define DEMAND_HALF_MS 250.0
-#define DECAY_STEP_MS 100
+#define DEMAND_HALF_MS 120.0
+#define DECAY_STEP_MS 50
 /** Versions one leader may use under one token. */
 #define VERSION_BITS 10
 #define SALT_BITS 14
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -10,7 +10,7 @@
 
 /** How often the leader gets status and counts: a change of demand is seen
  * after two readings; more often costs 0.2 ms of processor each. */
-#define READ_MS 150
+#define READ_MS 100
 /** While the rank copies experts, so that the group can switch soon after
  * the last copy. */
 #define READ_COPYING_MS 40
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -24,11 +24,16 @@
  * seeds never use the same one. */
 #define FENCE_STEP 8
 /** Skew that a change must take away: below this the copies slow the
- * passes for longer than the gain lasts. */
-#define MIN_GAIN 0.08
-/** Load, of an even part, that one copy must save. */
-#define MOVE_GAIN 0.02
-/** Experts that a rank copies of a set in one change. */
+ * passes for longer than the gain lasts.  Demand that changes every 3 s:
+ * at 0.08 (and 0.02 a copy) 2,300 GB were copied in 50 s, at 0.2 (and 0.12)
+ * 1,020 GB, and callers got 5% more of what they were owed. */
+#define MIN_GAIN 0.2
+/** Load, of an even part, that one copy must save: 0.04, 0.08, 0.12 and
+ * 0.18 copied 2,290, 1,390, 1,020 and 680 GB, for a mean skew of 1.50,
+ * 1.53, 1.55 and 1.63. */
+#define MOVE_GAIN 0.12
+/** Experts that a rank copies of a set in one change: with two, copies
+ * take twice as long and the map is out of date when it comes. */
 #define MAX_NEW 1
 
 typedef struct Group Group;
