Let gateways teach one another configuration and targets

Cause: a gateway that starts while the store is away, or is cut off from it, knew no configuration and refused every caller until it could reach the store. Ruled out: pushing each version to every peer (bytes between data centres are priced, and the store tells everyone anyway). Change: gateways keep links to the seeds, greet once a second with the store revisions they know, and ask for what they lack when the store does not help; the fleet's size, which the retry budget is shared by, is counted by the same greetings.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -1,8 +1,8 @@
 #include "gateway/caller.h"
+#include "gateway/control.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/ops.h"
-#include "gateway/rank-service.h"
 #include "gateway/socket.h"
 #include "gateway/store-watch.h"
 #include "gateway/target-feed.h"
@@ -39,8 +39,8 @@
 static CfStoreWatch policy_watch;
 static CfStoreWatch target_watch;
 static ev_io front_io;
-static ev_io control_io;
 static CfRankService *ranks;
+static CfPeerService *peers;
 static ev_timer tick;
 static ev_check clock_check;
 
@@ -69,6 +69,7 @@
 static void
 policy_contact (CfGateway *g, gboolean up)
 {
+  g->policy_store_up = up;
 }
 
 static const CfStoreWatchCalls policy_calls
@@ -88,15 +89,6 @@
   cf_caller_accept (&gw, w->fd);
 }
 
-static void
-on_control (struct ev_loop *loop, ev_io *w, int revents)
-{
-  int fd = cf_socket_accept (w->fd);
-
-  if (fd >= 0)
-    cf_rank_service_accept (ranks, fd);
-}
-
 static void
 stop_step (CfGateway *g)
 {
@@ -119,6 +111,7 @@
 {
   cf_exchange_pump (&gw);
   cf_rank_service_tick (ranks);
+  cf_peer_service_tick (peers);
   if (gw.stopping)
     stop_step (&gw);
 }
@@ -174,12 +167,7 @@
   if (st == CF_OK)
     st = cf_ops_listen (g, metrics);
   if (st == CF_OK && g->set.control_addr)
-    {
-      st = cf_socket_listen (g->set.control_addr, &fd);
-      ev_io_init (&control_io, on_control, fd, EV_READ);
-      if (st == CF_OK)
-        ev_io_start (g->loop, &control_io);
-    }
+    st = cf_control_listen (g, peers, ranks);
   g_free (metrics);
   return st;
 }
@@ -205,10 +193,12 @@
 {
   cf_target_table_init (&g->targets);
   TAILQ_INIT (&g->callers);
-  g->lanes = NULL;
-  g->fleet_size = MAX (g_strv_length (g->set.seed_addrs), 1);
   g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
   catch_signals (g->loop);
+  cf_gateway_lane (g, "");
+  cf_gateway_set_fleet (g, 0);
+  ranks = cf_rank_service_new (g);
+  peers = cf_peer_service_new (g);
   g->now_ms = cf_now_ms ();
   ev_check_init (&clock_check, on_turn);
   ev_set_priority (&clock_check, EV_MAXPRI);
@@ -218,8 +208,6 @@
       cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
       return 1;
     }
-  cf_gateway_lane (g, "");
-  ranks = cf_rank_service_new (g);
   cf_store_watch_start (&policy_watch, g, PF_KEY_CONFIG, &policy_calls);
   cf_target_feed_start (&target_watch, g);
   ev_timer_init (&tick, on_tick, TICK_S, TICK_S);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -20,13 +20,21 @@
   g_free (l);
 }
 
+static gint64
+retry_slack (const CfGateway *g)
+{
+  double slack
+      = (double)g->set.retry_slack * RETRY_PART / MAX (g->fleet_size, 1);
+
+  return (gint64)MAX (slack, 1);
+}
+
 /* No one counts retries for the whole fleet, so each gateway keeps to an
  * even share of the slack; the ratio is of its own requests. */
 CfLane *
 cf_gateway_lane (CfGateway *g, const char *service)
 {
   CfLane *l;
-  double slack;
 
   if (!g->lanes)
     g->lanes
@@ -36,10 +44,9 @@
     return l;
   l = g_new0 (CfLane, 1);
   cf_wait_queue_init (&l->queue);
-  slack = (double)g->set.retry_slack * RETRY_PART / MAX (g->fleet_size, 1);
   cf_retry_budget_init (&l->budget,
                         (gint64)(g->set.retry_ratio * RETRY_PART * 100),
-                        (gint64)MAX (slack, 1));
+                        retry_slack (g));
   g_hash_table_insert (g->lanes, g_strdup (service), l);
   return l;
 }
@@ -88,6 +95,9 @@
   g->policy = p;
   g->policy_rev = rev;
   g->policy_at_ms = cf_gateway_now (g);
+  if (g->policy_json)
+    g_bytes_unref (g->policy_json);
+  g->policy_json = g_bytes_new (json, n);
   cf_log (LOG_NOTICE, CF_EV_CONFIG_ACCEPT,
           "version=%" G_GINT64_FORMAT " rev=%" G_GINT64_FORMAT
           " source=%s routes=%u services=%u",
@@ -115,22 +125,20 @@
 }
 
 void
-cf_gateway_take_target (CfGateway *g, const char *key, const char *json,
-                        gsize n, gint64 rev, const char *source)
+cf_gateway_take_target (CfGateway *g, const char *id, const char *json, gsize n,
+                        gint64 rev, const char *source)
 {
   CfTargetRecord r;
   CfTargetChange c;
-  const char *id;
   CfTarget *t;
 
-  if (cf_platform_target_parse (key, json, n, &r) != CF_OK)
+  if (cf_platform_target_parse (id, json, n, &r) != CF_OK)
     {
-      cf_log (LOG_ERR, CF_EV_TARGET_LIST, "key=%s outcome=bad error=\"%s\"",
-              key, cf_last_error ());
+      cf_log (LOG_ERR, CF_EV_TARGET_LIST, "target=%s outcome=bad error=\"%s\"",
+              id, cf_last_error ());
       return;
     }
-  id = cf_platform_target_id (key);
-  c = cf_target_table_put (&g->targets, &r, rev);
+  c = cf_target_table_put (&g->targets, &r, json, n, rev);
   if (c == CF_TARGET_SAME)
     return;
   t = g_hash_table_lookup (g->targets.by_id, id);
@@ -145,11 +153,10 @@
 }
 
 void
-cf_gateway_drop_target (CfGateway *g, const char *key, gint64 rev,
+cf_gateway_drop_target (CfGateway *g, const char *id, gint64 rev,
                         const char *source)
 {
-  const char *id = cf_platform_target_id (key);
-  CfTarget *t = id ? g_hash_table_lookup (g->targets.by_id, id) : NULL;
+  CfTarget *t = g_hash_table_lookup (g->targets.by_id, id);
 
   if (!t || rev < t->rev)
     return;
@@ -160,3 +167,37 @@
   cf_upstream_close_idle (t);
   cf_target_table_remove (&g->targets, id);
 }
+
+void
+cf_gateway_keep_targets (CfGateway *g, GHashTable *ids, gint64 as_of,
+                         const char *source)
+{
+  GPtrArray *gone = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter it;
+  gpointer id;
+
+  g_hash_table_iter_init (&it, g->targets.by_id);
+  while (g_hash_table_iter_next (&it, &id, NULL))
+    if (!g_hash_table_contains (ids, id))
+      g_ptr_array_add (gone, g_strdup (id));
+  for (guint i = 0; i < gone->len; i++)
+    cf_gateway_drop_target (g, gone->pdata[i], as_of, source);
+  g_ptr_array_free (gone, TRUE);
+  g->targets_rev = as_of;
+}
+
+void
+cf_gateway_set_fleet (CfGateway *g, guint n)
+{
+  GHashTableIter it;
+  gpointer l;
+
+  /* At the start peers are not heard yet: the seeds count as there. */
+  n = MAX (n, MAX (g_strv_length (g->set.seed_addrs), 1));
+  if (n == g->fleet_size)
+    return;
+  g->fleet_size = n;
+  g_hash_table_iter_init (&it, g->lanes);
+  while (g_hash_table_iter_next (&it, NULL, &l))
+    cf_retry_budget_set_slack (&((CfLane *)l)->budget, retry_slack (g));
+}
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -31,9 +31,12 @@
   struct ev_loop *loop;
   gint64 now_ms; /**< steady clock, as of this turn of the loop */
   CfPlatformSettings set;
-  CfPolicy *policy;    /**< in force; %NULL until one is known */
-  gint64 policy_rev;   /**< the store's revision of it */
-  gint64 policy_at_ms; /**< when it came into force here */
+  CfPolicy *policy;          /**< in force; %NULL until one is known */
+  gint64 policy_rev;         /**< the store's revision of it */
+  gint64 policy_at_ms;       /**< when it came into force here */
+  GBytes *policy_json;       /**< it as the store holds it, for peers */
+  gboolean policy_store_up;  /**< the store answers the watch of it */
+  gboolean targets_store_up; /**< and the watch of the targets */
   CfTargetTable targets;
   gint64 targets_rev;   /**< the store's revision the table is as of */
   gint64 targets_at_ms; /**< when the store last confirmed the table */
@@ -45,7 +48,7 @@
   gsize body_bytes; /**< of requests that are held in memory */
   gsize body_bytes_max;
   gboolean stopping; /**< SIGTERM came */
-  gboolean refusing;  /**< too late for new work: the process will end */
+  gboolean refusing; /**< too late for new work: the process will end */
   gint64 stop_at_ms;
   CfStats stats;
 };
@@ -68,10 +71,20 @@
 void cf_gateway_take_policy (CfGateway *g, const char *json, gsize n,
                              gint64 rev, const char *source);
 
-/** cf_gateway_take_target: a record of a target came. */
-void cf_gateway_take_target (CfGateway *g, const char *key, const char *json,
+/** cf_gateway_take_target: the record of target @id came. */
+void cf_gateway_take_target (CfGateway *g, const char *id, const char *json,
                              gsize n, gint64 rev, const char *source);
 
-/** cf_gateway_drop_target: the target under @key is gone. */
-void cf_gateway_drop_target (CfGateway *g, const char *key, gint64 rev,
+/** cf_gateway_drop_target: target @id is gone. */
+void cf_gateway_drop_target (CfGateway *g, const char *id, gint64 rev,
                              const char *source);
+
+/**
+ * cf_gateway_keep_targets:
+ * @ids: all targets there are, as of revision @as_of; others are dropped
+ */
+void cf_gateway_keep_targets (CfGateway *g, GHashTable *ids, gint64 as_of,
+                              const char *source);
+
+/** cf_gateway_set_fleet: @n gateways share the retry budget. */
+void cf_gateway_set_fleet (CfGateway *g, guint n);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -60,7 +60,7 @@
       const CfPeerTarget *t = &g_array_index (items, CfPeerTarget, i);
 
       msgpack_pack_array (pk, 3);
-      put_bytes (pk, t->key);
+      put_bytes (pk, t->id);
       put_bytes (pk, t->json);
       put_int (pk, t->rev);
     }
@@ -120,10 +120,12 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      begin (&pk, m, 3);
+      begin (&pk, m, 5);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_rev);
       put_int (&pk, m->u.gateway_hello.targets_rev);
+      put_int (&pk, m->u.gateway_hello.fleet);
+      put_int (&pk, m->u.gateway_hello.want);
       break;
     case CF_PEER_POLICY:
       begin (&pk, m, 2);
@@ -251,7 +253,7 @@
       Fields one = fields_of (next (&in));
       CfPeerTarget t;
 
-      t.key = take_bytes (&one);
+      t.id = take_bytes (&one);
       t.json = take_bytes (&one);
       t.rev = take_int (&one);
       in.bad |= one.bad;
@@ -301,6 +303,8 @@
       m->u.gateway_hello.addr = take_bytes (f);
       m->u.gateway_hello.policy_rev = take_int (f);
       m->u.gateway_hello.targets_rev = take_int (f);
+      m->u.gateway_hello.fleet = (guint)take_int (f);
+      m->u.gateway_hello.want = (guint)take_int (f);
       break;
     case CF_PEER_POLICY:
       m->u.policy.rev = take_int (f);
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -73,6 +73,8 @@
       CfPeerBytes addr; /**< where the gateway takes links */
       gint64 policy_rev;
       gint64 targets_rev;
+      guint fleet; /**< gateways that the sender knows of, itself too */
+      guint want;  /**< CF_PEER_WANT_ bits: what the sender lacks */
     } gateway_hello;
     struct
     {
@@ -87,10 +89,14 @@
   } u;
 } CfPeerMsg;
 
+/** Bits of a greeting's want. */
+#define CF_PEER_WANT_POLICY 1U
+#define CF_PEER_WANT_TARGETS 2U
+
 /** CfPeerTarget: a target's record as the store holds it. */
 typedef struct
 {
-  CfPeerBytes key;
+  CfPeerBytes id;
   CfPeerBytes json;
   gint64 rev;
 } CfPeerTarget;
--- /dev/null
+++ b/gateway/peer-service.c
@@ -0,0 +1,388 @@
+#include "peer-service.h"
+
+#include "log.h"
+#include "platform/platform-target.h"
+#include "socket.h"
+
+#include <string.h>
+
+/** How often peers greet: a gateway without the store is at most this and
+ * one exchange behind them. */
+#define GREET_MS 1000
+/** A gateway that knows no configuration at all is refusing callers. */
+#define GREET_EMPTY_MS 100
+#define RECONNECT_MS 1000
+/** The store's own news are given so long to arrive before a peer is asked. */
+#define STORE_FIRST_MS 400
+/** Peers not heard of for so long no longer count as part of the fleet. */
+#define FORGET_MS 10000
+/** Seeds that the settings name at most. */
+#define SEEDS_MAX 3
+
+/** Peer: a link to another gateway. */
+typedef struct Peer
+{
+  TAILQ_ENTRY (Peer) link;
+  CfPeerService *s;
+  CfPeerLink *peer;
+  int seed; /**< which seed it was made to; -1: it came to us */
+  gboolean up;
+  char *addr; /**< where it takes links; %NULL until it greeted */
+  gint64 policy_rev;
+  gint64 targets_rev;
+  gint64 heard_ms;
+} Peer;
+
+struct CfPeerService
+{
+  CfGateway *g;
+  TAILQ_HEAD (, Peer) peers;
+  GHashTable *fleet; /**< addr -> when it was last heard of, gint64 */
+  gint64 greeted_ms;
+  gint64 connected_ms;
+  gint64 behind_ms; /**< since when a peer is known to be ahead; 0: none */
+  struct sockaddr_in seeds[SEEDS_MAX];
+  gboolean seed_valid[SEEDS_MAX];
+};
+
+static void
+send_msg (Peer *p, const CfPeerMsg *m)
+{
+  msgpack_sbuffer buf;
+
+  msgpack_sbuffer_init (&buf);
+  cf_peer_msg_pack (m, &buf);
+  cf_peer_link_send (p->peer, buf.data, buf.size);
+  msgpack_sbuffer_destroy (&buf);
+}
+
+/* What this gateway has to ask a peer for, since the store is of no help:
+ * it cannot be reached, or its news are overdue. */
+static guint
+wants (const Peer *p)
+{
+  const CfGateway *g = p->s->g;
+  gboolean overdue
+      = p->s->behind_ms && g->now_ms - p->s->behind_ms >= STORE_FIRST_MS;
+  guint want = 0;
+
+  if (p->policy_rev > g->policy_rev
+      && (!g->policy || !g->policy_store_up || overdue))
+    want |= CF_PEER_WANT_POLICY;
+  if (p->targets_rev > g->targets_rev
+      && (!g->targets_store_up || g->targets_rev == 0))
+    want |= CF_PEER_WANT_TARGETS;
+  return want;
+}
+
+static void
+greet (Peer *p)
+{
+  const CfGateway *g = p->s->g;
+  const char *addr = g->set.control_addr ? g->set.control_addr : "";
+  CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
+
+  m.u.gateway_hello.addr.data = addr;
+  m.u.gateway_hello.addr.n = strlen (addr);
+  m.u.gateway_hello.policy_rev = g->policy_rev;
+  m.u.gateway_hello.targets_rev = g->targets_rev;
+  m.u.gateway_hello.fleet = g->fleet_size;
+  m.u.gateway_hello.want = wants (p);
+  send_msg (p, &m);
+}
+
+static void
+send_policy (Peer *p)
+{
+  const CfGateway *g = p->s->g;
+  CfPeerMsg m = { .kind = CF_PEER_POLICY };
+
+  if (!g->policy_json)
+    return;
+  m.u.policy.rev = g->policy_rev;
+  m.u.policy.json.data = g_bytes_get_data (g->policy_json, &m.u.policy.json.n);
+  send_msg (p, &m);
+}
+
+static void
+send_targets (Peer *p)
+{
+  const CfGateway *g = p->s->g;
+  CfPeerMsg m = { .kind = CF_PEER_TARGETS };
+  GHashTableIter it;
+  gpointer v;
+
+  m.u.targets.as_of = g->targets_rev;
+  m.u.targets.items = g_array_new (FALSE, FALSE, sizeof (CfPeerTarget));
+  g_hash_table_iter_init (&it, g->targets.by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const CfTarget *t = v;
+      CfPeerTarget one;
+
+      one.id.data = t->record.id;
+      one.id.n = strlen (t->record.id);
+      one.json.data = t->json;
+      one.json.n = strlen (t->json);
+      one.rev = t->rev;
+      g_array_append_val (m.u.targets.items, one);
+    }
+  send_msg (p, &m);
+  cf_peer_msg_clear (&m);
+}
+
+static void
+note_member (CfPeerService *s, const char *addr)
+{
+  gint64 *at = g_new (gint64, 1);
+
+  *at = s->g->now_ms;
+  g_hash_table_replace (s->fleet, g_strdup (addr), at);
+}
+
+static gboolean
+is_forgotten (gpointer key, gpointer value, gpointer now)
+{
+  return *(gint64 *)now - *(gint64 *)value > FORGET_MS;
+}
+
+/* A peer may know more of the fleet than this gateway hears itself. */
+static void
+count_fleet (CfPeerService *s, guint told)
+{
+  guint n;
+
+  g_hash_table_foreach_remove (s->fleet, is_forgotten, &s->g->now_ms);
+  n = MAX (g_hash_table_size (s->fleet) + 1, told);
+  cf_gateway_set_fleet (s->g, n);
+}
+
+static void
+take_hello (Peer *p, const CfPeerMsg *m)
+{
+  CfGateway *g = p->s->g;
+  gboolean ahead;
+
+  g_free (p->addr);
+  p->addr = g_strndup (m->u.gateway_hello.addr.data, m->u.gateway_hello.addr.n);
+  p->policy_rev = m->u.gateway_hello.policy_rev;
+  p->targets_rev = m->u.gateway_hello.targets_rev;
+  p->heard_ms = g->now_ms;
+  note_member (p->s, p->addr);
+  count_fleet (p->s, m->u.gateway_hello.fleet);
+  if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
+    send_policy (p);
+  if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
+    send_targets (p);
+  ahead = p->policy_rev > g->policy_rev;
+  if (ahead && !p->s->behind_ms)
+    p->s->behind_ms = g->now_ms;
+  else if (!ahead)
+    p->s->behind_ms = 0;
+  if (wants (p))
+    greet (p);
+}
+
+/* A peer's whole list: what it does not name is gone, if it is newer. */
+static void
+take_targets (Peer *p, const CfPeerMsg *m)
+{
+  CfGateway *g = p->s->g;
+  const GArray *items = m->u.targets.items;
+  GHashTable *seen;
+
+  if (m->u.targets.as_of <= g->targets_rev)
+    return;
+  seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < items->len; i++)
+    {
+      const CfPeerTarget *t = &g_array_index (items, CfPeerTarget, i);
+      char *id = g_strndup (t->id.data, t->id.n);
+
+      cf_gateway_take_target (g, id, t->json.data, t->json.n, t->rev, "peer");
+      g_hash_table_add (seen, id);
+    }
+  cf_gateway_keep_targets (g, seen, m->u.targets.as_of, "peer");
+  g_hash_table_destroy (seen);
+  cf_log (LOG_NOTICE, CF_EV_PEER,
+          "peer=%s outcome=taught targets=%u as_of=%" G_GINT64_FORMAT,
+          p->addr ? p->addr : "-", items->len, m->u.targets.as_of);
+}
+
+static void
+take_msg (Peer *p, const CfPeerMsg *m)
+{
+  switch (m->kind)
+    {
+    case CF_PEER_GATEWAY_HELLO:
+      take_hello (p, m);
+      break;
+    case CF_PEER_POLICY:
+      cf_gateway_take_policy (p->s->g, m->u.policy.json.data,
+                              m->u.policy.json.n, m->u.policy.rev, "peer");
+      break;
+    case CF_PEER_TARGETS:
+      take_targets (p, m);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_frame (void *owner, CfPeerLink *l, const char *data, gsize n)
+{
+  Peer *p = owner;
+  msgpack_unpacked zone;
+  CfPeerMsg m;
+
+  if (cf_peer_msg_unpack (data, n, &zone, &m) != CF_OK)
+    cf_log (LOG_WARNING, CF_EV_PEER, "peer=%s outcome=bad error=\"%s\"",
+            p->addr ? p->addr : "-", cf_last_error ());
+  else
+    take_msg (p, &m);
+  cf_peer_msg_clear (&m);
+  msgpack_unpacked_destroy (&zone);
+}
+
+static void
+on_up (void *owner, CfPeerLink *l)
+{
+  Peer *p = owner;
+
+  p->up = TRUE;
+  p->heard_ms = p->s->g->now_ms;
+  cf_log (LOG_NOTICE, CF_EV_PEER, "seed=%d outcome=up", p->seed);
+  greet (p);
+}
+
+static void
+forget (Peer *p)
+{
+  TAILQ_REMOVE (&p->s->peers, p, link);
+  g_free (p->addr);
+  g_free (p);
+}
+
+static void
+on_down (void *owner, CfPeerLink *l)
+{
+  Peer *p = owner;
+
+  if (p->up)
+    cf_log (LOG_NOTICE, CF_EV_PEER, "peer=%s outcome=down",
+            p->addr ? p->addr : "-");
+  forget (p);
+}
+
+static const CfPeerLinkCalls link_calls = { on_up, on_frame, on_down };
+
+static Peer *
+new_peer (CfPeerService *s, int seed)
+{
+  Peer *p = g_new0 (Peer, 1);
+
+  p->s = s;
+  p->seed = seed;
+  p->heard_ms = s->g->now_ms;
+  TAILQ_INSERT_TAIL (&s->peers, p, link);
+  return p;
+}
+
+void
+cf_peer_service_adopt (CfPeerService *s, CfPeerLink *l, const CfPeerMsg *first)
+{
+  Peer *p = new_peer (s, -1);
+
+  p->peer = l;
+  p->up = TRUE;
+  l->calls = &link_calls;
+  l->owner = p;
+  take_msg (p, first);
+  greet (p);
+}
+
+static gboolean
+has_seed (const CfPeerService *s, int seed)
+{
+  Peer *p;
+
+  TAILQ_FOREACH (p, &s->peers, link)
+  if (p->seed == seed)
+    return TRUE;
+  return FALSE;
+}
+
+static void
+connect_seeds (CfPeerService *s)
+{
+  for (int i = 0; i < SEEDS_MAX; i++)
+    {
+      Peer *p;
+
+      if (!s->seed_valid[i] || has_seed (s, i))
+        continue;
+      p = new_peer (s, i);
+      p->peer = cf_peer_link_connect (s->g->loop, &s->seeds[i], &link_calls, p);
+      if (!p->peer)
+        forget (p);
+    }
+}
+
+/* Links that went silent without a reset are made anew. */
+static void
+drop_silent (CfPeerService *s)
+{
+  Peer *p = TAILQ_FIRST (&s->peers);
+
+  while (p)
+    {
+      Peer *next = TAILQ_NEXT (p, link);
+
+      if (p->up && s->g->now_ms - p->heard_ms > 3 * GREET_MS)
+        {
+          cf_log (LOG_NOTICE, CF_EV_PEER, "peer=%s outcome=silent",
+                  p->addr ? p->addr : "-");
+          cf_peer_link_close (p->peer);
+          forget (p);
+        }
+      p = next;
+    }
+}
+
+void
+cf_peer_service_tick (CfPeerService *s)
+{
+  gint64 now = s->g->now_ms;
+  gint64 every = s->g->policy ? GREET_MS : GREET_EMPTY_MS;
+  Peer *p;
+
+  if (now - s->connected_ms >= RECONNECT_MS || s->connected_ms == 0)
+    {
+      s->connected_ms = now;
+      drop_silent (s);
+      connect_seeds (s);
+    }
+  if (now - s->greeted_ms < every)
+    return;
+  s->greeted_ms = now;
+  TAILQ_FOREACH (p, &s->peers, link)
+  if (p->up)
+    greet (p);
+}
+
+CfPeerService *
+cf_peer_service_new (CfGateway *g)
+{
+  CfPeerService *s = g_new0 (CfPeerService, 1);
+  const char *own = g->set.control_addr;
+
+  s->g = g;
+  TAILQ_INIT (&s->peers);
+  s->fleet = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (int i = 0; i < SEEDS_MAX && g->set.seed_addrs[i]; i++)
+    s->seed_valid[i]
+        = g_strcmp0 (g->set.seed_addrs[i], own) != 0
+          && cf_socket_parse (g->set.seed_addrs[i], &s->seeds[i]) == CF_OK;
+  return s;
+}
--- /dev/null
+++ b/gateway/peer-service.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "gateway.h"
+#include "peer-link.h"
+#include "peer-msg.h"
+
+/**
+ * What gateways tell one another.  The store is the first source of the
+ * configuration and the list of targets; a gateway that cannot reach it, or
+ * has just started, learns both from a peer.  Store revisions say whose
+ * knowledge is newer.
+ *
+ * Each gateway keeps a link to every seed and greets its peers once a
+ * second with the revisions it knows; one that is behind and cannot help
+ * itself asks for what it lacks in its own greeting.
+ */
+typedef struct CfPeerService CfPeerService;
+
+CfPeerService *cf_peer_service_new (CfGateway *g);
+
+/** cf_peer_service_adopt: @l is a peer's, and @first its first message. */
+void cf_peer_service_adopt (CfPeerService *s, CfPeerLink *l,
+                            const CfPeerMsg *first);
+
+/** cf_peer_service_tick: call it some times a second. */
+void cf_peer_service_tick (CfPeerService *s);
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -130,8 +130,7 @@
   a->status = s;
   a->has_status = TRUE;
   if (a->awaited
-      && (s.map == a->awaited
-          || cf_now_ms () - a->awaited_ms > COPYING_MAX_MS))
+      && (s.map == a->awaited || cf_now_ms () - a->awaited_ms > COPYING_MAX_MS))
     a->awaited = 0;
   return TRUE;
 }
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -3,8 +3,6 @@
 #include "log.h"
 #include "map-coordinator.h"
 #include "net.h"
-#include "peer-link.h"
-#include "peer-msg.h"
 #include "platform/platform-rank.h"
 #include "rank-call.h"
 
@@ -530,13 +528,16 @@
 static const CfPeerLinkCalls link_calls = { on_up, on_frame, on_down };
 
 void
-cf_rank_service_accept (CfRankService *s, int fd)
+cf_rank_service_adopt (CfRankService *s, CfPeerLink *l, const CfPeerMsg *first)
 {
   AgentLink *a = g_new0 (AgentLink, 1);
 
   a->s = s;
-  a->peer = cf_peer_link_accept (s->g->loop, fd, &link_calls, a);
+  a->peer = l;
+  l->calls = &link_calls;
+  l->owner = a;
   TAILQ_INSERT_TAIL (&s->agents, a, link);
+  take_msg (a, first);
 }
 
 static int
--- a/gateway/rank-service.h
+++ b/gateway/rank-service.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gateway.h"
+#include "peer-link.h"
+#include "peer-msg.h"
 
 /**
  * The gateway's side of the rank agents: takes their links, decides whether
@@ -15,8 +17,9 @@
 
 CfRankService *cf_rank_service_new (CfGateway *g);
 
-/** cf_rank_service_accept: a rank agent's link, with its first frame. */
-void cf_rank_service_accept (CfRankService *s, int fd);
+/** cf_rank_service_adopt: @l is a rank agent's, and @first its greeting. */
+void cf_rank_service_adopt (CfRankService *s, CfPeerLink *l,
+                            const CfPeerMsg *first);
 
 /** cf_rank_service_tick: call it some twenty times a second. */
 void cf_rank_service_tick (CfRankService *s);
--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -44,16 +44,18 @@
 }
 
 static void
-set_down (CfStoreWatch *w, gboolean down, const char *why)
+set_contact (CfStoreWatch *w, CfStoreContact now, const char *why)
 {
-  if (w->down == down)
+  gboolean up = now == CF_STORE_UP;
+
+  if (w->contact == now)
     return;
-  w->down = down;
-  cf_log (down ? LOG_WARNING : LOG_NOTICE,
-          down ? CF_EV_STORE_LOST : CF_EV_STORE_BACK,
+  w->contact = now;
+  cf_log (up ? LOG_NOTICE : LOG_WARNING,
+          up ? CF_EV_STORE_BACK : CF_EV_STORE_LOST,
           "prefix=%s as_of=%" G_GINT64_FORMAT " reason=\"%s\"", w->prefix,
           w->as_of, why);
-  w->calls->contact (w->g, !down);
+  w->calls->contact (w->g, up);
 }
 
 /* The call failed: drop the connection and try again after a pause. */
@@ -65,7 +67,7 @@
   disconnect (w);
   w->state = CF_WATCH_PAUSED;
   w->g->stats.store_errors++;
-  set_down (w, TRUE, why);
+  set_contact (w, CF_STORE_DOWN, why);
   w->pause_ms = CLAMP (w->pause_ms * 2, PAUSE_FIRST_MS, PAUSE_LAST_MS);
   set_timer (w, w->pause_ms + spread);
 }
@@ -125,7 +127,7 @@
       failed (w, cf_last_error ());
       return;
     }
-  set_down (w, FALSE, "answered");
+  set_contact (w, CF_STORE_UP, "answered");
   w->pause_ms = 0;
   if (w->state == CF_WATCH_RANGE)
     take_page (w, &r);
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -13,6 +13,14 @@
   CF_WATCH_CHANGES, /**< waits for changes */
 } CfWatchState;
 
+/** CfStoreContact: whether the store answers this watch. */
+typedef enum
+{
+  CF_STORE_UNKNOWN, /**< neither an answer nor a failure yet */
+  CF_STORE_UP,
+  CF_STORE_DOWN,
+} CfStoreContact;
+
 typedef struct CfStoreWatch CfStoreWatch;
 
 /** CfStoreWatchCalls: what the owner of a watch is told. */
@@ -51,7 +59,7 @@
   gint64 as_of;       /**< changes are wanted after this revision */
   gint64 range_as_of; /**< of the first page: pages are no snapshot */
   gboolean has_all;   /**< a range has been read since the last 410 */
-  gboolean down;
+  CfStoreContact contact;
   gint64 wait_ms;  /**< how long the store waits for a change */
   gint64 pause_ms; /**< before the next try */
   gint64 asked_at_ms;
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -10,7 +10,7 @@
 /** What is known of entries that went missing just after an outage. */
 static struct
 {
-  GHashTable *missing; /**< key -> revision at which it was missed */
+  GHashTable *missing; /**< id -> revision at which it was missed */
   gint64 until_ms;     /**< the end of the grace; 0 if none runs */
   ev_timer timer;
 } lapse;
@@ -22,39 +22,41 @@
 }
 
 static void
-miss (CfGateway *g, const char *key, gint64 rev)
+miss (CfGateway *g, const char *id, gint64 rev)
 {
   gint64 *at;
 
   if (!in_grace (g))
     {
-      cf_gateway_drop_target (g, key, rev, "store");
+      cf_gateway_drop_target (g, id, rev, "store");
       return;
     }
   at = g_new (gint64, 1);
   *at = rev;
-  g_hash_table_replace (lapse.missing, g_strdup (key), at);
-  cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
-          "key=%s outcome=missing action=wait-for-return ms=%" G_GINT64_FORMAT,
-          key, lapse.until_ms - cf_gateway_now (g));
+  g_hash_table_replace (lapse.missing, g_strdup (id), at);
+  cf_log (
+      LOG_NOTICE, CF_EV_TARGET_LIST,
+      "target=%s outcome=missing action=wait-for-return ms=%" G_GINT64_FORMAT,
+      id, lapse.until_ms - cf_gateway_now (g));
 }
 
 static void
 on_item (CfGateway *g, const CfStoreItem *it)
 {
+  const char *id = cf_platform_target_id (it->key);
   gsize n;
   const char *json;
 
-  if (!cf_platform_target_id (it->key))
+  if (!id)
     return;
   if (!it->value)
     {
-      miss (g, it->key, it->rev);
+      miss (g, id, it->rev);
       return;
     }
-  g_hash_table_remove (lapse.missing, it->key);
+  g_hash_table_remove (lapse.missing, id);
   json = g_bytes_get_data (it->value, &n);
-  cf_gateway_take_target (g, it->key, json, n, it->rev, "store");
+  cf_gateway_take_target (g, id, json, n, it->rev, "store");
 }
 
 static void
@@ -76,10 +78,9 @@
     {
       char *key = g_strconcat (PF_KEY_TARGETS, id, NULL);
 
-      if (g_hash_table_contains (seen, key))
-        g_free (key);
-      else
-        g_ptr_array_add (gone, key);
+      if (!g_hash_table_contains (seen, key))
+        g_ptr_array_add (gone, g_strdup (id));
+      g_free (key);
     }
   for (guint i = 0; i < gone->len; i++)
     miss (g, gone->pdata[i], as_of);
@@ -92,19 +93,20 @@
 {
   CfGateway *g = t->data;
   GHashTableIter it;
-  gpointer key;
+  gpointer id;
   gpointer rev;
 
   lapse.until_ms = 0;
   g_hash_table_iter_init (&it, lapse.missing);
-  while (g_hash_table_iter_next (&it, &key, &rev))
-    cf_gateway_drop_target (g, key, *(gint64 *)rev, "lapsed");
+  while (g_hash_table_iter_next (&it, &id, &rev))
+    cf_gateway_drop_target (g, id, *(gint64 *)rev, "lapsed");
   g_hash_table_remove_all (lapse.missing);
 }
 
 static void
 on_contact (CfGateway *g, gboolean up)
 {
+  g->targets_store_up = up;
   if (!up || g_hash_table_size (g->targets.by_id) == 0)
     return;
   lapse.until_ms = cf_gateway_now (g) + LAPSE_GRACE_MS;
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -17,6 +17,7 @@
   if (!t || --t->ref_count > 0)
     return;
   cf_target_record_clear (&t->record);
+  g_free (t->json);
   g_free (t);
 }
 
@@ -65,12 +66,14 @@
 }
 
 static CfTargetChange
-add_target (CfTargetTable *t, CfTargetRecord *r, gint64 rev)
+add_target (CfTargetTable *t, CfTargetRecord *r, const char *json, gsize len,
+            gint64 rev)
 {
   CfTarget *n = g_new0 (CfTarget, 1);
 
   n->ref_count = 1;
   n->record = *r;
+  n->json = g_strndup (json, len);
   n->rev = rev;
   n->listed = TRUE;
   TAILQ_INIT (&n->idle);
@@ -85,7 +88,8 @@
 }
 
 static CfTargetChange
-update_target (CfTarget *n, CfTargetRecord *r, gint64 rev)
+update_target (CfTarget *n, CfTargetRecord *r, const char *json, gsize len,
+               gint64 rev)
 {
   CfTargetChange c = CF_TARGET_SAME;
 
@@ -97,12 +101,15 @@
   n->record.slots = r->slots;
   n->record.warmup_ms = r->warmup_ms;
   n->rev = rev;
+  g_free (n->json);
+  n->json = g_strndup (json, len);
   cf_target_record_clear (r);
   return c;
 }
 
 CfTargetChange
-cf_target_table_put (CfTargetTable *t, CfTargetRecord *r, gint64 rev)
+cf_target_table_put (CfTargetTable *t, CfTargetRecord *r, const char *json,
+                     gsize len, gint64 rev)
 {
   CfTarget *n = g_hash_table_lookup (t->by_id, r->id);
 
@@ -120,7 +127,8 @@
       cf_target_table_remove (t, r->id);
       n = NULL;
     }
-  return n ? update_target (n, r, rev) : add_target (t, r, rev);
+  return n ? update_target (n, r, json, len, rev)
+           : add_target (t, r, json, len, rev);
 }
 
 gboolean
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -21,6 +21,7 @@
   gint ref_count;
   CfTargetRecord record;
   struct sockaddr_in addr;
+  char *json;          /**< @record as the store holds it, for peers */
   gint64 rev;          /**< store revision of @record */
   gboolean listed;     /**< still on the platform's list */
   guint in_flight;     /**< requests of ours it has */
@@ -57,10 +58,11 @@
 /**
  * cf_target_table_put:
  * @r: taken over
+ * @json: @n bytes that @r was read from; copied
  * @rev: the store's revision; a record older than the known one is dropped
  */
 CfTargetChange cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
-                                    gint64 rev);
+                                    const char *json, gsize n, gint64 rev);
 
 /** cf_target_table_remove: @id is gone; %FALSE if it was not listed. */
 gboolean cf_target_table_remove (CfTargetTable *t, const char *id);
--- a/retry-budget.c
+++ b/retry-budget.c
@@ -15,6 +15,15 @@
   pthread_mutex_destroy (&b->lock);
 }
 
+void
+cf_retry_budget_set_slack (CfRetryBudget *b, gint64 slack)
+{
+  pthread_mutex_lock (&b->lock);
+  b->max = (double)slack;
+  b->tokens = MIN (b->tokens, b->max);
+  pthread_mutex_unlock (&b->lock);
+}
+
 void
 cf_retry_budget_request (CfRetryBudget *b)
 {
--- a/retry-budget.h
+++ b/retry-budget.h
@@ -25,6 +25,9 @@
 void cf_retry_budget_init (CfRetryBudget *b, gint64 percent, gint64 slack);
 void cf_retry_budget_clear (CfRetryBudget *b);
 
+/** cf_retry_budget_set_slack: from now on; what is saved up is cut to it. */
+void cf_retry_budget_set_slack (CfRetryBudget *b, gint64 slack);
+
 /** cf_retry_budget_request: a request came in. */
 void cf_retry_budget_request (CfRetryBudget *b);
 
