--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
 	t/t-session $(GW_TESTS)
 
-all: $(PROGRAMS) $(TESTS)
+all: $(PROGRAMS) deploy $(SI_PROGRAMS) $(TESTS)
 
 libcomfrey.a: $(LIB_OBJS)
 	$(AR) rcs $@ $^
@@ -55,12 +55,25 @@
 $(GW_PROGRAMS): target/%: target/obj/%.o target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -Wl,--as-needed -o $@ $^ $(GW_LDLIBS)
 
-target/obj/%.o: %.c *.h gateway/*.h platform/*.h
+# Stand-ins of the platform, and callers, for the demo and the tests.
+SI_SRCS = $(wildcard standins/fake-*.c)
+SI_PROGRAMS = target/comfrey-fake-platform target/comfrey-callers
+
+target/comfrey-fake-platform: target/obj/standins/comfrey-fake-platform.o \
+		$(SI_SRCS:%.c=target/obj/%.o) target/libcomfrey-gateway.a
+	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
+
+target/comfrey-callers: target/obj/standins/comfrey-callers.o \
+		target/libcomfrey-gateway.a
+	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
+
+target/obj/%.o: %.c *.h gateway/*.h platform/*.h $(wildcard standins/*.h)
 	@mkdir -p $(dir $@)
 	@$(CC) $(GW_CFLAGS) -c -o $@ $<
 
 # Tests of the gateway's modules link what runs on the platform, too.
-GW_TESTS = t/t-coordinator
+GW_TESTS = t/t-platform t/t-http-reader t/t-event-stream t/t-balancer \
+	t/t-group-map t/t-peer-msg t/t-log-writer t/t-coordinator
 GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
 
 $(GW_TESTS): t/%: t/%.c t/harness.o libcomfrey.a target/libcomfrey-gateway.a
@@ -87,6 +100,10 @@
 demo:
 	sh scripts/demo.sh
 
+# The same for the product's own interface: entries, agents, their stand-ins.
+demo-own:
+	sh scripts/demo-own.sh
+
 # One table: each placement policy's skew and cost, both sites' weights.
 bench: comfrey-bench
 	./comfrey-bench --csv bench.csv
@@ -103,9 +120,10 @@
 
 help:
 	@echo "make          build everything"
-	@echo "make demo     install packages, build, start stand-ins, play a session"
+	@echo "make demo     install packages, build, start stand-ins, play callers"
+	@echo "make demo-own the same for the product's own interface"
 	@echo "make test     run the tests under t/"
 	@echo "make bench    run comfrey-bench: placement policies side by side"
 	@echo "make style    check formatting with clang-format"
 
-.PHONY: all test demo bench style tidy clean help
+.PHONY: all deploy test demo demo-own bench style tidy clean help
--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -151,9 +151,9 @@
 }
 
 static CfStatus
-listen_all (CfGateway *g)
+listen_all (CfGateway *g, int port)
 {
-  char *metrics = g_strdup_printf ("%s:%d", g->set.ip, METRICS_PORT);
+  char *metrics = g_strdup_printf ("%s:%d", g->set.ip, port);
   CfStatus st;
   int fd;
 
@@ -189,7 +189,7 @@
 }
 
 static int
-run (CfGateway *g)
+run (CfGateway *g, int metrics)
 {
   cf_target_table_init (&g->targets);
   TAILQ_INIT (&g->callers);
@@ -203,7 +203,7 @@
   ev_check_init (&clock_check, on_turn);
   ev_set_priority (&clock_check, EV_MAXPRI);
   ev_check_start (g->loop, &clock_check);
-  if (listen_all (g) != CF_OK)
+  if (listen_all (g, metrics) != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
       return 1;
@@ -223,11 +223,13 @@
 }
 
 static int
-parse_options (int *argc, char ***argv, gboolean *check)
+parse_options (int *argc, char ***argv, gboolean *check, int *metrics)
 {
   GOptionEntry entries[] = {
     { "check-settings", 0, 0, G_OPTION_ARG_NONE, check,
       "Check the platform's settings file, and exit", NULL },
+    { "metrics-port", 0, 0, G_OPTION_ARG_INT, metrics,
+      "Serve /metrics at this port of the VM's address", "PORT" },
     { NULL },
   };
   GOptionContext *ctx = g_option_context_new (NULL);
@@ -253,7 +255,8 @@
 main (int argc, char **argv)
 {
   gboolean check = FALSE;
-  int rc = parse_options (&argc, &argv, &check);
+  int metrics = METRICS_PORT;
+  int rc = parse_options (&argc, &argv, &check, &metrics);
 
   if (rc)
     return rc;
@@ -273,7 +276,7 @@
   if (!cf_log_writer_start (STDOUT_FILENO))
     cf_log (LOG_WARNING, CF_EV_START, "error=\"no thread for the log writer\"");
   gw.loop = ev_default_loop (EVBACKEND_EPOLL | EVFLAG_NOENV);
-  rc = run (&gw);
+  rc = run (&gw, metrics);
   cf_log_writer_stop (LOG_FLUSH_MS);
   return rc;
 }
--- a/gateway/http-reader.c
+++ b/gateway/http-reader.c
@@ -71,7 +71,16 @@
   return append (r, at, n);
 }
 
-static void
+/* The parser lets spaces into names; "Transfer-Encoding : x" would mean one
+ * thing to us and another to a target. */
+static gboolean
+is_token (const char *name)
+{
+  return *name && strpbrk (name, " \t\"(),/:;<=>?@[\\]{}") == NULL;
+}
+
+/* FALSE if a header has no proper name. */
+static gboolean
 index_headers (CfHttpReader *r)
 {
   for (guint i = 0; i + 1 < r->offsets->len; i += 2)
@@ -80,9 +89,12 @@
 
       h.name = r->text->str + g_array_index (r->offsets, gsize, i);
       h.value = r->text->str + g_array_index (r->offsets, gsize, i + 1);
+      if (!is_token (h.name))
+        return FALSE;
       h.kind = cf_platform_header_kind (h.name, strlen (h.name));
       g_array_append_val (r->headers, h);
     }
+  return TRUE;
 }
 
 static int
@@ -93,8 +105,9 @@
   /* A header with an empty last value leaves a name without its value. */
   if (r->offsets->len % 2)
     begin_piece (r);
+  if (!index_headers (r))
+    return -1;
   r->has_head = TRUE;
-  index_headers (r);
   if (r->calls->head)
     r->calls->head (r->owner);
   return r->no_body ? 1 : 0;
--- /dev/null
+++ b/scripts/platform-processes.sh
@@ -0,0 +1,51 @@
+# Sourced by the scripts that run gateways and rank agents against the
+# stand-in of the platform on loopback.
+
+. scripts/processes.sh
+
+# platform_settings NAME: what the platform would tell a process, from standard input
+platform_settings() {
+	{
+		cat
+		echo "ip=127.0.0.1"
+		echo "zone=dc1"
+		echo "seed-addrs=127.0.0.1:7621,127.0.0.1:7622,127.0.0.1:7623"
+		echo "platform.addr=127.0.0.1:7500"
+		echo "limits.memory-mb=128"
+		echo "bounds.require-fence=true"
+	} >"$run/$1.conf"
+	echo "$run/$1.conf"
+}
+
+# start_gateway N: the gateway of seed N
+start_gateway() {
+	conf=$(platform_settings "gateway-$1" <<-END
+		node-name=gateway-$1
+		listen.front=127.0.0.1:760$1
+		listen.ready=127.0.0.1:761$1
+		listen.control=127.0.0.1:762$1
+	END
+	)
+	COMFREYPOST_CONFIG=$conf start "gateway-$1" target/comfrey-gateway \
+		--metrics-port "763$1"
+}
+
+# start_agent N PORT: the agent of the rank at PORT
+start_agent() {
+	conf=$(platform_settings "agent-$1" <<-END
+		node-name=agent-$1
+		app=127.0.0.1:$2
+	END
+	)
+	COMFREYPOST_CONFIG=$conf start "agent-$1" target/comfrey-rank-agent
+}
+
+# await_ready N: until gateway N says that it is ready, 10 s at most
+await_ready() {
+	for i in $(seq 100); do
+		curl -sf "http://127.0.0.1:761$1/v1/readyz" >/dev/null && return 0
+		sleep 0.1
+	done
+	echo "gateway $1 is not ready; see $run" >&2
+	return 1
+}
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -12,7 +12,7 @@
 start() {
 	name=$1
 	shift
-	"$@" 2>"$run/$name.log" &
+	"$@" >"$run/$name.log" 2>&1 &
 	pids="$pids $!"
 	eval "pid_$(echo "$name" | tr - _)=$!"
 }
--- /dev/null
+++ b/standins/comfrey-fake-platform.c
@@ -0,0 +1,112 @@
+/*
+ * The platform on one loopback address, for the demo and the tests: the
+ * metadata store with a first configuration, plain targets and the ranks of
+ * one model engine.  Ports: the store's is --port, then the plain targets,
+ * then the ranks.
+ */
+#include "fake-target.h"
+#include "platform/names.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+
+static int port = 7500;
+static int n_plain = 2;
+static int n_ranks = 4;
+static int work_ms = 10;
+static double shift_s = 0;
+static double step_ms = 5;
+
+static const GOptionEntry entries[] = {
+  { "port", 0, 0, G_OPTION_ARG_INT, &port, "The store's port", "N" },
+  { "plain", 0, 0, G_OPTION_ARG_INT, &n_plain, "Plain targets", "N" },
+  { "ranks", 0, 0, G_OPTION_ARG_INT, &n_ranks, "Ranks of the engine", "N" },
+  { "work-ms", 0, 0, G_OPTION_ARG_INT, &work_ms, "Work of a plain request",
+    "MS" },
+  { "step-ms", 0, 0, G_OPTION_ARG_DOUBLE, &step_ms, "A pass at even load",
+    "MS" },
+  { "shift-s", 0, 0, G_OPTION_ARG_DOUBLE, &shift_s,
+    "Other experts are in demand each so often", "S" },
+  { NULL },
+};
+
+static const char first_config[]
+    = "{\"version\":1,\"routes\":["
+      "{\"name\":\"chat\",\"host\":\"demo.example\",\"prefix\":\"/chat/\","
+      "\"kind\":\"streaming\",\"timeout-ms\":8000,\"aim-ms\":500,"
+      "\"priority\":1,\"service\":\"llm\",\"max-attempts\":2,"
+      "\"public\":false,\"resumable\":true,\"gap-aim-ms\":120},"
+      "{\"name\":\"order\",\"host\":\"demo.example\",\"prefix\":\"/order/\","
+      "\"kind\":\"unsafe\",\"timeout-ms\":800,\"aim-ms\":150,\"priority\":2,"
+      "\"service\":\"desk\",\"max-attempts\":1,\"public\":false},"
+      "{\"name\":\"quote\",\"host\":\"demo.example\",\"prefix\":\"/quote/\","
+      "\"kind\":\"safe\",\"timeout-ms\":800,\"aim-ms\":150,\"priority\":2,"
+      "\"service\":\"desk\",\"max-attempts\":2,\"public\":false},"
+      "{\"name\":\"open\",\"host\":\"demo.example\",\"prefix\":\"/open/\","
+      "\"kind\":\"safe\",\"timeout-ms\":800,\"aim-ms\":150,\"priority\":2,"
+      "\"service\":\"desk\",\"max-attempts\":2,\"public\":true}],"
+      "\"services\":[{\"name\":\"llm\",\"max-conns\":200,\"engine\":{"
+      "\"step_ms\":4,\"per_seq_ms\":0.9,\"read_per_s\":61400,\"stride\":4,"
+      "\"usual\":{\"prompt\":800,\"answer\":96},\"sets\":2,\"experts\":16,"
+      "\"places\":6,\"spare\":2,\"form_ms\":600}},"
+      "{\"name\":\"desk\",\"max-conns\":96}],"
+      "\"limits\":{\"max-header-bytes\":4096,\"max-body-bytes\":65536,"
+      "\"header-timeout-ms\":600,\"idle-timeout-ms\":3000},"
+      "\"tenants\":[{\"name\":\"museum\",\"api-keys\":[\"key-museum\"]}]}";
+
+static void
+start_targets (struct ev_loop *loop, FakeStore *store)
+{
+  const FakeGroupShape shape = { n_ranks, 2, 16, 6, 2, step_ms, 20, shift_s };
+  FakeGroup *g = n_ranks ? fake_group_new (loop, &shape) : NULL;
+
+  for (int i = 0; i < n_plain + n_ranks; i++)
+    {
+      char *addr = g_strdup_printf ("127.0.0.1:%d", port + 1 + i);
+      char *id = g_strdup_printf ("%s-%d", i < n_plain ? "desk" : "rank",
+                                  i < n_plain ? i : i - n_plain);
+
+      if (i < n_plain)
+        fake_target_plain (loop, store, id, "desk", addr, 6, work_ms);
+      else
+        fake_target_rank (loop, store, g, i - n_plain, id, "llm", addr, 12);
+      g_free (addr);
+      g_free (id);
+    }
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *w, int revents)
+{
+  ev_break (loop, EVBREAK_ALL);
+}
+
+int
+main (int argc, char **argv)
+{
+  GOptionContext *ctx = g_option_context_new (NULL);
+  struct ev_loop *loop = ev_default_loop (0);
+  GError *err = NULL;
+  ev_signal term;
+  FakeStore *store;
+  char *addr;
+
+  g_option_context_set_summary (ctx, "A stand-in of the platform: the store, "
+                                     "plain targets, a rank group.");
+  g_option_context_add_main_entries (ctx, entries, NULL);
+  if (!g_option_context_parse (ctx, &argc, &argv, &err))
+    {
+      fprintf (stderr, "comfrey-fake-platform: %s\n", err->message);
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  addr = g_strdup_printf ("127.0.0.1:%d", port);
+  store = fake_store_new (loop, addr);
+  start_targets (loop, store);
+  fake_store_put (store, PF_KEY_CONFIG, first_config);
+  ev_signal_init (&term, on_stop, SIGTERM);
+  ev_signal_start (loop, &term);
+  ev_run (loop, 0);
+  return 0;
+}
--- /dev/null
+++ b/standins/fake-http.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "gateway/http-reader.h"
+
+#include <ev.h>
+
+/**
+ * A small HTTP/1.1 server for the stand-ins, on the event loop: one request
+ * at a time on a connection, answered at once, later, or in chunks.
+ */
+typedef struct FakeConn FakeConn;
+
+/** Called with each whole request; answer with the calls below. */
+typedef void (*FakeRequest) (void *data, FakeConn *c);
+
+struct FakeConn
+{
+  struct ev_loop *loop;
+  ev_io io;
+  CfHttpReader reader;
+  GString *body;
+  GString *in;
+  GString *out;
+  FakeRequest request;
+  void *data;
+  void *work; /**< what is being done for the request; set by the owner */
+  void (*gone) (FakeConn *c); /**< the caller left while @work was set */
+  gboolean answering;
+  gboolean chunked;
+  gboolean close;
+  gboolean in_read;
+  gboolean dead;
+};
+
+/** fake_http_listen: serves @addr; exits the program if it cannot. */
+void fake_http_listen (struct ev_loop *loop, const char *addr, FakeRequest fn,
+                       void *data);
+
+/** fake_http_answer: a whole answer; @headers are lines, or %NULL. */
+void fake_http_answer (FakeConn *c, int status, const char *headers,
+                       const char *body, gssize n);
+
+/** fake_http_begin: the head of an answer in chunks. */
+void fake_http_begin (FakeConn *c, int status, const char *headers);
+void fake_http_chunk (FakeConn *c, const char *data, gsize n);
+void fake_http_end (FakeConn *c);
+
+/** fake_http_raw: bytes as they are, for answers that are spoiled. */
+void fake_http_raw (FakeConn *c, const char *data, gsize n);
+
+/** fake_http_reset: ends the connection at once, with a reset. */
+void fake_http_reset (FakeConn *c);
+
+/** fake_http_query: (transfer full) (nullable): a parameter of the target. */
+char *fake_http_query (const FakeConn *c, const char *name);
+
+/** fake_http_is: whether the target's path is @path. */
+gboolean fake_http_is (const FakeConn *c, const char *path);
--- /dev/null
+++ b/standins/fake-store.c
@@ -0,0 +1,369 @@
+#include "fake-store.h"
+
+#include "platform/names.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/** Keys in one page of a range. */
+#define PAGE 50
+
+typedef enum
+{
+  MODE_UP,
+  MODE_SILENT,
+  MODE_BUSY,
+  MODE_RESET,
+} Mode;
+
+/** Item: a key as written, or as removed if it has no value. */
+typedef struct
+{
+  char *key;
+  char *value; /* base64 */
+  gint64 rev;
+} Item;
+
+/** Waiter: a watch that waits for a change. */
+typedef struct
+{
+  FakeStore *s;
+  FakeConn *c;
+  char *prefix;
+  gint64 after;
+  ev_timer timer;
+} Waiter;
+
+struct FakeStore
+{
+  struct ev_loop *loop;
+  GTree *items;       /* key -> Item */
+  GPtrArray *history; /* of Item, by revision */
+  gint64 rev;
+  gint64 forgotten;   /* changes up to here are not known any more */
+  GPtrArray *waiters;
+  Mode mode;
+};
+
+static void
+item_free (gpointer p)
+{
+  Item *it = p;
+
+  g_free (it->key);
+  g_free (it->value);
+  g_free (it);
+}
+
+static Item *
+item_new (const char *key, const char *value, gint64 rev)
+{
+  Item *it = g_new0 (Item, 1);
+
+  it->key = g_strdup (key);
+  it->value = value ? g_base64_encode ((const guchar *)value, strlen (value))
+                    : NULL;
+  it->rev = rev;
+  return it;
+}
+
+static json_t *
+item_json (const Item *it)
+{
+  json_t *o = json_object ();
+
+  json_object_set_new (o, "key", json_string (it->key));
+  json_object_set_new (o, "rev", json_integer (it->rev));
+  if (it->value)
+    {
+      json_object_set_new (o, "value", json_string (it->value));
+      json_object_set_new (o, "create-revision", json_integer (it->rev));
+      json_object_set_new (o, "lease", json_integer (0));
+    }
+  else
+    json_object_set_new (o, "removed", json_true ());
+  return o;
+}
+
+static void
+answer_json (FakeConn *c, json_t *o)
+{
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  fake_http_answer (c, 200, "Content-Type: application/json\r\n", text, -1);
+  free (text);
+  json_decref (o);
+}
+
+/* The changes under @prefix after @after. */
+static json_t *
+changes (FakeStore *s, const char *prefix, gint64 after)
+{
+  json_t *events = json_array ();
+
+  for (guint i = 0; i < s->history->len; i++)
+    {
+      const Item *it = s->history->pdata[i];
+
+      if (it->rev > after && g_str_has_prefix (it->key, prefix))
+        json_array_append_new (events, item_json (it));
+    }
+  return events;
+}
+
+static void
+answer_watch (FakeStore *s, FakeConn *c, json_t *events)
+{
+  json_t *o = json_object ();
+
+  json_object_set_new (o, "events", events);
+  json_object_set_new (o, "as-of", json_integer (s->rev));
+  answer_json (c, o);
+}
+
+static void
+end_waiter (Waiter *w)
+{
+  ev_timer_stop (w->s->loop, &w->timer);
+  w->c->work = NULL;
+  g_ptr_array_remove (w->s->waiters, w);
+  g_free (w->prefix);
+  g_free (w);
+}
+
+static void
+on_waited (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  Waiter *w = t->data;
+  FakeStore *s = w->s;
+  FakeConn *c = w->c;
+
+  end_waiter (w);
+  if (s->mode == MODE_UP)
+    answer_watch (s, c, json_array ());
+}
+
+static void
+on_gone (FakeConn *c)
+{
+  end_waiter (c->work);
+}
+
+static void
+wake_waiters (FakeStore *s)
+{
+  for (guint i = 0; i < s->waiters->len;)
+    {
+      Waiter *w = s->waiters->pdata[i];
+      json_t *events = changes (s, w->prefix, w->after);
+      FakeConn *c = w->c;
+
+      if (json_array_size (events) == 0 || s->mode != MODE_UP)
+        {
+          json_decref (events);
+          i++;
+          continue;
+        }
+      end_waiter (w);
+      answer_watch (s, c, events);
+    }
+}
+
+static void
+write_item (FakeStore *s, const char *key, const char *value)
+{
+  s->rev++;
+  g_ptr_array_add (s->history, item_new (key, value, s->rev));
+  if (value)
+    g_tree_replace (s->items, g_strdup (key), item_new (key, value, s->rev));
+  else
+    g_tree_remove (s->items, key);
+  wake_waiters (s);
+}
+
+void
+fake_store_put (FakeStore *s, const char *key, const char *value)
+{
+  write_item (s, key, value);
+}
+
+/** RangeCall: a range while its page is put together. */
+typedef struct
+{
+  const char *prefix;
+  const char *after;
+  json_t *items;
+  gboolean more;
+} RangeCall;
+
+static gboolean
+add_to_page (gpointer key, gpointer value, gpointer data)
+{
+  RangeCall *r = data;
+
+  if (!g_str_has_prefix (key, r->prefix)
+      || (r->after && strcmp (key, r->after) <= 0))
+    return FALSE;
+  if (json_array_size (r->items) == PAGE)
+    {
+      r->more = TRUE;
+      return TRUE;
+    }
+  json_array_append_new (r->items, item_json (value));
+  return FALSE;
+}
+
+static void
+answer_range (FakeStore *s, FakeConn *c)
+{
+  char *prefix = fake_http_query (c, "prefix");
+  char *after = fake_http_query (c, "after");
+  RangeCall r = { prefix ? prefix : "", after, json_array (), FALSE };
+  json_t *o = json_object ();
+
+  g_tree_foreach (s->items, add_to_page, &r);
+  json_object_set_new (o, "items", r.items);
+  json_object_set_new (o, "has-more", json_boolean (r.more));
+  json_object_set_new (o, "as-of", json_integer (s->rev));
+  answer_json (c, o);
+  g_free (prefix);
+  g_free (after);
+}
+
+static void
+begin_watch (FakeStore *s, FakeConn *c)
+{
+  char *prefix = fake_http_query (c, "prefix");
+  char *after = fake_http_query (c, "after");
+  char *wait = fake_http_query (c, "wait-ms");
+  gint64 from = after ? g_ascii_strtoll (after, NULL, 10) : 0;
+  json_t *events = changes (s, prefix ? prefix : "", from);
+
+  if (from < s->forgotten)
+    {
+      json_decref (events);
+      fake_http_answer (c, 410, NULL, "", 0);
+    }
+  else if (json_array_size (events))
+    answer_watch (s, c, events);
+  else
+    {
+      Waiter *w = g_new0 (Waiter, 1);
+
+      json_decref (events);
+      w->s = s;
+      w->c = c;
+      w->prefix = g_strdup (prefix ? prefix : "");
+      w->after = from;
+      c->work = w;
+      c->gone = on_gone;
+      ev_timer_init (&w->timer, on_waited,
+                     (wait ? g_ascii_strtod (wait, NULL) : 0) / 1000, 0);
+      w->timer.data = w;
+      ev_timer_start (s->loop, &w->timer);
+      g_ptr_array_add (s->waiters, w);
+    }
+  g_free (prefix);
+  g_free (after);
+  g_free (wait);
+}
+
+static void
+set_mode (FakeStore *s, const char *mode)
+{
+  s->mode = MODE_UP;
+  if (g_strcmp0 (mode, "silent") == 0)
+    s->mode = MODE_SILENT;
+  else if (g_strcmp0 (mode, "busy") == 0)
+    s->mode = MODE_BUSY;
+  else if (g_strcmp0 (mode, "reset") == 0)
+    s->mode = MODE_RESET;
+  wake_waiters (s);
+}
+
+static void
+forget (FakeStore *s)
+{
+  s->forgotten = s->rev;
+  g_ptr_array_set_size (s->history, 0);
+  while (s->waiters->len)
+    {
+      Waiter *w = s->waiters->pdata[0];
+      FakeConn *c = w->c;
+
+      end_waiter (w);
+      fake_http_reset (c);
+    }
+}
+
+/* The test's own calls; TRUE if it was one. */
+static gboolean
+steer (FakeStore *s, FakeConn *c)
+{
+  char *key = fake_http_query (c, "key");
+  char *mode = fake_http_query (c, "mode");
+  gboolean known = TRUE;
+
+  if (fake_http_is (c, "/test/put") && key)
+    write_item (s, key, c->body->str);
+  else if (fake_http_is (c, "/test/delete") && key)
+    write_item (s, key, NULL);
+  else if (fake_http_is (c, "/test/mode"))
+    set_mode (s, mode);
+  else if (fake_http_is (c, "/test/forget"))
+    forget (s);
+  else
+    known = FALSE;
+  if (known)
+    fake_http_answer (c, 200, NULL, "", 0);
+  g_free (key);
+  g_free (mode);
+  return known;
+}
+
+static void
+on_request (void *data, FakeConn *c)
+{
+  FakeStore *s = data;
+
+  if (steer (s, c))
+    return;
+  switch (s->mode)
+    {
+    case MODE_UP:
+      if (fake_http_is (c, PF_PATH_RANGE))
+        answer_range (s, c);
+      else if (fake_http_is (c, PF_PATH_WATCH))
+        begin_watch (s, c);
+      else
+        fake_http_answer (c, 404, NULL, "", 0);
+      break;
+    case MODE_SILENT:
+      break;
+    case MODE_BUSY:
+      fake_http_answer (c, 503, NULL, "", 0);
+      break;
+    case MODE_RESET:
+      fake_http_reset (c);
+      break;
+    }
+}
+
+static gint
+by_text (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  return strcmp (a, b);
+}
+
+FakeStore *
+fake_store_new (struct ev_loop *loop, const char *addr)
+{
+  FakeStore *s = g_new0 (FakeStore, 1);
+
+  s->loop = loop;
+  s->items = g_tree_new_full (by_text, NULL, g_free, item_free);
+  s->history = g_ptr_array_new_with_free_func (item_free);
+  s->waiters = g_ptr_array_new ();
+  fake_http_listen (loop, addr, on_request, s);
+  return s;
+}
--- /dev/null
+++ b/standins/fake-store.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "fake-http.h"
+
+/**
+ * The stand-in of the platform's metadata store: range in pages, watch,
+ * revisions, a history that can be forgotten.  Tests steer it by calls of
+ * their own under /test/:
+ *
+ *   POST /test/put?key=K        write the body under K
+ *   POST /test/delete?key=K
+ *   POST /test/mode?mode=M      up, silent, busy (503), reset
+ *   POST /test/forget           drop the history; waiting watches are cut
+ */
+typedef struct FakeStore FakeStore;
+
+FakeStore *fake_store_new (struct ev_loop *loop, const char *addr);
+
+/** fake_store_put: as the operator or a target writes. */
+void fake_store_put (FakeStore *s, const char *key, const char *value);
--- /dev/null
+++ b/standins/fake-target.c
@@ -0,0 +1,455 @@
+#include "fake-target.h"
+
+#include "fake-group.h"
+#include "platform/names.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** Events of a stream whose request does not say how many tokens. */
+#define DEFAULT_EVENTS 8
+#define TOKENS_PER_EVENT 4
+
+struct FakeTarget
+{
+  struct ev_loop *loop;
+  FakeStore *store;
+  char *id;
+  char *service;
+  char *addr;
+  int slots;
+  int work_ms;
+  FakeGroup *group; /**< %NULL for a plain service */
+  int rank;
+  gboolean draining;
+  int busy;
+  char *fault;      /**< what the next @fault_left requests meet */
+  int fault_left;
+  GHashTable *runs; /**< request id -> how often it ran */
+  guint64 n_runs;
+  guint64 n_doubled;
+  guint64 n_gone;   /**< callers that left while it worked */
+};
+
+/** Work: a plain request being worked on. */
+typedef struct
+{
+  FakeTarget *t;
+  FakeConn *c;
+  ev_timer timer;
+  char *fault;
+} Work;
+
+static void
+publish (FakeTarget *t)
+{
+  char *key = g_strconcat (PF_KEY_TARGETS, t->id, NULL);
+  json_t *o = json_pack (
+      "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service", t->service, "addr",
+      t->addr, "zone", "dc1", "version", "v1", "slots", t->slots, "state",
+      t->draining ? "draining" : "ready", "cold-left-ms", 0, "seq", 1);
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  fake_store_put (t->store, key, text);
+  free (text);
+  json_decref (o);
+  g_free (key);
+}
+
+static char *
+answer_headers (const FakeTarget *t, const char *id, gboolean is_signed)
+{
+  return g_strdup_printf ("%s%s%s%s%s%sKeep-Alive: timeout=5\r\n",
+                          PF_HDR_REQUEST_ID ": ", id, "\r\n",
+                          is_signed ? PF_HDR_SIGNATURE ": " : "",
+                          is_signed ? t->id : "", is_signed ? "\r\n" : "");
+}
+
+/* Counts a run; the oracle of "at most once". */
+static void
+count_run (FakeTarget *t, const char *id)
+{
+  int n = GPOINTER_TO_INT (g_hash_table_lookup (t->runs, id)) + 1;
+
+  g_hash_table_replace (t->runs, g_strdup (id), GINT_TO_POINTER (n));
+  t->n_runs++;
+  if (n == 2)
+    t->n_doubled++;
+}
+
+static char *
+take_fault (FakeTarget *t)
+{
+  if (t->fault_left <= 0)
+    return NULL;
+  t->fault_left--;
+  return g_strdup (t->fault);
+}
+
+static void
+end_work (Work *w)
+{
+  ev_timer_stop (w->t->loop, &w->timer);
+  w->t->busy--;
+  w->c->work = NULL;
+  g_free (w->fault);
+  g_free (w);
+}
+
+static void
+on_gone (FakeConn *c)
+{
+  Work *w = c->work;
+
+  w->t->n_gone++;
+  end_work (w);
+}
+
+/* The answer that a fault makes of a good one; TRUE if it was sent. */
+static gboolean
+spoil (FakeTarget *t, FakeConn *c, const char *fault, const char *headers)
+{
+  char *text;
+
+  if (g_strcmp0 (fault, "fail") == 0)
+    fake_http_answer (c, 500, headers, "failed\n", -1);
+  else if (g_strcmp0 (fault, "lost") == 0)
+    fake_http_reset (c);
+  else if (g_strcmp0 (fault, "truncate") == 0)
+    {
+      text = g_strdup_printf (
+          "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\nhalf", headers);
+      fake_http_raw (c, text, strlen (text));
+      fake_http_reset (c);
+      g_free (text);
+    }
+  else if (g_strcmp0 (fault, "garbage") == 0)
+    {
+      fake_http_raw (c, "\x01\x02 no answer\r\n\r\n", 15);
+      fake_http_reset (c);
+    }
+  else if (g_strcmp0 (fault, "unframed") == 0)
+    {
+      text = g_strdup_printf ("HTTP/1.1 200 OK\r\n%s\r\nunframed %s", headers,
+                              t->id);
+      c->close = TRUE;
+      c->answering = FALSE;
+      fake_http_raw (c, text, strlen (text));
+      g_free (text);
+    }
+  else
+    return FALSE;
+  return TRUE;
+}
+
+static void
+answer_plain (FakeTarget *t, FakeConn *c, const char *fault)
+{
+  const char *id = cf_http_reader_header (&c->reader, CF_HDR_REQUEST_ID);
+  const char *org = cf_http_reader_header (&c->reader, CF_HDR_ORG);
+  gboolean is_signed = g_strcmp0 (fault, "unsigned") != 0;
+  char *headers = answer_headers (t, id, is_signed);
+  char *own = g_strdup (id);
+  char *body = g_strdup_printf (
+      "%s %s %s org=%s key=%s body=%s", t->id,
+      http_method_str (c->reader.parser.method),
+      cf_http_reader_target (&c->reader), org ? org : "-",
+      cf_http_reader_header (&c->reader, CF_HDR_API_KEY) ? "shown" : "hidden",
+      c->body->str);
+
+  if (!spoil (t, c, fault, headers))
+    fake_http_answer (c, 200, headers, body, -1);
+  if (g_strcmp0 (fault, "extra") == 0)
+    {
+      /* A second answer to a request already answered. */
+      char *again = g_strdup_printf (
+          "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nextra", headers);
+
+      fake_http_raw (c, again, strlen (again));
+      g_free (again);
+    }
+  g_free (own);
+  g_free (headers);
+  g_free (body);
+}
+
+static void
+on_worked (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  Work *w = timer->data;
+  FakeTarget *t = w->t;
+  FakeConn *c = w->c;
+  char *fault = g_steal_pointer (&w->fault);
+
+  end_work (w);
+  answer_plain (t, c, fault);
+  g_free (fault);
+}
+
+static void
+begin_plain (FakeTarget *t, FakeConn *c, char *fault)
+{
+  Work *w = g_new0 (Work, 1);
+  gboolean hangs = g_strcmp0 (fault, "hang") == 0;
+
+  w->t = t;
+  w->c = c;
+  w->fault = fault;
+  c->work = w;
+  c->gone = on_gone;
+  t->busy++;
+  ev_timer_init (&w->timer, on_worked, (double)t->work_ms / 1000, 0);
+  w->timer.data = w;
+  if (!hangs)
+    ev_timer_start (t->loop, &w->timer);
+}
+
+static void
+end_stream (FakeConn *c)
+{
+  FakeStream *st = c->work;
+  FakeTarget *t = c->data;
+
+  TAILQ_REMOVE (&t->group->ranks[t->rank].streams, st, link);
+  t->group->ranks[t->rank].s.running--;
+  t->busy--;
+  g_free (st->head);
+  g_free (st);
+}
+
+static void
+begin_stream (FakeTarget *t, FakeConn *c, const char *id, char *fault)
+{
+  FakeStream *st = g_new0 (FakeStream, 1);
+  const char *size = cf_http_reader_header (&c->reader, CF_HDR_SIZE);
+  const char *after = cf_http_reader_header (&c->reader, CF_HDR_LAST_EVENT);
+  const char *comma = size ? strchr (size, ',') : NULL;
+
+  st->c = c;
+  st->next_event = after ? atoi (after) + 1 : 1;
+  st->last_event = comma ? (atoi (comma + 1) + TOKENS_PER_EVENT - 1)
+                               / TOKENS_PER_EVENT
+                         : DEFAULT_EVENTS;
+  st->head = answer_headers (t, id, TRUE);
+  st->cut_after = g_strcmp0 (fault, "cut") == 0 ? st->next_event + 2 : -1;
+  g_free (fault);
+  c->work = st;
+  c->gone = end_stream;
+  t->busy++;
+  t->group->ranks[t->rank].s.running++;
+  TAILQ_INSERT_TAIL (&t->group->ranks[t->rank].streams, st, link);
+  fake_group_wake (t->group);
+}
+
+static void
+refuse (FakeConn *c, const char *id, int status)
+{
+  char *h = g_strdup_printf ("%s: %s\r\n%s: 1\r\n", PF_HDR_REQUEST_ID,
+                             id ? id : "-", PF_HDR_NOT_RUN);
+
+  fake_http_answer (c, status, h, "", 0);
+  g_free (h);
+}
+
+static void
+take_work (FakeTarget *t, FakeConn *c)
+{
+  const char *id = cf_http_reader_header (&c->reader, CF_HDR_REQUEST_ID);
+  const char *expect
+      = cf_http_reader_header (&c->reader, CF_HDR_EXPECT_TARGET);
+  char *fault;
+
+  if (!id)
+    {
+      refuse (c, id, 400);
+      return;
+    }
+  if (expect && strcmp (expect, t->id) != 0)
+    {
+      fake_http_answer (c, 421, NULL, "", 0);
+      return;
+    }
+  fault = take_fault (t);
+  if (t->busy >= t->slots * 2 || g_strcmp0 (fault, "full") == 0)
+    {
+      refuse (c, id, 503);
+      g_free (fault);
+      return;
+    }
+  count_run (t, id);
+  if (t->group)
+    begin_stream (t, c, id, fault);
+  else
+    begin_plain (t, c, fault);
+}
+
+/* What a rank tells of itself */
+
+static void
+answer_json (FakeConn *c, json_t *o)
+{
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  fake_http_answer (c, 200, "Content-Type: application/json\r\n", text, -1);
+  free (text);
+  json_decref (o);
+}
+
+static void
+answer_report (FakeTarget *t, FakeConn *c)
+{
+  const CfRankStatus *s = &t->group->ranks[t->rank].s;
+
+  answer_json (c, json_pack ("{s:s,s:[],s:b,s:i,s:I,s:I,s:{s:s,s:I,s:i,s:s},"
+                             "s:i,s:I,s:I,s:I,s:I,s:I}",
+                             "stage", "both", "models", "busy", 0, "seq", 0,
+                             "waiting", s->waiting, "running", s->running,
+                             "group", "name", s->group, "epoch", s->epoch,
+                             "rank", s->rank, "state", "open", "size",
+                             s->size, "step", s->step, "map", s->map,
+                             "prepared", s->prepared, "armed", s->armed,
+                             "held", s->held));
+}
+
+static void
+answer_lists (FakeTarget *t, FakeConn *c)
+{
+  FakeGroup *g = t->group;
+  json_t *sets = json_array ();
+
+  for (int s = 0; s < g->shape.sets; s++)
+    {
+      json_t *row = json_array ();
+
+      for (int p = 0; p < g->shape.places; p++)
+        {
+          int e = cf_group_map_at (g->map, s, t->rank)[p];
+
+          if (e >= 0)
+            json_array_append_new (row, json_integer (e));
+        }
+      json_array_append_new (sets, row);
+    }
+  answer_json (c, json_pack ("{s:{s:I,s:o},s:{s:I,s:[]}}", "map", "version",
+                             g->ranks[t->rank].s.map, "experts", sets,
+                             "prepared", "version",
+                             g->ranks[t->rank].s.prepared, "experts"));
+}
+
+static void
+answer_picked (FakeTarget *t, FakeConn *c)
+{
+  FakeGroup *g = t->group;
+  char *lists = fake_http_query (c, "lists");
+  json_t *counts;
+
+  if (lists)
+    {
+      g_free (lists);
+      answer_lists (t, c);
+      return;
+    }
+  counts = json_array ();
+  for (int i = 0; i < g->shape.sets * g->shape.experts; i++)
+    json_array_append_new (counts,
+                           json_integer (g->ranks[t->rank].counts[i]));
+  answer_json (c, json_pack ("{s:I,s:I,s:o}", "step", g->ranks[t->rank].s.step,
+                             "epoch", g->epoch, "counts", counts));
+}
+
+/* The test's own calls */
+
+static void
+answer_runs (FakeTarget *t, FakeConn *c)
+{
+  const FakeGroup *g = t->group;
+
+  answer_json (c, json_pack ("{s:I,s:I,s:I,s:I,s:I,s:f}", "runs", t->n_runs,
+                             "doubled", t->n_doubled, "gone", t->n_gone,
+                             "mixed", g ? g->mixed : 0, "passes",
+                             g ? g->passes : 0, "skew",
+                             g && g->passes ? g->skew_sum / (double)g->passes
+                                            : 0.0));
+}
+
+static void
+set_fault (FakeTarget *t, FakeConn *c)
+{
+  char *x = fake_http_query (c, "x");
+
+  g_free (t->fault);
+  t->fault = fake_http_query (c, "kind");
+  t->fault_left = x ? atoi (x) : 1;
+  g_free (x);
+  fake_http_answer (c, 200, NULL, "", 0);
+}
+
+static void
+on_request (void *data, FakeConn *c)
+{
+  FakeTarget *t = data;
+
+  if (fake_http_is (c, "/test/runs"))
+    answer_runs (t, c);
+  else if (fake_http_is (c, "/test/fault"))
+    set_fault (t, c);
+  else if (fake_http_is (c, "/test/drain"))
+    {
+      t->draining = TRUE;
+      publish (t);
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
+  else if (t->group && fake_http_is (c, PF_PATH_REPORT))
+    answer_report (t, c);
+  else if (t->group && fake_http_is (c, PF_PATH_PICKED))
+    answer_picked (t, c);
+  else if (t->group && fake_http_is (c, PF_PATH_ORDER))
+    fake_http_answer (
+        c, fake_group_order (t->group, t->rank, c->body->str, c->body->len),
+        NULL, "", 0);
+  else
+    take_work (t, c);
+}
+
+static FakeTarget *
+new_target (struct ev_loop *loop, FakeStore *store, const char *id,
+            const char *service, const char *addr, int slots)
+{
+  FakeTarget *t = g_new0 (FakeTarget, 1);
+
+  t->loop = loop;
+  t->store = store;
+  t->id = g_strdup (id);
+  t->service = g_strdup (service);
+  t->addr = g_strdup (addr);
+  t->slots = slots;
+  t->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fake_http_listen (loop, addr, on_request, t);
+  return t;
+}
+
+FakeTarget *
+fake_target_plain (struct ev_loop *loop, FakeStore *store, const char *id,
+                   const char *service, const char *addr, int slots,
+                   int work_ms)
+{
+  FakeTarget *t = new_target (loop, store, id, service, addr, slots);
+
+  t->work_ms = work_ms;
+  publish (t);
+  return t;
+}
+
+FakeTarget *
+fake_target_rank (struct ev_loop *loop, FakeStore *store, FakeGroup *g,
+                  int rank, const char *id, const char *service,
+                  const char *addr, int slots)
+{
+  FakeTarget *t = new_target (loop, store, id, service, addr, slots);
+
+  t->group = g;
+  t->rank = rank;
+  publish (t);
+  return t;
+}
--- /dev/null
+++ b/standins/fake-target.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fake-store.h"
+
+/**
+ * The stand-in of a target: a plain service, or a rank of a model engine's
+ * group.  It signs its answers, keeps count of what it ran, and can be told
+ * to misbehave.  Tests steer it under /test/:
+ *
+ *   POST /test/fault?kind=K&x=N  the next N requests meet fault K: full,
+ *        fail, lost (run, then reset), truncate, garbage, extra (a second
+ *        answer), unsigned, unframed, hang, cut (a stream, in an event)
+ *   POST /test/drain             says that it leaves
+ *   GET  /test/runs              what it ran: runs, ids, doubled, mixed
+ */
+typedef struct FakeTarget FakeTarget;
+typedef struct FakeGroup FakeGroup;
+
+/** fake_target_plain: a plain service at @addr that works @work_ms. */
+FakeTarget *fake_target_plain (struct ev_loop *loop, FakeStore *store,
+                               const char *id, const char *service,
+                               const char *addr, int slots, int work_ms);
+
+/** FakeGroupShape: the engine of a rank group. */
+typedef struct
+{
+  int ranks;
+  int sets;
+  int experts;
+  int places;
+  int spare;
+  double step_ms;   /**< a pass at even load */
+  double copy_ms;   /**< for one expert */
+  double shift_s;   /**< other experts are in demand each so often; 0: never */
+} FakeGroupShape;
+
+FakeGroup *fake_group_new (struct ev_loop *loop, const FakeGroupShape *shape);
+
+/** fake_target_rank: rank @rank of @g at @addr. */
+FakeTarget *fake_target_rank (struct ev_loop *loop, FakeStore *store,
+                              FakeGroup *g, int rank, const char *id,
+                              const char *service, const char *addr,
+                              int slots);
--- /dev/null
+++ b/t/t-balancer.c
@@ -0,0 +1,213 @@
+/* The table of targets, and which of them gets a request. */
+#include "gateway/balancer.h"
+#include "gateway/wait-queue.h"
+#include "harness.h"
+
+#include <string.h>
+
+static CfTargetTable table;
+
+static CfTargetChange
+put (const char *id, const char *service, const char *dc, const char *addr,
+     gboolean leaving, gint64 rev)
+{
+  CfTargetRecord r = { 0 };
+
+  r.id = g_strdup (id);
+  r.service = g_strdup (service);
+  r.data_centre = g_strdup (dc);
+  r.addr = g_strdup (addr);
+  r.slots = 4;
+  r.leaving = leaving;
+  return cf_target_table_put (&table, &r, "{}", 2, rev);
+}
+
+static CfTarget *
+get (const char *id)
+{
+  return g_hash_table_lookup (table.by_id, id);
+}
+
+static CfPickWhy
+pick (gint64 now, const GPtrArray *tried, CfTarget **t)
+{
+  const CfPickInput in = { "s", "dc1", tried, now };
+
+  return cf_balancer_pick (&table, &in, t);
+}
+
+static void
+setup (void)
+{
+  cf_target_table_init (&table);
+  put ("a", "s", "dc1", "1.1.1.1:1", FALSE, 1);
+  put ("b", "s", "dc2", "1.1.1.2:1", FALSE, 2);
+  put ("c", "s", "dc2", "1.1.1.3:1", FALSE, 3);
+  put ("x", "other", "dc1", "1.1.1.4:1", FALSE, 4);
+}
+
+static void
+teardown (void)
+{
+  cf_target_table_clear (&table);
+}
+
+START_TEST (the_least_loaded_is_picked)
+{
+  CfTarget *t;
+
+  ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a"); /* ours among equals */
+  get ("a")->in_flight = 2;
+  get ("b")->in_flight = 1;
+  get ("c")->in_flight = 3;
+  ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "b");
+}
+END_TEST
+
+START_TEST (load_is_spread_evenly)
+{
+  for (int i = 0; i < 12; i++)
+    {
+      CfTarget *t;
+
+      ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
+      t->in_flight++;
+    }
+  ck_assert_uint_eq (get ("a")->in_flight, 4);
+  ck_assert_uint_eq (get ("b")->in_flight, 4);
+  ck_assert_uint_eq (get ("c")->in_flight, 4);
+}
+END_TEST
+
+START_TEST (leaving_and_tried_ones_get_nothing)
+{
+  GPtrArray *tried = g_ptr_array_new ();
+  CfTarget *t;
+
+  ck_assert_int_eq (put ("a", "s", "dc1", "1.1.1.1:1", TRUE, 9),
+                    CF_TARGET_LEAVING);
+  g_ptr_array_add (tried, get ("b"));
+  for (int i = 0; i < 5; i++)
+    {
+      ck_assert_int_eq (pick (0, tried, &t), CF_PICK_OK);
+      ck_assert_str_eq (t->record.id, "c");
+    }
+  g_ptr_array_add (tried, get ("c"));
+  ck_assert_int_eq (pick (0, tried, &t), CF_PICK_NO_TARGET);
+  g_ptr_array_free (tried, TRUE);
+}
+END_TEST
+
+START_TEST (full_ones_make_a_request_wait)
+{
+  CfTarget *t;
+
+  get ("a")->in_flight = 4;
+  get ("b")->in_flight = 4;
+  get ("c")->full_until_ms = 100;
+  ck_assert_int_eq (pick (99, NULL, &t), CF_PICK_FULL);
+  ck_assert_int_eq (pick (100, NULL, &t), CF_PICK_OK);
+}
+END_TEST
+
+/* An ejection is a guess: when all are ejected they are used. */
+START_TEST (ejected_ones_are_the_last_resort)
+{
+  CfTarget *t;
+
+  for (int i = 0; i < CF_OUTLIER_FAILURES; i++)
+    {
+      cf_outlier_failure (&get ("a")->outlier, 0);
+      cf_outlier_failure (&get ("b")->outlier, 0);
+    }
+  for (int i = 0; i < 5; i++)
+    {
+      ck_assert_int_eq (pick (1, NULL, &t), CF_PICK_OK);
+      ck_assert_str_eq (t->record.id, "c");
+    }
+  cf_target_table_remove (&table, "c");
+  ck_assert_int_eq (pick (1, NULL, &t), CF_PICK_OK);
+}
+END_TEST
+
+START_TEST (old_and_bad_records_are_dropped)
+{
+  ck_assert_int_eq (put ("a", "s", "dc1", "1.1.1.1:1", TRUE, 0),
+                    CF_TARGET_SAME);
+  ck_assert (!get ("a")->record.leaving);
+  ck_assert_int_eq (put ("n", "s", "dc1", "nowhere", FALSE, 9), CF_TARGET_BAD);
+  ck_assert_ptr_null (get ("n"));
+  /* The same id at another address is another target. */
+  ck_assert_int_eq (put ("a", "s", "dc1", "1.1.1.9:1", FALSE, 10),
+                    CF_TARGET_NEW);
+  ck_assert_str_eq (get ("a")->record.addr, "1.1.1.9:1");
+}
+END_TEST
+
+START_TEST (work_outlives_its_listing)
+{
+  CfTarget *t = cf_target_ref (get ("a"));
+
+  ck_assert (cf_target_table_remove (&table, "a"));
+  ck_assert (!t->listed);
+  ck_assert_str_eq (t->record.id, "a");
+  cf_target_unref (t);
+}
+END_TEST
+
+START_TEST (urgent_ones_wait_in_front)
+{
+  CfWaitQueue q;
+  CfWaiter w[4] = { { .priority = 2 }, { .priority = 1 }, { .priority = 2 },
+                    { .priority = 0 } };
+  CfWaiter *evicted;
+
+  cf_wait_queue_init (&q);
+  for (int i = 0; i < 3; i++)
+    ck_assert (cf_wait_queue_add (&q, &w[i], 3, &evicted));
+  ck_assert_ptr_eq (TAILQ_FIRST (&q.waiters), &w[1]);
+  /* Full: the last of the least urgent makes room for a more urgent one. */
+  ck_assert (cf_wait_queue_add (&q, &w[3], 3, &evicted));
+  ck_assert_ptr_eq (evicted, &w[2]);
+  ck_assert_ptr_eq (TAILQ_FIRST (&q.waiters), &w[3]);
+  ck_assert (!cf_wait_queue_add (&q, &w[2], 3, &evicted));
+  cf_wait_queue_remove (&q, &w[3]);
+  ck_assert_ptr_eq (TAILQ_FIRST (&q.waiters), &w[1]);
+}
+END_TEST
+
+START_TEST (callers_come_back_within_what_they_accept)
+{
+  for (guint spread = 0; spread < 1000; spread += 7)
+    {
+      gint64 ms = cf_retry_after_ms (3000, 400, spread);
+
+      ck_assert_int_ge (ms, 400);
+      ck_assert_int_lt (ms, 800);
+      ck_assert_int_le (cf_retry_after_ms (300, 400, spread), 100);
+    }
+  ck_assert_int_eq (cf_retry_after_ms (-5, 400, 3), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("balancer");
+  TCase *t = tcase_create ("balancer");
+
+  tcase_add_checked_fixture (t, setup, teardown);
+  tcase_add_test (t, the_least_loaded_is_picked);
+  tcase_add_test (t, load_is_spread_evenly);
+  tcase_add_test (t, leaving_and_tried_ones_get_nothing);
+  tcase_add_test (t, full_ones_make_a_request_wait);
+  tcase_add_test (t, ejected_ones_are_the_last_resort);
+  tcase_add_test (t, old_and_bad_records_are_dropped);
+  tcase_add_test (t, work_outlives_its_listing);
+  tcase_add_test (t, urgent_ones_wait_in_front);
+  tcase_add_test (t, callers_come_back_within_what_they_accept);
+  suite_add_tcase (s, t);
+  return t_run (s);
+}
--- /dev/null
+++ b/t/t-event-stream.c
@@ -0,0 +1,99 @@
+/* Cutting event streams into whole events, and going on elsewhere. */
+#include "gateway/event-stream.h"
+#include "harness.h"
+
+#include <string.h>
+
+static const char stream[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                             "comment: x\nid:3\ndata: c\n\n";
+
+START_TEST (any_cut_gives_the_same_events)
+{
+  for (gsize step = 1; step < 30; step++)
+    {
+      CfEventStream s;
+      GString *out = g_string_new (NULL);
+      guint n = 0;
+
+      cf_event_stream_init (&s);
+      for (gsize at = 0; at < strlen (stream); at += step)
+        n += cf_event_stream_feed (&s, stream + at,
+                                   MIN (step, strlen (stream) - at), out);
+      ck_assert_str_eq (out->str, stream);
+      ck_assert_uint_eq (n, 3);
+      ck_assert_int_eq (s.last_id, 3);
+      ck_assert (!cf_event_stream_torn (&s));
+      g_string_free (out, TRUE);
+      cf_event_stream_clear (&s);
+    }
+}
+END_TEST
+
+START_TEST (a_torn_event_is_held_back)
+{
+  CfEventStream s;
+  GString *out = g_string_new (NULL);
+
+  cf_event_stream_init (&s);
+  cf_event_stream_feed (&s, "id: 1\ndata: a\n\nid: 2\nda", 23, out);
+  ck_assert_str_eq (out->str, "id: 1\ndata: a\n\n");
+  ck_assert (cf_event_stream_torn (&s));
+  /* Another target goes on; it may begin with events we have. */
+  cf_event_stream_restart (&s);
+  g_string_truncate (out, 0);
+  cf_event_stream_feed (&s, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 30, out);
+  ck_assert_str_eq (out->str, "id: 2\ndata: b\n\n");
+  ck_assert_uint_eq (s.n_dropped, 1);
+  g_string_free (out, TRUE);
+  cf_event_stream_clear (&s);
+}
+END_TEST
+
+/* However often and wherever a stream breaks off, the caller gets each
+ * event once, in order. */
+START_TEST (resumed_streams_are_whole)
+{
+  GRand *rand = g_rand_new_with_seed (11);
+
+  for (int round = 0; round < 2000; round++)
+    {
+      CfEventStream s;
+      GString *out = g_string_new (NULL);
+      GString *want = g_string_new (NULL);
+
+      cf_event_stream_init (&s);
+      for (int e = 1; e <= 20; e++)
+        g_string_append_printf (want, "id: %d\ndata: %d\n\n", e, e * e);
+      while (s.last_id < 20)
+        {
+          GString *run = g_string_new (NULL);
+
+          for (int e = (int)MAX (s.last_id, 0) + 1; e <= 20; e++)
+            g_string_append_printf (run, "id: %d\ndata: %d\n\n", e, e * e);
+          cf_event_stream_feed (
+              &s, run->str, (gsize)g_rand_int_range (rand, 0, (int)run->len + 1),
+              out);
+          cf_event_stream_restart (&s);
+          g_string_free (run, TRUE);
+        }
+      ck_assert_str_eq (out->str, want->str);
+      g_string_free (out, TRUE);
+      g_string_free (want, TRUE);
+      cf_event_stream_clear (&s);
+    }
+  g_rand_free (rand);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("event-stream");
+  TCase *t = tcase_create ("event-stream");
+
+  tcase_add_test (t, any_cut_gives_the_same_events);
+  tcase_add_test (t, a_torn_event_is_held_back);
+  tcase_add_test (t, resumed_streams_are_whole);
+  suite_add_tcase (s, t);
+  return t_run (s);
+}
--- /dev/null
+++ b/t/t-group-map.c
@@ -0,0 +1,157 @@
+/* Planning expert maps: whole, bounded, better; and the figures. */
+#include "gateway/group-map.h"
+#include "harness.h"
+
+#include <math.h>
+
+static const CfGroupShape shape = { 4, 64, 16, 5, 2 };
+
+static CfGroupMap *
+first_map (const CfGroupShape *sh)
+{
+  CfGroupMap *m = cf_group_map_new (sh);
+
+  for (int s = 0; s < sh->sets; s++)
+    for (int e = 0; e < sh->experts; e++)
+      cf_group_map_at (m, s, e % sh->ranks)[e / sh->ranks] = (gint16)e;
+  return m;
+}
+
+/* Zipf-like demand in an order of its own for each set. */
+static double *
+demand (const CfGroupShape *sh, guint32 seed)
+{
+  GRand *rand = g_rand_new_with_seed (seed);
+  double *t = g_new (double, sh->sets * sh->experts);
+
+  for (int i = 0; i < sh->sets * sh->experts; i++)
+    t[i] = pow (g_rand_int_range (rand, 1, sh->experts + 1), -0.9);
+  g_rand_free (rand);
+  return t;
+}
+
+static void
+check_bounds (const CfGroupMap *from, const CfGroupMap *to, int max_new)
+{
+  ck_assert (cf_group_map_whole (to));
+  for (int s = 0; s < shape.sets; s++)
+    for (int r = 0; r < shape.ranks; r++)
+      {
+        int added = 0;
+
+        for (int p = 0; p < shape.places; p++)
+          {
+            int e = cf_group_map_at (to, s, r)[p];
+
+            added += e >= 0 && !cf_group_map_holds (from, s, r, e);
+          }
+        ck_assert_int_le (added, max_new);
+      }
+}
+
+/* One change takes most of the skew away: before it, 3.05 at seed 1. */
+START_TEST (one_change_evens_the_load)
+{
+  const CfPlanLimits limits = { 1, 0.02, 0.01 };
+
+  for (guint32 seed = 1; seed <= 50; seed++)
+    {
+      CfGroupMap *from = first_map (&shape);
+      double *t = demand (&shape, seed);
+      CfGroupMap *to = cf_group_map_plan (from, t, &limits);
+
+      ck_assert_ptr_nonnull (to);
+      check_bounds (from, to, 1);
+      ck_assert_double_lt (cf_group_map_skew (to, t), 1.25);
+      ck_assert_double_gt (cf_group_map_skew (from, t), 1.7);
+      cf_group_map_free (from);
+      cf_group_map_free (to);
+      g_free (t);
+    }
+}
+END_TEST
+
+/* Copies that save little are left out; the skew stays nearly as low. */
+START_TEST (fewer_copies_nearly_as_even)
+{
+  const CfPlanLimits all = { 1, 0.02, 0.01 };
+  const CfPlanLimits few = { 1, 0.2, 0.12 };
+  int n_all = 0;
+  int n_few = 0;
+  double worst = 0;
+
+  for (guint32 seed = 1; seed <= 50; seed++)
+    {
+      CfGroupMap *from = first_map (&shape);
+      double *t = demand (&shape, seed);
+      CfGroupMap *a = cf_group_map_plan (from, t, &all);
+      CfGroupMap *f = cf_group_map_plan (from, t, &few);
+
+      n_all += cf_group_map_added (from, a);
+      n_few += cf_group_map_added (from, f);
+      worst = MAX (worst, cf_group_map_skew (f, t));
+      cf_group_map_free (from);
+      cf_group_map_free (a);
+      cf_group_map_free (f);
+      g_free (t);
+    }
+  ck_assert_int_lt (n_few * 10, n_all * 9);
+  ck_assert_double_lt (worst, 1.5);
+}
+END_TEST
+
+START_TEST (nothing_is_done_without_gain)
+{
+  const CfPlanLimits limits = { 2, 0.05, 0.01 };
+  CfGroupMap *from = first_map (&shape);
+  double *t = g_new (double, shape.sets * shape.experts);
+
+  for (int i = 0; i < shape.sets * shape.experts; i++)
+    t[i] = 1;
+  ck_assert_ptr_null (cf_group_map_plan (from, t, &limits));
+  for (int i = 0; i < shape.sets * shape.experts; i++)
+    t[i] = 0;
+  ck_assert_ptr_null (cf_group_map_plan (from, t, &limits));
+  cf_group_map_free (from);
+  g_free (t);
+}
+END_TEST
+
+/* Change after change under random demand, maps stay whole and bounded. */
+START_TEST (many_changes_stay_whole)
+{
+  const CfPlanLimits limits = { 2, 0.05, 0.02 };
+  CfGroupMap *m = first_map (&shape);
+
+  for (guint32 seed = 1; seed <= 200; seed++)
+    {
+      double *t = demand (&shape, seed);
+      CfGroupMap *to = cf_group_map_plan (m, t, &limits);
+
+      if (to)
+        {
+          check_bounds (m, to, 2);
+          ck_assert_double_lt (cf_group_map_skew (to, t),
+                               cf_group_map_skew (m, t));
+          cf_group_map_free (m);
+          m = to;
+        }
+      g_free (t);
+    }
+  cf_group_map_free (m);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("group-map");
+  TCase *t = tcase_create ("group-map");
+
+  tcase_add_test (t, one_change_evens_the_load);
+  tcase_add_test (t, fewer_copies_nearly_as_even);
+  tcase_add_test (t, nothing_is_done_without_gain);
+  tcase_add_test (t, many_changes_stay_whole);
+  suite_add_tcase (s, t);
+  return t_run (s);
+}
--- /dev/null
+++ b/t/t-peer-msg.c
@@ -0,0 +1,144 @@
+/* Messages between our processes: each kind both ways, and bad frames. */
+#include "gateway/peer-msg.h"
+#include "harness.h"
+
+#include <string.h>
+
+static CfPeerBytes
+bytes (const char *s)
+{
+  CfPeerBytes b = { s, strlen (s) };
+
+  return b;
+}
+
+static void
+there_and_back (const CfPeerMsg *m, CfPeerMsg *out, msgpack_unpacked *zone,
+                msgpack_sbuffer *buf)
+{
+  msgpack_sbuffer_init (buf);
+  cf_peer_msg_pack (m, buf);
+  ck_assert_int_eq (cf_peer_msg_unpack (buf->data, buf->size, zone, out),
+                    CF_OK);
+  ck_assert_int_eq (out->kind, m->kind);
+}
+
+static void
+release (CfPeerMsg *m, msgpack_unpacked *zone, msgpack_sbuffer *buf)
+{
+  cf_peer_msg_clear (m);
+  msgpack_unpacked_destroy (zone);
+  msgpack_sbuffer_destroy (buf);
+}
+
+START_TEST (status_and_counts)
+{
+  CfPeerMsg m = { .kind = CF_PEER_RANK_STATUS };
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+  gint64 n = 77;
+
+  g_strlcpy (m.u.rank_status.status.group, "g0",
+             sizeof m.u.rank_status.status.group);
+  m.u.rank_status.status.rank = 3;
+  m.u.rank_status.status.held = 1LL << 40;
+  m.u.rank_status.seeds_up = 5;
+  m.u.rank_status.counts = g_array_new (FALSE, FALSE, sizeof (gint64));
+  g_array_append_val (m.u.rank_status.counts, n);
+  there_and_back (&m, &o, &zone, &buf);
+  ck_assert_str_eq (o.u.rank_status.status.group, "g0");
+  ck_assert_int_eq (o.u.rank_status.status.held, 1LL << 40);
+  ck_assert_uint_eq (o.u.rank_status.seeds_up, 5);
+  ck_assert_int_eq (g_array_index (o.u.rank_status.counts, gint64, 0), 77);
+  release (&o, &zone, &buf);
+  cf_peer_msg_clear (&m);
+}
+END_TEST
+
+START_TEST (greeting_policy_targets)
+{
+  CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
+  CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), 12 };
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+
+  m.u.gateway_hello.addr = bytes ("1.2.3.4:5");
+  m.u.gateway_hello.policy_rev = 9;
+  m.u.gateway_hello.want = CF_PEER_WANT_TARGETS;
+  there_and_back (&m, &o, &zone, &buf);
+  ck_assert_uint_eq (o.u.gateway_hello.want, CF_PEER_WANT_TARGETS);
+  ck_assert_int_eq (o.u.gateway_hello.policy_rev, 9);
+  release (&o, &zone, &buf);
+  m.kind = CF_PEER_TARGETS;
+  m.u.targets.as_of = 12;
+  m.u.targets.items = g_array_new (FALSE, FALSE, sizeof (CfPeerTarget));
+  g_array_append_val (m.u.targets.items, t);
+  there_and_back (&m, &o, &zone, &buf);
+  ck_assert_uint_eq (o.u.targets.items->len, 1);
+  ck_assert_int_eq (
+      memcmp (g_array_index (o.u.targets.items, CfPeerTarget, 0).id.data,
+              "i-1", 3),
+      0);
+  release (&o, &zone, &buf);
+  cf_peer_msg_clear (&m);
+}
+END_TEST
+
+START_TEST (order_and_answer)
+{
+  CfPeerMsg m = { .kind = CF_PEER_ORDER };
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+
+  m.u.order.seq = 4;
+  m.u.order.order = CF_ORDER_HOLD;
+  m.u.order.body = bytes ("{\"op\":1}");
+  there_and_back (&m, &o, &zone, &buf);
+  ck_assert_int_eq (o.u.order.order, CF_ORDER_HOLD);
+  ck_assert_uint_eq (o.u.order.body.n, 8);
+  release (&o, &zone, &buf);
+}
+END_TEST
+
+START_TEST (bad_frames_are_refused)
+{
+  GRand *rand = g_rand_new_with_seed (3);
+
+  for (int i = 0; i < 50000; i++)
+    {
+      char frame[64];
+      gsize n = (gsize)g_rand_int_range (rand, 0, sizeof frame);
+      msgpack_unpacked zone;
+      CfPeerMsg m;
+
+      for (gsize j = 0; j < n; j++)
+        frame[j] = (char)g_rand_int (rand);
+      if (n > 2 && i % 2)
+        {
+          frame[0] = (char)(0x90 + g_rand_int_range (rand, 1, 8));
+          frame[1] = (char)g_rand_int_range (rand, 1, 12);
+        }
+      cf_peer_msg_unpack (frame, n, &zone, &m);
+      cf_peer_msg_clear (&m);
+      msgpack_unpacked_destroy (&zone);
+    }
+  g_rand_free (rand);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("peer-msg");
+  TCase *t = tcase_create ("peer-msg");
+
+  tcase_add_test (t, status_and_counts);
+  tcase_add_test (t, greeting_policy_targets);
+  tcase_add_test (t, order_and_answer);
+  tcase_add_test (t, bad_frames_are_refused);
+  suite_add_tcase (s, t);
+  return t_run (s);
+}
--- /dev/null
+++ b/t/t-platform.c
@@ -0,0 +1,258 @@
+/* The adapter: what the platform says, turned into the project's types. */
+#include "harness.h"
+#include "platform/platform-headers.h"
+#include "platform/platform-policy.h"
+#include "platform/platform-rank.h"
+#include "platform/platform-settings.h"
+#include "platform/platform-store.h"
+#include "platform/platform-target.h"
+
+#include <string.h>
+
+static const char good_settings[]
+    = "node-name=vm-1\nip=10.0.0.1\nzone=dc1\nlisten.front=10.0.0.1:80\n"
+      "listen.ready=10.0.0.1:81\nlisten.control=10.0.0.1:82\n"
+      "seed-addrs=10.0.0.1:82,10.0.0.2:82\nplatform.addr=10.0.0.9:90\n"
+      "bounds.grace-s=8\nbounds.retry-ratio=0.2\nbounds.retry-slack=88\n"
+      "bounds.require-fence=true\nlimits.memory-mb=260\nsome.new.field=7\n";
+
+START_TEST (settings_are_read)
+{
+  CfPlatformSettings s;
+
+  ck_assert_int_eq (
+      cf_platform_settings_parse (good_settings, CF_ROLE_GATEWAY, &s), CF_OK);
+  ck_assert_str_eq (s.front_addr, "10.0.0.1:80");
+  ck_assert_str_eq (s.data_centre, "dc1");
+  ck_assert_uint_eq (g_strv_length (s.seed_addrs), 2);
+  ck_assert_int_eq (s.grace_ms, 8000);
+  ck_assert_int_eq (s.retry_slack, 88);
+  ck_assert_int_eq (s.memory_mb, 260);
+  ck_assert (s.ranks_check_fence);
+  cf_platform_settings_clear (&s);
+}
+END_TEST
+
+START_TEST (wrong_settings_name_the_field)
+{
+  CfPlatformSettings s;
+
+  ck_assert_int_eq (cf_platform_settings_parse (
+                        "ip=1.2.3.4\n", CF_ROLE_GATEWAY, &s),
+                    CF_ERR_SETTINGS);
+  ck_assert_ptr_nonnull (strstr (cf_last_error (), "listen.front"));
+  ck_assert_int_eq (cf_platform_settings_parse (
+                        "ip=1.2.3.4\n", CF_ROLE_RANK_AGENT, &s),
+                    CF_ERR_SETTINGS);
+  ck_assert_ptr_nonnull (strstr (cf_last_error (), "app"));
+  ck_assert_int_eq (
+      cf_platform_settings_parse ("ip=1.2.3.4\napp=1.2.3.4:5\n"
+                                  "limits.memory-mb=lots\n",
+                                  CF_ROLE_RANK_AGENT, &s),
+      CF_ERR_SETTINGS);
+  ck_assert_ptr_nonnull (strstr (cf_last_error (), "limits.memory-mb"));
+  ck_assert_ptr_nonnull (strstr (cf_last_error (), "remedy"));
+}
+END_TEST
+
+static const char config[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"a\",\"host\":\"h.example\",\"prefix\":\"/x/\","
+      "\"kind\":\"streaming\",\"resumable\":true,\"timeout-ms\":8000,"
+      "\"aim-ms\":500,\"priority\":1,\"split\":[{\"service\":\"s1\","
+      "\"weight\":90},{\"service\":\"s2\",\"weight\":10}],"
+      "\"max-attempts\":2},"
+      "{\"name\":\"b\",\"host\":\"h.example\",\"prefix\":\"/x/y/\","
+      "\"kind\":\"unsafe\",\"service\":\"s2\",\"public\":true}],"
+      "\"services\":[{\"name\":\"s1\",\"max-conns\":5,\"engine\":"
+      "{\"sets\":4,\"experts\":64,\"places\":5,\"spare\":2}}],"
+      "\"limits\":{\"max-header-bytes\":100},"
+      "\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k1\",\"k2\"],"
+      "\"priority\":0}]}";
+
+START_TEST (configuration_is_read)
+{
+  CfPolicy *p;
+  const CfRoute *r;
+  guint first = 0;
+
+  ck_assert_int_eq (cf_platform_policy_parse (config, strlen (config), &p),
+                    CF_OK);
+  ck_assert_int_eq (p->version, 7);
+  r = cf_policy_route (p, "H.example:80", "/x/1?q=/x/y/");
+  ck_assert_str_eq (r->name, "a");
+  ck_assert_int_eq (r->repeat, CF_REPEAT_RESUME);
+  ck_assert (r->stream);
+  for (guint i = 0; i < 1000; i++)
+    first += strcmp (cf_route_pick (r, i), "s1") == 0;
+  ck_assert_uint_eq (first, 900);
+  r = cf_policy_route (p, "h.example", "/x/y/z");
+  ck_assert_str_eq (r->name, "b");
+  ck_assert_int_eq (r->repeat, CF_REPEAT_NEVER);
+  ck_assert (r->keyless);
+  ck_assert_ptr_null (cf_policy_route (p, "h.example", "/xx/"));
+  ck_assert_ptr_null (cf_policy_route (p, "other", "/x/1"));
+  ck_assert_ptr_null (cf_policy_route (p, "h.example", "/x"));
+  ck_assert_str_eq (g_hash_table_lookup (p->tenants, "k2"), "t");
+  ck_assert_int_eq (cf_policy_service (p, "s1")->engine.experts, 64);
+  ck_assert_int_eq (p->limits.max_header_bytes, 100);
+  cf_policy_unref (p);
+}
+END_TEST
+
+START_TEST (wrong_configurations_are_refused)
+{
+  const char *const bad[] = {
+    "", "{", "[]", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[]}",
+    "{\"version\":1,\"routes\":[{\"host\":\"h\",\"kind\":\"safe\"}]}",
+    "{\"version\":1,\"routes\":[{\"prefix\":\"/a/\",\"kind\":\"safe\"}]}",
+    "{\"version\":1,\"routes\":[{\"host\":\"h\",\"prefix\":\"/a/\"}]}",
+    "{\"version\":1,\"routes\":[{\"host\":\"h\",\"prefix\":\"/a/\","
+    "\"kind\":\"safe\"}]}",
+    "{\"version\":1,\"routes\":[],\"services\":[{}]}",
+    "{\"version\":1,\"routes\":[],\"tenants\":[{\"api-keys\":[\"k\"]}]}",
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      CfPolicy *p;
+
+      ck_assert_int_eq (cf_platform_policy_parse (bad[i], strlen (bad[i]), &p),
+                        CF_ERR_RECORD);
+      ck_assert_ptr_null (p);
+      ck_assert_ptr_nonnull (strstr (cf_last_error (), "remedy"));
+    }
+}
+END_TEST
+
+START_TEST (store_answers_are_read)
+{
+  const char text[] = "{\"events\":[{\"key\":\"servers/i-1\",\"value\":"
+                      "\"e30=\",\"rev\":5},{\"key\":\"servers/i-2\",\"rev\":"
+                      "6,\"removed\":true}],\"as-of\":6,\"has-more\":true}";
+  CfStoreReply r;
+  const CfStoreItem *it;
+  gsize n;
+
+  ck_assert_int_eq (cf_platform_store_parse (text, strlen (text), &r), CF_OK);
+  ck_assert_int_eq (r.as_of, 6);
+  ck_assert (r.more);
+  it = r.items->pdata[0];
+  ck_assert_str_eq (cf_platform_target_id (it->key), "i-1");
+  ck_assert_str_eq (g_bytes_get_data (it->value, &n), "{}");
+  it = r.items->pdata[1];
+  ck_assert_ptr_null (it->value);
+  cf_store_reply_clear (&r);
+  ck_assert_int_eq (cf_platform_store_parse ("{}", 2, &r), CF_ERR_PROTO);
+  ck_assert_int_eq (
+      cf_platform_store_parse ("{\"items\":[{}],\"as-of\":1}", 24, &r),
+      CF_ERR_PROTO);
+}
+END_TEST
+
+START_TEST (targets_are_read)
+{
+  const char text[] = "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":"
+                      "\"dc\",\"slots\":12,\"state\":\"draining\"}";
+  CfTargetRecord r;
+
+  ck_assert_int_eq (cf_platform_target_parse ("i-1", text, strlen (text), &r),
+                    CF_OK);
+  ck_assert_str_eq (r.id, "i-1");
+  ck_assert (r.leaving);
+  ck_assert_int_eq (r.slots, 12);
+  cf_target_record_clear (&r);
+  ck_assert_int_eq (cf_platform_target_parse ("i-1", "{}", 2, &r),
+                    CF_ERR_RECORD);
+}
+END_TEST
+
+START_TEST (ranks_are_read_and_ordered)
+{
+  const char report[]
+      = "{\"running\":3,\"waiting\":1,\"group\":{\"name\":\"g\",\"epoch\":2,"
+        "\"rank\":1,\"state\":\"open\"},\"size\":16,\"step\":9,\"map\":4,"
+        "\"prepared\":5,\"armed\":0,\"held\":11}";
+  const char lists[] = "{\"map\":{\"version\":4,\"experts\":[[0,2],[1]]}}";
+  const char counts[] = "{\"step\":1,\"counts\":[[1,2],[3,4]]}";
+  const CfGroupShape shape = { 1, 2, 2, 2, 1 };
+  CfGroupMap *m = cf_group_map_new (&shape);
+  CfRankOrder o = { .kind = CF_ORDER_PREPARE, .version = 8, .map = m };
+  CfRankStatus s;
+  GArray *a;
+  gint64 version;
+  char *json;
+
+  ck_assert_int_eq (cf_platform_rank_status (report, strlen (report), &s),
+                    CF_OK);
+  ck_assert_str_eq (s.group, "g");
+  ck_assert_int_eq (s.size, 16);
+  ck_assert_int_eq (s.held, 11);
+  ck_assert (s.open);
+  ck_assert_int_eq (
+      cf_platform_rank_lists (lists, strlen (lists), &version, &a), CF_OK);
+  ck_assert_int_eq (version, 4);
+  ck_assert_uint_eq (a->len, 5);
+  ck_assert_int_eq (g_array_index (a, gint64, 2), -1);
+  g_array_unref (a);
+  ck_assert_int_eq (cf_platform_rank_counts (counts, strlen (counts), &a),
+                    CF_OK);
+  ck_assert_uint_eq (a->len, 4);
+  g_array_unref (a);
+  cf_group_map_at (m, 0, 0)[0] = 1;
+  cf_group_map_at (m, 0, 1)[0] = 0;
+  cf_group_map_at (m, 0, 1)[1] = 1;
+  o.epoch = 2;
+  o.fence = 9;
+  json = cf_platform_rank_order (&o);
+  ck_assert_str_eq (json, "{\"op\":\"prepare\",\"epoch\":2,\"fence\":9,"
+                          "\"version\":8,\"map\":[[[1],[0,1]]]}");
+  g_free (json);
+  o.kind = CF_ORDER_HOLD;
+  o.step = 30;
+  json = cf_platform_rank_order (&o);
+  ck_assert_str_eq (
+      json, "{\"op\":\"hold\",\"epoch\":2,\"fence\":9,\"step\":30}");
+  g_free (json);
+  cf_group_map_free (m);
+  ck_assert_int_eq (cf_platform_rank_ack (412), CF_RANK_ACK_FENCED);
+  ck_assert_int_eq (cf_platform_rank_ack (0), CF_RANK_ACK_UNKNOWN);
+}
+END_TEST
+
+START_TEST (headers_are_known)
+{
+  GString *out = g_string_new (NULL);
+  const CfForwardHeaders h = { 120, "i-1", "org", 4 };
+
+  ck_assert_int_eq (cf_platform_header_kind ("authorization", 13),
+                    CF_HDR_API_KEY);
+  ck_assert_int_eq (cf_platform_header_kind ("X-Other", 7), CF_HDR_OTHER);
+  ck_assert_str_eq (cf_platform_api_key ("token  k1"), "k1");
+  ck_assert_ptr_null (cf_platform_api_key ("Basic k1"));
+  cf_platform_forward (out, &h);
+  ck_assert_str_eq (out->str, "Comfreypost-Deadline-Ms: 120\r\n"
+                              "Comfreypost-Expect-Instance: i-1\r\n"
+                              "Comfreypost-Tenant: org\r\n"
+                              "Last-Event-Id: 4\r\n");
+  g_string_free (out, TRUE);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("platform");
+  TCase *t = tcase_create ("platform");
+
+  tcase_add_test (t, settings_are_read);
+  tcase_add_test (t, wrong_settings_name_the_field);
+  tcase_add_test (t, configuration_is_read);
+  tcase_add_test (t, wrong_configurations_are_refused);
+  tcase_add_test (t, store_answers_are_read);
+  tcase_add_test (t, targets_are_read);
+  tcase_add_test (t, ranks_are_read_and_ordered);
+  tcase_add_test (t, headers_are_known);
+  suite_add_tcase (s, t);
+  return t_run (s);
+}
