--- a/Makefile
+++ b/Makefile
@@ -73,9 +73,14 @@
 
 # Tests of the gateway's modules link what runs on the platform, too.
 GW_TESTS = t/t-platform t/t-http-reader t/t-event-stream t/t-balancer \
-	t/t-group-map t/t-peer-msg t/t-log-writer t/t-coordinator
+	t/t-group-map t/t-peer-msg t/t-log-writer t/t-coordinator \
+	t/t-gateway
 GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
 
+t/t-gateway: $(GW_PROGRAMS) $(SI_PROGRAMS)
+t/t-gateway: GW_TEST_LDLIBS += t/platform-harness.o
+t/t-gateway: t/platform-harness.o
+
 $(GW_TESTS): t/%: t/%.c t/harness.o libcomfrey.a target/libcomfrey-gateway.a
 	$(CC) $(ALL_CFLAGS) -I. -Igateway $(shell pkg-config --cflags check) \
 		-o $@ $< t/harness.o $(GW_TEST_LDLIBS) libcomfrey.a $(TEST_LDLIBS)
@@ -84,7 +89,7 @@
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -o $@ $< \
 		t/harness.o libcomfrey.a $(TEST_LDLIBS)
 
-t/harness.o: t/harness.c t/harness.h
+t/%harness.o: t/%harness.c t/%harness.h
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -c -o $@ $<
 
 %.o: %.c *.h
@@ -109,11 +114,12 @@
 	./comfrey-bench --csv bench.csv
 
 style:
-	clang-format --dry-run --Werror *.c *.h t/*.c t/*.h
+	clang-format --dry-run --Werror $(foreach d,. gateway platform \
+		standins t,$(wildcard $(d)/*.c $(d)/*.h))
 
 tidy:
-	printf '%s\n' *.c | xargs -P $$(nproc) -n 1 sh -c \
-		'clang-tidy --quiet "$$0" -- $(ALL_CFLAGS)'
+	printf '%s\n' *.c gateway/*.c platform/*.c standins/*.c | xargs -P $$(nproc) -n 1 sh -c \
+		'clang-tidy --quiet "$$0" -- $(ALL_CFLAGS) -I. -Igateway'
 
 clean:
 	rm -f *.o t/*.o libcomfrey.a $(PROGRAMS) $(TESTS) bench.csv
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -26,7 +26,7 @@
  * comes free about every 100 ms at a target of 12 slots and 1.2 s a stream. */
 #define FULL_PAUSE_MS 50
 /** Back-off asked of callers when no configuration or target is known. */
-#define UNKNOWN_BUSY_MS 1000
+#define UNKNOWN_BUSY_MS 1000L
 /** Back-off asked of callers that come to a process about to end: another
  * connection reaches another VM. */
 #define STOPPING_BUSY_MS 20
--- a/gateway/peer-link.c
+++ b/gateway/peer-link.c
@@ -13,7 +13,7 @@
 /** The largest frame: a configuration of the store's largest value. */
 #define FRAME_MAX 4194304
 /** What may wait for a peer that reads slowly: two such frames. */
-#define OUT_MAX (2 * FRAME_MAX)
+#define OUT_MAX (2UL * FRAME_MAX)
 
 static void
 free_link (CfPeerLink *l)
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -8,7 +8,7 @@
 
 /** How often peers greet: a gateway without the store is at most this and
  * one exchange behind them. */
-#define GREET_MS 1000
+#define GREET_MS 1000L
 /** A gateway that knows no configuration at all is refusing callers. */
 #define GREET_EMPTY_MS 100
 #define RECONNECT_MS 1000
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -19,7 +19,7 @@
 /** How often gateways that stand by get the status. */
 #define STANDBY_MS 1000
 /** A gateway that did not tick for so long is taken as down: three ticks. */
-#define HEARD_MS 1300
+#define HEARD_MS 1300L
 #define RECONNECT_MS 500
 /** The rank answers in a ms; a slow one is asked again. */
 #define CALL_TIMEOUT_MS 1000
--- a/standins/comfrey-callers.c
+++ b/standins/comfrey-callers.c
@@ -25,8 +25,7 @@
 static char *key;
 
 static const GOptionEntry entries[] = {
-  { "requests", 'n', 0, G_OPTION_ARG_INT, &n_requests, "Requests in all",
-    "N" },
+  { "requests", 'n', 0, G_OPTION_ARG_INT, &n_requests, "Requests in all", "N" },
   { "callers", 'c', 0, G_OPTION_ARG_INT, &n_callers, "Callers at once", "N" },
   { "gateway", 'g', 0, G_OPTION_ARG_STRING_ARRAY, &gateways,
     "A gateway's address; may be given again", "IP:PORT" },
@@ -42,8 +41,8 @@
   N_CLASSES,
 } Class;
 
-static const char *const paths[N_CLASSES] = { "/chat/a", "/order/a",
-                                              "/quote/a" };
+static const char *const paths[N_CLASSES]
+    = { "/chat/a", "/order/a", "/quote/a" };
 
 /** Caller: sends one request after another. */
 typedef struct
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -165,9 +165,8 @@
   if (!is_held (g))
     begin_pass (g);
   g->skew_sum += x;
-  ev_timer_set (t, 0,
-                g->shape.step_ms / 1000
-                    * (1 - EXPERT_SHARE + EXPERT_SHARE * x));
+  ev_timer_set (
+      t, 0, g->shape.step_ms / 1000 * (1 - EXPERT_SHARE + EXPERT_SHARE * x));
   ev_timer_again (loop, t);
 }
 
@@ -332,8 +331,8 @@
 fake_group_new (struct ev_loop *loop, const FakeGroupShape *shape)
 {
   FakeGroup *g = g_new0 (FakeGroup, 1);
-  CfGroupShape map = { shape->sets, shape->experts, shape->ranks,
-                       shape->places, shape->spare };
+  CfGroupShape map = { shape->sets, shape->experts, shape->ranks, shape->places,
+                       shape->spare };
 
   g->loop = loop;
   g->shape = *shape;
--- a/standins/fake-group.h
+++ b/standins/fake-group.h
@@ -16,8 +16,8 @@
   int next_event;
   int last_event;
   gboolean begun;
-  char *head;     /**< the answer's header lines */
-  int cut_after;  /**< breaks off in the middle of this event; -1: not */
+  char *head;    /**< the answer's header lines */
+  int cut_after; /**< breaks off in the middle of this event; -1: not */
 };
 
 /** FakeRank: one rank's part of the group. */
@@ -25,13 +25,13 @@
 {
   CfRankStatus s;
   gint64 armed_step;
-  gint64 had;      /**< highest version it was told to prepare */
+  gint64 had; /**< highest version it was told to prepare */
   gint64 fence;
-  gint64 copying;  /**< version being copied; 0: none */
+  gint64 copying; /**< version being copied; 0: none */
   ev_timer copy;
   CfGroupMap *next; /**< the map of @copying or of s.prepared */
   TAILQ_HEAD (, FakeStream) streams;
-  gint64 *counts;  /**< sets x experts */
+  gint64 *counts; /**< sets x experts */
 } FakeRank;
 
 struct FakeGroup
@@ -43,7 +43,7 @@
   ev_timer pass;
   double started; /**< on the loop's clock */
   gint64 epoch;
-  guint64 mixed;   /**< passes begun while two ranks had different maps */
+  guint64 mixed; /**< passes begun while two ranks had different maps */
   guint64 passes;
   double skew_sum;
 };
--- a/standins/fake-store.c
+++ b/standins/fake-store.c
@@ -40,7 +40,7 @@
   GTree *items;       /* key -> Item */
   GPtrArray *history; /* of Item, by revision */
   gint64 rev;
-  gint64 forgotten;   /* changes up to here are not known any more */
+  gint64 forgotten; /* changes up to here are not known any more */
   GPtrArray *waiters;
   Mode mode;
 };
@@ -61,8 +61,8 @@
   Item *it = g_new0 (Item, 1);
 
   it->key = g_strdup (key);
-  it->value = value ? g_base64_encode ((const guchar *)value, strlen (value))
-                    : NULL;
+  it->value
+      = value ? g_base64_encode ((const guchar *)value, strlen (value)) : NULL;
   it->rev = rev;
   return it;
 }
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -24,12 +24,12 @@
   int rank;
   gboolean draining;
   int busy;
-  char *fault;      /**< what the next @fault_left requests meet */
+  char *fault; /**< what the next @fault_left requests meet */
   int fault_left;
   GHashTable *runs; /**< request id -> how often it ran */
   guint64 n_runs;
   guint64 n_doubled;
-  guint64 n_gone;   /**< callers that left while it worked */
+  guint64 n_gone; /**< callers that left while it worked */
 };
 
 /** Work: a plain request being worked on. */
@@ -228,9 +228,9 @@
 
   st->c = c;
   st->next_event = after ? atoi (after) + 1 : 1;
-  st->last_event = comma ? (atoi (comma + 1) + TOKENS_PER_EVENT - 1)
-                               / TOKENS_PER_EVENT
-                         : DEFAULT_EVENTS;
+  st->last_event
+      = comma ? (atoi (comma + 1) + TOKENS_PER_EVENT - 1) / TOKENS_PER_EVENT
+              : DEFAULT_EVENTS;
   st->head = answer_headers (t, id, TRUE);
   st->cut_after = g_strcmp0 (fault, "cut") == 0 ? st->next_event + 2 : -1;
   g_free (fault);
@@ -256,8 +256,7 @@
 take_work (FakeTarget *t, FakeConn *c)
 {
   const char *id = cf_http_reader_header (&c->reader, CF_HDR_REQUEST_ID);
-  const char *expect
-      = cf_http_reader_header (&c->reader, CF_HDR_EXPECT_TARGET);
+  const char *expect = cf_http_reader_header (&c->reader, CF_HDR_EXPECT_TARGET);
   char *fault;
 
   if (!id)
@@ -306,10 +305,9 @@
                              "stage", "both", "models", "busy", 0, "seq", 0,
                              "waiting", s->waiting, "running", s->running,
                              "group", "name", s->group, "epoch", s->epoch,
-                             "rank", s->rank, "state", "open", "size",
-                             s->size, "step", s->step, "map", s->map,
-                             "prepared", s->prepared, "armed", s->armed,
-                             "held", s->held));
+                             "rank", s->rank, "state", "open", "size", s->size,
+                             "step", s->step, "map", s->map, "prepared",
+                             s->prepared, "armed", s->armed, "held", s->held));
 }
 
 static void
@@ -331,10 +329,10 @@
         }
       json_array_append_new (sets, row);
     }
-  answer_json (c, json_pack ("{s:{s:I,s:o},s:{s:I,s:[]}}", "map", "version",
-                             g->ranks[t->rank].s.map, "experts", sets,
-                             "prepared", "version",
-                             g->ranks[t->rank].s.prepared, "experts"));
+  answer_json (c,
+               json_pack ("{s:{s:I,s:o},s:{s:I,s:[]}}", "map", "version",
+                          g->ranks[t->rank].s.map, "experts", sets, "prepared",
+                          "version", g->ranks[t->rank].s.prepared, "experts"));
 }
 
 static void
@@ -352,8 +350,7 @@
     }
   counts = json_array ();
   for (int i = 0; i < g->shape.sets * g->shape.experts; i++)
-    json_array_append_new (counts,
-                           json_integer (g->ranks[t->rank].counts[i]));
+    json_array_append_new (counts, json_integer (g->ranks[t->rank].counts[i]));
   answer_json (c, json_pack ("{s:I,s:I,s:o}", "step", g->ranks[t->rank].s.step,
                              "epoch", g->epoch, "counts", counts));
 }
@@ -365,12 +362,11 @@
 {
   const FakeGroup *g = t->group;
 
-  answer_json (c, json_pack ("{s:I,s:I,s:I,s:I,s:I,s:f}", "runs", t->n_runs,
-                             "doubled", t->n_doubled, "gone", t->n_gone,
-                             "mixed", g ? g->mixed : 0, "passes",
-                             g ? g->passes : 0, "skew",
-                             g && g->passes ? g->skew_sum / (double)g->passes
-                                            : 0.0));
+  answer_json (
+      c, json_pack ("{s:I,s:I,s:I,s:I,s:I,s:f}", "runs", t->n_runs, "doubled",
+                    t->n_doubled, "gone", t->n_gone, "mixed", g ? g->mixed : 0,
+                    "passes", g ? g->passes : 0, "skew",
+                    g && g->passes ? g->skew_sum / (double)g->passes : 0.0));
 }
 
 static void
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -29,9 +29,9 @@
   int experts;
   int places;
   int spare;
-  double step_ms;   /**< a pass at even load */
-  double copy_ms;   /**< for one expert */
-  double shift_s;   /**< other experts are in demand each so often; 0: never */
+  double step_ms; /**< a pass at even load */
+  double copy_ms; /**< for one expert */
+  double shift_s; /**< other experts are in demand each so often; 0: never */
 } FakeGroupShape;
 
 FakeGroup *fake_group_new (struct ev_loop *loop, const FakeGroupShape *shape);
@@ -39,5 +39,4 @@
 /** fake_target_rank: rank @rank of @g at @addr. */
 FakeTarget *fake_target_rank (struct ev_loop *loop, FakeStore *store,
                               FakeGroup *g, int rank, const char *id,
-                              const char *service, const char *addr,
-                              int slots);
+                              const char *service, const char *addr, int slots);
--- /dev/null
+++ b/t/platform-harness.c
@@ -0,0 +1,320 @@
+#include "platform-harness.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static GArray *started;
+
+static pid_t
+spawn (const char *log_name, const char *settings, char **argv)
+{
+  g_autofree char *conf = g_strdup_printf ("t/out/%s.conf", log_name);
+  g_autofree char *log = g_strdup_printf ("t/out/%s.log", log_name);
+  pid_t pid;
+
+  g_mkdir_with_parents ("t/out", 0755);
+  if (settings)
+    g_file_set_contents (conf, settings, -1, NULL);
+  if (started == NULL)
+    started = g_array_new (FALSE, FALSE, sizeof (pid_t));
+  pid = fork ();
+  if (pid == 0)
+    {
+      int fd = open (log, O_WRONLY | O_CREAT | O_TRUNC, 0644);
+
+      dup2 (fd, 1);
+      dup2 (fd, 2);
+      setenv ("COMFREYPOST_CONFIG", conf, 1);
+      execv (argv[0], argv);
+      _exit (127);
+    }
+  g_array_append_val (started, pid);
+  return pid;
+}
+
+static gboolean
+listens (int port)
+{
+  int fd = p_connect (port);
+
+  if (fd < 0)
+    return FALSE;
+  close (fd);
+  return TRUE;
+}
+
+static void
+await_port (int port)
+{
+  for (int i = 0; i < 500; i++)
+    {
+      if (listens (port))
+        return;
+      usleep (10000);
+    }
+  ck_abort_msg ("nothing listens at port %d", port);
+}
+
+pid_t
+p_platform (int base, const char *first_arg, ...)
+{
+  GPtrArray *argv = g_ptr_array_new ();
+  g_autofree char *port = g_strdup_printf ("%d", base);
+  g_autofree char *name = g_strdup_printf ("platform-%d", base);
+  va_list ap;
+  pid_t pid;
+
+  g_ptr_array_add (argv, "target/comfrey-fake-platform");
+  g_ptr_array_add (argv, "--port");
+  g_ptr_array_add (argv, port);
+  va_start (ap, first_arg);
+  for (const char *a = first_arg; a; a = va_arg (ap, const char *))
+    g_ptr_array_add (argv, (char *)a);
+  va_end (ap);
+  g_ptr_array_add (argv, NULL);
+  pid = spawn (name, NULL, (char **)argv->pdata);
+  g_ptr_array_free (argv, TRUE);
+  await_port (base);
+  return pid;
+}
+
+static char *
+common_settings (int base)
+{
+  return g_strdup_printf (
+      "ip=127.0.0.1\nzone=dc1\nplatform.addr=127.0.0.1:%d\n"
+      "seed-addrs=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
+      "limits.memory-mb=128\nbounds.grace-s=5\nbounds.stall_ms=400\n"
+      "bounds.require-fence=true\nbounds.retry-slack=60\n",
+      base, base + 102, base + 202, base + 302);
+}
+
+int
+p_front (int base, int n)
+{
+  return base + 100 * n;
+}
+
+pid_t
+p_gateway (int base, int n)
+{
+  g_autofree char *common = common_settings (base);
+  g_autofree char *name = g_strdup_printf ("gateway-%d-%d", base, n);
+  g_autofree char *metrics = g_strdup_printf ("%d", p_front (base, n) + 3);
+  g_autofree char *s = g_strdup_printf (
+      "node-name=gw-%d\nlisten.front=127.0.0.1:%d\n"
+      "listen.ready=127.0.0.1:%d\nlisten.control=127.0.0.1:%d\n%s",
+      n, p_front (base, n), p_front (base, n) + 1, p_front (base, n) + 2,
+      common);
+  char *argv[] = { "target/comfrey-gateway", "--metrics-port", metrics, NULL };
+  pid_t pid = spawn (name, s, argv);
+
+  await_port (p_front (base, n) + 1);
+  return pid;
+}
+
+pid_t
+p_agent (int base, int rank_port)
+{
+  g_autofree char *common = common_settings (base);
+  g_autofree char *name = g_strdup_printf ("agent-%d-%d", base, rank_port);
+  g_autofree char *s = g_strdup_printf ("node-name=agent\napp=127.0.0.1:%d\n%s",
+                                        rank_port, common);
+  char *argv[] = { "target/comfrey-rank-agent", NULL };
+
+  return spawn (name, s, argv);
+}
+
+void
+p_await_ready (int base, int n)
+{
+  for (int i = 0; i < 250; i++)
+    {
+      g_autofree char *a
+          = p_ask (p_front (base, n) + 1, "GET /v1/readyz HTTP/1.1\r\n\r\n");
+
+      if (p_status (a) == 200)
+        return;
+      usleep (20000);
+    }
+  ck_abort_msg ("gateway %d is not ready", n);
+}
+
+static void
+forget (pid_t pid)
+{
+  for (guint i = 0; i < started->len; i++)
+    if (g_array_index (started, pid_t, i) == pid)
+      {
+        g_array_remove_index (started, i);
+        return;
+      }
+}
+
+int
+p_stop (pid_t pid)
+{
+  int status = 0;
+
+  kill (pid, SIGTERM);
+  waitpid (pid, &status, 0);
+  forget (pid);
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+void
+p_signal (pid_t pid, int sig)
+{
+  kill (pid, sig);
+  if (sig == SIGKILL)
+    {
+      waitpid (pid, NULL, 0);
+      forget (pid);
+    }
+}
+
+void
+p_stop_all (void)
+{
+  for (guint i = 0; started && i < started->len; i++)
+    kill (g_array_index (started, pid_t, i), SIGKILL);
+  for (guint i = 0; started && i < started->len; i++)
+    waitpid (g_array_index (started, pid_t, i), NULL, 0);
+  if (started)
+    g_array_set_size (started, 0);
+}
+
+int
+p_connect (int port)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  sa.sin_port = htons ((guint16)port);
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (connect (fd, (struct sockaddr *)&sa, sizeof sa) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+void
+p_send (int fd, const char *text)
+{
+  gsize n = strlen (text);
+
+  while (n > 0)
+    {
+      ssize_t w = send (fd, text, n, MSG_NOSIGNAL);
+
+      if (w <= 0)
+        return;
+      text += w;
+      n -= (gsize)w;
+    }
+}
+
+static gboolean
+is_whole (const GString *s)
+{
+  const char *end = strstr (s->str, "\r\n\r\n");
+  const char *len = strstr (s->str, "Content-Length: ");
+
+  if (!end)
+    return FALSE;
+  if (strstr (s->str, "Transfer-Encoding: chunked"))
+    return g_str_has_suffix (s->str, "\r\n0\r\n\r\n");
+  if (!len || len > end)
+    return FALSE;
+  return s->len >= (gsize)(end + 4 - s->str)
+                       + (gsize)atol (len + strlen ("Content-Length: "));
+}
+
+char *
+p_read (int fd, int ms)
+{
+  GString *s = g_string_new (NULL);
+  gint64 until = g_get_monotonic_time () / 1000 + ms;
+
+  while (!is_whole (s))
+    {
+      struct pollfd p = { fd, POLLIN, 0 };
+      gint64 left = until - g_get_monotonic_time () / 1000;
+      char buf[8192];
+      ssize_t n;
+
+      if (left <= 0 || poll (&p, 1, (int)left) <= 0)
+        break;
+      n = recv (fd, buf, sizeof buf, 0);
+      if (n <= 0)
+        break;
+      g_string_append_len (s, buf, n);
+    }
+  return g_string_free (s, FALSE);
+}
+
+char *
+p_ask (int port, const char *text)
+{
+  int fd = p_connect (port);
+  char *answer;
+
+  if (fd < 0)
+    return g_strdup ("");
+  p_send (fd, text);
+  answer = p_read (fd, 10000);
+  close (fd);
+  return answer;
+}
+
+char *
+p_request (const char *method_and_path, const char *id,
+           const char *more_headers, const char *body)
+{
+  return g_strdup_printf ("%s HTTP/1.1\r\nHost: demo.example\r\n"
+                          "Comfreypost-Request-Id: %s\r\n"
+                          "Comfreypost-Deadline-Ms: 5000\r\n"
+                          "Authorization: Token key-museum\r\n"
+                          "Content-Length: %zu\r\n%s\r\n%s",
+                          method_and_path, id, strlen (body),
+                          more_headers ? more_headers : "", body);
+}
+
+int
+p_status (const char *answer)
+{
+  return g_str_has_prefix (answer, "HTTP/1.1 ") ? atoi (answer + 9) : 0;
+}
+
+char *
+p_test (int port, const char *call, const char *body)
+{
+  g_autofree char *req
+      = g_strdup_printf ("%s HTTP/1.1\r\nContent-Length: %zu\r\n\r\n%s", call,
+                         strlen (body), body);
+  g_autofree char *answer = p_ask (port, req);
+  const char *end = strstr (answer, "\r\n\r\n");
+
+  ck_assert_int_eq (p_status (answer), 200);
+  return g_strdup (end + 4);
+}
+
+double
+p_number (const char *json, const char *name)
+{
+  g_autofree char *key = g_strdup_printf ("\"%s\":", name);
+  const char *at = strstr (json, key);
+
+  ck_assert_ptr_nonnull (at);
+  return g_ascii_strtod (at + strlen (key), NULL);
+}
--- /dev/null
+++ b/t/platform-harness.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <glib.h>
+#include <sys/types.h>
+
+/**
+ * Helpers for tests that run the gateway's processes against the stand-in
+ * of the platform, on ports of their own: @base is the store's, the plain
+ * targets follow, then the ranks; gateway n listens at @base + 100 n.
+ */
+
+/** p_platform: starts the stand-in with two plain targets. */
+pid_t p_platform (int base, const char *first_arg, ...) G_GNUC_NULL_TERMINATED;
+
+/** p_gateway: starts gateway @n (1 to 3), all three being seeds. */
+pid_t p_gateway (int base, int n);
+
+/** p_agent: starts the agent of the rank at port @rank_port. */
+pid_t p_agent (int base, int rank_port);
+
+/** p_await_ready: until gateway @n is ready; fails the test after 5 s. */
+void p_await_ready (int base, int n);
+
+/** p_stop: SIGTERM, and the exit status; -1 if it was killed. */
+int p_stop (pid_t pid);
+
+/** p_signal: another signal to a process started here. */
+void p_signal (pid_t pid, int sig);
+
+/** p_stop_all: ends all that was started, for a fixture. */
+void p_stop_all (void);
+
+/** p_front: the port where gateway @n takes callers. */
+int p_front (int base, int n);
+
+/** p_connect: a socket to @port of the loopback address. */
+int p_connect (int port);
+
+/** p_send: writes all of @text. */
+void p_send (int fd, const char *text);
+
+/**
+ * p_read: reads until a whole HTTP answer is in, the peer closes, or
+ * @ms have passed.  Returns: what came; free with g_free().
+ */
+char *p_read (int fd, int ms);
+
+/** p_ask: sends @text on a connection of its own; what came back. */
+char *p_ask (int port, const char *text);
+
+/**
+ * p_request: a request of the demo's tenant.
+ * @method: with the path, such as "POST /order/a"
+ * @id: its request id
+ */
+char *p_request (const char *method_and_path, const char *id,
+                 const char *more_headers, const char *body);
+
+/** p_status: the status of an answer; 0 if it is none. */
+int p_status (const char *answer);
+
+/** p_test: a steering call of a stand-in; its body. */
+char *p_test (int port, const char *call, const char *body);
+
+/** p_number: the number behind "name": in a JSON text. */
+double p_number (const char *json, const char *name);
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -160,8 +160,9 @@
 START_TEST (urgent_ones_wait_in_front)
 {
   CfWaitQueue q;
-  CfWaiter w[4] = { { .priority = 2 }, { .priority = 1 }, { .priority = 2 },
-                    { .priority = 0 } };
+  CfWaiter w[4] = {
+    { .priority = 2 }, { .priority = 1 }, { .priority = 2 }, { .priority = 0 }
+  };
   CfWaiter *evicted;
 
   cf_wait_queue_init (&q);
--- a/t/t-event-stream.c
+++ b/t/t-event-stream.c
@@ -71,8 +71,8 @@
           for (int e = (int)MAX (s.last_id, 0) + 1; e <= 20; e++)
             g_string_append_printf (run, "id: %d\ndata: %d\n\n", e, e * e);
           cf_event_stream_feed (
-              &s, run->str, (gsize)g_rand_int_range (rand, 0, (int)run->len + 1),
-              out);
+              &s, run->str,
+              (gsize)g_rand_int_range (rand, 0, (int)run->len + 1), out);
           cf_event_stream_restart (&s);
           g_string_free (run, TRUE);
         }
--- /dev/null
+++ b/t/t-gateway.c
@@ -0,0 +1,576 @@
+/*
+ * The gateway as a process, before the stand-in of the platform: what
+ * callers get and what targets see, in calm and under faults.
+ */
+#include "harness.h"
+#include "platform-harness.h"
+
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define BASE 21000
+#define STORE BASE
+#define DESK_1 (BASE + 1)
+#define DESK_2 (BASE + 2)
+#define RANK_1 (BASE + 3)
+#define N_RANKS 4
+
+static pid_t gateway;
+static int front;
+
+static void
+setup (void)
+{
+  p_platform (BASE, "--ranks", "4", NULL);
+  gateway = p_gateway (BASE, 1);
+  front = p_front (BASE, 1);
+  p_await_ready (BASE, 1);
+}
+
+static char *
+ask (const char *method_and_path, const char *id, const char *headers,
+     const char *body)
+{
+  g_autofree char *req = p_request (method_and_path, id, headers, body);
+
+  return p_ask (front, req);
+}
+
+/* The next requests at both plain targets, or at all ranks, meet @kind. */
+static void
+fault_desks (const char *kind, int x)
+{
+  g_autofree char *call
+      = g_strdup_printf ("POST /test/fault?kind=%s&x=%d", kind, x);
+
+  g_free (p_test (DESK_1, call, ""));
+  g_free (p_test (DESK_2, call, ""));
+}
+
+static double
+at_desks (const char *what)
+{
+  g_autofree char *a = p_test (DESK_1, "GET /test/runs", "");
+  g_autofree char *b = p_test (DESK_2, "GET /test/runs", "");
+
+  return p_number (a, what) + p_number (b, what);
+}
+
+static double
+at_ranks (const char *what)
+{
+  double sum = 0;
+
+  for (int i = 0; i < N_RANKS; i++)
+    {
+      g_autofree char *a = p_test (RANK_1 + i, "GET /test/runs", "");
+
+      sum += p_number (a, what);
+    }
+  return sum;
+}
+
+START_TEST (a_request_passes_unchanged)
+{
+  g_autofree char *a
+      = ask ("POST /order/a%20b?c=d", "r1",
+             "X-Other: 1\r\nComfreypost-Tenant: forged\r\n", "two parcels");
+
+  ck_assert_int_eq (p_status (a), 200);
+  ck_assert_ptr_nonnull (strstr (a, "Comfreypost-Server-Signature: desk-"));
+  ck_assert_ptr_nonnull (strstr (a, "Comfreypost-Request-Id: r1\r\n"));
+  ck_assert_ptr_nonnull (strstr (a, " POST /order/a%20b?c=d org=museum "
+                                    "key=hidden body=two parcels"));
+}
+END_TEST
+
+START_TEST (a_public_route_needs_no_key)
+{
+  g_autofree char *a
+      = p_ask (front, "GET /open/x HTTP/1.1\r\nHost: demo.example\r\n"
+                      "Comfreypost-Tenant: forged\r\n"
+                      "Comfreypost-Request-Id: r1\r\n\r\n");
+
+  ck_assert_int_eq (p_status (a), 200);
+  ck_assert_ptr_nonnull (strstr (a, "org=- key=hidden"));
+}
+END_TEST
+
+START_TEST (improper_requests_are_answered)
+{
+  const struct
+  {
+    const char *text;
+    int status;
+  } cases[] = {
+    { "GET /none/ HTTP/1.1\r\nHost: demo.example\r\n\r\n", 404 },
+    { "GET /quote/ HTTP/1.1\r\nHost: other\r\n\r\n", 404 },
+    { "GET /quote/ HTTP/1.1\r\nHost: demo.example\r\n\r\n", 401 },
+    { "GET /quote/ HTTP/1.1\r\nHost: demo.example\r\n"
+      "Authorization: Token wrong\r\n\r\n",
+      401 },
+    { "GET /quote/ HTTP/1.1\r\n\r\n", 400 },
+    { "nonsense\r\n\r\n", 400 },
+    { "POST /order/ HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413 },
+    { "GET / HTTP/1.1\r\nHost: demo.example\r\nContent-Length: 1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      400 },
+    { "GET /quote/ HTTP/1.1\r\nHost: demo.ex", 408 }, /* never ends */
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *a = p_ask (front, cases[i].text);
+
+      ck_assert_msg (p_status (a) == cases[i].status, "case %zu: %s", i, a);
+    }
+}
+END_TEST
+
+START_TEST (large_heads_are_refused)
+{
+  GString *s = g_string_new ("GET /quote/ HTTP/1.1\r\nX: ");
+  g_autofree char *a = NULL;
+
+  for (int i = 0; i < 5000; i++)
+    g_string_append_c (s, 'x');
+  g_string_append (s, "\r\n\r\n");
+  a = p_ask (front, s->str);
+  ck_assert_int_eq (p_status (a), 431);
+  g_string_free (s, TRUE);
+}
+END_TEST
+
+START_TEST (requests_follow_on_one_connection)
+{
+  int fd = p_connect (front);
+
+  for (int i = 0; i < 20; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("k%d", i);
+      g_autofree char *want = g_strdup_printf ("Request-Id: %s\r\n", id);
+      g_autofree char *req = p_request ("POST /order/a", id, NULL, "x");
+      g_autofree char *a = NULL;
+
+      p_send (fd, req);
+      a = p_read (fd, 2000);
+      ck_assert_int_eq (p_status (a), 200);
+      ck_assert_ptr_nonnull (strstr (a, want));
+    }
+  close (fd);
+}
+END_TEST
+
+/* A target's second answer to one request is never given to the next. */
+START_TEST (extra_answers_reach_nobody)
+{
+  fault_desks ("extra", 50);
+  for (int i = 0; i < 30; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("e%d", i);
+      g_autofree char *want = g_strdup_printf ("Request-Id: %s\r\n", id);
+      g_autofree char *a = ask ("GET /quote/a", id, NULL, "");
+
+      ck_assert_int_eq (p_status (a), 200);
+      ck_assert_ptr_nonnull (strstr (a, want));
+      ck_assert_ptr_null (strstr (a, "\r\nextra"));
+    }
+}
+END_TEST
+
+START_TEST (idempotent_requests_are_tried_again)
+{
+  const char *const kinds[]
+      = { "lost", "truncate", "garbage", "unsigned", "full", "fail" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      g_autofree char *call
+          = g_strdup_printf ("POST /test/fault?kind=%s&x=1", kinds[i]);
+      g_autofree char *a = NULL;
+
+      /* One target fails once; whichever is asked first. */
+      g_free (p_test (DESK_1, call, ""));
+      a = ask ("GET /quote/a", kinds[i], NULL, "");
+      ck_assert_msg (p_status (a) == 200, "%s: %s", kinds[i], a);
+      g_free (p_test (DESK_1, "POST /test/fault?kind=x&x=0", ""));
+    }
+}
+END_TEST
+
+START_TEST (answers_without_length_are_whole)
+{
+  g_autofree char *a = NULL;
+
+  fault_desks ("unframed", 1);
+  a = ask ("GET /quote/a", "u1", NULL, "");
+  ck_assert_int_eq (p_status (a), 200);
+  ck_assert_ptr_nonnull (strstr (a, "unframed desk-"));
+}
+END_TEST
+
+/* What may have run is not sent again, and never called "not run". */
+START_TEST (orders_run_at_most_once)
+{
+  const char *const kinds[] = { "lost", "truncate", "garbage", "unsigned" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      g_autofree char *a = NULL;
+
+      fault_desks (kinds[i], 1);
+      a = ask ("POST /order/a", kinds[i], NULL, "x");
+      ck_assert_msg (p_status (a) == 502, "%s: %s", kinds[i], a);
+      fault_desks ("x", 0);
+    }
+  ck_assert_double_eq (at_desks ("runs"), G_N_ELEMENTS (kinds));
+  ck_assert_double_eq (at_desks ("doubled"), 0);
+}
+END_TEST
+
+START_TEST (a_refused_order_may_come_back)
+{
+  g_autofree char *a = NULL;
+
+  fault_desks ("full", 1);
+  a = ask ("POST /order/a", "f1", NULL, "x");
+  ck_assert_int_eq (p_status (a), 503);
+  ck_assert_ptr_nonnull (strstr (a, "Retry-After: "));
+  ck_assert_ptr_null (strstr (a, "Signature"));
+  ck_assert_double_eq (at_desks ("runs"), 0);
+}
+END_TEST
+
+START_TEST (a_targets_failure_passes_as_it_is)
+{
+  g_autofree char *a = NULL;
+
+  fault_desks ("fail", 1);
+  a = ask ("POST /order/a", "x1", NULL, "x");
+  ck_assert_int_eq (p_status (a), 500);
+  ck_assert_ptr_nonnull (strstr (a, "Signature: desk-"));
+  ck_assert_ptr_nonnull (strstr (a, "failed\n"));
+}
+END_TEST
+
+/* A target that hangs: an order is answered at its route's timeout, not
+ * before and not later; a quote is tried elsewhere long before. */
+START_TEST (hanging_targets)
+{
+  gint64 begun = g_get_monotonic_time () / 1000;
+  g_autofree char *a = NULL;
+  g_autofree char *b = NULL;
+  gint64 ms;
+
+  fault_desks ("hang", 1);
+  a = ask ("POST /order/a", "h1", NULL, "x");
+  ms = g_get_monotonic_time () / 1000 - begun;
+  ck_assert_int_eq (p_status (a), 504);
+  ck_assert_int_ge (ms, 750);
+  ck_assert_int_le (ms, 1200);
+  fault_desks ("x", 0);
+  g_free (p_test (DESK_1, "POST /test/fault?kind=hang&x=1", ""));
+  b = ask ("GET /quote/a", "h2", NULL, "");
+  ck_assert_int_eq (p_status (b), 200);
+}
+END_TEST
+
+static guint
+count_of (const char *text, const char *needle)
+{
+  guint n = 0;
+
+  while ((text = strstr (text, needle)))
+    {
+      n++;
+      text += strlen (needle);
+    }
+  return n;
+}
+
+START_TEST (streams_are_passed_whole)
+{
+  g_autofree char *a
+      = ask ("POST /chat/a", "s1", "Comfreypost-Token-Count: 10,80\r\n", "");
+
+  ck_assert_int_eq (p_status (a), 200);
+  for (int e = 1; e <= 20; e++)
+    {
+      g_autofree char *ev
+          = g_strdup_printf ("id: %d\ndata: token-%d\n\n", e, e);
+
+      ck_assert_uint_eq (count_of (a, ev), 1);
+    }
+  ck_assert (g_str_has_suffix (a, "0\r\n\r\n"));
+}
+END_TEST
+
+/* A stream that breaks off within an event goes on at another rank. */
+START_TEST (broken_streams_are_resumed)
+{
+  g_autofree char *a = NULL;
+
+  for (int i = 0; i < N_RANKS; i++)
+    g_free (p_test (RANK_1 + i, "POST /test/fault?kind=cut&x=1", ""));
+  a = ask ("POST /chat/a", "s2", "Comfreypost-Token-Count: 10,80\r\n", "");
+  /* The second rank breaks off too: the route allows two attempts. */
+  ck_assert_int_eq (p_status (a), 200);
+  ck_assert (!g_str_has_suffix (a, "0\r\n\r\n"));
+  ck_assert_uint_eq (count_of (a, "id: 4\n"), 1);
+  for (int i = 0; i < N_RANKS; i++)
+    g_free (p_test (RANK_1 + i, "POST /test/fault?kind=x&x=0", ""));
+  g_free (p_test (RANK_1, "POST /test/fault?kind=cut&x=100", ""));
+  for (int i = 0; i < 8; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s3-%d", i);
+      g_autofree char *b
+          = ask ("POST /chat/a", id, "Comfreypost-Token-Count: 10,80\r\n", "");
+
+      ck_assert (g_str_has_suffix (b, "0\r\n\r\n"));
+      for (int e = 1; e <= 20; e++)
+        {
+          g_autofree char *ev
+              = g_strdup_printf ("id: %d\ndata: token-%d\n\n", e, e);
+
+          ck_assert_uint_eq (count_of (b, ev), 1);
+        }
+    }
+}
+END_TEST
+
+START_TEST (work_of_callers_that_left_is_stopped)
+{
+  g_autofree char *req = p_request ("POST /order/a", "g1", NULL, "x");
+  int fd;
+
+  fault_desks ("hang", 1);
+  fd = p_connect (front);
+  p_send (fd, req);
+  usleep (100000);
+  ck_assert_double_eq (at_desks ("runs"), 1);
+  close (fd);
+  for (int i = 0; i < 50 && at_desks ("gone") == 0; i++)
+    usleep (10000);
+  ck_assert_double_eq (at_desks ("gone"), 1);
+}
+END_TEST
+
+START_TEST (leaving_targets_get_no_new_work)
+{
+  g_free (p_test (DESK_1, "POST /test/drain", ""));
+  usleep (300000);
+  for (int i = 0; i < 10; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("d%d", i);
+      g_autofree char *a = ask ("POST /order/a", id, NULL, "x");
+
+      ck_assert_ptr_nonnull (strstr (a, "Signature: desk-1\r\n"));
+    }
+  g_free (p_test (STORE, "POST /test/delete?key=servers/desk-1", ""));
+  usleep (300000);
+  {
+    g_autofree char *a = ask ("POST /order/a", "d-last", NULL, "x");
+
+    ck_assert_int_eq (p_status (a), 503);
+    ck_assert_ptr_nonnull (strstr (a, "Retry-After: "));
+  }
+}
+END_TEST
+
+#define CONFIG(version, prefix)                                                \
+  "{\"version\":" version ",\"routes\":[{\"name\":\"n\",\"host\":"             \
+  "\"demo.example\",\"prefix\":\"" prefix "\",\"kind\":\"safe\","              \
+  "\"service\":\"desk\",\"max-attempts\":1,\"timeout-ms\":800}],"              \
+  "\"services\":[{\"name\":\"desk\",\"max-conns\":9}],\"tenants\":["           \
+  "{\"name\":\"museum\",\"api-keys\":[\"key-museum\"]}]}"
+
+START_TEST (versions_come_into_force_and_never_go_back)
+{
+  const char put[] = "POST /test/put?key=op/config";
+  g_autofree char *a = NULL;
+  g_autofree char *b = NULL;
+  g_autofree char *c = NULL;
+  g_autofree char *d = NULL;
+
+  g_free (p_test (STORE, put, CONFIG ("9", "/nine/")));
+  usleep (300000);
+  a = ask ("GET /nine/", "c1", NULL, "");
+  ck_assert_int_eq (p_status (a), 200);
+  b = ask ("GET /quote/", "c2", NULL, "");
+  ck_assert_int_eq (p_status (b), 404);
+  /* An older one and a broken one change nothing. */
+  g_free (p_test (STORE, put, CONFIG ("8", "/eight/")));
+  g_free (p_test (STORE, put, "{\"version\":10,\"routes\":[{}]}"));
+  usleep (300000);
+  c = ask ("GET /nine/", "c3", NULL, "");
+  ck_assert_int_eq (p_status (c), 200);
+  /* History forgotten: the next one is found all the same. */
+  g_free (p_test (STORE, "POST /test/forget", ""));
+  g_free (p_test (STORE, put, CONFIG ("11", "/eleven/")));
+  usleep (800000);
+  d = ask ("GET /eleven/", "c4", NULL, "");
+  ck_assert_int_eq (p_status (d), 200);
+}
+END_TEST
+
+START_TEST (a_gateway_without_the_store_learns_from_a_peer)
+{
+  g_autofree char *req = p_request ("POST /order/a", "p1", NULL, "x");
+  g_autofree char *a = NULL;
+
+  g_free (p_test (STORE, "POST /test/mode?mode=silent", ""));
+  p_gateway (BASE, 2);
+  p_await_ready (BASE, 2);
+  a = p_ask (p_front (BASE, 2), req);
+  ck_assert_int_eq (p_status (a), 200);
+}
+END_TEST
+
+START_TEST (a_gateway_that_knows_nothing_is_not_ready)
+{
+  g_autofree char *req = p_request ("POST /order/a", "n1", NULL, "x");
+  g_autofree char *a = NULL;
+  g_autofree char *b = NULL;
+
+  p_signal (gateway, SIGKILL);
+  g_free (p_test (STORE, "POST /test/mode?mode=busy", ""));
+  p_gateway (BASE, 1);
+  a = p_ask (front + 1, "GET /v1/readyz HTTP/1.1\r\n\r\n");
+  ck_assert_int_eq (p_status (a), 503);
+  b = p_ask (front, req);
+  ck_assert_int_eq (p_status (b), 503);
+  ck_assert_ptr_nonnull (strstr (b, "Retry-After: "));
+  g_free (p_test (STORE, "POST /test/mode?mode=up", ""));
+  p_await_ready (BASE, 1);
+}
+END_TEST
+
+/* A planned stop cuts off nothing: what runs is ended, what comes late is
+ * refused, not run, and told to come back. */
+START_TEST (a_planned_stop_ends_what_runs)
+{
+  g_autofree char *stream = p_request (
+      "POST /chat/a", "t1", "Comfreypost-Token-Count: 10,1800\r\n", "");
+  g_autofree char *order = p_request ("POST /order/a", "t2", NULL, "x");
+  g_autofree char *early = NULL;
+  g_autofree char *late = NULL;
+  g_autofree char *whole = NULL;
+  g_autofree char *ready = NULL;
+  int fd = p_connect (front);
+  int kept = p_connect (front);
+
+  p_send (fd, stream);
+  usleep (100000);
+  kill (gateway, SIGTERM);
+  usleep (200000);
+  ready = p_ask (front + 1, "GET /v1/readyz HTTP/1.1\r\n\r\n");
+  ck_assert_int_eq (p_status (ready), 503);
+  early = p_ask (front, order);
+  ck_assert_int_eq (p_status (early), 200);
+  ck_assert_ptr_nonnull (strstr (early, "Connection: close"));
+  usleep (2300000);
+  late = p_ask (front, order);
+  ck_assert_int_eq (p_status (late), 503);
+  ck_assert_ptr_nonnull (strstr (late, "Retry-After: "));
+  whole = p_read (fd, 5000);
+  ck_assert (g_str_has_suffix (whole, "0\r\n\r\n"));
+  ck_assert_uint_eq (count_of (whole, "id: 450\n"), 1);
+  ck_assert_int_eq (p_stop (gateway), 0);
+  close (fd);
+  close (kept);
+}
+END_TEST
+
+START_TEST (a_reload_cuts_off_nothing)
+{
+  g_autofree char *stream = p_request (
+      "POST /chat/a", "u1", "Comfreypost-Token-Count: 10,200\r\n", "");
+  g_autofree char *whole = NULL;
+  int fd = p_connect (front);
+
+  p_send (fd, stream);
+  usleep (50000);
+  p_signal (gateway, SIGHUP);
+  whole = p_read (fd, 5000);
+  ck_assert (g_str_has_suffix (whole, "0\r\n\r\n"));
+  close (fd);
+}
+END_TEST
+
+START_TEST (metrics_are_served)
+{
+  g_autofree char *a = ask ("POST /order/a", "m1", NULL, "x");
+  g_autofree char *m = p_ask (front + 3, "GET /metrics HTTP/1.1\r\n\r\n");
+
+  ck_assert_int_eq (p_status (a), 200);
+  ck_assert_int_eq (p_status (m), 200);
+  ck_assert_ptr_nonnull (
+      strstr (m, "\ncomfrey_outcomes_total{outcome=\"success\"} 1\n"));
+  ck_assert_ptr_nonnull (strstr (m, "\ncomfrey_config_version 1\n"));
+  ck_assert_ptr_nonnull (strstr (m, "comfrey_answer_ms_bucket{le=\"+Inf\"}"));
+}
+END_TEST
+
+/* Agents beside the ranks: the load is evened, every pass has one map. */
+START_TEST (experts_are_placed_at_one_pass)
+{
+  g_autofree char *req = p_request ("POST /chat/a", "x",
+                                    "Comfreypost-Token-Count: 10,2400\r\n", "");
+  int fds[8];
+  double before;
+  double after;
+
+  for (int i = 0; i < N_RANKS; i++)
+    p_agent (BASE, RANK_1 + i);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      fds[i] = p_connect (front);
+      p_send (fds[i], req);
+    }
+  usleep (400000);
+  before = at_ranks ("skew") / N_RANKS;
+  usleep (4000000);
+  after = at_ranks ("skew") / N_RANKS;
+  ck_assert_double_eq (at_ranks ("mixed"), 0);
+  ck_assert_double_gt (before, 1.3);
+  ck_assert_double_lt (after, before - 0.1);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("gateway");
+  TCase *t = tcase_create ("gateway");
+
+  tcase_set_timeout (t, 30);
+  tcase_add_checked_fixture (t, setup, p_stop_all);
+  tcase_add_test (t, a_request_passes_unchanged);
+  tcase_add_test (t, a_public_route_needs_no_key);
+  tcase_add_test (t, improper_requests_are_answered);
+  tcase_add_test (t, large_heads_are_refused);
+  tcase_add_test (t, requests_follow_on_one_connection);
+  tcase_add_test (t, extra_answers_reach_nobody);
+  tcase_add_test (t, idempotent_requests_are_tried_again);
+  tcase_add_test (t, answers_without_length_are_whole);
+  tcase_add_test (t, orders_run_at_most_once);
+  tcase_add_test (t, a_refused_order_may_come_back);
+  tcase_add_test (t, a_targets_failure_passes_as_it_is);
+  tcase_add_test (t, hanging_targets);
+  tcase_add_test (t, streams_are_passed_whole);
+  tcase_add_test (t, broken_streams_are_resumed);
+  tcase_add_test (t, work_of_callers_that_left_is_stopped);
+  tcase_add_test (t, leaving_targets_get_no_new_work);
+  tcase_add_test (t, versions_come_into_force_and_never_go_back);
+  tcase_add_test (t, a_gateway_without_the_store_learns_from_a_peer);
+  tcase_add_test (t, a_gateway_that_knows_nothing_is_not_ready);
+  tcase_add_test (t, a_planned_stop_ends_what_runs);
+  tcase_add_test (t, a_reload_cuts_off_nothing);
+  tcase_add_test (t, metrics_are_served);
+  tcase_add_test (t, experts_are_placed_at_one_pass);
+  suite_add_tcase (s, t);
+  return t_run (s);
+}
--- a/t/t-group-map.c
+++ b/t/t-group-map.c
@@ -104,7 +104,7 @@
 {
   const CfPlanLimits limits = { 2, 0.05, 0.01 };
   CfGroupMap *from = first_map (&shape);
-  double *t = g_new (double, shape.sets * shape.experts);
+  double *t = g_new (double, shape.sets *shape.experts);
 
   for (int i = 0; i < shape.sets * shape.experts; i++)
     t[i] = 1;
--- a/t/t-http-reader.c
+++ b/t/t-http-reader.c
@@ -169,8 +169,7 @@
   ck_assert_uint_eq (used, strlen (two) / 2);
   ck_assert_str_eq (cf_http_reader_target (&r), "/1");
   cf_http_reader_next (&r);
-  ck_assert (
-      cf_http_reader_feed (&r, two + used, strlen (two) - used, &used));
+  ck_assert (cf_http_reader_feed (&r, two + used, strlen (two) - used, &used));
   ck_assert_str_eq (cf_http_reader_target (&r), "/2");
   ck_assert_int_eq (completes, 2);
   cf_http_reader_clear (&r);
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -78,8 +78,8 @@
   there_and_back (&m, &o, &zone, &buf);
   ck_assert_uint_eq (o.u.targets.items->len, 1);
   ck_assert_int_eq (
-      memcmp (g_array_index (o.u.targets.items, CfPeerTarget, 0).id.data,
-              "i-1", 3),
+      memcmp (g_array_index (o.u.targets.items, CfPeerTarget, 0).id.data, "i-1",
+              3),
       0);
   release (&o, &zone, &buf);
   cf_peer_msg_clear (&m);
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -37,19 +37,18 @@
 {
   CfPlatformSettings s;
 
-  ck_assert_int_eq (cf_platform_settings_parse (
-                        "ip=1.2.3.4\n", CF_ROLE_GATEWAY, &s),
-                    CF_ERR_SETTINGS);
+  ck_assert_int_eq (
+      cf_platform_settings_parse ("ip=1.2.3.4\n", CF_ROLE_GATEWAY, &s),
+      CF_ERR_SETTINGS);
   ck_assert_ptr_nonnull (strstr (cf_last_error (), "listen.front"));
-  ck_assert_int_eq (cf_platform_settings_parse (
-                        "ip=1.2.3.4\n", CF_ROLE_RANK_AGENT, &s),
-                    CF_ERR_SETTINGS);
-  ck_assert_ptr_nonnull (strstr (cf_last_error (), "app"));
   ck_assert_int_eq (
-      cf_platform_settings_parse ("ip=1.2.3.4\napp=1.2.3.4:5\n"
-                                  "limits.memory-mb=lots\n",
-                                  CF_ROLE_RANK_AGENT, &s),
+      cf_platform_settings_parse ("ip=1.2.3.4\n", CF_ROLE_RANK_AGENT, &s),
       CF_ERR_SETTINGS);
+  ck_assert_ptr_nonnull (strstr (cf_last_error (), "app"));
+  ck_assert_int_eq (cf_platform_settings_parse ("ip=1.2.3.4\napp=1.2.3.4:5\n"
+                                                "limits.memory-mb=lots\n",
+                                                CF_ROLE_RANK_AGENT, &s),
+                    CF_ERR_SETTINGS);
   ck_assert_ptr_nonnull (strstr (cf_last_error (), "limits.memory-mb"));
   ck_assert_ptr_nonnull (strstr (cf_last_error (), "remedy"));
 }
@@ -103,7 +102,11 @@
 START_TEST (wrong_configurations_are_refused)
 {
   const char *const bad[] = {
-    "", "{", "[]", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[]}",
+    "",
+    "{",
+    "[]",
+    "{\"version\":1}",
+    "{\"version\":\"x\",\"routes\":[]}",
     "{\"version\":1,\"routes\":[{\"host\":\"h\",\"kind\":\"safe\"}]}",
     "{\"version\":1,\"routes\":[{\"prefix\":\"/a/\",\"kind\":\"safe\"}]}",
     "{\"version\":1,\"routes\":[{\"host\":\"h\",\"prefix\":\"/a/\"}]}",
@@ -211,8 +214,8 @@
   o.kind = CF_ORDER_HOLD;
   o.step = 30;
   json = cf_platform_rank_order (&o);
-  ck_assert_str_eq (
-      json, "{\"op\":\"hold\",\"epoch\":2,\"fence\":9,\"step\":30}");
+  ck_assert_str_eq (json,
+                    "{\"op\":\"hold\",\"epoch\":2,\"fence\":9,\"step\":30}");
   g_free (json);
   cf_group_map_free (m);
   ck_assert_int_eq (cf_platform_rank_ack (412), CF_RANK_ACK_FENCED);
