--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,7 @@
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -o $@ $< \
 		t/harness.o libcomfrey.a $(TEST_LDLIBS)
 
-t/%harness.o: t/%harness.c t/%harness.h
+t/harness.o t/platform-harness.o: t/%.o: t/%.c t/%.h
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -c -o $@ $<
 
 %.o: %.c *.h
