Run the test programs side by side

Cause: make test took 3 min 30 s, nearly all of it asleep. Each program has ports of its own already; now its files too. Ruled out: shorter waits in the tests, which would test less. GW_TESTS is set before it is used, so that make all builds them.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,28 @@
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
 	t/t-session $(GW_TESTS)
 
+# What runs on the platform: the gateway and the parts of the library it
+# uses, built under target/ alone.
+GW_PKGS = glib-2.0 jansson msgpack ck
+GW_SRCS = $(wildcard gateway/*.c) $(wildcard platform/*.c) \
+	error.c log.c log-writer.c net.c outlier.c retry-budget.c
+GW_OBJS = $(GW_SRCS:%.c=target/obj/%.o)
+GW_CFLAGS = $(CFLAGS) -std=gnu11 -D_GNU_SOURCE -Wall -Wextra \
+	-Wno-unused-parameter -pthread -I. -Igateway \
+	$(shell pkg-config --cflags $(GW_PKGS))
+GW_LDLIBS = $(shell pkg-config --libs $(GW_PKGS)) -lev -lhttp_parser -lm
+GW_PROGRAMS = target/comfrey-gateway target/comfrey-rank-agent
+
+# Stand-ins of the platform, and callers, for the demo and the tests.
+SI_SRCS = $(wildcard standins/fake-*.c)
+SI_PROGRAMS = target/comfrey-fake-platform target/comfrey-callers
+
+# Tests of the gateway's modules link what runs on the platform, too.
+GW_TESTS = t/t-platform t/t-http-reader t/t-event-stream t/t-balancer \
+	t/t-group-map t/t-peer-msg t/t-log-writer t/t-coordinator \
+	t/t-gateway
+GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
+
 all: $(PROGRAMS) deploy $(SI_PROGRAMS) $(TESTS)
 
 libcomfrey.a: $(LIB_OBJS)
@@ -33,18 +55,7 @@
 comfrey-fake-engine comfrey-bench: LDLIBS := fake-ranks.o libcomfrey.a $(LDLIBS)
 comfrey-bench: LDLIBS += $(shell pkg-config --libs gsl)
 
-# What runs on the platform: the gateway and the parts of the library it
-# uses, built under target/ alone.
-GW_PKGS = glib-2.0 jansson msgpack ck
-GW_SRCS = $(wildcard gateway/*.c) $(wildcard platform/*.c) \
-	error.c log.c log-writer.c net.c outlier.c retry-budget.c
-GW_OBJS = $(GW_SRCS:%.c=target/obj/%.o)
-GW_CFLAGS = $(CFLAGS) -std=gnu11 -D_GNU_SOURCE -Wall -Wextra \
-	-Wno-unused-parameter -pthread -I. -Igateway \
-	$(shell pkg-config --cflags $(GW_PKGS))
-GW_LDLIBS = $(shell pkg-config --libs $(GW_PKGS)) -lev -lhttp_parser -lm
 
-GW_PROGRAMS = target/comfrey-gateway target/comfrey-rank-agent
 
 deploy: $(GW_PROGRAMS)
 
@@ -55,9 +66,6 @@
 $(GW_PROGRAMS): target/%: target/obj/%.o target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -Wl,--as-needed -o $@ $^ $(GW_LDLIBS)
 
-# Stand-ins of the platform, and callers, for the demo and the tests.
-SI_SRCS = $(wildcard standins/fake-*.c)
-SI_PROGRAMS = target/comfrey-fake-platform target/comfrey-callers
 
 target/comfrey-fake-platform: target/obj/standins/comfrey-fake-platform.o \
 		$(SI_SRCS:%.c=target/obj/%.o) target/libcomfrey-gateway.a
@@ -71,11 +79,6 @@
 	@mkdir -p $(dir $@)
 	@$(CC) $(GW_CFLAGS) -c -o $@ $<
 
-# Tests of the gateway's modules link what runs on the platform, too.
-GW_TESTS = t/t-platform t/t-http-reader t/t-event-stream t/t-balancer \
-	t/t-group-map t/t-peer-msg t/t-log-writer t/t-coordinator \
-	t/t-gateway
-GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
 
 t/t-gateway: $(GW_PROGRAMS) $(SI_PROGRAMS)
 t/t-gateway: GW_TEST_LDLIBS += t/platform-harness.o
--- a/t/harness.c
+++ b/t/harness.c
@@ -2,6 +2,7 @@
 
 #include "http-client.h"
 
+#include <errno.h>
 #include <string.h>
 
 #include <fcntl.h>
@@ -11,14 +12,24 @@
 
 static GArray *started;
 
+/* A folder for each test program, so that programs run side by side. */
+static char *
+out_file (const char *name, const char *suffix)
+{
+  g_autofree char *dir
+      = g_strdup_printf ("t/out/%s", program_invocation_short_name);
+
+  g_mkdir_with_parents (dir, 0755);
+  return g_strdup_printf ("%s/%s.%s", dir, name, suffix);
+}
+
 pid_t
 t_start (const char *name, const char *prog, const char *settings)
 {
-  g_autofree char *conf = g_strdup_printf ("t/out/%s.toml", name);
-  g_autofree char *log = g_strdup_printf ("t/out/%s.log", name);
+  g_autofree char *conf = out_file (name, "toml");
+  g_autofree char *log = out_file (name, "log");
   pid_t pid;
 
-  g_mkdir_with_parents ("t/out", 0755);
   g_file_set_contents (conf, settings, -1, NULL);
   if (started == NULL)
     started = g_array_new (FALSE, FALSE, sizeof (pid_t));
@@ -77,7 +88,7 @@
 char *
 t_read_log (const char *name)
 {
-  g_autofree char *log = g_strdup_printf ("t/out/%s.log", name);
+  g_autofree char *log = out_file (name, "log");
   char *text = NULL;
 
   g_file_get_contents (log, &text, NULL, NULL);
--- a/t/harness.h
+++ b/t/harness.h
@@ -7,7 +7,7 @@
 /**
  * t_start:
  * Starts a program of ours with a settings file written from @settings,
- * its standard error going to t/out/@name.log.  Returns its pid.
+ * its standard error going to t/out/PROGRAM/@name.log.  Returns its pid.
  */
 pid_t t_start (const char *name, const char *prog, const char *settings);
 
