Give lost orders again at once; hold further ahead where they get lost

Ruled out: the agents (an order takes them 1 to 2 ms). Change: 50 ms for the rank's answer, given again at once; the lead grows while the group stands still at the hold; a 20 ms tick while a change is under way; a silent stream is not moved while all its targets are silent.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -110,7 +110,6 @@
 on_tick (struct ev_loop *loop, ev_timer *w, int revents)
 {
   cf_exchange_pump (&gw);
-  cf_rank_service_tick (ranks);
   cf_peer_service_tick (peers);
   if (gw.stopping)
     stop_step (&gw);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -22,6 +22,9 @@
 /** Beyond the time that a rank group stalls over a lost rank, a stream's
  * silence is its own target's. */
 #define SILENCE_MARGIN_MS 150
+/** Without an event of any target of a service for so long, when passes take
+ * 30 to 120 ms, they all stand still. */
+#define ALL_SILENT_MS 400
 /** A target that said it was full is not asked again for so long: a slot
  * comes free about every 100 ms at a target of 12 slots and 1.2 s a stream. */
 #define FULL_PAUSE_MS 50
@@ -296,6 +299,7 @@
   else
     cf_histogram_add (&x->g->stats.pause_ms, now - x->last_event_ms);
   x->last_event_ms = now;
+  x->lane->last_event_ms = now;
 }
 
 static void
@@ -656,6 +660,14 @@
         refuse (x, "no-room", FULL_BUSY_MS);
       return;
     }
+  /* When all targets are silent, as the ranks of a group are while one of
+   * them is missed, another has nothing to say either. */
+  if (x->route->stream
+      && cf_gateway_now (x->g) - x->lane->last_event_ms > ALL_SILENT_MS)
+    {
+      wait_for_target (x, ALL_SILENT_MS);
+      return;
+    }
   /* Without another target to try, the one that is silent may still answer. */
   x->may_have_run = TRUE;
   if (!may_send_again (x))
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -18,6 +18,7 @@
 {
   CfWaitQueue queue;
   CfRetryBudget budget;
+  gint64 last_event_ms; /**< when any of its targets last sent something */
 } CfLane;
 
 /**
--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -371,7 +371,7 @@
     }
   if (ready)
     {
-      c->lead = LEAD_FIRST;
+      c->lead = MAX (c->next_lead, LEAD_FIRST);
       c->step = 0;
       c->holder = (int)(c->version % c->shape.ranks);
       enter (c, CF_MAP_HOLDING, "all-prepared", now);
@@ -409,6 +409,17 @@
     send_order (c, c->holder, &o, now);
 }
 
+/* A group that stood still at the held pass gets more passes of warning
+ * next time: where orders get lost, arming all ranks takes longer. */
+static void
+learn_lead (CfMapCoordinator *c)
+{
+  if (newest_step (c) >= c->step - 1)
+    c->next_lead = MIN (MAX (c->lead, LEAD_FIRST) * 2, LEAD_LAST);
+  else
+    c->next_lead = MAX (c->lead - 1, LEAD_FIRST);
+}
+
 static void
 arm (CfMapCoordinator *c, gint64 now)
 {
@@ -427,7 +438,10 @@
         send_order (c, r, &o, now);
     }
   if (ready)
-    enter (c, CF_MAP_RELEASING, "all-armed", now);
+    {
+      learn_lead (c);
+      enter (c, CF_MAP_RELEASING, "all-armed", now);
+    }
   else if (now - c->state_ms > STEP_MAX_MS)
     enter (c, CF_MAP_SETTLING, "arming-too-slow", now);
 }
@@ -685,7 +699,8 @@
     case CF_RANK_ACK_DONE:
       break;
     case CF_RANK_ACK_UNKNOWN:
-      c->ranks[rank].asked_ms = now - ORDER_AGAIN_MS / 2;
+      /* Given again at once: it may be carried out late, or never. */
+      c->ranks[rank].asked_ms = 0;
       break;
     case CF_RANK_ACK_REFUSED:
       refused (c, rank, now);
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -84,6 +84,7 @@
   gint64 step;      /**< the pass held */
   int holder;       /**< the rank that holds it */
   int lead;         /**< passes between the newest known and @step */
+  int next_lead;    /**< the same, for the next change */
   guint64 n_changes;
   int last_copies;    /**< experts that the last change copied */
   double skew_before; /**< as planned */
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -21,9 +21,10 @@
 /** A gateway that did not tick for so long is taken as down: three ticks. */
 #define HEARD_MS 1300L
 #define RECONNECT_MS 500
-/** The rank answers in a ms; a slow one is asked again. */
 #define CALL_TIMEOUT_MS 1000
-#define ORDER_TIMEOUT_MS 150
+/** The rank answers an order within a few ms of this VM's processor time;
+ * one that is late is given again, while the whole group may be waiting. */
+#define ORDER_TIMEOUT_MS 50
 
 /* Messages out */
 
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -8,10 +8,13 @@
 
 #include <string.h>
 
+/** The coordinator's tick while a change is under way, and otherwise. */
+#define BUSY_TICK_S 0.02
+#define IDLE_TICK_S 0.1
 /** How often agents are told that this gateway lives. */
 #define TICK_MS 400
 /** An order whose agent has not answered by then counts as unanswered. */
-#define ORDER_LOST_MS 160
+#define ORDER_LOST_MS 90
 /** A rank's status that is older says nothing of who it can hear. */
 #define STATUS_FRESH_MS 2500
 /** While a pass is held, a rank not heard of for so long is asked directly:
@@ -68,6 +71,7 @@
 {
   CfGateway *g;
   int seed; /**< which seed this gateway is; -1: none */
+  ev_timer timer;
   gint64 ticked_ms;
   gint64 seq;
   GHashTable *groups; /**< name -> #Group */
@@ -402,9 +406,17 @@
   }
 }
 
-void
-cf_rank_service_tick (CfRankService *s)
+static gboolean
+is_changing (const Group *g)
+{
+  return g->leads && g->c.state != CF_MAP_IDLE && g->c.state != CF_MAP_SETTLING;
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *t, int revents)
 {
+  CfRankService *s = t->data;
+  gboolean busy = FALSE;
   gint64 now = cf_gateway_now (s->g);
   gboolean tick = now - s->ticked_ms >= TICK_MS;
   GHashTableIter it;
@@ -421,7 +433,10 @@
       if (g->leads)
         ask_silent_ranks (g);
       cf_map_coordinator_tick (&g->c, now);
+      busy |= is_changing (g);
     }
+  ev_timer_set (t, 0, busy ? BUSY_TICK_S : IDLE_TICK_S);
+  ev_timer_again (loop, t);
   if (!tick)
     return;
   s->ticked_ms = now;
@@ -572,5 +587,8 @@
   s->seed = seed_index (&g->set);
   s->groups = g_hash_table_new (g_str_hash, g_str_equal);
   TAILQ_INIT (&s->agents);
+  ev_timer_init (&s->timer, on_timer, IDLE_TICK_S, IDLE_TICK_S);
+  s->timer.data = s;
+  ev_timer_start (g->loop, &s->timer);
   return s;
 }
--- a/gateway/rank-service.h
+++ b/gateway/rank-service.h
@@ -20,6 +20,3 @@
 /** cf_rank_service_adopt: @l is a rank agent's, and @first its greeting. */
 void cf_rank_service_adopt (CfRankService *s, CfPeerLink *l,
                             const CfPeerMsg *first);
-
-/** cf_rank_service_tick: call it some twenty times a second. */
-void cf_rank_service_tick (CfRankService *s);
