Share a target's slots over the fleet; wait at the gateway, in-time ones first

Change: a gateway gives a target its even part of the slots and a quarter more; the rest waits at the gateway, for 0.6 of callers' patience, and those that can still meet their objective go first; no new work into a service of which nothing is heard for 400 ms; orders pass an agent by that lost two in a row.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -1,7 +1,11 @@
 #include "balancer.h"
 
+#include <math.h>
 #include <string.h>
 
+/** Of an even part of a target's slots, what a gateway may use. */
+#define SHARE_MORE 1.25
+
 /** How a target may be used for a request. */
 typedef enum
 {
@@ -11,6 +15,14 @@
   USE_YES,
 } Use;
 
+guint
+cf_balancer_share (gint64 slots, guint fleet)
+{
+  double part = (double)slots * SHARE_MORE / MAX (fleet, 1);
+
+  return (guint)MAX (ceil (part), 1);
+}
+
 static gboolean
 was_tried (const GPtrArray *tried, const CfTarget *t)
 {
@@ -22,7 +34,8 @@
 {
   if (t->record.leaving || was_tried (in->tried, t))
     return USE_NO;
-  if (t->in_flight >= (guint)t->record.slots || in->now_ms < t->full_until_ms)
+  if (t->in_flight >= cf_balancer_share (t->record.slots, in->fleet)
+      || in->now_ms < t->full_until_ms)
     return USE_FULL;
   return cf_outlier_ejected (&t->outlier, in->now_ms) ? USE_GUESS : USE_YES;
 }
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -17,8 +17,18 @@
   const char *data_centre; /**< (nullable): ours; wins among equals */
   const GPtrArray *tried;  /**< (nullable): targets that had it already */
   gint64 now_ms;           /**< of the monotonic clock */
+  guint fleet;             /**< gateways that send to these targets */
 } CfPickInput;
 
+/**
+ * cf_balancer_share:
+ * Returns: how many requests one of @fleet gateways gives a target of
+ *   @slots at once: an even part and a quarter more, since callers are not
+ *   spread evenly.  What is more than the slots would wait at the target,
+ *   where the order cannot be chosen any more.
+ */
+guint cf_balancer_share (gint64 slots, guint fleet);
+
 /**
  * cf_balancer_pick:
  * The target with the least of our requests for its slots; among equals one
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -25,6 +25,14 @@
 /** Without an event of any target of a service for so long, when passes take
  * 30 to 120 ms, they all stand still. */
 #define ALL_SILENT_MS 400
+/** Callers give a stream up without an event for two seconds, four times the
+ * objective or eight times that for pauses, whichever is longest. */
+#define PATIENCE_LEAST_MS 2000
+#define PATIENCE_AIMS 4
+#define PATIENCE_GAPS 8
+/** Of the objective, when a request has to be sent to meet it: the first
+ * event takes about 200 ms of 500 at a target of 8 requests. */
+#define START_PART_OF_AIM 0.6
 /** A target that said it was full is not asked again for so long: a slot
  * comes free about every 100 ms at a target of 12 slots and 1.2 s a stream. */
 #define FULL_PAUSE_MS 50
@@ -120,6 +128,7 @@
   if (!x->target)
     return;
   x->target->in_flight--;
+  x->lane->in_flight--;
   g_clear_pointer (&x->target, cf_target_unref);
 }
 
@@ -510,6 +519,8 @@
     }
   x->target = cf_target_ref (t);
   t->in_flight++;
+  if (x->lane->in_flight++ == 0)
+    x->lane->busy_since_ms = cf_gateway_now (x->g);
   x->sends++;
   x->g->stats.sends++;
   g_ptr_array_add (x->tried, cf_target_ref (t));
@@ -535,16 +546,30 @@
   return (guint)MAX (slots * WAITERS_PER_SLOT, 1);
 }
 
+/* How long callers wait for a first sign: a stream's for some objectives
+ * and some seconds, another request's for its answer in time. */
+static gint64
+patience_ms (const CfExchange *x)
+{
+  gint64 ms = x->route->aim_ms;
+
+  if (!x->route->stream)
+    return ms;
+  ms = MAX (ms * PATIENCE_AIMS, x->route->gap_aim_ms * PATIENCE_GAPS);
+  return MAX (ms, PATIENCE_LEAST_MS);
+}
+
 /* Waits for room, for as long as that leaves time for the work itself. */
 static void
 wait_for_room (CfExchange *x)
 {
   gint64 now = cf_gateway_now (x->g);
-  gint64 limit = cf_wait_limit_ms (x->route->aim_ms, left_ms (x));
+  gint64 limit = cf_wait_limit_ms (patience_ms (x), left_ms (x));
   CfWaiter *evicted;
 
   x->waiter.since_ms = now;
-  x->waiter.until_ms = now + limit;
+  x->waiter.in_time_ms
+      = x->start_ms + (gint64)((double)x->route->aim_ms * START_PART_OF_AIM);
   if (!cf_wait_queue_add (&x->lane->queue, &x->waiter, waiters_max (x),
                           &evicted))
     {
@@ -563,15 +588,32 @@
     refuse (evicted->owner, "more-urgent-waits", FULL_BUSY_MS);
 }
 
+/* Whether all targets of a service of streams stand still, as the ranks of
+ * a group do while one of them is missed.  More work sent there would only
+ * be given up by its callers, at targets that may not hear of it. */
+static gboolean
+all_silent (const CfExchange *x)
+{
+  const CfLane *l = x->lane;
+  gint64 since = MAX (l->last_event_ms, l->busy_since_ms);
+
+  return x->route->stream && l->in_flight > 0
+         && cf_gateway_now (x->g) - since > ALL_SILENT_MS;
+}
+
 static CfPickWhy
 pick (CfExchange *x, CfTarget **t)
 {
   CfPickInput in = { 0 };
 
+  if (all_silent (x))
+    return CF_PICK_FULL;
+
   in.service = x->service;
   in.data_centre = x->g->set.data_centre;
   in.tried = x->tried;
   in.now_ms = cf_gateway_now (x->g);
+  in.fleet = x->g->fleet_size;
   return cf_balancer_pick (&x->g->targets, &in, t);
 }
 
@@ -608,6 +650,8 @@
   if (!w)
     return FALSE;
   x = w->owner;
+  w = cf_wait_queue_first (q, cf_gateway_now (x->g));
+  x = w->owner;
   if (pick (x, &t) != CF_PICK_OK)
     return FALSE;
   cf_histogram_add (&x->g->stats.queue_ms, cf_gateway_now (x->g) - w->since_ms);
@@ -662,8 +706,7 @@
     }
   /* When all targets are silent, as the ranks of a group are while one of
    * them is missed, another has nothing to say either. */
-  if (x->route->stream
-      && cf_gateway_now (x->g) - x->lane->last_event_ms > ALL_SILENT_MS)
+  if (all_silent (x))
     {
       wait_for_target (x, ALL_SILENT_MS);
       return;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -18,6 +18,8 @@
 {
   CfWaitQueue queue;
   CfRetryBudget budget;
+  guint in_flight;      /**< requests of ours that its targets have */
+  gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
   gint64 last_event_ms; /**< when any of its targets last sent something */
 } CfLane;
 
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -15,6 +15,9 @@
 #define TICK_MS 400
 /** An order whose agent has not answered by then counts as unanswered. */
 #define ORDER_LOST_MS 90
+/** An agent that lost so many orders in a row is passed by: orders go to
+ * the rank itself until the agent is heard of again. */
+#define UNANSWERED_MAX 2
 /** A rank's status that is older says nothing of who it can hear. */
 #define STATUS_FRESH_MS 2500
 /** While a pass is held, a rank not heard of for so long is asked directly:
@@ -62,6 +65,7 @@
   char **addrs;       /**< by rank: where it was last */
   gint64 *pending;    /**< by rank: the order that is unanswered; 0: none */
   gint64 *pending_ms;
+  guint *unanswered; /**< by rank: orders in a row that its agent lost */
   gint64 *direct_ms; /**< by rank: when it was last asked directly */
   gint64 fence_seen;
   gboolean leads;
@@ -188,6 +192,9 @@
   Group *g = data;
   AgentLink *a = g->agents[rank];
 
+  /* A VM may stand still while its link looks alive. */
+  if (g->unanswered[rank] >= UNANSWERED_MAX)
+    a = NULL;
   cf_log (LOG_INFO, CF_EV_RANK_ORDER,
           "group=%s rank=%d order=%s version=%" G_GINT64_FORMAT
           " step=%" G_GINT64_FORMAT " epoch=%" G_GINT64_FORMAT
@@ -281,6 +288,7 @@
   g->addrs = g_new0 (char *, shape.ranks);
   g->pending = g_new0 (gint64, shape.ranks);
   g->pending_ms = g_new0 (gint64, shape.ranks);
+  g->unanswered = g_new0 (guint, shape.ranks);
   g->direct_ms = g_new0 (gint64, shape.ranks);
   g_hash_table_insert (a->s->groups, g->name, g);
   return g;
@@ -388,6 +396,7 @@
     if (g->pending[r] && now - g->pending_ms[r] > ORDER_LOST_MS)
       {
         g->pending[r] = 0;
+        g->unanswered[r]++;
         cf_map_coordinator_ack (&g->c, r, CF_RANK_ACK_UNKNOWN, now);
       }
 }
@@ -456,6 +465,7 @@
   if (!a->group)
     return;
   a->seen_ms = now;
+  a->group->unanswered[a->rank] = 0;
   a->seeds_up = m->u.rank_status.seeds_up;
   /* A version holds its leader's token, so it tells of leaders whose
    * orders the agent has forgotten. */
@@ -483,6 +493,7 @@
   if (!g || g->pending[a->rank] != m->u.order_ack.seq)
     return;
   g->pending[a->rank] = 0;
+  g->unanswered[a->rank] = 0;
   if (m->u.order_ack.status.group[0])
     cf_map_coordinator_status (&g->c, &m->u.order_ack.status,
                                m->u.order_ack.fence_seen, now);
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -1,9 +1,8 @@
 #include "wait-queue.h"
 
-/** Of the latency objective, the part a request may wait for room: the rest
- * is needed by the target, whose own work takes about half of it when it is
- * full (a prompt of usual size read beside 11 writers). */
-#define WAIT_PART_OF_AIM 0.8
+/** Of callers' patience, the part a request may wait for room: the rest is
+ * needed for its prompt to be read beside others. */
+#define WAIT_PART_OF_PATIENCE 0.6
 /** Of the time left, the part it may wait, so that a refusal still leaves
  * its caller time to come back. */
 #define WAIT_PART_OF_LEFT 0.33
@@ -61,13 +60,24 @@
   q->n--;
 }
 
+CfWaiter *
+cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms)
+{
+  CfWaiter *w;
+
+  TAILQ_FOREACH (w, &q->waiters, link)
+  if (now_ms <= w->in_time_ms)
+    return w;
+  return TAILQ_FIRST (&q->waiters);
+}
+
 gint64
-cf_wait_limit_ms (gint64 aim_ms, gint64 left_ms)
+cf_wait_limit_ms (gint64 patience_ms, gint64 left_ms)
 {
-  double by_aim = (double)aim_ms * WAIT_PART_OF_AIM;
+  double by_patience = (double)patience_ms * WAIT_PART_OF_PATIENCE;
   double by_left = (double)left_ms * WAIT_PART_OF_LEFT;
 
-  return (gint64)MIN (by_aim, by_left);
+  return (gint64)MIN (by_patience, by_left);
 }
 
 gint64
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -13,16 +13,17 @@
   TAILQ_ENTRY (CfWaiter) link;
   gint64 priority; /**< 0 is the most urgent */
   gint64 since_ms;
-  gint64 until_ms; /**< refused if there is no room by then */
+  gint64 in_time_ms; /**< started by then, it meets its objective */
   gboolean queued;
   void *owner;
 };
 
 /**
  * CfWaitQueue:
- * Requests of one service in the order they get room: by priority, then by
- * arrival.  Bounded; it answers bursts that are over sooner than callers'
- * latency objectives, and refuses the rest at once.
+ * Requests of one service that wait for room.  Those that can still meet
+ * their objective come first, by priority, then by arrival; then the
+ * others.  Bounded; for bursts that are over sooner than callers lose
+ * patience.
  */
 typedef struct
 {
@@ -43,13 +44,16 @@
 
 void cf_wait_queue_remove (CfWaitQueue *q, CfWaiter *w);
 
+/** cf_wait_queue_first: (nullable): who gets the next room. */
+CfWaiter *cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms);
+
 /**
  * cf_wait_limit_ms:
- * @aim_ms: the latency objective of the request
- * @left_ms: time left until its deadline
+ * @patience_ms: how long callers wait for a first sign of an answer
+ * @left_ms: time left until the request's deadline
  * Returns: how long it should wait for room at most.
  */
-gint64 cf_wait_limit_ms (gint64 aim_ms, gint64 left_ms);
+gint64 cf_wait_limit_ms (gint64 patience_ms, gint64 left_ms);
 
 /**
  * cf_retry_after_ms:
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -31,7 +31,7 @@
 static CfPickWhy
 pick (gint64 now, const GPtrArray *tried, CfTarget **t)
 {
-  const CfPickInput in = { "s", "dc1", tried, now };
+  const CfPickInput in = { "s", "dc1", tried, now, 1 };
 
   return cf_balancer_pick (&table, &in, t);
 }
@@ -68,16 +68,26 @@
 
 START_TEST (load_is_spread_evenly)
 {
-  for (int i = 0; i < 12; i++)
+  for (int i = 0; i < 15; i++)
     {
       CfTarget *t;
 
       ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
       t->in_flight++;
     }
-  ck_assert_uint_eq (get ("a")->in_flight, 4);
-  ck_assert_uint_eq (get ("b")->in_flight, 4);
-  ck_assert_uint_eq (get ("c")->in_flight, 4);
+  ck_assert_uint_eq (get ("a")->in_flight, 5);
+  ck_assert_uint_eq (get ("b")->in_flight, 5);
+  ck_assert_uint_eq (get ("c")->in_flight, 5);
+}
+END_TEST
+
+/* All gateways together fill a target's slots, not its queue. */
+START_TEST (slots_are_shared_over_the_fleet)
+{
+  ck_assert_uint_eq (cf_balancer_share (12, 1), 15);
+  ck_assert_uint_eq (cf_balancer_share (12, 3), 5);
+  ck_assert_uint_eq (cf_balancer_share (6, 4), 2);
+  ck_assert_uint_eq (cf_balancer_share (6, 40), 1);
 }
 END_TEST
 
@@ -104,8 +114,8 @@
 {
   CfTarget *t;
 
-  get ("a")->in_flight = 4;
-  get ("b")->in_flight = 4;
+  get ("a")->in_flight = 5;
+  get ("b")->in_flight = 5;
   get ("c")->full_until_ms = 100;
   ck_assert_int_eq (pick (99, NULL, &t), CF_PICK_FULL);
   ck_assert_int_eq (pick (100, NULL, &t), CF_PICK_OK);
@@ -179,6 +189,25 @@
 }
 END_TEST
 
+START_TEST (those_that_can_be_in_time_come_first)
+{
+  CfWaitQueue q;
+  CfWaiter old = { .priority = 1, .in_time_ms = 100 };
+  CfWaiter young = { .priority = 1, .in_time_ms = 400 };
+  CfWaiter *evicted;
+
+  cf_wait_queue_init (&q);
+  cf_wait_queue_add (&q, &old, 9, &evicted);
+  cf_wait_queue_add (&q, &young, 9, &evicted);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100), &old);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 101), &young);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 401), &old);
+  cf_wait_queue_remove (&q, &old);
+  cf_wait_queue_remove (&q, &young);
+  ck_assert_ptr_null (cf_wait_queue_first (&q, 401));
+}
+END_TEST
+
 START_TEST (callers_come_back_within_what_they_accept)
 {
   for (guint spread = 0; spread < 1000; spread += 7)
@@ -202,12 +231,14 @@
   tcase_add_checked_fixture (t, setup, teardown);
   tcase_add_test (t, the_least_loaded_is_picked);
   tcase_add_test (t, load_is_spread_evenly);
+  tcase_add_test (t, slots_are_shared_over_the_fleet);
   tcase_add_test (t, leaving_and_tried_ones_get_nothing);
   tcase_add_test (t, full_ones_make_a_request_wait);
   tcase_add_test (t, ejected_ones_are_the_last_resort);
   tcase_add_test (t, old_and_bad_records_are_dropped);
   tcase_add_test (t, work_outlives_its_listing);
   tcase_add_test (t, urgent_ones_wait_in_front);
+  tcase_add_test (t, those_that_can_be_in_time_come_first);
   tcase_add_test (t, callers_come_back_within_what_they_accept);
   suite_add_tcase (s, t);
   return t_run (s);
