Hand on the lead of a rank group at once; stay off after being fenced

The leader gave up the lead at SIGTERM but went on greeting the agents while it ended its streams, so the next seed did not take over; then two gateways fenced each other off by turns, one of them without knowing. Ruled out: the agents' reconnects (0.5 s) and the settling (0.1 s). Change: a gateway that stops greets no agent; a leader that sees a higher token guarding a rank gives up the lead; whoever was fenced stays off 3 s.

--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -595,6 +595,15 @@
   enter (c, CF_MAP_SETTLING, "new-epoch", now);
 }
 
+/* Another leader's token guards a rank: this one orders nothing more. */
+static void
+lose_lead (CfMapCoordinator *c, gint64 now)
+{
+  c->fence = 0;
+  c->fenced_ms = now;
+  enter (c, CF_MAP_SETTLING, "fenced", now);
+}
+
 void
 cf_map_coordinator_status (CfMapCoordinator *c, const CfRankStatus *s,
                            gint64 token, gint64 now)
@@ -607,6 +616,8 @@
     new_epoch (c, s->epoch, now);
   v = &c->ranks[s->rank];
   v->status = *s;
+  if (c->fence && token > c->fence)
+    lose_lead (c, now);
   v->token = token;
   v->seen_ms = now;
   if (!s->open && c->state != CF_MAP_SETTLING)
@@ -710,8 +721,7 @@
       refused (c, rank, now);
       break;
     case CF_RANK_ACK_FENCED:
-      c->fence = 0;
-      enter (c, CF_MAP_SETTLING, "fenced", now);
+      lose_lead (c, now);
       break;
     }
 }
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -67,8 +67,9 @@
   CfGroupShape shape;
   CfPlanLimits limits;
   CfMapState state;
-  gint64 state_ms; /**< when @state was entered */
-  gint64 fence;
+  gint64 state_ms;  /**< when @state was entered */
+  gint64 fence;     /**< token of this leader; 0: it does not lead */
+  gint64 fenced_ms; /**< when another leader\'s token was last met; 0: never */
   gint64 epoch;
   gint64 last_tick_ms;
   gint64 idle_until_ms; /**< no plan before */
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -19,6 +19,8 @@
 /** An agent that lost so many orders in a row is passed by: orders go to
  * the rank itself until the agent is heard of again. */
 #define UNANSWERED_MAX 2
+/** After another leader's token was met, the lead is not taken for so long. */
+#define LEAD_AGAIN_MS 3000
 /** A rank's status that is older says nothing of who it can hear. */
 #define STATUS_FRESH_MS 2500
 /** While a pass is held, a rank not heard of for so long is asked directly:
@@ -351,6 +353,10 @@
   gint64 now = cf_gateway_now (g->s->g);
   gboolean lead = should_lead (g) && !g->s->g->stopping;
 
+  /* Whoever fenced this gateway off may well be the one to lead; by then
+   * all ranks have said whom they hear. */
+  if (g->c.fenced_ms && now - g->c.fenced_ms < LEAD_AGAIN_MS)
+    lead = FALSE;
   if (lead && g->c.fence == 0)
     {
       gint64 fence = (g->fence_seen / FENCE_STEP + 1) * FENCE_STEP + g->s->seed;
@@ -404,11 +410,15 @@
       }
 }
 
+/* A gateway that stops is silent, so that the next seed takes the lead
+ * while this one still ends its requests. */
 static void
 tell_agents (CfRankService *s)
 {
   AgentLink *a;
 
+  if (s->g->stopping)
+    return;
   TAILQ_FOREACH (a, &s->agents, link)
   {
     CfPeerMsg m = { .kind = CF_PEER_TICK };
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -519,6 +519,28 @@
 START_TEST (one_map_a_pass_without_fences) { play_seeds (1001, FALSE); }
 END_TEST
 
+/* A leader that meets a higher token gives up the lead, also while it has
+ * no order out that could be refused. */
+START_TEST (a_higher_token_ends_the_lead)
+{
+  CfRankStatus s = { .group = "g", .size = RANKS, .epoch = 1, .open = TRUE };
+  Leader *l = &w.leaders[0];
+
+  memset (&w, 0, sizeof w);
+  new_leader (l);
+  cf_map_coordinator_lead (&l->c, 8, 1, 1000);
+  for (s.rank = 0; s.rank < RANKS; s.rank++)
+    cf_map_coordinator_status (&l->c, &s, 8, 1010);
+  cf_map_coordinator_tick (&l->c, 1020);
+  ck_assert_int_eq (l->c.state, CF_MAP_IDLE);
+  s.rank = 2;
+  cf_map_coordinator_status (&l->c, &s, 17, 1030);
+  ck_assert_int_eq (l->c.fence, 0);
+  ck_assert_int_eq (l->c.fenced_ms, 1030);
+  cf_map_coordinator_clear (&l->c);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -529,6 +551,7 @@
   tcase_set_timeout (t, 600);
   tcase_set_timeout (u, 600);
   tcase_add_test (t, one_map_a_pass);
+  tcase_add_test (t, a_higher_token_ends_the_lead);
   tcase_add_test (u, one_map_a_pass_without_fences);
   suite_add_tcase (s, t);
   suite_add_tcase (s, u);
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -512,6 +512,46 @@
 }
 END_TEST
 
+static gboolean
+log_says (const char *file, const char *needle, int ms)
+{
+  for (int i = 0; i < ms / 20; i++)
+    {
+      g_autofree char *text = NULL;
+
+      if (g_file_get_contents (file, &text, NULL, NULL)
+          && strstr (text, needle))
+        return TRUE;
+      usleep (20000);
+    }
+  return FALSE;
+}
+
+/* The leader of a group stops: while it still ends a stream, which takes
+ * seconds, the next gateway leads. */
+START_TEST (a_stopping_leader_hands_on_the_lead)
+{
+  g_autofree char *stream = p_request (
+      "POST /chat/a", "l1", "Comfreypost-Token-Count: 10,4000\r\n", "");
+  g_autofree char *second = g_strdup_printf ("t/out/gateway-%d-2.log", BASE);
+  int fd;
+
+  p_gateway (BASE, 2);
+  p_await_ready (BASE, 2);
+  for (int i = 0; i < N_RANKS; i++)
+    p_agent (BASE, RANK_1 + i);
+  usleep (1500000);
+  ck_assert (!log_says (second, "took-the-lead", 20));
+  fd = p_connect (front);
+  p_send (fd, stream);
+  usleep (100000);
+  kill (gateway, SIGTERM);
+  ck_assert (log_says (second, "took-the-lead", 3500));
+  ck_assert_int_eq (kill (gateway, 0), 0);
+  close (fd);
+}
+END_TEST
+
 /* Agents beside the ranks: the load is evened, every pass has one map. */
 START_TEST (experts_are_placed_at_one_pass)
 {
@@ -570,6 +610,7 @@
   tcase_add_test (t, a_planned_stop_ends_what_runs);
   tcase_add_test (t, a_reload_cuts_off_nothing);
   tcase_add_test (t, metrics_are_served);
+  tcase_add_test (t, a_stopping_leader_hands_on_the_lead);
   tcase_add_test (t, experts_are_placed_at_one_pass);
   suite_add_tcase (s, t);
   return t_run (s);
