--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -529,8 +529,9 @@
   memset (&w, 0, sizeof w);
   new_leader (l);
   cf_map_coordinator_lead (&l->c, 8, 1, 1000);
+  cf_map_coordinator_status (&l->c, &s, 8, 1010); /* the epoch */
   for (s.rank = 0; s.rank < RANKS; s.rank++)
-    cf_map_coordinator_status (&l->c, &s, 8, 1010);
+    cf_map_coordinator_status (&l->c, &s, 8, 1015);
   cf_map_coordinator_tick (&l->c, 1020);
   ck_assert_int_eq (l->c.state, CF_MAP_IDLE);
   s.rank = 2;
