Keep the lead of a rank group while it is heard

Ruled out: the agents' readings (fresh), the old leader (it had 200 ms to go). Change: agents report the leader they hear; a seed takes the lead only when most hear none.

--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -89,10 +89,11 @@
       put_bytes (&pk, m->u.agent_hello.target_addr);
       break;
     case CF_PEER_RANK_STATUS:
-      begin (&pk, m, 4);
+      begin (&pk, m, 5);
       put_status (&pk, &m->u.rank_status.status);
       put_int (&pk, m->u.rank_status.fence_seen);
       put_int (&pk, m->u.rank_status.seeds_up);
+      put_int (&pk, m->u.rank_status.led);
       put_array (&pk, m->u.rank_status.counts);
       break;
     case CF_PEER_TICK:
@@ -280,6 +281,7 @@
       take_status (f, &m->u.rank_status.status);
       m->u.rank_status.fence_seen = take_int (f);
       m->u.rank_status.seeds_up = (guint)take_int (f);
+      m->u.rank_status.led = take_int (f);
       m->u.rank_status.counts = take_array (f);
       break;
     case CF_PEER_TICK:
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -42,6 +42,7 @@
       CfRankStatus status;
       gint64 fence_seen; /**< the highest token the agent has obeyed */
       guint seeds_up;    /**< bit i: seed i was heard from lately */
+      gint64 led;        /**< token of the leader it hears; 0: it hears none */
       GArray *counts;    /**< (nullable): of gint64, owned */
     } rank_status;
     struct
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -82,6 +82,7 @@
   m.u.rank_status.status = a->status;
   m.u.rank_status.fence_seen = a->fence_seen;
   m.u.rank_status.seeds_up = seeds_up (a, now);
+  m.u.rank_status.led = lead ? lead->fence : 0;
   for (int i = 0; i < a->n_seeds; i++)
     {
       CfSeed *s = &a->seeds[i];
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -57,6 +57,7 @@
   Group *group; /**< %NULL until its first status */
   int rank;
   guint seeds_up; /**< as its last status says */
+  gint64 led;     /**< token of the leader that the agent hears; 0: none */
   gint64 seen_ms;
 } AgentLink;
 
@@ -328,9 +329,27 @@
     }
 }
 
-/* Whether most ranks hear no seed before this gateway. */
+/* Whether most ranks hear this leader. */
 static gboolean
-should_lead (const Group *g)
+is_followed (const Group *g)
+{
+  gint64 now = cf_gateway_now (g->s->g);
+  int votes = 0;
+
+  for (int r = 0; r < g->c.shape.ranks; r++)
+    {
+      const AgentLink *a = g->agents[r];
+
+      votes += a && now - a->seen_ms < STATUS_FRESH_MS;
+    }
+  return votes * 2 > g->c.shape.ranks;
+}
+
+/* Whether most ranks hear no leader, and no seed before this gateway.  A
+ * seed that comes back does not unseat who leads: in the middle of a change
+ * that costs the group a second or more. */
+static gboolean
+is_wanted (const Group *g)
 {
   gint64 now = cf_gateway_now (g->s->g);
   guint before = (1U << g->s->seed) - 1;
@@ -340,9 +359,8 @@
     {
       const AgentLink *a = g->agents[r];
 
-      if (a && now - a->seen_ms < STATUS_FRESH_MS
-          && (a->seeds_up & before) == 0)
-        votes++;
+      votes += a && now - a->seen_ms < STATUS_FRESH_MS && a->led == 0
+               && (a->seeds_up & before) == 0;
     }
   return votes * 2 > g->c.shape.ranks;
 }
@@ -351,8 +369,9 @@
 decide_lead (Group *g)
 {
   gint64 now = cf_gateway_now (g->s->g);
-  gboolean lead = should_lead (g) && !g->s->g->stopping;
+  gboolean lead = g->c.fence ? is_followed (g) : is_wanted (g);
 
+  lead = lead && !g->s->g->stopping;
   /* Whoever fenced this gateway off may well be the one to lead; by then
    * all ranks have said whom they hear. */
   if (g->c.fenced_ms && now - g->c.fenced_ms < LEAD_AGAIN_MS)
@@ -495,6 +514,7 @@
   a->seen_ms = now;
   a->group->unanswered[a->rank] = 0;
   a->seeds_up = m->u.rank_status.seeds_up;
+  a->led = m->u.rank_status.led;
   /* A version holds its leader's token, so it tells of leaders whose
    * orders the agent has forgotten. */
   a->group->fence_seen
--- a/gateway/rank-service.h
+++ b/gateway/rank-service.h
@@ -9,9 +9,9 @@
  * this gateway leads a rank group, and carries the coordinator's orders.
  *
  * Of the gateways that the settings name as seeds, the first that most
- * ranks of a group can hear leads it; the next one takes over when they
- * cannot.  Two may lead for a moment: fencing tokens and the coordinator's
- * rules keep that safe.
+ * ranks of a group can hear takes the lead when they hear no leader, and
+ * keeps it while they hear it.  Two may lead for a moment: fencing tokens
+ * and the coordinator's rules keep that safe.
  */
 typedef struct CfRankService CfRankService;
 
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -44,12 +44,14 @@
   m.u.rank_status.status.rank = 3;
   m.u.rank_status.status.held = 1LL << 40;
   m.u.rank_status.seeds_up = 5;
+  m.u.rank_status.led = 24;
   m.u.rank_status.counts = g_array_new (FALSE, FALSE, sizeof (gint64));
   g_array_append_val (m.u.rank_status.counts, n);
   there_and_back (&m, &o, &zone, &buf);
   ck_assert_str_eq (o.u.rank_status.status.group, "g0");
   ck_assert_int_eq (o.u.rank_status.status.held, 1LL << 40);
   ck_assert_uint_eq (o.u.rank_status.seeds_up, 5);
+  ck_assert_int_eq (o.u.rank_status.led, 24);
   ck_assert_int_eq (g_array_index (o.u.rank_status.counts, gint64, 0), 77);
   release (&o, &zone, &buf);
   cf_peer_msg_clear (&m);
