Wait five seconds in a watch of the store

Cause: two watches a second from each gateway; at 340 of them that is a third of the store's reads, and each call is priced. Ruled out: one watch of all keys (it would carry every route and service twice). Change: a watch waits 5 s; a connection gone silent is found by its keep-alive in about 3 s.

--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -15,9 +15,10 @@
  * store that is down is asked about once a second. */
 #define PAUSE_FIRST_MS 100
 #define PAUSE_LAST_MS 800
-/** A watch waits for this part of the time in which a configuration has to
- * be in force, so that a connection gone silent is found within it. */
-#define WAIT_PART_OF_APPLY 2
+/** How long a watch waits for a change: a call a second from each gateway
+ * would use up the rates of the store at some hundred gateways.  That a
+ * connection went silent is found by its keep-alive, in about 3 s. */
+#define WAIT_MS 5000
 #define READ_SIZE 16384
 #define HEAD_MAX 16384
 /** Answers are pages of about a megabyte, base64 included. */
@@ -302,7 +303,7 @@
   w->g = g;
   w->prefix = prefix;
   w->calls = calls;
-  w->wait_ms = g->set.apply_ms / WAIT_PART_OF_APPLY;
+  w->wait_ms = WAIT_MS;
   w->out = g_string_new (NULL);
   w->body = g_string_new (NULL);
   w->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
