comfrey explain: the story of one request from the logs

Lines bear the time they were made at, since they wait for the writer; the last line of a stream has its first event and its longest pause; comfrey explain ID FILE... puts a request's lines of all logs in order and says why it ended as it did and by which inputs.

--- a/comfrey.c
+++ b/comfrey.c
@@ -4,6 +4,7 @@
  */
 #include "daemon.h"
 #include "error.h"
+#include "explain.h"
 #include "net.h"
 #include "records.h"
 #include "wire.h"
@@ -91,6 +92,37 @@
   return 0;
 }
 
+/* Exit status 1 if the request is in none of the logs. */
+static int
+explain (const char *id, char **files)
+{
+  CfStory s = { 0 };
+  GString *out = g_string_new (NULL);
+  int rc = 0;
+
+  for (char **f = files; *f; f++)
+    {
+      g_autofree char *text = NULL;
+      g_autoptr (GError) err = NULL;
+
+      if (!g_file_get_contents (*f, &text, NULL, &err))
+        {
+          fprintf (stderr, "comfrey explain: %s\n", err->message);
+          rc = 2;
+          continue;
+        }
+      cf_story_read (&s, id, *f, text);
+    }
+  cf_story_end (&s);
+  cf_story_print (&s, id, out);
+  fputs (out->str, stdout);
+  if (rc == 0 && s.lines->len == 0)
+    rc = 1;
+  g_string_free (out, TRUE);
+  cf_story_clear (&s);
+  return rc;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -103,6 +135,8 @@
       &argc, &argv, "comfrey",
       "Use: comfrey COMMAND ARG\n"
       "Commands:\n"
+      "  explain ID FILE...  what the logs say of one request, and why it\n"
+      "                ended as it did\n"
       "  check FILE    check configuration records (schema 1 and 2)\n"
       "  status ADDR   show an agent's load, fencing token and counts\n"
       "  drain ADDR    tell an agent to take no new work\n"
@@ -111,6 +145,8 @@
       entries);
   if (rc >= 0)
     return rc;
+  if (argc > 3 && strcmp (argv[1], "explain") == 0)
+    return explain (argv[2], argv + 3);
   if (argc != 3)
     {
       fprintf (stderr,
--- /dev/null
+++ b/explain.c
@@ -0,0 +1,215 @@
+#include "explain.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** What a reason in an E1205 line means, for who has to answer a caller. */
+static const struct
+{
+  const char *outcome; /* NULL: any */
+  const char *reason;
+  const char *cause;
+} causes[] = {
+  { "success", "answered", "it was answered" },
+  { "target-fail", "answered",
+    "the target itself failed it; its answer was passed on" },
+  { NULL, "no-configuration",
+    "the gateway knew no configuration yet: it had just started and neither "
+    "the store nor a peer had answered; see E1105 and E1306" },
+  { NULL, "no-route", "no route of the configuration in force matches it" },
+  { NULL, "unknown-key",
+    "its API key is in no organisation of the "
+    "configuration in force" },
+  { NULL, "no-host", "it had no Host header" },
+  { NULL, "no-target",
+    "its service had no target that takes new work, or "
+    "each had been tried; see E1305 and E1209" },
+  { NULL, "no-room",
+    "all targets of its service were busy, or silent, for "
+    "as long as it could wait; see E1210 and E1502" },
+  { NULL, "queue-full", "too many requests of its service were waiting" },
+  { NULL, "more-urgent-waits",
+    "more urgent requests filled the queue of its service" },
+  { NULL, "stopping", "the gateway was about to end; see E1405" },
+  { NULL, "target-refused", "each target it may be sent to refused it" },
+  { NULL, "target-failed", "each target it may be sent to failed it" },
+  { NULL, "unsigned-answer",
+    "the target's answer was not signed and could not be passed on" },
+  { NULL, "lost",
+    "the connection to the target broke before the whole answer, and it "
+    "could not be sent again: again= and ran= of the last E1204 say why" },
+  { NULL, "garbled",
+    "the target sent bytes that are no answer, and it could not be sent "
+    "again: again= and ran= of the last E1204 say why" },
+  { NULL, "unsent", "no target could be reached" },
+  { NULL, "silent", "the target was silent for too long" },
+  { NULL, "deadline",
+    "its time was over; see how long it waited (E1210), "
+    "how often it was sent (E1203) and whether the "
+    "experts' map changed meanwhile (E1502)" },
+  { NULL, "caller-left", "its caller closed the connection" },
+};
+
+static void
+line_free (gpointer p)
+{
+  CfStoryLine *l = p;
+
+  g_free (l->file);
+  g_free (l->event);
+  g_free (l->text);
+  g_free (l);
+}
+
+/* The value of "name=" in a line's fields, quoted or not; NULL if none. */
+static char *
+field (const char *text, const char *name)
+{
+  g_autofree char *key = g_strconcat (" ", name, "=", NULL);
+  const char *at = strstr (text, key);
+
+  if (!at)
+    return NULL;
+  at += strlen (key);
+  if (*at == '"')
+    return g_strndup (at + 1, strcspn (at + 1, "\""));
+  return g_strndup (at, strcspn (at, " \n"));
+}
+
+/* Takes a line "... ]: E1203 route id=..."; what is before is whoever's
+ * collected it. */
+static void
+take_line (CfStory *s, const char *id, const char *file, const char *line)
+{
+  const char *at = strstr (line, "]: E");
+  g_autofree char *of = field (line, "id");
+  g_autofree char *time = field (line, "t");
+  CfStoryLine *l;
+
+  if (!at || g_strcmp0 (of, id) != 0)
+    return;
+  at += strlen ("]: ");
+  l = g_new0 (CfStoryLine, 1);
+  l->time_s = time ? g_ascii_strtod (time, NULL) : 0;
+  l->file = g_strdup (file);
+  l->event = g_strndup (at, strcspn (at, " "));
+  l->text = g_strdup (at + strlen (l->event)
+                      + strspn (at + strlen (l->event), " "));
+  g_ptr_array_add (s->lines, l);
+}
+
+void
+cf_story_read (CfStory *s, const char *id, const char *file, const char *text)
+{
+  char **lines = g_strsplit (text, "\n", -1);
+
+  if (!s->lines)
+    s->lines = g_ptr_array_new_with_free_func (line_free);
+  for (char **l = lines; *l; l++)
+    take_line (s, id, file, *l);
+  g_strfreev (lines);
+}
+
+static int
+by_time (gconstpointer a, gconstpointer b)
+{
+  const CfStoryLine *x = *(CfStoryLine *const *)a;
+  const CfStoryLine *y = *(CfStoryLine *const *)b;
+
+  return x->time_s < y->time_s ? -1 : x->time_s > y->time_s;
+}
+
+static const CfStoryLine *
+last_of (const CfStory *s, const char *event)
+{
+  for (guint i = s->lines->len; i > 0; i--)
+    {
+      const CfStoryLine *l = s->lines->pdata[i - 1];
+
+      if (strcmp (l->event, event) == 0)
+        return l;
+    }
+  return NULL;
+}
+
+static void
+find_cause (CfStory *s, const CfStoryLine *answer)
+{
+  g_autofree char *outcome = field (answer->text, "outcome");
+  g_autofree char *reason = field (answer->text, "reason");
+
+  for (gsize i = 0; i < G_N_ELEMENTS (causes); i++)
+    if (g_strcmp0 (reason, causes[i].reason) == 0
+        && (!causes[i].outcome || g_strcmp0 (outcome, causes[i].outcome) == 0))
+      {
+        s->cause = g_strdup (causes[i].cause);
+        return;
+      }
+  s->cause = g_strdup_printf ("reason '%s'; see docs/EVENTS.md",
+                              reason ? reason : "-");
+}
+
+/* The newest decision before the answer, with what it was made from. */
+static void
+find_input (CfStory *s)
+{
+  for (guint i = s->lines->len; i > 0 && !s->input; i--)
+    {
+      const CfStoryLine *l = s->lines->pdata[i - 1];
+
+      if (strcmp (l->event, "E1205") != 0 && strcmp (l->event, "E1211") != 0)
+        s->input = g_strdup_printf ("%s %s", l->event, l->text);
+    }
+}
+
+void
+cf_story_end (CfStory *s)
+{
+  const CfStoryLine *answer;
+
+  if (!s->lines)
+    s->lines = g_ptr_array_new_with_free_func (line_free);
+  g_ptr_array_sort (s->lines, by_time);
+  answer = last_of (s, "E1205");
+  if (answer)
+    find_cause (s, answer);
+  else if (s->lines->len)
+    s->cause = g_strdup ("no final answer is logged: the process ended, or "
+                         "the line was dropped (E1005)");
+  find_input (s);
+}
+
+void
+cf_story_print (const CfStory *s, const char *id, GString *out)
+{
+  double begun = 0;
+
+  if (s->lines->len == 0)
+    {
+      g_string_append_printf (out, "%s: not in these logs\n", id);
+      return;
+    }
+  begun = ((CfStoryLine *)s->lines->pdata[0])->time_s;
+  g_string_append_printf (out, "request %s\n", id);
+  for (guint i = 0; i < s->lines->len; i++)
+    {
+      const CfStoryLine *l = s->lines->pdata[i];
+
+      g_string_append_printf (out, "  %+8.0f ms  %s  %s %s\n",
+                              (l->time_s - begun) * 1000, l->file, l->event,
+                              l->text);
+    }
+  g_string_append_printf (out, "cause: %s\n", s->cause);
+  if (s->input)
+    g_string_append_printf (out, "decided by: %s\n", s->input);
+}
+
+void
+cf_story_clear (CfStory *s)
+{
+  if (s->lines)
+    g_ptr_array_free (s->lines, TRUE);
+  g_free (s->cause);
+  g_free (s->input);
+  memset (s, 0, sizeof *s);
+}
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -86,7 +86,9 @@
   gint64 length;  /**< its length as announced, or -1 */
   char *faulty;   /**< the target it blames */
   CfEventStream events;
-  gint64 last_event_ms; /**< when the last event was passed on */
+  gint64 last_event_ms;    /**< when the last event was passed on */
+  gint64 first_ms;         /**< from the request to the first event */
+  gint64 longest_pause_ms; /**< between two events */
 };
 
 static gint64
@@ -132,6 +134,14 @@
   g_clear_pointer (&x->target, cf_target_unref);
 }
 
+static const char *
+ran_name (const CfExchange *x, CfOutcome o)
+{
+  if (o == CF_OUT_SUCCESS || o == CF_OUT_TARGET_FAIL)
+    return "yes";
+  return x->may_have_run || x->up ? "maybe" : "no";
+}
+
 /* The exchange ends here; its room goes to those that wait. */
 static void
 finish (CfExchange *x, CfOutcome o, int status, const char *reason)
@@ -142,10 +152,11 @@
   cf_log (LOG_INFO, CF_EV_ANSWER,
           "id=%s outcome=%s status=%d reason=%s target=%s sends=%u ran=%s "
           "ms=%" G_GINT64_FORMAT " events=%" G_GUINT64_FORMAT
+          " first_ms=%" G_GINT64_FORMAT " longest_pause_ms=%" G_GINT64_FORMAT
           " config=%" G_GINT64_FORMAT,
           x->id, cf_outcome_name (o), status, reason, target_id (x), x->sends,
-          x->may_have_run ? "maybe" : "no", ms, x->events.n_events,
-          x->policy ? x->policy->version : 0);
+          ran_name (x, o), ms, x->events.n_events, x->first_ms,
+          x->longest_pause_ms, x->policy ? x->policy->version : 0);
   g->stats.outcomes[o]++;
   if (o == CF_OUT_SUCCESS && !x->events.n_events)
     cf_histogram_add (&g->stats.whole_ms, ms);
@@ -221,8 +232,10 @@
           "id=%s reason=%s target=%s again=%s budget=%s ran=%s sends=%u "
           "left_ms=%" G_GINT64_FORMAT,
           x->id, reason, target_id (x), again ? "yes" : "no",
-          in_budget ? "ok" : "none", x->may_have_run ? "maybe" : "no", x->sends,
-          left_ms (x));
+          !again      ? "not-asked"
+          : in_budget ? "ok"
+                      : "none",
+          x->may_have_run ? "maybe" : "no", x->sends, left_ms (x));
   release_target (x, TRUE);
   if (in_budget)
     {
@@ -304,9 +317,17 @@
   gint64 now = cf_gateway_now (x->g);
 
   if (x->last_event_ms == 0)
-    cf_histogram_add (&x->g->stats.first_ms, now - x->start_ms);
+    {
+      x->first_ms = now - x->start_ms;
+      cf_histogram_add (&x->g->stats.first_ms, x->first_ms);
+    }
   else
-    cf_histogram_add (&x->g->stats.pause_ms, now - x->last_event_ms);
+    {
+      gint64 pause = now - x->last_event_ms;
+
+      x->longest_pause_ms = MAX (x->longest_pause_ms, pause);
+      cf_histogram_add (&x->g->stats.pause_ms, pause);
+    }
   x->last_event_ms = now;
   x->lane->last_event_ms = now;
 }
@@ -581,8 +602,8 @@
     }
   x->g->stats.queued++;
   cf_log (LOG_INFO, CF_EV_QUEUE,
-          "id=%s service=%s waiting=%u limit_ms=%" G_GINT64_FORMAT, x->id,
-          x->service, x->lane->queue.n, limit);
+          "id=%s service=%s waiting=%u in_flight=%u limit_ms=%" G_GINT64_FORMAT,
+          x->id, x->service, x->lane->queue.n, x->lane->in_flight, limit);
   wait_for_target (x, limit);
   if (evicted)
     refuse (evicted->owner, "more-urgent-waits", FULL_BUSY_MS);
--- a/log.c
+++ b/log.c
@@ -4,9 +4,13 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <time.h>
 #include <unistd.h>
 
 #define CF_LOG_LINE_MAX 2048
+/** Room kept for the time and the line's end. */
+#define TIME_ROOM 32
+#define NS_IN_MS 1000000L
 
 static const char *log_prog = "comfrey";
 
@@ -105,6 +109,17 @@
   return "event";
 }
 
+/* Lines wait for the writer, so they bear the time they were made at. */
+static int
+append_time (char *at)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return snprintf (at, TIME_ROOM - 1, " t=%lld.%03ld", (long long)now.tv_sec,
+                   now.tv_nsec / NS_IN_MS);
+}
+
 void
 cf_log (int prio, CfEvent ev, const char *fmt, ...)
 {
@@ -121,8 +136,10 @@
   if (m < 0)
     m = 0;
   n += m;
-  if ((size_t)n > sizeof line - 2)
-    n = sizeof line - 2;
+  if ((size_t)n > sizeof line - TIME_ROOM)
+    n = sizeof line - TIME_ROOM;
+  if (cf_log_writer_active ())
+    n += append_time (line + n);
   /* Callers choose some of the values; none may end the line or begin one. */
   for (int i = 0; i < n; i++)
     if ((unsigned char)line[i] < ' ' || line[i] == 0x7f)
--- a/t/t-log-writer.c
+++ b/t/t-log-writer.c
@@ -45,7 +45,7 @@
     {
       char want[32];
 
-      g_snprintf (want, sizeof want, "route id=%d end\n", i);
+      g_snprintf (want, sizeof want, "route id=%d end t=", i);
       at = strstr (at, want);
       ck_assert_ptr_nonnull (at);
     }
