--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -22,9 +22,11 @@
 /** Beyond the time that a rank group stalls over a lost rank, a stream's
  * silence is its own target's. */
 #define SILENCE_MARGIN_MS 150
-/** Without an event of any target of a service for so long, when passes take
- * 30 to 120 ms, they all stand still. */
-#define ALL_SILENT_MS 400
+/** Of callers' patience, how long all targets of a service may be silent
+ * before they count as standing still: callers of what is sent later would
+ * leave before the first event.  With 400 ms in place of this, a service
+ * whose first events take longer refused nine in ten. */
+#define ALL_SILENT_PART 0.5
 /** Callers give a stream up without an event for two seconds, four times the
  * objective or eight times that for pauses, whichever is longest. */
 #define PATIENCE_LEAST_MS 2000
@@ -556,17 +558,6 @@
     wait_for_target (x, silence_limit (x));
 }
 
-static guint
-waiters_max (const CfExchange *x)
-{
-  const GPtrArray *a = cf_target_table_service (&x->g->targets, x->service);
-  gint64 slots = 0;
-
-  for (guint i = 0; a && i < a->len; i++)
-    slots += ((const CfTarget *)a->pdata[i])->record.slots;
-  return (guint)MAX (slots * WAITERS_PER_SLOT, 1);
-}
-
 /* How long callers wait for a first sign: a stream's for some objectives
  * and some seconds, another request's for its answer in time. */
 static gint64
@@ -580,6 +571,36 @@
   return MAX (ms, PATIENCE_LEAST_MS);
 }
 
+static gint64
+all_silent_ms (const CfExchange *x)
+{
+  return (gint64)((double)patience_ms (x) * ALL_SILENT_PART);
+}
+
+/* Whether all targets of a service of streams stand still, as the ranks of
+ * a group do while one of them is missed.  More work sent there would only
+ * be given up by its callers, at targets that may not hear of it. */
+static gboolean
+all_silent (const CfExchange *x)
+{
+  const CfLane *l = x->lane;
+  gint64 since = MAX (l->last_event_ms, l->busy_since_ms);
+
+  return x->route->stream && l->in_flight > 0
+         && cf_gateway_now (x->g) - since > all_silent_ms (x);
+}
+
+static guint
+waiters_max (const CfExchange *x)
+{
+  const GPtrArray *a = cf_target_table_service (&x->g->targets, x->service);
+  gint64 slots = 0;
+
+  for (guint i = 0; a && i < a->len; i++)
+    slots += ((const CfTarget *)a->pdata[i])->record.slots;
+  return (guint)MAX (slots * WAITERS_PER_SLOT, 1);
+}
+
 /* Waits for room, for as long as that leaves time for the work itself. */
 static void
 wait_for_room (CfExchange *x)
@@ -609,19 +630,6 @@
     refuse (evicted->owner, "more-urgent-waits", FULL_BUSY_MS);
 }
 
-/* Whether all targets of a service of streams stand still, as the ranks of
- * a group do while one of them is missed.  More work sent there would only
- * be given up by its callers, at targets that may not hear of it. */
-static gboolean
-all_silent (const CfExchange *x)
-{
-  const CfLane *l = x->lane;
-  gint64 since = MAX (l->last_event_ms, l->busy_since_ms);
-
-  return x->route->stream && l->in_flight > 0
-         && cf_gateway_now (x->g) - since > ALL_SILENT_MS;
-}
-
 static CfPickWhy
 pick (CfExchange *x, CfTarget **t)
 {
@@ -729,7 +737,7 @@
    * them is missed, another has nothing to say either. */
   if (all_silent (x))
     {
-      wait_for_target (x, ALL_SILENT_MS);
+      wait_for_target (x, all_silent_ms (x));
       return;
     }
   /* Without another target to try, the one that is silent may still answer. */
