Split the exchange in three; send messages and catch signals in one place

exchange.c had grown to 870 lines with three jobs: its beginning and end (exchange.c), whom it is sent to and when (exchange-send.c), and what comes of the answer (exchange-answer.c); exchange-parts.h is what they share. cf_peer_msg_send and cf_signals_catch stood three times and twice.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -3,6 +3,7 @@
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/ops.h"
+#include "gateway/signals.h"
 #include "gateway/socket.h"
 #include "gateway/store-watch.h"
 #include "gateway/target-feed.h"
@@ -13,7 +14,6 @@
 #include "version.h"
 
 #include <glib.h>
-#include <signal.h>
 #include <stdio.h>
 #include <unistd.h>
 
@@ -171,29 +171,13 @@
   return st;
 }
 
-static void
-catch_signals (struct ev_loop *loop)
-{
-  static ev_signal term;
-  static ev_signal intr;
-  static ev_signal hup;
-
-  ev_signal_init (&term, on_stop, SIGTERM);
-  ev_signal_start (loop, &term);
-  ev_signal_init (&intr, on_stop, SIGINT);
-  ev_signal_start (loop, &intr);
-  ev_signal_init (&hup, on_reload, SIGHUP);
-  ev_signal_start (loop, &hup);
-  signal (SIGPIPE, SIG_IGN);
-}
-
 static int
 run (CfGateway *g, int metrics)
 {
   cf_target_table_init (&g->targets);
   TAILQ_INIT (&g->callers);
   g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
-  catch_signals (g->loop);
+  cf_signals_catch (g->loop, on_stop, on_reload);
   cf_gateway_lane (g, "");
   cf_gateway_set_fleet (g, 0);
   ranks = cf_rank_service_new (g);
--- a/comfrey-rank-agent.c
+++ b/comfrey-rank-agent.c
@@ -1,11 +1,11 @@
 #include "gateway/rank-agent.h"
+#include "gateway/signals.h"
 #include "log-writer.h"
 #include "log.h"
 #include "platform/names.h"
 #include "version.h"
 
 #include <glib.h>
-#include <signal.h>
 #include <stdio.h>
 #include <unistd.h>
 
@@ -27,22 +27,6 @@
   cf_log (LOG_NOTICE, CF_EV_RELOAD, "outcome=nothing-to-change");
 }
 
-static void
-catch_signals (struct ev_loop *loop)
-{
-  static ev_signal term;
-  static ev_signal intr;
-  static ev_signal hup;
-
-  ev_signal_init (&term, on_stop, SIGTERM);
-  ev_signal_start (loop, &term);
-  ev_signal_init (&intr, on_stop, SIGINT);
-  ev_signal_start (loop, &intr);
-  ev_signal_init (&hup, on_reload, SIGHUP);
-  ev_signal_start (loop, &hup);
-  signal (SIGPIPE, SIG_IGN);
-}
-
 int
 main (int argc, char **argv)
 {
@@ -70,7 +54,7 @@
   if (!cf_log_writer_start (STDOUT_FILENO))
     cf_log (LOG_WARNING, CF_EV_START, "error=\"no thread for the log writer\"");
   agent.loop = ev_default_loop (EVBACKEND_EPOLL | EVFLAG_NOENV);
-  catch_signals (agent.loop);
+  cf_signals_catch (agent.loop, on_stop, on_reload);
   if (cf_rank_agent_start (&agent) != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_SETTINGS, "error=\"%s\"", cf_last_error ());
--- /dev/null
+++ b/gateway/exchange-answer.c
@@ -0,0 +1,262 @@
+#include "exchange-parts.h"
+
+#include "log.h"
+
+/** Answers that are not streams are held up to this size, so that one that
+ * breaks off can be replaced; beyond it the answer is passed on as it comes. */
+#define HOLD_MAX 65536
+/** A caller that reads more slowly than its target writes holds at most
+ * this much here; then the target is made to wait. */
+#define BACKLOG_MAX 262144
+/** A target that said it was full is not asked again for so long: a slot
+ * comes free about every 100 ms at a target of 12 slots and 1.2 s a stream. */
+#define FULL_PAUSE_MS 50
+
+/* Drops what came in of an answer that is not passed on. */
+void
+cf_exchange_forget_answer (CfExchange *x)
+{
+  x->has_head = FALSE;
+  g_string_truncate (x->held, 0);
+  if (!x->begun)
+    g_string_truncate (x->head, 0);
+  g_clear_pointer (&x->faulty, g_free);
+  cf_event_stream_restart (&x->events);
+}
+
+void
+cf_exchange_blame (CfExchange *x, CfTarget *t, const char *reason)
+{
+  gint64 ms = cf_outlier_failure (&t->outlier, cf_gateway_now (x->g));
+
+  if (ms > 0)
+    cf_log (LOG_WARNING, CF_EV_OUTLIER,
+            "target=%s service=%s reason=%s ms=%" G_GINT64_FORMAT " id=%s",
+            t->record.id, t->record.service, reason, ms, x->id);
+}
+
+/* An answer that says "not run" blames the target it names, or says that
+ * its own target is full. */
+static void
+learn_from_refusal (CfExchange *x)
+{
+  CfTarget *t = NULL;
+
+  if (x->faulty)
+    t = g_hash_table_lookup (x->g->targets.by_id, x->faulty);
+  if (t)
+    cf_exchange_blame (x, t, "named-faulty");
+  else if (x->status == HTTP_STATUS_MISDIRECTED_REQUEST)
+    cf_exchange_blame (x, x->target, "another-instance");
+  else
+    x->target->full_until_ms = cf_gateway_now (x->g) + FULL_PAUSE_MS;
+}
+
+static void
+begin_answer (CfExchange *x, gint64 length)
+{
+  x->begun = TRUE;
+  cf_caller_begin (x->c, x->status, x->head->str, length);
+}
+
+static void
+note_event (CfExchange *x)
+{
+  gint64 now = cf_gateway_now (x->g);
+
+  if (x->last_event_ms == 0)
+    {
+      x->first_ms = now - x->start_ms;
+      cf_histogram_add (&x->g->stats.first_ms, x->first_ms);
+    }
+  else
+    {
+      gint64 pause = now - x->last_event_ms;
+
+      x->longest_pause_ms = MAX (x->longest_pause_ms, pause);
+      cf_histogram_add (&x->g->stats.pause_ms, pause);
+    }
+  x->last_event_ms = now;
+  x->lane->last_event_ms = now;
+}
+
+static void
+pass_events (CfExchange *x, const char *data, gsize n)
+{
+  g_string_truncate (x->held, 0);
+  if (cf_event_stream_feed (&x->events, data, n, x->held) == 0)
+    return;
+  if (!x->begun)
+    begin_answer (x, -1);
+  note_event (x);
+  cf_caller_data (x->c, x->held->str, x->held->len);
+  g_string_truncate (x->held, 0);
+  if (x->route->repeat != CF_REPEAT_NEVER)
+    cf_exchange_wait_for_target (x, cf_exchange_silence_limit (x));
+  cf_caller_flush (x->c);
+}
+
+static void
+pass_bytes (CfExchange *x, const char *data, gsize n)
+{
+  g_string_append_len (x->held, data, (gssize)n);
+  if (!x->begun && x->held->len <= HOLD_MAX)
+    return;
+  if (!x->begun)
+    begin_answer (x, x->length);
+  cf_caller_data (x->c, x->held->str, x->held->len);
+  g_string_truncate (x->held, 0);
+  cf_caller_flush (x->c);
+}
+
+static void
+on_head (void *owner, const CfHttpReader *r)
+{
+  CfExchange *x = owner;
+  gboolean sized = (r->parser.flags & F_CONTENTLENGTH) != 0;
+
+  x->has_head = TRUE;
+  x->kind = cf_answer_kind (r);
+  if (!x->begun)
+    {
+      x->status = (int)r->parser.status_code;
+      g_string_truncate (x->head, 0);
+      cf_answer_headers (r, x->head);
+    }
+  x->length = sized ? (gint64)r->parser.content_length : -1;
+  g_free (x->faulty);
+  x->faulty = g_strdup (cf_http_reader_header (r, CF_HDR_FAULTY_TARGET));
+}
+
+static void
+on_body (void *owner, const char *data, gsize n)
+{
+  CfExchange *x = owner;
+
+  if (x->kind != CF_ANSWER_GOOD)
+    {
+      if (x->held->len + n <= HOLD_MAX)
+        g_string_append_len (x->held, data, (gssize)n);
+      else
+        x->kind = CF_ANSWER_UNSIGNED;
+      return;
+    }
+  if (x->route->stream)
+    pass_events (x, data, n);
+  else
+    pass_bytes (x, data, n);
+  if (cf_caller_backlog (x->c) > BACKLOG_MAX)
+    cf_upstream_pause (x->up, TRUE);
+}
+
+static void
+pass_whole (CfExchange *x, CfOutcome o)
+{
+  CfCaller *c = x->c;
+  int status = x->status;
+  gboolean bare = x->c->reader.parser.method == HTTP_HEAD;
+
+  if (!x->begun)
+    begin_answer (x, bare && x->length >= 0 ? x->length : (gint64)x->held->len);
+  cf_caller_data (c, x->held->str, x->held->len);
+  cf_caller_end (c);
+  cf_exchange_finish (x, o, status, "answered");
+}
+
+static void
+good_answer_whole (CfExchange *x)
+{
+  cf_outlier_success (&x->target->outlier);
+  if (!x->route->stream)
+    {
+      pass_whole (x, CF_OUT_SUCCESS);
+      return;
+    }
+  /* What is behind the last event, if anything, is the target's too. */
+  g_string_assign (x->held, x->events.partial->str);
+  if (!x->begun)
+    begin_answer (x, -1);
+  pass_whole (x, CF_OUT_SUCCESS);
+}
+
+/* A signed failure: worth another try if that may be, else passed on. */
+static void
+failure_whole (CfExchange *x)
+{
+  cf_exchange_blame (x, x->target, "failed");
+  if (x->begun)
+    {
+      x->may_have_run = TRUE;
+      cf_exchange_forget_answer (x);
+      cf_exchange_try_again (x, "target-failed");
+      return;
+    }
+  if (x->route->repeat != CF_REPEAT_NEVER && x->status >= 500
+      && cf_exchange_may_send_again (x)
+      && cf_retry_budget_take (&x->lane->budget))
+    {
+      x->may_have_run = TRUE;
+      cf_log (LOG_NOTICE, CF_EV_RETRY,
+              "id=%s reason=target-failed status=%d target=%s again=yes "
+              "budget=ok ran=yes sends=%u left_ms=%" G_GINT64_FORMAT,
+              x->id, x->status, cf_exchange_target_id (x), x->sends,
+              cf_exchange_left_ms (x));
+      cf_exchange_forget_answer (x);
+      cf_exchange_release_target (x, TRUE);
+      x->g->stats.retries++;
+      cf_exchange_try_target (x);
+    }
+  else if (cf_answer_passes (x->status, x->route->repeat))
+    pass_whole (x, CF_OUT_TARGET_FAIL);
+  else
+    {
+      x->may_have_run = TRUE;
+      cf_exchange_give_up (x, "target-failed");
+    }
+}
+
+static void
+on_done (void *owner)
+{
+  CfExchange *x = owner;
+
+  x->up = NULL;
+  switch (x->kind)
+    {
+    case CF_ANSWER_GOOD:
+      good_answer_whole (x);
+      break;
+    case CF_ANSWER_FAILURE:
+      failure_whole (x);
+      break;
+    case CF_ANSWER_NOT_RUN:
+      learn_from_refusal (x);
+      cf_exchange_forget_answer (x);
+      cf_exchange_try_again (x, "target-refused");
+      break;
+    case CF_ANSWER_UNSIGNED:
+      cf_exchange_blame (x, x->target, "unsigned");
+      x->may_have_run = TRUE;
+      cf_exchange_forget_answer (x);
+      cf_exchange_try_again (x, "unsigned-answer");
+      break;
+    }
+}
+
+void
+cf_exchange_on_fail (void *owner, CfUpstreamFail f)
+{
+  CfExchange *x = owner;
+
+  x->up = NULL;
+  cf_exchange_blame (x, x->target, cf_upstream_fail_name (f));
+  if (f == CF_FAIL_UNSENT)
+    x->sends--;
+  else
+    x->may_have_run = TRUE;
+  cf_exchange_forget_answer (x);
+  cf_exchange_try_again (x, cf_upstream_fail_name (f));
+}
+
+const CfUpstreamCalls cf_exchange_upstream_calls
+    = { on_head, on_body, on_done, cf_exchange_on_fail };
--- /dev/null
+++ b/gateway/exchange-parts.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "answer.h"
+#include "event-stream.h"
+#include "exchange.h"
+#include "upstream.h"
+
+/** Back-off asked of callers when no configuration or target is known. */
+#define UNKNOWN_BUSY_MS 1000L
+
+/**
+ * What the parts of an exchange share: its beginning and end (exchange.c),
+ * whom it is sent to and when (exchange-send.c), and what comes of the
+ * target's answer (exchange-answer.c).
+ */
+
+/**
+ * CfExchange:
+ * One request of a caller, from its last byte to the end of its answer.
+ */
+struct CfExchange
+{
+  CfWaiter waiter;
+  CfGateway *g;
+  CfCaller *c;
+  CfPolicy *policy;     /**< the version it was routed by */
+  const CfRoute *route; /**< of @policy */
+  const char *service;  /**< of @policy */
+  CfLane *lane;
+  const char *org; /**< (nullable): of @policy */
+  char *id;        /**< the attempt's, as the caller sent it */
+  guint hash;
+  gint64 start_ms;
+  gint64 deadline_ms; /**< on the loop's clock */
+  ev_timer deadline;
+  ev_timer silence; /**< limits the target's pauses */
+  CfUpstream *up;
+  CfTarget *target;
+  GPtrArray *tried; /**< of #CfTarget, referenced */
+  guint sends;
+  gboolean may_have_run;
+
+  /* The answer that is coming in. */
+  CfAnswerKind kind;
+  int status;
+  gboolean has_head;
+  gboolean begun; /**< the caller has its head */
+  GString *head;  /**< header lines for the caller */
+  GString *held;  /**< its body, until it is passed on */
+  gint64 length;  /**< its length as announced, or -1 */
+  char *faulty;   /**< the target it blames */
+  CfEventStream events;
+  gint64 last_event_ms;    /**< when the last event was passed on */
+  gint64 first_ms;         /**< from the request to the first event */
+  gint64 longest_pause_ms; /**< between two events */
+};
+
+/* Its beginning and end. */
+
+/** cf_exchange_left_ms: how much time it has left. */
+gint64 cf_exchange_left_ms (const CfExchange *x);
+
+/** cf_exchange_target_id: its target's id, or "-". */
+const char *cf_exchange_target_id (const CfExchange *x);
+
+/** cf_exchange_release_target: lets go of the target; @cancel stops what it
+ * still does. */
+void cf_exchange_release_target (CfExchange *x, gboolean cancel);
+
+/** cf_exchange_finish: ends it; its room goes to those that wait. */
+void cf_exchange_finish (CfExchange *x, CfOutcome o, int status,
+                         const char *reason);
+
+/** cf_exchange_refuse: answers 503: nothing of it ran; room is expected in
+ * @busy_ms. */
+void cf_exchange_refuse (CfExchange *x, const char *reason, gint64 busy_ms);
+
+/** cf_exchange_give_up: answers 502, or breaks off: it may have run. */
+void cf_exchange_give_up (CfExchange *x, const char *reason);
+
+/* Whom it is sent to, and when. */
+
+/** cf_exchange_may_send_again: whether another target may get it. */
+gboolean cf_exchange_may_send_again (const CfExchange *x);
+
+/** cf_exchange_wait_for_target: limits the silence of its target, or its wait
+ * for room. */
+void cf_exchange_wait_for_target (CfExchange *x, gint64 ms);
+
+/** cf_exchange_silence_limit: how long its target may be silent. */
+gint64 cf_exchange_silence_limit (const CfExchange *x);
+
+/** cf_exchange_try_target: sends it to a target, or has it wait for room. */
+void cf_exchange_try_target (CfExchange *x);
+
+/** cf_exchange_try_again: this try is over without a good answer. */
+void cf_exchange_try_again (CfExchange *x, const char *reason);
+
+/** cf_exchange_on_silence: its target, or the queue, took too long. */
+void cf_exchange_on_silence (struct ev_loop *loop, ev_timer *w, int revents);
+
+/* What comes of the target's answer. */
+
+/** cf_exchange_forget_answer: drops what came in of an answer that is not
+ * passed on. */
+void cf_exchange_forget_answer (CfExchange *x);
+
+/** cf_exchange_blame: counts a failure of @t. */
+void cf_exchange_blame (CfExchange *x, CfTarget *t, const char *reason);
+
+/** cf_exchange_on_fail: its exchange with the target broke off. */
+void cf_exchange_on_fail (void *owner, CfUpstreamFail f);
+
+/** cf_exchange_upstream_calls: what an exchange has its target call. */
+extern const CfUpstreamCalls cf_exchange_upstream_calls;
--- /dev/null
+++ b/gateway/exchange-send.c
@@ -0,0 +1,304 @@
+#include "exchange-parts.h"
+
+#include "balancer.h"
+#include "forward.h"
+#include "log.h"
+
+/** Silence of a target, in objectives, after which an idempotent call is
+ * tried elsewhere: past the longest call seen in a hundred (five times the
+ * mean, which is a fifth of the objective). */
+#define SILENCE_AIMS 2.5
+/** Beyond the time that a rank group stalls over a lost rank, a stream's
+ * silence is its own target's. */
+#define SILENCE_MARGIN_MS 150
+/** Of callers' patience, how long all targets of a service may be silent
+ * before they count as standing still: callers of what is sent later would
+ * leave before the first event. */
+#define ALL_SILENT_PART 0.5
+/** Callers give a stream up without an event for two seconds, four times the
+ * objective or eight times that for pauses, whichever is longest. */
+#define PATIENCE_LEAST_MS 2000
+#define PATIENCE_AIMS 4
+#define PATIENCE_GAPS 8
+/** Of the objective, when a request has to be sent to meet it: the first
+ * event takes about 200 ms of 500 at a target of 8 requests. */
+#define START_PART_OF_AIM 0.6
+/** Back-off asked of callers when all targets are full. */
+#define FULL_BUSY_MS 400
+/** Requests that may wait for room, for each slot of their service: with
+ * more the last would wait past its limit even at full speed. */
+#define WAITERS_PER_SLOT 1
+/** Time left under which sending is pointless: two network ways and a step
+ * of a target. */
+#define LEAST_LEFT_MS 10
+
+gboolean
+cf_exchange_may_send_again (const CfExchange *x)
+{
+  if (x->may_have_run && x->route->repeat == CF_REPEAT_NEVER)
+    return FALSE;
+  return x->sends < x->route->max_attempts
+         && cf_exchange_left_ms (x) > LEAST_LEFT_MS;
+}
+
+void
+cf_exchange_wait_for_target (CfExchange *x, gint64 ms)
+{
+  ev_timer_stop (x->g->loop, &x->silence);
+  ev_timer_set (&x->silence, (double)ms / 1000, 0);
+  ev_timer_start (x->g->loop, &x->silence);
+}
+
+gint64
+cf_exchange_silence_limit (const CfExchange *x)
+{
+  if (x->route->stream)
+    return x->g->set.stall_ms + SILENCE_MARGIN_MS;
+  return (gint64)((double)x->route->aim_ms * SILENCE_AIMS);
+}
+
+static void
+send_to (CfExchange *x, CfTarget *t)
+{
+  CfForwardHeaders ours = { 0 };
+  gboolean head_only = x->c->reader.parser.method == HTTP_HEAD;
+  GString *req;
+
+  ours.deadline_ms = cf_exchange_left_ms (x);
+  ours.expect = t->record.id;
+  ours.org = x->org;
+  ours.last_event = x->events.last_id;
+  req = cf_forward_request (&x->c->reader, x->c->body, &ours);
+  cf_log (LOG_INFO, CF_EV_ROUTE,
+          "id=%s route=%s service=%s org=%s target=%s dc=%s send=%u "
+          "in_flight=%u slots=%" G_GINT64_FORMAT " config=%" G_GINT64_FORMAT
+          " list_age_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT,
+          x->id, x->route->name, x->service, x->org ? x->org : "-",
+          t->record.id, t->record.data_centre ? t->record.data_centre : "-",
+          x->sends + 1, t->in_flight, t->record.slots, x->policy->version,
+          cf_gateway_now (x->g) - x->g->targets_at_ms, ours.deadline_ms);
+  if (x->begun)
+    {
+      x->g->stats.resumes++;
+      cf_log (LOG_NOTICE, CF_EV_RESUME,
+              "id=%s target=%s after_event=%" G_GINT64_FORMAT, x->id,
+              t->record.id, ours.last_event);
+    }
+  x->target = cf_target_ref (t);
+  t->in_flight++;
+  if (x->lane->in_flight++ == 0)
+    x->lane->busy_since_ms = cf_gateway_now (x->g);
+  x->sends++;
+  x->g->stats.sends++;
+  g_ptr_array_add (x->tried, cf_target_ref (t));
+  x->up = cf_upstream_send (x->g->loop, t, req, x->id, head_only,
+                            &cf_exchange_upstream_calls, x);
+  if (!x->up)
+    {
+      cf_exchange_on_fail (x, CF_FAIL_UNSENT);
+      return;
+    }
+  if (x->route->repeat != CF_REPEAT_NEVER)
+    cf_exchange_wait_for_target (x, cf_exchange_silence_limit (x));
+}
+
+/* How long callers wait for a first sign: a stream's for some objectives
+ * and some seconds, another request's for its answer in time. */
+static gint64
+patience_ms (const CfExchange *x)
+{
+  gint64 ms = x->route->aim_ms;
+
+  if (!x->route->stream)
+    return ms;
+  ms = MAX (ms * PATIENCE_AIMS, x->route->gap_aim_ms * PATIENCE_GAPS);
+  return MAX (ms, PATIENCE_LEAST_MS);
+}
+
+static gint64
+all_silent_ms (const CfExchange *x)
+{
+  return (gint64)((double)patience_ms (x) * ALL_SILENT_PART);
+}
+
+/* Whether all targets of a service of streams stand still, as the ranks of
+ * a group do while one of them is missed.  More work sent there would only
+ * be given up by its callers, at targets that may not hear of it. */
+static gboolean
+all_silent (const CfExchange *x)
+{
+  const CfLane *l = x->lane;
+  gint64 since = MAX (l->last_event_ms, l->busy_since_ms);
+
+  return x->route->stream && l->in_flight > 0
+         && cf_gateway_now (x->g) - since > all_silent_ms (x);
+}
+
+static guint
+waiters_max (const CfExchange *x)
+{
+  const GPtrArray *a = cf_target_table_service (&x->g->targets, x->service);
+  gint64 slots = 0;
+
+  for (guint i = 0; a && i < a->len; i++)
+    slots += ((const CfTarget *)a->pdata[i])->record.slots;
+  return (guint)MAX (slots * WAITERS_PER_SLOT, 1);
+}
+
+/* Waits for room, for as long as that leaves time for the work itself. */
+static void
+wait_for_room (CfExchange *x)
+{
+  gint64 now = cf_gateway_now (x->g);
+  gint64 limit = cf_wait_limit_ms (patience_ms (x), cf_exchange_left_ms (x));
+  CfWaiter *evicted;
+
+  x->waiter.since_ms = now;
+  x->waiter.in_time_ms
+      = x->start_ms + (gint64)((double)x->route->aim_ms * START_PART_OF_AIM);
+  if (!cf_wait_queue_add (&x->lane->queue, &x->waiter, waiters_max (x),
+                          &evicted))
+    {
+      if (x->may_have_run)
+        cf_exchange_give_up (x, "queue-full");
+      else
+        cf_exchange_refuse (x, "queue-full", FULL_BUSY_MS);
+      return;
+    }
+  x->g->stats.queued++;
+  cf_log (LOG_INFO, CF_EV_QUEUE,
+          "id=%s service=%s waiting=%u in_flight=%u limit_ms=%" G_GINT64_FORMAT,
+          x->id, x->service, x->lane->queue.n, x->lane->in_flight, limit);
+  cf_exchange_wait_for_target (x, limit);
+  if (evicted)
+    cf_exchange_refuse (evicted->owner, "more-urgent-waits", FULL_BUSY_MS);
+}
+
+static CfPickWhy
+pick (CfExchange *x, CfTarget **t)
+{
+  CfPickInput in = { 0 };
+
+  if (all_silent (x))
+    return CF_PICK_FULL;
+
+  in.service = x->service;
+  in.data_centre = x->g->set.data_centre;
+  in.tried = x->tried;
+  in.now_ms = cf_gateway_now (x->g);
+  in.fleet = x->g->fleet_size;
+  return cf_balancer_pick (&x->g->targets, &in, t);
+}
+
+void
+cf_exchange_try_target (CfExchange *x)
+{
+  CfTarget *t;
+
+  switch (pick (x, &t))
+    {
+    case CF_PICK_OK:
+      send_to (x, t);
+      break;
+    case CF_PICK_FULL:
+      wait_for_room (x);
+      break;
+    case CF_PICK_NO_TARGET:
+      if (x->may_have_run)
+        cf_exchange_give_up (x, "no-target");
+      else
+        cf_exchange_refuse (x, "no-target", UNKNOWN_BUSY_MS);
+      break;
+    }
+}
+
+/* This try is over without a good answer: another target, or the end. */
+void
+cf_exchange_try_again (CfExchange *x, const char *reason)
+{
+  gboolean again = cf_exchange_may_send_again (x);
+  gboolean in_budget = again && cf_retry_budget_take (&x->lane->budget);
+
+  cf_log (LOG_NOTICE, CF_EV_RETRY,
+          "id=%s reason=%s target=%s again=%s budget=%s ran=%s sends=%u "
+          "left_ms=%" G_GINT64_FORMAT,
+          x->id, reason, cf_exchange_target_id (x), again ? "yes" : "no",
+          !again      ? "not-asked"
+          : in_budget ? "ok"
+                      : "none",
+          x->may_have_run ? "maybe" : "no", x->sends, cf_exchange_left_ms (x));
+  cf_exchange_release_target (x, TRUE);
+  if (in_budget)
+    {
+      x->g->stats.retries++;
+      cf_exchange_try_target (x);
+    }
+  else if (x->may_have_run)
+    cf_exchange_give_up (x, reason);
+  else
+    cf_exchange_refuse (x, reason, FULL_BUSY_MS);
+}
+
+/* The waiter at the head of a queue gets the room that came free. */
+static gboolean
+serve_first (CfWaitQueue *q)
+{
+  CfWaiter *w = TAILQ_FIRST (&q->waiters);
+  CfExchange *x;
+  CfTarget *t;
+
+  if (!w)
+    return FALSE;
+  x = w->owner;
+  w = cf_wait_queue_first (q, cf_gateway_now (x->g));
+  x = w->owner;
+  if (pick (x, &t) != CF_PICK_OK)
+    return FALSE;
+  cf_histogram_add (&x->g->stats.queue_ms, cf_gateway_now (x->g) - w->since_ms);
+  cf_wait_queue_remove (q, w);
+  ev_timer_stop (x->g->loop, &x->silence);
+  send_to (x, t);
+  return TRUE;
+}
+
+void
+cf_exchange_pump (CfGateway *g)
+{
+  GHashTableIter it;
+  gpointer lane;
+
+  g_hash_table_iter_init (&it, g->lanes);
+  while (g_hash_table_iter_next (&it, NULL, &lane))
+    while (serve_first (&((CfLane *)lane)->queue))
+      ;
+}
+
+/* The target, or the queue, took too long. */
+void
+cf_exchange_on_silence (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  CfExchange *x = w->data;
+
+  if (x->waiter.queued)
+    {
+      if (x->may_have_run)
+        cf_exchange_give_up (x, "no-room");
+      else
+        cf_exchange_refuse (x, "no-room", FULL_BUSY_MS);
+      return;
+    }
+  /* When all targets are silent, as the ranks of a group are while one of
+   * them is missed, another has nothing to say either. */
+  if (all_silent (x))
+    {
+      cf_exchange_wait_for_target (x, all_silent_ms (x));
+      return;
+    }
+  /* Without another target to try, the one that is silent may still answer. */
+  x->may_have_run = TRUE;
+  if (!cf_exchange_may_send_again (x))
+    return;
+  cf_exchange_blame (x, x->target, "silent");
+  cf_exchange_forget_answer (x);
+  cf_exchange_try_again (x, "silent");
+}
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -146,6 +146,17 @@
     }
 }
 
+void
+cf_peer_msg_send (CfPeerLink *l, const CfPeerMsg *m)
+{
+  msgpack_sbuffer buf;
+
+  msgpack_sbuffer_init (&buf);
+  cf_peer_msg_pack (m, &buf);
+  cf_peer_link_send (l, buf.data, buf.size);
+  msgpack_sbuffer_destroy (&buf);
+}
+
 /* Unpacking: a reader that notes the first thing that is not as expected. */
 
 typedef struct
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "error.h"
+#include "peer-link.h"
 #include "rank.h"
 
 #include <msgpack.h>
@@ -107,6 +108,9 @@
 /** cf_peer_msg_pack: appends the frame of @m to @out. */
 void cf_peer_msg_pack (const CfPeerMsg *m, msgpack_sbuffer *out);
 
+/** cf_peer_msg_send: sends @m over @l. */
+void cf_peer_msg_send (CfPeerLink *l, const CfPeerMsg *m);
+
 /**
  * cf_peer_msg_unpack:
  * @zone: (out): holds what @m points to; free it with
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -45,17 +45,6 @@
   gboolean seed_valid[SEEDS_MAX];
 };
 
-static void
-send_msg (Peer *p, const CfPeerMsg *m)
-{
-  msgpack_sbuffer buf;
-
-  msgpack_sbuffer_init (&buf);
-  cf_peer_msg_pack (m, &buf);
-  cf_peer_link_send (p->peer, buf.data, buf.size);
-  msgpack_sbuffer_destroy (&buf);
-}
-
 /* What this gateway has to ask a peer for, since the store is of no help:
  * it cannot be reached, or its news are overdue. */
 static guint
@@ -88,7 +77,7 @@
   m.u.gateway_hello.targets_rev = g->targets_rev;
   m.u.gateway_hello.fleet = g->fleet_size;
   m.u.gateway_hello.want = wants (p);
-  send_msg (p, &m);
+  cf_peer_msg_send (p->peer, &m);
 }
 
 static void
@@ -101,7 +90,7 @@
     return;
   m.u.policy.rev = g->policy_rev;
   m.u.policy.json.data = g_bytes_get_data (g->policy_json, &m.u.policy.json.n);
-  send_msg (p, &m);
+  cf_peer_msg_send (p->peer, &m);
 }
 
 static void
@@ -127,7 +116,7 @@
       one.rev = t->rev;
       g_array_append_val (m.u.targets.items, one);
     }
-  send_msg (p, &m);
+  cf_peer_msg_send (p->peer, &m);
   cf_peer_msg_clear (&m);
 }
 
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -29,19 +29,6 @@
  * one that is late is given again, while the whole group may be waiting. */
 #define ORDER_TIMEOUT_MS 50
 
-/* Messages out */
-
-static void
-send_msg (CfPeerLink *l, const CfPeerMsg *m)
-{
-  msgpack_sbuffer buf;
-
-  msgpack_sbuffer_init (&buf);
-  cf_peer_msg_pack (m, &buf);
-  cf_peer_link_send (l, buf.data, buf.size);
-  msgpack_sbuffer_destroy (&buf);
-}
-
 static gboolean
 heard (const CfSeed *s, gint64 now)
 {
@@ -96,7 +83,7 @@
       if (s == lead)
         a->told = a->status;
       s->told_ms = now;
-      send_msg (s->link, &m);
+      cf_peer_msg_send (s->link, &m);
     }
 }
 
@@ -249,7 +236,7 @@
   m.u.order_ack.status = o->a->status;
   m.u.order_ack.fence_seen = o->a->fence_seen;
   if (o->from->up)
-    send_msg (o->from->link, &m);
+    cf_peer_msg_send (o->from->link, &m);
   cf_log (LOG_INFO, CF_EV_RANK_ORDER,
           "order=%s version=%" G_GINT64_FORMAT " fence=%" G_GINT64_FORMAT
           " status=%d step=%" G_GINT64_FORMAT " map=%" G_GINT64_FORMAT
@@ -335,7 +322,7 @@
     }
   m.u.lists.epoch = s->a->status.epoch;
   if (s->up)
-    send_msg (s->link, &m);
+    cf_peer_msg_send (s->link, &m);
   cf_peer_msg_clear (&m);
 }
 
@@ -352,7 +339,7 @@
   s->told_ms = 0;
   m.u.agent_hello.target_addr.data = addr;
   m.u.agent_hello.target_addr.n = strlen (addr);
-  send_msg (l, &m);
+  cf_peer_msg_send (l, &m);
   cf_log (LOG_NOTICE, CF_EV_PEER, "seed=%d outcome=up", s->index);
 }
 
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -97,17 +97,6 @@
   TAILQ_HEAD (, AgentLink) agents;
 };
 
-static void
-send_msg (CfPeerLink *l, const CfPeerMsg *m)
-{
-  msgpack_sbuffer buf;
-
-  msgpack_sbuffer_init (&buf);
-  cf_peer_msg_pack (m, &buf);
-  cf_peer_link_send (l, buf.data, buf.size);
-  msgpack_sbuffer_destroy (&buf);
-}
-
 static CfTarget *
 target_at (const CfRankService *s, const char *addr)
 {
@@ -229,7 +218,7 @@
       m.u.order.body.n = strlen (json);
       g->pending[rank] = m.u.order.seq;
       g->pending_ms[rank] = cf_gateway_now (g->s->g);
-      send_msg (a->peer, &m);
+      cf_peer_msg_send (a->peer, &m);
       g_free (json);
     }
   else
@@ -243,7 +232,7 @@
   CfPeerMsg m = { .kind = CF_PEER_WANT_LISTS };
 
   if (g->agents[rank])
-    send_msg (g->agents[rank]->peer, &m);
+    cf_peer_msg_send (g->agents[rank]->peer, &m);
 }
 
 static void
@@ -484,7 +473,7 @@
 
     m.u.tick.fence = a->group ? a->group->c.fence : 0;
     m.u.tick.read_ms = read_ms (a);
-    send_msg (a->peer, &m);
+    cf_peer_msg_send (a->peer, &m);
   }
 }
 
