--- a/standins/fake-store.c
+++ b/standins/fake-store.c
@@ -5,6 +5,8 @@
 #include <jansson.h>
 #include <string.h>
 
+/** How late a slow store answers. */
+#define SLOW_S 0.3
 /** Keys in one page of a range. */
 #define PAGE 50
 
@@ -14,6 +16,9 @@
   MODE_SILENT,
   MODE_BUSY,
   MODE_RESET,
+  MODE_SLOW,
+  MODE_SOME,
+  MODE_STALE,
 } Mode;
 
 /** Item: a key as written, or as removed if it has no value. */
@@ -43,8 +48,17 @@
   gint64 forgotten; /* changes up to here are not known any more */
   GPtrArray *waiters;
   Mode mode;
+  guint calls;
 };
 
+/** Late: a call that a slow store has not looked at yet. */
+typedef struct
+{
+  FakeStore *s;
+  FakeConn *c;
+  ev_timer timer;
+} Late;
+
 static void
 item_free (gpointer p)
 {
@@ -121,6 +135,12 @@
   answer_json (c, o);
 }
 
+static gboolean
+tells_news (const FakeStore *s)
+{
+  return s->mode == MODE_UP || s->mode == MODE_SLOW || s->mode == MODE_SOME;
+}
+
 static void
 end_waiter (Waiter *w)
 {
@@ -139,7 +159,7 @@
   FakeConn *c = w->c;
 
   end_waiter (w);
-  if (s->mode == MODE_UP)
+  if (tells_news (s) || s->mode == MODE_STALE)
     answer_watch (s, c, json_array ());
 }
 
@@ -158,7 +178,7 @@
       json_t *events = changes (s, w->prefix, w->after);
       FakeConn *c = w->c;
 
-      if (json_array_size (events) == 0 || s->mode != MODE_UP)
+      if (json_array_size (events) == 0 || !tells_news (s))
         {
           json_decref (events);
           i++;
@@ -237,7 +257,9 @@
   char *after = fake_http_query (c, "after");
   char *wait = fake_http_query (c, "wait-ms");
   gint64 from = after ? g_ascii_strtoll (after, NULL, 10) : 0;
-  json_t *events = changes (s, prefix ? prefix : "", from);
+  json_t *events = s->mode == MODE_STALE
+                       ? json_array ()
+                       : changes (s, prefix ? prefix : "", from);
 
   if (from < s->forgotten)
     {
@@ -278,6 +300,12 @@
     s->mode = MODE_BUSY;
   else if (g_strcmp0 (mode, "reset") == 0)
     s->mode = MODE_RESET;
+  else if (g_strcmp0 (mode, "slow") == 0)
+    s->mode = MODE_SLOW;
+  else if (g_strcmp0 (mode, "some") == 0)
+    s->mode = MODE_SOME;
+  else if (g_strcmp0 (mode, "stale") == 0)
+    s->mode = MODE_STALE;
   wake_waiters (s);
 }
 
@@ -321,6 +349,56 @@
   return known;
 }
 
+static void
+answer_call (FakeStore *s, FakeConn *c)
+{
+  if (fake_http_is (c, PF_PATH_RANGE))
+    answer_range (s, c);
+  else if (fake_http_is (c, PF_PATH_WATCH))
+    begin_watch (s, c);
+  else
+    fake_http_answer (c, 404, NULL, "", 0);
+}
+
+static void
+end_late (Late *l)
+{
+  ev_timer_stop (l->s->loop, &l->timer);
+  l->c->work = NULL;
+  g_free (l);
+}
+
+static void
+on_late (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  Late *l = t->data;
+  FakeStore *s = l->s;
+  FakeConn *c = l->c;
+
+  end_late (l);
+  answer_call (s, c);
+}
+
+static void
+on_late_gone (FakeConn *c)
+{
+  end_late (c->work);
+}
+
+static void
+begin_late (FakeStore *s, FakeConn *c)
+{
+  Late *l = g_new0 (Late, 1);
+
+  l->s = s;
+  l->c = c;
+  c->work = l;
+  c->gone = on_late_gone;
+  ev_timer_init (&l->timer, on_late, SLOW_S, 0);
+  l->timer.data = l;
+  ev_timer_start (s->loop, &l->timer);
+}
+
 static void
 on_request (void *data, FakeConn *c)
 {
@@ -331,12 +409,17 @@
   switch (s->mode)
     {
     case MODE_UP:
-      if (fake_http_is (c, PF_PATH_RANGE))
-        answer_range (s, c);
-      else if (fake_http_is (c, PF_PATH_WATCH))
-        begin_watch (s, c);
+    case MODE_STALE:
+      answer_call (s, c);
+      break;
+    case MODE_SLOW:
+      begin_late (s, c);
+      break;
+    case MODE_SOME:
+      if (s->calls++ % 2)
+        answer_call (s, c);
       else
-        fake_http_answer (c, 404, NULL, "", 0);
+        fake_http_answer (c, 503, NULL, "", 0);
       break;
     case MODE_SILENT:
       break;
--- a/standins/fake-store.h
+++ b/standins/fake-store.h
@@ -9,7 +9,10 @@
  *
  *   POST /test/put?key=K        write the body under K
  *   POST /test/delete?key=K
- *   POST /test/mode?mode=M      up, silent, busy (503), reset
+ *   POST /test/mode?mode=M      up, silent, busy (503), reset, slow (each
+ *                               answer 300 ms late), some (every second
+ *                               call is refused), stale (ranges and watches
+ *                               show nothing newer than now)
  *   POST /test/forget           drop the history; waiting watches are cut
  */
 typedef struct FakeStore FakeStore;
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -7,6 +7,7 @@
 
 #include <signal.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define BASE 21000
@@ -414,6 +415,74 @@
 }
 END_TEST
 
+/* A store that answers late, or refuses every second call, still brings
+ * each version within two seconds. */
+START_TEST (slow_and_choosy_stores_are_followed)
+{
+  const char put[] = "POST /test/put?key=op/config";
+  g_autofree char *a = NULL;
+  g_autofree char *b = NULL;
+
+  g_free (p_test (STORE, "POST /test/mode?mode=slow", ""));
+  g_free (p_test (STORE, put, CONFIG ("3", "/three/")));
+  usleep (1200000);
+  a = ask ("GET /three/", "w1", NULL, "");
+  ck_assert_int_eq (p_status (a), 200);
+  g_free (p_test (STORE, "POST /test/mode?mode=some", ""));
+  g_free (p_test (STORE, put, CONFIG ("4", "/four/")));
+  usleep (1900000);
+  b = ask ("GET /four/", "w2", NULL, "");
+  ck_assert_int_eq (p_status (b), 200);
+}
+END_TEST
+
+/* A store that shows only the past takes nothing back. */
+START_TEST (stale_stores_take_nothing_back)
+{
+  const char put[] = "POST /test/put?key=op/config";
+  g_autofree char *a = NULL;
+  g_autofree char *b = NULL;
+
+  g_free (p_test (STORE, put, CONFIG ("5", "/five/")));
+  usleep (300000);
+  g_free (p_test (STORE, "POST /test/mode?mode=stale", ""));
+  g_free (p_test (STORE, put, CONFIG ("6", "/six/")));
+  usleep (500000);
+  a = ask ("GET /five/", "v1", NULL, "");
+  ck_assert_int_eq (p_status (a), 200);
+  b = ask ("GET /six/", "v2", NULL, "");
+  ck_assert_int_eq (p_status (b), 404);
+}
+END_TEST
+
+/* Wrong settings end the program with a message that names the remedy. */
+START_TEST (wrong_settings_are_named)
+{
+  g_autofree char *out = NULL;
+  g_autofree char *err = NULL;
+  int status = 0;
+
+  g_file_set_contents ("t/out/wrong.conf", "ip=127.0.0.1\n", -1, NULL);
+  ck_assert (g_spawn_command_line_sync (
+      "env COMFREYPOST_CONFIG=t/out/wrong.conf target/comfrey-gateway "
+      "--check-settings",
+      &out, &err, &status, NULL));
+  ck_assert_int_eq (WEXITSTATUS (status), 2);
+  ck_assert_ptr_nonnull (strstr (err, "listen.front"));
+  ck_assert_ptr_nonnull (strstr (err, "remedy: "));
+}
+END_TEST
+
+START_TEST (a_large_body_passes_whole)
+{
+  g_autofree char *body = g_strnfill (60000, 'b');
+  g_autofree char *a = ask ("POST /order/a", "big", NULL, body);
+
+  ck_assert_int_eq (p_status (a), 200);
+  ck_assert_ptr_nonnull (strstr (a, body));
+}
+END_TEST
+
 START_TEST (a_gateway_without_the_store_learns_from_a_peer)
 {
   g_autofree char *req = p_request ("POST /order/a", "p1", NULL, "x");
@@ -610,6 +679,10 @@
   tcase_add_test (t, work_of_callers_that_left_is_stopped);
   tcase_add_test (t, leaving_targets_get_no_new_work);
   tcase_add_test (t, versions_come_into_force_and_never_go_back);
+  tcase_add_test (t, slow_and_choosy_stores_are_followed);
+  tcase_add_test (t, stale_stores_take_nothing_back);
+  tcase_add_test (t, wrong_settings_are_named);
+  tcase_add_test (t, a_large_body_passes_whole);
   tcase_add_test (t, a_gateway_without_the_store_learns_from_a_peer);
   tcase_add_test (t, a_gateway_that_knows_nothing_is_not_ready);
   tcase_add_test (t, a_planned_stop_ends_what_runs);
