Give experts' demand a module of its own

map-coordinator.c held the protocol and the sums of demand; the sums are gateway/expert-demand.c now.

--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -1,6 +1,5 @@
 #include "map-coordinator.h"
 
-#include <math.h>
 #include <string.h>
 
 /** An order without an answer is sent again after so long: an answer takes
@@ -26,10 +25,6 @@
 /** Between two plans, and after a change that was given up. */
 #define PLAN_PAUSE_MS 100
 #define ABORT_PAUSE_MS 500
-/** Demand is a sum that loses half its weight in this time: less follows
- * the draw of single requests, more lags behind a change of demand. */
-#define DEMAND_HALF_MS 120.0
-#define DECAY_STEP_MS 50
 /** Versions one leader may use under one token. */
 #define VERSION_BITS 10
 #define SALT_BITS 14
@@ -78,12 +73,8 @@
   c->data = data;
   c->ranks = g_new0 (CfRankView, shape->ranks);
   for (int r = 0; r < shape->ranks; r++)
-    {
-      c->ranks[r].counts = g_new0 (double, n_experts (c));
-      c->ranks[r].lists_map = -1;
-    }
-  c->tokens = g_new0 (double, n_experts (c));
-  c->fresh = g_new0 (double, n_experts (c));
+    c->ranks[r].lists_map = -1;
+  cf_expert_demand_init (&c->demand, shape->ranks, n_experts (c));
   c->pace = g_new0 (double, shape->ranks);
   c->in_use = cf_group_map_new (shape);
 }
@@ -91,11 +82,8 @@
 void
 cf_map_coordinator_clear (CfMapCoordinator *c)
 {
-  for (int r = 0; r < c->shape.ranks; r++)
-    g_free (c->ranks[r].counts);
   g_free (c->ranks);
-  g_free (c->tokens);
-  g_free (c->fresh);
+  cf_expert_demand_clear (&c->demand);
   g_free (c->pace);
   cf_group_map_free (c->in_use);
   cf_group_map_free (c->next);
@@ -487,15 +475,6 @@
       enter (c, CF_MAP_SETTLING, "not-as-armed", now);
 }
 
-static gboolean
-has_demand (const CfMapCoordinator *c)
-{
-  for (gsize i = 0; i < n_experts (c); i++)
-    if (c->tokens[i] > 0)
-      return TRUE;
-  return FALSE;
-}
-
 static void
 plan (CfMapCoordinator *c, gint64 now)
 {
@@ -504,7 +483,8 @@
       enter (c, CF_MAP_SETTLING, "someone-else-acts", now);
       return;
     }
-  if (now < c->idle_until_ms || !all_seen_since (c, 0) || !has_demand (c))
+  if (now < c->idle_until_ms || !all_seen_since (c, 0)
+      || !cf_expert_demand_any (&c->demand))
     return;
   if (!knows_map (c))
     {
@@ -515,39 +495,24 @@
   cf_group_map_free (c->next);
   for (int r = 0; r < c->shape.ranks; r++)
     c->pace[r] = MAX (c->ranks[r].status.pace, 1);
-  c->next = cf_group_map_plan (c->in_use, c->tokens, c->pace, &c->limits);
+  c->next
+      = cf_group_map_plan (c->in_use, c->demand.tokens, c->pace, &c->limits);
   if (!c->next)
     return;
   c->last_copies = cf_group_map_added (c->in_use, c->next);
-  c->skew_before = cf_group_map_skew (c->in_use, c->tokens, c->pace);
-  c->skew_after = cf_group_map_skew (c->next, c->tokens, c->pace);
+  c->skew_before = cf_group_map_skew (c->in_use, c->demand.tokens, c->pace);
+  c->skew_after = cf_group_map_skew (c->next, c->demand.tokens, c->pace);
   c->version = new_version (c);
   enter (c, CF_MAP_PREPARING, "worth-it", now);
 }
 
-static void
-decay (CfMapCoordinator *c, gint64 now)
-{
-  double keep;
-
-  if (now - c->decayed_ms < DECAY_STEP_MS)
-    return;
-  keep = exp2 (-(double)(now - c->decayed_ms) / DEMAND_HALF_MS);
-  c->decayed_ms = now;
-  for (gsize i = 0; i < n_experts (c); i++)
-    {
-      c->tokens[i] = c->tokens[i] * keep + c->fresh[i];
-      c->fresh[i] = 0;
-    }
-}
-
 void
 cf_map_coordinator_tick (CfMapCoordinator *c, gint64 now)
 {
   gboolean stood_still = now - c->last_tick_ms > GAP_MS;
 
   c->last_tick_ms = now;
-  decay (c, now);
+  cf_expert_demand_decay (&c->demand, now);
   if (c->fence == 0)
     return;
   if (stood_still && c->state != CF_MAP_SETTLING)
@@ -587,10 +552,8 @@
 {
   c->epoch = epoch;
   for (int r = 0; r < c->shape.ranks; r++)
-    {
-      c->ranks[r].lists_map = -1;
-      c->ranks[r].has_counts = FALSE;
-    }
+    c->ranks[r].lists_map = -1;
+  cf_expert_demand_forget (&c->demand);
   g_clear_pointer (&c->next, cf_group_map_free);
   enter (c, CF_MAP_SETTLING, "new-epoch", now);
 }
@@ -628,21 +591,8 @@
 cf_map_coordinator_counts (CfMapCoordinator *c, int rank, const gint64 *counts,
                            guint n)
 {
-  CfRankView *v;
-
-  if (rank < 0 || rank >= c->shape.ranks || n != n_experts (c))
-    return;
-  v = &c->ranks[rank];
-  for (guint i = 0; i < n; i++)
-    {
-      double now = (double)counts[i];
-
-      /* A lower count than before is of a rank that started anew. */
-      if (v->has_counts && now > v->counts[i])
-        c->fresh[i] += now - v->counts[i];
-      v->counts[i] = now;
-    }
-  v->has_counts = TRUE;
+  if (rank >= 0 && rank < c->shape.ranks && n == n_experts (c))
+    cf_expert_demand_report (&c->demand, rank, counts);
 }
 
 /* Writes one rank's row of every set; FALSE if it does not fit the shape. */
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "expert-demand.h"
 #include "rank.h"
 
 /**
@@ -45,8 +46,6 @@
   gint64 seen_ms;   /**< when @status came in; 0 if never */
   gint64 asked_ms;  /**< when the last order was sent; 0: none is open */
   gint64 lists_map; /**< version that its row of @in_use is of; -1: none */
-  double *counts;   /**< as last reported */
-  gboolean has_counts;
 } CfRankView;
 
 /** CfMapCoordinatorCalls: how orders get out. */
@@ -74,10 +73,8 @@
   gint64 last_tick_ms;
   gint64 idle_until_ms; /**< no plan before */
   CfRankView *ranks;
-  double *tokens; /**< sets x experts: drawn lately */
-  double *fresh;  /**< the same, since the last decay */
-  double *pace;   /**< by rank, as the last plan took it */
-  gint64 decayed_ms;
+  CfExpertDemand demand;
+  double *pace; /**< by rank, as the last plan took it */
   CfGroupMap *in_use;
   CfGroupMap *next;
   gint64 version;   /**< of @next */
