--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -340,6 +340,79 @@
 }
 END_TEST
 
+/* The peak memory of a process, in kB. */
+static gint64
+peak_kb (pid_t pid)
+{
+  g_autofree char *path = g_strdup_printf ("/proc/%d/status", (int)pid);
+  g_autofree char *text = NULL;
+  const char *at;
+
+  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
+  at = strstr (text, "VmHWM:");
+  ck_assert_ptr_nonnull (at);
+  return g_ascii_strtoll (at + strlen ("VmHWM:"), NULL, 10);
+}
+
+/* Callers that do not read their streams hold up nobody else, and little
+ * of what they do not read is held here. */
+START_TEST (slow_readers_cost_only_themselves)
+{
+  int fds[8];
+  gint64 begun;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("slow%zu", i);
+      g_autofree char *req = p_request (
+          "POST /chat/a", id, "Comfreypost-Token-Count: 10,4000\r\n", "");
+
+      fds[i] = p_connect (front);
+      p_send (fds[i], req);
+    }
+  usleep (1000000);
+  begun = g_get_monotonic_time () / 1000;
+  for (int i = 0; i < 20; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("quick%d", i);
+      g_autofree char *a = ask ("GET /quote/a", id, NULL, "");
+
+      ck_assert_int_eq (p_status (a), 200);
+    }
+  ck_assert_int_lt (g_get_monotonic_time () / 1000 - begun, 2000);
+  ck_assert_int_lt (peak_kb (gateway), 32768);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
+/* A kept connection serves until the idle limit (3 s here), then ends. */
+START_TEST (kept_connections_live_to_the_idle_limit)
+{
+  g_autofree char *first = p_request ("POST /order/a", "i1", NULL, "x");
+  g_autofree char *second = p_request ("POST /order/a", "i2", NULL, "x");
+  g_autofree char *a = NULL;
+  g_autofree char *b = NULL;
+  g_autofree char *end = NULL;
+  gint64 begun;
+  int fd = p_connect (front);
+
+  p_send (fd, first);
+  a = p_read (fd, 2000);
+  ck_assert_int_eq (p_status (a), 200);
+  usleep (2600000);
+  p_send (fd, second);
+  b = p_read (fd, 2000);
+  ck_assert_int_eq (p_status (b), 200);
+  begun = g_get_monotonic_time () / 1000;
+  end = p_read (fd, 5000);
+  ck_assert_str_eq (end, "");
+  ck_assert_int_ge (g_get_monotonic_time () / 1000 - begun, 2700);
+  ck_assert_int_lt (g_get_monotonic_time () / 1000 - begun, 4500);
+  close (fd);
+}
+END_TEST
+
 START_TEST (work_of_callers_that_left_is_stopped)
 {
   g_autofree char *req = p_request ("POST /order/a", "g1", NULL, "x");
@@ -676,6 +749,8 @@
   tcase_add_test (t, hanging_targets);
   tcase_add_test (t, streams_are_passed_whole);
   tcase_add_test (t, broken_streams_are_resumed);
+  tcase_add_test (t, slow_readers_cost_only_themselves);
+  tcase_add_test (t, kept_connections_live_to_the_idle_limit);
   tcase_add_test (t, work_of_callers_that_left_is_stopped);
   tcase_add_test (t, leaving_targets_get_no_new_work);
   tcase_add_test (t, versions_come_into_force_and_never_go_back);
