Keep each gateway to its part of a target's connections

Cause: max-conns was read and not used; a target with fewer connections than slots would have reset what came beyond. Ruled out: a count of connections (idle ones are used first, so requests at once bound them).

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -16,10 +16,13 @@
 } Use;
 
 guint
-cf_balancer_share (gint64 slots, guint fleet)
+cf_balancer_share (gint64 slots, gint64 max_conns, guint fleet)
 {
   double part = (double)slots * SHARE_MORE / MAX (fleet, 1);
+  double conns = floor ((double)max_conns / MAX (fleet, 1));
 
+  if (max_conns > 0)
+    part = MIN (part, conns);
   return (guint)MAX (ceil (part), 1);
 }
 
@@ -34,7 +37,8 @@
 {
   if (t->record.leaving || was_tried (in->tried, t))
     return USE_NO;
-  if (t->in_flight >= cf_balancer_share (t->record.slots, in->fleet)
+  if (t->in_flight
+          >= cf_balancer_share (t->record.slots, in->max_conns, in->fleet)
       || in->now_ms < t->full_until_ms)
     return USE_FULL;
   return cf_outlier_ejected (&t->outlier, in->now_ms) ? USE_GUESS : USE_YES;
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -18,16 +18,19 @@
   const GPtrArray *tried;  /**< (nullable): targets that had it already */
   gint64 now_ms;           /**< of the monotonic clock */
   guint fleet;             /**< gateways that send to these targets */
+  gint64 max_conns;        /**< connections a target takes from all; 0: any */
 } CfPickInput;
 
 /**
  * cf_balancer_share:
+ * @max_conns: connections a target takes from all callers; 0: any number
  * Returns: how many requests one of @fleet gateways gives a target of
  *   @slots at once: an even part and a quarter more, since callers are not
- *   spread evenly.  What is more than the slots would wait at the target,
- *   where the order cannot be chosen any more.
+ *   spread evenly, but no more than its even part of the connections.  What
+ *   is more than the slots would wait at the target, where the order cannot
+ *   be chosen any more; what is more than the connections would be reset.
  */
-guint cf_balancer_share (gint64 slots, guint fleet);
+guint cf_balancer_share (gint64 slots, gint64 max_conns, guint fleet);
 
 /**
  * cf_balancer_pick:
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -177,6 +177,7 @@
 static CfPickWhy
 pick (CfExchange *x, CfTarget **t)
 {
+  const CfService *sv = cf_policy_service (x->policy, x->service);
   CfPickInput in = { 0 };
 
   if (all_silent (x))
@@ -187,6 +188,7 @@
   in.tried = x->tried;
   in.now_ms = cf_gateway_now (x->g);
   in.fleet = x->g->fleet_size;
+  in.max_conns = sv ? sv->max_conns : 0;
   return cf_balancer_pick (&x->g->targets, &in, t);
 }
 
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -31,7 +31,7 @@
 static CfPickWhy
 pick (gint64 now, const GPtrArray *tried, CfTarget **t)
 {
-  const CfPickInput in = { "s", "dc1", tried, now, 1 };
+  const CfPickInput in = { "s", "dc1", tried, now, 1, 0 };
 
   return cf_balancer_pick (&table, &in, t);
 }
@@ -98,10 +98,14 @@
 /* All gateways together fill a target's slots, not its queue. */
 START_TEST (slots_are_shared_over_the_fleet)
 {
-  ck_assert_uint_eq (cf_balancer_share (12, 1), 15);
-  ck_assert_uint_eq (cf_balancer_share (12, 3), 5);
-  ck_assert_uint_eq (cf_balancer_share (6, 4), 2);
-  ck_assert_uint_eq (cf_balancer_share (6, 40), 1);
+  ck_assert_uint_eq (cf_balancer_share (12, 0, 1), 15);
+  ck_assert_uint_eq (cf_balancer_share (12, 0, 3), 5);
+  ck_assert_uint_eq (cf_balancer_share (6, 0, 4), 2);
+  ck_assert_uint_eq (cf_balancer_share (6, 0, 40), 1);
+  /* Few connections: no gateway may use more than its part of them. */
+  ck_assert_uint_eq (cf_balancer_share (12, 9, 3), 3);
+  ck_assert_uint_eq (cf_balancer_share (12, 408, 3), 5);
+  ck_assert_uint_eq (cf_balancer_share (12, 2, 4), 1);
 }
 END_TEST
 
