Notice the store's return at once

Ruled out: the grace (asked for by the platform), the peers. Change: while the store has not answered, a watch asks with no wait.

--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -212,6 +212,14 @@
   ev_io_start (w->g->loop, &w->io);
 }
 
+/* A store that did not answer last is asked for an answer at once: when it
+ * is back must be known then, not when its next news come. */
+static gint64
+watch_wait_ms (const CfStoreWatch *w)
+{
+  return w->contact == CF_STORE_UP ? w->wait_ms : 0;
+}
+
 /* Sends the next call on the connection, which is there. */
 static void
 send_call (CfStoreWatch *w)
@@ -221,7 +229,8 @@
 
   w->state = w->has_all ? CF_WATCH_CHANGES : CF_WATCH_RANGE;
   if (w->has_all)
-    req = cf_platform_store_watch (addr, w->prefix, w->as_of, w->wait_ms);
+    req = cf_platform_store_watch (addr, w->prefix, w->as_of,
+                                   watch_wait_ms (w));
   else
     req = cf_platform_store_range (addr, w->prefix, w->page_after);
   g_string_assign (w->out, req);
@@ -230,7 +239,7 @@
   g_string_truncate (w->body, 0);
   w->g->stats.store_calls++;
   w->asked_at_ms = cf_gateway_now (w->g);
-  set_timer (w, ANSWER_TIMEOUT_MS + (w->has_all ? w->wait_ms : 0));
+  set_timer (w, ANSWER_TIMEOUT_MS + (w->has_all ? watch_wait_ms (w) : 0));
   write_some (w);
 }
 
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -452,6 +452,27 @@
 }
 END_TEST
 
+/* The store was away and is back for longer than lapsed entries get to come
+ * back: a target that leaves then gets no more work at once. */
+START_TEST (leaving_is_heard_after_the_stores_return)
+{
+  g_free (p_test (STORE, "POST /test/mode?mode=busy", ""));
+  g_free (p_test (STORE, "POST /test/forget", ""));
+  usleep (500000);
+  g_free (p_test (STORE, "POST /test/mode?mode=up", ""));
+  usleep (3600000);
+  g_free (p_test (STORE, "POST /test/delete?key=servers/desk-0", ""));
+  usleep (300000);
+  for (int i = 0; i < 10; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("r%d", i);
+      g_autofree char *a = ask ("POST /order/a", id, NULL, "x");
+
+      ck_assert_ptr_nonnull (strstr (a, "Signature: desk-1\r\n"));
+    }
+}
+END_TEST
+
 #define CONFIG(version, prefix)                                                \
   "{\"version\":" version ",\"routes\":[{\"name\":\"n\",\"host\":"             \
   "\"demo.example\",\"prefix\":\"" prefix "\",\"kind\":\"safe\","              \
@@ -753,6 +774,7 @@
   tcase_add_test (t, kept_connections_live_to_the_idle_limit);
   tcase_add_test (t, work_of_callers_that_left_is_stopped);
   tcase_add_test (t, leaving_targets_get_no_new_work);
+  tcase_add_test (t, leaving_is_heard_after_the_stores_return);
   tcase_add_test (t, versions_come_into_force_and_never_go_back);
   tcase_add_test (t, slow_and_choosy_stores_are_followed);
   tcase_add_test (t, stale_stores_take_nothing_back);
