Drop state that nothing reads; one limit for the seeds

From reading the whole change once more. comfrey_connects_total was never counted and so always said 0; a watch kept when it asked, a gateway when its policy came, the control listener its gateway, and nothing read them. The number of seeds stood in three files; it is the settings' now. No decision changed.

Looked at and left: failure_whole()'s own retry beside try_again(), which would pass a failure on where the other refuses; settings that are read and checked but not used yet (cpu_share, max_fds, heartbeat_ms, drain_ms, retry_window_s); the two test harnesses, which start programs of different settings; the own interface's paths that are spelled like the platform's.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -6,7 +6,6 @@
 /** Control: the listener; lives as long as the process. */
 typedef struct
 {
-  CfGateway *g;
   CfPeerService *peers;
   CfRankService *ranks;
   ev_io io;
@@ -65,7 +64,6 @@
   if (st != CF_OK)
     return st;
   c = g_new0 (Control, 1);
-  c->g = g;
   c->peers = peers;
   c->ranks = ranks;
   ev_io_init (&c->io, on_accept, fd, EV_READ);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -94,7 +94,6 @@
   cf_policy_unref (g->policy);
   g->policy = p;
   g->policy_rev = rev;
-  g->policy_at_ms = cf_gateway_now (g);
   if (g->policy_json)
     g_bytes_unref (g->policy_json);
   g->policy_json = g_bytes_new (json, n);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -36,7 +36,6 @@
   CfPlatformSettings set;
   CfPolicy *policy;          /**< in force; %NULL until one is known */
   gint64 policy_rev;         /**< the store's revision of it */
-  gint64 policy_at_ms;       /**< when it came into force here */
   GBytes *policy_json;       /**< it as the store holds it, for peers */
   gboolean policy_store_up;  /**< the store answers the watch of it */
   gboolean targets_store_up; /**< and the watch of the targets */
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -16,9 +16,6 @@
 #define STORE_FIRST_MS 400
 /** Peers not heard of for so long no longer count as part of the fleet. */
 #define FORGET_MS 10000
-/** Seeds that the settings name at most. */
-#define SEEDS_MAX 3
-
 /** Peer: a link to another gateway. */
 typedef struct Peer
 {
@@ -41,8 +38,8 @@
   gint64 greeted_ms;
   gint64 connected_ms;
   gint64 behind_ms; /**< since when a peer is known to be ahead; 0: none */
-  struct sockaddr_in seeds[SEEDS_MAX];
-  gboolean seed_valid[SEEDS_MAX];
+  struct sockaddr_in seeds[CF_SEEDS_MAX];
+  gboolean seed_valid[CF_SEEDS_MAX];
 };
 
 /* What this gateway has to ask a peer for, since the store is of no help:
@@ -305,7 +302,7 @@
 static void
 connect_seeds (CfPeerService *s)
 {
-  for (int i = 0; i < SEEDS_MAX; i++)
+  for (int i = 0; i < CF_SEEDS_MAX; i++)
     {
       Peer *p;
 
@@ -369,7 +366,7 @@
   s->g = g;
   TAILQ_INIT (&s->peers);
   s->fleet = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  for (int i = 0; i < SEEDS_MAX && g->set.seed_addrs[i]; i++)
+  for (int i = 0; i < CF_SEEDS_MAX && g->set.seed_addrs[i]; i++)
     s->seed_valid[i]
         = g_strcmp0 (g->set.seed_addrs[i], own) != 0
           && cf_socket_parse (g->set.seed_addrs[i], &s->seeds[i]) == CF_OK;
--- a/gateway/rank-agent.h
+++ b/gateway/rank-agent.h
@@ -5,9 +5,6 @@
 #include "platform/platform-settings.h"
 #include "target.h"
 
-/** Gateways that an agent keeps links to. */
-#define CF_SEEDS_MAX 3
-
 typedef struct CfRankAgent CfRankAgent;
 
 /** CfSeed: one of the gateways that may lead the group. */
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -34,8 +34,6 @@
  * the whole group waits for it. */
 #define DIRECT_AFTER_MS 500
 #define DIRECT_TIMEOUT_MS 300
-/** Seeds that agents link to at most. */
-#define SEEDS_MAX 3
 /** Tokens rise by this much a takeover, so that the gateways named as
  * seeds never use the same one. */
 #define FENCE_STEP 8
@@ -348,7 +346,7 @@
 static guint
 seeds_before (const Group *g)
 {
-  guint n = MIN (g_strv_length (g->s->g->set.seed_addrs), SEEDS_MAX);
+  guint n = MIN (g_strv_length (g->s->g->set.seed_addrs), CF_SEEDS_MAX);
   guint first = g_str_hash (g->name) % MAX (n, 1);
   guint before = 0;
 
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -89,7 +89,6 @@
   print_counter (out, "sends_total", s->sends);
   print_counter (out, "retries_total", s->retries);
   print_counter (out, "resumes_total", s->resumes);
-  print_counter (out, "connects_total", s->connects);
   print_counter (out, "store_calls_total", s->store_calls);
   print_counter (out, "store_errors_total", s->store_errors);
   print_counter (out, "queued_total", s->queued);
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -34,10 +34,9 @@
 {
   guint64 requests;
   guint64 outcomes[CF_N_OUTCOMES];
-  guint64 sends;    /**< requests sent to targets, again ones included */
-  guint64 retries;  /**< of these, sent again */
-  guint64 resumes;  /**< streams taken up at another target */
-  guint64 connects; /**< connections made to targets */
+  guint64 sends;   /**< requests sent to targets, again ones included */
+  guint64 retries; /**< of these, sent again */
+  guint64 resumes; /**< streams taken up at another target */
   guint64 store_calls;
   guint64 store_errors;
   guint64 queued;       /**< requests that waited for room */
--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -238,7 +238,6 @@
   w->out_sent = 0;
   g_string_truncate (w->body, 0);
   w->g->stats.store_calls++;
-  w->asked_at_ms = cf_gateway_now (w->g);
   set_timer (w, ANSWER_TIMEOUT_MS + (w->has_all ? watch_wait_ms (w) : 0));
   write_some (w);
 }
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -62,7 +62,6 @@
   CfStoreContact contact;
   gint64 wait_ms;  /**< how long the store waits for a change */
   gint64 pause_ms; /**< before the next try */
-  gint64 asked_at_ms;
 };
 
 /**
