Give work only to the newest start at an address

After all VMs lost power at once, callers were refused for over a second although every target was back. Cause: the list keeps the entry of a start that crashed until its lease runs out (3.6 s) while the next start at the same address is listed beside it. Half of the targets to choose from were such entries; each send to one came back as misdirected (421), two of them used up a request's attempts.

Ruled out: lack of room (nothing waited), the retry budget (the first refusals said "not asked": the attempts were used up).

The table now knows which start was listed last at each address (the store's create-revision, passed between gateways too); older ones get nothing. A start whose address answers as another gets nothing until it writes its record again. A refusal names the target at fault by address, which was looked up as an id and so never found; it is logged now.

The new tests in t/t-balancer and t/t-gateway fail without the check (a refused order in place of an answer).

The ranks' own refusals while their group forms anew are what is left of that second.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -35,7 +35,7 @@
 static Use
 use_of (const CfTarget *t, const CfPickInput *in)
 {
-  if (t->record.leaving || was_tried (in->tried, t))
+  if (t->record.leaving || t->replaced || was_tried (in->tried, t))
     return USE_NO;
   if (t->in_flight
           >= cf_balancer_share (t->record.slots, in->max_conns, in->fleet)
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -35,19 +35,22 @@
             t->record.id, t->record.service, reason, ms, x->id);
 }
 
-/* An answer that says "not run" blames the target it names, or says that
- * its own target is full. */
+/* An answer that says "not run" blames the target at the address it names,
+ * or says that another start has its own target's address, or that its own
+ * target is full. */
 static void
 learn_from_refusal (CfExchange *x)
 {
-  CfTarget *t = NULL;
+  CfTargetTable *table = &x->g->targets;
+  CfTarget *t = x->faulty ? cf_target_table_at (table, x->faulty) : NULL;
 
-  if (x->faulty)
-    t = g_hash_table_lookup (x->g->targets.by_id, x->faulty);
+  cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
+          "id=%s target=%s outcome=not-run status=%d faulty=%s", x->id,
+          x->target->record.id, x->status, x->faulty ? x->faulty : "-");
   if (t)
     cf_exchange_blame (x, t, "named-faulty");
-  else if (x->status == HTTP_STATUS_MISDIRECTED_REQUEST)
-    cf_exchange_blame (x, x->target, "another-instance");
+  else if (x->status == HTTP_STATUS_MISDIRECTED_REQUEST && !x->faulty)
+    cf_target_table_misdirected (table, x->target);
   else
     x->target->full_until_ms = cf_gateway_now (x->g) + FULL_PAUSE_MS;
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -124,30 +124,30 @@
 }
 
 void
-cf_gateway_take_target (CfGateway *g, const char *id, const char *json, gsize n,
-                        gint64 rev, const char *source)
+cf_gateway_take_target (CfGateway *g, const CfTargetNews *news,
+                        const char *source)
 {
   CfTargetRecord r;
   CfTargetChange c;
   CfTarget *t;
 
-  if (cf_platform_target_parse (id, json, n, &r) != CF_OK)
+  if (cf_platform_target_parse (news->id, news->json, news->n, &r) != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_TARGET_LIST, "target=%s outcome=bad error=\"%s\"",
-              id, cf_last_error ());
+              news->id, cf_last_error ());
       return;
     }
-  c = cf_target_table_put (&g->targets, &r, json, n, rev);
+  c = cf_target_table_put (&g->targets, &r, news);
   if (c == CF_TARGET_SAME)
     return;
-  t = g_hash_table_lookup (g->targets.by_id, id);
+  t = g_hash_table_lookup (g->targets.by_id, news->id);
   if (t && c == CF_TARGET_LEAVING)
     cf_upstream_close_idle (t);
   cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
           "target=%s service=%s addr=%s outcome=%s rev=%" G_GINT64_FORMAT
           " source=%s",
-          id, t ? t->record.service : "-", t ? t->record.addr : "-",
-          change_name (c), rev, source);
+          news->id, t ? t->record.service : "-", t ? t->record.addr : "-",
+          change_name (c), news->rev, source);
   cf_exchange_pump (g);
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -73,9 +73,9 @@
 void cf_gateway_take_policy (CfGateway *g, const char *json, gsize n,
                              gint64 rev, const char *source);
 
-/** cf_gateway_take_target: the record of target @id came. */
-void cf_gateway_take_target (CfGateway *g, const char *id, const char *json,
-                             gsize n, gint64 rev, const char *source);
+/** cf_gateway_take_target: the record of a target came. */
+void cf_gateway_take_target (CfGateway *g, const CfTargetNews *news,
+                             const char *source);
 
 /** cf_gateway_drop_target: target @id is gone. */
 void cf_gateway_drop_target (CfGateway *g, const char *id, gint64 rev,
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -62,10 +62,11 @@
     {
       const CfPeerTarget *t = &g_array_index (items, CfPeerTarget, i);
 
-      msgpack_pack_array (pk, 3);
+      msgpack_pack_array (pk, 4);
       put_bytes (pk, t->id);
       put_bytes (pk, t->json);
       put_int (pk, t->rev);
+      put_int (pk, t->created);
     }
 }
 
@@ -274,6 +275,8 @@
       t.id = take_bytes (&one);
       t.json = take_bytes (&one);
       t.rev = take_int (&one);
+      /* Peers of an earlier version do not say. */
+      t.created = one.at < one.end ? take_int (&one) : 0;
       in.bad |= one.bad;
       g_array_append_val (a, t);
     }
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -103,6 +103,7 @@
   CfPeerBytes id;
   CfPeerBytes json;
   gint64 rev;
+  gint64 created; /**< 0 if the peer does not say */
 } CfPeerTarget;
 
 /** cf_peer_msg_pack: appends the frame of @m to @out. */
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -111,6 +111,7 @@
       one.json.data = t->json;
       one.json.n = strlen (t->json);
       one.rev = t->rev;
+      one.created = t->created;
       g_array_append_val (m.u.targets.items, one);
     }
   cf_peer_msg_send (p->peer, &m);
@@ -185,7 +186,9 @@
       const CfPeerTarget *t = &g_array_index (items, CfPeerTarget, i);
       char *id = g_strndup (t->id.data, t->id.n);
 
-      cf_gateway_take_target (g, id, t->json.data, t->json.n, t->rev, "peer");
+      CfTargetNews news = { id, t->json.data, t->json.n, t->rev, t->created };
+
+      cf_gateway_take_target (g, &news, "peer");
       g_hash_table_add (seen, id);
     }
   cf_gateway_keep_targets (g, seen, m->u.targets.as_of, "peer");
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -44,8 +44,7 @@
 on_item (CfGateway *g, const CfStoreItem *it)
 {
   const char *id = cf_platform_target_id (it->key);
-  gsize n;
-  const char *json;
+  CfTargetNews news = { .id = id };
 
   if (!id)
     return;
@@ -55,8 +54,10 @@
       return;
     }
   g_hash_table_remove (lapse.missing, id);
-  json = g_bytes_get_data (it->value, &n);
-  cf_gateway_take_target (g, id, json, n, it->rev, "store");
+  news.json = g_bytes_get_data (it->value, &news.n);
+  news.rev = it->rev;
+  news.created = it->created;
+  cf_gateway_take_target (g, &news, "store");
 }
 
 static void
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -40,6 +40,7 @@
 cf_target_table_init (CfTargetTable *t)
 {
   t->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, drop_target);
+  t->by_addr = g_hash_table_new (g_str_hash, g_str_equal);
   t->by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_array);
   t->turn = 0;
@@ -49,6 +50,7 @@
 cf_target_table_clear (CfTargetTable *t)
 {
   g_hash_table_destroy (t->by_service);
+  g_hash_table_destroy (t->by_addr);
   g_hash_table_destroy (t->by_id);
 }
 
@@ -65,16 +67,30 @@
   return a;
 }
 
+/* Of two starts listed at one address, the one listed later is there. */
+static void
+take_address (CfTargetTable *t, CfTarget *n)
+{
+  CfTarget *other = g_hash_table_lookup (t->by_addr, n->record.addr);
+
+  n->replaced = other && other->created > n->created;
+  if (n->replaced)
+    return;
+  if (other)
+    other->replaced = TRUE;
+  g_hash_table_replace (t->by_addr, n->record.addr, n);
+}
+
 static CfTargetChange
-add_target (CfTargetTable *t, CfTargetRecord *r, const char *json, gsize len,
-            gint64 rev)
+add_target (CfTargetTable *t, CfTargetRecord *r, const CfTargetNews *news)
 {
   CfTarget *n = g_new0 (CfTarget, 1);
 
   n->ref_count = 1;
   n->record = *r;
-  n->json = g_strndup (json, len);
-  n->rev = rev;
+  n->json = g_strndup (news->json, news->n);
+  n->rev = news->rev;
+  n->created = news->created;
   n->listed = TRUE;
   n->pace = 1;
   TAILQ_INIT (&n->idle);
@@ -83,14 +99,15 @@
       cf_target_unref (n);
       return CF_TARGET_BAD;
     }
+  take_address (t, n);
   g_hash_table_insert (t->by_id, n->record.id, n);
   g_ptr_array_add (service_array (t, n->record.service), n);
   return CF_TARGET_NEW;
 }
 
 static CfTargetChange
-update_target (CfTarget *n, CfTargetRecord *r, const char *json, gsize len,
-               gint64 rev)
+update_target (CfTargetTable *t, CfTarget *n, CfTargetRecord *r,
+               const CfTargetNews *news)
 {
   CfTargetChange c = CF_TARGET_SAME;
 
@@ -101,20 +118,22 @@
   n->record.leaving = r->leaving;
   n->record.slots = r->slots;
   n->record.warmup_ms = r->warmup_ms;
-  n->rev = rev;
+  if (news->rev > n->rev && cf_target_table_at (t, n->record.addr) == n)
+    n->replaced = FALSE;
+  n->rev = news->rev;
   g_free (n->json);
-  n->json = g_strndup (json, len);
+  n->json = g_strndup (news->json, news->n);
   cf_target_record_clear (r);
   return c;
 }
 
 CfTargetChange
-cf_target_table_put (CfTargetTable *t, CfTargetRecord *r, const char *json,
-                     gsize len, gint64 rev)
+cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
+                     const CfTargetNews *news)
 {
   CfTarget *n = g_hash_table_lookup (t->by_id, r->id);
 
-  if (n && rev < n->rev)
+  if (n && news->rev < n->rev)
     {
       cf_target_record_clear (r);
       return CF_TARGET_SAME;
@@ -128,8 +147,19 @@
       cf_target_table_remove (t, r->id);
       n = NULL;
     }
-  return n ? update_target (n, r, json, len, rev)
-           : add_target (t, r, json, len, rev);
+  return n ? update_target (t, n, r, news) : add_target (t, r, news);
+}
+
+void
+cf_target_table_misdirected (CfTargetTable *t, CfTarget *n)
+{
+  n->replaced = TRUE;
+}
+
+CfTarget *
+cf_target_table_at (const CfTargetTable *t, const char *addr)
+{
+  return g_hash_table_lookup (t->by_addr, addr);
 }
 
 gboolean
@@ -140,6 +170,8 @@
   if (!n)
     return FALSE;
   g_ptr_array_remove (service_array (t, n->record.service), n);
+  if (cf_target_table_at (t, n->record.addr) == n)
+    g_hash_table_remove (t->by_addr, n->record.addr);
   g_hash_table_remove (t->by_id, id);
   return TRUE;
 }
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -23,6 +23,8 @@
   struct sockaddr_in addr;
   char *json;          /**< @record as the store holds it, for peers */
   gint64 rev;          /**< store revision of @record */
+  gint64 created;      /**< store revision at which it was first listed */
+  gboolean replaced;   /**< another start has its address now */
   gboolean listed;     /**< still on the platform's list */
   guint in_flight;     /**< requests of ours it has */
   guint conns;         /**< connections of ours, idle ones included */
@@ -35,10 +37,16 @@
 CfTarget *cf_target_ref (CfTarget *t);
 void cf_target_unref (CfTarget *t);
 
-/** CfTargetTable: all listed targets, by id and by service. */
+/**
+ * CfTargetTable:
+ * All listed targets, by id and by service.  The list keeps the entry of a
+ * start that crashed until its lease runs out; when the next start at that
+ * address is listed beside it, only the newer one gets work.
+ */
 typedef struct
 {
   GHashTable *by_id;      /**< id -> #CfTarget */
+  GHashTable *by_addr;    /**< address -> #CfTarget, the newest there */
   GHashTable *by_service; /**< service -> GPtrArray of #CfTarget */
   guint turn;             /**< where a search for the least loaded begins */
 } CfTargetTable;
@@ -56,14 +64,33 @@
   CF_TARGET_BAD,     /**< its address cannot be read; not listed */
 } CfTargetChange;
 
+/** CfTargetNews: a target's record, as the store or a peer tells it. */
+typedef struct
+{
+  const char *id;
+  const char *json; /**< @n bytes */
+  gsize n;
+  gint64 rev;     /**< the store's revision of it */
+  gint64 created; /**< the store's revision at which it was first listed */
+} CfTargetNews;
+
 /**
  * cf_target_table_put:
  * @r: taken over
- * @json: @n bytes that @r was read from; copied
- * @rev: the store's revision; a record older than the known one is dropped
+ * @news: what @r was read from; one older than the known one is dropped
  */
 CfTargetChange cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
-                                    const char *json, gsize n, gint64 rev);
+                                    const CfTargetNews *news);
+
+/**
+ * cf_target_table_misdirected:
+ * The address of @n answered that another start is there.  No work goes to
+ * @n unless it writes its record again, which an ended start cannot.
+ */
+void cf_target_table_misdirected (CfTargetTable *t, CfTarget *n);
+
+/** cf_target_table_at: (nullable): the newest target at @addr. */
+CfTarget *cf_target_table_at (const CfTargetTable *t, const char *addr);
 
 /** cf_target_table_remove: @id is gone; %FALSE if it was not listed. */
 gboolean cf_target_table_remove (CfTargetTable *t, const char *id);
--- a/standins/fake-store.c
+++ b/standins/fake-store.c
@@ -27,6 +27,7 @@
   char *key;
   char *value; /* base64 */
   gint64 rev;
+  gint64 created; /* revision of the key's first writing */
 } Item;
 
 /** Waiter: a watch that waits for a change. */
@@ -70,7 +71,7 @@
 }
 
 static Item *
-item_new (const char *key, const char *value, gint64 rev)
+item_new (const char *key, const char *value, gint64 rev, gint64 created)
 {
   Item *it = g_new0 (Item, 1);
 
@@ -78,6 +79,7 @@
   it->value
       = value ? g_base64_encode ((const guchar *)value, strlen (value)) : NULL;
   it->rev = rev;
+  it->created = created;
   return it;
 }
 
@@ -91,7 +93,7 @@
   if (it->value)
     {
       json_object_set_new (o, "value", json_string (it->value));
-      json_object_set_new (o, "create-revision", json_integer (it->rev));
+      json_object_set_new (o, "create-revision", json_integer (it->created));
       json_object_set_new (o, "lease", json_integer (0));
     }
   else
@@ -192,10 +194,14 @@
 static void
 write_item (FakeStore *s, const char *key, const char *value)
 {
+  const Item *old = g_tree_lookup (s->items, key);
+  gint64 created = old ? old->created : s->rev + 1;
+
   s->rev++;
-  g_ptr_array_add (s->history, item_new (key, value, s->rev));
+  g_ptr_array_add (s->history, item_new (key, value, s->rev, created));
   if (value)
-    g_tree_replace (s->items, g_strdup (key), item_new (key, value, s->rev));
+    g_tree_replace (s->items, g_strdup (key),
+                    item_new (key, value, s->rev, created));
   else
     g_tree_remove (s->items, key);
   wake_waiters (s);
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -396,6 +396,15 @@
       publish (t);
       fake_http_answer (c, 200, NULL, "", 0);
     }
+  else if (fake_http_is (c, "/test/restart"))
+    {
+      char *old = t->id;
+
+      t->id = g_strconcat (old, "x", NULL);
+      g_free (old);
+      publish (t);
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
   else if (t->group && fake_http_is (c, PF_PATH_REPORT))
     answer_report (t, c);
   else if (t->group && fake_http_is (c, PF_PATH_PICKED))
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -11,6 +11,8 @@
  *        fail, lost (run, then reset), truncate, garbage, extra (a second
  *        answer), unsigned, unframed, hang, cut (a stream, in an event)
  *   POST /test/drain             says that it leaves
+ *   POST /test/restart           starts anew under another id; the entry of
+ *        the start before stays listed, as after a crash
  *   GET  /test/runs              what it ran: runs, ids, doubled, mixed
  */
 typedef struct FakeTarget FakeTarget;
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -11,6 +11,7 @@
 put (const char *id, const char *service, const char *dc, const char *addr,
      gboolean leaving, gint64 rev)
 {
+  const CfTargetNews news = { id, "{}", 2, rev, rev };
   CfTargetRecord r = { 0 };
 
   r.id = g_strdup (id);
@@ -19,7 +20,7 @@
   r.addr = g_strdup (addr);
   r.slots = 4;
   r.leaving = leaving;
-  return cf_target_table_put (&table, &r, "{}", 2, rev);
+  return cf_target_table_put (&table, &r, &news);
 }
 
 static CfTarget *
@@ -109,6 +110,45 @@
 }
 END_TEST
 
+/* After a crash the entry of the start before stays listed for a while. */
+START_TEST (only_the_newest_start_at_an_address_gets_work)
+{
+  CfTarget *t;
+
+  put ("b2", "s", "dc2", "1.1.1.2:1", FALSE, 7);
+  ck_assert (get ("b")->replaced);
+  ck_assert (!get ("b2")->replaced);
+  /* Whichever the list names first. */
+  put ("c0", "s", "dc2", "1.1.1.3:1", FALSE, 2);
+  ck_assert (get ("c0")->replaced);
+  ck_assert (!get ("c")->replaced);
+  for (int i = 0; i < 12; i++)
+    {
+      ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
+      ck_assert (!t->replaced);
+      t->in_flight++;
+    }
+  /* The address goes to another service. */
+  put ("a2", "other", "dc1", "1.1.1.1:1", FALSE, 9);
+  ck_assert (get ("a")->replaced);
+  ck_assert_ptr_eq (cf_target_table_at (&table, "1.1.1.1:1"), get ("a2"));
+  cf_target_table_remove (&table, "a2");
+  ck_assert_ptr_null (cf_target_table_at (&table, "1.1.1.1:1"));
+  ck_assert (get ("a")->replaced);
+}
+END_TEST
+
+START_TEST (a_misdirected_target_is_used_again_once_it_writes)
+{
+  cf_target_table_misdirected (&table, get ("a"));
+  ck_assert (get ("a")->replaced);
+  put ("a", "s", "dc1", "1.1.1.1:1", FALSE, 1);
+  ck_assert (get ("a")->replaced);
+  put ("a", "s", "dc1", "1.1.1.1:1", FALSE, 8);
+  ck_assert (!get ("a")->replaced);
+}
+END_TEST
+
 START_TEST (leaving_and_tried_ones_get_nothing)
 {
   GPtrArray *tried = g_ptr_array_new ();
@@ -251,6 +291,8 @@
   tcase_add_test (t, load_is_spread_evenly);
   tcase_add_test (t, slow_targets_get_less);
   tcase_add_test (t, slots_are_shared_over_the_fleet);
+  tcase_add_test (t, only_the_newest_start_at_an_address_gets_work);
+  tcase_add_test (t, a_misdirected_target_is_used_again_once_it_writes);
   tcase_add_test (t, leaving_and_tried_ones_get_nothing);
   tcase_add_test (t, full_ones_make_a_request_wait);
   tcase_add_test (t, ejected_ones_are_the_last_resort);
--- a/t/t-fleet.c
+++ b/t/t-fleet.c
@@ -101,7 +101,9 @@
             }
           else
             {
-              cf_gateway_take_target (&g, id, json, strlen (json), at, "store");
+              const CfTargetNews news = { id, json, strlen (json), at, at };
+
+              cf_gateway_take_target (&g, &news, "store");
               if (!here[t] || at >= rev_of[t])
                 {
                   here[t] = TRUE;
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -480,6 +480,23 @@
   "\"services\":[{\"name\":\"desk\",\"max-conns\":9}],\"tenants\":["           \
   "{\"name\":\"museum\",\"api-keys\":[\"key-museum\"]}]}"
 
+/* Crashed targets are back under other ids while the list still names the
+ * starts before: those take nothing any more. */
+START_TEST (restarted_targets_are_used_at_once)
+{
+  g_free (p_test (DESK_1, "POST /test/restart", ""));
+  g_free (p_test (DESK_2, "POST /test/restart", ""));
+  usleep (100000);
+  for (int i = 0; i < 20; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("n%d", i);
+      g_autofree char *a = ask ("POST /order/a", id, NULL, "x");
+
+      ck_assert_msg (p_status (a) == 200, "%d: %s", i, a);
+    }
+}
+END_TEST
+
 START_TEST (versions_come_into_force_and_never_go_back)
 {
   const char put[] = "POST /test/put?key=op/config";
@@ -775,6 +792,7 @@
   tcase_add_test (t, work_of_callers_that_left_is_stopped);
   tcase_add_test (t, leaving_targets_get_no_new_work);
   tcase_add_test (t, leaving_is_heard_after_the_stores_return);
+  tcase_add_test (t, restarted_targets_are_used_at_once);
   tcase_add_test (t, versions_come_into_force_and_never_go_back);
   tcase_add_test (t, slow_and_choosy_stores_are_followed);
   tcase_add_test (t, stale_stores_take_nothing_back);
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -61,7 +61,7 @@
 START_TEST (greeting_policy_targets)
 {
   CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
-  CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), 12 };
+  CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), 12, 7 };
   CfPeerMsg o;
   msgpack_unpacked zone;
   msgpack_sbuffer buf;
@@ -83,6 +83,8 @@
       memcmp (g_array_index (o.u.targets.items, CfPeerTarget, 0).id.data, "i-1",
               3),
       0);
+  ck_assert_int_eq (g_array_index (o.u.targets.items, CfPeerTarget, 0).created,
+                    7);
   release (&o, &zone, &buf);
   cf_peer_msg_clear (&m);
 }
