Let requests wait out a rank group's outage

Callers were refused for a second after every crash of a whole group, although it was back within their time. Cause: while a rank is away or the group forms anew each rank refuses at once (503, not run, naming a target at fault); two such refusals used up a request's attempts, and each counted as a failure towards the rank's own ejection.

A service that refuses so and shows no sign of work for 400 ms now counts as having an outage (gateway/outage.[ch]): requests wait, one each 100 ms is sent to see, a request keeps its last attempt until it cannot wait, and those refused in the end are told to come back after 1 to 2 s.

The new test in t/t-gateway fails without the hold (503 for an answer).

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -11,6 +11,9 @@
 /** A target that said it was full is not asked again for so long: a slot
  * comes free about every 100 ms at a target of 12 slots and 1.2 s a stream. */
 #define FULL_PAUSE_MS 50
+/** A service without any sign of work for so long does none: the passes of a
+ * group, each of which shows as events, take 50 to 200 ms under load. */
+#define QUIET_MS 400
 
 /* Drops what came in of an answer that is not passed on. */
 void
@@ -35,9 +38,25 @@
             t->record.id, t->record.service, reason, ms, x->id);
 }
 
+/* A refusal that names who is at fault, while nothing of the service does
+ * any work: a rank is away, or its group forms anew. */
+static void
+note_outage (CfExchange *x)
+{
+  CfLane *l = x->lane;
+  gint64 now = cf_gateway_now (x->g);
+
+  if (now - l->last_event_ms < QUIET_MS || !cf_outage_refused (&l->outage, now))
+    return;
+  cf_log (LOG_WARNING, CF_EV_OUTAGE,
+          "service=%s outcome=begins quiet_ms=%" G_GINT64_FORMAT
+          " faulty=%s id=%s",
+          x->service, now - l->last_event_ms, x->faulty, x->id);
+}
+
 /* An answer that says "not run" blames the target at the address it names,
  * or says that another start has its own target's address, or that its own
- * target is full. */
+ * target takes nothing now. */
 static void
 learn_from_refusal (CfExchange *x)
 {
@@ -47,7 +66,9 @@
   cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
           "id=%s target=%s outcome=not-run status=%d faulty=%s", x->id,
           x->target->record.id, x->status, x->faulty ? x->faulty : "-");
-  if (t)
+  if (x->faulty)
+    note_outage (x);
+  if (t && t != x->target)
     cf_exchange_blame (x, t, "named-faulty");
   else if (x->status == HTTP_STATUS_MISDIRECTED_REQUEST && !x->faulty)
     cf_target_table_misdirected (table, x->target);
@@ -55,6 +76,20 @@
     x->target->full_until_ms = cf_gateway_now (x->g) + FULL_PAUSE_MS;
 }
 
+/* The target does its work, so its service has no outage, or none any more. */
+static void
+note_work (CfExchange *x)
+{
+  gint64 now = cf_gateway_now (x->g);
+  gint64 ms = cf_outage_answered (&x->lane->outage, now);
+
+  x->lane->last_event_ms = now;
+  if (ms)
+    cf_log (LOG_NOTICE, CF_EV_OUTAGE,
+            "service=%s outcome=over ms=%" G_GINT64_FORMAT " id=%s", x->service,
+            ms, x->id);
+}
+
 static void
 begin_answer (CfExchange *x, gint64 length)
 {
@@ -80,7 +115,7 @@
       cf_histogram_add (&x->g->stats.pause_ms, pause);
     }
   x->last_event_ms = now;
-  x->lane->last_event_ms = now;
+  note_work (x);
 }
 
 static void
@@ -172,6 +207,7 @@
   cf_outlier_success (&x->target->outlier);
   if (!x->route->stream)
     {
+      note_work (x);
       pass_whole (x, CF_OUT_SUCCESS);
       return;
     }
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -39,6 +39,7 @@
   GPtrArray *tried; /**< of #CfTarget, referenced */
   guint sends;
   gboolean may_have_run;
+  gboolean last_chance; /**< it cannot wait any more */
 
   /* The answer that is coming in. */
   CfAnswerKind kind;
@@ -80,6 +81,9 @@
 
 /* Whom it is sent to, and when. */
 
+/** cf_exchange_busy_ms: when those that are refused may find room. */
+gint64 cf_exchange_busy_ms (const CfExchange *x);
+
 /** cf_exchange_may_send_again: whether another target may get it. */
 gboolean cf_exchange_may_send_again (const CfExchange *x);
 
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -25,6 +25,10 @@
 #define START_PART_OF_AIM 0.6
 /** Back-off asked of callers when all targets are full. */
 #define FULL_BUSY_MS 400
+/** The same when a service has an outage: a rank is back some 0.5 s after a
+ * crash at the soonest, and its group opens 0.6 s after that.  Callers come
+ * back once or twice; sooner they would only be refused again. */
+#define OUTAGE_BUSY_MS 1000
 /** Requests that may wait for room, for each slot of their service: with
  * more the last would wait past its limit even at full speed. */
 #define WAITERS_PER_SLOT 1
@@ -32,6 +36,12 @@
  * of a target. */
 #define LEAST_LEFT_MS 10
 
+gint64
+cf_exchange_busy_ms (const CfExchange *x)
+{
+  return x->lane->outage.since_ms ? OUTAGE_BUSY_MS : FULL_BUSY_MS;
+}
+
 gboolean
 cf_exchange_may_send_again (const CfExchange *x)
 {
@@ -84,6 +94,7 @@
               "id=%s target=%s after_event=%" G_GINT64_FORMAT, x->id,
               t->record.id, ours.last_event);
     }
+  cf_outage_sent (&x->lane->outage, cf_gateway_now (x->g));
   x->target = cf_target_ref (t);
   t->in_flight++;
   if (x->lane->in_flight++ == 0)
@@ -162,7 +173,7 @@
       if (x->may_have_run)
         cf_exchange_give_up (x, "queue-full");
       else
-        cf_exchange_refuse (x, "queue-full", FULL_BUSY_MS);
+        cf_exchange_refuse (x, "queue-full", cf_exchange_busy_ms (x));
       return;
     }
   x->g->stats.queued++;
@@ -171,7 +182,27 @@
           x->id, x->service, x->lane->queue.n, x->lane->in_flight, limit);
   cf_exchange_wait_for_target (x, limit);
   if (evicted)
-    cf_exchange_refuse (evicted->owner, "more-urgent-waits", FULL_BUSY_MS);
+    cf_exchange_refuse (evicted->owner, "more-urgent-waits",
+                        cf_exchange_busy_ms (x));
+}
+
+/* Whether it may be the request that is sent to see: its last attempt is
+ * kept until it cannot wait any more. */
+static gboolean
+may_probe (const CfExchange *x)
+{
+  return x->last_chance || x->sends + 1 < x->route->max_attempts;
+}
+
+static gboolean
+is_held (const CfExchange *x)
+{
+  const CfOutage *o = &x->lane->outage;
+
+  if (all_silent (x))
+    return TRUE;
+  return o->since_ms
+         && (cf_outage_holds (o, cf_gateway_now (x->g)) || !may_probe (x));
 }
 
 static CfPickWhy
@@ -180,7 +211,7 @@
   const CfService *sv = cf_policy_service (x->policy, x->service);
   CfPickInput in = { 0 };
 
-  if (all_silent (x))
+  if (is_held (x))
     return CF_PICK_FULL;
 
   in.service = x->service;
@@ -238,22 +269,34 @@
   else if (x->may_have_run)
     cf_exchange_give_up (x, reason);
   else
-    cf_exchange_refuse (x, reason, FULL_BUSY_MS);
+    cf_exchange_refuse (x, reason, cf_exchange_busy_ms (x));
+}
+
+static CfWaiter *
+first_probe (CfLane *l)
+{
+  CfWaiter *w;
+
+  TAILQ_FOREACH (w, &l->queue.waiters, link)
+  if (may_probe (w->owner))
+    return w;
+  return NULL;
 }
 
 /* The waiter at the head of a queue gets the room that came free. */
 static gboolean
-serve_first (CfWaitQueue *q)
+serve_first (CfGateway *g, CfLane *l)
 {
-  CfWaiter *w = TAILQ_FIRST (&q->waiters);
+  CfWaitQueue *q = &l->queue;
+  CfWaiter *w = l->outage.since_ms
+                    ? first_probe (l)
+                    : cf_wait_queue_first (q, cf_gateway_now (g));
   CfExchange *x;
   CfTarget *t;
 
   if (!w)
     return FALSE;
   x = w->owner;
-  w = cf_wait_queue_first (q, cf_gateway_now (x->g));
-  x = w->owner;
   if (pick (x, &t) != CF_PICK_OK)
     return FALSE;
   cf_histogram_add (&x->g->stats.queue_ms, cf_gateway_now (x->g) - w->since_ms);
@@ -271,10 +314,31 @@
 
   g_hash_table_iter_init (&it, g->lanes);
   while (g_hash_table_iter_next (&it, NULL, &lane))
-    while (serve_first (&((CfLane *)lane)->queue))
+    while (serve_first (g, lane))
       ;
 }
 
+/* It waited for as long as it could; an attempt kept back in an outage is
+ * worth a try now. */
+static void
+waited_too_long (CfExchange *x)
+{
+  gboolean outage = x->lane->outage.since_ms != 0;
+  CfTarget *t;
+
+  x->last_chance = outage;
+  if (outage && pick (x, &t) == CF_PICK_OK)
+    {
+      cf_wait_queue_remove (&x->lane->queue, &x->waiter);
+      send_to (x, t);
+    }
+  else if (x->may_have_run)
+    cf_exchange_give_up (x, "no-room");
+  else
+    cf_exchange_refuse (x, outage ? "outage" : "no-room",
+                        cf_exchange_busy_ms (x));
+}
+
 /* The target, or the queue, took too long. */
 void
 cf_exchange_on_silence (struct ev_loop *loop, ev_timer *w, int revents)
@@ -283,10 +347,7 @@
 
   if (x->waiter.queued)
     {
-      if (x->may_have_run)
-        cf_exchange_give_up (x, "no-room");
-      else
-        cf_exchange_refuse (x, "no-room", FULL_BUSY_MS);
+      waited_too_long (x);
       return;
     }
   /* When all targets are silent, as the ranks of a group are while one of
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "outage.h"
 #include "platform/platform-settings.h"
 #include "policy.h"
 #include "retry-budget.h"
@@ -18,6 +19,7 @@
 {
   CfWaitQueue queue;
   CfRetryBudget budget;
+  CfOutage outage;
   guint in_flight;      /**< requests of ours that its targets have */
   gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
   gint64 last_event_ms; /**< when any of its targets last sent something */
--- /dev/null
+++ b/gateway/outage.c
@@ -0,0 +1,36 @@
+#include "outage.h"
+
+/** Between two probes: a refusal comes back within some ms, and a group that
+ * opens again is seen this late at most. */
+#define PROBE_MS 100
+
+gboolean
+cf_outage_refused (CfOutage *o, gint64 now)
+{
+  if (o->since_ms)
+    return FALSE;
+  o->since_ms = now;
+  o->probe_ms = now;
+  return TRUE;
+}
+
+gint64
+cf_outage_answered (CfOutage *o, gint64 now)
+{
+  gint64 ms = o->since_ms ? MAX (now - o->since_ms, 1) : 0;
+
+  o->since_ms = 0;
+  return ms;
+}
+
+gboolean
+cf_outage_holds (const CfOutage *o, gint64 now)
+{
+  return o->since_ms != 0 && now - o->probe_ms < PROBE_MS;
+}
+
+void
+cf_outage_sent (CfOutage *o, gint64 now)
+{
+  o->probe_ms = now;
+}
--- /dev/null
+++ b/gateway/outage.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <glib.h>
+
+/**
+ * CfOutage:
+ * Whether the targets of a service refuse all work because one that they
+ * depend on is missing, as the ranks of a group do while a rank is away or
+ * the group forms anew.  Sent on, each request would use up its attempts on
+ * refusals; so requests wait, and one at a time is sent to see.
+ */
+typedef struct
+{
+  gint64 since_ms; /**< the first such refusal; 0: no outage */
+  gint64 probe_ms; /**< when a request was last sent to see */
+} CfOutage;
+
+/**
+ * cf_outage_refused:
+ * A target refused since another one is at fault.
+ * Returns: %TRUE if an outage begins by it.
+ */
+gboolean cf_outage_refused (CfOutage *o, gint64 now_ms);
+
+/**
+ * cf_outage_answered:
+ * A target of the service does its work.
+ * Returns: how long the outage took that ends by it, in ms; 0 if none did.
+ */
+gint64 cf_outage_answered (CfOutage *o, gint64 now_ms);
+
+/** cf_outage_holds: whether a request has to wait now. */
+gboolean cf_outage_holds (const CfOutage *o, gint64 now_ms);
+
+/** cf_outage_sent: a request was sent; in an outage it is the probe. */
+void cf_outage_sent (CfOutage *o, gint64 now_ms);
--- a/log.c
+++ b/log.c
@@ -65,6 +65,8 @@
       return "caller-gone";
     case CF_EV_RESUME:
       return "resume";
+    case CF_EV_OUTAGE:
+      return "outage";
     case CF_EV_STORE_LOST:
       return "store-lost";
     case CF_EV_STORE_BACK:
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -242,11 +242,14 @@
   fake_group_wake (t->group);
 }
 
+/* @faulty: (nullable): the address of the target at fault. */
 static void
-refuse (FakeConn *c, const char *id, int status)
+refuse (FakeConn *c, const char *id, int status, const char *faulty)
 {
-  char *h = g_strdup_printf ("%s: %s\r\n%s: 1\r\n", PF_HDR_REQUEST_ID,
-                             id ? id : "-", PF_HDR_NOT_RUN);
+  char *h = g_strdup_printf ("%s: %s\r\n%s: 1\r\n%s%s%s", PF_HDR_REQUEST_ID,
+                             id ? id : "-", PF_HDR_NOT_RUN,
+                             faulty ? PF_HDR_AT_SERVER ": " : "",
+                             faulty ? faulty : "", faulty ? "\r\n" : "");
 
   fake_http_answer (c, status, h, "", 0);
   g_free (h);
@@ -261,7 +264,7 @@
 
   if (!id)
     {
-      refuse (c, id, 400);
+      refuse (c, id, 400, NULL);
       return;
     }
   if (expect && strcmp (expect, t->id) != 0)
@@ -270,9 +273,15 @@
       return;
     }
   fault = take_fault (t);
+  if (g_strcmp0 (fault, "broken") == 0)
+    {
+      refuse (c, id, 503, t->addr);
+      g_free (fault);
+      return;
+    }
   if (t->busy >= t->slots * 2 || g_strcmp0 (fault, "full") == 0)
     {
-      refuse (c, id, 503);
+      refuse (c, id, 503, NULL);
       g_free (fault);
       return;
     }
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -7,13 +7,17 @@
  * group.  It signs its answers, keeps count of what it ran, and can be told
  * to misbehave.  Tests steer it under /test/:
  *
- *   POST /test/fault?kind=K&x=N  the next N requests meet fault K: full,
- *        fail, lost (run, then reset), truncate, garbage, extra (a second
- *        answer), unsigned, unframed, hang, cut (a stream, in an event)
- *   POST /test/drain             says that it leaves
- *   POST /test/restart           starts anew under another id; the entry of
- *        the start before stays listed, as after a crash
- *   GET  /test/runs              what it ran: runs, ids, doubled, mixed
+ * POST /test/fault?kind=K&x=N: the next N requests meet fault K: full,
+ * broken (names itself at fault, as a rank whose group is not open does),
+ * fail, lost (run, then reset), truncate, garbage, extra (a second answer),
+ * unsigned, unframed, hang, cut (a stream, in an event).
+ *
+ * POST /test/drain: says that it leaves.
+ *
+ * POST /test/restart: starts anew under another id; the entry of the start
+ * before stays listed, as after a crash.
+ *
+ * GET /test/runs: what it ran: runs, ids, doubled, mixed.
  */
 typedef struct FakeTarget FakeTarget;
 typedef struct FakeGroup FakeGroup;
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -38,7 +38,7 @@
   return p_ask (front, req);
 }
 
-/* The next requests at both plain targets, or at all ranks, meet @kind. */
+/* The next @x requests at each plain target, or each rank, meet @kind. */
 static void
 fault_desks (const char *kind, int x)
 {
@@ -49,6 +49,16 @@
   g_free (p_test (DESK_2, call, ""));
 }
 
+static void
+fault_ranks (const char *kind, int x)
+{
+  g_autofree char *call
+      = g_strdup_printf ("POST /test/fault?kind=%s&x=%d", kind, x);
+
+  for (int i = 0; i < N_RANKS; i++)
+    g_free (p_test (RANK_1 + i, call, ""));
+}
+
 static double
 at_desks (const char *what)
 {
@@ -312,15 +322,13 @@
 {
   g_autofree char *a = NULL;
 
-  for (int i = 0; i < N_RANKS; i++)
-    g_free (p_test (RANK_1 + i, "POST /test/fault?kind=cut&x=1", ""));
+  fault_ranks ("cut", 1);
   a = ask ("POST /chat/a", "s2", "Comfreypost-Token-Count: 10,80\r\n", "");
   /* The second rank breaks off too: the route allows two attempts. */
   ck_assert_int_eq (p_status (a), 200);
   ck_assert (!g_str_has_suffix (a, "0\r\n\r\n"));
   ck_assert_uint_eq (count_of (a, "id: 4\n"), 1);
-  for (int i = 0; i < N_RANKS; i++)
-    g_free (p_test (RANK_1 + i, "POST /test/fault?kind=x&x=0", ""));
+  fault_ranks ("x", 0);
   g_free (p_test (RANK_1, "POST /test/fault?kind=cut&x=100", ""));
   for (int i = 0; i < 8; i++)
     {
@@ -480,6 +488,30 @@
   "\"services\":[{\"name\":\"desk\",\"max-conns\":9}],\"tenants\":["           \
   "{\"name\":\"museum\",\"api-keys\":[\"key-museum\"]}]}"
 
+/* While a group forms, its ranks refuse all work: a request waits until the
+ * group makes passes again, and its attempts are not used up. */
+START_TEST (requests_wait_for_a_group_to_open)
+{
+  g_autofree char *req = p_request ("POST /chat/a", "o1",
+                                    "Comfreypost-Token-Count: 100,40\r\n"
+                                    "Comfreypost-Deadline-Ms: 8000\r\n",
+                                    "x");
+  g_autofree char *a = NULL;
+  int fd;
+
+  fault_ranks ("broken", 1000);
+  g_free (
+      ask ("POST /chat/a", "o0", "Comfreypost-Token-Count: 100,40\r\n", "x"));
+  fd = p_connect (front);
+  p_send (fd, req);
+  usleep (500000);
+  fault_ranks ("none", 0);
+  a = p_read (fd, 4000);
+  ck_assert_msg (p_status (a) == 200, "%s", a);
+  close (fd);
+}
+END_TEST
+
 /* Crashed targets are back under other ids while the list still names the
  * starts before: those take nothing any more. */
 START_TEST (restarted_targets_are_used_at_once)
@@ -792,6 +824,7 @@
   tcase_add_test (t, work_of_callers_that_left_is_stopped);
   tcase_add_test (t, leaving_targets_get_no_new_work);
   tcase_add_test (t, leaving_is_heard_after_the_stores_return);
+  tcase_add_test (t, requests_wait_for_a_group_to_open);
   tcase_add_test (t, restarted_targets_are_used_at_once);
   tcase_add_test (t, versions_come_into_force_and_never_go_back);
   tcase_add_test (t, slow_and_choosy_stores_are_followed);
--- /dev/null
+++ b/t/t-outage.c
@@ -0,0 +1,56 @@
+/* When requests are kept back from targets that refuse all work. */
+#include "gateway/outage.h"
+#include "harness.h"
+
+START_TEST (nothing_is_held_in_calm)
+{
+  CfOutage o = { 0 };
+
+  cf_outage_sent (&o, 5);
+  ck_assert (!cf_outage_holds (&o, 5));
+  ck_assert_int_eq (cf_outage_answered (&o, 6), 0);
+}
+END_TEST
+
+START_TEST (one_request_at_a_time_is_sent_to_see)
+{
+  CfOutage o = { 0 };
+  int sent = 0;
+
+  ck_assert (cf_outage_refused (&o, 1000));
+  ck_assert (!cf_outage_refused (&o, 1001));
+  for (gint64 now = 1001; now <= 2000; now++)
+    if (!cf_outage_holds (&o, now))
+      {
+        cf_outage_sent (&o, now);
+        cf_outage_refused (&o, now);
+        sent++;
+      }
+  ck_assert_int_eq (sent, 10);
+}
+END_TEST
+
+START_TEST (work_done_ends_it)
+{
+  CfOutage o = { 0 };
+
+  cf_outage_refused (&o, 1000);
+  ck_assert_int_eq (cf_outage_answered (&o, 1700), 700);
+  ck_assert (!cf_outage_holds (&o, 1700));
+  ck_assert_int_eq (cf_outage_answered (&o, 1701), 0);
+  ck_assert (cf_outage_refused (&o, 1800));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("outage");
+  TCase *tc = tcase_create ("core");
+
+  tcase_add_test (tc, nothing_is_held_in_calm);
+  tcase_add_test (tc, one_request_at_a_time_is_sent_to_see);
+  tcase_add_test (tc, work_done_ends_it);
+  suite_add_tcase (s, tc);
+  return t_run (s);
+}
