Tell gateways of a rank without a leader while it copies

A group stood still for 5 s after its leader was killed between the orders to copy and the switch: nobody took the lead.

Ruled out: lost orders, the gateway's own wait (it had no fresh status of any rank), the order of seeds.

Without a leader every reading is told, and a new leader's token ends the wait for the earlier leader's copy.

--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -179,12 +179,19 @@
 on_report (void *data, int status, const GString *body)
 {
   CfRankAgent *a = data;
+  const CfSeed *lead;
 
   if (!take_report (a, status, body) || !a->status.group[0])
-    reading_done (a);
-  else if (a->awaited || !leader (a, cf_now_ms ()))
     {
-      if (!a->awaited || has_news (a))
+      reading_done (a);
+      return;
+    }
+  lead = leader (a, cf_now_ms ());
+  /* Whoever is to lead has to hear of the rank first.  A leader that waits
+   * for a copy has, and is told only of changes. */
+  if (!lead || a->awaited)
+    {
+      if (!lead || has_news (a))
         tell_status (a, NULL);
       reading_done (a);
     }
@@ -367,6 +374,8 @@
   if (fence <= a->fence_seen)
     return;
   a->fence_seen = fence;
+  /* The copy was the earlier leader's; this one knows nothing of the rank. */
+  a->awaited = 0;
   cf_log (LOG_NOTICE, CF_EV_PEER,
           "seed=%d outcome=leads fence=%" G_GINT64_FORMAT, s->index, fence);
   if (!a->reading)
--- a/standins/comfrey-fake-platform.c
+++ b/standins/comfrey-fake-platform.c
@@ -17,6 +17,7 @@
 static int work_ms = 10;
 static double shift_s = 0;
 static double step_ms = 5;
+static double copy_ms = 20;
 
 static const GOptionEntry entries[] = {
   { "port", 0, 0, G_OPTION_ARG_INT, &port, "The store's port", "N" },
@@ -24,6 +25,8 @@
   { "ranks", 0, 0, G_OPTION_ARG_INT, &n_ranks, "Ranks of the engine", "N" },
   { "work-ms", 0, 0, G_OPTION_ARG_INT, &work_ms, "Work of a plain request",
     "MS" },
+  { "copy-ms", 0, 0, G_OPTION_ARG_DOUBLE, &copy_ms,
+    "A rank's copy of one expert", "MS" },
   { "step-ms", 0, 0, G_OPTION_ARG_DOUBLE, &step_ms, "A pass at even load",
     "MS" },
   { "shift-s", 0, 0, G_OPTION_ARG_DOUBLE, &shift_s,
@@ -58,7 +61,8 @@
 static void
 start_targets (struct ev_loop *loop, FakeStore *store)
 {
-  const FakeGroupShape shape = { n_ranks, 2, 16, 6, 2, step_ms, 20, shift_s };
+  const FakeGroupShape shape
+      = { n_ranks, 2, 16, 6, 2, step_ms, copy_ms, shift_s };
   FakeGroup *g = n_ranks ? fake_group_new (loop, &shape) : NULL;
 
   for (int i = 0; i < n_plain + n_ranks; i++)
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -769,22 +769,58 @@
 }
 END_TEST
 
-/* Agents beside the ranks: the load is evened, every pass has one map. */
-START_TEST (experts_are_placed_at_one_pass)
+static void
+load_ranks (int *fds, gsize n)
 {
   g_autofree char *req = p_request ("POST /chat/a", "x",
                                     "Comfreypost-Token-Count: 10,2400\r\n", "");
+
+  for (gsize i = 0; i < n; i++)
+    {
+      fds[i] = p_connect (front);
+      p_send (fds[i], req);
+    }
+}
+
+/* Ranks copy experts for seconds when their leader is killed: the next one
+ * hears of them at once, though nothing changes there. */
+START_TEST (a_leader_killed_in_mid_change_is_followed)
+{
+  g_autofree char *log_1 = g_strdup_printf ("t/out/gateway-%d-1.log", BASE);
+  g_autofree char *log_2 = g_strdup_printf ("t/out/gateway-%d-2.log", BASE);
+  gboolean first_leads;
+  pid_t second;
+  int fds[8];
+
+  p_stop_all ();
+  p_platform (BASE, "--ranks", "4", "--copy-ms", "9000", NULL);
+  gateway = p_gateway (BASE, 1);
+  second = p_gateway (BASE, 2);
+  p_await_ready (BASE, 1);
+  p_await_ready (BASE, 2);
+  for (int i = 0; i < N_RANKS; i++)
+    p_agent (BASE, RANK_1 + i);
+  load_ranks (fds, G_N_ELEMENTS (fds));
+  ck_assert (log_says (log_1, "to=preparing", 2000)
+             || log_says (log_2, "to=preparing", 4000));
+  first_leads = log_says (log_1, "to=preparing", 20);
+  p_signal (first_leads ? gateway : second, SIGKILL);
+  ck_assert (log_says (first_leads ? log_2 : log_1, "nothing-pending", 3200));
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
+/* Agents beside the ranks: the load is evened, every pass has one map. */
+START_TEST (experts_are_placed_at_one_pass)
+{
   int fds[8];
   double before;
   double after;
 
   for (int i = 0; i < N_RANKS; i++)
     p_agent (BASE, RANK_1 + i);
-  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
-    {
-      fds[i] = p_connect (front);
-      p_send (fds[i], req);
-    }
+  load_ranks (fds, G_N_ELEMENTS (fds));
   usleep (400000);
   before = at_ranks ("skew") / N_RANKS;
   usleep (4000000);
@@ -837,6 +873,7 @@
   tcase_add_test (t, a_reload_cuts_off_nothing);
   tcase_add_test (t, metrics_are_served);
   tcase_add_test (t, a_stopping_leader_hands_on_the_lead);
+  tcase_add_test (t, a_leader_killed_in_mid_change_is_followed);
   tcase_add_test (t, experts_are_placed_at_one_pass);
   suite_add_tcase (s, t);
   return t_run (s);
