Make small, quick changes of expert maps, best moves first

What a change costs in time is set by the rank that copies most: 0.11 s an expert, all passes 15% longer meanwhile, and the group runs on with the worse map.

Now a rank copies at most one expert over all sets in a change; the sets are planned side by side, and the move that takes most from its set's slowest rank is made first.

--- a/gateway/group-map.c
+++ b/gateway/group-map.c
@@ -122,6 +122,8 @@
   double *load;       /* of each rank, at the usual pace */
   const double *pace; /* of each rank; NULL: all as usual */
   int max_new;
+  const int *added; /* by rank: what it copies of all sets */
+  int max_rank_new;
 } CfSetPlan;
 
 /* CfMoveKind: what a move does beside putting an expert in a place. */
@@ -262,20 +264,24 @@
   return cost_change (s, from, b - a) + cost_change (s, rank, a - b);
 }
 
-/* Whether @rank may hold @e in @place: within what it may copy. */
+/* Whether @rank may hold @e in @place: within what it may copy, of the set
+ * and of all. */
 static gboolean
 may_take (CfSetPlan *s, int rank, int place, int e)
 {
   gint16 *at = cf_group_map_at (s->m, s->set, rank) + place;
   gint16 old = *at;
-  int added;
+  int before;
+  int after;
 
   if (cf_group_map_holds (s->m, s->set, rank, e))
     return FALSE;
+  before = rank_added (s->from, s->m, s->set, rank);
   *at = (gint16)e;
-  added = rank_added (s->from, s->m, s->set, rank);
+  after = rank_added (s->from, s->m, s->set, rank);
   *at = old;
-  return added <= s->max_new;
+  return after <= s->max_new
+         && s->added[rank] - before + after <= s->max_rank_new;
 }
 
 static int
@@ -386,21 +392,13 @@
   compute_load (s);
 }
 
-/* Moves in one set until none saves @move_gain of an even part's cost. */
-static void
-plan_set (CfSetPlan *s, double move_gain)
+/* Near the top a rank's cost falls by six times its relief. */
+static double
+relief_of (const CfSetPlan *s, const CfMove *mv)
 {
-  compute_load (s);
-  for (int i = 0; i < MOVES_MAX; i++)
-    {
-      double before = time_of (s, most_loaded (s));
-      CfMove mv = best_move (s);
+  double top = time_of (s, most_loaded (s));
 
-      /* Near the top a rank's cost falls by six times its relief. */
-      if (mv.rank < 0 || -mv.score < 6 * move_gain * cost_of (before) / before)
-        return;
-      apply (s, &mv);
-    }
+  return mv->rank < 0 ? 0 : -mv->score * top / (6 * cost_of (top));
 }
 
 /* The set's tokens in even parts of a rank; FALSE if there are none. */
@@ -447,28 +445,153 @@
   return sum / sh->sets;
 }
 
-CfGroupMap *
-cf_group_map_plan (const CfGroupMap *from, const double *tokens,
-                   const double *pace, const CfPlanLimits *limits)
+/* The plans of all sets, side by side: the copies that a rank may make are
+ * shared over the sets, so the best move of all is made first. */
+typedef struct
+{
+  int n;
+  CfSetPlan *sets;
+  CfMove *best;   /* by set */
+  double *relief; /* by set: of its best move; 0 if it has none */
+  int *added;     /* by rank: what it copies of all sets */
+  double *parts;
+  double *load;
+  int *copies;
+} CfPlan;
+
+static void
+plan_init (CfPlan *p, const CfGroupMap *from, CfGroupMap *m,
+           const double *tokens, const double *pace, const CfPlanLimits *l)
 {
   const CfGroupShape *sh = &from->shape;
-  CfGroupMap *m = cf_group_map_copy (from);
-  g_autofree double *parts = g_new (double, sh->experts);
-  g_autofree double *load = g_new (double, sh->ranks);
-  g_autofree int *copies = g_new (int, sh->experts);
-  double gain;
 
+  p->n = sh->sets;
+  p->sets = g_new0 (CfSetPlan, sh->sets);
+  p->best = g_new0 (CfMove, sh->sets);
+  p->relief = g_new0 (double, sh->sets);
+  p->added = g_new0 (int, sh->ranks);
+  p->parts = g_new (double, (gsize)sh->sets * sh->experts);
+  p->load = g_new (double, (gsize)sh->sets * sh->ranks);
+  p->copies = g_new (int, (gsize)sh->sets * sh->experts);
   for (int set = 0; set < sh->sets; set++)
     {
-      CfSetPlan s = { .from = from, .m = m, .set = set, .tokens = parts };
+      CfSetPlan *s = &p->sets[set];
+      double *parts = p->parts + (gsize)set * sh->experts;
+
+      s->from = from;
+      s->m = m;
+      s->set = set;
+      s->tokens = even_parts (from, set, tokens, parts) ? parts : NULL;
+      s->copies = p->copies + (gsize)set * sh->experts;
+      s->load = p->load + (gsize)set * sh->ranks;
+      s->pace = pace;
+      s->max_new = MIN (l->max_new, sh->spare);
+      s->added = p->added;
+      s->max_rank_new = l->max_rank_new ? l->max_rank_new : G_MAXINT;
+    }
+}
 
-      s.copies = copies;
-      s.load = load;
-      s.pace = pace;
-      s.max_new = MIN (limits->max_new, sh->spare);
-      if (even_parts (from, set, tokens, parts))
-        plan_set (&s, limits->move_gain);
+static void
+plan_clear (CfPlan *p)
+{
+  g_free (p->sets);
+  g_free (p->best);
+  g_free (p->relief);
+  g_free (p->added);
+  g_free (p->parts);
+  g_free (p->load);
+  g_free (p->copies);
+}
+
+static void
+look_for_move (CfPlan *p, int set)
+{
+  CfSetPlan *s = &p->sets[set];
+
+  p->best[set] = best_move (s);
+  p->relief[set] = relief_of (s, &p->best[set]);
+}
+
+/* Whether the ranks still may take what the best move of @set gives them. */
+static gboolean
+is_still_allowed (CfPlan *p, int set)
+{
+  CfSetPlan *s = &p->sets[set];
+  const CfMove *mv = &p->best[set];
+
+  switch (mv->kind)
+    {
+    case MOVE_DROP:
+      return TRUE;
+    case MOVE_COPY:
+    case MOVE_AWAY:
+      return may_take (s, mv->rank, mv->place, mv->expert);
+    case MOVE_SWAP:
+      return may_take (s, mv->rank, mv->place, mv->expert)
+             && may_take (s, mv->from_rank, mv->from_place,
+                          cf_group_map_at (s->m, set, mv->rank)[mv->place]);
+    }
+  return FALSE;
+}
+
+static int
+best_set (const CfPlan *p)
+{
+  int best = 0;
+
+  for (int set = 1; set < p->n; set++)
+    if (p->relief[set] > p->relief[best])
+      best = set;
+  return best;
+}
+
+static void
+make_move (CfPlan *p, int set)
+{
+  CfSetPlan *s = &p->sets[set];
+  const CfMove *mv = &p->best[set];
+  int ranks[] = { mv->rank, mv->from_rank };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (ranks); i++)
+    p->added[ranks[i]] -= rank_added (s->from, s->m, set, ranks[i]);
+  apply (s, mv);
+  for (gsize i = 0; i < G_N_ELEMENTS (ranks); i++)
+    p->added[ranks[i]] += rank_added (s->from, s->m, set, ranks[i]);
+}
+
+/* Moves until none saves @move_gain of an even part. */
+static void
+plan_moves (CfPlan *p, double move_gain)
+{
+  for (int set = 0; set < p->n; set++)
+    if (p->sets[set].tokens)
+      {
+        compute_load (&p->sets[set]);
+        look_for_move (p, set);
+      }
+  for (int i = 0; i < MOVES_MAX * p->n; i++)
+    {
+      int set = best_set (p);
+
+      if (p->relief[set] < move_gain)
+        return;
+      if (is_still_allowed (p, set))
+        make_move (p, set);
+      look_for_move (p, set);
     }
+}
+
+CfGroupMap *
+cf_group_map_plan (const CfGroupMap *from, const double *tokens,
+                   const double *pace, const CfPlanLimits *limits)
+{
+  CfGroupMap *m = cf_group_map_copy (from);
+  CfPlan p;
+  double gain;
+
+  plan_init (&p, from, m, tokens, pace, limits);
+  plan_moves (&p, limits->move_gain);
+  plan_clear (&p);
   gain = cf_group_map_skew (from, tokens, pace)
          - cf_group_map_skew (m, tokens, pace);
   if (gain < limits->min_gain || !cf_group_map_whole (m))
--- a/gateway/group-map.h
+++ b/gateway/group-map.h
@@ -53,6 +53,7 @@
 typedef struct
 {
   int max_new;      /**< experts a rank copies of a set; at most its spare */
+  int max_rank_new; /**< experts a rank copies of all sets; 0: any number */
   double min_gain;  /**< skew that a change must take away to be made */
   double move_gain; /**< load, of an even part, that a copy must save */
 } CfPlanLimits;
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -48,9 +48,14 @@
 #define MOVE_GAIN 0.12
 /** A change of pace that is worth a line in the log. */
 #define PACE_STEP 0.1
-/** Experts that a rank copies of a set in one change: with two, copies
- * take twice as long and the map is out of date when it comes. */
+/** Experts that a rank copies of a set in one change, and of all sets.  What
+ * one rank copies sets the time until all can switch: 0.11 s an expert, and
+ * passes take 15% longer meanwhile.  Two quick changes even a shift of demand
+ * in 0.6 s, where one with up to four copies a rank took 0.8 s and a second
+ * followed.  Late streams of a heavy day: 0.25 without the second limit, 0.19
+ * with 2, 0.14 with 1. */
 #define MAX_NEW 1
+#define MAX_RANK_NEW 1
 
 typedef struct Group Group;
 
@@ -271,7 +276,7 @@
 new_group (AgentLink *a, const CfRankStatus *st)
 {
   const CfEngineModel *e = engine_of (a);
-  const CfPlanLimits limits = { MAX_NEW, MIN_GAIN, MOVE_GAIN };
+  const CfPlanLimits limits = { MAX_NEW, MAX_RANK_NEW, MIN_GAIN, MOVE_GAIN };
   CfGroupShape shape;
   Group *g;
 
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -268,7 +268,7 @@
 new_leader (Leader *l)
 {
   const CfGroupShape shape = { SETS, EXPERTS, RANKS, PLACES, 2 };
-  const CfPlanLimits limits = { 1, 0.05, 0.02 };
+  const CfPlanLimits limits = { 1, 0, 0.05, 0.02 };
 
   cf_map_coordinator_init (&l->c, &shape, &limits, &calls, l);
 }
--- a/t/t-group-map.c
+++ b/t/t-group-map.c
@@ -52,7 +52,7 @@
 /* One change takes most of the skew away: before it, 3.05 at seed 1. */
 START_TEST (one_change_evens_the_load)
 {
-  const CfPlanLimits limits = { 1, 0.02, 0.01 };
+  const CfPlanLimits limits = { 1, 0, 0.02, 0.01 };
 
   for (guint32 seed = 1; seed <= 50; seed++)
     {
@@ -74,8 +74,8 @@
 /* Copies that save little are left out; the skew stays nearly as low. */
 START_TEST (fewer_copies_nearly_as_even)
 {
-  const CfPlanLimits all = { 1, 0.02, 0.01 };
-  const CfPlanLimits few = { 1, 0.2, 0.12 };
+  const CfPlanLimits all = { 1, 0, 0.02, 0.01 };
+  const CfPlanLimits few = { 1, 0, 0.2, 0.12 };
   int n_all = 0;
   int n_few = 0;
   double worst = 0;
@@ -104,7 +104,7 @@
  * without it, the group waits for about five even parts. */
 START_TEST (slow_ranks_get_little)
 {
-  const CfPlanLimits limits = { 1, 0.2, 0.12 };
+  const CfPlanLimits limits = { 1, 0, 0.2, 0.12 };
   double pace[16];
 
   for (int r = 0; r < shape.ranks; r++)
@@ -131,9 +131,62 @@
 }
 END_TEST
 
+static int
+most_copies_of_a_rank (const CfGroupMap *from, const CfGroupMap *to)
+{
+  int most = 0;
+
+  for (int r = 0; r < shape.ranks; r++)
+    {
+      int n = 0;
+
+      for (int s = 0; s < shape.sets; s++)
+        for (int p = 0; p < shape.places; p++)
+          {
+            int e = cf_group_map_at (to, s, r)[p];
+
+            n += e >= 0 && !cf_group_map_holds (from, s, r, e);
+          }
+      most = MAX (most, n);
+    }
+  return most;
+}
+
+/* One copy a rank over all sets is made in a quarter of the time that one a
+ * rank and set takes.  Best moves first, the mean skew of 50 demands falls
+ * from 2.96 to 1.52 by the first such change and to 1.25 by the second. */
+START_TEST (quick_changes_copy_what_counts_most)
+{
+  const CfPlanLimits limits = { 1, 1, 0.02, 0.01 };
+  double skew[3] = { 0 };
+
+  for (guint32 seed = 1; seed <= 50; seed++)
+    {
+      CfGroupMap *m = first_map (&shape);
+      double *t = demand (&shape, seed);
+
+      skew[0] += cf_group_map_skew (m, t, NULL) / 50;
+      for (int i = 1; i < 3; i++)
+        {
+          CfGroupMap *to = cf_group_map_plan (m, t, NULL, &limits);
+
+          ck_assert_ptr_nonnull (to);
+          ck_assert_int_le (most_copies_of_a_rank (m, to), 1);
+          cf_group_map_free (m);
+          m = to;
+          skew[i] += cf_group_map_skew (m, t, NULL) / 50;
+        }
+      cf_group_map_free (m);
+      g_free (t);
+    }
+  ck_assert_double_lt (skew[1], 1.6);
+  ck_assert_double_lt (skew[2], 1.3);
+}
+END_TEST
+
 START_TEST (nothing_is_done_without_gain)
 {
-  const CfPlanLimits limits = { 2, 0.05, 0.01 };
+  const CfPlanLimits limits = { 2, 0, 0.05, 0.01 };
   CfGroupMap *from = first_map (&shape);
   double *t = g_new (double, shape.sets *shape.experts);
 
@@ -151,7 +204,7 @@
 /* Change after change under random demand, maps stay whole and bounded. */
 START_TEST (many_changes_stay_whole)
 {
-  const CfPlanLimits limits = { 2, 0.05, 0.02 };
+  const CfPlanLimits limits = { 2, 0, 0.05, 0.02 };
   CfGroupMap *m = first_map (&shape);
 
   for (guint32 seed = 1; seed <= 200; seed++)
@@ -182,6 +235,7 @@
   tcase_add_test (t, one_change_evens_the_load);
   tcase_add_test (t, fewer_copies_nearly_as_even);
   tcase_add_test (t, slow_ranks_get_little);
+  tcase_add_test (t, quick_changes_copy_what_counts_most);
   tcase_add_test (t, nothing_is_done_without_gain);
   tcase_add_test (t, many_changes_stay_whole);
   suite_add_tcase (s, t);
