Hold a pass as near as the time of arming allows

The pass at which maps switch was held a fixed two passes ahead and twice as many after each time the group stood still.

The leader now measures how long a pass takes, from the steps that ranks report, and how long it takes from the hold until all ranks are armed (the last time, or 0.7 of the longest before); the pass is held that far ahead, one pass at least.

Ruled out: no pass ahead at all (an order to hold a pass already begun is refused).

--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -17,11 +17,15 @@
 /** Without a tick for so long this process stood still, and others may
  * have acted: what it believes is learned anew. */
 #define GAP_MS 400
-/** Passes between the newest known and the one that is held, at first: the
- * group should not stand still while 16 ranks are armed, which takes about
- * two passes. */
-#define LEAD_FIRST 2
+/** How long holding a pass and arming 16 ranks takes, until it is known.
+ * So many passes ahead one is held: a group that stands still makes its
+ * callers wait, one that is warned too early runs on with a worse map. */
+#define ARMING_FIRST_MS 60
+/** Of the last time, what is still reckoned with after a quicker change. */
+#define ARMING_KEEP 0.7
 #define LEAD_LAST 48
+/** Passes this long apart, or more, show a group at rest. */
+#define PASS_MOST_MS 1000
 /** Between two plans, and after a change that was given up. */
 #define PLAN_PAUSE_MS 100
 #define ABORT_PAUSE_MS 500
@@ -77,6 +81,7 @@
   cf_expert_demand_init (&c->demand, shape->ranks, n_experts (c));
   c->pace = g_new0 (double, shape->ranks);
   c->in_use = cf_group_map_new (shape);
+  c->arming_ms = ARMING_FIRST_MS;
 }
 
 void
@@ -291,6 +296,7 @@
     {
       c->step = step;
       c->holder = holder;
+      c->hold_ms = now;
       enter (c, CF_MAP_ARMING, "earlier-leader-held", now);
     }
   else if (held)
@@ -361,9 +367,10 @@
     }
   if (ready)
     {
-      c->lead = MAX (c->next_lead, LEAD_FIRST);
+      c->lead = cf_map_coordinator_passes_ahead (c);
       c->step = 0;
       c->holder = (int)(c->version % c->shape.ranks);
+      c->hold_ms = now;
       enter (c, CF_MAP_HOLDING, "all-prepared", now);
     }
   else if (now - c->state_ms > PREPARE_MAX_MS)
@@ -399,15 +406,19 @@
     send_order (c, c->holder, &o, now);
 }
 
-/* A group that stood still at the held pass gets more passes of warning
- * next time: where orders get lost, arming all ranks takes longer. */
+int
+cf_map_coordinator_passes_ahead (const CfMapCoordinator *c)
+{
+  gint64 passes = c->pass_ms ? c->arming_ms / c->pass_ms : 0;
+
+  return (int)MIN (passes + 1, LEAD_LAST);
+}
+
+/* Where orders get lost, arming all ranks takes longer. */
 static void
-learn_lead (CfMapCoordinator *c)
+learn_arming (CfMapCoordinator *c, gint64 ms)
 {
-  if (newest_step (c) >= c->step - 1)
-    c->next_lead = MIN (MAX (c->lead, LEAD_FIRST) * 2, LEAD_LAST);
-  else
-    c->next_lead = MAX (c->lead - 1, LEAD_FIRST);
+  c->arming_ms = MAX (ms, (gint64)((double)c->arming_ms * ARMING_KEEP));
 }
 
 static void
@@ -429,7 +440,7 @@
     }
   if (ready)
     {
-      learn_lead (c);
+      learn_arming (c, now - c->hold_ms);
       enter (c, CF_MAP_RELEASING, "all-armed", now);
     }
   else if (now - c->state_ms > STEP_MAX_MS)
@@ -551,6 +562,7 @@
 new_epoch (CfMapCoordinator *c, gint64 epoch, gint64 now)
 {
   c->epoch = epoch;
+  c->pass_step = 0;
   for (int r = 0; r < c->shape.ranks; r++)
     c->ranks[r].lists_map = -1;
   cf_expert_demand_forget (&c->demand);
@@ -558,6 +570,23 @@
   enter (c, CF_MAP_SETTLING, "new-epoch", now);
 }
 
+/* How long passes take, from the newest that ranks report. */
+static void
+note_pass (CfMapCoordinator *c, gint64 step, gint64 now)
+{
+  gint64 ms;
+
+  if (step <= c->pass_step)
+    return;
+  ms = (now - c->pass_at_ms) / (step - c->pass_step);
+  c->pass_step = step;
+  c->pass_at_ms = now;
+  if (ms > PASS_MOST_MS)
+    c->pass_ms = 0;
+  else
+    c->pass_ms = c->pass_ms ? (c->pass_ms + ms) / 2 : ms;
+}
+
 /* Another leader's token guards a rank: this one orders nothing more. */
 static void
 lose_lead (CfMapCoordinator *c, gint64 now)
@@ -579,6 +608,7 @@
     new_epoch (c, s->epoch, now);
   v = &c->ranks[s->rank];
   v->status = *s;
+  note_pass (c, s->step, now);
   if (c->fence && token > c->fence)
     lose_lead (c, now);
   v->token = token;
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -542,6 +542,41 @@
 }
 END_TEST
 
+static void
+report_pass (CfMapCoordinator *c, gint64 step, gint64 now)
+{
+  CfRankStatus s = { .group = "g", .size = RANKS, .epoch = 1, .open = TRUE };
+
+  s.step = step;
+  cf_map_coordinator_status (c, &s, 8, now);
+}
+
+/* While passes are long, each one more under the worse map costs more than
+ * a short stop; while orders get lost, arming takes several passes. */
+START_TEST (the_held_pass_is_as_near_as_arming_allows)
+{
+  Leader *l = &w.leaders[0];
+  CfMapCoordinator *c = &l->c;
+  gint64 now = 1000;
+
+  memset (&w, 0, sizeof w);
+  new_leader (l);
+  ck_assert_int_eq (cf_map_coordinator_passes_ahead (c), 1);
+  for (gint64 step = 1; step < 20; step++)
+    report_pass (c, step, now += 45);
+  ck_assert_int_eq (cf_map_coordinator_passes_ahead (c), 2);
+  for (gint64 step = 20; step < 40; step += 2)
+    report_pass (c, step, now += 240);
+  ck_assert_int_eq (cf_map_coordinator_passes_ahead (c), 1);
+  c->arming_ms = 500;
+  ck_assert_int_eq (cf_map_coordinator_passes_ahead (c), 5);
+  /* At rest for a while: how long passes take is not known any more. */
+  report_pass (c, 40, now += 5000);
+  ck_assert_int_eq (cf_map_coordinator_passes_ahead (c), 1);
+  cf_map_coordinator_clear (c);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -553,6 +588,7 @@
   tcase_set_timeout (u, 600);
   tcase_add_test (t, one_map_a_pass);
   tcase_add_test (t, a_higher_token_ends_the_lead);
+  tcase_add_test (t, the_held_pass_is_as_near_as_arming_allows);
   tcase_add_test (u, one_map_a_pass_without_fences);
   suite_add_tcase (s, t);
   suite_add_tcase (s, u);
