--- a/gateway/group-map.h
+++ b/gateway/group-map.h
@@ -39,33 +39,9 @@
 /** cf_group_map_added: experts that ranks of @to have to copy. */
 int cf_group_map_added (const CfGroupMap *from, const CfGroupMap *to);
 
-/**
- * cf_group_map_skew:
- * @tokens: sets x experts: what each expert draws
- * @pace: (nullable): by rank, how many times as long as usual its work takes
- * Returns: the mean over the sets of the slowest rank's part against an
- *   even part at the usual pace; 1 is even.
- */
-double cf_group_map_skew (const CfGroupMap *m, const double *tokens,
-                          const double *pace);
+/** cf_group_map_rank_added: experts of @set that @rank of @to has to copy. */
+int cf_group_map_rank_added (const CfGroupMap *from, const CfGroupMap *to,
+                             int set, int rank);
 
-/** CfPlanLimits: how far one change may go, and when it is worth it. */
-typedef struct
-{
-  int max_new;      /**< experts a rank copies of a set; at most its spare */
-  int max_rank_new; /**< experts a rank copies of all sets; 0: any number */
-  double min_gain;  /**< skew that a change must take away to be made */
-  double move_gain; /**< load, of an even part, that a copy must save */
-} CfPlanLimits;
-
-/**
- * cf_group_map_plan:
- * A map that evens the load, a bounded number of copies away from @from:
- * popular experts of the slowest rank are copied or moved to light ranks,
- * in place of copies that other ranks have too, or change places with less
- * popular ones; copies that a slow rank need not hold are dropped.
- *
- * Returns: (nullable): the map, or %NULL if no change is worth it.
- */
-CfGroupMap *cf_group_map_plan (const CfGroupMap *from, const double *tokens,
-                               const double *pace, const CfPlanLimits *limits);
+/** cf_group_map_count_copies: by expert of @set, how many ranks hold it. */
+void cf_group_map_count_copies (const CfGroupMap *m, int set, int *copies);
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "map-plan.h"
 #include "expert-demand.h"
 #include "rank.h"
 
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -1,5 +1,7 @@
 #include "fake-group.h"
 
+#include "gateway/map-plan.h"
+
 #include <jansson.h>
 #include <math.h>
 #include <string.h>
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -5,6 +5,7 @@
  * oracle: no pass begins while two ranks have different maps, and once all
  * is calm the group runs and its maps can be changed.
  */
+#include "gateway/map-plan.h"
 #include "gateway/map-coordinator.h"
 #include "harness.h"
 
--- a/t/t-group-map.c
+++ b/t/t-group-map.c
@@ -1,5 +1,5 @@
 /* Planning expert maps: whole, bounded, better; and the figures. */
-#include "gateway/group-map.h"
+#include "gateway/map-plan.h"
 #include "harness.h"
 
 #include <math.h>
