Tests of silent connections, one-way cuts, jumps of the clock, lapsed entries

The first form of the lapse test failed: the stand-in's waiting watch is not cut by its modes, so the gateway rightly saw no outage; the test cuts it now.

--- a/Makefile
+++ b/Makefile
@@ -35,12 +35,13 @@
 
 # Stand-ins of the platform, and callers, for the demo and the tests.
 SI_SRCS = $(wildcard standins/fake-*.c)
-SI_PROGRAMS = target/comfrey-fake-platform target/comfrey-callers
+SI_PROGRAMS = target/comfrey-fake-platform target/comfrey-callers \
+	target/comfrey-fault-proxy
 
 # Tests of the gateway's modules link what runs on the platform, too.
 GW_TESTS = t/t-platform t/t-http-reader t/t-event-stream t/t-balancer t/t-outage t/t-expert-demand \
 	t/t-group-map t/t-peer-msg t/t-log-writer t/t-coordinator t/t-fleet \
-	t/t-gateway
+	t/t-gateway t/t-network
 GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
 
 all: $(PROGRAMS) deploy $(SI_PROGRAMS) $(TESTS)
@@ -71,8 +72,8 @@
 		$(SI_SRCS:%.c=target/obj/%.o) target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
 
-target/comfrey-callers: target/obj/standins/comfrey-callers.o \
-		target/libcomfrey-gateway.a
+target/comfrey-callers target/comfrey-fault-proxy: target/%: \
+		target/obj/standins/%.o target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
 
 target/obj/%.o: %.c *.h gateway/*.h platform/*.h $(wildcard standins/*.h)
@@ -80,9 +81,16 @@
 	@$(CC) $(GW_CFLAGS) -c -o $@ $<
 
 
-t/t-gateway: $(GW_PROGRAMS) $(SI_PROGRAMS)
-t/t-gateway: GW_TEST_LDLIBS += t/platform-harness.o
-t/t-gateway: t/platform-harness.o
+t/t-gateway t/t-network: $(GW_PROGRAMS) $(SI_PROGRAMS)
+t/t-gateway t/t-network: GW_TEST_LDLIBS += t/platform-harness.o
+t/t-gateway t/t-network: t/platform-harness.o
+t/t-network: t/gateway-clock-step
+
+# The gateway in a world whose time of day jumps: the program's own
+# clock_gettime() goes before the C library's, for its libraries as well.
+t/gateway-clock-step: t/clock-step.c target/obj/comfrey-gateway.o \
+		target/libcomfrey-gateway.a
+	$(CC) $(GW_CFLAGS) -rdynamic -o $@ $^ $(GW_LDLIBS) -ldl
 
 $(GW_TESTS): t/%: t/%.c t/harness.o libcomfrey.a target/libcomfrey-gateway.a
 	$(CC) $(ALL_CFLAGS) -I. -Igateway $(shell pkg-config --cflags check) \
--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 static GArray *started;
+PDetours p_detours;
 
 static pid_t
 spawn (const char *log_name, const char *settings, char **argv)
@@ -96,7 +97,8 @@
       "seed-addrs=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
       "limits.memory-mb=128\nbounds.grace-s=5\nbounds.stall_ms=400\n"
       "bounds.require-fence=true\nbounds.retry-slack=60\n",
-      base, base + 102, base + 202, base + 302);
+      p_detours.store ? p_detours.store : base,
+      p_detours.seed ? p_detours.seed : base + 102, base + 202, base + 302);
 }
 
 int
@@ -116,13 +118,28 @@
       "listen.ready=127.0.0.1:%d\nlisten.control=127.0.0.1:%d\n%s",
       n, p_front (base, n), p_front (base, n) + 1, p_front (base, n) + 2,
       common);
-  char *argv[] = { "target/comfrey-gateway", "--metrics-port", metrics, NULL };
+  const char *program
+      = p_detours.gateway ? p_detours.gateway : "target/comfrey-gateway";
+  char *argv[] = { (char *)program, "--metrics-port", metrics, NULL };
   pid_t pid = spawn (name, s, argv);
 
   await_port (p_front (base, n) + 1);
   return pid;
 }
 
+pid_t
+p_proxy (int port, int to)
+{
+  g_autofree char *name = g_strdup_printf ("proxy-%d", port);
+  g_autofree char *from_addr = g_strdup_printf ("127.0.0.1:%d", port);
+  g_autofree char *to_addr = g_strdup_printf ("127.0.0.1:%d", to);
+  char *argv[] = { "target/comfrey-fault-proxy", from_addr, to_addr, NULL };
+  pid_t pid = spawn (name, NULL, argv);
+
+  await_port (port);
+  return pid;
+}
+
 pid_t
 p_agent (int base, int rank_port)
 {
@@ -186,6 +203,7 @@
 void
 p_stop_all (void)
 {
+  memset (&p_detours, 0, sizeof p_detours);
   for (guint i = 0; started && i < started->len; i++)
     kill (g_array_index (started, pid_t, i), SIGKILL);
   for (guint i = 0; started && i < started->len; i++)
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -21,6 +21,25 @@
 /** p_await_ready: until gateway @n is ready; fails the test after 5 s. */
 void p_await_ready (int base, int n);
 
+/**
+ * p_proxy: passes connections to @port on to @to, and harms them when told
+ * by a signal (standins/comfrey-fault-proxy.c).
+ */
+pid_t p_proxy (int port, int to);
+
+/** PDetours: what programs started next use in place of the usual; 0 for
+ * the usual. */
+typedef struct
+{
+  int store;
+  int seed;            /**< the first seed's */
+  const char *gateway; /**< (nullable): the program */
+} PDetours;
+
+/** p_detours: for the programs started from now on; a fixture's end drops
+ * them. */
+extern PDetours p_detours;
+
 /** p_stop: SIGTERM, and the exit status; -1 if it was killed. */
 int p_stop (pid_t pid);
 
--- /dev/null
+++ b/t/t-network.c
@@ -0,0 +1,304 @@
+/*
+ * What a network, a clock and many ends at once do to the gateway's
+ * processes: connections that fall silent, cuts of one way, jumps of the
+ * time of day, entries that lapse, all gateways killed.
+ */
+#include "harness.h"
+#include "platform-harness.h"
+
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define BASE 23000
+#define STORE BASE
+#define RANK_1 (BASE + 3)
+#define N_RANKS 4
+#define STORE_PROXY (BASE + 50)
+#define SEED_PROXY (BASE + 51)
+#define SEED_1 (BASE + 102)
+#define LOG_1 "t/out/gateway-23000-1.log"
+#define LOG_2 "t/out/gateway-23000-2.log"
+
+#define CONFIG(version, prefix)                                                \
+  "{\"version\":" version ",\"routes\":[{\"name\":\"n\",\"host\":"             \
+  "\"demo.example\",\"prefix\":\"" prefix "\",\"kind\":\"safe\","              \
+  "\"timeout-ms\":800,\"aim-ms\":150,\"priority\":2,\"service\":\"desk\","     \
+  "\"max-attempts\":2,\"public\":true}],\"services\":[{\"name\":\"desk\","     \
+  "\"max-conns\":96}],\"limits\":{\"max-header-bytes\":4096,"                  \
+  "\"max-body-bytes\":65536,\"header-timeout-ms\":600,"                        \
+  "\"idle-timeout-ms\":3000},\"tenants\":[]}"
+
+static void
+setup (void)
+{
+  p_platform (BASE, "--ranks", "4", NULL);
+}
+
+static void
+start_gateway (int n)
+{
+  p_gateway (BASE, n);
+  p_await_ready (BASE, n);
+}
+
+static int
+ask_status (int n, const char *method_and_path, const char *id)
+{
+  g_autofree char *req = p_request (method_and_path, id, NULL, "");
+  g_autofree char *a = p_ask (p_front (BASE, n), req);
+
+  return p_status (a);
+}
+
+/* Whether gateway @n answers a path with 200 within @ms. */
+static gboolean
+comes_into_force (int n, const char *method_and_path, int ms)
+{
+  for (int i = 0; i <= ms; i += 50)
+    {
+      if (ask_status (n, method_and_path, "f") == 200)
+        return TRUE;
+      usleep (50000);
+    }
+  return FALSE;
+}
+
+static guint
+in_log (const char *file, const char *needle)
+{
+  g_autofree char *text = NULL;
+  guint n = 0;
+
+  if (!g_file_get_contents (file, &text, NULL, NULL))
+    return 0;
+  for (const char *at = text; (at = strstr (at, needle)); at++)
+    n++;
+  return n;
+}
+
+static gboolean
+await_log (const char *file, const char *needle, guint n, int ms)
+{
+  for (int i = 0; i <= ms; i += 50)
+    {
+      if (in_log (file, needle) >= n)
+        return TRUE;
+      usleep (50000);
+    }
+  return FALSE;
+}
+
+static void
+put (const char *key, const char *value)
+{
+  g_autofree char *call = g_strdup_printf ("POST /test/put?key=%s", key);
+
+  g_free (p_test (STORE, call, value));
+}
+
+/* A watch whose connection fell silent is made anew when its answer is
+ * overdue; it learns what it missed. */
+START_TEST (a_silent_watch_is_made_anew)
+{
+  pid_t proxy = p_proxy (STORE_PROXY, STORE);
+
+  p_detours.store = STORE_PROXY;
+  start_gateway (1);
+  p_signal (proxy, SIGUSR1);
+  put ("op/config", CONFIG ("5", "/five/"));
+  ck_assert (comes_into_force (1, "GET /five/", 8000));
+}
+END_TEST
+
+/* Calls reach the store, answers do not come back: peers teach the rest. */
+START_TEST (answers_that_do_not_come_back)
+{
+  pid_t proxy = p_proxy (STORE_PROXY, STORE);
+
+  p_detours.store = STORE_PROXY;
+  start_gateway (1);
+  p_detours.store = 0;
+  start_gateway (2);
+  p_signal (proxy, SIGUSR2);
+  usleep (200000);
+  put ("op/config", CONFIG ("5", "/five/"));
+  ck_assert (comes_into_force (2, "GET /five/", 1500));
+  ck_assert (comes_into_force (1, "GET /five/", 3000));
+}
+END_TEST
+
+static void
+load_ranks (int *fds, gsize n)
+{
+  g_autofree char *req = p_request ("POST /chat/a", "x",
+                                    "Comfreypost-Token-Count: 10,4000\r\n", "");
+
+  for (gsize i = 0; i < n; i++)
+    {
+      fds[i] = p_connect (p_front (BASE, 1));
+      p_send (fds[i], req);
+    }
+}
+
+static double
+mixed_passes (void)
+{
+  g_autofree char *a = p_test (RANK_1, "GET /test/runs", "");
+
+  return p_number (a, "mixed");
+}
+
+/* Links between agents and the leader fall silent: they are made anew, and
+ * maps go on being changed. */
+START_TEST (silent_links_of_agents_are_made_anew)
+{
+  pid_t proxy = p_proxy (SEED_PROXY, SEED_1);
+  int fds[8];
+  guint before;
+
+  p_stop_all ();
+  p_platform (BASE, "--ranks", "4", "--shift-s", "0.5", NULL);
+  proxy = p_proxy (SEED_PROXY, SEED_1);
+  start_gateway (1);
+  p_detours.seed = SEED_PROXY;
+  for (int i = 0; i < N_RANKS; i++)
+    p_agent (BASE, RANK_1 + i);
+  load_ranks (fds, G_N_ELEMENTS (fds));
+  ck_assert (await_log (LOG_1, "why=changed", 1, 6000));
+  p_signal (proxy, SIGUSR1);
+  usleep (300000);
+  before = in_log (LOG_1, "why=changed");
+  ck_assert (await_log (LOG_1, "why=changed", before + 1, 9000));
+  ck_assert_double_eq (mixed_passes (), 0);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
+/* The first to lead is killed in the middle of a change and is back at
+ * once: one of the two leads, and no pass has two maps. */
+START_TEST (a_leader_that_returns_in_mid_change)
+{
+  int fds[8];
+  pid_t first;
+
+  p_stop_all ();
+  p_platform (BASE, "--ranks", "4", "--copy-ms", "9000", NULL);
+  first = p_gateway (BASE, 1);
+  p_await_ready (BASE, 1);
+  for (int i = 0; i < N_RANKS; i++)
+    p_agent (BASE, RANK_1 + i);
+  load_ranks (fds, G_N_ELEMENTS (fds));
+  ck_assert (await_log (LOG_1, "to=preparing", 1, 6000));
+  start_gateway (2);
+  usleep (600000);
+  p_signal (first, SIGKILL);
+  usleep (300000);
+  start_gateway (1);
+  usleep (4000000);
+  ck_assert_uint_eq (
+      in_log (LOG_1, "nothing-pending") + in_log (LOG_2, "nothing-pending"), 1);
+  ck_assert_double_eq (mixed_passes (), 0);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
+/* Durations and deadlines do not follow the time of day. */
+START_TEST (the_time_of_day_does_not_matter)
+{
+  gint64 until;
+  int n = 0;
+
+  p_detours.gateway = "t/gateway-clock-step";
+  start_gateway (1);
+  for (int i = 0; i < N_RANKS; i++)
+    p_agent (BASE, RANK_1 + i);
+  until = g_get_monotonic_time () + 4 * G_USEC_PER_SEC;
+  while (g_get_monotonic_time () < until)
+    {
+      g_autofree char *id = g_strdup_printf ("t%d", n++);
+      g_autofree char *req = p_request (
+          "POST /chat/a", id, "Comfreypost-Token-Count: 10,80\r\n", "");
+      g_autofree char *a = p_ask (p_front (BASE, 1), req);
+
+      ck_assert_msg (p_status (a) == 200, "%s", a);
+      ck_assert (g_str_has_suffix (a, "0\r\n\r\n"));
+      ck_assert_int_eq (ask_status (1, "POST /order/a", id), 200);
+    }
+  ck_assert (await_log (LOG_1, "took-the-lead", 1, 3000));
+  ck_assert_uint_eq (in_log (LOG_1, "stood-still"), 0);
+}
+END_TEST
+
+/* Entries lapse while the store is away and are back a second after it: the
+ * targets serve all the while.  One that does not come back is gone. */
+START_TEST (entries_that_lapse_come_back)
+{
+  const char back[] = "{\"service\":\"desk\",\"addr\":\"127.0.0.1:23001\","
+                      "\"zone\":\"dc1\",\"version\":\"v1\",\"slots\":6,"
+                      "\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":9}";
+
+  start_gateway (1);
+  g_free (p_test (STORE, "POST /test/mode?mode=busy", ""));
+  g_free (p_test (STORE, "POST /test/forget", "")); /* cuts watches */
+  ck_assert (await_log (LOG_1, "store-lost prefix=servers/", 1, 3000));
+  g_free (p_test (STORE, "POST /test/delete?key=servers/desk-0", ""));
+  g_free (p_test (STORE, "POST /test/delete?key=servers/desk-1", ""));
+  g_free (p_test (STORE, "POST /test/mode?mode=up", ""));
+  for (int i = 0; i < 40; i++)
+    {
+      if (i == 10)
+        put ("servers/desk-0", back);
+      ck_assert_int_eq (ask_status (1, "POST /order/a", "l"), 200);
+      usleep (50000);
+    }
+  ck_assert (await_log (LOG_1, "target=desk-1 service=desk", 2, 3000));
+  ck_assert_int_eq (ask_status (1, "POST /order/a", "l"), 200);
+}
+END_TEST
+
+/* Nothing of the processes lasts, and nothing is missing for it. */
+START_TEST (all_gateways_are_killed_at_once)
+{
+  pid_t pids[3];
+
+  for (int n = 1; n <= 3; n++)
+    pids[n - 1] = p_gateway (BASE, n);
+  for (int n = 1; n <= 3; n++)
+    p_await_ready (BASE, n);
+  put ("op/config", CONFIG ("5", "/five/"));
+  for (int n = 1; n <= 3; n++)
+    ck_assert (comes_into_force (n, "GET /five/", 2000));
+  for (int i = 0; i < 3; i++)
+    p_signal (pids[i], SIGKILL);
+  for (int n = 1; n <= 3; n++)
+    p_gateway (BASE, n);
+  for (int n = 1; n <= 3; n++)
+    {
+      p_await_ready (BASE, n);
+      ck_assert_int_eq (ask_status (n, "GET /five/", "k"), 200);
+      ck_assert_int_eq (ask_status (n, "GET /quote/", "k"), 404);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("network");
+  TCase *t = tcase_create ("network");
+
+  tcase_set_timeout (t, 40);
+  tcase_add_checked_fixture (t, setup, p_stop_all);
+  tcase_add_test (t, a_silent_watch_is_made_anew);
+  tcase_add_test (t, answers_that_do_not_come_back);
+  tcase_add_test (t, silent_links_of_agents_are_made_anew);
+  tcase_add_test (t, a_leader_that_returns_in_mid_change);
+  tcase_add_test (t, the_time_of_day_does_not_matter);
+  tcase_add_test (t, entries_that_lapse_come_back);
+  tcase_add_test (t, all_gateways_are_killed_at_once);
+  suite_add_tcase (s, t);
+  return t_run (s);
+}
