Take on in a planned stop what ends in time; expect times from the pace seen

A gateway that stops now takes on what is expected to end before its end, and keeps a new connection open for its first request; callers on a new connection that are refused are told to come back after 1 to 2 s, when the process is there again. What a stream takes is expected from the pause between events and the time to the first one that this process measures at the service, with the engine's published model until then (gateway/pace.[ch]); the same estimate says how long a request may wait for room and still meet its objective, where a fixed part of the objective said it. Log lines give the expected time beside the real one.

t/t-gateway's check of a late request changes with the behaviour: it said that any request 2.5 s after SIGTERM is refused; now one that ends in time is answered and its connection closed, and one that cannot is refused with the time of the return.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -24,9 +24,9 @@
  * pause or ejection is over. */
 #define TICK_S 0.05
 /** After SIGTERM, callers are still sent here until the platform has asked
- * for readiness twice, a second apart.  Then idle connections are closed,
- * and what still comes, as where no other VM serves a data centre, is
- * refused: taken on later, a stream could not be ended before SIGKILL. */
+ * for readiness twice, a second apart.  Then idle connections are closed;
+ * what still comes, as where no other VM serves a data centre, is taken on
+ * only if it is expected to end before SIGKILL. */
 #define STOP_REFUSE_MS 2300
 /** Before SIGKILL comes, what is left is cut off in an orderly way. */
 #define STOP_MARGIN_MS 400
@@ -102,7 +102,7 @@
             g->n_exchanges);
   g->refusing = TRUE;
   cf_caller_close_idle (g);
-  if (g->n_callers == 0 || ms > g->set.grace_ms - STOP_MARGIN_MS)
+  if (g->n_callers == 0 || cf_gateway_now (g) > g->end_at_ms)
     ev_break (g->loop, EVBREAK_ALL);
 }
 
@@ -122,6 +122,7 @@
     return;
   gw.stopping = TRUE;
   gw.stop_at_ms = cf_gateway_now (&gw);
+  gw.end_at_ms = gw.stop_at_ms + gw.set.grace_ms - STOP_MARGIN_MS;
   cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN,
           "signal=%d callers=%u requests=%u grace_ms=%" G_GINT64_FORMAT,
           w->signum, gw.n_callers, gw.n_exchanges, gw.set.grace_ms);
--- a/gateway/caller.c
+++ b/gateway/caller.c
@@ -11,6 +11,9 @@
 
 /** One read; larger bodies take several. */
 #define READ_SIZE 16384
+/** A caller sends its first request within a few ms of connecting; a stop
+ * does not close the connection in its face. */
+#define NEW_MS 500
 /** Bytes of later requests kept while one is answered; more wait in the
  * kernel, where they hold up only their own caller. */
 #define PIPELINE_MAX 65536
@@ -217,6 +220,7 @@
   if (c->chunked)
     g_string_append (c->out, "0\r\n\r\n");
   c->chunked = FALSE;
+  c->served = TRUE;
   c->x = NULL;
   if (!c->close)
     next_request (c);
@@ -373,6 +377,7 @@
                              : DEFAULT_HEADER_MAX;
 
   c->g = g;
+  c->accepted_ms = cf_gateway_now (g);
   c->in = g_string_new (NULL);
   c->body = g_string_new (NULL);
   c->out = g_string_new (NULL);
@@ -396,6 +401,13 @@
     add_caller (g, fd);
 }
 
+/* Its first request is on its way. */
+static gboolean
+is_new (const CfCaller *c)
+{
+  return !c->served && cf_gateway_now (c->g) - c->accepted_ms < NEW_MS;
+}
+
 void
 cf_caller_close_idle (CfGateway *g)
 {
@@ -405,7 +417,7 @@
     {
       CfCaller *next = TAILQ_NEXT (c, link);
 
-      if (!c->x && !c->reader.started && c->out->len == 0)
+      if (!c->x && !c->reader.started && c->out->len == 0 && !is_new (c))
         shut (c);
       c = next;
     }
--- a/gateway/caller.h
+++ b/gateway/caller.h
@@ -21,6 +21,8 @@
   GString *body; /**< of the current request */
   GString *out;
   gsize out_sent;
+  gint64 accepted_ms;
+  gboolean served;    /**< it had an answer already */
   CfExchange *x;      /**< answers the current request */
   gboolean chunked;   /**< the answer is sent in chunks */
   gboolean close;     /**< no request after this answer */
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -105,6 +105,7 @@
   if (x->last_event_ms == 0)
     {
       x->first_ms = now - x->start_ms;
+      cf_pace_first (&x->lane->pace, now - x->sent_ms);
       cf_histogram_add (&x->g->stats.first_ms, x->first_ms);
     }
   else
@@ -112,6 +113,7 @@
       gint64 pause = now - x->last_event_ms;
 
       x->longest_pause_ms = MAX (x->longest_pause_ms, pause);
+      cf_pace_event (&x->lane->pace, pause);
       cf_histogram_add (&x->g->stats.pause_ms, pause);
     }
   x->last_event_ms = now;
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -32,6 +32,9 @@
   guint hash;
   gint64 start_ms;
   gint64 deadline_ms; /**< on the loop's clock */
+  CfStreamSize size;
+  gint64 sent_ms;           /**< when it was last sent */
+  gint64 expected_first_ms; /**< from then to the first event, as expected */
   ev_timer deadline;
   ev_timer silence; /**< limits the target's pauses */
   CfUpstream *up;
@@ -68,6 +71,9 @@
  * still does. */
 void cf_exchange_release_target (CfExchange *x, gboolean cancel);
 
+/** cf_exchange_engine: (nullable): the model of its service's engines. */
+const CfEngineModel *cf_exchange_engine (const CfExchange *x);
+
 /** cf_exchange_finish: ends it; its room goes to those that wait. */
 void cf_exchange_finish (CfExchange *x, CfOutcome o, int status,
                          const char *reason);
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -20,8 +20,8 @@
 #define PATIENCE_LEAST_MS 2000
 #define PATIENCE_AIMS 4
 #define PATIENCE_GAPS 8
-/** Of the objective, when a request has to be sent to meet it: the first
- * event takes about 200 ms of 500 at a target of 8 requests. */
+/** Of the objective, when a request has to be sent to meet it, where nothing
+ * is known of its service's pace. */
 #define START_PART_OF_AIM 0.6
 /** Back-off asked of callers when all targets are full. */
 #define FULL_BUSY_MS 400
@@ -100,6 +100,10 @@
   if (x->lane->in_flight++ == 0)
     x->lane->busy_since_ms = cf_gateway_now (x->g);
   x->sends++;
+  x->sent_ms = cf_gateway_now (x->g);
+  if (x->route->stream)
+    x->expected_first_ms
+        = cf_pace_first_ms (&x->lane->pace, cf_exchange_engine (x), &x->size);
   x->g->stats.sends++;
   g_ptr_array_add (x->tried, cf_target_ref (t));
   x->up = cf_upstream_send (x->g->loop, t, req, x->id, head_only,
@@ -156,6 +160,19 @@
   return (guint)MAX (slots * WAITERS_PER_SLOT, 1);
 }
 
+/* When it has to be sent, at the latest, to meet its objective. */
+static gint64
+start_by_ms (const CfExchange *x)
+{
+  gint64 first = 0;
+
+  if (x->route->stream)
+    first = cf_pace_first_ms (&x->lane->pace, cf_exchange_engine (x), &x->size);
+  if (first <= 0)
+    first = (gint64)((double)x->route->aim_ms * (1 - START_PART_OF_AIM));
+  return x->start_ms + x->route->aim_ms - first;
+}
+
 /* Waits for room, for as long as that leaves time for the work itself. */
 static void
 wait_for_room (CfExchange *x)
@@ -165,8 +182,7 @@
   CfWaiter *evicted;
 
   x->waiter.since_ms = now;
-  x->waiter.in_time_ms
-      = x->start_ms + (gint64)((double)x->route->aim_ms * START_PART_OF_AIM);
+  x->waiter.in_time_ms = start_by_ms (x);
   if (!cf_wait_queue_add (&x->lane->queue, &x->waiter, waiters_max (x),
                           &evicted))
     {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -7,6 +7,10 @@
 /** Back-off asked of callers that come to a process about to end: another
  * connection reaches another VM. */
 #define STOPPING_BUSY_MS 20
+/** The same for callers that came on a new connection long after the platform
+ * was told: no other VM takes them, so this one has to be back first, 0.5 s
+ * after its end. */
+#define RESTART_BUSY_MS 1000
 
 gint64
 cf_exchange_left_ms (const CfExchange *x)
@@ -69,11 +73,12 @@
   cf_log (LOG_INFO, CF_EV_ANSWER,
           "id=%s outcome=%s status=%d reason=%s target=%s sends=%u ran=%s "
           "ms=%" G_GINT64_FORMAT " events=%" G_GUINT64_FORMAT
-          " first_ms=%" G_GINT64_FORMAT " longest_pause_ms=%" G_GINT64_FORMAT
-          " config=%" G_GINT64_FORMAT,
+          " first_ms=%" G_GINT64_FORMAT " expected_first_ms=%" G_GINT64_FORMAT
+          " longest_pause_ms=%" G_GINT64_FORMAT " config=%" G_GINT64_FORMAT,
           x->id, cf_outcome_name (o), status, reason, cf_exchange_target_id (x),
           x->sends, ran_name (x, o), ms, x->events.n_events, x->first_ms,
-          x->longest_pause_ms, x->policy ? x->policy->version : 0);
+          x->expected_first_ms, x->longest_pause_ms,
+          x->policy ? x->policy->version : 0);
   g->stats.outcomes[o]++;
   if (o == CF_OUT_SUCCESS && !x->events.n_events)
     cf_histogram_add (&g->stats.whole_ms, ms);
@@ -176,6 +181,26 @@
   return ms > 0 ? MIN (ms, x->route->timeout_ms) : x->route->timeout_ms;
 }
 
+const CfEngineModel *
+cf_exchange_engine (const CfExchange *x)
+{
+  const CfService *sv = cf_policy_service (x->policy, x->service);
+
+  return sv && sv->engine.stride > 0 ? &sv->engine : NULL;
+}
+
+/* Whether its answer will be whole before a process that stops ends. */
+static gboolean
+ends_in_time (const CfExchange *x, gint64 allowed)
+{
+  gint64 left = x->g->end_at_ms - cf_gateway_now (x->g);
+  gint64 whole = -1;
+
+  if (x->route->stream)
+    whole = cf_pace_whole_ms (&x->lane->pace, cf_exchange_engine (x), &x->size);
+  return (whole < 0 ? allowed : MIN (whole, allowed)) < left;
+}
+
 static void
 start_routed (CfExchange *x)
 {
@@ -183,9 +208,17 @@
 
   x->service = cf_route_pick (x->route, x->hash);
   x->lane = cf_gateway_lane (x->g, x->service);
+  cf_platform_size (cf_http_reader_header (&x->c->reader, CF_HDR_SIZE),
+                    &x->size.prompt, &x->size.answer);
+  x->deadline_ms = x->start_ms + allowed;
+  if (x->g->refusing && !ends_in_time (x, allowed))
+    {
+      cf_exchange_refuse (x, "stopping",
+                          x->c->served ? STOPPING_BUSY_MS : RESTART_BUSY_MS);
+      return;
+    }
   x->waiter.priority = priority_of (x);
   cf_retry_budget_request (&x->lane->budget);
-  x->deadline_ms = x->start_ms + allowed;
   ev_timer_set (&x->deadline, (double)allowed / 1000, 0);
   ev_timer_start (x->g->loop, &x->deadline);
   cf_exchange_try_target (x);
@@ -230,12 +263,6 @@
       answer_self (x, CF_OUT_DENIED, 400, "no-host", -1);
       return;
     }
-  if (g->refusing)
-    {
-      x->deadline_ms += UNKNOWN_BUSY_MS;
-      cf_exchange_refuse (x, "stopping", STOPPING_BUSY_MS);
-      return;
-    }
   if (!g->policy)
     {
       x->deadline_ms += UNKNOWN_BUSY_MS * 4;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "outage.h"
+#include "pace.h"
 #include "platform/platform-settings.h"
 #include "policy.h"
 #include "retry-budget.h"
@@ -20,6 +21,7 @@
   CfWaitQueue queue;
   CfRetryBudget budget;
   CfOutage outage;
+  CfPace pace;
   guint in_flight;      /**< requests of ours that its targets have */
   gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
   gint64 last_event_ms; /**< when any of its targets last sent something */
@@ -54,6 +56,7 @@
   gboolean stopping; /**< SIGTERM came */
   gboolean refusing; /**< too late for new work: the process will end */
   gint64 stop_at_ms;
+  gint64 end_at_ms; /**< when what still runs is cut off */
   CfStats stats;
 };
 
--- /dev/null
+++ b/gateway/pace.c
@@ -0,0 +1,74 @@
+#include "pace.h"
+
+#include <math.h>
+
+/** Weight of a new event: with some 1,000 events a second, the mean of about
+ * the last 0.1 s, one or two passes of all streams. */
+#define EVENT_WEIGHT 0.01
+/** Weight of a new first event: the mean of about the last 16. */
+#define FIRST_WEIGHT 0.06
+/** Deviations beyond the mean that five of six stay within. */
+#define FIRST_DEVIATIONS 1.5
+/** Streams that an engine works on at once, until its pace is seen. */
+#define USUAL_BATCH 8
+/** Pauses grow while more streams come, experts are copied or demand shifts:
+ * by half where passes of 70 ms became 105 ms. */
+#define WHOLE_MARGIN 1.5
+
+static void
+blend (double *mean, double value, double weight)
+{
+  *mean = *mean > 0 ? *mean + (value - *mean) * weight : value;
+}
+
+void
+cf_pace_event (CfPace *p, gint64 pause_ms)
+{
+  blend (&p->pause_ms, (double)pause_ms, EVENT_WEIGHT);
+}
+
+void
+cf_pace_first (CfPace *p, gint64 ms)
+{
+  double off = p->first_ms > 0 ? fabs ((double)ms - p->first_ms) : 0;
+
+  blend (&p->first_ms, (double)ms, FIRST_WEIGHT);
+  blend (&p->first_dev_ms, off, FIRST_WEIGHT);
+}
+
+/* A pass of the engine: all its streams write one event in it. */
+static double
+pass_ms (const CfPace *p, const CfEngineModel *e)
+{
+  if (p->pause_ms > 0)
+    return p->pause_ms;
+  return e ? e->stride * (e->step_ms + e->per_seq_ms * USUAL_BATCH) : 0;
+}
+
+gint64
+cf_pace_first_ms (const CfPace *p, const CfEngineModel *e,
+                  const CfStreamSize *size)
+{
+  double read
+      = e && e->read_per_ms > 0 ? (double)size->prompt / e->read_per_ms : 0;
+
+  if (p->first_ms > 0)
+    return (gint64)(p->first_ms + FIRST_DEVIATIONS * p->first_dev_ms);
+  /* The pass that is under way, the prompt, and its own first pass. */
+  return (gint64)(2 * pass_ms (p, e) + read);
+}
+
+gint64
+cf_pace_whole_ms (const CfPace *p, const CfEngineModel *e,
+                  const CfStreamSize *size)
+{
+  double pass = pass_ms (p, e);
+  double answer = (double)size->answer;
+
+  if (pass <= 0 || !e || e->stride < 1)
+    return -1;
+  if (answer <= 0)
+    answer = e->usual_answer;
+  return (gint64)(WHOLE_MARGIN * pass * ceil (answer / e->stride))
+         + cf_pace_first_ms (p, e, size);
+}
--- /dev/null
+++ b/gateway/pace.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "policy.h"
+
+/**
+ * CfPace:
+ * How long streams take at a service lately, as this process sees it, with
+ * the engine's published model in place of what it has not seen: the time
+ * to the first event, the pause between events, and so the whole.  Batches
+ * of all callers share each pass of an engine, so what one stream meets the
+ * next meets too.
+ */
+typedef struct
+{
+  double pause_ms;     /**< mean pause between two events; 0: not seen yet */
+  double first_ms;     /**< mean time from sending to the first event */
+  double first_dev_ms; /**< mean deviation from @first_ms */
+} CfPace;
+
+/** CfStreamSize: what a request says of its size; 0 where it does not. */
+typedef struct
+{
+  gint64 prompt; /**< tokens to be read */
+  gint64 answer; /**< tokens written at most */
+} CfStreamSize;
+
+/** cf_pace_event: an event came @pause_ms after the one before. */
+void cf_pace_event (CfPace *p, gint64 pause_ms);
+
+/** cf_pace_first: a first event came @ms after its request was sent. */
+void cf_pace_first (CfPace *p, gint64 ms);
+
+/**
+ * cf_pace_first_ms:
+ * @e: (nullable): the engine's model
+ * Returns: within how many ms of sending a first event is to be expected,
+ *   in five of six cases; 0 if nothing is known.
+ */
+gint64 cf_pace_first_ms (const CfPace *p, const CfEngineModel *e,
+                         const CfStreamSize *size);
+
+/**
+ * cf_pace_whole_ms:
+ * Returns: how long a whole stream takes at most; -1 if nothing is known.
+ */
+gint64 cf_pace_whole_ms (const CfPace *p, const CfEngineModel *e,
+                         const CfStreamSize *size);
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -658,15 +658,19 @@
 }
 END_TEST
 
-/* A planned stop cuts off nothing: what runs is ended, what comes late is
- * refused, not run, and told to come back. */
+/* A planned stop cuts off nothing: what runs is ended; what comes late is
+ * answered if it ends in time, else refused, not run, and told to come back
+ * when this process is there again, since no other takes it. */
 START_TEST (a_planned_stop_ends_what_runs)
 {
   g_autofree char *stream = p_request (
       "POST /chat/a", "t1", "Comfreypost-Token-Count: 10,1800\r\n", "");
   g_autofree char *order = p_request ("POST /order/a", "t2", NULL, "x");
+  g_autofree char *longer = p_request (
+      "POST /chat/a", "t3", "Comfreypost-Token-Count: 10,4000\r\n", "");
   g_autofree char *early = NULL;
   g_autofree char *late = NULL;
+  g_autofree char *too_late = NULL;
   g_autofree char *whole = NULL;
   g_autofree char *ready = NULL;
   int fd = p_connect (front);
@@ -683,8 +687,11 @@
   ck_assert_ptr_nonnull (strstr (early, "Connection: close"));
   usleep (2300000);
   late = p_ask (front, order);
-  ck_assert_int_eq (p_status (late), 503);
-  ck_assert_ptr_nonnull (strstr (late, "Retry-After: "));
+  ck_assert_int_eq (p_status (late), 200);
+  ck_assert_ptr_nonnull (strstr (late, "Connection: close"));
+  too_late = p_ask (front, longer);
+  ck_assert_int_eq (p_status (too_late), 503);
+  ck_assert_ptr_nonnull (strstr (too_late, "Retry-After: 1."));
   whole = p_read (fd, 5000);
   ck_assert (g_str_has_suffix (whole, "0\r\n\r\n"));
   ck_assert_uint_eq (count_of (whole, "id: 450\n"), 1);
