Use doubtful targets only when most of a service is doubtful

While all sound targets were full, requests went to the one that was slow or ejected: it always had room.

Targets slower than 3 times their usual pace count as doubtful, as ejected ones do; while at least half of a service is sound, room at a sound one is waited for.

The new test in t/t-balancer fails before (the slow target is picked).

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -6,12 +6,16 @@
 /** Of an even part of a target's slots, what a gateway may use. */
 #define SHARE_MORE 1.25
 
+/** A target whose work takes so many times as long is used like one that was
+ * ejected: in a rank group, all wait for its part of each pass. */
+#define SLOW_PACE 3.0
+
 /** How a target may be used for a request. */
 typedef enum
 {
   USE_NO,    /**< leaving, or it had the request already */
   USE_FULL,  /**< no room for it now */
-  USE_GUESS, /**< ejected: only when nothing better is left */
+  USE_GUESS, /**< ejected or slow: only when nothing better is left */
   USE_YES,
 } Use;
 
@@ -32,6 +36,12 @@
   return tried && g_ptr_array_find ((GPtrArray *)tried, t, NULL);
 }
 
+static gboolean
+is_doubtful (const CfTarget *t, const CfPickInput *in)
+{
+  return t->pace >= SLOW_PACE || cf_outlier_ejected (&t->outlier, in->now_ms);
+}
+
 static Use
 use_of (const CfTarget *t, const CfPickInput *in)
 {
@@ -41,7 +51,7 @@
           >= cf_balancer_share (t->record.slots, in->max_conns, in->fleet)
       || in->now_ms < t->full_until_ms)
     return USE_FULL;
-  return cf_outlier_ejected (&t->outlier, in->now_ms) ? USE_GUESS : USE_YES;
+  return is_doubtful (t, in) ? USE_GUESS : USE_YES;
 }
 
 /* Load with the request, in 1/1024 slots of a target at its usual pace; one
@@ -58,29 +68,52 @@
   return load;
 }
 
+/* Choice: what a look at all targets of a service found. */
+typedef struct
+{
+  CfTarget *best;  /* the least loaded that may be used; NULL if none */
+  CfTarget *guess; /* the least loaded of the doubtful */
+  guint best_load;
+  guint guess_load;
+  guint n_sound; /* neither leaving nor doubtful, full or not */
+  gboolean any_full;
+} Choice;
+
+static void
+consider (Choice *c, CfTarget *t, const CfPickInput *in)
+{
+  Use use = use_of (t, in);
+  guint load = load_of (t, in);
+
+  c->n_sound += use != USE_NO && !is_doubtful (t, in);
+  c->any_full |= use == USE_FULL;
+  if (use == USE_YES && (!c->best || load < c->best_load))
+    {
+      c->best = t;
+      c->best_load = load;
+    }
+  if (use == USE_GUESS && (!c->guess || load < c->guess_load))
+    {
+      c->guess = t;
+      c->guess_load = load;
+    }
+}
+
 CfPickWhy
 cf_balancer_pick (CfTargetTable *t, const CfPickInput *in, CfTarget **out)
 {
   const GPtrArray *a = cf_target_table_service (t, in->service);
   guint n = a ? a->len : 0;
   guint turn = t->turn++;
-  Use best_use = USE_NO;
-  guint best_load = 0;
+  Choice c = { 0 };
 
-  *out = NULL;
   for (guint i = 0; i < n; i++)
-    {
-      CfTarget *c = a->pdata[(turn + i) % n];
-      Use use = use_of (c, in);
-      guint load = load_of (c, in);
-
-      if (use < best_use || (use == best_use && *out && load >= best_load))
-        continue;
-      best_use = use;
-      best_load = load;
-      *out = use >= USE_GUESS ? c : NULL;
-    }
+    consider (&c, a->pdata[(turn + i) % n], in);
+  *out = c.best;
+  /* While most are sound, room at one of them is worth waiting for. */
+  if (!*out && c.n_sound * 2 < n)
+    *out = c.guess;
   if (*out)
     return CF_PICK_OK;
-  return best_use == USE_FULL ? CF_PICK_FULL : CF_PICK_NO_TARGET;
+  return c.any_full || c.guess ? CF_PICK_FULL : CF_PICK_NO_TARGET;
 }
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -96,6 +96,27 @@
 }
 END_TEST
 
+/* A slow rank holds up all of its group; while most targets are sound, room
+ * at one of them is waited for. */
+START_TEST (slow_targets_get_nothing_while_others_are_full)
+{
+  CfTarget *t;
+
+  get ("a")->pace = 12;
+  get ("b")->in_flight = 5;
+  get ("c")->in_flight = 5;
+  ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_FULL);
+  get ("b")->in_flight = 4;
+  ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "b");
+  /* Most are slow: these are what there is. */
+  get ("b")->in_flight = 5;
+  get ("c")->pace = 12;
+  ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a");
+}
+END_TEST
+
 /* All gateways together fill a target's slots, not its queue. */
 START_TEST (slots_are_shared_over_the_fleet)
 {
@@ -290,6 +311,7 @@
   tcase_add_test (t, the_least_loaded_is_picked);
   tcase_add_test (t, load_is_spread_evenly);
   tcase_add_test (t, slow_targets_get_less);
+  tcase_add_test (t, slow_targets_get_nothing_while_others_are_full);
   tcase_add_test (t, slots_are_shared_over_the_fleet);
   tcase_add_test (t, only_the_newest_start_at_an_address_gets_work);
   tcase_add_test (t, a_misdirected_target_is_used_again_once_it_writes);
