Tell gateways which targets are slow

A greeting now names the slow targets that agents told the sender of in the last 2.5 s; what an agent says itself goes before, and what nobody says any more is forgotten after 3.5 s. Greetings without the field (of an earlier version) are read as before.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -10,6 +10,9 @@
 /** Of the fleet's retry allowance, the part that all gateways use together;
  * the rest covers one that counts itself as one of fewer. */
 #define RETRY_PART 0.8
+/** A target's pace is told once a second; not told any more for so long, it
+ * is not believed any more. */
+#define PACE_FRESH_MS 3500
 
 static void
 lane_free (gpointer data)
@@ -185,6 +188,32 @@
   g->targets_rev = as_of;
 }
 
+void
+cf_gateway_take_pace (CfGateway *g, CfTarget *t, double pace,
+                      const char *source)
+{
+  if (cf_target_set_pace (t, pace, cf_gateway_now (g)))
+    cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
+            "target=%s service=%s addr=%s outcome=pace pace=%.2f source=%s",
+            t->record.id, t->record.service, t->record.addr, pace, source);
+}
+
+void
+cf_gateway_forget_paces (CfGateway *g)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, g->targets.by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      CfTarget *t = v;
+
+      if (t->pace != 1 && cf_gateway_now (g) - t->pace_at_ms > PACE_FRESH_MS)
+        cf_gateway_take_pace (g, t, 1, "forgotten");
+    }
+}
+
 void
 cf_gateway_set_fleet (CfGateway *g, guint n)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -93,5 +93,13 @@
 void cf_gateway_keep_targets (CfGateway *g, GHashTable *ids, gint64 as_of,
                               const char *source);
 
+/** cf_gateway_take_pace: how slow @t is, as an agent or a peer tells. */
+void cf_gateway_take_pace (CfGateway *g, CfTarget *t, double pace,
+                           const char *source);
+
+/** cf_gateway_forget_paces: targets nobody has called slow lately are as
+ * usual again. */
+void cf_gateway_forget_paces (CfGateway *g);
+
 /** cf_gateway_set_fleet: @n gateways share the retry budget. */
 void cf_gateway_set_fleet (CfGateway *g, guint n);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -70,6 +70,22 @@
     }
 }
 
+static void
+put_paces (msgpack_packer *pk, const GArray *paces)
+{
+  guint n = paces ? paces->len : 0;
+
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const CfPeerPace *p = &g_array_index (paces, CfPeerPace, i);
+
+      msgpack_pack_array (pk, 2);
+      put_bytes (pk, p->addr);
+      put_int (pk, p->thousandths);
+    }
+}
+
 static void
 begin (msgpack_packer *pk, const CfPeerMsg *m, size_t fields)
 {
@@ -127,12 +143,13 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      begin (&pk, m, 5);
+      begin (&pk, m, 6);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_rev);
       put_int (&pk, m->u.gateway_hello.targets_rev);
       put_int (&pk, m->u.gateway_hello.fleet);
       put_int (&pk, m->u.gateway_hello.want);
+      put_paces (&pk, m->u.gateway_hello.slow);
       break;
     case CF_PEER_POLICY:
       begin (&pk, m, 2);
@@ -284,6 +301,26 @@
   return a;
 }
 
+static GArray *
+take_paces (Fields *f)
+{
+  Fields in = fields_of (next (f));
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerPace));
+
+  while (!in.bad && in.at < in.end)
+    {
+      Fields one = fields_of (next (&in));
+      CfPeerPace p;
+
+      p.addr = take_bytes (&one);
+      p.thousandths = take_int (&one);
+      in.bad |= one.bad;
+      g_array_append_val (a, p);
+    }
+  f->bad |= in.bad;
+  return a;
+}
+
 static void
 take_fields (Fields *f, CfPeerMsg *m)
 {
@@ -329,6 +366,9 @@
       m->u.gateway_hello.targets_rev = take_int (f);
       m->u.gateway_hello.fleet = (guint)take_int (f);
       m->u.gateway_hello.want = (guint)take_int (f);
+      /* Peers of an earlier version do not say. */
+      if (!f->bad && f->at < f->end)
+        m->u.gateway_hello.slow = take_paces (f);
       break;
     case CF_PEER_POLICY:
       m->u.policy.rev = take_int (f);
@@ -376,6 +416,9 @@
     case CF_PEER_LISTS:
       a = &m->u.lists.experts;
       break;
+    case CF_PEER_GATEWAY_HELLO:
+      a = &m->u.gateway_hello.slow;
+      break;
     case CF_PEER_TARGETS:
       a = &m->u.targets.items;
       break;
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -77,8 +77,10 @@
       CfPeerBytes addr; /**< where the gateway takes links */
       gint64 policy_rev;
       gint64 targets_rev;
-      guint fleet; /**< gateways that the sender knows of, itself too */
-      guint want;  /**< CF_PEER_WANT_ bits: what the sender lacks */
+      guint fleet;  /**< gateways that the sender knows of, itself too */
+      guint want;   /**< CF_PEER_WANT_ bits: what the sender lacks */
+      GArray *slow; /**< (nullable): of #CfPeerPace: slow targets that agents
+                         tell the sender of; owned */
     } gateway_hello;
     struct
     {
@@ -97,6 +99,13 @@
 #define CF_PEER_WANT_POLICY 1U
 #define CF_PEER_WANT_TARGETS 2U
 
+/** CfPeerPace: a target whose work takes longer than usual. */
+typedef struct
+{
+  CfPeerBytes addr;
+  gint64 thousandths; /**< of its usual time */
+} CfPeerPace;
+
 /** CfPeerTarget: a target's record as the store holds it. */
 typedef struct
 {
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -16,6 +16,9 @@
 #define STORE_FIRST_MS 400
 /** Peers not heard of for so long no longer count as part of the fleet. */
 #define FORGET_MS 10000
+/** An agent tells its rank's pace once a second, or more often. */
+#define PACE_SEEN_MS 2500
+#define THOUSANDTHS 1000
 /** Peer: a link to another gateway. */
 typedef struct Peer
 {
@@ -61,6 +64,50 @@
   return want;
 }
 
+/* The slow targets that agents told this gateway of lately. */
+static GArray *
+slow_targets (const CfGateway *g)
+{
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerPace));
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, (GHashTable *)g->targets.by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const CfTarget *t = v;
+      CfPeerPace p;
+
+      if (t->pace <= 1 || t->pace_seen_ms == 0
+          || g->now_ms - t->pace_seen_ms > PACE_SEEN_MS)
+        continue;
+      p.addr.data = t->record.addr;
+      p.addr.n = strlen (t->record.addr);
+      p.thousandths = (gint64)(t->pace * THOUSANDTHS);
+      g_array_append_val (a, p);
+    }
+  return a;
+}
+
+static void
+take_paces (CfGateway *g, const GArray *slow)
+{
+  for (guint i = 0; slow && i < slow->len; i++)
+    {
+      const CfPeerPace *p = &g_array_index (slow, CfPeerPace, i);
+      char *addr = g_strndup (p->addr.data, p->addr.n);
+      CfTarget *t = cf_target_table_at (&g->targets, addr);
+
+      /* What an agent tells this gateway itself goes before. */
+      if (t
+          && (t->pace_seen_ms == 0
+              || g->now_ms - t->pace_seen_ms > PACE_SEEN_MS))
+        cf_gateway_take_pace (g, t, (double)p->thousandths / THOUSANDTHS,
+                              "peer");
+      g_free (addr);
+    }
+}
+
 static void
 greet (Peer *p)
 {
@@ -74,7 +121,9 @@
   m.u.gateway_hello.targets_rev = g->targets_rev;
   m.u.gateway_hello.fleet = g->fleet_size;
   m.u.gateway_hello.want = wants (p);
+  m.u.gateway_hello.slow = slow_targets (g);
   cf_peer_msg_send (p->peer, &m);
+  cf_peer_msg_clear (&m);
 }
 
 static void
@@ -157,6 +206,7 @@
   p->heard_ms = g->now_ms;
   note_member (p->s, p->addr);
   count_fleet (p->s, m->u.gateway_hello.fleet);
+  take_paces (g, m->u.gateway_hello.slow);
   if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
     send_policy (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
@@ -355,6 +405,7 @@
   if (now - s->greeted_ms < every)
     return;
   s->greeted_ms = now;
+  cf_gateway_forget_paces (s->g);
   TAILQ_FOREACH (p, &s->peers, link)
   if (p->up)
     greet (p);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -6,7 +6,6 @@
 #include "platform/platform-rank.h"
 #include "rank-call.h"
 
-#include <math.h>
 #include <string.h>
 
 /** The coordinator's tick while a change is under way, and otherwise. */
@@ -47,8 +46,6 @@
  * 0.18 copied 2,290, 1,390, 1,020 and 680 GB, for a mean skew of 1.50,
  * 1.53, 1.55 and 1.63. */
 #define MOVE_GAIN 0.12
-/** A change of pace that is worth a line in the log. */
-#define PACE_STEP 0.1
 /** Experts that a rank copies of a set in one change, and of all sets.  What
  * one rank copies sets the time until all can switch: 0.11 s an expert, and
  * passes take 15% longer meanwhile.  Two quick changes even a shift of demand
@@ -526,12 +523,10 @@
 {
   CfTarget *t = target_at (a->s, a->target_addr);
 
-  if (!t || fabs (t->pace - st->pace) < PACE_STEP)
+  if (!t)
     return;
-  t->pace = st->pace;
-  cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
-          "target=%s service=%s addr=%s outcome=pace pace=%.2f", t->record.id,
-          t->record.service, t->record.addr, t->pace);
+  t->pace_seen_ms = cf_gateway_now (a->s->g);
+  cf_gateway_take_pace (a->s->g, t, st->pace, "agent");
 }
 
 static void
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -2,8 +2,12 @@
 
 #include "socket.h"
 
+#include <math.h>
 #include <string.h>
 
+/** A change of pace that matters. */
+#define PACE_STEP 0.1
+
 CfTarget *
 cf_target_ref (CfTarget *t)
 {
@@ -156,6 +160,16 @@
   n->replaced = TRUE;
 }
 
+gboolean
+cf_target_set_pace (CfTarget *t, double pace, gint64 now)
+{
+  t->pace_at_ms = now;
+  if (fabs (t->pace - pace) < PACE_STEP)
+    return FALSE;
+  t->pace = pace;
+  return TRUE;
+}
+
 CfTarget *
 cf_target_table_at (const CfTargetTable *t, const char *addr)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -31,6 +31,8 @@
   CfUpstreamList idle; /**< of these the idle ones, last used first */
   CfOutlier outlier;
   double pace;          /**< how many times as long as usual its work takes */
+  gint64 pace_at_ms;    /**< when @pace was last told; 0: never */
+  gint64 pace_seen_ms;  /**< when an agent of ours told it; 0: never */
   gint64 full_until_ms; /**< it said it was full; not asked before */
 } CfTarget;
 
@@ -89,6 +91,12 @@
  */
 void cf_target_table_misdirected (CfTargetTable *t, CfTarget *n);
 
+/**
+ * cf_target_set_pace:
+ * Returns: %TRUE if it changed by enough to matter.
+ */
+gboolean cf_target_set_pace (CfTarget *t, double pace, gint64 now_ms);
+
 /** cf_target_table_at: (nullable): the newest target at @addr. */
 CfTarget *cf_target_table_at (const CfTargetTable *t, const char *addr);
 
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -62,6 +62,7 @@
 {
   CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
   CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), 12, 7 };
+  CfPeerPace slow = { bytes ("1.2.3.9:1"), 12000 };
   CfPeerMsg o;
   msgpack_unpacked zone;
   msgpack_sbuffer buf;
@@ -69,9 +70,15 @@
   m.u.gateway_hello.addr = bytes ("1.2.3.4:5");
   m.u.gateway_hello.policy_rev = 9;
   m.u.gateway_hello.want = CF_PEER_WANT_TARGETS;
+  m.u.gateway_hello.slow = g_array_new (FALSE, FALSE, sizeof (CfPeerPace));
+  g_array_append_val (m.u.gateway_hello.slow, slow);
   there_and_back (&m, &o, &zone, &buf);
   ck_assert_uint_eq (o.u.gateway_hello.want, CF_PEER_WANT_TARGETS);
   ck_assert_int_eq (o.u.gateway_hello.policy_rev, 9);
+  ck_assert_uint_eq (o.u.gateway_hello.slow->len, 1);
+  ck_assert_int_eq (
+      g_array_index (o.u.gateway_hello.slow, CfPeerPace, 0).thousandths, 12000);
+  cf_peer_msg_clear (&m);
   release (&o, &zone, &buf);
   m.kind = CF_PEER_TARGETS;
   m.u.targets.as_of = 12;
