Let those that are late already leave room for others

A request that waits and cannot meet its objective any more now fills only 0.6 of the gateway's part of a target, while the pauses between events are within the objective; so not where a slow rank makes all late anyway.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -5,6 +5,8 @@
 
 /** Of an even part of a target's slots, what a gateway may use. */
 #define SHARE_MORE 1.25
+/** Of that, what requests that are late already may fill. */
+#define YIELD_PART 0.6
 
 /** A target whose work takes so many times as long is used like one that was
  * ejected: in a rank group, all wait for its part of each pass. */
@@ -36,6 +38,14 @@
   return tried && g_ptr_array_find ((GPtrArray *)tried, t, NULL);
 }
 
+static guint
+room_for (const CfTarget *t, const CfPickInput *in)
+{
+  guint share = cf_balancer_share (t->record.slots, in->max_conns, in->fleet);
+
+  return in->yields ? (guint)MAX (share * YIELD_PART, 1) : share;
+}
+
 static gboolean
 is_doubtful (const CfTarget *t, const CfPickInput *in)
 {
@@ -47,9 +57,7 @@
 {
   if (t->record.leaving || t->replaced || was_tried (in->tried, t))
     return USE_NO;
-  if (t->in_flight
-          >= cf_balancer_share (t->record.slots, in->max_conns, in->fleet)
-      || in->now_ms < t->full_until_ms)
+  if (t->in_flight >= room_for (t, in) || in->now_ms < t->full_until_ms)
     return USE_FULL;
   return is_doubtful (t, in) ? USE_GUESS : USE_YES;
 }
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -19,6 +19,7 @@
   gint64 now_ms;           /**< of the monotonic clock */
   guint fleet;             /**< gateways that send to these targets */
   gint64 max_conns;        /**< connections a target takes from all; 0: any */
+  gboolean yields;         /**< leaves room for requests that can be in time */
 } CfPickInput;
 
 /**
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -236,6 +236,8 @@
   in.now_ms = cf_gateway_now (x->g);
   in.fleet = x->g->fleet_size;
   in.max_conns = sv ? sv->max_conns : 0;
+  in.yields = cf_waiter_yields (&x->waiter, in.now_ms, x->lane->pace.pause_ms,
+                                x->route->gap_aim_ms);
   return cf_balancer_pick (&x->g->targets, &in, t);
 }
 
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -71,6 +71,13 @@
   return TAILQ_FIRST (&q->waiters);
 }
 
+gboolean
+cf_waiter_yields (const CfWaiter *w, gint64 now_ms, double pause_ms,
+                  gint64 gap_aim_ms)
+{
+  return w->queued && now_ms > w->in_time_ms && pause_ms < (double)gap_aim_ms;
+}
+
 gint64
 cf_wait_limit_ms (gint64 patience_ms, gint64 left_ms)
 {
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -47,6 +47,19 @@
 /** cf_wait_queue_first: (nullable): who gets the next room. */
 CfWaiter *cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms);
 
+/**
+ * cf_waiter_yields:
+ * @pause_ms: pause between events at its service now
+ * @gap_aim_ms: objective for it; 0: none
+ * Returns: whether it should leave room for others.  After an outage or a
+ *   burst those that waited are late whatever is done for them.  Served all
+ *   at once they fill every batch, and those that come after them are late
+ *   as well, for ten seconds after an outage of two.  So they leave room,
+ *   while passes are short enough for others to be in time.
+ */
+gboolean cf_waiter_yields (const CfWaiter *w, gint64 now_ms, double pause_ms,
+                           gint64 gap_aim_ms);
+
 /**
  * cf_wait_limit_ms:
  * @patience_ms: how long callers wait for a first sign of an answer
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -32,7 +32,7 @@
 static CfPickWhy
 pick (gint64 now, const GPtrArray *tried, CfTarget **t)
 {
-  const CfPickInput in = { "s", "dc1", tried, now, 1, 0 };
+  const CfPickInput in = { "s", "dc1", tried, now, 1, 0, FALSE };
 
   return cf_balancer_pick (&table, &in, t);
 }
@@ -117,6 +117,19 @@
 }
 END_TEST
 
+/* Requests that are late already do not fill a target. */
+START_TEST (late_ones_leave_room)
+{
+  const CfPickInput in = { "other", NULL, NULL, 0, 1, 0, TRUE };
+  CfTarget *t;
+
+  get ("x")->in_flight = 2; /* of 5 */
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  get ("x")->in_flight = 3;
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_FULL);
+}
+END_TEST
+
 /* All gateways together fill a target's slots, not its queue. */
 START_TEST (slots_are_shared_over_the_fleet)
 {
@@ -312,6 +325,7 @@
   tcase_add_test (t, load_is_spread_evenly);
   tcase_add_test (t, slow_targets_get_less);
   tcase_add_test (t, slow_targets_get_nothing_while_others_are_full);
+  tcase_add_test (t, late_ones_leave_room);
   tcase_add_test (t, slots_are_shared_over_the_fleet);
   tcase_add_test (t, only_the_newest_start_at_an_address_gets_work);
   tcase_add_test (t, a_misdirected_target_is_used_again_once_it_writes);
