Split the agent by job: settings, requests, orders, connections

agent.c held four jobs in 692 lines. agent-settings.c reads its table, agent-jobs.c runs requests, agent-orders.c takes orders and claims, agent.c keeps connections, start and drain; agent-parts.h is what they share. No decision changes; t-agent, t-once, t-session, t-link, t-entry and t-rebalance pass.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 LIB_OBJS = error.o log.o log-writer.o settings.o net.o wire.o http-server.o \
 	http-client.o records.o route.o guard.o ring.o config-watch.o \
 	vm-list.o outlier.o agent-link.o link-table.o claim.o admission.o \
-	retry-budget.o entry.o entry-request.o entry-route.o agent.o rank-group.o \
+	retry-budget.o entry.o entry-request.o entry-route.o agent.o agent-settings.o agent-jobs.o \
+	agent-orders.o rank-group.o \
 	expert-map.o map-change.o placement.o daemon.o explain.o
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
