Find targets by address in one place; split orders from the rank service

rank-service.c looked a target up by address with a search of its own, which could find a start that had crashed and was still listed: a rank's pace was then noted at an entry nobody sends to, and its engine's model read there. It asks the table now, which knows the newest start at each address.

The orders to ranks go to rank-service-order.c, with what both share in rank-service-parts.h; the link's type no longer has the name of the own interface's.

--- /dev/null
+++ b/gateway/rank-service-parts.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "map-coordinator.h"
+#include "rank-service.h"
+
+#include <sys/queue.h>
+
+/**
+ * What the parts of the rank service share: agents' links, groups and who
+ * leads them (rank-service.c), and the orders to ranks
+ * (rank-service-order.c).
+ */
+
+typedef struct CfLedGroup CfLedGroup;
+
+/** CfRankLink: the link of one rank's agent. */
+typedef struct CfRankLink
+{
+  TAILQ_ENTRY (CfRankLink) link;
+  CfRankService *s;
+  CfPeerLink *peer;
+  char *target_addr;
+  CfLedGroup *group; /**< %NULL until its first status */
+  int rank;
+  guint seeds_up; /**< as its last status says */
+  gint64 led;     /**< token of the leader that the agent hears; 0: none */
+  gint64 seen_ms;
+} CfRankLink;
+
+/** CfLedGroup: one rank group, and this gateway's part in it. */
+struct CfLedGroup
+{
+  CfRankService *s;
+  char name[CF_GROUP_NAME_MAX];
+  CfMapCoordinator c;
+  CfRankLink **agents; /**< by rank */
+  char **addrs;        /**< by rank: where it was last */
+  gint64 *pending;     /**< by rank: the order that is unanswered; 0: none */
+  gint64 *pending_ms;
+  guint *unanswered; /**< by rank: orders in a row that its agent lost */
+  gint64 *direct_ms; /**< by rank: when it was last asked directly */
+  gint64 fence_seen;
+  gboolean leads;
+};
+
+struct CfRankService
+{
+  CfGateway *g;
+  int seed; /**< which seed this gateway is; -1: none */
+  ev_timer timer;
+  gint64 ticked_ms;
+  gint64 seq;
+  GHashTable *groups; /**< name -> #CfLedGroup */
+  TAILQ_HEAD (, CfRankLink) agents;
+};
+
+/** cf_rank_service_target: (nullable): the target at @addr. */
+CfTarget *cf_rank_service_target (const CfRankService *s, const char *addr);
+
+/** cf_led_group_on_order: the coordinator's order to a rank goes out, through
+ * the agent, where it costs nothing, or straight to the rank when its agent
+ * is away; @data is the #CfLedGroup. */
+void cf_led_group_on_order (void *data, int rank, const CfRankOrder *o);
+
+/** cf_led_group_send_direct: an order straight to a rank, and then the
+ * question for its report.
+ * @is_order: the coordinator waits for what comes of it */
+void cf_led_group_send_direct (CfLedGroup *g, int rank, const CfRankOrder *o,
+                               gboolean is_order);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -1,10 +1,8 @@
-#include "rank-service.h"
+#include "rank-service-parts.h"
 
 #include "log.h"
-#include "map-coordinator.h"
 #include "net.h"
 #include "platform/platform-rank.h"
-#include "rank-call.h"
 
 #include <string.h>
 
@@ -23,9 +21,6 @@
 /** An order whose agent has not answered by then counts as unanswered: it
  * tries for up to 0.1 s. */
 #define ORDER_LOST_MS 130
-/** An agent that lost so many orders in a row is passed by: orders go to
- * the rank itself until the agent is heard of again. */
-#define UNANSWERED_MAX 2
 /** After another leader's token was met, the lead is not taken for so long. */
 #define LEAD_AGAIN_MS 3000
 /** A rank's status that is older says nothing of who it can hear. */
@@ -33,7 +28,6 @@
 /** While a pass is held, a rank not heard of for so long is asked directly:
  * the whole group waits for it. */
 #define DIRECT_AFTER_MS 500
-#define DIRECT_TIMEOUT_MS 300
 /** Tokens rise by this much a takeover, so that the gateways named as
  * seeds never use the same one. */
 #define FENCE_STEP 8
@@ -55,181 +49,16 @@
 #define MAX_NEW 1
 #define MAX_RANK_NEW 1
 
-typedef struct Group Group;
-
-/** AgentLink: the link of one rank's agent. */
-typedef struct AgentLink
-{
-  TAILQ_ENTRY (AgentLink) link;
-  CfRankService *s;
-  CfPeerLink *peer;
-  char *target_addr;
-  Group *group; /**< %NULL until its first status */
-  int rank;
-  guint seeds_up; /**< as its last status says */
-  gint64 led;     /**< token of the leader that the agent hears; 0: none */
-  gint64 seen_ms;
-} AgentLink;
-
-/** Group: one rank group, and this gateway's part in it. */
-struct Group
-{
-  CfRankService *s;
-  char name[CF_GROUP_NAME_MAX];
-  CfMapCoordinator c;
-  AgentLink **agents; /**< by rank */
-  char **addrs;       /**< by rank: where it was last */
-  gint64 *pending;    /**< by rank: the order that is unanswered; 0: none */
-  gint64 *pending_ms;
-  guint *unanswered; /**< by rank: orders in a row that its agent lost */
-  gint64 *direct_ms; /**< by rank: when it was last asked directly */
-  gint64 fence_seen;
-  gboolean leads;
-};
-
-struct CfRankService
-{
-  CfGateway *g;
-  int seed; /**< which seed this gateway is; -1: none */
-  ev_timer timer;
-  gint64 ticked_ms;
-  gint64 seq;
-  GHashTable *groups; /**< name -> #Group */
-  TAILQ_HEAD (, AgentLink) agents;
-};
-
-static CfTarget *
-target_at (const CfRankService *s, const char *addr)
-{
-  GHashTableIter it;
-  gpointer t;
-
-  g_hash_table_iter_init (&it, s->g->targets.by_id);
-  while (addr && g_hash_table_iter_next (&it, NULL, &t))
-    if (strcmp (((CfTarget *)t)->record.addr, addr) == 0)
-      return t;
-  return NULL;
-}
-
-/* Orders to ranks: through the agent, where they cost nothing, or straight
- * to the rank when its agent is away. */
-
-/** DirectCall: an order or a question that goes straight to a rank. */
-typedef struct
-{
-  Group *g;
-  int rank;
-  int http_status;
-  gint64 fence;      /**< of the order */
-  gint64 token;      /**< that the rank itself is known to guard by */
-  gboolean is_order; /**< the coordinator waits for what comes of it */
-} DirectCall;
-
-static void
-on_direct_report (void *data, int status, const GString *body)
-{
-  DirectCall *d = data;
-  CfRankStatus st;
-
-  if (status == 200
-      && cf_platform_rank_status (body->str, body->len, &st) == CF_OK
-      && strcmp (st.group, d->g->name) == 0)
-    cf_map_coordinator_status (&d->g->c, &st, d->token,
-                               cf_gateway_now (d->g->s->g));
-  if (d->is_order)
-    cf_map_coordinator_ack (&d->g->c, d->rank,
-                            cf_platform_rank_ack (d->http_status),
-                            cf_gateway_now (d->g->s->g));
-  g_free (d);
-}
-
-static void
-ask_report (DirectCall *d)
-{
-  CfRankService *s = d->g->s;
-  CfTarget *t = target_at (s, d->g->addrs[d->rank]);
-
-  if (t)
-    cf_rank_call (s->g->loop, t, cf_platform_rank_report_call (t->record.addr),
-                  DIRECT_TIMEOUT_MS, on_direct_report, d);
-  else
-    on_direct_report (d, 0, NULL);
-}
-
-static void
-on_direct_order (void *data, int status, const GString *body)
-{
-  DirectCall *d = data;
-
-  d->http_status = status;
-  /* A rank that checks tokens and took this one refuses lower ones. */
-  if (d->g->s->g->set.ranks_check_fence
-      && cf_platform_rank_ack (status) != CF_RANK_ACK_FENCED
-      && cf_platform_rank_ack (status) != CF_RANK_ACK_UNKNOWN)
-    d->token = d->fence;
-  ask_report (d);
-}
-
-static void
-send_direct (Group *g, int rank, const CfRankOrder *o, gboolean is_order)
+CfTarget *
+cf_rank_service_target (const CfRankService *s, const char *addr)
 {
-  CfTarget *t = target_at (g->s, g->addrs[rank]);
-  char *json;
-  DirectCall *d;
-
-  if (!t)
-    return;
-  json = cf_platform_rank_order (o);
-  d = g_new0 (DirectCall, 1);
-  d->g = g;
-  d->rank = rank;
-  d->fence = o->fence;
-  d->is_order = is_order;
-  cf_rank_call (
-      g->s->g->loop, t,
-      cf_platform_rank_order_call (t->record.addr, json, strlen (json)),
-      DIRECT_TIMEOUT_MS, on_direct_order, d);
-}
-
-static void
-on_order (void *data, int rank, const CfRankOrder *o)
-{
-  Group *g = data;
-  AgentLink *a = g->agents[rank];
-
-  /* A VM may stand still while its link looks alive. */
-  if (g->unanswered[rank] >= UNANSWERED_MAX)
-    a = NULL;
-  cf_log (LOG_INFO, CF_EV_RANK_ORDER,
-          "group=%s rank=%d order=%s version=%" G_GINT64_FORMAT
-          " step=%" G_GINT64_FORMAT " epoch=%" G_GINT64_FORMAT
-          " fence=%" G_GINT64_FORMAT " way=%s",
-          g->name, rank, cf_rank_order_name (o->kind), o->version, o->step,
-          o->epoch, o->fence, a ? "agent" : "direct");
-  if (a)
-    {
-      CfPeerMsg m = { .kind = CF_PEER_ORDER };
-      char *json = cf_platform_rank_order (o);
-
-      m.u.order.seq = ++g->s->seq;
-      m.u.order.fence = o->fence;
-      m.u.order.order = o->kind;
-      m.u.order.version = o->version;
-      m.u.order.body.data = json;
-      m.u.order.body.n = strlen (json);
-      g->pending[rank] = m.u.order.seq;
-      g->pending_ms[rank] = cf_gateway_now (g->s->g);
-      cf_peer_msg_send (a->peer, &m);
-      g_free (json);
-    }
-  else
-    send_direct (g, rank, o, TRUE);
+  return addr ? cf_target_table_at (&s->g->targets, addr) : NULL;
 }
 
 static void
 on_want_lists (void *data, int rank)
 {
-  Group *g = data;
+  CfLedGroup *g = data;
   CfPeerMsg m = { .kind = CF_PEER_WANT_LISTS };
 
   if (g->agents[rank])
@@ -239,7 +68,7 @@
 static void
 on_moved (void *data, CfMapState from, CfMapState to, const char *why)
 {
-  Group *g = data;
+  CfLedGroup *g = data;
   const CfMapCoordinator *c = &g->c;
 
   cf_log (LOG_NOTICE,
@@ -255,14 +84,14 @@
 }
 
 static const CfMapCoordinatorCalls coordinator_calls
-    = { on_order, on_want_lists, on_moved };
+    = { cf_led_group_on_order, on_want_lists, on_moved };
 
 /* Groups */
 
 static const CfEngineModel *
-engine_of (const AgentLink *a)
+engine_of (const CfRankLink *a)
 {
-  CfTarget *t = target_at (a->s, a->target_addr);
+  CfTarget *t = cf_rank_service_target (a->s, a->target_addr);
   const CfService *sv = NULL;
 
   if (t && a->s->g->policy)
@@ -270,13 +99,13 @@
   return sv && sv->engine.sets > 0 ? &sv->engine : NULL;
 }
 
-static Group *
-new_group (AgentLink *a, const CfRankStatus *st)
+static CfLedGroup *
+new_group (CfRankLink *a, const CfRankStatus *st)
 {
   const CfEngineModel *e = engine_of (a);
   const CfPlanLimits limits = { MAX_NEW, MAX_RANK_NEW, MIN_GAIN, MOVE_GAIN };
   CfGroupShape shape;
-  Group *g;
+  CfLedGroup *g;
 
   if (!e || st->size <= 0)
     return NULL;
@@ -285,11 +114,11 @@
   shape.places = e->places;
   shape.spare = e->spare;
   shape.ranks = st->size;
-  g = g_new0 (Group, 1);
+  g = g_new0 (CfLedGroup, 1);
   g->s = a->s;
   g_strlcpy (g->name, st->group, sizeof g->name);
   cf_map_coordinator_init (&g->c, &shape, &limits, &coordinator_calls, g);
-  g->agents = g_new0 (AgentLink *, shape.ranks);
+  g->agents = g_new0 (CfRankLink *, shape.ranks);
   g->addrs = g_new0 (char *, shape.ranks);
   g->pending = g_new0 (gint64, shape.ranks);
   g->pending_ms = g_new0 (gint64, shape.ranks);
@@ -300,7 +129,7 @@
 }
 
 static void
-leave_group (AgentLink *a)
+leave_group (CfRankLink *a)
 {
   if (a->group && a->group->agents[a->rank] == a)
     a->group->agents[a->rank] = NULL;
@@ -308,9 +137,9 @@
 }
 
 static void
-join_group (AgentLink *a, const CfRankStatus *st)
+join_group (CfRankLink *a, const CfRankStatus *st)
 {
-  Group *g = g_hash_table_lookup (a->s->groups, st->group);
+  CfLedGroup *g = g_hash_table_lookup (a->s->groups, st->group);
 
   if (!g)
     g = new_group (a, st);
@@ -330,14 +159,14 @@
 
 /* Whether most ranks hear this leader. */
 static gboolean
-is_followed (const Group *g)
+is_followed (const CfLedGroup *g)
 {
   gint64 now = cf_gateway_now (g->s->g);
   int votes = 0;
 
   for (int r = 0; r < g->c.shape.ranks; r++)
     {
-      const AgentLink *a = g->agents[r];
+      const CfRankLink *a = g->agents[r];
 
       votes += a && now - a->seen_ms < STATUS_FRESH_MS;
     }
@@ -347,7 +176,7 @@
 /* The seeds that come before this gateway in the group's own order: groups
  * begin at different seeds, so that no gateway leads them all. */
 static guint
-seeds_before (const Group *g)
+seeds_before (const CfLedGroup *g)
 {
   guint n = MIN (g_strv_length (g->s->g->set.seed_addrs), CF_SEEDS_MAX);
   guint first = g_str_hash (g->name) % MAX (n, 1);
@@ -368,7 +197,7 @@
  * seed that comes back does not unseat who leads: in the middle of a change
  * that costs the group a second or more. */
 static gboolean
-is_wanted (const Group *g)
+is_wanted (const CfLedGroup *g)
 {
   gint64 now = cf_gateway_now (g->s->g);
   guint before = seeds_before (g);
@@ -376,7 +205,7 @@
 
   for (int r = 0; r < g->c.shape.ranks; r++)
     {
-      const AgentLink *a = g->agents[r];
+      const CfRankLink *a = g->agents[r];
 
       votes += a && now - a->seen_ms < STATUS_FRESH_MS && a->led == 0
                && (a->seeds_up & before) == 0;
@@ -385,7 +214,7 @@
 }
 
 static void
-decide_lead (Group *g)
+decide_lead (CfLedGroup *g)
 {
   gint64 now = cf_gateway_now (g->s->g);
   gboolean lead = g->c.fence ? is_followed (g) : is_wanted (g);
@@ -411,7 +240,7 @@
 /* While a pass is held everyone waits: ranks without an agent are asked
  * directly. */
 static void
-ask_silent_ranks (Group *g)
+ask_silent_ranks (CfLedGroup *g)
 {
   gint64 now = cf_gateway_now (g->s->g);
   gboolean held = FALSE;
@@ -430,12 +259,12 @@
       g->direct_ms[r] = now;
       probe.epoch = g->c.epoch;
       probe.fence = g->c.fence;
-      send_direct (g, r, &probe, FALSE);
+      cf_led_group_send_direct (g, r, &probe, FALSE);
     }
 }
 
 static void
-expire_orders (Group *g)
+expire_orders (CfLedGroup *g)
 {
   gint64 now = cf_gateway_now (g->s->g);
 
@@ -449,7 +278,7 @@
 }
 
 static gint64
-read_ms (const AgentLink *a)
+read_ms (const CfRankLink *a)
 {
   int stride;
 
@@ -464,7 +293,7 @@
 static void
 tell_agents (CfRankService *s)
 {
-  AgentLink *a;
+  CfRankLink *a;
 
   if (s->g->stopping)
     return;
@@ -479,7 +308,7 @@
 }
 
 static gboolean
-is_changing (const Group *g)
+is_changing (const CfLedGroup *g)
 {
   return g->leads && g->c.state != CF_MAP_IDLE && g->c.state != CF_MAP_SETTLING;
 }
@@ -497,7 +326,7 @@
   g_hash_table_iter_init (&it, s->groups);
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
-      Group *g = v;
+      CfLedGroup *g = v;
 
       if (tick && s->seed >= 0)
         decide_lead (g);
@@ -519,9 +348,9 @@
 
 /* A slow rank holds up its whole group: it gets fewer requests. */
 static void
-note_pace (AgentLink *a, const CfRankStatus *st)
+note_pace (CfRankLink *a, const CfRankStatus *st)
 {
-  CfTarget *t = target_at (a->s, a->target_addr);
+  CfTarget *t = cf_rank_service_target (a->s, a->target_addr);
 
   if (!t)
     return;
@@ -530,7 +359,7 @@
 }
 
 static void
-take_status (AgentLink *a, const CfPeerMsg *m)
+take_status (CfRankLink *a, const CfPeerMsg *m)
 {
   const CfRankStatus *st = &m->u.rank_status.status;
   const GArray *counts = m->u.rank_status.counts;
@@ -562,9 +391,9 @@
 }
 
 static void
-take_ack (AgentLink *a, const CfPeerMsg *m)
+take_ack (CfRankLink *a, const CfPeerMsg *m)
 {
-  Group *g = a->group;
+  CfLedGroup *g = a->group;
   gint64 now = cf_gateway_now (a->s->g);
 
   if (!g || g->pending[a->rank] != m->u.order_ack.seq)
@@ -581,7 +410,7 @@
 }
 
 static void
-take_msg (AgentLink *a, const CfPeerMsg *m)
+take_msg (CfRankLink *a, const CfPeerMsg *m)
 {
   switch (m->kind)
     {
@@ -611,7 +440,7 @@
 static void
 on_frame (void *owner, CfPeerLink *l, const char *data, gsize n)
 {
-  AgentLink *a = owner;
+  CfRankLink *a = owner;
   msgpack_unpacked zone;
   CfPeerMsg m;
 
@@ -632,7 +461,7 @@
 static void
 on_down (void *owner, CfPeerLink *l)
 {
-  AgentLink *a = owner;
+  CfRankLink *a = owner;
 
   cf_log (LOG_NOTICE, CF_EV_PEER, "agent=%s outcome=down",
           a->target_addr ? a->target_addr : "-");
@@ -647,7 +476,7 @@
 void
 cf_rank_service_adopt (CfRankService *s, CfPeerLink *l, const CfPeerMsg *first)
 {
-  AgentLink *a = g_new0 (AgentLink, 1);
+  CfRankLink *a = g_new0 (CfRankLink, 1);
 
   a->s = s;
   a->peer = l;
