Test silent connections to a target

The last gap that docs/INVARIANTS.md named beside slow VMs and loss: kept connections to a target fall silent while new ones work. What may be repeated is answered by the other target in time, no order runs twice, at most one is lost a kept connection.

--- a/t/t-network.c
+++ b/t/t-network.c
@@ -12,6 +12,8 @@
 
 #define BASE 23000
 #define STORE BASE
+#define DESK_1 (BASE + 1)
+#define DESK_PROXY (BASE + 52)
 #define RANK_1 (BASE + 3)
 #define N_RANKS 4
 #define STORE_PROXY (BASE + 50)
@@ -103,6 +105,14 @@
 }
 END_TEST
 
+static double
+doubled_at (int port)
+{
+  g_autofree char *a = p_test (port, "GET /test/runs", "");
+
+  return p_number (a, "doubled");
+}
+
 static double
 mixed_passes (void)
 {
@@ -247,6 +257,42 @@
 }
 END_TEST
 
+/* Kept connections to a target fall silent: what may be repeated is answered
+ * by another target in time, what may not runs once at most, and new
+ * connections to the target are used again. */
+START_TEST (silent_connections_to_a_target)
+{
+  const char behind[] = "{\"service\":\"desk\",\"addr\":\"127.0.0.1:23052\","
+                        "\"zone\":\"dc1\",\"version\":\"v1\",\"slots\":6,"
+                        "\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":9}";
+  pid_t proxy = p_proxy (DESK_PROXY, DESK_1);
+  int lost = 0;
+
+  start_gateway (1);
+  put ("servers/desk-0", behind);
+  ck_assert (p_log_says (LOG_1, "addr=127.0.0.1:23052", 2000));
+  for (int i = 0; i < 6; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("w%d", i);
+
+      ck_assert_int_eq (ask_status (1, "GET /quote/a", id), 200);
+    }
+  p_signal (proxy, SIGUSR1);
+  for (int i = 0; i < 12; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("q%d", i);
+      g_autofree char *once = g_strdup_printf ("o%d", i);
+
+      ck_assert_int_eq (ask_status (1, "GET /quote/a", id), 200);
+      lost += ask_status (1, "POST /order/a", once) != 200;
+    }
+  /* Each kept connection costs one order at most. */
+  ck_assert_int_le (lost, 6);
+  ck_assert_double_eq (doubled_at (DESK_1) + doubled_at (DESK_1 + 1), 0);
+  ck_assert_int_eq (ask_status (1, "POST /order/a", "last"), 200);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -262,6 +308,7 @@
   tcase_add_test (t, the_time_of_day_does_not_matter);
   tcase_add_test (t, entries_that_lapse_come_back);
   tcase_add_test (t, all_gateways_are_killed_at_once);
+  tcase_add_test (t, silent_connections_to_a_target);
   suite_add_tcase (s, t);
   return t_run (s);
 }
