--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -29,8 +29,6 @@
     put_int (pk, g_array_index (a, gint64, i));
 }
 
-/** Fractions go over the wire in thousandths. */
-#define THOUSANDTHS 1000.0
 #define STATUS_FIELDS 13
 
 static void
@@ -51,7 +49,7 @@
   put_int (pk, s->held);
   put_int (pk, s->running);
   put_int (pk, s->waiting);
-  put_int (pk, (gint64)(s->pace * THOUSANDTHS));
+  put_int (pk, (gint64)(s->pace * CF_PEER_THOUSANDTHS));
 }
 
 static void
@@ -274,7 +272,7 @@
   s->held = take_int (&in);
   s->running = take_int (&in);
   s->waiting = take_int (&in);
-  s->pace = (double)take_int (&in) / THOUSANDTHS;
+  s->pace = (double)take_int (&in) / CF_PEER_THOUSANDTHS;
   f->bad |= in.bad;
 }
 
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -99,6 +99,9 @@
 #define CF_PEER_WANT_POLICY 1U
 #define CF_PEER_WANT_TARGETS 2U
 
+/** Fractions go over the wire in thousandths. */
+#define CF_PEER_THOUSANDTHS 1000.0
+
 /** CfPeerPace: a target whose work takes longer than usual. */
 typedef struct
 {
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -18,7 +18,6 @@
 #define FORGET_MS 10000
 /** An agent tells its rank's pace once a second, or more often. */
 #define PACE_SEEN_MS 2500
-#define THOUSANDTHS 1000
 /** Peer: a link to another gateway. */
 typedef struct Peer
 {
@@ -64,6 +63,13 @@
   return want;
 }
 
+/* Whether an agent told this gateway itself of the pace of @t lately. */
+static gboolean
+is_told_by_agent (const CfGateway *g, const CfTarget *t)
+{
+  return t->pace_seen_ms != 0 && g->now_ms - t->pace_seen_ms <= PACE_SEEN_MS;
+}
+
 /* The slow targets that agents told this gateway of lately. */
 static GArray *
 slow_targets (const CfGateway *g)
@@ -78,12 +84,11 @@
       const CfTarget *t = v;
       CfPeerPace p;
 
-      if (t->pace <= 1 || t->pace_seen_ms == 0
-          || g->now_ms - t->pace_seen_ms > PACE_SEEN_MS)
+      if (t->pace <= 1 || !is_told_by_agent (g, t))
         continue;
       p.addr.data = t->record.addr;
       p.addr.n = strlen (t->record.addr);
-      p.thousandths = (gint64)(t->pace * THOUSANDTHS);
+      p.thousandths = (gint64)(t->pace * CF_PEER_THOUSANDTHS);
       g_array_append_val (a, p);
     }
   return a;
@@ -99,11 +104,9 @@
       CfTarget *t = cf_target_table_at (&g->targets, addr);
 
       /* What an agent tells this gateway itself goes before. */
-      if (t
-          && (t->pace_seen_ms == 0
-              || g->now_ms - t->pace_seen_ms > PACE_SEEN_MS))
-        cf_gateway_take_pace (g, t, (double)p->thousandths / THOUSANDTHS,
-                              "peer");
+      if (t && !is_told_by_agent (g, t))
+        cf_gateway_take_pace (
+            g, t, (double)p->thousandths / CF_PEER_THOUSANDTHS, "peer");
       g_free (addr);
     }
 }
--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -383,3 +383,27 @@
       p_send (fds[i], req);
     }
 }
+
+void
+p_fault (int first, int n, const char *kind, int x)
+{
+  g_autofree char *call
+      = g_strdup_printf ("POST /test/fault?kind=%s&x=%d", kind, x);
+
+  for (int i = 0; i < n; i++)
+    g_free (p_test (first + i, call, ""));
+}
+
+double
+p_runs (int first, int n, const char *what)
+{
+  double sum = 0;
+
+  for (int i = 0; i < n; i++)
+    {
+      g_autofree char *a = p_test (first + i, "GET /test/runs", "");
+
+      sum += p_number (a, what);
+    }
+  return sum;
+}
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -81,6 +81,13 @@
 /** p_test: a steering call of a stand-in; its body. */
 char *p_test (int port, const char *call, const char *body);
 
+/** p_fault: the next @x requests at each of @n targets from port @first on
+ * meet @kind. */
+void p_fault (int first, int n, const char *kind, int x);
+
+/** p_runs: the sum of @what over what those targets say of their runs. */
+double p_runs (int first, int n, const char *what);
+
 /** p_number: the number behind "name": in a JSON text. */
 double p_number (const char *json, const char *name);
 
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -42,30 +42,19 @@
 static void
 fault_desks (const char *kind, int x)
 {
-  g_autofree char *call
-      = g_strdup_printf ("POST /test/fault?kind=%s&x=%d", kind, x);
-
-  g_free (p_test (DESK_1, call, ""));
-  g_free (p_test (DESK_2, call, ""));
+  p_fault (DESK_1, 2, kind, x);
 }
 
 static void
 fault_ranks (const char *kind, int x)
 {
-  g_autofree char *call
-      = g_strdup_printf ("POST /test/fault?kind=%s&x=%d", kind, x);
-
-  for (int i = 0; i < N_RANKS; i++)
-    g_free (p_test (RANK_1 + i, call, ""));
+  p_fault (RANK_1, N_RANKS, kind, x);
 }
 
 static double
 at_desks (const char *what)
 {
-  g_autofree char *a = p_test (DESK_1, "GET /test/runs", "");
-  g_autofree char *b = p_test (DESK_2, "GET /test/runs", "");
-
-  return p_number (a, what) + p_number (b, what);
+  return p_runs (DESK_1, 2, what);
 }
 
 START_TEST (a_request_passes_unchanged)
--- a/t/t-network.c
+++ b/t/t-network.c
@@ -105,14 +105,6 @@
 }
 END_TEST
 
-static double
-doubled_at (int port)
-{
-  g_autofree char *a = p_test (port, "GET /test/runs", "");
-
-  return p_number (a, "doubled");
-}
-
 static double
 mixed_passes (void)
 {
@@ -288,7 +280,7 @@
     }
   /* Each kept connection costs one order at most. */
   ck_assert_int_le (lost, 6);
-  ck_assert_double_eq (doubled_at (DESK_1) + doubled_at (DESK_1 + 1), 0);
+  ck_assert_double_eq (p_runs (DESK_1, 2, "doubled"), 0);
   ck_assert_int_eq (ask_status (1, "POST /order/a", "last"), 200);
 }
 END_TEST
--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -25,25 +25,13 @@
 static void
 fault_ranks (const char *kind, int x)
 {
-  g_autofree char *call
-      = g_strdup_printf ("POST /test/fault?kind=%s&x=%d", kind, x);
-
-  for (int i = 0; i < N_RANKS; i++)
-    g_free (p_test (RANK_1 + i, call, ""));
+  p_fault (RANK_1, N_RANKS, kind, x);
 }
 
 static double
 at_ranks (const char *what)
 {
-  double sum = 0;
-
-  for (int i = 0; i < N_RANKS; i++)
-    {
-      g_autofree char *a = p_test (RANK_1 + i, "GET /test/runs", "");
-
-      sum += p_number (a, what);
-    }
-  return sum;
+  return p_runs (RANK_1, N_RANKS, what);
 }
 
 /* While a group forms, its ranks refuse all work: a request waits until the
