--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
 TESTS = t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-outlier t/t-link \
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
-	t/t-session t/t-explain $(GW_TESTS)
+	t/t-session t/t-explain t/t-decode-fuzz $(GW_TESTS)
 
 # What runs on the platform: the gateway and the parts of the library it
 # uses, built under target/ alone.
@@ -40,7 +40,7 @@
 	target/comfrey-fault-proxy
 
 # Tests of the gateway's modules link what runs on the platform, too.
-GW_TESTS = t/t-platform t/t-http-reader t/t-event-stream t/t-balancer t/t-outage t/t-overload t/t-pace t/t-expert-demand \
+GW_TESTS = t/t-platform t/t-http-reader t/t-event-stream t/t-balancer t/t-target t/t-outage t/t-overload t/t-pace t/t-expert-demand \
 	t/t-group-map t/t-peer-msg t/t-log-writer t/t-coordinator t/t-fleet \
 	t/t-gateway t/t-network t/t-rank-groups
 GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
@@ -93,6 +93,22 @@
 		target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -rdynamic -o $@ $^ $(GW_LDLIBS) -ldl
 
+# The decoders, with the sanitizers of addresses and undefined behaviour.
+SAN_FLAGS = -O1 -g -fsanitize=address,undefined,float-cast-overflow -fno-sanitize-recover=all
+SAN_OBJS = $(GW_SRCS:%.c=target/san/%.o)
+
+target/san/%.o: %.c *.h gateway/*.h platform/*.h
+	@mkdir -p $(dir $@)
+	@$(CC) $(GW_CFLAGS) $(SAN_FLAGS) -c -o $@ $<
+
+target/libcomfrey-gateway-san.a: $(SAN_OBJS)
+	@$(AR) rcs $@ $^
+
+t/t-decode-fuzz: t/t-decode-fuzz.c t/harness.c http-client.c target/libcomfrey-gateway-san.a
+	$(CC) $(ALL_CFLAGS) $(SAN_FLAGS) -I. -Igateway \
+		$(shell pkg-config --cflags check) -o $@ $< t/harness.c http-client.c \
+		target/libcomfrey-gateway-san.a -lev -lhttp_parser $(TEST_LDLIBS)
+
 $(GW_TESTS): t/%: t/%.c t/harness.o libcomfrey.a target/libcomfrey-gateway.a
 	$(CC) $(ALL_CFLAGS) -I. -Igateway $(shell pkg-config --cflags check) \
 		-o $@ $< t/harness.o $(GW_TEST_LDLIBS) libcomfrey.a $(TEST_LDLIBS)
--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -50,7 +50,14 @@
   gsize n;
   const char *json;
 
-  if (!it->value || strcmp (it->key, PF_KEY_CONFIG) != 0)
+  if (strcmp (it->key, PF_KEY_CONFIG) != 0)
+    return;
+  if (it->unreadable)
+    cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
+            "rev=%" G_GINT64_FORMAT " source=store in_force=%" G_GINT64_FORMAT
+            " error=\"the value is not base64\"",
+            it->rev, g->policy ? g->policy->version : 0);
+  if (!it->value)
     return;
   json = g_bytes_get_data (it->value, &n);
   cf_gateway_take_policy (g, json, n, it->rev, "store");
@@ -72,6 +79,14 @@
   g->policy_store_up = up;
 }
 
+static gboolean
+is_named_service (const void *data, const char *service)
+{
+  const CfGateway *g = data;
+
+  return !g->policy || cf_policy_service (g->policy, service);
+}
+
 static const CfStoreWatchCalls policy_calls
     = { policy_item, policy_snapshot, policy_fresh, policy_contact };
 
@@ -176,6 +191,8 @@
 run (CfGateway *g, int metrics)
 {
   cf_target_table_init (&g->targets);
+  g->targets.is_named = is_named_service;
+  g->targets.is_named_data = g;
   TAILQ_INIT (&g->callers);
   g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
   cf_signals_catch (g->loop, on_stop, on_reload);
--- a/gateway/expert-demand.c
+++ b/gateway/expert-demand.c
@@ -64,6 +64,12 @@
     d->has[r] = FALSE;
 }
 
+void
+cf_expert_demand_forget_rank (CfExpertDemand *d, int rank)
+{
+  d->has[rank] = FALSE;
+}
+
 /* The part of the draw that moved to other experts than before: half of the
  * sum of what each expert's share gained or lost. */
 static double
--- a/gateway/expert-demand.h
+++ b/gateway/expert-demand.h
@@ -32,6 +32,9 @@
 /** cf_expert_demand_forget: the ranks began anew; their counts too. */
 void cf_expert_demand_forget (CfExpertDemand *d);
 
+/** cf_expert_demand_forget_rank: @rank began anew; its counts too. */
+void cf_expert_demand_forget_rank (CfExpertDemand *d, int rank);
+
 /** cf_expert_demand_tick: ends the open window, if it is time to. */
 void cf_expert_demand_tick (CfExpertDemand *d, gint64 now_ms);
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -10,6 +10,11 @@
 /** Of the fleet's retry allowance, the part that all gateways use together;
  * the rest covers one that counts itself as one of fewer. */
 #define RETRY_PART 0.8
+/** Unreadable records whose revision is remembered, so that each is logged
+ * once; past this all are logged once more. */
+#define REJECTS_MAX 1024
+/** Of a spoiled id, what is logged. */
+#define REJECT_NAME_MAX 64
 /** A target's pace is told once a second; not told any more for so long, it
  * is not believed any more. */
 #define PACE_FRESH_MS 3500
@@ -105,6 +110,7 @@
           " source=%s routes=%u services=%u",
           p->version, rev, source, p->routes->len,
           g_hash_table_size (p->services));
+  cf_target_table_renamed (&g->targets);
 }
 
 static const char *
@@ -120,38 +126,105 @@
       return "leaving";
     case CF_TARGET_UPDATED:
       return "updated";
+    case CF_TARGET_RESTARTED:
+      return "restarted";
+    case CF_TARGET_STALE:
+      return "older-incarnation";
     case CF_TARGET_BAD:
-      return "bad-address";
+      return "bad";
     }
   return "unknown";
 }
 
+/* Whether the unreadable record of @id at @rev is met for the first time;
+ * lists are read again and again. */
+static gboolean
+is_new_reject (CfGateway *g, const char *id, gint64 rev)
+{
+  const gint64 *seen;
+  gint64 *at;
+
+  if (!g->rejects)
+    g->rejects
+        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  seen = g_hash_table_lookup (g->rejects, id);
+  if (seen && *seen >= rev)
+    return FALSE;
+  if (g_hash_table_size (g->rejects) >= REJECTS_MAX)
+    g_hash_table_remove_all (g->rejects);
+  at = g_new (gint64, 1);
+  *at = rev;
+  g_hash_table_replace (g->rejects, g_strdup (id), at);
+  return TRUE;
+}
+
+void
+cf_gateway_reject_target (CfGateway *g, const char *id, gint64 rev,
+                          const char *source, const char *reason)
+{
+  if (is_new_reject (g, id, rev))
+    {
+      char *name = g_strescape (id, NULL);
+
+      g->stats.records_rejected++;
+      cf_log (LOG_ERR, CF_EV_TARGET_LIST,
+              "target=\"%.*s\" outcome=bad rev=%" G_GINT64_FORMAT
+              " source=%s error=\"%s\"",
+              REJECT_NAME_MAX, name, rev, source, reason);
+      g_free (name);
+    }
+  cf_gateway_drop_target (g, id, rev, "unreadable");
+}
+
+static void
+log_change (const CfGateway *g, const CfTargetNews *news, CfTargetChange c,
+            const char *source)
+{
+  const CfTarget *t = g_hash_table_lookup (g->targets.by_id, news->id);
+
+  cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
+          "target=%s service=%s addr=%s outcome=%s rev=%" G_GINT64_FORMAT
+          " incarnation=%" G_GINT64_FORMAT " source=%s",
+          news->id, t ? t->record.service : "-", t ? t->record.addr : "-",
+          change_name (c), news->rev, t ? t->record.incarnation : 0, source);
+}
+
+/* What was believed of the target before is about a process that is gone,
+ * or that the list does not lead to any more. */
+static void
+end_former (CfTarget *former, CfTargetChange c)
+{
+  if (c == CF_TARGET_RESTARTED)
+    cf_upstream_fail_all (former);
+  else
+    cf_upstream_close_idle (former);
+}
+
 void
 cf_gateway_take_target (CfGateway *g, const CfTargetNews *news,
                         const char *source)
 {
   CfTargetRecord r;
   CfTargetChange c;
-  CfTarget *t;
+  CfTarget *former;
 
   if (cf_platform_target_parse (news->id, news->json, news->n, &r) != CF_OK)
     {
-      cf_log (LOG_ERR, CF_EV_TARGET_LIST, "target=%s outcome=bad error=\"%s\"",
-              news->id, cf_last_error ());
+      cf_gateway_reject_target (g, news->id, news->rev, source,
+                                cf_last_error ());
       return;
     }
+  former = g_hash_table_lookup (g->targets.by_id, news->id);
+  if (former)
+    cf_target_ref (former);
   c = cf_target_table_put (&g->targets, &r, news);
-  if (c == CF_TARGET_SAME)
-    return;
-  t = g_hash_table_lookup (g->targets.by_id, news->id);
-  if (t && c == CF_TARGET_LEAVING)
-    cf_upstream_close_idle (t);
-  cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
-          "target=%s service=%s addr=%s outcome=%s rev=%" G_GINT64_FORMAT
-          " source=%s",
-          news->id, t ? t->record.service : "-", t ? t->record.addr : "-",
-          change_name (c), news->rev, source);
-  cf_exchange_pump (g);
+  if (c != CF_TARGET_SAME)
+    log_change (g, news, c, source);
+  if (former && (!former->listed || c == CF_TARGET_LEAVING))
+    end_former (former, c);
+  cf_target_unref (former);
+  if (c != CF_TARGET_SAME)
+    cf_exchange_pump (g);
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -44,6 +44,7 @@
   gboolean policy_store_up;  /**< the store answers the watch of it */
   gboolean targets_store_up; /**< and the watch of the targets */
   CfTargetTable targets;
+  GHashTable *rejects;  /**< id -> revision of its unreadable record */
   gint64 targets_rev;   /**< the store's revision the table is as of */
   gint64 targets_at_ms; /**< when the store last confirmed the table */
   guint fleet_size;     /**< gateways that share the retry budget */
@@ -82,6 +83,14 @@
 void cf_gateway_take_target (CfGateway *g, const CfTargetNews *news,
                              const char *source);
 
+/**
+ * cf_gateway_reject_target:
+ * The record of @id at @rev cannot be read: it names no target to use, also
+ * if an earlier one did.  Requests that the target has go on.
+ */
+void cf_gateway_reject_target (CfGateway *g, const char *id, gint64 rev,
+                               const char *source, const char *reason);
+
 /** cf_gateway_drop_target: target @id is gone. */
 void cf_gateway_drop_target (CfGateway *g, const char *id, gint64 rev,
                              const char *source);
--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -597,6 +597,29 @@
   enter (c, CF_MAP_SETTLING, "fenced", now);
 }
 
+/* Whether @s is of a start of the rank before the one known. */
+static gboolean
+is_former (const CfRankView *v, const CfRankStatus *s)
+{
+  return s->incarnation && s->incarnation < v->status.incarnation
+         && s->epoch <= v->status.epoch;
+}
+
+/* The rank started anew: it holds and knows nothing of what was ordered, and
+ * guards itself by no token.  Its group forms anew, as the next reports
+ * will say; until then nothing that is under way can go on. */
+static void
+restarted (CfMapCoordinator *c, int rank, gint64 now)
+{
+  CfRankView *v = &c->ranks[rank];
+
+  v->token = 0;
+  v->lists_map = -1;
+  cf_expert_demand_forget_rank (&c->demand, rank);
+  if (c->state != CF_MAP_SETTLING)
+    enter (c, CF_MAP_SETTLING, "rank-restarted", now);
+}
+
 void
 cf_map_coordinator_status (CfMapCoordinator *c, const CfRankStatus *s,
                            gint64 token, gint64 now)
@@ -608,6 +631,10 @@
   if (s->epoch > c->epoch)
     new_epoch (c, s->epoch, now);
   v = &c->ranks[s->rank];
+  if (is_former (v, s))
+    return;
+  if (s->incarnation > v->status.incarnation && v->status.incarnation)
+    restarted (c, s->rank, now);
   v->status = *s;
   note_pass (c, s->step, now);
   if (c->fence && token > c->fence)
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -116,7 +116,8 @@
  * @token: the highest fencing token that guards the rank: no order with a
  *   lower one reaches it any more
  *
- * A rank's status came in.
+ * A rank's status came in.  One of an earlier epoch, or of an earlier
+ * incarnation of its target, is dropped.
  */
 void cf_map_coordinator_status (CfMapCoordinator *c, const CfRankStatus *s,
                                 gint64 token, gint64 now_ms);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -1,5 +1,7 @@
 #include "peer-msg.h"
 
+#include "peer-frame.h"
+
 #include <string.h>
 
 #define PEER_REMEDY "run the same release on all VMs"
@@ -29,7 +31,7 @@
     put_int (pk, g_array_index (a, gint64, i));
 }
 
-#define STATUS_FIELDS 13
+#define STATUS_FIELDS 14
 
 static void
 put_status (msgpack_packer *pk, const CfRankStatus *s)
@@ -50,6 +52,7 @@
   put_int (pk, s->running);
   put_int (pk, s->waiting);
   put_int (pk, (gint64)(s->pace * CF_PEER_THOUSANDTHS));
+  put_int (pk, s->incarnation);
 }
 
 static void
@@ -78,9 +81,10 @@
     {
       const CfPeerPace *p = &g_array_index (paces, CfPeerPace, i);
 
-      msgpack_pack_array (pk, 2);
+      msgpack_pack_array (pk, 3);
       put_bytes (pk, p->addr);
       put_int (pk, p->thousandths);
+      put_int (pk, p->incarnation);
     }
 }
 
@@ -221,6 +225,24 @@
   return 0;
 }
 
+/* A field that peers of an earlier version do not send; 0 if it is not
+ * there. */
+static gint64
+take_int_if_any (Fields *f)
+{
+  return f->bad || f->at >= f->end ? 0 : take_int (f);
+}
+
+/* A number from 0 to @max. */
+static int
+take_index (Fields *f, int max)
+{
+  gint64 v = take_int (f);
+
+  f->bad |= v < 0 || v > max;
+  return f->bad ? 0 : (int)v;
+}
+
 static CfPeerBytes
 take_bytes (Fields *f)
 {
@@ -262,8 +284,8 @@
   memset (s, 0, sizeof *s);
   memcpy (s->group, group.data, MIN (group.n, sizeof s->group - 1));
   s->epoch = take_int (&in);
-  s->rank = (int)take_int (&in);
-  s->size = (int)take_int (&in);
+  s->rank = take_index (&in, CF_RANKS_MAX);
+  s->size = take_index (&in, CF_RANKS_MAX);
   s->open = take_int (&in) != 0;
   s->step = take_int (&in);
   s->map = take_int (&in);
@@ -273,6 +295,7 @@
   s->running = take_int (&in);
   s->waiting = take_int (&in);
   s->pace = (double)take_int (&in) / CF_PEER_THOUSANDTHS;
+  s->incarnation = take_int_if_any (&in);
   f->bad |= in.bad;
 }
 
@@ -290,8 +313,7 @@
       t.id = take_bytes (&one);
       t.json = take_bytes (&one);
       t.rev = take_int (&one);
-      /* Peers of an earlier version do not say. */
-      t.created = one.at < one.end ? take_int (&one) : 0;
+      t.created = take_int_if_any (&one);
       in.bad |= one.bad;
       g_array_append_val (a, t);
     }
@@ -312,6 +334,7 @@
 
       p.addr = take_bytes (&one);
       p.thousandths = take_int (&one);
+      p.incarnation = take_int_if_any (&one);
       in.bad |= one.bad;
       g_array_append_val (a, p);
     }
@@ -389,7 +412,8 @@
 
   memset (m, 0, sizeof *m);
   msgpack_unpacked_init (zone);
-  if (msgpack_unpack_next (zone, data, n, NULL) == MSGPACK_UNPACK_SUCCESS)
+  if (cf_peer_frame_is_whole (data, n)
+      && msgpack_unpack_next (zone, data, n, NULL) == MSGPACK_UNPACK_SUCCESS)
     f = fields_of (&zone->data);
   m->kind = (CfPeerMsgKind)take_int (&f);
   if (!f.bad)
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -107,6 +107,7 @@
 {
   CfPeerBytes addr;
   gint64 thousandths; /**< of its usual time */
+  gint64 incarnation; /**< of the target that is slow; 0 if it does not say */
 } CfPeerPace;
 
 /** CfPeerTarget: a target's record as the store holds it. */
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -89,6 +89,7 @@
       p.addr.data = t->record.addr;
       p.addr.n = strlen (t->record.addr);
       p.thousandths = (gint64)(t->pace * CF_PEER_THOUSANDTHS);
+      p.incarnation = t->record.incarnation;
       g_array_append_val (a, p);
     }
   return a;
@@ -104,7 +105,8 @@
       CfTarget *t = cf_target_table_at (&g->targets, addr);
 
       /* What an agent tells this gateway itself goes before. */
-      if (t && !is_told_by_agent (g, t))
+      if (t && !is_told_by_agent (g, t)
+          && !cf_target_is_former (t, p->incarnation))
         cf_gateway_take_pace (
             g, t, (double)p->thousandths / CF_PEER_THOUSANDTHS, "peer");
       g_free (addr);
@@ -239,7 +241,8 @@
       const CfPeerTarget *t = &g_array_index (items, CfPeerTarget, i);
       char *id = g_strndup (t->id.data, t->id.n);
 
-      CfTargetNews news = { id, t->json.data, t->json.n, t->rev, t->created };
+      CfTargetNews news
+          = { id, t->json.data, t->json.n, t->rev, t->created, g->now_ms };
 
       cf_gateway_take_target (g, &news, "peer");
       g_hash_table_add (seen, id);
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -104,6 +104,21 @@
           a->set.target_addr, answers ? "answers-again" : "no-answer");
 }
 
+/* Its group formed anew, or the rank itself started anew: no copy is under
+ * way any more.  While one is awaited the leader is told of changes alone,
+ * so that it would not settle for up to %COPYING_MAX_MS. */
+static void
+note_new_epoch (CfRankAgent *a, const CfRankStatus *s)
+{
+  a->awaited = 0;
+  if (s->incarnation == a->status.incarnation)
+    return;
+  cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
+          "target=%s outcome=restarted incarnation=%" G_GINT64_FORMAT
+          " before=%" G_GINT64_FORMAT,
+          a->set.target_addr, s->incarnation, a->status.incarnation);
+}
+
 gboolean
 cf_rank_agent_take_report (CfRankAgent *a, int status, const GString *body)
 {
@@ -118,6 +133,9 @@
               a->set.target_addr, cf_last_error ());
       return FALSE;
     }
+  if (a->has_status
+      && (s.incarnation != a->status.incarnation || s.epoch != a->status.epoch))
+    note_new_epoch (a, &s);
   a->status = s;
   a->has_status = TRUE;
   if (a->awaited
@@ -161,7 +179,8 @@
   const CfRankStatus *t = &a->told;
 
   return s->map != t->map || s->prepared != t->prepared || s->armed != t->armed
-         || s->held != t->held || s->epoch != t->epoch || s->open != t->open;
+         || s->held != t->held || s->epoch != t->epoch || s->open != t->open
+         || s->incarnation != t->incarnation;
 }
 
 static void
@@ -169,11 +188,16 @@
 {
   CfRankAgent *a = data;
   GArray *counts = NULL;
+  gint64 incarnation = 0;
 
   if (status == 200
-      && cf_platform_rank_counts (body->str, body->len, &counts) != CF_OK)
+      && cf_platform_rank_counts (body->str, body->len, &incarnation, &counts)
+             != CF_OK)
     cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "target=%s error=\"%s\"",
             a->set.target_addr, cf_last_error ());
+  /* It restarted between the two calls: the next reading has both. */
+  if (counts && incarnation != a->status.incarnation)
+    g_clear_pointer (&counts, g_array_unref);
   tell_status (a, counts);
   if (counts)
     g_array_unref (counts);
@@ -363,6 +387,7 @@
   t->record.id = g_strdup ("local");
   t->record.slots = 1;
   TAILQ_INIT (&t->idle);
+  TAILQ_INIT (&t->busy);
   if (cf_socket_parse (addr, &t->addr) == CF_OK)
     return t;
   cf_target_unref (t);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -352,7 +352,7 @@
 {
   CfTarget *t = cf_rank_service_target (a->s, a->target_addr);
 
-  if (!t)
+  if (!t || cf_target_is_former (t, st->incarnation))
     return;
   t->pace_seen_ms = cf_gateway_now (a->s->g);
   cf_gateway_take_pace (a->s->g, t, st->pace, "agent");
--- a/gateway/rank.h
+++ b/gateway/rank.h
@@ -5,19 +5,23 @@
 /** Longest name of a rank group that is kept. */
 #define CF_GROUP_NAME_MAX 64
 
+/** Ranks of a group, at most; what claims more is no report of a rank. */
+#define CF_RANKS_MAX 4096
+
 /** CfRankStatus: what a rank reports of itself; 0 stands for none. */
 typedef struct
 {
   char group[CF_GROUP_NAME_MAX]; /**< "" if it is in no group */
   gint64 epoch;                  /**< rises when the group forms anew */
   int rank;
-  int size;        /**< ranks of the group */
-  gboolean open;   /**< the group makes passes */
-  gint64 step;     /**< the last pass begun */
-  gint64 map;      /**< version of the expert map in use */
-  gint64 prepared; /**< version whose copy is complete */
-  gint64 armed;    /**< version it will switch to */
-  gint64 held;     /**< pass that it holds back */
+  int size;           /**< ranks of the group */
+  gint64 incarnation; /**< of the target that reports; 0: it does not say */
+  gboolean open;      /**< the group makes passes */
+  gint64 step;        /**< the last pass begun */
+  gint64 map;         /**< version of the expert map in use */
+  gint64 prepared;    /**< version whose copy is complete */
+  gint64 armed;       /**< version it will switch to */
+  gint64 held;        /**< pass that it holds back */
   gint64 running;
   gint64 waiting;
   double pace; /**< how many times as long as usual its work takes */
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -47,7 +47,18 @@
   CfTargetNews news = { .id = id };
 
   if (!id)
-    return;
+    {
+      cf_gateway_reject_target (g, it->key, it->rev, "store",
+                                "the key holds no id of a target");
+      return;
+    }
+  if (it->unreadable)
+    {
+      g_hash_table_remove (lapse.missing, id);
+      cf_gateway_reject_target (g, id, it->rev, "store",
+                                "the value is not base64");
+      return;
+    }
   if (!it->value)
     {
       miss (g, id, it->rev);
@@ -57,6 +68,7 @@
   news.json = g_bytes_get_data (it->value, &news.n);
   news.rev = it->rev;
   news.created = it->created;
+  news.now_ms = cf_gateway_now (g);
   cf_gateway_take_target (g, &news, "store");
 }
 
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -48,6 +48,8 @@
   t->by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_array);
   t->turn = 0;
+  t->is_named = NULL;
+  t->is_named_data = NULL;
 }
 
 void
@@ -71,13 +73,30 @@
   return a;
 }
 
-/* Of two starts listed at one address, the one listed later is there. */
+static gboolean
+is_named (const CfTargetTable *t, const CfTarget *n)
+{
+  return !t->is_named || t->is_named (t->is_named_data, n->record.service);
+}
+
+/* Of two starts listed at one address, the one listed later is there; a
+ * record of a service that nothing names says nothing of an address. */
+static gboolean
+is_behind (const CfTargetTable *t, const CfTarget *n, const CfTarget *other)
+{
+  gboolean named = is_named (t, n);
+
+  if (named != is_named (t, other))
+    return !named;
+  return other->created > n->created;
+}
+
 static void
 take_address (CfTargetTable *t, CfTarget *n)
 {
   CfTarget *other = g_hash_table_lookup (t->by_addr, n->record.addr);
 
-  n->replaced = other && other->created > n->created;
+  n->replaced = other && is_behind (t, n, other);
   if (n->replaced)
     return;
   if (other)
@@ -98,6 +117,7 @@
   n->listed = TRUE;
   n->pace = 1;
   TAILQ_INIT (&n->idle);
+  TAILQ_INIT (&n->busy);
   if (cf_socket_parse (r->addr, &n->addr) != CF_OK)
     {
       cf_target_unref (n);
@@ -121,6 +141,7 @@
   n->record.leaving = r->leaving;
   n->record.slots = r->slots;
   n->record.warmup_ms = r->warmup_ms;
+  n->record.incarnation = r->incarnation;
   n->rev = news->rev;
   g_free (n->json);
   n->json = g_strndup (news->json, news->n);
@@ -128,27 +149,81 @@
   return c;
 }
 
+/* Whether @r is of an incarnation before that of @n. */
+static gboolean
+is_older (CfTarget *n, const CfTargetRecord *r, gint64 now)
+{
+  if (r->incarnation >= n->record.incarnation)
+    {
+      n->older_since_ms = 0;
+      return FALSE;
+    }
+  if (n->older_since_ms == 0)
+    n->older_since_ms = now;
+  return now - n->older_since_ms < CF_TARGET_OLDER_MS;
+}
+
+/* Whether @r is of another start than @n, by what it says, or by an address
+ * or a service that one start cannot change. */
+static gboolean
+is_other_start (const CfTarget *n, const CfTargetRecord *r)
+{
+  return (n->record.incarnation && r->incarnation != n->record.incarnation)
+         || strcmp (n->record.addr, r->addr) != 0
+         || strcmp (n->record.service, r->service) != 0;
+}
+
 CfTargetChange
 cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
                      const CfTargetNews *news)
 {
   CfTarget *n = g_hash_table_lookup (t->by_id, r->id);
+  CfTargetChange c = CF_TARGET_NEW;
 
   if (n && news->rev < n->rev)
     {
       cf_target_record_clear (r);
       return CF_TARGET_SAME;
     }
-  /* An id stands for one start at one address; another address or service
-   * under it is taken as another target. */
-  if (n
-      && (strcmp (n->record.addr, r->addr) != 0
-          || strcmp (n->record.service, r->service) != 0))
+  /* A target says its incarnation always or never. */
+  if (n && n->record.incarnation && !r->incarnation)
+    {
+      cf_target_table_remove (t, r->id);
+      cf_target_record_clear (r);
+      return CF_TARGET_BAD;
+    }
+  if (n && is_older (n, r, news->now_ms))
     {
+      cf_target_record_clear (r);
+      return CF_TARGET_STALE;
+    }
+  if (n && !is_other_start (n, r))
+    return update_target (n, r, news);
+  if (n)
+    {
+      if (n->record.incarnation)
+        c = CF_TARGET_RESTARTED;
       cf_target_table_remove (t, r->id);
-      n = NULL;
     }
-  return n ? update_target (n, r, news) : add_target (t, r, news);
+  return add_target (t, r, news) == CF_TARGET_BAD ? CF_TARGET_BAD : c;
+}
+
+void
+cf_target_table_renamed (CfTargetTable *t)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_remove_all (t->by_addr);
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    take_address (t, v);
+}
+
+gboolean
+cf_target_is_former (const CfTarget *t, gint64 incarnation)
+{
+  return incarnation != 0 && incarnation < t->record.incarnation;
 }
 
 gboolean
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -12,9 +12,11 @@
 
 /**
  * CfTarget:
- * One start of a target, as the platform lists it, with what this process
- * knows from using it.  Shared by reference: work in progress keeps the
- * target it was sent to, also after it has left the list.
+ * One incarnation of a target, as the platform lists it, with what this
+ * process knows from using it: a start under the same id has one of its own,
+ * so nothing believed of the start before clings to it.  Shared by
+ * reference: work in progress keeps the target it was sent to, also after it
+ * has left the list.
  */
 typedef struct
 {
@@ -29,11 +31,14 @@
   guint in_flight;     /**< requests of ours it has */
   guint conns;         /**< connections of ours, idle ones included */
   CfUpstreamList idle; /**< of these the idle ones, last used first */
+  CfUpstreamList busy; /**< and those that carry a request */
   CfOutlier outlier;
-  double pace;          /**< how many times as long as usual its work takes */
-  gint64 pace_at_ms;    /**< when @pace was last told; 0: never */
-  gint64 pace_seen_ms;  /**< when an agent of ours told it; 0: never */
-  gint64 full_until_ms; /**< it said it was full; not asked before */
+  double pace;           /**< how many times as long as usual its work takes */
+  gint64 pace_at_ms;     /**< when @pace was last told; 0: never */
+  gint64 pace_seen_ms;   /**< when an agent of ours told it; 0: never */
+  gint64 full_until_ms;  /**< it said it was full; not asked before */
+  gint64 older_since_ms; /**< since when the list shows an older incarnation
+                              under its id; 0: it does not */
 } CfTarget;
 
 CfTarget *cf_target_ref (CfTarget *t);
@@ -51,6 +56,10 @@
   GHashTable *by_addr;    /**< address -> #CfTarget, the newest there */
   GHashTable *by_service; /**< service -> GPtrArray of #CfTarget */
   guint turn;             /**< where a search for the least loaded begins */
+  /** Whether a service is named by the configuration: a record of any other
+   * may be spoiled, and takes no address from a target. */
+  gboolean (*is_named) (const void *data, const char *service);
+  const void *is_named_data;
 } CfTargetTable;
 
 void cf_target_table_init (CfTargetTable *t);
@@ -59,11 +68,15 @@
 /** CfTargetChange: what a record changed. */
 typedef enum
 {
-  CF_TARGET_SAME,    /**< nothing that matters */
-  CF_TARGET_NEW,     /**< a target came */
-  CF_TARGET_LEAVING, /**< it wants no new work from now on */
-  CF_TARGET_UPDATED, /**< something else */
-  CF_TARGET_BAD,     /**< its address cannot be read; not listed */
+  CF_TARGET_SAME,      /**< nothing that matters */
+  CF_TARGET_NEW,       /**< a target came */
+  CF_TARGET_LEAVING,   /**< it wants no new work from now on */
+  CF_TARGET_UPDATED,   /**< something else */
+  CF_TARGET_RESTARTED, /**< a newer incarnation came under its id */
+  CF_TARGET_STALE,     /**< news of an older incarnation; dropped */
+  /** Its address cannot be read, or it says no incarnation though it did
+   * before: it is not listed, or not any more. */
+  CF_TARGET_BAD,
 } CfTargetChange;
 
 /** CfTargetNews: a target's record, as the store or a peer tells it. */
@@ -74,22 +87,37 @@
   gsize n;
   gint64 rev;     /**< the store's revision of it */
   gint64 created; /**< the store's revision at which it was first listed */
+  gint64 now_ms;  /**< when it was heard, by the steady clock */
 } CfTargetNews;
 
+/** News of an older incarnation that keep coming for so long are believed:
+ * the VM's clock went back between two starts.  A write of a target that has
+ * crashed since is done within 6 s, seen in days on which the store does
+ * writes late. */
+#define CF_TARGET_OLDER_MS 8000
+
 /**
  * cf_target_table_put:
  * @r: taken over
- * @news: what @r was read from; one older than the known one is dropped
+ * @news: what @r was read from; one older than the known one is dropped,
+ *   as is one of an older incarnation, until the list has shown that one for
+ *   %CF_TARGET_OLDER_MS
  */
 CfTargetChange cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
                                     const CfTargetNews *news);
 
+/** cf_target_is_former: whether @incarnation is of a start before @t. */
+gboolean cf_target_is_former (const CfTarget *t, gint64 incarnation);
+
 /**
  * cf_target_set_pace:
  * Returns: %TRUE if it changed by enough to matter.
  */
 gboolean cf_target_set_pace (CfTarget *t, double pace, gint64 now_ms);
 
+/** cf_target_table_renamed: the services that are named have changed. */
+void cf_target_table_renamed (CfTargetTable *t);
+
 /** cf_target_table_at: (nullable): the newest target at @addr. */
 CfTarget *cf_target_table_at (const CfTargetTable *t, const char *addr);
 
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -58,6 +58,8 @@
   close (u->io.fd);
   if (u->owner == NULL)
     TAILQ_REMOVE (&u->target->idle, u, link);
+  else
+    TAILQ_REMOVE (&u->target->busy, u, link);
   u->target->conns--;
   u->owner = NULL;
   if (!u->in_read)
@@ -183,6 +185,7 @@
     {
       u->owner = NULL;
       cf_http_reader_next (&u->reader);
+      TAILQ_REMOVE (&u->target->busy, u, link);
       TAILQ_INSERT_HEAD (&u->target->idle, u, link);
       ev_timer_stop (u->loop, &u->timer);
       ev_timer_set (&u->timer, u->idle_s, 0);
@@ -358,6 +361,7 @@
   u->reader.no_body = head_only;
   u->calls = calls;
   u->owner = owner;
+  TAILQ_INSERT_TAIL (&t->busy, u, link);
   if (u->reused && !u->connecting)
     {
       want (u, EV_READ | EV_WRITE);
@@ -389,3 +393,13 @@
   while ((u = TAILQ_FIRST (&t->idle)))
     shut (u);
 }
+
+void
+cf_upstream_fail_all (CfTarget *t)
+{
+  CfUpstream *u;
+
+  cf_upstream_close_idle (t);
+  while ((u = TAILQ_FIRST (&t->busy)))
+    fail (u, u->sent_any ? CF_FAIL_LOST : CF_FAIL_UNSENT);
+}
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -32,7 +32,7 @@
  */
 struct CfUpstream
 {
-  TAILQ_ENTRY (CfUpstream) link; /**< in the target's idle list */
+  TAILQ_ENTRY (CfUpstream) link; /**< in the target's idle or busy list */
   ev_io io;
   ev_timer timer; /**< limits connecting, and idling */
   struct ev_loop *loop;
@@ -75,3 +75,7 @@
 
 /** cf_upstream_close_idle: closes all idle connections to @t. */
 void cf_upstream_close_idle (CfTarget *t);
+
+/** cf_upstream_fail_all: the process behind @t is gone: closes its idle
+ * connections and fails what the others carry. */
+void cf_upstream_fail_all (CfTarget *t);
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -329,6 +329,48 @@
   return status;
 }
 
+/* Map 0 assigns experts in turn. */
+static void
+first_map (FakeGroup *g)
+{
+  const FakeGroupShape *shape = &g->shape;
+  gsize n = (gsize)shape->sets * shape->ranks * shape->places;
+
+  for (gsize i = 0; i < n; i++)
+    g->map->held[i] = -1;
+  for (int s = 0; s < shape->sets; s++)
+    for (int e = 0; e < shape->experts; e++)
+      cf_group_map_at (g->map, s, e % shape->ranks)[e / shape->ranks]
+          = (gint16)e;
+}
+
+void
+fake_group_restart (FakeGroup *g, int rank)
+{
+  FakeRank *r = &g->ranks[rank];
+
+  g->epoch++;
+  first_map (g);
+  memset (r->counts, 0,
+          sizeof *r->counts * (gsize)(g->shape.sets * g->shape.experts));
+  r->fence = 0;
+  for (int i = 0; i < g->shape.ranks; i++)
+    {
+      FakeRank *o = &g->ranks[i];
+
+      ev_timer_stop (g->loop, &o->copy);
+      g_clear_pointer (&o->next, cf_group_map_free);
+      o->copying = 0;
+      o->had = 0;
+      o->s.epoch = g->epoch;
+      o->s.map = 0;
+      o->s.prepared = 0;
+      o->s.armed = 0;
+      o->s.held = 0;
+    }
+  fake_group_wake (g);
+}
+
 FakeGroup *
 fake_group_new (struct ev_loop *loop, const FakeGroupShape *shape)
 {
@@ -341,10 +383,7 @@
   g->epoch = 1;
   g->started = ev_now (loop);
   g->map = cf_group_map_new (&map);
-  for (int s = 0; s < shape->sets; s++)
-    for (int e = 0; e < shape->experts; e++)
-      cf_group_map_at (g->map, s, e % shape->ranks)[e / shape->ranks]
-          = (gint16)e;
+  first_map (g);
   g->ranks = g_new0 (FakeRank, shape->ranks);
   for (int i = 0; i < shape->ranks; i++)
     {
--- a/standins/fake-store.c
+++ b/standins/fake-store.c
@@ -71,13 +71,12 @@
 }
 
 static Item *
-item_new (const char *key, const char *value, gint64 rev, gint64 created)
+item_new (const char *key, const char *base64, gint64 rev, gint64 created)
 {
   Item *it = g_new0 (Item, 1);
 
   it->key = g_strdup (key);
-  it->value
-      = value ? g_base64_encode ((const guchar *)value, strlen (value)) : NULL;
+  it->value = g_strdup (base64);
   it->rev = rev;
   it->created = created;
   return it;
@@ -191,22 +190,32 @@
     }
 }
 
+/* @base64: (nullable): what stands for the bytes; NULL removes the key. */
 static void
-write_item (FakeStore *s, const char *key, const char *value)
+write_raw (FakeStore *s, const char *key, const char *base64)
 {
   const Item *old = g_tree_lookup (s->items, key);
   gint64 created = old ? old->created : s->rev + 1;
 
   s->rev++;
-  g_ptr_array_add (s->history, item_new (key, value, s->rev, created));
-  if (value)
+  g_ptr_array_add (s->history, item_new (key, base64, s->rev, created));
+  if (base64)
     g_tree_replace (s->items, g_strdup (key),
-                    item_new (key, value, s->rev, created));
+                    item_new (key, base64, s->rev, created));
   else
     g_tree_remove (s->items, key);
   wake_waiters (s);
 }
 
+static void
+write_item (FakeStore *s, const char *key, const char *value)
+{
+  char *base64 = g_base64_encode ((const guchar *)value, strlen (value));
+
+  write_raw (s, key, base64);
+  g_free (base64);
+}
+
 void
 fake_store_put (FakeStore *s, const char *key, const char *value)
 {
@@ -340,8 +349,10 @@
 
   if (fake_http_is (c, "/test/put") && key)
     write_item (s, key, c->body->str);
+  else if (fake_http_is (c, "/test/put-raw") && key)
+    write_raw (s, key, c->body->str);
   else if (fake_http_is (c, "/test/delete") && key)
-    write_item (s, key, NULL);
+    write_raw (s, key, NULL);
   else if (fake_http_is (c, "/test/mode"))
     set_mode (s, mode);
   else if (fake_http_is (c, "/test/forget"))
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -25,10 +25,12 @@
   FakeGroup *group; /**< %NULL for a plain service */
   int rank;
   gboolean draining;
+  gint64 born; /**< Unix ms of its start */
   int busy;
   int late_tenths; /**< of its orders, those that come late */
   int n_orders;
-  char *fault; /**< what the next @fault_left requests meet */
+  GList *works; /**< of #Work: plain requests it works on */
+  char *fault;  /**< what the next @fault_left requests meet */
   int fault_left;
   GHashTable *runs; /**< request id -> how often it ran */
   guint64 n_runs;
@@ -49,10 +51,11 @@
 publish (FakeTarget *t)
 {
   char *key = g_strconcat (PF_KEY_TARGETS, t->id, NULL);
-  json_t *o = json_pack (
-      "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service", t->service, "addr",
-      t->addr, "zone", "dc1", "version", "v1", "slots", t->slots, "state",
-      t->draining ? "draining" : "ready", "cold-left-ms", 0, "seq", 1);
+  json_t *o = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
+                         t->service, "addr", t->addr, "zone", "dc1", "version",
+                         "v1", "slots", t->slots, "state",
+                         t->draining ? "draining" : "ready", "cold-left-ms", 0,
+                         "seq", 1, PF_FIELD_STARTED, t->born);
   char *text = json_dumps (o, JSON_COMPACT);
 
   fake_store_put (t->store, key, text);
@@ -96,6 +99,7 @@
 {
   ev_timer_stop (w->t->loop, &w->timer);
   w->t->busy--;
+  w->t->works = g_list_remove (w->t->works, w);
   w->c->work = NULL;
   g_free (w->fault);
   g_free (w);
@@ -203,6 +207,7 @@
   c->work = w;
   c->gone = on_gone;
   t->busy++;
+  t->works = g_list_prepend (t->works, w);
   ev_timer_init (&w->timer, on_worked, (double)t->work_ms / 1000, 0);
   w->timer.data = w;
   if (!hangs)
@@ -320,13 +325,14 @@
   const CfRankStatus *s = &t->group->ranks[t->rank].s;
 
   answer_json (c, json_pack ("{s:s,s:[],s:b,s:i,s:I,s:I,s:{s:s,s:I,s:i,s:s},"
-                             "s:i,s:I,s:I,s:I,s:I,s:I}",
+                             "s:i,s:I,s:I,s:I,s:I,s:I,s:I}",
                              "stage", "both", "models", "busy", 0, "seq", 0,
                              "waiting", s->waiting, "running", s->running,
                              "group", "name", s->group, "epoch", s->epoch,
                              "rank", s->rank, "state", "open", "size", s->size,
                              "step", s->step, "map", s->map, "prepared",
-                             s->prepared, "armed", s->armed, "held", s->held));
+                             s->prepared, "armed", s->armed, "held", s->held,
+                             PF_FIELD_STARTED, t->born));
 }
 
 static void
@@ -370,8 +376,9 @@
   counts = json_array ();
   for (int i = 0; i < g->shape.sets * g->shape.experts; i++)
     json_array_append_new (counts, json_integer (g->ranks[t->rank].counts[i]));
-  answer_json (c, json_pack ("{s:I,s:I,s:o}", "step", g->ranks[t->rank].s.step,
-                             "epoch", g->epoch, "counts", counts));
+  answer_json (c, json_pack ("{s:I,s:I,s:o,s:I}", "step",
+                             g->ranks[t->rank].s.step, "epoch", g->epoch,
+                             "counts", counts, PF_FIELD_STARTED, t->born));
 }
 
 /* The test's own calls */
@@ -445,6 +452,38 @@
   ev_timer_start (t->loop, &o->timer);
 }
 
+/* What a plain target works on is never answered; on_gone() ends it. */
+static void
+fall_silent (FakeTarget *t)
+{
+  for (GList *l = t->works; l; l = l->next)
+    ev_timer_stop (t->loop, &((Work *)l->data)->timer);
+}
+
+static void
+restart (FakeTarget *t, FakeConn *c)
+{
+  char *same = fake_http_query (c, "same");
+  char *later = fake_http_query (c, "later-ms");
+
+  t->born += later ? atoi (later) : 1000;
+  if (!same)
+    {
+      char *old = t->id;
+
+      t->id = g_strconcat (old, "x", NULL);
+      g_free (old);
+    }
+  else if (t->group)
+    fake_group_restart (t->group, t->rank);
+  else
+    fall_silent (t);
+  t->draining = FALSE;
+  publish (t);
+  g_free (same);
+  g_free (later);
+}
+
 static void
 on_request (void *data, FakeConn *c)
 {
@@ -462,11 +501,7 @@
     }
   else if (fake_http_is (c, "/test/restart"))
     {
-      char *old = t->id;
-
-      t->id = g_strconcat (old, "x", NULL);
-      g_free (old);
-      publish (t);
+      restart (t, c);
       fake_http_answer (c, 200, NULL, "", 0);
     }
   else if (t->group && fake_http_is (c, PF_PATH_REPORT))
@@ -499,6 +534,7 @@
   t->service = g_strdup (service);
   t->addr = g_strdup (addr);
   t->slots = slots;
+  t->born = g_get_real_time () / 1000;
   t->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fake_http_listen (loop, addr, on_request, t);
   return t;
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -21,6 +21,11 @@
  * POST /test/restart: starts anew under another id; the entry of the start
  * before stays listed, as after a crash.
  *
+ * POST /test/restart?same=1&later-ms=N: starts anew under its id, N ms after
+ * the start before by the clock (N may be negative: the clock went back).
+ * What it worked on goes silent, as on a VM that lost power; a rank forgets
+ * all it held, and its group forms anew at once.
+ *
  * GET /test/runs: what it ran: runs, ids, doubled, mixed.
  */
 typedef struct FakeTarget FakeTarget;
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -11,7 +11,7 @@
 put (const char *id, const char *service, const char *dc, const char *addr,
      gboolean leaving, gint64 rev)
 {
-  const CfTargetNews news = { id, "{}", 2, rev, rev };
+  const CfTargetNews news = { id, "{}", 2, rev, rev, 0 };
   CfTargetRecord r = { 0 };
 
   r.id = g_strdup (id);
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -578,6 +578,61 @@
 }
 END_TEST
 
+static void
+report_start (CfMapCoordinator *c, int rank, gint64 incarnation, gint64 epoch,
+              gint64 prepared, gint64 now)
+{
+  CfRankStatus s
+      = { .group = "g", .epoch = epoch, .size = RANKS, .open = TRUE };
+
+  s.rank = rank;
+  s.incarnation = incarnation;
+  s.prepared = prepared;
+  cf_map_coordinator_status (c, &s, c->fence, now);
+}
+
+/* A rank that started anew holds nothing, and its counts begin anew; what
+ * was sent before it crashed says nothing any more. */
+START_TEST (a_restarted_rank_is_learned_anew)
+{
+  Leader *l = &w.leaders[0];
+  CfMapCoordinator *c = &l->c;
+  gint64 counts[SETS * EXPERTS] = { 0 };
+  gint64 now = 1000;
+
+  memset (&w, 0, sizeof w);
+  new_leader (l);
+  cf_map_coordinator_lead (c, 8, 1, now);
+  for (int i = 0; i < 2 * RANKS; i++)
+    report_start (c, i % RANKS, 100, 1, 0, ++now);
+  c->ranks[2].lists_map = 0;
+  counts[0] = 50;
+  cf_map_coordinator_counts (c, 2, counts, SETS * EXPERTS);
+  cf_map_coordinator_tick (c, ++now);
+  ck_assert_int_eq (c->state, CF_MAP_IDLE);
+  /* It restarts before its group is seen to form anew. */
+  report_start (c, 2, 200, 1, 0, ++now);
+  ck_assert_int_eq (c->state, CF_MAP_SETTLING);
+  ck_assert_int_eq (c->ranks[2].lists_map, -1);
+  /* Counts that are higher than before are still no difference. */
+  counts[0] = 60;
+  cf_map_coordinator_counts (c, 2, counts, SETS * EXPERTS);
+  ck_assert_double_eq (c->demand.fresh[0], 0);
+  counts[0] = 67;
+  cf_map_coordinator_counts (c, 2, counts, SETS * EXPERTS);
+  ck_assert_double_eq (c->demand.fresh[0], 7);
+  /* Sent before the crash, heard after it. */
+  report_start (c, 2, 100, 1, 77, ++now);
+  ck_assert_int_eq (c->ranks[2].status.prepared, 0);
+  ck_assert_int_eq (c->ranks[2].status.incarnation, 200);
+  /* The clock went back, but the epoch says which is later. */
+  report_start (c, 2, 150, 2, 0, ++now);
+  ck_assert_int_eq (c->ranks[2].status.incarnation, 150);
+  ck_assert_int_eq (c->epoch, 2);
+  cf_map_coordinator_clear (c);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -590,6 +645,7 @@
   tcase_add_test (t, one_map_a_pass);
   tcase_add_test (t, a_higher_token_ends_the_lead);
   tcase_add_test (t, the_held_pass_is_as_near_as_arming_allows);
+  tcase_add_test (t, a_restarted_rank_is_learned_anew);
   tcase_add_test (u, one_map_a_pass_without_fences);
   suite_add_tcase (s, t);
   suite_add_tcase (s, u);
--- a/t/t-fleet.c
+++ b/t/t-fleet.c
@@ -90,7 +90,8 @@
           g_autofree char *id = g_strdup_printf ("i-%d", t);
           g_autofree char *json = g_strdup_printf (
               "{\"service\":\"s\",\"addr\":\"1.2.3.4:%d\",\"slots\":2,"
-              "\"state\":\"%s\"}",
+              "\"zone\":\"dc1\",\"version\":\"v1\",\"cold-left-ms\":0,"
+              "\"seq\":1,\"state\":\"%s\"}",
               t + 1, drain ? "draining" : "ready");
 
           if (g_rand_int_range (rand, 0, 5) == 0)
@@ -101,7 +102,7 @@
             }
           else
             {
-              const CfTargetNews news = { id, json, strlen (json), at, at };
+              const CfTargetNews news = { id, json, strlen (json), at, at, 0 };
 
               cf_gateway_take_target (&g, &news, "store");
               if (!here[t] || at >= rev_of[t])
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -482,6 +482,101 @@
 
 /* A listed target's address has gone to another service: it is found out by
  * the first refusal.  With a pause of 50 ms for it, 7 of 30 were refused. */
+/* Both desks work on a request that they will never answer, on VMs that
+ * lost power; they start again under their ids.  A call that may be repeated
+ * is sent to the next start at once, and an order is answered at once as one
+ * that may have run: 375 ms of silence is what it takes without. */
+START_TEST (a_restart_under_the_same_id_ends_what_ran_there)
+{
+  g_autofree char *quote = p_request ("GET /quote/a", "s1", "", "");
+  g_autofree char *order = p_request ("POST /order/a", "s2", "", "x");
+  g_autofree char *a = NULL;
+  g_autofree char *b = NULL;
+  int fd[2];
+
+  fault_desks ("hang", 1);
+  fd[0] = p_connect (front);
+  p_send (fd[0], quote);
+  fd[1] = p_connect (front);
+  p_send (fd[1], order);
+  usleep (60000);
+  g_free (p_test (DESK_1, "POST /test/restart?same=1", ""));
+  g_free (p_test (DESK_2, "POST /test/restart?same=1", ""));
+  a = p_read (fd[0], 200);
+  b = p_read (fd[1], 200);
+  ck_assert_int_eq (p_status (a), 200);
+  ck_assert_int_eq (p_status (b), 502);
+  ck_assert_double_eq (at_desks ("doubled"), 0);
+  close (fd[0]);
+  close (fd[1]);
+}
+END_TEST
+
+/* A write of the start before, done late, says that it drains. */
+START_TEST (a_former_start_cannot_drain_the_next)
+{
+  char *late[2];
+
+  for (int i = 0; i < 2; i++)
+    {
+      late[i] = g_strdup_printf (
+          "{\"service\":\"desk\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"dc1\","
+          "\"version\":\"v1\",\"slots\":6,\"state\":\"draining\","
+          "\"cold-left-ms\":0,\"seq\":9,\"born\":1000}",
+          DESK_1 + i);
+      g_free (p_test (STORE,
+                      i ? "POST /test/put?key=servers/desk-1"
+                        : "POST /test/put?key=servers/desk-0",
+                      late[i]));
+      g_free (late[i]);
+    }
+  usleep (50000);
+  for (int i = 0; i < 4; i++)
+    {
+      g_autofree char *a = ask ("GET /quote/a", "f1", "", "");
+
+      ck_assert_int_eq (p_status (a), 200);
+    }
+  ck_assert (
+      p_log_says ("t/out/gateway-21000-1.log", "older-incarnation", 500));
+}
+END_TEST
+
+/* Entries that another writer spoiled: the others hold, each is logged once
+ * a revision, and what stood under the id before is used no more. */
+START_TEST (spoiled_entries_name_no_target)
+{
+  const char *const puts[][2] = {
+    { "POST /test/put?key=servers/x-1", "no json" },
+    { "POST /test/put?key=servers/x-2", "{\"service\":\"desk\"}" },
+    { "POST /test/put-raw?key=servers/x-3", "***" },
+    { "POST /test/put?key=servers/x/../4", "{}" },
+    { "POST /test/put?key=servers/x-5",
+      "{\"service\":\"nonsense\",\"addr\":\"127.0.0.1:21001\",\"zone\":\"dc1\","
+      "\"version\":\"v1\",\"slots\":900,\"state\":\"ready\","
+      "\"cold-left-ms\":0,\"seq\":1,\"born\":1783022913149}" },
+    { "POST /test/put?key=servers/desk-1",
+      "{\"service\":\"desk\",\"slots\":-1}" },
+  };
+  const char *const log = "t/out/gateway-21000-1.log";
+
+  for (gsize i = 0; i < G_N_ELEMENTS (puts); i++)
+    g_free (p_test (STORE, puts[i][0], puts[i][1]));
+  ck_assert (p_log_says_times (log, "outcome=bad", 5, 1000));
+  /* The whole list is read again. */
+  g_free (p_test (STORE, "POST /test/forget", ""));
+  usleep (300000);
+  for (int i = 0; i < 6; i++)
+    {
+      g_autofree char *a = ask ("GET /quote/a", "p1", "", "");
+
+      ck_assert_int_eq (p_status (a), 200);
+      ck_assert_ptr_nonnull (strstr (a, "Server-Signature: desk-0"));
+    }
+  ck_assert_uint_eq (p_log_count (log, "outcome=bad"), 5);
+}
+END_TEST
+
 START_TEST (a_reused_address_is_left_alone)
 {
   int refused = 0;
@@ -728,6 +823,9 @@
   tcase_add_test (t, leaving_targets_get_no_new_work);
   tcase_add_test (t, leaving_is_heard_after_the_stores_return);
   tcase_add_test (t, restarted_targets_are_used_at_once);
+  tcase_add_test (t, a_restart_under_the_same_id_ends_what_ran_there);
+  tcase_add_test (t, a_former_start_cannot_drain_the_next);
+  tcase_add_test (t, spoiled_entries_name_no_target);
   tcase_add_test (t, a_reused_address_is_left_alone);
   tcase_add_test (t, versions_come_into_force_and_never_go_back);
   tcase_add_test (t, slow_and_choosy_stores_are_followed);
--- a/t/t-network.c
+++ b/t/t-network.c
@@ -11,6 +11,8 @@
 #include <unistd.h>
 
 #define BASE 23000
+/** When a start began, in Unix ms: later than all of a test's stand-ins. */
+#define LATER_START "4000000000000"
 #define STORE BASE
 #define DESK_1 (BASE + 1)
 #define DESK_PROXY (BASE + 52)
@@ -203,7 +205,8 @@
 {
   const char back[] = "{\"service\":\"desk\",\"addr\":\"127.0.0.1:23001\","
                       "\"zone\":\"dc1\",\"version\":\"v1\",\"slots\":6,"
-                      "\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":9}";
+                      "\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":9,"
+                      "\"born\":" LATER_START "}";
 
   start_gateway (1);
   g_free (p_test (STORE, "POST /test/mode?mode=busy", ""));
@@ -256,7 +259,8 @@
 {
   const char behind[] = "{\"service\":\"desk\",\"addr\":\"127.0.0.1:23052\","
                         "\"zone\":\"dc1\",\"version\":\"v1\",\"slots\":6,"
-                        "\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":9}";
+                        "\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":9,"
+                        "\"born\":" LATER_START "}";
   pid_t proxy = p_proxy (DESK_PROXY, DESK_1);
   int lost = 0;
 
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -81,7 +81,7 @@
       for (int r = 0; r < RANKS; r++)
         {
           g_autofree char *id = g_strdup_printf ("r%d", r);
-          const CfTargetNews news = { id, "{}", 2, r + 1, r + 1 };
+          const CfTargetNews news = { id, "{}", 2, r + 1, r + 1, 0 };
           CfTargetRecord rec = { 0 };
 
           rec.id = g_strdup (id);
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -1,4 +1,5 @@
 /* Messages between our processes: each kind both ways, and bad frames. */
+#include "gateway/peer-frame.h"
 #include "gateway/peer-msg.h"
 #include "harness.h"
 
@@ -62,7 +63,7 @@
 {
   CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
   CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), 12, 7 };
-  CfPeerPace slow = { bytes ("1.2.3.9:1"), 12000 };
+  CfPeerPace slow = { bytes ("1.2.3.9:1"), 12000, 1783022913149 };
   CfPeerMsg o;
   msgpack_unpacked zone;
   msgpack_sbuffer buf;
@@ -78,6 +79,9 @@
   ck_assert_uint_eq (o.u.gateway_hello.slow->len, 1);
   ck_assert_int_eq (
       g_array_index (o.u.gateway_hello.slow, CfPeerPace, 0).thousandths, 12000);
+  ck_assert_int_eq (
+      g_array_index (o.u.gateway_hello.slow, CfPeerPace, 0).incarnation,
+      1783022913149);
   cf_peer_msg_clear (&m);
   release (&o, &zone, &buf);
   m.kind = CF_PEER_TARGETS;
@@ -140,6 +144,62 @@
 }
 END_TEST
 
+/* Headers that claim more parts than the frame has bytes. */
+START_TEST (frames_that_claim_too_much_are_not_read)
+{
+  const struct
+  {
+    const char *bytes;
+    gsize n;
+    gboolean whole;
+  } cases[] = {
+    { "\xdd\xff\xff\xff\xff", 5, FALSE },
+    { "\xdf\xff\xff\xff\xff", 5, FALSE },
+    { "\x92\xdd\x10\x00\x00\x00\x01", 7, FALSE },
+    { "\xc6\xff\xff\xff\xff", 5, FALSE },
+    { "\x92\x01", 2, FALSE },
+    { "\xcf\x01", 2, FALSE },
+    { "", 0, FALSE },
+    { "\x93\x01\xa1x\xc4\x01y", 7, TRUE },
+    { "\x82\x01\x02\x03\xd4\x01\x02", 7, TRUE },
+    { "\x91\xcf\x01\x02\x03\x04\x05\x06\x07\x08", 10, TRUE },
+    { "\xdc\x00\x02\xc0\xff", 5, TRUE },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    ck_assert_msg (cf_peer_frame_is_whole (cases[i].bytes, cases[i].n)
+                       == cases[i].whole,
+                   "case %" G_GSIZE_FORMAT, i);
+}
+END_TEST
+
+/* A peer of an earlier version does not say which start it speaks of. */
+START_TEST (an_earlier_version_is_understood)
+{
+  msgpack_sbuffer buf;
+  msgpack_packer pk;
+  msgpack_unpacked zone;
+  CfPeerMsg o;
+
+  msgpack_sbuffer_init (&buf);
+  msgpack_packer_init (&pk, &buf, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, 6);
+  msgpack_pack_int64 (&pk, CF_PEER_RANK_STATUS);
+  msgpack_pack_array (&pk, 13);
+  msgpack_pack_bin (&pk, 2);
+  msgpack_pack_bin_body (&pk, "g0", 2);
+  for (int i = 0; i < 12; i++)
+    msgpack_pack_int64 (&pk, 1);
+  for (int i = 0; i < 3; i++)
+    msgpack_pack_int64 (&pk, 2);
+  msgpack_pack_array (&pk, 0);
+  ck_assert_int_eq (cf_peer_msg_unpack (buf.data, buf.size, &zone, &o), CF_OK);
+  ck_assert_int_eq (o.u.rank_status.status.incarnation, 0);
+  ck_assert_int_eq (o.u.rank_status.status.waiting, 1);
+  release (&o, &zone, &buf);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -150,6 +210,8 @@
   tcase_add_test (t, greeting_policy_targets);
   tcase_add_test (t, order_and_answer);
   tcase_add_test (t, bad_frames_are_refused);
+  tcase_add_test (t, frames_that_claim_too_much_are_not_read);
+  tcase_add_test (t, an_earlier_version_is_understood);
   suite_add_tcase (s, t);
   return t_run (s);
 }
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -155,8 +155,10 @@
 
 START_TEST (targets_are_read)
 {
-  const char text[] = "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":"
-                      "\"dc\",\"slots\":12,\"state\":\"draining\"}";
+  const char text[]
+      = "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"dc\",\"version\":"
+        "\"v1\",\"slots\":12,\"state\":\"draining\",\"cold-left-ms\":0,"
+        "\"seq\":4,\"born\":1783022913149}";
   CfTargetRecord r;
 
   ck_assert_int_eq (cf_platform_target_parse ("i-1", text, strlen (text), &r),
@@ -164,26 +166,196 @@
   ck_assert_str_eq (r.id, "i-1");
   ck_assert (r.leaving);
   ck_assert_int_eq (r.slots, 12);
+  ck_assert_int_eq (r.incarnation, 1783022913149);
   cf_target_record_clear (&r);
   ck_assert_int_eq (cf_platform_target_parse ("i-1", "{}", 2, &r),
                     CF_ERR_RECORD);
 }
 END_TEST
 
+/* Anyone may have written a record: it is taken whole or not at all. */
+START_TEST (spoiled_records_name_no_target)
+{
+  const struct
+  {
+    const char *field; /* the one that is spoiled */
+    const char *value; /* what stands there; NULL: it is missing */
+  } cases[] = {
+    { "service", NULL },
+    { "service", "7" },
+    { "service", "\"\"" },
+    { "service", "\"a\\u0000b\"" },
+    { "addr", NULL },
+    { "addr", "[\"1.2.3.4:5\"]" },
+    { "zone", NULL },
+    { "zone", "null" },
+    { "version", NULL },
+    { "version", "1" },
+    { "slots", NULL },
+    { "slots", "\"12\"" },
+    { "slots", "0" },
+    { "slots", "-3" },
+    { "slots", "1e30" },
+    { "slots", "4000000000" },
+    { "slots", "12.5" },
+    { "state", NULL },
+    { "state", "\"retired\"" },
+    { "state", "true" },
+    { "cold-left-ms", "-1" },
+    { "cold-left-ms", "\"0\"" },
+    { "seq", NULL },
+    { "seq", "99999999999999999999999" },
+    { "born", "0" },
+    { "born", "-5" },
+    { "born", "1.5" },
+    { "born", "\"1783022913149\"" },
+    { "born", "null" },
+    { "slots", "3,\"slots\":4" },
+  };
+  const char *const good[][2]
+      = { { "service", "\"s\"" },     { "addr", "\"1.2.3.4:5\"" },
+          { "zone", "\"dc\"" },       { "version", "\"v1\"" },
+          { "slots", "12" },          { "state", "\"ready\"" },
+          { "cold-left-ms", "0" },    { "seq", "4" },
+          { "born", "1783022913149" } };
+  CfTargetRecord r;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *o = g_string_new ("{");
+
+      for (gsize f = 0; f < G_N_ELEMENTS (good); f++)
+        {
+          gboolean spoiled = strcmp (good[f][0], cases[i].field) == 0;
+          const char *v = spoiled ? cases[i].value : good[f][1];
+
+          if (v)
+            g_string_append_printf (o, "%s\"%s\":%s", o->len > 1 ? "," : "",
+                                    good[f][0], v);
+        }
+      g_string_append_c (o, '}');
+      ck_assert_msg (cf_platform_target_parse ("i-1", o->str, o->len, &r)
+                         == CF_ERR_RECORD,
+                     "taken: %s", o->str);
+      ck_assert_ptr_null (r.id);
+      ck_assert_ptr_null (r.service);
+      ck_assert_ptr_nonnull (strstr (cf_last_error (), "remedy"));
+      g_string_free (o, TRUE);
+    }
+  ck_assert_int_eq (cf_platform_target_parse ("i-1", "\xff\xfe{", 3, &r),
+                    CF_ERR_RECORD);
+  ck_assert_int_eq (cf_platform_target_parse ("i-1", "[]", 2, &r),
+                    CF_ERR_RECORD);
+}
+END_TEST
+
+START_TEST (ids_are_safe_in_a_head_and_a_path)
+{
+  const char *const bad[]
+      = { "servers/",         "servers/a/b",       "servers/../x",
+          "servers/a b",      "servers/a\r\nX: 1", "servers/.hidden",
+          "servers/\xc3\xa9", "op/config" };
+  g_autofree char *id = g_strnfill (201, 'x');
+  g_autofree char *longer = g_strconcat ("servers/", id, NULL);
+
+  for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
+    ck_assert_msg (!cf_platform_target_id (bad[i]), "taken: %s", bad[i]);
+  ck_assert_ptr_null (cf_platform_target_id (longer));
+  ck_assert_str_eq (cf_platform_target_id ("servers/i-7f3a.x_1:2"),
+                    "i-7f3a.x_1:2");
+}
+END_TEST
+
+/* One value that cannot be read does not hide the others. */
+START_TEST (values_that_are_no_base64)
+{
+  const char text[]
+      = "{\"items\":[{\"key\":\"servers/a\",\"value\":\"e3\",\"rev\":5},"
+        "{\"key\":\"servers/b\",\"value\":\"e*0=\",\"rev\":6},"
+        "{\"key\":\"servers/c\",\"value\":7,\"rev\":7},"
+        "{\"key\":\"servers/d\",\"rev\":8},"
+        "{\"key\":\"servers/e\",\"value\":\"e30=\",\"rev\":9}],\"as-of\":9}";
+  CfStoreReply r;
+
+  ck_assert_int_eq (cf_platform_store_parse (text, strlen (text), &r), CF_OK);
+  ck_assert_uint_eq (r.items->len, 5);
+  for (guint i = 0; i < r.items->len; i++)
+    {
+      const CfStoreItem *it = r.items->pdata[i];
+
+      ck_assert_int_eq (it->unreadable, i < 4);
+      ck_assert_int_eq (it->value != NULL, i == 4);
+    }
+  cf_store_reply_clear (&r);
+}
+END_TEST
+
+START_TEST (spoiled_reports_and_counts)
+{
+  const char *const reports[] = {
+    "[]",
+    "{\"group\":7}",
+    "{\"group\":{\"name\":\"g\",\"epoch\":-1,\"rank\":0,\"state\":\"open\"},"
+    "\"size\":8}",
+    "{\"group\":{\"name\":\"g\",\"epoch\":1,\"rank\":8,\"state\":\"open\"},"
+    "\"size\":8}",
+    "{\"group\":{\"name\":\"g\",\"epoch\":1,\"rank\":0,\"state\":\"open\"},"
+    "\"size\":2000000000}",
+    "{\"step\":\"9\"}",
+    "{\"held\":-1}",
+    "{\"pace\":1e300}",
+    "{\"pace\":\"1\"}",
+    "{\"born\":1.0}",
+  };
+  const char *const counts[] = { "{}",
+                                 "{\"counts\":7}",
+                                 "{\"counts\":[1,-1]}",
+                                 "{\"counts\":[1.5]}",
+                                 "{\"counts\":[[[1]]]}",
+                                 "{\"counts\":[1],\"born\":\"x\"}" };
+  const char *const lists[]
+      = { "{}", "{\"map\":{\"version\":1,\"experts\":[[-1]]}}",
+          "{\"map\":{\"version\":-1,\"experts\":[[1]]}}",
+          "{\"map\":{\"version\":1,\"experts\":[1]}}" };
+  CfRankStatus s;
+  gint64 n;
+  GArray *a;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (reports); i++)
+    ck_assert_msg (cf_platform_rank_status (reports[i], strlen (reports[i]), &s)
+                       == CF_ERR_PROTO,
+                   "taken: %s", reports[i]);
+  for (gsize i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      ck_assert_msg (
+          cf_platform_rank_counts (counts[i], strlen (counts[i]), &n, &a)
+              == CF_ERR_PROTO,
+          "taken: %s", counts[i]);
+      ck_assert_ptr_null (a);
+    }
+  for (gsize i = 0; i < G_N_ELEMENTS (lists); i++)
+    ck_assert_msg (cf_platform_rank_lists (lists[i], strlen (lists[i]), &n, &a)
+                       == CF_ERR_PROTO,
+                   "taken: %s", lists[i]);
+}
+END_TEST
+
 START_TEST (ranks_are_read_and_ordered)
 {
   const char report[]
       = "{\"running\":3,\"waiting\":1,\"group\":{\"name\":\"g\",\"epoch\":2,"
         "\"rank\":1,\"state\":\"open\"},\"size\":16,\"step\":9,\"map\":4,"
-        "\"prepared\":5,\"armed\":0,\"held\":11}";
+        "\"prepared\":5,\"armed\":0,\"held\":11,\"born\":1783022913149}";
   const char lists[] = "{\"map\":{\"version\":4,\"experts\":[[0,2],[1]]}}";
-  const char counts[] = "{\"step\":1,\"counts\":[[1,2],[3,4]]}";
+  const char counts[] = "{\"step\":1,\"counts\":[[1,2],[3,4]],"
+                        "\"born\":1783022913149}";
   const CfGroupShape shape = { 1, 2, 2, 2, 1 };
   CfGroupMap *m = cf_group_map_new (&shape);
   CfRankOrder o = { .kind = CF_ORDER_PREPARE, .version = 8, .map = m };
   CfRankStatus s;
   GArray *a;
   gint64 version;
+  gint64 incarnation;
   char *json;
 
   ck_assert_int_eq (cf_platform_rank_status (report, strlen (report), &s),
@@ -192,14 +364,17 @@
   ck_assert_int_eq (s.size, 16);
   ck_assert_int_eq (s.held, 11);
   ck_assert (s.open);
+  ck_assert_int_eq (s.incarnation, 1783022913149);
   ck_assert_int_eq (
       cf_platform_rank_lists (lists, strlen (lists), &version, &a), CF_OK);
   ck_assert_int_eq (version, 4);
   ck_assert_uint_eq (a->len, 5);
   ck_assert_int_eq (g_array_index (a, gint64, 2), -1);
   g_array_unref (a);
-  ck_assert_int_eq (cf_platform_rank_counts (counts, strlen (counts), &a),
-                    CF_OK);
+  ck_assert_int_eq (
+      cf_platform_rank_counts (counts, strlen (counts), &incarnation, &a),
+      CF_OK);
+  ck_assert_int_eq (incarnation, 1783022913149);
   ck_assert_uint_eq (a->len, 4);
   g_array_unref (a);
   cf_group_map_at (m, 0, 0)[0] = 1;
@@ -254,6 +429,10 @@
   tcase_add_test (t, wrong_configurations_are_refused);
   tcase_add_test (t, store_answers_are_read);
   tcase_add_test (t, targets_are_read);
+  tcase_add_test (t, spoiled_records_name_no_target);
+  tcase_add_test (t, ids_are_safe_in_a_head_and_a_path);
+  tcase_add_test (t, values_that_are_no_base64);
+  tcase_add_test (t, spoiled_reports_and_counts);
   tcase_add_test (t, ranks_are_read_and_ordered);
   tcase_add_test (t, headers_are_known);
   suite_add_tcase (s, t);
--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -167,6 +167,37 @@
 }
 END_TEST
 
+/* A rank starts again under its id while maps change: the change in hand is
+ * given up, the group gets its maps again, and no pass ever has two. */
+START_TEST (a_rank_restarts_under_its_id_in_mid_change)
+{
+  g_autofree char *log = g_strdup_printf ("t/out/gateway-%d-1.log", BASE);
+  guint before;
+  int fds[8];
+
+  p_stop_all ();
+  p_platform (BASE, "--ranks", "4", "--shift-s", "0.4", "--copy-ms", "60",
+              NULL);
+  gateway = p_gateway (BASE, 1);
+  p_await_ready (BASE, 1);
+  for (int i = 0; i < N_RANKS; i++)
+    p_agent (BASE, RANK_1 + i);
+  p_load_ranks (BASE, fds, G_N_ELEMENTS (fds));
+  ck_assert (p_log_says (log, "why=changed", 4000));
+  for (int i = 0; i < 3; i++)
+    {
+      ck_assert (p_log_says_times (
+          log, "to=preparing", p_log_count (log, "to=preparing") + 1, 4000));
+      g_free (p_test (RANK_1 + i, "POST /test/restart?same=1", ""));
+    }
+  before = p_log_count (log, "why=changed");
+  ck_assert (p_log_says_times (log, "why=changed", before + 2, 5000));
+  ck_assert_double_eq (at_ranks ("mixed"), 0);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -180,6 +211,7 @@
   tcase_add_test (t, a_leader_killed_in_mid_change_is_followed);
   tcase_add_test (t, maps_change_while_orders_come_late);
   tcase_add_test (t, experts_are_placed_at_one_pass);
+  tcase_add_test (t, a_rank_restarts_under_its_id_in_mid_change);
   suite_add_tcase (s, t);
   return t_run (s);
 }
