Say second by second what binds a service: comfrey report

E1205, E1501 and E1502 hold what is needed.

Change: 'comfrey report FILE...' counts by the second a request came in: answered in time, first event late, pause too long, refused, denied, lost, gone; changes of expert maps, copies, the worst skew; and the reasons. The reading of log lines, which explain had for itself, is log-line.c now.

--- a/Makefile
+++ b/Makefile
@@ -14,13 +14,13 @@
 	vm-list.o outlier.o agent-link.o link-table.o claim.o admission.o \
 	retry-budget.o entry.o entry-request.o entry-route.o agent.o agent-settings.o agent-jobs.o \
 	agent-orders.o rank-group.o \
-	expert-map.o map-change.o placement.o daemon.o explain.o
+	expert-map.o map-change.o placement.o daemon.o explain.o log-line.o report.o
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
 	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
 TESTS = t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-outlier t/t-link \
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
-	t/t-session t/t-explain t/t-decode-fuzz $(GW_TESTS)
+	t/t-session t/t-explain t/t-report t/t-decode-fuzz $(GW_TESTS)
 
 # What runs on the platform: the gateway and the parts of the library it
 # uses, built under target/ alone.
--- a/comfrey.c
+++ b/comfrey.c
@@ -7,6 +7,7 @@
 #include "explain.h"
 #include "net.h"
 #include "records.h"
+#include "report.h"
 #include "wire.h"
 
 #include <glib.h>
@@ -123,10 +124,43 @@
   return rc;
 }
 
+static int
+report (const CfReportAims *aims, char **files)
+{
+  GString *out = g_string_new (NULL);
+  CfReport r;
+  int rc = 0;
+
+  cf_report_init (&r, aims);
+  for (char **f = files; *f; f++)
+    {
+      g_autofree char *text = NULL;
+      g_autoptr (GError) err = NULL;
+
+      if (g_file_get_contents (*f, &text, NULL, &err))
+        cf_report_read (&r, text);
+      else
+        {
+          fprintf (stderr, "comfrey report: %s\n", err->message);
+          rc = 2;
+        }
+    }
+  cf_report_print (&r, out);
+  fputs (out->str, stdout);
+  g_string_free (out, TRUE);
+  cf_report_clear (&r);
+  return rc;
+}
+
 int
 main (int argc, char **argv)
 {
+  CfReportAims aims = { 500, 120 };
   GOptionEntry entries[] = {
+    { "late-first-ms", 0, 0, G_OPTION_ARG_INT64, &aims.first_ms,
+      "report: a stream whose first event takes longer is late (500)", "MS" },
+    { "late-pause-ms", 0, 0, G_OPTION_ARG_INT64, &aims.pause_ms,
+      "report: a stream with a longer pause is late (120)", "MS" },
     { NULL },
   };
   int rc;
@@ -137,6 +171,8 @@
       "Commands:\n"
       "  explain ID FILE...  what the logs say of one request, and why it\n"
       "                ended as it did\n"
+      "  report FILE...  second by second, what gateways' logs say of how\n"
+      "                requests ended, what was late and why\n"
       "  check FILE    check configuration records (schema 1 and 2)\n"
       "  status ADDR   show an agent's load, fencing token and counts\n"
       "  drain ADDR    tell an agent to take no new work\n"
@@ -147,6 +183,8 @@
     return rc;
   if (argc > 3 && strcmp (argv[1], "explain") == 0)
     return explain (argv[2], argv + 3);
+  if (argc > 2 && strcmp (argv[1], "report") == 0)
+    return report (&aims, argv + 2);
   if (argc != 3)
     {
       fprintf (stderr,
--- a/explain.c
+++ b/explain.c
@@ -1,5 +1,7 @@
 #include "explain.h"
 
+#include "log-line.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -61,36 +63,19 @@
   g_free (l);
 }
 
-/* The value of "name=" in a line's fields, quoted or not; NULL if none. */
-static char *
-field (const char *text, const char *name)
-{
-  g_autofree char *key = g_strconcat (" ", name, "=", NULL);
-  const char *at = strstr (text, key);
-
-  if (!at)
-    return NULL;
-  at += strlen (key);
-  if (*at == '"')
-    return g_strndup (at + 1, strcspn (at + 1, "\""));
-  return g_strndup (at, strcspn (at, " \n"));
-}
-
 /* Takes a line "... ]: E1203 route id=..."; what is before is whoever's
  * collected it. */
 static void
 take_line (CfStory *s, const char *id, const char *file, const char *line)
 {
-  const char *at = strstr (line, "]: E");
-  g_autofree char *of = field (line, "id");
-  g_autofree char *time = field (line, "t");
+  const char *at = cf_log_line_event (line);
+  g_autofree char *of = cf_log_line_field (line, "id");
   CfStoryLine *l;
 
   if (!at || g_strcmp0 (of, id) != 0)
     return;
-  at += strlen ("]: ");
   l = g_new0 (CfStoryLine, 1);
-  l->time_s = time ? g_ascii_strtod (time, NULL) : 0;
+  l->time_s = cf_log_line_number (line, "t", 0);
   l->file = g_strdup (file);
   l->event = g_strndup (at, strcspn (at, " "));
   l->text = g_strdup (at + strlen (l->event)
@@ -135,8 +120,8 @@
 static void
 find_cause (CfStory *s, const CfStoryLine *answer)
 {
-  g_autofree char *outcome = field (answer->text, "outcome");
-  g_autofree char *reason = field (answer->text, "reason");
+  g_autofree char *outcome = cf_log_line_field (answer->text, "outcome");
+  g_autofree char *reason = cf_log_line_field (answer->text, "reason");
 
   for (gsize i = 0; i < G_N_ELEMENTS (causes); i++)
     if (g_strcmp0 (reason, causes[i].reason) == 0
