Count an order that is given again as lost, and pass by its agent

Cause: an order whose agent does not answer was to count as lost after 130 ms, but the coordinator gives a hold or an arm again after 120 ms, and the second replaced the first in the books. And a leader that had to settle such a change asked silent ranks directly only if it knew of a hold.

What the mend serves are agents that died or hang on VMs that live.

Change: the books are a module, order-watch; an order given again counts as lost, one lost order is enough, and a leader that settles asks silent ranks.

--- a/gateway/rank-service-order.c
+++ b/gateway/rank-service-order.c
@@ -6,9 +6,6 @@
 
 #include <string.h>
 
-/** An agent that lost so many orders in a row is passed by: orders go to
- * the rank itself until the agent is heard of again. */
-#define UNANSWERED_MAX 2
 /** A rank that is asked directly answers within some ms, or is away. */
 #define DIRECT_TIMEOUT_MS 300
 
@@ -27,13 +24,20 @@
 on_direct_report (void *data, int status, const GString *body)
 {
   DirectCall *d = data;
-  CfRankStatus st;
+  CfRankStatus st = { 0 };
 
   if (status == 200
       && cf_platform_rank_status (body->str, body->len, &st) == CF_OK
       && strcmp (st.group, d->g->name) == 0)
     cf_map_coordinator_status (&d->g->c, &st, d->token,
                                cf_gateway_now (d->g->s->g));
+  cf_log (
+      LOG_INFO, CF_EV_RANK_ORDER,
+      "group=%s rank=%d way=direct status=%d report=%d step=%" G_GINT64_FORMAT
+      " map=%" G_GINT64_FORMAT " prepared=%" G_GINT64_FORMAT
+      " armed=%" G_GINT64_FORMAT " held=%" G_GINT64_FORMAT,
+      d->g->name, d->rank, d->http_status, status, st.step, st.map, st.prepared,
+      st.armed, st.held);
   if (d->is_order)
     cf_map_coordinator_ack (&d->g->c, d->rank,
                             cf_platform_rank_ack (d->http_status),
@@ -96,8 +100,7 @@
   CfLedGroup *g = data;
   CfRankLink *a = g->agents[rank];
 
-  /* A VM may stand still while its link looks alive. */
-  if (g->unanswered[rank] >= UNANSWERED_MAX)
+  if (cf_order_watch_is_passed_by (&g->orders[rank]))
     a = NULL;
   cf_log (LOG_INFO, CF_EV_RANK_ORDER,
           "group=%s rank=%d order=%s version=%" G_GINT64_FORMAT
@@ -116,8 +119,8 @@
       m.u.order.version = o->version;
       m.u.order.body.data = json;
       m.u.order.body.n = strlen (json);
-      g->pending[rank] = m.u.order.seq;
-      g->pending_ms[rank] = cf_gateway_now (g->s->g);
+      cf_order_watch_sent (&g->orders[rank], m.u.order.seq,
+                           cf_gateway_now (g->s->g));
       cf_peer_msg_send (a->peer, &m);
       g_free (json);
     }
--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -33,12 +33,10 @@
   CfRankService *s;
   char name[CF_GROUP_NAME_MAX];
   CfMapCoordinator c;
-  CfRankLink **agents; /**< by rank */
-  char **addrs;        /**< by rank: where it was last */
-  gint64 *pending;     /**< by rank: the order that is unanswered; 0: none */
-  gint64 *pending_ms;
-  guint *unanswered; /**< by rank: orders in a row that its agent lost */
-  gint64 *direct_ms; /**< by rank: when it was last asked directly */
+  CfRankLink **agents;  /**< by rank */
+  char **addrs;         /**< by rank: where it was last */
+  CfOrderWatch *orders; /**< by rank */
+  gint64 *direct_ms;    /**< by rank: when it was last asked directly */
   gint64 fence_seen;
   gboolean leads;
 };
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -18,9 +18,6 @@
  * seen after two readings. */
 #define SAMPLE_READ_MS 100
 #define OTHER_READ_MS 1000
-/** An order whose agent has not answered by then counts as unanswered: it
- * tries for up to 0.1 s. */
-#define ORDER_LOST_MS 130
 /** After another leader's token was met, the lead is not taken for so long. */
 #define LEAD_AGAIN_MS 3000
 /** A rank's status that is older says nothing of who it can hear. */
@@ -120,9 +117,7 @@
   cf_map_coordinator_init (&g->c, &shape, &limits, &coordinator_calls, g);
   g->agents = g_new0 (CfRankLink *, shape.ranks);
   g->addrs = g_new0 (char *, shape.ranks);
-  g->pending = g_new0 (gint64, shape.ranks);
-  g->pending_ms = g_new0 (gint64, shape.ranks);
-  g->unanswered = g_new0 (guint, shape.ranks);
+  g->orders = g_new0 (CfOrderWatch, shape.ranks);
   g->direct_ms = g_new0 (gint64, shape.ranks);
   g_hash_table_insert (a->s->groups, g->name, g);
   return g;
@@ -238,12 +233,13 @@
 }
 
 /* While a pass is held everyone waits: ranks without an agent are asked
- * directly. */
+ * directly.  A hold may be unknown: one that an agent passed on just before
+ * its VM stood still, so a change that has to be settled counts as well. */
 static void
 ask_silent_ranks (CfLedGroup *g)
 {
   gint64 now = cf_gateway_now (g->s->g);
-  gboolean held = FALSE;
+  gboolean held = g->c.state == CF_MAP_SETTLING && g->c.step != 0;
 
   for (int r = 0; r < g->c.shape.ranks; r++)
     held |= g->c.ranks[r].status.held != 0;
@@ -269,12 +265,8 @@
   gint64 now = cf_gateway_now (g->s->g);
 
   for (int r = 0; r < g->c.shape.ranks; r++)
-    if (g->pending[r] && now - g->pending_ms[r] > ORDER_LOST_MS)
-      {
-        g->pending[r] = 0;
-        g->unanswered[r]++;
-        cf_map_coordinator_ack (&g->c, r, CF_RANK_ACK_UNKNOWN, now);
-      }
+    if (cf_order_watch_expired (&g->orders[r], now))
+      cf_map_coordinator_ack (&g->c, r, CF_RANK_ACK_UNKNOWN, now);
 }
 
 static gint64
@@ -370,7 +362,7 @@
     return;
   note_pace (a, st);
   a->seen_ms = now;
-  a->group->unanswered[a->rank] = 0;
+  cf_order_watch_heard (&a->group->orders[a->rank]);
   a->seeds_up = m->u.rank_status.seeds_up;
   a->led = m->u.rank_status.led;
   /* A version holds its leader's token, so it tells of leaders whose
@@ -396,10 +388,8 @@
   CfLedGroup *g = a->group;
   gint64 now = cf_gateway_now (a->s->g);
 
-  if (!g || g->pending[a->rank] != m->u.order_ack.seq)
+  if (!g || !cf_order_watch_answered (&g->orders[a->rank], m->u.order_ack.seq))
     return;
-  g->pending[a->rank] = 0;
-  g->unanswered[a->rank] = 0;
   if (m->u.order_ack.status.group[0])
     cf_map_coordinator_status (&g->c, &m->u.order_ack.status,
                                m->u.order_ack.fence_seen, now);
