Give no new work to targets that stand still

Cause: a VM that stands still takes requests and runs none; a group that is held runs none either.

Change: a target that has work of ours and shows no sign of it for four pauses (300 ms at least) counts as doubtful: used only when most are. While no target of a service shows any work for so long, nothing is sent to it at all: requests wait, and go out with the first sign.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -46,10 +46,17 @@
   return in->yields ? (guint)MAX (share * YIELD_PART, 1) : share;
 }
 
+static gboolean
+stands_still (const CfTarget *t, const CfPickInput *in)
+{
+  return in->stall_ms > 0 && cf_target_quiet_ms (t, in->now_ms) > in->stall_ms;
+}
+
 static gboolean
 is_doubtful (const CfTarget *t, const CfPickInput *in)
 {
-  return t->pace >= SLOW_PACE || cf_outlier_ejected (&t->outlier, in->now_ms);
+  return t->pace >= SLOW_PACE || cf_outlier_ejected (&t->outlier, in->now_ms)
+         || stands_still (t, in);
 }
 
 static Use
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -20,6 +20,8 @@
   guint fleet;             /**< gateways that send to these targets */
   gint64 max_conns;        /**< connections a target takes from all; 0: any */
   gboolean yields;         /**< leaves room for requests that can be in time */
+  gint64 stall_ms; /**< a target that has work of ours and is quiet for longer
+                        stands still; 0: quiet targets are not known */
 } CfPickInput;
 
 /**
@@ -36,10 +38,10 @@
 /**
  * cf_balancer_pick:
  * The target with the least of our requests for its slots; among equals one
- * in our own data centre, then by turns.  A target that is leaving, ejected
- * or has said that it is full is passed over; when only ejected ones are
- * left these are used, since an ejection is a guess and no service should
- * end by guesses.
+ * in our own data centre, then by turns.  A target that is leaving, ejected,
+ * stands still or has said that it is full is passed over; when only ejected
+ * ones are left these are used, since an ejection is a guess and no service
+ * should end by guesses.
  *
  * @out: (out): the target, not referenced
  */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -96,7 +96,8 @@
     }
   cf_outage_sent (&x->lane->outage, cf_gateway_now (x->g));
   x->target = cf_target_ref (t);
-  t->in_flight++;
+  if (t->in_flight++ == 0)
+    t->busy_since_ms = cf_gateway_now (x->g);
   if (x->lane->in_flight++ == 0)
     x->lane->busy_since_ms = cf_gateway_now (x->g);
   x->sends++;
@@ -136,17 +137,22 @@
   return (gint64)((double)patience_ms (x) * ALL_SILENT_PART);
 }
 
-/* Whether all targets of a service of streams stand still, as the ranks of
- * a group do while one of them is missed.  More work sent there would only
- * be given up by its callers, at targets that may not hear of it. */
+/* Whether no target of a service of streams has shown any work for more than
+ * @ms, as the ranks of a group do while one of them is missed. */
 static gboolean
-all_silent (const CfExchange *x)
+all_quiet (const CfExchange *x, gint64 ms)
 {
   const CfLane *l = x->lane;
   gint64 since = MAX (l->last_event_ms, l->busy_since_ms);
 
   return x->route->stream && l->in_flight > 0
-         && cf_gateway_now (x->g) - since > all_silent_ms (x);
+         && cf_gateway_now (x->g) - since > ms;
+}
+
+static gboolean
+all_silent (const CfExchange *x)
+{
+  return all_quiet (x, all_silent_ms (x));
 }
 
 static guint
@@ -215,7 +221,9 @@
 {
   const CfOutage *o = &x->lane->outage;
 
-  if (all_silent (x))
+  /* More work sent there would only be given up by its callers, at targets
+   * that may not hear of it. */
+  if (all_quiet (x, cf_pace_stall_ms (&x->lane->pace)))
     return TRUE;
   return o->since_ms
          && (cf_outage_holds (o, cf_gateway_now (x->g)) || !may_probe (x));
@@ -238,6 +246,8 @@
   in.max_conns = sv ? sv->max_conns : 0;
   in.yields = cf_waiter_yields (&x->waiter, in.now_ms, x->lane->pace.pause_ms,
                                 x->route->gap_aim_ms);
+  if (x->route->stream)
+    in.stall_ms = cf_pace_stall_ms (&x->lane->pace);
   return cf_balancer_pick (&x->g->targets, &in, t);
 }
 
--- a/gateway/pace.c
+++ b/gateway/pace.c
@@ -15,6 +15,13 @@
  * by half where passes of 70 ms became 105 ms. */
 #define WHOLE_MARGIN 1.5
 
+/** Pauses that a target may take without standing still.  Streams of one
+ * target all write in the same pass, so the least loaded one shows a sign
+ * each pass; a prompt that is read alone takes two or three. */
+#define STALL_PAUSES 4
+/** Under light load, passes of 40 ms and the reading of a long prompt. */
+#define STALL_LEAST_MS 300
+
 static void
 blend (double *mean, double value, double weight)
 {
@@ -36,6 +43,12 @@
   blend (&p->first_dev_ms, off, FIRST_WEIGHT);
 }
 
+gint64
+cf_pace_stall_ms (const CfPace *p)
+{
+  return MAX (STALL_LEAST_MS, (gint64)(STALL_PAUSES * p->pause_ms));
+}
+
 /* A pass of the engine: all its streams write one event in it. */
 static double
 pass_ms (const CfPace *p, const CfEngineModel *e)
--- a/gateway/pace.h
+++ b/gateway/pace.h
@@ -30,6 +30,14 @@
 /** cf_pace_first: a first event came @ms after its request was sent. */
 void cf_pace_first (CfPace *p, gint64 ms);
 
+/**
+ * cf_pace_stall_ms:
+ * Returns: a target of the service that has work and shows none of it for
+ *   longer than this stands still: its VM does, or its group waits for
+ *   another.
+ */
+gint64 cf_pace_stall_ms (const CfPace *p);
+
 /**
  * cf_pace_first_ms:
  * @e: (nullable): the engine's model
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -220,6 +220,14 @@
     take_address (t, v);
 }
 
+gint64
+cf_target_quiet_ms (const CfTarget *t, gint64 now)
+{
+  if (t->in_flight == 0)
+    return 0;
+  return now - MAX (t->busy_since_ms, t->last_sign_ms);
+}
+
 gboolean
 cf_target_is_former (const CfTarget *t, gint64 incarnation)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -23,15 +23,17 @@
   gint ref_count;
   CfTargetRecord record;
   struct sockaddr_in addr;
-  char *json;          /**< @record as the store holds it, for peers */
-  gint64 rev;          /**< store revision of @record */
-  gint64 created;      /**< store revision at which it was first listed */
-  gboolean replaced;   /**< another start has its address now */
-  gboolean listed;     /**< still on the platform's list */
-  guint in_flight;     /**< requests of ours it has */
-  guint conns;         /**< connections of ours, idle ones included */
-  CfUpstreamList idle; /**< of these the idle ones, last used first */
-  CfUpstreamList busy; /**< and those that carry a request */
+  char *json;           /**< @record as the store holds it, for peers */
+  gint64 rev;           /**< store revision of @record */
+  gint64 created;       /**< store revision at which it was first listed */
+  gboolean replaced;    /**< another start has its address now */
+  gboolean listed;      /**< still on the platform's list */
+  guint in_flight;      /**< requests of ours it has */
+  gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
+  gint64 last_sign_ms;  /**< when it last sent a part of an answer */
+  guint conns;          /**< connections of ours, idle ones included */
+  CfUpstreamList idle;  /**< of these the idle ones, last used first */
+  CfUpstreamList busy;  /**< and those that carry a request */
   CfOutlier outlier;
   double pace;           /**< how many times as long as usual its work takes */
   gint64 pace_at_ms;     /**< when @pace was last told; 0: never */
@@ -106,6 +108,13 @@
 CfTargetChange cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
                                     const CfTargetNews *news);
 
+/**
+ * cf_target_quiet_ms:
+ * Returns: for how long it has had work of ours without any sign of it; 0
+ *   if it has none.
+ */
+gint64 cf_target_quiet_ms (const CfTarget *t, gint64 now_ms);
+
 /** cf_target_is_former: whether @incarnation is of a start before @t. */
 gboolean cf_target_is_former (const CfTarget *t, gint64 incarnation);
 
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -32,7 +32,7 @@
 static CfPickWhy
 pick (gint64 now, const GPtrArray *tried, CfTarget **t)
 {
-  const CfPickInput in = { "s", "dc1", tried, now, 1, 0, FALSE };
+  const CfPickInput in = { "s", "dc1", tried, now, 1, 0, FALSE, 0 };
 
   return cf_balancer_pick (&table, &in, t);
 }
@@ -117,6 +117,36 @@
 }
 END_TEST
 
+/* A VM that stands still takes requests and runs none of them: four seconds
+ * of that left 40 requests there whose callers had gone. */
+START_TEST (targets_that_stand_still_get_no_new_work)
+{
+  CfPickInput in = { "s", "dc1", NULL, 1000, 1, 0, FALSE, 300 };
+  CfTarget *t;
+
+  get ("a")->in_flight = 1;
+  get ("a")->busy_since_ms = 600;
+  get ("b")->in_flight = 3;
+  get ("b")->last_sign_ms = 950;
+  get ("c")->in_flight = 3;
+  get ("c")->last_sign_ms = 950;
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  ck_assert_str_ne (t->record.id, "a");
+  /* It shows a sign, or has no work of ours to show one of. */
+  get ("a")->last_sign_ms = 900;
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a");
+  get ("a")->last_sign_ms = 0;
+  get ("a")->in_flight = 0;
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a");
+  /* All stand still: nothing better is left. */
+  in.now_ms = 5000;
+  get ("a")->in_flight = 1;
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+}
+END_TEST
+
 /* Requests that are late already do not fill a target. */
 START_TEST (late_ones_leave_room)
 {
@@ -314,6 +344,7 @@
   tcase_add_test (t, load_is_spread_evenly);
   tcase_add_test (t, slow_targets_get_less);
   tcase_add_test (t, slow_targets_get_nothing_while_others_are_full);
+  tcase_add_test (t, targets_that_stand_still_get_no_new_work);
   tcase_add_test (t, late_ones_leave_room);
   tcase_add_test (t, slots_are_shared_over_the_fleet);
   tcase_add_test (t, only_the_newest_start_at_an_address_gets_work);
