Take a stream elsewhere when its target stands still before its first event

Cause: a request sent to a VM that stands still was left there for 1.65 s, and then sent to another by chance: its caller left after 2 s while it lay out of reach, and it ran when the VM woke (GONE).

Change: a stream that has not begun is tried elsewhere once its target has shown no sign of any work of ours for twice as long as first events, or four pauses, take, while other targets of the service show some.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -20,6 +20,9 @@
 #define PATIENCE_LEAST_MS 2000
 #define PATIENCE_AIMS 4
 #define PATIENCE_GAPS 8
+/** A target that shows no sign of work for so many times as long as first
+ * events and pauses take stands still. */
+#define STRANDED_TIMES 2
 /** Of the objective, when a request has to be sent to meet it, where nothing
  * is known of its service's pace. */
 #define START_PART_OF_AIM 0.6
@@ -67,6 +70,8 @@
   return (gint64)((double)x->route->aim_ms * SILENCE_AIMS);
 }
 
+static gint64 stranded_ms (const CfExchange *x);
+
 static void
 send_to (CfExchange *x, CfTarget *t)
 {
@@ -115,7 +120,10 @@
       return;
     }
   if (x->route->repeat != CF_REPEAT_NEVER)
-    cf_exchange_wait_for_target (x, cf_exchange_silence_limit (x));
+    cf_exchange_wait_for_target (
+        x, x->route->stream
+               ? MIN (stranded_ms (x), cf_exchange_silence_limit (x))
+               : cf_exchange_silence_limit (x));
 }
 
 /* How long callers wait for a first sign: a stream's for some objectives
@@ -367,17 +375,60 @@
                         cf_exchange_busy_ms (x));
 }
 
+/* For how long a target may show no sign of any work before a stream that it
+ * has not begun is taken elsewhere. */
+static gint64
+stranded_ms (const CfExchange *x)
+{
+  return STRANDED_TIMES
+         * MAX (cf_pace_stall_ms (&x->lane->pace), x->expected_first_ms);
+}
+
+/* Whether a stream's target alone stands still, before its first event: its
+ * caller would leave while the request lies there out of reach. */
+static gboolean
+is_stranded (const CfExchange *x)
+{
+  gint64 now = cf_gateway_now (x->g);
+
+  return x->route->stream && x->last_event_ms == 0
+         && cf_target_quiet_ms (x->target, now) >= stranded_ms (x)
+         && now - x->lane->last_event_ms < cf_pace_stall_ms (&x->lane->pace);
+}
+
+/* Tries another target; FALSE if it may not have one. */
+static gboolean
+leave_stranded (CfExchange *x)
+{
+  x->may_have_run = TRUE;
+  if (!cf_exchange_may_send_again (x))
+    return FALSE;
+  cf_exchange_blame (x, x->target, "stands-still");
+  cf_exchange_forget_answer (x);
+  cf_exchange_try_again (x, "stands-still");
+  return TRUE;
+}
+
 /* The target, or the queue, took too long. */
 void
 cf_exchange_on_silence (struct ev_loop *loop, ev_timer *w, int revents)
 {
   CfExchange *x = w->data;
+  gint64 left
+      = x->sent_ms + cf_exchange_silence_limit (x) - cf_gateway_now (x->g);
 
   if (x->waiter.queued)
     {
       waited_too_long (x);
       return;
     }
+  if (x->last_event_ms == 0 && left > LEAST_LEFT_MS)
+    {
+      if (is_stranded (x) && leave_stranded (x))
+        return;
+      cf_exchange_wait_for_target (x, MIN (left, stranded_ms (x) / 2));
+      return;
+    }
   /* When all targets are silent, as the ranks of a group are while one of
    * them is missed, another has nothing to say either. */
   if (all_silent (x))
