Let a build leave mechanisms out, for measuring what each is worth

Each mechanism that this project believes in has a constant in gateway/ablation.h, 0 as built; make deploy WITHOUT="NAME" leaves it out.

--- a/Makefile
+++ b/Makefile
@@ -22,13 +22,16 @@
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
 	t/t-session t/t-explain t/t-report t/t-decode-fuzz $(GW_TESTS)
 
+# WITHOUT names mechanisms to leave out of it, for measuring what each is
+# worth (gateway/ablation.h); after a change of it, make clean first.
+#
 # What runs on the platform: the gateway and the parts of the library it
 # uses, built under target/ alone.
 GW_PKGS = glib-2.0 jansson msgpack ck
 GW_SRCS = $(wildcard gateway/*.c) $(wildcard platform/*.c) \
 	error.c log.c log-writer.c net.c outlier.c retry-budget.c
 GW_OBJS = $(GW_SRCS:%.c=target/obj/%.o)
-GW_CFLAGS = $(CFLAGS) -std=gnu11 -D_GNU_SOURCE -Wall -Wextra \
+GW_CFLAGS = $(CFLAGS) $(WITHOUT:%=-D%=1) -std=gnu11 -D_GNU_SOURCE -Wall -Wextra \
 	-Wno-unused-parameter -pthread -I. -Igateway \
 	$(shell pkg-config --cflags $(GW_PKGS))
 GW_LDLIBS = $(shell pkg-config --libs $(GW_PKGS)) -lev -lhttp_parser -lm
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -1,5 +1,7 @@
 #include "balancer.h"
 
+#include "ablation.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -24,7 +26,8 @@
 guint
 cf_balancer_share (gint64 slots, gint64 max_conns, guint fleet)
 {
-  double part = (double)slots * SHARE_MORE / MAX (fleet, 1);
+  guint sharers = CF_WITHOUT_FLEET_SHARES ? 1 : MAX (fleet, 1);
+  double part = (double)slots * SHARE_MORE / sharers;
   double conns = floor ((double)max_conns / MAX (fleet, 1));
 
   if (max_conns > 0)
@@ -49,7 +52,8 @@
 static gboolean
 stands_still (const CfTarget *t, const CfPickInput *in)
 {
-  return in->stall_ms > 0 && cf_target_quiet_ms (t, in->now_ms) > in->stall_ms;
+  return in->stall_ms > 0 && !CF_WITHOUT_STALL_CHECK
+         && cf_target_quiet_ms (t, in->now_ms) > in->stall_ms;
 }
 
 static gboolean
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -1,5 +1,6 @@
 #include "exchange-parts.h"
 
+#include "ablation.h"
 #include "log.h"
 
 #include <string.h>
@@ -42,8 +43,9 @@
 void
 cf_exchange_blame (CfExchange *x, CfTarget *t, const char *reason)
 {
-  note_ejection (x, t, reason,
-                 cf_outlier_failure (&t->outlier, cf_gateway_now (x->g)));
+  if (!CF_WITHOUT_EJECTION)
+    note_ejection (x, t, reason,
+                   cf_outlier_failure (&t->outlier, cf_gateway_now (x->g)));
 }
 
 /* A refusal that names who is at fault, while nothing of the service does
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -1,5 +1,6 @@
 #include "exchange-parts.h"
 
+#include "ablation.h"
 #include "balancer.h"
 #include "forward.h"
 #include "log.h"
@@ -50,6 +51,8 @@
 {
   if (x->may_have_run && x->route->repeat == CF_REPEAT_NEVER)
     return FALSE;
+  if (CF_WITHOUT_RETRIES || (CF_WITHOUT_RESUME && x->begun))
+    return FALSE;
   return x->sends < x->route->max_attempts
          && cf_exchange_left_ms (x) > LEAST_LEFT_MS;
 }
@@ -231,8 +234,11 @@
 
   /* More work sent there would only be given up by its callers, at targets
    * that may not hear of it. */
-  if (all_quiet (x, cf_pace_stall_ms (&x->lane->pace)))
+  if (!CF_WITHOUT_STALL_CHECK
+      && all_quiet (x, cf_pace_stall_ms (&x->lane->pace)))
     return TRUE;
+  if (CF_WITHOUT_OUTAGE_WAIT)
+    return FALSE;
   return o->since_ms
          && (cf_outage_holds (o, cf_gateway_now (x->g)) || !may_probe (x));
 }
@@ -391,7 +397,7 @@
 {
   gint64 now = cf_gateway_now (x->g);
 
-  return x->route->stream && x->last_event_ms == 0
+  return !CF_WITHOUT_STALL_CHECK && x->route->stream && x->last_event_ms == 0
          && cf_target_quiet_ms (x->target, now) >= stranded_ms (x)
          && now - x->lane->last_event_ms < cf_pace_stall_ms (&x->lane->pace);
 }
--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -1,5 +1,7 @@
 #include "map-coordinator.h"
 
+#include "ablation.h"
+
 #include <string.h>
 
 /** An order without an answer is sent again after so long: an answer takes
@@ -512,6 +514,8 @@
 {
   double gain = c->limits.min_gain;
 
+  if (CF_WITHOUT_PRICED_COPIES)
+    return gain;
   if (passes_are_short (c))
     gain = MAX (gain, CALM_GAIN);
   if (c->demand.n_windows < YOUNG_WINDOWS)
@@ -529,6 +533,8 @@
       enter (c, CF_MAP_SETTLING, "someone-else-acts", now);
       return;
     }
+  if (CF_WITHOUT_MAP_CHANGES)
+    return;
   if (now < c->idle_until_ms || !all_seen_since (c, 0)
       || !cf_expert_demand_known (&c->demand))
     return;
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -1,5 +1,6 @@
 #include "peer-service.h"
 
+#include "ablation.h"
 #include "log.h"
 #include "platform/platform-target.h"
 #include "socket.h"
@@ -84,7 +85,7 @@
       const CfTarget *t = v;
       CfPeerPace p;
 
-      if (t->pace <= 1 || !is_told_by_agent (g, t))
+      if (CF_WITHOUT_SHARED_PACE || t->pace <= 1 || !is_told_by_agent (g, t))
         continue;
       p.addr.data = t->record.addr;
       p.addr.n = strlen (t->record.addr);
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -1,5 +1,7 @@
 #include "wait-queue.h"
 
+#include "ablation.h"
+
 /** Of callers' patience, the part a request may wait for room: the rest is
  * needed for its prompt to be read beside others. */
 #define WAIT_PART_OF_PATIENCE 0.6
@@ -75,7 +77,8 @@
 cf_waiter_yields (const CfWaiter *w, gint64 now_ms, double pause_ms,
                   gint64 gap_aim_ms)
 {
-  return w->queued && now_ms > w->in_time_ms && pause_ms < (double)gap_aim_ms;
+  return !CF_WITHOUT_YIELDING && w->queued && now_ms > w->in_time_ms
+         && pause_ms < (double)gap_aim_ms;
 }
 
 gint64
