--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -150,7 +150,7 @@
 /* Requests that are late already do not fill a target. */
 START_TEST (late_ones_leave_room)
 {
-  const CfPickInput in = { "other", NULL, NULL, 0, 1, 0, TRUE };
+  const CfPickInput in = { "other", NULL, NULL, 0, 1, 0, TRUE, 0 };
   CfTarget *t;
 
   get ("x")->in_flight = 2; /* of 5 */
