Look for gateways quickly for three seconds only

An agent without any link looks for its gateways each 0.1 s. In a longer outage of theirs 4,300 agents would begin 64,000 connections a second; after 30 looks (3 s, in which killed gateways are back) it is each 0.5 s again.

--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -28,6 +28,9 @@
 /** ...and while none has: no one leads the group, and its map stays as it
  * formed with, at a skew of 3 where 1.3 could be. */
 #define RECONNECT_ALONE_MS 100
+/** Looks of the quicker kind: for 3 s, in which gateways that were killed are
+ * back; in a longer outage of theirs thousands of agents should not press. */
+#define QUICK_LOOKS 30
 #define CALL_TIMEOUT_MS 1000
 
 static gboolean
@@ -373,7 +376,11 @@
 reconnect (struct ev_loop *loop, ev_timer *t, int revents)
 {
   CfRankAgent *a = t->data;
-  gint64 pause = is_alone (a) ? RECONNECT_ALONE_MS : RECONNECT_MS;
+  gint64 pause = RECONNECT_MS;
+
+  a->looks_alone = is_alone (a) ? a->looks_alone + 1 : 0;
+  if (a->looks_alone > 0 && a->looks_alone <= QUICK_LOOKS)
+    pause = RECONNECT_ALONE_MS;
 
   for (int i = 0; i < a->n_seeds; i++)
     {
--- a/gateway/rank-agent.h
+++ b/gateway/rank-agent.h
@@ -44,6 +44,7 @@
   gint64 awaited_ms;  /**< since when */
   gboolean reading;   /**< a reading of report and counts is on its way */
   gboolean rank_lost; /**< the rank did not answer the last reading */
+  guint looks_alone;  /**< for seeds, in a row, while none had a link */
   ev_timer poll;
 };
 
