--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -10,8 +10,9 @@
 
 /**
  * What the parts of an exchange share: its beginning and end (exchange.c),
- * whom it is sent to and when (exchange-send.c), and what comes of the
- * target's answer (exchange-answer.c).
+ * whom it is sent to and when (exchange-send.c), targets that show nothing
+ * (exchange-silence.c), and what comes of the target's answer
+ * (exchange-answer.c).
  */
 
 /**
@@ -93,6 +94,17 @@
 /** cf_exchange_may_send_again: whether another target may get it. */
 gboolean cf_exchange_may_send_again (const CfExchange *x);
 
+/** cf_exchange_try_target: sends it to a target, or has it wait for room. */
+void cf_exchange_try_target (CfExchange *x);
+
+/** cf_exchange_try_again: this try is over without a good answer. */
+void cf_exchange_try_again (CfExchange *x, const char *reason);
+
+/** cf_exchange_waited_too_long: it waited for room as long as it could. */
+void cf_exchange_waited_too_long (CfExchange *x);
+
+/* Targets that show nothing. */
+
 /** cf_exchange_wait_for_target: limits the silence of its target, or its wait
  * for room. */
 void cf_exchange_wait_for_target (CfExchange *x, gint64 ms);
@@ -100,11 +112,19 @@
 /** cf_exchange_silence_limit: how long its target may be silent. */
 gint64 cf_exchange_silence_limit (const CfExchange *x);
 
-/** cf_exchange_try_target: sends it to a target, or has it wait for room. */
-void cf_exchange_try_target (CfExchange *x);
+/** cf_exchange_first_look_ms: after how long a silence its target is looked
+ * at: a stream's sooner than its limit, since the target may stand still. */
+gint64 cf_exchange_first_look_ms (const CfExchange *x);
 
-/** cf_exchange_try_again: this try is over without a good answer. */
-void cf_exchange_try_again (CfExchange *x, const char *reason);
+/** cf_exchange_patience_ms: how long callers wait for a first sign: a
+ * stream's for some objectives and some seconds, another request's for its
+ * answer in time. */
+gint64 cf_exchange_patience_ms (const CfExchange *x);
+
+/** cf_exchange_all_quiet: whether no target of a service of streams has shown
+ * any work for more than @ms, as the ranks of a group do while one of them
+ * is missed. */
+gboolean cf_exchange_all_quiet (const CfExchange *x, gint64 ms);
 
 /** cf_exchange_on_silence: its target, or the queue, took too long. */
 void cf_exchange_on_silence (struct ev_loop *loop, ev_timer *w, int revents);
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -5,25 +5,6 @@
 #include "forward.h"
 #include "log.h"
 
-/** Silence of a target, in objectives, after which an idempotent call is
- * tried elsewhere: past the longest call seen in a hundred (five times the
- * mean, which is a fifth of the objective). */
-#define SILENCE_AIMS 2.5
-/** Beyond the time that a rank group stalls over a lost rank, a stream's
- * silence is its own target's. */
-#define SILENCE_MARGIN_MS 150
-/** Of callers' patience, how long all targets of a service may be silent
- * before they count as standing still: callers of what is sent later would
- * leave before the first event. */
-#define ALL_SILENT_PART 0.5
-/** Callers give a stream up without an event for two seconds, four times the
- * objective or eight times that for pauses, whichever is longest. */
-#define PATIENCE_LEAST_MS 2000
-#define PATIENCE_AIMS 4
-#define PATIENCE_GAPS 8
-/** A target that shows no sign of work for so many times as long as first
- * events and pauses take stands still. */
-#define STRANDED_TIMES 2
 /** Of the objective, when a request has to be sent to meet it, where nothing
  * is known of its service's pace. */
 #define START_PART_OF_AIM 0.6
@@ -57,24 +38,6 @@
          && cf_exchange_left_ms (x) > LEAST_LEFT_MS;
 }
 
-void
-cf_exchange_wait_for_target (CfExchange *x, gint64 ms)
-{
-  ev_timer_stop (x->g->loop, &x->silence);
-  ev_timer_set (&x->silence, (double)ms / 1000, 0);
-  ev_timer_start (x->g->loop, &x->silence);
-}
-
-gint64
-cf_exchange_silence_limit (const CfExchange *x)
-{
-  if (x->route->stream)
-    return x->g->set.stall_ms + SILENCE_MARGIN_MS;
-  return (gint64)((double)x->route->aim_ms * SILENCE_AIMS);
-}
-
-static gint64 stranded_ms (const CfExchange *x);
-
 static void
 send_to (CfExchange *x, CfTarget *t)
 {
@@ -123,47 +86,7 @@
       return;
     }
   if (x->route->repeat != CF_REPEAT_NEVER)
-    cf_exchange_wait_for_target (
-        x, x->route->stream
-               ? MIN (stranded_ms (x), cf_exchange_silence_limit (x))
-               : cf_exchange_silence_limit (x));
-}
-
-/* How long callers wait for a first sign: a stream's for some objectives
- * and some seconds, another request's for its answer in time. */
-static gint64
-patience_ms (const CfExchange *x)
-{
-  gint64 ms = x->route->aim_ms;
-
-  if (!x->route->stream)
-    return ms;
-  ms = MAX (ms * PATIENCE_AIMS, x->route->gap_aim_ms * PATIENCE_GAPS);
-  return MAX (ms, PATIENCE_LEAST_MS);
-}
-
-static gint64
-all_silent_ms (const CfExchange *x)
-{
-  return (gint64)((double)patience_ms (x) * ALL_SILENT_PART);
-}
-
-/* Whether no target of a service of streams has shown any work for more than
- * @ms, as the ranks of a group do while one of them is missed. */
-static gboolean
-all_quiet (const CfExchange *x, gint64 ms)
-{
-  const CfLane *l = x->lane;
-  gint64 since = MAX (l->last_event_ms, l->busy_since_ms);
-
-  return x->route->stream && l->in_flight > 0
-         && cf_gateway_now (x->g) - since > ms;
-}
-
-static gboolean
-all_silent (const CfExchange *x)
-{
-  return all_quiet (x, all_silent_ms (x));
+    cf_exchange_wait_for_target (x, cf_exchange_first_look_ms (x));
 }
 
 static guint
@@ -195,7 +118,8 @@
 wait_for_room (CfExchange *x)
 {
   gint64 now = cf_gateway_now (x->g);
-  gint64 limit = cf_wait_limit_ms (patience_ms (x), cf_exchange_left_ms (x));
+  gint64 limit
+      = cf_wait_limit_ms (cf_exchange_patience_ms (x), cf_exchange_left_ms (x));
   CfWaiter *evicted;
 
   x->waiter.since_ms = now;
@@ -235,7 +159,7 @@
   /* More work sent there would only be given up by its callers, at targets
    * that may not hear of it. */
   if (!CF_WITHOUT_STALL_CHECK
-      && all_quiet (x, cf_pace_stall_ms (&x->lane->pace)))
+      && cf_exchange_all_quiet (x, cf_pace_stall_ms (&x->lane->pace)))
     return TRUE;
   if (CF_WITHOUT_OUTAGE_WAIT)
     return FALSE;
@@ -362,8 +286,8 @@
 
 /* It waited for as long as it could; an attempt kept back in an outage is
  * worth a try now. */
-static void
-waited_too_long (CfExchange *x)
+void
+cf_exchange_waited_too_long (CfExchange *x)
 {
   gboolean outage = x->lane->outage.since_ms != 0;
   CfTarget *t;
@@ -380,73 +304,3 @@
     cf_exchange_refuse (x, outage ? "outage" : "no-room",
                         cf_exchange_busy_ms (x));
 }
-
-/* For how long a target may show no sign of any work before a stream that it
- * has not begun is taken elsewhere. */
-static gint64
-stranded_ms (const CfExchange *x)
-{
-  return STRANDED_TIMES
-         * MAX (cf_pace_stall_ms (&x->lane->pace), x->expected_first_ms);
-}
-
-/* Whether a stream's target alone stands still, before its first event: its
- * caller would leave while the request lies there out of reach. */
-static gboolean
-is_stranded (const CfExchange *x)
-{
-  gint64 now = cf_gateway_now (x->g);
-
-  return !CF_WITHOUT_STALL_CHECK && x->route->stream && x->last_event_ms == 0
-         && cf_target_quiet_ms (x->target, now) >= stranded_ms (x)
-         && now - x->lane->last_event_ms < cf_pace_stall_ms (&x->lane->pace);
-}
-
-/* Tries another target; FALSE if it may not have one. */
-static gboolean
-leave_stranded (CfExchange *x)
-{
-  x->may_have_run = TRUE;
-  if (!cf_exchange_may_send_again (x))
-    return FALSE;
-  cf_exchange_blame (x, x->target, "stands-still");
-  cf_exchange_forget_answer (x);
-  cf_exchange_try_again (x, "stands-still");
-  return TRUE;
-}
-
-/* The target, or the queue, took too long. */
-void
-cf_exchange_on_silence (struct ev_loop *loop, ev_timer *w, int revents)
-{
-  CfExchange *x = w->data;
-  gint64 left
-      = x->sent_ms + cf_exchange_silence_limit (x) - cf_gateway_now (x->g);
-
-  if (x->waiter.queued)
-    {
-      waited_too_long (x);
-      return;
-    }
-  if (x->last_event_ms == 0 && left > LEAST_LEFT_MS)
-    {
-      if (is_stranded (x) && leave_stranded (x))
-        return;
-      cf_exchange_wait_for_target (x, MIN (left, stranded_ms (x) / 2));
-      return;
-    }
-  /* When all targets are silent, as the ranks of a group are while one of
-   * them is missed, another has nothing to say either. */
-  if (all_silent (x))
-    {
-      cf_exchange_wait_for_target (x, all_silent_ms (x));
-      return;
-    }
-  /* Without another target to try, the one that is silent may still answer. */
-  x->may_have_run = TRUE;
-  if (!cf_exchange_may_send_again (x))
-    return;
-  cf_exchange_blame (x, x->target, "silent");
-  cf_exchange_forget_answer (x);
-  cf_exchange_try_again (x, "silent");
-}
--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -1,6 +1,7 @@
 #include "map-coordinator.h"
 
 #include "ablation.h"
+#include "map-gain.h"
 
 #include <string.h>
 
@@ -32,25 +33,6 @@
 /** Between two plans, and after a change that was given up. */
 #define PLAN_PAUSE_MS 100
 #define ABORT_PAUSE_MS 500
-/** Of what callers accept, the part under which passes count as short, and
- * the skew that a change must then take away: half of the copies of a quiet
- * day, with as many streams in time.  Where passes take up to 0.8 of it, the
- * same gain asked for at all times cost 0.03 to 0.04 of what callers were
- * owed (means of four seeds, with and without). */
-#define CALM_PART 0.5
-#define CALM_GAIN 0.6
-/** Of what callers accept, the part above which passes are about too long,
- * and the skew that a change must then take away: with 64 ranks, where plans
- * for 0.2 had ended at passes of 100 ms of 120, 0.03 more of what callers
- * were owed came in time (three seeds of three days, 0.00 to 0.16). */
-#define TIGHT_PART 0.7
-#define TIGHT_GAIN 0.12
-/** A leader that has counted demand for fewer windows of 100 ms knows a few
- * prompts alone, and makes only changes that take away so much skew: after a
- * restart of all gateways its first plans were for these, and the copies
- * slowed the passes that a backlog was served in. */
-#define YOUNG_WINDOWS 4
-#define YOUNG_GAIN 0.8
 /** Versions one leader may use under one token. */
 #define VERSION_BITS 10
 #define SALT_BITS 14
@@ -508,32 +490,6 @@
       enter (c, CF_MAP_SETTLING, "not-as-armed", now);
 }
 
-/* How long a pass takes, of what callers accept; 0 if that is not known. */
-static double
-pass_part (const CfMapCoordinator *c)
-{
-  if (c->pass_ms <= 0 || c->pass_aim_ms <= 0)
-    return 0;
-  return (double)c->pass_ms / (double)c->pass_aim_ms;
-}
-
-double
-cf_map_coordinator_least_gain (const CfMapCoordinator *c)
-{
-  double gain = c->limits.min_gain;
-  double part = pass_part (c);
-
-  if (CF_WITHOUT_PRICED_COPIES)
-    return gain;
-  if (part > TIGHT_PART)
-    gain = MIN (gain, TIGHT_GAIN);
-  else if (part > 0 && part < CALM_PART)
-    gain = MAX (gain, CALM_GAIN);
-  if (c->demand.n_windows < YOUNG_WINDOWS)
-    gain = MAX (gain, YOUNG_GAIN);
-  return gain;
-}
-
 static void
 plan (CfMapCoordinator *c, gint64 now)
 {
@@ -558,7 +514,8 @@
   cf_group_map_free (c->next);
   for (int r = 0; r < c->shape.ranks; r++)
     c->pace[r] = MAX (c->ranks[r].status.pace, 1);
-  limits.min_gain = cf_map_coordinator_least_gain (c);
+  limits.min_gain = cf_map_gain_asked (limits.min_gain, c->pass_ms,
+                                       c->pass_aim_ms, c->demand.n_windows);
   c->next = cf_group_map_plan (c->in_use, c->demand.tokens, c->pace, &limits);
   if (!c->next)
     return;
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -140,15 +140,5 @@
  * one should be held, so that all ranks are armed when it comes. */
 int cf_map_coordinator_passes_ahead (const CfMapCoordinator *c);
 
-/**
- * cf_map_coordinator_least_gain:
- * Returns: the skew that a change must take away now.  While passes are
- * short, callers gain nothing by even shorter ones, and copies are paid
- * for: a change then has to bring more, and less while passes are about as
- * long as callers accept.  So it has to bring more, too, while little of the
- * demand was seen yet.
- */
-double cf_map_coordinator_least_gain (const CfMapCoordinator *c);
-
 /** cf_map_coordinator_tick: does what is to be done now. */
 void cf_map_coordinator_tick (CfMapCoordinator *c, gint64 now_ms);
--- /dev/null
+++ b/gateway/map-gain.c
@@ -0,0 +1,43 @@
+#include "map-gain.h"
+
+#include "ablation.h"
+
+/** Of what callers accept, the part under which passes count as short, and
+ * the skew that a change must then take away: half of the copies of a quiet
+ * day, with as many streams in time.  Where passes take up to 0.8 of it, the
+ * same gain asked for at all times cost 0.03 to 0.04 of what callers were
+ * owed (means of four seeds, with and without). */
+#define CALM_PART 0.5
+#define CALM_GAIN 0.6
+/** Of what callers accept, the part above which passes are about too long,
+ * and the skew that a change must then take away: with 64 ranks, where plans
+ * for 0.2 had ended at passes of 100 ms of 120, 0.03 more of what callers
+ * were owed came in time (three seeds of three days, 0.00 to 0.16). */
+#define TIGHT_PART 0.7
+#define TIGHT_GAIN 0.12
+/** A leader that has counted demand for fewer windows of 100 ms knows a few
+ * prompts alone, and makes only changes that take away so much skew: after a
+ * restart of all gateways its first plans were for these, and the copies
+ * slowed the passes that a backlog was served in. */
+#define YOUNG_WINDOWS 4
+#define YOUNG_GAIN 0.8
+
+double
+cf_map_gain_asked (double usual, gint64 pass_ms, gint64 pass_aim_ms,
+                   guint windows)
+{
+  double gain = usual;
+  double part = 0;
+
+  if (CF_WITHOUT_PRICED_COPIES)
+    return usual;
+  if (pass_ms > 0 && pass_aim_ms > 0)
+    part = (double)pass_ms / (double)pass_aim_ms;
+  if (part > TIGHT_PART)
+    gain = MIN (gain, TIGHT_GAIN);
+  else if (part > 0 && part < CALM_PART)
+    gain = MAX (gain, CALM_GAIN);
+  if (windows < YOUNG_WINDOWS)
+    gain = MAX (gain, YOUNG_GAIN);
+  return gain;
+}
--- a/gateway/policy.c
+++ b/gateway/policy.c
@@ -126,3 +126,20 @@
     }
   return r->splits[r->n_splits - 1].service;
 }
+
+gint64
+cf_policy_gap_aim_ms (const CfPolicy *p, const char *service)
+{
+  gint64 aim = 0;
+
+  for (guint i = 0; i < p->routes->len; i++)
+    {
+      const CfRoute *r = p->routes->pdata[i];
+
+      for (guint j = 0; r->gap_aim_ms > 0 && j < r->n_splits; j++)
+        if (strcmp (r->splits[j].service, service) == 0
+            && (aim == 0 || r->gap_aim_ms < aim))
+          aim = r->gap_aim_ms;
+    }
+  return aim;
+}
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -117,3 +117,7 @@
  * Returns: the service's name.
  */
 const char *cf_route_pick (const CfRoute *r, guint hash);
+
+/** cf_policy_gap_aim_ms: the shortest pause between events that routes to
+ * @service promise; each pass of its engines is one.  0: none does. */
+gint64 cf_policy_gap_aim_ms (const CfPolicy *p, const char *service);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -97,25 +97,6 @@
   return sv && sv->engine.sets > 0 ? &sv->engine : NULL;
 }
 
-/* The shortest pause between events that callers of @service are promised:
- * each pass of its engines is one. */
-static gint64
-pass_aim_of (const CfPolicy *p, const char *service)
-{
-  gint64 aim = 0;
-
-  for (guint i = 0; i < p->routes->len; i++)
-    {
-      const CfRoute *r = p->routes->pdata[i];
-
-      for (guint j = 0; r->gap_aim_ms > 0 && j < r->n_splits; j++)
-        if (strcmp (r->splits[j].service, service) == 0
-            && (aim == 0 || r->gap_aim_ms < aim))
-          aim = r->gap_aim_ms;
-    }
-  return aim;
-}
-
 /* Looks at the routes once a version. */
 static void
 learn_pass_aim (CfRankLink *a)
@@ -126,7 +107,7 @@
   if (!t || !p || a->group->policy_version == p->version)
     return;
   a->group->policy_version = p->version;
-  a->group->c.pass_aim_ms = pass_aim_of (p, t->record.service);
+  a->group->c.pass_aim_ms = cf_policy_gap_aim_ms (p, t->record.service);
 }
 
 static CfLedGroup *
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -578,35 +578,6 @@
 }
 END_TEST
 
-START_TEST (changes_are_asked_for_what_they_bring)
-{
-  Leader *l = &w.leaders[0];
-  CfMapCoordinator *c = &l->c;
-  double usual;
-
-  memset (&w, 0, sizeof w);
-  new_leader (l);
-  c->limits.min_gain = 0.2;
-  usual = c->limits.min_gain;
-  c->demand.n_windows = 100;
-  /* Nothing is known of passes, or of what callers accept. */
-  ck_assert_double_eq (cf_map_coordinator_least_gain (c), usual);
-  c->pass_ms = 40;
-  ck_assert_double_eq (cf_map_coordinator_least_gain (c), usual);
-  /* Passes far shorter than callers accept, then about as long. */
-  c->pass_aim_ms = 120;
-  ck_assert_double_gt (cf_map_coordinator_least_gain (c), usual + 0.3);
-  c->pass_ms = 75;
-  ck_assert_double_eq (cf_map_coordinator_least_gain (c), usual);
-  c->pass_ms = 100;
-  ck_assert_double_lt (cf_map_coordinator_least_gain (c), 0.15);
-  /* Little of the demand was seen. */
-  c->demand.n_windows = 1;
-  ck_assert_double_gt (cf_map_coordinator_least_gain (c), usual + 0.5);
-  cf_map_coordinator_clear (c);
-}
-END_TEST
-
 static void
 report_start (CfMapCoordinator *c, int rank, gint64 incarnation, gint64 epoch,
               gint64 prepared, gint64 now)
@@ -674,7 +645,6 @@
   tcase_add_test (t, one_map_a_pass);
   tcase_add_test (t, a_higher_token_ends_the_lead);
   tcase_add_test (t, the_held_pass_is_as_near_as_arming_allows);
-  tcase_add_test (t, changes_are_asked_for_what_they_bring);
   tcase_add_test (t, a_restarted_rank_is_learned_anew);
   tcase_add_test (u, one_map_a_pass_without_fences);
   suite_add_tcase (s, t);
