Cut every waiting watch when the stand-in's service goes down

Cause: the test sets the service down, publishes version 2 and sets it up again while entry A stands still, so that A's waiting watch is cut. The stand-in's thread that holds this watch looks at the mode when it has its turn: after all three, it finds the service up and answers version 2 to A.

Change: a watch remembers how often the service was down when it began, and is cut if that has changed. The test gives A 0.3 s after it wakes, so that an answer of that kind would always be met."

--- a/comfrey-fake-config.c
+++ b/comfrey-fake-config.c
@@ -47,6 +47,7 @@
   GPtrArray *history;   /* every version's records, version 1 first */
   gint64 stale_version; /* what MODE_STALE serves */
   Mode mode;
+  guint outages; /* how often it was set down */
   gint64 reads;
 } svc;
 
@@ -92,11 +93,15 @@
 {
   struct timespec ts;
   long long until = cf_now_ms () + wait_ms;
+  guint outages;
+  Mode mode;
   json_t *o;
 
   pthread_mutex_lock (&svc.lock);
   svc.reads++;
-  while (svc.mode == MODE_UP && svc.version <= after && cf_now_ms () < until)
+  outages = svc.outages;
+  while (svc.mode == MODE_UP && svc.outages == outages && svc.version <= after
+         && cf_now_ms () < until)
     {
       clock_gettime (CLOCK_REALTIME, &ts);
       ts.tv_nsec += 50L * 1000000;
@@ -107,7 +112,10 @@
         }
       pthread_cond_timedwait (&svc.changed, &svc.lock, &ts);
     }
-  switch (svc.mode)
+  /* An outage cuts every watch that waits, also one that was over before
+   * this thread had its turn. */
+  mode = svc.outages == outages ? svc.mode : MODE_DOWN;
+  switch (mode)
     {
     case MODE_DOWN:
       cf_http_reply_error (rep, 503, "down", "the service is down (test)");
@@ -156,6 +164,7 @@
       svc.stale_version = v ? g_ascii_strtoll (v, NULL, 10) : svc.version;
       svc.stale_version = CLAMP (svc.stale_version, 1, svc.version);
     }
+  svc.outages += g_str_equal (m, "down");
   svc.mode = g_str_equal (m, "down")    ? MODE_DOWN
              : g_str_equal (m, "stale") ? MODE_STALE
                                         : MODE_UP;
--- a/t/t-config.c
+++ b/t/t-config.c
@@ -272,6 +272,8 @@
   usleep (2000000);
   call ("GET", CONFIG "/test/mode?mode=down", NULL);
   kill (a, SIGCONT);
+  /* Time for whatever was answered to it meanwhile. */
+  usleep (300000);
   /* It still believes in version 1, long replaced. */
   check_refused_until_the_service_is_up ();
   t_stop_all ();
