--- a/comfrey.c
+++ b/comfrey.c
@@ -15,18 +15,26 @@
 #include <string.h>
 #include <unistd.h>
 
+/* NULL, and says why, if the file cannot be read. */
+static char *
+read_file (const char *command, const char *path)
+{
+  g_autoptr (GError) err = NULL;
+  char *text = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, &err))
+    fprintf (stderr, "comfrey %s: %s\n", command, err->message);
+  return text;
+}
+
 static int
 check (const char *path)
 {
-  g_autofree char *text = NULL;
-  g_autoptr (GError) err = NULL;
+  g_autofree char *text = read_file ("check", path);
   CfConfig *c = NULL;
 
-  if (!g_file_get_contents (path, &text, NULL, &err))
-    {
-      fprintf (stderr, "comfrey check: %s\n", err->message);
-      return 2;
-    }
+  if (!text)
+    return 2;
   if (cf_config_parse_lines (text, path, 0, &c) != CF_OK)
     {
       fprintf (stderr, "comfrey check: %s\n", cf_last_error ());
@@ -103,16 +111,12 @@
 
   for (char **f = files; *f; f++)
     {
-      g_autofree char *text = NULL;
-      g_autoptr (GError) err = NULL;
-
-      if (!g_file_get_contents (*f, &text, NULL, &err))
-        {
-          fprintf (stderr, "comfrey explain: %s\n", err->message);
-          rc = 2;
-          continue;
-        }
-      cf_story_read (&s, id, *f, text);
+      g_autofree char *text = read_file ("explain", *f);
+
+      if (text)
+        cf_story_read (&s, id, *f, text);
+      else
+        rc = 2;
     }
   cf_story_end (&s);
   cf_story_print (&s, id, out);
@@ -134,16 +138,12 @@
   cf_report_init (&r, aims);
   for (char **f = files; *f; f++)
     {
-      g_autofree char *text = NULL;
-      g_autoptr (GError) err = NULL;
+      g_autofree char *text = read_file ("report", *f);
 
-      if (g_file_get_contents (*f, &text, NULL, &err))
+      if (text)
         cf_report_read (&r, text);
       else
-        {
-          fprintf (stderr, "comfrey report: %s\n", err->message);
-          rc = 2;
-        }
+        rc = 2;
     }
   cf_report_print (&r, out);
   fputs (out->str, stdout);
--- a/gateway/exchange-silence.c
+++ b/gateway/exchange-silence.c
@@ -40,8 +40,6 @@
   return (gint64)((double)x->route->aim_ms * SILENCE_AIMS);
 }
 
-/* How long callers wait for a first sign: a stream's for some objectives
- * and some seconds, another request's for its answer in time. */
 gint64
 cf_exchange_patience_ms (const CfExchange *x)
 {
@@ -59,8 +57,6 @@
   return (gint64)((double)cf_exchange_patience_ms (x) * ALL_SILENT_PART);
 }
 
-/* Whether no target of a service of streams has shown any work for more than
- * @ms, as the ranks of a group do while one of them is missed. */
 gboolean
 cf_exchange_all_quiet (const CfExchange *x, gint64 ms)
 {
--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -613,15 +613,14 @@
          && s->epoch <= v->status.epoch;
 }
 
-/* The rank started anew: it holds and knows nothing of what was ordered, and
- * guards itself by no token.  Its group forms anew, as the next reports
- * will say; until then nothing that is under way can go on. */
+/* The rank started anew: it holds and knows nothing of what was ordered; its
+ * status says by which token it guards itself.  Its group forms anew, as the
+ * next reports will say; until then nothing that is under way can go on. */
 static void
 restarted (CfMapCoordinator *c, int rank, gint64 now)
 {
   CfRankView *v = &c->ranks[rank];
 
-  v->token = 0;
   v->lists_map = -1;
   cf_expert_demand_forget_rank (&c->demand, rank);
   if (c->state != CF_MAP_SETTLING)
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -101,10 +101,13 @@
 static void
 learn_pass_aim (CfRankLink *a)
 {
-  const CfTarget *t = cf_rank_service_target (a->s, a->target_addr);
   const CfPolicy *p = a->s->g->policy;
+  const CfTarget *t;
 
-  if (!t || !p || a->group->policy_version == p->version)
+  if (!p || a->group->policy_version == p->version)
+    return;
+  t = cf_rank_service_target (a->s, a->target_addr);
+  if (!t)
     return;
   a->group->policy_version = p->version;
   a->group->c.pass_aim_ms = cf_policy_gap_aim_ms (p, t->record.service);
