Bound a change of map by the time that passed

Cause: t-rebalance's test_change_waits_for_the_weight_store failed beside busy processes: with prepare_ms = 2000 the change was not given up within 2500 ms. map-change.c added up its own pauses of 20 ms and left out the time that its looks at the ranks and its orders took, so each limit lasted longer the slower the ranks answered.

Change: CfRankOps has a clock, and prepare_all(), undo() and the wait for the go compare against it.

--- a/comfrey-bench.c
+++ b/comfrey-bench.c
@@ -218,6 +218,14 @@
   return FALSE;
 }
 
+static gint64
+on_now (void *data)
+{
+  const Group *g = data;
+
+  return (gint64)(g->now / 1000);
+}
+
 /* The copies are whole: changes the map a few steps from now. */
 static void
 change_map (Group *g, Totals *t)
@@ -228,7 +236,8 @@
                     .ranks = g->ranks,
                     .order = on_order,
                     .report = on_report,
-                    .pause = on_pause };
+                    .pause = on_pause,
+                    .now = on_now };
 
   t->changes += cf_map_change (&ops, ++g->turn, fake_ranks_map (&g->fake),
                                g->next, &limits)
--- a/map-change.c
+++ b/map-change.c
@@ -40,6 +40,14 @@
   return whole && !c->fenced;
 }
 
+/* All waits are bounded by this: looks and orders take time besides the
+ * pauses, more than the limits themselves when ranks answer slowly. */
+static gint64
+now_ms (const Change *c)
+{
+  return c->ops->now (c->ops->data);
+}
+
 static CfMapChange
 cut_short (const Change *c)
 {
@@ -202,9 +210,9 @@
 undo (Change *c, gint64 burnt_above, const CfExpertMap *in_use)
 {
   gboolean held = FALSE;
+  gint64 since = now_ms (c);
 
-  for (int waited = 0; waited <= c->limits->settle_ms && !c->fenced;
-       waited += POLL_MS)
+  while (now_ms (c) - since <= c->limits->settle_ms && !c->fenced)
     {
       if (undo_round (c, burnt_above, in_use, &held))
         return CF_MAP_ABORTED;
@@ -231,7 +239,7 @@
 prepare_all (Change *c, const CfExpertMap *map)
 {
   CfRankOp op = { .kind = CF_RANK_PREPARE };
-  int waited = 0;
+  gint64 since = now_ms (c);
 
   op.u.prepare.version = map->version;
   op.u.prepare.map = map;
@@ -244,10 +252,9 @@
 
       for (int r = 0; ready && r < c->ops->ranks; r++)
         ready = c->ranks[r].prepared == map->version;
-      if (ready || c->fenced || waited >= c->limits->prepare_ms
+      if (ready || c->fenced || now_ms (c) - since >= c->limits->prepare_ms
           || !c->ops->pause (c->ops->data, POLL_MS))
         return ready;
-      waited += POLL_MS;
     }
 }
 
@@ -286,7 +293,7 @@
   g_autofree CfRankReport *ranks = g_new0 (CfRankReport, ops->ranks);
   Change c = { .ops = ops, .limits = limits, .turn = turn, .ranks = ranks };
   CfRankOp arm = { .kind = CF_RANK_ARM };
-  int waited = 0;
+  gint64 since;
   gint64 step;
 
   if (!look (&c))
@@ -305,7 +312,8 @@
       return c.fenced ? CF_MAP_FENCED : undo (&c, map->version, in_use);
 
   /* From the first go on the change is decided: it is never undone here. */
-  while (!c.fenced && waited <= limits->settle_ms)
+  since = now_ms (&c);
+  while (!c.fenced && now_ms (&c) - since <= limits->settle_ms)
     {
       switch (go (&c, (int)(turn % ops->ranks), step))
         {
@@ -318,7 +326,6 @@
         }
       if (!ops->pause (ops->data, POLL_MS))
         break;
-      waited += POLL_MS;
     }
   return cut_short (&c);
 }
--- a/map-change.h
+++ b/map-change.h
@@ -78,6 +78,8 @@
   CfRankAck (*report) (void *data, int rank, CfRankReport *out);
   /** Waits @ms; %FALSE when the coordinator should stop trying. */
   gboolean (*pause) (void *data, int ms);
+  /** The time in ms, on a clock that is never set back. */
+  gint64 (*now) (void *data);
 } CfRankOps;
 
 /** CfMapChange: how a change ended. */
--- a/rank-group.c
+++ b/rank-group.c
@@ -270,6 +270,13 @@
   return TRUE;
 }
 
+static gint64
+on_now (void *data)
+{
+  (void)data;
+  return cf_now_ms ();
+}
+
 /* Links to the members are made by the first takeover only, so that the
  * agents of a large group do not all keep links to each other. */
 static void
@@ -472,7 +479,8 @@
                     .ranks = (int)g->set.members->len,
                     .order = on_order,
                     .report = on_report,
-                    .pause = on_pause };
+                    .pause = on_pause,
+                    .now = on_now };
   CfMapLimits limits = { .prepare_ms = (int)g->set.prepare_ms,
                          .settle_ms = SETTLE_MS,
                          .lead_steps = LEAD_STEPS };
--- a/t/t-map.c
+++ b/t/t-map.c
@@ -45,6 +45,8 @@
   int dies_in;     /* calls until that coordinator dies; -1: never */
   gboolean calm;   /* no faults */
   gboolean idle;   /* no work, so no steps */
+  gint64 now_ms;
+  int report_ms; /* how long a rank takes to report */
   gint64 steps, switches, mixed, faults;
 } World;
 
@@ -204,6 +206,7 @@
   World *w = data;
 
   tick (w);
+  w->now_ms += w->report_ms;
   if (w->dies_in == -2 || (w->open[rank] && w->my_fence < w->fence[rank]))
     return CF_ACK_FENCED;
   w->open[rank] = TRUE;
@@ -217,11 +220,22 @@
 static gboolean
 fake_pause (void *data, int ms)
 {
+  World *w = data;
+
+  w->now_ms += ms;
   for (int i = 0; i < 8; i++)
-    tick (data);
+    tick (w);
   return TRUE;
 }
 
+static gint64
+fake_now (void *data)
+{
+  const World *w = data;
+
+  return w->now_ms;
+}
+
 /* A sequence of coordinators, each settling and changing until it dies. */
 static void
 play (guint32 seed, World *sum)
@@ -232,7 +246,8 @@
                     .ranks = RANKS,
                     .order = fake_order,
                     .report = fake_report,
-                    .pause = fake_pause };
+                    .pause = fake_pause,
+                    .now = fake_now };
   gint64 turn = 0;
   gint64 before;
 
@@ -294,6 +309,39 @@
 }
 END_TEST
 
+/* Obeys, but its copies never become whole. */
+static CfRankAck
+never_ready (void *data, int rank, const CfRankOp *op)
+{
+  (void)data;
+  (void)rank;
+  (void)op;
+  return CF_ACK_DONE;
+}
+
+/* The time that slow ranks take to report counts too: a change that cannot
+ * be prepared is given up when its time is over, but for a last look. */
+START_TEST (test_slow_reports_do_not_stretch_the_limit)
+{
+  World w = { .calm = TRUE, .idle = TRUE, .dies_in = -1, .report_ms = 15 };
+  CfExpertMap *map = cf_expert_map_new (EXPERTS, RANKS, PLACES);
+  CfRankOps ops = { .data = &w,
+                    .ranks = RANKS,
+                    .order = never_ready,
+                    .report = fake_report,
+                    .pause = fake_pause,
+                    .now = fake_now };
+  gint64 look_ms = RANKS * w.report_ms;
+
+  w.rand = g_rand_new_with_seed (1);
+  ck_assert_int_eq (cf_map_change (&ops, 1, map, map, &limits), CF_MAP_ABORTED);
+  ck_assert_int_ge (w.now_ms, limits.prepare_ms);
+  ck_assert_int_le (w.now_ms, limits.prepare_ms + 3 * look_ms);
+  cf_expert_map_free (map);
+  g_rand_free (w.rand);
+}
+END_TEST
+
 START_TEST (test_replicas_share_an_experts_tokens)
 {
   CfExpertMap *m = cf_expert_map_new (4, 2, 3);
@@ -352,6 +400,7 @@
   tcase_add_test (tc, test_replicas_share_an_experts_tokens);
   tcase_add_test (tc, test_bad_maps_name_the_fault);
   tcase_add_test (tc, test_no_step_mixes_maps);
+  tcase_add_test (tc, test_slow_reports_do_not_stretch_the_limit);
   suite_add_tcase (s, tc);
   return t_run (s);
 }
