Say what a gateway expects of requests late in its stop, and that it cut them

Cause: from the logs of the recorded roll nobody could tell what a gateway expected when it took a request on in its planned stop, from which pace; and a request that the end of the process cut off was logged as outcome=gone, reason=caller-left, which blames its caller.

Ruled out: deriving it from E1203 and E1205 afterwards: the pace of the moment stands in neither.

Change: E1214 for each request that comes while a gateway refuses what does not end in time, with whole_ms, left_ms, pause_ms and the size; reason cut-by-stop, outcome broken (failed before the first byte), in E1205 and the counters. No decision changes.

Figures: t-explain, t-log, t-report, t-pace pass; t-gateway 34 of 34, three times.

--- a/explain.c
+++ b/explain.c
@@ -33,6 +33,9 @@
   { NULL, "more-urgent-waits",
     "more urgent requests filled the queue of its service" },
   { NULL, "stopping", "the gateway was about to end; see E1405" },
+  { NULL, "cut-by-stop",
+    "the gateway ended before the answer was whole; E1214 of it, if any, "
+    "says what was expected; see E1405" },
   { NULL, "target-refused", "each target it may be sent to refused it" },
   { NULL, "target-failed", "each target it may be sent to failed it" },
   { NULL, "unsigned-answer",
--- a/gateway/caller.c
+++ b/gateway/caller.c
@@ -429,5 +429,12 @@
   CfCaller *c;
 
   while ((c = TAILQ_FIRST (&g->callers)))
-    leave (c);
+    {
+      CfExchange *x = c->x;
+
+      c->x = NULL;
+      if (x)
+        cf_exchange_cut (x);
+      shut (c);
+    }
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -195,10 +195,19 @@
 {
   gint64 left = x->g->end_at_ms - cf_gateway_now (x->g);
   gint64 whole = -1;
+  gboolean ends;
 
   if (x->route->stream)
     whole = cf_pace_whole_ms (&x->lane->pace, cf_exchange_engine (x), &x->size);
-  return (whole < 0 ? allowed : MIN (whole, allowed)) < left;
+  whole = whole < 0 ? allowed : MIN (whole, allowed);
+  ends = whole < left;
+  cf_log (LOG_INFO, CF_EV_STOP_ADMIT,
+          "id=%s outcome=%s whole_ms=%" G_GINT64_FORMAT
+          " left_ms=%" G_GINT64_FORMAT
+          " pause_ms=%.1f answer=%" G_GINT64_FORMAT,
+          x->id, ends ? "taken" : "refused", whole, left,
+          x->lane->pace.pause_ms, x->size.answer);
+  return ends;
 }
 
 static void
@@ -288,6 +297,14 @@
   cf_exchange_finish (x, CF_OUT_GONE, 0, "caller-left");
 }
 
+void
+cf_exchange_cut (CfExchange *x)
+{
+  x->c = NULL;
+  cf_exchange_finish (x, x->begun ? CF_OUT_BROKEN : CF_OUT_FAILED, x->status,
+                      "cut-by-stop");
+}
+
 void
 cf_exchange_drained (CfExchange *x)
 {
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -8,6 +8,10 @@
 /** cf_exchange_abandon: the caller left; all work for it is stopped. */
 void cf_exchange_abandon (CfExchange *x);
 
+/** cf_exchange_cut: this process ends; the caller's connection goes with it,
+ * so nothing is answered. */
+void cf_exchange_cut (CfExchange *x);
+
 /** cf_exchange_drained: all of the answer so far has been sent. */
 void cf_exchange_drained (CfExchange *x);
 
