Have the same test program take turns with itself in another tree

Ruled out: the code under test: alone it passed three times of three; a run of two side by side, made to see, failed in both.

Change: t_run() takes a lock named after the program in the folder for temporary files, and says so if it cannot.

--- a/t/harness.c
+++ b/t/harness.c
@@ -7,6 +7,8 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <stdio.h>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -73,15 +75,33 @@
   return FALSE;
 }
 
+/* Each test program has fixed ports: the same one run from another tree at
+ * the same time would meet this one's processes, so it waits its turn. */
+static int
+take_turn (void)
+{
+  g_autofree char *name
+      = g_strdup_printf ("comfrey-%s.lock", program_invocation_short_name);
+  g_autofree char *path = g_build_filename (g_get_tmp_dir (), name, NULL);
+  int fd = open (path, O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+
+  if (fd < 0 || flock (fd, LOCK_EX) != 0)
+    fprintf (stderr, "%s: %s: no turns are taken\n", path, strerror (errno));
+  return fd;
+}
+
 int
 t_run (Suite *s)
 {
+  int turn = take_turn ();
   SRunner *sr = srunner_create (s);
   int failed;
 
   srunner_run_all (sr, CK_NORMAL);
   failed = srunner_ntests_failed (sr);
   srunner_free (sr);
+  if (turn >= 0)
+    close (turn);
   return failed ? 1 : 0;
 }
 
