--- a/standins/comfrey-fake-platform.c
+++ b/standins/comfrey-fake-platform.c
@@ -17,6 +17,7 @@
 static int work_ms = 10;
 static double shift_s = 0;
 static double step_ms = 5;
+static double per_seq_ms = 0;
 static double copy_ms = 20;
 
 static const GOptionEntry entries[] = {
@@ -29,6 +30,8 @@
     "A rank's copy of one expert", "MS" },
   { "step-ms", 0, 0, G_OPTION_ARG_DOUBLE, &step_ms, "A pass at even load",
     "MS" },
+  { "per-seq-ms", 0, 0, G_OPTION_ARG_DOUBLE, &per_seq_ms,
+    "Added to a pass by each stream of a rank, in the mean", "MS" },
   { "shift-s", 0, 0, G_OPTION_ARG_DOUBLE, &shift_s,
     "Other experts are in demand each so often", "S" },
   { NULL },
@@ -62,7 +65,7 @@
 start_targets (struct ev_loop *loop, FakeStore *store)
 {
   const FakeGroupShape shape
-      = { n_ranks, 2, 16, 6, 2, step_ms, copy_ms, shift_s };
+      = { n_ranks, 2, 16, 6, 2, step_ms, per_seq_ms, copy_ms, shift_s };
   FakeGroup *g = n_ranks ? fake_group_new (loop, &shape) : NULL;
 
   for (int i = 0; i < n_plain + n_ranks; i++)
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -98,6 +98,19 @@
     }
 }
 
+/* A pass at even load, with the streams that its ranks write now. */
+static double
+even_pass_ms (const FakeGroup *g)
+{
+  const FakeStream *st;
+  int n = 0;
+
+  for (int i = 0; i < g->shape.ranks; i++)
+    TAILQ_FOREACH (st, &g->ranks[i].streams, link)
+  n++;
+  return g->shape.step_ms + g->shape.per_seq_ms * n / g->shape.ranks;
+}
+
 static gboolean
 is_idle (const FakeGroup *g)
 {
@@ -168,7 +181,7 @@
     begin_pass (g);
   g->skew_sum += x;
   ev_timer_set (
-      t, 0, g->shape.step_ms / 1000 * (1 - EXPERT_SHARE + EXPERT_SHARE * x));
+      t, 0, even_pass_ms (g) / 1000 * (1 - EXPERT_SHARE + EXPERT_SHARE * x));
   ev_timer_again (loop, t);
 }
 
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -44,9 +44,10 @@
   int experts;
   int places;
   int spare;
-  double step_ms; /**< a pass at even load */
-  double copy_ms; /**< for one expert */
-  double shift_s; /**< other experts are in demand each so often; 0: never */
+  double step_ms;    /**< a pass at even load */
+  double per_seq_ms; /**< added to it by each stream of a rank in the mean */
+  double copy_ms;    /**< for one expert */
+  double shift_s;    /**< other experts are in demand each so often; 0: never */
 } FakeGroupShape;
 
 FakeGroup *fake_group_new (struct ev_loop *loop, const FakeGroupShape *shape);
--- a/t/run-tests.sh
+++ b/t/run-tests.sh
@@ -11,7 +11,7 @@
 known_tags() {
 	[ -f KNOWN-RED.txt ] || return 0
 	grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' |
-		grep "^$1:" | cut -d: -f2 | paste -sd, -
+		grep "^$1:" | cut -d: -f2 | paste -sd' ' -
 }
 
 run_one() {
