Reckon with the slowest pace where accepting cannot be taken back

Cause: a gateway late in its planned stop accepted streams by the pace of about the last 0.1 s, with half as much again. When gateways are stopped in turn, those that refuse leave the engines little to do: passes of 40 ms take 25, and 50 as soon as they are back.

Ruled out: the size of the request (E1205 of cut streams: none has more events than its caller announced); a second sending (sends=1).

Change: cf_pace_whole_ms() takes the slowest of the pace now, that of the last 15 to 30 s (pauses of a target that stands still left out), and a pass of an engine with all slots taken by its published model, and half as much again; the first event in proportion.

What is accepted in the first 2.3 s, unchecked, is still cut under a burst.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -137,7 +137,7 @@
       gint64 pause = now - x->last_event_ms;
 
       x->longest_pause_ms = MAX (x->longest_pause_ms, pause);
-      cf_pace_event (&x->lane->pace, pause);
+      cf_pace_event (&x->lane->pace, now, pause);
       cf_histogram_add (&x->g->stats.pause_ms, pause);
     }
   x->last_event_ms = now;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -198,7 +198,8 @@
   gboolean ends;
 
   if (x->route->stream)
-    whole = cf_pace_whole_ms (&x->lane->pace, cf_exchange_engine (x), &x->size);
+    whole = cf_pace_whole_ms (&x->lane->pace, cf_exchange_engine (x), &x->size,
+                              cf_gateway_now (x->g));
   whole = whole < 0 ? allowed : MIN (whole, allowed);
   ends = whole < left;
   cf_log (LOG_INFO, CF_EV_STOP_ADMIT,
--- a/gateway/pace.c
+++ b/gateway/pace.c
@@ -14,6 +14,10 @@
 /** Pauses grow while more streams come, experts are copied or demand shifts:
  * by half where passes of 70 ms became 105 ms. */
 #define WHOLE_MARGIN 1.5
+/** The slowest pace of so long is remembered, twice: longer than the lull in
+ * which gateways that are stopped in turn, each for some 8 s, refuse what they
+ * will not end.  Passes of 40 ms became 25 in one, then 52. */
+#define SPAN_MS 15000
 
 /** Pauses that a target may take without standing still.  Streams of one
  * target all write in the same pass, so the least loaded one shows a sign
@@ -28,9 +32,34 @@
   *mean = *mean > 0 ? *mean + (value - *mean) * weight : value;
 }
 
+/* What is no pass any more, where they take @pass_ms. */
+static gint64
+stall_ms (double pass_ms)
+{
+  return MAX (STALL_LEAST_MS, (gint64)(STALL_PAUSES * pass_ms));
+}
+
+static void
+remember_slowest (CfPace *p, gint64 now)
+{
+  if (now - p->span_at_ms >= SPAN_MS)
+    {
+      p->slowest_ms[1]
+          = now - p->span_at_ms < 2 * SPAN_MS ? p->slowest_ms[0] : 0;
+      p->slowest_ms[0] = 0;
+      p->span_at_ms = now;
+    }
+  p->slowest_ms[0] = MAX (p->slowest_ms[0], p->pass_ms);
+}
+
 void
-cf_pace_event (CfPace *p, gint64 pause_ms)
+cf_pace_event (CfPace *p, gint64 now, gint64 pause_ms)
 {
+  if (pause_ms <= stall_ms (p->pass_ms))
+    {
+      blend (&p->pass_ms, (double)pause_ms, EVENT_WEIGHT);
+      remember_slowest (p, now);
+    }
   blend (&p->pause_ms, (double)pause_ms, EVENT_WEIGHT);
 }
 
@@ -46,7 +75,7 @@
 gint64
 cf_pace_stall_ms (const CfPace *p)
 {
-  return MAX (STALL_LEAST_MS, (gint64)(STALL_PAUSES * p->pause_ms));
+  return stall_ms (p->pause_ms);
 }
 
 /* A pass of the engine: all its streams write one event in it. */
@@ -71,17 +100,41 @@
   return (gint64)(2 * pass_ms (p, e) + read);
 }
 
+/* A pass of an engine whose slots are all taken. */
+static double
+full_pass_ms (const CfEngineModel *e)
+{
+  return e->stride * (e->step_ms + e->per_seq_ms * MAX (e->slots, USUAL_BATCH));
+}
+
+/* The slowest pass to reckon with: what a lull shows now is left out. */
+static double
+slow_pass_ms (const CfPace *p, const CfEngineModel *e, gint64 now)
+{
+  gint64 age = now - p->span_at_ms;
+  double pass = MAX (pass_ms (p, e), full_pass_ms (e));
+
+  if (age < 2 * SPAN_MS)
+    pass = MAX (pass, p->slowest_ms[0]);
+  if (age < SPAN_MS)
+    pass = MAX (pass, p->slowest_ms[1]);
+  return pass;
+}
+
 gint64
 cf_pace_whole_ms (const CfPace *p, const CfEngineModel *e,
-                  const CfStreamSize *size)
+                  const CfStreamSize *size, gint64 now)
 {
-  double pass = pass_ms (p, e);
   double answer = (double)size->answer;
+  double pass;
 
-  if (pass <= 0 || !e || e->stride < 1)
+  if (!e || e->stride < 1)
+    return -1;
+  pass = WHOLE_MARGIN * slow_pass_ms (p, e, now);
+  if (pass <= 0)
     return -1;
   if (answer <= 0)
     answer = e->usual_answer;
-  return (gint64)(WHOLE_MARGIN * pass * ceil (answer / e->stride))
-         + cf_pace_first_ms (p, e, size);
+  return (gint64)(pass * ceil (answer / e->stride))
+         + MAX (cf_pace_first_ms (p, e, size), (gint64)(2 * pass));
 }
--- a/gateway/pace.h
+++ b/gateway/pace.h
@@ -12,9 +12,12 @@
  */
 typedef struct
 {
-  double pause_ms;     /**< mean pause between two events; 0: not seen yet */
-  double first_ms;     /**< mean time from sending to the first event */
-  double first_dev_ms; /**< mean deviation from @first_ms */
+  double pause_ms; /**< mean pause between two events; 0: not seen yet */
+  double pass_ms;  /**< the same without pauses of targets that stood still */
+  double slowest_ms[2]; /**< the slowest @pass_ms of this span and the last */
+  gint64 span_at_ms;    /**< when this span began */
+  double first_ms;      /**< mean time from sending to the first event */
+  double first_dev_ms;  /**< mean deviation from @first_ms */
 } CfPace;
 
 /** CfStreamSize: what a request says of its size; 0 where it does not. */
@@ -24,8 +27,8 @@
   gint64 answer; /**< tokens written at most */
 } CfStreamSize;
 
-/** cf_pace_event: an event came @pause_ms after the one before. */
-void cf_pace_event (CfPace *p, gint64 pause_ms);
+/** cf_pace_event: an event came at @now_ms, @pause_ms after the one before. */
+void cf_pace_event (CfPace *p, gint64 now_ms, gint64 pause_ms);
 
 /** cf_pace_first: a first event came @ms after its request was sent. */
 void cf_pace_first (CfPace *p, gint64 ms);
@@ -49,7 +52,10 @@
 
 /**
  * cf_pace_whole_ms:
- * Returns: how long a whole stream takes at most; -1 if nothing is known.
+ * For what cannot be taken back once it is begun: it holds also if the
+ * service gets as busy as it was lately, or as its engines can be.
+ * Returns: how long a whole stream takes at most from its sending; -1 if
+ *   nothing is known.
  */
 gint64 cf_pace_whole_ms (const CfPace *p, const CfEngineModel *e,
-                         const CfStreamSize *size);
+                         const CfStreamSize *size, gint64 now_ms);
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -48,6 +48,7 @@
   double per_seq_ms;   /**< added by each request that writes */
   double read_per_ms;  /**< prompt tokens read in a ms */
   double stride;       /**< steps in a pass that has writers */
+  double slots;        /**< requests that one engine works on at once */
   double usual_prompt; /**< mean prompt tokens */
   double usual_answer; /**< mean answer tokens */
   int sets;            /**< layers of experts; 0: no rank groups */
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -245,7 +245,7 @@
       else
         {
           s->longest_ms = MAX (s->longest_ms, end - s->last_ms);
-          cf_pace_event (&gws[i % GATEWAYS].pace, end - s->last_ms);
+          cf_pace_event (&gws[i % GATEWAYS].pace, end, end - s->last_ms);
         }
       s->last_ms = end;
       if (s->events < EVENTS)
