Look again before each sending whether an answer ends before a stop does

Cause: whether a stream ends before its gateway does was looked at when it came and not when it was sent: one that waited for room or for a group to form, or was sent a second time, used up the time that was reckoned for it.

Change: exchange-stop.c says for each sending whether its answer is whole in time, and how long a request may wait; what cannot be any more is refused at once, or given up if it may have run. A stream that has begun goes on at another target all the same: not doing so would be the cut itself.

--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -10,7 +10,8 @@
 
 /**
  * What the parts of an exchange share: its beginning and end (exchange.c),
- * whom it is sent to and when (exchange-send.c), targets that show nothing
+ * whom it is sent to and when (exchange-send.c), whether it is before this
+ * process ends (exchange-stop.c), targets that show nothing
  * (exchange-silence.c), and what comes of the target's answer
  * (exchange-answer.c).
  */
@@ -103,6 +104,20 @@
 /** cf_exchange_waited_too_long: it waited for room as long as it could. */
 void cf_exchange_waited_too_long (CfExchange *x);
 
+/* The end of this process. */
+
+/** cf_exchange_stop_slack_ms: for how long it may still wait and be whole
+ * before a process that stops ends; %G_MAXINT64 if it does not. */
+gint64 cf_exchange_stop_slack_ms (const CfExchange *x);
+
+/**
+ * cf_exchange_stops_here:
+ * Looked at before each sending: what cannot be whole before this process
+ * ends is not sent any more.
+ * Returns: %TRUE if it was answered for that, and is gone.
+ */
+gboolean cf_exchange_stops_here (CfExchange *x);
+
 /* Targets that show nothing. */
 
 /** cf_exchange_wait_for_target: limits the silence of its target, or its wait
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -122,6 +122,7 @@
       = cf_wait_limit_ms (cf_exchange_patience_ms (x), cf_exchange_left_ms (x));
   CfWaiter *evicted;
 
+  limit = MIN (limit, MAX (cf_exchange_stop_slack_ms (x), 0));
   x->waiter.since_ms = now;
   x->waiter.in_time_ms = start_by_ms (x);
   if (!cf_wait_queue_add (&x->lane->queue, &x->waiter, waiters_max (x),
@@ -194,6 +195,8 @@
 {
   CfTarget *t;
 
+  if (cf_exchange_stops_here (x))
+    return;
   switch (pick (x, &t))
     {
     case CF_PICK_OK:
@@ -265,6 +268,8 @@
   x = w->owner;
   if (pick (x, &t) != CF_PICK_OK)
     return FALSE;
+  if (cf_exchange_stops_here (x))
+    return TRUE;
   cf_histogram_add (&x->g->stats.queue_ms, cf_gateway_now (x->g) - w->since_ms);
   cf_wait_queue_remove (q, w);
   ev_timer_stop (x->g->loop, &x->silence);
@@ -292,6 +297,8 @@
   gboolean outage = x->lane->outage.since_ms != 0;
   CfTarget *t;
 
+  if (cf_exchange_stops_here (x))
+    return;
   x->last_chance = outage;
   if (outage && pick (x, &t) == CF_PICK_OK)
     {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -4,14 +4,6 @@
 
 #include <string.h>
 
-/** Back-off asked of callers that come to a process about to end: another
- * connection reaches another VM. */
-#define STOPPING_BUSY_MS 20
-/** The same for callers that came on a new connection long after the platform
- * was told: no other VM takes them, so this one has to be back first, 0.5 s
- * after its end. */
-#define RESTART_BUSY_MS 1000
-
 gint64
 cf_exchange_left_ms (const CfExchange *x)
 {
@@ -189,28 +181,6 @@
   return sv && sv->engine.stride > 0 ? &sv->engine : NULL;
 }
 
-/* Whether its answer will be whole before a process that stops ends. */
-static gboolean
-ends_in_time (const CfExchange *x, gint64 allowed)
-{
-  gint64 left = x->g->end_at_ms - cf_gateway_now (x->g);
-  gint64 whole = -1;
-  gboolean ends;
-
-  if (x->route->stream)
-    whole = cf_pace_whole_ms (&x->lane->pace, cf_exchange_engine (x), &x->size,
-                              cf_gateway_now (x->g));
-  whole = whole < 0 ? allowed : MIN (whole, allowed);
-  ends = whole < left;
-  cf_log (LOG_INFO, CF_EV_STOP_ADMIT,
-          "id=%s outcome=%s whole_ms=%" G_GINT64_FORMAT
-          " left_ms=%" G_GINT64_FORMAT
-          " pause_ms=%.1f answer=%" G_GINT64_FORMAT,
-          x->id, ends ? "taken" : "refused", whole, left,
-          x->lane->pace.pause_ms, x->size.answer);
-  return ends;
-}
-
 static void
 start_routed (CfExchange *x)
 {
@@ -221,12 +191,6 @@
   cf_platform_size (cf_http_reader_header (&x->c->reader, CF_HDR_SIZE),
                     &x->size.prompt, &x->size.answer);
   x->deadline_ms = x->start_ms + allowed;
-  if (x->g->refusing && !ends_in_time (x, allowed))
-    {
-      cf_exchange_refuse (x, "stopping",
-                          x->c->served ? STOPPING_BUSY_MS : RESTART_BUSY_MS);
-      return;
-    }
   x->waiter.priority = priority_of (x);
   cf_retry_budget_request (&x->lane->budget);
   ev_timer_set (&x->deadline, (double)allowed / 1000, 0);
--- a/gateway/pace.c
+++ b/gateway/pace.c
@@ -17,7 +17,7 @@
 /** The slowest pace of so long is remembered, twice: longer than the lull in
  * which gateways that are stopped in turn, each for some 8 s, refuse what they
  * will not end.  Passes of 40 ms became 25 in one, then 52. */
-#define SPAN_MS 15000
+#define SPAN_MS 15000L
 
 /** Pauses that a target may take without standing still.  Streams of one
  * target all write in the same pass, so the least loaded one shows a sign
--- a/log.c
+++ b/log.c
@@ -67,8 +67,8 @@
       return "resume";
     case CF_EV_OUTAGE:
       return "outage";
-    case CF_EV_STOP_ADMIT:
-      return "stop-admit";
+    case CF_EV_STOP_LOOK:
+      return "stop-look";
     case CF_EV_STORE_LOST:
       return "store-lost";
     case CF_EV_STORE_BACK:
