Fail: five ways in which a planned stop still breaks a promise

Cause: a review by somebody who had not seen the work. The look before each sending also limits streams that have begun; it is made after the try under way was given up; it refuses calls of which nothing is forecast by their time limit; and what waits, or is read in part, when the process ends is closed without a word.

Conclusion: to be mended next.

--- a/t/t-planned-stop.c
+++ b/t/t-planned-stop.c
@@ -27,6 +27,7 @@
 #include <unistd.h>
 
 #define BASE 28000
+#define LOG "t/out/gateway-28000-1.log"
 #define RANK_1 (BASE + 3)
 #define N_RANKS 4
 /** When a gateway that stops takes on only what ends in time, and some ms. */
@@ -142,7 +143,7 @@
   play_streams (45);
   play_streams (30);
   keeper = begin_stream (1, 60);
-  ck_assert (p_log_says ("t/out/gateway-28000-1.log", "close-idle", PICKY_MS));
+  ck_assert (p_log_says (LOG, "close-idle", PICKY_MS));
   stream = begin_stream (1, 70);
   small = begin_stream (1, 12);
   usleep (100000);
@@ -191,6 +192,8 @@
 {
   g_autofree char *answer = NULL;
   int busy[SHARE];
+  g_autofree char *brief = NULL;
+  int small;
   int stream;
 
   begin_streams (2, 4000, busy, SHARE);
@@ -200,35 +203,194 @@
   p_signal (gateway, SIGTERM);
   usleep (1800000);
   stream = begin_stream (1, 40);
+  small = begin_stream (1, 8);
+  brief = p_read (small, 3000);
+  ck_assert_int_eq (p_status (brief), 200);
   answer = p_read (stream, 5000);
   check_not_cut (answer);
   leave_all (busy, SHARE);
+  close (small);
   close (stream);
 }
 END_TEST
 
+/* A stream that the callers have begun to read loses its target, and all
+ * others are busy: it has time to wait for one of them. */
+START_TEST (a_begun_stream_waits_for_room)
+{
+  int first[N_RANKS];
+  int fill[SHARE - N_RANKS];
+
+  p_fault (RANK_1, 1, "cut", 1);
+  begin_streams (1, 52, first, N_RANKS);
+  usleep (20000);
+  begin_streams (1, 12, fill, SHARE - N_RANKS);
+  usleep (20000);
+  p_signal (gateway, SIGTERM);
+  for (int i = 0; i < N_RANKS; i++)
+    {
+      g_autofree char *answer = p_read (first[i], 8000);
+
+      ck_assert_int_eq (p_status (answer), 200);
+      check_not_cut (answer);
+    }
+  leave_all (first, N_RANKS);
+  leave_all (fill, SHARE - N_RANKS);
+}
+END_TEST
+
+/* Long time limits: the end of the gateway comes before the callers'. */
+static const char patient[]
+    = "{\"version\":2,\"routes\":["
+      "{\"name\":\"chat\",\"host\":\"demo.example\",\"prefix\":\"/chat/\","
+      "\"kind\":\"streaming\",\"timeout-ms\":30000,\"aim-ms\":5000,"
+      "\"priority\":1,\"service\":\"llm\",\"max-attempts\":2,"
+      "\"public\":true,\"resumable\":true,\"gap-aim-ms\":120},"
+      "{\"name\":\"quote\",\"host\":\"demo.example\",\"prefix\":\"/quote/\","
+      "\"kind\":\"safe\",\"timeout-ms\":9000,\"aim-ms\":150,\"priority\":2,"
+      "\"service\":\"desk\",\"max-attempts\":2,\"public\":true}],"
+      "\"services\":[{\"name\":\"llm\",\"max-conns\":200,\"engine\":{"
+      "\"step_ms\":4,\"per_seq_ms\":0.9,\"read_per_s\":61400,\"stride\":4,"
+      "\"usual\":{\"prompt\":800,\"answer\":96}}},"
+      "{\"name\":\"desk\",\"max-conns\":96}],"
+      "\"limits\":{\"max-header-bytes\":4096,\"max-body-bytes\":65536,"
+      "\"header-timeout-ms\":9000,\"idle-timeout-ms\":9000}}";
+
+static void
+setup_patient (void)
+{
+  setup_slow ();
+  g_free (p_test (BASE, "POST /test/put?key=op/config", patient));
+  ck_assert (p_log_says (LOG, "config-accept version=2", 1000));
+}
+
+/* A request that no time limit hurries; its socket. */
+static int
+begin_patient (const char *method_and_path, const char *id)
+{
+  g_autofree char *req = g_strdup_printf (
+      "%s HTTP/1.1\r\nHost: demo.example\r\nComfreypost-Request-Id: %s\r\n"
+      "Comfreypost-Token-Count: 10,40\r\nContent-Length: 0\r\n\r\n",
+      method_and_path, id);
+  int fd = p_connect (p_front (BASE, 1));
+
+  p_send (fd, req);
+  return fd;
+}
+
+/* How long a call takes nobody forecasts: while the platform still sends
+ * callers here, it is taken. */
+START_TEST (a_call_right_after_the_signal_is_served)
+{
+  int keeper = begin_stream (1, 20);
+  g_autofree char *answer = NULL;
+  int call;
+
+  p_signal (gateway, SIGTERM);
+  usleep (200000);
+  call = begin_patient ("GET /quote/a", "early");
+  answer = p_read (call, 3000);
+  ck_assert_msg (p_status (answer) == 200, "%s", answer);
+  close (call);
+  close (keeper);
+}
+END_TEST
+
+/* A call is at a target that hangs, and another is sound. */
+START_TEST (a_silent_target_is_replaced)
+{
+  g_autofree char *answer = NULL;
+  int call;
+
+  p_fault (BASE + 1, 2, "hang", 1);
+  call = begin_patient ("GET /quote/a", "hung");
+  usleep (150000);
+  p_fault (BASE + 1, 2, "none", 0);
+  p_signal (gateway, SIGTERM);
+  answer = p_read (call, 6000);
+  ck_assert_msg (p_status (answer) == 200, "%s", answer);
+  close (call);
+}
+END_TEST
+
+/* Too late for another try: the one that was made is given all the time
+ * there is, 2.6 s, and not broken off for nothing. */
+START_TEST (a_try_is_not_ended_for_none)
+{
+  g_autofree char *answer = NULL;
+  gint64 sent_ms;
+  int call;
+
+  p_fault (BASE + 1, 2, "hang", 1000);
+  p_signal (gateway, SIGTERM);
+  usleep (2000000);
+  sent_ms = g_get_monotonic_time () / 1000;
+  call = begin_patient ("GET /quote/a", "hung");
+  answer = p_read (call, 6000);
+  ck_assert_int_eq (p_status (answer), 502);
+  ck_assert_int_ge (g_get_monotonic_time () / 1000 - sent_ms, 2000);
+  close (call);
+}
+END_TEST
+
+/* Requests wait for a group that stays away until the end; another's body
+ * is on its way. */
+START_TEST (what_waits_at_the_end_is_answered)
+{
+  int fds[3];
+  int half;
+  g_autofree char *answer = NULL;
+
+  p_fault (RANK_1, N_RANKS, "broken", 1000000);
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("wait%d", i);
+
+      fds[i] = begin_patient ("POST /chat/a", id);
+      usleep (50000);
+    }
+  usleep (300000);
+  p_signal (gateway, SIGTERM);
+  half = p_connect (p_front (BASE, 1));
+  p_send (half, "POST /chat/a HTTP/1.1\r\nHost: demo.example\r\n"
+                "Content-Length: 9\r\n\r\nhalf");
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *waited = p_read (fds[i], 7000);
+
+      ck_assert_msg (p_status (waited) == 503, "%d: %s", i, waited);
+    }
+  answer = p_read (half, 7000);
+  ck_assert_msg (p_status (answer) == 503, "%s", answer);
+  leave_all (fds, 3);
+  close (half);
+}
+END_TEST
+
+static void
+add_case (Suite *s, const char *tag, void (*setup) (void), const TTest *test)
+{
+  TCase *c = tcase_create (tag);
+
+  tcase_set_timeout (c, 30);
+  tcase_set_tags (c, tag);
+  tcase_add_checked_fixture (c, setup, p_stop_all);
+  tcase_add_test (c, test);
+  suite_add_tcase (s, c);
+}
+
 int
 main (void)
 {
   Suite *s = suite_create ("planned-stop");
-  TCase *lull = tcase_create ("lull");
-  TCase *crowd = tcase_create ("crowd");
-  TCase *wait = tcase_create ("wait");
-
-  tcase_set_timeout (lull, 30);
-  tcase_set_tags (lull, "lull");
-  tcase_add_checked_fixture (lull, setup_loaded, p_stop_all);
-  tcase_add_test (lull, a_stream_of_a_lull_is_not_cut);
-  suite_add_tcase (s, lull);
-  tcase_set_timeout (crowd, 30);
-  tcase_set_tags (crowd, "crowd");
-  tcase_add_checked_fixture (crowd, setup_crowded, p_stop_all);
-  tcase_add_test (crowd, a_stream_of_a_crowd_is_not_cut);
-  suite_add_tcase (s, crowd);
-  tcase_set_timeout (wait, 30);
-  tcase_set_tags (wait, "wait");
-  tcase_add_checked_fixture (wait, setup_slow, p_stop_all);
-  tcase_add_test (wait, a_stream_that_waited_is_not_cut);
-  suite_add_tcase (s, wait);
+
+  add_case (s, "lull", setup_loaded, a_stream_of_a_lull_is_not_cut);
+  add_case (s, "crowd", setup_crowded, a_stream_of_a_crowd_is_not_cut);
+  add_case (s, "wait", setup_slow, a_stream_that_waited_is_not_cut);
+  add_case (s, "room", setup_slow, a_begun_stream_waits_for_room);
+  add_case (s, "call", setup_patient, a_call_right_after_the_signal_is_served);
+  add_case (s, "silent", setup_patient, a_silent_target_is_replaced);
+  add_case (s, "last", setup_patient, a_try_is_not_ended_for_none);
+  add_case (s, "queued", setup_patient, what_waits_at_the_end_is_answered);
   return t_run (s);
 }
