Keep a planned stop's promises to what has begun, waits, or is read in part

Cause: the look before each sending limited the wait of streams that had begun; it was made after the try under way was given up; calls of which nothing is forecast were reckoned by their time limit; what waited, or was read in part, when the process ended was closed without a word.

Change: slack has no end for what has begun, and for calls while the platform still sends callers here; whether another try may be made asks for it before the try under way ends; each tick of a stop answers what waits and is too late; the end answers 503 to what has not run, 502 to what may have, closes the listener first and sends nothing more.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -106,9 +106,10 @@
 static void
 stop_step (CfGateway *g)
 {
-  gint64 ms = cf_gateway_now (g) - g->stop_at_ms;
+  gint64 now = cf_gateway_now (g);
 
-  if (ms < STOP_HEARD_MS)
+  cf_exchange_stop_look (g);
+  if (now < MIN (g->stop_at_ms + STOP_HEARD_MS, g->end_at_ms))
     return;
   if (!g->stop_heard)
     cf_log (LOG_NOTICE, CF_EV_DRAIN_DONE,
@@ -116,7 +117,7 @@
             g->n_exchanges);
   g->stop_heard = TRUE;
   cf_caller_close_idle (g);
-  if (g->n_callers == 0 || cf_gateway_now (g) > g->end_at_ms)
+  if (g->n_callers == 0 || now > g->end_at_ms)
     ev_break (g->loop, EVBREAK_ALL);
 }
 
@@ -218,6 +219,9 @@
   ev_run (g->loop, 0);
   cf_log (LOG_NOTICE, CF_EV_STOP, "callers=%u requests=%u", g->n_callers,
           g->n_exchanges);
+  g->ending = TRUE;
+  ev_io_stop (g->loop, &front_io);
+  close (front_io.fd);
   cf_caller_abort_all (g);
   return 0;
 }
--- a/gateway/caller.c
+++ b/gateway/caller.c
@@ -430,11 +430,10 @@
 
   while ((c = TAILQ_FIRST (&g->callers)))
     {
-      CfExchange *x = c->x;
-
-      c->x = NULL;
-      if (x)
-        cf_exchange_cut (x);
+      if (c->x)
+        cf_exchange_end_with_process (c->x);
+      else if (c->reader.started && !c->close)
+        refuse (c, 503, "the process ends");
       shut (c);
     }
 }
--- a/gateway/caller.h
+++ b/gateway/caller.h
@@ -62,5 +62,5 @@
 /** cf_caller_close_idle: closes those that have no request in progress. */
 void cf_caller_close_idle (CfGateway *g);
 
-/** cf_caller_abort_all: closes all, whatever they do. */
+/** cf_caller_abort_all: answers what can be answered, and closes all. */
 void cf_caller_abort_all (CfGateway *g);
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -35,7 +35,8 @@
   if (CF_WITHOUT_RETRIES || (CF_WITHOUT_RESUME && x->begun))
     return FALSE;
   return x->sends < x->route->max_attempts
-         && cf_exchange_left_ms (x) > LEAST_LEFT_MS;
+         && cf_exchange_left_ms (x) > LEAST_LEFT_MS
+         && cf_exchange_stop_slack_ms (x) > 0;
 }
 
 static void
@@ -122,7 +123,6 @@
       = cf_wait_limit_ms (cf_exchange_patience_ms (x), cf_exchange_left_ms (x));
   CfWaiter *evicted;
 
-  limit = MIN (limit, MAX (cf_exchange_stop_slack_ms (x), 0));
   x->waiter.since_ms = now;
   x->waiter.in_time_ms = start_by_ms (x);
   if (!cf_wait_queue_add (&x->lane->queue, &x->waiter, waiters_max (x),
@@ -283,6 +283,8 @@
   GHashTableIter it;
   gpointer lane;
 
+  if (g->ending)
+    return;
   g_hash_table_iter_init (&it, g->lanes);
   while (g_hash_table_iter_next (&it, NULL, &lane))
     while (serve_first (g, lane))
--- a/gateway/exchange-stop.c
+++ b/gateway/exchange-stop.c
@@ -10,7 +10,8 @@
  * to be back first, 0.5 s after its end. */
 #define RESTART_BUSY_MS 1000
 
-/* From now until its answer is whole, at most. */
+/* From now until its answer is whole, at most: its time limit, or what its
+ * size takes. */
 static gint64
 whole_ms (const CfExchange *x)
 {
@@ -23,12 +24,22 @@
   return whole < 0 ? left : MIN (whole, left);
 }
 
+/* A call takes some ms where its time limit is seconds, so while the platform
+ * still sends callers here it is taken; later few come, and none is cut. */
+static gboolean
+is_unforeseen (const CfExchange *x)
+{
+  return !x->route->stream || !cf_exchange_engine (x);
+}
+
 gint64
 cf_exchange_stop_slack_ms (const CfExchange *x)
 {
-  if (!x->g->stopping)
+  const CfGateway *g = x->g;
+
+  if (!g->stopping || x->begun || (!g->stop_heard && is_unforeseen (x)))
     return G_MAXINT64;
-  return x->g->end_at_ms - cf_gateway_now (x->g) - whole_ms (x);
+  return g->end_at_ms - cf_gateway_now (g) - whole_ms (x);
 }
 
 static void
@@ -52,9 +63,11 @@
 gboolean
 cf_exchange_stops_here (CfExchange *x)
 {
-  if (!x->g->stopping || x->begun)
+  gint64 slack = cf_exchange_stop_slack_ms (x);
+
+  if (slack == G_MAXINT64)
     return FALSE;
-  if (cf_exchange_stop_slack_ms (x) > 0)
+  if (slack > 0)
     {
       note_look (x, "in-time");
       return FALSE;
@@ -67,3 +80,41 @@
                         x->c->served ? STOPPING_BUSY_MS : RESTART_BUSY_MS);
   return TRUE;
 }
+
+static CfExchange *
+first_too_late (const CfLane *l)
+{
+  CfWaiter *w;
+
+  TAILQ_FOREACH (w, &l->queue.waiters, link)
+  if (cf_exchange_stop_slack_ms (w->owner) <= 0)
+    return w->owner;
+  return NULL;
+}
+
+void
+cf_exchange_stop_look (CfGateway *g)
+{
+  GHashTableIter it;
+  gpointer lane;
+  CfExchange *x;
+
+  g_hash_table_iter_init (&it, g->lanes);
+  while (g_hash_table_iter_next (&it, NULL, &lane))
+    while ((x = first_too_late (lane)))
+      cf_exchange_stops_here (x);
+}
+
+void
+cf_exchange_end_with_process (CfExchange *x)
+{
+  if (x->begun)
+    {
+      x->c->x = NULL;
+      cf_exchange_finish (x, CF_OUT_BROKEN, x->status, "cut-by-stop");
+    }
+  else if (x->up || x->may_have_run)
+    cf_exchange_give_up (x, "cut-by-stop");
+  else
+    cf_exchange_refuse (x, "stopping", RESTART_BUSY_MS);
+}
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -262,14 +262,6 @@
   cf_exchange_finish (x, CF_OUT_GONE, 0, "caller-left");
 }
 
-void
-cf_exchange_cut (CfExchange *x)
-{
-  x->c = NULL;
-  cf_exchange_finish (x, x->begun ? CF_OUT_BROKEN : CF_OUT_FAILED, x->status,
-                      "cut-by-stop");
-}
-
 void
 cf_exchange_drained (CfExchange *x)
 {
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -8,12 +8,16 @@
 /** cf_exchange_abandon: the caller left; all work for it is stopped. */
 void cf_exchange_abandon (CfExchange *x);
 
-/** cf_exchange_cut: this process ends; the caller's connection goes with it,
- * so nothing is answered. */
-void cf_exchange_cut (CfExchange *x);
-
 /** cf_exchange_drained: all of the answer so far has been sent. */
 void cf_exchange_drained (CfExchange *x);
 
+/** cf_exchange_stop_look: this process stops; what waits and cannot be whole
+ * before it ends is answered now. */
+void cf_exchange_stop_look (CfGateway *g);
+
+/** cf_exchange_end_with_process: this process ends: @x is refused if it has
+ * not run, failed if it may have, and cut off if its answer has begun. */
+void cf_exchange_end_with_process (CfExchange *x);
+
 /** cf_exchange_pump: room may have come free; those that wait may get it. */
 void cf_exchange_pump (CfGateway *g);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -56,6 +56,7 @@
   gsize body_bytes_max;
   gboolean stopping;   /**< SIGTERM came */
   gboolean stop_heard; /**< the platform had the time to learn of it */
+  gboolean ending;     /**< the loop is left; nothing more is sent */
   gint64 stop_at_ms;
   gint64 end_at_ms; /**< when what still runs is cut off */
   CfStats stats;
