Reckon with lasting slow passes, the prompt and any size

Change: pauses up to 1 s count as a pace; the prompt's reading time is the least for a first event; the result is capped. pass_ms, the field, is now steady_ms, and pass_ms(), the function, usual_pass_ms(): they were not the same thing.

--- a/gateway/pace.c
+++ b/gateway/pace.c
@@ -18,6 +18,12 @@
  * which gateways that are stopped in turn, each for some 8 s, refuse what they
  * will not end.  Passes of 40 ms became 25 in one, then 52. */
 #define SPAN_MS 15000L
+/** Longest pause that counts as a pace: a rank at five times its time makes
+ * passes of 300 to 500 ms, a group that misses a rank stands still for 1.5 s
+ * and more. */
+#define PASS_MOST_MS 1000
+/** More than any time limit; what is longer is no time to reckon with. */
+#define WHOLE_MOST_MS 1e9
 
 /** Pauses that a target may take without standing still.  Streams of one
  * target all write in the same pass, so the least loaded one shows a sign
@@ -32,13 +38,6 @@
   *mean = *mean > 0 ? *mean + (value - *mean) * weight : value;
 }
 
-/* What is no pass any more, where they take @pass_ms. */
-static gint64
-stall_ms (double pass_ms)
-{
-  return MAX (STALL_LEAST_MS, (gint64)(STALL_PAUSES * pass_ms));
-}
-
 static void
 remember_slowest (CfPace *p, gint64 now)
 {
@@ -49,15 +48,15 @@
       p->slowest_ms[0] = 0;
       p->span_at_ms = now;
     }
-  p->slowest_ms[0] = MAX (p->slowest_ms[0], p->pass_ms);
+  p->slowest_ms[0] = MAX (p->slowest_ms[0], p->steady_ms);
 }
 
 void
 cf_pace_event (CfPace *p, gint64 now, gint64 pause_ms)
 {
-  if (pause_ms <= stall_ms (p->pass_ms))
+  if (pause_ms <= PASS_MOST_MS)
     {
-      blend (&p->pass_ms, (double)pause_ms, EVENT_WEIGHT);
+      blend (&p->steady_ms, (double)pause_ms, EVENT_WEIGHT);
       remember_slowest (p, now);
     }
   blend (&p->pause_ms, (double)pause_ms, EVENT_WEIGHT);
@@ -75,29 +74,32 @@
 gint64
 cf_pace_stall_ms (const CfPace *p)
 {
-  return stall_ms (p->pause_ms);
+  return MAX (STALL_LEAST_MS, (gint64)(STALL_PAUSES * p->pause_ms));
 }
 
 /* A pass of the engine: all its streams write one event in it. */
 static double
-pass_ms (const CfPace *p, const CfEngineModel *e)
+usual_pass_ms (const CfPace *p, const CfEngineModel *e)
 {
   if (p->pause_ms > 0)
     return p->pause_ms;
   return e ? e->stride * (e->step_ms + e->per_seq_ms * USUAL_BATCH) : 0;
 }
 
+static double
+read_ms (const CfEngineModel *e, const CfStreamSize *size)
+{
+  return e && e->read_per_ms > 0 ? (double)size->prompt / e->read_per_ms : 0;
+}
+
 gint64
 cf_pace_first_ms (const CfPace *p, const CfEngineModel *e,
                   const CfStreamSize *size)
 {
-  double read
-      = e && e->read_per_ms > 0 ? (double)size->prompt / e->read_per_ms : 0;
-
   if (p->first_ms > 0)
     return (gint64)(p->first_ms + FIRST_DEVIATIONS * p->first_dev_ms);
   /* The pass that is under way, the prompt, and its own first pass. */
-  return (gint64)(2 * pass_ms (p, e) + read);
+  return (gint64)(2 * usual_pass_ms (p, e) + read_ms (e, size));
 }
 
 /* A pass of an engine whose slots are all taken. */
@@ -112,7 +114,7 @@
 slow_pass_ms (const CfPace *p, const CfEngineModel *e, gint64 now)
 {
   gint64 age = now - p->span_at_ms;
-  double pass = MAX (pass_ms (p, e), full_pass_ms (e));
+  double pass = MAX (usual_pass_ms (p, e), full_pass_ms (e));
 
   if (age < 2 * SPAN_MS)
     pass = MAX (pass, p->slowest_ms[0]);
@@ -126,6 +128,7 @@
                   const CfStreamSize *size, gint64 now)
 {
   double answer = (double)size->answer;
+  double first;
   double pass;
 
   if (!e || e->stride < 1)
@@ -135,6 +138,7 @@
     return -1;
   if (answer <= 0)
     answer = e->usual_answer;
-  return (gint64)(pass * ceil (answer / e->stride))
-         + MAX (cf_pace_first_ms (p, e, size), (gint64)(2 * pass));
+  first = MAX ((double)cf_pace_first_ms (p, e, size),
+               2 * pass + read_ms (e, size));
+  return (gint64)MIN (first + pass * ceil (answer / e->stride), WHOLE_MOST_MS);
 }
--- a/gateway/pace.h
+++ b/gateway/pace.h
@@ -12,9 +12,9 @@
  */
 typedef struct
 {
-  double pause_ms; /**< mean pause between two events; 0: not seen yet */
-  double pass_ms;  /**< the same without pauses of targets that stood still */
-  double slowest_ms[2]; /**< the slowest @pass_ms of this span and the last */
+  double pause_ms;  /**< mean pause between two events; 0: not seen yet */
+  double steady_ms; /**< the same without pauses of targets that stood still */
+  double slowest_ms[2]; /**< the slowest @steady_ms of this span and the last */
   gint64 span_at_ms;    /**< when this span began */
   double first_ms;      /**< mean time from sending to the first event */
   double first_dev_ms;  /**< mean deviation from @first_ms */
--- a/t/t-pace.c
+++ b/t/t-pace.c
@@ -110,6 +110,43 @@
 }
 END_TEST
 
+/* A rank that is five times slower makes passes of 320 ms; they may come
+ * again as they came. */
+START_TEST (very_slow_passes_are_a_pace)
+{
+  CfPace p = { 0 };
+
+  see_passes (&p, 0, 100, 40);
+  see_passes (&p, 100, 400, 320);
+  see_passes (&p, 500, 500, 40);
+  ck_assert_int_ge (cf_pace_whole_ms (&p, &engine, &usual, NOW), 24 * 300);
+}
+END_TEST
+
+/* 100,000 tokens take 1.6 s to be read, whatever others' prompts took. */
+START_TEST (a_long_prompt_takes_its_time)
+{
+  CfPace p = { 0 };
+  const CfStreamSize brief = { 10, 40 };
+  const CfStreamSize long_prompt = { 100000, 40 };
+
+  see_passes (&p, 0, 400, 40);
+  for (int i = 0; i < 60; i++)
+    cf_pace_first (&p, 150);
+  ck_assert_int_ge (cf_pace_whole_ms (&p, &engine, &long_prompt, NOW),
+                    cf_pace_whole_ms (&p, &engine, &brief, NOW) + 1500);
+}
+END_TEST
+
+START_TEST (a_size_beyond_all_measure_is_no_time_at_all)
+{
+  CfPace p = { 0 };
+  const CfStreamSize absurd = { 10, G_MAXINT64 };
+
+  ck_assert_int_ge (cf_pace_whole_ms (&p, &engine, &absurd, NOW), 1000000);
+}
+END_TEST
+
 /* A rank group that waits for a rank is no slow engine. */
 START_TEST (standing_still_is_no_pace)
 {
@@ -135,6 +172,9 @@
   tcase_add_test (tc, a_lull_is_not_reckoned_with);
   tcase_add_test (tc, an_engine_may_get_full);
   tcase_add_test (tc, slow_passes_are_forgotten_in_the_end);
+  tcase_add_test (tc, very_slow_passes_are_a_pace);
+  tcase_add_test (tc, a_long_prompt_takes_its_time);
+  tcase_add_test (tc, a_size_beyond_all_measure_is_no_time_at_all);
   tcase_add_test (tc, standing_still_is_no_pace);
   suite_add_tcase (s, tc);
   return t_run (s);
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -64,7 +64,7 @@
       "{\"name\":\"b\",\"host\":\"h.example\",\"prefix\":\"/x/y/\","
       "\"kind\":\"unsafe\",\"service\":\"s2\",\"public\":true}],"
       "\"services\":[{\"name\":\"s1\",\"max-conns\":5,\"engine\":"
-      "{\"sets\":4,\"experts\":64,\"places\":5,\"spare\":2}}],"
+      "{\"slots\":12,\"sets\":4,\"experts\":64,\"places\":5,\"spare\":2}}],"
       "\"limits\":{\"max-header-bytes\":100},"
       "\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k1\",\"k2\"],"
       "\"priority\":0}]}";
@@ -94,6 +94,7 @@
   ck_assert_ptr_null (cf_policy_route (p, "h.example", "/x"));
   ck_assert_str_eq (g_hash_table_lookup (p->tenants, "k2"), "t");
   ck_assert_int_eq (cf_policy_service (p, "s1")->engine.experts, 64);
+  ck_assert_double_eq (cf_policy_service (p, "s1")->engine.slots, 12);
   ck_assert_int_eq (p->limits.max_header_bytes, 100);
   cf_policy_unref (p);
 }
