Refuse what is on its way to an entry when it is stopped

Cause: a request counts as begun with its head read whole, and cf_entry_drain ended at its first look at which none was begun.

Ruled out: waiting for each open connection's head: an idle connection looks the same. A listener kept open: a new connection's refusal reaches its caller at once.

Change: after the last reply the entry lingers 200 ms, as agents do 100, and then waits for the replies begun meanwhile, within its grace. test_request_too_large_for_a_frame_harms_no_link was wrong: it stopped the agents with the entry and then counted every link lost, of that stop too, which now comes before the entry's end. It stops the entry first, with its agents up: any link lost is still a failure.

--- a/entry.c
+++ b/entry.c
@@ -8,6 +8,11 @@
 #include <string.h>
 #include <unistd.h>
 
+/** After the last reply, so that requests on their way by then are refused
+ * as not run instead of meeting a closed connection.  Twice that of the
+ * agents, as callers may be in another region. */
+#define DRAIN_LINGER_MS 200
+
 const char cf_entry_defaults[] = "[entry]\n"
                                  "name = \"e1\"\n"
                                  "listen = \"127.0.0.1:8080\"\n"
@@ -254,6 +259,14 @@
   return st;
 }
 
+/* Until every request begun has its reply sent, but not beyond @until. */
+static void
+wait_for_replies (CfEntry *e, long long until)
+{
+  while (cf_http_server_active (e->http) > 0 && cf_now_ms () < until)
+    usleep (10000);
+}
+
 void
 cf_entry_drain (CfEntry *e, gint64 grace_ms)
 {
@@ -263,9 +276,11 @@
   cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "in_flight=%d",
           g_atomic_int_get (&e->in_flight));
   cf_http_server_quiesce (e->http);
-  /* A request counts here from its first byte until its reply is sent. */
-  while (cf_http_server_active (e->http) > 0 && cf_now_ms () < until)
-    usleep (10000);
+  wait_for_replies (e, until);
+  /* A request counts as begun once its head is read whole; those that came
+   * later are refused, and their replies waited for too. */
+  usleep (DRAIN_LINGER_MS * 1000);
+  wait_for_replies (e, until);
   cf_log (LOG_NOTICE, CF_EV_DRAIN_DONE, "in_flight=%d",
           g_atomic_int_get (&e->in_flight));
   cf_http_server_stop (e->http);
--- a/entry.h
+++ b/entry.h
@@ -72,7 +72,7 @@
 /**
  * cf_entry_drain:
  * A graceful shutdown: takes no new connections, refuses new requests on
- * open ones as not run, and returns once nothing is in flight or
- * @grace_ms has passed.
+ * open ones as not run, and returns 200 ms after nothing is in flight, so
+ * that requests on their way are refused too, or once @grace_ms has passed.
  */
 void cf_entry_drain (CfEntry *e, gint64 grace_ms);
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -16,6 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define ENTRY "http://127.0.0.1:17580"
@@ -356,9 +357,10 @@
   g_autofree char *log = NULL;
   pthread_t caller;
   void *code;
+  pid_t entry;
 
   start_group ();
-  start_entry ();
+  entry = start_entry ();
   ck_assert (t_wait_for (ENTRY "/v1/health",
                          "\"config_version\":1,\"links_up\":2", 5000));
   pthread_create (&caller, NULL, slow_caller, NULL);
@@ -367,8 +369,11 @@
   ck_assert_str_eq (ran, "no");
   pthread_join (caller, &code);
   ck_assert_int_eq (GPOINTER_TO_INT (code), 200);
-  t_stop_all ();
+  /* Ended before its agents, whose own stop would be a link lost. */
+  kill (entry, SIGTERM);
+  waitpid (entry, NULL, 0);
   log = t_read_log ("e-entry");
+  t_stop_all ();
   ck_assert_msg (strstr (log, "E1302") == NULL, "a link was lost: %s", log);
 }
 END_TEST
