Wait for orders in progress when an agent is stopped

Cause: a stop waited for requests without a reply; orders were not counted. A request was counted only after the look whether the agent drains, so a drain that began in between could have missed it (read, not seen in a run).

Ruled out: refusing orders from SIGTERM on: a group that changes its map would stand still for want of one rank's.

Change: an order counts as unanswered while it is taken, a request from before that look; after the linger the replies of what came meanwhile are waited for, within the grace.

--- a/agent-jobs.c
+++ b/agent-jobs.c
@@ -272,23 +272,25 @@
   CfAgent *a = c->agent;
   Job *j;
 
+  /* Counted before admit() looks whether the agent drains, so that a drain
+   * never ends between that look and the push. */
+  ck_pr_inc_int (&a->unanswered);
   if (!admit (c, m))
     {
+      ck_pr_dec_int (&a->unanswered);
       cf_msg_clear (m);
       return;
     }
   j = job_new (c, m);
   j->deadline_at = cf_now_ms () + j->msg.u.request.deadline_ms;
-  /* Counted before the push, so that a drain never sees a job in between. */
-  ck_pr_inc_int (&a->unanswered);
   ck_pr_inc_int (&a->in_flight);
   if (!cf_ring_push (&a->work, j))
     {
-      ck_pr_dec_int (&a->unanswered);
       ck_pr_dec_int (&a->in_flight);
       if (j->msg.u.request.key)
         cf_guard_forget (&a->guard, j->msg.u.request.key);
       cf_agent_refuse (c, j->msg.id, CF_RAN_NO, "overloaded", 500);
+      ck_pr_dec_int (&a->unanswered);
       job_free (j);
     }
 }
--- a/agent.c
+++ b/agent.c
@@ -71,7 +71,9 @@
           cf_agent_take_request (c, &m);
           break;
         case CF_MSG_ORDER:
+          ck_pr_inc_int (&c->agent->unanswered);
           cf_agent_take_order (c, &m);
+          ck_pr_dec_int (&c->agent->unanswered);
           break;
         case CF_MSG_DRAIN:
           begin_drain (c->agent);
@@ -163,6 +165,15 @@
   return CF_OK;
 }
 
+/* Until each reply is written, but not beyond @until: a peer that reads
+ * slowly takes a while. */
+static void
+wait_for_replies (CfAgent *a, long long until)
+{
+  while (ck_pr_load_int (&a->unanswered) > 0 && cf_now_ms () < until)
+    usleep (10000);
+}
+
 void
 cf_agent_drain (CfAgent *a, const char *why)
 {
@@ -171,11 +182,11 @@
   begin_drain (a);
   cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "by=%s in_flight=%d queued=%u", why,
           ck_pr_load_int (&a->in_flight), cf_ring_length (&a->work));
-  /* Until each reply is written: a peer that reads slowly takes a while. */
-  while (ck_pr_load_int (&a->unanswered) > 0 && cf_now_ms () < until)
-    usleep (10000);
-  /* Requests sent before the entries knew are still refused as not run. */
+  wait_for_replies (a, until);
+  /* Requests sent before the entries knew are still refused as not run, and
+   * orders taken, which a group that changes its map needs. */
   usleep (DRAIN_LINGER_MS * 1000);
+  wait_for_replies (a, until);
   cf_log (LOG_NOTICE, CF_EV_DRAIN_DONE, "in_flight=%d queued=%u",
           ck_pr_load_int (&a->in_flight), cf_ring_length (&a->work));
 }
--- a/agent.h
+++ b/agent.h
@@ -42,7 +42,7 @@
   gint64 config; /**< highest configuration version seen on a frame */
   long long config_since_ms; /**< when it was first seen */
   int in_flight;  /**< accepted and not done at the target, queued ones too */
-  int unanswered; /**< accepted and their reply not yet written */
+  int unanswered; /**< requests and orders whose reply is not yet written */
   int draining;
   pthread_mutex_t conns_lock;
   struct CfAgentConn *conns; /**< intrusive list of open connections */
@@ -60,7 +60,7 @@
 /**
  * cf_agent_drain:
  * Tells every entry at once, refuses new work, and returns when every
- * accepted request has its reply, or after drain_grace_ms.
+ * accepted request and order has its reply, or after drain_grace_ms.
  */
 void cf_agent_drain (CfAgent *a, const char *why);
 
