Refuse queued calls that a stopping agent would cut off

Cause: workers took calls from the queue until the process ended, whatever time was left, and what was queued then got no reply.

Ruled out: refusing the whole queue at SIGTERM: most of it ends in time, and each refusal costs an entry one of its retries. The mean of the calls: half of them take longer. Refusing at the grace's end what runs at the target: an entry sends a call without a key again on a lost link, but not on "unknown".

Change: in a stop a worker refuses as not run what would not end in time should it take as long as the longest call of the last 30 to 60 s, or its deadline; at the end of the grace what is still queued is refused likewise.

An agent that has seen no call for 60 s begins what is queued as before; what runs at the grace's end is cut off.

--- a/agent-jobs.c
+++ b/agent-jobs.c
@@ -8,6 +8,11 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/** The longest call of so long is remembered, twice: as long as the usual
+ * grace of a stop, so that its last calls are still measured by those before
+ * it. */
+#define CALLS_SPAN_MS 30000L
+
 /* What lives for one request, from its frame to its reply. */
 typedef struct
 {
@@ -85,6 +90,59 @@
   cf_http_call ("POST", url, "", NULL, 500, &code, NULL);
 }
 
+static void
+begin_span (CfAgent *a, long long now)
+{
+  long long age = now - a->calls_span_ms;
+
+  if (age < CALLS_SPAN_MS)
+    return;
+  a->slowest_ms[1] = age < 2 * CALLS_SPAN_MS ? a->slowest_ms[0] : 0;
+  a->slowest_ms[0] = 0;
+  a->calls_span_ms = now;
+}
+
+static void
+remember_call (CfAgent *a, gint64 ms)
+{
+  pthread_mutex_lock (&a->calls_lock);
+  begin_span (a, cf_now_ms ());
+  a->slowest_ms[0] = MAX (a->slowest_ms[0], ms);
+  pthread_mutex_unlock (&a->calls_lock);
+}
+
+/* Whether @j would not end before the process does, should it take as long as
+ * the longest call that is remembered: what is cut off at the target may have
+ * run, what is refused here can run elsewhere.  Of three calls of 0.8 s with
+ * 2 s of grace the last was begun 0.6 s before the end and cut off. */
+static gboolean
+outlasts_stop (CfAgent *a, const Job *j)
+{
+  gint64 stop_at = __atomic_load_n (&a->stop_at_ms, __ATOMIC_ACQUIRE);
+  long long now = cf_now_ms ();
+  gint64 slowest;
+
+  if (stop_at == 0)
+    return FALSE;
+  pthread_mutex_lock (&a->calls_lock);
+  begin_span (a, now);
+  slowest = MAX (a->slowest_ms[0], a->slowest_ms[1]);
+  pthread_mutex_unlock (&a->calls_lock);
+  return now + MIN (slowest, j->deadline_at - now) >= stop_at;
+}
+
+/* Refuses @j, which was accepted but not begun. */
+static void
+refuse_unbegun (CfAgent *a, Job *j, const char *reason, gint64 retry_ms)
+{
+  const char *key = j->msg.u.request.key;
+
+  ck_pr_dec_int (&a->in_flight);
+  if (key)
+    cf_guard_forget (&a->guard, key);
+  cf_agent_refuse (j->conn, j->msg.id, CF_RAN_NO, reason, retry_ms);
+}
+
 /* Calls the target; the job counts as in flight until just before its
  * reply, so that the load on the reply no longer includes it. */
 static void
@@ -106,19 +164,24 @@
   const char *headers[] = { prio, rid, deadline, key_header, NULL };
   g_autofree char *body = NULL;
   long code = 0;
-  CfStatus st = CF_ERR_TIMEOUT;
+  long long began = cf_now_ms ();
+  CfStatus st;
 
-  if (left > 0)
-    st = (key ? cf_http_call_once : cf_http_call) (
-        "POST", url, m->u.request.body, headers, left, &code, &body);
-  ck_pr_dec_int (&a->in_flight);
   if (left <= 0)
     {
-      if (key)
-        cf_guard_forget (&a->guard, key);
-      cf_agent_refuse (j->conn, m->id, CF_RAN_NO, "deadline-before-start", 0);
+      refuse_unbegun (a, j, "deadline-before-start", 0);
       return;
     }
+  if (outlasts_stop (a, j))
+    {
+      refuse_unbegun (a, j, "draining", 1000);
+      return;
+    }
+  st = (key ? cf_http_call_once : cf_http_call) ("POST", url, m->u.request.body,
+                                                 headers, left, &code, &body);
+  if (st != CF_ERR_NET)
+    remember_call (a, cf_now_ms () - began);
+  ck_pr_dec_int (&a->in_flight);
   switch (st)
     {
     case CF_OK:
@@ -191,6 +254,22 @@
   return NULL;
 }
 
+void
+cf_agent_refuse_queued (CfAgent *a)
+{
+  Job *j;
+
+  while ((j = cf_ring_try_pop (&a->work)) != NULL)
+    {
+      if (j->msg.kind == CF_MSG_REQUEST)
+        {
+          refuse_unbegun (a, j, "draining", 1000);
+          ck_pr_dec_int (&a->unanswered);
+        }
+      job_free (j);
+    }
+}
+
 /*
  * Whether a sender's configuration is so old that every process should
  * have had a newer one for long: a process paused, cut off or started from
--- a/agent-parts.h
+++ b/agent-parts.h
@@ -43,6 +43,9 @@
 /** cf_agent_worker: a thread that runs requests; @data is the #CfAgent. */
 void *cf_agent_worker (void *data);
 
+/** cf_agent_refuse_queued: refuses as not run what no worker has begun. */
+void cf_agent_refuse_queued (CfAgent *a);
+
 /* Orders and claims */
 
 void cf_agent_take_order (CfAgentConn *c, CfMsg *m);
--- a/agent.c
+++ b/agent.c
@@ -151,6 +151,7 @@
                  cf_now_ms () + a->set.guard_quiet_ms);
   pthread_mutex_init (&a->fence_lock, NULL);
   pthread_mutex_init (&a->conns_lock, NULL);
+  pthread_mutex_init (&a->calls_lock, NULL);
   if (a->set.group.members->len > 0)
     a->group = cf_rank_group_start (&a->set.group, a->set.target_url);
   for (gint64 i = 0; i < a->set.workers; i++)
@@ -179,10 +180,13 @@
 {
   long long until = cf_now_ms () + a->set.drain_grace_ms;
 
+  __atomic_store_n (&a->stop_at_ms, until, __ATOMIC_RELEASE);
   begin_drain (a);
   cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "by=%s in_flight=%d queued=%u", why,
           ck_pr_load_int (&a->in_flight), cf_ring_length (&a->work));
   wait_for_replies (a, until);
+  if (ck_pr_load_int (&a->unanswered) > 0)
+    cf_agent_refuse_queued (a);
   /* Requests sent before the entries knew are still refused as not run, and
    * orders taken, which a group that changes its map needs. */
   usleep (DRAIN_LINGER_MS * 1000);
--- a/agent.h
+++ b/agent.h
@@ -44,6 +44,10 @@
   int in_flight;  /**< accepted and not done at the target, queued ones too */
   int unanswered; /**< requests and orders whose reply is not yet written */
   int draining;
+  gint64 stop_at_ms; /**< when the process ends at the latest; 0: no stop */
+  pthread_mutex_t calls_lock;
+  gint64 slowest_ms[2];    /**< longest call of this span and the one before */
+  long long calls_span_ms; /**< when this span began */
   pthread_mutex_t conns_lock;
   struct CfAgentConn *conns; /**< intrusive list of open connections */
   uint64_t served;
@@ -60,7 +64,8 @@
 /**
  * cf_agent_drain:
  * Tells every entry at once, refuses new work, and returns when every
- * accepted request and order has its reply, or after drain_grace_ms.
+ * accepted request and order has its reply, or after drain_grace_ms.  Calls
+ * that would not end by then are refused as not run instead of begun.
  */
 void cf_agent_drain (CfAgent *a, const char *why);
 
--- a/ring.c
+++ b/ring.c
@@ -28,19 +28,34 @@
   return true;
 }
 
-void *
-cf_ring_pop (CfRing *r)
+/* The semaphore counts items already in the ring, so this succeeds. */
+static void *
+take (CfRing *r)
 {
   void *p = NULL;
 
-  while (sem_wait (&r->items) != 0 && errno == EINTR)
-    ;
-  /* The semaphore counts items already in the ring, so this succeeds. */
   while (!ck_ring_dequeue_mpmc (&r->ring, r->slots, &p))
     ;
   return p;
 }
 
+void *
+cf_ring_pop (CfRing *r)
+{
+  while (sem_wait (&r->items) != 0 && errno == EINTR)
+    ;
+  return take (r);
+}
+
+void *
+cf_ring_try_pop (CfRing *r)
+{
+  while (sem_trywait (&r->items) != 0)
+    if (errno != EINTR)
+      return NULL;
+  return take (r);
+}
+
 unsigned int
 cf_ring_length (CfRing *r)
 {
--- a/ring.h
+++ b/ring.h
@@ -29,5 +29,8 @@
 /** cf_ring_pop: waits for an item. */
 void *cf_ring_pop (CfRing *r);
 
+/** cf_ring_try_pop: %NULL if no item waits. */
+void *cf_ring_try_pop (CfRing *r);
+
 /** cf_ring_length: how many items wait now. */
 unsigned int cf_ring_length (CfRing *r);
