Let the entry's drain grace be set

Cause: the 30 s were a constant of comfrey-entry.c, the agent's a setting; a test of the grace's end would take 30 s.

Ruled out: none.

Change: entry.drain_grace_ms, 30000 unless set.

Conclusion: nothing changes unless it is set.

--- a/comfrey-entry.c
+++ b/comfrey-entry.c
@@ -29,7 +29,7 @@
     }
   cf_log (LOG_INFO, CF_EV_START, "name=%s", e.set.name);
   rc = cf_daemon_wait ();
-  cf_entry_drain (&e, 30000);
+  cf_entry_drain (&e);
   cf_log (LOG_INFO, CF_EV_STOP, "signal=%d", rc);
   return 0;
 }
--- a/entry.c
+++ b/entry.c
@@ -26,6 +26,7 @@
                                  "fair_reserve = 10\n"
                                  "retry_percent = 20\n"
                                  "retry_slack = 20\n"
+                                 "drain_grace_ms = 30000\n"
                                  "[config]\n"
                                  "url = \"http://127.0.0.1:7000\"\n"
                                  "watch_wait_ms = 5000\n"
@@ -61,6 +62,8 @@
     offsetof (CfEntrySettings, retry_percent), 0, 1000 },
   { CF_SETTING_INT, "entry", "retry_slack",
     offsetof (CfEntrySettings, retry_slack), 1, 100000 },
+  { CF_SETTING_INT, "entry", "drain_grace_ms",
+    offsetof (CfEntrySettings, drain_grace_ms), 0, 3600000 },
   { CF_SETTING_STRING, "config", "url", offsetof (CfEntrySettings, config_url),
     0, 0 },
   { CF_SETTING_INT, "config", "watch_wait_ms",
@@ -268,9 +271,9 @@
 }
 
 void
-cf_entry_drain (CfEntry *e, gint64 grace_ms)
+cf_entry_drain (CfEntry *e)
 {
-  long long until = cf_now_ms () + grace_ms;
+  long long until = cf_now_ms () + e->set.drain_grace_ms;
 
   g_atomic_int_set (&e->draining, 1);
   cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "in_flight=%d",
--- a/entry.h
+++ b/entry.h
@@ -32,6 +32,7 @@
   gint64 fair_reserve;       /**< percent of it kept for fair shares */
   gint64 retry_percent;      /**< retries for 100 requests */
   gint64 retry_slack;        /**< retries beyond that share */
+  gint64 drain_grace_ms;     /**< how long a stop waits for replies */
   gint64 watch_wait_ms;
   gint64 vmlist_poll_ms;
 } CfEntrySettings;
@@ -73,6 +74,7 @@
  * cf_entry_drain:
  * A graceful shutdown: takes no new connections, refuses new requests on
  * open ones as not run, and returns 200 ms after nothing is in flight, so
- * that requests on their way are refused too, or once @grace_ms has passed.
+ * that requests on their way are refused too, or once drain_grace_ms have
+ * passed.
  */
-void cf_entry_drain (CfEntry *e, gint64 grace_ms);
+void cf_entry_drain (CfEntry *e);
