Fail: a stopped entry drops requests that outlast its grace

Cause, as the test plays it: cf_entry_drain waits for its grace, then closes every connection; a request still at its target gets no answer, though callers may ask for up to 600 s.

Ruled out: requests that end within the grace: their tests pass.

Conclusion: to be mended where a request waits for its target.

--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -32,13 +32,22 @@
       "\"service\":\"assistant\",\"model\":\"desc-v3\",\"groups\":[\"g\"],"
       "\"priority\":5,\"worth\":1}\n";
 
+static pid_t
+start_entry_with (const char *more)
+{
+  g_autofree char *s = g_strdup_printf (
+      "[entry]\nname = \"e\"\nlisten = \"127.0.0.1:17580\"\n%s"
+      "[config]\nurl = \"http://127.0.0.1:17500\"\n"
+      "[vmlist]\nurl = \"http://127.0.0.1:17509\"\n",
+      more);
+
+  return t_start ("e-entry", "./comfrey-entry", s);
+}
+
 static pid_t
 start_entry (void)
 {
-  return t_start ("e-entry", "./comfrey-entry",
-                  "[entry]\nname = \"e\"\nlisten = \"127.0.0.1:17580\"\n"
-                  "[config]\nurl = \"http://127.0.0.1:17500\"\n"
-                  "[vmlist]\nurl = \"http://127.0.0.1:17509\"\n");
+  return start_entry_with ("");
 }
 
 static void
@@ -313,6 +322,61 @@
 }
 END_TEST
 
+/*
+ * A request that outlasts an entry's grace is told so before the entry ends.
+ *
+ * The story.  No user reported it: it was looked for after streams were cut
+ * by stopping gateways.  A caller that gave its request more time than the
+ * entry's grace finds its connection closed without a word.
+ *
+ * Order of events: the engine works on a request of 8 s; SIGTERM to an entry
+ * with 1 s of grace; the grace is over; the entry closes all connections.
+ *
+ * Cause: no request was looked at again while the stop went on.
+ *
+ * Evidence: E1406 in_flight=1 in the entry's log, with no E1205 before it.
+ */
+START_TEST (test_planned_stop_answers_what_outlasts_it)
+{
+  static const char body[]
+      = "{\"org\":\"aspen-coulee\",\"service\":\"assistant\",\"model\":"
+        "\"desc-v3\",\"deadline_ms\":30000,\"body\":{\"prompt\":\"long\","
+        "\"max_tokens\":4000}}";
+  g_autofree char *request
+      = g_strdup_printf ("POST /v1/requests HTTP/1.1\r\nHost: e\r\n"
+                         "Content-Length: %zu\r\n\r\n%s",
+                         strlen (body), body);
+  char reply[4096] = "";
+  size_t got = 0;
+  ssize_t n;
+  pid_t entry;
+  int fd = -1;
+
+  start_group ();
+  entry = start_entry_with ("drain_grace_ms = 1000\n");
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  ck_assert_int_eq (cf_connect_tcp ("127.0.0.1:17580", 1000, &fd), CF_OK);
+  ck_assert_int_eq (cf_write_all (fd, request, strlen (request)), CF_OK);
+  ck_assert (
+      t_wait_for ("http://127.0.0.1:17590/v1/load", "\"running\":1", 3000));
+  kill (entry, SIGTERM);
+  while (got < sizeof reply - 1
+         && (n = read (fd, reply + got, sizeof reply - 1 - got)) > 0)
+    got += (size_t)n;
+  ck_assert_msg (g_str_has_prefix (reply, "HTTP/1.1 503 "),
+                 "a request that outlasted the grace got no answer: '%s'",
+                 reply);
+  ck_assert (strstr (reply, "\"error\":\"draining\""));
+  ck_assert (strstr (reply, "\"ran\":\"unknown\""));
+  /* And the engine does not work on for nobody. */
+  ck_assert (
+      t_wait_for ("http://127.0.0.1:17590/v1/load", "\"running\":0", 2000));
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
 START_TEST (test_caller_that_leaves_frees_the_engine)
 {
   static const char body[]
@@ -529,6 +593,7 @@
   Suite *s = suite_create ("entry");
   TCase *tc = tcase_create ("refusals");
   TCase *late = tcase_create ("late");
+  TCase *grace = tcase_create ("grace");
 
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_no_config_is_not_run);
@@ -547,5 +612,9 @@
   tcase_set_tags (late, "late");
   tcase_add_test (late, test_planned_stop_refuses_what_was_on_its_way);
   suite_add_tcase (s, late);
+  tcase_set_timeout (grace, 60);
+  tcase_set_tags (grace, "grace");
+  tcase_add_test (grace, test_planned_stop_answers_what_outlasts_it);
+  suite_add_tcase (s, grace);
   return t_run (s);
 }
