Answer requests that outlast an entry's grace before it ends

Cause: a request that waits for its target was not looked at again in a stop; at the end of the grace its connection was closed.

Ruled out: refusing at SIGTERM what has a deadline beyond the grace: most of it ends long before. Waiting for each deadline: up to 600 s.

Change: from 0.5 s before the end on a request in progress is not waited for any more: 503 draining, ran=unknown, and its engine is told to stop; a non-repeatable call is not cancelled, since a retry will want its answer. One about to be sent again is refused instead, ran=no unless a try was lost.

On a link whose replies come less than 250 ms apart a call is not asked whether it is still wanted: next.

--- a/agent-link.c
+++ b/agent-link.c
@@ -259,7 +259,8 @@
       g_hash_table_remove (l->pending, &req->id);
       res = abandoned ? CF_CALL_ABANDONED : CF_CALL_TIMEOUT;
     }
-  if (res == CF_CALL_ABANDONED)
+  /* A non-repeatable call runs on: a retry will want its answer. */
+  if (res == CF_CALL_ABANDONED && req->u.request.key == NULL)
     {
       CfMsg cancel = { .kind = CF_MSG_CANCEL };
 
--- a/agent-link.h
+++ b/agent-link.h
@@ -67,8 +67,8 @@
  * cf_link_call_while:
  * @wanted: asked a few times a second whether anybody still waits
  *
- * As cf_link_call(), until @wanted says no: then the agent is told to
- * cancel, and the call ends with %CF_CALL_ABANDONED.
+ * As cf_link_call(), until @wanted says no: then the call ends with
+ * %CF_CALL_ABANDONED, and the agent is told to cancel it unless it has a key.
  */
 CfCallResult cf_link_call_while (CfLink *l, CfMsg *req, long long deadline_ms,
                                  gboolean (*wanted) (void *data), void *data,
--- a/entry-route.c
+++ b/entry-route.c
@@ -5,6 +5,19 @@
 #include "net.h"
 #include "route.h"
 
+/** Before a stop closes connections; covers a call's looks whether it is still
+ * wanted, 250 ms apart, and the sending of the answer. */
+#define STOP_ANSWER_MS 500
+
+/* Whether a stop is so near its end that requests get their last answer. */
+static gboolean
+stop_is_near (const CfEntry *e)
+{
+  gint64 stop_at = __atomic_load_n (&e->stop_at_ms, __ATOMIC_ACQUIRE);
+
+  return stop_at > 0 && cf_now_ms () >= stop_at - STOP_ANSWER_MS;
+}
+
 /* Why a target may not be tried now; NULL if it may. */
 static const char *
 exclusion (CfEntry *e, const char *addr, const CfLinkView *v, GHashTable *tried)
@@ -47,14 +60,22 @@
     c[i].excluded |= ejected[i];
 }
 
+typedef struct
+{
+  const CfEntry *entry;
+  const CfRequest *request;
+} Waiting;
+
 /* A non-repeatable call runs on without its caller, whose retry will want
  * the answer. */
 static gboolean
 is_wanted (void *data)
 {
-  const CfRequest *r = data;
+  const Waiting *w = data;
 
-  return r->key != NULL || !cf_http_caller_gone (r->http);
+  if (stop_is_near (w->entry))
+    return FALSE;
+  return w->request->key != NULL || !cf_http_caller_gone (w->request->http);
 }
 
 /* Sends @r to the agent at @addr once, with @left ms of its deadline. */
@@ -63,6 +84,7 @@
          long long left, CfMsg *reply)
 {
   CfMsg req = { .kind = CF_MSG_REQUEST, .config = r->config->version };
+  Waiting w = { .entry = e, .request = r };
 
   req.u.request.org = r->org;
   req.u.request.service = r->service;
@@ -76,7 +98,7 @@
   req.u.request.priority = r->priority;
   req.u.request.deadline_ms = left;
   return cf_link_call_while (cf_link_table_get (&e->links, addr), &req,
-                             r->deadline_at, is_wanted, r, reply);
+                             r->deadline_at, is_wanted, &w, reply);
 }
 
 /* No target could take @r: logs why for each and answers at once. */
@@ -268,6 +290,31 @@
     }
 }
 
+/* The last answer to @r in a stop that would cut it off. */
+static void
+refuse_at_stop (CfEntry *e, CfRequest *r, CfHttpReply *rep)
+{
+  release (e, r);
+  cf_request_refuse (e, r, rep, 503, "draining",
+                     r->maybe_ran ? CF_RAN_UNKNOWN : CF_RAN_NO,
+                     e->set.retry_after_ms,
+                     "this entry ends before a target answered; send the "
+                     "request to another, with the same idempotency key if it "
+                     "has one");
+}
+
+/* Nobody waits for a target's reply to @r any more. */
+static void
+take_abandoned (CfEntry *e, CfRequest *r, CfHttpReply *rep)
+{
+  r->maybe_ran = TRUE;
+  if (cf_http_caller_gone (r->http))
+    cf_request_refuse (e, r, rep, 499, "caller-left", CF_RAN_UNKNOWN, 0,
+                       "the caller closed its connection");
+  else
+    refuse_at_stop (e, r, rep);
+}
+
 /* Sends @r to one target; TRUE if @r has its final answer. */
 static gboolean
 try_target (CfEntry *e, CfRequest *r, CfHttpReply *rep, const char *addr)
@@ -302,8 +349,7 @@
         final = take_refusal (e, r, rep, addr, &reply);
       break;
     case CF_CALL_ABANDONED:
-      cf_request_refuse (e, r, rep, 499, "caller-left", CF_RAN_UNKNOWN, 0,
-                         "the caller closed its connection");
+      take_abandoned (e, r, rep);
       final = TRUE;
       break;
     case CF_CALL_TOO_LARGE:
@@ -370,6 +416,11 @@
                              "the deadline passed before a target answered");
           return TRUE;
         }
+      if (stop_is_near (e))
+        {
+          refuse_at_stop (e, r, rep);
+          return TRUE;
+        }
       g_hash_table_add (tried, (gpointer)best->addr);
       if (try_target (e, r, rep, best->addr))
         return TRUE;
--- a/entry.c
+++ b/entry.c
@@ -275,6 +275,7 @@
 {
   long long until = cf_now_ms () + e->set.drain_grace_ms;
 
+  __atomic_store_n (&e->stop_at_ms, until, __ATOMIC_RELEASE);
   g_atomic_int_set (&e->draining, 1);
   cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "in_flight=%d",
           g_atomic_int_get (&e->in_flight));
--- a/entry.h
+++ b/entry.h
@@ -55,6 +55,7 @@
   CfRetryBudget retry_budget;
   gint in_flight; /**< requests whose answer is not ready yet, refused too */
   gint draining;
+  gint64 stop_at_ms; /**< when a stop closes connections; 0: no stop */
   guint64 seq;
   uint64_t answered;
   uint64_t refused;
