Fail: a call on a busy link is not asked whether it is still wanted

Cause, as the test plays it: wait_reply() asks only when 250 ms go by without a wake-up, and each reply on the link wakes all that wait on it.

Ruled out: a quiet link: t-entry's test of a caller that leaves passes.

Conclusion: to be mended in wait_reply().

--- a/t/t-link.c
+++ b/t/t-link.c
@@ -23,6 +23,7 @@
   HOLD,            /* answers pings only */
   REVERSE_DOUBLED, /* once all callers' requests are in: last first, twice */
   DEAF,            /* answers one ping, then reads no more, never closes */
+  HOLD_FIRST,      /* answers all requests at once but the first */
 } Manner;
 
 static struct
@@ -72,6 +73,12 @@
           if (fake.manner == DEAF)
             break;
         }
+      else if (fake.manner == HOLD_FIRST && n > 0)
+        {
+          if (m.kind == CF_MSG_REQUEST)
+            send_answer (fd, m.id, m.u.request.body);
+          cf_msg_clear (&m);
+        }
       else if (n < CALLERS)
         held[n++] = m;
       if (n == CALLERS && fake.manner == REVERSE_DOUBLED)
@@ -108,6 +115,7 @@
   CfCallResult res;
   CfMsg reply;
   long long deadline;
+  gboolean (*wanted) (void *data);
 } Caller;
 
 static void *
@@ -122,7 +130,8 @@
   m.u.request.path = "/v1/call";
   m.u.request.rid = "r";
   m.u.request.body = c->body;
-  c->res = cf_link_call (c->link, &m, c->deadline, &c->reply);
+  c->res
+      = cf_link_call_while (c->link, &m, c->deadline, c->wanted, c, &c->reply);
   return NULL;
 }
 
@@ -194,16 +203,68 @@
 }
 END_TEST
 
+static gboolean
+not_wanted (void *unused)
+{
+  return FALSE;
+}
+
+/*
+ * A call that nobody wants ends within 2 s on a busy link too.
+ *
+ * The story.  No user reported it: it was found by reading, after streams were
+ * cut by stopping gateways.  An entry about to end, or left by its caller,
+ * goes on waiting for a call as long as others on its link are answered.
+ *
+ * Order of events: a call waits; another's reply wakes it, within 250 ms each
+ * time; it waits 250 ms anew, and asks nobody before its deadline.
+ *
+ * Cause: whether a call is wanted was asked only when 250 ms went by without
+ * any reply on the link.
+ *
+ * Evidence: the call still waits after 2 s with replies some 20 ms apart.
+ */
+START_TEST (test_busy_link_asks_whether_a_call_is_wanted)
+{
+  CfLink *l = start_link (HOLD_FIRST);
+  long long until = cf_now_ms () + 3000;
+  Caller held = { .link = l, .body = "x", .deadline = until };
+  Caller busy = { .link = l, .body = "y", .deadline = until + 2000 };
+  long long t0 = cf_now_ms ();
+  pthread_t t;
+
+  held.wanted = not_wanted;
+  pthread_create (&t, NULL, call, &held);
+  usleep (50000);
+  while (cf_now_ms () < t0 + 2000)
+    {
+      call (&busy);
+      ck_assert_int_eq (busy.res, CF_CALL_REPLY);
+      cf_msg_clear (&busy.reply);
+      usleep (20000);
+    }
+  /* Quiet for less than 250 ms, so that it counts what was asked till now. */
+  ck_assert_int_eq (cf_link_view (l).outstanding, 0);
+  pthread_join (t, NULL);
+  ck_assert_int_eq (held.res, CF_CALL_ABANDONED);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *s = suite_create ("link");
   TCase *tc = tcase_create ("core");
+  TCase *busy = tcase_create ("busy");
 
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_idle_link_is_pinged_at_its_interval);
   tcase_add_test (tc, test_each_caller_gets_its_own_answer);
   tcase_add_test (tc, test_deaf_agent_is_lost_with_its_calls);
   suite_add_tcase (s, tc);
+  tcase_set_timeout (busy, 60);
+  tcase_set_tags (busy, "busy");
+  tcase_add_test (busy, test_busy_link_asks_whether_a_call_is_wanted);
+  suite_add_tcase (s, busy);
   return t_run (s);
 }
