Ask by the clock whether a call is still wanted

Cause: wait_reply() asked only when 250 ms went by without a wake-up; each reply on the link wakes all that wait on it.

Ruled out: a condition for each call: more state for the same end.

Change: the next look is a time of its own, kept over wake-ups.

--- a/agent-link.c
+++ b/agent-link.c
@@ -3,7 +3,6 @@
 #include "log.h"
 #include "net.h"
 
-#include <errno.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -197,19 +196,27 @@
 wait_reply (CfLink *l, CfPending *p, long long deadline_ms,
             gboolean (*wanted) (void *data), void *data)
 {
+  long long look = cf_now_ms () + WANTED_MS;
+
   while (!p->done && !p->lost)
     {
       long long now = cf_now_ms ();
-      long long until
-          = wanted ? MIN (deadline_ms, now + WANTED_MS) : deadline_ms;
+      long long until = wanted ? MIN (deadline_ms, look) : deadline_ms;
       struct timespec ts
           = { .tv_sec = until / 1000, .tv_nsec = (until % 1000) * 1000000 };
 
       if (now >= deadline_ms)
         return FALSE;
-      if (pthread_cond_timedwait (&l->cond, &l->lock, &ts) == ETIMEDOUT
-          && wanted && !wanted (data))
-        return TRUE;
+      /* By the clock: the replies to others wake this call too, and on a busy
+       * link before each time is out. */
+      if (wanted && now >= look)
+        {
+          if (!wanted (data))
+            return TRUE;
+          look = now + WANTED_MS;
+          continue;
+        }
+      pthread_cond_timedwait (&l->cond, &l->lock, &ts);
     }
   return FALSE;
 }
