--- a/entry.c
+++ b/entry.c
@@ -8,6 +8,11 @@
 #include <string.h>
 #include <unistd.h>
 
+/** After the last reply, so that requests on their way by then are refused
+ * as not run instead of meeting a closed connection.  Twice that of the
+ * agents, as callers may be in another region. */
+#define DRAIN_LINGER_MS 200
+
 const char cf_entry_defaults[] = "[entry]\n"
                                  "name = \"e1\"\n"
                                  "listen = \"127.0.0.1:8080\"\n"
@@ -21,6 +26,7 @@
                                  "fair_reserve = 10\n"
                                  "retry_percent = 20\n"
                                  "retry_slack = 20\n"
+                                 "drain_grace_ms = 30000\n"
                                  "[config]\n"
                                  "url = \"http://127.0.0.1:7000\"\n"
                                  "watch_wait_ms = 5000\n"
@@ -56,6 +62,8 @@
     offsetof (CfEntrySettings, retry_percent), 0, 1000 },
   { CF_SETTING_INT, "entry", "retry_slack",
     offsetof (CfEntrySettings, retry_slack), 1, 100000 },
+  { CF_SETTING_INT, "entry", "drain_grace_ms",
+    offsetof (CfEntrySettings, drain_grace_ms), 0, 3600000 },
   { CF_SETTING_STRING, "config", "url", offsetof (CfEntrySettings, config_url),
     0, 0 },
   { CF_SETTING_INT, "config", "watch_wait_ms",
@@ -254,18 +262,29 @@
   return st;
 }
 
+/* Until every request begun has its reply sent, but not beyond @until. */
+static void
+wait_for_replies (CfEntry *e, long long until)
+{
+  while (cf_http_server_active (e->http) > 0 && cf_now_ms () < until)
+    usleep (10000);
+}
+
 void
-cf_entry_drain (CfEntry *e, gint64 grace_ms)
+cf_entry_drain (CfEntry *e)
 {
-  long long until = cf_now_ms () + grace_ms;
+  long long until = cf_now_ms () + e->set.drain_grace_ms;
 
+  __atomic_store_n (&e->stop_at_ms, until, __ATOMIC_RELEASE);
   g_atomic_int_set (&e->draining, 1);
   cf_log (LOG_NOTICE, CF_EV_DRAIN_BEGIN, "in_flight=%d",
           g_atomic_int_get (&e->in_flight));
   cf_http_server_quiesce (e->http);
-  /* A request counts here from its first byte until its reply is sent. */
-  while (cf_http_server_active (e->http) > 0 && cf_now_ms () < until)
-    usleep (10000);
+  wait_for_replies (e, until);
+  /* A request counts as begun once its head is read whole; those that came
+   * later are refused, and their replies waited for too. */
+  usleep (DRAIN_LINGER_MS * 1000);
+  wait_for_replies (e, until);
   cf_log (LOG_NOTICE, CF_EV_DRAIN_DONE, "in_flight=%d",
           g_atomic_int_get (&e->in_flight));
   cf_http_server_stop (e->http);
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -16,6 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define ENTRY "http://127.0.0.1:17580"
@@ -31,13 +32,22 @@
       "\"service\":\"assistant\",\"model\":\"desc-v3\",\"groups\":[\"g\"],"
       "\"priority\":5,\"worth\":1}\n";
 
+static pid_t
+start_entry_with (const char *more)
+{
+  g_autofree char *s = g_strdup_printf (
+      "[entry]\nname = \"e\"\nlisten = \"127.0.0.1:17580\"\n%s"
+      "[config]\nurl = \"http://127.0.0.1:17500\"\n"
+      "[vmlist]\nurl = \"http://127.0.0.1:17509\"\n",
+      more);
+
+  return t_start ("e-entry", "./comfrey-entry", s);
+}
+
 static pid_t
 start_entry (void)
 {
-  return t_start ("e-entry", "./comfrey-entry",
-                  "[entry]\nname = \"e\"\nlisten = \"127.0.0.1:17580\"\n"
-                  "[config]\nurl = \"http://127.0.0.1:17500\"\n"
-                  "[vmlist]\nurl = \"http://127.0.0.1:17509\"\n");
+  return start_entry_with ("");
 }
 
 static void
@@ -260,6 +270,113 @@
 }
 END_TEST
 
+/*
+ * What was on its way when an entry was stopped is refused, not dropped.
+ *
+ * The story.  No user reported it: it was looked for after streams were cut
+ * by stopping gateways.  A caller finds its open connection closed without a
+ * word, with a request on it, and cannot tell whether that has run.
+ *
+ * Order of events: half of a request's head has come; SIGTERM; the entry sees
+ * no request begun and ends at once; the other half meets a closed connection.
+ *
+ * Cause: a request counts as begun only with its head read whole, and the
+ * entry looks only until none is begun, be it at its first look.
+ *
+ * Evidence: E1405 in_flight=0, E1406 and E1002 follow each other in the
+ * entry's log, with no E1205 for the request.
+ */
+START_TEST (test_planned_stop_refuses_what_was_on_its_way)
+{
+  static const char first[] = "POST /v1/requests HTTP/1.1\r\nHost: e\r\n";
+  g_autofree char *rest
+      = g_strdup_printf ("Content-Length: %zu\r\n\r\n" SHOP, strlen (SHOP));
+  char reply[4096] = "";
+  pid_t entry;
+  int fd = -1;
+
+  start_group ();
+  entry = start_entry ();
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  ck_assert_int_eq (cf_connect_tcp ("127.0.0.1:17580", 1000, &fd), CF_OK);
+  ck_assert_int_eq (cf_write_all (fd, first, strlen (first)), CF_OK);
+  usleep (200000);
+  kill (entry, SIGTERM);
+  usleep (50000);
+  if (cf_write_all (fd, rest, strlen (rest)) == CF_OK)
+    for (size_t got = 0; got < sizeof reply - 1;)
+      {
+        ssize_t n = read (fd, reply + got, sizeof reply - 1 - got);
+
+        if (n <= 0)
+          break;
+        got += (size_t)n;
+      }
+  ck_assert_msg (g_str_has_prefix (reply, "HTTP/1.1 503 "),
+                 "a request on its way at SIGTERM got no refusal: '%s'", reply);
+  ck_assert (strstr (reply, "\"ran\":\"no\""));
+  ck_assert (strstr (reply, "Connection: close"));
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
+/*
+ * A request that outlasts an entry's grace is told so before the entry ends.
+ *
+ * The story.  No user reported it: it was looked for after streams were cut
+ * by stopping gateways.  A caller that gave its request more time than the
+ * entry's grace finds its connection closed without a word.
+ *
+ * Order of events: the engine works on a request of 8 s; SIGTERM to an entry
+ * with 1 s of grace; the grace is over; the entry closes all connections.
+ *
+ * Cause: no request was looked at again while the stop went on.
+ *
+ * Evidence: E1406 in_flight=1 in the entry's log, with no E1205 before it.
+ */
+START_TEST (test_planned_stop_answers_what_outlasts_it)
+{
+  static const char body[]
+      = "{\"org\":\"aspen-coulee\",\"service\":\"assistant\",\"model\":"
+        "\"desc-v3\",\"deadline_ms\":30000,\"body\":{\"prompt\":\"long\","
+        "\"max_tokens\":4000}}";
+  g_autofree char *request
+      = g_strdup_printf ("POST /v1/requests HTTP/1.1\r\nHost: e\r\n"
+                         "Content-Length: %zu\r\n\r\n%s",
+                         strlen (body), body);
+  char reply[4096] = "";
+  size_t got = 0;
+  ssize_t n;
+  pid_t entry;
+  int fd = -1;
+
+  start_group ();
+  entry = start_entry_with ("drain_grace_ms = 1000\n");
+  ck_assert (t_wait_for (ENTRY "/v1/health",
+                         "\"config_version\":1,\"links_up\":2", 5000));
+  ck_assert_int_eq (cf_connect_tcp ("127.0.0.1:17580", 1000, &fd), CF_OK);
+  ck_assert_int_eq (cf_write_all (fd, request, strlen (request)), CF_OK);
+  ck_assert (
+      t_wait_for ("http://127.0.0.1:17590/v1/load", "\"running\":1", 3000));
+  kill (entry, SIGTERM);
+  while (got < sizeof reply - 1
+         && (n = read (fd, reply + got, sizeof reply - 1 - got)) > 0)
+    got += (size_t)n;
+  ck_assert_msg (g_str_has_prefix (reply, "HTTP/1.1 503 "),
+                 "a request that outlasted the grace got no answer: '%s'",
+                 reply);
+  ck_assert (strstr (reply, "\"error\":\"draining\""));
+  ck_assert (strstr (reply, "\"ran\":\"unknown\""));
+  /* And the engine does not work on for nobody. */
+  ck_assert (
+      t_wait_for ("http://127.0.0.1:17590/v1/load", "\"running\":0", 2000));
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
 START_TEST (test_caller_that_leaves_frees_the_engine)
 {
   static const char body[]
@@ -304,9 +421,10 @@
   g_autofree char *log = NULL;
   pthread_t caller;
   void *code;
+  pid_t entry;
 
   start_group ();
-  start_entry ();
+  entry = start_entry ();
   ck_assert (t_wait_for (ENTRY "/v1/health",
                          "\"config_version\":1,\"links_up\":2", 5000));
   pthread_create (&caller, NULL, slow_caller, NULL);
@@ -315,8 +433,11 @@
   ck_assert_str_eq (ran, "no");
   pthread_join (caller, &code);
   ck_assert_int_eq (GPOINTER_TO_INT (code), 200);
-  t_stop_all ();
+  /* Ended before its agents, whose own stop would be a link lost. */
+  kill (entry, SIGTERM);
+  waitpid (entry, NULL, 0);
   log = t_read_log ("e-entry");
+  t_stop_all ();
   ck_assert_msg (strstr (log, "E1302") == NULL, "a link was lost: %s", log);
 }
 END_TEST
@@ -471,6 +592,8 @@
 {
   Suite *s = suite_create ("entry");
   TCase *tc = tcase_create ("refusals");
+  TCase *late = tcase_create ("late");
+  TCase *grace = tcase_create ("grace");
 
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_no_config_is_not_run);
@@ -485,5 +608,13 @@
   tcase_add_test (tc, test_leaving_target_gets_no_work_within_bound);
   tcase_add_test (tc, test_silent_agent_is_passed_over);
   suite_add_tcase (s, tc);
+  tcase_set_timeout (late, 60);
+  tcase_set_tags (late, "late");
+  tcase_add_test (late, test_planned_stop_refuses_what_was_on_its_way);
+  suite_add_tcase (s, late);
+  tcase_set_timeout (grace, 60);
+  tcase_set_tags (grace, "grace");
+  tcase_add_test (grace, test_planned_stop_answers_what_outlasts_it);
+  suite_add_tcase (s, grace);
   return t_run (s);
 }
