--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -33,6 +33,27 @@
 }
 END_TEST
 
+/* What no decision of ours needs is not looked at, whatever it holds. */
+START_TEST (settings_without_use_are_ignored)
+{
+  static const char *const fields[]
+      = { "limits.cpu-share", "heartbeat-ms", "bounds.retry-window-s",
+          "some.new.field" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      g_autofree char *text
+          = g_strdup_printf ("%s%s=lots\n", good_settings, fields[i]);
+      CfPlatformSettings s;
+
+      ck_assert_int_eq (cf_platform_settings_parse (text, CF_ROLE_GATEWAY, &s),
+                        CF_OK);
+      ck_assert_int_eq (s.retry_slack, 88);
+      cf_platform_settings_clear (&s);
+    }
+}
+END_TEST
+
 START_TEST (wrong_settings_name_the_field)
 {
   CfPlatformSettings s;
@@ -425,6 +446,7 @@
   TCase *t = tcase_create ("platform");
 
   tcase_add_test (t, settings_are_read);
+  tcase_add_test (t, settings_without_use_are_ignored);
   tcase_add_test (t, wrong_settings_name_the_field);
   tcase_add_test (t, configuration_is_read);
   tcase_add_test (t, wrong_configurations_are_refused);
