--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -3,7 +3,7 @@
 # when run as root and any is missing.
 PKGS="build-essential pkg-config libglib2.0-dev libmicrohttpd-dev
 libjansson-dev libcurl4-openssl-dev libmsgpack-dev libck-dev libxxhash-dev
-libgsl-dev libev-dev libhttp-parser-dev check clang-format clang-tidy curl"
+libgsl-dev libev-dev libhttp-parser-dev check clang-format clang-tidy curl file"
 missing=""
 for p in $PKGS; do
 	dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q "ok installed" ||
