Split the coordinator of map changes: one job a file

Cause: gateway/map-coordinator.c held in 742 lines the state machine, each state's work, the planning, and what comes of reports; a reader who looked for one had to pass the others.

Ruled out: parts that call back into map-coordinator.c, a circle; what all parts need has a file of its own below them.

Change: map-coordinator.c keeps its life and the state machine's tick; each state's work is in -settle.c, -plan.c and -switch.c; reports, lists and acknowledgements come in by -reports.c; -view.c (what ranks say, taken together; orders; states; versions) is what the others stand on. map-coordinator-parts.h tells the parts of one another.

Conclusion: behaviour unchanged. Calls go one way: map-coordinator.c to a state's work to the view.

--- /dev/null
+++ b/gateway/map-coordinator-plan.c
@@ -0,0 +1,78 @@
+#include "map-coordinator-parts.h"
+
+#include "ablation.h"
+#include "map-gain.h"
+
+/** A copy of all that one change may bring takes under a second; past this
+ * the change is given up, which costs nothing since no rank is armed. */
+#define PREPARE_MAX_MS 4000
+/** Between two plans. */
+#define PLAN_PAUSE_MS 100
+
+void
+cf_map_plan_next (CfMapCoordinator *c, gint64 now)
+{
+  CfPlanLimits limits = c->limits;
+
+  if (cf_map_any_held (c) || cf_map_any_armed (c))
+    {
+      cf_map_enter (c, CF_MAP_SETTLING, "someone-else-acts", now);
+      return;
+    }
+  if (CF_WITHOUT_MAP_CHANGES)
+    return;
+  if (now < c->idle_until_ms || !cf_map_all_seen_since (c, 0)
+      || !cf_expert_demand_known (&c->demand))
+    return;
+  if (!cf_map_is_known (c))
+    {
+      cf_map_ask_lists (c, now);
+      return;
+    }
+  c->idle_until_ms = now + PLAN_PAUSE_MS;
+  cf_group_map_free (c->next);
+  for (int r = 0; r < c->shape.ranks; r++)
+    c->pace[r] = MAX (c->ranks[r].status.pace, 1);
+  limits.min_gain = cf_map_gain_asked (limits.min_gain, c->pass_ms,
+                                       c->pass_aim_ms, c->demand.n_windows);
+  c->next = cf_group_map_plan (c->in_use, c->demand.tokens, c->pace, &limits);
+  if (!c->next)
+    return;
+  c->last_copies = cf_group_map_added (c->in_use, c->next);
+  c->skew_before = cf_group_map_skew (c->in_use, c->demand.tokens, c->pace);
+  c->skew_after = cf_group_map_skew (c->next, c->demand.tokens, c->pace);
+  c->version = cf_map_new_version (c);
+  cf_map_enter (c, CF_MAP_PREPARING, "worth-it", now);
+}
+
+void
+cf_map_prepare (CfMapCoordinator *c, gint64 now)
+{
+  gboolean ready = TRUE;
+
+  for (int r = 0; r < c->shape.ranks; r++)
+    {
+      CfRankView *v = &c->ranks[r];
+      CfRankOrder o = { .kind = CF_ORDER_PREPARE, .version = c->version };
+
+      if (v->status.prepared == c->version)
+        continue;
+      ready = FALSE;
+      o.map = c->next;
+      if (cf_map_may_ask (v, now, CF_MAP_PREPARE_AGAIN_MS))
+        cf_map_send_order (c, r, &o, now);
+    }
+  if (ready)
+    {
+      c->lead = cf_map_coordinator_passes_ahead (c);
+      c->step = 0;
+      c->holder = (int)(c->version % c->shape.ranks);
+      c->hold_ms = now;
+      cf_map_enter (c, CF_MAP_HOLDING, "all-prepared", now);
+    }
+  else if (now - c->state_ms > PREPARE_MAX_MS)
+    {
+      c->idle_until_ms = now + CF_MAP_ABORT_PAUSE_MS;
+      cf_map_enter (c, CF_MAP_IDLE, "copies-too-slow", now);
+    }
+}
--- /dev/null
+++ b/gateway/map-coordinator-settle.c
@@ -0,0 +1,126 @@
+#include "map-coordinator-parts.h"
+
+static gboolean
+guards_all (const CfMapCoordinator *c)
+{
+  for (int r = 0; r < c->shape.ranks; r++)
+    if (c->ranks[r].token < c->fence)
+      return FALSE;
+  return TRUE;
+}
+
+/* The only pass held, with the rank that holds it; 0 if none or several. */
+static gint64
+only_hold (const CfMapCoordinator *c, int *holder)
+{
+  gint64 step = 0;
+
+  for (int r = 0; r < c->shape.ranks; r++)
+    {
+      gint64 held = c->ranks[r].status.held;
+
+      if (held && step && held != step)
+        return 0;
+      if (held)
+        {
+          step = held;
+          *holder = r;
+        }
+    }
+  return step;
+}
+
+/* The version that every rank has armed, prepared or in use; 0 if they
+ * differ. */
+static gint64
+common_version (const CfMapCoordinator *c)
+{
+  gint64 common = 0;
+
+  for (int r = 0; r < c->shape.ranks; r++)
+    {
+      const CfRankStatus *s = &c->ranks[r].status;
+      gint64 v = s->armed ? s->armed : MAX (s->prepared, s->map);
+
+      if (r > 0 && v != common)
+        return 0;
+      common = v;
+    }
+  return common;
+}
+
+void
+cf_map_settle (CfMapCoordinator *c, gint64 now)
+{
+  gboolean held;
+  int holder = 0;
+  gint64 step;
+
+  if (!cf_map_all_seen_since (c, c->state_ms) || !guards_all (c))
+    return;
+  held = cf_map_any_held (c);
+  step = only_hold (c, &holder);
+  if (!held && !cf_map_any_armed (c))
+    {
+      cf_map_enter (c, CF_MAP_IDLE, "nothing-pending", now);
+      return;
+    }
+  g_clear_pointer (&c->next, cf_group_map_free);
+  c->version = common_version (c);
+  if (c->version && !held)
+    cf_map_enter (c, CF_MAP_SWITCHING, "all-armed", now);
+  else if (c->version && step)
+    {
+      c->step = step;
+      c->holder = holder;
+      c->hold_ms = now;
+      cf_map_enter (c, CF_MAP_ARMING, "earlier-leader-held", now);
+    }
+  else if (held)
+    cf_map_enter (c, CF_MAP_BURNING, "versions-differ", now);
+}
+
+void
+cf_map_burn (CfMapCoordinator *c, gint64 now)
+{
+  gboolean clear = TRUE;
+
+  if (!cf_map_is_known (c))
+    {
+      cf_map_ask_lists (c, now);
+      return;
+    }
+  if (c->next == NULL)
+    {
+      c->next = cf_group_map_copy (c->in_use);
+      c->version = cf_map_new_version (c);
+    }
+  for (int r = 0; r < c->shape.ranks; r++)
+    {
+      CfRankView *v = &c->ranks[r];
+      CfRankOrder o = { .kind = CF_ORDER_PREPARE, .version = c->version };
+
+      if (!v->status.armed && v->status.prepared == c->version)
+        continue;
+      clear = FALSE;
+      if (!cf_map_may_ask (v, now, CF_MAP_ORDER_AGAIN_MS))
+        continue;
+      o.map = c->next;
+      if (v->status.armed)
+        {
+          o.kind = CF_ORDER_DISARM;
+          o.version = v->status.armed;
+        }
+      cf_map_send_order (c, r, &o, now);
+    }
+  for (int r = 0; clear && r < c->shape.ranks; r++)
+    {
+      CfRankView *v = &c->ranks[r];
+      CfRankOrder o = { .kind = CF_ORDER_GO, .step = v->status.held };
+
+      if (v->status.held && cf_map_may_ask (v, now, CF_MAP_ORDER_AGAIN_MS))
+        cf_map_send_order (c, r, &o, now);
+    }
+  if (clear && !cf_map_any_held (c))
+    cf_map_enter (c, CF_MAP_IDLE, "burnt", now);
+}
--- /dev/null
+++ b/gateway/map-coordinator-switch.c
@@ -0,0 +1,132 @@
+#include "map-coordinator-parts.h"
+
+/** A hold that is not confirmed, or an arm refused for so long, is looked
+ * into afresh. */
+#define STEP_MAX_MS 1500
+/** Of the last time, what is still reckoned with after a quicker change. */
+#define ARMING_KEEP 0.7
+
+static gint64
+newest_step (const CfMapCoordinator *c)
+{
+  gint64 step = 0;
+
+  for (int r = 0; r < c->shape.ranks; r++)
+    step = MAX (step, c->ranks[r].status.step);
+  return step;
+}
+
+int
+cf_map_coordinator_passes_ahead (const CfMapCoordinator *c)
+{
+  gint64 passes = c->pass_ms ? c->arming_ms / c->pass_ms : 0;
+
+  return (int)MIN (passes + 1, CF_MAP_LEAD_LAST);
+}
+
+void
+cf_map_hold (CfMapCoordinator *c, gint64 now)
+{
+  CfRankView *v = &c->ranks[c->holder];
+  CfRankOrder o = { .kind = CF_ORDER_HOLD };
+
+  if (c->step && v->status.held == c->step)
+    {
+      cf_map_enter (c, CF_MAP_ARMING, "held", now);
+      return;
+    }
+  if (v->status.held || now - c->state_ms > STEP_MAX_MS)
+    {
+      cf_map_enter (c, CF_MAP_SETTLING, "hold-not-confirmed", now);
+      return;
+    }
+  if (c->step == 0)
+    {
+      c->step = newest_step (c) + c->lead;
+      v->asked_ms = 0;
+    }
+  o.step = c->step;
+  if (cf_map_may_ask (v, now, CF_MAP_ORDER_AGAIN_MS))
+    cf_map_send_order (c, c->holder, &o, now);
+}
+
+/* Where orders get lost, arming all ranks takes longer. */
+static void
+learn_arming (CfMapCoordinator *c, gint64 ms)
+{
+  c->arming_ms = MAX (ms, (gint64)((double)c->arming_ms * ARMING_KEEP));
+}
+
+void
+cf_map_arm (CfMapCoordinator *c, gint64 now)
+{
+  gboolean ready = TRUE;
+
+  for (int r = 0; r < c->shape.ranks; r++)
+    {
+      CfRankView *v = &c->ranks[r];
+      CfRankOrder o = { .kind = CF_ORDER_ARM, .version = c->version };
+
+      if (v->status.armed == c->version || v->status.map == c->version)
+        continue;
+      ready = FALSE;
+      o.step = c->step;
+      if (cf_map_may_ask (v, now, CF_MAP_ORDER_AGAIN_MS))
+        cf_map_send_order (c, r, &o, now);
+    }
+  if (ready)
+    {
+      learn_arming (c, now - c->hold_ms);
+      cf_map_enter (c, CF_MAP_RELEASING, "all-armed", now);
+    }
+  else if (now - c->state_ms > STEP_MAX_MS)
+    cf_map_enter (c, CF_MAP_SETTLING, "arming-too-slow", now);
+}
+
+void
+cf_map_release (CfMapCoordinator *c, gint64 now)
+{
+  CfRankView *v = &c->ranks[c->holder];
+  CfRankOrder o = { .kind = CF_ORDER_GO, .step = c->step };
+
+  if (v->status.held != c->step)
+    cf_map_enter (c, CF_MAP_SWITCHING, "released", now);
+  else if (cf_map_may_ask (v, now, CF_MAP_ORDER_AGAIN_MS))
+    cf_map_send_order (c, c->holder, &o, now);
+}
+
+static gboolean
+all_on_version (const CfMapCoordinator *c)
+{
+  for (int r = 0; r < c->shape.ranks; r++)
+    if (c->ranks[r].status.map != c->version)
+      return FALSE;
+  return TRUE;
+}
+
+static void
+adopt_next (CfMapCoordinator *c)
+{
+  for (int r = 0; c->next && r < c->shape.ranks; r++)
+    c->ranks[r].lists_map = c->version;
+  if (!c->next)
+    return;
+  cf_group_map_free (c->in_use);
+  c->in_use = g_steal_pointer (&c->next);
+}
+
+void
+cf_map_await_switch (CfMapCoordinator *c, gint64 now)
+{
+  if (all_on_version (c))
+    {
+      adopt_next (c);
+      c->n_changes++;
+      c->idle_until_ms = now;
+      cf_map_enter (c, CF_MAP_IDLE, "changed", now);
+      return;
+    }
+  if (cf_map_any_held (c) || !cf_map_any_armed (c))
+    if (cf_map_all_seen_since (c, c->state_ms))
+      cf_map_enter (c, CF_MAP_SETTLING, "not-as-armed", now);
+}
