Leave half of the descriptors to what callers' requests need

Cause: max-fds was read and never used. Nothing kept callers from taking all descriptors: the gateway then reaches no target, peer or store any more, and since it can't accept what waits, its loop turns for nothing.

Ruled out: dropping the field; leaving what comes beyond it in the queue of the listener, since what can't be served is refused at once; answering 503, which needs the descriptor for as long as a request takes to come.

Change: callers get half of what max-fds leaves beside the 200 for files, as each request may need a connection to a target besides.

Not measured on the users' sites, whose gateways are told 4,200, so that it begins at 2,000 callers.

Conclusion: callers that hold connections can no longer stop a gateway.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -31,6 +31,11 @@
 #define STOP_MARGIN_MS 400
 /** Of the memory limit, the part that request bodies may take. */
 #define BODY_MEMORY_PART 4
+/** Descriptors that the platform keeps for files out of max-fds. */
+#define FILE_FDS 200
+/** Of the others, the part that callers may take: each caller's request may
+ * need a connection to a target besides. */
+#define CALLER_FDS_PART 2
 /** Log lines may take so long to be written at the end. */
 #define LOG_FLUSH_MS 200
 
@@ -187,6 +192,12 @@
   return st;
 }
 
+static guint
+callers_max (const CfPlatformSettings *s)
+{
+  return (guint)MAX ((s->max_fds - FILE_FDS) / CALLER_FDS_PART, 1);
+}
+
 static int
 run (CfGateway *g, int metrics)
 {
@@ -195,6 +206,7 @@
   g->targets.is_named_data = g;
   TAILQ_INIT (&g->callers);
   g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
+  g->callers_max = callers_max (&g->set);
   cf_signals_catch (g->loop, on_stop, on_reload);
   cf_gateway_lane (g, "");
   cf_gateway_set_fleet (g, 0);
--- a/gateway/caller.c
+++ b/gateway/caller.c
@@ -20,6 +20,8 @@
 /** How long a refused caller may take to close: closing first would reset
  * the connection and lose the refusal. */
 #define LINGER_S 1.0
+/** At most so often it is logged that all connections are taken. */
+#define FULL_LOG_MS 1000
 /** Limits until a configuration is known. */
 #define DEFAULT_HEADER_MAX 16384
 #define DEFAULT_HEADER_TIMEOUT_S 3.0
@@ -392,20 +394,68 @@
   g->n_callers++;
 }
 
-void
-cf_caller_accept (CfGateway *g, int listener)
+/* Its first request is on its way. */
+static gboolean
+is_new (const CfCaller *c)
 {
-  int fd;
+  return !c->served && cf_gateway_now (c->g) - c->accepted_ms < NEW_MS;
+}
 
-  while ((fd = cf_socket_accept (listener)) >= 0)
-    add_caller (g, fd);
+static gboolean
+is_idle (const CfCaller *c)
+{
+  return !c->x && !c->reader.started && c->out->len == 0 && !is_new (c);
 }
 
-/* Its first request is on its way. */
+static void
+log_full (CfGateway *g)
+{
+  gint64 now = cf_gateway_now (g);
+
+  if (g->full_logged_ms && now - g->full_logged_ms < FULL_LOG_MS)
+    return;
+  g->full_logged_ms = now;
+  cf_log (LOG_WARNING, CF_EV_CALLERS_FULL,
+          "callers=%u requests=%u turned_away=%" G_GUINT64_FORMAT, g->n_callers,
+          g->n_exchanges, g->stats.callers_turned_away);
+}
+
+/* Whether one more caller may connect, perhaps in the place of one that is
+ * idle.  Once the process has no descriptor left, it reaches no target, and
+ * turns its loop for nothing since it cannot accept what waits. */
 static gboolean
-is_new (const CfCaller *c)
+make_room (CfGateway *g)
 {
-  return !c->served && cf_gateway_now (c->g) - c->accepted_ms < NEW_MS;
+  CfCaller *c;
+
+  if (g->n_callers < g->callers_max)
+    return TRUE;
+  log_full (g);
+  TAILQ_FOREACH (c, &g->callers, link)
+  {
+    if (!is_idle (c))
+      continue;
+    shut (c);
+    return TRUE;
+  }
+  return FALSE;
+}
+
+void
+cf_caller_accept (CfGateway *g, int listener)
+{
+  int fd;
+
+  while ((fd = cf_socket_accept (listener)) >= 0)
+    {
+      if (make_room (g))
+        {
+          add_caller (g, fd);
+          continue;
+        }
+      g->stats.callers_turned_away++;
+      close (fd);
+    }
 }
 
 void
@@ -417,7 +467,7 @@
     {
       CfCaller *next = TAILQ_NEXT (c, link);
 
-      if (!c->x && !c->reader.started && c->out->len == 0 && !is_new (c))
+      if (is_idle (c))
         shut (c);
       c = next;
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -51,6 +51,8 @@
   GHashTable *lanes;    /**< service -> #CfLane */
   CfCallerList callers;
   guint n_callers;
+  guint callers_max;     /**< the others are for targets, peers, the store */
+  gint64 full_logged_ms; /**< when it was last logged that all are taken */
   guint n_exchanges;
   gsize body_bytes; /**< of requests that are held in memory */
   gsize body_bytes_max;
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -91,6 +91,7 @@
   print_counter (out, "resumes_total", s->resumes);
   print_counter (out, "store_calls_total", s->store_calls);
   print_counter (out, "store_errors_total", s->store_errors);
+  print_counter (out, "callers_turned_away_total", s->callers_turned_away);
   print_counter (out, "records_rejected_total", s->records_rejected);
   print_counter (out, "queued_total", s->queued);
   print_histogram (out, "first_event_ms", &s->first_ms);
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -39,12 +39,13 @@
   guint64 resumes; /**< streams taken up at another target */
   guint64 store_calls;
   guint64 store_errors;
-  guint64 records_rejected; /**< records of targets that cannot be read */
-  guint64 queued;           /**< requests that waited for room */
-  CfHistogram first_ms;     /**< to the first event of a stream */
-  CfHistogram whole_ms;     /**< to the end of any other answer */
-  CfHistogram pause_ms;     /**< between two events of a stream */
-  CfHistogram queue_ms;     /**< waiting for room */
+  guint64 records_rejected;    /**< records of targets that cannot be read */
+  guint64 callers_turned_away; /**< connections closed unread: all taken */
+  guint64 queued;              /**< requests that waited for room */
+  CfHistogram first_ms;        /**< to the first event of a stream */
+  CfHistogram whole_ms;        /**< to the end of any other answer */
+  CfHistogram pause_ms;        /**< between two events of a stream */
+  CfHistogram queue_ms;        /**< waiting for room */
 } CfStats;
 
 /** cf_stats_print: appends all in the Prometheus text format. */
--- a/log.c
+++ b/log.c
@@ -69,6 +69,8 @@
       return "outage";
     case CF_EV_STOP_LOOK:
       return "stop-look";
+    case CF_EV_CALLERS_FULL:
+      return "callers-full";
     case CF_EV_STORE_LOST:
       return "store-lost";
     case CF_EV_STORE_BACK:
--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -16,6 +16,7 @@
 /** How often a log is looked at while something is waited for. */
 #define LOG_LOOK_MS 20
 #define DRAIN_MS 2000
+#define MAX_FDS 1024
 
 static GArray *started;
 PDetours p_detours;
@@ -101,10 +102,11 @@
       "seed-addrs=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
       "limits.memory-mb=128\nbounds.grace-s=5\nbounds.stall_ms=400\n"
       "bounds.require-fence=true\nbounds.retry-slack=60\n"
-      "bounds.drain-ms=%d\n",
+      "bounds.drain-ms=%d\nlimits.max-fds=%d\n",
       p_detours.store ? p_detours.store : base,
       p_detours.seed ? p_detours.seed : base + 102, base + 202, base + 302,
-      p_detours.drain_ms ? p_detours.drain_ms : DRAIN_MS);
+      p_detours.drain_ms ? p_detours.drain_ms : DRAIN_MS,
+      p_detours.max_fds ? p_detours.max_fds : MAX_FDS);
 }
 
 int
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -33,6 +33,7 @@
 {
   int store;
   int seed;            /**< the first seed's */
+  int max_fds;         /**< descriptors of a process */
   int drain_ms;        /**< the platform's bound on draining */
   const char *gateway; /**< (nullable): the program */
 } PDetours;
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -795,6 +795,78 @@
 }
 END_TEST
 
+/** Of 220 descriptors 200 are for files, and half of the rest for callers. */
+#define FEW_FDS 220
+#define FEW_CALLERS 10
+
+static double
+few_metric (const char *name)
+{
+  g_autofree char *m
+      = p_ask (p_front (BASE, 2) + 3, "GET /metrics HTTP/1.1\r\n\r\n");
+  g_autofree char *line = g_strdup_printf ("\ncomfrey_%s ", name);
+  const char *at = strstr (m, line);
+
+  ck_assert_ptr_nonnull (at);
+  return g_ascii_strtod (at + strlen (line), NULL);
+}
+
+/* Callers that hold connections do not take those that targets need: one that
+ * is idle makes room for the next, one that waits for its answer does not. */
+START_TEST (callers_leave_descriptors_for_targets)
+{
+  g_autofree char *quick = p_request ("POST /order/a", "f", NULL, "x");
+  g_autofree char *stream = p_request (
+      "POST /chat/a", "f", "Comfreypost-Token-Count: 10,100\r\n", "");
+  int idle[2 * FEW_CALLERS];
+  int fds[FEW_CALLERS];
+
+  p_detours.max_fds = FEW_FDS;
+  p_gateway (BASE, 2);
+  p_await_ready (BASE, 2);
+  for (int i = 0; i < 2 * FEW_CALLERS; i++)
+    {
+      g_autofree char *a = NULL;
+
+      idle[i] = p_connect (p_front (BASE, 2));
+      p_send (idle[i], quick);
+      a = p_read (idle[i], 3000);
+      ck_assert_msg (p_status (a) == 200, "%d: %s", i, a);
+    }
+  ck_assert_double_eq (few_metric ("callers"), FEW_CALLERS);
+  for (int i = 0; i < FEW_CALLERS; i++)
+    {
+      fds[i] = p_connect (p_front (BASE, 2));
+      p_send (fds[i], stream);
+    }
+  usleep (100000);
+  ck_assert_double_eq (few_metric ("callers"), FEW_CALLERS);
+  {
+    g_autofree char *a = p_ask (p_front (BASE, 2), quick);
+
+    ck_assert_str_eq (a, "");
+    ck_assert_double_eq (few_metric ("callers_turned_away_total"), 1);
+  }
+  for (int i = 0; i < FEW_CALLERS; i++)
+    {
+      g_autofree char *a = p_read (fds[i], 8000);
+
+      ck_assert (g_str_has_suffix (a, "0\r\n\r\n"));
+    }
+  {
+    g_autofree char *a = p_ask (p_front (BASE, 2), quick);
+
+    ck_assert_int_eq (p_status (a), 200);
+  }
+  for (int i = 0; i < FEW_CALLERS; i++)
+    {
+      close (idle[i]);
+      close (idle[FEW_CALLERS + i]);
+      close (fds[i]);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -837,6 +909,7 @@
   tcase_add_test (t, a_planned_stop_ends_what_runs);
   tcase_add_test (t, a_reload_cuts_off_nothing);
   tcase_add_test (t, metrics_are_served);
+  tcase_add_test (t, callers_leave_descriptors_for_targets);
   suite_add_tcase (s, t);
   return t_run (s);
 }
