--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -421,21 +421,15 @@
 int
 main (int argc, char **argv)
 {
-  CfDaemonArgs args = { 0 };
-  CfSettings s = { 0 };
   pthread_t t;
   int rc;
 
-  rc = cf_daemon_init (&argc, &argv, "comfrey-fake-engine",
-                       "A stand-in for a model engine group of lock-step "
-                       "ranks on an expert map, for tests and the demo.",
-                       defaults, &args, &s);
+  rc = cf_daemon_begin (&argc, &argv, "comfrey-fake-engine",
+                        "A stand-in for a model engine group of lock-step "
+                        "ranks on an expert map, for tests and the demo.",
+                        defaults, fields, G_N_ELEMENTS (fields), &eng);
   if (rc >= 0)
     return rc;
-  if (cf_settings_read (&s, fields, G_N_ELEMENTS (fields), &eng) != CF_OK)
-    return cf_daemon_settings_failed ();
-  if (cf_daemon_checked (&args, &s))
-    return 0;
   pthread_mutex_init (&eng.lock, NULL);
   pthread_cond_init (&eng.done, NULL);
   pthread_cond_init (&eng.work, NULL);
--- a/comfrey-fake-service.c
+++ b/comfrey-fake-service.c
@@ -92,20 +92,14 @@
 int
 main (int argc, char **argv)
 {
-  CfDaemonArgs args = { 0 };
-  CfSettings s = { 0 };
   int rc;
 
-  rc = cf_daemon_init (&argc, &argv, "comfrey-fake-service",
-                       "A stand-in for a plain service with non-repeatable "
-                       "calls; counts runs per idempotency key.",
-                       defaults, &args, &s);
+  rc = cf_daemon_begin (&argc, &argv, "comfrey-fake-service",
+                        "A stand-in for a plain service with non-repeatable "
+                        "calls; counts runs per idempotency key.",
+                        defaults, fields, G_N_ELEMENTS (fields), &set);
   if (rc >= 0)
     return rc;
-  if (cf_settings_read (&s, fields, G_N_ELEMENTS (fields), &set) != CF_OK)
-    return cf_daemon_settings_failed ();
-  if (cf_daemon_checked (&args, &s))
-    return 0;
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return cf_daemon_serve_http (set.listen, on_http, NULL);
 }
--- a/comfrey-fake-vmlist.c
+++ b/comfrey-fake-vmlist.c
@@ -104,19 +104,13 @@
 int
 main (int argc, char **argv)
 {
-  CfDaemonArgs args = { 0 };
-  CfSettings s = { 0 };
   int rc;
 
-  rc = cf_daemon_init (&argc, &argv, "comfrey-fake-vmlist",
-                       "A stand-in for the platform's lagging VM list.",
-                       defaults, &args, &s);
+  rc = cf_daemon_begin (&argc, &argv, "comfrey-fake-vmlist",
+                        "A stand-in for the platform's lagging VM list.",
+                        defaults, fields, G_N_ELEMENTS (fields), &set);
   if (rc >= 0)
     return rc;
-  if (cf_settings_read (&s, fields, G_N_ELEMENTS (fields), &set) != CF_OK)
-    return cf_daemon_settings_failed ();
-  if (cf_daemon_checked (&args, &s))
-    return 0;
   vms = g_hash_table_new (g_str_hash, g_str_equal);
   cf_log (LOG_INFO, CF_EV_START, "lag_ms=%" G_GINT64_FORMAT, set.lag_ms);
   return cf_daemon_serve_http (set.listen, on_http, NULL);
--- a/comfrey-fake-weights.c
+++ b/comfrey-fake-weights.c
@@ -108,19 +108,13 @@
 int
 main (int argc, char **argv)
 {
-  CfDaemonArgs args = { 0 };
-  CfSettings s = { 0 };
   int rc;
 
-  rc = cf_daemon_init (&argc, &argv, "comfrey-fake-weights",
-                       "A stand-in for the platform's rate-limited weight "
-                       "store, for tests and experiments.",
-                       defaults, &args, &s);
+  rc = cf_daemon_begin (&argc, &argv, "comfrey-fake-weights",
+                        "A stand-in for the platform's rate-limited weight "
+                        "store, for tests and experiments.",
+                        defaults, fields, G_N_ELEMENTS (fields), &store);
   if (rc >= 0)
     return rc;
-  if (cf_settings_read (&s, fields, G_N_ELEMENTS (fields), &store) != CF_OK)
-    return cf_daemon_settings_failed ();
-  if (cf_daemon_checked (&args, &s))
-    return 0;
   return cf_daemon_serve_http (store.listen, on_http, NULL);
 }
--- a/daemon.c
+++ b/daemon.c
@@ -79,6 +79,23 @@
   return a->check_settings;
 }
 
+int
+cf_daemon_begin (int *argc, char ***argv, const char *prog, const char *summary,
+                 const char *defaults, const CfSetting *fields, gsize n_fields,
+                 void *out)
+{
+  CfDaemonArgs args = { 0 };
+  CfSettings s = { 0 };
+  int rc = cf_daemon_init (argc, argv, prog, summary, defaults, &args, &s);
+
+  if (rc < 0 && cf_settings_read (&s, fields, n_fields, out) != CF_OK)
+    rc = cf_daemon_settings_failed ();
+  else if (rc < 0 && cf_daemon_checked (&args, &s))
+    rc = 0;
+  cf_settings_clear (&s);
+  return rc;
+}
+
 int
 cf_daemon_serve_http (const char *listen, CfHttpHandler fn, void *data)
 {
--- a/daemon.h
+++ b/daemon.h
@@ -40,6 +40,20 @@
                     const char *summary, const char *defaults, CfDaemonArgs *a,
                     CfSettings *s);
 
+/**
+ * cf_daemon_begin:
+ * @fields: the @n_fields settings there are
+ * @out: (out): the struct they are read into
+ *
+ * cf_daemon_init(), and the settings read and checked, for a program that
+ * needs no more of them.
+ *
+ * Returns: -1 to go on, or an exit status to return from main().
+ */
+int cf_daemon_begin (int *argc, char ***argv, const char *prog,
+                     const char *summary, const char *defaults,
+                     const CfSetting *fields, gsize n_fields, void *out);
+
 /** cf_daemon_settings_failed: logs a settings error; returns exit status 2. */
 int cf_daemon_settings_failed (void);
 
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -1,5 +1,6 @@
 #include "peer-msg.h"
 
+#include "log.h"
 #include "peer-frame.h"
 
 #include <string.h>
@@ -450,3 +451,19 @@
   if (a && *a)
     g_clear_pointer (a, g_array_unref);
 }
+
+void
+cf_peer_msg_receive (const char *data, gsize n, const char *role,
+                     const char *name, CfPeerMsgTake take, void *owner)
+{
+  msgpack_unpacked zone;
+  CfPeerMsg m;
+
+  if (cf_peer_msg_unpack (data, n, &zone, &m) != CF_OK)
+    cf_log (LOG_WARNING, CF_EV_PEER, "%s=%s outcome=bad error=\"%s\"", role,
+            name ? name : "-", cf_last_error ());
+  else
+    take (owner, &m);
+  cf_peer_msg_clear (&m);
+  msgpack_unpacked_destroy (&zone);
+}
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -134,5 +134,16 @@
 CfStatus cf_peer_msg_unpack (const char *data, gsize n, msgpack_unpacked *zone,
                              CfPeerMsg *m);
 
+/** CfPeerMsgTake: takes a message, which holds until it returns. */
+typedef void (*CfPeerMsgTake) (void *owner, const CfPeerMsg *m);
+
+/**
+ * cf_peer_msg_receive:
+ * @role: what the sender is, and @name: (nullable): which one; for the log
+ * Has @take take the message of a frame; one that is no message is logged.
+ */
+void cf_peer_msg_receive (const char *data, gsize n, const char *role,
+                          const char *name, CfPeerMsgTake take, void *owner);
+
 /** cf_peer_msg_clear: frees the arrays of @m. */
 void cf_peer_msg_clear (CfPeerMsg *m);
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -256,8 +256,10 @@
 }
 
 static void
-take_msg (Peer *p, const CfPeerMsg *m)
+take_msg (void *owner, const CfPeerMsg *m)
 {
+  Peer *p = owner;
+
   switch (m->kind)
     {
     case CF_PEER_GATEWAY_HELLO:
@@ -278,17 +280,9 @@
 static void
 on_frame (void *owner, CfPeerLink *l, const char *data, gsize n)
 {
-  Peer *p = owner;
-  msgpack_unpacked zone;
-  CfPeerMsg m;
-
-  if (cf_peer_msg_unpack (data, n, &zone, &m) != CF_OK)
-    cf_log (LOG_WARNING, CF_EV_PEER, "peer=%s outcome=bad error=\"%s\"",
-            p->addr ? p->addr : "-", cf_last_error ());
-  else
-    take_msg (p, &m);
-  cf_peer_msg_clear (&m);
-  msgpack_unpacked_destroy (&zone);
+  const Peer *p = owner;
+
+  cf_peer_msg_receive (data, n, "peer", p->addr, take_msg, owner);
 }
 
 static void
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -426,8 +426,10 @@
 }
 
 static void
-take_msg (CfRankLink *a, const CfPeerMsg *m)
+take_msg (void *owner, const CfPeerMsg *m)
 {
+  CfRankLink *a = owner;
+
   switch (m->kind)
     {
     case CF_PEER_AGENT_HELLO:
@@ -456,17 +458,9 @@
 static void
 on_frame (void *owner, CfPeerLink *l, const char *data, gsize n)
 {
-  CfRankLink *a = owner;
-  msgpack_unpacked zone;
-  CfPeerMsg m;
-
-  if (cf_peer_msg_unpack (data, n, &zone, &m) != CF_OK)
-    cf_log (LOG_WARNING, CF_EV_PEER, "agent=%s outcome=bad error=\"%s\"",
-            a->target_addr ? a->target_addr : "-", cf_last_error ());
-  else
-    take_msg (a, &m);
-  cf_peer_msg_clear (&m);
-  msgpack_unpacked_destroy (&zone);
+  const CfRankLink *a = owner;
+
+  cf_peer_msg_receive (data, n, "agent", a->target_addr, take_msg, owner);
 }
 
 static void
