--- a/Makefile
+++ b/Makefile
@@ -161,6 +161,9 @@
 	@echo "make demo-own the same for the product's own interface"
 	@echo "make test     run the tests under t/"
 	@echo "make bench    run comfrey-bench: placement policies side by side"
+	@echo "make deploy   build what runs on the platform, under target/"
 	@echo "make style    check formatting with clang-format"
+	@echo "make tidy     check the sources with clang-tidy"
+	@echo "make clean    remove what was built, but for target/"
 
 .PHONY: all deploy test demo demo-own bench style tidy clean help
