--- a/scripts/platform-processes.sh
+++ b/scripts/platform-processes.sh
@@ -1,16 +1,24 @@
 # Sourced by the scripts that run gateways and rank agents against the
-# stand-in of the platform on loopback.
+# stand-in of the platform on loopback, on the ports from $ports on: the
+# store's and the targets', then those of the gateways.
 
 . scripts/processes.sh
 
+# front N: where gateway N takes callers
+front() { echo "127.0.0.1:$((ports + 100 + $1))"; }
+# ready N: where it says whether it is ready
+ready() { echo "127.0.0.1:$((ports + 110 + $1))"; }
+# control N: where peers and agents link to it
+control() { echo "127.0.0.1:$((ports + 120 + $1))"; }
+
 # platform_settings NAME: what the platform would tell a process, from standard input
 platform_settings() {
 	{
 		cat
 		echo "ip=127.0.0.1"
 		echo "zone=dc1"
-		echo "seed-addrs=127.0.0.1:7621,127.0.0.1:7622,127.0.0.1:7623"
-		echo "platform.addr=127.0.0.1:7500"
+		echo "seed-addrs=$(control 1),$(control 2),$(control 3)"
+		echo "platform.addr=127.0.0.1:$ports"
 		echo "limits.memory-mb=128"
 		echo "bounds.require-fence=true"
 	} >"$run/$1.conf"
@@ -21,13 +29,13 @@
 start_gateway() {
 	conf=$(platform_settings "gateway-$1" <<-END
 		node-name=gateway-$1
-		listen.front=127.0.0.1:760$1
-		listen.ready=127.0.0.1:761$1
-		listen.control=127.0.0.1:762$1
+		listen.front=$(front "$1")
+		listen.ready=$(ready "$1")
+		listen.control=$(control "$1")
 	END
 	)
 	COMFREYPOST_CONFIG=$conf start "gateway-$1" target/comfrey-gateway \
-		--metrics-port "763$1"
+		--metrics-port "$((ports + 130 + $1))"
 }
 
 # start_agent N PORT: the agent of the rank at PORT
@@ -43,7 +51,7 @@
 # await_ready N: until gateway N says that it is ready, 10 s at most
 await_ready() {
 	for i in $(seq 100); do
-		curl -sf "http://127.0.0.1:761$1/v1/readyz" >/dev/null && return 0
+		curl -sf "http://$(ready "$1")/v1/readyz" >/dev/null && return 0
 		sleep 0.1
 	done
 	echo "gateway $1 is not ready; see $run" >&2
