Make and free a target's state in one place

Cause: `make demo` ended with a segmentation fault. The load client filled a CfTarget by hand and left its list of busy connections uninitialized; the rank agent and the table of targets filled one each, so that what a target begins with stood three times.

Ruled out: another TAILQ_INIT in the load client, which leaves the next field to be forgotten in the same way; a structure of its own for the connections, since nothing but a target has them.

Change: cf_target_new() and cf_target_new_at() make a target, cf_target_unref() frees it; what is counted of its work changes by cf_target_work_begun(), _ended() and cf_target_sign(), which the tests use, too. The count of connections, which nothing read, is gone. Likewise cf_gateway_init() and _clear() for what a gateway begins with (the daemon and t-fleet filled it each), cf_peer_link_hand_over() for the owner of a link, and t/target-harness for the records that four tests filled by hand; t-fleet's settings come from the parser, with its defaults.

--- a/Makefile
+++ b/Makefile
@@ -120,10 +120,13 @@
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -o $@ $< \
 		t/harness.o libcomfrey.a $(TEST_LDLIBS)
 
+t/t-target t/t-balancer t/t-overload t/t-standstill: GW_TEST_LDLIBS += t/target-harness.o
+t/t-target t/t-balancer t/t-overload t/t-standstill: t/target-harness.o
+
 # What the demos build, so that nothing is built while tests run.
 t/t-demo: $(PROGRAMS) $(GW_PROGRAMS) $(SI_PROGRAMS)
 
-t/harness.o t/platform-harness.o: t/%.o: t/%.c t/%.h
+t/harness.o t/platform-harness.o t/target-harness.o: t/%.o: t/%.c t/%.h
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -c -o $@ $<
 
 %.o: %.c *.h
--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -29,8 +29,6 @@
 #define STOP_HEARD_MS 2300
 /** Before SIGKILL comes, what is left is cut off in an orderly way. */
 #define STOP_MARGIN_MS 400
-/** Of the memory limit, the part that request bodies may take. */
-#define BODY_MEMORY_PART 4
 /** Log lines may take so long to be written at the end. */
 #define LOG_FLUSH_MS 200
 
@@ -78,14 +76,6 @@
   g->policy_store_up = up;
 }
 
-static gboolean
-is_named_service (const void *data, const char *service)
-{
-  const CfGateway *g = data;
-
-  return !g->policy || cf_policy_service (g->policy, service);
-}
-
 static const CfStoreWatchCalls policy_calls
     = { policy_item, policy_snapshot, policy_fresh, policy_contact };
 
@@ -190,17 +180,9 @@
 static int
 run (CfGateway *g, int metrics)
 {
-  cf_target_table_init (&g->targets);
-  g->targets.is_named = is_named_service;
-  g->targets.is_named_data = g;
-  TAILQ_INIT (&g->callers);
-  g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
   cf_signals_catch (g->loop, on_stop, on_reload);
-  cf_gateway_lane (g, "");
-  cf_gateway_set_fleet (g, 0);
   ranks = cf_rank_service_new (g);
   peers = cf_peer_service_new (g);
-  g->now_ms = cf_now_ms ();
   ev_check_init (&clock_check, on_turn);
   ev_set_priority (&clock_check, EV_MAXPRI);
   ev_check_start (g->loop, &clock_check);
@@ -260,13 +242,14 @@
 {
   gboolean check = FALSE;
   int metrics = METRICS_PORT;
+  CfPlatformSettings set;
   int rc = parse_options (&argc, &argv, &check, &metrics);
 
   if (rc)
     return rc;
   cf_log_init ("comfrey-gateway");
   if (cf_platform_settings_load (cf_platform_settings_path (), CF_ROLE_GATEWAY,
-                                 &gw.set)
+                                 &set)
       != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_SETTINGS, "error=\"%s\"", cf_last_error ());
@@ -279,7 +262,7 @@
     }
   if (!cf_log_writer_start (STDOUT_FILENO))
     cf_log (LOG_WARNING, CF_EV_START, "error=\"no thread for the log writer\"");
-  gw.loop = ev_default_loop (EVBACKEND_EPOLL | EVFLAG_NOENV);
+  cf_gateway_init (&gw, ev_default_loop (EVBACKEND_EPOLL | EVFLAG_NOENV), &set);
   rc = run (&gw, metrics);
   cf_log_writer_stop (LOG_FLUSH_MS);
   return rc;
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -180,7 +180,7 @@
   gboolean sized = (r->parser.flags & F_CONTENTLENGTH) != 0;
 
   x->has_head = TRUE;
-  x->target->last_sign_ms = cf_gateway_now (x->g);
+  cf_target_sign (x->target, cf_gateway_now (x->g));
   x->kind = cf_answer_kind (r);
   if (!x->begun)
     {
@@ -198,7 +198,7 @@
 {
   CfExchange *x = owner;
 
-  x->target->last_sign_ms = cf_gateway_now (x->g);
+  cf_target_sign (x->target, cf_gateway_now (x->g));
   if (x->kind != CF_ANSWER_GOOD)
     {
       if (x->held->len + n <= HOLD_MAX)
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -68,8 +68,7 @@
     }
   cf_outage_sent (&x->lane->outage, cf_gateway_now (x->g));
   x->target = cf_target_ref (t);
-  if (t->in_flight++ == 0)
-    t->busy_since_ms = cf_gateway_now (x->g);
+  cf_target_work_begun (t, cf_gateway_now (x->g));
   if (x->lane->in_flight++ == 0)
     x->lane->busy_since_ms = cf_gateway_now (x->g);
   x->sends++;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -42,7 +42,7 @@
     cf_upstream_cancel (up);
   if (!x->target)
     return;
-  x->target->in_flight--;
+  cf_target_work_ended (x->target);
   x->lane->in_flight--;
   g_clear_pointer (&x->target, cf_target_unref);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -2,6 +2,7 @@
 
 #include "exchange.h"
 #include "log.h"
+#include "net.h"
 #include "platform/platform-policy.h"
 #include "upstream.h"
 
@@ -15,6 +16,8 @@
 #define REJECTS_MAX 1024
 /** Of a spoiled id, what is logged. */
 #define REJECT_NAME_MAX 64
+/** Of the memory limit, the part that request bodies may take. */
+#define BODY_MEMORY_PART 4
 /** A target's pace is told once a second; not told any more for so long, it
  * is not believed any more. */
 #define PACE_FRESH_MS 3500
@@ -59,6 +62,42 @@
   return l;
 }
 
+static gboolean
+is_named_service (const void *data, const char *service)
+{
+  const CfGateway *g = data;
+
+  return !g->policy || cf_policy_service (g->policy, service);
+}
+
+void
+cf_gateway_init (CfGateway *g, struct ev_loop *loop, CfPlatformSettings *set)
+{
+  memset (g, 0, sizeof *g);
+  g->loop = loop;
+  g->set = *set;
+  memset (set, 0, sizeof *set);
+  g->now_ms = cf_now_ms ();
+  g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
+  TAILQ_INIT (&g->callers);
+  cf_target_table_init (&g->targets);
+  g->targets.is_named = is_named_service;
+  g->targets.is_named_data = g;
+  cf_gateway_lane (g, "");
+  cf_gateway_set_fleet (g, 0);
+}
+
+void
+cf_gateway_clear (CfGateway *g)
+{
+  cf_target_table_clear (&g->targets);
+  g_clear_pointer (&g->rejects, g_hash_table_destroy);
+  g_clear_pointer (&g->lanes, g_hash_table_destroy);
+  g_clear_pointer (&g->policy, cf_policy_unref);
+  g_clear_pointer (&g->policy_json, g_bytes_unref);
+  cf_platform_settings_clear (&g->set);
+}
+
 gint64
 cf_gateway_now (const CfGateway *g)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -62,6 +62,18 @@
   CfStats stats;
 };
 
+/**
+ * cf_gateway_init:
+ * Makes what a gateway has before it knows anything: no policy, no targets,
+ * no callers, alone in its fleet.
+ * @set: taken over
+ */
+void cf_gateway_init (CfGateway *g, struct ev_loop *loop,
+                      CfPlatformSettings *set);
+
+/** cf_gateway_clear: frees all of it; no caller is left. */
+void cf_gateway_clear (CfGateway *g);
+
 /** cf_gateway_lane: the lane of @service, made when first asked for. */
 CfLane *cf_gateway_lane (CfGateway *g, const char *service);
 
--- a/gateway/peer-link.c
+++ b/gateway/peer-link.c
@@ -175,8 +175,7 @@
 
   l->loop = loop;
   l->connecting = connecting;
-  l->calls = calls;
-  l->owner = owner;
+  cf_peer_link_hand_over (l, calls, owner);
   l->in = g_string_new (NULL);
   l->out = g_string_new (NULL);
   ev_io_init (&l->io, on_io, fd, connecting ? EV_READ | EV_WRITE : EV_READ);
@@ -205,6 +204,14 @@
   return new_link (loop, fd, FALSE, calls, owner);
 }
 
+void
+cf_peer_link_hand_over (CfPeerLink *l, const CfPeerLinkCalls *calls,
+                        void *owner)
+{
+  l->calls = calls;
+  l->owner = owner;
+}
+
 void
 cf_peer_link_send (CfPeerLink *l, const char *data, gsize n)
 {
--- a/gateway/peer-link.h
+++ b/gateway/peer-link.h
@@ -46,6 +46,10 @@
 CfPeerLink *cf_peer_link_accept (struct ev_loop *loop, int fd,
                                  const CfPeerLinkCalls *calls, void *owner);
 
+/** cf_peer_link_hand_over: @owner is told of what comes from now on. */
+void cf_peer_link_hand_over (CfPeerLink *l, const CfPeerLinkCalls *calls,
+                             void *owner);
+
 /**
  * cf_peer_link_send:
  * Sends a frame; a peer that does not read, so that too much waits, loses
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -342,8 +342,7 @@
 
   p->peer = l;
   p->up = TRUE;
-  l->calls = &link_calls;
-  l->owner = p;
+  cf_peer_link_hand_over (l, &link_calls, p);
   take_msg (p, first);
   greet (p);
 }
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -403,29 +403,12 @@
   ev_timer_start (loop, t);
 }
 
-static CfTarget *
-local_target (const char *addr)
-{
-  CfTarget *t = g_new0 (CfTarget, 1);
-
-  t->ref_count = 1;
-  t->listed = TRUE;
-  t->record.id = g_strdup ("local");
-  t->record.slots = 1;
-  TAILQ_INIT (&t->idle);
-  TAILQ_INIT (&t->busy);
-  if (cf_socket_parse (addr, &t->addr) == CF_OK)
-    return t;
-  cf_target_unref (t);
-  return NULL;
-}
-
 CfStatus
 cf_rank_agent_start (CfRankAgent *a)
 {
   static ev_timer again;
 
-  a->target = local_target (a->set.target_addr);
+  a->target = cf_target_new_at (a->set.target_addr);
   if (!a->target)
     return CF_ERR_SETTINGS;
   for (char **s = a->set.seed_addrs; *s && a->n_seeds < CF_SEEDS_MAX; s++)
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -496,8 +496,7 @@
 
   a->s = s;
   a->peer = l;
-  l->calls = &link_calls;
-  l->owner = a;
+  cf_peer_link_hand_over (l, &link_calls, a);
   TAILQ_INSERT_TAIL (&s->agents, a, link);
   take_msg (a, first);
   tell_agent (a);
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -8,6 +8,36 @@
 /** A change of pace that matters. */
 #define PACE_STEP 0.1
 
+CfTarget *
+cf_target_new (CfTargetRecord *r)
+{
+  CfTarget *t = g_new0 (CfTarget, 1);
+
+  t->ref_count = 1;
+  t->record = *r;
+  t->listed = TRUE;
+  t->pace = 1;
+  TAILQ_INIT (&t->idle);
+  TAILQ_INIT (&t->busy);
+  if (cf_socket_parse (t->record.addr, &t->addr) == CF_OK)
+    return t;
+  cf_target_unref (t);
+  return NULL;
+}
+
+CfTarget *
+cf_target_new_at (const char *addr)
+{
+  CfTargetRecord r = { 0 };
+
+  r.id = g_strdup (addr);
+  r.service = g_strdup ("");
+  r.addr = g_strdup (addr);
+  r.data_centre = g_strdup ("");
+  r.slots = 1;
+  return cf_target_new (&r);
+}
+
 CfTarget *
 cf_target_ref (CfTarget *t)
 {
@@ -25,6 +55,25 @@
   g_free (t);
 }
 
+void
+cf_target_work_begun (CfTarget *t, gint64 now)
+{
+  if (t->in_flight++ == 0)
+    t->busy_since_ms = now;
+}
+
+void
+cf_target_work_ended (CfTarget *t)
+{
+  t->in_flight--;
+}
+
+void
+cf_target_sign (CfTarget *t, gint64 now)
+{
+  t->last_sign_ms = now;
+}
+
 static void
 drop_target (gpointer data)
 {
@@ -107,22 +156,13 @@
 static CfTargetChange
 add_target (CfTargetTable *t, CfTargetRecord *r, const CfTargetNews *news)
 {
-  CfTarget *n = g_new0 (CfTarget, 1);
+  CfTarget *n = cf_target_new (r);
 
-  n->ref_count = 1;
-  n->record = *r;
+  if (!n)
+    return CF_TARGET_BAD;
   n->json = g_strndup (news->json, news->n);
   n->rev = news->rev;
   n->created = news->created;
-  n->listed = TRUE;
-  n->pace = 1;
-  TAILQ_INIT (&n->idle);
-  TAILQ_INIT (&n->busy);
-  if (cf_socket_parse (r->addr, &n->addr) != CF_OK)
-    {
-      cf_target_unref (n);
-      return CF_TARGET_BAD;
-    }
   take_address (t, n);
   g_hash_table_insert (t->by_id, n->record.id, n);
   g_ptr_array_add (service_array (t, n->record.service), n);
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -16,7 +16,9 @@
  * process knows from using it: a start under the same id has one of its own,
  * so nothing believed of the start before clings to it.  Shared by
  * reference: work in progress keeps the target it was sent to, also after it
- * has left the list.
+ * has left the list.  Made and freed here alone; what is counted of its work
+ * changes by cf_target_work_begun(), cf_target_work_ended() and
+ * cf_target_sign().
  */
 typedef struct
 {
@@ -31,8 +33,7 @@
   guint in_flight;      /**< requests of ours it has */
   gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
   gint64 last_sign_ms;  /**< when it last sent a part of an answer */
-  guint conns;          /**< connections of ours, idle ones included */
-  CfUpstreamList idle;  /**< of these the idle ones, last used first */
+  CfUpstreamList idle;  /**< connections of ours, last used first */
   CfUpstreamList busy;  /**< and those that carry a request */
   CfOutlier outlier;
   double pace;           /**< how many times as long as usual its work takes */
@@ -43,9 +44,38 @@
                               under its id; 0: it does not */
 } CfTarget;
 
+/**
+ * cf_target_new:
+ * @r: taken over, also on failure; a listed target with no connections and
+ *   no work of ours
+ * Returns: (nullable): %NULL if its address cannot be read; see
+ *   cf_last_error().
+ */
+CfTarget *cf_target_new (CfTargetRecord *r);
+
+/**
+ * cf_target_new_at:
+ * A target at @addr that no list names: a rank beside its agent, a gateway
+ * as its callers see it.
+ * Returns: (nullable): as cf_target_new()
+ */
+CfTarget *cf_target_new_at (const char *addr);
+
 CfTarget *cf_target_ref (CfTarget *t);
+
+/** cf_target_unref: frees @t with its last reference; each connection to it
+ * holds one, so that none is left then. */
 void cf_target_unref (CfTarget *t);
 
+/** cf_target_work_begun: a request of ours is sent to @t. */
+void cf_target_work_begun (CfTarget *t, gint64 now_ms);
+
+/** cf_target_work_ended: and is over, however it ended. */
+void cf_target_work_ended (CfTarget *t);
+
+/** cf_target_sign: a part of an answer came from @t. */
+void cf_target_sign (CfTarget *t, gint64 now_ms);
+
 /**
  * CfTargetTable:
  * All listed targets, by id and by service.  The list keeps the entry of a
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -60,7 +60,6 @@
     TAILQ_REMOVE (&u->target->idle, u, link);
   else
     TAILQ_REMOVE (&u->target->busy, u, link);
-  u->target->conns--;
   u->owner = NULL;
   if (!u->in_read)
     free_upstream (u);
@@ -309,7 +308,6 @@
   u->loop = loop;
   u->target = cf_target_ref (t);
   u->connecting = TRUE;
-  t->conns++;
   cf_http_reader_init (&u->reader, HTTP_RESPONSE, &reader_calls, u,
                        ANSWER_HEAD_MAX);
   ev_io_init (&u->io, on_io, fd, EV_WRITE);
--- a/standins/comfrey-callers.c
+++ b/standins/comfrey-callers.c
@@ -208,13 +208,8 @@
   targets = g_new0 (CfTarget *, n_targets + 1);
   for (guint i = 0; i < n_targets; i++)
     {
-      CfTarget *t = g_new0 (CfTarget, 1);
-
-      t->ref_count = 1;
-      t->listed = TRUE;
-      TAILQ_INIT (&t->idle);
-      targets[i] = t;
-      if (cf_socket_parse (gateways[i], &t->addr) != CF_OK)
+      targets[i] = cf_target_new_at (gateways[i]);
+      if (!targets[i])
         return FALSE;
     }
   return n_targets > 0;
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -2,6 +2,7 @@
 #include "gateway/balancer.h"
 #include "gateway/wait-queue.h"
 #include "harness.h"
+#include "target-harness.h"
 
 #include <string.h>
 
@@ -11,22 +12,18 @@
 put (const char *id, const char *service, const char *dc, const char *addr,
      gboolean leaving, gint64 rev)
 {
-  const CfTargetNews news = { id, "{}", 2, rev, rev, 0 };
-  CfTargetRecord r = { 0 };
-
-  r.id = g_strdup (id);
-  r.service = g_strdup (service);
-  r.data_centre = g_strdup (dc);
-  r.addr = g_strdup (addr);
-  r.slots = 4;
-  r.leaving = leaving;
-  return cf_target_table_put (&table, &r, &news);
+  return t_put_target (&table, &(TTarget){ .id = id,
+                                           .service = service,
+                                           .data_centre = dc,
+                                           .addr = addr,
+                                           .leaving = leaving,
+                                           .rev = rev });
 }
 
 static CfTarget *
 get (const char *id)
 {
-  return g_hash_table_lookup (table.by_id, id);
+  return t_get_target (&table, id);
 }
 
 static CfPickWhy
@@ -59,9 +56,9 @@
 
   ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "a"); /* ours among equals */
-  get ("a")->in_flight = 2;
-  get ("b")->in_flight = 1;
-  get ("c")->in_flight = 3;
+  t_give_work (get ("a"), 2, 0);
+  t_give_work (get ("b"), 1, 0);
+  t_give_work (get ("c"), 3, 0);
   ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "b");
 }
@@ -74,7 +71,7 @@
       CfTarget *t;
 
       ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
-      t->in_flight++;
+      cf_target_work_begun (t, 0);
     }
   ck_assert_uint_eq (get ("a")->in_flight, 5);
   ck_assert_uint_eq (get ("b")->in_flight, 5);
@@ -90,7 +87,7 @@
       CfTarget *t;
 
       ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
-      t->in_flight++;
+      cf_target_work_begun (t, 0);
     }
   ck_assert_uint_le (get ("a")->in_flight, 1);
 }
@@ -103,14 +100,14 @@
   CfTarget *t;
 
   get ("a")->pace = 12;
-  get ("b")->in_flight = 5;
-  get ("c")->in_flight = 5;
+  t_give_work (get ("b"), 5, 0);
+  t_give_work (get ("c"), 5, 0);
   ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_FULL);
-  get ("b")->in_flight = 4;
+  t_give_work (get ("b"), 4, 0);
   ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "b");
   /* Most are slow: these are what there is. */
-  get ("b")->in_flight = 5;
+  t_give_work (get ("b"), 5, 0);
   get ("c")->pace = 12;
   ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "a");
@@ -124,25 +121,24 @@
   CfPickInput in = { "s", "dc1", NULL, 1000, 1, 0, FALSE, 300 };
   CfTarget *t;
 
-  get ("a")->in_flight = 1;
-  get ("a")->busy_since_ms = 600;
-  get ("b")->in_flight = 3;
-  get ("b")->last_sign_ms = 950;
-  get ("c")->in_flight = 3;
-  get ("c")->last_sign_ms = 950;
+  t_give_work (get ("a"), 1, 600);
+  t_give_work (get ("b"), 3, 0);
+  cf_target_sign (get ("b"), 950);
+  t_give_work (get ("c"), 3, 0);
+  cf_target_sign (get ("c"), 950);
   ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
   ck_assert_str_ne (t->record.id, "a");
   /* It shows a sign, or has no work of ours to show one of. */
-  get ("a")->last_sign_ms = 900;
+  cf_target_sign (get ("a"), 900);
   ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "a");
-  get ("a")->last_sign_ms = 0;
-  get ("a")->in_flight = 0;
+  cf_target_sign (get ("a"), 0);
+  t_give_work (get ("a"), 0, 0);
   ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "a");
   /* All stand still: nothing better is left. */
   in.now_ms = 5000;
-  get ("a")->in_flight = 1;
+  t_give_work (get ("a"), 1, 0);
   ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
 }
 END_TEST
@@ -153,9 +149,9 @@
   const CfPickInput in = { "other", NULL, NULL, 0, 1, 0, TRUE, 0 };
   CfTarget *t;
 
-  get ("x")->in_flight = 2; /* of 5 */
+  t_give_work (get ("x"), 2, 0); /* of 5 */
   ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
-  get ("x")->in_flight = 3;
+  t_give_work (get ("x"), 3, 0);
   ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_FULL);
 }
 END_TEST
@@ -190,7 +186,7 @@
     {
       ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
       ck_assert (!t->replaced);
-      t->in_flight++;
+      cf_target_work_begun (t, 0);
     }
   /* The address goes to another service. */
   put ("a2", "other", "dc1", "1.1.1.1:1", FALSE, 9);
@@ -225,8 +221,8 @@
 {
   CfTarget *t;
 
-  get ("a")->in_flight = 5;
-  get ("b")->in_flight = 5;
+  t_give_work (get ("a"), 5, 0);
+  t_give_work (get ("b"), 5, 0);
   get ("c")->full_until_ms = 100;
   ck_assert_int_eq (pick (99, NULL, &t), CF_PICK_FULL);
   ck_assert_int_eq (pick (100, NULL, &t), CF_PICK_OK);
--- a/t/t-fleet.c
+++ b/t/t-fleet.c
@@ -13,30 +13,21 @@
 
 static CfGateway g;
 
+static const char settings[]
+    = "ip=1.1.1.1\nlisten.front=1.1.1.1:8\nlisten.ready=1.1.1.1:9\n"
+      "listen.control=1.1.1.1:1\nplatform.addr=1.1.1.9:1\n"
+      "seed-addrs=1.1.1.1:1,1.1.1.2:1,1.1.1.3:1\n"
+      "bounds.retry-ratio=0.2\nbounds.retry-slack=88\n";
+
 static void
 gateway_init (void)
 {
-  static char *seeds[] = { "1.1.1.1:1", "1.1.1.2:1", "1.1.1.3:1", NULL };
+  CfPlatformSettings set;
 
-  memset (&g, 0, sizeof g);
-  g.set.seed_addrs = seeds;
-  g.set.retry_ratio = 0.2;
-  g.set.retry_slack = 88;
+  ck_assert_int_eq (
+      cf_platform_settings_parse (settings, CF_ROLE_GATEWAY, &set), CF_OK);
+  cf_gateway_init (&g, NULL, &set);
   g.now_ms = 1000;
-  cf_target_table_init (&g.targets);
-  TAILQ_INIT (&g.callers);
-  cf_gateway_lane (&g, "");
-  cf_gateway_set_fleet (&g, 0);
-}
-
-static void
-gateway_clear (void)
-{
-  cf_target_table_clear (&g.targets);
-  g_hash_table_destroy (g.lanes);
-  cf_policy_unref (g.policy);
-  if (g.policy_json)
-    g_bytes_unref (g.policy_json);
 }
 
 /* Versions come from the store and from peers, late, twice, broken. */
@@ -62,7 +53,7 @@
             newest = MAX (newest, version);
           ck_assert_int_eq (g.policy ? g.policy->version : 0, newest);
         }
-      gateway_clear ();
+      cf_gateway_clear (&g);
       g_rand_free (rand);
     }
 }
@@ -122,7 +113,7 @@
                 ck_assert_int_eq (found->record.leaving, leaving[k]);
             }
         }
-      gateway_clear ();
+      cf_gateway_clear (&g);
       g_rand_free (rand);
     }
 }
@@ -175,7 +166,7 @@
             }
           ck_assert_double_le (again, 0.2 * asked + 88);
         }
-      gateway_clear ();
+      cf_gateway_clear (&g);
       g_rand_free (rand);
     }
 }
@@ -192,7 +183,7 @@
   while (cf_retry_budget_take (b))
     taken++;
   ck_assert_int_eq (taken, 1);
-  gateway_clear ();
+  cf_gateway_clear (&g);
 }
 END_TEST
 
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -7,6 +7,7 @@
 #include "gateway/pace.h"
 #include "gateway/wait-queue.h"
 #include "harness.h"
+#include "target-harness.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -78,18 +79,7 @@
       cf_target_table_init (&gws[g].table);
       cf_wait_queue_init (&gws[g].queue);
       gws[g].pace = (CfPace){ 0 };
-      for (int r = 0; r < RANKS; r++)
-        {
-          g_autofree char *id = g_strdup_printf ("r%d", r);
-          const CfTargetNews news = { id, "{}", 2, r + 1, r + 1, 0 };
-          CfTargetRecord rec = { 0 };
-
-          rec.id = g_strdup (id);
-          rec.service = g_strdup ("s");
-          rec.addr = g_strdup_printf ("1.1.1.%d:1", r + 1);
-          rec.slots = SLOTS;
-          cf_target_table_put (&gws[g].table, &rec, &news);
-        }
+      t_put_row (&gws[g].table, RANKS, SLOTS);
     }
   running = g_ptr_array_new_with_free_func (g_free);
   memset (&tally, 0, sizeof tally);
@@ -122,7 +112,7 @@
         && cf_waiter_yields (&s->waiter, now, g->pace.pause_ms, GAP_AIM_MS);
   if (cf_balancer_pick (&g->table, &in, &s->target) != CF_PICK_OK)
     return FALSE;
-  s->target->in_flight++;
+  cf_target_work_begun (s->target, now);
   s->rank = atoi (s->target->record.id + 1);
   s->sent_ms = now;
   g_ptr_array_add (running, s);
@@ -195,7 +185,7 @@
     tally.in_time[second_of (s)]++;
   else
     tally.late[second_of (s)]++;
-  s->target->in_flight--;
+  cf_target_work_ended (s->target);
   writing[s->rank]--;
 }
 
--- a/t/t-standstill.c
+++ b/t/t-standstill.c
@@ -5,6 +5,7 @@
  */
 #include "gateway/balancer.h"
 #include "harness.h"
+#include "target-harness.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -45,18 +46,7 @@
 setup (void)
 {
   cf_target_table_init (&table);
-  for (int i = 0; i < TARGETS; i++)
-    {
-      g_autofree char *id = g_strdup_printf ("r%d", i);
-      const CfTargetNews news = { id, "{}", 2, i + 1, i + 1, 0 };
-      CfTargetRecord rec = { 0 };
-
-      rec.id = g_strdup (id);
-      rec.service = g_strdup ("s");
-      rec.addr = g_strdup_printf ("1.1.1.%d:1", i + 1);
-      rec.slots = SLOTS;
-      cf_target_table_put (&table, &rec, &news);
-    }
+  t_put_row (&table, TARGETS, SLOTS);
   running = g_ptr_array_new_with_free_func (g_free);
   asked = in_time = 0;
 }
@@ -90,8 +80,7 @@
   s->last_ms = now;
   s->target = t;
   s->group = atoi (t->record.id + 1) % GROUPS;
-  if (t->in_flight++ == 0)
-    t->busy_since_ms = now;
+  cf_target_work_begun (t, now);
   g_ptr_array_add (running, s);
   asked += counts (s);
 }
@@ -104,7 +93,7 @@
   else
     s->longest_ms = MAX (s->longest_ms, now - s->last_ms);
   s->last_ms = now;
-  s->target->last_sign_ms = now;
+  cf_target_sign (s->target, now);
 }
 
 /* TRUE if it has ended: it is whole, or its caller has left. */
@@ -120,7 +109,7 @@
         += counts (s) && s->first_ms <= AIM_MS && s->longest_ms <= GAP_AIM_MS;
   else if (now - s->last_ms < PATIENCE_MS)
     return FALSE;
-  s->target->in_flight--;
+  cf_target_work_ended (s->target);
   return TRUE;
 }
 
--- a/t/t-target.c
+++ b/t/t-target.c
@@ -1,6 +1,7 @@
 /* The table of targets: incarnations of one id, addresses, spoiled records. */
 #include "gateway/target.h"
 #include "harness.h"
+#include "target-harness.h"
 
 #include <string.h>
 
@@ -12,17 +13,13 @@
 put_at (const char *id, const char *service, const char *addr,
         gint64 incarnation, gboolean leaving, gint64 now)
 {
-  const CfTargetNews news = { id, "{}", 2, ++rev, rev, now };
-  CfTargetRecord r = { 0 };
-
-  r.id = g_strdup (id);
-  r.service = g_strdup (service);
-  r.data_centre = g_strdup ("dc1");
-  r.addr = g_strdup (addr);
-  r.slots = 4;
-  r.leaving = leaving;
-  r.incarnation = incarnation;
-  return cf_target_table_put (&table, &r, &news);
+  return t_put_target (&table, &(TTarget){ .id = id,
+                                           .service = service,
+                                           .addr = addr,
+                                           .leaving = leaving,
+                                           .incarnation = incarnation,
+                                           .rev = ++rev,
+                                           .now_ms = now });
 }
 
 static CfTargetChange
@@ -34,7 +31,7 @@
 static CfTarget *
 get (const char *id)
 {
-  return g_hash_table_lookup (table.by_id, id);
+  return t_get_target (&table, id);
 }
 
 static void
@@ -58,7 +55,7 @@
 
   ck_assert_int_eq (put ("a", 100, FALSE), CF_TARGET_NEW);
   old = cf_target_ref (get ("a"));
-  old->in_flight = 4;
+  t_give_work (old, 4, 0);
   old->pace = 7;
   cf_outlier_eject (&old->outlier, 0);
   put ("a", 100, TRUE);
