End the callers' tool with a message and a status, never a signal

Cause: its numbers went unchecked into an allocation (GLib aborts); a connection that failed at once began the next request on the same stack until that was full; libev aborts where no descriptor is left; a gateway that fell silent was waited for without end, as was one whose Retry-After is no number or no time; an unreadable address was reported as a missing one, further arguments were ignored, and 0 requests were a success.

Ruled out: a limit on the whole run, which would end slow, sound ones.

Change: options have bounds and are refused with status 2; each try is given up a second after its deadline; a connection that fails at once is counted in the loop's next turn; Retry-After counts up to the deadline; what was lost is said on standard error with the last gateway and why.

--- a/standins/comfrey-callers.c
+++ b/standins/comfrey-callers.c
@@ -3,11 +3,12 @@
  * number of requests (streams, orders that run at most once, quotes), each
  * checked, and one closing line.
  */
+#include "error.h"
 #include "gateway/event-stream.h"
-#include "gateway/socket.h"
 #include "gateway/upstream.h"
 #include "net.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
@@ -16,6 +17,16 @@
 
 /** Tries of a caller, the first one included. */
 #define TRIES_MAX 3
+/** Latencies of so many requests take 80 MB. */
+#define REQUESTS_MAX 10000000
+/** Each has a connection; more than most limits on descriptors allow. */
+#define CALLERS_MAX 10000
+#define DEADLINE_MS 5000
+/** A try is given up a second after its deadline: by then a gateway has
+ * answered, so that nothing comes from one that is silent. */
+#define TRY_LIMIT_S (DEADLINE_MS / 1000.0 + 1)
+/** No gateway asks a caller to come back after its deadline. */
+#define RETRY_MAX_S (DEADLINE_MS / 1000.0)
 #define STREAM_EVENTS 12
 #define STREAM_TOKENS (STREAM_EVENTS * 4)
 
@@ -56,7 +67,11 @@
   gboolean is_signed;
   double retry_s;
   CfEventStream events;
+  CfTarget *gateway; /**< of the last try */
+  CfUpstream *up;    /**< %NULL between tries */
+  int connect_errno; /**< why the last try has none; 0: it had one */
   ev_timer pause;
+  ev_timer limit; /**< of a try */
 } Caller;
 
 static struct ev_loop *loop;
@@ -69,8 +84,10 @@
 static int lost;
 static int wrong;
 static GArray *latencies; /* of gint64, ms */
+static char last_loss[256];
 
 static void start (Caller *c);
+static void send_try (Caller *c);
 
 static void
 finish (Caller *c)
@@ -83,6 +100,23 @@
   start (c);
 }
 
+static void
+lose (Caller *c, const char *why)
+{
+  lost++;
+  g_snprintf (last_loss, sizeof last_loss, "%s: %s", c->gateway->record.addr,
+              why);
+  finish (c);
+}
+
+/* The try is over; what follows may use its connection again. */
+static void
+end_try (Caller *c)
+{
+  ev_timer_stop (loop, &c->limit);
+  c->up = NULL;
+}
+
 static gboolean
 is_whole (const Caller *c)
 {
@@ -110,6 +144,8 @@
         after = h->value;
     }
   c->retry_s = after ? g_ascii_strtod (after, NULL) : 0;
+  /* Written so that what is no number is no pause. */
+  c->retry_s = c->retry_s > 0 ? MIN (c->retry_s, RETRY_MAX_S) : 0;
 }
 
 static void
@@ -129,29 +165,47 @@
 on_done (void *owner)
 {
   Caller *c = owner;
+  char why[32];
 
+  end_try (c);
   if (c->status == 503 && c->tries < TRIES_MAX)
     {
       ev_timer_set (&c->pause, c->retry_s, 0);
       ev_timer_start (loop, &c->pause);
       return;
     }
+  if (c->status != 503 && c->status != 200)
+    {
+      g_snprintf (why, sizeof why, "status %d", c->status);
+      lose (c, why);
+      return;
+    }
   if (c->status == 503)
     refused++;
-  else if (c->status == 200 && is_whole (c))
+  else if (is_whole (c))
     answered++;
-  else if (c->status == 200)
-    wrong++;
   else
-    lost++;
+    wrong++;
   finish (c);
 }
 
 static void
 on_fail (void *owner, CfUpstreamFail f)
 {
-  lost++;
-  finish (owner);
+  end_try (owner);
+  lose (owner, cf_upstream_fail_name (f));
+}
+
+static void
+on_limit (struct ev_loop *l, ev_timer *t, int revents)
+{
+  Caller *c = t->data;
+
+  if (c->up)
+    cf_upstream_cancel (c->up);
+  end_try (c);
+  lose (c,
+        c->connect_errno ? g_strerror (c->connect_errno) : "no answer in time");
 }
 
 static const CfUpstreamCalls calls = { on_head, on_body, on_done, on_fail };
@@ -160,22 +214,33 @@
 send_try (Caller *c)
 {
   GString *req = g_string_new (NULL);
-  CfTarget *t = targets[(guint)(c->index + c->tries) % n_targets];
 
+  c->gateway = targets[(guint)(c->index + c->tries) % n_targets];
   c->tries++;
+  c->status = 0;
+  c->connect_errno = 0;
   g_snprintf (c->id, sizeof c->id, "%08x%08x", g_random_int (),
               g_random_int ());
   g_string_printf (req,
                    "%s %s HTTP/1.1\r\nHost: demo.example\r\n"
                    "Comfreypost-Request-Id: %s\r\n"
-                   "Comfreypost-Deadline-Ms: 5000\r\n"
+                   "Comfreypost-Deadline-Ms: %d\r\n"
                    "Comfreypost-Token-Count: 100,%d\r\n"
                    "Authorization: Token %s\r\n%s\r\n",
                    c->class == CLASS_QUOTE ? "GET" : "POST", paths[c->class],
-                   c->id, STREAM_TOKENS, key ? key : "key-museum",
+                   c->id, DEADLINE_MS, STREAM_TOKENS, key ? key : "key-museum",
                    c->class == CLASS_QUOTE ? "" : "Content-Length: 0\r\n");
-  if (!cf_upstream_send (loop, t, req, c->id, FALSE, &calls, c))
-    on_fail (c, CF_FAIL_UNSENT);
+  c->up = cf_upstream_send (loop, c->gateway, req, c->id, FALSE, &calls, c);
+  if (c->up)
+    ev_timer_set (&c->limit, TRY_LIMIT_S, 0);
+  else
+    {
+      /* Counted in the loop's next turn: here the next request would begin
+       * on the stack of this one. */
+      c->connect_errno = errno;
+      ev_timer_set (&c->limit, 0, 0);
+    }
+  ev_timer_start (loop, &c->limit);
 }
 
 static void
@@ -201,18 +266,22 @@
   send_try (c);
 }
 
+/* Returns FALSE after saying which address cannot be read. */
 static gboolean
 make_targets (void)
 {
-  n_targets = gateways ? g_strv_length (gateways) : 0;
-  targets = g_new0 (CfTarget *, n_targets + 1);
+  n_targets = g_strv_length (gateways);
+  targets = g_new0 (CfTarget *, n_targets);
   for (guint i = 0; i < n_targets; i++)
     {
       targets[i] = cf_target_new_at (gateways[i]);
       if (!targets[i])
-        return FALSE;
+        {
+          fprintf (stderr, "comfrey-callers: %s\n", cf_last_error ());
+          return FALSE;
+        }
     }
-  return n_targets > 0;
+  return TRUE;
 }
 
 static int
@@ -233,37 +302,102 @@
              : 0;
 }
 
-int
-main (int argc, char **argv)
+/* (nullable): what is wrong with the options. */
+static const char *
+options_fault (void)
+{
+  if (!gateways)
+    return "give --gateway IP:PORT";
+  if (n_requests < 1 || n_requests > REQUESTS_MAX)
+    return "give --requests from 1 to " G_STRINGIFY (REQUESTS_MAX);
+  if (n_callers < 1 || n_callers > CALLERS_MAX)
+    return "give --callers from 1 to " G_STRINGIFY (CALLERS_MAX);
+  return NULL;
+}
+
+static gboolean
+read_options (int *argc, char ***argv)
 {
   GOptionContext *ctx = g_option_context_new (NULL);
-  GError *err = NULL;
-  Caller *callers;
+  g_autoptr (GError) err = NULL;
+  const char *fault;
+  gboolean good;
 
   g_option_context_set_summary (
       ctx, "Sends streams, orders and quotes to gateways and checks each "
-           "answer.\nExit status: 0 if all were answered or refused.");
+           "answer.\nExit status: 0 if all were answered or refused, 1 if "
+           "any was lost or wrong, 2 for options that cannot be used.");
   g_option_context_add_main_entries (ctx, entries, NULL);
-  if (!g_option_context_parse (ctx, &argc, &argv, &err) || !make_targets ())
-    {
-      fprintf (stderr, "comfrey-callers: %s; see --help\n",
-               err ? err->message : "give --gateway IP:PORT");
-      return 2;
-    }
-  signal (SIGPIPE, SIG_IGN);
-  loop = ev_default_loop (0);
-  latencies = g_array_new (FALSE, FALSE, sizeof (gint64));
-  callers = g_new0 (Caller, n_callers);
+  good = g_option_context_parse (ctx, argc, argv, &err);
+  g_option_context_free (ctx);
+  fault = good ? options_fault () : err->message;
+  if (good && *argc > 1)
+    fprintf (stderr, "comfrey-callers: unknown argument %s; see --help\n",
+             (*argv)[1]);
+  else if (fault)
+    fprintf (stderr, "comfrey-callers: %s; see --help\n", fault);
+  return !fault && *argc == 1;
+}
+
+static Caller *
+start_callers (void)
+{
+  Caller *callers = g_new0 (Caller, n_callers);
+
   for (int i = 0; i < n_callers; i++)
     {
-      callers[i].index = i;
-      ev_timer_init (&callers[i].pause, on_pause, 0, 0);
-      callers[i].pause.data = &callers[i];
-      start (&callers[i]);
+      Caller *c = &callers[i];
+
+      c->index = i;
+      ev_timer_init (&c->pause, on_pause, 0, 0);
+      c->pause.data = c;
+      ev_timer_init (&c->limit, on_limit, 0, 0);
+      c->limit.data = c;
+      start (c);
     }
-  ev_run (loop, 0);
+  return callers;
+}
+
+static int
+report (void)
+{
   printf ("answered=%d refused=%d lost=%d wrong=%d p99_ms=%" G_GINT64_FORMAT
           "\n",
           answered, refused, lost, wrong, p99 ());
+  if (lost)
+    fprintf (stderr, "comfrey-callers: %d lost, the last at %s\n", lost,
+             last_loss);
+  if (wrong)
+    fprintf (stderr, "comfrey-callers: %d answers are not whole\n", wrong);
   return lost || wrong;
 }
+
+/* In place of libev's own, which aborts. */
+static void
+on_loop_error (const char *what)
+{
+  fprintf (stderr, "comfrey-callers: %s: %s\n", what, g_strerror (errno));
+  exit (1);
+}
+
+int
+main (int argc, char **argv)
+{
+  Caller *callers;
+  int rc;
+
+  if (!read_options (&argc, &argv) || !make_targets ())
+    return 2;
+  signal (SIGPIPE, SIG_IGN);
+  ev_set_syserr_cb (on_loop_error);
+  loop = ev_default_loop (0);
+  if (!loop)
+    on_loop_error ("no event loop");
+  latencies = g_array_new (FALSE, FALSE, sizeof (gint64));
+  callers = start_callers ();
+  ev_run (loop, 0);
+  rc = report ();
+  g_array_unref (latencies);
+  g_free (callers);
+  return rc;
+}
