Name the fields of what is filled in several places

Cause: what a group, a plan or a choice of a target is made from was filled by position in the gateway, the stand-ins and four tests: a field put in the middle would shift the numbers after it without a word, and two of the structures name the same numbers in another order. Ruled out: constructors for them; they own nothing and what is left out is a plain 0. Change: CfGroupShape, CfPlanLimits, CfPickInput and FakeGroupShape are filled by name, the shape of a map that is read is taken from the one in use. Figures: none; the values are the same. Conclusion: none but the reading.

--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -117,7 +117,10 @@
 new_group (CfRankLink *a, const CfRankStatus *st)
 {
   const CfEngineModel *e = engine_of (a);
-  const CfPlanLimits limits = { MAX_NEW, MAX_RANK_NEW, MIN_GAIN, MOVE_GAIN };
+  const CfPlanLimits limits = { .max_new = MAX_NEW,
+                                .max_rank_new = MAX_RANK_NEW,
+                                .min_gain = MIN_GAIN,
+                                .move_gain = MOVE_GAIN };
   CfGroupShape shape;
   CfLedGroup *g;
 
--- a/standins/comfrey-fake-platform.c
+++ b/standins/comfrey-fake-platform.c
@@ -65,8 +65,15 @@
 static void
 start_targets (struct ev_loop *loop, FakeStore *store)
 {
-  const FakeGroupShape shape
-      = { n_ranks, 2, 16, 6, 2, step_ms, per_seq_ms, copy_ms, shift_s };
+  const FakeGroupShape shape = { .ranks = n_ranks,
+                                 .sets = 2,
+                                 .experts = 16,
+                                 .places = 6,
+                                 .spare = 2,
+                                 .step_ms = step_ms,
+                                 .per_seq_ms = per_seq_ms,
+                                 .copy_ms = copy_ms,
+                                 .shift_s = shift_s };
   FakeGroup *g = n_ranks ? fake_group_new (loop, &shape) : NULL;
 
   for (int i = 0; i < n_plain + n_ranks; i++)
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -207,8 +207,7 @@
 static CfGroupMap *
 read_map (const FakeGroup *g, const json_t *sets)
 {
-  CfGroupShape shape = { g->shape.sets, g->shape.experts, g->shape.ranks,
-                         g->shape.places, g->shape.spare };
+  const CfGroupShape shape = g->map->shape;
   CfGroupMap *m = cf_group_map_new (&shape);
 
   for (int s = 0; s < shape.sets; s++)
@@ -388,8 +387,11 @@
 fake_group_new (struct ev_loop *loop, const FakeGroupShape *shape)
 {
   FakeGroup *g = g_new0 (FakeGroup, 1);
-  CfGroupShape map = { shape->sets, shape->experts, shape->ranks, shape->places,
-                       shape->spare };
+  const CfGroupShape map = { .sets = shape->sets,
+                             .experts = shape->experts,
+                             .ranks = shape->ranks,
+                             .places = shape->places,
+                             .spare = shape->spare };
 
   g->loop = loop;
   g->shape = *shape;
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -29,7 +29,11 @@
 static CfPickWhy
 pick (gint64 now, const GPtrArray *tried, CfTarget **t)
 {
-  const CfPickInput in = { "s", "dc1", tried, now, 1, 0, FALSE, 0 };
+  const CfPickInput in = { .service = "s",
+                           .data_centre = "dc1",
+                           .tried = tried,
+                           .now_ms = now,
+                           .fleet = 1 };
 
   return cf_balancer_pick (&table, &in, t);
 }
@@ -118,7 +122,11 @@
  * of that left 40 requests there whose callers had gone. */
 START_TEST (targets_that_stand_still_get_no_new_work)
 {
-  CfPickInput in = { "s", "dc1", NULL, 1000, 1, 0, FALSE, 300 };
+  CfPickInput in = { .service = "s",
+                     .data_centre = "dc1",
+                     .now_ms = 1000,
+                     .fleet = 1,
+                     .stall_ms = 300 };
   CfTarget *t;
 
   t_give_work (get ("a"), 1, 600);
@@ -146,7 +154,7 @@
 /* Requests that are late already do not fill a target. */
 START_TEST (late_ones_leave_room)
 {
-  const CfPickInput in = { "other", NULL, NULL, 0, 1, 0, TRUE, 0 };
+  const CfPickInput in = { .service = "other", .fleet = 1, .yields = TRUE };
   CfTarget *t;
 
   t_give_work (get ("x"), 2, 0); /* of 5 */
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -268,8 +268,14 @@
 static void
 new_leader (Leader *l)
 {
-  const CfGroupShape shape = { SETS, EXPERTS, RANKS, PLACES, 2 };
-  const CfPlanLimits limits = { 1, 0, 0.05, 0.02 };
+  const CfGroupShape shape = { .sets = SETS,
+                               .experts = EXPERTS,
+                               .ranks = RANKS,
+                               .places = PLACES,
+                               .spare = 2 };
+  const CfPlanLimits limits = {
+    .max_new = 1, .max_rank_new = 0, .min_gain = 0.05, .move_gain = 0.02
+  };
 
   cf_map_coordinator_init (&l->c, &shape, &limits, &calls, l);
 }
--- a/t/t-group-map.c
+++ b/t/t-group-map.c
@@ -4,7 +4,8 @@
 
 #include <math.h>
 
-static const CfGroupShape shape = { 4, 64, 16, 5, 2 };
+static const CfGroupShape shape
+    = { .sets = 4, .experts = 64, .ranks = 16, .places = 5, .spare = 2 };
 
 static CfGroupMap *
 first_map (const CfGroupShape *sh)
@@ -52,7 +53,9 @@
 /* One change takes most of the skew away: before it, 3.05 at seed 1. */
 START_TEST (one_change_evens_the_load)
 {
-  const CfPlanLimits limits = { 1, 0, 0.02, 0.01 };
+  const CfPlanLimits limits = {
+    .max_new = 1, .max_rank_new = 0, .min_gain = 0.02, .move_gain = 0.01
+  };
 
   for (guint32 seed = 1; seed <= 50; seed++)
     {
@@ -74,8 +77,11 @@
 /* Copies that save little are left out; the skew stays nearly as low. */
 START_TEST (fewer_copies_nearly_as_even)
 {
-  const CfPlanLimits all = { 1, 0, 0.02, 0.01 };
-  const CfPlanLimits few = { 1, 0, 0.2, 0.12 };
+  const CfPlanLimits all = {
+    .max_new = 1, .max_rank_new = 0, .min_gain = 0.02, .move_gain = 0.01
+  };
+  const CfPlanLimits few
+      = { .max_new = 1, .max_rank_new = 0, .min_gain = 0.2, .move_gain = 0.12 };
   int n_all = 0;
   int n_few = 0;
   double worst = 0;
@@ -104,7 +110,8 @@
  * without it, the group waits for about five even parts. */
 START_TEST (slow_ranks_get_little)
 {
-  const CfPlanLimits limits = { 1, 0, 0.2, 0.12 };
+  const CfPlanLimits limits
+      = { .max_new = 1, .max_rank_new = 0, .min_gain = 0.2, .move_gain = 0.12 };
   double pace[16];
 
   for (int r = 0; r < shape.ranks; r++)
@@ -157,7 +164,9 @@
  * from 2.96 to 1.52 by the first such change and to 1.25 by the second. */
 START_TEST (quick_changes_copy_what_counts_most)
 {
-  const CfPlanLimits limits = { 1, 1, 0.02, 0.01 };
+  const CfPlanLimits limits = {
+    .max_new = 1, .max_rank_new = 1, .min_gain = 0.02, .move_gain = 0.01
+  };
   double skew[3] = { 0 };
 
   for (guint32 seed = 1; seed <= 50; seed++)
@@ -186,7 +195,9 @@
 
 START_TEST (nothing_is_done_without_gain)
 {
-  const CfPlanLimits limits = { 2, 0, 0.05, 0.01 };
+  const CfPlanLimits limits = {
+    .max_new = 2, .max_rank_new = 0, .min_gain = 0.05, .move_gain = 0.01
+  };
   CfGroupMap *from = first_map (&shape);
   double *t = g_new (double, shape.sets *shape.experts);
 
@@ -204,7 +215,9 @@
 /* Change after change under random demand, maps stay whole and bounded. */
 START_TEST (many_changes_stay_whole)
 {
-  const CfPlanLimits limits = { 2, 0, 0.05, 0.02 };
+  const CfPlanLimits limits = {
+    .max_new = 2, .max_rank_new = 0, .min_gain = 0.05, .move_gain = 0.02
+  };
   CfGroupMap *m = first_map (&shape);
 
   for (guint32 seed = 1; seed <= 200; seed++)
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -350,7 +350,8 @@
   const char lists[] = "{\"map\":{\"version\":4,\"experts\":[[0,2],[1]]}}";
   const char counts[] = "{\"step\":1,\"counts\":[[1,2],[3,4]],"
                         "\"born\":1783022913149}";
-  const CfGroupShape shape = { 1, 2, 2, 2, 1 };
+  const CfGroupShape shape
+      = { .sets = 1, .experts = 2, .ranks = 2, .places = 2, .spare = 1 };
   CfGroupMap *m = cf_group_map_new (&shape);
   CfRankOrder o = { .kind = CF_ORDER_PREPARE, .version = 8, .map = m };
   CfRankStatus s;
