--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -117,7 +117,10 @@
 new_group (CfRankLink *a, const CfRankStatus *st)
 {
   const CfEngineModel *e = engine_of (a);
-  const CfPlanLimits limits = { MAX_NEW, MAX_RANK_NEW, MIN_GAIN, MOVE_GAIN };
+  const CfPlanLimits limits = { .max_new = MAX_NEW,
+                                .max_rank_new = MAX_RANK_NEW,
+                                .min_gain = MIN_GAIN,
+                                .move_gain = MOVE_GAIN };
   CfGroupShape shape;
   CfLedGroup *g;
 
@@ -490,8 +493,7 @@
 
   a->s = s;
   a->peer = l;
-  l->calls = &link_calls;
-  l->owner = a;
+  cf_peer_link_hand_over (l, &link_calls, a);
   TAILQ_INSERT_TAIL (&s->agents, a, link);
   take_msg (a, first);
   tell_agent (a);
