Fail: woken targets begin work of callers that left, and these are not told

Cause: three ways in which VMs that stand still end up working for callers that have left. A request is sent to one, its caller leaves, our connection is closed in order, and the woken target begins the request: it reads that first, and an orderly end only says that no more is sent. A stream whose both tries met such ranks gets no answer until its caller leaves. And one that is sent once more when its caller leaves before a first event can be there makes work at a second rank.

Change: t-network: a_woken_target_begins_nothing_for_who_left, callers_at_ranks_that_stand_still_are_told and none_is_sent_once_more_when_its_caller_leaves_first. The stand-in of a target looks for a reset before it reads, as one whose VM stood still would meet it, and a rank can leave a stream unbegun (hang) while its group goes on.

--- a/standins/fake-http.c
+++ b/standins/fake-http.c
@@ -162,11 +162,20 @@
 
 static const CfHttpReaderCalls reader_calls = { NULL, on_body, NULL };
 
+/* Looked at before what came before it is read, as by a target whose VM stood
+ * still meanwhile.  An orderly end may be that of a caller which only has
+ * nothing more to say. */
+static gboolean
+was_reset (const FakeConn *c)
+{
+  return cf_socket_error (c->io.fd) != 0;
+}
+
 static void
 read_some (FakeConn *c)
 {
   char buf[READ_SIZE];
-  ssize_t n = recv (c->io.fd, buf, sizeof buf, 0);
+  ssize_t n = was_reset (c) ? 0 : recv (c->io.fd, buf, sizeof buf, 0);
   gsize used;
 
   if (n == 0 || (n < 0 && errno != EAGAIN))
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -227,6 +227,21 @@
   g_free (st);
 }
 
+static void
+leave_hung (FakeConn *c)
+{
+  ((FakeTarget *)c->data)->busy--;
+}
+
+/* A stream that the rank never begins, while its group goes on. */
+static void
+hang_stream (FakeTarget *t, FakeConn *c)
+{
+  c->work = t;
+  c->gone = leave_hung;
+  t->busy++;
+}
+
 static void
 begin_stream (FakeTarget *t, FakeConn *c, const char *id, char *fault)
 {
@@ -301,7 +316,12 @@
       return;
     }
   count_run (t, id);
-  if (t->group)
+  if (t->group && g_strcmp0 (fault, "hang") == 0)
+    {
+      hang_stream (t, c);
+      g_free (fault);
+    }
+  else if (t->group)
     begin_stream (t, c, id, fault);
   else
     begin_plain (t, c, fault);
--- a/t/t-network.c
+++ b/t/t-network.c
@@ -16,6 +16,15 @@
 #define STEP_MS "60"
 /** When a start began, in Unix ms: later than all of a test's stand-ins. */
 #define LATER_START "4000000000000"
+/** Tokens of an event. */
+#define STRIDE 4
+/** What one of three gateways may have at once: 12 slots a rank, shared out
+ * with a quarter more. */
+#define SHARE (5 * N_RANKS)
+/** Callers of streams leave 2 s after they came; some ms less. */
+#define CALLER_STAYS_MS 1980
+/** Less than a stream may wait for room, 1.2 s. */
+#define WAITS_MS 1140
 #define STORE BASE
 #define DESK_1 (BASE + 1)
 #define DESK_PROXY (BASE + 52)
@@ -36,10 +45,20 @@
   "\"max-body-bytes\":65536,\"header-timeout-ms\":600,"                        \
   "\"idle-timeout-ms\":3000},\"tenants\":[]}"
 
+static pid_t platform;
+
 static void
 setup (void)
 {
-  p_platform (BASE, "--ranks", "4", NULL);
+  platform = p_platform (BASE, "--ranks", "4", NULL);
+}
+
+/* Passes of 70 ms at the map that a group forms with, 110 ms in a crowd. */
+static void
+setup_crowded (void)
+{
+  platform = p_platform (BASE, "--ranks", "4", "--step-ms", "45",
+                         "--per-seq-ms", "5", NULL);
 }
 
 static void
@@ -294,11 +313,131 @@
 }
 END_TEST
 
+/* A stream of @events events at gateway 1; its socket. */
+static int
+begin_stream (const char *id, int events)
+{
+  g_autofree char *size
+      = g_strdup_printf ("Comfreypost-Token-Count: 10,%d\r\n", events * STRIDE);
+  g_autofree char *req = p_request ("POST /chat/a", id, size, "");
+  int fd = p_connect (p_front (BASE, 1));
+
+  p_send (fd, req);
+  return fd;
+}
+
+static double
+runs_of_ranks (void)
+{
+  return p_runs (RANK_1, N_RANKS, "runs");
+}
+
+/* Waits up to @ms until ranks have @n runs. */
+static gboolean
+ranks_run (double n, int ms)
+{
+  for (int i = 0; i <= ms && runs_of_ranks () < n; i += 20)
+    usleep (20000);
+  return runs_of_ranks () == n;
+}
+
+/* VMs stand still, and wake after the caller has left: what they find of it
+ * is not begun. */
+START_TEST (a_woken_target_begins_nothing_for_who_left)
+{
+  g_autofree char *req = p_request ("GET /quote/a", "w1", NULL, "");
+  int fd;
+
+  start_gateway (1);
+  p_signal (platform, SIGSTOP);
+  fd = p_connect (p_front (BASE, 1));
+  p_send (fd, req);
+  usleep (100000);
+  close (fd);
+  usleep (100000);
+  p_signal (platform, SIGCONT);
+  usleep (300000);
+  ck_assert_double_eq (p_runs (DESK_1, 2, "runs"), 0);
+}
+END_TEST
+
+/* Both tries of a stream met ranks that stand still, while others go on: its
+ * caller is told before it leaves, 2 s after it came. */
+START_TEST (callers_at_ranks_that_stand_still_are_told)
+{
+  g_autofree char *answer = NULL;
+  int lively;
+  int stream;
+
+  start_gateway (1);
+  lively = begin_stream ("s1", 4000);
+  ck_assert (ranks_run (1, 2000));
+  p_fault (RANK_1, N_RANKS, "hang", 1);
+  stream = begin_stream ("s2", 10);
+  answer = p_read (stream, CALLER_STAYS_MS);
+  ck_assert_int_eq (p_status (answer), 502);
+  ck_assert_double_eq (runs_of_ranks (), 3);
+  close (lively);
+  close (stream);
+}
+END_TEST
+
+/* The gateway learns from it that first events take long. */
+static void
+show_first_event_late (void)
+{
+  p_signal (platform, SIGSTOP);
+  usleep (450000);
+  p_signal (platform, SIGCONT);
+  usleep (200000);
+}
+
+/* A stream that had to wait for room meets a rank that stands still: another
+ * one could not show a first event before the caller leaves, so only one is
+ * left with work for nobody. */
+START_TEST (none_is_sent_once_more_when_its_caller_leaves_first)
+{
+  g_autofree char *answer = NULL;
+  int busy[SHARE];
+  int stream;
+
+  start_gateway (1);
+  start_gateway (2);
+  usleep (1500000);
+  for (int i = 0; i < SHARE; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("b%d", i);
+
+      busy[i] = begin_stream (id, 4000);
+      if (i == 0)
+        show_first_event_late ();
+    }
+  ck_assert (ranks_run (SHARE, 3000));
+  usleep (300000);
+  stream = begin_stream ("s3", 10);
+  usleep (WAITS_MS * 1000);
+  ck_assert_double_eq (runs_of_ranks (), SHARE);
+  p_fault (RANK_1, N_RANKS, "hang", 1);
+  /* It gets the rank of the first, which shows no work then; the rank of the
+   * second does. */
+  close (busy[0]);
+  usleep (20000);
+  for (int i = 2; i < SHARE; i++)
+    close (busy[i]);
+  answer = p_read (stream, CALLER_STAYS_MS - WAITS_MS - 20);
+  ck_assert_int_eq (p_status (answer), 502);
+  ck_assert_double_eq (runs_of_ranks (), SHARE + 1);
+  close (busy[1]);
+  close (stream);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *s = suite_create ("network");
   TCase *t = tcase_create ("network");
+  TCase *crowded = tcase_create ("crowded");
 
   tcase_set_timeout (t, 40);
   tcase_add_checked_fixture (t, setup, p_stop_all);
@@ -310,6 +449,12 @@
   tcase_add_test (t, entries_that_lapse_come_back);
   tcase_add_test (t, all_gateways_are_killed_at_once);
   tcase_add_test (t, silent_connections_to_a_target);
+  tcase_add_test (t, a_woken_target_begins_nothing_for_who_left);
+  tcase_add_test (t, callers_at_ranks_that_stand_still_are_told);
   suite_add_tcase (s, t);
+  tcase_set_timeout (crowded, 40);
+  tcase_add_checked_fixture (crowded, setup_crowded, p_stop_all);
+  tcase_add_test (crowded, none_is_sent_once_more_when_its_caller_leaves_first);
+  suite_add_tcase (s, crowded);
   return t_run (s);
 }
