Reset a target's connection when its caller has left

Cause: a request is sent to a target whose VM stands still; its caller leaves and our connection is closed in order. When the VM wakes, the target reads the request and only behind it the end, which may also be that of a caller that has no more to say, so it has reached the target long after its caller left.

Ruled out: the close came late (E1211 and the close are in one turn of the loop).

Conclusion: it takes back what a target has not read. What it has read before its VM stood still is out of reach.

--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -67,7 +67,7 @@
                               gboolean head_only, const CfUpstreamCalls *calls,
                               void *owner);
 
-/** cf_upstream_cancel: closes it; the target sees that nobody waits. */
+/** cf_upstream_cancel: resets it; the target sees that nobody waits. */
 void cf_upstream_cancel (CfUpstream *u);
 
 /** cf_upstream_pause: stops or resumes reading, for a slow caller. */
