Send a stream once more only if a first event can still reach its caller

Cause: a stream that its target, standing still, had not begun was sent to a second one although its caller would leave before a first event could be there. Then two had its work; and since the second had shown nothing for a moment only, the caller was not told in time either, and left.

Change: where its target or its whole service is quiet, a stream is sent once more only if the expected time to a first event is left before the last look at it; otherwise it waits for that look.

The work itself cannot be called back.

--- a/gateway/exchange-silence.c
+++ b/gateway/exchange-silence.c
@@ -141,12 +141,22 @@
          && is_quiet (x);
 }
 
+/* Whether another target can show a first event before the caller leaves: if
+ * not, two have its work once it left, and only one can hear of that.  Plays
+ * as above: over a quarter went on in 1 of 9 without this, in none of 27. */
+static gboolean
+has_time_elsewhere (const CfExchange *x)
+{
+  return cf_exchange_stay_ms (x)
+         > cf_pace_first_ms (&x->lane->pace, cf_exchange_engine (x), &x->size);
+}
+
 /* Tries another target; FALSE if it may not have one. */
 static gboolean
 leave_stranded (CfExchange *x)
 {
   x->may_have_run = TRUE;
-  if (!cf_exchange_may_send_again (x))
+  if (!cf_exchange_may_send_again (x) || !has_time_elsewhere (x))
     return FALSE;
   cf_exchange_blame (x, x->target, "stands-still");
   cf_exchange_forget_answer (x);
@@ -191,7 +201,8 @@
     }
   /* Without another target to try, the one that is silent may still answer. */
   x->may_have_run = TRUE;
-  if (!cf_exchange_may_send_again (x))
+  if (!cf_exchange_may_send_again (x)
+      || (is_quiet (x) && !has_time_elsewhere (x)))
     {
       if (x->route->stream && x->last_event_ms == 0)
         cf_exchange_wait_for_target (
