Let stand-ins and harness tell what a soak asks

Cause: a soak must know at the end how often each request ran at every target, whether work came to a target that had left, and what the first configuration was; it starts processes again and again and keeps their logs.

Ruled out: the sum "doubled" alone, which is kept by target and so cannot see a request that ran once at each of two.

Change: GET /test/ran, "late" in GET /test/runs and GET /test/get; a folder of logs that go on where the former process ended; p_ended(); t_take_turn() by name; processes end with the test process that started them (a harness that gave up left them behind). The fault proxy never lets bytes through again behind a gap on the same connection, as no network would.

Conclusion: the tests' own use of these is unchanged.

--- a/standins/comfrey-fault-proxy.c
+++ b/standins/comfrey-fault-proxy.c
@@ -5,7 +5,8 @@
  * SIGUSR1 lets the connections that are open fall silent for good, both
  * ways and without a reset; new ones work.  SIGUSR2 begins, or ends, a cut
  * of one way: nothing that the far end sends arrives any more, also on new
- * connections.  SIGHUP resets all that is open.
+ * connections; one that has lost bytes so stays cut.  SIGHUP resets all that is
+ * open.
  */
 #include "gateway/socket.h"
 
@@ -38,6 +39,7 @@
   End near;
   End far;
   gboolean silent;
+  gboolean cut; /**< bytes of its far end were lost */
 };
 
 static struct ev_loop *loop;
@@ -103,7 +105,9 @@
 
   if (n <= 0)
     return n < 0 && (errno == EAGAIN || errno == EINTR);
-  if (from->pair->silent || (one_way && from->is_far))
+  if (from->is_far)
+    from->pair->cut |= one_way;
+  if (from->pair->silent || (from->pair->cut && from->is_far))
     return TRUE;
   g_string_append_len (to->out, buf, n);
   want (to);
--- a/standins/fake-store.c
+++ b/standins/fake-store.c
@@ -339,6 +339,17 @@
     }
 }
 
+static void
+answer_value (FakeStore *s, FakeConn *c, const char *key)
+{
+  const Item *it = g_tree_lookup (s->items, key);
+  gsize n = 0;
+  guchar *value = it ? g_base64_decode (it->value, &n) : NULL;
+
+  fake_http_answer (c, it ? 200 : 404, NULL, (const char *)value, (gssize)n);
+  g_free (value);
+}
+
 /* The test's own calls; TRUE if it was one. */
 static gboolean
 steer (FakeStore *s, FakeConn *c)
@@ -346,9 +357,15 @@
   char *key = fake_http_query (c, "key");
   char *mode = fake_http_query (c, "mode");
   gboolean known = TRUE;
+  gboolean answered = FALSE;
 
   if (fake_http_is (c, "/test/put") && key)
     write_item (s, key, c->body->str);
+  else if (fake_http_is (c, "/test/get") && key)
+    {
+      answer_value (s, c, key);
+      answered = TRUE;
+    }
   else if (fake_http_is (c, "/test/put-raw") && key)
     write_raw (s, key, c->body->str);
   else if (fake_http_is (c, "/test/delete") && key)
@@ -359,7 +376,7 @@
     forget (s);
   else
     known = FALSE;
-  if (known)
+  if (known && !answered)
     fake_http_answer (c, 200, NULL, "", 0);
   g_free (key);
   g_free (mode);
--- a/standins/fake-store.h
+++ b/standins/fake-store.h
@@ -10,6 +10,7 @@
  *   POST /test/put?key=K        write the body under K
  *   POST /test/put-raw?key=K    the same, as the text that stands for the
  *                               bytes: it need not be base64
+ *   GET /test/get?key=K         what was written
  *   POST /test/delete?key=K
  *   POST /test/mode?mode=M      up, silent, busy (503), reset, slow (each
  *                               answer 300 ms late), some (every second
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -10,6 +10,8 @@
 /** Events of a stream whose request does not say how many tokens. */
 #define DEFAULT_EVENTS 8
 #define TOKENS_PER_EVENT 4
+/** A target that leaves gets no new work after this time. */
+#define DRAIN_S 2.0
 /** When an order that comes late is carried out. */
 #define LATE_ORDER_S 1.0
 
@@ -25,7 +27,8 @@
   FakeGroup *group; /**< %NULL for a plain service */
   int rank;
   gboolean draining;
-  gint64 born; /**< Unix ms of its start */
+  double drained; /**< since when, on the loop's clock */
+  gint64 born;    /**< Unix ms of its start */
   int busy;
   int late_tenths; /**< of its orders, those that come late */
   int n_orders;
@@ -35,6 +38,7 @@
   GHashTable *runs; /**< request id -> how often it ran */
   guint64 n_runs;
   guint64 n_doubled;
+  guint64 n_late; /**< came though it has been leaving for long */
   guint64 n_gone; /**< callers that left while it worked */
 };
 
@@ -301,6 +305,8 @@
       return;
     }
   count_run (t, id);
+  if (t->draining && ev_now (t->loop) > t->drained + DRAIN_S)
+    t->n_late++;
   if (t->group)
     begin_stream (t, c, id, fault);
   else
@@ -392,12 +398,27 @@
 
   g_free (id);
   answer_json (
-      c, json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:f}", "runs", t->n_runs, "times",
-                    times, "doubled", t->n_doubled, "gone", t->n_gone, "mixed",
-                    g ? g->mixed : 0, "passes", g ? g->passes : 0, "skew",
+      c, json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f}", "runs", t->n_runs,
+                    "times", times, "doubled", t->n_doubled, "gone", t->n_gone,
+                    "late", t->n_late, "mixed", g ? g->mixed : 0, "passes",
+                    g ? g->passes : 0, "skew",
                     g && g->passes ? g->skew_sum / (double)g->passes : 0.0));
 }
 
+static void
+answer_ran (FakeTarget *t, FakeConn *c)
+{
+  json_t *ids = json_object ();
+  GHashTableIter it;
+  gpointer id;
+  gpointer times;
+
+  g_hash_table_iter_init (&it, t->runs);
+  while (g_hash_table_iter_next (&it, &id, &times))
+    json_object_set_new (ids, id, json_integer (GPOINTER_TO_INT (times)));
+  answer_json (c, ids);
+}
+
 static void
 set_fault (FakeTarget *t, FakeConn *c)
 {
@@ -494,11 +515,14 @@
 
   if (fake_http_is (c, "/test/runs"))
     answer_runs (t, c);
+  else if (fake_http_is (c, "/test/ran"))
+    answer_ran (t, c);
   else if (fake_http_is (c, "/test/fault"))
     set_fault (t, c);
   else if (fake_http_is (c, "/test/drain"))
     {
       t->draining = TRUE;
+      t->drained = ev_now (t->loop);
       publish (t);
       fake_http_answer (c, 200, NULL, "", 0);
     }
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -27,7 +27,10 @@
  * all it held, and its group forms anew at once.
  *
  * GET /test/runs?id=ID: what it ran: runs, doubled (ids that ran again, also
- * after a restart under the same id), mixed, and how many times ID did.
+ * after a restart under the same id), gone, late (work that came though it had
+ * been leaving for 2 s), mixed, and how many times ID did.
+ *
+ * GET /test/ran: each request id, and how often it ran.
  */
 typedef struct FakeTarget FakeTarget;
 typedef struct FakeGroup FakeGroup;
--- a/t/harness.c
+++ b/t/harness.c
@@ -77,12 +77,11 @@
 
 /* Each test program has fixed ports: the same one run from another tree at
  * the same time would meet this one's processes, so it waits its turn. */
-static int
-take_turn (void)
+int
+t_take_turn (const char *name)
 {
-  g_autofree char *name
-      = g_strdup_printf ("comfrey-%s.lock", program_invocation_short_name);
-  g_autofree char *path = g_build_filename (g_get_tmp_dir (), name, NULL);
+  g_autofree char *file = g_strdup_printf ("comfrey-%s.lock", name);
+  g_autofree char *path = g_build_filename (g_get_tmp_dir (), file, NULL);
   int fd = open (path, O_RDWR | O_CREAT | O_CLOEXEC, 0666);
 
   if (fd < 0 || flock (fd, LOCK_EX) != 0)
@@ -93,7 +92,7 @@
 int
 t_run (Suite *s)
 {
-  int turn = take_turn ();
+  int turn = t_take_turn (program_invocation_short_name);
   SRunner *sr = srunner_create (s);
   int failed;
 
--- a/t/harness.h
+++ b/t/harness.h
@@ -20,5 +20,11 @@
 /** t_read_log: the log of @name, as written so far. */
 char *t_read_log (const char *name);
 
+/**
+ * t_take_turn: waits until no other process of this machine has the turn
+ * of @name.  Returns: what to close at its end; negative if there are none.
+ */
+int t_take_turn (const char *name);
+
 /** t_run: runs @s, frees it; returns main()'s exit status. */
 int t_run (Suite *s);
--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -9,6 +9,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -24,11 +25,13 @@
 static pid_t
 spawn (const char *log_name, const char *settings, char **argv)
 {
-  g_autofree char *conf = g_strdup_printf ("t/out/%s.conf", log_name);
-  g_autofree char *log = g_strdup_printf ("t/out/%s.log", log_name);
+  const char *folder = p_detours.out ? p_detours.out : "t/out";
+  g_autofree char *conf = g_strdup_printf ("%s/%s.conf", folder, log_name);
+  g_autofree char *log = g_strdup_printf ("%s/%s.log", folder, log_name);
+  int how = p_detours.out ? O_APPEND : O_TRUNC;
   pid_t pid;
 
-  g_mkdir_with_parents ("t/out", 0755);
+  g_mkdir_with_parents (folder, 0755);
   if (settings)
     g_file_set_contents (conf, settings, -1, NULL);
   if (started == NULL)
@@ -36,8 +39,9 @@
   pid = fork ();
   if (pid == 0)
     {
-      int fd = open (log, O_WRONLY | O_CREAT | O_TRUNC, 0644);
+      int fd = open (log, O_WRONLY | O_CREAT | how, 0644);
 
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       dup2 (fd, 1);
       dup2 (fd, 2);
       setenv ("COMFREYPOST_CONFIG", conf, 1);
@@ -186,6 +190,15 @@
       }
 }
 
+gboolean
+p_ended (pid_t pid, int *status)
+{
+  if (waitpid (pid, status, WNOHANG) != pid)
+    return FALSE;
+  forget (pid);
+  return TRUE;
+}
+
 int
 p_stop (pid_t pid)
 {
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -12,7 +12,7 @@
 /** p_platform: starts the stand-in with two plain targets. */
 pid_t p_platform (int base, const char *first_arg, ...) G_GNUC_NULL_TERMINATED;
 
-/** p_gateway: starts gateway @n (1 to 3), all three being seeds. */
+/** p_gateway: starts gateway @n (from 1), the first three being seeds. */
 pid_t p_gateway (int base, int n);
 
 /** p_agent: starts the agent of the rank at port @rank_port. */
@@ -36,6 +36,8 @@
   int max_fds;         /**< descriptors of a process */
   int drain_ms;        /**< the platform's bound on draining */
   const char *gateway; /**< (nullable): the program */
+  const char *out;     /**< (nullable): the folder of logs, which go on where
+                            a former process of their name ended */
 } PDetours;
 
 /** p_detours: for the programs started from now on; a fixture's end drops
@@ -45,6 +47,9 @@
 /** p_stop: SIGTERM, and the exit status; -1 if it was killed. */
 int p_stop (pid_t pid);
 
+/** p_ended: whether it ended; then @status is as waitpid() says. */
+gboolean p_ended (pid_t pid, int *status);
+
 /** p_signal: another signal to a process started here. */
 void p_signal (pid_t pid, int sig);
 
