Play a fault soak drawn from seeds

Faults that overlap, before callers that use their connections until the process is gone, were played by nothing of ours.

Ruled out: a shell script around comfrey-callers, which cannot say whether a refused order ran; a harness of its own, where t/platform-harness.c starts, signals and reads already.

Change: t/soak (schedule, faults, callers, verdict; docs/SOAK.md): make soak SEEDS=N, make soak SEED=S; 13 kinds of faults, and series over all gateways; 14 promises checked from what callers and targets see; the schedule and the logs of a seed that breaks one; pairs of faults that overlapped.

Not in it: the retry budget, time passed on, work of callers that left, a clock that jumps, delayed connections, faults placed by the programs' own logs.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	t/t-gateway t/t-network t/t-rank-groups t/t-planned-stop
 GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
 
-all: $(PROGRAMS) deploy $(SI_PROGRAMS) $(TESTS)
+all: $(PROGRAMS) deploy $(SI_PROGRAMS) $(TESTS) t/soak
 
 libcomfrey.a: $(LIB_OBJS)
 	$(AR) rcs $@ $^
@@ -130,6 +130,25 @@
 t/harness.o t/platform-harness.o t/target-harness.o: t/%.o: t/%.c t/%.h
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -c -o $@ $<
 
+# The fault soak: SEEDS of them from 1 on, or one SEED (docs/SOAK.md).
+SOAK_OBJS = $(patsubst %.c,%.o,$(wildcard t/soak*.c))
+SEEDS ?= 50
+
+$(SOAK_OBJS): t/soak.h t/platform-harness.h t/harness.h
+
+t/soak: $(SOAK_OBJS) t/harness.o t/platform-harness.o libcomfrey.a $(GW_PROGRAMS) $(SI_PROGRAMS)
+	$(CC) $(ALL_CFLAGS) -o $@ $(SOAK_OBJS) t/harness.o t/platform-harness.o \
+		libcomfrey.a $(TEST_LDLIBS)
+
+soak: t/soak
+	t/soak $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
+
+# For CI: one seed with all kinds of faults, one of planned work alone, and
+# each that ever failed.
+soak-ci: t/soak
+	t/soak --seed 2 --seeds 2
+	grep -v '^#' t/soak-seeds.txt | cut -d'|' -f1 | xargs -r -n 1 t/soak --seed
+
 %.o: %.c *.h
 	$(CC) $(ALL_CFLAGS) -c -o $@ $<
 
@@ -156,21 +175,22 @@
 		standins t,$(wildcard $(d)/*.c $(d)/*.h))
 
 tidy:
-	printf '%s\n' *.c gateway/*.c platform/*.c standins/*.c | xargs -P $$(nproc) -n 1 sh -c \
+	printf '%s\n' *.c gateway/*.c platform/*.c standins/*.c t/soak*.c | xargs -P $$(nproc) -n 1 sh -c \
 		'clang-tidy --quiet "$$0" -- $(ALL_CFLAGS) -I. -Igateway'
 
 clean:
-	rm -f *.o t/*.o libcomfrey.a $(PROGRAMS) $(TESTS) bench.csv
+	rm -f *.o t/*.o libcomfrey.a $(PROGRAMS) $(TESTS) t/soak bench.csv
 
 help:
 	@echo "make          build everything"
 	@echo "make demo     install packages, build, start stand-ins, play callers"
 	@echo "make demo-own the same for the product's own interface"
 	@echo "make test     run the tests under t/"
+	@echo "make soak     play faults drawn from seeds: SEEDS=N, or SEED=S"
 	@echo "make bench    run comfrey-bench: placement policies side by side"
 	@echo "make deploy   build what runs on the platform, under target/"
 	@echo "make style    check formatting with clang-format"
 	@echo "make tidy     check the sources with clang-tidy"
 	@echo "make clean    remove what was built, but for target/"
 
-.PHONY: all deploy test demo demo-own bench style tidy clean help
+.PHONY: all deploy test soak soak-ci demo demo-own bench style tidy clean help
