--- a/gateway/exchange-stop.c
+++ b/gateway/exchange-stop.c
@@ -25,7 +25,8 @@
 }
 
 /* A call takes some ms where its time limit is seconds, so while the platform
- * still sends callers here it is taken; later few come, and none is cut. */
+ * still sends callers here it is taken; of the few that come later its time
+ * limit decides. */
 static gboolean
 is_unforeseen (const CfExchange *x)
 {
