--- a/t/t-planned-stop.c
+++ b/t/t-planned-stop.c
@@ -40,26 +40,28 @@
 
 static pid_t gateway;
 
+/* Two gateways before a group whose passes grow with its streams. */
 static void
-setup_loaded (void)
+setup_two (const char *step_ms, const char *per_seq_ms)
 {
-  p_platform (BASE, "--ranks", "4", "--step-ms", "8", "--per-seq-ms", "4",
-              NULL);
+  p_platform (BASE, "--ranks", "4", "--step-ms", step_ms, "--per-seq-ms",
+              per_seq_ms, NULL);
   gateway = p_gateway (BASE, 1);
   p_await_ready (BASE, 1);
   p_gateway (BASE, 2);
   p_await_ready (BASE, 2);
 }
 
+static void
+setup_loaded (void)
+{
+  setup_two ("8", "4");
+}
+
 static void
 setup_crowded (void)
 {
-  p_platform (BASE, "--ranks", "4", "--step-ms", "30", "--per-seq-ms", "6",
-              NULL);
-  gateway = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
-  p_gateway (BASE, 2);
-  p_await_ready (BASE, 2);
+  setup_two ("30", "6");
 }
 
 static void
