Write log lines whole or drop them whole

Cause: in a busy gateway's output a line broke off in its middle and the next began on it. The platform's pipe does not block; write_all() was refused after a part of a batch had gone out and gave the rest up, in mid-line, and counted one line as dropped whatever the batch held.

Ruled out: two writers on one descriptor (one thread writes), lines too long (each is cut to 2,048 bytes before it is put).

Change: a batch is no larger than what a pipe takes whole or not at all; what the reader has no room for stays, its lines wait in the ring, and lines that find the ring full are dropped and counted one by one.

Conclusion: mended; a write to something that is no pipe may still go out in parts, which are then finished before anything else.

--- a/log-writer.c
+++ b/log-writer.c
@@ -5,6 +5,7 @@
 #include <ck_pr.h>
 #include <ck_ring.h>
 #include <errno.h>
+#include <limits.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,8 +15,9 @@
 
 /** The writer's pause between two rounds: ten wake-ups a second. */
 #define ROUND_MS 100
-/** Bytes that one write(2) takes. */
-#define BATCH_BYTES 65536
+/** Bytes that one write(2) takes: a pipe takes so many whole or not at all,
+ * so that no line is torn even if this process ends while the pipe is full. */
+#define BATCH_BYTES PIPE_BUF
 
 /** CfLogLine: a line that waits, its bytes behind it. */
 typedef struct
@@ -38,80 +40,125 @@
   guint in_second;
 } writer;
 
+/** CfLogBatch: whole lines on their way out. */
+typedef struct
+{
+  char *text;
+  gsize n;
+  gsize sent;
+  guint lines;
+} CfLogBatch;
+
+static void
+empty (CfLogBatch *b)
+{
+  b->n = 0;
+  b->sent = 0;
+  b->lines = 0;
+}
+
+/* Writes what is left of @b; %FALSE if its reader has no room now.  A batch
+ * that cannot be written at all is dropped, and its lines counted. */
 static gboolean
-write_all (const char *p, gsize n)
+flush (CfLogBatch *b)
 {
-  while (n > 0)
+  while (b->sent < b->n)
     {
-      ssize_t w = write (writer.fd, p, n);
+      ssize_t w = write (writer.fd, b->text + b->sent, b->n - b->sent);
 
       if (w < 0 && errno == EINTR)
         continue;
-      if (w <= 0)
+      if (w < 0 && errno == EAGAIN)
         return FALSE;
-      p += w;
-      n -= (gsize)w;
+      if (w <= 0)
+        {
+          ck_pr_add_64 (&writer.dropped, b->lines);
+          break;
+        }
+      b->sent += (gsize)w;
     }
+  empty (b);
   return TRUE;
 }
 
+/* Adds a line, for which there has to be room. */
 static void
-write_batch (char *batch, gsize *n)
+add_line (CfLogBatch *b, const char *text, gsize n)
 {
-  if (*n && !write_all (batch, *n))
-    ck_pr_add_64 (&writer.dropped, 1);
-  *n = 0;
+  memcpy (b->text + b->n, text, n);
+  b->n += n;
+  b->lines++;
 }
 
-static void
-write_waiting (char *batch)
+/* Writes the lines that wait, as far as their reader takes them: others stay
+ * in the ring, and those that then find it full are dropped whole. */
+static gboolean
+write_waiting (CfLogBatch *b)
 {
   void *p;
-  gsize n = 0;
 
+  if (!flush (b))
+    return FALSE;
   while (ck_ring_dequeue_mpsc (&writer.ring, writer.slots, &p))
     {
       CfLogLine *l = p;
+      gboolean room = b->n + l->n <= BATCH_BYTES || flush (b);
 
-      if (n + l->n > BATCH_BYTES)
-        write_batch (batch, &n);
-      memcpy (batch + n, l->text, l->n);
-      n += l->n;
+      if (room)
+        add_line (b, l->text, l->n);
+      else
+        ck_pr_add_64 (&writer.dropped, 1);
       free (l);
+      if (!room)
+        return FALSE;
     }
-  write_batch (batch, &n);
+  return flush (b);
 }
 
-static void *
-write_rounds (void *unused)
+/* Tells how many lines were dropped since it was last told. */
+static void
+tell_dropped (CfLogBatch *b, guint64 *told)
+{
+  guint64 dropped = cf_log_writer_dropped ();
+  char line[96];
+  int n;
+
+  if (dropped == *told)
+    return;
+  n = snprintf (line, sizeof line,
+                "<4>E1005 log-dropped lines=%" G_GUINT64_FORMAT "\n",
+                dropped - *told);
+  *told = dropped;
+  add_line (b, line, (gsize)n);
+  /* It is no line that somebody logged. */
+  b->lines--;
+  flush (b);
+}
+
+static void
+write_rounds_into (CfLogBatch *b)
 {
   const struct timespec pause = { 0, ROUND_MS * 1000000L };
-  char *batch = malloc (BATCH_BYTES);
-  guint64 reported = 0;
+  guint64 told = 0;
 
-  while (batch && !ck_pr_load_uint (&writer.stop))
+  while (!ck_pr_load_uint (&writer.stop))
     {
-      guint64 dropped;
-
-      write_waiting (batch);
-      dropped = cf_log_writer_dropped ();
-      if (dropped != reported)
-        {
-          char line[96];
-          int n
-              = snprintf (line, sizeof line,
-                          "<4>E1005 log-dropped lines=%" G_GUINT64_FORMAT "\n",
-                          dropped - reported);
-
-          reported = dropped;
-          if (!write_all (line, (gsize)n))
-            ck_pr_add_64 (&writer.dropped, 1);
-        }
+      if (write_waiting (b))
+        tell_dropped (b, &told);
       nanosleep (&pause, NULL);
     }
-  if (batch)
-    write_waiting (batch);
-  free (batch);
+  write_waiting (b);
+  ck_pr_add_64 (&writer.dropped, b->lines);
+}
+
+static void *
+write_rounds (void *unused)
+{
+  CfLogBatch b = { .text = malloc (BATCH_BYTES) };
+
+  if (b.text)
+    write_rounds_into (&b);
+  free (b.text);
   ck_pr_store_uint (&writer.ended, 1);
   return NULL;
 }
