Tell agents a map by what it changes

Cause: in a group of 192 ranks no map ever changed. The leader sends each rank the whole map, 5,760 numbers; each of the 192 orders was made into JSON anew, some 0.6 s of one event loop that also passes on callers' events, and 28 kB each went over links of 6 Mbit/s. Then the leader found that it had stood still for longer than 400 ms, settled, and planned again.

Making the JSON once for all ranks mends the processor's part only: 5.4 MB a change stay on the leader's link and in its memory (84 MB seen).

Change: the order names the rows, of a rank in a set, that hold other experts than the map in use; the agent beside the rank remembers that map and makes the whole of it. One that does not (it started anew) says so, and is told by the rows that differ from experts in turn, by which a group begins. Rows are told whole, as ranks list their experts in an order of their own. Ranks asked directly get the JSON, made once a version.

--- a/gateway/group-map.c
+++ b/gateway/group-map.c
@@ -2,11 +2,17 @@
 
 #include <string.h>
 
+static gsize
+n_places (const CfGroupShape *shape)
+{
+  return (gsize)shape->sets * shape->ranks * shape->places;
+}
+
 CfGroupMap *
 cf_group_map_new (const CfGroupShape *shape)
 {
   CfGroupMap *m = g_new0 (CfGroupMap, 1);
-  gsize n = (gsize)shape->sets * shape->ranks * shape->places;
+  gsize n = n_places (shape);
 
   m->shape = *shape;
   m->held = g_new (gint16, n);
@@ -19,12 +25,86 @@
 cf_group_map_copy (const CfGroupMap *m)
 {
   CfGroupMap *c = cf_group_map_new (&m->shape);
-  gsize n = (gsize)m->shape.sets * m->shape.ranks * m->shape.places;
 
-  memcpy (c->held, m->held, n * sizeof *c->held);
+  memcpy (c->held, m->held, n_places (&m->shape) * sizeof *c->held);
   return c;
 }
 
+CfGroupMap *
+cf_group_map_in_turn (const CfGroupShape *shape)
+{
+  CfGroupMap *m = cf_group_map_new (shape);
+
+  for (int s = 0; s < shape->sets; s++)
+    for (int e = 0; e < shape->experts; e++)
+      if (e / shape->ranks < shape->places)
+        cf_group_map_at (m, s, e % shape->ranks)[e / shape->ranks] = (gint16)e;
+  return m;
+}
+
+static gboolean
+has_all (const gint16 *row, const gint16 *other, int places)
+{
+  for (int i = 0; i < places; i++)
+    {
+      int p = 0;
+
+      while (p < places && row[i] >= 0 && other[p] != row[i])
+        p++;
+      if (p == places)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+GArray *
+cf_group_map_rows (const CfGroupMap *from, const CfGroupMap *to)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (gint64));
+  int places = to->shape.places;
+
+  for (gint64 row = 0; row < (gint64)to->shape.sets * to->shape.ranks; row++)
+    {
+      const gint16 *a = from->held + row * places;
+      const gint16 *b = to->held + row * places;
+
+      if (has_all (a, b, places) && has_all (b, a, places))
+        continue;
+      g_array_append_val (rows, row);
+      for (int p = 0; p < places; p++)
+        {
+          gint64 expert = b[p];
+
+          g_array_append_val (rows, expert);
+        }
+    }
+  return rows;
+}
+
+gboolean
+cf_group_map_apply (CfGroupMap *m, const GArray *rows)
+{
+  const CfGroupShape *sh = &m->shape;
+  guint width = (guint)sh->places + 1;
+
+  for (guint i = 0; i + width <= rows->len; i += width)
+    {
+      gint64 row = g_array_index (rows, gint64, i);
+
+      if (row < 0 || row >= (gint64)sh->sets * sh->ranks)
+        return FALSE;
+      for (int p = 0; p < sh->places; p++)
+        {
+          gint64 expert = g_array_index (rows, gint64, i + 1 + p);
+
+          if (expert < -1 || expert >= sh->experts)
+            return FALSE;
+          m->held[row * sh->places + p] = (gint16)expert;
+        }
+    }
+  return rows->len % width == 0;
+}
+
 void
 cf_group_map_free (CfGroupMap *m)
 {
--- a/gateway/group-map.h
+++ b/gateway/group-map.h
@@ -26,6 +26,23 @@
 CfGroupMap *cf_group_map_copy (const CfGroupMap *m);
 void cf_group_map_free (CfGroupMap *m);
 
+/** cf_group_map_in_turn: each expert on one rank, given out in turn. */
+CfGroupMap *cf_group_map_in_turn (const CfGroupShape *shape);
+
+/**
+ * cf_group_map_rows:
+ * Returns: the rows, of a rank in a set, that hold other experts in @to than
+ *   in @from, which is of the same shape: each the row's number, set after
+ *   set, and the expert or -1 in each of its places; a new array of gint64.
+ *   In what order a row holds its experts does not matter, since ranks list
+ *   them in an order of their own.
+ */
+GArray *cf_group_map_rows (const CfGroupMap *from, const CfGroupMap *to);
+
+/** cf_group_map_apply: changes @m by such rows; %FALSE if one of them does
+ * not fit its shape. */
+gboolean cf_group_map_apply (CfGroupMap *m, const GArray *rows);
+
 /** cf_group_map_at: the places of @rank for @set. */
 gint16 *cf_group_map_at (const CfGroupMap *m, int set, int rank);
 
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -32,6 +32,11 @@
     put_int (pk, g_array_index (a, gint64, i));
 }
 
+/** Largest shape of a group's maps that a peer may name. */
+#define SETS_MAX 256
+#define EXPERTS_MAX 4096
+#define PLACES_MAX 256
+
 #define STATUS_FIELDS 14
 
 static void
@@ -129,6 +134,18 @@
       put_int (&pk, m->u.order.version);
       put_bytes (&pk, m->u.order.body);
       break;
+    case CF_PEER_PREPARE:
+      begin (&pk, m, 9);
+      put_int (&pk, m->u.prepare.seq);
+      put_int (&pk, m->u.prepare.fence);
+      put_int (&pk, m->u.prepare.epoch);
+      put_int (&pk, m->u.prepare.version);
+      put_int (&pk, m->u.prepare.base);
+      put_int (&pk, m->u.prepare.shape.sets);
+      put_int (&pk, m->u.prepare.shape.experts);
+      put_int (&pk, m->u.prepare.shape.places);
+      put_array (&pk, m->u.prepare.rows);
+      break;
     case CF_PEER_ORDER_ACK:
       begin (&pk, m, 4);
       put_int (&pk, m->u.order_ack.seq);
@@ -369,6 +386,17 @@
       m->u.order.version = take_int (f);
       m->u.order.body = take_bytes (f);
       break;
+    case CF_PEER_PREPARE:
+      m->u.prepare.seq = take_int (f);
+      m->u.prepare.fence = take_int (f);
+      m->u.prepare.epoch = take_int (f);
+      m->u.prepare.version = take_int (f);
+      m->u.prepare.base = take_int (f);
+      m->u.prepare.shape.sets = take_index (f, SETS_MAX);
+      m->u.prepare.shape.experts = take_index (f, EXPERTS_MAX);
+      m->u.prepare.shape.places = take_index (f, PLACES_MAX);
+      m->u.prepare.rows = take_array (f);
+      break;
     case CF_PEER_ORDER_ACK:
       m->u.order_ack.seq = take_int (f);
       m->u.order_ack.http_status = take_int (f);
@@ -436,6 +464,9 @@
     case CF_PEER_RANK_STATUS:
       a = &m->u.rank_status.counts;
       break;
+    case CF_PEER_PREPARE:
+      a = &m->u.prepare.rows;
+      break;
     case CF_PEER_LISTS:
       a = &m->u.lists.experts;
       break;
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -19,6 +19,7 @@
   CF_PEER_GATEWAY_HELLO = 8, /**< gateway: where I am, and what I know */
   CF_PEER_POLICY = 9,        /**< gateway: the newest configuration I have */
   CF_PEER_TARGETS = 10,      /**< gateway: the targets as I know them */
+  CF_PEER_PREPARE = 11,      /**< gateway: have your rank prepare this map */
 } CfPeerMsgKind;
 
 /** CfPeerBytes: bytes within a frame that was read. */
@@ -56,13 +57,23 @@
       gint64 seq;
       gint64 fence;
       CfRankOrderKind order;
-      gint64 version; /**< of a prepare: told again once its copy is whole */
+      gint64 version;
       CfPeerBytes body;
     } order;
     struct
     {
       gint64 seq;
-      gint64 http_status; /**< 0: no answer */
+      gint64 fence;
+      gint64 epoch;
+      gint64 version;     /**< told of again once its copy is whole */
+      gint64 base;        /**< version that @rows change; 0: in turn */
+      CfGroupShape shape; /**< without ranks, which the agent knows */
+      GArray *rows;       /**< as cf_group_map_rows() gives them; owned */
+    } prepare;
+    struct
+    {
+      gint64 seq;
+      gint64 http_status; /**< 0: no answer; %CF_PEER_NO_BASE */
       gint64 fence_seen;  /**< the highest token the agent has obeyed */
       CfRankStatus status;
     } order_ack;
@@ -95,6 +106,10 @@
   } u;
 } CfPeerMsg;
 
+/** In place of a rank's status: the agent was never told the map that the one
+ * to prepare is named by; it takes one by what a group begins with. */
+#define CF_PEER_NO_BASE 1
+
 /** Bits of a greeting's want. */
 #define CF_PEER_WANT_POLICY 1U
 #define CF_PEER_WANT_TARGETS 2U
--- a/gateway/rank-agent-order.c
+++ b/gateway/rank-agent-order.c
@@ -5,6 +5,8 @@
 #include "platform/platform-rank.h"
 #include "rank-call.h"
 
+#include <string.h>
+
 /** The rank answers within a few ms of this VM's processor time.  An order
  * that is not answered by then may be lost while the whole group waits, so
  * it is given again: every order may be carried out twice. */
@@ -120,20 +122,12 @@
       ORDER_TIMEOUT_MS, on_order_done, o);
 }
 
-void
-cf_rank_agent_order (CfSeed *s, const CfPeerMsg *m)
+/* Gives @o, whose body is made, unless another leader goes before. */
+static void
+begin (OrderCall *o)
 {
-  CfRankAgent *a = s->a;
-  OrderCall *o = g_new0 (OrderCall, 1);
+  CfRankAgent *a = o->a;
 
-  o->a = a;
-  o->from = s;
-  o->seq = m->u.order.seq;
-  o->fence = m->u.order.fence;
-  o->kind = m->u.order.order;
-  o->version = m->u.order.version;
-  o->n = m->u.order.body.n;
-  o->body = g_memdup2 (m->u.order.body.data, o->n);
   if (o->fence < a->fence_seen)
     {
       o->http_status = STATUS_FENCED;
@@ -141,5 +135,72 @@
       return;
     }
   a->fence_seen = o->fence;
-  give (o);
+  if (o->body)
+    give (o);
+  else
+    {
+      o->http_status = CF_PEER_NO_BASE;
+      answer_order (o);
+    }
+}
+
+static OrderCall *
+new_call (CfSeed *s, CfRankOrderKind kind, gint64 seq, gint64 fence,
+          gint64 version)
+{
+  OrderCall *o = g_new0 (OrderCall, 1);
+
+  o->a = s->a;
+  o->from = s;
+  o->kind = kind;
+  o->seq = seq;
+  o->fence = fence;
+  o->version = version;
+  return o;
+}
+
+void
+cf_rank_agent_order (CfSeed *s, const CfPeerMsg *m)
+{
+  OrderCall *o = new_call (s, m->u.order.order, m->u.order.seq,
+                           m->u.order.fence, m->u.order.version);
+
+  o->n = m->u.order.body.n;
+  o->body = g_memdup2 (m->u.order.body.data, o->n);
+  begin (o);
+}
+
+/* The body of an order to prepare the map that @m names by its differences;
+ * %NULL if that cannot be told from what this agent knows. */
+static char *
+prepare_body (CfRankAgent *a, const CfPeerMsg *m)
+{
+  CfRankOrder order = { .kind = CF_ORDER_PREPARE };
+  CfGroupShape shape = m->u.prepare.shape;
+  CfGroupMap *map;
+  char *body;
+
+  shape.ranks = a->status.size;
+  map = cf_map_history_make (&a->maps, &shape, m->u.prepare.base,
+                             m->u.prepare.rows);
+  if (!map)
+    return NULL;
+  order.version = m->u.prepare.version;
+  order.epoch = m->u.prepare.epoch;
+  order.fence = m->u.prepare.fence;
+  order.map = map;
+  body = cf_platform_rank_order (&order);
+  cf_map_history_take (&a->maps, map, order.version);
+  return body;
+}
+
+void
+cf_rank_agent_prepare (CfSeed *s, const CfPeerMsg *m)
+{
+  OrderCall *o = new_call (s, CF_ORDER_PREPARE, m->u.prepare.seq,
+                           m->u.prepare.fence, m->u.prepare.version);
+
+  o->body = prepare_body (s->a, m);
+  o->n = o->body ? strlen (o->body) : 0;
+  begin (o);
 }
--- a/gateway/rank-agent-parts.h
+++ b/gateway/rank-agent-parts.h
@@ -19,5 +19,8 @@
 /** cf_rank_agent_await_copy: the rank copies what @version needs. */
 void cf_rank_agent_await_copy (CfRankAgent *a, gint64 version);
 
+/** cf_rank_agent_prepare: has the rank prepare a map. */
+void cf_rank_agent_prepare (CfSeed *s, const CfPeerMsg *m);
+
 /** cf_rank_agent_order: passes an order on to the rank, and answers it. */
 void cf_rank_agent_order (CfSeed *s, const CfPeerMsg *m);
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -145,6 +145,7 @@
     note_new_epoch (a, &s);
   a->status = s;
   a->has_status = TRUE;
+  cf_map_history_uses (&a->maps, s.map);
   if (a->awaited
       && (s.map == a->awaited || cf_now_ms () - a->awaited_ms > COPYING_MAX_MS))
     a->awaited = 0;
@@ -349,6 +350,9 @@
       case CF_PEER_ORDER:
         cf_rank_agent_order (s, &m);
         break;
+      case CF_PEER_PREPARE:
+        cf_rank_agent_prepare (s, &m);
+        break;
       case CF_PEER_WANT_LISTS:
         cf_rank_call (s->a->loop, s->a->target,
                       cf_platform_rank_lists_call (s->a->set.target_addr),
--- a/gateway/rank-service-order.c
+++ b/gateway/rank-service-order.c
@@ -72,6 +72,73 @@
   ask_report (d);
 }
 
+static void
+forget_prepared (CfPreparedOrder *p)
+{
+  g_clear_pointer (&p->rows, g_array_unref);
+  g_clear_pointer (&p->in_whole, g_array_unref);
+  g_free (p->json);
+  memset (p, 0, sizeof *p);
+}
+
+/* The version that every rank has in use; 0 if they differ, or if none of
+ * ours was ever used. */
+static gint64
+version_in_use (const CfMapCoordinator *c)
+{
+  for (int r = 1; r < c->shape.ranks; r++)
+    if (c->ranks[r].status.map != c->ranks[0].status.map)
+      return 0;
+  return c->ranks[0].status.map;
+}
+
+CfPreparedOrder *
+cf_led_group_prepared (CfLedGroup *g, const CfRankOrder *o)
+{
+  CfPreparedOrder *p = &g->prepare;
+
+  if (p->version == o->version && p->fence == o->fence)
+    return p;
+  forget_prepared (p);
+  p->version = o->version;
+  p->fence = o->fence;
+  p->base = version_in_use (&g->c);
+  return p;
+}
+
+/* What an agent that lacks the map in use is told, or one that has it. */
+static const GArray *
+rows_of (CfLedGroup *g, const CfRankOrder *o, gboolean in_whole)
+{
+  CfPreparedOrder *p = cf_led_group_prepared (g, o);
+
+  if (!in_whole && !p->rows)
+    p->rows = cf_group_map_rows (g->c.in_use, o->map);
+  if (in_whole && !p->in_whole)
+    {
+      CfGroupMap *in_turn = cf_group_map_in_turn (&o->map->shape);
+
+      p->in_whole = cf_group_map_rows (in_turn, o->map);
+      cf_group_map_free (in_turn);
+    }
+  return in_whole ? p->in_whole : p->rows;
+}
+
+/* The order as a rank takes it.  That to prepare holds the whole map: some
+ * 28 kB at 192 ranks, which take 3 ms to make, so it is made once for all. */
+static char *
+json_of (CfLedGroup *g, const CfRankOrder *o)
+{
+  CfPreparedOrder *p;
+
+  if (o->kind != CF_ORDER_PREPARE)
+    return cf_platform_rank_order (o);
+  p = cf_led_group_prepared (g, o);
+  if (!p->json)
+    p->json = cf_platform_rank_order (o);
+  return g_strdup (p->json);
+}
+
 void
 cf_led_group_send_direct (CfLedGroup *g, int rank, const CfRankOrder *o,
                           gboolean is_order)
@@ -82,7 +149,7 @@
 
   if (!t)
     return;
-  json = cf_platform_rank_order (o);
+  json = json_of (g, o);
   d = g_new0 (DirectCall, 1);
   d->g = g;
   d->rank = rank;
@@ -92,6 +159,42 @@
       g->s->g->loop, t,
       cf_platform_rank_order_call (t->record.addr, json, strlen (json)),
       DIRECT_TIMEOUT_MS, on_direct_order, d);
+  g_free (json);
+}
+
+/* The agent makes the whole map of it, beside its rank: some 200 rows of the
+ * 1,920 that the map has, for each of 192 ranks. */
+static void
+send_prepare (CfLedGroup *g, CfRankLink *a, const CfRankOrder *o)
+{
+  const CfPreparedOrder *p = cf_led_group_prepared (g, o);
+  gboolean in_whole = a->lacks_base || p->base == 0;
+  CfPeerMsg m = { .kind = CF_PEER_PREPARE };
+
+  m.u.prepare.seq = g->s->seq;
+  m.u.prepare.fence = o->fence;
+  m.u.prepare.epoch = o->epoch;
+  m.u.prepare.version = o->version;
+  m.u.prepare.base = in_whole ? 0 : p->base;
+  m.u.prepare.shape = o->map->shape;
+  m.u.prepare.rows = (GArray *)rows_of (g, o, in_whole);
+  cf_peer_msg_send (a->peer, &m);
+}
+
+static void
+send_order (CfLedGroup *g, CfRankLink *a, const CfRankOrder *o)
+{
+  CfPeerMsg m = { .kind = CF_PEER_ORDER };
+  char *json = cf_platform_rank_order (o);
+
+  m.u.order.seq = g->s->seq;
+  m.u.order.fence = o->fence;
+  m.u.order.order = o->kind;
+  m.u.order.version = o->version;
+  m.u.order.body.data = json;
+  m.u.order.body.n = strlen (json);
+  cf_peer_msg_send (a->peer, &m);
+  g_free (json);
 }
 
 void
@@ -108,22 +211,14 @@
           " fence=%" G_GINT64_FORMAT " way=%s",
           g->name, rank, cf_rank_order_name (o->kind), o->version, o->step,
           o->epoch, o->fence, a ? "agent" : "direct");
-  if (a)
+  if (!a)
     {
-      CfPeerMsg m = { .kind = CF_PEER_ORDER };
-      char *json = cf_platform_rank_order (o);
-
-      m.u.order.seq = ++g->s->seq;
-      m.u.order.fence = o->fence;
-      m.u.order.order = o->kind;
-      m.u.order.version = o->version;
-      m.u.order.body.data = json;
-      m.u.order.body.n = strlen (json);
-      cf_order_watch_sent (&g->orders[rank], m.u.order.seq,
-                           cf_gateway_now (g->s->g));
-      cf_peer_msg_send (a->peer, &m);
-      g_free (json);
+      cf_led_group_send_direct (g, rank, o, TRUE);
+      return;
     }
+  cf_order_watch_sent (&g->orders[rank], ++g->s->seq, cf_gateway_now (g->s->g));
+  if (o->kind == CF_ORDER_PREPARE)
+    send_prepare (g, a, o);
   else
-    cf_led_group_send_direct (g, rank, o, TRUE);
+    send_order (g, a, o);
 }
--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -26,8 +26,21 @@
   guint seeds_up; /**< as its last status says */
   gint64 led;     /**< token of the leader that the agent hears; 0: none */
   gint64 seen_ms;
+  gboolean lacks_base; /**< it was never told the map that is in use */
 } CfRankLink;
 
+/** CfPreparedOrder: the order to prepare one version, in the forms that go
+ * out to all ranks; each is made when first needed. */
+typedef struct
+{
+  gint64 version; /**< 0: none */
+  gint64 fence;
+  gint64 base;      /**< version in use, which @rows change */
+  GArray *rows;     /**< (nullable) */
+  GArray *in_whole; /**< (nullable): against experts in turn */
+  char *json;       /**< (nullable): as a rank takes it */
+} CfPreparedOrder;
+
 /** CfLedGroup: one rank group, and this gateway's part in it. */
 struct CfLedGroup
 {
@@ -37,7 +50,8 @@
   CfRankLink **agents;  /**< by rank */
   char **addrs;         /**< by rank: where it was last */
   CfOrderWatch *orders; /**< by rank */
-  gint64 *direct_ms;    /**< by rank: when it was last asked directly */
+  CfPreparedOrder prepare;
+  gint64 *direct_ms; /**< by rank: when it was last asked directly */
   gint64 fence_seen;
   gint64 policy_version; /**< that the coordinator's aim for passes is of */
   gboolean leads;
@@ -62,6 +76,9 @@
  * is away; @data is the #CfLedGroup. */
 void cf_led_group_on_order (void *data, int rank, const CfRankOrder *o);
 
+/** cf_led_group_prepared: @g's order to prepare, for @o. */
+CfPreparedOrder *cf_led_group_prepared (CfLedGroup *g, const CfRankOrder *o);
+
 /** cf_led_group_send_direct: an order straight to a rank, and then the
  * question for its report.
  * @is_order: the coordinator waits for what comes of it */
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -419,6 +419,7 @@
 
   if (!g || !cf_order_watch_answered (&g->orders[a->rank], m->u.order_ack.seq))
     return;
+  a->lacks_base = m->u.order_ack.http_status == CF_PEER_NO_BASE;
   if (m->u.order_ack.status.group[0])
     cf_map_coordinator_status (&g->c, &m->u.order_ack.status,
                                m->u.order_ack.fence_seen, now);
--- a/t/t-group-map.c
+++ b/t/t-group-map.c
@@ -7,17 +7,6 @@
 static const CfGroupShape shape
     = { .sets = 4, .experts = 64, .ranks = 16, .places = 5, .spare = 2 };
 
-static CfGroupMap *
-first_map (const CfGroupShape *sh)
-{
-  CfGroupMap *m = cf_group_map_new (sh);
-
-  for (int s = 0; s < sh->sets; s++)
-    for (int e = 0; e < sh->experts; e++)
-      cf_group_map_at (m, s, e % sh->ranks)[e / sh->ranks] = (gint16)e;
-  return m;
-}
-
 /* Zipf-like demand in an order of its own for each set. */
 static double *
 demand (const CfGroupShape *sh, guint32 seed)
@@ -59,7 +48,7 @@
 
   for (guint32 seed = 1; seed <= 50; seed++)
     {
-      CfGroupMap *from = first_map (&shape);
+      CfGroupMap *from = cf_group_map_in_turn (&shape);
       double *t = demand (&shape, seed);
       CfGroupMap *to = cf_group_map_plan (from, t, NULL, &limits);
 
@@ -88,7 +77,7 @@
 
   for (guint32 seed = 1; seed <= 50; seed++)
     {
-      CfGroupMap *from = first_map (&shape);
+      CfGroupMap *from = cf_group_map_in_turn (&shape);
       double *t = demand (&shape, seed);
       CfGroupMap *a = cf_group_map_plan (from, t, NULL, &all);
       CfGroupMap *f = cf_group_map_plan (from, t, NULL, &few);
@@ -118,7 +107,7 @@
     pace[r] = r == 3 ? 5 : 1;
   for (guint32 seed = 1; seed <= 50; seed++)
     {
-      CfGroupMap *m = first_map (&shape);
+      CfGroupMap *m = cf_group_map_in_turn (&shape);
       double *t = demand (&shape, seed);
 
       for (int i = 0; i < 4; i++)
@@ -171,7 +160,7 @@
 
   for (guint32 seed = 1; seed <= 50; seed++)
     {
-      CfGroupMap *m = first_map (&shape);
+      CfGroupMap *m = cf_group_map_in_turn (&shape);
       double *t = demand (&shape, seed);
 
       skew[0] += cf_group_map_skew (m, t, NULL) / 50;
@@ -198,7 +187,7 @@
   const CfPlanLimits limits = {
     .max_new = 2, .max_rank_new = 0, .min_gain = 0.05, .move_gain = 0.01
   };
-  CfGroupMap *from = first_map (&shape);
+  CfGroupMap *from = cf_group_map_in_turn (&shape);
   double *t = g_new (double, shape.sets *shape.experts);
 
   for (int i = 0; i < shape.sets * shape.experts; i++)
@@ -218,7 +207,7 @@
   const CfPlanLimits limits = {
     .max_new = 2, .max_rank_new = 0, .min_gain = 0.05, .move_gain = 0.02
   };
-  CfGroupMap *m = first_map (&shape);
+  CfGroupMap *m = cf_group_map_in_turn (&shape);
 
   for (guint32 seed = 1; seed <= 200; seed++)
     {
@@ -239,6 +228,63 @@
 }
 END_TEST
 
+static const CfGroupShape large
+    = { .sets = 10, .experts = 384, .ranks = 192, .places = 3, .spare = 2 };
+
+/* Rows of other experts are told, rows in another order are not; with them
+ * the next map comes of the one before, and of what a group begins with. */
+START_TEST (a_map_is_told_by_what_changes)
+{
+  const CfPlanLimits limits
+      = { .max_new = 1, .max_rank_new = 1, .min_gain = 0.2, .move_gain = 0.12 };
+  CfGroupMap *from = cf_group_map_in_turn (&large);
+  double *t = demand (&large, 2);
+  CfGroupMap *to = cf_group_map_plan (from, t, NULL, &limits);
+  GArray *rows = cf_group_map_rows (from, to);
+  CfGroupMap *made = cf_group_map_in_turn (&large);
+  gint16 *row = cf_group_map_at (made, 4, 77);
+  gint16 first = row[0];
+  guint width = (guint)large.places + 1;
+
+  ck_assert_uint_le (rows->len, (guint)cf_group_map_added (from, to) * width);
+  row[0] = row[1];
+  row[1] = first;
+  ck_assert (cf_group_map_apply (made, rows));
+  g_array_unref (rows);
+  rows = cf_group_map_rows (to, made);
+  ck_assert_uint_eq (rows->len, 0);
+  ck_assert_int_eq (cf_group_map_added (to, made), 0);
+  g_array_unref (rows);
+  cf_group_map_free (from);
+  cf_group_map_free (to);
+  cf_group_map_free (made);
+  g_free (t);
+}
+END_TEST
+
+START_TEST (rows_that_do_not_fit_are_refused)
+{
+  const gint64 wrong[][4] = {
+    { -1, 0, 1, 2 }, { 1920, 0, 1, 2 }, { 0, 384, 1, 2 }, { 0, 0, -2, 2 }
+  };
+
+  for (gsize i = 0; i <= G_N_ELEMENTS (wrong); i++)
+    {
+      CfGroupMap *m = cf_group_map_in_turn (&large);
+      GArray *rows = g_array_new (FALSE, FALSE, sizeof (gint64));
+
+      /* The last of all is cut short. */
+      if (i < G_N_ELEMENTS (wrong))
+        g_array_append_vals (rows, wrong[i], 4);
+      else
+        g_array_append_vals (rows, wrong[0] + 1, 3);
+      ck_assert (!cf_group_map_apply (m, rows));
+      g_array_unref (rows);
+      cf_group_map_free (m);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -251,6 +297,8 @@
   tcase_add_test (t, quick_changes_copy_what_counts_most);
   tcase_add_test (t, nothing_is_done_without_gain);
   tcase_add_test (t, many_changes_stay_whole);
+  tcase_add_test (t, a_map_is_told_by_what_changes);
+  tcase_add_test (t, rows_that_do_not_fit_are_refused);
   suite_add_tcase (s, t);
   return t_run (s);
 }
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -118,6 +118,32 @@
 }
 END_TEST
 
+START_TEST (a_map_to_prepare)
+{
+  const gint64 row[] = { 1919, 383, -1, 7 };
+  CfPeerMsg m = { .kind = CF_PEER_PREPARE };
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+
+  m.u.prepare.epoch = 3;
+  m.u.prepare.version = G_GINT64_CONSTANT (178179074);
+  m.u.prepare.base = 5;
+  m.u.prepare.shape = (CfGroupShape){ .sets = 10, .experts = 384, .places = 3 };
+  m.u.prepare.rows = g_array_new (FALSE, FALSE, sizeof (gint64));
+  g_array_append_vals (m.u.prepare.rows, row, G_N_ELEMENTS (row));
+  there_and_back (&m, &o, &zone, &buf);
+  ck_assert_int_eq (o.u.prepare.epoch, 3);
+  ck_assert_int_eq (o.u.prepare.version, 178179074);
+  ck_assert_int_eq (o.u.prepare.base, 5);
+  ck_assert_int_eq (o.u.prepare.shape.experts, 384);
+  ck_assert_uint_eq (o.u.prepare.rows->len, G_N_ELEMENTS (row));
+  ck_assert_int_eq (g_array_index (o.u.prepare.rows, gint64, 2), -1);
+  release (&o, &zone, &buf);
+  cf_peer_msg_clear (&m);
+}
+END_TEST
+
 START_TEST (bad_frames_are_refused)
 {
   GRand *rand = g_rand_new_with_seed (3);
@@ -209,6 +235,7 @@
   tcase_add_test (t, status_and_counts);
   tcase_add_test (t, greeting_policy_targets);
   tcase_add_test (t, order_and_answer);
+  tcase_add_test (t, a_map_to_prepare);
   tcase_add_test (t, bad_frames_are_refused);
   tcase_add_test (t, frames_that_claim_too_much_are_not_read);
   tcase_add_test (t, an_earlier_version_is_understood);
