Watch how long turns of the event loop take, and in what

Cause: the leader of a large group spent 0.6 s of one turn on orders, and only a tick that came too late told of it; which work it was had to be read out of gaps between log lines.

Ruled out: a timer beside the loop: it fires late by the same turn.

Change: the time from a wait's end to the next wait is counted in a histogram (turn_ms); one over 10 ms is logged with the part that took most of it, once a second at most: callers, leading a group, the store.

Conclusion: a page and a line to look at first when events come late.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -39,7 +39,8 @@
 static CfRankService *ranks;
 static CfPeerService *peers;
 static ev_timer tick;
-static ev_check clock_check;
+static ev_check turn_begin;
+static ev_prepare turn_end;
 
 static void
 policy_item (CfGateway *g, const CfStoreItem *it)
@@ -82,9 +83,16 @@
 /* The loop's own idea of the time of day may jump; durations and deadlines
  * are taken from the steady clock, read once a turn. */
 static void
-on_turn (struct ev_loop *loop, ev_check *w, int revents)
+on_turn_begin (struct ev_loop *loop, ev_check *w, int revents)
 {
   gw.now_ms = cf_now_ms ();
+  cf_loop_watch_begin (&gw.turn, g_get_monotonic_time ());
+}
+
+static void
+on_turn_end (struct ev_loop *loop, ev_prepare *w, int revents)
+{
+  cf_loop_watch_end (&gw.turn, g_get_monotonic_time (), &gw.stats.turn_ms);
 }
 
 static void
@@ -183,9 +191,11 @@
   cf_signals_catch (g->loop, on_stop, on_reload);
   ranks = cf_rank_service_new (g);
   peers = cf_peer_service_new (g);
-  ev_check_init (&clock_check, on_turn);
-  ev_set_priority (&clock_check, EV_MAXPRI);
-  ev_check_start (g->loop, &clock_check);
+  ev_check_init (&turn_begin, on_turn_begin);
+  ev_set_priority (&turn_begin, EV_MAXPRI);
+  ev_check_start (g->loop, &turn_begin);
+  ev_prepare_init (&turn_end, on_turn_end);
+  ev_prepare_start (g->loop, &turn_end);
   if (listen_all (g, metrics) != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -116,6 +116,12 @@
   return g->now_ms;
 }
 
+CfTurnPart
+cf_gateway_enter (CfGateway *g, CfTurnPart part)
+{
+  return cf_loop_watch_enter (&g->turn, part, g_get_monotonic_time ());
+}
+
 gboolean
 cf_gateway_ready (const CfGateway *g)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "loop-watch.h"
 #include "outage.h"
 #include "pace.h"
 #include "platform/platform-settings.h"
@@ -62,6 +63,7 @@
   gint64 stop_at_ms;
   gint64 end_at_ms; /**< when what still runs is cut off */
   CfStats stats;
+  CfLoopWatch turn;
 };
 
 /**
@@ -82,6 +84,13 @@
 /** cf_gateway_now: a steady clock, as of this turn of the loop, in ms. */
 gint64 cf_gateway_now (const CfGateway *g);
 
+/**
+ * cf_gateway_enter:
+ * This turn of the loop goes on with @part, until the part that is returned
+ * is entered again.
+ */
+CfTurnPart cf_gateway_enter (CfGateway *g, CfTurnPart part);
+
 /** cf_gateway_ready: whether callers should be sent here. */
 gboolean cf_gateway_ready (const CfGateway *g);
 
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -335,6 +335,7 @@
 on_timer (struct ev_loop *loop, ev_timer *t, int revents)
 {
   CfRankService *s = t->data;
+  CfTurnPart before = cf_gateway_enter (s->g, CF_TURN_LEADING);
   gboolean busy = FALSE;
   gboolean planning = FALSE;
   gint64 now = cf_gateway_now (s->g);
@@ -365,10 +366,12 @@
                 : busy   ? BUSY_TICK_S
                          : IDLE_TICK_S);
   ev_timer_again (loop, t);
-  if (!tick)
-    return;
-  s->ticked_ms = now;
-  tell_agents (s);
+  if (tick)
+    {
+      s->ticked_ms = now;
+      tell_agents (s);
+    }
+  cf_gateway_enter (s->g, before);
 }
 
 /* Frames from agents */
@@ -470,8 +473,11 @@
 on_frame (void *owner, CfPeerLink *l, const char *data, gsize n)
 {
   const CfRankLink *a = owner;
+  CfGateway *g = a->s->g;
+  CfTurnPart before = cf_gateway_enter (g, CF_TURN_LEADING);
 
   cf_peer_msg_receive (data, n, "agent", a->target_addr, take_msg, owner);
+  cf_gateway_enter (g, before);
 }
 
 static void
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -98,4 +98,5 @@
   print_histogram (out, "answer_ms", &s->whole_ms);
   print_histogram (out, "event_pause_ms", &s->pause_ms);
   print_histogram (out, "queue_ms", &s->queue_ms);
+  print_histogram (out, "turn_ms", &s->turn_ms);
 }
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -46,6 +46,7 @@
   CfHistogram whole_ms;        /**< to the end of any other answer */
   CfHistogram pause_ms;        /**< between two events of a stream */
   CfHistogram queue_ms;        /**< waiting for room */
+  CfHistogram turn_ms;         /**< a turn of the event loop */
 } CfStats;
 
 /** cf_stats_print: appends all in the Prometheus text format. */
--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -201,6 +201,7 @@
 {
   char buf[READ_SIZE];
   ssize_t n = recv (w->io.fd, buf, sizeof buf, 0);
+  CfTurnPart before;
   gsize used;
 
   if (n < 0 && (errno == EAGAIN || errno == EINTR))
@@ -213,7 +214,11 @@
   else if (!cf_http_reader_feed (&w->reader, buf, (gsize)n, &used))
     failed (w, "not an HTTP answer");
   else if (w->reader.is_complete)
-    on_whole (w);
+    {
+      before = cf_gateway_enter (w->g, CF_TURN_STORE);
+      on_whole (w);
+      cf_gateway_enter (w->g, before);
+    }
 }
 
 static void
--- a/log.c
+++ b/log.c
@@ -37,6 +37,8 @@
       return "reload";
     case CF_EV_READY:
       return "ready";
+    case CF_EV_LONG_TURN:
+      return "long-turn";
     case CF_EV_CONFIG_ACCEPT:
       return "config-accept";
     case CF_EV_CONFIG_OLDER:
--- a/log.h
+++ b/log.h
@@ -16,6 +16,7 @@
   /* 1005, log-dropped, is written by the log writer itself. */
   CF_EV_RELOAD = 1006,        /**< settings were read again */
   CF_EV_READY = 1007,         /**< readiness changed */
+  CF_EV_LONG_TURN = 1008,     /**< a turn of the event loop took long */
   CF_EV_CONFIG_ACCEPT = 1101, /**< a configuration version was put in force */
   CF_EV_CONFIG_OLDER = 1102,  /**< an older or equal version was ignored */
   CF_EV_CONFIG_DOWN = 1103,   /**< the configuration service did not answer */
