Tell what a rank drew since the last report, not since it began

Ruled out: fewer reports: shifts of demand would be seen later. Counts for sampled ranks only: a sample of 16 is noise enough already.

Change: the agent subtracts its last reading (expert-counts.c, which knows of restarts and of readings long ago) and tells the difference, a byte an expert; the leader adds it up. Agents of the version before tell no demand during a roll.

--- a/gateway/expert-demand.c
+++ b/gateway/expert-demand.c
@@ -21,8 +21,6 @@
 {
   d->ranks = ranks;
   d->experts = experts;
-  d->counts = g_new0 (double, ranks *experts);
-  d->has = g_new0 (gboolean, ranks);
   d->fresh = g_new0 (double, experts);
   d->tokens = g_new0 (double, experts);
   d->n_reports = 0;
@@ -34,44 +32,24 @@
 void
 cf_expert_demand_clear (CfExpertDemand *d)
 {
-  g_free (d->counts);
-  g_free (d->has);
   g_free (d->fresh);
   g_free (d->tokens);
 }
 
 void
-cf_expert_demand_report (CfExpertDemand *d, int rank, const gint64 *counts)
+cf_expert_demand_add (CfExpertDemand *d, const gint64 *drawn)
 {
-  double *last = d->counts + rank * d->experts;
-
   d->n_reports++;
   for (gsize i = 0; i < d->experts; i++)
-    {
-      double now = (double)counts[i];
-
-      /* A lower count than before is of a rank that started anew. */
-      if (d->has[rank] && now > last[i])
-        d->fresh[i] += now - last[i];
-      last[i] = now;
-    }
-  d->has[rank] = TRUE;
+    d->fresh[i] += (double)drawn[i];
 }
 
 void
-cf_expert_demand_forget (CfExpertDemand *d)
+cf_expert_demand_begin_anew (CfExpertDemand *d)
 {
-  for (int r = 0; r < d->ranks; r++)
-    d->has[r] = FALSE;
   d->n_windows = 0;
 }
 
-void
-cf_expert_demand_forget_rank (CfExpertDemand *d, int rank)
-{
-  d->has[rank] = FALSE;
-}
-
 /* The part of the draw that moved to other experts than before: half of the
  * sum of what each expert's share gained or lost. */
 static double
--- a/gateway/map-coordinator-reports.c
+++ b/gateway/map-coordinator-reports.c
@@ -11,7 +11,7 @@
   c->pass_step = 0;
   for (int r = 0; r < c->shape.ranks; r++)
     c->ranks[r].lists_map = -1;
-  cf_expert_demand_forget (&c->demand);
+  cf_expert_demand_begin_anew (&c->demand);
   g_clear_pointer (&c->next, cf_group_map_free);
   cf_map_enter (c, CF_MAP_SETTLING, "new-epoch", now);
 }
@@ -59,7 +59,6 @@
   CfRankView *v = &c->ranks[rank];
 
   v->lists_map = -1;
-  cf_expert_demand_forget_rank (&c->demand, rank);
   if (c->state != CF_MAP_SETTLING)
     cf_map_enter (c, CF_MAP_SETTLING, "rank-restarted", now);
 }
@@ -90,11 +89,10 @@
 }
 
 void
-cf_map_coordinator_counts (CfMapCoordinator *c, int rank, const gint64 *counts,
-                           guint n)
+cf_map_coordinator_drawn (CfMapCoordinator *c, const gint64 *drawn, guint n)
 {
-  if (rank >= 0 && rank < c->shape.ranks && n == cf_map_n_experts (c))
-    cf_expert_demand_report (&c->demand, rank, counts);
+  if (n == cf_map_n_experts (c))
+    cf_expert_demand_add (&c->demand, drawn);
 }
 
 /* Writes one rank's row of every set; FALSE if it does not fit the shape. */
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -125,9 +125,10 @@
 void cf_map_coordinator_status (CfMapCoordinator *c, const CfRankStatus *s,
                                 gint64 token, gint64 now_ms);
 
-/** cf_map_coordinator_counts: its counts, sets x experts numbers. */
-void cf_map_coordinator_counts (CfMapCoordinator *c, int rank,
-                                const gint64 *counts, guint n);
+/** cf_map_coordinator_drawn: what a rank drew of each expert since it last
+ * said so, sets x experts numbers. */
+void cf_map_coordinator_drawn (CfMapCoordinator *c, const gint64 *drawn,
+                               guint n);
 
 /** cf_map_coordinator_lists: the experts it holds, sets ended by -1. */
 void cf_map_coordinator_lists (CfMapCoordinator *c, int rank, gint64 epoch,
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -114,12 +114,14 @@
       put_bytes (&pk, m->u.agent_hello.target_addr);
       break;
     case CF_PEER_RANK_STATUS:
-      begin (&pk, m, 5);
+      begin (&pk, m, 6);
       put_status (&pk, &m->u.rank_status.status);
       put_int (&pk, m->u.rank_status.fence_seen);
       put_int (&pk, m->u.rank_status.seeds_up);
       put_int (&pk, m->u.rank_status.led);
-      put_array (&pk, m->u.rank_status.counts);
+      /* Where an earlier version has what was chosen since the rank began. */
+      put_array (&pk, NULL);
+      put_array (&pk, m->u.rank_status.drawn);
       break;
     case CF_PEER_TICK:
       begin (&pk, m, 2);
@@ -373,7 +375,9 @@
       m->u.rank_status.fence_seen = take_int (f);
       m->u.rank_status.seeds_up = (guint)take_int (f);
       m->u.rank_status.led = take_int (f);
-      m->u.rank_status.counts = take_array (f);
+      g_array_unref (take_array (f));
+      if (!f->bad && f->at < f->end)
+        m->u.rank_status.drawn = take_array (f);
       break;
     case CF_PEER_TICK:
       m->u.tick.fence = take_int (f);
@@ -462,7 +466,7 @@
   switch (m->kind)
     {
     case CF_PEER_RANK_STATUS:
-      a = &m->u.rank_status.counts;
+      a = &m->u.rank_status.drawn;
       break;
     case CF_PEER_PREPARE:
       a = &m->u.prepare.rows;
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -45,7 +45,8 @@
       gint64 fence_seen; /**< the highest token the agent has obeyed */
       guint seeds_up;    /**< bit i: seed i was heard from lately */
       gint64 led;        /**< token of the leader it hears; 0: it hears none */
-      GArray *counts;    /**< (nullable): of gint64, owned */
+      GArray *drawn;     /**< (nullable): of gint64, by expert: how often it was
+                              chosen since it was last told; owned */
     } rank_status;
     struct
     {
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -67,7 +67,7 @@
 }
 
 static void
-tell_status (CfRankAgent *a, GArray *counts)
+tell_status (CfRankAgent *a, GArray *drawn)
 {
   gint64 now = cf_now_ms ();
   CfSeed *lead = leader (a, now);
@@ -83,7 +83,7 @@
 
       if (!s->up || (lead && s != lead && now - s->told_ms < STANDBY_MS))
         continue;
-      m.u.rank_status.counts = s == lead ? counts : NULL;
+      m.u.rank_status.drawn = s == lead ? drawn : NULL;
       if (s == lead)
         a->told = a->status;
       s->told_ms = now;
@@ -196,6 +196,7 @@
 {
   CfRankAgent *a = data;
   GArray *counts = NULL;
+  GArray *drawn = NULL;
   gint64 incarnation = 0;
 
   if (status == 200
@@ -206,9 +207,12 @@
   /* It restarted between the two calls: the next reading has both. */
   if (counts && incarnation != a->status.incarnation)
     g_clear_pointer (&counts, g_array_unref);
-  tell_status (a, counts);
   if (counts)
-    g_array_unref (counts);
+    drawn = cf_expert_counts_since (&a->counts, counts, incarnation,
+                                    cf_now_ms ());
+  tell_status (a, drawn);
+  if (drawn)
+    g_array_unref (drawn);
   reading_done (a);
 }
 
--- a/gateway/rank-agent.h
+++ b/gateway/rank-agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "expert-counts.h"
 #include "map-history.h"
 #include "peer-link.h"
 #include "peer-msg.h"
@@ -41,7 +42,8 @@
   CfRankStatus status;
   CfRankStatus told; /**< as last sent to the leader */
   gboolean has_status;
-  CfMapHistory maps;  /**< of its group */
+  CfMapHistory maps; /**< of its group */
+  CfExpertCounts counts;
   gint64 awaited;     /**< version whose copy is being waited for */
   gint64 awaited_ms;  /**< since when */
   gboolean reading;   /**< a reading of report and counts is on its way */
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -392,7 +392,7 @@
 take_status (CfRankLink *a, const CfPeerMsg *m)
 {
   const CfRankStatus *st = &m->u.rank_status.status;
-  const GArray *counts = m->u.rank_status.counts;
+  const GArray *drawn = m->u.rank_status.drawn;
   gint64 now = cf_gateway_now (a->s->g);
 
   join_group (a, st);
@@ -414,10 +414,9 @@
       = MAX (a->group->fence_seen, cf_map_version_fence (st->prepared));
   cf_map_coordinator_status (&a->group->c, st, m->u.rank_status.fence_seen,
                              now);
-  if (counts && counts->len)
-    cf_map_coordinator_counts (&a->group->c, st->rank,
-                               (const gint64 *)(gpointer)counts->data,
-                               counts->len);
+  if (drawn && drawn->len)
+    cf_map_coordinator_drawn (
+        &a->group->c, (const gint64 *)(gpointer)drawn->data, drawn->len);
   cf_map_coordinator_tick (&a->group->c, now);
 }
 
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -361,7 +361,7 @@
 static void
 report_all (Leader *l)
 {
-  gint64 counts[SETS * EXPERTS];
+  gint64 drawn[SETS * EXPERTS];
 
   for (int i = 0; i < RANKS; i++)
     {
@@ -374,8 +374,8 @@
                                  w.now);
       /* Demand that shifts every three seconds. */
       for (int e = 0; e < SETS * EXPERTS; e++)
-        counts[e] = w.now * (1 + (e + w.now / 3000) % 5);
-      cf_map_coordinator_counts (&l->c, i, counts, SETS * EXPERTS);
+        drawn[e] = 100 * (1 + (e + w.now / 3000) % 5);
+      cf_map_coordinator_drawn (&l->c, drawn, SETS * EXPERTS);
     }
 }
 
@@ -597,13 +597,12 @@
   cf_map_coordinator_status (c, &s, c->fence, now);
 }
 
-/* A rank that started anew holds nothing, and its counts begin anew; what
- * was sent before it crashed says nothing any more. */
+/* A rank that started anew holds nothing; what was sent before it crashed says
+ * nothing any more. */
 START_TEST (a_restarted_rank_is_learned_anew)
 {
   Leader *l = &w.leaders[0];
   CfMapCoordinator *c = &l->c;
-  gint64 counts[SETS * EXPERTS] = { 0 };
   gint64 now = 1000;
 
   memset (&w, 0, sizeof w);
@@ -612,21 +611,12 @@
   for (int i = 0; i < 2 * RANKS; i++)
     report_start (c, i % RANKS, 100, 1, 0, ++now);
   c->ranks[2].lists_map = 0;
-  counts[0] = 50;
-  cf_map_coordinator_counts (c, 2, counts, SETS * EXPERTS);
   cf_map_coordinator_tick (c, ++now);
   ck_assert_int_eq (c->state, CF_MAP_IDLE);
   /* It restarts before its group is seen to form anew. */
   report_start (c, 2, 200, 1, 0, ++now);
   ck_assert_int_eq (c->state, CF_MAP_SETTLING);
   ck_assert_int_eq (c->ranks[2].lists_map, -1);
-  /* Counts that are higher than before are still no difference. */
-  counts[0] = 60;
-  cf_map_coordinator_counts (c, 2, counts, SETS * EXPERTS);
-  ck_assert_double_eq (c->demand.fresh[0], 0);
-  counts[0] = 67;
-  cf_map_coordinator_counts (c, 2, counts, SETS * EXPERTS);
-  ck_assert_double_eq (c->demand.fresh[0], 7);
   /* Sent before the crash, heard after it. */
   report_start (c, 2, 100, 1, 77, ++now);
   ck_assert_int_eq (c->ranks[2].status.prepared, 0);
--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -277,8 +277,8 @@
     {
     case CF_PEER_RANK_STATUS:
       g_strlcpy (m->u.rank_status.status.group, "g", 2);
-      m->u.rank_status.counts = g_array_new (FALSE, FALSE, sizeof (gint64));
-      g_array_append_val (m->u.rank_status.counts, number);
+      m->u.rank_status.drawn = g_array_new (FALSE, FALSE, sizeof (gint64));
+      g_array_append_val (m->u.rank_status.drawn, number);
       break;
     case CF_PEER_LISTS:
       m->u.lists.experts = g_array_new (FALSE, FALSE, sizeof (gint64));
--- a/t/t-expert-demand.c
+++ b/t/t-expert-demand.c
@@ -10,16 +10,14 @@
 
 static CfExpertDemand demand;
 static gint64 now;
-static gint64 counts[RANKS][EXPERTS];
+static gint64 drawn[RANKS][EXPERTS];
 
 static void
 setup (void)
 {
   cf_expert_demand_init (&demand, RANKS, EXPERTS);
   now = 1000;
-  memset (counts, 0, sizeof counts);
-  for (int r = 0; r < RANKS; r++)
-    cf_expert_demand_report (&demand, r, counts[r]);
+  memset (drawn, 0, sizeof drawn);
   cf_expert_demand_tick (&demand, now);
 }
 
@@ -37,8 +35,9 @@
   for (int r = 0; r < RANKS; r++)
     {
       for (int e = 0; e < EXPERTS; e++)
-        counts[r][e] += each + (e == hot ? more : 0);
-      cf_expert_demand_report (&demand, r, counts[r]);
+        drawn[r][e] += each + (e == hot ? more : 0);
+      cf_expert_demand_add (&demand, drawn[r]);
+      memset (drawn[r], 0, sizeof drawn[r]);
     }
   now += WINDOW_MS;
   cf_expert_demand_tick (&demand, now);
@@ -82,7 +81,7 @@
     window (0, 100, 700);
   ck_assert_double_gt (share_of (0), 0.45);
   for (int r = 0; r < RANKS; r++)
-    counts[r][0] += 400;
+    drawn[r][0] += 400;
   window (1, 50, 350);
   ck_assert (!cf_expert_demand_known (&demand));
   window (1, 100, 700);
@@ -98,8 +97,8 @@
 START_TEST (a_window_waits_for_reports)
 {
   window (0, 100, 0);
-  counts[0][3] += 5000;
-  cf_expert_demand_report (&demand, 0, counts[0]);
+  drawn[0][3] += 5000;
+  cf_expert_demand_add (&demand, drawn[0]);
   now += WINDOW_MS;
   cf_expert_demand_tick (&demand, now);
   ck_assert_double_lt (share_of (3), 0.2);
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -46,14 +46,14 @@
   m.u.rank_status.status.held = 1LL << 40;
   m.u.rank_status.seeds_up = 5;
   m.u.rank_status.led = 24;
-  m.u.rank_status.counts = g_array_new (FALSE, FALSE, sizeof (gint64));
-  g_array_append_val (m.u.rank_status.counts, n);
+  m.u.rank_status.drawn = g_array_new (FALSE, FALSE, sizeof (gint64));
+  g_array_append_val (m.u.rank_status.drawn, n);
   there_and_back (&m, &o, &zone, &buf);
   ck_assert_str_eq (o.u.rank_status.status.group, "g0");
   ck_assert_int_eq (o.u.rank_status.status.held, 1LL << 40);
   ck_assert_uint_eq (o.u.rank_status.seeds_up, 5);
   ck_assert_int_eq (o.u.rank_status.led, 24);
-  ck_assert_int_eq (g_array_index (o.u.rank_status.counts, gint64, 0), 77);
+  ck_assert_int_eq (g_array_index (o.u.rank_status.drawn, gint64, 0), 77);
   release (&o, &zone, &buf);
   cf_peer_msg_clear (&m);
 }
@@ -118,6 +118,35 @@
 }
 END_TEST
 
+/** Experts of all sets of a large group, and what a report of what a rank drew
+ * of them may take beside a byte each. */
+#define LARGE_EXPERTS 3840
+#define REPORT_BYTES 256
+
+/* In a group of 192 ranks reports of counts were most of the bytes between
+ * data centres: each number grew over the day to three to five bytes. */
+START_TEST (what_a_rank_drew_takes_a_byte_an_expert)
+{
+  CfPeerMsg m = { .kind = CF_PEER_RANK_STATUS };
+  msgpack_sbuffer buf;
+
+  g_strlcpy (m.u.rank_status.status.group, "group-1",
+             sizeof m.u.rank_status.status.group);
+  m.u.rank_status.drawn = g_array_new (FALSE, FALSE, sizeof (gint64));
+  for (gint64 i = 0; i < LARGE_EXPERTS; i++)
+    {
+      gint64 drawn = i % 60;
+
+      g_array_append_val (m.u.rank_status.drawn, drawn);
+    }
+  msgpack_sbuffer_init (&buf);
+  cf_peer_msg_pack (&m, &buf);
+  ck_assert_uint_le (buf.size, LARGE_EXPERTS + REPORT_BYTES);
+  msgpack_sbuffer_destroy (&buf);
+  cf_peer_msg_clear (&m);
+}
+END_TEST
+
 START_TEST (a_map_to_prepare)
 {
   const gint64 row[] = { 1919, 383, -1, 7 };
@@ -236,6 +265,7 @@
   tcase_add_test (t, greeting_policy_targets);
   tcase_add_test (t, order_and_answer);
   tcase_add_test (t, a_map_to_prepare);
+  tcase_add_test (t, what_a_rank_drew_takes_a_byte_an_expert);
   tcase_add_test (t, bad_frames_are_refused);
   tcase_add_test (t, frames_that_claim_too_much_are_not_read);
   tcase_add_test (t, an_earlier_version_is_understood);
