Let one change of map copy as much as takes 60 ms

Cause: a rank copied one expert of all sets in a change, which suited copies of 0.11 s. Where one takes 8 ms (170 MB over 180 Gbit/s) three changes follow each other after a shift of demand, 0.3 s apart, at a skew of 1.6 and 1.45 meanwhile.

More at all times: on the small sites a copy costs 0.1 s.

Change: the engines' published size of an expert and link give the time of a copy; a decision of its own, cf_map_plan_limits(), allows what takes 60 ms and counts gains from 0.06 up where a copy takes under 25 ms. Nothing changes where it takes 50 ms and more, or is not published.

--- a/gateway/map-gain.c
+++ b/gateway/map-gain.c
@@ -22,6 +22,37 @@
 #define YOUNG_WINDOWS 4
 #define YOUNG_GAIN 0.8
 
+/** Skew that a change must take away: below this the copies slow the passes
+ * for longer than the gain lasts. */
+#define MIN_GAIN 0.2
+/** Load, of an even part, that a copy must save: for each ms that it takes,
+ * and at least and at most. */
+#define MOVE_GAIN_A_MS 0.0024
+#define MOVE_GAIN_LEAST 0.06
+#define MOVE_GAIN_MOST 0.12
+/** Experts that a rank copies of a set in one change. */
+#define MAX_NEW 1
+/** For which a rank may copy experts of all sets in one change, but one at
+ * least: what one rank copies sets the time until all can switch, and passes
+ * take longer meanwhile. */
+#define COPY_MS_MAX 60.0
+
+CfPlanLimits
+cf_map_plan_limits (double copy_ms, int sets)
+{
+  CfPlanLimits l = { .max_new = MAX_NEW,
+                     .max_rank_new = 1,
+                     .min_gain = MIN_GAIN,
+                     .move_gain = MOVE_GAIN_MOST };
+
+  if (copy_ms <= 0)
+    return l;
+  l.max_rank_new = (int)CLAMP (COPY_MS_MAX / copy_ms, 1, sets * MAX_NEW);
+  l.move_gain
+      = CLAMP (MOVE_GAIN_A_MS * copy_ms, MOVE_GAIN_LEAST, MOVE_GAIN_MOST);
+  return l;
+}
+
 double
 cf_map_gain_asked (double usual, gint64 pass_ms, gint64 pass_aim_ms,
                    guint windows)
--- a/gateway/map-gain.h
+++ b/gateway/map-gain.h
@@ -1,6 +1,15 @@
 #pragma once
 
-#include <glib.h>
+#include "map-plan.h"
+
+/**
+ * cf_map_plan_limits:
+ * @copy_ms: for which a rank copies an expert; 0: not known
+ * Returns: how far one change of the maps of @sets sets may go, and what it
+ *   must bring at usual times.  Where copies are quick, one change evens a
+ *   shift of demand.
+ */
+CfPlanLimits cf_map_plan_limits (double copy_ms, int sets);
 
 /**
  * cf_map_gain_asked:
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -55,6 +55,7 @@
   int experts;         /**< in a set */
   int places;          /**< experts that a rank can hold of a set */
   int spare;           /**< new ones it can take of a set in one change */
+  double copy_ms;      /**< for which a rank copies one expert */
   double form_ms;      /**< a rank group opens so long after its last rank */
 } CfEngineModel;
 
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -1,6 +1,7 @@
 #include "rank-service-parts.h"
 
 #include "log.h"
+#include "map-gain.h"
 #include "net.h"
 #include "platform/platform-rank.h"
 
@@ -32,24 +33,6 @@
 /** Tokens rise by this much a takeover, so that the gateways named as
  * seeds never use the same one. */
 #define FENCE_STEP 8
-/** Skew that a change must take away: below this the copies slow the
- * passes for longer than the gain lasts.  Demand that changes every 3 s:
- * at 0.08 (and 0.02 a copy) 2,300 GB were copied in 50 s, at 0.2 (and 0.12)
- * 1,020 GB, and callers got 5% more of what they were owed. */
-#define MIN_GAIN 0.2
-/** Load, of an even part, that one copy must save: 0.04, 0.08, 0.12 and
- * 0.18 copied 2,290, 1,390, 1,020 and 680 GB, for a mean skew of 1.50,
- * 1.53, 1.55 and 1.63. */
-#define MOVE_GAIN 0.12
-/** Experts that a rank copies of a set in one change, and of all sets.  What
- * one rank copies sets the time until all can switch: 0.11 s an expert, and
- * passes take 15% longer meanwhile.  Two quick changes even a shift of demand
- * in 0.6 s, where one with up to four copies a rank took 0.8 s and a second
- * followed.  Late streams of a heavy day: 0.25 without the second limit, 0.19
- * with 2, 0.14 with 1. */
-#define MAX_NEW 1
-#define MAX_RANK_NEW 1
-
 CfTarget *
 cf_rank_service_target (const CfRankService *s, const char *addr)
 {
@@ -121,15 +104,13 @@
 new_group (CfRankLink *a, const CfRankStatus *st)
 {
   const CfEngineModel *e = engine_of (a);
-  const CfPlanLimits limits = { .max_new = MAX_NEW,
-                                .max_rank_new = MAX_RANK_NEW,
-                                .min_gain = MIN_GAIN,
-                                .move_gain = MOVE_GAIN };
+  CfPlanLimits limits;
   CfGroupShape shape;
   CfLedGroup *g;
 
   if (!e || st->size <= 0)
     return NULL;
+  limits = cf_map_plan_limits (e->copy_ms, e->sets);
   shape.sets = e->sets;
   shape.experts = e->experts;
   shape.places = e->places;
--- a/t/t-group-map.c
+++ b/t/t-group-map.c
@@ -1,4 +1,5 @@
 /* Planning expert maps: whole, bounded, better; and the figures. */
+#include "gateway/map-gain.h"
 #include "gateway/map-plan.h"
 #include "harness.h"
 
@@ -286,6 +287,35 @@
 }
 END_TEST
 
+static double
+skew_after_one_change (const CfPlanLimits *limits, guint32 seed)
+{
+  CfGroupMap *from = cf_group_map_in_turn (&large);
+  double *t = demand (&large, seed);
+  CfGroupMap *to = cf_group_map_plan (from, t, NULL, limits);
+  double skew;
+
+  ck_assert_ptr_nonnull (to);
+  skew = cf_group_map_skew (to, t, NULL);
+  cf_group_map_free (from);
+  cf_group_map_free (to);
+  g_free (t);
+  return skew;
+}
+
+/* Where a copy takes 8 ms, one change does what several of one copy a rank
+ * would. */
+START_TEST (quick_copies_even_the_load_at_once)
+{
+  const CfPlanLimits slow = cf_map_plan_limits (111, large.sets);
+  const CfPlanLimits quick = cf_map_plan_limits (7.6, large.sets);
+
+  for (guint32 seed = 1; seed <= 5; seed++)
+    ck_assert_double_lt (skew_after_one_change (&quick, seed),
+                         skew_after_one_change (&slow, seed) / 2);
+}
+END_TEST
+
 /* Rows of other experts are told, rows in another order are not; with them
  * the next map comes of the one before, and of what a group begins with. */
 START_TEST (a_map_is_told_by_what_changes)
@@ -353,6 +383,7 @@
   tcase_add_test (t, nothing_is_done_without_gain);
   tcase_add_test (t, many_changes_stay_whole);
   tcase_add_test (t, a_plan_for_a_large_group_is_made_in_parts);
+  tcase_add_test (t, quick_copies_even_the_load_at_once);
   tcase_add_test (t, a_map_is_told_by_what_changes);
   tcase_add_test (t, rows_that_do_not_fit_are_refused);
   suite_add_tcase (s, t);
--- a/t/t-map-gain.c
+++ b/t/t-map-gain.c
@@ -38,6 +38,24 @@
 }
 END_TEST
 
+/* As slow as 0.11 s a copy: one a rank and change, and only where it saves
+ * much.  As quick as 8 ms: several, and smaller gains count. */
+START_TEST (quick_copies_may_be_several)
+{
+  CfPlanLimits unknown = cf_map_plan_limits (0, 10);
+  CfPlanLimits slow = cf_map_plan_limits (111, 4);
+  CfPlanLimits quick = cf_map_plan_limits (7.6, 10);
+  CfPlanLimits few_sets = cf_map_plan_limits (1, 4);
+
+  ck_assert_int_eq (unknown.max_rank_new, 1);
+  ck_assert_int_eq (slow.max_rank_new, 1);
+  ck_assert_double_eq (slow.move_gain, unknown.move_gain);
+  ck_assert_int_eq (quick.max_rank_new, 7);
+  ck_assert_int_eq (few_sets.max_rank_new, 4);
+  ck_assert_double_lt (quick.move_gain, slow.move_gain);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -48,6 +66,7 @@
   tcase_add_test (t, more_while_passes_are_short);
   tcase_add_test (t, less_while_passes_are_about_too_long);
   tcase_add_test (t, much_while_little_was_seen);
+  tcase_add_test (t, quick_copies_may_be_several);
   suite_add_tcase (s, t);
   return t_run (s);
 }
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -85,7 +85,8 @@
       "{\"name\":\"b\",\"host\":\"h.example\",\"prefix\":\"/x/y/\","
       "\"kind\":\"unsafe\",\"service\":\"s2\",\"public\":true}],"
       "\"services\":[{\"name\":\"s1\",\"max-conns\":5,\"engine\":"
-      "{\"slots\":12,\"sets\":4,\"experts\":64,\"places\":5,\"spare\":2}}],"
+      "{\"slots\":12,\"sets\":4,\"experts\":64,\"places\":5,\"spare\":2,"
+      "\"expert-mb\":170,\"link-mbps\":180000}}],"
       "\"limits\":{\"max-header-bytes\":100},"
       "\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k1\",\"k2\"],"
       "\"priority\":0}]}";
@@ -116,6 +117,8 @@
   ck_assert_str_eq (g_hash_table_lookup (p->tenants, "k2"), "t");
   ck_assert_int_eq (cf_policy_service (p, "s1")->engine.experts, 64);
   ck_assert_double_eq (cf_policy_service (p, "s1")->engine.slots, 12);
+  ck_assert_double_eq_tol (cf_policy_service (p, "s1")->engine.copy_ms, 7.56,
+                           0.01);
   ck_assert_int_eq (p->limits.max_header_bytes, 100);
   cf_policy_unref (p);
 }
