Send the orders of a large group over several turns

Ruled out: the plan (1 ms a tick), reports (a byte an expert).

Orders to arm still go out at once, since the group waits for them.

--- a/gateway/map-coordinator-plan.c
+++ b/gateway/map-coordinator-plan.c
@@ -9,6 +9,9 @@
 /** Moves looked for in a tick: about 1 ms of processor, in which no caller's
  * event is passed on. */
 #define LOOKS_A_TICK 24
+/** Orders to prepare that are sent in a tick: they hold what changes of the
+ * whole map, and no caller's event is passed on meanwhile. */
+#define ORDERS_A_TICK 64
 /** Between two plans. */
 #define PLAN_PAUSE_MS 100
 
@@ -80,8 +83,9 @@
 cf_map_prepare (CfMapCoordinator *c, gint64 now)
 {
   gboolean ready = TRUE;
+  int orders = 0;
 
-  for (int r = 0; r < c->shape.ranks; r++)
+  for (int r = 0; r < c->shape.ranks && orders < ORDERS_A_TICK; r++)
     {
       CfRankView *v = &c->ranks[r];
       CfRankOrder o = { .kind = CF_ORDER_PREPARE, .version = c->version };
@@ -90,9 +94,12 @@
         continue;
       ready = FALSE;
       o.map = c->next;
-      if (cf_map_may_ask (v, now, CF_MAP_PREPARE_AGAIN_MS))
-        cf_map_send_order (c, r, &o, now);
+      if (!cf_map_may_ask (v, now, CF_MAP_PREPARE_AGAIN_MS))
+        continue;
+      cf_map_send_order (c, r, &o, now);
+      orders++;
     }
+  c->has_more = orders == ORDERS_A_TICK;
   if (ready)
     {
       c->lead = cf_map_coordinator_passes_ahead (c);
--- a/gateway/map-coordinator-view.c
+++ b/gateway/map-coordinator-view.c
@@ -19,6 +19,7 @@
   c->state = s;
   c->state_ms = now;
   g_clear_pointer (&c->plan, cf_map_plan_free);
+  c->has_more = FALSE;
   for (int r = 0; r < c->shape.ranks; r++)
     c->ranks[r].asked_ms = 0;
   c->calls->moved (c->data, from, s, why);
--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -66,9 +66,9 @@
 }
 
 gboolean
-cf_map_coordinator_is_planning (const CfMapCoordinator *c)
+cf_map_coordinator_has_more (const CfMapCoordinator *c)
 {
-  return c->plan != NULL;
+  return c->plan != NULL || c->has_more;
 }
 
 void
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -79,6 +79,7 @@
   CfGroupMap *in_use;
   CfGroupMap *next;
   CfMapPlan *plan;    /**< (nullable): being made, of @in_use */
+  gboolean has_more;  /**< orders that the last tick did not send */
   gint64 version;     /**< of @next */
   guint n_versions;   /**< used by this leader */
   guint salt;         /**< differs from one life of a leader to the next */
@@ -142,9 +143,9 @@
  * one should be held, so that all ranks are armed when it comes. */
 int cf_map_coordinator_passes_ahead (const CfMapCoordinator *c);
 
-/** cf_map_coordinator_is_planning: whether a plan is half made, which goes on
- * at the next tick. */
-gboolean cf_map_coordinator_is_planning (const CfMapCoordinator *c);
+/** cf_map_coordinator_has_more: whether work was left at the last tick so that
+ * others get their turn: a plan that is half made, or orders. */
+gboolean cf_map_coordinator_has_more (const CfMapCoordinator *c);
 
 /** cf_map_coordinator_tick: does what is to be done now. */
 void cf_map_coordinator_tick (CfMapCoordinator *c, gint64 now_ms);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -10,8 +10,8 @@
 /** The coordinator's tick while a change is under way, and otherwise. */
 #define BUSY_TICK_S 0.02
 #define IDLE_TICK_S 0.1
-/** Between two parts of a plan, in which callers are served. */
-#define PLAN_TICK_S 0.002
+/** Between two parts of a longer work, in which callers are served. */
+#define MORE_TICK_S 0.002
 /** How often agents are told that this gateway lives. */
 #define TICK_MS 400
 /** Ranks of a group whose counts are read often: a sample this large shows
@@ -336,7 +336,7 @@
   CfRankService *s = t->data;
   CfTurnPart before = cf_gateway_enter (s->g, CF_TURN_LEADING);
   gboolean busy = FALSE;
-  gboolean planning = FALSE;
+  gboolean more = FALSE;
   gint64 now = cf_gateway_now (s->g);
   gboolean tick = now - s->ticked_ms >= TICK_MS;
   GHashTableIter it;
@@ -355,12 +355,9 @@
         ask_silent_ranks (g);
       cf_map_coordinator_tick (&g->c, now);
       busy |= is_changing (g);
-      planning |= cf_map_coordinator_is_planning (&g->c);
+      more |= cf_map_coordinator_has_more (&g->c);
     }
-  ev_timer_set (t, 0,
-                planning ? PLAN_TICK_S
-                : busy   ? BUSY_TICK_S
-                         : IDLE_TICK_S);
+  ev_timer_set (t, 0, more ? MORE_TICK_S : busy ? BUSY_TICK_S : IDLE_TICK_S);
   ev_timer_again (loop, t);
   if (tick)
     {
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -629,6 +629,109 @@
 }
 END_TEST
 
+#define LARGE_RANKS 192
+
+static int n_ordered;
+
+static void
+count_order (void *data, int rank, const CfRankOrder *o)
+{
+  n_ordered += o->kind == CF_ORDER_PREPARE;
+}
+
+static void
+want_nothing (void *data, int rank)
+{
+}
+
+static void
+keep_quiet (void *data, CfMapState from, CfMapState to, const char *why)
+{
+}
+
+static void
+tell_experts_in_turn (CfMapCoordinator *c, const CfGroupMap *m, int rank)
+{
+  gint64 rows[16];
+  guint n = 0;
+
+  for (int s = 0; s < c->shape.sets; s++)
+    {
+      for (int p = 0; p < c->shape.places; p++)
+        if (cf_group_map_at (m, s, rank)[p] >= 0)
+          rows[n++] = cf_group_map_at (m, s, rank)[p];
+      rows[n++] = -1;
+    }
+  cf_map_coordinator_lists (c, rank, 1, 0, rows, n);
+}
+
+/* A group of 192 ranks of which a few experts draw nearly all. */
+static void
+begin_large (CfMapCoordinator *c, gint64 *now)
+{
+  const CfGroupShape shape = {
+    .sets = 2, .experts = 384, .ranks = LARGE_RANKS, .places = 3, .spare = 2
+  };
+  const CfPlanLimits limits
+      = { .max_new = 1, .max_rank_new = 1, .min_gain = 0.1, .move_gain = 0.05 };
+  static const CfMapCoordinatorCalls quiet
+      = { count_order, want_nothing, keep_quiet };
+  CfGroupMap *m = cf_group_map_in_turn (&shape);
+  CfRankStatus st = { .group = "g", .size = LARGE_RANKS, .epoch = 1 };
+  gint64 drawn[2 * 384];
+
+  st.open = TRUE;
+  cf_map_coordinator_init (c, &shape, &limits, &quiet, NULL);
+  cf_map_coordinator_lead (c, 8, 1, *now);
+  for (int i = 0; i < 2 * LARGE_RANKS; i++)
+    {
+      st.rank = i % LARGE_RANKS;
+      cf_map_coordinator_status (c, &st, 8, ++*now);
+    }
+  for (int r = 0; r < LARGE_RANKS; r++)
+    tell_experts_in_turn (c, m, r);
+  cf_group_map_free (m);
+  for (int w = 0; w < 4; w++)
+    {
+      for (int e = 0; e < 2 * 384; e++)
+        drawn[e] = e % 384 < 30 ? 900 : 10;
+      for (int r = 0; r < LARGE_RANKS; r++)
+        cf_map_coordinator_drawn (c, drawn, G_N_ELEMENTS (drawn));
+      cf_map_coordinator_tick (c, *now += 100);
+    }
+}
+
+/*
+ * A leader of 192 ranks held up callers' events for 10 to 20 ms with the
+ * orders of one change, all sent in one turn of its loop.  A tick sends some
+ * of them and says that there are more, and all are out after a few.
+ */
+START_TEST (the_orders_of_a_large_group_are_spread_over_ticks)
+{
+  CfMapCoordinator c;
+  gint64 now = 1000;
+  int ticks = 0;
+  int most = 0;
+
+  n_ordered = 0;
+  begin_large (&c, &now);
+  while (n_ordered < LARGE_RANKS && ticks < 1000)
+    {
+      int before = n_ordered;
+
+      cf_map_coordinator_tick (&c, now += 2);
+      most = MAX (most, n_ordered - before);
+      ticks += n_ordered > 0;
+      ck_assert (n_ordered == 0 || n_ordered >= LARGE_RANKS
+                 || cf_map_coordinator_has_more (&c));
+    }
+  ck_assert_int_eq (n_ordered, LARGE_RANKS);
+  ck_assert_int_le (most, LARGE_RANKS / 3);
+  ck_assert_int_le (ticks, 4);
+  cf_map_coordinator_clear (&c);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -642,6 +745,7 @@
   tcase_add_test (t, a_higher_token_ends_the_lead);
   tcase_add_test (t, the_held_pass_is_as_near_as_arming_allows);
   tcase_add_test (t, a_restarted_rank_is_learned_anew);
+  tcase_add_test (t, the_orders_of_a_large_group_are_spread_over_ticks);
   tcase_add_test (u, one_map_a_pass_without_fences);
   suite_add_tcase (s, t);
   suite_add_tcase (s, u);
