Take a leader for paused only when another may have led

Cause: a leader without a tick for 400 ms settled anew, whatever kept it: its own work, a small part of a core. Settling ends the change in hand.

Ruled out: no guard at all: what a paused leader believes of its ranks is old when it wakes, and orders straight to a rank pass no agent's token. The process's own processor time against its part of a core: a reading each tick, and nothing says what else took the core.

Change: the limit is what others need to lead: agents take another leader after 1,300 ms of silence, of which 400 may have passed before the gap; so 800.

--- a/gateway/map-coordinator.c
+++ b/gateway/map-coordinator.c
@@ -2,9 +2,11 @@
 
 #include <string.h>
 
-/** Without a tick for so long this process stood still, and others may
- * have acted: what it believes is learned anew. */
-#define GAP_MS 400
+/** Without a tick for so long others may have acted, and what this leader
+ * believes is learned anew.  No other leads before agents have heard nothing of
+ * this one for 1,300 ms, of which 400 may have passed before the gap: less is
+ * a process that was busy, or had little of its processor. */
+#define GAP_MS 800
 /** How long holding a pass and arming 16 ranks takes, until it is known.
  * So many passes ahead one is held: a group that stands still makes its
  * callers wait, one that is warned too early runs on with a worse map. */
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -732,6 +732,24 @@
 }
 END_TEST
 
+/* A busy leader goes on with its change; one that was away for so long that
+ * another may have led in between learns anew what the ranks hold. */
+START_TEST (a_busy_leader_is_none_that_stood_still)
+{
+  CfMapCoordinator c;
+  gint64 now = 1000;
+
+  begin_large (&c, &now);
+  while (c.state != CF_MAP_PREPARING)
+    cf_map_coordinator_tick (&c, now += 2);
+  cf_map_coordinator_tick (&c, now += 700);
+  ck_assert_int_eq (c.state, CF_MAP_PREPARING);
+  cf_map_coordinator_tick (&c, now += 900);
+  ck_assert_int_eq (c.state, CF_MAP_SETTLING);
+  cf_map_coordinator_clear (&c);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -745,6 +763,7 @@
   tcase_add_test (t, a_higher_token_ends_the_lead);
   tcase_add_test (t, the_held_pass_is_as_near_as_arming_allows);
   tcase_add_test (t, a_restarted_rank_is_learned_anew);
+  tcase_add_test (t, a_busy_leader_is_none_that_stood_still);
   tcase_add_test (t, the_orders_of_a_large_group_are_spread_over_ticks);
   tcase_add_test (u, one_map_a_pass_without_fences);
   suite_add_tcase (s, t);
