--- a/gateway/exchange-silence.c
+++ b/gateway/exchange-silence.c
@@ -3,8 +3,8 @@
 #include "ablation.h"
 
 /** Silence of a target, in objectives, after which an idempotent call is
- * tried elsewhere: past the longest call seen in a hundred (five times the
- * mean, which is a fifth of the objective). */
+ * tried elsewhere: past the longest call of a hundred, whose mean is a fifth
+ * of the objective. */
 #define SILENCE_AIMS 2.5
 /** Beyond the time that a rank group stalls over a lost rank, a stream's
  * silence is its own target's. */
@@ -23,9 +23,7 @@
 #define STRANDED_TIMES 2
 /** Before its caller leaves, when a stream that has not begun is looked at for
  * the last time: an answer of ours has to be there first.  The caller comes
- * back for it, and does not leave work at a target that cannot hear of it.
- * With half of the targets standing still for 3 s, over a quarter of the runs
- * went on after their callers had left in 16 plays of 18, now in 1 of 9. */
+ * back for it, and does not leave work at a target that cannot hear of it. */
 #define LEAVES_MARGIN_MS 150
 /** How often a target is looked at once more before the caller leaves. */
 #define LOOK_AGAIN_MS 50
@@ -142,8 +140,7 @@
 }
 
 /* Whether another target can show a first event before the caller leaves: if
- * not, two have its work once it left, and only one can hear of that.  Plays
- * as above: over a quarter went on in 1 of 9 without this, in none of 27. */
+ * not, two have its work once it left, and only one can hear of that. */
 static gboolean
 has_time_elsewhere (const CfExchange *x)
 {
--- a/gateway/expert-demand.c
+++ b/gateway/expert-demand.c
@@ -3,17 +3,14 @@
 #include <math.h>
 
 /** Demand is a sum that loses half its weight in this time: with less, maps
- * follow the draw of single requests (120 ms: 4% more is copied on a quiet
- * day, for no better skew).  Shifts do not wait for it. */
+ * follow the draw of single requests.  Shifts do not wait for it. */
 #define DEMAND_HALF_MS 250.0
 /** A window is as long as the pause between two readings of a rank... */
 #define WINDOW_MS 100
 /** ...and longer while fewer ranks than this, or half of all, reported. */
 #define WINDOW_REPORTS 8
 /** Part of the draw that goes to other experts than before, in a window, from
- * which on it counts as a shift.  Measured over 750 windows of 16 ranks under
- * load: 0.07 in the middle and 0.12 in nine of ten without a shift, 0.2 to
- * 0.35 with one. */
+ * which on it counts as a shift. */
 #define SHIFT_PART 0.16
 
 void
--- a/gateway/map-gain.c
+++ b/gateway/map-gain.c
@@ -3,22 +3,18 @@
 #include "ablation.h"
 
 /** Of what callers accept, the part under which passes count as short, and
- * the skew that a change must then take away: half of the copies of a quiet
- * day, with as many streams in time.  Where passes take up to 0.8 of it, the
- * same gain asked for at all times cost 0.03 to 0.04 of what callers were
- * owed (means of four seeds, with and without). */
+ * the skew that a change must then take away: fewer copies, and
+ * as many streams in time. */
 #define CALM_PART 0.5
 #define CALM_GAIN 0.6
 /** Of what callers accept, the part above which passes are about too long,
- * and the skew that a change must then take away: with 64 ranks, where plans
- * for 0.2 had ended at passes of 100 ms of 120, 0.03 more of what callers
- * were owed came in time (three seeds of three days, 0.00 to 0.16). */
+ * and the skew that a change must then take away: a little may bring
+ * them back under what callers accept. */
 #define TIGHT_PART 0.7
 #define TIGHT_GAIN 0.12
 /** A leader that has counted demand for fewer windows of 100 ms knows a few
- * prompts alone, and makes only changes that take away so much skew: after a
- * restart of all gateways its first plans were for these, and the copies
- * slowed the passes that a backlog was served in. */
+ * prompts alone, and makes only changes that take away so much skew: a plan for
+ * these few would slow the passes that a backlog is served in. */
 #define YOUNG_WINDOWS 4
 #define YOUNG_GAIN 0.8
 
--- a/gateway/rank-agent-order.c
+++ b/gateway/rank-agent-order.c
@@ -11,8 +11,8 @@
  * that is not answered by then may be lost while the whole group waits, so
  * it is given again: every order may be carried out twice. */
 #define ORDER_TIMEOUT_MS 20
-/** Tries of one order: with six in ten lost, 16 ranks are armed in 0.2 s in
- * place of 0.4 s with one try each 80 ms from the leader. */
+/** Tries of one order, here, where the rank is near: where many get lost, all
+ * ranks are armed sooner than by tries of the leader. */
 #define ORDER_TRIES 4
 #define REPORT_TIMEOUT_MS 50
 /** The rank may not check tokens itself, so old ones end here. */
--- a/gateway/set-plan.c
+++ b/gateway/set-plan.c
@@ -249,8 +249,8 @@
          && s->added[rank] - before + after <= s->max_rank_new;
 }
 
-/* Only a slow rank gives experts away: among equals a copy serves better,
- * and moves that look best at first end at 1.7 where copies reach 1.1. */
+/* Only a slow rank gives experts away: among equals a copy serves better, and
+ * moves that look best at first come to an end sooner. */
 static gboolean
 is_slow (const CfSetPlan *s, int rank)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -124,8 +124,8 @@
 
 /** News of an older incarnation that keep coming for so long are believed:
  * the VM's clock went back between two starts.  A write of a target that has
- * crashed since is done within 6 s, seen in days on which the store does
- * writes late. */
+ * crashed since is done within some seconds, also by
+ * a store that is late. */
 #define CF_TARGET_OLDER_MS 8000
 
 /**
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -370,9 +370,7 @@
 
 /* With a reset: a target that stands still and has not read the request yet
  * meets that before it.  An orderly end lies behind the request, and may be
- * that of a caller which has no more to say.  With half of the targets standing
- * still for 3 s, five or more requests reached them for callers that had left
- * in 6 plays of 19, and in none of 18 with resets. */
+ * that of a caller which has no more to say. */
 void
 cf_upstream_cancel (CfUpstream *u)
 {
--- a/log-writer.h
+++ b/log-writer.h
@@ -11,9 +11,8 @@
 
 /** Lines that can wait for the writer. */
 #define CF_LOG_RING_SIZE 4096
-/** Lines a second at most; twice what the heaviest measured load writes
- * (about 150 lines a second at 45 requests a second), with a margin of ten
- * for a storm of errors.  Above this a log explains nothing more. */
+/** Lines a second at most: a request writes three or four, and ten times that
+ * in a storm of errors.  Above this a log explains nothing more. */
 #define CF_LOG_RATE_MAX 3000
 
 /**
