Fuzz orders to prepare, through to the map that an agent makes

Cause: the frame is new and decides what a rank holds.

Change: t-decode-fuzz spoils such frames too, and makes the maps of those that still decode.

Conclusion: a spoiled order makes a map of its shape, or none.

--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -5,6 +5,7 @@
  * behaviour.  The oracle: no crash, no leak, and what is taken is whole: a
  * document either passes every check of its type or leaves nothing behind.
  */
+#include "gateway/map-history.h"
 #include "gateway/peer-msg.h"
 #include "harness.h"
 #include "platform/platform-policy.h"
@@ -280,6 +281,13 @@
       m->u.rank_status.drawn = g_array_new (FALSE, FALSE, sizeof (gint64));
       g_array_append_val (m->u.rank_status.drawn, number);
       break;
+    case CF_PEER_PREPARE:
+      m->u.prepare.shape
+          = (CfGroupShape){ .sets = 2, .experts = 8, .places = 3 };
+      m->u.prepare.rows = g_array_new (FALSE, FALSE, sizeof (gint64));
+      for (number = 0; number < 8; number++)
+        g_array_append_val (m->u.prepare.rows, number);
+      break;
     case CF_PEER_LISTS:
       m->u.lists.experts = g_array_new (FALSE, FALSE, sizeof (gint64));
       g_array_append_val (m->u.lists.experts, number);
@@ -306,6 +314,22 @@
     }
 }
 
+/* What an agent makes of an order to prepare: a map of its shape, or none. */
+static void
+make_map (const CfPeerMsg *m)
+{
+  CfMapHistory h = { 0 };
+  CfGroupShape shape = m->u.prepare.shape;
+  CfGroupMap *map;
+
+  shape.ranks = 4;
+  map = cf_map_history_make (&h, &shape, m->u.prepare.base, m->u.prepare.rows);
+  for (gint64 i = 0; map && i < (gint64)shape.sets * shape.ranks * shape.places;
+       i++)
+    ck_assert (map->held[i] >= -1 && map->held[i] < MAX (shape.experts, 1));
+  cf_group_map_free (map);
+}
+
 START_TEST (peers)
 {
   for (int i = 0; i < ROUNDS; i++)
@@ -315,16 +339,19 @@
       CfPeerMsg m;
       GString *s;
 
-      fill (&m, CF_PEER_AGENT_HELLO + i % CF_PEER_TARGETS);
+      fill (&m, CF_PEER_AGENT_HELLO + i % CF_PEER_PREPARE);
       msgpack_sbuffer_init (&buf);
       cf_peer_msg_pack (&m, &buf);
       cf_peer_msg_clear (&m);
-      s = spoil (buf.data, buf.size, i / CF_PEER_TARGETS);
+      s = spoil (buf.data, buf.size, i / CF_PEER_PREPARE);
       msgpack_sbuffer_destroy (&buf);
-      if (cf_peer_msg_unpack (s->str, s->len, &zone, &m) == CF_OK
-          && m.kind == CF_PEER_RANK_STATUS)
+      if (cf_peer_msg_unpack (s->str, s->len, &zone, &m) != CF_OK)
+        m.kind = 0;
+      if (m.kind == CF_PEER_RANK_STATUS)
         ck_assert (m.u.rank_status.status.rank >= 0
                    && m.u.rank_status.status.size <= CF_RANKS_MAX);
+      if (m.kind == CF_PEER_PREPARE)
+        make_map (&m);
       cf_peer_msg_clear (&m);
       msgpack_unpacked_destroy (&zone);
       g_string_free (s, TRUE);
