--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -424,6 +424,31 @@
 }
 END_TEST
 
+/* Agents make a map of whatever base they know, so that rows may hold the same
+ * experts in another order; what ranks are told of it is the same. */
+START_TEST (a_map_is_told_the_same_way_whatever_its_rows_order)
+{
+  const CfGroupShape shape
+      = { .sets = 1, .experts = 9, .ranks = 1, .places = 4, .spare = 1 };
+  const gint16 rows[2][4] = { { 7, -1, 2, 5 }, { 5, 7, -1, 2 } };
+  char *json[2];
+
+  for (int i = 0; i < 2; i++)
+    {
+      CfGroupMap *m = cf_group_map_new (&shape);
+      CfRankOrder o = { .kind = CF_ORDER_PREPARE, .version = 8, .map = m };
+
+      memcpy (cf_group_map_at (m, 0, 0), rows[i], sizeof rows[i]);
+      json[i] = cf_platform_rank_order (&o);
+      cf_group_map_free (m);
+    }
+  ck_assert_str_eq (json[0], json[1]);
+  ck_assert_ptr_nonnull (strstr (json[0], "[[[2,5,7]]]"));
+  g_free (json[0]);
+  g_free (json[1]);
+}
+END_TEST
+
 START_TEST (headers_are_known)
 {
   GString *out = g_string_new (NULL);
@@ -461,6 +486,7 @@
   tcase_add_test (t, values_that_are_no_base64);
   tcase_add_test (t, spoiled_reports_and_counts);
   tcase_add_test (t, ranks_are_read_and_ordered);
+  tcase_add_test (t, a_map_is_told_the_same_way_whatever_its_rows_order);
   tcase_add_test (t, headers_are_known);
   suite_add_tcase (s, t);
   return t_run (s);
