Count the lines that are left in the ring at the end

A writer that ends while its reader has no room counted the batch in hand, not what waited behind it.

Ruled out: the test's pause alone (it makes the case rarer; the lines are lost uncounted whenever a process ends before a slow reader).

Change: what is left at the end is dropped and counted.

--- a/log-writer.c
+++ b/log-writer.c
@@ -135,6 +135,20 @@
   flush (b);
 }
 
+/* Counts the lines that nobody will write any more. */
+static void
+drop_waiting (CfLogBatch *b)
+{
+  void *l;
+
+  ck_pr_add_64 (&writer.dropped, b->lines);
+  while (ck_ring_dequeue_mpsc (&writer.ring, writer.slots, &l))
+    {
+      ck_pr_add_64 (&writer.dropped, 1);
+      free (l);
+    }
+}
+
 static void
 write_rounds_into (CfLogBatch *b)
 {
@@ -147,8 +161,8 @@
         tell_dropped (b, &told);
       nanosleep (&pause, NULL);
     }
-  write_waiting (b);
-  ck_pr_add_64 (&writer.dropped, b->lines);
+  if (!write_waiting (b))
+    drop_waiting (b);
 }
 
 static void *
--- a/t/t-log-writer.c
+++ b/t/t-log-writer.c
@@ -131,6 +131,28 @@
 }
 END_TEST
 
+/* The reader takes nothing more until the writer has ended: what its pipe has
+ * no room for is counted, in the batch and behind it. */
+START_TEST (lines_left_at_the_end_are_counted)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  guint64 before = cf_log_writer_dropped ();
+  guint64 whole = 0;
+  int fds[2];
+
+  ck_assert_int_eq (pipe2 (fds, O_NONBLOCK), 0);
+  ck_assert (cf_log_writer_start (fds[1]));
+  for (int i = 0; i < 2500; i++)
+    cf_log (LOG_INFO, CF_EV_ROUTE, "id=%d end", i);
+  cf_log_writer_stop (1000);
+  read_all (fds[0], text);
+  for (const char *at = text->str; (at = strchr (at, '\n')); at++)
+    whole++;
+  ck_assert_uint_lt (whole, 2500);
+  ck_assert_uint_eq (whole + cf_log_writer_dropped () - before, 2500);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -139,6 +161,7 @@
 
   tcase_add_test (t, a_full_pipe_does_not_block);
   tcase_add_test (t, a_full_pipe_tears_no_line);
+  tcase_add_test (t, lines_left_at_the_end_are_counted);
   tcase_add_test (t, lines_come_whole_and_in_order);
   suite_add_tcase (s, t);
   return t_run (s);
