balancer: start each gateway at its own place on the ring

Gateways do not see one another's load. Each picked the target with the least of its own requests, beginning at a random one, so that what all of them sent a target was spread like independent draws: with 35 gateways of 27 requests each, some of 192 targets got 8 and more for 6 slots while others had slots to spare, and requests waited at the former.

A service's targets are kept in the order of their ids, and a gateway fills them from its own place on: places are evenly spaced over the fleet and, as nearly, over the gateways of each data centre. Gateways tell each other their data centre; one that does not hear the whole fleet takes its place from a seed that does. Only streams go by the ring; other services keep taking turns, so that a single faulty target is not the first choice of a gateway.

a_fleet_fills_targets_evenly fails without it (7 requests at a target of 6 slots).

--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -46,3 +46,8 @@
 #ifndef CF_WITHOUT_RETRIES
 #define CF_WITHOUT_RETRIES 0
 #endif
+/** Searches for the least loaded target begin by turns, not at the gateway's
+ * own place. */
+#ifndef CF_WITHOUT_TARGET_RING
+#define CF_WITHOUT_TARGET_RING 0
+#endif
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -132,16 +132,24 @@
          && in->in_flight >= MAX (part * SHARE_MORE * YIELD_PART, 1);
 }
 
+static guint
+first_of (CfTargetTable *t, guint n, const CfPickInput *in)
+{
+  if (in->ring_start && !CF_WITHOUT_TARGET_RING)
+    return (guint)(*in->ring_start * n);
+  return t->turn++;
+}
+
 CfPickWhy
 cf_balancer_pick (CfTargetTable *t, const CfPickInput *in, CfTarget **out)
 {
   const GPtrArray *a = cf_target_table_service (t, in->service);
   guint n = a ? a->len : 0;
-  guint turn = t->turn++;
+  guint from = first_of (t, n, in);
   Choice c = { 0 };
 
   for (guint i = 0; i < n; i++)
-    consider (&c, a->pdata[(turn + i) % n], in);
+    consider (&c, a->pdata[(from + i) % n], in);
   *out = NULL;
   if (leaves_room (&c, in))
     return CF_PICK_FULL;
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -14,13 +14,15 @@
 typedef struct
 {
   const char *service;
-  const char *data_centre; /**< (nullable): ours; wins among equals */
-  const GPtrArray *tried;  /**< (nullable): targets that had it already */
-  gint64 now_ms;           /**< of the monotonic clock */
-  guint fleet;             /**< gateways that send to these targets */
-  guint in_flight;         /**< requests of ours that all of them have */
-  gint64 max_conns;        /**< connections a target takes from all; 0: any */
-  gboolean yields;         /**< leaves room for requests that can be in time */
+  const char *data_centre;  /**< (nullable): ours; wins among equals */
+  const GPtrArray *tried;   /**< (nullable): targets that had it already */
+  gint64 now_ms;            /**< of the monotonic clock */
+  guint fleet;              /**< gateways that send to these targets */
+  guint in_flight;          /**< requests of ours that all of them have */
+  gint64 max_conns;         /**< connections a target takes from all; 0: any */
+  const double *ring_start; /**< (nullable): where a search for the least
+                                 loaded begins, from 0 to below 1; by turns */
+  gboolean yields;          /**< leaves room for requests that can be in time */
   gint64 stall_ms; /**< a target that has work of ours and is quiet for longer
                         stands still; 0: quiet targets are not known */
 } CfPickInput;
@@ -39,10 +41,10 @@
 /**
  * cf_balancer_pick:
  * The target with the least of our requests for its slots; among equals one
- * in our own data centre, then by turns.  A target that is leaving, ejected,
- * stands still or has said that it is full is passed over; when only ejected
- * ones are left these are used, since an ejection is a guess and no service
- * should end by guesses.
+ * in our own data centre, then the next from @ring_start on.  A target that is
+ * leaving, ejected, stands still or has said that it is full is passed over;
+ * when only ejected ones are left these are used, since an ejection is a guess
+ * and no service should end by guesses.
  *
  * @out: (out): the target, not referenced
  */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -186,7 +186,10 @@
   in.yields = cf_waiter_yields (&x->waiter, in.now_ms, x->lane->pace.pause_ms,
                                 x->route->gap_aim_ms);
   if (x->route->stream)
-    in.stall_ms = cf_pace_stall_ms (&x->lane->pace);
+    {
+      in.stall_ms = cf_pace_stall_ms (&x->lane->pace);
+      in.ring_start = &x->g->ring_start;
+    }
   return cf_balancer_pick (&x->g->targets, &in, t);
 }
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -97,6 +97,7 @@
   g->targets.is_named_data = g;
   cf_gateway_lane (g, "");
   cf_gateway_set_fleet (g, 0);
+  g->ring_start = g_random_double ();
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -49,6 +49,8 @@
   gint64 targets_rev;   /**< the store's revision the table is as of */
   gint64 targets_at_ms; /**< when the store last confirmed the table */
   guint fleet_size;     /**< gateways that share the retry budget */
+  double ring_start;    /**< where this one begins on the ring of targets, from
+                             0 to below 1 */
   GHashTable *lanes;    /**< service -> #CfLane */
   CfCallerList callers;
   guint n_callers;
--- /dev/null
+++ b/gateway/membership.c
@@ -0,0 +1,179 @@
+#include "membership.h"
+
+#include <string.h>
+
+typedef struct
+{
+  char *addr;
+  char *data_centre;
+  gint64 heard_ms;
+  double key; /* order on the ring */
+  double start;
+} Member;
+
+struct CfMembership
+{
+  GHashTable *by_addr; /* addr -> #Member, this gateway included */
+  const Member *self;
+  gboolean is_placed; /* each member's @start is up to date */
+};
+
+static void
+free_member (gpointer p)
+{
+  Member *m = p;
+
+  g_free (m->addr);
+  g_free (m->data_centre);
+  g_free (m);
+}
+
+static Member *
+add_member (CfMembership *m, const char *addr, const char *data_centre)
+{
+  Member *n = g_new0 (Member, 1);
+
+  n->addr = g_strdup (addr);
+  n->data_centre = g_strdup (data_centre ? data_centre : "");
+  g_hash_table_replace (m->by_addr, n->addr, n);
+  m->is_placed = FALSE;
+  return n;
+}
+
+CfMembership *
+cf_membership_new (const char *addr, const char *data_centre)
+{
+  CfMembership *m = g_new0 (CfMembership, 1);
+
+  m->by_addr
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_member);
+  m->self = add_member (m, addr ? addr : "", data_centre);
+  return m;
+}
+
+void
+cf_membership_free (CfMembership *m)
+{
+  g_hash_table_destroy (m->by_addr);
+  g_free (m);
+}
+
+void
+cf_membership_hear (CfMembership *m, const char *addr, const char *data_centre,
+                    gint64 now)
+{
+  Member *n = g_hash_table_lookup (m->by_addr, addr);
+
+  if (n == m->self && n)
+    return;
+  if (!n || strcmp (n->data_centre, data_centre ? data_centre : "") != 0)
+    n = add_member (m, addr, data_centre);
+  n->heard_ms = now;
+}
+
+void
+cf_membership_expire (CfMembership *m, gint64 ms, gint64 now)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, m->by_addr);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const Member *n = v;
+
+      if (n == m->self || now - n->heard_ms <= ms)
+        continue;
+      g_hash_table_iter_remove (&it);
+      m->is_placed = FALSE;
+    }
+}
+
+guint
+cf_membership_size (const CfMembership *m)
+{
+  return g_hash_table_size (m->by_addr);
+}
+
+static gint
+compare_place (gconstpointer a, gconstpointer b)
+{
+  const Member *x = *(Member *const *)a;
+  const Member *y = *(Member *const *)b;
+  int c = strcmp (x->data_centre, y->data_centre);
+
+  return c ? c : strcmp (x->addr, y->addr);
+}
+
+static gint
+compare_key (gconstpointer a, gconstpointer b)
+{
+  const Member *x = *(Member *const *)a;
+  const Member *y = *(Member *const *)b;
+
+  if (x->key != y->key)
+    return x->key < y->key ? -1 : 1;
+  return compare_place (a, b);
+}
+
+/* How many of @a from @at on share a data centre. */
+static guint
+count_same_place (const GPtrArray *a, guint at)
+{
+  const Member *first = a->pdata[at];
+  guint n = 0;
+
+  for (guint i = at; i < a->len; i++, n++)
+    if (strcmp (((Member *)a->pdata[i])->data_centre, first->data_centre) != 0)
+      break;
+  return n;
+}
+
+/* Each data centre's members are spread over the whole ring; centres are
+ * shifted against one another. */
+static void
+set_keys (GPtrArray *a)
+{
+  guint centre = 0;
+
+  for (guint at = 0; at < a->len; centre++)
+    {
+      guint n = count_same_place (a, at);
+
+      for (guint i = 0; i < n; i++)
+        ((Member *)a->pdata[at + i])->key
+            = (i + (double)centre / a->len) / (double)n;
+      at += n;
+    }
+}
+
+static void
+place (CfMembership *m)
+{
+  GPtrArray *a = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, m->by_addr);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    g_ptr_array_add (a, v);
+  g_ptr_array_sort (a, compare_place);
+  set_keys (a);
+  g_ptr_array_sort (a, compare_key);
+  for (guint i = 0; i < a->len; i++)
+    ((Member *)a->pdata[i])->start = (double)i / a->len;
+  g_ptr_array_free (a, TRUE);
+  m->is_placed = TRUE;
+}
+
+double
+cf_membership_ring_start (CfMembership *m, const char *addr)
+{
+  const Member *n = g_hash_table_lookup (m->by_addr, addr);
+
+  if (!n)
+    return -1;
+  if (!m->is_placed)
+    place (m);
+  return n->start;
+}
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -236,6 +236,12 @@
       /* Peers of an earlier version do not say. */
       if (!f->bad && f->at < f->end)
         m->u.gateway_hello.slow = take_paces (f);
+      m->u.gateway_hello.ring_start = -1;
+      if (!f->bad && f->at < f->end)
+        {
+          m->u.gateway_hello.data_centre = take_bytes (f);
+          m->u.gateway_hello.ring_start = take_int (f);
+        }
       break;
     case CF_PEER_POLICY:
       m->u.policy.rev = take_int (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -157,13 +157,15 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      begin (&pk, m, 6);
+      begin (&pk, m, 8);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_rev);
       put_int (&pk, m->u.gateway_hello.targets_rev);
       put_int (&pk, m->u.gateway_hello.fleet);
       put_int (&pk, m->u.gateway_hello.want);
       put_paces (&pk, m->u.gateway_hello.slow);
+      put_bytes (&pk, m->u.gateway_hello.data_centre);
+      put_int (&pk, m->u.gateway_hello.ring_start);
       break;
     case CF_PEER_POLICY:
       begin (&pk, m, 2);
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -22,6 +22,9 @@
   CF_PEER_PREPARE = 11,      /**< gateway: have your rank prepare this map */
 } CfPeerMsgKind;
 
+/** Units of a place on the ring of targets. */
+#define CF_PEER_RING 65536
+
 /** CfPeerBytes: bytes within a frame that was read. */
 typedef struct
 {
@@ -93,6 +96,9 @@
       guint want;   /**< CF_PEER_WANT_ bits: what the sender lacks */
       GArray *slow; /**< (nullable): of #CfPeerPace: slow targets that agents
                          tell the sender of; owned */
+      CfPeerBytes data_centre; /**< the sender's */
+      gint64 ring_start; /**< where the receiver begins on the ring of targets,
+                              in 1 / %CF_PEER_RING; negative: not known */
     } gateway_hello;
     struct
     {
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -2,6 +2,7 @@
 
 #include "ablation.h"
 #include "log.h"
+#include "membership.h"
 #include "platform/platform-target.h"
 #include "socket.h"
 
@@ -37,7 +38,7 @@
 {
   CfGateway *g;
   TAILQ_HEAD (, Peer) peers;
-  GHashTable *fleet; /**< addr -> when it was last heard of, gint64 */
+  CfMembership *fleet;
   gint64 greeted_ms;
   gint64 connected_ms;
   gint64 behind_ms; /**< since when a peer is known to be ahead; 0: none */
@@ -120,7 +121,13 @@
   const CfGateway *g = p->s->g;
   const char *addr = g->set.control_addr ? g->set.control_addr : "";
   CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
+  const char *dc = g->set.data_centre ? g->set.data_centre : "";
+  double start = p->addr ? cf_membership_ring_start (p->s->fleet, p->addr) : -1;
 
+  m.u.gateway_hello.data_centre.data = dc;
+  m.u.gateway_hello.data_centre.n = strlen (dc);
+  m.u.gateway_hello.ring_start
+      = start < 0 ? -1 : (gint64)(start * CF_PEER_RING);
   m.u.gateway_hello.addr.data = addr;
   m.u.gateway_hello.addr.n = strlen (addr);
   m.u.gateway_hello.policy_rev = g->policy_rev;
@@ -173,30 +180,24 @@
   cf_peer_msg_clear (&m);
 }
 
+/* A peer may know more of the fleet than this gateway hears itself; then its
+ * word on the place on the ring holds, too. */
 static void
-note_member (CfPeerService *s, const char *addr)
-{
-  gint64 *at = g_new (gint64, 1);
-
-  *at = s->g->now_ms;
-  g_hash_table_replace (s->fleet, g_strdup (addr), at);
-}
-
-static gboolean
-is_forgotten (gpointer key, gpointer value, gpointer now)
-{
-  return *(gint64 *)now - *(gint64 *)value > FORGET_MS;
-}
-
-/* A peer may know more of the fleet than this gateway hears itself. */
-static void
-count_fleet (CfPeerService *s, guint told)
+learn_fleet (CfPeerService *s, const CfPeerMsg *m)
 {
+  CfGateway *g = s->g;
+  guint told = m->u.gateway_hello.fleet;
+  gint64 told_start = m->u.gateway_hello.ring_start;
   guint n;
 
-  g_hash_table_foreach_remove (s->fleet, is_forgotten, &s->g->now_ms);
-  n = MAX (g_hash_table_size (s->fleet) + 1, told);
-  cf_gateway_set_fleet (s->g, n);
+  cf_membership_expire (s->fleet, FORGET_MS, g->now_ms);
+  n = cf_membership_size (s->fleet);
+  cf_gateway_set_fleet (g, MAX (n, told));
+  if (n >= told)
+    g->ring_start = cf_membership_ring_start (
+        s->fleet, g->set.control_addr ? g->set.control_addr : "");
+  else if (told_start >= 0 && told_start < CF_PEER_RING)
+    g->ring_start = (double)told_start / CF_PEER_RING;
 }
 
 static void
@@ -204,14 +205,18 @@
 {
   CfGateway *g = p->s->g;
   gboolean ahead;
+  char *dc;
 
   g_free (p->addr);
   p->addr = g_strndup (m->u.gateway_hello.addr.data, m->u.gateway_hello.addr.n);
   p->policy_rev = m->u.gateway_hello.policy_rev;
   p->targets_rev = m->u.gateway_hello.targets_rev;
   p->heard_ms = g->now_ms;
-  note_member (p->s, p->addr);
-  count_fleet (p->s, m->u.gateway_hello.fleet);
+  dc = g_strndup (m->u.gateway_hello.data_centre.data,
+                  m->u.gateway_hello.data_centre.n);
+  cf_membership_hear (p->s->fleet, p->addr, dc, g->now_ms);
+  g_free (dc);
+  learn_fleet (p->s, m);
   take_paces (g, m->u.gateway_hello.slow);
   if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
     send_policy (p);
@@ -419,7 +424,7 @@
 
   s->g = g;
   TAILQ_INIT (&s->peers);
-  s->fleet = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  s->fleet = cf_membership_new (own, g->set.data_centre);
   for (int i = 0; i < CF_SEEDS_MAX && g->set.seed_addrs[i]; i++)
     s->seed_valid[i]
         = g_strcmp0 (g->set.seed_addrs[i], own) != 0
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -124,6 +124,26 @@
   return a;
 }
 
+/* Gateways agree on the order, and so on the ring that it makes. */
+static void
+insert_by_id (GPtrArray *a, CfTarget *n)
+{
+  guint low = 0;
+  guint high = a->len;
+
+  while (low < high)
+    {
+      guint mid = (low + high) / 2;
+      const CfTarget *at = a->pdata[mid];
+
+      if (strcmp (at->record.id, n->record.id) < 0)
+        low = mid + 1;
+      else
+        high = mid;
+    }
+  g_ptr_array_insert (a, (gint)low, n);
+}
+
 static gboolean
 is_named (const CfTargetTable *t, const CfTarget *n)
 {
@@ -167,7 +187,7 @@
   n->created = news->created;
   take_address (t, n);
   g_hash_table_insert (t->by_id, n->record.id, n);
-  g_ptr_array_add (service_array (t, n->record.service), n);
+  insert_by_id (service_array (t, n->record.service), n);
   return CF_TARGET_NEW;
 }
 
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -86,7 +86,7 @@
 {
   GHashTable *by_id;      /**< id -> #CfTarget */
   GHashTable *by_addr;    /**< address -> #CfTarget, the newest there */
-  GHashTable *by_service; /**< service -> GPtrArray of #CfTarget */
+  GHashTable *by_service; /**< service -> GPtrArray of #CfTarget, by id */
   guint turn;             /**< where a search for the least loaded begins */
   /** Whether a service is named by the configuration: a record of any other
    * may be spoiled, and takes no address from a target. */
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -4,6 +4,8 @@
 #include "harness.h"
 #include "target-harness.h"
 
+#include <stdlib.h>
+
 #include <string.h>
 
 static CfTargetTable table;
@@ -358,6 +360,44 @@
 }
 END_TEST
 
+/* Gateways that do not see one another's load pile it on a few targets. */
+START_TEST (a_fleet_fills_targets_evenly)
+{
+  enum
+  {
+    N_GATEWAYS = 35,
+    N_TARGETS = 192,
+    N_EACH = 27,
+  };
+  guint sum[N_TARGETS] = { 0 };
+
+  for (int g = 0; g < N_GATEWAYS; g++)
+    {
+      double start = (double)g / N_GATEWAYS;
+      CfPickInput in = { .service = "s", .fleet = N_GATEWAYS };
+      CfTargetTable row;
+
+      in.ring_start = &start;
+      cf_target_table_init (&row);
+      t_put_row (&row, N_TARGETS, 6);
+      for (int i = 0; i < N_EACH; i++)
+        {
+          CfTarget *t;
+
+          ck_assert_int_eq (cf_balancer_pick (&row, &in, &t), CF_PICK_OK);
+          cf_target_work_begun (t, 0);
+          sum[atoi (t->record.id + 1)]++;
+        }
+      cf_target_table_clear (&row);
+    }
+  for (int i = 0; i < N_TARGETS; i++)
+    {
+      ck_assert_uint_ge (sum[i], 4);
+      ck_assert_uint_le (sum[i], 6);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -367,6 +407,7 @@
   tcase_add_checked_fixture (t, setup, teardown);
   tcase_add_test (t, the_least_loaded_is_picked);
   tcase_add_test (t, load_is_spread_evenly);
+  tcase_add_test (t, a_fleet_fills_targets_evenly);
   tcase_add_test (t, slow_targets_get_less);
   tcase_add_test (t, slow_targets_get_nothing_while_others_are_full);
   tcase_add_test (t, targets_that_stand_still_get_no_new_work);
--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -296,6 +296,8 @@
       {
         CfPeerPace p = { some, 3000, 9 };
 
+        m->u.gateway_hello.data_centre = some;
+        m->u.gateway_hello.ring_start = 7;
         m->u.gateway_hello.slow
             = g_array_new (FALSE, FALSE, sizeof (CfPeerPace));
         g_array_append_val (m->u.gateway_hello.slow, p);
--- /dev/null
+++ b/t/t-membership.c
@@ -0,0 +1,130 @@
+/* Who is in the fleet, and where each begins on the ring of targets. */
+#include "gateway/membership.h"
+#include "harness.h"
+
+#include <stdlib.h>
+
+#define N_CENTRES 3
+#define N_EACH 12
+
+static CfMembership *
+new_fleet (int n_centres, int n_each)
+{
+  CfMembership *m = cf_membership_new ("10.0.0.0:1", "dc0");
+
+  for (int c = 0; c < n_centres; c++)
+    for (int i = 0; i < n_each; i++)
+      {
+        g_autofree char *addr = g_strdup_printf ("10.%d.0.%d:1", c, i);
+        g_autofree char *dc = g_strdup_printf ("dc%d", c);
+
+        cf_membership_hear (m, addr, dc, 1000);
+      }
+  return m;
+}
+
+static gint
+compare (gconstpointer a, gconstpointer b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* The starts of the gateways of one data centre, sorted. */
+static void
+get_starts (CfMembership *m, int c, double starts[N_EACH])
+{
+  for (int i = 0; i < N_EACH; i++)
+    {
+      g_autofree char *addr = g_strdup_printf ("10.%d.0.%d:1", c, i);
+
+      starts[i] = cf_membership_ring_start (m, addr);
+    }
+  qsort (starts, N_EACH, sizeof (double), compare);
+}
+
+START_TEST (alone_it_begins_at_the_start)
+{
+  CfMembership *m = cf_membership_new (NULL, NULL);
+
+  ck_assert_uint_eq (cf_membership_size (m), 1);
+  ck_assert_double_eq (cf_membership_ring_start (m, ""), 0);
+  ck_assert_double_lt (cf_membership_ring_start (m, "10.0.0.9:1"), 0);
+  cf_membership_free (m);
+}
+END_TEST
+
+START_TEST (each_data_centre_is_spread_over_the_ring)
+{
+  CfMembership *m = new_fleet (N_CENTRES, N_EACH);
+
+  ck_assert_uint_eq (cf_membership_size (m), N_CENTRES * N_EACH);
+  for (int c = 0; c < N_CENTRES; c++)
+    {
+      double starts[N_EACH];
+
+      get_starts (m, c, starts);
+      for (int i = 1; i < N_EACH; i++)
+        ck_assert_double_eq_tol (starts[i] - starts[i - 1], 1.0 / N_EACH,
+                                 0.001);
+    }
+  cf_membership_free (m);
+}
+END_TEST
+
+START_TEST (starts_do_not_depend_on_who_tells_first)
+{
+  CfMembership *m = new_fleet (N_CENTRES, N_EACH);
+  CfMembership *o = cf_membership_new ("10.2.0.5:1", "dc2");
+
+  for (int c = N_CENTRES - 1; c >= 0; c--)
+    for (int i = 0; i < N_EACH; i++)
+      {
+        g_autofree char *addr = g_strdup_printf ("10.%d.0.%d:1", c, i);
+        g_autofree char *dc = g_strdup_printf ("dc%d", c);
+
+        cf_membership_hear (o, addr, dc, 5);
+      }
+  for (int c = 0; c < N_CENTRES; c++)
+    {
+      double ours[N_EACH];
+      double theirs[N_EACH];
+
+      get_starts (m, c, ours);
+      get_starts (o, c, theirs);
+      for (int i = 0; i < N_EACH; i++)
+        ck_assert_double_eq (ours[i], theirs[i]);
+    }
+  cf_membership_free (m);
+  cf_membership_free (o);
+}
+END_TEST
+
+START_TEST (members_that_fall_silent_are_dropped)
+{
+  CfMembership *m = new_fleet (1, 4);
+
+  cf_membership_hear (m, "10.0.0.3:1", "dc0", 9000);
+  cf_membership_expire (m, 5000, 10000);
+  ck_assert_uint_eq (cf_membership_size (m), 2);
+  ck_assert_double_eq (cf_membership_ring_start (m, "10.0.0.3:1"), 0.5);
+  ck_assert_double_lt (cf_membership_ring_start (m, "10.0.0.2:1"), 0);
+  cf_membership_free (m);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("membership");
+  TCase *t = tcase_create ("membership");
+
+  tcase_add_test (t, alone_it_begins_at_the_start);
+  tcase_add_test (t, each_data_centre_is_spread_over_the_ring);
+  tcase_add_test (t, starts_do_not_depend_on_who_tells_first);
+  tcase_add_test (t, members_that_fall_silent_are_dropped);
+  suite_add_tcase (s, t);
+  return t_run (s);
+}
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -71,11 +71,15 @@
   m.u.gateway_hello.addr = bytes ("1.2.3.4:5");
   m.u.gateway_hello.policy_rev = 9;
   m.u.gateway_hello.want = CF_PEER_WANT_TARGETS;
+  m.u.gateway_hello.data_centre = bytes ("dc2");
+  m.u.gateway_hello.ring_start = CF_PEER_RING / 2;
   m.u.gateway_hello.slow = g_array_new (FALSE, FALSE, sizeof (CfPeerPace));
   g_array_append_val (m.u.gateway_hello.slow, slow);
   there_and_back (&m, &o, &zone, &buf);
   ck_assert_uint_eq (o.u.gateway_hello.want, CF_PEER_WANT_TARGETS);
   ck_assert_int_eq (o.u.gateway_hello.policy_rev, 9);
+  ck_assert_mem_eq (o.u.gateway_hello.data_centre.data, "dc2", 3);
+  ck_assert_int_eq (o.u.gateway_hello.ring_start, CF_PEER_RING / 2);
   ck_assert_uint_eq (o.u.gateway_hello.slow->len, 1);
   ck_assert_int_eq (
       g_array_index (o.u.gateway_hello.slow, CfPeerPace, 0).thousandths, 12000);
