concurrency-limit: keep the backlog of a burst in the gateways

Cause: all gateways together may give a target more than twice its slots, as each rounds its part of them up. The excess waits in the target's queue in order of arrival: 1.2 to 1.7 s from sending to the first event, 0 ms before. As streams in the queue were what the expected time to the first event was learned from, every request also counted as late on arrival, and the gateways had no order left to choose.

Ruled out: retries.

Change: a limit of the requests in flight by service, lowered while first events show a queue at the targets and lifted after; the expected time to the first event is bounded when requests are put in order; in overload the newest in time goes first, late ones fill 0.85 of the limit, and a refusal asks for 0.8 to 1.6 s. E1216 says when a limit comes into force and why.

--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -51,3 +51,7 @@
 #ifndef CF_WITHOUT_TARGET_RING
 #define CF_WITHOUT_TARGET_RING 0
 #endif
+/** Requests in flight at a service are not limited. */
+#ifndef CF_WITHOUT_CONCURRENCY_LIMIT
+#define CF_WITHOUT_CONCURRENCY_LIMIT 0
+#endif
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -9,6 +9,8 @@
 #define SHARE_MORE 1.25
 /** Of that, what requests that are late already may fill. */
 #define YIELD_PART 0.6
+/** Of the limit of requests in flight, the same. */
+#define YIELD_PART_OF_LIMIT 0.85
 
 /** A target whose work takes so many times as long is used like one that was
  * ejected: in a rank group, all wait for its part of each pass. */
@@ -120,16 +122,20 @@
     }
 }
 
-/* Whether a request that leaves room finds none left.  Where gateways are more
- * than a target has slots, our part of one target's slots is one request, of
- * which no part can be left; so it goes by our part of all slots. */
+/* True if a request would exceed what this gateway may have in flight at all
+ * targets.  Where gateways outnumber a target's slots, our share of one target
+ * is a single request, so that low-priority ones go by our share of all. */
 static gboolean
-leaves_room (const Choice *c, const CfPickInput *in)
+exceeds_total (const Choice *c, const CfPickInput *in)
 {
-  double part = (double)c->slots / MAX (in->fleet, 1);
-
-  return in->yields && c->slots > 0
-         && in->in_flight >= MAX (part * SHARE_MORE * YIELD_PART, 1);
+  double share = (double)c->slots / MAX (in->fleet, 1);
+  double most = G_MAXUINT;
+
+  if (in->limit > 0)
+    most = in->yields ? in->limit * YIELD_PART_OF_LIMIT : in->limit;
+  else if (in->yields && c->slots > 0)
+    most = share * SHARE_MORE * YIELD_PART;
+  return in->in_flight >= MAX (most, 1);
 }
 
 static guint
@@ -151,7 +157,7 @@
   for (guint i = 0; i < n; i++)
     consider (&c, a->pdata[(from + i) % n], in);
   *out = NULL;
-  if (leaves_room (&c, in))
+  if (exceeds_total (&c, in))
     return CF_PICK_FULL;
   *out = c.best;
   /* While most are sound, room at one of them is worth waiting for. */
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -19,6 +19,7 @@
   gint64 now_ms;            /**< of the monotonic clock */
   guint fleet;              /**< gateways that send to these targets */
   guint in_flight;          /**< requests of ours that all of them have */
+  guint limit;              /**< of @in_flight; 0: none */
   gint64 max_conns;         /**< connections a target takes from all; 0: any */
   const double *ring_start; /**< (nullable): where a search for the least
                                  loaded begins, from 0 to below 1; by turns */
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -121,6 +121,39 @@
   cf_caller_begin (x->c, x->status, x->head->str, length);
 }
 
+static void
+log_overload (const CfExchange *x)
+{
+  const CfLane *l = x->lane;
+  const CfWaiter *first = TAILQ_FIRST (&l->queue.waiters);
+
+  cf_log (LOG_NOTICE, CF_EV_OVERLOAD,
+          "service=%s outcome=%s limit=%u in_flight=%u first_ms=%.0f "
+          "pause_ms=%.0f waiting=%u waited_ms=%" G_GINT64_FORMAT,
+          x->service, l->limit.limit > 0 ? "begins" : "over",
+          cf_concurrency_limit_get (&l->limit), l->in_flight, l->limit.mean_ms,
+          l->pace.pause_ms, l->queue.n,
+          first ? cf_gateway_now (x->g) - first->since_ms : 0);
+}
+
+static void
+sample_limit (CfExchange *x)
+{
+  CfLane *l = x->lane;
+  CfFirstEvent e = { 0 };
+
+  e.now_ms = cf_gateway_now (x->g);
+  e.sent_ms = x->sent_ms;
+  e.unqueued_ms
+      = cf_pace_unqueued_ms (&l->pace, cf_exchange_engine (x), &x->size);
+  e.aim_ms = x->route->aim_ms;
+  e.in_flight = l->in_flight;
+  e.fair_share = (double)cf_target_table_slots (&x->g->targets, x->service)
+                 / MAX (x->g->fleet_size, 1);
+  if (cf_concurrency_limit_sample (&l->limit, &e))
+    log_overload (x);
+}
+
 static void
 note_event (CfExchange *x)
 {
@@ -130,6 +163,7 @@
     {
       x->first_ms = now - x->start_ms;
       cf_pace_first (&x->lane->pace, now - x->sent_ms);
+      sample_limit (x);
       cf_histogram_add (&x->g->stats.first_ms, x->first_ms);
     }
   else
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -5,15 +5,15 @@
 #include "forward.h"
 #include "log.h"
 
-/** Of the objective, when a request has to be sent to meet it, where nothing
- * is known of its service's pace. */
-#define START_PART_OF_AIM 0.6
 /** Back-off asked of callers when all targets are full. */
 #define FULL_BUSY_MS 400
 /** The same when a service has an outage: a rank is back some 0.5 s after a
  * crash at the soonest, and its group opens 0.6 s after that.  Callers come
  * back once or twice; sooner they would only be refused again. */
 #define OUTAGE_BUSY_MS 1000
+/** The same in overload: past most bursts.  Callers come back once or twice,
+ * and sooner they would only be refused again. */
+#define OVERLOAD_BUSY_MS 800
 /** Requests that may wait for room, for each slot of their service: with
  * more the last would wait past its limit even at full speed. */
 #define WAITERS_PER_SLOT 1
@@ -24,7 +24,11 @@
 gint64
 cf_exchange_busy_ms (const CfExchange *x)
 {
-  return x->lane->outage.since_ms ? OUTAGE_BUSY_MS : FULL_BUSY_MS;
+  const CfLane *l = x->lane;
+
+  if (l->outage.since_ms)
+    return OUTAGE_BUSY_MS;
+  return cf_concurrency_limit_get (&l->limit) ? OVERLOAD_BUSY_MS : FULL_BUSY_MS;
 }
 
 gboolean
@@ -92,11 +96,8 @@
 static guint
 waiters_max (const CfExchange *x)
 {
-  const GPtrArray *a = cf_target_table_service (&x->g->targets, x->service);
-  gint64 slots = 0;
+  gint64 slots = cf_target_table_slots (&x->g->targets, x->service);
 
-  for (guint i = 0; a && i < a->len; i++)
-    slots += ((const CfTarget *)a->pdata[i])->record.slots;
   return (guint)MAX (slots * WAITERS_PER_SLOT, 1);
 }
 
@@ -108,9 +109,7 @@
 
   if (x->route->stream)
     first = cf_pace_first_ms (&x->lane->pace, cf_exchange_engine (x), &x->size);
-  if (first <= 0)
-    first = (gint64)((double)x->route->aim_ms * (1 - START_PART_OF_AIM));
-  return x->start_ms + x->route->aim_ms - first;
+  return cf_waiter_in_time_ms (x->start_ms, x->route->aim_ms, first);
 }
 
 /* Waits for room, for as long as that leaves time for the work itself. */
@@ -182,6 +181,7 @@
   in.now_ms = cf_gateway_now (x->g);
   in.fleet = x->g->fleet_size;
   in.in_flight = x->lane->in_flight;
+  in.limit = cf_concurrency_limit_get (&x->lane->limit);
   in.max_conns = sv ? sv->max_conns : 0;
   in.yields = cf_waiter_yields (&x->waiter, in.now_ms, x->lane->pace.pause_ms,
                                 x->route->gap_aim_ms);
@@ -260,9 +260,9 @@
 serve_first (CfGateway *g, CfLane *l)
 {
   CfWaitQueue *q = &l->queue;
-  CfWaiter *w = l->outage.since_ms
-                    ? first_probe (l)
-                    : cf_wait_queue_first (q, cf_gateway_now (g));
+  CfWaiter *w = l->outage.since_ms ? first_probe (l)
+                                   : cf_wait_queue_first (q, cf_gateway_now (g),
+                                                          l->limit.limit > 0);
   CfExchange *x;
   CfTarget *t;
 
@@ -274,6 +274,7 @@
   if (cf_exchange_stops_here (x))
     return TRUE;
   cf_histogram_add (&x->g->stats.queue_ms, cf_gateway_now (x->g) - w->since_ms);
+  g->stats.begun_late += cf_gateway_now (g) > w->in_time_ms;
   cf_wait_queue_remove (q, w);
   ev_timer_stop (x->g->loop, &x->silence);
   send_to (x, t);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "concurrency-limit.h"
 #include "loop-watch.h"
 #include "outage.h"
 #include "pace.h"
@@ -23,6 +24,7 @@
   CfRetryBudget budget;
   CfOutage outage;
   CfPace pace;
+  CfConcurrencyLimit limit;
   guint in_flight;      /**< requests of ours that its targets have */
   gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
   gint64 last_event_ms; /**< when any of its targets last sent something */
--- a/gateway/pace.c
+++ b/gateway/pace.c
@@ -92,14 +92,23 @@
   return e && e->read_per_ms > 0 ? (double)size->prompt / e->read_per_ms : 0;
 }
 
+/* The pass that is under way, the prompt, and its own first pass. */
+double
+cf_pace_unqueued_ms (const CfPace *p, const CfEngineModel *e,
+                     const CfStreamSize *size)
+{
+  double pass = usual_pass_ms (p, e);
+
+  return pass > 0 ? 2 * pass + read_ms (e, size) : 0;
+}
+
 gint64
 cf_pace_first_ms (const CfPace *p, const CfEngineModel *e,
                   const CfStreamSize *size)
 {
   if (p->first_ms > 0)
     return (gint64)(p->first_ms + FIRST_DEVIATIONS * p->first_dev_ms);
-  /* The pass that is under way, the prompt, and its own first pass. */
-  return (gint64)(2 * usual_pass_ms (p, e) + read_ms (e, size));
+  return (gint64)cf_pace_unqueued_ms (p, e, size);
 }
 
 /* A pass of an engine whose slots are all taken. */
--- a/gateway/pace.h
+++ b/gateway/pace.h
@@ -50,6 +50,14 @@
 gint64 cf_pace_first_ms (const CfPace *p, const CfEngineModel *e,
                          const CfStreamSize *size);
 
+/**
+ * cf_pace_unqueued_ms:
+ * Returns: how long a first event takes at a target with a free slot; 0 if
+ *   nothing is known.
+ */
+double cf_pace_unqueued_ms (const CfPace *p, const CfEngineModel *e,
+                            const CfStreamSize *size);
+
 /**
  * cf_pace_whole_ms:
  * For what cannot be taken back once it is begun: it holds also if the
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -42,11 +42,12 @@
   guint64 records_rejected;    /**< records of targets that cannot be read */
   guint64 callers_turned_away; /**< connections closed unread: all taken */
   guint64 queued;              /**< requests that waited for room */
-  CfHistogram first_ms;        /**< to the first event of a stream */
-  CfHistogram whole_ms;        /**< to the end of any other answer */
-  CfHistogram pause_ms;        /**< between two events of a stream */
-  CfHistogram queue_ms;        /**< waiting for room */
-  CfHistogram turn_ms;         /**< a turn of the event loop */
+  guint64 begun_late;   /**< of these, sent too late for their objective */
+  CfHistogram first_ms; /**< to the first event of a stream */
+  CfHistogram whole_ms; /**< to the end of any other answer */
+  CfHistogram pause_ms; /**< between two events of a stream */
+  CfHistogram queue_ms; /**< waiting for room */
+  CfHistogram turn_ms;  /**< a turn of the event loop */
 } CfStats;
 
 /** cf_stats_print: appends all in the Prometheus text format. */
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -326,6 +326,22 @@
   return TRUE;
 }
 
+gint64
+cf_target_table_slots (const CfTargetTable *t, const char *service)
+{
+  const GPtrArray *a = cf_target_table_service (t, service);
+  gint64 slots = 0;
+
+  for (guint i = 0; a && i < a->len; i++)
+    {
+      const CfTarget *target = a->pdata[i];
+
+      if (!target->record.leaving && !target->replaced)
+        slots += target->record.slots;
+    }
+  return slots;
+}
+
 const GPtrArray *
 cf_target_table_service (const CfTargetTable *t, const char *service)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -163,6 +163,9 @@
 /** cf_target_table_remove: @id is gone; %FALSE if it was not listed. */
 gboolean cf_target_table_remove (CfTargetTable *t, const char *id);
 
+/** cf_target_table_slots: slots of the targets of @service that take work. */
+gint64 cf_target_table_slots (const CfTargetTable *t, const char *service);
+
 /** cf_target_table_service: (nullable): the targets of @service. */
 const GPtrArray *cf_target_table_service (const CfTargetTable *t,
                                           const char *service);
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -8,6 +8,12 @@
 /** Of the time left, the part it may wait, so that a refusal still leaves
  * its caller time to come back. */
 #define WAIT_PART_OF_LEFT 0.33
+/** Of the objective, how much of it is taken for the first event while
+ * nothing is known of its service's pace. */
+#define FIRST_PART_UNKNOWN 0.4
+/** The same at most: an estimate beyond the objective would make every request
+ * late on arrival, and the order one of arrival. */
+#define FIRST_PART_OF_AIM 0.75
 /** Callers honour a Retry-After of up to a third of the time they have. */
 #define RETRY_AFTER_PART 0.32
 
@@ -63,14 +69,32 @@
 }
 
 CfWaiter *
-cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms)
+cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms, gboolean overloaded)
 {
+  CfWaiter *first = NULL;
   CfWaiter *w;
 
   TAILQ_FOREACH (w, &q->waiters, link)
-  if (now_ms <= w->in_time_ms)
-    return w;
-  return TAILQ_FIRST (&q->waiters);
+  {
+    if (first && w->priority > first->priority)
+      break;
+    if (now_ms > w->in_time_ms)
+      continue;
+    first = w;
+    if (!overloaded)
+      break;
+  }
+  return first ? first : TAILQ_FIRST (&q->waiters);
+}
+
+gint64
+cf_waiter_in_time_ms (gint64 start_ms, gint64 aim_ms, gint64 first_ms)
+{
+  double most = (double)aim_ms * FIRST_PART_OF_AIM;
+  double first = first_ms > 0 ? MIN ((double)first_ms, most)
+                              : (double)aim_ms * FIRST_PART_UNKNOWN;
+
+  return start_ms + (gint64)((double)aim_ms - first);
 }
 
 gboolean
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -44,8 +44,22 @@
 
 void cf_wait_queue_remove (CfWaitQueue *q, CfWaiter *w);
 
-/** cf_wait_queue_first: (nullable): who gets the next room. */
-CfWaiter *cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms);
+/**
+ * cf_wait_queue_first:
+ * @overloaded: more comes than can be served: the newest in time goes first,
+ *   since the oldest would each be served just as it becomes late
+ * Returns: (nullable): who gets the next room.
+ */
+CfWaiter *cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms,
+                               gboolean overloaded);
+
+/**
+ * cf_waiter_in_time_ms:
+ * @first_ms: expected from sending to the first event; 0: not known
+ * Returns: when a request that came at @start_ms has to be sent at the latest
+ *   to meet its objective.
+ */
+gint64 cf_waiter_in_time_ms (gint64 start_ms, gint64 aim_ms, gint64 first_ms);
 
 /**
  * cf_waiter_yields:
--- a/log.c
+++ b/log.c
@@ -73,6 +73,8 @@
       return "stop-look";
     case CF_EV_CALLERS_FULL:
       return "callers-full";
+    case CF_EV_OVERLOAD:
+      return "overload";
     case CF_EV_STORE_LOST:
       return "store-lost";
     case CF_EV_STORE_BACK:
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -337,12 +337,64 @@
   cf_wait_queue_init (&q);
   cf_wait_queue_add (&q, &old, 9, &evicted);
   cf_wait_queue_add (&q, &young, 9, &evicted);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100), &old);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 101), &young);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 401), &old);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, FALSE), &old);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 101, FALSE), &young);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 401, FALSE), &old);
   cf_wait_queue_remove (&q, &old);
   cf_wait_queue_remove (&q, &young);
-  ck_assert_ptr_null (cf_wait_queue_first (&q, 401));
+  ck_assert_ptr_null (cf_wait_queue_first (&q, 401, FALSE));
+}
+END_TEST
+
+/* The oldest in time would each be served just as it becomes late. */
+START_TEST (in_overload_the_newest_goes_first)
+{
+  CfWaitQueue q;
+  CfWaiter late = { .priority = 0, .in_time_ms = 50 };
+  CfWaiter old = { .priority = 1, .in_time_ms = 300 };
+  CfWaiter young = { .priority = 1, .in_time_ms = 400 };
+  CfWaiter low = { .priority = 2, .in_time_ms = 500 };
+  CfWaiter *evicted;
+
+  cf_wait_queue_init (&q);
+  cf_wait_queue_add (&q, &late, 9, &evicted);
+  cf_wait_queue_add (&q, &old, 9, &evicted);
+  cf_wait_queue_add (&q, &young, 9, &evicted);
+  cf_wait_queue_add (&q, &low, 9, &evicted);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, TRUE), &young);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, FALSE), &old);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 401, TRUE), &low);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, 501, TRUE), &late);
+}
+END_TEST
+
+START_TEST (a_fresh_request_is_not_late_on_arrival)
+{
+  ck_assert_int_gt (cf_waiter_in_time_ms (1000, 500, 1700), 1000);
+  ck_assert_int_eq (cf_waiter_in_time_ms (1000, 500, 200), 1300);
+  ck_assert_int_eq (cf_waiter_in_time_ms (1000, 500, 0), 1300);
+}
+END_TEST
+
+/* Requests that are late already fill a part of the limit only. */
+START_TEST (a_limit_bounds_requests_in_flight)
+{
+  CfTargetTable row;
+  CfPickInput in = { .service = "s", .fleet = 1, .limit = 20 };
+  CfTarget *t;
+
+  cf_target_table_init (&row);
+  t_put_row (&row, 8, 12);
+  in.in_flight = 19;
+  ck_assert_int_eq (cf_balancer_pick (&row, &in, &t), CF_PICK_OK);
+  in.yields = TRUE;
+  ck_assert_int_eq (cf_balancer_pick (&row, &in, &t), CF_PICK_FULL);
+  in.in_flight = 16;
+  ck_assert_int_eq (cf_balancer_pick (&row, &in, &t), CF_PICK_OK);
+  in.yields = FALSE;
+  in.in_flight = 20;
+  ck_assert_int_eq (cf_balancer_pick (&row, &in, &t), CF_PICK_FULL);
+  cf_target_table_clear (&row);
 }
 END_TEST
 
@@ -422,6 +474,9 @@
   tcase_add_test (t, work_outlives_its_listing);
   tcase_add_test (t, urgent_ones_wait_in_front);
   tcase_add_test (t, those_that_can_be_in_time_come_first);
+  tcase_add_test (t, in_overload_the_newest_goes_first);
+  tcase_add_test (t, a_fresh_request_is_not_late_on_arrival);
+  tcase_add_test (t, a_limit_bounds_requests_in_flight);
   tcase_add_test (t, callers_come_back_within_what_they_accept);
   suite_add_tcase (s, t);
   return t_run (s);
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -4,6 +4,7 @@
  * what callers get afterwards.
  */
 #include "gateway/balancer.h"
+#include "gateway/concurrency-limit.h"
 #include "gateway/pace.h"
 #include "gateway/wait-queue.h"
 #include "harness.h"
@@ -16,8 +17,14 @@
 #define RANKS_MAX 192
 #define SECONDS 26
 #define OUTAGE_FROM 5000
+#define BURST_FROM 5000
 #define PATIENCE_MS 2400
 #define LEFT_MS 8000
+#define FULL_BUSY_MS 400
+#define OVERLOAD_BUSY_MS 800
+/* Of what full batches bear, the usual peak of the users' deployments. */
+#define PEAK_PART 0.83
+#define RECOVERY_S 3
 
 /* What is played: a fleet before a rank group, and its callers. */
 typedef struct
@@ -35,9 +42,13 @@
                         a rank's work, spread over the ranks */
   gint64 aim_ms;
   gint64 gap_aim_ms;
-  int per_s;
+  double per_s;
   gint64 outage_to; /* from OUTAGE_FROM on */
   double spread;    /* of a pass, the part that all ranks share evenly */
+  double burst;     /* times the traffic from BURST_FROM on; 0: no burst */
+  gint64 burst_to;
+  gboolean callers_leave;  /* after PATIENCE_MS without an event */
+  gboolean callers_return; /* once, if refused */
 } Load;
 
 /* Nine tenths of what full batches bear: a backlog goes down slowly. */
@@ -83,7 +94,9 @@
   CfTarget *target;
   struct Gateway *gateway;
   int rank;
-  gboolean begun; /* it has one of the rank's slots */
+  gboolean begun;    /* it has one of the rank's slots */
+  gboolean returned; /* it was refused once, and is late for sure */
+  gint64 returns_ms;
 } Stream;
 
 typedef struct Gateway
@@ -91,6 +104,8 @@
   CfTargetTable table;
   CfWaitQueue queue;
   CfPace pace;
+  CfConcurrencyLimit limit;
+  double ring_start;
   guint in_flight;
 } Gateway;
 
@@ -106,10 +121,13 @@
 static const Load *load;
 static Gateway gws[GATEWAYS_MAX];
 static GPtrArray *running;     /* of Stream: at a rank, begun or not */
+static GPtrArray *away;        /* of Stream: refused, coming back */
 static int writing[RANKS_MAX]; /* of them, those that are begun */
 static Tally tally;
 static gboolean with_yielding;
 static gboolean with_random_turns;
+static gboolean with_limit;
+static gboolean with_ring;
 
 static void
 begin (const Load *l)
@@ -120,12 +138,15 @@
       cf_target_table_init (&gws[g].table);
       cf_wait_queue_init (&gws[g].queue);
       gws[g].pace = (CfPace){ 0 };
+      gws[g].limit = (CfConcurrencyLimit){ 0 };
+      gws[g].ring_start = (double)g / load->gateways;
       gws[g].in_flight = 0;
       if (!with_random_turns)
         gws[g].table.turn = 0;
       t_put_row (&gws[g].table, load->ranks, load->slots);
     }
   running = g_ptr_array_new_with_free_func (g_free);
+  away = g_ptr_array_new_with_free_func (g_free);
   memset (&tally, 0, sizeof tally);
   memset (writing, 0, sizeof writing);
 }
@@ -136,6 +157,7 @@
   for (int g = 0; g < load->gateways; g++)
     cf_target_table_clear (&gws[g].table);
   g_ptr_array_free (running, TRUE);
+  g_ptr_array_free (away, TRUE);
 }
 
 static gboolean
@@ -153,6 +175,8 @@
     return FALSE;
   in.fleet = load->gateways;
   in.in_flight = g->in_flight;
+  in.limit = cf_concurrency_limit_get (&g->limit);
+  in.ring_start = with_ring ? &g->ring_start : NULL;
   in.yields = with_yielding
               && cf_waiter_yields (&s->waiter, now, g->pace.pause_ms,
                                    load->gap_aim_ms);
@@ -173,33 +197,55 @@
   return (int)(s->start_ms / 1000);
 }
 
+static gint64
+busy_ms (const Gateway *g)
+{
+  return cf_concurrency_limit_get (&g->limit) ? OVERLOAD_BUSY_MS : FULL_BUSY_MS;
+}
+
 static void
-refuse (Stream *s)
+refuse (Stream *s, gint64 now)
 {
-  tally.refused[second_of (s)]++;
-  g_free (s);
+  gint64 retry_ms = cf_retry_after_ms (s->start_ms + LEFT_MS - now,
+                                       busy_ms (s->gateway), g_random_int ());
+
+  if (!load->callers_return || s->returned)
+    {
+      tally.refused[second_of (s)]++;
+      g_free (s);
+      return;
+    }
+  s->returned = TRUE;
+  s->returns_ms = now + retry_ms;
+  g_ptr_array_add (away, s);
 }
 
+/* A gateway cannot tell one that returns from one that is new. */
 static void
-arrive (Gateway *g, gint64 now)
+arrive (Gateway *g, Stream *s, gint64 now)
 {
-  Stream *s = g_new0 (Stream, 1);
   CfWaiter *evicted;
   gint64 first = cf_pace_first_ms (&g->pace, NULL, &(CfStreamSize){ 0 });
 
   s->waiter.owner = s;
-  s->start_ms = now;
-  tally.asked[second_of (s)]++;
+  s->gateway = g;
+  if (!s->returned)
+    {
+      s->start_ms = now;
+      tally.asked[second_of (s)]++;
+    }
   if (!is_out (now) && !g->queue.n && send_to_target (g, s, now))
     return;
   s->waiter.since_ms = now;
   s->waiter.in_time_ms
       = now + load->aim_ms - (first ? first : load->aim_ms * 4 / 10);
+  if (with_limit)
+    s->waiter.in_time_ms = cf_waiter_in_time_ms (now, load->aim_ms, first);
   if (!cf_wait_queue_add (&g->queue, &s->waiter,
                           (guint)(load->ranks * load->slots), &evicted))
-    refuse (s);
+    refuse (s, now);
   if (evicted)
-    refuse (evicted->owner);
+    refuse (evicted->owner, now);
 }
 
 static void
@@ -208,7 +254,7 @@
   CfWaiter *w;
   CfWaiter *next;
 
-  while ((w = cf_wait_queue_first (&g->queue, now)))
+  while ((w = cf_wait_queue_first (&g->queue, now, g->limit.limit > 0)))
     {
       Stream *s = w->owner;
 
@@ -222,15 +268,15 @@
       if (now - w->since_ms <= cf_wait_limit_ms (PATIENCE_MS, LEFT_MS))
         continue;
       cf_wait_queue_remove (&g->queue, w);
-      refuse (w->owner);
+      refuse (w->owner, now);
     }
 }
 
 static void
 end_stream (Stream *s)
 {
-  gboolean in_time
-      = s->first_ms <= load->aim_ms && s->longest_ms <= load->gap_aim_ms;
+  gboolean in_time = !s->returned && s->first_ms <= load->aim_ms
+                     && s->longest_ms <= load->gap_aim_ms;
 
   if (in_time)
     tally.in_time[second_of (s)]++;
@@ -265,6 +311,28 @@
   return load->spread * sum / load->ranks + (1 - load->spread) * most;
 }
 
+/* Its caller gave it up before its first event. */
+static void
+leave (Stream *s)
+{
+  tally.late[second_of (s)]++;
+  cf_target_work_ended (s->target);
+  s->gateway->in_flight--;
+}
+
+static void
+sample_limit (Stream *s, gint64 now)
+{
+  Gateway *g = s->gateway;
+  CfFirstEvent e = { .now_ms = now, .sent_ms = s->sent_ms };
+
+  e.unqueued_ms = cf_pace_unqueued_ms (&g->pace, NULL, &(CfStreamSize){ 0 });
+  e.aim_ms = load->aim_ms;
+  e.in_flight = g->in_flight;
+  e.fair_share = (double)load->ranks * load->slots / load->gateways;
+  cf_concurrency_limit_sample (&g->limit, &e);
+}
+
 /* One pass of the group: every running stream writes an event at its end. */
 static gint64
 pass (gint64 now, int read)
@@ -279,6 +347,12 @@
     {
       Stream *s = running->pdata[i];
 
+      if (!s->begun && load->callers_leave && end - s->start_ms > PATIENCE_MS)
+        {
+          leave (s);
+          g_ptr_array_remove_index (running, i);
+          continue;
+        }
       if (!s->begun)
         {
           i++;
@@ -288,6 +362,8 @@
         {
           s->first_ms = end - s->start_ms;
           cf_pace_first (&s->gateway->pace, end - s->sent_ms);
+          if (with_limit)
+            sample_limit (s, end);
         }
       else
         {
@@ -306,6 +382,31 @@
   return end;
 }
 
+static double
+rate_at (gint64 now)
+{
+  gboolean burst = load->burst > 0 && now >= BURST_FROM && now < load->burst_to;
+
+  return load->per_s * (burst ? load->burst : 1);
+}
+
+static void
+return_callers (GRand *rand, gint64 now)
+{
+  for (guint i = 0; i < away->len;)
+    {
+      Stream *s = away->pdata[i];
+
+      if (s->returns_ms > now)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_steal_index (away, i);
+      arrive (&gws[g_rand_int_range (rand, 0, load->gateways)], s, now);
+    }
+}
+
 /* Arrivals over all gateways until the end, then passes on. */
 static void
 play (const Load *l)
@@ -317,11 +418,13 @@
   begin (l);
   for (gint64 now = 0; now < SECONDS * 1000; now++)
     {
-      if (g_rand_double (rand) < load->per_s / 1000.0)
+      if (g_rand_double (rand) < rate_at (now) / 1000.0)
         {
-          arrive (&gws[g_rand_int_range (rand, 0, load->gateways)], now);
+          arrive (&gws[g_rand_int_range (rand, 0, load->gateways)],
+                  g_new0 (Stream, 1), now);
           read++;
         }
+      return_callers (rand, now);
       if (now % 50 == 0)
         for (int g = 0; g < load->gateways; g++)
           serve_waiters (&gws[g], now);
@@ -415,6 +518,187 @@
 }
 END_TEST
 
+/* Fleets of one shape each; rates are set by the cases. */
+static const Load fleets[] = {
+  { .gateways = 3,
+    .ranks = 8,
+    .slots = 12,
+    .events = 24,
+    .step_ms = 4.55,
+    .per_seq_ms = 0.905,
+    .stride = 4,
+    .skew_times = 1.21,
+    .read_ms = 2.4,
+    .aim_ms = 500,
+    .gap_aim_ms = 120 },
+  { .gateways = 4,
+    .ranks = 16,
+    .slots = 12,
+    .events = 24,
+    .step_ms = 4.55,
+    .per_seq_ms = 0.905,
+    .stride = 4,
+    .skew_times = 1.21,
+    .read_ms = 1.2,
+    .aim_ms = 500,
+    .gap_aim_ms = 120 },
+  { .gateways = 12,
+    .ranks = 72,
+    .slots = 10,
+    .events = 19,
+    .step_ms = 4.55,
+    .per_seq_ms = 1.09,
+    .stride = 5,
+    .skew_times = 1.25,
+    .read_ms = 0.2,
+    .aim_ms = 500,
+    .gap_aim_ms = 150,
+    .spread = 0.85 },
+  { .gateways = 16,
+    .ranks = 72,
+    .slots = 10,
+    .events = 19,
+    .step_ms = 4.55,
+    .per_seq_ms = 1.09,
+    .stride = 5,
+    .skew_times = 1.25,
+    .read_ms = 0.2,
+    .aim_ms = 500,
+    .gap_aim_ms = 150,
+    .spread = 0.85 },
+  { .gateways = 35,
+    .ranks = 192,
+    .slots = 6,
+    .events = 15,
+    .step_ms = 4.55,
+    .per_seq_ms = 1.99,
+    .stride = 6,
+    .skew_times = 1.25,
+    .read_ms = 0.1,
+    .aim_ms = 600,
+    .gap_aim_ms = 200,
+    .spread = 0.85 },
+};
+
+/* Streams a second that full batches bear. */
+static double
+capacity (const Load *l)
+{
+  double streams = (double)l->ranks * l->slots / l->events; /* a pass */
+  double write
+      = l->stride * (l->step_ms + l->per_seq_ms * l->slots) * l->skew_times;
+
+  return 1000 * streams / (write + l->read_ms * streams);
+}
+
+/* With all mechanisms on; the same arrivals each time. */
+static void
+play_as_released (const Load *l)
+{
+  g_random_set_seed (7);
+  with_limit = TRUE;
+  with_ring = TRUE;
+  with_yielding = TRUE;
+  with_random_turns = TRUE;
+  play (l);
+}
+
+static double
+in_time_after_burst (const Load *of, double peaks, double times, gint64 for_ms)
+{
+  Load l = *of;
+
+  l.per_s = capacity (of) * PEAK_PART * peaks;
+  l.burst = times;
+  l.burst_to = BURST_FROM + for_ms;
+  l.callers_leave = TRUE;
+  l.callers_return = TRUE;
+  play_as_released (&l);
+  return part (tally.in_time, (int)(l.burst_to / 1000) + RECOVERY_S,
+               SECONDS - 3);
+}
+
+static void
+check_bursts (const Load *l, double peaks)
+{
+  static const struct
+  {
+    double times;
+    gint64 for_ms;
+  } bursts[] = { { 1.5, 2000 }, { 1.5, 5000 }, { 2, 2000 }, { 2, 5000 } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (bursts); i++)
+    {
+      double in_time
+          = in_time_after_burst (l, peaks, bursts[i].times, bursts[i].for_ms);
+
+      ck_assert_msg (in_time >= 0.9,
+                     "%d gateways, %.1f times for %" G_GINT64_FORMAT
+                     " ms at %.1f of the peak: %.2f in time",
+                     l->gateways, bursts[i].times, bursts[i].for_ms, peaks,
+                     in_time);
+    }
+}
+
+START_TEST (overload_ends_within_3_s_of_its_burst)
+{
+  check_bursts (&fleets[_i], 0.9);
+  check_bursts (&fleets[_i], 1.0);
+}
+END_TEST
+
+START_TEST (overload_above_the_usual_peak_ends_within_3_s)
+{
+  check_bursts (&fleets[_i], 1.1);
+}
+END_TEST
+
+/* Streams in time a second. */
+static double
+goodput (const Load *of, double per_s)
+{
+  Load l = *of;
+
+  l.per_s = per_s;
+  l.callers_leave = TRUE;
+  play_as_released (&l);
+  return part (tally.in_time, 8, SECONDS - 3) * per_s;
+}
+
+START_TEST (goodput_at_twice_the_knee_is_that_at_the_knee)
+{
+  const Load *l = &fleets[_i];
+  double knee = 0;
+  double knee_per_s = 0;
+  double twice;
+
+  for (int percent = 60; percent <= 100; percent += 5)
+    {
+      double per_s = capacity (l) * percent / 100;
+      double good = goodput (l, per_s);
+
+      if (good <= knee)
+        continue;
+      knee = good;
+      knee_per_s = per_s;
+    }
+  twice = goodput (l, 2 * knee_per_s);
+  ck_assert_msg (twice >= 0.9 * knee, "%d gateways: %.0f/s in time, %.0f/s",
+                 l->gateways, knee, twice);
+}
+END_TEST
+
+static void
+add_fleets (Suite *s, const char *name, const TTest *test)
+{
+  TCase *tc = tcase_create (name);
+
+  tcase_set_tags (tc, name);
+  tcase_set_timeout (tc, 60);
+  tcase_add_loop_test (tc, test, 0, G_N_ELEMENTS (fleets));
+  suite_add_tcase (s, tc);
+}
+
 int
 main (void)
 {
@@ -426,5 +710,10 @@
   tcase_add_test (tc, a_large_fleet_does_not_crowd_the_same_targets);
   tcase_add_test (tc, late_ones_leave_room_in_a_large_fleet);
   suite_add_tcase (s, tc);
+  add_fleets (s, "burst", overload_ends_within_3_s_of_its_burst);
+  add_fleets (s, "burst-above-peak",
+              overload_above_the_usual_peak_ends_within_3_s);
+  add_fleets (s, "twice-the-knee",
+              goodput_at_twice_the_knee_is_that_at_the_knee);
   return t_run (s);
 }
