--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -1,7 +1,6 @@
 /*
- * The load of a heavy day, played over the decisions alone: four gateways
- * before a group of 16 ranks in lock step, an outage of two seconds, and
- * what callers get afterwards.
+ * Outages and bursts, played over the decisions alone: gateways before a group
+ * of ranks that make each pass together, and what callers get afterwards.
  */
 #include "gateway/balancer.h"
 #include "gateway/concurrency-limit.h"
@@ -220,7 +219,7 @@
   g_ptr_array_add (away, s);
 }
 
-/* A gateway cannot tell one that returns from one that is new. */
+/* Gateways cannot tell a request that returns from a new one. */
 static void
 arrive (Gateway *g, Stream *s, gint64 now)
 {
@@ -453,10 +452,7 @@
   return (double)n / of;
 }
 
-/* Before an outage of two seconds all are in time.  From 3 to 13 s after it,
- * with the backlog served in full batches, a third of those that come are in
- * time (0.33); with those that are late already leaving room two thirds are
- * (0.68). */
+/* Late requests of a backlog that fill every batch make later ones late. */
 START_TEST (a_backlog_does_not_make_all_late)
 {
   double before;
@@ -475,13 +471,7 @@
 }
 END_TEST
 
-/*
- * On a heavy day of 35 gateways and 192 targets a quarter of the streams was
- * late, though there were slots for all.  Of targets with as little of our work
- * a gateway takes them in turn; all began at the same one and went on at about
- * the same pace, so that they crowded a few targets at a time.  They begin at
- * random ones: then all are in time before an outage, a fifth otherwise.
- */
+/* Gateways that take targets in turn from the same one on move in step. */
 START_TEST (a_large_fleet_does_not_crowd_the_same_targets)
 {
   double before;
@@ -498,10 +488,7 @@
 }
 END_TEST
 
-/* After four seconds without work a backlog fills all slots, and most of it is
- * late for sure.  It leaves room there too, where our part of one target's
- * slots is a single request: of those that come in the next seconds 0.73 are in
- * time, 0.68 if it does not. */
+/* Where a gateway's part of one target's slots is a single request. */
 START_TEST (late_ones_leave_room_in_a_large_fleet)
 {
   double before;
