t-network: have the second stream run before the others are begun

Cause: the gateway takes connections that come together in any order. In the failed run the second stream was placed fifth, at the rank of the first, so that the case's premise did not hold.

The second stream now has to run before the others begin, which puts it at another rank.

Open: a stream whose target works for others is still sent elsewhere at the limit of silence, though no other target could show a first event before its caller leaves.

--- a/t/t-network.c
+++ b/t/t-network.c
@@ -437,6 +437,9 @@
       busy[i] = begin_stream (id, 4000);
       if (i == 0)
         show_first_event_late ();
+      /* The second is at another rank than the first. */
+      if (i == 1)
+        ck_assert (ranks_run (2, 3000));
     }
   ck_assert (ranks_run (SHARE, 3000));
   usleep (300000);
