admission: decide in one place when callers come back

- When refused callers come back was decided in exchange-send.c, and its figures were written again in t-overload's model.
Both now call cf_wait_busy_ms().
The model also uses cf_waiter_in_time_ms() throughout, in place of a formula of its own beside it.
- Whether a service is limited was asked in two ways; now by cf_concurrency_limit_get() alone.
- A gateway asks for its own place on the ring without naming its address.
- The limit is said to bind, not to be felt; its comment no longer calls the increase additive, which it is not.

--- a/gateway/concurrency-limit.c
+++ b/gateway/concurrency-limit.c
@@ -10,8 +10,8 @@
 /** Where passes alone take longer than that, a lower limit gains nothing: only
  * what exceeds the time without a queue by this factor counts. */
 #define ACCEPTED_TIMES_UNQUEUED 1.3
-/** Of the limit, from how many requests in flight it is felt. */
-#define FELT_PART 0.9
+/** Of the limit, from how many requests in flight it binds. */
+#define BINDING_PART 0.9
 #define DECREASE 0.85
 #define INCREASE 1.05
 /** Bounds of the limit, in fair shares: the lowest one keeps engines at nine
@@ -34,9 +34,9 @@
 
 /* True if a lower limit would change anything. */
 static gboolean
-is_felt (const CfConcurrencyLimit *l, const CfFirstEvent *e)
+is_binding (const CfConcurrencyLimit *l, const CfFirstEvent *e)
 {
-  return e->in_flight >= (l->limit > 0 ? l->limit * FELT_PART : least (e));
+  return e->in_flight >= (l->limit > 0 ? l->limit * BINDING_PART : least (e));
 }
 
 static void
@@ -44,15 +44,16 @@
 {
   double most = MAX (e->fair_share * MOST_SHARES, 1);
   double gradient = CLAMP (accepted_ms (e) / l->mean_ms, DECREASE, INCREASE);
+  gboolean binding = is_binding (l, e);
 
-  if (is_felt (l, e) && gradient < 1)
+  if (binding && gradient < 1)
     {
       double base = l->limit > 0 ? MIN (l->limit, e->in_flight) : e->in_flight;
 
       l->limit = CLAMP (base * gradient, least (e), most);
     }
   else if (l->limit > 0)
-    l->limit *= is_felt (l, e) ? gradient : INCREASE;
+    l->limit *= binding ? gradient : INCREASE;
   if (l->limit > most)
     l->limit = 0;
 }
--- a/gateway/concurrency-limit.h
+++ b/gateway/concurrency-limit.h
@@ -7,9 +7,8 @@
  * Adaptive limit of the requests that this process has in flight at one
  * service.  A target queues what exceeds its slots in order of arrival, where
  * requests can neither be reordered nor refused; the limit keeps the backlog
- * in the gateways.  It is additive-increase, multiplicative-decrease, driven
- * by the time from sending to the first event: each decision takes the mean of
- * a few streams that were sent since the one before.
+ * in the gateways.  It follows the time from sending to the first event: each
+ * decision takes the mean of a few streams that were sent since the one before.
  */
 typedef struct
 {
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -130,7 +130,7 @@
   cf_log (LOG_NOTICE, CF_EV_OVERLOAD,
           "service=%s outcome=%s limit=%u in_flight=%u first_ms=%.0f "
           "pause_ms=%.0f waiting=%u waited_ms=%" G_GINT64_FORMAT,
-          x->service, l->limit.limit > 0 ? "begins" : "over",
+          x->service, cf_concurrency_limit_get (&l->limit) ? "begins" : "over",
           cf_concurrency_limit_get (&l->limit), l->in_flight, l->limit.mean_ms,
           l->pace.pause_ms, l->queue.n,
           first ? cf_gateway_now (x->g) - first->since_ms : 0);
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -5,15 +5,6 @@
 #include "forward.h"
 #include "log.h"
 
-/** Back-off asked of callers when all targets are full. */
-#define FULL_BUSY_MS 400
-/** The same when a service has an outage: a rank is back some 0.5 s after a
- * crash at the soonest, and its group opens 0.6 s after that.  Callers come
- * back once or twice; sooner they would only be refused again. */
-#define OUTAGE_BUSY_MS 1000
-/** The same in overload: past most bursts.  Callers come back once or twice,
- * and sooner they would only be refused again. */
-#define OVERLOAD_BUSY_MS 800
 /** Requests that may wait for room, for each slot of their service: with
  * more the last would wait past its limit even at full speed. */
 #define WAITERS_PER_SLOT 1
@@ -26,9 +17,8 @@
 {
   const CfLane *l = x->lane;
 
-  if (l->outage.since_ms)
-    return OUTAGE_BUSY_MS;
-  return cf_concurrency_limit_get (&l->limit) ? OVERLOAD_BUSY_MS : FULL_BUSY_MS;
+  return cf_wait_busy_ms (l->outage.since_ms != 0,
+                          cf_concurrency_limit_get (&l->limit) != 0);
 }
 
 gboolean
@@ -260,9 +250,11 @@
 serve_first (CfGateway *g, CfLane *l)
 {
   CfWaitQueue *q = &l->queue;
-  CfWaiter *w = l->outage.since_ms ? first_probe (l)
-                                   : cf_wait_queue_first (q, cf_gateway_now (g),
-                                                          l->limit.limit > 0);
+  CfWaiter *w
+      = l->outage.since_ms
+            ? first_probe (l)
+            : cf_wait_queue_first (q, cf_gateway_now (g),
+                                   cf_concurrency_limit_get (&l->limit));
   CfExchange *x;
   CfTarget *t;
 
--- a/gateway/membership.c
+++ b/gateway/membership.c
@@ -64,7 +64,7 @@
 {
   Member *n = g_hash_table_lookup (m->by_addr, addr);
 
-  if (n == m->self && n)
+  if (n == m->self)
     return;
   if (!n || strcmp (n->data_centre, data_centre ? data_centre : "") != 0)
     n = add_member (m, addr, data_centre);
@@ -169,7 +169,7 @@
 double
 cf_membership_ring_start (CfMembership *m, const char *addr)
 {
-  const Member *n = g_hash_table_lookup (m->by_addr, addr);
+  const Member *n = addr ? g_hash_table_lookup (m->by_addr, addr) : m->self;
 
   if (!n)
     return -1;
--- a/gateway/membership.h
+++ b/gateway/membership.h
@@ -31,6 +31,7 @@
 
 /**
  * cf_membership_ring_start:
+ * @addr: (nullable): %NULL: this gateway's
  * Evenly spaced over all gateways, and nearly so over those of each data
  * centre, since a gateway prefers the targets of its own.
  * Returns: where @addr begins, from 0 to below 1; negative if it is not known.
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -194,8 +194,7 @@
   n = cf_membership_size (s->fleet);
   cf_gateway_set_fleet (g, MAX (n, told));
   if (n >= told)
-    g->ring_start = cf_membership_ring_start (
-        s->fleet, g->set.control_addr ? g->set.control_addr : "");
+    g->ring_start = cf_membership_ring_start (s->fleet, NULL);
   else if (told_start >= 0 && told_start < CF_PEER_RING)
     g->ring_start = (double)told_start / CF_PEER_RING;
 }
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -14,6 +14,15 @@
 /** The same at most: an estimate beyond the objective would make every request
  * late on arrival, and the order one of arrival. */
 #define FIRST_PART_OF_AIM 0.75
+/** Back-off asked of callers when all targets are full. */
+#define FULL_BUSY_MS 400
+/** The same when a service has an outage: a rank is back some 0.5 s after a
+ * crash at the soonest, and its group opens 0.6 s after that.  Callers come
+ * back once or twice; sooner they would only be refused again. */
+#define OUTAGE_BUSY_MS 1000
+/** The same in overload: past most bursts.  Callers come back once or twice,
+ * and sooner they would only be refused again. */
+#define OVERLOAD_BUSY_MS 800
 /** Callers honour a Retry-After of up to a third of the time they have. */
 #define RETRY_AFTER_PART 0.32
 
@@ -114,6 +123,14 @@
   return (gint64)MIN (by_patience, by_left);
 }
 
+gint64
+cf_wait_busy_ms (gboolean outage, gboolean overloaded)
+{
+  if (outage)
+    return OUTAGE_BUSY_MS;
+  return overloaded ? OVERLOAD_BUSY_MS : FULL_BUSY_MS;
+}
+
 gint64
 cf_retry_after_ms (gint64 left_ms, gint64 busy_ms, guint spread)
 {
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -82,6 +82,9 @@
  */
 gint64 cf_wait_limit_ms (gint64 patience_ms, gint64 left_ms);
 
+/** cf_wait_busy_ms: when those that are refused may find room. */
+gint64 cf_wait_busy_ms (gboolean outage, gboolean overloaded);
+
 /**
  * cf_retry_after_ms:
  * @left_ms: time the caller has left
--- a/t/t-membership.c
+++ b/t/t-membership.c
@@ -7,6 +7,15 @@
 #define N_CENTRES 3
 #define N_EACH 12
 
+static void
+hear (CfMembership *m, int c, int i, gint64 now_ms)
+{
+  g_autofree char *addr = g_strdup_printf ("10.%d.0.%d:1", c, i);
+  g_autofree char *dc = g_strdup_printf ("dc%d", c);
+
+  cf_membership_hear (m, addr, dc, now_ms);
+}
+
 static CfMembership *
 new_fleet (int n_centres, int n_each)
 {
@@ -14,12 +23,7 @@
 
   for (int c = 0; c < n_centres; c++)
     for (int i = 0; i < n_each; i++)
-      {
-        g_autofree char *addr = g_strdup_printf ("10.%d.0.%d:1", c, i);
-        g_autofree char *dc = g_strdup_printf ("dc%d", c);
-
-        cf_membership_hear (m, addr, dc, 1000);
-      }
+      hear (m, c, i, 1000);
   return m;
 }
 
@@ -51,6 +55,7 @@
 
   ck_assert_uint_eq (cf_membership_size (m), 1);
   ck_assert_double_eq (cf_membership_ring_start (m, ""), 0);
+  ck_assert_double_eq (cf_membership_ring_start (m, NULL), 0);
   ck_assert_double_lt (cf_membership_ring_start (m, "10.0.0.9:1"), 0);
   cf_membership_free (m);
 }
@@ -81,12 +86,7 @@
 
   for (int c = N_CENTRES - 1; c >= 0; c--)
     for (int i = 0; i < N_EACH; i++)
-      {
-        g_autofree char *addr = g_strdup_printf ("10.%d.0.%d:1", c, i);
-        g_autofree char *dc = g_strdup_printf ("dc%d", c);
-
-        cf_membership_hear (o, addr, dc, 5);
-      }
+      hear (o, c, i, 5);
   for (int c = 0; c < N_CENTRES; c++)
     {
       double ours[N_EACH];
@@ -106,7 +106,7 @@
 {
   CfMembership *m = new_fleet (1, 4);
 
-  cf_membership_hear (m, "10.0.0.3:1", "dc0", 9000);
+  hear (m, 0, 3, 9000);
   cf_membership_expire (m, 5000, 10000);
   ck_assert_uint_eq (cf_membership_size (m), 2);
   ck_assert_double_eq (cf_membership_ring_start (m, "10.0.0.3:1"), 0.5);
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -19,8 +19,6 @@
 #define BURST_FROM 5000
 #define PATIENCE_MS 2400
 #define LEFT_MS 8000
-#define FULL_BUSY_MS 400
-#define OVERLOAD_BUSY_MS 800
 /* Of what full batches bear, the usual peak of the users' deployments. */
 #define PEAK_PART 0.83
 #define RECOVERY_S 3
@@ -50,36 +48,24 @@
   gboolean callers_return; /* once, if refused */
 } Load;
 
+/* Engines of 12, 10 and 6 slots, with the objectives of their streams. */
+#define SLOTS_12                                                               \
+  .slots = 12, .events = 24, .step_ms = 4.55, .per_seq_ms = 0.905,             \
+  .stride = 4, .skew_times = 1.21, .aim_ms = 500, .gap_aim_ms = 120
+#define SLOTS_10                                                               \
+  .slots = 10, .events = 19, .step_ms = 4.55, .per_seq_ms = 1.09, .stride = 5, \
+  .skew_times = 1.25, .aim_ms = 500, .gap_aim_ms = 150, .spread = 0.85
+#define SLOTS_6                                                                \
+  .slots = 6, .events = 15, .step_ms = 4.55, .per_seq_ms = 1.99, .stride = 6,  \
+  .skew_times = 1.25, .aim_ms = 600, .gap_aim_ms = 200, .spread = 0.85
+
 /* Nine tenths of what full batches bear: a backlog goes down slowly. */
-static const Load small = { .gateways = 4,
-                            .ranks = 16,
-                            .slots = 12,
-                            .events = 24,
-                            .step_ms = 4.55,
-                            .per_seq_ms = 0.905,
-                            .stride = 4,
-                            .skew_times = 1.21,
-                            .read_ms = 1.2,
-                            .aim_ms = 500,
-                            .gap_aim_ms = 120,
-                            .per_s = 92,
-                            .outage_to = 7000 };
+static const Load small = { SLOTS_12,       .gateways = 4, .ranks = 16,
+                            .read_ms = 1.2, .per_s = 92,   .outage_to = 7000 };
 
 /* The same with more gateways than a target has slots. */
-static const Load large = { .gateways = 35,
-                            .ranks = 192,
-                            .slots = 6,
-                            .events = 15,
-                            .step_ms = 4.55,
-                            .per_seq_ms = 1.99,
-                            .stride = 6,
-                            .skew_times = 1.25,
-                            .read_ms = 0.1,
-                            .aim_ms = 600,
-                            .gap_aim_ms = 200,
-                            .per_s = 500,
-                            .outage_to = 9000,
-                            .spread = 0.85 };
+static const Load large = { SLOTS_6,        .gateways = 35, .ranks = 192,
+                            .read_ms = 0.1, .per_s = 500,   .outage_to = 9000 };
 
 typedef struct
 {
@@ -196,17 +182,18 @@
   return (int)(s->start_ms / 1000);
 }
 
-static gint64
-busy_ms (const Gateway *g)
+static gboolean
+is_overloaded (const Gateway *g)
 {
-  return cf_concurrency_limit_get (&g->limit) ? OVERLOAD_BUSY_MS : FULL_BUSY_MS;
+  return cf_concurrency_limit_get (&g->limit) != 0;
 }
 
 static void
 refuse (Stream *s, gint64 now)
 {
-  gint64 retry_ms = cf_retry_after_ms (s->start_ms + LEFT_MS - now,
-                                       busy_ms (s->gateway), g_random_int ());
+  gint64 busy_ms = cf_wait_busy_ms (FALSE, is_overloaded (s->gateway));
+  gint64 retry_ms = cf_retry_after_ms (s->start_ms + LEFT_MS - now, busy_ms,
+                                       g_random_int ());
 
   if (!load->callers_return || s->returned)
     {
@@ -236,10 +223,7 @@
   if (!is_out (now) && !g->queue.n && send_to_target (g, s, now))
     return;
   s->waiter.since_ms = now;
-  s->waiter.in_time_ms
-      = now + load->aim_ms - (first ? first : load->aim_ms * 4 / 10);
-  if (with_limit)
-    s->waiter.in_time_ms = cf_waiter_in_time_ms (now, load->aim_ms, first);
+  s->waiter.in_time_ms = cf_waiter_in_time_ms (now, load->aim_ms, first);
   if (!cf_wait_queue_add (&g->queue, &s->waiter,
                           (guint)(load->ranks * load->slots), &evicted))
     refuse (s, now);
@@ -253,7 +237,7 @@
   CfWaiter *w;
   CfWaiter *next;
 
-  while ((w = cf_wait_queue_first (&g->queue, now, g->limit.limit > 0)))
+  while ((w = cf_wait_queue_first (&g->queue, now, is_overloaded (g))))
     {
       Stream *s = w->owner;
 
@@ -507,64 +491,11 @@
 
 /* Fleets of one shape each; rates are set by the cases. */
 static const Load fleets[] = {
-  { .gateways = 3,
-    .ranks = 8,
-    .slots = 12,
-    .events = 24,
-    .step_ms = 4.55,
-    .per_seq_ms = 0.905,
-    .stride = 4,
-    .skew_times = 1.21,
-    .read_ms = 2.4,
-    .aim_ms = 500,
-    .gap_aim_ms = 120 },
-  { .gateways = 4,
-    .ranks = 16,
-    .slots = 12,
-    .events = 24,
-    .step_ms = 4.55,
-    .per_seq_ms = 0.905,
-    .stride = 4,
-    .skew_times = 1.21,
-    .read_ms = 1.2,
-    .aim_ms = 500,
-    .gap_aim_ms = 120 },
-  { .gateways = 12,
-    .ranks = 72,
-    .slots = 10,
-    .events = 19,
-    .step_ms = 4.55,
-    .per_seq_ms = 1.09,
-    .stride = 5,
-    .skew_times = 1.25,
-    .read_ms = 0.2,
-    .aim_ms = 500,
-    .gap_aim_ms = 150,
-    .spread = 0.85 },
-  { .gateways = 16,
-    .ranks = 72,
-    .slots = 10,
-    .events = 19,
-    .step_ms = 4.55,
-    .per_seq_ms = 1.09,
-    .stride = 5,
-    .skew_times = 1.25,
-    .read_ms = 0.2,
-    .aim_ms = 500,
-    .gap_aim_ms = 150,
-    .spread = 0.85 },
-  { .gateways = 35,
-    .ranks = 192,
-    .slots = 6,
-    .events = 15,
-    .step_ms = 4.55,
-    .per_seq_ms = 1.99,
-    .stride = 6,
-    .skew_times = 1.25,
-    .read_ms = 0.1,
-    .aim_ms = 600,
-    .gap_aim_ms = 200,
-    .spread = 0.85 },
+  { SLOTS_12, .gateways = 3, .ranks = 8, .read_ms = 2.4 },
+  { SLOTS_12, .gateways = 4, .ranks = 16, .read_ms = 1.2 },
+  { SLOTS_10, .gateways = 12, .ranks = 72, .read_ms = 0.2 },
+  { SLOTS_10, .gateways = 16, .ranks = 72, .read_ms = 0.2 },
+  { SLOTS_6, .gateways = 35, .ranks = 192, .read_ms = 0.1 },
 };
 
 /* Streams a second that full batches bear. */
