--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -3,6 +3,7 @@
 #include "answer.h"
 #include "event-stream.h"
 #include "exchange.h"
+#include "request-digest.h"
 #include "upstream.h"
 
 /** Back-off asked of callers when no configuration or target is known. */
@@ -43,6 +44,7 @@
   CfTarget *target;
   GPtrArray *tried; /**< of #CfTarget, referenced */
   guint sends;
+  guint64 events_at_send; /**< events passed on when it was last sent */
   gboolean may_have_run;
   gboolean last_chance; /**< it cannot wait any more */
 
@@ -73,6 +75,9 @@
  * still does. */
 void cf_exchange_release_target (CfExchange *x, gboolean cancel);
 
+/** cf_exchange_digest: what identifies its request across attempts. */
+CfRequestDigest cf_exchange_digest (const CfExchange *x);
+
 /** cf_exchange_engine: (nullable): the model of its service's engines. */
 const CfEngineModel *cf_exchange_engine (const CfExchange *x);
 
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -66,6 +66,7 @@
   if (x->lane->in_flight++ == 0)
     x->lane->busy_since_ms = cf_gateway_now (x->g);
   x->sends++;
+  x->events_at_send = x->events.n_events;
   x->sent_ms = cf_gateway_now (x->g);
   if (x->route->stream)
     x->expected_first_ms
--- /dev/null
+++ b/gateway/request-digest.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <glib.h>
+
+#define CF_REQUEST_DIGEST_BYTES 16
+/** Of its text, with the zero that ends it. */
+#define CF_REQUEST_DIGEST_TEXT (2 * CF_REQUEST_DIGEST_BYTES + 1)
+
+/**
+ * CfRequestDigest:
+ * Identifies a request across attempts and gateways: attempts of the same
+ * organisation with the same path and body have the same digest, whatever
+ * their request ids.  Cryptographic, so that no caller can craft a request
+ * with the digest of another one's.
+ */
+typedef struct
+{
+  guint8 bytes[CF_REQUEST_DIGEST_BYTES];
+} CfRequestDigest;
+
+/**
+ * cf_request_digest:
+ * @org: (nullable): the caller's organisation
+ * @path: the request target
+ * @body: @n bytes
+ */
+CfRequestDigest cf_request_digest (const char *org, const char *path,
+                                   const char *body, gsize n);
+
+/** cf_request_digest_print: writes @d in hexadecimal to @out. */
+void cf_request_digest_print (const CfRequestDigest *d,
+                              char out[CF_REQUEST_DIGEST_TEXT]);
+
+/** cf_request_digest_hash, cf_request_digest_equal: for hash tables. */
+guint cf_request_digest_hash (gconstpointer d);
+gboolean cf_request_digest_equal (gconstpointer a, gconstpointer b);
