--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -14,6 +14,8 @@
 #define DRAIN_S 2.0
 /** When an order that comes late is carried out. */
 #define LATE_ORDER_S 1.0
+/** By the clock, between a start and the next one. */
+#define RESTART_MS 1000
 
 struct FakeTarget
 {
@@ -33,8 +35,10 @@
   int late_tenths; /**< of its orders, those that come late */
   gboolean mute;   /**< its orders are carried out without an answer */
   int n_orders;
-  GList *works; /**< of #Work: plain requests it works on */
-  char *fault;  /**< what the next @fault_left requests meet */
+  GList *works;  /**< of #Work: plain requests it works on */
+  char *crasher; /**< (nullable): a request with this body crashes it */
+  guint64 n_crashes;
+  char *fault; /**< what the next @fault_left requests meet */
   int fault_left;
   GHashTable *runs; /**< request id -> how often it ran */
   guint64 n_runs;
@@ -187,6 +191,8 @@
   g_free (body);
 }
 
+static void crash (FakeTarget *t, FakeConn *c);
+
 static void
 on_worked (struct ev_loop *loop, ev_timer *timer, int revents)
 {
@@ -196,7 +202,10 @@
   char *fault = g_steal_pointer (&w->fault);
 
   end_work (w);
-  answer_plain (t, c, fault);
+  if (g_strcmp0 (fault, "crash") == 0)
+    crash (t, c);
+  else
+    answer_plain (t, c, fault);
   g_free (fault);
 }
 
@@ -301,7 +310,9 @@
       fake_http_answer (c, 421, NULL, "", 0);
       return;
     }
-  fault = take_fault (t);
+  fault = t->crasher && strcmp (t->crasher, c->body->str) == 0
+              ? g_strdup ("crash")
+              : take_fault (t);
   if (g_strcmp0 (fault, "broken") == 0)
     {
       refuse (c, id, 503, t->addr);
@@ -328,6 +339,11 @@
       hang_stream (t, c);
       g_free (fault);
     }
+  else if (t->group && g_strcmp0 (fault, "crash") == 0)
+    {
+      crash (t, c);
+      g_free (fault);
+    }
   else if (t->group)
     begin_stream (t, c, id, fault);
   else
@@ -419,10 +435,10 @@
 
   g_free (id);
   answer_json (
-      c, json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f}", "runs", t->n_runs,
+      c, json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f}", "runs", t->n_runs,
                     "times", times, "doubled", t->n_doubled, "gone", t->n_gone,
-                    "late", t->n_late, "mixed", g ? g->mixed : 0, "passes",
-                    g ? g->passes : 0, "skew",
+                    "late", t->n_late, "crashes", t->n_crashes, "mixed",
+                    g ? g->mixed : 0, "passes", g ? g->passes : 0, "skew",
                     g && g->passes ? g->skew_sum / (double)g->passes : 0.0));
 }
 
@@ -507,13 +523,10 @@
 }
 
 static void
-restart (FakeTarget *t, FakeConn *c)
+start_anew (FakeTarget *t, gboolean same_id, int later_ms)
 {
-  char *same = fake_http_query (c, "same");
-  char *later = fake_http_query (c, "later-ms");
-
-  t->born += later ? atoi (later) : 1000;
-  if (!same)
+  t->born += later_ms;
+  if (!same_id)
     {
       char *old = t->id;
 
@@ -526,6 +539,41 @@
     fall_silent (t);
   t->draining = FALSE;
   publish (t);
+}
+
+/* The process ends while it works for @c, and with it all that it works on; it
+ * starts anew under another id. */
+static void
+crash (FakeTarget *t, FakeConn *c)
+{
+  t->n_crashes++;
+  while (t->works)
+    {
+      Work *w = t->works->data;
+      FakeConn *other = w->c;
+
+      end_work (w);
+      fake_http_reset (other);
+    }
+  while (t->group && !TAILQ_EMPTY (&t->group->ranks[t->rank].streams))
+    {
+      FakeConn *other = TAILQ_FIRST (&t->group->ranks[t->rank].streams)->c;
+
+      end_stream (other);
+      other->work = NULL;
+      fake_http_reset (other);
+    }
+  fake_http_reset (c);
+  start_anew (t, FALSE, RESTART_MS);
+}
+
+static void
+restart (FakeTarget *t, FakeConn *c)
+{
+  char *same = fake_http_query (c, "same");
+  char *later = fake_http_query (c, "later-ms");
+
+  start_anew (t, same != NULL, later ? atoi (later) : RESTART_MS);
   g_free (same);
   g_free (later);
 }
@@ -541,6 +589,12 @@
     answer_ran (t, c);
   else if (fake_http_is (c, "/test/fault"))
     set_fault (t, c);
+  else if (fake_http_is (c, "/test/crasher"))
+    {
+      g_free (t->crasher);
+      t->crasher = g_strdup (c->body->str);
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
   else if (fake_http_is (c, "/test/drain"))
     {
       t->draining = TRUE;
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -13,6 +13,9 @@
  * (run, then reset), truncate, garbage, extra (a second answer),
  * unsigned, unframed, hang, cut (a stream, in an event).
  *
+ * POST /test/crasher: a request with the body of this call crashes the target
+ * that runs it: all its work is reset, and it starts anew under another id.
+ *
  * POST /test/late-orders?tenths=N: N in ten orders to a rank get no answer
  * and are carried out a second later.
  *
@@ -30,7 +33,7 @@
  *
  * GET /test/runs?id=ID: what it ran: runs, doubled (ids that ran again, also
  * after a restart under the same id), gone, late (work that came though it had
- * been leaving for 2 s), mixed, and how many times ID did.
+ * been leaving for 2 s), crashes, mixed, and how many times ID did.
  *
  * GET /test/ran: each request id, and how often it ran.
  */
