gateway: quarantine requests that crash targets

What callers saw: a request that crashes each target that begins it came again under new ids, and each attempt was sent on.

Cause: all that a gateway knew of a request ended with the attempt's id. Class: failure evidence kept per attempt and per process, where the cause is the request and the damage is the fleet's.

Ruled out: that crashes are known where they happen and not elsewhere (the same gateway sent it again), and retries alone (an odd number of crashes, and later ones).

The change: a request is identified by a digest of organisation, path and body. A connection that ends in the middle of work is a crash of its target, unless the target had been silent for about as long as ranks wait for a lost one (that is how the other ranks of the group end theirs: 1.526 s after the crash, with over 60 requests, none of which is to blame). Each gateway keeps the set of targets that crashed under a request; changes go to all peers within a tick of 50 ms, seeds pass them on, and a gateway that starts gets all of it when its link comes up. Sets only grow, so that updates may come twice and in any order, until an answer clears them everywhere. With three targets the request is quarantined: refused before each sending (it has not run), and at once where it waits. From the second crash on it is not retried within its attempt.

At most 1,024 requests are remembered, for 10 minutes from the last crash or attempt; those with fewer crashes are evicted first.

Test: t-quarantine.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -123,6 +123,8 @@
 on_tick (struct ev_loop *loop, ev_timer *w, int revents)
 {
   cf_exchange_pump (&gw);
+  if (cf_quarantine_has_changes (gw.quarantine))
+    cf_exchange_refuse_all_quarantined (&gw);
   cf_peer_service_tick (peers);
   if (gw.stopping)
     stop_step (&gw);
--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -55,3 +55,7 @@
 #ifndef CF_WITHOUT_CONCURRENCY_LIMIT
 #define CF_WITHOUT_CONCURRENCY_LIMIT 0
 #endif
+/** Requests that crash targets are sent on. */
+#ifndef CF_WITHOUT_QUARANTINE
+#define CF_WITHOUT_QUARANTINE 0
+#endif
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -267,6 +267,7 @@
 good_answer_whole (CfExchange *x)
 {
   cf_outlier_success (&x->target->outlier);
+  cf_exchange_note_answered (x);
   if (!x->route->stream)
     {
       note_work (x);
@@ -285,6 +286,7 @@
 failure_whole (CfExchange *x)
 {
   cf_exchange_blame (x, x->target, "failed");
+  cf_exchange_note_answered (x);
   if (x->begun)
     {
       x->may_have_run = TRUE;
@@ -344,29 +346,6 @@
     }
 }
 
-/* How long its target had shown no sign of work when the connection ended: a
- * process that crashes was working till then, a rank that gives up waiting for
- * another one was not. */
-static gint64
-quiet_ms (const CfExchange *x)
-{
-  return cf_gateway_now (x->g) - MAX (x->sent_ms, x->target->last_sign_ms);
-}
-
-static void
-log_lost (const CfExchange *x)
-{
-  CfRequestDigest d = cf_exchange_digest (x);
-  char text[CF_REQUEST_DIGEST_TEXT];
-
-  cf_request_digest_print (&d, text);
-  cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
-          "id=%s target=%s outcome=lost request=%s events=%" G_GUINT64_FORMAT
-          " quiet_ms=%" G_GINT64_FORMAT,
-          x->id, x->target->record.id, text,
-          x->events.n_events - x->events_at_send, quiet_ms (x));
-}
-
 void
 cf_exchange_on_fail (void *owner, CfUpstreamFail f)
 {
@@ -374,7 +353,7 @@
 
   x->up = NULL;
   if (f == CF_FAIL_LOST)
-    log_lost (x);
+    cf_exchange_note_lost (x);
   cf_exchange_blame (x, x->target, cf_upstream_fail_name (f));
   if (f == CF_FAIL_UNSENT)
     x->sends--;
--- /dev/null
+++ b/gateway/exchange-crash.c
@@ -0,0 +1,135 @@
+#include "exchange-parts.h"
+
+#include "ablation.h"
+#include "log.h"
+
+/** When callers of a quarantined request may come back. */
+#define QUARANTINE_BUSY_MS CF_QUARANTINE_KEEP_MS
+
+static const CfRequestDigest *
+digest_of (CfExchange *x)
+{
+  if (!x->has_digest)
+    x->digest
+        = cf_request_digest (x->org, cf_http_reader_target (&x->c->reader),
+                             x->c->body->str, x->c->body->len);
+  x->has_digest = TRUE;
+  return &x->digest;
+}
+
+/* How long its target had shown no sign of work when the connection ended. */
+static gint64
+quiet_ms (const CfExchange *x)
+{
+  return cf_gateway_now (x->g) - MAX (x->sent_ms, x->target->last_sign_ms);
+}
+
+static gboolean
+has_target_crashed (const CfExchange *x)
+{
+  return cf_quarantine_is_crash (quiet_ms (x),
+                                 x->route->stream ? x->g->set.stall_ms : 0);
+}
+
+static void
+log_quarantine (CfExchange *x, int prio, const char *outcome)
+{
+  char text[CF_REQUEST_DIGEST_TEXT];
+
+  cf_request_digest_print (digest_of (x), text);
+  cf_log (prio, CF_EV_QUARANTINE, "request=%s outcome=%s crashes=%u id=%s",
+          text, outcome, cf_quarantine_crashes (x->g->quarantine, &x->digest),
+          x->id);
+}
+
+static void
+log_lost (CfExchange *x)
+{
+  char text[CF_REQUEST_DIGEST_TEXT];
+
+  cf_request_digest_print (digest_of (x), text);
+  cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
+          "id=%s target=%s outcome=lost request=%s events=%" G_GUINT64_FORMAT
+          " quiet_ms=%" G_GINT64_FORMAT,
+          x->id, x->target->record.id, text,
+          x->events.n_events - x->events_at_send, quiet_ms (x));
+}
+
+void
+cf_exchange_note_lost (CfExchange *x)
+{
+  const CfTargetRecord *r = &x->target->record;
+  gint64 now = cf_gateway_now (x->g);
+  char *target;
+
+  log_lost (x);
+  if (CF_WITHOUT_QUARANTINE || !has_target_crashed (x))
+    return;
+  x->crashed_target = TRUE;
+  target = g_strdup_printf ("%s/%" G_GINT64_FORMAT, r->id, r->incarnation);
+  if (cf_quarantine_add (x->g->quarantine, digest_of (x), target, now))
+    log_quarantine (x, LOG_WARNING, "quarantined");
+  g_free (target);
+}
+
+void
+cf_exchange_note_answered (CfExchange *x)
+{
+  if (cf_quarantine_size (x->g->quarantine) == 0)
+    return;
+  if (cf_quarantine_clear (x->g->quarantine, digest_of (x)))
+    log_quarantine (x, LOG_NOTICE, "cleared");
+}
+
+gboolean
+cf_exchange_is_suspected (CfExchange *x)
+{
+  return x->crashed_target
+         && cf_quarantine_crashes (x->g->quarantine, digest_of (x)) > 1;
+}
+
+static gboolean
+is_quarantined (CfExchange *x)
+{
+  CfQuarantine *q = x->g->quarantine;
+
+  return cf_quarantine_size (q) > 0
+         && cf_quarantine_check (q, digest_of (x), cf_gateway_now (x->g));
+}
+
+gboolean
+cf_exchange_refuse_quarantined (CfExchange *x)
+{
+  if (!is_quarantined (x))
+    return FALSE;
+  x->g->stats.quarantine_refusals++;
+  if (x->may_have_run)
+    cf_exchange_give_up (x, "quarantined");
+  else
+    cf_exchange_refuse (x, "quarantined", QUARANTINE_BUSY_MS);
+  return TRUE;
+}
+
+static CfExchange *
+first_quarantined (const CfLane *l)
+{
+  CfWaiter *w;
+
+  TAILQ_FOREACH (w, &l->queue.waiters, link)
+  if (is_quarantined (w->owner))
+    return w->owner;
+  return NULL;
+}
+
+void
+cf_exchange_refuse_all_quarantined (CfGateway *g)
+{
+  GHashTableIter it;
+  gpointer lane;
+  CfExchange *x;
+
+  g_hash_table_iter_init (&it, g->lanes);
+  while (g_hash_table_iter_next (&it, NULL, &lane))
+    while ((x = first_quarantined (lane)))
+      cf_exchange_refuse_quarantined (x);
+}
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -3,7 +3,6 @@
 #include "answer.h"
 #include "event-stream.h"
 #include "exchange.h"
-#include "request-digest.h"
 #include "upstream.h"
 
 /** Back-off asked of callers when no configuration or target is known. */
@@ -13,8 +12,8 @@
  * What the parts of an exchange share: its beginning and end (exchange.c),
  * whom it is sent to and when (exchange-send.c), whether it is before this
  * process ends (exchange-stop.c), targets that show nothing
- * (exchange-silence.c), and what comes of the target's answer
- * (exchange-answer.c).
+ * (exchange-silence.c), targets that crash (exchange-crash.c), and what comes
+ * of the target's answer (exchange-answer.c).
  */
 
 /**
@@ -46,7 +45,10 @@
   guint sends;
   guint64 events_at_send; /**< events passed on when it was last sent */
   gboolean may_have_run;
-  gboolean last_chance; /**< it cannot wait any more */
+  gboolean last_chance;    /**< it cannot wait any more */
+  gboolean crashed_target; /**< a target crashed while it had the request */
+  CfRequestDigest digest;  /**< valid if @has_digest */
+  gboolean has_digest;
 
   /* The answer that is coming in. */
   CfAnswerKind kind;
@@ -75,9 +77,6 @@
  * still does. */
 void cf_exchange_release_target (CfExchange *x, gboolean cancel);
 
-/** cf_exchange_digest: what identifies its request across attempts. */
-CfRequestDigest cf_exchange_digest (const CfExchange *x);
-
 /** cf_exchange_engine: (nullable): the model of its service's engines. */
 const CfEngineModel *cf_exchange_engine (const CfExchange *x);
 
@@ -98,7 +97,7 @@
 gint64 cf_exchange_busy_ms (const CfExchange *x);
 
 /** cf_exchange_may_send_again: whether another target may get it. */
-gboolean cf_exchange_may_send_again (const CfExchange *x);
+gboolean cf_exchange_may_send_again (CfExchange *x);
 
 /** cf_exchange_try_target: sends it to a target, or has it wait for room. */
 void cf_exchange_try_target (CfExchange *x);
@@ -154,6 +153,26 @@
 /** cf_exchange_on_silence: its target, or the queue, took too long. */
 void cf_exchange_on_silence (struct ev_loop *loop, ev_timer *w, int revents);
 
+/* Targets that crash. */
+
+/** cf_exchange_note_lost: the connection to its target ended before the answer
+ * did; if the target crashed, the request is suspected. */
+void cf_exchange_note_lost (CfExchange *x);
+
+/** cf_exchange_note_answered: its target has run it to an end. */
+void cf_exchange_note_answered (CfExchange *x);
+
+/** cf_exchange_is_suspected: whether its target crashed, and others had under
+ * the same request. */
+gboolean cf_exchange_is_suspected (CfExchange *x);
+
+/**
+ * cf_exchange_refuse_quarantined:
+ * Called before each sending.
+ * Returns: %TRUE if its request is quarantined; it was answered, and is gone.
+ */
+gboolean cf_exchange_refuse_quarantined (CfExchange *x);
+
 /* What comes of the target's answer. */
 
 /** cf_exchange_forget_answer: drops what came in of an answer that is not
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -22,10 +22,12 @@
 }
 
 gboolean
-cf_exchange_may_send_again (const CfExchange *x)
+cf_exchange_may_send_again (CfExchange *x)
 {
   if (x->may_have_run && x->route->repeat == CF_REPEAT_NEVER)
     return FALSE;
+  if (cf_exchange_is_suspected (x))
+    return FALSE;
   if (CF_WITHOUT_RETRIES || (CF_WITHOUT_RESUME && x->begun))
     return FALSE;
   return x->sends < x->route->max_attempts
@@ -33,6 +35,13 @@
          && cf_exchange_stop_slack_ms (x) > 0;
 }
 
+/* Looked at before each sending; %TRUE if @x is gone. */
+static gboolean
+is_answered_instead (CfExchange *x)
+{
+  return cf_exchange_refuse_quarantined (x) || cf_exchange_stops_here (x);
+}
+
 static void
 send_to (CfExchange *x, CfTarget *t)
 {
@@ -189,7 +198,7 @@
 {
   CfTarget *t;
 
-  if (cf_exchange_stops_here (x))
+  if (is_answered_instead (x))
     return;
   switch (pick (x, &t))
     {
@@ -264,7 +273,7 @@
   x = w->owner;
   if (pick (x, &t) != CF_PICK_OK)
     return FALSE;
-  if (cf_exchange_stops_here (x))
+  if (is_answered_instead (x))
     return TRUE;
   cf_histogram_add (&x->g->stats.queue_ms, cf_gateway_now (x->g) - w->since_ms);
   g->stats.begun_late += cf_gateway_now (g) > w->in_time_ms;
@@ -296,7 +305,7 @@
   gboolean outage = x->lane->outage.since_ms != 0;
   CfTarget *t;
 
-  if (cf_exchange_stops_here (x))
+  if (is_answered_instead (x))
     return;
   x->last_chance = outage;
   if (outage && pick (x, &t) == CF_PICK_OK)
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -173,13 +173,6 @@
   return ms > 0 ? MIN (ms, x->route->timeout_ms) : x->route->timeout_ms;
 }
 
-CfRequestDigest
-cf_exchange_digest (const CfExchange *x)
-{
-  return cf_request_digest (x->org, cf_http_reader_target (&x->c->reader),
-                            x->c->body->str, x->c->body->len);
-}
-
 const CfEngineModel *
 cf_exchange_engine (const CfExchange *x)
 {
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -15,6 +15,10 @@
  * before it ends is answered now. */
 void cf_exchange_stop_look (CfGateway *g);
 
+/** cf_exchange_refuse_all_quarantined: requests were quarantined; what waits to
+ * be sent for one of them is answered now. */
+void cf_exchange_refuse_all_quarantined (CfGateway *g);
+
 /** cf_exchange_end_with_process: this process ends: @x is refused if it has
  * not run, failed if it may have, and cut off if its answer has begun. */
 void cf_exchange_end_with_process (CfExchange *x);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -95,6 +95,7 @@
   cf_target_table_init (&g->targets);
   g->targets.is_named = is_named_service;
   g->targets.is_named_data = g;
+  g->quarantine = cf_quarantine_new ();
   cf_gateway_lane (g, "");
   cf_gateway_set_fleet (g, 0);
   g->ring_start = g_random_double ();
@@ -106,6 +107,7 @@
   cf_target_table_clear (&g->targets);
   g_clear_pointer (&g->rejects, g_hash_table_destroy);
   g_clear_pointer (&g->lanes, g_hash_table_destroy);
+  g_clear_pointer (&g->quarantine, cf_quarantine_free);
   g_clear_pointer (&g->policy, cf_policy_unref);
   g_clear_pointer (&g->policy_json, g_bytes_unref);
   cf_platform_settings_clear (&g->set);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "pace.h"
 #include "platform/platform-settings.h"
 #include "policy.h"
+#include "quarantine.h"
 #include "retry-budget.h"
 #include "stats.h"
 #include "target.h"
@@ -54,6 +55,7 @@
   double ring_start;    /**< where this one begins on the ring of targets, from
                              0 to below 1 */
   GHashTable *lanes;    /**< service -> #CfLane */
+  CfQuarantine *quarantine; /**< requests that crash targets */
   CfCallerList callers;
   guint n_callers;
   guint callers_max;     /**< the others are for targets, peers, the store */
--- a/gateway/ops.c
+++ b/gateway/ops.c
@@ -42,6 +42,8 @@
   cf_stats_gauge (out, "targets", g_hash_table_size (g->targets.by_id));
   cf_stats_gauge (out, "target_list_age_ms",
                   (double)(cf_gateway_now (g) - g->targets_at_ms));
+  cf_stats_gauge (out, "suspected_requests",
+                  cf_quarantine_size (g->quarantine));
   cf_stats_gauge (out, "callers", g->n_callers);
   cf_stats_gauge (out, "requests_in_progress", g->n_exchanges);
   cf_stats_gauge (out, "request_bytes_held", (double)g->body_bytes);
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -175,6 +175,40 @@
   return a;
 }
 
+/* A later version may name more targets than count here. */
+static void
+take_crash (Fields *f, CfPeerCrash *c)
+{
+  CfPeerBytes digest = take_bytes (f);
+
+  memset (c, 0, sizeof *c);
+  f->bad |= digest.n != sizeof c->digest.bytes;
+  if (!f->bad)
+    memcpy (c->digest.bytes, digest.data, digest.n);
+  c->age_ms = take_int (f);
+  while (!f->bad && f->at < f->end && c->n < CF_QUARANTINE_CRASHES)
+    c->targets[c->n++] = take_bytes (f);
+}
+
+static GArray *
+take_crashes (Fields *f)
+{
+  Fields in = fields_of (next (f));
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerCrash));
+
+  while (!in.bad && in.at < in.end)
+    {
+      Fields one = fields_of (next (&in));
+      CfPeerCrash c;
+
+      take_crash (&one, &c);
+      in.bad |= one.bad;
+      g_array_append_val (a, c);
+    }
+  f->bad |= in.bad;
+  return a;
+}
+
 static void
 take_fields (Fields *f, CfPeerMsg *m)
 {
@@ -251,6 +285,9 @@
       m->u.targets.as_of = take_int (f);
       m->u.targets.items = take_targets (f);
       break;
+    case CF_PEER_CRASHES:
+      m->u.crashes = take_crashes (f);
+      break;
     default:
       f->bad = TRUE;
     }
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -86,6 +86,24 @@
     }
 }
 
+static void
+put_crashes (msgpack_packer *pk, const GArray *crashes)
+{
+  msgpack_pack_array (pk, crashes->len);
+  for (guint i = 0; i < crashes->len; i++)
+    {
+      const CfPeerCrash *c = &g_array_index (crashes, CfPeerCrash, i);
+      CfPeerBytes digest
+          = { (const char *)c->digest.bytes, sizeof c->digest.bytes };
+
+      msgpack_pack_array (pk, 2 + c->n);
+      put_bytes (pk, digest);
+      put_int (pk, c->age_ms);
+      for (guint t = 0; t < c->n; t++)
+        put_bytes (pk, c->targets[t]);
+    }
+}
+
 static void
 begin (msgpack_packer *pk, const CfPeerMsg *m, size_t fields)
 {
@@ -177,6 +195,10 @@
       put_int (&pk, m->u.targets.as_of);
       put_targets (&pk, m->u.targets.items);
       break;
+    case CF_PEER_CRASHES:
+      begin (&pk, m, 1);
+      put_crashes (&pk, m->u.crashes);
+      break;
     }
 }
 
@@ -213,6 +235,9 @@
     case CF_PEER_TARGETS:
       a = &m->u.targets.items;
       break;
+    case CF_PEER_CRASHES:
+      a = &m->u.crashes;
+      break;
     default:
       break;
     }
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -2,6 +2,7 @@
 
 #include "error.h"
 #include "peer-link.h"
+#include "quarantine.h"
 #include "rank.h"
 
 #include <msgpack.h>
@@ -20,6 +21,7 @@
   CF_PEER_POLICY = 9,        /**< gateway: the newest configuration I have */
   CF_PEER_TARGETS = 10,      /**< gateway: the targets as I know them */
   CF_PEER_PREPARE = 11,      /**< gateway: have your rank prepare this map */
+  CF_PEER_CRASHES = 12,      /**< requests during which targets crashed */
 } CfPeerMsgKind;
 
 /** Units of a place on the ring of targets. */
@@ -110,6 +112,7 @@
       gint64 as_of;  /**< the store's revision of the whole list */
       GArray *items; /**< of #CfPeerTarget, owned */
     } targets;
+    GArray *crashes; /**< of #CfPeerCrash, owned */
   } u;
 } CfPeerMsg;
 
@@ -141,6 +144,15 @@
   gint64 created; /**< 0 if the peer does not say */
 } CfPeerTarget;
 
+/** CfPeerCrash: a request during which targets crashed. */
+typedef struct
+{
+  CfRequestDigest digest;
+  gint64 age_ms; /**< since its last crash or attempt */
+  guint n;       /**< number of @targets; 0: it was answered since */
+  CfPeerBytes targets[CF_QUARANTINE_CRASHES]; /**< their incarnations */
+} CfPeerCrash;
+
 /** cf_peer_msg_pack: appends the frame of @m to @out. */
 void cf_peer_msg_pack (const CfPeerMsg *m, msgpack_sbuffer *out);
 
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -3,6 +3,7 @@
 #include "ablation.h"
 #include "log.h"
 #include "membership.h"
+#include "peer-crashes.h"
 #include "platform/platform-target.h"
 #include "socket.h"
 
@@ -180,6 +181,39 @@
   cf_peer_msg_clear (&m);
 }
 
+/* All that is known of requests that crash targets: a gateway that started, or
+ * was cut off, has missed it. */
+static void
+send_crashes (Peer *p)
+{
+  CfGateway *g = p->s->g;
+  CfPeerMsg m;
+
+  if (cf_quarantine_size (g->quarantine) == 0)
+    return;
+  cf_peer_crashes_all (g->quarantine, g->now_ms, &m);
+  cf_peer_msg_send (p->peer, &m);
+  cf_peer_msg_clear (&m);
+}
+
+/* What came from one peer goes on to the others, as most gateways have links
+ * to the seeds alone. */
+static void
+notify_crashes (CfPeerService *s)
+{
+  CfGateway *g = s->g;
+  CfPeerMsg m;
+  Peer *p;
+
+  if (!cf_quarantine_has_changes (g->quarantine))
+    return;
+  cf_peer_crashes_changed (g->quarantine, g->now_ms, &m);
+  TAILQ_FOREACH (p, &s->peers, link)
+  if (p->up)
+    cf_peer_msg_send (p->peer, &m);
+  cf_peer_msg_clear (&m);
+}
+
 /* A peer may know more of the fleet than this gateway hears itself; then its
  * word on the place on the ring holds, too. */
 static void
@@ -276,6 +310,9 @@
     case CF_PEER_TARGETS:
       take_targets (p, m);
       break;
+    case CF_PEER_CRASHES:
+      cf_peer_crashes_merge (p->s->g->quarantine, m, p->addr, p->s->g->now_ms);
+      break;
     default:
       break;
     }
@@ -298,6 +335,7 @@
   p->heard_ms = p->s->g->now_ms;
   cf_log (LOG_NOTICE, CF_EV_PEER, "seed=%d outcome=up", p->seed);
   greet (p);
+  send_crashes (p);
 }
 
 static void
@@ -343,6 +381,7 @@
   cf_peer_link_hand_over (l, &link_calls, p);
   take_msg (p, first);
   greet (p);
+  send_crashes (p);
 }
 
 static gboolean
@@ -405,7 +444,9 @@
       s->connected_ms = now;
       drop_silent (s);
       connect_seeds (s);
+      cf_quarantine_expire (s->g->quarantine, now);
     }
+  notify_crashes (s);
   if (now - s->greeted_ms < every)
     return;
   s->greeted_ms = now;
--- /dev/null
+++ b/gateway/quarantine.c
@@ -0,0 +1,207 @@
+#include "quarantine.h"
+
+#include <string.h>
+
+/** Of the time that a rank waits for another, what it is silent for at least;
+ * the last sign of work may have been on its way when the wait began. */
+#define STALLED_PART 0.9
+
+struct CfQuarantine
+{
+  GHashTable *records; /* digest -> #CfCrashRecord */
+  GHashTable *changed; /* set of #CfRequestDigest, owned */
+};
+
+static void
+free_record (gpointer p)
+{
+  CfCrashRecord *r = p;
+
+  for (guint i = 0; i < r->n; i++)
+    g_free (r->targets[i]);
+  g_free (r);
+}
+
+CfQuarantine *
+cf_quarantine_new (void)
+{
+  CfQuarantine *q = g_new0 (CfQuarantine, 1);
+
+  q->records = g_hash_table_new_full (
+      cf_request_digest_hash, cf_request_digest_equal, NULL, free_record);
+  q->changed = g_hash_table_new_full (cf_request_digest_hash,
+                                      cf_request_digest_equal, g_free, NULL);
+  return q;
+}
+
+void
+cf_quarantine_free (CfQuarantine *q)
+{
+  g_hash_table_destroy (q->records);
+  g_hash_table_destroy (q->changed);
+  g_free (q);
+}
+
+guint
+cf_quarantine_size (const CfQuarantine *q)
+{
+  return g_hash_table_size (q->records);
+}
+
+gboolean
+cf_quarantine_is_crash (gint64 quiet_ms, gint64 stall_ms)
+{
+  return stall_ms <= 0 || (double)quiet_ms < (double)stall_ms * STALLED_PART;
+}
+
+static void
+mark_changed (CfQuarantine *q, const CfRequestDigest *d)
+{
+  g_hash_table_add (q->changed, g_memdup2 (d, sizeof *d));
+}
+
+/* Fewest crashes first, then the longest not seen. */
+static gboolean
+goes_before (const CfCrashRecord *a, const CfCrashRecord *b)
+{
+  return a->n != b->n ? a->n < b->n : a->seen_ms < b->seen_ms;
+}
+
+static void
+evict_one (CfQuarantine *q)
+{
+  const CfCrashRecord *worst = NULL;
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, q->records);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    if (!worst || goes_before (v, worst))
+      worst = v;
+  g_hash_table_remove (q->records, &worst->digest);
+}
+
+static CfCrashRecord *
+get_or_add (CfQuarantine *q, const CfRequestDigest *d)
+{
+  CfCrashRecord *r = g_hash_table_lookup (q->records, d);
+
+  if (r)
+    return r;
+  if (cf_quarantine_size (q) >= CF_QUARANTINE_MAX)
+    evict_one (q);
+  r = g_new0 (CfCrashRecord, 1);
+  r->digest = *d;
+  g_hash_table_insert (q->records, &r->digest, r);
+  return r;
+}
+
+static gboolean
+has_target (const CfCrashRecord *r, const char *target)
+{
+  for (guint i = 0; i < r->n; i++)
+    if (strcmp (r->targets[i], target) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+renew (CfQuarantine *q, CfCrashRecord *r, gint64 seen_ms)
+{
+  r->seen_ms = MAX (r->seen_ms, seen_ms);
+  /* Peers that get no attempts of it would forget it. */
+  if (r->seen_ms - r->notified_ms > CF_QUARANTINE_KEEP_MS / 2)
+    mark_changed (q, &r->digest);
+}
+
+gboolean
+cf_quarantine_add (CfQuarantine *q, const CfRequestDigest *d,
+                   const char *target, gint64 seen_ms)
+{
+  CfCrashRecord *r = get_or_add (q, d);
+
+  renew (q, r, seen_ms);
+  if (r->n == CF_QUARANTINE_CRASHES || has_target (r, target))
+    return FALSE;
+  r->targets[r->n++] = g_strdup (target);
+  mark_changed (q, d);
+  return r->n == CF_QUARANTINE_CRASHES;
+}
+
+gboolean
+cf_quarantine_clear (CfQuarantine *q, const CfRequestDigest *d)
+{
+  if (!g_hash_table_remove (q->records, d))
+    return FALSE;
+  mark_changed (q, d);
+  return TRUE;
+}
+
+guint
+cf_quarantine_crashes (const CfQuarantine *q, const CfRequestDigest *d)
+{
+  const CfCrashRecord *r = g_hash_table_lookup (q->records, d);
+
+  return r ? r->n : 0;
+}
+
+gboolean
+cf_quarantine_check (CfQuarantine *q, const CfRequestDigest *d, gint64 now_ms)
+{
+  CfCrashRecord *r = g_hash_table_lookup (q->records, d);
+
+  if (!r)
+    return FALSE;
+  renew (q, r, now_ms);
+  return r->n == CF_QUARANTINE_CRASHES;
+}
+
+static gboolean
+is_old (gpointer key, gpointer value, gpointer now_ms)
+{
+  const CfCrashRecord *r = value;
+
+  return *(const gint64 *)now_ms - r->seen_ms > CF_QUARANTINE_KEEP_MS;
+}
+
+void
+cf_quarantine_expire (CfQuarantine *q, gint64 now_ms)
+{
+  g_hash_table_foreach_remove (q->records, is_old, &now_ms);
+}
+
+void
+cf_quarantine_foreach (CfQuarantine *q, CfCrashVisit visit, void *data)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, q->records);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    visit (data, v);
+}
+
+void
+cf_quarantine_flush (CfQuarantine *q, CfCrashVisit visit, void *data)
+{
+  GHashTableIter it;
+  gpointer d;
+
+  g_hash_table_iter_init (&it, q->changed);
+  while (g_hash_table_iter_next (&it, &d, NULL))
+    {
+      CfCrashRecord *r = g_hash_table_lookup (q->records, d);
+      CfCrashRecord cleared = { .digest = *(const CfRequestDigest *)d };
+
+      visit (data, r ? r : &cleared);
+      if (r)
+        r->notified_ms = r->seen_ms;
+    }
+  g_hash_table_remove_all (q->changed);
+}
+
+gboolean
+cf_quarantine_has_changes (const CfQuarantine *q)
+{
+  return g_hash_table_size (q->changed) > 0;
+}
--- /dev/null
+++ b/gateway/quarantine.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "request-digest.h"
+
+/** Crashes of targets under one request after which it is quarantined. */
+#define CF_QUARANTINE_CRASHES 3
+/** How long a request is remembered after its last crash or attempt. */
+#define CF_QUARANTINE_KEEP_MS 600000
+/** Requests remembered at most; those with the fewest crashes go first. */
+#define CF_QUARANTINE_MAX 1024
+
+/**
+ * CfQuarantine:
+ * Requests during which targets crashed.  One during which several have, while
+ * none has answered it, is taken to be the cause: it is quarantined, and not
+ * sent any more.
+ *
+ * A set of crashed targets for each request, which gateways exchange and merge
+ * in any order: applying an update twice changes nothing.  An answer to a
+ * request clears its set everywhere, so that a healthy one that was running
+ * when targets crashed does not stay suspected.
+ */
+typedef struct CfQuarantine CfQuarantine;
+
+/** CfCrashRecord: what is known of one request. */
+typedef struct
+{
+  CfRequestDigest digest;
+  char *targets[CF_QUARANTINE_CRASHES]; /**< incarnations that crashed */
+  guint n;                              /**< number of @targets */
+  gint64 seen_ms;                       /**< last crash or attempt */
+  gint64 notified_ms; /**< @seen_ms as peers were last notified of it */
+} CfCrashRecord;
+
+CfQuarantine *cf_quarantine_new (void);
+void cf_quarantine_free (CfQuarantine *q);
+
+/** cf_quarantine_size: requests that are remembered. */
+guint cf_quarantine_size (const CfQuarantine *q);
+
+/**
+ * cf_quarantine_is_crash:
+ * Whether a connection that ended in the middle of work tells of a crash of its
+ * target.  A rank that waits for a lost one ends its connections too, but shows
+ * no sign of work for @stall_ms before.
+ * @quiet_ms: since the last sign of work
+ * @stall_ms: how long targets wait for one another; 0: they do not
+ */
+gboolean cf_quarantine_is_crash (gint64 quiet_ms, gint64 stall_ms);
+
+/**
+ * cf_quarantine_add:
+ * Notes that @target crashed while it had the request.
+ * @target: names one incarnation of a target
+ * @seen_ms: when that was, by the steady clock
+ * Returns: %TRUE if the request is quarantined by this.
+ */
+gboolean cf_quarantine_add (CfQuarantine *q, const CfRequestDigest *d,
+                            const char *target, gint64 seen_ms);
+
+/** cf_quarantine_clear: the request was answered; %FALSE if it was not
+ * suspected. */
+gboolean cf_quarantine_clear (CfQuarantine *q, const CfRequestDigest *d);
+
+/** cf_quarantine_crashes: targets that crashed during the request. */
+guint cf_quarantine_crashes (const CfQuarantine *q, const CfRequestDigest *d);
+
+/**
+ * cf_quarantine_check:
+ * An attempt of the request came; it is remembered for longer.
+ * Returns: whether it is quarantined.
+ */
+gboolean cf_quarantine_check (CfQuarantine *q, const CfRequestDigest *d,
+                              gint64 now_ms);
+
+/** cf_quarantine_expire: forgets what was not seen for long. */
+void cf_quarantine_expire (CfQuarantine *q, gint64 now_ms);
+
+/** CfCrashVisit: @r has no targets if the request was cleared. */
+typedef void (*CfCrashVisit) (void *data, const CfCrashRecord *r);
+
+/** cf_quarantine_foreach: visits all. */
+void cf_quarantine_foreach (CfQuarantine *q, CfCrashVisit visit, void *data);
+
+/** cf_quarantine_flush: visits those that changed since the last flush; peers
+ * are to be notified of them. */
+void cf_quarantine_flush (CfQuarantine *q, CfCrashVisit visit, void *data);
+
+/** cf_quarantine_has_changes: whether a flush would visit any. */
+gboolean cf_quarantine_has_changes (const CfQuarantine *q);
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -93,6 +93,7 @@
   print_counter (out, "store_errors_total", s->store_errors);
   print_counter (out, "callers_turned_away_total", s->callers_turned_away);
   print_counter (out, "records_rejected_total", s->records_rejected);
+  print_counter (out, "quarantine_refusals_total", s->quarantine_refusals);
   print_counter (out, "queued_total", s->queued);
   print_counter (out, "begun_late_total", s->begun_late);
   print_histogram (out, "first_event_ms", &s->first_ms);
--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -311,6 +311,14 @@
         g_array_append_val (m->u.targets.items, t);
       }
       break;
+    case CF_PEER_CRASHES:
+      {
+        CfPeerCrash c = { .age_ms = 5, .n = 2, .targets = { some, some } };
+
+        m->u.crashes = g_array_new (FALSE, FALSE, sizeof (CfPeerCrash));
+        g_array_append_val (m->u.crashes, c);
+      }
+      break;
     default:
       break;
     }
@@ -341,11 +349,11 @@
       CfPeerMsg m;
       GString *s;
 
-      fill (&m, CF_PEER_AGENT_HELLO + i % CF_PEER_PREPARE);
+      fill (&m, CF_PEER_AGENT_HELLO + i % CF_PEER_CRASHES);
       msgpack_sbuffer_init (&buf);
       cf_peer_msg_pack (&m, &buf);
       cf_peer_msg_clear (&m);
-      s = spoil (buf.data, buf.size, i / CF_PEER_PREPARE);
+      s = spoil (buf.data, buf.size, i / CF_PEER_CRASHES);
       msgpack_sbuffer_destroy (&buf);
       if (cf_peer_msg_unpack (s->str, s->len, &zone, &m) != CF_OK)
         m.kind = 0;
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -177,6 +177,34 @@
 }
 END_TEST
 
+START_TEST (requests_that_crash_targets)
+{
+  CfPeerMsg m = { .kind = CF_PEER_CRASHES };
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+  CfPeerCrash in[2] = { { .age_ms = 70, .n = 1 }, { .n = 0 } };
+  const CfPeerCrash *out;
+
+  in[0].digest = cf_request_digest ("o", "/a", "body", 4);
+  in[0].targets[0] = bytes ("i-1/7");
+  in[1].digest = cf_request_digest ("o", "/b", "body", 4);
+  m.u.crashes = g_array_new (FALSE, FALSE, sizeof (CfPeerCrash));
+  g_array_append_vals (m.u.crashes, in, 2);
+  there_and_back (&m, &o, &zone, &buf);
+  ck_assert_uint_eq (o.u.crashes->len, 2);
+  out = (const CfPeerCrash *)(void *)o.u.crashes->data;
+  ck_assert (cf_request_digest_equal (&out[0].digest, &in[0].digest));
+  ck_assert_int_eq (out[0].age_ms, 70);
+  ck_assert_uint_eq (out[0].n, 1);
+  ck_assert_mem_eq (out[0].targets[0].data, "i-1/7", out[0].targets[0].n);
+  ck_assert (cf_request_digest_equal (&out[1].digest, &in[1].digest));
+  ck_assert_uint_eq (out[1].n, 0);
+  release (&o, &zone, &buf);
+  cf_peer_msg_clear (&m);
+}
+END_TEST
+
 START_TEST (bad_frames_are_refused)
 {
   GRand *rand = g_rand_new_with_seed (3);
@@ -270,6 +298,7 @@
   tcase_add_test (t, order_and_answer);
   tcase_add_test (t, a_map_to_prepare);
   tcase_add_test (t, what_a_rank_drew_takes_a_byte_an_expert);
+  tcase_add_test (t, requests_that_crash_targets);
   tcase_add_test (t, bad_frames_are_refused);
   tcase_add_test (t, frames_that_claim_too_much_are_not_read);
   tcase_add_test (t, an_earlier_version_is_understood);
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -2,6 +2,7 @@
  * Requests that crash the targets that run them, and targets that do so for
  * other reasons: what the gateways of a fleet still send.
  */
+#include "gateway/peer-crashes.h"
 #include "harness.h"
 #include "platform-harness.h"
 
@@ -134,23 +135,174 @@
 }
 END_TEST
 
+static CfRequestDigest
+digest_of (int i)
+{
+  g_autofree char *body = g_strdup_printf ("%d", i);
+
+  return cf_request_digest ("org", "/a", body, strlen (body));
+}
+
+START_TEST (digests_tell_requests_apart)
+{
+  CfRequestDigest a = cf_request_digest ("o", "/p", "body", 4);
+  CfRequestDigest others[] = { cf_request_digest ("x", "/p", "body", 4),
+                               cf_request_digest (NULL, "/p", "body", 4),
+                               cf_request_digest ("o", "/pb", "ody", 3),
+                               cf_request_digest ("o/", "p", "body", 4),
+                               cf_request_digest ("o", "/p", "bodz", 4) };
+  CfRequestDigest same = cf_request_digest ("o", "/p", "body", 4);
+
+  ck_assert (cf_request_digest_equal (&a, &same));
+  for (gsize i = 0; i < G_N_ELEMENTS (others); i++)
+    ck_assert_msg (!cf_request_digest_equal (&a, &others[i]), "%zu", i);
+}
+END_TEST
+
+/* A rank that waited 1.5 s for a crashed one ends its connections too. */
+START_TEST (a_rank_that_gives_up_waiting_has_not_crashed)
+{
+  ck_assert (cf_quarantine_is_crash (0, 1500));
+  ck_assert (cf_quarantine_is_crash (495, 1500));
+  ck_assert (!cf_quarantine_is_crash (1499, 1500));
+  ck_assert (!cf_quarantine_is_crash (1526, 1500));
+  ck_assert (cf_quarantine_is_crash (5000, 0));
+}
+END_TEST
+
+START_TEST (crashes_of_one_target_count_once)
+{
+  CfQuarantine *q = cf_quarantine_new ();
+  CfRequestDigest d = digest_of (1);
+
+  for (int i = 0; i < CRASHES; i++)
+    ck_assert (!cf_quarantine_add (q, &d, "i-1/1", 10));
+  ck_assert (!cf_quarantine_add (q, &d, "i-1/2", 20));
+  ck_assert (!cf_quarantine_check (q, &d, 20));
+  ck_assert (cf_quarantine_add (q, &d, "i-2/1", 30));
+  ck_assert (cf_quarantine_check (q, &d, 30));
+  ck_assert (!cf_quarantine_add (q, &d, "i-3/1", 30));
+  ck_assert (cf_quarantine_clear (q, &d));
+  ck_assert (!cf_quarantine_check (q, &d, 40));
+  cf_quarantine_free (q);
+}
+END_TEST
+
+/* An attacker's many requests do not push out one that is quarantined. */
+START_TEST (what_is_remembered_is_bounded)
+{
+  CfQuarantine *q = cf_quarantine_new ();
+  CfRequestDigest bad = digest_of (-1);
+
+  for (int i = 0; i < CRASHES; i++)
+    {
+      g_autofree char *target = g_strdup_printf ("i-%d/1", i);
+
+      cf_quarantine_add (q, &bad, target, 0);
+    }
+  for (int i = 0; i < 2 * CF_QUARANTINE_MAX; i++)
+    {
+      CfRequestDigest d = digest_of (i);
+
+      cf_quarantine_add (q, &d, "i-9/1", 1 + i);
+    }
+  ck_assert_uint_eq (cf_quarantine_size (q), CF_QUARANTINE_MAX);
+  ck_assert (cf_quarantine_check (q, &bad, 1));
+  cf_quarantine_expire (q, CF_QUARANTINE_KEEP_MS);
+  ck_assert (cf_quarantine_check (q, &bad, CF_QUARANTINE_KEEP_MS));
+  cf_quarantine_expire (q, 3 * CF_QUARANTINE_KEEP_MS);
+  ck_assert_uint_eq (cf_quarantine_size (q), 0);
+  cf_quarantine_free (q);
+}
+END_TEST
+
+/* Sends what changed at @from to @to; how many records that were. */
+static guint
+notify (CfQuarantine *from, CfQuarantine *to, gint64 now_ms)
+{
+  CfPeerMsg m;
+  guint n;
+
+  cf_peer_crashes_changed (from, now_ms, &m);
+  n = m.u.crashes->len;
+  cf_peer_crashes_merge (to, &m, NULL, now_ms);
+  cf_peer_msg_clear (&m);
+  return n;
+}
+
+/* Updates that cross one another end in the same sets, and then stop. */
+START_TEST (peers_agree_and_fall_silent)
+{
+  CfQuarantine *a = cf_quarantine_new ();
+  CfQuarantine *b = cf_quarantine_new ();
+  CfRequestDigest d = digest_of (1);
+
+  cf_quarantine_add (a, &d, "i-1/1", 10);
+  cf_quarantine_add (a, &d, "i-2/1", 10);
+  cf_quarantine_add (b, &d, "i-2/1", 10);
+  cf_quarantine_add (b, &d, "i-3/1", 10);
+  notify (a, b, 20);
+  notify (b, a, 20);
+  ck_assert (cf_quarantine_check (a, &d, 20));
+  ck_assert (cf_quarantine_check (b, &d, 20));
+  notify (a, b, 30);
+  ck_assert_uint_eq (notify (b, a, 30), 0);
+  ck_assert_uint_eq (notify (a, b, 30), 0);
+  cf_quarantine_clear (a, &d);
+  notify (a, b, 40);
+  ck_assert_uint_eq (cf_quarantine_size (b), 0);
+  cf_quarantine_free (a);
+  cf_quarantine_free (b);
+}
+END_TEST
+
+/* A gateway that gets no attempts of it is told that others still do. */
+START_TEST (a_request_that_keeps_coming_is_remembered_everywhere)
+{
+  CfQuarantine *a = cf_quarantine_new ();
+  CfQuarantine *b = cf_quarantine_new ();
+  CfRequestDigest d = digest_of (1);
+  gint64 now = 0;
+
+  for (int i = 0; i < CRASHES; i++)
+    {
+      g_autofree char *target = g_strdup_printf ("i-%d/1", i);
+
+      cf_quarantine_add (a, &d, target, 0);
+    }
+  notify (a, b, 0);
+  for (; now < 3 * CF_QUARANTINE_KEEP_MS; now += 10000)
+    {
+      ck_assert (cf_quarantine_check (a, &d, now));
+      notify (a, b, now);
+      cf_quarantine_expire (b, now);
+    }
+  ck_assert (cf_quarantine_check (b, &d, now));
+  cf_quarantine_free (a);
+  cf_quarantine_free (b);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *s = suite_create ("quarantine");
-  TCase *red = tcase_create ("crashing-requests");
-  TCase *t = tcase_create ("quarantine");
-
-  tcase_set_tags (red, "crashing-requests");
-  tcase_set_timeout (red, 30);
-  tcase_add_checked_fixture (red, setup, p_stop_all);
-  tcase_add_test (red, a_crashing_request_is_not_sent_after_three_crashes);
-  tcase_add_test (red, crashes_seen_by_one_gateway_bind_all);
-  tcase_add_test (red, a_restarted_gateway_learns_of_crashes);
-  tcase_add_test (red, a_suspected_stream_is_not_retried);
-  suite_add_tcase (s, red);
+  TCase *table = tcase_create ("table");
+  TCase *t = tcase_create ("fleet");
+
+  tcase_add_test (table, digests_tell_requests_apart);
+  tcase_add_test (table, a_rank_that_gives_up_waiting_has_not_crashed);
+  tcase_add_test (table, crashes_of_one_target_count_once);
+  tcase_add_test (table, what_is_remembered_is_bounded);
+  tcase_add_test (table, peers_agree_and_fall_silent);
+  tcase_add_test (table, a_request_that_keeps_coming_is_remembered_everywhere);
+  suite_add_tcase (s, table);
   tcase_set_timeout (t, 30);
   tcase_add_checked_fixture (t, setup, p_stop_all);
+  tcase_add_test (t, a_crashing_request_is_not_sent_after_three_crashes);
+  tcase_add_test (t, crashes_seen_by_one_gateway_bind_all);
+  tcase_add_test (t, a_restarted_gateway_learns_of_crashes);
+  tcase_add_test (t, a_suspected_stream_is_not_retried);
   tcase_add_test (t, a_request_that_also_succeeds_is_sent_on);
   suite_add_tcase (s, t);
   return t_run (s);
