gateway: probe a target before it counts as crashed

Cause: a lost connection tells that a channel ended, not that the process did. Ruled out: the ranks that give up waiting for a lost one, which are told apart by their silence.

One probe a target at a time, with the requests that were lost meanwhile. The silence of ranks that wait is still looked at first, so that a crash in a group does not cost a connection to each of its ranks.

Test: resets_do_not_quarantine_a_request, which fails without the probe (503 instead of 200). The stand-in's crash now refuses connections for 0.2 s, and its other tests wait for that.

--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -1,6 +1,7 @@
 #include "exchange-parts.h"
 
 #include "ablation.h"
+#include "crash-probe.h"
 #include "log.h"
 
 /** When callers of a quarantined request may come back. */
@@ -25,21 +26,10 @@
 }
 
 static gboolean
-has_target_crashed (const CfExchange *x)
+may_have_crashed (const CfExchange *x)
 {
-  return cf_quarantine_is_crash (quiet_ms (x),
-                                 x->route->stream ? x->g->set.stall_ms : 0);
-}
-
-static void
-log_quarantine (CfExchange *x, int prio, const char *outcome)
-{
-  char text[CF_REQUEST_DIGEST_TEXT];
-
-  cf_request_digest_print (digest_of (x), text);
-  cf_log (prio, CF_EV_QUARANTINE, "request=%s outcome=%s crashes=%u id=%s",
-          text, outcome, cf_quarantine_crashes (x->g->quarantine, &x->digest),
-          x->id);
+  return cf_quarantine_may_be_crash (quiet_ms (x),
+                                     x->route->stream ? x->g->set.stall_ms : 0);
 }
 
 static void
@@ -58,18 +48,21 @@
 void
 cf_exchange_note_lost (CfExchange *x)
 {
-  const CfTargetRecord *r = &x->target->record;
-  gint64 now = cf_gateway_now (x->g);
-  char *target;
-
   log_lost (x);
-  if (CF_WITHOUT_QUARANTINE || !has_target_crashed (x))
+  if (CF_WITHOUT_QUARANTINE || !may_have_crashed (x))
     return;
-  x->crashed_target = TRUE;
-  target = g_strdup_printf ("%s/%" G_GINT64_FORMAT, r->id, r->incarnation);
-  if (cf_quarantine_add (x->g->quarantine, digest_of (x), target, now))
-    log_quarantine (x, LOG_WARNING, "quarantined");
-  g_free (target);
+  x->was_lost_in_work = TRUE;
+  cf_crash_probe_start (x->g, x->target, digest_of (x));
+}
+
+static void
+log_cleared (CfExchange *x)
+{
+  char text[CF_REQUEST_DIGEST_TEXT];
+
+  cf_request_digest_print (digest_of (x), text);
+  cf_log (LOG_NOTICE, CF_EV_QUARANTINE, "request=%s outcome=cleared id=%s",
+          text, x->id);
 }
 
 void
@@ -78,14 +71,14 @@
   if (cf_quarantine_size (x->g->quarantine) == 0)
     return;
   if (cf_quarantine_clear (x->g->quarantine, digest_of (x)))
-    log_quarantine (x, LOG_NOTICE, "cleared");
+    log_cleared (x);
 }
 
 gboolean
 cf_exchange_is_suspected (CfExchange *x)
 {
-  return x->crashed_target
-         && cf_quarantine_crashes (x->g->quarantine, digest_of (x)) > 1;
+  return x->was_lost_in_work
+         && cf_quarantine_crashes (x->g->quarantine, digest_of (x)) > 0;
 }
 
 static gboolean
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -45,9 +45,10 @@
   guint sends;
   guint64 events_at_send; /**< events passed on when it was last sent */
   gboolean may_have_run;
-  gboolean last_chance;    /**< it cannot wait any more */
-  gboolean crashed_target; /**< a target crashed while it had the request */
-  CfRequestDigest digest;  /**< valid if @has_digest */
+  gboolean last_chance;      /**< it cannot wait any more */
+  gboolean was_lost_in_work; /**< its target ended the connection, and may have
+ crashed */
+  CfRequestDigest digest;    /**< valid if @has_digest */
   gboolean has_digest;
 
   /* The answer that is coming in. */
@@ -156,14 +157,14 @@
 /* Targets that crash. */
 
 /** cf_exchange_note_lost: the connection to its target ended before the answer
- * did; if the target crashed, the request is suspected. */
+ * did; if the target has crashed, the request is suspected. */
 void cf_exchange_note_lost (CfExchange *x);
 
 /** cf_exchange_note_answered: its target has run it to an end. */
 void cf_exchange_note_answered (CfExchange *x);
 
-/** cf_exchange_is_suspected: whether its target crashed, and others had under
- * the same request. */
+/** cf_exchange_is_suspected: whether its target may have crashed, and another
+ * one has during the same request. */
 gboolean cf_exchange_is_suspected (CfExchange *x);
 
 /**
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "crash-probe.h"
 #include "exchange.h"
 #include "log.h"
 #include "net.h"
@@ -92,6 +93,7 @@
   g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
   g->callers_max = callers_max (&g->set);
   TAILQ_INIT (&g->callers);
+  TAILQ_INIT (&g->probes);
   cf_target_table_init (&g->targets);
   g->targets.is_named = is_named_service;
   g->targets.is_named_data = g;
@@ -104,6 +106,7 @@
 void
 cf_gateway_clear (CfGateway *g)
 {
+  cf_crash_probe_stop_all (g);
   cf_target_table_clear (&g->targets);
   g_clear_pointer (&g->rejects, g_hash_table_destroy);
   g_clear_pointer (&g->lanes, g_hash_table_destroy);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -15,8 +15,10 @@
 #include <ev.h>
 
 typedef struct CfCaller CfCaller;
+typedef struct CfCrashProbe CfCrashProbe;
 typedef struct CfGateway CfGateway;
 typedef TAILQ_HEAD (CfCallerList, CfCaller) CfCallerList;
+typedef TAILQ_HEAD (CfCrashProbeList, CfCrashProbe) CfCrashProbeList;
 
 /** CfLane: what this process keeps for each service it sends work to. */
 typedef struct
@@ -56,6 +58,7 @@
                              0 to below 1 */
   GHashTable *lanes;    /**< service -> #CfLane */
   CfQuarantine *quarantine; /**< requests that crash targets */
+  CfCrashProbeList probes;  /**< of targets that may have crashed */
   CfCallerList callers;
   guint n_callers;
   guint callers_max;     /**< the others are for targets, peers, the store */
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -49,7 +49,7 @@
 }
 
 gboolean
-cf_quarantine_is_crash (gint64 quiet_ms, gint64 stall_ms)
+cf_quarantine_may_be_crash (gint64 quiet_ms, gint64 stall_ms)
 {
   return stall_ms <= 0 || (double)quiet_ms < (double)stall_ms * STALLED_PART;
 }
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -39,14 +39,14 @@
 guint cf_quarantine_size (const CfQuarantine *q);
 
 /**
- * cf_quarantine_is_crash:
- * Whether a connection that ended in the middle of work tells of a crash of its
- * target.  A rank that waits for a lost one ends its connections too, but shows
- * no sign of work for @stall_ms before.
+ * cf_quarantine_may_be_crash:
+ * Whether a target that ended a connection in the middle of work may have
+ * crashed.  A rank that waits for a lost one ends its connections too, but has
+ * shown no sign of work for @stall_ms by then.
  * @quiet_ms: since the last sign of work
  * @stall_ms: how long targets wait for one another; 0: they do not
  */
-gboolean cf_quarantine_is_crash (gint64 quiet_ms, gint64 stall_ms);
+gboolean cf_quarantine_may_be_crash (gint64 quiet_ms, gint64 stall_ms);
 
 /**
  * cf_quarantine_add:
--- a/standins/fake-http.c
+++ b/standins/fake-http.c
@@ -12,13 +12,16 @@
 #define HEAD_MAX 65536
 #define READ_SIZE 16384
 
-/** Listener: lives as long as the program. */
-typedef struct
+/** FakeListener: lives as long as the program. */
+struct FakeListener
 {
+  struct ev_loop *loop;
+  char *addr;
   ev_io io;
+  ev_timer back; /**< ends its absence */
   FakeRequest request;
   void *data;
-} Listener;
+};
 
 static void
 free_conn (FakeConn *c)
@@ -217,7 +220,7 @@
 static void
 on_accept (struct ev_loop *loop, ev_io *w, int revents)
 {
-  Listener *l = w->data;
+  FakeListener *l = w->data;
   int fd = cf_socket_accept (w->fd);
   FakeConn *c;
 
@@ -236,23 +239,52 @@
   ev_io_start (loop, &c->io);
 }
 
-void
-fake_http_listen (struct ev_loop *loop, const char *addr, FakeRequest fn,
-                  void *data)
+static void
+open_listener (FakeListener *l)
 {
-  Listener *l = g_new0 (Listener, 1);
   int fd;
 
-  if (cf_socket_listen (addr, &fd) != CF_OK)
+  if (cf_socket_listen (l->addr, &fd) != CF_OK)
     {
       fprintf (stderr, "%s\n", cf_last_error ());
       exit (1);
     }
-  l->request = fn;
-  l->data = data;
   ev_io_init (&l->io, on_accept, fd, EV_READ);
   l->io.data = l;
-  ev_io_start (loop, &l->io);
+  ev_io_start (l->loop, &l->io);
+}
+
+static void
+on_back (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  open_listener (w->data);
+}
+
+FakeListener *
+fake_http_listen (struct ev_loop *loop, const char *addr, FakeRequest fn,
+                  void *data)
+{
+  FakeListener *l = g_new0 (FakeListener, 1);
+
+  l->loop = loop;
+  l->addr = g_strdup (addr);
+  l->request = fn;
+  l->data = data;
+  ev_timer_init (&l->back, on_back, 0, 0);
+  l->back.data = l;
+  open_listener (l);
+  return l;
+}
+
+void
+fake_http_leave (FakeListener *l, double s)
+{
+  if (ev_is_active (&l->back))
+    return;
+  ev_io_stop (l->loop, &l->io);
+  close (l->io.fd);
+  ev_timer_set (&l->back, s, 0);
+  ev_timer_start (l->loop, &l->back);
 }
 
 char *
--- a/standins/fake-http.h
+++ b/standins/fake-http.h
@@ -32,9 +32,15 @@
   gboolean dead;
 };
 
+/** FakeListener: an address that is served. */
+typedef struct FakeListener FakeListener;
+
 /** fake_http_listen: serves @addr; exits the program if it cannot. */
-void fake_http_listen (struct ev_loop *loop, const char *addr, FakeRequest fn,
-                       void *data);
+FakeListener *fake_http_listen (struct ev_loop *loop, const char *addr,
+                                FakeRequest fn, void *data);
+
+/** fake_http_leave: refuses connections to its address for @s seconds. */
+void fake_http_leave (FakeListener *l, double s);
 
 /** fake_http_answer: a whole answer; @headers are lines, or %NULL. */
 void fake_http_answer (FakeConn *c, int status, const char *headers,
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -14,12 +14,15 @@
 #define DRAIN_S 2.0
 /** When an order that comes late is carried out. */
 #define LATE_ORDER_S 1.0
+/** How long a target that crashed is away. */
+#define DOWN_S 0.2
 /** By the clock, between a start and the next one. */
 #define RESTART_MS 1000
 
 struct FakeTarget
 {
   struct ev_loop *loop;
+  FakeListener *listener;
   FakeStore *store;
   char *id;
   char *service;
@@ -564,6 +567,7 @@
       fake_http_reset (other);
     }
   fake_http_reset (c);
+  fake_http_leave (t->listener, DOWN_S);
   start_anew (t, FALSE, RESTART_MS);
 }
 
@@ -644,7 +648,7 @@
   t->slots = slots;
   t->born = g_get_real_time () / 1000;
   t->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  fake_http_listen (loop, addr, on_request, t);
+  t->listener = fake_http_listen (loop, addr, on_request, t);
   return t;
 }
 
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -21,8 +21,8 @@
 #define CRASHES 3
 /** Within this time all gateways know what one has learned. */
 #define SPREAD_MS 500
-/** Until a crashed target's next start is known. */
-#define RELIST_MS 300
+/** Until a crashed target's next start is up and known. */
+#define RELIST_MS 400
 
 static pid_t gateways[N_GATEWAYS + 1];
 
@@ -56,9 +56,11 @@
   return p_status (a);
 }
 
+/* Targets that crashed so far; waits until the last one is up again. */
 static double
 crashes (void)
 {
+  usleep (RELIST_MS * 1000);
   return p_runs (DESK_1, N_TARGETS, "crashes");
 }
 
@@ -69,7 +71,6 @@
   for (int k = 0; k < 2 * CRASHES && crashes () < want; k++)
     {
       ask (n, k, "POST /order/a", "boom");
-      usleep (RELIST_MS * 1000);
     }
   ck_assert_double_eq (crashes (), want);
 }
@@ -113,10 +114,9 @@
 START_TEST (a_suspected_stream_is_not_retried)
 {
   ask (1, 1, "POST /chat/a", "boom");
-  usleep (RELIST_MS * 1000);
+  ck_assert_double_ge (crashes (), 1);
   ask (2, 1, "POST /chat/a", "boom");
   ck_assert_double_le (crashes (), CRASHES);
-  usleep (RELIST_MS * 1000);
   ask (3, 1, "POST /chat/a", "boom");
   ck_assert_double_eq (crashes (), CRASHES);
 }
@@ -162,11 +162,11 @@
 /* A rank that waited 1.5 s for a crashed one ends its connections too. */
 START_TEST (a_rank_that_gives_up_waiting_has_not_crashed)
 {
-  ck_assert (cf_quarantine_is_crash (0, 1500));
-  ck_assert (cf_quarantine_is_crash (495, 1500));
-  ck_assert (!cf_quarantine_is_crash (1499, 1500));
-  ck_assert (!cf_quarantine_is_crash (1526, 1500));
-  ck_assert (cf_quarantine_is_crash (5000, 0));
+  ck_assert (cf_quarantine_may_be_crash (0, 1500));
+  ck_assert (cf_quarantine_may_be_crash (495, 1500));
+  ck_assert (!cf_quarantine_may_be_crash (1499, 1500));
+  ck_assert (!cf_quarantine_may_be_crash (1526, 1500));
+  ck_assert (cf_quarantine_may_be_crash (5000, 0));
 }
 END_TEST
 
@@ -283,6 +283,18 @@
 }
 END_TEST
 
+/* Targets that reset connections and go on have not crashed. */
+START_TEST (resets_do_not_quarantine_a_request)
+{
+  p_fault (RANK_1, N_RANKS, "cut", 100);
+  for (int k = 0; k < 2 * CRASHES; k++)
+    ask (1, k, "POST /chat/a", "c");
+  p_fault (RANK_1, N_RANKS, "none", 0);
+  for (int n = 1; n <= N_GATEWAYS; n++)
+    ck_assert_int_eq (ask (n, 100, "POST /chat/a", "c"), 200);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -304,6 +316,7 @@
   tcase_add_test (t, a_restarted_gateway_learns_of_crashes);
   tcase_add_test (t, a_suspected_stream_is_not_retried);
   tcase_add_test (t, a_request_that_also_succeeds_is_sent_on);
+  tcase_add_test (t, resets_do_not_quarantine_a_request);
   suite_add_tcase (s, t);
   return t_run (s);
 }
