rank-agent: remember quarantined requests for gateways that start

If all gateways are killed at once, nobody remembers which requests crash targets, and each of them crashes three more. The processes beside the ranks live on: gateways send them the requests that are quarantined (not those that are merely suspected), and they send them to each gateway that they connect to. An agent keeps no more than a gateway does, and forgets it as soon.

What is not covered: if agents lose power with all gateways, the knowledge is gone.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -3,6 +3,7 @@
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/ops.h"
+#include "gateway/peer-crashes.h"
 #include "gateway/signals.h"
 #include "gateway/socket.h"
 #include "gateway/store-watch.h"
@@ -119,12 +120,29 @@
     ev_break (g->loop, EVBREAK_ALL);
 }
 
+/* What this gateway learned of requests that crash targets binds all. */
+static void
+spread_crashes (CfGateway *g)
+{
+  CfPeerMsg all;
+  CfPeerMsg held;
+
+  if (!cf_quarantine_has_changes (g->quarantine))
+    return;
+  cf_exchange_refuse_all_quarantined (g);
+  cf_peer_crashes_changed (g->quarantine, cf_gateway_now (g), &all, &held);
+  cf_peer_service_notify (peers, &all);
+  if (held.u.crashes->len > 0)
+    cf_rank_service_notify (ranks, &held);
+  cf_peer_msg_clear (&all);
+  cf_peer_msg_clear (&held);
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *w, int revents)
 {
   cf_exchange_pump (&gw);
-  if (cf_quarantine_has_changes (gw.quarantine))
-    cf_exchange_refuse_all_quarantined (&gw);
+  spread_crashes (&gw);
   cf_peer_service_tick (peers);
   if (gw.stopping)
     stop_step (&gw);
--- a/gateway/peer-crashes.c
+++ b/gateway/peer-crashes.c
@@ -4,10 +4,11 @@
 
 #include <string.h>
 
-/** Collect: a message that is being filled. */
+/** Collect: messages that are being filled. */
 typedef struct
 {
-  GArray *crashes; /* of #CfPeerCrash */
+  GArray *all;  /* of #CfPeerCrash */
+  GArray *held; /* of #CfPeerCrash */
   gint64 now_ms;
 } Collect;
 
@@ -23,30 +24,34 @@
       p.targets[i].data = r->targets[i];
       p.targets[i].n = strlen (r->targets[i]);
     }
-  g_array_append_val (c->crashes, p);
+  g_array_append_val (c->all, p);
+  if (cf_quarantine_holds (r))
+    g_array_append_val (c->held, p);
 }
 
-static Collect
-begin (CfPeerMsg *m, gint64 now_ms)
+static GArray *
+begin (CfPeerMsg *m)
 {
   memset (m, 0, sizeof *m);
   m->kind = CF_PEER_CRASHES;
   m->u.crashes = g_array_new (FALSE, FALSE, sizeof (CfPeerCrash));
-  return (Collect){ m->u.crashes, now_ms };
+  return m->u.crashes;
 }
 
 void
-cf_peer_crashes_changed (CfQuarantine *q, gint64 now_ms, CfPeerMsg *m)
+cf_peer_crashes_changed (CfQuarantine *q, gint64 now_ms, CfPeerMsg *all,
+                         CfPeerMsg *held)
 {
-  Collect c = begin (m, now_ms);
+  Collect c = { begin (all), begin (held), now_ms };
 
   cf_quarantine_flush (q, append, &c);
 }
 
 void
-cf_peer_crashes_all (CfQuarantine *q, gint64 now_ms, CfPeerMsg *m)
+cf_peer_crashes_snapshot (CfQuarantine *q, gint64 now_ms, CfPeerMsg *all,
+                          CfPeerMsg *held)
 {
-  Collect c = begin (m, now_ms);
+  Collect c = { begin (all), begin (held), now_ms };
 
   cf_quarantine_foreach (q, append, &c);
 }
--- a/gateway/peer-crashes.h
+++ b/gateway/peer-crashes.h
@@ -5,13 +5,20 @@
 
 /**
  * cf_peer_crashes_changed:
- * @m: (out): those that changed since they were last flushed from @q; what it
- *   points to lasts until @q changes, and its array is the caller's
+ * The requests that changed since they were last flushed from @q.
+ * @all: (out): for gateways
+ * @held: (out): of these, the ones that are quarantined or were until now, for
+ *   rank agents
+ *
+ * What the messages point to lasts until @q changes; their arrays are the
+ * caller's.
  */
-void cf_peer_crashes_changed (CfQuarantine *q, gint64 now_ms, CfPeerMsg *m);
+void cf_peer_crashes_changed (CfQuarantine *q, gint64 now_ms, CfPeerMsg *all,
+                              CfPeerMsg *held);
 
-/** cf_peer_crashes_all: (out): the same for all that @q remembers. */
-void cf_peer_crashes_all (CfQuarantine *q, gint64 now_ms, CfPeerMsg *m);
+/** cf_peer_crashes_snapshot: the same for all that @q remembers. */
+void cf_peer_crashes_snapshot (CfQuarantine *q, gint64 now_ms, CfPeerMsg *all,
+                               CfPeerMsg *held);
 
 /**
  * cf_peer_crashes_merge:
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -187,31 +187,25 @@
 send_crashes (Peer *p)
 {
   CfGateway *g = p->s->g;
-  CfPeerMsg m;
+  CfPeerMsg all;
+  CfPeerMsg held;
 
   if (cf_quarantine_size (g->quarantine) == 0)
     return;
-  cf_peer_crashes_all (g->quarantine, g->now_ms, &m);
-  cf_peer_msg_send (p->peer, &m);
-  cf_peer_msg_clear (&m);
+  cf_peer_crashes_snapshot (g->quarantine, g->now_ms, &all, &held);
+  cf_peer_msg_send (p->peer, &all);
+  cf_peer_msg_clear (&all);
+  cf_peer_msg_clear (&held);
 }
 
-/* What came from one peer goes on to the others, as most gateways have links
- * to the seeds alone. */
-static void
-notify_crashes (CfPeerService *s)
+void
+cf_peer_service_notify (CfPeerService *s, const CfPeerMsg *m)
 {
-  CfGateway *g = s->g;
-  CfPeerMsg m;
   Peer *p;
 
-  if (!cf_quarantine_has_changes (g->quarantine))
-    return;
-  cf_peer_crashes_changed (g->quarantine, g->now_ms, &m);
   TAILQ_FOREACH (p, &s->peers, link)
   if (p->up)
-    cf_peer_msg_send (p->peer, &m);
-  cf_peer_msg_clear (&m);
+    cf_peer_msg_send (p->peer, m);
 }
 
 /* A peer may know more of the fleet than this gateway hears itself; then its
@@ -446,7 +440,6 @@
       connect_seeds (s);
       cf_quarantine_expire (s->g->quarantine, now);
     }
-  notify_crashes (s);
   if (now - s->greeted_ms < every)
     return;
   s->greeted_ms = now;
--- a/gateway/peer-service.h
+++ b/gateway/peer-service.h
@@ -22,5 +22,8 @@
 void cf_peer_service_adopt (CfPeerService *s, CfPeerLink *l,
                             const CfPeerMsg *first);
 
+/** cf_peer_service_notify: sends @m to all peers. */
+void cf_peer_service_notify (CfPeerService *s, const CfPeerMsg *m);
+
 /** cf_peer_service_tick: call it some times a second. */
 void cf_peer_service_tick (CfPeerService *s);
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -9,7 +9,8 @@
 struct CfQuarantine
 {
   GHashTable *records; /* digest -> #CfCrashRecord */
-  GHashTable *changed; /* set of #CfRequestDigest, owned */
+  GHashTable *changed; /* #CfRequestDigest, owned -> whether it was quarantined
+                          until it was cleared */
 };
 
 static void
@@ -55,9 +56,11 @@
 }
 
 static void
-mark_changed (CfQuarantine *q, const CfRequestDigest *d)
+mark_changed (CfQuarantine *q, const CfRequestDigest *d,
+              gboolean was_quarantined)
 {
-  g_hash_table_add (q->changed, g_memdup2 (d, sizeof *d));
+  g_hash_table_replace (q->changed, g_memdup2 (d, sizeof *d),
+                        GINT_TO_POINTER (was_quarantined));
 }
 
 /* Fewest crashes first, then the longest not seen. */
@@ -111,7 +114,7 @@
   r->seen_ms = MAX (r->seen_ms, seen_ms);
   /* Peers that get no attempts of it would forget it. */
   if (r->seen_ms - r->notified_ms > CF_QUARANTINE_KEEP_MS / 2)
-    mark_changed (q, &r->digest);
+    mark_changed (q, &r->digest, FALSE);
 }
 
 gboolean
@@ -124,16 +127,19 @@
   if (r->n == CF_QUARANTINE_CRASHES || has_target (r, target))
     return FALSE;
   r->targets[r->n++] = g_strdup (target);
-  mark_changed (q, d);
+  mark_changed (q, d, FALSE);
   return r->n == CF_QUARANTINE_CRASHES;
 }
 
 gboolean
 cf_quarantine_clear (CfQuarantine *q, const CfRequestDigest *d)
 {
-  if (!g_hash_table_remove (q->records, d))
+  const CfCrashRecord *r = g_hash_table_lookup (q->records, d);
+
+  if (!r)
     return FALSE;
-  mark_changed (q, d);
+  mark_changed (q, d, r->n == CF_QUARANTINE_CRASHES);
+  g_hash_table_remove (q->records, d);
   return TRUE;
 }
 
@@ -186,12 +192,14 @@
 {
   GHashTableIter it;
   gpointer d;
+  gpointer was;
 
   g_hash_table_iter_init (&it, q->changed);
-  while (g_hash_table_iter_next (&it, &d, NULL))
+  while (g_hash_table_iter_next (&it, &d, &was))
     {
       CfCrashRecord *r = g_hash_table_lookup (q->records, d);
-      CfCrashRecord cleared = { .digest = *(const CfRequestDigest *)d };
+      CfCrashRecord cleared = { .digest = *(const CfRequestDigest *)d,
+                                .was_quarantined = GPOINTER_TO_INT (was) };
 
       visit (data, r ? r : &cleared);
       if (r)
@@ -200,6 +208,18 @@
   g_hash_table_remove_all (q->changed);
 }
 
+gboolean
+cf_quarantine_holds (const CfCrashRecord *r)
+{
+  return r->n == CF_QUARANTINE_CRASHES || r->was_quarantined;
+}
+
+void
+cf_quarantine_discard_changes (CfQuarantine *q)
+{
+  g_hash_table_remove_all (q->changed);
+}
+
 gboolean
 cf_quarantine_has_changes (const CfQuarantine *q)
 {
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -28,6 +28,7 @@
   CfRequestDigest digest;
   char *targets[CF_QUARANTINE_CRASHES]; /**< incarnations that crashed */
   guint n;                              /**< number of @targets */
+  gboolean was_quarantined;             /**< and was cleared since */
   gint64 seen_ms;                       /**< last crash or attempt */
   gint64 notified_ms; /**< @seen_ms as peers were last notified of it */
 } CfCrashRecord;
@@ -86,5 +87,12 @@
  * are to be notified of them. */
 void cf_quarantine_flush (CfQuarantine *q, CfCrashVisit visit, void *data);
 
+/** cf_quarantine_holds: whether the request of @r is, or was until it was
+ * cleared, quarantined. */
+gboolean cf_quarantine_holds (const CfCrashRecord *r);
+
+/** cf_quarantine_discard_changes: there is no one to be notified. */
+void cf_quarantine_discard_changes (CfQuarantine *q);
+
 /** cf_quarantine_has_changes: whether a flush would visit any. */
 gboolean cf_quarantine_has_changes (const CfQuarantine *q);
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "net.h"
+#include "peer-crashes.h"
 #include "platform/platform-rank.h"
 #include "rank-call.h"
 #include "socket.h"
@@ -285,6 +286,31 @@
 
 /* Links to the gateways */
 
+static void
+send_crashes (CfSeed *s)
+{
+  CfPeerMsg all;
+  CfPeerMsg held;
+
+  if (cf_quarantine_size (s->a->quarantine) == 0)
+    return;
+  cf_peer_crashes_snapshot (s->a->quarantine, cf_now_ms (), &all, &held);
+  cf_peer_msg_send (s->link, &held);
+  cf_peer_msg_clear (&all);
+  cf_peer_msg_clear (&held);
+}
+
+/* Nobody is notified: each gateway tells all agents itself. */
+static void
+take_crashes (CfSeed *s, const CfPeerMsg *m)
+{
+  char *name = g_strdup_printf ("seed-%d", s->index);
+
+  cf_peer_crashes_merge (s->a->quarantine, m, name, cf_now_ms ());
+  cf_quarantine_discard_changes (s->a->quarantine);
+  g_free (name);
+}
+
 static void
 on_up (void *owner, CfPeerLink *l)
 {
@@ -297,6 +323,7 @@
   m.u.agent_hello.target_addr.data = addr;
   m.u.agent_hello.target_addr.n = strlen (addr);
   cf_peer_msg_send (l, &m);
+  send_crashes (s);
   /* Whoever is to lead has to hear of the rank. */
   if (!s->a->reading)
     cf_rank_agent_plan_read (s->a, 0);
@@ -357,6 +384,9 @@
       case CF_PEER_TICK:
         take_tick (s, m.u.tick.fence, m.u.tick.read_ms);
         break;
+      case CF_PEER_CRASHES:
+        take_crashes (s, &m);
+        break;
       case CF_PEER_ORDER:
         cf_rank_agent_order (s, &m);
         break;
@@ -392,6 +422,7 @@
   CfRankAgent *a = t->data;
   gint64 pause = RECONNECT_MS;
 
+  cf_quarantine_expire (a->quarantine, cf_now_ms ());
   a->looks_alone = is_alone (a) ? a->looks_alone + 1 : 0;
   if (a->looks_alone > 0 && a->looks_alone <= QUICK_LOOKS)
     pause = RECONNECT_ALONE_MS;
@@ -422,6 +453,7 @@
 {
   static ev_timer again;
 
+  a->quarantine = cf_quarantine_new ();
   a->target = cf_target_new_at (a->set.target_addr);
   if (!a->target)
     return CF_ERR_SETTINGS;
--- a/gateway/rank-agent.h
+++ b/gateway/rank-agent.h
@@ -42,7 +42,8 @@
   CfRankStatus status;
   CfRankStatus told; /**< as last sent to the leader */
   gboolean has_status;
-  CfMapHistory maps; /**< of its group */
+  CfMapHistory maps;        /**< of its group */
+  CfQuarantine *quarantine; /**< as gateways tell it; for those that start */
   CfExpertCounts counts;
   gint64 awaited;     /**< version whose copy is being waited for */
   gint64 awaited_ms;  /**< since when */
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -1,6 +1,7 @@
 #include "rank-service-parts.h"
 
 #include "log.h"
+#include "peer-crashes.h"
 #include "map-gain.h"
 #include "net.h"
 #include "platform/platform-rank.h"
@@ -352,6 +353,10 @@
 
   switch (m->kind)
     {
+    case CF_PEER_CRASHES:
+      cf_peer_crashes_merge (a->s->g->quarantine, m, a->target_addr,
+                             a->s->g->now_ms);
+      break;
     case CF_PEER_AGENT_HELLO:
       g_free (a->target_addr);
       a->target_addr = g_strndup (m->u.agent_hello.target_addr.data,
@@ -406,6 +411,30 @@
 
 static const CfPeerLinkCalls link_calls = { on_up, on_frame, on_down };
 
+/* An agent remembers what gateways that are all killed at once have learned. */
+static void
+send_crashes (CfRankLink *a)
+{
+  CfGateway *g = a->s->g;
+  CfPeerMsg all;
+  CfPeerMsg held;
+
+  cf_peer_crashes_snapshot (g->quarantine, g->now_ms, &all, &held);
+  if (held.u.crashes->len > 0)
+    cf_peer_msg_send (a->peer, &held);
+  cf_peer_msg_clear (&all);
+  cf_peer_msg_clear (&held);
+}
+
+void
+cf_rank_service_notify (CfRankService *s, const CfPeerMsg *m)
+{
+  CfRankLink *a;
+
+  TAILQ_FOREACH (a, &s->agents, link)
+  cf_peer_msg_send (a->peer, m);
+}
+
 void
 cf_rank_service_adopt (CfRankService *s, CfPeerLink *l, const CfPeerMsg *first)
 {
@@ -417,6 +446,7 @@
   TAILQ_INSERT_TAIL (&s->agents, a, link);
   take_msg (a, first);
   tell_agent (a);
+  send_crashes (a);
 }
 
 static int
--- a/gateway/rank-service.h
+++ b/gateway/rank-service.h
@@ -20,3 +20,6 @@
 /** cf_rank_service_adopt: @l is a rank agent's, and @first its greeting. */
 void cf_rank_service_adopt (CfRankService *s, CfPeerLink *l,
                             const CfPeerMsg *first);
+
+/** cf_rank_service_notify: sends @m to all rank agents. */
+void cf_rank_service_notify (CfRankService *s, const CfPeerMsg *m);
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -111,6 +111,24 @@
 }
 END_TEST
 
+START_TEST (crashes_are_known_after_all_gateways_were_killed)
+{
+  for (int i = 0; i < N_RANKS; i++)
+    p_agent (BASE, RANK_1 + i);
+  usleep (2 * SPREAD_MS * 1000);
+  crash_targets (1, CRASHES);
+  usleep (SPREAD_MS * 1000);
+  for (int n = 1; n <= N_GATEWAYS; n++)
+    p_signal (gateways[n], SIGKILL);
+  for (int n = 1; n <= N_GATEWAYS; n++)
+    start_gateway (n);
+  usleep (2 * SPREAD_MS * 1000);
+  for (int n = 1; n <= N_GATEWAYS; n++)
+    ck_assert_int_eq (ask (n, 100, "POST /order/a", "boom"), 503);
+  ck_assert_double_eq (crashes (), CRASHES);
+}
+END_TEST
+
 START_TEST (a_suspected_stream_is_not_retried)
 {
   ask (1, 1, "POST /chat/a", "boom");
@@ -220,13 +238,15 @@
 static guint
 notify (CfQuarantine *from, CfQuarantine *to, gint64 now_ms)
 {
-  CfPeerMsg m;
+  CfPeerMsg all;
+  CfPeerMsg held;
   guint n;
 
-  cf_peer_crashes_changed (from, now_ms, &m);
-  n = m.u.crashes->len;
-  cf_peer_crashes_merge (to, &m, NULL, now_ms);
-  cf_peer_msg_clear (&m);
+  cf_peer_crashes_changed (from, now_ms, &all, &held);
+  n = all.u.crashes->len;
+  cf_peer_crashes_merge (to, &all, NULL, now_ms);
+  cf_peer_msg_clear (&all);
+  cf_peer_msg_clear (&held);
   return n;
 }
 
@@ -314,6 +334,7 @@
   tcase_add_test (t, a_crashing_request_is_not_sent_after_three_crashes);
   tcase_add_test (t, crashes_seen_by_one_gateway_bind_all);
   tcase_add_test (t, a_restarted_gateway_learns_of_crashes);
+  tcase_add_test (t, crashes_are_known_after_all_gateways_were_killed);
   tcase_add_test (t, a_suspected_stream_is_not_retried);
   tcase_add_test (t, a_request_that_also_succeeds_is_sent_on);
   tcase_add_test (t, resets_do_not_quarantine_a_request);
