quarantine: log refused attempts, and describe it for operators

An attempt that is refused has an id of its own: E1217 outcome=refused maps it to its request, and comfrey explain says why.

--- a/explain.c
+++ b/explain.c
@@ -29,6 +29,10 @@
   { NULL, "no-room",
     "all targets of its service were busy, or silent, for "
     "as long as it could wait; see E1210 and E1502" },
+  { NULL, "quarantined",
+    "targets crashed during three attempts of the same request: it is not sent "
+    "any more; E1217 names it, E1407 outcome=lost with the same request= the "
+    "attempts" },
   { NULL, "queue-full", "too many requests of its service were waiting" },
   { NULL, "more-urgent-waits",
     "more urgent requests filled the queue of its service" },
--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -56,13 +56,13 @@
 }
 
 static void
-log_cleared (CfExchange *x)
+log_quarantine (CfExchange *x, const char *outcome)
 {
   char text[CF_REQUEST_DIGEST_TEXT];
 
   cf_request_digest_print (digest_of (x), text);
-  cf_log (LOG_NOTICE, CF_EV_QUARANTINE, "request=%s outcome=cleared id=%s",
-          text, x->id);
+  cf_log (LOG_NOTICE, CF_EV_QUARANTINE, "request=%s outcome=%s id=%s", text,
+          outcome, x->id);
 }
 
 void
@@ -71,7 +71,7 @@
   if (cf_quarantine_size (x->g->quarantine) == 0)
     return;
   if (cf_quarantine_clear (x->g->quarantine, digest_of (x)))
-    log_cleared (x);
+    log_quarantine (x, "cleared");
 }
 
 gboolean
@@ -96,6 +96,7 @@
   if (!is_quarantined (x))
     return FALSE;
   x->g->stats.quarantine_refusals++;
+  log_quarantine (x, "refused");
   if (x->may_have_run)
     cf_exchange_give_up (x, "quarantined");
   else
