exchange: log the rate that a target names

The platform's header is decoded at the boundary, kept with the target, and each change of it is logged (E1218). Nothing is decided by it yet.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -207,6 +207,25 @@
   cf_caller_flush (x->c);
 }
 
+/* Each answer tells anew which rate its target takes.  Only one that its target
+ * has signed can say by its silence that there is no limit any more. */
+static void
+learn_rate_limit (CfExchange *x, const CfHttpReader *r)
+{
+  const char *value = cf_http_reader_header (r, CF_HDR_RATE_LIMIT);
+  double limit = cf_platform_rate_limit (value);
+  CfTarget *t = x->target;
+
+  if (limit == t->rate_limit
+      || (limit == 0 && x->kind != CF_ANSWER_GOOD
+          && x->kind != CF_ANSWER_FAILURE))
+    return;
+  t->rate_limit = limit;
+  cf_log (LOG_NOTICE, CF_EV_RATE_LIMIT,
+          "target=%s per_s=%.3f source=answer id=%s", t->record.id, limit,
+          x->id);
+}
+
 static void
 on_head (void *owner, const CfHttpReader *r)
 {
@@ -216,6 +235,7 @@
   x->has_head = TRUE;
   cf_target_sign (x->target, cf_gateway_now (x->g));
   x->kind = cf_answer_kind (r);
+  learn_rate_limit (x, r);
   if (!x->begun)
     {
       x->status = (int)r->parser.status_code;
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -468,6 +468,22 @@
 }
 END_TEST
 
+START_TEST (named_rates_are_read)
+{
+  const struct
+  {
+    const char *value;
+    double rate;
+  } cases[] = { { "1.1", 1.1 }, { " 20", 20 },    { NULL, 0 }, { "", 0 },
+                { "many", 0 },  { "0", 0 },       { "-3", 0 }, { "inf", 0 },
+                { "nan", 0 },   { "1e-3", 0.001 } };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    ck_assert_msg (cf_platform_rate_limit (cases[i].value) == cases[i].rate,
+                   "case %zu", i);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -488,6 +504,7 @@
   tcase_add_test (t, ranks_are_read_and_ordered);
   tcase_add_test (t, a_map_is_told_the_same_way_whatever_its_rows_order);
   tcase_add_test (t, headers_are_known);
+  tcase_add_test (t, named_rates_are_read);
   suite_add_tcase (s, t);
   return t_run (s);
 }
