--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -39,6 +39,7 @@
   gboolean mute;   /**< its orders are carried out without an answer */
   int n_orders;
   GList *works;  /**< of #Work: plain requests it works on */
+  char *limit;   /**< (nullable): requests a second, as its answers name it */
   char *crasher; /**< (nullable): a request with this body crashes it */
   guint64 n_crashes;
   char *fault; /**< what the next @fault_left requests meet */
@@ -79,10 +80,14 @@
 static char *
 answer_headers (const FakeTarget *t, const char *id, gboolean is_signed)
 {
-  return g_strdup_printf ("%s%s%s%s%s%sKeep-Alive: timeout=5\r\n",
-                          PF_HDR_REQUEST_ID ": ", id, "\r\n",
-                          is_signed ? PF_HDR_SIGNATURE ": " : "",
-                          is_signed ? t->id : "", is_signed ? "\r\n" : "");
+  GString *h = g_string_new ("Keep-Alive: timeout=5\r\n");
+
+  g_string_append_printf (h, PF_HDR_REQUEST_ID ": %s\r\n", id);
+  if (is_signed)
+    g_string_append_printf (h, PF_HDR_SIGNATURE ": %s\r\n", t->id);
+  if (t->limit)
+    g_string_append_printf (h, PF_HDR_SERVER_LIMIT ": %s\r\n", t->limit);
+  return g_string_free (h, FALSE);
 }
 
 /* Counts a run; the oracle of "at most once". */
@@ -599,6 +604,12 @@
       t->crasher = g_strdup (c->body->str);
       fake_http_answer (c, 200, NULL, "", 0);
     }
+  else if (fake_http_is (c, "/test/limit"))
+    {
+      g_free (t->limit);
+      t->limit = fake_http_query (c, "per-s");
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
   else if (fake_http_is (c, "/test/drain"))
     {
       t->draining = TRUE;
