gateway: keep the rate that a target names, as a fleet

What users saw: a target that named a limit of 1.1 requests a second got 13 and 14 in 4 s, with 12 allowed.

Cause: the limit was passed on to callers and read by nobody. Class: a limit that is the fleet's, told to one process. Evidence: no gateway sent the target less after it had named a limit (7 to 17 requests in each window of 4 s, before and after; 11, 7 and 12 by the three gateways). Ruled out: each gateway keeping it by itself, and keeping it late.

The change: a gateway that hears a limit tells its peers at the next tick of 50 ms, by a greeting; each greeting (one a second) names all limits, so that one that has started, or missed it, learns of it when its link is up. Only an answer with a signature can say by its silence that there is no limit any more.

Gateways do not see one another's requests: by the target's id and the order of the gateways one of them for each request a second owns a part of the rate, the others send the target nothing. Parts of all gateways were not taken: with 35 gateways one request of each at the same time is three times what 1.1 a second allows. If only such rates are in the way, a request waits for a part if that comes in time, else it is refused at once.

--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -59,3 +59,7 @@
 #ifndef CF_WITHOUT_QUARANTINE
 #define CF_WITHOUT_QUARANTINE 0
 #endif
+/** The rates that targets name are not kept. */
+#ifndef CF_WITHOUT_RATE_LIMITS
+#define CF_WITHOUT_RATE_LIMITS 0
+#endif
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -19,9 +19,10 @@
 /** How a target may be used for a request. */
 typedef enum
 {
-  USE_NO,    /**< leaving, or it had the request already */
-  USE_FULL,  /**< no room for it now */
-  USE_GUESS, /**< ejected or slow: only when nothing better is left */
+  USE_NO,      /**< leaving, or it had the request already */
+  USE_LIMITED, /**< it has got our part of the rate that it takes */
+  USE_FULL,    /**< no room for it now */
+  USE_GUESS,   /**< ejected or slow: only when nothing better is left */
   USE_YES,
 } Use;
 
@@ -66,12 +67,16 @@
 }
 
 static Use
-use_of (const CfTarget *t, const CfPickInput *in)
+use_of (CfTarget *t, const CfPickInput *in)
 {
   if (t->record.leaving || t->replaced || was_tried (in->tried, t))
     return USE_NO;
   if (t->in_flight >= room_for (t, in) || in->now_ms < t->full_until_ms)
     return USE_FULL;
+  if (!CF_WITHOUT_RATE_LIMITS
+      && !cf_rate_limit_may_send (&t->limit, t->record.id, in->place,
+                                  in->now_ms))
+    return USE_LIMITED;
   return is_doubtful (t, in) ? USE_GUESS : USE_YES;
 }
 
@@ -98,6 +103,7 @@
   guint guess_load;
   guint n_sound; /* neither leaving nor doubtful, full or not */
   gboolean any_full;
+  gboolean any_limited;
   gint64 slots; /* of all that take work */
 } Choice;
 
@@ -108,7 +114,8 @@
   guint load = load_of (t, in);
 
   c->slots += use != USE_NO ? t->record.slots : 0;
-  c->n_sound += use != USE_NO && !is_doubtful (t, in);
+  c->n_sound += use != USE_NO && use != USE_LIMITED && !is_doubtful (t, in);
+  c->any_limited |= use == USE_LIMITED;
   c->any_full |= use == USE_FULL;
   if (use == USE_YES && (!c->best || load < c->best_load))
     {
@@ -165,5 +172,24 @@
     *out = c.guess;
   if (*out)
     return CF_PICK_OK;
-  return c.any_full || c.guess ? CF_PICK_FULL : CF_PICK_NO_TARGET;
+  if (c.any_full || c.guess)
+    return CF_PICK_FULL;
+  return c.any_limited ? CF_PICK_LIMITED : CF_PICK_NO_TARGET;
+}
+
+double
+cf_balancer_limited_per_s (const CfTargetTable *t, const char *service,
+                           CfFleetPlace place)
+{
+  const GPtrArray *a = cf_target_table_service (t, service);
+  double sum = 0;
+
+  for (guint i = 0; a && i < a->len; i++)
+    {
+      const CfTarget *one = a->pdata[i];
+
+      if (one->limit.per_s > 0 && !one->record.leaving && !one->replaced)
+        sum += cf_rate_limit_part (&one->limit, one->record.id, place);
+    }
+  return sum;
 }
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -8,6 +8,7 @@
   CF_PICK_OK,
   CF_PICK_NO_TARGET, /**< the service has none that takes new work */
   CF_PICK_FULL,      /**< each has as much as it may have from us */
+  CF_PICK_LIMITED,   /**< only the rates that targets named are in the way */
 } CfPickWhy;
 
 /** CfPickInput: what the choice of a target is made from. */
@@ -18,6 +19,7 @@
   const GPtrArray *tried;   /**< (nullable): targets that had it already */
   gint64 now_ms;            /**< of the monotonic clock */
   guint fleet;              /**< gateways that send to these targets */
+  CfFleetPlace place;       /**< ours among them */
   guint in_flight;          /**< requests of ours that all of them have */
   guint limit;              /**< of @in_flight; 0: none */
   gint64 max_conns;         /**< connections a target takes from all; 0: any */
@@ -39,13 +41,22 @@
  */
 guint cf_balancer_share (gint64 slots, gint64 max_conns, guint fleet);
 
+/**
+ * cf_balancer_limited_per_s:
+ * Returns: requests a second that this gateway may send to the targets of
+ *   @service which have named a limit.
+ */
+double cf_balancer_limited_per_s (const CfTargetTable *t, const char *service,
+                                  CfFleetPlace place);
+
 /**
  * cf_balancer_pick:
  * The target with the least of our requests for its slots; among equals one
  * in our own data centre, then the next from @ring_start on.  A target that is
- * leaving, ejected, stands still or has said that it is full is passed over;
- * when only ejected ones are left these are used, since an ejection is a guess
- * and no service should end by guesses.
+ * leaving, ejected, stands still, has said that it is full or has got our part
+ * of the rate that it named is passed over; when only ejected ones are left
+ * these are used, since an ejection is a guess and no service should end by
+ * guesses.
  *
  * @out: (out): the target, not referenced
  */
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -216,14 +216,14 @@
   double limit = cf_platform_rate_limit (value);
   CfTarget *t = x->target;
 
-  if (limit == t->rate_limit
-      || (limit == 0 && x->kind != CF_ANSWER_GOOD
-          && x->kind != CF_ANSWER_FAILURE))
+  if (limit == 0 && x->kind != CF_ANSWER_GOOD && x->kind != CF_ANSWER_FAILURE)
     return;
-  t->rate_limit = limit;
-  cf_log (LOG_NOTICE, CF_EV_RATE_LIMIT,
-          "target=%s per_s=%.3f source=answer id=%s", t->record.id, limit,
-          x->id);
+  if (limit != t->limit.per_s)
+    cf_log (LOG_NOTICE, CF_EV_RATE_LIMIT,
+            "target=%s per_s=%.3f source=answer id=%s", t->record.id, limit,
+            x->id);
+  if (cf_rate_limit_hear (&t->limit, limit, cf_gateway_now (x->g)))
+    x->g->limits_changed = TRUE;
 }
 
 static void
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -72,6 +72,7 @@
   cf_outage_sent (&x->lane->outage, cf_gateway_now (x->g));
   x->target = cf_target_ref (t);
   cf_target_work_begun (t, cf_gateway_now (x->g));
+  cf_rate_limit_sent (&t->limit);
   if (x->lane->in_flight++ == 0)
     x->lane->busy_since_ms = cf_gateway_now (x->g);
   x->sends++;
@@ -142,6 +143,25 @@
                         cf_exchange_busy_ms (x));
 }
 
+/* The targets that are left take less than comes: waits for its turn if that
+ * comes in time, else is told at once when to come back. */
+static void
+wait_for_rate (CfExchange *x)
+{
+  double per_s = cf_balancer_limited_per_s (&x->g->targets, x->service,
+                                            cf_gateway_place (x->g));
+  double wait_ms = (x->lane->queue.n + 1) * 1000.0 / per_s;
+  gint64 limit
+      = cf_wait_limit_ms (cf_exchange_patience_ms (x), cf_exchange_left_ms (x));
+
+  if (per_s > 0 && wait_ms <= (double)limit)
+    wait_for_room (x);
+  else if (x->may_have_run)
+    cf_exchange_give_up (x, "rate-limited");
+  else
+    cf_exchange_refuse (x, "rate-limited", cf_exchange_busy_ms (x));
+}
+
 /* Whether it may be the request that is sent to see: its last attempt is
  * kept until it cannot wait any more. */
 static gboolean
@@ -180,6 +200,7 @@
   in.tried = x->tried;
   in.now_ms = cf_gateway_now (x->g);
   in.fleet = x->g->fleet_size;
+  in.place = cf_gateway_place (x->g);
   in.in_flight = x->lane->in_flight;
   in.limit = cf_concurrency_limit_get (&x->lane->limit);
   in.max_conns = sv ? sv->max_conns : 0;
@@ -208,6 +229,9 @@
     case CF_PICK_FULL:
       wait_for_room (x);
       break;
+    case CF_PICK_LIMITED:
+      wait_for_rate (x);
+      break;
     case CF_PICK_NO_TARGET:
       if (x->may_have_run)
         cf_exchange_give_up (x, "no-target");
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -7,6 +7,7 @@
 #include "platform/platform-policy.h"
 #include "upstream.h"
 
+#include <math.h>
 #include <string.h>
 
 /** Of the fleet's retry allowance, the part that all gateways use together;
@@ -350,6 +351,14 @@
     }
 }
 
+CfFleetPlace
+cf_gateway_place (const CfGateway *g)
+{
+  double index = round (g->ring_start * g->fleet_size);
+
+  return (CfFleetPlace){ (guint)index % g->fleet_size, g->fleet_size };
+}
+
 void
 cf_gateway_set_fleet (CfGateway *g, guint n)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -50,13 +50,14 @@
   gboolean policy_store_up;  /**< the store answers the watch of it */
   gboolean targets_store_up; /**< and the watch of the targets */
   CfTargetTable targets;
-  GHashTable *rejects;  /**< id -> revision of its unreadable record */
-  gint64 targets_rev;   /**< the store's revision the table is as of */
-  gint64 targets_at_ms; /**< when the store last confirmed the table */
-  guint fleet_size;     /**< gateways that share the retry budget */
-  double ring_start;    /**< where this one begins on the ring of targets, from
-                             0 to below 1 */
-  GHashTable *lanes;    /**< service -> #CfLane */
+  GHashTable *rejects;     /**< id -> revision of its unreadable record */
+  gint64 targets_rev;      /**< the store's revision the table is as of */
+  gint64 targets_at_ms;    /**< when the store last confirmed the table */
+  gboolean limits_changed; /**< of targets; peers are to be notified */
+  guint fleet_size;        /**< gateways that share the retry budget */
+  double ring_start; /**< where this one begins on the ring of targets, from
+                          0 to below 1 */
+  GHashTable *lanes; /**< service -> #CfLane */
   CfQuarantine *quarantine; /**< requests that crash targets */
   CfCrashProbeList probes;  /**< of targets that may have crashed */
   CfCallerList callers;
@@ -143,5 +144,8 @@
  * usual again. */
 void cf_gateway_forget_paces (CfGateway *g);
 
+/** cf_gateway_place: this gateway's place among all, as peers tell. */
+CfFleetPlace cf_gateway_place (const CfGateway *g);
+
 /** cf_gateway_set_fleet: @n gateways share the retry budget. */
 void cf_gateway_set_fleet (CfGateway *g, guint n);
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -175,6 +175,28 @@
   return a;
 }
 
+static GArray *
+take_limits (Fields *f)
+{
+  Fields in = fields_of (next (f));
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerLimit));
+
+  while (!in.bad && in.at < in.end)
+    {
+      Fields one = fields_of (next (&in));
+      CfPeerLimit l;
+
+      l.id = take_bytes (&one);
+      l.incarnation = take_int (&one);
+      l.millionths = take_int (&one);
+      l.age_ms = take_int (&one);
+      in.bad |= one.bad || l.millionths < 0 || l.age_ms < 0;
+      g_array_append_val (a, l);
+    }
+  f->bad |= in.bad;
+  return a;
+}
+
 /* A later version may name more targets than count here. */
 static void
 take_crash (Fields *f, CfPeerCrash *c)
@@ -276,6 +298,8 @@
           m->u.gateway_hello.data_centre = take_bytes (f);
           m->u.gateway_hello.ring_start = take_int (f);
         }
+      if (!f->bad && f->at < f->end)
+        m->u.gateway_hello.limits = take_limits (f);
       break;
     case CF_PEER_POLICY:
       m->u.policy.rev = take_int (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -86,6 +86,24 @@
     }
 }
 
+static void
+put_limits (msgpack_packer *pk, const GArray *limits)
+{
+  guint n = limits ? limits->len : 0;
+
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const CfPeerLimit *l = &g_array_index (limits, CfPeerLimit, i);
+
+      msgpack_pack_array (pk, 4);
+      put_bytes (pk, l->id);
+      put_int (pk, l->incarnation);
+      put_int (pk, l->millionths);
+      put_int (pk, l->age_ms);
+    }
+}
+
 static void
 put_crashes (msgpack_packer *pk, const GArray *crashes)
 {
@@ -175,7 +193,7 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      begin (&pk, m, 8);
+      begin (&pk, m, 9);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_rev);
       put_int (&pk, m->u.gateway_hello.targets_rev);
@@ -184,6 +202,7 @@
       put_paces (&pk, m->u.gateway_hello.slow);
       put_bytes (&pk, m->u.gateway_hello.data_centre);
       put_int (&pk, m->u.gateway_hello.ring_start);
+      put_limits (&pk, m->u.gateway_hello.limits);
       break;
     case CF_PEER_POLICY:
       begin (&pk, m, 2);
@@ -231,6 +250,7 @@
       break;
     case CF_PEER_GATEWAY_HELLO:
       a = &m->u.gateway_hello.slow;
+      g_clear_pointer (&m->u.gateway_hello.limits, g_array_unref);
       break;
     case CF_PEER_TARGETS:
       a = &m->u.targets.items;
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -101,6 +101,8 @@
       CfPeerBytes data_centre; /**< the sender's */
       gint64 ring_start; /**< where the receiver begins on the ring of targets,
                               in 1 / %CF_PEER_RING; negative: not known */
+      GArray *limits;    /**< (nullable): of #CfPeerLimit: rates that targets
+                              take; owned */
     } gateway_hello;
     struct
     {
@@ -135,6 +137,18 @@
   gint64 incarnation; /**< of the target that is slow; 0 if it does not say */
 } CfPeerPace;
 
+/** Rates go over the wire in millionths of a request a second. */
+#define CF_PEER_MILLIONTHS 1e6
+
+/** CfPeerLimit: the rate that a target takes from all gateways. */
+typedef struct
+{
+  CfPeerBytes id;
+  gint64 incarnation;
+  gint64 millionths; /**< 0: it names none any more */
+  gint64 age_ms;     /**< since the answer that says so came */
+} CfPeerLimit;
+
 /** CfPeerTarget: a target's record as the store holds it. */
 typedef struct
 {
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -7,6 +7,7 @@
 #include "platform/platform-target.h"
 #include "socket.h"
 
+#include <math.h>
 #include <string.h>
 
 /** How often peers greet: a gateway without the store is at most this and
@@ -116,6 +117,56 @@
     }
 }
 
+static GArray *
+limits_of_targets (const CfGateway *g)
+{
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerLimit));
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, g->targets.by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const CfTarget *t = v;
+      CfPeerLimit l;
+
+      if (!cf_rate_limit_is_news (&t->limit, g->now_ms))
+        continue;
+      l.id.data = t->record.id;
+      l.id.n = strlen (t->record.id);
+      l.incarnation = t->record.incarnation;
+      l.millionths = (gint64)ceil (t->limit.per_s * CF_PEER_MILLIONTHS);
+      l.age_ms = g->now_ms - t->limit.heard_ms;
+      g_array_append_val (a, l);
+    }
+  return a;
+}
+
+static void
+take_limit (CfGateway *g, const CfPeerLimit *l, const char *peer)
+{
+  char *id = g_strndup (l->id.data, l->id.n);
+  CfTarget *t = g_hash_table_lookup (g->targets.by_id, id);
+  double per_s = (double)l->millionths / CF_PEER_MILLIONTHS;
+
+  g_free (id);
+  if (!t || t->record.incarnation != l->incarnation
+      || !cf_rate_limit_hear_from_peer (&t->limit, per_s,
+                                        g->now_ms - l->age_ms))
+    return;
+  cf_log (LOG_NOTICE, CF_EV_RATE_LIMIT,
+          "target=%s per_s=%.3f source=peer peer=%s", t->record.id, per_s,
+          peer);
+  g->limits_changed = TRUE;
+}
+
+static void
+take_limits (CfGateway *g, const GArray *limits, const char *peer)
+{
+  for (guint i = 0; limits && i < limits->len; i++)
+    take_limit (g, &g_array_index (limits, CfPeerLimit, i), peer);
+}
+
 static void
 greet (Peer *p)
 {
@@ -136,6 +187,7 @@
   m.u.gateway_hello.fleet = g->fleet_size;
   m.u.gateway_hello.want = wants (p);
   m.u.gateway_hello.slow = slow_targets (g);
+  m.u.gateway_hello.limits = limits_of_targets (g);
   cf_peer_msg_send (p->peer, &m);
   cf_peer_msg_clear (&m);
 }
@@ -245,6 +297,7 @@
   g_free (dc);
   learn_fleet (p->s, m);
   take_paces (g, m->u.gateway_hello.slow);
+  take_limits (g, m->u.gateway_hello.limits, p->addr);
   if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
     send_policy (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
@@ -440,9 +493,11 @@
       connect_seeds (s);
       cf_quarantine_expire (s->g->quarantine, now);
     }
-  if (now - s->greeted_ms < every)
+  /* A rate binds all gateways soon only if they hear of it soon. */
+  if (now - s->greeted_ms < every && !s->g->limits_changed)
     return;
   s->greeted_ms = now;
+  s->g->limits_changed = FALSE;
   cf_gateway_forget_paces (s->g);
   TAILQ_FOREACH (p, &s->peers, link)
   if (p->up)
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -2,6 +2,7 @@
 
 #include "outlier.h"
 #include "platform/platform-target.h"
+#include "rate-limit.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -40,8 +41,7 @@
   gint64 pace_at_ms;     /**< when @pace was last told; 0: never */
   gint64 pace_seen_ms;   /**< when an agent of ours told it; 0: never */
   gint64 full_until_ms;  /**< it said it was full; not asked before */
-  double rate_limit;     /**< requests a second that it takes from all
-                              gateways together; 0: no limit */
+  CfRateLimit limit;     /**< the rate that it takes from all gateways */
   gint64 older_since_ms; /**< since when the list shows an older incarnation
                               under its id; 0: it does not */
 } CfTarget;
--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -295,12 +295,16 @@
     case CF_PEER_GATEWAY_HELLO:
       {
         CfPeerPace p = { some, 3000, 9 };
+        CfPeerLimit l = { some, 9, 1100000, 40 };
 
         m->u.gateway_hello.data_centre = some;
         m->u.gateway_hello.ring_start = 7;
         m->u.gateway_hello.slow
             = g_array_new (FALSE, FALSE, sizeof (CfPeerPace));
         g_array_append_val (m->u.gateway_hello.slow, p);
+        m->u.gateway_hello.limits
+            = g_array_new (FALSE, FALSE, sizeof (CfPeerLimit));
+        g_array_append_val (m->u.gateway_hello.limits, l);
       }
       break;
     case CF_PEER_TARGETS:
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -64,6 +64,7 @@
   CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
   CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), 12, 7 };
   CfPeerPace slow = { bytes ("1.2.3.9:1"), 12000, 1783022913149 };
+  CfPeerLimit limit = { bytes ("i-2"), 1783022913149, 1100000, 40 };
   CfPeerMsg o;
   msgpack_unpacked zone;
   msgpack_sbuffer buf;
@@ -75,6 +76,8 @@
   m.u.gateway_hello.ring_start = CF_PEER_RING / 2;
   m.u.gateway_hello.slow = g_array_new (FALSE, FALSE, sizeof (CfPeerPace));
   g_array_append_val (m.u.gateway_hello.slow, slow);
+  m.u.gateway_hello.limits = g_array_new (FALSE, FALSE, sizeof (CfPeerLimit));
+  g_array_append_val (m.u.gateway_hello.limits, limit);
   there_and_back (&m, &o, &zone, &buf);
   ck_assert_uint_eq (o.u.gateway_hello.want, CF_PEER_WANT_TARGETS);
   ck_assert_int_eq (o.u.gateway_hello.policy_rev, 9);
@@ -86,6 +89,12 @@
   ck_assert_int_eq (
       g_array_index (o.u.gateway_hello.slow, CfPeerPace, 0).incarnation,
       1783022913149);
+  ck_assert_uint_eq (o.u.gateway_hello.limits->len, 1);
+  ck_assert_int_eq (
+      g_array_index (o.u.gateway_hello.limits, CfPeerLimit, 0).millionths,
+      1100000);
+  ck_assert_int_eq (
+      g_array_index (o.u.gateway_hello.limits, CfPeerLimit, 0).age_ms, 40);
   cf_peer_msg_clear (&m);
   release (&o, &zone, &buf);
   m.kind = CF_PEER_TARGETS;
