--- a/explain.c
+++ b/explain.c
@@ -33,6 +33,9 @@
     "targets crashed during three attempts of the same request: it is not sent "
     "any more; E1217 names it, E1407 outcome=lost with the same request= the "
     "attempts" },
+  { NULL, "rate-limited",
+    "its targets named rates that they take, and this gateway's part of them "
+    "was used up; E1218 names them" },
   { NULL, "queue-full", "too many requests of its service were waiting" },
   { NULL, "more-urgent-waits",
     "more urgent requests filled the queue of its service" },
