--- a/gateway/expert-counts.c
+++ b/gateway/expert-counts.c
@@ -2,9 +2,9 @@
 
 #include <string.h>
 
-/** Demand of before, beyond what a reading of ranks that are read seldom may
- * hold, is no demand of now. */
-#define LONG_AGO_MS 3000
+/** Samples older than this are dropped from the popularity estimate; ranks that
+ * are read seldom are read more often than that. */
+#define SAMPLE_MAX_AGE_MS 3000
 
 void
 cf_expert_counts_clear (CfExpertCounts *c)
@@ -15,14 +15,14 @@
 }
 
 static gboolean
-go_on (const CfExpertCounts *c, const GArray *now, gint64 incarnation,
-       gint64 now_ms)
+may_subtract (const CfExpertCounts *c, const GArray *now, gint64 incarnation,
+              gint64 now_ms)
 {
   return c->last && c->incarnation == incarnation && c->last->len == now->len
-         && now_ms - c->at_ms <= LONG_AGO_MS;
+         && now_ms - c->at_ms <= SAMPLE_MAX_AGE_MS;
 }
 
-/* %NULL if one went back: the rank counts from anew. */
+/* %NULL if a counter decreased, i.e. the rank restarted. */
 static GArray *
 subtract (const GArray *now, const GArray *before)
 {
@@ -49,7 +49,7 @@
 {
   GArray *since = NULL;
 
-  if (go_on (c, now, incarnation, now_ms))
+  if (may_subtract (c, now, incarnation, now_ms))
     since = subtract (now, c->last);
   if (c->last)
     g_array_unref (c->last);
--- a/gateway/expert-counts.h
+++ b/gateway/expert-counts.h
@@ -4,9 +4,9 @@
 
 /**
  * CfExpertCounts:
- * What a rank said last of how often each expert was chosen there.  The rank
- * counts from its start on; what is told to a leader is what came since the
- * last reading, whoever led then: small numbers, of a byte each.
+ * Last counters of a rank: how often each expert was chosen there since the
+ * rank started.  Reports carry deltas since the previous report, regardless of
+ * which leader received it: small numbers, of a byte each.
  */
 typedef struct
 {
--- a/gateway/expert-demand.c
+++ b/gateway/expert-demand.c
@@ -42,7 +42,7 @@
 }
 
 void
-cf_expert_demand_begin_anew (CfExpertDemand *d)
+cf_expert_demand_reset (CfExpertDemand *d)
 {
   d->n_windows = 0;
 }
--- a/gateway/expert-demand.h
+++ b/gateway/expert-demand.h
@@ -27,9 +27,8 @@
 /** cf_expert_demand_add: a rank drew so much of each expert. */
 void cf_expert_demand_add (CfExpertDemand *d, const gint64 *drawn);
 
-/** cf_expert_demand_begin_anew: the group formed anew: little is known of
- * what it draws now. */
-void cf_expert_demand_begin_anew (CfExpertDemand *d);
+/** cf_expert_demand_reset: drops all samples, as the group formed anew. */
+void cf_expert_demand_reset (CfExpertDemand *d);
 
 /** cf_expert_demand_tick: ends the open window, if it is time to. */
 void cf_expert_demand_tick (CfExpertDemand *d, gint64 now_ms);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -97,8 +97,8 @@
 
 /**
  * cf_gateway_enter:
- * This turn of the loop goes on with @part, until the part that is returned
- * is entered again.
+ * Attributes the current loop iteration's time to @part.
+ * Returns: the previous part, to be restored by the caller.
  */
 CfTurnPart cf_gateway_enter (CfGateway *g, CfTurnPart part);
 
--- a/gateway/map-coordinator-reports.c
+++ b/gateway/map-coordinator-reports.c
@@ -11,7 +11,7 @@
   c->pass_step = 0;
   for (int r = 0; r < c->shape.ranks; r++)
     c->ranks[r].lists_map = -1;
-  cf_expert_demand_begin_anew (&c->demand);
+  cf_expert_demand_reset (&c->demand);
   g_clear_pointer (&c->next, cf_group_map_free);
   cf_map_enter (c, CF_MAP_SETTLING, "new-epoch", now);
 }
--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -120,16 +120,16 @@
 
 /* News came: more may have to come together before they are asked for. */
 static void
-gather (CfStoreWatch *w)
+ask_in_batches (CfStoreWatch *w)
 {
-  gint64 pause = cf_gather_pause_ms (&w->gather, cf_gateway_now (w->g));
+  gint64 pause = cf_watch_batcher_pause_ms (&w->batcher, cf_gateway_now (w->g));
 
   if (pause == 0)
     {
       begin_call (w);
       return;
     }
-  w->state = CF_WATCH_GATHERING;
+  w->state = CF_WATCH_BATCHING;
   set_timer (w, pause);
 }
 
@@ -153,7 +153,7 @@
   news = r.items->len > 0;
   cf_store_reply_clear (&r);
   if (news && w->has_all)
-    gather (w);
+    ask_in_batches (w);
   else
     begin_call (w);
 }
@@ -207,7 +207,7 @@
   if (n < 0 && (errno == EAGAIN || errno == EINTR))
     return;
   /* No call is open: the next is made on a new connection. */
-  if (w->state == CF_WATCH_GATHERING)
+  if (w->state == CF_WATCH_BATCHING)
     disconnect (w);
   else if (n <= 0)
     failed (w, n == 0 ? "closed" : strerror (errno));
@@ -325,7 +325,7 @@
 {
   CfStoreWatch *w = t->data;
 
-  if (w->state == CF_WATCH_PAUSED || w->state == CF_WATCH_GATHERING)
+  if (w->state == CF_WATCH_PAUSED || w->state == CF_WATCH_BATCHING)
     begin_call (w);
   else
     failed (w, "no answer in time");
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gather.h"
+#include "watch-batcher.h"
 #include "gateway.h"
 #include "http-reader.h"
 #include "platform/platform-store.h"
@@ -10,9 +10,9 @@
 {
   CF_WATCH_PAUSED, /**< waits before it tries again */
   CF_WATCH_CONNECTING,
-  CF_WATCH_RANGE,     /**< reads all keys, page by page */
-  CF_WATCH_CHANGES,   /**< waits for changes */
-  CF_WATCH_GATHERING, /**< has news, and lets more come together */
+  CF_WATCH_RANGE,    /**< reads all keys, page by page */
+  CF_WATCH_CHANGES,  /**< waits for changes */
+  CF_WATCH_BATCHING, /**< had events; more may join them before it asks */
 } CfWatchState;
 
 /** CfStoreContact: whether the store answers this watch. */
@@ -63,7 +63,7 @@
   gboolean has_all;   /**< a range has been read since the last 410 */
   CfStoreContact contact;
   gint64 wait_ms; /**< how long the store waits for a change */
-  CfGather gather;
+  CfWatchBatcher batcher;
   gint64 pause_ms; /**< before the next try */
 };
 
