quarantine: count crashes one after another, and ask before a retry

Cause: any three crashed targets counted, also at the same moment; and a retry that was sent to the next target just before it went down, too, counted as a crash of its own.

The change: a crash counts if its attempt was sent 100 ms or more after the one before; records keep when each attempt was sent and lost, and gateways merge them by time. A request is not quarantined for more than an hour after its last crash, whatever comes.

Ruled out: to count only what has run for some time, since a target may crash right as it begins.

--- a/explain.c
+++ b/explain.c
@@ -29,6 +29,9 @@
   { NULL, "no-room",
     "all targets of its service were busy, or silent, for "
     "as long as it could wait; see E1210 and E1502" },
+  { NULL, "target-crashed",
+    "its target crashed before it showed anything of an answer; it may be the "
+    "cause, and is not sent to another target within this attempt" },
   { NULL, "quarantined",
     "targets crashed during three attempts of the same request: it is not sent "
     "any more; E1217 names it, E1407 outcome=lost with the same request= the "
--- a/gateway/crash-probe.c
+++ b/gateway/crash-probe.c
@@ -4,55 +4,76 @@
 #include "socket.h"
 
 #include <errno.h>
+#include <string.h>
 #include <unistd.h>
 
-/** Long enough for a first packet that is lost and sent again after a second;
- * targets that crash are away for longer. */
-#define PROBE_TIMEOUT_S 1.5
+/** How long a request waits to be told: some ways through the network. */
+#define WAIT_S 0.05
+/** The rest of a time that is long enough for a first packet which is lost and
+ * sent again after a second; targets that crash are away for longer. */
+#define REST_S 1.45
 
 struct CfCrashProbe
 {
   TAILQ_ENTRY (CfCrashProbe) link; /* in the gateway's list */
   CfGateway *g;
   CfTarget *target;
-  gint64 lost_ms;
-  GArray *requests; /* of #CfRequestDigest */
+  GArray *requests; /* of #CfLostRequest */
+  TAILQ_HEAD (, CfCrashWaiter) waiters;
   ev_io io;
   ev_timer timer;
 };
 
+static void
+tell_waiters (CfCrashProbe *p, gboolean crashed)
+{
+  CfCrashWaiter *w;
+
+  while ((w = TAILQ_FIRST (&p->waiters)))
+    {
+      cf_crash_waiter_leave (w);
+      w->done (w, crashed);
+    }
+}
+
+void
+cf_crash_waiter_leave (CfCrashWaiter *w)
+{
+  if (w->probe)
+    TAILQ_REMOVE (&w->probe->waiters, w, link);
+  w->probe = NULL;
+}
+
 static void
 free_probe (CfCrashProbe *p)
 {
   TAILQ_REMOVE (&p->g->probes, p, link);
   ev_timer_stop (p->g->loop, &p->timer);
-  if (p->io.fd >= 0)
-    {
-      ev_io_stop (p->g->loop, &p->io);
-      close (p->io.fd);
-    }
+  ev_io_stop (p->g->loop, &p->io);
+  close (p->io.fd);
   cf_target_unref (p->target);
   g_array_unref (p->requests);
   g_free (p);
 }
 
 static void
-add_crash (const CfCrashProbe *p, const CfRequestDigest *d)
+add_crash (const CfCrashProbe *p, const CfLostRequest *l)
 {
   CfQuarantine *q = p->g->quarantine;
   const CfTargetRecord *r = &p->target->record;
-  char *name = g_strdup_printf ("%s/%" G_GINT64_FORMAT, r->id, r->incarnation);
+  CfCrash c = { .sent_ms = l->sent_ms, .lost_ms = l->lost_ms };
 
-  if (cf_quarantine_add (q, d, name, p->lost_ms))
+  c.target = g_strdup_printf ("%s/%" G_GINT64_FORMAT, r->id, r->incarnation);
+  if (cf_quarantine_merge (q, &l->digest, &c, 1, l->lost_ms))
     {
       char text[CF_REQUEST_DIGEST_TEXT];
 
-      cf_request_digest_print (d, text);
+      cf_request_digest_print (&l->digest, text);
       cf_log (LOG_WARNING, CF_EV_QUARANTINE,
               "request=%s outcome=quarantined crashes=%u target=%s", text,
-              cf_quarantine_crashes (q, d), r->id);
+              cf_quarantine_crashes (q, &l->digest), r->id);
     }
-  g_free (name);
+  g_free (c.target);
 }
 
 static void
@@ -66,7 +87,8 @@
           p->requests->len);
   if (err == ECONNREFUSED)
     for (guint i = 0; i < p->requests->len; i++)
-      add_crash (p, &g_array_index (p->requests, CfRequestDigest, i));
+      add_crash (p, &g_array_index (p->requests, CfLostRequest, i));
+  tell_waiters (p, err == ECONNREFUSED);
   free_probe (p);
 }
 
@@ -77,9 +99,18 @@
 }
 
 static void
-on_timeout (struct ev_loop *loop, ev_timer *w, int revents)
+on_timer (struct ev_loop *loop, ev_timer *w, int revents)
 {
-  end (w->data, ETIMEDOUT);
+  CfCrashProbe *p = w->data;
+
+  if (w->repeat > 0)
+    {
+      end (p, ETIMEDOUT);
+      return;
+    }
+  ev_timer_set (w, REST_S, REST_S);
+  ev_timer_start (loop, w);
+  tell_waiters (p, FALSE);
 }
 
 static CfCrashProbe *
@@ -93,37 +124,57 @@
   return NULL;
 }
 
-void
-cf_crash_probe_start (CfGateway *g, CfTarget *t, const CfRequestDigest *d)
+static void
+join (CfCrashProbe *p, const CfLostRequest *l, CfCrashWaiter *w)
 {
-  CfCrashProbe *p = find (g, t);
-  int fd;
+  g_array_append_val (p->requests, *l);
+  if (!w)
+    return;
+  w->probe = p;
+  TAILQ_INSERT_TAIL (&p->waiters, w, link);
+}
+
+/* Returns: (nullable): %NULL if no connection could be begun. */
+static CfCrashProbe *
+new_probe (CfGateway *g, CfTarget *t)
+{
+  int fd = cf_socket_connect (&t->addr);
+  CfCrashProbe *p;
 
-  if (p)
+  if (fd < 0)
     {
-      g_array_append_val (p->requests, *d);
-      return;
+      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
+              "target=%s outcome=not-probed error=\"%s\"", t->record.id,
+              strerror (errno));
+      return NULL;
     }
   p = g_new0 (CfCrashProbe, 1);
   p->g = g;
   p->target = cf_target_ref (t);
-  p->lost_ms = cf_gateway_now (g);
-  p->requests = g_array_new (FALSE, FALSE, sizeof *d);
-  g_array_append_val (p->requests, *d);
-  p->io.fd = -1;
-  ev_timer_init (&p->timer, on_timeout, PROBE_TIMEOUT_S, 0);
-  p->timer.data = p;
+  p->requests = g_array_new (FALSE, FALSE, sizeof (CfLostRequest));
+  TAILQ_INIT (&p->waiters);
   TAILQ_INSERT_TAIL (&g->probes, p, link);
-  fd = cf_socket_connect (&t->addr);
-  if (fd < 0)
-    {
-      end (p, errno);
-      return;
-    }
+  ev_timer_init (&p->timer, on_timer, WAIT_S, 0);
+  p->timer.data = p;
+  ev_timer_start (g->loop, &p->timer);
   ev_io_init (&p->io, on_io, fd, EV_WRITE);
   p->io.data = p;
   ev_io_start (g->loop, &p->io);
-  ev_timer_start (g->loop, &p->timer);
+  return p;
+}
+
+gboolean
+cf_crash_probe_start (CfGateway *g, CfTarget *t, const CfLostRequest *l,
+                      CfCrashWaiter *w)
+{
+  CfCrashProbe *p = find (g, t);
+
+  if (!p)
+    p = new_probe (g, t);
+  if (!p)
+    return FALSE;
+  join (p, l, w);
+  return TRUE;
 }
 
 void
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -372,14 +372,14 @@
   CfExchange *x = owner;
 
   x->up = NULL;
-  if (f == CF_FAIL_LOST)
-    cf_exchange_note_lost (x);
   cf_exchange_blame (x, x->target, cf_upstream_fail_name (f));
   if (f == CF_FAIL_UNSENT)
     x->sends--;
   else
     x->may_have_run = TRUE;
   cf_exchange_forget_answer (x);
+  if (f == CF_FAIL_LOST && cf_exchange_note_lost (x))
+    return;
   cf_exchange_try_again (x, cf_upstream_fail_name (f));
 }
 
--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -1,9 +1,10 @@
 #include "exchange-parts.h"
 
 #include "ablation.h"
-#include "crash-probe.h"
 #include "log.h"
 
+#include <stddef.h>
+
 /** When callers of a quarantined request may come back. */
 #define QUARANTINE_BUSY_MS CF_QUARANTINE_KEEP_MS
 
@@ -45,14 +46,44 @@
           x->events.n_events - x->events_at_send, quiet_ms (x));
 }
 
-void
+static void
+on_verdict (CfCrashWaiter *w, gboolean crashed)
+{
+  CfExchange *x = (CfExchange *)((char *)w - offsetof (CfExchange, verdict));
+
+  if (crashed)
+    cf_exchange_give_up (x, "target-crashed");
+  else
+    cf_exchange_try_again (x, "lost");
+}
+
+/* One that has shown no event may be what its target crashed of, and would
+ * crash the next one: it is sent there only if its target lives. */
+static gboolean
+awaits_verdict (CfExchange *x)
+{
+  return x->events.n_events == 0 && cf_exchange_may_send_again (x);
+}
+
+gboolean
 cf_exchange_note_lost (CfExchange *x)
 {
+  CfLostRequest l = { .sent_ms = x->sent_ms };
+  gboolean waits;
+
   log_lost (x);
   if (CF_WITHOUT_QUARANTINE || !may_have_crashed (x))
-    return;
+    return FALSE;
+  l.digest = *digest_of (x);
+  l.lost_ms = cf_gateway_now (x->g);
   x->was_lost_in_work = TRUE;
-  cf_crash_probe_start (x->g, x->target, digest_of (x));
+  x->verdict.done = on_verdict;
+  waits = awaits_verdict (x);
+  if (!cf_crash_probe_start (x->g, x->target, &l, waits ? &x->verdict : NULL))
+    return FALSE;
+  if (waits)
+    cf_exchange_release_target (x, TRUE);
+  return waits;
 }
 
 static void
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answer.h"
+#include "crash-probe.h"
 #include "event-stream.h"
 #include "exchange.h"
 #include "upstream.h"
@@ -48,6 +49,7 @@
   gboolean last_chance;      /**< it cannot wait any more */
   gboolean was_lost_in_work; /**< its target ended the connection, and may have
  crashed */
+  CfCrashWaiter verdict;     /**< whether its target has crashed */
   CfRequestDigest digest;    /**< valid if @has_digest */
   gboolean has_digest;
 
@@ -156,9 +158,13 @@
 
 /* Targets that crash. */
 
-/** cf_exchange_note_lost: the connection to its target ended before the answer
- * did; if the target has crashed, the request is suspected. */
-void cf_exchange_note_lost (CfExchange *x);
+/**
+ * cf_exchange_note_lost:
+ * The connection to its target ended before the answer did; if the target has
+ * crashed, the request is suspected.
+ * Returns: %TRUE if it goes on, or ends, once that is known.
+ */
+gboolean cf_exchange_note_lost (CfExchange *x);
 
 /** cf_exchange_note_answered: its target has run it to an end. */
 void cf_exchange_note_answered (CfExchange *x);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -78,6 +78,7 @@
     cf_wait_queue_remove (&x->lane->queue, &x->waiter);
   ev_timer_stop (g->loop, &x->deadline);
   cf_exchange_release_target (x, TRUE);
+  cf_crash_waiter_leave (&x->verdict);
   free_exchange (x);
   cf_exchange_pump (g);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -16,6 +16,7 @@
 
 typedef struct CfCaller CfCaller;
 typedef struct CfCrashProbe CfCrashProbe;
+typedef struct CfCrashWaiter CfCrashWaiter;
 typedef struct CfGateway CfGateway;
 typedef TAILQ_HEAD (CfCallerList, CfCaller) CfCallerList;
 typedef TAILQ_HEAD (CfCrashProbeList, CfCrashProbe) CfCrashProbeList;
--- a/gateway/peer-crashes.c
+++ b/gateway/peer-crashes.c
@@ -21,8 +21,10 @@
   p.age_ms = r->n ? c->now_ms - r->seen_ms : 0;
   for (guint i = 0; i < r->n; i++)
     {
-      p.targets[i].data = r->targets[i];
-      p.targets[i].n = strlen (r->targets[i]);
+      p.crashes[i].target.data = r->crashes[i].target;
+      p.crashes[i].target.n = strlen (r->crashes[i].target);
+      p.crashes[i].sent_age_ms = c->now_ms - r->crashes[i].sent_ms;
+      p.crashes[i].lost_age_ms = c->now_ms - r->crashes[i].lost_ms;
     }
   g_array_append_val (c->all, p);
   if (cf_quarantine_holds (r))
@@ -56,12 +58,29 @@
   cf_quarantine_foreach (q, append, &c);
 }
 
+/* An age may be anything that a peer writes. */
+static gint64
+time_of (gint64 age_ms, gint64 now_ms)
+{
+  return now_ms - CLAMP (age_ms, 0, CF_QUARANTINE_LIMIT_MS);
+}
+
+static void
+log_quarantined (const CfPeerCrash *p, const char *peer)
+{
+  char text[CF_REQUEST_DIGEST_TEXT];
+
+  cf_request_digest_print (&p->digest, text);
+  cf_log (LOG_WARNING, CF_EV_QUARANTINE,
+          "request=%s outcome=quarantined source=peer peer=%s", text,
+          peer ? peer : "-");
+}
+
 static void
 merge_one (CfQuarantine *q, const CfPeerCrash *p, const char *peer,
            gint64 now_ms)
 {
-  gint64 age = CLAMP (p->age_ms, 0, CF_QUARANTINE_KEEP_MS);
-  gboolean quarantined = FALSE;
+  CfCrash crashes[CF_QUARANTINE_CRASHES];
 
   if (p->n == 0)
     {
@@ -70,20 +89,17 @@
     }
   for (guint i = 0; i < p->n; i++)
     {
-      char *target = g_strndup (p->targets[i].data, p->targets[i].n);
-
-      quarantined |= cf_quarantine_add (q, &p->digest, target, now_ms - age);
-      g_free (target);
-    }
-  if (quarantined)
-    {
-      char text[CF_REQUEST_DIGEST_TEXT];
+      CfPeerBytes target = p->crashes[i].target;
 
-      cf_request_digest_print (&p->digest, text);
-      cf_log (LOG_WARNING, CF_EV_QUARANTINE,
-              "request=%s outcome=quarantined source=peer peer=%s", text,
-              peer ? peer : "-");
+      crashes[i].target = g_strndup (target.data, target.n);
+      crashes[i].sent_ms = time_of (p->crashes[i].sent_age_ms, now_ms);
+      crashes[i].lost_ms = time_of (p->crashes[i].lost_age_ms, now_ms);
     }
+  if (cf_quarantine_merge (q, &p->digest, crashes, p->n,
+                           time_of (p->age_ms, now_ms)))
+    log_quarantined (p, peer);
+  for (guint i = 0; i < p->n; i++)
+    g_free (crashes[i].target);
 }
 
 void
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -197,7 +197,7 @@
   return a;
 }
 
-/* A later version may name more targets than count here. */
+/* A later version may name more crashes than count here. */
 static void
 take_crash (Fields *f, CfPeerCrash *c)
 {
@@ -209,7 +209,12 @@
     memcpy (c->digest.bytes, digest.data, digest.n);
   c->age_ms = take_int (f);
   while (!f->bad && f->at < f->end && c->n < CF_QUARANTINE_CRASHES)
-    c->targets[c->n++] = take_bytes (f);
+    {
+      c->crashes[c->n].target = take_bytes (f);
+      c->crashes[c->n].sent_age_ms = take_int (f);
+      c->crashes[c->n].lost_age_ms = take_int (f);
+      c->n++;
+    }
 }
 
 static GArray *
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -114,11 +114,15 @@
       CfPeerBytes digest
           = { (const char *)c->digest.bytes, sizeof c->digest.bytes };
 
-      msgpack_pack_array (pk, 2 + c->n);
+      msgpack_pack_array (pk, 2 + 3UL * c->n);
       put_bytes (pk, digest);
       put_int (pk, c->age_ms);
-      for (guint t = 0; t < c->n; t++)
-        put_bytes (pk, c->targets[t]);
+      for (guint k = 0; k < c->n; k++)
+        {
+          put_bytes (pk, c->crashes[k].target);
+          put_int (pk, c->crashes[k].sent_age_ms);
+          put_int (pk, c->crashes[k].lost_age_ms);
+        }
     }
 }
 
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -165,8 +165,13 @@
 {
   CfRequestDigest digest;
   gint64 age_ms; /**< since its last crash or attempt */
-  guint n;       /**< number of @targets; 0: it was answered since */
-  CfPeerBytes targets[CF_QUARANTINE_CRASHES]; /**< their incarnations */
+  guint n;       /**< number of @crashes; 0: it was answered since */
+  struct
+  {
+    CfPeerBytes target; /**< the incarnation that crashed */
+    gint64 sent_age_ms; /**< since the request was sent to it */
+    gint64 lost_age_ms; /**< since it crashed */
+  } crashes[CF_QUARANTINE_CRASHES];
 } CfPeerCrash;
 
 /** cf_peer_msg_pack: appends the frame of @m to @out. */
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -19,7 +19,7 @@
   CfCrashRecord *r = p;
 
   for (guint i = 0; i < r->n; i++)
-    g_free (r->targets[i]);
+    g_free (r->crashes[i].target);
   g_free (r);
 }
 
@@ -99,36 +99,82 @@
   return r;
 }
 
+static void
+renew (CfQuarantine *q, CfCrashRecord *r, gint64 seen_ms)
+{
+  r->seen_ms = MAX (r->seen_ms, seen_ms);
+  /* Peers that get no attempts of it would forget it. */
+  if (r->seen_ms - r->notified_ms > CF_QUARANTINE_KEEP_MS / 2)
+    mark_changed (q, &r->digest, FALSE);
+}
+
+static gint
+compare_lost (gconstpointer a, gconstpointer b)
+{
+  const CfCrash *x = *(CfCrash *const *)a;
+  const CfCrash *y = *(CfCrash *const *)b;
+
+  return x->lost_ms < y->lost_ms ? -1 : x->lost_ms > y->lost_ms;
+}
+
 static gboolean
 has_target (const CfCrashRecord *r, const char *target)
 {
   for (guint i = 0; i < r->n; i++)
-    if (strcmp (r->targets[i], target) == 0)
+    if (strcmp (r->crashes[i].target, target) == 0)
       return TRUE;
   return FALSE;
 }
 
+static gboolean
+is_after (const CfCrash *c, const CfCrashRecord *r)
+{
+  return r->n == 0
+         || c->sent_ms >= r->crashes[r->n - 1].lost_ms + CF_QUARANTINE_APART_MS;
+}
+
+/* The first crash, then each first one of those whose attempt was sent after
+ * it: as many as can follow one another. */
 static void
-renew (CfQuarantine *q, CfCrashRecord *r, gint64 seen_ms)
+take_in_sequence (CfCrashRecord *r, const GPtrArray *all)
 {
-  r->seen_ms = MAX (r->seen_ms, seen_ms);
-  /* Peers that get no attempts of it would forget it. */
-  if (r->seen_ms - r->notified_ms > CF_QUARANTINE_KEEP_MS / 2)
-    mark_changed (q, &r->digest, FALSE);
+  for (guint i = 0; i < all->len && r->n < CF_QUARANTINE_CRASHES; i++)
+    {
+      const CfCrash *c = all->pdata[i];
+
+      if (!is_after (c, r) || has_target (r, c->target))
+        continue;
+      r->crashes[r->n] = *c;
+      r->crashes[r->n++].target = g_strdup (c->target);
+    }
 }
 
 gboolean
-cf_quarantine_add (CfQuarantine *q, const CfRequestDigest *d,
-                   const char *target, gint64 seen_ms)
+cf_quarantine_merge (CfQuarantine *q, const CfRequestDigest *d,
+                     const CfCrash *crashes, guint n, gint64 seen_ms)
 {
   CfCrashRecord *r = get_or_add (q, d);
+  CfCrashRecord old = *r;
+  GPtrArray *all = g_ptr_array_new ();
 
   renew (q, r, seen_ms);
-  if (r->n == CF_QUARANTINE_CRASHES || has_target (r, target))
-    return FALSE;
-  r->targets[r->n++] = g_strdup (target);
-  mark_changed (q, d, FALSE);
-  return r->n == CF_QUARANTINE_CRASHES;
+  for (guint i = 0; i < old.n; i++)
+    g_ptr_array_add (all, &old.crashes[i]);
+  for (guint i = 0; i < n; i++)
+    if (!has_target (&old, crashes[i].target))
+      g_ptr_array_add (all, (gpointer)&crashes[i]);
+  if (all->len > old.n && old.n < CF_QUARANTINE_CRASHES)
+    {
+      g_ptr_array_sort (all, compare_lost);
+      r->n = 0;
+      take_in_sequence (r, all);
+      for (guint i = 0; i < old.n; i++)
+        g_free (old.crashes[i].target);
+      if (r->n > old.n)
+        mark_changed (q, d, FALSE);
+    }
+  g_ptr_array_free (all, TRUE);
+  return old.n < CF_QUARANTINE_CRASHES && r->n == CF_QUARANTINE_CRASHES;
 }
 
 gboolean
@@ -166,8 +212,10 @@
 is_old (gpointer key, gpointer value, gpointer now_ms)
 {
   const CfCrashRecord *r = value;
+  gint64 now = *(const gint64 *)now_ms;
 
-  return *(const gint64 *)now_ms - r->seen_ms > CF_QUARANTINE_KEEP_MS;
+  return now - r->seen_ms > CF_QUARANTINE_KEEP_MS
+         || now - r->crashes[r->n - 1].lost_ms > CF_QUARANTINE_LIMIT_MS;
 }
 
 void
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -4,8 +4,14 @@
 
 /** Crashes of targets under one request after which it is quarantined. */
 #define CF_QUARANTINE_CRASHES 3
+/** Crashes that are less apart count as one: where a rack fails, a retry may
+ * reach the next target just before it goes down as well. */
+#define CF_QUARANTINE_APART_MS 100
 /** How long a request is remembered after its last crash or attempt. */
 #define CF_QUARANTINE_KEEP_MS 600000
+/** How long after its last crash at most, whatever attempts come: one that was
+ * held to be the cause without being it is not refused for ever. */
+#define CF_QUARANTINE_LIMIT_MS 3600000
 /** Requests remembered at most; those with the fewest crashes go first. */
 #define CF_QUARANTINE_MAX 1024
 
@@ -15,21 +21,34 @@
  * none has answered it, is taken to be the cause: it is quarantined, and not
  * sent any more.
  *
- * A set of crashed targets for each request, which gateways exchange and merge
- * in any order: applying an update twice changes nothing.  An answer to a
- * request clears its set everywhere, so that a healthy one that was running
- * when targets crashed does not stay suspected.
+ * Only crashes one after another tell of the request: each attempt was sent
+ * some time after the crash before it.  Targets that crash together, as those
+ * of a rack do, while each has a popular request, count as one.
+ *
+ * Gateways exchange the crashes of each request and merge them; applying an
+ * update twice changes nothing.  An answer to a request clears its record
+ * everywhere, so that a healthy one that was running when targets crashed does
+ * not stay suspected.
  */
 typedef struct CfQuarantine CfQuarantine;
 
-/** CfCrashRecord: what is known of one request. */
+/** CfCrash: a target crashed while it had a request. */
+typedef struct
+{
+  char *target;   /**< the incarnation that crashed */
+  gint64 sent_ms; /**< when the request was sent to it */
+  gint64 lost_ms; /**< when it crashed */
+} CfCrash;
+
+/** CfCrashRecord: what is known of one request; times are by the steady clock.
+ */
 typedef struct
 {
   CfRequestDigest digest;
-  char *targets[CF_QUARANTINE_CRASHES]; /**< incarnations that crashed */
-  guint n;                              /**< number of @targets */
-  gboolean was_quarantined;             /**< and was cleared since */
-  gint64 seen_ms;                       /**< last crash or attempt */
+  CfCrash crashes[CF_QUARANTINE_CRASHES]; /**< one after another */
+  guint n;                                /**< number of @crashes */
+  gboolean was_quarantined;               /**< and was cleared since */
+  gint64 seen_ms;                         /**< last crash or attempt */
   gint64 notified_ms; /**< @seen_ms as peers were last notified of it */
 } CfCrashRecord;
 
@@ -50,20 +69,20 @@
 gboolean cf_quarantine_may_be_crash (gint64 quiet_ms, gint64 stall_ms);
 
 /**
- * cf_quarantine_add:
- * Notes that @target crashed while it had the request.
- * @target: names one incarnation of a target
- * @seen_ms: when that was, by the steady clock
+ * cf_quarantine_merge:
+ * Notes @n crashes, in any order, that happened during the request.
+ * @seen_ms: its last crash or attempt
  * Returns: %TRUE if the request is quarantined by this.
  */
-gboolean cf_quarantine_add (CfQuarantine *q, const CfRequestDigest *d,
-                            const char *target, gint64 seen_ms);
+gboolean cf_quarantine_merge (CfQuarantine *q, const CfRequestDigest *d,
+                              const CfCrash *crashes, guint n, gint64 seen_ms);
 
 /** cf_quarantine_clear: the request was answered; %FALSE if it was not
  * suspected. */
 gboolean cf_quarantine_clear (CfQuarantine *q, const CfRequestDigest *d);
 
-/** cf_quarantine_crashes: targets that crashed during the request. */
+/** cf_quarantine_crashes: targets that crashed one after another during the
+ * request. */
 guint cf_quarantine_crashes (const CfQuarantine *q, const CfRequestDigest *d);
 
 /**
@@ -77,7 +96,7 @@
 /** cf_quarantine_expire: forgets what was not seen for long. */
 void cf_quarantine_expire (CfQuarantine *q, gint64 now_ms);
 
-/** CfCrashVisit: @r has no targets if the request was cleared. */
+/** CfCrashVisit: @r has no crashes if the request was cleared. */
 typedef void (*CfCrashVisit) (void *data, const CfCrashRecord *r);
 
 /** cf_quarantine_foreach: visits all. */
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -549,8 +549,8 @@
   publish (t);
 }
 
-/* The process ends while it works for @c, and with it all that it works on; it
- * starts anew under another id. */
+/* The process ends, and with it all that it works on, also for @c (nullable);
+ * it starts anew under another id. */
 static void
 crash (FakeTarget *t, FakeConn *c)
 {
@@ -571,7 +571,8 @@
       other->work = NULL;
       fake_http_reset (other);
     }
-  fake_http_reset (c);
+  if (c)
+    fake_http_reset (c);
   fake_http_leave (t->listener, DOWN_S);
   start_anew (t, FALSE, RESTART_MS);
 }
@@ -604,6 +605,11 @@
       t->crasher = g_strdup (c->body->str);
       fake_http_answer (c, 200, NULL, "", 0);
     }
+  else if (fake_http_is (c, "/test/crash"))
+    {
+      fake_http_answer (c, 200, NULL, "", 0);
+      crash (t, NULL);
+    }
   else if (fake_http_is (c, "/test/limit"))
     {
       g_free (t->limit);
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -16,6 +16,8 @@
  * POST /test/crasher: a request with the body of this call crashes the target
  * that runs it: all its work is reset, and it starts anew under another id.
  *
+ * POST /test/crash: it crashes now, in the same way.
+ *
  * POST /test/limit?per-s=X: its answers name a limit of X requests a second
  * from now on; without X, none.
  *
--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -317,7 +317,10 @@
       break;
     case CF_PEER_CRASHES:
       {
-        CfPeerCrash c = { .age_ms = 5, .n = 2, .targets = { some, some } };
+        CfPeerCrash c = { .age_ms = 5, .n = 2 };
+
+        c.crashes[0].target = some;
+        c.crashes[1].target = some;
 
         m->u.crashes = g_array_new (FALSE, FALSE, sizeof (CfPeerCrash));
         g_array_append_val (m->u.crashes, c);
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -198,7 +198,9 @@
   const CfPeerCrash *out;
 
   in[0].digest = cf_request_digest ("o", "/a", "body", 4);
-  in[0].targets[0] = bytes ("i-1/7");
+  in[0].crashes[0].target = bytes ("i-1/7");
+  in[0].crashes[0].sent_age_ms = 90;
+  in[0].crashes[0].lost_age_ms = 80;
   in[1].digest = cf_request_digest ("o", "/b", "body", 4);
   m.u.crashes = g_array_new (FALSE, FALSE, sizeof (CfPeerCrash));
   g_array_append_vals (m.u.crashes, in, 2);
@@ -208,7 +210,10 @@
   ck_assert (cf_request_digest_equal (&out[0].digest, &in[0].digest));
   ck_assert_int_eq (out[0].age_ms, 70);
   ck_assert_uint_eq (out[0].n, 1);
-  ck_assert_mem_eq (out[0].targets[0].data, "i-1/7", out[0].targets[0].n);
+  ck_assert_mem_eq (out[0].crashes[0].target.data, "i-1/7",
+                    out[0].crashes[0].target.n);
+  ck_assert_int_eq (out[0].crashes[0].sent_age_ms, 90);
+  ck_assert_int_eq (out[0].crashes[0].lost_age_ms, 80);
   ck_assert (cf_request_digest_equal (&out[1].digest, &in[1].digest));
   ck_assert_uint_eq (out[1].n, 0);
   release (&o, &zone, &buf);
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -189,24 +189,70 @@
 }
 END_TEST
 
+/* The target @name crashed at @lost_ms, under an attempt sent 5 ms before. */
+static gboolean
+add (CfQuarantine *q, const CfRequestDigest *d, const char *name,
+     gint64 lost_ms)
+{
+  CfCrash c = { (char *)name, lost_ms - 5, lost_ms };
+
+  return cf_quarantine_merge (q, d, &c, 1, lost_ms);
+}
+
 START_TEST (crashes_of_one_target_count_once)
 {
   CfQuarantine *q = cf_quarantine_new ();
   CfRequestDigest d = digest_of (1);
 
   for (int i = 0; i < CRASHES; i++)
-    ck_assert (!cf_quarantine_add (q, &d, "i-1/1", 10));
-  ck_assert (!cf_quarantine_add (q, &d, "i-1/2", 20));
-  ck_assert (!cf_quarantine_check (q, &d, 20));
-  ck_assert (cf_quarantine_add (q, &d, "i-2/1", 30));
-  ck_assert (cf_quarantine_check (q, &d, 30));
-  ck_assert (!cf_quarantine_add (q, &d, "i-3/1", 30));
+    ck_assert (!add (q, &d, "i-1/1", 10 + 200 * i));
+  ck_assert (!add (q, &d, "i-1/2", 800));
+  ck_assert (!cf_quarantine_check (q, &d, 800));
+  ck_assert (add (q, &d, "i-2/1", 1000));
+  ck_assert (cf_quarantine_check (q, &d, 1000));
+  ck_assert (!add (q, &d, "i-3/1", 1200));
   ck_assert (cf_quarantine_clear (q, &d));
-  ck_assert (!cf_quarantine_check (q, &d, 40));
+  ck_assert (!cf_quarantine_check (q, &d, 1300));
   cf_quarantine_free (q);
 }
 END_TEST
 
+START_TEST (crashes_at_the_same_time_count_once)
+{
+  CfQuarantine *q = cf_quarantine_new ();
+  CfRequestDigest d = digest_of (1);
+
+  ck_assert (!add (q, &d, "i-1/1", 100));
+  ck_assert (!add (q, &d, "i-2/1", 100));
+  ck_assert (!add (q, &d, "i-3/1", 102));
+  ck_assert (!add (q, &d, "i-4/1", 150));
+  ck_assert_uint_eq (cf_quarantine_crashes (q, &d), 1);
+  ck_assert (!add (q, &d, "i-5/1", 300));
+  ck_assert (add (q, &d, "i-6/1", 500));
+  cf_quarantine_free (q);
+}
+END_TEST
+
+/* Crashes that gateways saw one after another, whichever is heard of first. */
+START_TEST (crashes_count_in_any_order)
+{
+  const char *const names[] = { "i-1/1", "i-2/1", "i-3/1" };
+  const int orders[][CRASHES] = { { 0, 1, 2 }, { 0, 2, 1 }, { 1, 0, 2 },
+                                  { 1, 2, 0 }, { 2, 0, 1 }, { 2, 1, 0 } };
+
+  for (gsize o = 0; o < G_N_ELEMENTS (orders); o++)
+    {
+      CfQuarantine *q = cf_quarantine_new ();
+      CfRequestDigest d = digest_of (1);
+
+      for (int i = 0; i < CRASHES; i++)
+        add (q, &d, names[orders[o][i]], 100 + 200 * orders[o][i]);
+      ck_assert (cf_quarantine_check (q, &d, 700));
+      cf_quarantine_free (q);
+    }
+}
+END_TEST
+
 /* An attacker's many requests do not push out one that is quarantined. */
 START_TEST (what_is_remembered_is_bounded)
 {
@@ -217,13 +263,13 @@
     {
       g_autofree char *target = g_strdup_printf ("i-%d/1", i);
 
-      cf_quarantine_add (q, &bad, target, 0);
+      add (q, &bad, target, -1000 + 200 * i);
     }
   for (int i = 0; i < 2 * CF_QUARANTINE_MAX; i++)
     {
       CfRequestDigest d = digest_of (i);
 
-      cf_quarantine_add (q, &d, "i-9/1", 1 + i);
+      add (q, &d, "i-9/1", 1 + i);
     }
   ck_assert_uint_eq (cf_quarantine_size (q), CF_QUARANTINE_MAX);
   ck_assert (cf_quarantine_check (q, &bad, 1));
@@ -235,6 +281,26 @@
 }
 END_TEST
 
+START_TEST (a_request_is_not_quarantined_for_ever)
+{
+  CfQuarantine *q = cf_quarantine_new ();
+  CfRequestDigest d = digest_of (1);
+  gint64 now = 410;
+
+  add (q, &d, "i-1/1", 10);
+  add (q, &d, "i-2/1", 210);
+  add (q, &d, "i-3/1", 410);
+  for (; now < 410 + CF_QUARANTINE_LIMIT_MS; now += 1000)
+    {
+      ck_assert (cf_quarantine_check (q, &d, now));
+      cf_quarantine_expire (q, now);
+    }
+  cf_quarantine_expire (q, now + 1000);
+  ck_assert (!cf_quarantine_check (q, &d, now + 1000));
+  cf_quarantine_free (q);
+}
+END_TEST
+
 /* Sends what changed at @from to @to; how many records that were. */
 static guint
 notify (CfQuarantine *from, CfQuarantine *to, gint64 now_ms)
@@ -258,19 +324,19 @@
   CfQuarantine *b = cf_quarantine_new ();
   CfRequestDigest d = digest_of (1);
 
-  cf_quarantine_add (a, &d, "i-1/1", 10);
-  cf_quarantine_add (a, &d, "i-2/1", 10);
-  cf_quarantine_add (b, &d, "i-2/1", 10);
-  cf_quarantine_add (b, &d, "i-3/1", 10);
-  notify (a, b, 20);
-  notify (b, a, 20);
-  ck_assert (cf_quarantine_check (a, &d, 20));
-  ck_assert (cf_quarantine_check (b, &d, 20));
-  notify (a, b, 30);
-  ck_assert_uint_eq (notify (b, a, 30), 0);
-  ck_assert_uint_eq (notify (a, b, 30), 0);
+  add (a, &d, "i-1/1", 10);
+  add (a, &d, "i-2/1", 210);
+  add (b, &d, "i-2/1", 210);
+  add (b, &d, "i-3/1", 410);
+  notify (a, b, 500);
+  notify (b, a, 500);
+  ck_assert (cf_quarantine_check (a, &d, 500));
+  ck_assert (cf_quarantine_check (b, &d, 500));
+  notify (a, b, 510);
+  ck_assert_uint_eq (notify (b, a, 510), 0);
+  ck_assert_uint_eq (notify (a, b, 510), 0);
   cf_quarantine_clear (a, &d);
-  notify (a, b, 40);
+  notify (a, b, 520);
   ck_assert_uint_eq (cf_quarantine_size (b), 0);
   cf_quarantine_free (a);
   cf_quarantine_free (b);
@@ -283,15 +349,15 @@
   CfQuarantine *a = cf_quarantine_new ();
   CfQuarantine *b = cf_quarantine_new ();
   CfRequestDigest d = digest_of (1);
-  gint64 now = 0;
+  gint64 now = 400;
 
   for (int i = 0; i < CRASHES; i++)
     {
       g_autofree char *target = g_strdup_printf ("i-%d/1", i);
 
-      cf_quarantine_add (a, &d, target, 0);
+      add (a, &d, target, 200 * i);
     }
-  notify (a, b, 0);
+  notify (a, b, 400);
   for (; now < 3 * CF_QUARANTINE_KEEP_MS; now += 10000)
     {
       ck_assert (cf_quarantine_check (a, &d, now));
@@ -316,6 +382,30 @@
 }
 END_TEST
 
+/* The same request is at all of them, as a popular one may be. */
+START_TEST (targets_that_crash_together_do_not_quarantine)
+{
+  g_autofree char *req = p_request (
+      "POST /chat/a", "hot", "Comfreypost-Token-Count: 10,4000\r\n", "hot");
+  int fds[4 * N_RANKS];
+
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      fds[i] = p_connect (p_front (BASE, 1 + (int)i % N_GATEWAYS));
+      p_send (fds[i], req);
+    }
+  usleep (SPREAD_MS * 1000);
+  for (int i = 0; i < N_RANKS; i++)
+    g_free (p_test (RANK_1 + i, "POST /test/crash", ""));
+  usleep (SPREAD_MS * 1000);
+  ck_assert_double_ge (crashes (), CRASHES);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+  for (int n = 1; n <= N_GATEWAYS; n++)
+    ck_assert_int_eq (ask (n, 100, "POST /chat/a", "hot"), 200);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -326,7 +416,10 @@
   tcase_add_test (table, digests_tell_requests_apart);
   tcase_add_test (table, a_rank_that_gives_up_waiting_has_not_crashed);
   tcase_add_test (table, crashes_of_one_target_count_once);
+  tcase_add_test (table, crashes_at_the_same_time_count_once);
+  tcase_add_test (table, crashes_count_in_any_order);
   tcase_add_test (table, what_is_remembered_is_bounded);
+  tcase_add_test (table, a_request_is_not_quarantined_for_ever);
   tcase_add_test (table, peers_agree_and_fall_silent);
   tcase_add_test (table, a_request_that_keeps_coming_is_remembered_everywhere);
   suite_add_tcase (s, table);
@@ -339,6 +432,7 @@
   tcase_add_test (t, a_suspected_stream_is_not_retried);
   tcase_add_test (t, a_request_that_also_succeeds_is_sent_on);
   tcase_add_test (t, resets_do_not_quarantine_a_request);
+  tcase_add_test (t, targets_that_crash_together_do_not_quarantine);
   suite_add_tcase (s, t);
   return t_run (s);
 }
