soak: play a request that crashes targets, and a named rate

Once all is back for 3 s, no more than three attempts may reach a target, and no more than 8 requests the limited one in 4 s.

--- a/t/soak-faults.c
+++ b/t/soak-faults.c
@@ -17,6 +17,8 @@
 /** Long enough for faults to find a plain target at work. */
 #define WORK_MS "40"
 #define TICK_US 10000
+/** Looks for a target that is away, a second in all. */
+#define STEER_TRIES 100
 /** A gateway is started again so long after a planned stop. */
 #define ROLL_DOWN_MS 200
 #define FAULT_REQUESTS_MAX 20
@@ -83,9 +85,27 @@
   return n == 2 ? proxy_port (base, PROXY_FRONT) : p_front (base, n);
 }
 
+/* A target that crashed is away for a moment. */
+static void
+await_listener (int port)
+{
+  for (int i = 0; i < STEER_TRIES; i++)
+    {
+      int fd = p_connect (port);
+
+      if (fd >= 0)
+        {
+          close (fd);
+          return;
+        }
+      g_usleep (TICK_US);
+    }
+}
+
 static void
 steer (int port, const char *call, const char *body)
 {
+  await_listener (port);
   g_free (p_test (port, call, body));
 }
 
@@ -284,6 +304,7 @@
                          ? of_plain[x->variant % (int)G_N_ELEMENTS (of_plain)]
                          : of_rank[x->variant % (int)G_N_ELEMENTS (of_rank)];
 
+  await_listener (target_port (f, x->whom));
   p_fault (target_port (f, x->whom), 1, kind,
            1 + x->variant % FAULT_REQUESTS_MAX);
 }
@@ -372,6 +393,7 @@
       set_store (f, "up");
       break;
     case SOAK_TARGET:
+      await_listener (target_port (f, x->whom));
       p_fault (target_port (f, x->whom), 1, "none", 0);
       break;
     case SOAK_NET:
@@ -446,6 +468,7 @@
         look_after (f, &f->gateways[i]);
       for (int i = 0; i < f->plan->ranks; i++)
         look_after (f, &f->agents[i]);
+      soak_shared_tick ();
       g_usleep (TICK_US);
     }
 }
--- a/t/soak.c
+++ b/t/soak.c
@@ -42,9 +42,11 @@
 {
   SoakFleet *f = soak_fleet_start (p, base);
 
+  soak_shared_start (p, base);
   soak_callers_start (p, base);
   soak_fleet_play (f);
   soak_callers_await_recovery ();
+  soak_shared_check ();
   soak_callers_stop (r);
   soak_fleet_check_targets (f);
   r->broken = soak_verdict ();
--- a/t/soak.h
+++ b/t/soak.h
@@ -114,6 +114,17 @@
 /** soak_caller_port: where the callers of gateway @n (from 1) connect. */
 int soak_caller_port (int base, int n);
 
+/* soak-shared.c: what one gateway learns and all have to keep */
+
+/** soak_shared_start: tells the targets, once they run. */
+void soak_shared_start (const SoakPlan *p, int base);
+
+/** soak_shared_tick: call it often while faults are played. */
+void soak_shared_tick (void);
+
+/** soak_shared_check: once callers are served again. */
+void soak_shared_check (void);
+
 /* soak-callers.c */
 
 typedef enum
