gateway: log what slow passes were made of

E1219 gives for each pass that made streams late its length, the streams that wrote, those that it made late, and how many streams and prompt tokens began with it, as this gateway knows them; comfrey report shows by second the longest of them and the share that they made late.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -154,11 +154,29 @@
     log_overload (x);
 }
 
+static void
+note_pass (CfExchange *x, gint64 pause_ms)
+{
+  CfPassEvent e = { .pause_ms = pause_ms };
+  CfPassRecord p;
+
+  e.now_ms = cf_gateway_now (x->g);
+  e.gap_aim_ms = x->route->gap_aim_ms;
+  e.prompt_tokens = x->size.prompt;
+  if (!cf_pass_record_add (&x->lane->pass, &e, &p) || p.late == 0)
+    return;
+  cf_log (LOG_INFO, CF_EV_SLOW_PASS,
+          "service=%s ms=%" G_GINT64_FORMAT " streams=%u late=%u begun=%u "
+          "begun_tokens=%" G_GINT64_FORMAT,
+          x->service, p.longest_ms, p.streams, p.late, p.begun, p.begun_tokens);
+}
+
 static void
 note_event (CfExchange *x)
 {
   gint64 now = cf_gateway_now (x->g);
 
+  note_pass (x, x->last_event_ms ? MAX (now - x->last_event_ms, 1) : 0);
   if (x->last_event_ms == 0)
     {
       x->first_ms = now - x->start_ms;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "loop-watch.h"
 #include "outage.h"
 #include "pace.h"
+#include "pass-record.h"
 #include "platform/platform-settings.h"
 #include "policy.h"
 #include "quarantine.h"
@@ -28,6 +29,7 @@
   CfRetryBudget budget;
   CfOutage outage;
   CfPace pace;
+  CfPassRecord pass;
   CfConcurrencyLimit limit;
   guint in_flight;      /**< requests of ours that its targets have */
   gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
--- /dev/null
+++ b/gateway/pass-record.c
@@ -0,0 +1,31 @@
+#include "pass-record.h"
+
+#include <string.h>
+
+/** Events of one pass come within this time, also from another data centre;
+ * passes take 50 ms and more. */
+#define SAME_PASS_MS 20
+
+gboolean
+cf_pass_record_add (CfPassRecord *p, const CfPassEvent *e, CfPassRecord *done)
+{
+  gboolean begins = p->began_ms == 0 || e->now_ms - p->began_ms > SAME_PASS_MS;
+  gboolean has_done = begins && p->began_ms != 0;
+
+  if (has_done)
+    *done = *p;
+  if (begins)
+    {
+      memset (p, 0, sizeof *p);
+      p->began_ms = e->now_ms;
+    }
+  p->streams++;
+  p->longest_ms = MAX (p->longest_ms, e->pause_ms);
+  p->late += e->gap_aim_ms > 0 && e->pause_ms > e->gap_aim_ms;
+  if (e->pause_ms == 0)
+    {
+      p->begun++;
+      p->begun_tokens += e->prompt_tokens;
+    }
+  return has_done;
+}
--- a/log.c
+++ b/log.c
@@ -75,6 +75,8 @@
       return "callers-full";
     case CF_EV_OVERLOAD:
       return "overload";
+    case CF_EV_SLOW_PASS:
+      return "slow-pass";
     case CF_EV_RATE_LIMIT:
       return "rate-limit";
     case CF_EV_QUARANTINE:
--- a/log.h
+++ b/log.h
@@ -37,6 +37,7 @@
   CF_EV_OVERLOAD = 1216,      /**< a service's work is limited, or no longer */
   CF_EV_QUARANTINE = 1217,    /**< a request during which targets crashed */
   CF_EV_RATE_LIMIT = 1218,    /**< a target names a rate, or no longer */
+  CF_EV_SLOW_PASS = 1219,     /**< a pass made streams late */
   CF_EV_STORE_LOST = 1105,    /**< the metadata store does not answer */
   CF_EV_STORE_BACK = 1106,    /**< the metadata store answers again */
   CF_EV_TARGET_LIST = 1305,   /**< a target came, changed or left */
--- a/report.c
+++ b/report.c
@@ -98,6 +98,16 @@
   s->skew = MAX (s->skew, cf_log_line_number (line, "skew", 0));
 }
 
+static void
+take_pass (CfReport *r, const char *line, double time_s)
+{
+  CfReportSecond *s = second_at (r, time_s);
+
+  s->pass_ms = MAX (s->pass_ms, (gint64)cf_log_line_number (line, "ms", 0));
+  s->pass_streams += (guint)cf_log_line_number (line, "streams", 0);
+  s->pass_late += (guint)cf_log_line_number (line, "late", 0);
+}
+
 static void
 take_line (CfReport *r, const char *line)
 {
@@ -110,6 +120,8 @@
     take_answer (r, event, time_s);
   else if (g_str_has_prefix (event, "E1501 "))
     take_plan (r, event, time_s);
+  else if (g_str_has_prefix (event, "E1219 "))
+    take_pass (r, event, time_s);
   else if (g_str_has_prefix (event, "E1502 ") && strstr (event, "why=changed"))
     second_at (r, time_s)->changes++;
 }
@@ -137,9 +149,13 @@
 print_row (GString *out, const char *name, const CfReportSecond *s)
 {
   g_string_append_printf (
-      out, "%8s %7u %6u %6u %6u %7u %6u %6u %5u %5u %7u %6u %5.2f\n", name,
-      s->in_time, s->late_first, s->late_pause, s->plain, s->target_failed,
-      s->refused, s->denied, s->lost, s->gone, s->changes, s->copies, s->skew);
+      out,
+      "%8s %7u %6u %6u %6u %7u %6u %6u %5u %5u %7u %6u %5.2f %7" G_GINT64_FORMAT
+      " %5.2f\n",
+      name, s->in_time, s->late_first, s->late_pause, s->plain,
+      s->target_failed, s->refused, s->denied, s->lost, s->gone, s->changes,
+      s->copies, s->skew, s->pass_ms,
+      (double)s->pass_late / MAX (s->pass_streams, 1));
 }
 
 static void
@@ -157,6 +173,9 @@
   sum->changes += s->changes;
   sum->copies += s->copies;
   sum->skew = MAX (sum->skew, s->skew);
+  sum->pass_ms = MAX (sum->pass_ms, s->pass_ms);
+  sum->pass_streams += s->pass_streams;
+  sum->pass_late += s->pass_late;
 }
 
 static void
@@ -178,8 +197,9 @@
   CfReportSecond sum = { 0 };
 
   times = g_list_sort (times, by_time);
-  g_string_append (out, "  second in-time first+ pause+  plain tgtfail refuse "
-                        "denied  lost  gone changes copies  skew\n");
+  g_string_append (out,
+                   "  second in-time first+ pause+  plain tgtfail refuse "
+                   "denied  lost  gone changes copies  skew pass-ms  late\n");
   for (GList *t = times; t; t = t->next)
     {
       const CfReportSecond *s = g_hash_table_lookup (r->seconds, t->data);
--- a/report.h
+++ b/report.h
@@ -25,11 +25,14 @@
   guint target_failed; /**< targets' own failures, passed on */
   guint refused;
   guint denied;
-  guint lost;    /**< failed, broken off, or out of time */
-  guint gone;    /**< their callers left */
-  guint changes; /**< of expert maps */
-  guint copies;  /**< of experts, as planned */
-  double skew;   /**< the worst that a plan began from; 0: none */
+  guint lost;         /**< failed, broken off, or out of time */
+  guint gone;         /**< their callers left */
+  guint changes;      /**< of expert maps */
+  guint copies;       /**< of experts, as planned */
+  double skew;        /**< the worst that a plan began from; 0: none */
+  gint64 pass_ms;     /**< the longest pass that made streams late; 0: none */
+  guint pass_streams; /**< streams that wrote in passes which made some late */
+  guint pass_late;    /**< of these, those made late */
 } CfReportSecond;
 
 /** CfReport: all of them. */
--- a/t/t-report.c
+++ b/t/t-report.c
@@ -21,7 +21,11 @@
     "t=102.500\n" GW
     "E1501 placement group=g from=idle to=preparing copies=7 skew=2.50 "
     "planned=1.30 pass_ms=70 t=102.000\n" GW
-    "E1502 map-change group=g from=switching to=idle why=changed t=102.300\n"
+    "E1502 map-change group=g from=switching to=idle why=changed t=102.300\n" GW
+    "E1219 slow-pass service=s ms=131 streams=4 late=3 begun=1 "
+    "begun_tokens=700 t=102.400\n" GW
+    "E1219 slow-pass service=s ms=125 streams=6 late=2 begun=0 "
+    "begun_tokens=0 t=102.800\n"
     "a line of something else\n";
 
 START_TEST (each_second_says_what_binds)
@@ -37,7 +41,7 @@
       out->str, "       0       1      1      0      0       0      0      0"));
   ck_assert_ptr_nonnull (strstr (
       out->str, "       2       0      0      1      1       0      1      0"
-                "     1     0       1      7  2.50"));
+                "     1     0       1      7  2.50     131  0.50\n"));
   ck_assert_ptr_nonnull (strstr (
       out->str, "     sum       1      1      1      1       0      1"));
   ck_assert_ptr_nonnull (strstr (out->str, "refused no-room: 1\n"));
