--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -120,9 +120,9 @@
     ev_break (g->loop, EVBREAK_ALL);
 }
 
-/* What this gateway learned of requests that crash targets binds all. */
+/* Replicates records of requests that crash targets. */
 static void
-spread_crashes (CfGateway *g)
+replicate_crashes (CfGateway *g)
 {
   CfPeerMsg all;
   CfPeerMsg held;
@@ -142,7 +142,7 @@
 on_tick (struct ev_loop *loop, ev_timer *w, int revents)
 {
   cf_exchange_pump (&gw);
-  spread_crashes (&gw);
+  replicate_crashes (&gw);
   cf_peer_service_tick (peers);
   if (gw.stopping)
     stop_step (&gw);
--- a/gateway/crash-probe.c
+++ b/gateway/crash-probe.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
-/** How long a request waits to be told: some ways through the network. */
+/** How long a lost request waits for the result: some network round trips. */
 #define WAIT_S 0.05
 /** The rest of a time that is long enough for a first packet which is lost and
  * sent again after a second; targets that crash are away for longer. */
@@ -25,7 +25,7 @@
 };
 
 static void
-tell_waiters (CfCrashProbe *p, gboolean crashed)
+notify_waiters (CfCrashProbe *p, gboolean crashed)
 {
   CfCrashWaiter *w;
 
@@ -88,7 +88,7 @@
   if (err == ECONNREFUSED)
     for (guint i = 0; i < p->requests->len; i++)
       add_crash (p, &g_array_index (p->requests, CfLostRequest, i));
-  tell_waiters (p, err == ECONNREFUSED);
+  notify_waiters (p, err == ECONNREFUSED);
   free_probe (p);
 }
 
@@ -110,7 +110,7 @@
     }
   ev_timer_set (w, REST_S, REST_S);
   ev_timer_start (loop, w);
-  tell_waiters (p, FALSE);
+  notify_waiters (p, FALSE);
 }
 
 static CfCrashProbe *
--- a/gateway/peer-crashes.h
+++ b/gateway/peer-crashes.h
@@ -22,7 +22,7 @@
 
 /**
  * cf_peer_crashes_merge:
- * Takes what a peer tells into @q.
+ * Merges a peer's records into @q.
  * @peer: (nullable): its name, for the log
  */
 void cf_peer_crashes_merge (CfQuarantine *q, const CfPeerMsg *m,
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -130,7 +130,7 @@
       const CfTarget *t = v;
       CfPeerLimit l;
 
-      if (!cf_rate_limit_is_news (&t->limit, g->now_ms))
+      if (!cf_rate_limit_is_announced (&t->limit, g->now_ms))
         continue;
       l.id.data = t->record.id;
       l.id.n = strlen (t->record.id);
@@ -496,7 +496,7 @@
       connect_seeds (s);
       cf_quarantine_expire (s->g->quarantine, now);
     }
-  /* A rate binds all gateways soon only if they hear of it soon. */
+  /* A change of a target's rate is announced at once. */
   if (now - s->greeted_ms < every && !s->g->limits_changed)
     return;
   s->greeted_ms = now;
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -300,7 +300,7 @@
   cf_peer_msg_clear (&held);
 }
 
-/* Nobody is notified: each gateway tells all agents itself. */
+/* Not passed on: each gateway notifies all agents itself. */
 static void
 take_crashes (CfSeed *s, const CfPeerMsg *m)
 {
--- a/gateway/rank-agent.h
+++ b/gateway/rank-agent.h
@@ -43,7 +43,7 @@
   CfRankStatus told; /**< as last sent to the leader */
   gboolean has_status;
   CfMapHistory maps;        /**< of its group */
-  CfQuarantine *quarantine; /**< as gateways tell it; for those that start */
+  CfQuarantine *quarantine; /**< replica for gateways that restart */
   CfExpertCounts counts;
   gint64 awaited;     /**< version whose copy is being waited for */
   gint64 awaited_ms;  /**< since when */
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -411,7 +411,7 @@
 
 static const CfPeerLinkCalls link_calls = { on_up, on_frame, on_down };
 
-/* An agent remembers what gateways that are all killed at once have learned. */
+/* Agents are replicas for the case that all gateways are killed at once. */
 static void
 send_crashes (CfRankLink *a)
 {
--- a/gateway/rate-limit.c
+++ b/gateway/rate-limit.c
@@ -6,12 +6,12 @@
 #define OWNER_PER_S 1.0
 /** What an owner may save up of its part, so that a short burst finds it. */
 #define BURST_S 0.25
-/** What peers tell is late by a message's way, and rounded; only what is later
- * by more than that goes before what this gateway knows. */
+/** Peers' updates are delayed by the network, and ages are rounded; only what
+ * is later by more than that replaces what this gateway knows. */
 #define PEER_SKEW_MS 100
-/** A limit that was lifted is told for so long. */
+/** How long greetings name a limit that was lifted. */
 #define LIFTED_MS 10000
-/** A change by less than this part is told with the next greeting. */
+/** A smaller change is announced with the next greeting. */
 #define CHANGE_PART 0.1
 
 static gboolean
@@ -52,7 +52,7 @@
 }
 
 gboolean
-cf_rate_limit_is_news (const CfRateLimit *l, gint64 now_ms)
+cf_rate_limit_is_announced (const CfRateLimit *l, gint64 now_ms)
 {
   return l->per_s > 0
          || (l->heard_ms != 0 && now_ms - l->heard_ms <= LIFTED_MS);
--- a/gateway/rate-limit.h
+++ b/gateway/rate-limit.h
@@ -44,8 +44,9 @@
 gboolean cf_rate_limit_hear_from_peer (CfRateLimit *l, double per_s,
                                        gint64 heard_ms);
 
-/** cf_rate_limit_is_news: whether peers that missed it should be told. */
-gboolean cf_rate_limit_is_news (const CfRateLimit *l, gint64 now_ms);
+/** cf_rate_limit_is_announced: whether greetings name it, for peers that
+ * missed the change. */
+gboolean cf_rate_limit_is_announced (const CfRateLimit *l, gint64 now_ms);
 
 /** cf_rate_limit_part: requests a second that this gateway may send to target
  * @id, which has a limit. */
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -41,7 +41,7 @@
   guint64 store_errors;
   guint64 records_rejected;    /**< records of targets that cannot be read */
   guint64 callers_turned_away; /**< connections closed unread: all taken */
-  guint64 quarantine_refusals; /**< requests of which targets crashed */
+  guint64 quarantine_refusals; /**< requests that crash targets */
   guint64 queued;              /**< requests that waited for room */
   guint64 begun_late;   /**< of these, sent too late for their objective */
   CfHistogram first_ms; /**< to the first event of a stream */
--- a/t/t-rate-limit.c
+++ b/t/t-rate-limit.c
@@ -228,7 +228,7 @@
   /* The echo of what a peer was told, late by the ways of two messages. */
   ck_assert (!cf_rate_limit_hear_from_peer (&l, 1.1, 4010));
   ck_assert_double_eq (l.per_s, 0);
-  ck_assert (cf_rate_limit_is_news (&l, 5000));
+  ck_assert (cf_rate_limit_is_announced (&l, 5000));
   ck_assert (cf_rate_limit_hear_from_peer (&l, 1.1, 5000));
   ck_assert (cf_rate_limit_may_send (&l, "i", (CfFleetPlace){ 0, 1 }, 6000));
   cf_rate_limit_sent (&l);
