--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -450,6 +450,29 @@
 }
 END_TEST
 
+/* "a" has got its part of the rate that it names, and "b" and "c" are gone. */
+START_TEST (a_target_past_its_rate_is_passed_over)
+{
+  CfTarget *t = NULL;
+
+  get ("a")->limit = (CfRateLimit){
+    .per_s = 2, .heard_ms = 1, .tokens = 1, .filled_ms = 100
+  };
+  ck_assert_int_eq (pick (100, NULL, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a");
+  cf_rate_limit_sent (&t->limit);
+  ck_assert_int_eq (pick (101, NULL, &t), CF_PICK_OK);
+  ck_assert_str_ne (t->record.id, "a");
+  cf_target_table_remove (&table, "b");
+  cf_target_table_remove (&table, "c");
+  ck_assert_int_eq (pick (102, NULL, &t), CF_PICK_LIMITED);
+  ck_assert_double_eq (
+      cf_balancer_limited_per_s (&table, "s", (CfFleetPlace){ 0, 1 }), 2);
+  ck_assert_int_eq (pick (700, NULL, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -466,6 +489,7 @@
   tcase_add_test (t, late_ones_leave_room);
   tcase_add_test (t, late_ones_leave_room_in_a_large_fleet);
   tcase_add_test (t, slots_are_shared_over_the_fleet);
+  tcase_add_test (t, a_target_past_its_rate_is_passed_over);
   tcase_add_test (t, only_the_newest_start_at_an_address_gets_work);
   tcase_add_test (t, leaving_and_tried_ones_get_nothing);
   tcase_add_test (t, full_ones_make_a_request_wait);
