--- a/gateway/peer-crashes.c
+++ b/gateway/peer-crashes.c
@@ -50,12 +50,18 @@
 }
 
 void
-cf_peer_crashes_snapshot (CfQuarantine *q, gint64 now_ms, CfPeerMsg *all,
-                          CfPeerMsg *held)
+cf_peer_crashes_send_all (CfQuarantine *q, CfPeerLink *l, gboolean held_only,
+                          gint64 now_ms)
 {
-  Collect c = { begin (all), begin (held), now_ms };
+  CfPeerMsg all;
+  CfPeerMsg held;
+  Collect c = { begin (&all), begin (&held), now_ms };
 
   cf_quarantine_foreach (q, append, &c);
+  if ((held_only ? c.held : c.all)->len > 0)
+    cf_peer_msg_send (l, held_only ? &held : &all);
+  cf_peer_msg_clear (&all);
+  cf_peer_msg_clear (&held);
 }
 
 /* An age may be anything that a peer writes. */
--- a/gateway/peer-crashes.h
+++ b/gateway/peer-crashes.h
@@ -16,9 +16,13 @@
 void cf_peer_crashes_changed (CfQuarantine *q, gint64 now_ms, CfPeerMsg *all,
                               CfPeerMsg *held);
 
-/** cf_peer_crashes_snapshot: the same for all that @q remembers. */
-void cf_peer_crashes_snapshot (CfQuarantine *q, gint64 now_ms, CfPeerMsg *all,
-                               CfPeerMsg *held);
+/**
+ * cf_peer_crashes_send_all:
+ * Sends what @q remembers to a process that may have missed it, if anything.
+ * @held_only: only the requests that are quarantined
+ */
+void cf_peer_crashes_send_all (CfQuarantine *q, CfPeerLink *l,
+                               gboolean held_only, gint64 now_ms);
 
 /**
  * cf_peer_crashes_merge:
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -167,29 +167,46 @@
     take_limit (g, &g_array_index (limits, CfPeerLimit, i), peer);
 }
 
+/* The part of a greeting that is the same for all peers. */
 static void
-greet (Peer *p)
+fill_greeting (const CfPeerService *s, CfPeerMsg *m)
 {
-  const CfGateway *g = p->s->g;
+  const CfGateway *g = s->g;
   const char *addr = g->set.control_addr ? g->set.control_addr : "";
-  CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
   const char *dc = g->set.data_centre ? g->set.data_centre : "";
+
+  memset (m, 0, sizeof *m);
+  m->kind = CF_PEER_GATEWAY_HELLO;
+  m->u.gateway_hello.data_centre.data = dc;
+  m->u.gateway_hello.data_centre.n = strlen (dc);
+  m->u.gateway_hello.addr.data = addr;
+  m->u.gateway_hello.addr.n = strlen (addr);
+  m->u.gateway_hello.policy_rev = g->policy_rev;
+  m->u.gateway_hello.targets_rev = g->targets_rev;
+  m->u.gateway_hello.fleet = g->fleet_size;
+  m->u.gateway_hello.slow = slow_targets (g);
+  m->u.gateway_hello.limits = limits_of_targets (g);
+  m->u.gateway_hello.members = cf_membership_size (s->fleet);
+}
+
+static void
+send_greeting (const Peer *p, CfPeerMsg *m)
+{
   double start = p->addr ? cf_membership_ring_start (p->s->fleet, p->addr) : -1;
 
-  m.u.gateway_hello.data_centre.data = dc;
-  m.u.gateway_hello.data_centre.n = strlen (dc);
-  m.u.gateway_hello.ring_start
+  m->u.gateway_hello.ring_start
       = start < 0 ? -1 : (gint64)(start * CF_PEER_RING);
-  m.u.gateway_hello.addr.data = addr;
-  m.u.gateway_hello.addr.n = strlen (addr);
-  m.u.gateway_hello.policy_rev = g->policy_rev;
-  m.u.gateway_hello.targets_rev = g->targets_rev;
-  m.u.gateway_hello.fleet = g->fleet_size;
-  m.u.gateway_hello.want = wants (p);
-  m.u.gateway_hello.slow = slow_targets (g);
-  m.u.gateway_hello.limits = limits_of_targets (g);
-  m.u.gateway_hello.members = cf_membership_size (p->s->fleet);
-  cf_peer_msg_send (p->peer, &m);
+  m->u.gateway_hello.want = wants (p);
+  cf_peer_msg_send (p->peer, m);
+}
+
+static void
+greet (const Peer *p)
+{
+  CfPeerMsg m;
+
+  fill_greeting (p->s, &m);
+  send_greeting (p, &m);
   cf_peer_msg_clear (&m);
 }
 
@@ -234,21 +251,13 @@
   cf_peer_msg_clear (&m);
 }
 
-/* All that is known of requests that crash targets: a gateway that started, or
- * was cut off, has missed it. */
+/* A gateway that started, or was cut off, has missed it. */
 static void
-send_crashes (Peer *p)
+send_crashes (const Peer *p)
 {
   CfGateway *g = p->s->g;
-  CfPeerMsg all;
-  CfPeerMsg held;
 
-  if (cf_quarantine_size (g->quarantine) == 0)
-    return;
-  cf_peer_crashes_snapshot (g->quarantine, g->now_ms, &all, &held);
-  cf_peer_msg_send (p->peer, &all);
-  cf_peer_msg_clear (&all);
-  cf_peer_msg_clear (&held);
+  cf_peer_crashes_send_all (g->quarantine, p->peer, FALSE, g->now_ms);
 }
 
 void
@@ -487,6 +496,7 @@
 {
   gint64 now = s->g->now_ms;
   gint64 every = s->g->policy ? GREET_MS : GREET_EMPTY_MS;
+  CfPeerMsg m;
   Peer *p;
 
   if (now - s->connected_ms >= RECONNECT_MS || s->connected_ms == 0)
@@ -502,9 +512,11 @@
   s->greeted_ms = now;
   s->g->limits_changed = FALSE;
   cf_gateway_forget_paces (s->g);
+  fill_greeting (s, &m);
   TAILQ_FOREACH (p, &s->peers, link)
   if (p->up)
-    greet (p);
+    send_greeting (p, &m);
+  cf_peer_msg_clear (&m);
 }
 
 CfPeerService *
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -286,20 +286,6 @@
 
 /* Links to the gateways */
 
-static void
-send_crashes (CfSeed *s)
-{
-  CfPeerMsg all;
-  CfPeerMsg held;
-
-  if (cf_quarantine_size (s->a->quarantine) == 0)
-    return;
-  cf_peer_crashes_snapshot (s->a->quarantine, cf_now_ms (), &all, &held);
-  cf_peer_msg_send (s->link, &held);
-  cf_peer_msg_clear (&all);
-  cf_peer_msg_clear (&held);
-}
-
 /* Not passed on: each gateway notifies all agents itself. */
 static void
 take_crashes (CfSeed *s, const CfPeerMsg *m)
@@ -323,7 +309,7 @@
   m.u.agent_hello.target_addr.data = addr;
   m.u.agent_hello.target_addr.n = strlen (addr);
   cf_peer_msg_send (l, &m);
-  send_crashes (s);
+  cf_peer_crashes_send_all (s->a->quarantine, l, TRUE, cf_now_ms ());
   /* Whoever is to lead has to hear of the rank. */
   if (!s->a->reading)
     cf_rank_agent_plan_read (s->a, 0);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -411,21 +411,6 @@
 
 static const CfPeerLinkCalls link_calls = { on_up, on_frame, on_down };
 
-/* Agents are replicas for the case that all gateways are killed at once. */
-static void
-send_crashes (CfRankLink *a)
-{
-  CfGateway *g = a->s->g;
-  CfPeerMsg all;
-  CfPeerMsg held;
-
-  cf_peer_crashes_snapshot (g->quarantine, g->now_ms, &all, &held);
-  if (held.u.crashes->len > 0)
-    cf_peer_msg_send (a->peer, &held);
-  cf_peer_msg_clear (&all);
-  cf_peer_msg_clear (&held);
-}
-
 void
 cf_rank_service_notify (CfRankService *s, const CfPeerMsg *m)
 {
@@ -446,7 +431,8 @@
   TAILQ_INSERT_TAIL (&s->agents, a, link);
   take_msg (a, first);
   tell_agent (a);
-  send_crashes (a);
+  /* Agents are replicas for the case that all gateways are killed at once. */
+  cf_peer_crashes_send_all (s->g->quarantine, l, TRUE, s->g->now_ms);
 }
 
 static int
