quarantine: do not announce an evicted request as cleared

Found by reading the change once more: a record that changes and is evicted before its change was sent looked like one that was cleared by an answer, and peers would have dropped theirs. Cause: the list of changes outlives the record. The change leaves it together with the record. Ruled out: expiry, which runs right after changes are sent.

--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -81,6 +81,7 @@
   while (g_hash_table_iter_next (&it, NULL, &v))
     if (!worst || goes_before (v, worst))
       worst = v;
+  g_hash_table_remove (q->changed, &worst->digest);
   g_hash_table_remove (q->records, &worst->digest);
 }
 
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -281,6 +281,29 @@
 }
 END_TEST
 
+/* Peers would take it for one that was answered. */
+START_TEST (an_evicted_request_is_not_announced_as_cleared)
+{
+  CfQuarantine *q = cf_quarantine_new ();
+  CfPeerMsg all;
+  CfPeerMsg held;
+
+  for (int i = 0; i < CF_QUARANTINE_MAX + 10; i++)
+    {
+      CfRequestDigest d = digest_of (i);
+
+      add (q, &d, "i-9/1", 1 + i);
+    }
+  cf_peer_crashes_changed (q, 2000, &all, &held);
+  ck_assert_uint_eq (all.u.crashes->len, CF_QUARANTINE_MAX);
+  for (guint i = 0; i < all.u.crashes->len; i++)
+    ck_assert_uint_eq (g_array_index (all.u.crashes, CfPeerCrash, i).n, 1);
+  cf_peer_msg_clear (&all);
+  cf_peer_msg_clear (&held);
+  cf_quarantine_free (q);
+}
+END_TEST
+
 START_TEST (a_request_is_not_quarantined_for_ever)
 {
   CfQuarantine *q = cf_quarantine_new ();
@@ -419,6 +442,7 @@
   tcase_add_test (table, crashes_at_the_same_time_count_once);
   tcase_add_test (table, crashes_count_in_any_order);
   tcase_add_test (table, what_is_remembered_is_bounded);
+  tcase_add_test (table, an_evicted_request_is_not_announced_as_cleared);
   tcase_add_test (table, a_request_is_not_quarantined_for_ever);
   tcase_add_test (table, peers_agree_and_fall_silent);
   tcase_add_test (table, a_request_that_keeps_coming_is_remembered_everywhere);
