rank-service: send holds and their ends straight to the rank

A hold went through the agent beside the rank that holds, so that VM's silence held the whole group: asked by its agent, its rank's address not reachable, nobody can read or end the hold until it wakes.

Orders to hold and to go now take one call from the leader to the rank, two priced orders a change; all else stays with the agents.

--- a/gateway/order-watch.c
+++ b/gateway/order-watch.c
@@ -46,3 +46,9 @@
 {
   return w->lost >= LOST_MAX;
 }
+
+gboolean
+cf_order_watch_goes_direct (const CfOrderWatch *w, CfRankOrderKind kind)
+{
+  return cf_rank_order_halts_group (kind) || cf_order_watch_is_passed_by (w);
+}
--- a/gateway/order-watch.h
+++ b/gateway/order-watch.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "rank.h"
+
 #include <glib.h>
 
 /**
@@ -29,5 +31,14 @@
 /** cf_order_watch_heard: the agent told of its rank. */
 void cf_order_watch_heard (CfOrderWatch *w);
 
-/** cf_order_watch_is_passed_by: whether orders go to the rank itself. */
+/** cf_order_watch_is_passed_by: whether all orders go to the rank itself. */
 gboolean cf_order_watch_is_passed_by (const CfOrderWatch *w);
+
+/**
+ * cf_order_watch_goes_direct:
+ * Whether an order goes to the rank itself.  What holds the whole group, or
+ * ends that, does not wait for one agent's turn; all else goes through the
+ * agents, where it costs nothing.
+ */
+gboolean cf_order_watch_goes_direct (const CfOrderWatch *w,
+                                     CfRankOrderKind kind);
--- a/gateway/rank-service-order.c
+++ b/gateway/rank-service-order.c
@@ -8,6 +8,9 @@
 
 /** A rank that is asked directly answers within some ms, or is away. */
 #define DIRECT_TIMEOUT_MS 300
+/** The group waits for a hold and its end: one without an answer is given
+ * again soon, since both may be carried out twice. */
+#define HOLD_TIMEOUT_MS 25
 
 /** DirectCall: an order or a question that goes straight to a rank. */
 typedef struct
@@ -18,19 +21,20 @@
   gint64 fence;      /**< of the order */
   gint64 token;      /**< that the rank itself is known to guard by */
   gboolean is_order; /**< the coordinator waits for what comes of it */
+  gint64 timeout_ms; /**< of each of the two calls */
 } DirectCall;
 
 static void
 on_direct_report (void *data, int status, const GString *body)
 {
   DirectCall *d = data;
+  gint64 now = cf_gateway_now (d->g->s->g);
   CfRankStatus st = { 0 };
 
   if (status == 200
       && cf_platform_rank_status (body->str, body->len, &st) == CF_OK
       && strcmp (st.group, d->g->name) == 0)
-    cf_map_coordinator_status (&d->g->c, &st, d->token,
-                               cf_gateway_now (d->g->s->g));
+    cf_map_coordinator_status (&d->g->c, &st, d->token, now);
   cf_log (
       LOG_INFO, CF_EV_RANK_ORDER,
       "group=%s rank=%d way=direct status=%d report=%d step=%" G_GINT64_FORMAT
@@ -39,9 +43,11 @@
       d->g->name, d->rank, d->http_status, status, st.step, st.map, st.prepared,
       st.armed, st.held);
   if (d->is_order)
-    cf_map_coordinator_ack (&d->g->c, d->rank,
-                            cf_platform_rank_ack (d->http_status),
-                            cf_gateway_now (d->g->s->g));
+    {
+      cf_map_coordinator_ack (&d->g->c, d->rank,
+                              cf_platform_rank_ack (d->http_status), now);
+      cf_map_coordinator_tick (&d->g->c, now);
+    }
   g_free (d);
 }
 
@@ -53,7 +59,7 @@
 
   if (t)
     cf_rank_call (s->g->loop, t, cf_platform_rank_report_call (t->record.addr),
-                  DIRECT_TIMEOUT_MS, on_direct_report, d);
+                  d->timeout_ms, on_direct_report, d);
   else
     on_direct_report (d, 0, NULL);
 }
@@ -156,10 +162,12 @@
   d->rank = rank;
   d->fence = o->fence;
   d->is_order = is_order;
+  d->timeout_ms = cf_rank_order_halts_group (o->kind) ? HOLD_TIMEOUT_MS
+                                                      : DIRECT_TIMEOUT_MS;
   cf_rank_call (
       g->s->g->loop, t,
       cf_platform_rank_order_call (t->record.addr, json, strlen (json)),
-      DIRECT_TIMEOUT_MS, on_direct_order, d);
+      d->timeout_ms, on_direct_order, d);
   g_free (json);
 }
 
@@ -203,8 +211,9 @@
 {
   CfLedGroup *g = data;
   CfRankLink *a = g->agents[rank];
+  gboolean reachable = cf_rank_service_target (g->s, g->addrs[rank]) != NULL;
 
-  if (cf_order_watch_is_passed_by (&g->orders[rank]))
+  if (reachable && cf_order_watch_goes_direct (&g->orders[rank], o->kind))
     a = NULL;
   cf_log (LOG_INFO, CF_EV_RANK_ORDER,
           "group=%s rank=%d order=%s version=%" G_GINT64_FORMAT
--- a/gateway/rank.c
+++ b/gateway/rank.c
@@ -35,3 +35,9 @@
     }
   return "unknown";
 }
+
+gboolean
+cf_rank_order_halts_group (CfRankOrderKind k)
+{
+  return k == CF_ORDER_HOLD || k == CF_ORDER_GO;
+}
--- a/gateway/rank.h
+++ b/gateway/rank.h
@@ -39,6 +39,10 @@
 
 const char *cf_rank_order_name (CfRankOrderKind k);
 
+/** cf_rank_order_halts_group: whether all ranks wait from one such order to
+ * another: a hold, and the go that ends it. */
+gboolean cf_rank_order_halts_group (CfRankOrderKind k);
+
 /** CfRankOrder: an order to one rank. */
 typedef struct
 {
--- a/t/t-order-watch.c
+++ b/t/t-order-watch.c
@@ -35,6 +35,22 @@
 }
 END_TEST
 
+START_TEST (a_hold_and_its_end_do_not_wait_for_an_agent)
+{
+  CfOrderWatch w = { 0 };
+
+  ck_assert (cf_order_watch_goes_direct (&w, CF_ORDER_HOLD));
+  ck_assert (cf_order_watch_goes_direct (&w, CF_ORDER_GO));
+  ck_assert (!cf_order_watch_goes_direct (&w, CF_ORDER_PREPARE));
+  ck_assert (!cf_order_watch_goes_direct (&w, CF_ORDER_ARM));
+  ck_assert (!cf_order_watch_goes_direct (&w, CF_ORDER_DISARM));
+  /* An agent that lost an order is passed by. */
+  cf_order_watch_sent (&w, 1, 1000);
+  ck_assert (cf_order_watch_expired (&w, 1200));
+  ck_assert (cf_order_watch_goes_direct (&w, CF_ORDER_ARM));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -43,6 +59,7 @@
 
   tcase_add_test (t, an_order_given_again_is_lost);
   tcase_add_test (t, an_order_expires_once);
+  tcase_add_test (t, a_hold_and_its_end_do_not_wait_for_an_agent);
   suite_add_tcase (s, t);
   return t_run (s);
 }
