hold-lease: have a standby end the hold of a silent leader

Since holds go straight to the rank, who can hold a group for long is its leader: agents tell of its silence after 1,300 ms, and the next seed leads and settles 1.2 to 1.8 s after the pass was held.

While it holds a pass the leader renews a lease with the other seeds each 50 ms (two small messages), and says when it has ended. The next in line takes the lead after 250 ms of silence, the one after it 250 ms later, and arms the rest and ends the hold, or voids what differs, under a higher token. A leader that has just taken over gives agents time before it asks ranks directly.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -205,12 +205,20 @@
   return st;
 }
 
+static void
+notify_seeds (void *data, const CfPeerMsg *m)
+{
+  cf_peer_service_notify_seeds (data, m);
+}
+
 static int
 run (CfGateway *g, int metrics)
 {
   cf_signals_catch (g->loop, on_stop, on_reload);
   ranks = cf_rank_service_new (g);
   peers = cf_peer_service_new (g);
+  cf_rank_service_set_notify (ranks, notify_seeds, peers);
+  cf_peer_service_on_hold_lease (peers, cf_rank_service_take_hold_lease, ranks);
   ev_check_init (&turn_begin, on_turn_begin);
   ev_set_priority (&turn_begin, EV_MAXPRI);
   ev_check_start (g->loop, &turn_begin);
--- a/gateway/map-coordinator-switch.c
+++ b/gateway/map-coordinator-switch.c
@@ -24,6 +24,28 @@
   return (int)MIN (passes + 1, CF_MAP_LEAD_LAST);
 }
 
+gboolean
+cf_map_coordinator_holds_pass (const CfMapCoordinator *c)
+{
+  if (c->fence == 0)
+    return FALSE;
+  switch (c->state)
+    {
+    case CF_MAP_HOLDING:
+    case CF_MAP_ARMING:
+    case CF_MAP_RELEASING:
+    case CF_MAP_BURNING:
+      return TRUE;
+    case CF_MAP_SETTLING:
+      return cf_map_any_held (c);
+    case CF_MAP_IDLE:
+    case CF_MAP_PREPARING:
+    case CF_MAP_SWITCHING:
+      return FALSE;
+    }
+  return FALSE;
+}
+
 void
 cf_map_hold (CfMapCoordinator *c, gint64 now)
 {
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -147,5 +147,9 @@
  * others get their turn: a plan that is half made, or orders. */
 gboolean cf_map_coordinator_has_more (const CfMapCoordinator *c);
 
+/** cf_map_coordinator_holds_pass: whether the group waits for this leader, as
+ * far as it knows: a pass is held, or is about to be. */
+gboolean cf_map_coordinator_holds_pass (const CfMapCoordinator *c);
+
 /** cf_map_coordinator_tick: does what is to be done now. */
 void cf_map_coordinator_tick (CfMapCoordinator *c, gint64 now_ms);
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -318,6 +318,11 @@
     case CF_PEER_CRASHES:
       m->u.crashes = take_crashes (f);
       break;
+    case CF_PEER_HOLD_LEASE:
+      m->u.hold_lease.group = take_bytes (f);
+      m->u.hold_lease.fence = take_int (f);
+      m->u.hold_lease.held = take_int (f) != 0;
+      break;
     default:
       f->bad = TRUE;
     }
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -223,6 +223,12 @@
       begin (&pk, m, 1);
       put_crashes (&pk, m->u.crashes);
       break;
+    case CF_PEER_HOLD_LEASE:
+      begin (&pk, m, 3);
+      put_bytes (&pk, m->u.hold_lease.group);
+      put_int (&pk, m->u.hold_lease.fence);
+      put_int (&pk, m->u.hold_lease.held);
+      break;
     }
 }
 
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -22,6 +22,7 @@
   CF_PEER_TARGETS = 10,      /**< gateway: the targets as I know them */
   CF_PEER_PREPARE = 11,      /**< gateway: have your rank prepare this map */
   CF_PEER_CRASHES = 12,      /**< requests during which targets crashed */
+  CF_PEER_HOLD_LEASE = 13,   /**< gateway: I hold a pass of a group I lead */
 } CfPeerMsgKind;
 
 /** Units of a place on the ring of targets. */
@@ -117,6 +118,12 @@
       GArray *items; /**< of #CfPeerTarget, owned */
     } targets;
     GArray *crashes; /**< of #CfPeerCrash, owned */
+    struct
+    {
+      CfPeerBytes group;
+      gint64 fence;  /**< of the leader */
+      gboolean held; /**< %FALSE: the hold has ended */
+    } hold_lease;
   } u;
 } CfPeerMsg;
 
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -44,6 +44,8 @@
   gint64 greeted_ms;
   gint64 connected_ms;
   gint64 behind_ms; /**< since when a peer is known to be ahead; 0: none */
+  CfPeerMsgTake take_hold_lease; /**< (nullable) */
+  void *hold_lease_owner;
   struct sockaddr_in seeds[CF_SEEDS_MAX];
   gboolean seed_valid[CF_SEEDS_MAX];
 };
@@ -270,6 +272,24 @@
     cf_peer_msg_send (p->peer, m);
 }
 
+void
+cf_peer_service_notify_seeds (CfPeerService *s, const CfPeerMsg *m)
+{
+  Peer *p;
+
+  TAILQ_FOREACH (p, &s->peers, link)
+  if (p->up && p->seed >= 0)
+    cf_peer_msg_send (p->peer, m);
+}
+
+void
+cf_peer_service_on_hold_lease (CfPeerService *s, CfPeerMsgTake take,
+                               void *owner)
+{
+  s->take_hold_lease = take;
+  s->hold_lease_owner = owner;
+}
+
 /* A peer may know more of the fleet than this gateway hears itself; then its
  * word on the place on the ring holds, too. */
 static void
@@ -372,6 +392,10 @@
     case CF_PEER_CRASHES:
       cf_peer_crashes_merge (p->s->g->quarantine, m, p->addr, p->s->g->now_ms);
       break;
+    case CF_PEER_HOLD_LEASE:
+      if (p->s->take_hold_lease)
+        p->s->take_hold_lease (p->s->hold_lease_owner, m);
+      break;
     default:
       break;
     }
--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "map-coordinator.h"
+#include "hold-lease.h"
 #include "order-watch.h"
 #include "rank-service.h"
 
@@ -55,8 +56,12 @@
   gint64 fence_seen;
   gint64 policy_version; /**< that the coordinator's aim for passes is of */
   gboolean leads;
+  gint64 lead_ms;       /**< when it took the lead last */
   gboolean led_told;    /**< its agents were told that this gateway leads... */
   gboolean settle_told; /**< ...and that it settles */
+  CfHoldLease lease;    /**< of another leader */
+  gboolean lease_told;  /**< standbys believe that this gateway holds a pass */
+  gint64 lease_told_ms;
 };
 
 struct CfRankService
@@ -66,7 +71,9 @@
   ev_timer timer;
   gint64 ticked_ms;
   gint64 seq;
-  GHashTable *groups; /**< name -> #CfLedGroup */
+  GHashTable *groups;               /**< name -> #CfLedGroup */
+  CfRankServiceNotify notify_seeds; /**< (nullable) */
+  void *notify_data;
   TAILQ_HEAD (, CfRankLink) agents;
 };
 
@@ -77,9 +84,12 @@
  * it, and gives it up if not. */
 void cf_led_group_decide_lead (CfLedGroup *g);
 
-/** cf_led_group_on_order: the coordinator's order to a rank goes out, through
- * the agent, where it costs nothing, or straight to the rank when its agent
- * is away; @data is the #CfLedGroup. */
+/** cf_led_group_renew_lease: tells the other seeds that a pass of @g is held,
+ * while it is, and once when it is not any more. */
+void cf_led_group_renew_lease (CfLedGroup *g);
+
+/** cf_led_group_on_order: the coordinator's order to a rank goes out, as
+ * cf_order_watch_goes_direct() says; @data is the #CfLedGroup. */
 void cf_led_group_on_order (void *data, int rank, const CfRankOrder *o);
 
 /** cf_led_group_send_direct: an order straight to a rank, and then the
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -61,6 +61,7 @@
           g->name, cf_map_state_name (from), cf_map_state_name (to), why,
           c->version, c->step, c->epoch, c->fence, c->last_copies,
           c->skew_before, c->skew_after, c->pass_ms);
+  cf_led_group_renew_lease (g);
 }
 
 static const CfMapCoordinatorCalls coordinator_calls
@@ -169,7 +170,8 @@
        * the rank takes this leader's token. */
       CfRankOrder probe = { .kind = CF_ORDER_GO, .step = 1 };
 
-      if (now - g->c.ranks[r].seen_ms < DIRECT_AFTER_MS
+      /* Agents tell a standby of their ranks once a second only. */
+      if (now - MAX (g->c.ranks[r].seen_ms, g->lead_ms) < DIRECT_AFTER_MS
           || now - g->direct_ms[r] < DIRECT_AFTER_MS)
         continue;
       g->direct_ms[r] = now;
@@ -203,6 +205,16 @@
   return a->rank % stride == 0 ? SAMPLE_READ_MS : OTHER_READ_MS;
 }
 
+/* Whether agents have to hear this gateway although it stops: it may be the
+ * only one left to end a hold. */
+static gboolean
+may_hold_pass (const CfLedGroup *g)
+{
+  return g && g->leads
+         && (g->c.state == CF_MAP_SETTLING
+             || cf_map_coordinator_holds_pass (&g->c));
+}
+
 /* A gateway that stops is silent, so that the next seed takes the lead
  * while this one still ends its requests. */
 static void
@@ -210,7 +222,7 @@
 {
   CfPeerMsg m = { .kind = CF_PEER_TICK };
 
-  if (a->s->g->stopping)
+  if (a->s->g->stopping && !may_hold_pass (a->group))
     return;
   m.u.tick.fence = a->group ? a->group->c.fence : 0;
   m.u.tick.read_ms = read_ms (a);
@@ -229,7 +241,9 @@
 static gboolean
 is_changing (const CfLedGroup *g)
 {
-  return g->leads && g->c.state != CF_MAP_IDLE && g->c.state != CF_MAP_SETTLING;
+  return g->lease.held
+         || (g->leads && g->c.state != CF_MAP_IDLE
+             && g->c.state != CF_MAP_SETTLING);
 }
 
 /* Whether its agents wait to hear that this gateway leads, or that it settles
@@ -269,6 +283,7 @@
       if (g->leads)
         ask_silent_ranks (g);
       cf_map_coordinator_tick (&g->c, now);
+      cf_led_group_renew_lease (g);
       busy |= is_changing (g);
       more |= cf_map_coordinator_has_more (&g->c);
     }
@@ -435,6 +450,14 @@
   cf_peer_crashes_send_all (s->g->quarantine, l, TRUE, s->g->now_ms);
 }
 
+void
+cf_rank_service_set_notify (CfRankService *s, CfRankServiceNotify notify,
+                            void *data)
+{
+  s->notify_seeds = notify;
+  s->notify_data = data;
+}
+
 static int
 seed_index (const CfPlatformSettings *set)
 {
--- a/gateway/rank-service.h
+++ b/gateway/rank-service.h
@@ -17,6 +17,17 @@
 
 CfRankService *cf_rank_service_new (CfGateway *g);
 
+/** CfRankServiceNotify: sends @m to the other seeds. */
+typedef void (*CfRankServiceNotify) (void *data, const CfPeerMsg *m);
+
+/** cf_rank_service_set_notify: how the other seeds are reached. */
+void cf_rank_service_set_notify (CfRankService *s, CfRankServiceNotify notify,
+                                 void *data);
+
+/** cf_rank_service_take_hold_lease: a #CfPeerMsgTake for what another seed
+ * says of a pass that it holds; @owner is the #CfRankService. */
+void cf_rank_service_take_hold_lease (void *owner, const CfPeerMsg *m);
+
 /** cf_rank_service_adopt: @l is a rank agent's, and @first its greeting. */
 void cf_rank_service_adopt (CfRankService *s, CfPeerLink *l,
                             const CfPeerMsg *first);
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -5,6 +5,7 @@
  * oracle: no pass begins while two ranks have different maps, and once all
  * is calm the group runs and its maps can be changed.
  */
+#include "gateway/hold-lease.h"
 #include "gateway/map-plan.h"
 #include "gateway/map-coordinator.h"
 #include "harness.h"
@@ -54,6 +55,8 @@
   gboolean running; /* FALSE while it stands still or is dead */
   gboolean leads;   /* may take the lead when it has none */
   gint64 resume_ms;
+  CfHoldLease lease; /* of the other leader */
+  gboolean lease_told;
 } Leader;
 
 typedef struct
@@ -71,6 +74,8 @@
   guint64 n_passes;
   guint64 n_orders;
   guint64 n_late;
+  gint64 blocked_ms; /* since when a hold keeps the group from its pass */
+  gint64 longest_ms; /* that one did so */
 } World;
 
 static World w;
@@ -303,7 +308,14 @@
 
   for (int i = 0; i < RANKS; i++)
     if (!w.ranks[i].s.open || w.ranks[i].s.held == step)
-      return;
+      {
+        if (w.ranks[i].s.open && !w.blocked_ms)
+          w.blocked_ms = w.now;
+        return;
+      }
+  if (w.blocked_ms)
+    w.longest_ms = MAX (w.longest_ms, w.now - w.blocked_ms);
+  w.blocked_ms = 0;
   for (int i = 0; i < RANKS; i++)
     {
       Rank *r = &w.ranks[i];
@@ -325,6 +337,25 @@
     }
 }
 
+/* Carries out an order that its leader waits for; a status like HTTP's.  What
+ * halts the group goes past the agents and what they know of tokens. */
+static int
+deliver (Rank *r, const CfRankOrder *o, gint64 *token)
+{
+  if (cf_rank_order_halts_group (o->kind))
+    {
+      int status = carry_out (r, o);
+
+      *token = w.ranks_check_fence && status != 412 ? o->fence : 0;
+      return status;
+    }
+  *token = r->agent_fence;
+  if (o->fence < r->agent_fence)
+    return 412;
+  *token = r->agent_fence = o->fence;
+  return carry_out (r, o);
+}
+
 static void
 deliver_late (void)
 {
@@ -333,6 +364,7 @@
       Late *d = w.late->pdata[i];
       Rank *r = &w.ranks[d->rank];
       Leader *l = d->leader >= 0 ? &w.leaders[d->leader] : NULL;
+      gint64 token = 0;
       int status;
 
       if (d->due_ms > w.now)
@@ -341,17 +373,13 @@
           continue;
         }
       /* The rank's agent refuses old tokens; what is late passed it before. */
-      if (l && d->o.fence < r->agent_fence)
-        status = 412;
+      if (l)
+        status = deliver (r, &d->o, &token);
       else
-        {
-          if (l)
-            r->agent_fence = d->o.fence;
-          status = carry_out (r, &d->o);
-        }
+        status = carry_out (r, &d->o);
       if (l && l->running)
         {
-          cf_map_coordinator_status (&l->c, &r->s, r->agent_fence, w.now);
+          cf_map_coordinator_status (&l->c, &r->s, token, w.now);
           cf_map_coordinator_ack (&l->c, d->rank, ack_of (status), w.now);
         }
       g_ptr_array_remove_index_fast (w.late, i);
@@ -426,6 +454,30 @@
   form (w.ranks[0].s.epoch + 1);
 }
 
+/* The standby hears of a hold before the order to hold goes out. */
+static void
+renew_lease (Leader *l)
+{
+  Leader *standby = &w.leaders[1 - l->index];
+  gboolean held = cf_map_coordinator_holds_pass (&l->c);
+
+  if ((!held && !l->lease_told) || chance (0.1))
+    return;
+  l->lease_told = held;
+  if (standby->running && l->c.fence)
+    cf_hold_lease_renew (&standby->lease, l->c.fence, held, w.now);
+}
+
+static void
+succeed (Leader *l)
+{
+  if (l->c.fence != 0 || !cf_hold_lease_has_expired (&l->lease, 0, w.now))
+    return;
+  l->lease.held = FALSE;
+  take_lead (l);
+  report_all (l);
+}
+
 static void
 run_leader (Leader *l)
 {
@@ -439,7 +491,9 @@
     take_lead (l);
   if (!l->leads && l->c.state == CF_MAP_IDLE)
     l->c.fence = 0;
+  succeed (l);
   cf_map_coordinator_tick (&l->c, w.now);
+  renew_lease (l);
 }
 
 static void
@@ -616,6 +670,42 @@
 }
 END_TEST
 
+/** Longest that a group may be held since its leader stands still. */
+#define HELD_MOST_MS 900
+
+/* The leader stands still for 4 s, 0 to 20 ms after it entered @state. */
+static void
+stand_still_in (CfMapState state, guint32 seed)
+{
+  Leader *l = &w.leaders[0];
+  gint64 until;
+
+  begin_calm (seed);
+  run_for (4000 + (gint64)seed * 370);
+  until = w.now + 10000;
+  while (l->c.state != state && w.now < until)
+    run_for (TICK_MS);
+  ck_assert_int_eq (l->c.state, state);
+  run_for ((gint64)(seed % 3) * TICK_MS);
+  l->running = FALSE;
+  l->resume_ms = w.now + 4000;
+  run_for (10000);
+  ck_assert_msg (w.longest_ms <= HELD_MOST_MS, "%s, seed %u: held for %d ms",
+                 cf_map_state_name (state), seed, (int)w.longest_ms);
+  end_calm ();
+}
+
+START_TEST (a_leader_that_stands_still_holds_its_group_no_longer)
+{
+  for (guint32 seed = 1; seed <= 10; seed++)
+    {
+      stand_still_in (CF_MAP_HOLDING, seed);
+      stand_still_in (CF_MAP_ARMING, seed);
+      stand_still_in (CF_MAP_RELEASING, seed);
+    }
+}
+END_TEST
+
 static void
 report_pass (CfMapCoordinator *c, gint64 step, gint64 now)
 {
@@ -829,6 +919,7 @@
   tcase_add_test (t, one_map_a_pass);
   tcase_add_test (t, a_higher_token_ends_the_lead);
   tcase_add_test (t, a_void_version_is_never_armed);
+  tcase_add_test (t, a_leader_that_stands_still_holds_its_group_no_longer);
   tcase_add_test (t, the_held_pass_is_as_near_as_arming_allows);
   tcase_add_test (t, a_restarted_rank_is_learned_anew);
   tcase_add_test (t, a_busy_leader_is_none_that_stood_still);
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -221,6 +221,24 @@
 }
 END_TEST
 
+START_TEST (the_lease_of_a_hold)
+{
+  CfPeerMsg m = { .kind = CF_PEER_HOLD_LEASE };
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+
+  m.u.hold_lease.group = bytes ("g0");
+  m.u.hold_lease.fence = 26;
+  m.u.hold_lease.held = TRUE;
+  there_and_back (&m, &o, &zone, &buf);
+  ck_assert_uint_eq (o.u.hold_lease.group.n, 2);
+  ck_assert_int_eq (o.u.hold_lease.fence, 26);
+  ck_assert (o.u.hold_lease.held);
+  release (&o, &zone, &buf);
+}
+END_TEST
+
 START_TEST (bad_frames_are_refused)
 {
   GRand *rand = g_rand_new_with_seed (3);
@@ -315,6 +333,7 @@
   tcase_add_test (t, a_map_to_prepare);
   tcase_add_test (t, what_a_rank_drew_takes_a_byte_an_expert);
   tcase_add_test (t, requests_that_crash_targets);
+  tcase_add_test (t, the_lease_of_a_hold);
   tcase_add_test (t, bad_frames_are_refused);
   tcase_add_test (t, frames_that_claim_too_much_are_not_read);
   tcase_add_test (t, an_earlier_version_is_understood);
