exchange: wait for the configuration while a process starts

Ruled out: that targets or the group were the reason (refused with sends=0 before any route is known); readiness (unready gateways get callers where none of a data centre is ready).

Ways: refuse at once, as before; wait, at most 1 s and a third of what the caller allows, while the process is younger than 2 s. Later than that the store and all peers may be out of reach, and callers are told at once.

t-gateway: a_request_waits_for_the_configuration_at_a_start fails before (503). comfrey_unrouted_total counts them.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -141,6 +141,7 @@
 static void
 on_tick (struct ev_loop *loop, ev_timer *w, int revents)
 {
+  cf_exchange_route_waiting (&gw);
   cf_exchange_pump (&gw);
   replicate_crashes (&gw);
   cf_peer_service_tick (peers);
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -11,8 +11,9 @@
 
 /**
  * What the parts of an exchange share: its beginning and end (exchange.c),
- * whom it is sent to and when (exchange-send.c), whether it is before this
- * process ends (exchange-stop.c), targets that show nothing
+ * its wait for what a process that starts does not know yet
+ * (exchange-unrouted.c), whom it is sent to and when (exchange-send.c), whether
+ * it is before this process ends (exchange-stop.c), targets that show nothing
  * (exchange-silence.c), targets that crash (exchange-crash.c), and what comes
  * of the target's answer (exchange-answer.c).
  */
@@ -24,6 +25,9 @@
 struct CfExchange
 {
   CfWaiter waiter;
+  TAILQ_ENTRY (CfExchange) unrouted;
+  gboolean is_unrouted; /**< it waits for the configuration or the targets */
+  ev_timer unrouted_limit;
   CfGateway *g;
   CfCaller *c;
   CfPolicy *policy;     /**< the version it was routed by */
@@ -94,6 +98,21 @@
 /** cf_exchange_give_up: answers 502, or breaks off: it may have run. */
 void cf_exchange_give_up (CfExchange *x, const char *reason);
 
+/** cf_exchange_route: finds its route and organisation, and goes on. */
+void cf_exchange_route (CfExchange *x);
+
+/* Requests that come before the process knows the configuration. */
+
+/**
+ * cf_exchange_waits_unrouted:
+ * Called before it is routed.
+ * Returns: %TRUE if it waits until what it needs is known.
+ */
+gboolean cf_exchange_waits_unrouted (CfExchange *x);
+
+/** cf_exchange_leave_unrouted: it waits for that no longer. */
+void cf_exchange_leave_unrouted (CfExchange *x);
+
 /* Whom it is sent to, and when. */
 
 /** cf_exchange_busy_ms: when those that are refused may find room. */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -76,6 +76,7 @@
     cf_histogram_add (&g->stats.whole_ms, ms);
   if (x->lane)
     cf_wait_queue_remove (&x->lane->queue, &x->waiter);
+  cf_exchange_leave_unrouted (x);
   ev_timer_stop (g->loop, &x->deadline);
   cf_exchange_release_target (x, TRUE);
   cf_crash_waiter_leave (&x->verdict);
@@ -227,17 +228,12 @@
 }
 
 void
-cf_exchange_start (CfGateway *g, CfCaller *c)
+cf_exchange_route (CfExchange *x)
 {
-  CfExchange *x = new_exchange (g, c);
-  const char *host = cf_http_reader_header (&c->reader, CF_HDR_HOST);
-  const char *target = cf_http_reader_target (&c->reader);
+  CfGateway *g = x->g;
+  const char *host = cf_http_reader_header (&x->c->reader, CF_HDR_HOST);
+  const char *target = cf_http_reader_target (&x->c->reader);
 
-  if (!host)
-    {
-      answer_self (x, CF_OUT_DENIED, 400, "no-host", -1);
-      return;
-    }
   if (!g->policy)
     {
       x->deadline_ms += UNKNOWN_BUSY_MS * 4;
@@ -254,6 +250,17 @@
     start_routed (x);
 }
 
+void
+cf_exchange_start (CfGateway *g, CfCaller *c)
+{
+  CfExchange *x = new_exchange (g, c);
+
+  if (!cf_http_reader_header (&c->reader, CF_HDR_HOST))
+    answer_self (x, CF_OUT_DENIED, 400, "no-host", -1);
+  else if (!cf_exchange_waits_unrouted (x))
+    cf_exchange_route (x);
+}
+
 void
 cf_exchange_abandon (CfExchange *x)
 {
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -23,5 +23,9 @@
  * not run, failed if it may have, and cut off if its answer has begun. */
 void cf_exchange_end_with_process (CfExchange *x);
 
+/** cf_exchange_route_waiting: the configuration or the targets may be known;
+ * requests that wait for them go on. */
+void cf_exchange_route_waiting (CfGateway *g);
+
 /** cf_exchange_pump: room may have come free; those that wait may get it. */
 void cf_exchange_pump (CfGateway *g);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -91,10 +91,12 @@
   g->set = *set;
   memset (set, 0, sizeof *set);
   g->now_ms = cf_now_ms ();
+  g->started_ms = g->now_ms;
   g->body_bytes_max = (gsize)g->set.memory_mb * 1048576 / BODY_MEMORY_PART;
   g->callers_max = callers_max (&g->set);
   TAILQ_INIT (&g->callers);
   TAILQ_INIT (&g->probes);
+  TAILQ_INIT (&g->unrouted);
   cf_target_table_init (&g->targets);
   g->targets.is_named = is_named_service;
   g->targets.is_named_data = g;
@@ -129,6 +131,12 @@
   return cf_loop_watch_enter (&g->turn, part, g_get_monotonic_time ());
 }
 
+gboolean
+cf_gateway_is_informed (const CfGateway *g)
+{
+  return g->policy && g->targets_rev != 0;
+}
+
 gboolean
 cf_gateway_ready (const CfGateway *g)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -20,6 +20,7 @@
 typedef struct CfCrashWaiter CfCrashWaiter;
 typedef struct CfGateway CfGateway;
 typedef TAILQ_HEAD (CfCallerList, CfCaller) CfCallerList;
+typedef TAILQ_HEAD (CfExchangeList, CfExchange) CfExchangeList;
 typedef TAILQ_HEAD (CfCrashProbeList, CfCrashProbe) CfCrashProbeList;
 
 /** CfLane: what this process keeps for each service it sends work to. */
@@ -46,6 +47,7 @@
 {
   struct ev_loop *loop;
   gint64 now_ms; /**< steady clock, as of this turn of the loop */
+  gint64 started_ms;
   CfPlatformSettings set;
   CfPolicy *policy;          /**< in force; %NULL until one is known */
   gint64 policy_rev;         /**< the store's revision of it */
@@ -66,8 +68,10 @@
   CfCrashProbeList probes;  /**< of targets that may have crashed */
   CfCallerList callers;
   guint n_callers;
-  guint callers_max;     /**< the others are for targets, peers, the store */
-  gint64 full_logged_ms; /**< when it was last logged that all are taken */
+  guint callers_max;       /**< the others are for targets, peers, the store */
+  gint64 full_logged_ms;   /**< when it was last logged that all are taken */
+  CfExchangeList unrouted; /**< requests that wait until the process knows
+                                the configuration and the targets */
   guint n_exchanges;
   gsize body_bytes; /**< of requests that are held in memory */
   gsize body_bytes_max;
@@ -105,6 +109,10 @@
  */
 CfTurnPart cf_gateway_enter (CfGateway *g, CfTurnPart part);
 
+/** cf_gateway_is_informed: whether a configuration and a list of targets are
+ * known. */
+gboolean cf_gateway_is_informed (const CfGateway *g);
+
 /** cf_gateway_ready: whether callers should be sent here. */
 gboolean cf_gateway_ready (const CfGateway *g);
 
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -95,6 +95,7 @@
   print_counter (out, "records_rejected_total", s->records_rejected);
   print_counter (out, "quarantine_refusals_total", s->quarantine_refusals);
   print_counter (out, "queued_total", s->queued);
+  print_counter (out, "unrouted_total", s->unrouted);
   print_counter (out, "begun_late_total", s->begun_late);
   print_histogram (out, "first_event_ms", &s->first_ms);
   print_histogram (out, "answer_ms", &s->whole_ms);
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -43,6 +43,7 @@
   guint64 callers_turned_away; /**< connections closed unread: all taken */
   guint64 quarantine_refusals; /**< requests that crash targets */
   guint64 queued;              /**< requests that waited for room */
+  guint64 unrouted;     /**< requests that waited for the configuration */
   guint64 begun_late;   /**< of these, sent too late for their objective */
   CfHistogram first_ms; /**< to the first event of a stream */
   CfHistogram whole_ms; /**< to the end of any other answer */
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -715,6 +715,27 @@
 }
 END_TEST
 
+/* All processes had been killed: what came while they read the configuration
+ * again was refused, most of it for the last time. */
+START_TEST (a_request_waits_for_the_configuration_at_a_start)
+{
+  g_autofree char *req = p_request ("POST /order/a", "u1", NULL, "x");
+  g_autofree char *a = NULL;
+  int fd;
+
+  p_signal (gateway, SIGKILL);
+  g_free (p_test (STORE, "POST /test/mode?mode=busy", ""));
+  p_gateway (BASE, 1);
+  fd = p_connect (front);
+  p_send (fd, req);
+  usleep (300000);
+  g_free (p_test (STORE, "POST /test/mode?mode=good", ""));
+  a = p_read (fd, 2000);
+  ck_assert_int_eq (p_status (a), 200);
+  close (fd);
+}
+END_TEST
+
 START_TEST (a_gateway_that_knows_nothing_is_not_ready)
 {
   g_autofree char *req = p_request ("POST /order/a", "n1", NULL, "x");
@@ -952,6 +973,7 @@
   tcase_add_test (t, wrong_settings_are_named);
   tcase_add_test (t, a_large_body_passes_whole);
   tcase_add_test (t, a_gateway_without_the_store_learns_from_a_peer);
+  tcase_add_test (t, a_request_waits_for_the_configuration_at_a_start);
   tcase_add_test (t, a_gateway_that_knows_nothing_is_not_ready);
   tcase_add_test (t, a_planned_stop_ends_what_runs);
   tcase_add_test (t, a_reload_cuts_off_nothing);
