exchange: keep a stream at its target if no retry is left

A stream whose target showed no work for a while was to be taken elsewhere; only then the retry budget was asked, and without one the stream was cancelled and its caller got 502, 63 times in 2 s (E1204 reason=stands-still again=yes budget=none), though its target had it and would have answered.

Ruled out: crashed targets (none by then) and refusals by targets (503).

The budget is asked first; without it the stream stays and is looked at again.

t-network: a_stream_without_a_retry_stays_at_its_target fails before (502); the stand-in's ranks can begin a stream late.

--- a/gateway/exchange-silence.c
+++ b/gateway/exchange-silence.c
@@ -148,12 +148,21 @@
          > cf_pace_first_ms (&x->lane->pace, cf_exchange_engine (x), &x->size);
 }
 
+/* Whether another target may have it now.  Without a retry in the budget its
+ * own target, silent or not, is the only one that may still answer. */
+static gboolean
+may_leave (CfExchange *x)
+{
+  x->may_have_run = TRUE;
+  return cf_exchange_may_send_again (x)
+         && cf_retry_budget_has (&x->lane->budget);
+}
+
 /* Tries another target; FALSE if it may not have one. */
 static gboolean
 leave_stranded (CfExchange *x)
 {
-  x->may_have_run = TRUE;
-  if (!cf_exchange_may_send_again (x) || !has_time_elsewhere (x))
+  if (!may_leave (x) || !has_time_elsewhere (x))
     return FALSE;
   cf_exchange_blame (x, x->target, "stands-still");
   cf_exchange_forget_answer (x);
@@ -197,9 +206,7 @@
       return;
     }
   /* Without another target to try, the one that is silent may still answer. */
-  x->may_have_run = TRUE;
-  if (!cf_exchange_may_send_again (x)
-      || (is_quiet (x) && !has_time_elsewhere (x)))
+  if (!may_leave (x) || (is_quiet (x) && !has_time_elsewhere (x)))
     {
       if (x->route->stream && x->last_event_ms == 0)
         cf_exchange_wait_for_target (
--- a/retry-budget.c
+++ b/retry-budget.c
@@ -32,6 +32,17 @@
   pthread_mutex_unlock (&b->lock);
 }
 
+gboolean
+cf_retry_budget_has (CfRetryBudget *b)
+{
+  gboolean has;
+
+  pthread_mutex_lock (&b->lock);
+  has = b->tokens >= 1;
+  pthread_mutex_unlock (&b->lock);
+  return has;
+}
+
 gboolean
 cf_retry_budget_take (CfRetryBudget *b)
 {
--- a/retry-budget.h
+++ b/retry-budget.h
@@ -31,5 +31,8 @@
 /** cf_retry_budget_request: a request came in. */
 void cf_retry_budget_request (CfRetryBudget *b);
 
+/** cf_retry_budget_has: whether cf_retry_budget_take() would be %TRUE. */
+gboolean cf_retry_budget_has (CfRetryBudget *b);
+
 /** cf_retry_budget_take: %TRUE if a retry may be sent now. */
 gboolean cf_retry_budget_take (CfRetryBudget *b);
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -167,7 +167,10 @@
         {
           FakeStream *next = TAILQ_NEXT (st, link);
 
-          send_event (&g->ranks[i], st);
+          if (st->idle_passes > 0)
+            st->idle_passes--;
+          else
+            send_event (&g->ranks[i], st);
           st = next;
         }
     }
--- a/standins/fake-group.h
+++ b/standins/fake-group.h
@@ -16,8 +16,9 @@
   int next_event;
   int last_event;
   gboolean begun;
-  char *head;    /**< the answer's header lines */
-  int cut_after; /**< breaks off in the middle of this event; -1: not */
+  char *head;      /**< the answer's header lines */
+  int cut_after;   /**< breaks off in the middle of this event; -1: not */
+  int idle_passes; /**< passes that it does not write in yet */
 };
 
 /** FakeRank: one rank's part of the group. */
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -9,6 +9,8 @@
 
 /** Events of a stream whose request does not say how many tokens. */
 #define DEFAULT_EVENTS 8
+/** How long a tardy stream takes to begin. */
+#define TARDY_MS 1000
 #define TOKENS_PER_EVENT 4
 /** A target that leaves gets no new work after this time. */
 #define DRAIN_S 2.0
@@ -279,6 +281,8 @@
               : DEFAULT_EVENTS;
   st->head = answer_headers (t, id, TRUE);
   st->cut_after = g_strcmp0 (fault, "cut") == 0 ? st->next_event + 2 : -1;
+  if (g_strcmp0 (fault, "tardy") == 0)
+    st->idle_passes = (int)(TARDY_MS / t->group->shape.step_ms);
   g_free (fault);
   c->work = st;
   c->gone = end_stream;
--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -105,10 +105,12 @@
       "ip=127.0.0.1\nzone=dc1\nplatform.addr=127.0.0.1:%d\n"
       "seed-addrs=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
       "limits.memory-mb=128\nbounds.grace-s=5\nbounds.stall_ms=400\n"
-      "bounds.require-fence=true\nbounds.retry-slack=60\n"
+      "bounds.require-fence=true\n%s"
       "bounds.drain-ms=%d\nlimits.max-fds=%d\n",
       p_detours.store ? p_detours.store : base,
       p_detours.seed ? p_detours.seed : base + 102, base + 202, base + 302,
+      p_detours.one_retry ? "bounds.retry-slack=0\nbounds.retry-ratio=0\n"
+                           : "bounds.retry-slack=60\n",
       p_detours.drain_ms ? p_detours.drain_ms : DRAIN_MS,
       p_detours.max_fds ? p_detours.max_fds : MAX_FDS);
 }
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -35,6 +35,7 @@
   int seed;            /**< the first seed's */
   int max_fds;         /**< descriptors of a process */
   int drain_ms;        /**< the platform's bound on draining */
+  gboolean one_retry;  /**< all that the retry budget allows */
   const char *gateway; /**< (nullable): the program */
   const char *out;     /**< (nullable): the folder of logs, which go on where
                             a former process of their name ended */
--- a/t/t-network.c
+++ b/t/t-network.c
@@ -387,6 +387,29 @@
 }
 END_TEST
 
+/* A target that is slow to begin was left for another one, though the budget
+ * allowed no second attempt: the caller got 502 while its work went on. */
+START_TEST (a_stream_without_a_retry_stays_at_its_target)
+{
+  g_autofree char *answer = NULL;
+  int fds[3];
+
+  p_detours.one_retry = TRUE;
+  start_gateway (1);
+  fds[0] = begin_stream ("s1", 4000);
+  ck_assert (ranks_run (1, 2000));
+  p_fault (RANK_1, N_RANKS, "tardy", 2);
+  fds[1] = begin_stream ("s2", 10);
+  ck_assert (ranks_run (3, 2000));
+  fds[2] = begin_stream ("s3", 10);
+  answer = p_read (fds[2], 2 * CALLER_STAYS_MS);
+  ck_assert_int_eq (p_status (answer), 200);
+  ck_assert_double_eq (runs_of_ranks (), 4);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
 /* Both tries of a stream met ranks that stand still, while others go on: its
  * caller is told before it leaves, 2 s after it came. */
 START_TEST (callers_at_ranks_that_stand_still_are_told)
@@ -480,6 +503,7 @@
   tcase_add_test (t, all_gateways_are_killed_at_once);
   tcase_add_test (t, silent_connections_to_a_target);
   tcase_add_test (t, a_woken_target_begins_nothing_for_who_left);
+  tcase_add_test (t, a_stream_without_a_retry_stays_at_its_target);
   tcase_add_test (t, callers_at_ranks_that_stand_still_are_told);
   suite_add_tcase (s, t);
   tcase_set_timeout (crowded, 40);
