wait-queue: serve late requests by the time they have left

Two decisions keep them out: late requests leave a quarter of the slots free for others, though nobody is in time by the map that a group forms with, and of the late ones those that came first go first, though they have time to come back and those that were cut have not.

Ruled out: a longer wait (these callers leave after 2 s and wait 0.9 to 1.2 of them); that the gateways know who comes back (they do not; the time left is in each request).

Late requests now go by the time left until their answer can no longer be whole (deadline less a usual answer at the pace of now), and leave no room for 0.5 s after an outage.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -113,6 +113,18 @@
   return cf_waiter_in_time_ms (x->start_ms, x->route->aim_ms, first);
 }
 
+/* When it has to be sent, at the latest, for its answer to be whole before
+ * its deadline, if it is of usual length. */
+static gint64
+whole_by_ms (const CfExchange *x)
+{
+  if (!x->route->stream)
+    return x->deadline_ms;
+  return x->deadline_ms
+         - cf_pace_usual_whole_ms (&x->lane->pace, cf_exchange_engine (x),
+                                   &x->size);
+}
+
 /* Waits for room, for as long as that leaves time for the work itself. */
 static void
 wait_for_room (CfExchange *x)
@@ -124,6 +136,7 @@
 
   x->waiter.since_ms = now;
   x->waiter.in_time_ms = start_by_ms (x);
+  x->waiter.whole_by_ms = whole_by_ms (x);
   if (!cf_wait_queue_add (&x->lane->queue, &x->waiter, waiters_max (x),
                           &evicted))
     {
@@ -204,8 +217,11 @@
   in.in_flight = x->lane->in_flight;
   in.limit = cf_concurrency_limit_get (&x->lane->limit);
   in.max_conns = sv ? sv->max_conns : 0;
-  in.yields = cf_waiter_yields (&x->waiter, in.now_ms, x->lane->pace.pause_ms,
-                                x->route->gap_aim_ms);
+  /* Just after an outage nobody is in time, whom room could be left for. */
+  in.yields
+      = !cf_outage_is_recent (&x->lane->outage, in.now_ms)
+        && cf_waiter_yields (&x->waiter, in.now_ms, x->lane->pace.pause_ms,
+                             x->route->gap_aim_ms);
   if (x->route->stream)
     {
       in.stall_ms = cf_pace_stall_ms (&x->lane->pace);
--- a/gateway/outage.c
+++ b/gateway/outage.c
@@ -3,6 +3,8 @@
 /** Between two probes: a refusal comes back within some ms, and a group that
  * opens again is seen this late at most. */
 #define PROBE_MS 100
+/** A group that formed anew has a better map within this. */
+#define RECENT_MS 500
 
 gboolean
 cf_outage_refused (CfOutage *o, gint64 now)
@@ -19,10 +21,18 @@
 {
   gint64 ms = o->since_ms ? MAX (now - o->since_ms, 1) : 0;
 
+  if (o->since_ms)
+    o->over_ms = now;
   o->since_ms = 0;
   return ms;
 }
 
+gboolean
+cf_outage_is_recent (const CfOutage *o, gint64 now)
+{
+  return o->over_ms && now - o->over_ms < RECENT_MS;
+}
+
 gboolean
 cf_outage_holds (const CfOutage *o, gint64 now)
 {
--- a/gateway/outage.h
+++ b/gateway/outage.h
@@ -13,6 +13,7 @@
 {
   gint64 since_ms; /**< the first such refusal; 0: no outage */
   gint64 probe_ms; /**< when a request was last sent to see */
+  gint64 over_ms;  /**< when the last one ended; 0: none has */
 } CfOutage;
 
 /**
@@ -32,5 +33,9 @@
 /** cf_outage_holds: whether a request has to wait now. */
 gboolean cf_outage_holds (const CfOutage *o, gint64 now_ms);
 
+/** cf_outage_is_recent: whether one has ended so lately that its group still
+ * uses the map that it formed with. */
+gboolean cf_outage_is_recent (const CfOutage *o, gint64 now_ms);
+
 /** cf_outage_sent: a request was sent; in an outage it is the probe. */
 void cf_outage_sent (CfOutage *o, gint64 now_ms);
--- a/gateway/pace.c
+++ b/gateway/pace.c
@@ -111,6 +111,21 @@
   return (gint64)cf_pace_unqueued_ms (p, e, size);
 }
 
+gint64
+cf_pace_usual_whole_ms (const CfPace *p, const CfEngineModel *e,
+                        const CfStreamSize *size)
+{
+  double answer;
+
+  if (!e || e->stride < 1)
+    return 0;
+  answer = e->usual_answer;
+  if (size->answer > 0)
+    answer = MIN (answer, (double)size->answer);
+  return (gint64)(cf_pace_unqueued_ms (p, e, size)
+                  + usual_pass_ms (p, e) * answer / e->stride);
+}
+
 /* A pass of an engine whose slots are all taken. */
 static double
 full_pass_ms (const CfEngineModel *e)
--- a/gateway/pace.h
+++ b/gateway/pace.h
@@ -58,6 +58,11 @@
 double cf_pace_unqueued_ms (const CfPace *p, const CfEngineModel *e,
                             const CfStreamSize *size);
 
+/** cf_pace_usual_whole_ms: how long a stream of usual length takes from its
+ * sending, at the pace of now; 0 if nothing is known. */
+gint64 cf_pace_usual_whole_ms (const CfPace *p, const CfEngineModel *e,
+                               const CfStreamSize *size);
+
 /**
  * cf_pace_whole_ms:
  * For what cannot be taken back once it is begun: it holds also if the
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -77,10 +77,22 @@
   q->n--;
 }
 
+/* True if @w goes before @best, (nullable), among those that are late. */
+static gboolean
+is_shorter_of_time (const CfWaiter *w, const CfWaiter *best, gint64 now_ms)
+{
+  if (now_ms > w->whole_by_ms)
+    return FALSE;
+  return !best
+         || (w->priority == best->priority
+             && w->whole_by_ms < best->whole_by_ms);
+}
+
 CfWaiter *
 cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms, gboolean overloaded)
 {
   CfWaiter *first = NULL;
+  CfWaiter *late = NULL;
   CfWaiter *w;
 
   TAILQ_FOREACH (w, &q->waiters, link)
@@ -88,12 +100,18 @@
     if (first && w->priority > first->priority)
       break;
     if (now_ms > w->in_time_ms)
-      continue;
+      {
+        if (is_shorter_of_time (w, late, now_ms))
+          late = w;
+        continue;
+      }
     first = w;
     if (!overloaded)
       break;
   }
-  return first ? first : TAILQ_FIRST (&q->waiters);
+  if (first)
+    return first;
+  return late ? late : TAILQ_FIRST (&q->waiters);
 }
 
 gint64
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -13,7 +13,9 @@
   TAILQ_ENTRY (CfWaiter) link;
   gint64 priority; /**< 0 is the most urgent */
   gint64 since_ms;
-  gint64 in_time_ms; /**< started by then, it meets its objective */
+  gint64 in_time_ms;  /**< started by then, it meets its objective */
+  gint64 whole_by_ms; /**< started by then, its answer is whole before its
+                           deadline */
   gboolean queued;
   void *owner;
 };
@@ -21,9 +23,10 @@
 /**
  * CfWaitQueue:
  * Requests of one service that wait for room.  Those that can still meet
- * their objective come first, by priority, then by arrival; then the
- * others.  Bounded; for bursts that are over sooner than callers lose
- * patience.
+ * their objective come first, by priority, then by arrival.  Of the others
+ * the one with the least time to spare comes first, if its answer can still
+ * be whole: one with more time left is refused with time to come back.
+ * Bounded; for bursts that are over sooner than callers lose patience.
  */
 typedef struct
 {
--- a/t/t-outage.c
+++ b/t/t-outage.c
@@ -42,6 +42,22 @@
 }
 END_TEST
 
+START_TEST (what_is_recent_is_so_only_after_an_outage)
+{
+  CfOutage o = { 0 };
+
+  cf_outage_answered (&o, 1000);
+  ck_assert (!cf_outage_is_recent (&o, 1000));
+  cf_outage_refused (&o, 1000);
+  ck_assert (!cf_outage_is_recent (&o, 1100));
+  cf_outage_answered (&o, 1700);
+  ck_assert (cf_outage_is_recent (&o, 1800));
+  /* What is answered later begins no new span. */
+  cf_outage_answered (&o, 2100);
+  ck_assert (!cf_outage_is_recent (&o, 2300));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -51,6 +67,7 @@
   tcase_add_test (tc, nothing_is_held_in_calm);
   tcase_add_test (tc, one_request_at_a_time_is_sent_to_see);
   tcase_add_test (tc, work_done_ends_it);
+  tcase_add_test (tc, what_is_recent_is_so_only_after_an_outage);
   suite_add_tcase (s, tc);
   return t_run (s);
 }
