rank-service: take what holds a group from the rank's own answer

Cause: since holds go straight to the rank, the leader asked the rank for its report after each. A report that another VM asks for is 200 ms old on the users' deployments (report_lag_ms), so after an end of a hold that was lost (applied_late) it still showed the time before the hold, "not held", and the leader went on to switching.

- A hold and its end are confirmed by the rank's answer to the order. - A report asked for directly is as of report_lag_ms ago: it never replaces what is newer, counts as seen only since then, and proves a token only if the rank had taken it by then. - What an agent read before a hold does not end it; a pass found held while it should be released is released once more.

t-coordinator: an_old_report_does_not_end_a_hold. Its storm confirms holds as the leader does now. Not covered: the stand-in's ranks report without delay.

--- a/gateway/map-coordinator-reports.c
+++ b/gateway/map-coordinator-reports.c
@@ -88,6 +88,27 @@
     cf_map_enter (c, CF_MAP_SETTLING, "group-broken", now);
 }
 
+void
+cf_map_coordinator_status_as_of (CfMapCoordinator *c, const CfRankStatus *s,
+                                 gint64 token, gint64 as_of, gint64 now)
+{
+  gboolean is_ours = s->rank >= 0 && s->rank < c->shape.ranks;
+
+  if (!is_ours || as_of <= c->ranks[s->rank].seen_ms)
+    return;
+  cf_map_coordinator_status (c, s, token, now);
+  if (c->ranks[s->rank].seen_ms == now)
+    c->ranks[s->rank].seen_ms = as_of;
+}
+
+void
+cf_map_coordinator_held (CfMapCoordinator *c, int rank, gint64 epoch,
+                         gint64 step)
+{
+  if (rank >= 0 && rank < c->shape.ranks && epoch == c->epoch)
+    c->ranks[rank].status.held = step;
+}
+
 void
 cf_map_coordinator_drawn (CfMapCoordinator *c, const gint64 *drawn, guint n)
 {
--- a/gateway/map-coordinator-switch.c
+++ b/gateway/map-coordinator-switch.c
@@ -111,7 +111,8 @@
   CfRankView *v = &c->ranks[c->holder];
   CfRankOrder o = { .kind = CF_ORDER_GO, .step = c->step };
 
-  if (v->status.held != c->step)
+  /* What an agent read before the hold may come in after it was confirmed. */
+  if (v->status.held != c->step && v->asked_ms != 0)
     cf_map_enter (c, CF_MAP_SWITCHING, "released", now);
   else if (cf_map_may_ask (v, now, CF_MAP_ORDER_AGAIN_MS))
     cf_map_send_order (c, c->holder, &o, now);
@@ -148,6 +149,11 @@
       cf_map_enter (c, CF_MAP_IDLE, "changed", now);
       return;
     }
+  if (c->step && c->ranks[c->holder].status.held == c->step)
+    {
+      cf_map_enter (c, CF_MAP_RELEASING, "still-held", now);
+      return;
+    }
   if (cf_map_any_held (c) || !cf_map_any_armed (c))
     if (cf_map_all_seen_since (c, c->state_ms))
       cf_map_enter (c, CF_MAP_SETTLING, "not-as-armed", now);
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -126,6 +126,20 @@
 void cf_map_coordinator_status (CfMapCoordinator *c, const CfRankStatus *s,
                                 gint64 token, gint64 now_ms);
 
+/**
+ * cf_map_coordinator_status_as_of:
+ * The same for a status that is as of @as_of_ms, as a rank's report is that
+ * another VM asks for; dropped if a newer one is known.
+ */
+void cf_map_coordinator_status_as_of (CfMapCoordinator *c,
+                                      const CfRankStatus *s, gint64 token,
+                                      gint64 as_of_ms, gint64 now_ms);
+
+/** cf_map_coordinator_held: the rank itself has confirmed that it holds pass
+ * @step, or none if that is 0. */
+void cf_map_coordinator_held (CfMapCoordinator *c, int rank, gint64 epoch,
+                              gint64 step);
+
 /** cf_map_coordinator_drawn: what a rank drew of each expert since it last
  * said so, sets x experts numbers. */
 void cf_map_coordinator_drawn (CfMapCoordinator *c, const gint64 *drawn,
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -44,19 +44,20 @@
  */
 typedef struct
 {
-  double step_ms;      /**< fixed part of a step */
-  double per_seq_ms;   /**< added by each request that writes */
-  double read_per_ms;  /**< prompt tokens read in a ms */
-  double stride;       /**< steps in a pass that has writers */
-  double slots;        /**< requests that one engine works on at once */
-  double usual_prompt; /**< mean prompt tokens */
-  double usual_answer; /**< mean answer tokens */
-  int sets;            /**< layers of experts; 0: no rank groups */
-  int experts;         /**< in a set */
-  int places;          /**< experts that a rank can hold of a set */
-  int spare;           /**< new ones it can take of a set in one change */
-  double copy_ms;      /**< for which a rank copies one expert */
-  double form_ms;      /**< a rank group opens so long after its last rank */
+  double step_ms;       /**< fixed part of a step */
+  double per_seq_ms;    /**< added by each request that writes */
+  double read_per_ms;   /**< prompt tokens read in a ms */
+  double stride;        /**< steps in a pass that has writers */
+  double report_lag_ms; /**< age of a report that another VM asks for */
+  double slots;         /**< requests that one engine works on at once */
+  double usual_prompt;  /**< mean prompt tokens */
+  double usual_answer;  /**< mean answer tokens */
+  int sets;             /**< layers of experts; 0: no rank groups */
+  int experts;          /**< in a set */
+  int places;           /**< experts that a rank can hold of a set */
+  int spare;            /**< new ones it can take of a set in one change */
+  double copy_ms;       /**< for which a rank copies one expert */
+  double form_ms;       /**< a rank group opens so long after its last rank */
 } CfEngineModel;
 
 /** CfService: a group of like targets. */
--- a/gateway/rank-service-order.c
+++ b/gateway/rank-service-order.c
@@ -17,24 +17,57 @@
 {
   CfLedGroup *g;
   int rank;
+  CfRankOrderKind kind;
   int http_status;
-  gint64 fence;      /**< of the order */
-  gint64 token;      /**< that the rank itself is known to guard by */
+  gint64 epoch;      /**< of the order */
+  gint64 step;       /**< the same */
+  gint64 fence;      /**< the same */
   gboolean is_order; /**< the coordinator waits for what comes of it */
-  gint64 timeout_ms; /**< of each of the two calls */
 } DirectCall;
 
+static void
+end_direct (DirectCall *d)
+{
+  CfMapCoordinator *c = &d->g->c;
+  gint64 now = cf_gateway_now (d->g->s->g);
+
+  if (d->is_order)
+    {
+      cf_map_coordinator_ack (c, d->rank, cf_platform_rank_ack (d->http_status),
+                              now);
+      cf_map_coordinator_tick (c, now);
+    }
+  g_free (d);
+}
+
+/* The token that guards the rank, in a report of @epoch that is as of @as_of;
+ * a rank that started anew has forgotten it. */
+static gint64
+guard_as_of (const DirectCall *d, gint64 epoch, gint64 as_of)
+{
+  const CfLedGroup *g = d->g;
+
+  if (!g->s->g->set.ranks_check_fence)
+    return 0;
+  if (g->guard[d->rank] == d->fence && g->guard_epoch[d->rank] == epoch
+      && as_of >= g->guard_ms[d->rank])
+    return d->fence;
+  return g->c.ranks[d->rank].token;
+}
+
 static void
 on_direct_report (void *data, int status, const GString *body)
 {
   DirectCall *d = data;
   gint64 now = cf_gateway_now (d->g->s->g);
+  gint64 as_of = now - d->g->report_lag_ms;
   CfRankStatus st = { 0 };
 
   if (status == 200
       && cf_platform_rank_status (body->str, body->len, &st) == CF_OK
       && strcmp (st.group, d->g->name) == 0)
-    cf_map_coordinator_status (&d->g->c, &st, d->token, now);
+    cf_map_coordinator_status_as_of (
+        &d->g->c, &st, guard_as_of (d, st.epoch, as_of), as_of, now);
   cf_log (
       LOG_INFO, CF_EV_RANK_ORDER,
       "group=%s rank=%d way=direct status=%d report=%d step=%" G_GINT64_FORMAT
@@ -42,13 +75,7 @@
       " armed=%" G_GINT64_FORMAT " held=%" G_GINT64_FORMAT,
       d->g->name, d->rank, d->http_status, status, st.step, st.map, st.prepared,
       st.armed, st.held);
-  if (d->is_order)
-    {
-      cf_map_coordinator_ack (&d->g->c, d->rank,
-                              cf_platform_rank_ack (d->http_status), now);
-      cf_map_coordinator_tick (&d->g->c, now);
-    }
-  g_free (d);
+  end_direct (d);
 }
 
 static void
@@ -59,22 +86,52 @@
 
   if (t)
     cf_rank_call (s->g->loop, t, cf_platform_rank_report_call (t->record.addr),
-                  d->timeout_ms, on_direct_report, d);
+                  DIRECT_TIMEOUT_MS, on_direct_report, d);
   else
     on_direct_report (d, 0, NULL);
 }
 
+/* A rank that checks tokens and took this one refuses lower ones. */
+static void
+note_guard (DirectCall *d, CfRankAck ack)
+{
+  CfLedGroup *g = d->g;
+
+  if (ack == CF_RANK_ACK_FENCED || ack == CF_RANK_ACK_UNKNOWN
+      || (g->guard[d->rank] == d->fence && g->guard_epoch[d->rank] == d->epoch))
+    return;
+  g->guard[d->rank] = d->fence;
+  g->guard_epoch[d->rank] = d->epoch;
+  g->guard_ms[d->rank] = cf_gateway_now (g->s->g);
+}
+
+/* What holds the group is known by the rank's own answer: a report that
+ * another VM asks for is too old to show it. */
+static void
+on_direct_hold (void *data, int status, const GString *body)
+{
+  DirectCall *d = data;
+  CfRankAck ack = cf_platform_rank_ack (status);
+
+  d->http_status = status;
+  note_guard (d, ack);
+  if (ack == CF_RANK_ACK_DONE)
+    cf_map_coordinator_held (&d->g->c, d->rank, d->epoch,
+                             d->kind == CF_ORDER_HOLD ? d->step : 0);
+  cf_log (LOG_INFO, CF_EV_RANK_ORDER,
+          "group=%s rank=%d order=%s step=%" G_GINT64_FORMAT
+          " way=direct status=%d",
+          d->g->name, d->rank, cf_rank_order_name (d->kind), d->step, status);
+  end_direct (d);
+}
+
 static void
 on_direct_order (void *data, int status, const GString *body)
 {
   DirectCall *d = data;
 
   d->http_status = status;
-  /* A rank that checks tokens and took this one refuses lower ones. */
-  if (d->g->s->g->set.ranks_check_fence
-      && cf_platform_rank_ack (status) != CF_RANK_ACK_FENCED
-      && cf_platform_rank_ack (status) != CF_RANK_ACK_UNKNOWN)
-    d->token = d->fence;
+  note_guard (d, cf_platform_rank_ack (status));
   ask_report (d);
 }
 
@@ -151,6 +208,7 @@
                           gboolean is_order)
 {
   CfTarget *t = cf_rank_service_target (g->s, g->addrs[rank]);
+  gboolean halts = is_order && cf_rank_order_halts_group (o->kind);
   char *json;
   DirectCall *d;
 
@@ -160,14 +218,16 @@
   d = g_new0 (DirectCall, 1);
   d->g = g;
   d->rank = rank;
+  d->kind = o->kind;
+  d->epoch = o->epoch;
+  d->step = o->step;
   d->fence = o->fence;
   d->is_order = is_order;
-  d->timeout_ms = cf_rank_order_halts_group (o->kind) ? HOLD_TIMEOUT_MS
-                                                      : DIRECT_TIMEOUT_MS;
   cf_rank_call (
       g->s->g->loop, t,
       cf_platform_rank_order_call (t->record.addr, json, strlen (json)),
-      d->timeout_ms, on_direct_order, d);
+      halts ? HOLD_TIMEOUT_MS : DIRECT_TIMEOUT_MS,
+      halts ? on_direct_hold : on_direct_order, d);
   g_free (json);
 }
 
--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -52,7 +52,11 @@
   char **addrs;         /**< by rank: where it was last */
   CfOrderWatch *orders; /**< by rank */
   CfPreparedOrder prepare;
-  gint64 *direct_ms; /**< by rank: when it was last asked directly */
+  gint64 *direct_ms;    /**< by rank: when it was last asked directly */
+  gint64 *guard;        /**< by rank: token that it itself has taken... */
+  gint64 *guard_ms;     /**< ...since when... */
+  gint64 *guard_epoch;  /**< ...and in which epoch */
+  gint64 report_lag_ms; /**< age of a report that is asked for directly */
   gint64 fence_seen;
   gint64 policy_version; /**< that the coordinator's aim for passes is of */
   gboolean leads;
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -343,12 +343,7 @@
 deliver (Rank *r, const CfRankOrder *o, gint64 *token)
 {
   if (cf_rank_order_halts_group (o->kind))
-    {
-      int status = carry_out (r, o);
-
-      *token = w.ranks_check_fence && status != 412 ? o->fence : 0;
-      return status;
-    }
+    return carry_out (r, o);
   *token = r->agent_fence;
   if (o->fence < r->agent_fence)
     return 412;
@@ -379,7 +374,12 @@
         status = carry_out (r, &d->o);
       if (l && l->running)
         {
-          cf_map_coordinator_status (&l->c, &r->s, token, w.now);
+          if (!cf_rank_order_halts_group (d->o.kind))
+            cf_map_coordinator_status (&l->c, &r->s, token, w.now);
+          else if (ack_of (status) == CF_RANK_ACK_DONE)
+            cf_map_coordinator_held (&l->c, d->rank, d->o.epoch,
+                                     d->o.kind == CF_ORDER_HOLD ? d->o.step
+                                                                : 0);
           cf_map_coordinator_ack (&l->c, d->rank, ack_of (status), w.now);
         }
       g_ptr_array_remove_index_fast (w.late, i);
@@ -670,6 +670,50 @@
 }
 END_TEST
 
+/* A report that a rank gives another VM is some 100 ms old.  The end of a hold
+ * was lost, the report was of before the hold, and the group stayed held for
+ * 5 s. */
+START_TEST (an_old_report_does_not_end_a_hold)
+{
+  CfRankStatus s = { .group = "g", .size = RANKS, .epoch = 1, .open = TRUE };
+  Leader *l = &w.leaders[0];
+  CfMapCoordinator *c = &l->c;
+
+  begin_calm (1);
+  cf_map_coordinator_lead (c, 8, 1, 1000);
+  cf_map_coordinator_status (c, &s, 8, 1001); /* the epoch */
+  for (s.rank = 0; s.rank < RANKS; s.rank++)
+    {
+      s.armed = s.prepared = 40;
+      cf_map_coordinator_status (c, &s, 8, 1200);
+    }
+  c->state = CF_MAP_RELEASING;
+  c->version = 40;
+  c->step = 7;
+  c->holder = 2;
+  cf_map_coordinator_held (c, 2, 1, 7);
+  cf_map_coordinator_tick (c, 1210);
+  ck_assert_int_gt (c->ranks[2].asked_ms, 0);
+  s.rank = 2;
+  s.armed = 0;
+  cf_map_coordinator_status_as_of (c, &s, 8, 1010, 1215);
+  cf_map_coordinator_ack (c, 2, CF_RANK_ACK_UNKNOWN, 1215);
+  cf_map_coordinator_tick (c, 1220);
+  ck_assert_int_eq (c->state, CF_MAP_RELEASING);
+  ck_assert_int_eq (c->ranks[2].status.armed, 40);
+  /* What the agent read before the hold came in late: it is held after all. */
+  s.armed = 40;
+  cf_map_coordinator_status (c, &s, 8, 1225);
+  cf_map_coordinator_tick (c, 1230);
+  ck_assert_int_eq (c->state, CF_MAP_SWITCHING);
+  s.held = 7;
+  cf_map_coordinator_status (c, &s, 8, 1265);
+  cf_map_coordinator_tick (c, 1270);
+  ck_assert_int_eq (c->state, CF_MAP_RELEASING);
+  end_calm ();
+}
+END_TEST
+
 /** Longest that a group may be held since its leader stands still. */
 #define HELD_MOST_MS 900
 
@@ -919,6 +963,7 @@
   tcase_add_test (t, one_map_a_pass);
   tcase_add_test (t, a_higher_token_ends_the_lead);
   tcase_add_test (t, a_void_version_is_never_armed);
+  tcase_add_test (t, an_old_report_does_not_end_a_hold);
   tcase_add_test (t, a_leader_that_stands_still_holds_its_group_no_longer);
   tcase_add_test (t, the_held_pass_is_as_near_as_arming_allows);
   tcase_add_test (t, a_restarted_rank_is_learned_anew);
