rank-service: route no work to groups that stay broken

A refusal pauses its target for 50 ms only, and the fault it names is a rank that does not exist.

Ruled out: an outage of the service (E1213 needs it quiet for 0.4 s).

A rank whose group has made no passes for 5 s is told to gateways as one of no use, by the pace that seeds already pass on; it gets work only if most of the service is doubtful. Shorter breaks stay as they were: a group whose rank is replaced would be avoided for up to 3 s after it is whole.

Ways weighed: ejecting each target that refuses (48 targets a gateway, each tried again after 1, 2, 4 s, costs more than there are requests); this.

t-balancer: ranks_of_a_broken_group_get_nothing.

--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -28,6 +28,7 @@
   gint64 led;     /**< token of the leader that the agent hears; 0: none */
   gint64 seen_ms;
   gboolean lacks_base; /**< it was never told the map that is in use */
+  gint64 broken_ms;    /**< since when its group makes no passes; 0: it does */
 } CfRankLink;
 
 /** CfPreparedOrder: the order to prepare one version, in the forms that go
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -303,16 +303,30 @@
 
 /* Frames from agents */
 
+/* For how long the rank's group has made no passes; 0: it does. */
+static gint64
+note_broken (CfRankLink *a, const CfRankStatus *st)
+{
+  gint64 now = cf_gateway_now (a->s->g);
+
+  if (st->open || !st->group[0])
+    a->broken_ms = 0;
+  else if (!a->broken_ms)
+    a->broken_ms = now;
+  return a->broken_ms ? now - a->broken_ms : 0;
+}
+
 /* A slow rank holds up its whole group: it gets fewer requests. */
 static void
 note_pace (CfRankLink *a, const CfRankStatus *st)
 {
   CfTarget *t = cf_rank_service_target (a->s, a->target_addr);
+  double pace = cf_rank_routing_pace (st, note_broken (a, st));
 
   if (!t || cf_target_is_former (t, st->incarnation))
     return;
   t->pace_seen_ms = cf_gateway_now (a->s->g);
-  cf_gateway_take_pace (a->s->g, t, st->pace, "agent");
+  cf_gateway_take_pace (a->s->g, t, pace, "agent");
 }
 
 static void
--- a/gateway/rank.c
+++ b/gateway/rank.c
@@ -1,5 +1,17 @@
 #include "rank.h"
 
+/** Past this a group that is not whole counts as out of use: one whose rank
+ * is replaced is open again by then, and would be avoided for too long. */
+#define LONG_BROKEN_MS 5000
+/** Pace that stands for a rank of no use. */
+#define BROKEN_PACE 100
+
+double
+cf_rank_routing_pace (const CfRankStatus *s, gint64 broken_ms)
+{
+  return broken_ms > LONG_BROKEN_MS ? MAX (s->pace, BROKEN_PACE) : s->pace;
+}
+
 const char *
 cf_rank_order_name (CfRankOrderKind k)
 {
--- a/gateway/rank.h
+++ b/gateway/rank.h
@@ -27,6 +27,15 @@
   double pace; /**< how many times as long as usual its work takes */
 } CfRankStatus;
 
+/**
+ * cf_rank_routing_pace:
+ * @broken_ms: for how long its group has made no passes; 0: it does
+ * Returns: the pace by which requests are routed to a rank.  One of a group
+ *   that stays broken refuses at once, so that it would always look the least
+ *   loaded.
+ */
+double cf_rank_routing_pace (const CfRankStatus *s, gint64 broken_ms);
+
 /** CfRankOrderKind: the tag of a #CfRankOrder. */
 typedef enum
 {
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -1,5 +1,6 @@
 /* The table of targets, and which of them gets a request. */
 #include "gateway/balancer.h"
+#include "gateway/rank.h"
 #include "gateway/wait-queue.h"
 #include "harness.h"
 #include "target-harness.h"
@@ -122,6 +123,28 @@
 
 /* A VM that stands still takes requests and runs none of them: four seconds
  * of that left 40 requests there whose callers had gone. */
+/* Ranks of a group that was never whole refused at once and were always the
+ * least loaded: a third of the requests of their data centre were lost. */
+START_TEST (ranks_of_a_broken_group_get_nothing)
+{
+  const CfRankStatus s = { .pace = 1 };
+  CfTarget *t;
+
+  get ("b")->in_flight = 5;
+  get ("c")->in_flight = 5;
+  /* One whose rank is replaced is whole again soon. */
+  get ("a")->pace = cf_rank_routing_pace (&s, 2000);
+  ck_assert_int_eq (pick (100, NULL, &t), CF_PICK_OK);
+  ck_assert_ptr_eq (t, get ("a"));
+  get ("a")->pace = cf_rank_routing_pace (&s, 60000);
+  ck_assert_int_eq (pick (100, NULL, &t), CF_PICK_OK);
+  ck_assert_ptr_ne (t, get ("a"));
+  get ("a")->pace = cf_rank_routing_pace (&s, 0);
+  ck_assert_int_eq (pick (100, NULL, &t), CF_PICK_OK);
+  ck_assert_ptr_eq (t, get ("a"));
+}
+END_TEST
+
 START_TEST (targets_that_stand_still_get_no_new_work)
 {
   CfPickInput in = { .service = "s",
@@ -485,6 +508,7 @@
   tcase_add_test (t, a_fleet_fills_targets_evenly);
   tcase_add_test (t, slow_targets_get_less);
   tcase_add_test (t, slow_targets_get_nothing_while_others_are_full);
+  tcase_add_test (t, ranks_of_a_broken_group_get_nothing);
   tcase_add_test (t, targets_that_stand_still_get_no_new_work);
   tcase_add_test (t, late_ones_leave_room);
   tcase_add_test (t, late_ones_leave_room_in_a_large_fleet);
