outage: refuse at once while a service stays without work

Each request waited 1.2 s and was refused, came back after 1 to 2 s, waited 1.2 s and was refused again.

Shorter outages are waited out as before.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -17,8 +17,13 @@
 {
   const CfLane *l = x->lane;
 
-  return cf_wait_busy_ms (l->outage.since_ms != 0,
-                          cf_concurrency_limit_get (&l->limit) != 0);
+  if (cf_outage_is_long (&l->outage, cf_gateway_now (x->g)))
+    return cf_wait_busy_ms (CF_NO_ROOM_LONG_OUTAGE);
+  if (l->outage.since_ms != 0)
+    return cf_wait_busy_ms (CF_NO_ROOM_OUTAGE);
+  return cf_wait_busy_ms (cf_concurrency_limit_get (&l->limit) != 0
+                              ? CF_NO_ROOM_OVERLOAD
+                              : CF_NO_ROOM_FULL);
 }
 
 gboolean
@@ -230,6 +235,15 @@
   return cf_balancer_pick (&x->g->targets, &in, t);
 }
 
+/* Whether its service has been without work for so long that it would only
+ * wait to be refused. */
+static gboolean
+is_hopeless_to_wait (const CfExchange *x)
+{
+  return !x->may_have_run
+         && cf_outage_is_long (&x->lane->outage, cf_gateway_now (x->g));
+}
+
 void
 cf_exchange_try_target (CfExchange *x)
 {
@@ -243,7 +257,10 @@
       send_to (x, t);
       break;
     case CF_PICK_FULL:
-      wait_for_room (x);
+      if (is_hopeless_to_wait (x))
+        cf_exchange_refuse (x, "outage", cf_exchange_busy_ms (x));
+      else
+        wait_for_room (x);
       break;
     case CF_PICK_LIMITED:
       wait_for_rate (x);
--- a/gateway/outage.c
+++ b/gateway/outage.c
@@ -5,6 +5,8 @@
 #define PROBE_MS 100
 /** A group that formed anew has a better map within this. */
 #define RECENT_MS 500
+/** A rank that lost power is back, and its group open, well within this. */
+#define LONG_MS 5000
 
 gboolean
 cf_outage_refused (CfOutage *o, gint64 now)
@@ -27,6 +29,12 @@
   return ms;
 }
 
+gboolean
+cf_outage_is_long (const CfOutage *o, gint64 now)
+{
+  return o->since_ms && now - o->since_ms > LONG_MS;
+}
+
 gboolean
 cf_outage_is_recent (const CfOutage *o, gint64 now)
 {
--- a/gateway/outage.h
+++ b/gateway/outage.h
@@ -33,6 +33,10 @@
 /** cf_outage_holds: whether a request has to wait now. */
 gboolean cf_outage_holds (const CfOutage *o, gint64 now_ms);
 
+/** cf_outage_is_long: whether it lasts for longer than a group takes to form
+ * anew, so that what waits would most likely wait in vain. */
+gboolean cf_outage_is_long (const CfOutage *o, gint64 now_ms);
+
 /** cf_outage_is_recent: whether one has ended so lately that its group still
  * uses the map that it formed with. */
 gboolean cf_outage_is_recent (const CfOutage *o, gint64 now_ms);
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -20,6 +20,8 @@
  * crash at the soonest, and its group opens 0.6 s after that.  Callers come
  * back once or twice; sooner they would only be refused again. */
 #define OUTAGE_BUSY_MS 1000
+/** The same in an outage that lasts: as late as a caller may be told. */
+#define LONG_OUTAGE_BUSY_MS 4000
 /** The same in overload: past most bursts.  Callers come back once or twice,
  * and sooner they would only be refused again. */
 #define OVERLOAD_BUSY_MS 800
@@ -142,11 +144,20 @@
 }
 
 gint64
-cf_wait_busy_ms (gboolean outage, gboolean overloaded)
+cf_wait_busy_ms (CfNoRoom why)
 {
-  if (outage)
-    return OUTAGE_BUSY_MS;
-  return overloaded ? OVERLOAD_BUSY_MS : FULL_BUSY_MS;
+  switch (why)
+    {
+    case CF_NO_ROOM_FULL:
+      return FULL_BUSY_MS;
+    case CF_NO_ROOM_OVERLOAD:
+      return OVERLOAD_BUSY_MS;
+    case CF_NO_ROOM_OUTAGE:
+      return OUTAGE_BUSY_MS;
+    case CF_NO_ROOM_LONG_OUTAGE:
+      return LONG_OUTAGE_BUSY_MS;
+    }
+  return FULL_BUSY_MS;
 }
 
 gint64
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -85,8 +85,17 @@
  */
 gint64 cf_wait_limit_ms (gint64 patience_ms, gint64 left_ms);
 
+/** CfNoRoom: why a service has no room for a request. */
+typedef enum
+{
+  CF_NO_ROOM_FULL,        /**< its targets are full */
+  CF_NO_ROOM_OVERLOAD,    /**< more comes than can be served */
+  CF_NO_ROOM_OUTAGE,      /**< its targets take no work */
+  CF_NO_ROOM_LONG_OUTAGE, /**< they have not for long */
+} CfNoRoom;
+
 /** cf_wait_busy_ms: when those that are refused may find room. */
-gint64 cf_wait_busy_ms (gboolean outage, gboolean overloaded);
+gint64 cf_wait_busy_ms (CfNoRoom why);
 
 /**
  * cf_retry_after_ms:
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -130,8 +130,8 @@
   const CfRankStatus s = { .pace = 1 };
   CfTarget *t;
 
-  get ("b")->in_flight = 5;
-  get ("c")->in_flight = 5;
+  get ("b")->in_flight = 1;
+  get ("c")->in_flight = 1;
   /* One whose rank is replaced is whole again soon. */
   get ("a")->pace = cf_rank_routing_pace (&s, 2000);
   ck_assert_int_eq (pick (100, NULL, &t), CF_PICK_OK);
--- a/t/t-outage.c
+++ b/t/t-outage.c
@@ -58,6 +58,19 @@
 }
 END_TEST
 
+START_TEST (an_outage_is_long_past_the_time_a_group_takes_to_form)
+{
+  CfOutage o = { 0 };
+
+  ck_assert (!cf_outage_is_long (&o, 100000));
+  cf_outage_refused (&o, 1000);
+  ck_assert (!cf_outage_is_long (&o, 4000));
+  ck_assert (cf_outage_is_long (&o, 6500));
+  cf_outage_answered (&o, 6600);
+  ck_assert (!cf_outage_is_long (&o, 6600));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -67,6 +80,7 @@
   tcase_add_test (tc, nothing_is_held_in_calm);
   tcase_add_test (tc, one_request_at_a_time_is_sent_to_see);
   tcase_add_test (tc, work_done_ends_it);
+  tcase_add_test (tc, an_outage_is_long_past_the_time_a_group_takes_to_form);
   tcase_add_test (tc, what_is_recent_is_so_only_after_an_outage);
   suite_add_tcase (s, tc);
   return t_run (s);
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -191,7 +191,8 @@
 static void
 refuse (Stream *s, gint64 now)
 {
-  gint64 busy_ms = cf_wait_busy_ms (FALSE, is_overloaded (s->gateway));
+  gint64 busy_ms = cf_wait_busy_ms (
+      is_overloaded (s->gateway) ? CF_NO_ROOM_OVERLOAD : CF_NO_ROOM_FULL);
   gint64 retry_ms = cf_retry_after_ms (s->start_ms + LEFT_MS - now, busy_ms,
                                        g_random_int ());
 
--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -66,6 +66,30 @@
 
 /* The leader of a group stops: while it still ends a stream, which takes
  * seconds, the next gateway leads. */
+START_TEST (a_group_that_stays_broken_refuses_at_once)
+{
+  g_autofree char *probe = p_request ("POST /chat/a", "q0", NULL, "x");
+  g_autofree char *req = p_request ("POST /chat/a", "q1",
+                                    "Comfreypost-Deadline-Ms: 8000\r\n", "x");
+  g_autofree char *answer = NULL;
+  const char *after;
+  gint64 start;
+
+  fault_ranks ("broken", 100000);
+  g_free (p_ask (p_front (BASE, 1), probe));
+  usleep (5200000);
+  /* One may be the request that is sent to see. */
+  g_free (p_ask (p_front (BASE, 1), probe));
+  start = g_get_monotonic_time ();
+  answer = p_ask (p_front (BASE, 1), req);
+  ck_assert_int_eq (p_status (answer), 503);
+  ck_assert_int_lt (g_get_monotonic_time () - start, 300000);
+  after = strstr (answer, "Retry-After: ");
+  ck_assert_ptr_nonnull (after);
+  ck_assert_double_gt (g_ascii_strtod (after + 13, NULL), 1.5);
+}
+END_TEST
+
 START_TEST (a_stopping_leader_hands_on_the_lead)
 {
   g_autofree char *stream = p_request (
@@ -367,6 +391,7 @@
   tcase_set_timeout (t, 30);
   tcase_add_checked_fixture (t, setup, p_stop_all);
   tcase_add_test (t, requests_wait_for_a_group_to_open);
+  tcase_add_test (t, a_group_that_stays_broken_refuses_at_once);
   tcase_add_test (t, a_stopping_leader_hands_on_the_lead);
   tcase_add_test (t, a_leader_killed_in_mid_change_is_followed);
   tcase_add_test (t, maps_change_while_orders_come_late);
--- a/t/t-wait-queue.c
+++ b/t/t-wait-queue.c
@@ -101,9 +101,11 @@
   r->fate = r->returned ? LOST : AWAY;
   r->returned = TRUE;
   r->due_ms = p->now
-              + cf_retry_after_ms (
-                  left, cf_wait_busy_ms (p->outage.since_ms != 0, FALSE),
-                  g_rand_int (p->rand));
+              + cf_retry_after_ms (left,
+                                   cf_wait_busy_ms (p->outage.since_ms != 0
+                                                        ? CF_NO_ROOM_OUTAGE
+                                                        : CF_NO_ROOM_FULL),
+                                   g_rand_int (p->rand));
 }
 
 static void
