--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -110,7 +110,7 @@
       p_detours.store ? p_detours.store : base,
       p_detours.seed ? p_detours.seed : base + 102, base + 202, base + 302,
       p_detours.one_retry ? "bounds.retry-slack=0\nbounds.retry-ratio=0\n"
-                           : "bounds.retry-slack=60\n",
+                          : "bounds.retry-slack=60\n",
       p_detours.drain_ms ? p_detours.drain_ms : DRAIN_MS,
       p_detours.max_fds ? p_detours.max_fds : MAX_FDS);
 }
