soak: freeze processes while a pass is held

Half of the freezes of gateways and agents wait up to 0.25 s for a rank that holds a pass. Schedules are as before: the choice hangs on a number that each fault draws already.

--- a/t/soak-faults.c
+++ b/t/soak-faults.c
@@ -22,6 +22,8 @@
 /** A gateway is started again so long after a planned stop. */
 #define ROLL_DOWN_MS 200
 #define FAULT_REQUESTS_MAX 20
+/** Longest that a freeze waits for a change of map to strike. */
+#define AWAIT_HOLD_MS 250
 /** Later than the start of any stand-in, in Unix ms. */
 #define LATER_START "4000000000000"
 
@@ -219,6 +221,34 @@
   tell (p, SIGSTOP);
 }
 
+/* Whether a rank holds a pass, i.e. a change of map is in its middle. */
+static gboolean
+is_any_held (const SoakFleet *f)
+{
+  for (int i = 0; i < f->plan->ranks; i++)
+    {
+      int port = target_port (f, SOAK_PLAIN + i);
+      g_autofree char *a = p_ask (port, "GET /v1/report HTTP/1.1\r\n\r\n");
+
+      if (p_status (a) == 200 && p_number (a, "held") > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Half of the freezes come in the middle of a change of map, if there is one
+ * soon. */
+static void
+await_hold (const SoakFleet *f, const SoakFault *x)
+{
+  gint64 until = soak_now_ms () + AWAIT_HOLD_MS;
+
+  if (x->variant % 2 == 0)
+    return;
+  while (soak_now_ms () < until && !is_any_held (f))
+    usleep (2000);
+}
+
 static void
 thaw (Proc *p)
 {
@@ -348,6 +378,7 @@
       kill_for (&f->gateways[x->whom], x->lasts_ms);
       break;
     case SOAK_FREEZE:
+      await_hold (f, x);
       freeze (&f->gateways[x->whom]);
       break;
     case SOAK_STORE:
@@ -369,6 +400,7 @@
       kill_for (&f->agents[x->whom], x->lasts_ms);
       break;
     case SOAK_AGENT_FREEZE:
+      await_hold (f, x);
       freeze (&f->agents[x->whom]);
       break;
     case SOAK_KINDS:
