hold-lease: forget a lease that nobody ends

A standby that heard of a hold ticked each 20 ms for as long as it lived if the leader died and its successor found nothing held. A lease says nothing after 10 s, also for the tick. A peer's token that is none is dropped: it was used as a shift.

t-hold-lease: a lease of long ago is not open.

--- a/gateway/hold-lease.c
+++ b/gateway/hold-lease.c
@@ -19,10 +19,14 @@
 }
 
 gboolean
-cf_hold_lease_has_expired (const CfHoldLease *l, int place, gint64 now)
+cf_hold_lease_is_open (const CfHoldLease *l, gint64 now)
 {
-  gint64 silent_ms = now - l->heard_ms;
+  return l->held && now - l->heard_ms < FORGET_MS;
+}
 
-  return l->held && silent_ms > LEASE_MS + (gint64)place * TURN_MS
-         && silent_ms < FORGET_MS;
+gboolean
+cf_hold_lease_has_expired (const CfHoldLease *l, int place, gint64 now)
+{
+  return cf_hold_lease_is_open (l, now)
+         && now - l->heard_ms > LEASE_MS + (gint64)place * TURN_MS;
 }
--- a/gateway/hold-lease.h
+++ b/gateway/hold-lease.h
@@ -24,6 +24,10 @@
 void cf_hold_lease_renew (CfHoldLease *l, gint64 fence, gboolean held,
                           gint64 now_ms);
 
+/** cf_hold_lease_is_open: whether a leader may hold a pass, as far as is
+ * known. */
+gboolean cf_hold_lease_is_open (const CfHoldLease *l, gint64 now_ms);
+
 /**
  * cf_hold_lease_has_expired:
  * @place: how many standbys come before this one; each is given time to take
--- a/gateway/rank-service-lead.c
+++ b/gateway/rank-service-lead.c
@@ -95,7 +95,7 @@
   CfLedGroup *g = g_hash_table_lookup (s->groups, name);
 
   g_free (name);
-  if (!g)
+  if (!g || m->u.hold_lease.fence <= 0)
     return;
   g->fence_seen = MAX (g->fence_seen, m->u.hold_lease.fence);
   cf_hold_lease_renew (&g->lease, m->u.hold_lease.fence, m->u.hold_lease.held,
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -245,7 +245,7 @@
 static gboolean
 is_changing (const CfLedGroup *g)
 {
-  return g->lease.held
+  return cf_hold_lease_is_open (&g->lease, cf_gateway_now (g->s->g))
          || (g->leads && g->c.state != CF_MAP_IDLE
              && g->c.state != CF_MAP_SETTLING);
 }
--- a/t/t-hold-lease.c
+++ b/t/t-hold-lease.c
@@ -52,8 +52,10 @@
   cf_hold_lease_renew (&l, 800, FALSE, 1000);
   cf_hold_lease_renew (&l, 8, TRUE, 60000);
   ck_assert (cf_hold_lease_has_expired (&l, 0, 60400));
+  ck_assert (cf_hold_lease_is_open (&l, 60400));
   /* Nobody took over for long: nothing is known of the hold any more. */
   ck_assert (!cf_hold_lease_has_expired (&l, 0, 600000));
+  ck_assert (!cf_hold_lease_is_open (&l, 600000));
 }
 END_TEST
 
