--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -74,6 +74,10 @@
 
 /* Its beginning and end. */
 
+/** cf_exchange_caller_limit_ms: how long its caller waits; not positive if the
+ * caller does not say. */
+gint64 cf_exchange_caller_limit_ms (const CfExchange *x);
+
 /** cf_exchange_left_ms: how much time it has left. */
 gint64 cf_exchange_left_ms (const CfExchange *x);
 
--- a/gateway/exchange-stop.c
+++ b/gateway/exchange-stop.c
@@ -54,10 +54,8 @@
           x->lane->pace.pause_ms, x->size.answer);
 }
 
-/* From SIGTERM on, though the platform sends callers here for 2.3 s more: of
- * the streams that were accepted unlooked meanwhile 6 were cut off in 12 days
- * with three stops of all gateways in turn, now none; and callers got 0.03
- * more of the worth asked for (mean over the days; spread 0.04).
+/* From SIGTERM on, though the platform sends callers here for 2.3 s more: a
+ * stream that was taken on unlooked would be cut off at the end.
  *
  * An answer that has begun goes on at another target: breaking it off would
  * be the cut that is to be avoided. */
--- a/gateway/exchange-unrouted.c
+++ b/gateway/exchange-unrouted.c
@@ -1,8 +1,5 @@
 #include "exchange-parts.h"
 
-#include "log.h"
-#include "platform/platform-headers.h"
-
 /** A process that starts learns its configuration and targets within some
  * 100 ms, from the store or a peer; if it has not by then, neither may be in
  * reach, and callers are told so at once. */
@@ -22,8 +19,7 @@
 static gint64
 limit_ms (const CfExchange *x)
 {
-  const char *v = cf_http_reader_header (&x->c->reader, CF_HDR_DEADLINE);
-  gint64 allowed = v ? g_ascii_strtoll (v, NULL, 10) : 0;
+  gint64 allowed = cf_exchange_caller_limit_ms (x);
 
   if (allowed <= 0)
     return UNROUTED_MOST_MS;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -166,11 +166,18 @@
   return rank ? GPOINTER_TO_INT (rank) - 1 : x->route->priority;
 }
 
+gint64
+cf_exchange_caller_limit_ms (const CfExchange *x)
+{
+  const char *v = cf_http_reader_header (&x->c->reader, CF_HDR_DEADLINE);
+
+  return v ? g_ascii_strtoll (v, NULL, 10) : 0;
+}
+
 static gint64
 time_allowed (const CfExchange *x)
 {
-  const char *v = cf_http_reader_header (&x->c->reader, CF_HDR_DEADLINE);
-  gint64 ms = v ? g_ascii_strtoll (v, NULL, 10) : 0;
+  gint64 ms = cf_exchange_caller_limit_ms (x);
 
   return ms > 0 ? MIN (ms, x->route->timeout_ms) : x->route->timeout_ms;
 }
--- a/gateway/map-coordinator-reports.c
+++ b/gateway/map-coordinator-reports.c
@@ -63,9 +63,9 @@
     cf_map_enter (c, CF_MAP_SETTLING, "rank-restarted", now);
 }
 
-void
-cf_map_coordinator_status (CfMapCoordinator *c, const CfRankStatus *s,
-                           gint64 token, gint64 now)
+static void
+take_status (CfMapCoordinator *c, const CfRankStatus *s, gint64 token,
+             gint64 as_of, gint64 now)
 {
   CfRankView *v;
 
@@ -83,22 +83,26 @@
   if (c->fence && token > c->fence)
     lose_lead (c, now);
   v->token = token;
-  v->seen_ms = now;
+  v->seen_ms = as_of;
   if (!s->open && c->state != CF_MAP_SETTLING)
     cf_map_enter (c, CF_MAP_SETTLING, "group-broken", now);
 }
 
+void
+cf_map_coordinator_status (CfMapCoordinator *c, const CfRankStatus *s,
+                           gint64 token, gint64 now)
+{
+  take_status (c, s, token, now, now);
+}
+
 void
 cf_map_coordinator_status_as_of (CfMapCoordinator *c, const CfRankStatus *s,
                                  gint64 token, gint64 as_of, gint64 now)
 {
   gboolean is_ours = s->rank >= 0 && s->rank < c->shape.ranks;
 
-  if (!is_ours || as_of <= c->ranks[s->rank].seen_ms)
-    return;
-  cf_map_coordinator_status (c, s, token, now);
-  if (c->ranks[s->rank].seen_ms == now)
-    c->ranks[s->rank].seen_ms = as_of;
+  if (is_ours && as_of > c->ranks[s->rank].seen_ms)
+    take_status (c, s, token, as_of, now);
 }
 
 void
--- a/gateway/rank-service-order.c
+++ b/gateway/rank-service-order.c
@@ -40,17 +40,18 @@
   g_free (d);
 }
 
-/* The token that guards the rank, in a report of @epoch that is as of @as_of;
- * a rank that started anew has forgotten it. */
+/* The token that guards the rank, in a report of @epoch that is as of @as_of.
+ */
 static gint64
 guard_as_of (const DirectCall *d, gint64 epoch, gint64 as_of)
 {
   const CfLedGroup *g = d->g;
+  const CfRankGuard *guard = &g->guards[d->rank];
 
   if (!g->s->g->set.ranks_check_fence)
     return 0;
-  if (g->guard[d->rank] == d->fence && g->guard_epoch[d->rank] == epoch
-      && as_of >= g->guard_ms[d->rank])
+  if (guard->fence == d->fence && guard->epoch == epoch
+      && as_of >= guard->since_ms)
     return d->fence;
   return g->c.ranks[d->rank].token;
 }
@@ -95,14 +96,14 @@
 static void
 note_guard (DirectCall *d, CfRankAck ack)
 {
-  CfLedGroup *g = d->g;
+  CfRankGuard *guard = &d->g->guards[d->rank];
 
   if (ack == CF_RANK_ACK_FENCED || ack == CF_RANK_ACK_UNKNOWN
-      || (g->guard[d->rank] == d->fence && g->guard_epoch[d->rank] == d->epoch))
+      || (guard->fence == d->fence && guard->epoch == d->epoch))
     return;
-  g->guard[d->rank] = d->fence;
-  g->guard_epoch[d->rank] = d->epoch;
-  g->guard_ms[d->rank] = cf_gateway_now (g->s->g);
+  guard->fence = d->fence;
+  guard->epoch = d->epoch;
+  guard->since_ms = cf_gateway_now (d->g->s->g);
 }
 
 /* What holds the group is known by the rank's own answer: a report that
--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -43,6 +43,14 @@
   char *json;       /**< (nullable): as a rank takes it */
 } CfPreparedOrder;
 
+/** CfRankGuard: the token that a rank itself has taken, not its agent. */
+typedef struct
+{
+  gint64 fence; /**< 0: none is known */
+  gint64 epoch; /**< in which it was taken; a rank that restarts forgets it */
+  gint64 since_ms;
+} CfRankGuard;
+
 /** CfLedGroup: one rank group, and this gateway's part in it. */
 struct CfLedGroup
 {
@@ -54,9 +62,7 @@
   CfOrderWatch *orders; /**< by rank */
   CfPreparedOrder prepare;
   gint64 *direct_ms;    /**< by rank: when it was last asked directly */
-  gint64 *guard;        /**< by rank: token that it itself has taken... */
-  gint64 *guard_ms;     /**< ...since when... */
-  gint64 *guard_epoch;  /**< ...and in which epoch */
+  CfRankGuard *guards;  /**< by rank */
   gint64 report_lag_ms; /**< age of a report that is asked for directly */
   gint64 fence_seen;
   gint64 policy_version; /**< that the coordinator's aim for passes is of */
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -120,9 +120,7 @@
   g->addrs = g_new0 (char *, shape.ranks);
   g->orders = g_new0 (CfOrderWatch, shape.ranks);
   g->direct_ms = g_new0 (gint64, shape.ranks);
-  g->guard = g_new0 (gint64, shape.ranks);
-  g->guard_ms = g_new0 (gint64, shape.ranks);
-  g->guard_epoch = g_new0 (gint64, shape.ranks);
+  g->guards = g_new0 (CfRankGuard, shape.ranks);
   g->report_lag_ms = (gint64)e->report_lag_ms;
   g_hash_table_insert (a->s->groups, g->name, g);
   return g;
--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -181,6 +181,15 @@
   ck_abort_msg ("gateway %d is not ready", n);
 }
 
+pid_t
+p_ready_gateway (int base, int n)
+{
+  pid_t pid = p_gateway (base, n);
+
+  p_await_ready (base, n);
+  return pid;
+}
+
 static void
 forget (pid_t pid)
 {
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -18,6 +18,9 @@
 /** p_agent: starts the agent of the rank at port @rank_port. */
 pid_t p_agent (int base, int rank_port);
 
+/** p_ready_gateway: starts gateway @n and waits until it is ready. */
+pid_t p_ready_gateway (int base, int n);
+
 /** p_await_ready: until gateway @n is ready; fails the test after 5 s. */
 void p_await_ready (int base, int n);
 
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -516,17 +516,13 @@
 }
 
 static void
-play (guint32 seed, gboolean ranks_check_fence)
+begin_world (guint32 seed, gboolean ranks_check_fence)
 {
-  guint64 changes = 0;
-  guint64 passes;
-
   memset (&w, 0, sizeof w);
   w.rand = g_rand_new_with_seed (seed);
   w.late = g_ptr_array_new_with_free_func (late_free);
   w.ranks_check_fence = ranks_check_fence;
   w.now = 1000;
-  w.storm = TRUE;
   form (1);
   for (int i = 0; i < LEADERS; i++)
     {
@@ -535,6 +531,25 @@
       w.leaders[i].leads = i == 0;
       new_leader (&w.leaders[i]);
     }
+}
+
+static void
+end_world (void)
+{
+  for (int i = 0; i < LEADERS; i++)
+    cf_map_coordinator_clear (&w.leaders[i].c);
+  g_ptr_array_free (w.late, TRUE);
+  g_rand_free (w.rand);
+}
+
+static void
+play (guint32 seed, gboolean ranks_check_fence)
+{
+  guint64 changes = 0;
+  guint64 passes;
+
+  begin_world (seed, ranks_check_fence);
+  w.storm = TRUE;
   run_for (STORM_MS);
 
   /* Calm: one leader; what is still late comes in. */
@@ -550,37 +565,7 @@
   ck_assert_msg (w.leaders[0].c.n_changes > changes,
                  "seed %u: no change of map in %d calm seconds", seed,
                  CALM_MS / 2000);
-  for (int i = 0; i < LEADERS; i++)
-    cf_map_coordinator_clear (&w.leaders[i].c);
-  g_ptr_array_free (w.late, TRUE);
-  g_rand_free (w.rand);
-}
-
-static void
-begin_calm (guint32 seed)
-{
-  memset (&w, 0, sizeof w);
-  w.rand = g_rand_new_with_seed (seed);
-  w.late = g_ptr_array_new_with_free_func (late_free);
-  w.ranks_check_fence = TRUE;
-  w.now = 1000;
-  form (1);
-  for (int i = 0; i < LEADERS; i++)
-    {
-      w.leaders[i].index = i;
-      w.leaders[i].running = TRUE;
-      w.leaders[i].leads = i == 0;
-      new_leader (&w.leaders[i]);
-    }
-}
-
-static void
-end_calm (void)
-{
-  for (int i = 0; i < LEADERS; i++)
-    cf_map_coordinator_clear (&w.leaders[i].c);
-  g_ptr_array_free (w.late, TRUE);
-  g_rand_free (w.rand);
+  end_world ();
 }
 
 /* A leader that burnt an earlier one's versions ends the hold last.  Its
@@ -592,7 +577,7 @@
   Leader *l = &w.leaders[0];
   CfMapCoordinator *c = &l->c;
 
-  begin_calm (1);
+  begin_world (1, TRUE);
   cf_map_coordinator_lead (c, 8, 1, 1000);
   cf_map_coordinator_status (c, &s, 8, 1001); /* the epoch */
   c->state = CF_MAP_BURNING;
@@ -611,7 +596,7 @@
     }
   cf_map_coordinator_tick (c, 1020);
   ck_assert_int_eq (c->state, CF_MAP_BURNING);
-  end_calm ();
+  end_world ();
 }
 END_TEST
 
@@ -679,7 +664,7 @@
   Leader *l = &w.leaders[0];
   CfMapCoordinator *c = &l->c;
 
-  begin_calm (1);
+  begin_world (1, TRUE);
   cf_map_coordinator_lead (c, 8, 1, 1000);
   cf_map_coordinator_status (c, &s, 8, 1001); /* the epoch */
   for (s.rank = 0; s.rank < RANKS; s.rank++)
@@ -710,7 +695,7 @@
   cf_map_coordinator_status (c, &s, 8, 1265);
   cf_map_coordinator_tick (c, 1270);
   ck_assert_int_eq (c->state, CF_MAP_RELEASING);
-  end_calm ();
+  end_world ();
 }
 END_TEST
 
@@ -724,7 +709,7 @@
   Leader *l = &w.leaders[0];
   gint64 until;
 
-  begin_calm (seed);
+  begin_world (seed, TRUE);
   run_for (4000 + (gint64)seed * 370);
   until = w.now + 10000;
   while (l->c.state != state && w.now < until)
@@ -736,7 +721,7 @@
   run_for (10000);
   ck_assert_msg (w.longest_ms <= HELD_MOST_MS, "%s, seed %u: held for %d ms",
                  cf_map_state_name (state), seed, (int)w.longest_ms);
-  end_calm ();
+  end_world ();
 }
 
 START_TEST (a_leader_that_stands_still_holds_its_group_no_longer)
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -708,8 +708,7 @@
   g_autofree char *a = NULL;
 
   g_free (p_test (STORE, "POST /test/mode?mode=silent", ""));
-  p_gateway (BASE, 2);
-  p_await_ready (BASE, 2);
+  p_ready_gateway (BASE, 2);
   a = p_ask (p_front (BASE, 2), req);
   ck_assert_int_eq (p_status (a), 200);
 }
@@ -890,8 +889,7 @@
   int fds[FEW_CALLERS];
 
   p_detours.max_fds = FEW_FDS;
-  p_gateway (BASE, 2);
-  p_await_ready (BASE, 2);
+  p_ready_gateway (BASE, 2);
   for (int i = 0; i < 2 * FEW_CALLERS; i++)
     {
       g_autofree char *a = NULL;
--- a/t/t-network.c
+++ b/t/t-network.c
@@ -61,13 +61,6 @@
                          "--per-seq-ms", "5", NULL);
 }
 
-static void
-start_gateway (int n)
-{
-  p_gateway (BASE, n);
-  p_await_ready (BASE, n);
-}
-
 static int
 ask_status (int n, const char *method_and_path, const char *id)
 {
@@ -105,7 +98,7 @@
   pid_t proxy = p_proxy (STORE_PROXY, STORE);
 
   p_detours.store = STORE_PROXY;
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   p_signal (proxy, SIGUSR1);
   put ("op/config", CONFIG ("5", "/five/"));
   ck_assert (comes_into_force (1, "GET /five/", 8000));
@@ -118,9 +111,9 @@
   pid_t proxy = p_proxy (STORE_PROXY, STORE);
 
   p_detours.store = STORE_PROXY;
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   p_detours.store = 0;
-  start_gateway (2);
+  p_ready_gateway (BASE, 2);
   p_signal (proxy, SIGUSR2);
   usleep (200000);
   put ("op/config", CONFIG ("5", "/five/"));
@@ -149,7 +142,7 @@
   p_platform (BASE, "--ranks", "4", "--step-ms", STEP_MS, "--shift-s", "0.5",
               NULL);
   proxy = p_proxy (SEED_PROXY, SEED_1);
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   p_detours.seed = SEED_PROXY;
   for (int i = 0; i < N_RANKS; i++)
     p_agent (BASE, RANK_1 + i);
@@ -175,17 +168,16 @@
   p_stop_all ();
   p_platform (BASE, "--ranks", "4", "--step-ms", STEP_MS, "--copy-ms", "9000",
               NULL);
-  first = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
+  first = p_ready_gateway (BASE, 1);
   for (int i = 0; i < N_RANKS; i++)
     p_agent (BASE, RANK_1 + i);
   p_load_ranks (BASE, fds, G_N_ELEMENTS (fds));
   ck_assert (p_log_says_times (LOG_1, "to=preparing", 1, 6000));
-  start_gateway (2);
+  p_ready_gateway (BASE, 2);
   usleep (600000);
   p_signal (first, SIGKILL);
   usleep (300000);
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   usleep (4000000);
   ck_assert_uint_eq (p_log_count (LOG_1, "nothing-pending")
                          + p_log_count (LOG_2, "nothing-pending"),
@@ -203,7 +195,7 @@
   int n = 0;
 
   p_detours.gateway = "t/gateway-clock-step";
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   for (int i = 0; i < N_RANKS; i++)
     p_agent (BASE, RANK_1 + i);
   until = g_get_monotonic_time () + 4 * G_USEC_PER_SEC;
@@ -232,7 +224,7 @@
                       "\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":9,"
                       "\"born\":" LATER_START "}";
 
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   g_free (p_test (STORE, "POST /test/mode?mode=busy", ""));
   g_free (p_test (STORE, "POST /test/forget", "")); /* cuts watches */
   ck_assert (p_log_says_times (LOG_1, "store-lost prefix=servers/", 1, 3000));
@@ -257,7 +249,7 @@
 START_TEST (a_removal_after_the_return_keeps_to_the_drain)
 {
   p_detours.drain_ms = 700;
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   g_free (p_test (STORE, "POST /test/mode?mode=busy", ""));
   g_free (p_test (STORE, "POST /test/forget", "")); /* cuts watches */
   ck_assert (p_log_says_times (LOG_1, "store-lost prefix=servers/", 1, 3000));
@@ -314,7 +306,7 @@
   pid_t proxy = p_proxy (DESK_PROXY, DESK_1);
   int lost = 0;
 
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   put ("servers/desk-0", behind);
   ck_assert (p_log_says (LOG_1, "addr=127.0.0.1:23052", 2000));
   for (int i = 0; i < 6; i++)
@@ -374,7 +366,7 @@
   g_autofree char *req = p_request ("GET /quote/a", "w1", NULL, "");
   int fd;
 
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   p_signal (platform, SIGSTOP);
   fd = p_connect (p_front (BASE, 1));
   p_send (fd, req);
@@ -395,7 +387,7 @@
   int fds[3];
 
   p_detours.one_retry = TRUE;
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   fds[0] = begin_stream ("s1", 4000);
   ck_assert (ranks_run (1, 2000));
   p_fault (RANK_1, N_RANKS, "tardy", 2);
@@ -418,7 +410,7 @@
   int lively;
   int stream;
 
-  start_gateway (1);
+  p_ready_gateway (BASE, 1);
   lively = begin_stream ("s1", 4000);
   ck_assert (ranks_run (1, 2000));
   p_fault (RANK_1, N_RANKS, "hang", 1);
@@ -450,8 +442,8 @@
   int busy[SHARE];
   int stream;
 
-  start_gateway (1);
-  start_gateway (2);
+  p_ready_gateway (BASE, 1);
+  p_ready_gateway (BASE, 2);
   usleep (1500000);
   for (int i = 0; i < SHARE; i++)
     {
--- a/t/t-planned-stop.c
+++ b/t/t-planned-stop.c
@@ -46,10 +46,8 @@
 {
   p_platform (BASE, "--ranks", "4", "--step-ms", step_ms, "--per-seq-ms",
               per_seq_ms, NULL);
-  gateway = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
-  p_gateway (BASE, 2);
-  p_await_ready (BASE, 2);
+  gateway = p_ready_gateway (BASE, 1);
+  p_ready_gateway (BASE, 2);
 }
 
 static void
@@ -68,8 +66,7 @@
 setup_slow (void)
 {
   p_platform (BASE, "--ranks", "4", "--step-ms", "40", NULL);
-  gateway = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
+  gateway = p_ready_gateway (BASE, 1);
 }
 
 /* A stream of @events events at gateway @n; its socket. */
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -27,19 +27,12 @@
 
 static pid_t gateways[N_GATEWAYS + 1];
 
-static void
-start_gateway (int n)
-{
-  gateways[n] = p_gateway (BASE, n);
-  p_await_ready (BASE, n);
-}
-
 static void
 setup (void)
 {
   p_platform (BASE, "--ranks", "4", NULL);
   for (int n = 1; n <= N_GATEWAYS; n++)
-    start_gateway (n);
+    gateways[n] = p_ready_gateway (BASE, n);
   for (int i = 0; i < N_TARGETS; i++)
     g_free (p_test (DESK_1 + i, "POST /test/crasher", "boom"));
   usleep (SPREAD_MS * 1000);
@@ -105,7 +98,7 @@
   crash_targets (1, CRASHES);
   usleep (SPREAD_MS * 1000);
   p_signal (gateways[1], SIGKILL);
-  start_gateway (1);
+  gateways[1] = p_ready_gateway (BASE, 1);
   usleep (2 * SPREAD_MS * 1000);
   ck_assert_int_eq (ask (1, 100, "POST /order/a", "boom"), 503);
   ck_assert_double_eq (crashes (), CRASHES);
@@ -122,7 +115,7 @@
   for (int n = 1; n <= N_GATEWAYS; n++)
     p_signal (gateways[n], SIGKILL);
   for (int n = 1; n <= N_GATEWAYS; n++)
-    start_gateway (n);
+    gateways[n] = p_ready_gateway (BASE, n);
   usleep (2 * SPREAD_MS * 1000);
   for (int n = 1; n <= N_GATEWAYS; n++)
     ck_assert_int_eq (ask (n, 100, "POST /order/a", "boom"), 503);
--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -22,8 +22,7 @@
 setup (void)
 {
   p_platform (BASE, "--ranks", "4", "--step-ms", STEP_MS, NULL);
-  gateway = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
+  gateway = p_ready_gateway (BASE, 1);
 }
 
 static void
@@ -159,8 +158,7 @@
   p_stop_all ();
   p_platform (BASE, "--ranks", "4", "--step-ms", STEP_MS, "--shift-s", "0.4",
               NULL);
-  gateway = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
+  gateway = p_ready_gateway (BASE, 1);
   for (int i = 0; i < N_RANKS; i++)
     {
       p_agent (BASE, RANK_1 + i);
@@ -188,8 +186,7 @@
   p_stop_all ();
   p_platform (BASE, "--ranks", G_STRINGIFY (MANY_RANKS), "--step-ms", STEP_MS,
               "--shift-s", "0.8", NULL);
-  gateway = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
+  gateway = p_ready_gateway (BASE, 1);
   for (int i = 0; i < MANY_RANKS; i++)
     {
       p_agent (BASE, RANK_1 + i);
@@ -331,8 +328,7 @@
   p_stop_all ();
   p_platform (BASE, "--ranks", "4", "--step-ms", STEP_MS, "--shift-s", "0.4",
               "--copy-ms", "60", NULL);
-  gateway = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
+  gateway = p_ready_gateway (BASE, 1);
   for (int i = 0; i < N_RANKS; i++)
     p_agent (BASE, RANK_1 + i);
   p_load_ranks (BASE, fds, G_N_ELEMENTS (fds));
@@ -363,8 +359,7 @@
   p_stop_all ();
   p_platform (BASE, "--ranks", "4", "--step-ms", STEP_MS, "--shift-s", "0.4",
               NULL);
-  gateway = p_gateway (BASE, 1);
-  p_await_ready (BASE, 1);
+  gateway = p_ready_gateway (BASE, 1);
   for (int i = 0; i < N_RANKS; i++)
     agents[i] = p_agent (BASE, RANK_1 + i);
   p_load_ranks (BASE, fds, G_N_ELEMENTS (fds));
--- a/t/t-rate-limit.c
+++ b/t/t-rate-limit.c
@@ -25,19 +25,12 @@
 static pid_t gateways[N_GATEWAYS + 1];
 static int n_asked;
 
-static void
-start_gateway (int n)
-{
-  gateways[n] = p_gateway (BASE, n);
-  p_await_ready (BASE, n);
-}
-
 static void
 setup (void)
 {
   p_platform (BASE, "--ranks", "0", NULL);
   for (int n = 1; n <= N_GATEWAYS; n++)
-    start_gateway (n);
+    gateways[n] = p_ready_gateway (BASE, n);
   usleep (SETTLE_MS * 1000);
 }
 
@@ -110,7 +103,7 @@
   for (int n = 1; n <= N_GATEWAYS; n++)
     {
       p_signal (gateways[n], SIGKILL);
-      start_gateway (n);
+      gateways[n] = p_ready_gateway (BASE, n);
     }
   load (SETTLE_MS);
   check_window ();
