--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -89,10 +89,11 @@
             ? cf_target_table_lookup_addr (&x->gateway->targets, x->faulty_addr)
             : NULL;
 
-  cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
-          "id=%s target=%s outcome=not-run status=%d faulty=%s", x->id,
-          x->target->record.id, x->status,
-          x->faulty_addr ? x->faulty_addr : "-");
+  cf_log (
+      LOG_NOTICE, CF_EV_TARGET_FAIL,
+      "id=%s target=%s outcome=not-run status=%d faulty=%s retry_after_s=%.3f",
+      x->id, x->target->record.id, x->status,
+      x->faulty_addr ? x->faulty_addr : "-", x->retry_after_s);
   if (is_old_incarnation (x))
     {
       log_ejection (x, x->target, "another-start",
@@ -276,6 +277,8 @@
   x->content_length = has_length ? (gint64)r->parser.content_length : -1;
   g_free (x->faulty_addr);
   x->faulty_addr = g_strdup (cf_http_reader_header (r, CF_HDR_FAULTY_TARGET));
+  x->retry_after_s = cf_platform_parse_retry_after (
+      cf_http_reader_header (r, CF_HDR_RETRY_AFTER));
 }
 
 static void
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -73,6 +73,7 @@
   gint64 content_length;   /**< as announced by the target, or -1 */
   char *faulty_addr;       /**< (nullable): address of the target that the
                                 answer names as at fault */
+  double retry_after_s;    /**< the answer's Retry-After; 0: none */
   CfEventStream event_stream;
   gint64 last_event_ms;    /**< when the last event was forwarded; 0: none */
   gint64 first_event_ms;   /**< time from the request to the first event */
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -494,6 +494,36 @@
 }
 END_TEST
 
+START_TEST (only_positive_decimal_retry_after_is_accepted)
+{
+  const struct
+  {
+    const char *value;
+    double seconds;
+  } cases[] = { { "3", 3 },
+                { "0.25", 0.25 },
+                { "7.", 7 },
+                { "0", 0 },
+                { NULL, 0 },
+                { "", 0 },
+                { "-3", 0 },
+                { ".5", 0 },
+                { "1e3", 0 },
+                { "0x10", 0 },
+                { "3, 9", 0 },
+                { "soon", 0 },
+                { "inf", 0 },
+                { "nan", 0 },
+                { "Thu, 03 Dec 2026 08:00:00 GMT", 0 },
+                { "100000000000000000000", 1e20 } };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    ck_assert_msg (cf_platform_parse_retry_after (cases[i].value)
+                       == cases[i].seconds,
+                   "case %zu", i);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -515,6 +545,7 @@
   tcase_add_test (t, orders_do_not_depend_on_the_order_of_experts_in_a_row);
   tcase_add_test (t, headers_are_recognized_and_forwarded);
   tcase_add_test (t, rate_limits_are_parsed);
+  tcase_add_test (t, only_positive_decimal_retry_after_is_accepted);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
