t-target-pause: requests during a pause that a target requested

The stand-in of a target can request pauses (/test/pause) and say in its answers that it leaves (/test/leave, and with /test/drain); it records when requests arrive and what it asked for.

Seen: 11 requests between 0.5 s after the 503 and the end of the pause, for a plain target and for ranks alike; callers are sent back in 0.4 s while all targets pause for 2 s.

--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -43,7 +43,11 @@
   int n_orders;
   GList *requests;  /**< of #PlainRequest: those that run now */
   char *rate_limit; /**< (nullable): requests a second that answers carry */
-  char *crash_body; /**< (nullable): a request with this body crashes it */
+  char *pause_s; /**< (nullable): it refuses all requests and asks for a pause
+                    of so many seconds */
+  gboolean says_leaving; /**< its answers say that it leaves */
+  GArray *arrivals;      /**< of #Arrival: requests addressed to it */
+  char *crash_body;      /**< (nullable): a request with this body crashes it */
   guint64 n_crashes;
   char *fault; /**< kind of fault that the next @n_faults_left requests meet */
   int n_faults_left;
@@ -54,6 +58,15 @@
   guint64 n_disconnected; /**< callers that left while their requests ran */
 };
 
+/** Arrival: a request that reached a target, and what its answer asked for. */
+typedef struct
+{
+  char id[48];
+  gint64 at_ms;   /**< on the machine's monotonic clock */
+  double pause_s; /**< the pause that the answer requested; 0: none */
+  gboolean said_leaving;
+} Arrival;
+
 /** PlainRequest: a request that a target of a plain service runs. */
 typedef struct
 {
@@ -81,6 +94,13 @@
   g_free (key);
 }
 
+static void
+append_leaving_header (const FakeTarget *t, GString *headers)
+{
+  if (t->says_leaving)
+    g_string_append (headers, PF_HDR_SERVER_LEAVING ": 1\r\n");
+}
+
 static char *
 make_answer_headers (const FakeTarget *t, const char *id, gboolean is_signed)
 {
@@ -91,6 +111,7 @@
     g_string_append_printf (h, PF_HDR_SIGNATURE ": %s\r\n", t->id);
   if (t->rate_limit)
     g_string_append_printf (h, PF_HDR_SERVER_LIMIT ": %s\r\n", t->rate_limit);
+  append_leaving_header (t, h);
   return g_string_free (h, FALSE);
 }
 
@@ -303,15 +324,31 @@
 /* Refuses a request that was not run.  @faulty: (nullable): the address of the
  * target at fault. */
 static void
-refuse (FakeConn *c, const char *id, int status, const char *faulty)
+refuse (const FakeTarget *t, FakeConn *c, const char *id, int status,
+        const char *faulty)
 {
-  char *headers = g_strdup_printf (
-      "%s: %s\r\n%s: 1\r\n%s%s%s", PF_HDR_REQUEST_ID, id ? id : "-",
-      PF_HDR_NOT_RUN, faulty ? PF_HDR_AT_SERVER ": " : "", faulty ? faulty : "",
-      faulty ? "\r\n" : "");
+  GString *h = g_string_new (NULL);
 
-  fake_http_answer (c, status, headers, "", 0);
-  g_free (headers);
+  g_string_append_printf (h, PF_HDR_REQUEST_ID ": %s\r\n", id ? id : "-");
+  g_string_append (h, PF_HDR_NOT_RUN ": 1\r\n");
+  if (faulty)
+    g_string_append_printf (h, PF_HDR_AT_SERVER ": %s\r\n", faulty);
+  if (t->pause_s && status == 503)
+    g_string_append_printf (h, PF_HDR_RETRY_AFTER ": %s\r\n", t->pause_s);
+  append_leaving_header (t, h);
+  fake_http_answer (c, status, h->str, "", 0);
+  g_string_free (h, TRUE);
+}
+
+static void
+record_arrival (FakeTarget *t, const char *id)
+{
+  Arrival a = { .at_ms = g_get_monotonic_time () / 1000 };
+
+  g_strlcpy (a.id, id, sizeof a.id);
+  a.pause_s = t->pause_s ? g_ascii_strtod (t->pause_s, NULL) : 0;
+  a.said_leaving = t->says_leaving;
+  g_array_append_val (t->arrivals, a);
 }
 
 /* Refuses a request, or counts and runs it with the fault that it meets. */
@@ -324,12 +361,20 @@
 
   if (!id)
     {
-      refuse (c, id, 400, NULL);
+      refuse (t, c, id, 400, NULL);
       return;
     }
   if (expect && strcmp (expect, t->id) != 0)
     {
-      fake_http_answer (c, 421, NULL, "", 0);
+      fake_http_answer (
+          c, 421, t->says_leaving ? PF_HDR_SERVER_LEAVING ": 1\r\n" : NULL, "",
+          0);
+      return;
+    }
+  record_arrival (t, id);
+  if (t->pause_s)
+    {
+      refuse (t, c, id, 503, NULL);
       return;
     }
   fault = t->crash_body && strcmp (t->crash_body, c->body->str) == 0
@@ -337,19 +382,19 @@
               : next_fault (t);
   if (g_strcmp0 (fault, "broken") == 0)
     {
-      refuse (c, id, 503, t->addr);
+      refuse (t, c, id, 503, t->addr);
       g_free (fault);
       return;
     }
   if (g_strcmp0 (fault, "moved") == 0)
     {
-      refuse (c, id, 421, t->addr);
+      refuse (t, c, id, 421, t->addr);
       g_free (fault);
       return;
     }
   if (t->n_running >= t->slots * 2 || g_strcmp0 (fault, "full") == 0)
     {
-      refuse (c, id, 503, NULL);
+      refuse (t, c, id, 503, NULL);
       g_free (fault);
       return;
     }
@@ -375,11 +420,14 @@
 /* Reports of a rank */
 
 static void
-answer_json (FakeConn *c, json_t *o)
+answer_json (const FakeTarget *t, FakeConn *c, json_t *o)
 {
+  GString *headers = g_string_new ("Content-Type: application/json\r\n");
   char *text = json_dumps (o, JSON_COMPACT);
 
-  fake_http_answer (c, 200, "Content-Type: application/json\r\n", text, -1);
+  append_leaving_header (t, headers);
+  fake_http_answer (c, 200, headers->str, text, -1);
+  g_string_free (headers, TRUE);
   free (text);
   json_decref (o);
 }
@@ -389,15 +437,16 @@
 {
   const CfRankStatus *s = &t->group->ranks[t->rank].status;
 
-  answer_json (c, json_pack ("{s:s,s:[],s:b,s:i,s:I,s:I,s:{s:s,s:I,s:i,s:s},"
-                             "s:i,s:I,s:I,s:I,s:I,s:I,s:I}",
-                             "stage", "both", "models", "busy", 0, "seq", 0,
-                             "waiting", s->waiting, "running", s->running,
-                             "group", "name", s->group, "epoch", s->epoch,
-                             "rank", s->rank, "state", "open", "size", s->size,
-                             "step", s->step, "map", s->map, "prepared",
-                             s->prepared, "armed", s->armed, "held", s->held,
-                             PF_FIELD_STARTED, t->started_ms));
+  answer_json (t, c,
+               json_pack ("{s:s,s:[],s:b,s:i,s:I,s:I,s:{s:s,s:I,s:i,s:s},"
+                          "s:i,s:I,s:I,s:I,s:I,s:I,s:I}",
+                          "stage", "both", "models", "busy", 0, "seq", 0,
+                          "waiting", s->waiting, "running", s->running, "group",
+                          "name", s->group, "epoch", s->epoch, "rank", s->rank,
+                          "state", "open", "size", s->size, "step", s->step,
+                          "map", s->map, "prepared", s->prepared, "armed",
+                          s->armed, "held", s->held, PF_FIELD_STARTED,
+                          t->started_ms));
 }
 
 static void
@@ -419,10 +468,11 @@
         }
       json_array_append_new (sets, row);
     }
-  answer_json (c, json_pack ("{s:{s:I,s:o},s:{s:I,s:[]}}", "map", "version",
-                             g->ranks[t->rank].status.map, "experts", sets,
-                             "prepared", "version",
-                             g->ranks[t->rank].status.prepared, "experts"));
+  answer_json (t, c,
+               json_pack ("{s:{s:I,s:o},s:{s:I,s:[]}}", "map", "version",
+                          g->ranks[t->rank].status.map, "experts", sets,
+                          "prepared", "version",
+                          g->ranks[t->rank].status.prepared, "experts"));
 }
 
 static void
@@ -442,7 +492,7 @@
   for (int i = 0; i < g->shape.sets * g->shape.experts; i++)
     json_array_append_new (counts,
                            json_integer (g->ranks[t->rank].expert_counts[i]));
-  answer_json (c,
+  answer_json (t, c,
                json_pack ("{s:I,s:I,s:o,s:I}", "step",
                           g->ranks[t->rank].status.step, "epoch", g->epoch,
                           "counts", counts, PF_FIELD_STARTED, t->started_ms));
@@ -460,7 +510,7 @@
 
   g_free (id);
   answer_json (
-      c,
+      t, c,
       json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f}", "runs", t->n_runs,
                  "times", times, "doubled", t->n_repeated, "gone",
                  t->n_disconnected, "late", t->n_after_drain, "crashes",
@@ -469,6 +519,22 @@
                  g && g->n_passes ? g->skew_sum / (double)g->n_passes : 0.0));
 }
 
+static void
+answer_arrivals (FakeTarget *t, FakeConn *c)
+{
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < t->arrivals->len; i++)
+    {
+      const Arrival *a = &g_array_index (t->arrivals, Arrival, i);
+
+      json_array_append_new (
+          list, json_pack ("{s:s,s:I,s:f,s:b}", "id", a->id, "at-ms", a->at_ms,
+                           "pause-s", a->pause_s, "leaving", a->said_leaving));
+    }
+  answer_json (t, c, list);
+}
+
 static void
 answer_run_ids (FakeTarget *t, FakeConn *c)
 {
@@ -480,7 +546,7 @@
   g_hash_table_iter_init (&it, t->run_counts);
   while (g_hash_table_iter_next (&it, &id, &times))
     json_object_set_new (ids, id, json_integer (GPOINTER_TO_INT (times)));
-  answer_json (c, ids);
+  answer_json (t, c, ids);
 }
 
 static void
@@ -572,6 +638,7 @@
   else
     silence_plain_requests (t);
   t->draining = FALSE;
+  t->says_leaving = FALSE;
   publish_record (t);
 }
 
@@ -642,9 +709,23 @@
       t->rate_limit = fake_http_query_param (c, "per-s");
       fake_http_answer (c, 200, NULL, "", 0);
     }
+  else if (fake_http_has_path (c, "/test/pause"))
+    {
+      g_free (t->pause_s);
+      t->pause_s = fake_http_query_param (c, "s");
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
+  else if (fake_http_has_path (c, "/test/leave"))
+    {
+      t->says_leaving = TRUE;
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
+  else if (fake_http_has_path (c, "/test/arrivals"))
+    answer_arrivals (t, c);
   else if (fake_http_has_path (c, "/test/drain"))
     {
       t->draining = TRUE;
+      t->says_leaving = TRUE;
       t->drain_start_s = ev_now (t->loop);
       publish_record (t);
       fake_http_answer (c, 200, NULL, "", 0);
@@ -690,6 +771,7 @@
   t->addr = g_strdup (addr);
   t->slots = slots;
   t->started_ms = g_get_real_time () / 1000;
+  t->arrivals = g_array_new (FALSE, FALSE, sizeof (Arrival));
   t->run_counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   t->listener = fake_http_listen (loop, addr, on_request, t);
   return t;
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -36,12 +36,21 @@
  * POST /test/limit?per-s=X: from now on its answers carry a rate limit of X
  * requests a second; without X, none.
  *
+ * POST /test/pause?s=X: from now on it refuses all requests with 503 and a
+ * Retry-After of X seconds; without X, it runs them again.
+ *
+ * POST /test/leave: from now on its answers say that it leaves, though its
+ * store record does not; a restart ends that.
+ *
+ * GET /test/arrivals: each request that reached it: id, at-ms (monotonic
+ * clock), pause-s (the pause that its answer requested; 0: none), and leaving.
+ *
  * POST /test/late-orders?tenths=N: N of every ten orders to a rank get no
  * answer and are executed a second later.
  *
  * POST /test/mute-orders: orders to a rank are executed but not answered.
  *
- * POST /test/drain: its store record says that it is draining.
+ * POST /test/drain: its store record and its answers say that it leaves.
  *
  * POST /test/restart: restarts under another id; the record of the previous
  * incarnation stays in the store, as after a crash.
