target: keep pauses that targets request

What users saw: a target answered 503 with Retry-After: 3 and got 24 more requests from the same gateway within those 3 s, where two are allowed.

Cause: nothing read the header. A 503 paused its target for 50 ms, like that of any full target, and an idle target that refuses everything is the least loaded one, so it was tried first.

The answer's pause is kept with the target (target-pause.c) by the gateway that was asked, for all kinds of requests: the balancer passes over a pausing target, and never falls back on it as it does on an ejected one. Where all targets of a service pause, a request waits only if a pause ends before its queue timeout, and is refused at once otherwise; the same holds for those that wait already. Every refusal in that time tells the caller to return after the first pause has ended. Rate-limited requests do not count on targets in a pause. Orders and reports of gateways and agents to a rank in a pause are held back, but for the one that ends a hold.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -147,6 +147,7 @@
 on_housekeeping (struct ev_loop *loop, ev_timer *w, int revents)
 {
   cf_exchange_route_unrouted (&gw);
+  cf_exchange_refuse_paused (&gw);
   cf_exchange_dispatch_queued (&gw);
   replicate_crash_records (&gw);
   cf_peer_service_tick (peers);
--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -64,3 +64,7 @@
 #ifndef CF_WITHOUT_RATE_LIMITS
 #define CF_WITHOUT_RATE_LIMITS 0
 #endif
+/** Pauses that targets request are ignored. */
+#ifndef CF_WITHOUT_TARGET_PAUSES
+#define CF_WITHOUT_TARGET_PAUSES 0
+#endif
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -20,6 +20,7 @@
 typedef enum
 {
   TARGET_EXCLUDED,     /**< leaving, replaced, or already tried */
+  TARGET_PAUSED,       /**< wants no requests of this gateway for a while */
   TARGET_RATE_LIMITED, /**< this gateway's share of its rate limit is used up */
   TARGET_FULL,         /**< has no free capacity now */
   TARGET_DEGRADED,     /**< ejected, slow or stalled: a last resort */
@@ -68,11 +69,19 @@
          || is_stalled (t, in);
 }
 
+static gboolean
+is_excluded (const CfTarget *t, const GPtrArray *tried)
+{
+  return t->record.leaving || t->replaced || was_tried (tried, t);
+}
+
 static Availability
 get_availability (CfTarget *t, const CfPickInput *in)
 {
-  if (t->record.leaving || t->replaced || was_tried (in->tried, t))
+  if (is_excluded (t, in->tried))
     return TARGET_EXCLUDED;
+  if (cf_target_pause_ms (t, in->now_ms) > 0)
+    return TARGET_PAUSED;
   if (t->in_flight >= get_max_in_flight (t, in)
       || in->now_ms < t->full_until_ms)
     return TARGET_FULL;
@@ -105,22 +114,27 @@
   CfTarget *degraded; /* the least loaded degraded one, or NULL */
   guint best_load;
   guint degraded_load;
-  guint n_healthy; /* neither excluded, rate-limited nor degraded */
+  guint n_healthy; /* neither excluded, paused, rate-limited nor degraded */
+  guint n_usable;  /* neither excluded nor paused */
   gboolean any_full;
   gboolean any_limited;
-  gint64 slots; /* of all targets not excluded */
+  gboolean any_paused;
+  gint64 slots; /* of the usable targets */
 } Selection;
 
 static void
 add_candidate (Selection *c, CfTarget *t, const CfPickInput *in)
 {
   Availability availability = get_availability (t, in);
+  gboolean usable
+      = availability != TARGET_EXCLUDED && availability != TARGET_PAUSED;
   guint load = compute_load (t, in);
 
-  c->slots += availability != TARGET_EXCLUDED ? t->record.slots : 0;
-  c->n_healthy += availability != TARGET_EXCLUDED
-                  && availability != TARGET_RATE_LIMITED
-                  && !is_degraded (t, in);
+  c->slots += usable ? t->record.slots : 0;
+  c->n_usable += usable;
+  c->n_healthy
+      += usable && availability != TARGET_RATE_LIMITED && !is_degraded (t, in);
+  c->any_paused |= availability == TARGET_PAUSED;
   c->any_limited |= availability == TARGET_RATE_LIMITED;
   c->any_full |= availability == TARGET_FULL;
   if (availability == TARGET_AVAILABLE && (!c->best || load < c->best_load))
@@ -172,6 +186,8 @@
   for (guint i = 0; i < n; i++)
     add_candidate (&c, a->pdata[(from + i) % n], in);
   *out = NULL;
+  if (c.n_usable == 0 && c.any_paused)
+    return CF_PICK_PAUSED;
   if (is_at_total_limit (&c, in))
     return CF_PICK_FULL;
   *out = c.best;
@@ -188,7 +204,7 @@
 
 double
 cf_balancer_rate_limit_per_s (const CfTargetTable *t, const char *service,
-                              CfFleetPosition fleet_position)
+                              CfFleetPosition fleet_position, gint64 now_ms)
 {
   const GPtrArray *a = cf_target_table_service (t, service);
   double sum = 0;
@@ -197,9 +213,31 @@
     {
       const CfTarget *one = a->pdata[i];
 
-      if (one->limit.per_s > 0 && !one->record.leaving && !one->replaced)
+      if (one->limit.per_s > 0 && !is_excluded (one, NULL)
+          && cf_target_pause_ms (one, now_ms) == 0)
         sum += cf_rate_limit_share (&one->limit, one->record.id,
                                     fleet_position);
     }
   return sum;
 }
+
+gint64
+cf_balancer_pause_ms (const CfTargetTable *t, const char *service,
+                      const GPtrArray *tried, gint64 now_ms)
+{
+  const GPtrArray *a = cf_target_table_service (t, service);
+  gint64 first_ms = 0;
+
+  for (guint i = 0; a && i < a->len; i++)
+    {
+      const CfTarget *one = a->pdata[i];
+      gint64 ms = cf_target_pause_ms (one, now_ms);
+
+      if (is_excluded (one, tried))
+        continue;
+      if (ms == 0)
+        return 0;
+      first_ms = first_ms == 0 ? ms : MIN (first_ms, ms);
+    }
+  return first_ms;
+}
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -9,6 +9,7 @@
   CF_PICK_NO_TARGET,    /**< no target of the service takes new requests */
   CF_PICK_FULL,         /**< this gateway may send the service no more now */
   CF_PICK_RATE_LIMITED, /**< only the targets' rate limits prevent it */
+  CF_PICK_PAUSED,       /**< all targets want no requests for a while */
 } CfPickResult;
 
 /** CfPickInput: the request and the gateway's state that a target is chosen
@@ -52,19 +53,30 @@
 /**
  * cf_balancer_rate_limit_per_s:
  * Returns: requests per second that this gateway may send to those targets of
- *   @service that have a rate limit.
+ *   @service that have a rate limit and do not pause.
  */
 double cf_balancer_rate_limit_per_s (const CfTargetTable *t,
                                      const char *service,
-                                     CfFleetPosition fleet_position);
+                                     CfFleetPosition fleet_position,
+                                     gint64 now_ms);
+
+/**
+ * cf_balancer_pause_ms:
+ * @tried: (nullable): #CfTarget that are left out
+ * Returns: the time until the first target of @service ends its pause; 0 if one
+ *   of them does not pause, or if there is none that takes new requests.
+ */
+gint64 cf_balancer_pause_ms (const CfTargetTable *t, const char *service,
+                             const GPtrArray *tried, gint64 now_ms);
 
 /**
  * cf_balancer_pick:
  * Chooses the target with the fewest requests of this gateway per slot,
  * weighted by the target's slowdown; among equals one in the gateway's own data
  * centre, then the first one from @ring_start on.  Targets that are leaving,
- * replaced, already tried, ejected, slow, stalled, full, or whose rate limit
- * allows this gateway no request now are passed over.  When less than half of
+ * replaced, already tried, ejected, slow, stalled, full, in a pause that they
+ * requested, or whose rate limit allows this gateway no request now are passed
+ * over.  When less than half of
  * the targets are healthy and none of them is free, an ejected, slow or stalled
  * one is used: an ejection may be wrong, and must not take a whole service
  * down.
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -2,6 +2,7 @@
 
 #include "ablation.h"
 #include "log.h"
+#include "target-notice.h"
 
 #include <string.h>
 
@@ -268,6 +269,7 @@
   cf_target_record_progress (x->target, cf_gateway_now (x->gateway));
   x->answer_kind = cf_answer_classify (r);
   update_rate_limit (x, r);
+  cf_target_take_notice (x->target, r, cf_gateway_now (x->gateway));
   if (!x->answer_started)
     {
       x->status = (int)r->parser.status_code;
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -11,6 +11,9 @@
 /** Remaining time below which sending is pointless: a network round trip and
  * one step of a target's engine. */
 #define MIN_REMAINING_MS 10
+/** Guards against refusing a request whose queue timeout and whose targets'
+ * pause end together. */
+#define PAUSE_TOLERANCE_MS 1
 
 gint64
 cf_exchange_backoff_ms (const CfExchange *x)
@@ -176,8 +179,9 @@
 static void
 enqueue_if_rate_allows (CfExchange *x)
 {
-  double per_s = cf_balancer_rate_limit_per_s (&x->gateway->targets, x->service,
-                                               x->gateway->fleet_position);
+  CfGateway *g = x->gateway;
+  double per_s = cf_balancer_rate_limit_per_s (
+      &g->targets, x->service, g->fleet_position, cf_gateway_now (g));
   double wait_ms = (x->service_state->queue.n + 1) * 1000.0 / per_s;
   gint64 limit = cf_wait_queue_max_wait_ms (cf_exchange_caller_wait_ms (x),
                                             cf_exchange_remaining_ms (x));
@@ -190,6 +194,41 @@
     cf_exchange_refuse (x, "rate-limited", cf_exchange_backoff_ms (x));
 }
 
+/* How long it has to wait until the first of all targets that it may be sent to
+ * ends its pause; 0 if one of them does not pause. */
+static gint64
+pause_ms (const CfExchange *x)
+{
+  CfGateway *g = x->gateway;
+
+  return cf_balancer_pause_ms (&g->targets, x->service, x->tried_targets,
+                               cf_gateway_now (g));
+}
+
+static void
+end_paused (CfExchange *x)
+{
+  if (x->may_have_run)
+    cf_exchange_fail (x, "targets-paused");
+  else
+    cf_exchange_refuse (x, "targets-paused", cf_exchange_backoff_ms (x));
+}
+
+/* All remaining targets pause: queues it if a pause ends in time, else refuses
+ * it at once. */
+static void
+enqueue_if_pause_ends (CfExchange *x)
+{
+  gint64 limit = cf_wait_queue_max_wait_ms (cf_exchange_caller_wait_ms (x),
+                                            cf_exchange_remaining_ms (x));
+
+  limit = MIN (limit, cf_exchange_caller_remaining_ms (x));
+  if (pause_ms (x) < limit)
+    enqueue (x);
+  else
+    end_paused (x);
+}
+
 /* Whether it may be sent as the probe of an outage.  Its last attempt is saved
  * until its queue timeout expires. */
 static gboolean
@@ -224,7 +263,7 @@
   CfPickInput in = { 0 };
 
   if (is_held_back (x))
-    return CF_PICK_FULL;
+    return pause_ms (x) > 0 ? CF_PICK_PAUSED : CF_PICK_FULL;
 
   in.service = x->service;
   in.data_centre = x->gateway->settings.data_centre;
@@ -282,6 +321,9 @@
     case CF_PICK_RATE_LIMITED:
       enqueue_if_rate_allows (x);
       break;
+    case CF_PICK_PAUSED:
+      enqueue_if_pause_ends (x);
+      break;
     case CF_PICK_NO_TARGET:
       if (x->may_have_run)
         cf_exchange_fail (x, "no-target");
@@ -375,6 +417,45 @@
       ;
 }
 
+/* Whether its queue timeout expires before the pauses of its targets end. */
+static gboolean
+is_wait_in_vain (const CfExchange *x)
+{
+  gint64 ms = pause_ms (x);
+  double remaining_s;
+
+  if (ms == 0)
+    return FALSE;
+  remaining_s
+      = ev_timer_remaining (x->gateway->loop, (ev_timer *)&x->silence_timer);
+  return (double)ms >= remaining_s * 1000 + PAUSE_TOLERANCE_MS;
+}
+
+/* (nullable): a queued request of any service that waits in vain. */
+static CfExchange *
+find_waiting_in_vain (const CfGateway *g)
+{
+  GHashTableIter it;
+  gpointer service_state;
+  CfWaiter *w;
+
+  g_hash_table_iter_init (&it, g->service_states);
+  while (g_hash_table_iter_next (&it, NULL, &service_state))
+    TAILQ_FOREACH (w, &((CfServiceState *)service_state)->queue.waiters, link)
+  if (is_wait_in_vain (w->owner))
+    return w->owner;
+  return NULL;
+}
+
+void
+cf_exchange_refuse_paused (CfGateway *g)
+{
+  CfExchange *x;
+
+  while ((x = find_waiting_in_vain (g)))
+    end_paused (x);
+}
+
 /* In an outage, the last attempt that may_probe() saved is used now. */
 void
 cf_exchange_on_queue_timeout (CfExchange *x)
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -1,9 +1,14 @@
 #include "exchange-parts.h"
 
+#include "balancer.h"
 #include "log.h"
 
 #include <string.h>
 
+/** Callers that were refused during a pause of all targets return within this
+ * time after it, so that they do not all return at once. */
+#define PAUSE_END_SPREAD_MS 500
+
 gint64
 cf_exchange_remaining_ms (const CfExchange *x)
 {
@@ -104,12 +109,29 @@
   cf_exchange_finish (x, o, status, reason);
 }
 
+/* Returns when the caller of a refused request should retry.  While all targets
+ * of the service pause, that is not before the first of them takes requests,
+ * even if the caller's deadline passes first. */
+static gint64
+get_retry_ms (const CfExchange *x, gint64 backoff_ms)
+{
+  CfGateway *g = x->gateway;
+  gint64 retry_ms
+      = cf_retry_after_ms (cf_exchange_remaining_ms (x), backoff_ms, x->hash);
+  gint64 pause_ms = x->service ? cf_balancer_pause_ms (&g->targets, x->service,
+                                                       NULL, cf_gateway_now (g))
+                               : 0;
+
+  if (retry_ms >= pause_ms)
+    return retry_ms;
+  return pause_ms + x->hash % PAUSE_END_SPREAD_MS;
+}
+
 void
 cf_exchange_refuse (CfExchange *x, const char *reason, gint64 backoff_ms)
 {
-  answer_locally (
-      x, CF_OUTCOME_REFUSED, 503, reason,
-      cf_retry_after_ms (cf_exchange_remaining_ms (x), backoff_ms, x->hash));
+  answer_locally (x, CF_OUTCOME_REFUSED, 503, reason,
+                  get_retry_ms (x, backoff_ms));
 }
 
 void
--- a/gateway/rank-agent-order.c
+++ b/gateway/rank-agent-order.c
@@ -18,6 +18,8 @@
 /** Status with which the agent itself refuses orders with an old fencing token,
  * since the rank may not check tokens. */
 #define STATUS_FENCED 412
+/** Status of orders that the agent keeps from a rank in a pause. */
+#define STATUS_PAUSED 503
 #define STATUS_DONE 200
 #define STATUS_CONFLICT 409
 
@@ -127,8 +129,17 @@
                 ORDER_TIMEOUT_MS, on_order_answer, o);
 }
 
-/* Sends @o to the rank or, if its token is too old or it has no body,
- * acknowledges it at once. */
+/* Whether the rank wants no order of this kind now.  The end of a hold is sent
+ * all the same, since the whole group waits for it. */
+static gboolean
+is_kept_back (const OrderCall *o)
+{
+  return o->kind != CF_ORDER_RELEASE
+         && cf_target_pause_ms (o->agent->target, cf_now_ms ()) > 0;
+}
+
+/* Sends @o to the rank or, if its token is too old, the rank pauses or @o has
+ * no body, acknowledges it at once. */
 static void
 start_order (OrderCall *o)
 {
@@ -141,7 +152,12 @@
       return;
     }
   a->highest_fence = o->fence;
-  if (o->body)
+  if (is_kept_back (o))
+    {
+      o->http_status = STATUS_PAUSED;
+      send_ack (o);
+    }
+  else if (o->body)
     send_to_rank (o);
   else
     {
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -257,9 +257,15 @@
 on_read_timer (struct ev_loop *loop, ev_timer *t, int revents)
 {
   CfRankAgent *a = t->data;
+  gint64 pause_ms = cf_target_pause_ms (a->target, cf_now_ms ());
 
   if (a->read_pending)
     return;
+  if (pause_ms > 0)
+    {
+      cf_rank_agent_schedule_read (a, pause_ms);
+      return;
+    }
   if (seeds_up (a, cf_now_ms ()) == 0)
     {
       cf_rank_agent_schedule_read (a, NO_LEADER_READ_MS);
--- a/gateway/rank-call.c
+++ b/gateway/rank-call.c
@@ -1,5 +1,7 @@
 #include "rank-call.h"
 
+#include "net.h"
+#include "target-notice.h"
 #include "upstream.h"
 
 /** Reports and counters are some kilobytes; expert lists of large groups are
@@ -30,7 +32,10 @@
 static void
 on_head (void *owner, const CfHttpReader *r)
 {
-  ((RankCall *)owner)->status = (int)r->parser.status_code;
+  RankCall *c = owner;
+
+  c->status = (int)r->parser.status_code;
+  cf_target_take_notice (c->upstream->target, r, cf_now_ms ());
 }
 
 static void
--- a/gateway/rank-service-order.c
+++ b/gateway/rank-service-order.c
@@ -81,11 +81,24 @@
   finish_direct (d);
 }
 
+/* (nullable): the target to which @kind may be sent directly.  A target that
+ * pauses gets only the order that ends a hold, since its whole group waits. */
+static CfTarget *
+direct_target (const CfLedGroup *g, int rank, CfRankOrderKind kind)
+{
+  CfTarget *t = cf_rank_service_target (g->service, g->target_addrs[rank]);
+  gint64 now = cf_gateway_now (g->service->gateway);
+
+  if (t && kind != CF_ORDER_RELEASE && cf_target_pause_ms (t, now) > 0)
+    return NULL;
+  return t;
+}
+
 static void
 request_report (DirectCall *d)
 {
   CfRankService *s = d->group->service;
-  CfTarget *t = cf_rank_service_target (s, d->group->target_addrs[d->rank]);
+  CfTarget *t = direct_target (d->group, d->rank, d->kind);
 
   if (t)
     cf_rank_call (s->gateway->loop, t,
@@ -216,7 +229,7 @@
 cf_led_group_send_direct (CfLedGroup *g, int rank, const CfRankOrder *o,
                           gboolean wants_ack)
 {
-  CfTarget *t = cf_rank_service_target (g->service, g->target_addrs[rank]);
+  CfTarget *t = direct_target (g, rank, o->kind);
   gboolean is_blocking = wants_ack && cf_rank_order_is_blocking (o->kind);
   char *json;
   DirectCall *d;
@@ -280,8 +293,7 @@
 {
   CfLedGroup *g = data;
   CfAgentLink *a = g->agents[rank];
-  gboolean reachable
-      = cf_rank_service_target (g->service, g->target_addrs[rank]) != NULL;
+  gboolean reachable = direct_target (g, rank, o->kind) != NULL;
 
   if (reachable
       && cf_order_watch_is_sent_direct (&g->order_watches[rank], o->kind))
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -1,5 +1,6 @@
 #include "target.h"
 
+#include "ablation.h"
 #include "socket.h"
 
 #include <math.h>
@@ -297,6 +298,14 @@
   return now - MAX (t->busy_since_ms, t->last_progress_ms);
 }
 
+gint64
+cf_target_pause_ms (const CfTarget *t, gint64 now)
+{
+  return CF_WITHOUT_TARGET_PAUSES
+             ? 0
+             : cf_target_pause_remaining_ms (&t->pause, now);
+}
+
 gboolean
 cf_target_is_older_incarnation (const CfTarget *t, gint64 incarnation)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -3,6 +3,7 @@
 #include "outlier.h"
 #include "platform/platform-target.h"
 #include "rate-limit.h"
+#include "target-pause.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -43,6 +44,7 @@
                                     process; 0: never */
   gint64 full_until_ms;        /**< no requests until then, as it was full */
   CfRateLimit limit;     /**< the rate that it accepts from all gateways */
+  CfTargetPause pause;   /**< wants no requests of this gateway for a while */
   gint64 older_since_ms; /**< since when the list has shown an older
                               incarnation under its id; 0: it does not */
 } CfTarget;
@@ -149,6 +151,10 @@
  */
 gint64 cf_target_silence_ms (const CfTarget *t, gint64 now_ms);
 
+/** cf_target_pause_ms: for how much longer @t wants no requests of this
+ * gateway; 0 if it takes them. */
+gint64 cf_target_pause_ms (const CfTarget *t, gint64 now_ms);
+
 /** cf_target_is_older_incarnation: whether @incarnation is known and older than
  * that of @t. */
 gboolean cf_target_is_older_incarnation (const CfTarget *t, gint64 incarnation);
--- a/log.c
+++ b/log.c
@@ -77,6 +77,8 @@
       return "overload";
     case CF_EV_SLOW_PASS:
       return "slow-pass";
+    case CF_EV_TARGET_PAUSE:
+      return "target-pause";
     case CF_EV_RATE_LIMIT:
       return "rate-limit";
     case CF_EV_QUARANTINE:
--- a/log.h
+++ b/log.h
@@ -37,6 +37,7 @@
   CF_EV_OVERLOAD = 1216,     /**< a concurrency limit was set or removed */
   CF_EV_QUARANTINE = 1217,   /**< a request that crashes targets */
   CF_EV_RATE_LIMIT = 1218,   /**< a target's rate limit changed */
+  CF_EV_TARGET_PAUSE = 1220, /**< a target wants no requests for a while */
   CF_EV_SLOW_PASS = 1219,    /**< a pass delayed streams beyond the objective */
   CF_EV_STORE_LOST = 1105,   /**< the metadata store does not answer */
   CF_EV_STORE_BACK = 1106,   /**< the metadata store answers again */
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -496,12 +496,73 @@
   cf_target_table_remove (&table, "c");
   ck_assert_int_eq (pick (102, NULL, &t), CF_PICK_RATE_LIMITED);
   ck_assert_double_eq (
-      cf_balancer_rate_limit_per_s (&table, "s", (CfFleetPosition){ 0, 1 }), 2);
+      cf_balancer_rate_limit_per_s (&table, "s", (CfFleetPosition){ 0, 1 }, 0),
+      2);
   ck_assert_int_eq (pick (700, NULL, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "a");
 }
 END_TEST
 
+START_TEST (paused_targets_are_not_picked)
+{
+  CfTarget *t = NULL;
+
+  cf_target_pause_begin (&get ("a")->pause, 1, 0);
+  for (int i = 0; i < 10; i++)
+    {
+      ck_assert_int_eq (pick (1000, NULL, &t), CF_PICK_OK);
+      ck_assert_str_ne (t->record.id, "a");
+      cf_target_request_started (t, 0);
+    }
+  /* Others may be full, but a paused target is no last resort. */
+  ck_assert_int_eq (pick (1000, NULL, &t), CF_PICK_FULL);
+  ck_assert_int_eq (pick (1100, NULL, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a");
+}
+END_TEST
+
+START_TEST (first_end_of_all_pauses_is_known)
+{
+  GPtrArray *tried = g_ptr_array_new ();
+  CfTarget *t;
+  gint64 a_ms;
+
+  cf_target_pause_begin (&get ("a")->pause, 2, 0);
+  cf_target_pause_begin (&get ("b")->pause, 1, 0);
+  ck_assert_int_eq (cf_balancer_pause_ms (&table, "s", NULL, 0), 0);
+  cf_target_pause_begin (&get ("c")->pause, 3, 0);
+  ck_assert_int_eq (pick (500, NULL, &t), CF_PICK_PAUSED);
+  ck_assert_int_ge (cf_balancer_pause_ms (&table, "s", NULL, 0), 1000);
+  ck_assert_int_lt (cf_balancer_pause_ms (&table, "s", NULL, 0), 1500);
+  g_ptr_array_add (tried, get ("b"));
+  a_ms = cf_balancer_pause_ms (&table, "s", tried, 0);
+  ck_assert_int_ge (a_ms, 2000);
+  ck_assert_int_lt (a_ms, 2500);
+  get ("a")->record.leaving = TRUE;
+  ck_assert_int_ge (cf_balancer_pause_ms (&table, "s", tried, 0), 3000);
+  ck_assert_int_eq (cf_balancer_pause_ms (&table, "none", NULL, 0), 0);
+  g_ptr_array_free (tried, TRUE);
+}
+END_TEST
+
+/* A target that pauses cannot be sent the rate that it takes otherwise. */
+START_TEST (rate_of_paused_target_is_not_available)
+{
+  CfTarget *t;
+
+  get ("a")->limit = (CfRateLimit){
+    .per_s = 2, .received_ms = 1, .tokens = 1, .refilled_ms = 100
+  };
+  cf_target_pause_begin (&get ("a")->pause, 1, 100);
+  cf_target_table_remove (&table, "b");
+  cf_target_table_remove (&table, "c");
+  ck_assert_int_eq (pick (200, NULL, &t), CF_PICK_PAUSED);
+  ck_assert_double_eq (cf_balancer_rate_limit_per_s (
+                           &table, "s", (CfFleetPosition){ 0, 1 }, 200),
+                       0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -520,6 +581,9 @@
   tcase_add_test (t, late_requests_leave_capacity_in_large_fleet);
   tcase_add_test (t, slots_are_divided_among_gateways);
   tcase_add_test (t, rate_limited_target_is_skipped);
+  tcase_add_test (t, paused_targets_are_not_picked);
+  tcase_add_test (t, first_end_of_all_pauses_is_known);
+  tcase_add_test (t, rate_of_paused_target_is_not_available);
   tcase_add_test (t, only_newest_instance_at_address_gets_requests);
   tcase_add_test (t, leaving_and_tried_targets_are_excluded);
   tcase_add_test (t, full_targets_are_not_picked);
--- a/t/t-target-pause.c
+++ b/t/t-target-pause.c
@@ -1,8 +1,11 @@
-/* Pauses that targets request by a 503 with Retry-After. */
+/* Pauses that targets request by a 503 with Retry-After, and how a gateway
+ * keeps them. */
+#include "gateway/target-pause.h"
 #include "harness.h"
 #include "platform-harness.h"
 
 #include <jansson.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -161,12 +164,49 @@
 }
 END_TEST
 
+START_TEST (odd_pauses_do_no_harm)
+{
+  const double odd[] = { 0, -1, -1e300, NAN, -INFINITY };
+  const double huge[] = { 1e9, 1e300, INFINITY };
+  CfTargetPause p = { 0 };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (odd); i++)
+    cf_target_pause_begin (&p, odd[i], 1000);
+  ck_assert_int_eq (cf_target_pause_remaining_ms (&p, 1000), 0);
+  cf_target_pause_begin (&p, 0.0004, 1000);
+  ck_assert_int_gt (cf_target_pause_remaining_ms (&p, 1000), 0);
+  for (gsize i = 0; i < G_N_ELEMENTS (huge); i++)
+    {
+      cf_target_pause_begin (&p, huge[i], 2000);
+      ck_assert_int_le (cf_target_pause_remaining_ms (&p, 2000),
+                        CF_TARGET_PAUSE_MAX_MS + 100);
+    }
+}
+END_TEST
+
+START_TEST (later_answer_does_not_shorten_a_pause)
+{
+  CfTargetPause p = { 0 };
+
+  cf_target_pause_begin (&p, 3, 1000);
+  cf_target_pause_begin (&p, 0.5, 1500);
+  ck_assert_int_ge (cf_target_pause_remaining_ms (&p, 3900), 100);
+  cf_target_pause_begin (&p, 3, 2000);
+  ck_assert_int_ge (cf_target_pause_remaining_ms (&p, 4900), 100);
+  ck_assert_int_eq (cf_target_pause_remaining_ms (&p, 6000), 0);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *s = suite_create ("target-pause");
+  TCase *table = tcase_create ("table");
   TCase *t = tcase_create ("pause");
 
+  tcase_add_test (table, odd_pauses_do_no_harm);
+  tcase_add_test (table, later_answer_does_not_shorten_a_pause);
+  suite_add_tcase (s, table);
   tcase_set_tags (t, "pause");
   tcase_set_timeout (t, 30);
   tcase_add_checked_fixture (t, setup, p_stop_all);
