target: believe answers that say that their target leaves

The platform's new rule DRAIN: a target that leaves says so in all its answers, and gets nothing from a gateway that has passed on such an answer, even if the store is down or lists it as ready. Only the list was believed.

The announcement is kept with the incarnation: no later record takes it back, and its successor at the address or under the id starts without it. Any answer counts, direct calls to ranks included. Gateways tell one another with their hellos; the field is the last one, which earlier builds ignore.

Only the value 1 counts.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -72,7 +72,7 @@
 static gboolean
 is_excluded (const CfTarget *t, const GPtrArray *tried)
 {
-  return t->record.leaving || t->replaced || was_tried (tried, t);
+  return cf_target_is_leaving (t) || t->replaced || was_tried (tried, t);
 }
 
 static Availability
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -196,6 +196,26 @@
   return a;
 }
 
+static GArray *
+read_instances (Fields *f)
+{
+  Fields array = open_array (next_field (f));
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerInstance));
+
+  while (!array.invalid && array.next < array.end)
+    {
+      Fields item = open_array (next_field (&array));
+      CfPeerInstance one;
+
+      one.id = read_bytes (&item);
+      one.incarnation = read_int (&item);
+      array.invalid |= item.invalid;
+      g_array_append_val (a, one);
+    }
+  f->invalid |= array.invalid;
+  return a;
+}
+
 /* A later version may send more crashes than fit; the rest is ignored. */
 static void
 read_crash (Fields *f, CfPeerCrash *c)
@@ -307,6 +327,8 @@
       if (!f->invalid && f->next < f->end)
         m->u.gateway_hello.rate_limits = read_rate_limits (f);
       m->u.gateway_hello.n_ring_members = (guint)read_optional_int (f);
+      if (!f->invalid && f->next < f->end)
+        m->u.gateway_hello.leaving = read_instances (f);
       break;
     case CF_PEER_POLICY:
       m->u.policy.rev = read_int (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -103,6 +103,22 @@
     }
 }
 
+static void
+put_instances (msgpack_packer *pk, const GArray *instances)
+{
+  guint n = instances ? instances->len : 0;
+
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const CfPeerInstance *one = &g_array_index (instances, CfPeerInstance, i);
+
+      msgpack_pack_array (pk, 2);
+      put_bytes (pk, one->id);
+      put_int (pk, one->incarnation);
+    }
+}
+
 static void
 put_crashes (msgpack_packer *pk, const GArray *crashes)
 {
@@ -196,7 +212,7 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      put_header (&pk, m, 10);
+      put_header (&pk, m, 11);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_rev);
       put_int (&pk, m->u.gateway_hello.targets_rev);
@@ -207,6 +223,7 @@
       put_int (&pk, m->u.gateway_hello.ring_start);
       put_rate_limits (&pk, m->u.gateway_hello.rate_limits);
       put_int (&pk, m->u.gateway_hello.n_ring_members);
+      put_instances (&pk, m->u.gateway_hello.leaving);
       break;
     case CF_PEER_POLICY:
       put_header (&pk, m, 2);
@@ -261,6 +278,7 @@
     case CF_PEER_GATEWAY_HELLO:
       a = &m->u.gateway_hello.slowdowns;
       g_clear_pointer (&m->u.gateway_hello.rate_limits, g_array_unref);
+      g_clear_pointer (&m->u.gateway_hello.leaving, g_array_unref);
       break;
     case CF_PEER_TARGETS:
       a = &m->u.targets.items;
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -114,6 +114,8 @@
                                targets announced; owned */
       guint n_ring_members; /**< gateways that @ring_start was computed for; 0:
                                 unknown */
+      GArray *leaving;      /**< (nullable): of #CfPeerInstance: targets that
+                               said in answers that they leave; owned */
     } gateway_hello;
     struct
     {
@@ -167,6 +169,13 @@
   gint64 age_ms;     /**< since the answer that announced it was received */
 } CfPeerRateLimit;
 
+/** CfPeerInstance: one incarnation of a target. */
+typedef struct
+{
+  CfPeerBytes id;
+  gint64 incarnation; /**< 0: unknown */
+} CfPeerInstance;
+
 /** CfPeerTarget: a target's record as it is in the store. */
 typedef struct
 {
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -6,6 +6,7 @@
 #include "peer-crashes.h"
 #include "platform/platform-target.h"
 #include "socket.h"
+#include "upstream.h"
 
 #include <math.h>
 #include <string.h>
@@ -150,6 +151,49 @@
   return a;
 }
 
+static GArray *
+collect_leaving (const CfGateway *g)
+{
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerInstance));
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, g->targets.by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const CfTarget *t = v;
+      CfPeerInstance one;
+
+      if (!t->announced_leaving)
+        continue;
+      one.id.data = t->record.id;
+      one.id.n = strlen (t->record.id);
+      one.incarnation = t->record.incarnation;
+      g_array_append_val (a, one);
+    }
+  return a;
+}
+
+static void
+take_leaving (CfGateway *g, const GArray *leaving, const char *peer)
+{
+  for (guint i = 0; leaving && i < leaving->len; i++)
+    {
+      const CfPeerInstance *one = &g_array_index (leaving, CfPeerInstance, i);
+      g_autofree char *id = g_strndup (one->id.data, one->id.n);
+      CfTarget *t = g_hash_table_lookup (g->targets.by_id, id);
+
+      if (!t || t->record.incarnation != one->incarnation
+          || !cf_target_announce_leaving (t))
+        continue;
+      cf_log (
+          LOG_NOTICE, CF_EV_TARGET_LIST,
+          "target=%s service=%s addr=%s outcome=leaving source=peer peer=%s",
+          t->record.id, t->record.service, t->record.addr, peer);
+      cf_upstream_close_idle (t);
+    }
+}
+
 static void
 take_rate_limit (CfGateway *g, const CfPeerRateLimit *l, const char *peer)
 {
@@ -194,6 +238,7 @@
   m->u.gateway_hello.fleet_size = g->fleet_size;
   m->u.gateway_hello.slowdowns = collect_slowdowns (g);
   m->u.gateway_hello.rate_limits = collect_rate_limits (g);
+  m->u.gateway_hello.leaving = collect_leaving (g);
   m->u.gateway_hello.n_ring_members = cf_membership_size (s->membership);
 }
 
@@ -340,6 +385,7 @@
   update_fleet (p->s, m);
   take_slowdowns (g, m->u.gateway_hello.slowdowns);
   take_rate_limits (g, m->u.gateway_hello.rate_limits, p->addr);
+  take_leaving (g, m->u.gateway_hello.leaving, p->addr);
   if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
     send_policy (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
--- a/gateway/target-notice.c
+++ b/gateway/target-notice.c
@@ -1,6 +1,7 @@
 #include "target-notice.h"
 
 #include "log.h"
+#include "upstream.h"
 
 static void
 take_pause (CfTarget *t, const CfHttpReader *r, gint64 now_ms)
@@ -17,8 +18,23 @@
           cf_target_pause_ms (t, now_ms));
 }
 
+static void
+take_leaving (CfTarget *t, const CfHttpReader *r)
+{
+  if (!cf_platform_parse_leaving (cf_http_reader_header (r, CF_HDR_LEAVING))
+      || !cf_target_announce_leaving (t))
+    return;
+  cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
+          "target=%s service=%s addr=%s outcome=leaving rev=%" G_GINT64_FORMAT
+          " incarnation=%" G_GINT64_FORMAT " source=answer",
+          t->record.id, t->record.service, t->record.addr, t->rev,
+          t->record.incarnation);
+  cf_upstream_close_idle (t);
+}
+
 void
 cf_target_take_notice (CfTarget *t, const CfHttpReader *r, gint64 now_ms)
 {
+  take_leaving (t, r);
   take_pause (t, r, now_ms);
 }
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -1,6 +1,7 @@
 #include "target.h"
 
 #include "ablation.h"
+#include "net.h"
 #include "socket.h"
 
 #include <math.h>
@@ -100,6 +101,7 @@
   /* Without a random start, gateways that start together and know the same
    * targets would all begin at the same one and overload a few at a time. */
   t->next_start = g_random_int ();
+  cf_departed_targets_init (&t->departed);
   t->is_configured = NULL;
   t->is_configured_data = NULL;
 }
@@ -110,6 +112,7 @@
   g_hash_table_destroy (t->by_service);
   g_hash_table_destroy (t->by_addr);
   g_hash_table_destroy (t->by_id);
+  cf_departed_targets_clear (&t->departed);
 }
 
 static GPtrArray *
@@ -179,6 +182,31 @@
   g_hash_table_replace (t->by_addr, target->record.addr, target);
 }
 
+/* Remembers what an instance said of itself, for the case that the list shows
+ * it again. */
+static void
+remember_departed (CfTargetTable *t, const CfTarget *target)
+{
+  CfDepartedTarget d = { 0 };
+
+  d.departed_ms = cf_now_ms ();
+  d.leaving = target->announced_leaving;
+  d.pause = target->pause;
+  cf_departed_targets_add (&t->departed, &target->record, &d);
+}
+
+static void
+restore_departed (const CfTargetTable *t, CfTarget *target)
+{
+  const CfDepartedTarget *d
+      = cf_departed_targets_lookup (&t->departed, &target->record);
+
+  if (!d)
+    return;
+  target->announced_leaving = d->leaving;
+  target->pause = d->pause;
+}
+
 static CfTargetChange
 add_target (CfTargetTable *t, CfTargetRecord *r, const CfTargetUpdate *update)
 {
@@ -189,6 +217,7 @@
   target->json = g_strndup (update->json, update->n);
   target->rev = update->rev;
   target->created = update->created;
+  restore_departed (t, target);
   claim_address (t, target);
   g_hash_table_insert (t->by_id, target->record.id, target);
   insert_by_id (get_service_array (t, target->record.service), target);
@@ -298,6 +327,21 @@
   return now - MAX (t->busy_since_ms, t->last_progress_ms);
 }
 
+gboolean
+cf_target_announce_leaving (CfTarget *t)
+{
+  gboolean is_news = !cf_target_is_leaving (t);
+
+  t->announced_leaving = TRUE;
+  return is_news;
+}
+
+gboolean
+cf_target_is_leaving (const CfTarget *t)
+{
+  return t->record.leaving || t->announced_leaving;
+}
+
 gint64
 cf_target_pause_ms (const CfTarget *t, gint64 now)
 {
@@ -335,6 +379,7 @@
 
   if (!target)
     return FALSE;
+  remember_departed (t, target);
   g_ptr_array_remove (get_service_array (t, target->record.service), target);
   if (cf_target_table_lookup_addr (t, target->record.addr) == target)
     g_hash_table_remove (t->by_addr, target->record.addr);
@@ -352,7 +397,7 @@
     {
       const CfTarget *target = a->pdata[i];
 
-      if (!target->record.leaving && !target->replaced)
+      if (!cf_target_is_leaving (target) && !target->replaced)
         slots += target->record.slots;
     }
   return slots;
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "departed-targets.h"
 #include "outlier.h"
 #include "platform/platform-target.h"
 #include "rate-limit.h"
@@ -43,7 +44,9 @@
   gint64 slowdown_observed_ms; /**< when an agent last reported it to this
                                     process; 0: never */
   gint64 full_until_ms;        /**< no requests until then, as it was full */
-  CfRateLimit limit;     /**< the rate that it accepts from all gateways */
+  CfRateLimit limit;          /**< the rate that it accepts from all gateways */
+  gboolean announced_leaving; /**< an answer said that it leaves, which it never
+                                   takes back */
   CfTargetPause pause;   /**< wants no requests of this gateway for a while */
   gint64 older_since_ms; /**< since when the list has shown an older
                               incarnation under its id; 0: it does not */
@@ -91,7 +94,8 @@
   GHashTable *by_id;   /**< id -> #CfTarget */
   GHashTable *by_addr; /**< address -> #CfTarget, the newest there */
   GHashTable
-      *by_service;  /**< service -> GPtrArray of #CfTarget, sorted by id */
+      *by_service; /**< service -> GPtrArray of #CfTarget, sorted by id */
+  CfDepartedTargets departed;
   guint next_start; /**< where the next search for the least loaded begins */
   /** (nullable): whether @service is in the configuration.  A record of any
    * other service may be corrupt, and takes no address from a target. */
@@ -151,6 +155,14 @@
  */
 gint64 cf_target_silence_ms (const CfTarget *t, gint64 now_ms);
 
+/** cf_target_announce_leaving: records that @t said in an answer that it
+ * leaves; %FALSE if that was known. */
+gboolean cf_target_announce_leaving (CfTarget *t);
+
+/** cf_target_is_leaving: whether @t takes no new requests, by its record or its
+ * answers. */
+gboolean cf_target_is_leaving (const CfTarget *t);
+
 /** cf_target_pause_ms: for how much longer @t wants no requests of this
  * gateway; 0 if it takes them. */
 gint64 cf_target_pause_ms (const CfTarget *t, gint64 now_ms);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -186,7 +186,7 @@
   u->idle_timeout_s = idle_timeout_s (&u->reader);
   keep = keep && cf_http_reader_can_keep_alive (&u->reader)
          && u->n_sent == u->request->len && u->target->listed
-         && !u->target->record.leaving && u->idle_timeout_s > 0;
+         && !cf_target_is_leaving (u->target) && u->idle_timeout_s > 0;
   if (keep)
     {
       u->owner = NULL;
--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -299,6 +299,7 @@
       {
         CfPeerSlowdown p = { bytes, 3000, 9 };
         CfPeerRateLimit l = { bytes, 9, 1100000, 40 };
+        CfPeerInstance leaving = { bytes, 9 };
 
         m->u.gateway_hello.data_centre = bytes;
         m->u.gateway_hello.ring_start = 7;
@@ -308,6 +309,9 @@
         m->u.gateway_hello.rate_limits
             = g_array_new (FALSE, FALSE, sizeof (CfPeerRateLimit));
         g_array_append_val (m->u.gateway_hello.rate_limits, l);
+        m->u.gateway_hello.leaving
+            = g_array_new (FALSE, FALSE, sizeof (CfPeerInstance));
+        g_array_append_val (m->u.gateway_hello.leaving, leaving);
       }
       break;
     case CF_PEER_TARGETS:
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -66,6 +66,7 @@
   CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), 12, 7 };
   CfPeerSlowdown slowdown = { bytes ("1.2.3.9:1"), 12000, 1783022913149 };
   CfPeerRateLimit rate_limit = { bytes ("i-2"), 1783022913149, 1100000, 40 };
+  CfPeerInstance leaving = { bytes ("i-3"), 1783022913149 };
   CfPeerMsg o;
   msgpack_unpacked zone;
   msgpack_sbuffer buf;
@@ -82,7 +83,14 @@
   m.u.gateway_hello.rate_limits
       = g_array_new (FALSE, FALSE, sizeof (CfPeerRateLimit));
   g_array_append_val (m.u.gateway_hello.rate_limits, rate_limit);
+  m.u.gateway_hello.leaving
+      = g_array_new (FALSE, FALSE, sizeof (CfPeerInstance));
+  g_array_append_val (m.u.gateway_hello.leaving, leaving);
   pack_and_unpack (&m, &o, &zone, &buf);
+  ck_assert_uint_eq (o.u.gateway_hello.leaving->len, 1);
+  ck_assert_int_eq (
+      g_array_index (o.u.gateway_hello.leaving, CfPeerInstance, 0).incarnation,
+      1783022913149);
   ck_assert_uint_eq (o.u.gateway_hello.want, CF_PEER_WANT_TARGETS);
   ck_assert_int_eq (o.u.gateway_hello.policy_rev, 9);
   ck_assert_mem_eq (o.u.gateway_hello.data_centre.data, "dc2", 3);
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -524,6 +524,16 @@
 }
 END_TEST
 
+START_TEST (only_one_value_says_that_a_target_leaves)
+{
+  const char *others[] = { NULL, "", "0", "-1", "1.0", "11", "true", "1e0" };
+
+  ck_assert (cf_platform_parse_leaving ("1"));
+  for (gsize i = 0; i < G_N_ELEMENTS (others); i++)
+    ck_assert_msg (!cf_platform_parse_leaving (others[i]), "case %zu", i);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -545,6 +555,7 @@
   tcase_add_test (t, orders_do_not_depend_on_the_order_of_experts_in_a_row);
   tcase_add_test (t, headers_are_recognized_and_forwarded);
   tcase_add_test (t, rate_limits_are_parsed);
+  tcase_add_test (t, only_one_value_says_that_a_target_leaves);
   tcase_add_test (t, only_positive_decimal_retry_after_is_accepted);
   suite_add_tcase (s, t);
   return t_run_suite (s);
--- a/t/t-target.c
+++ b/t/t-target.c
@@ -75,6 +75,56 @@
 }
 END_TEST
 
+START_TEST (relisted_instance_is_still_leaving)
+{
+  CfTarget *old;
+
+  put ("a", 100, FALSE);
+  old = cf_target_ref (get ("a"));
+  ck_assert (cf_target_announce_leaving (old));
+  ck_assert (!cf_target_announce_leaving (old));
+  cf_target_pause_begin (&old->pause, 5, 1000);
+  put ("a", 100, FALSE);
+  ck_assert (cf_target_is_leaving (get ("a")));
+  cf_target_table_remove (&table, "a");
+  put ("a", 100, FALSE);
+  ck_assert_ptr_ne (get ("a"), old);
+  ck_assert (cf_target_is_leaving (get ("a")));
+  ck_assert_int_gt (cf_target_pause_ms (get ("a"), 2000), 0);
+  cf_target_unref (old);
+}
+END_TEST
+
+START_TEST (successor_of_leaving_instance_takes_requests)
+{
+  put ("a", 100, FALSE);
+  cf_target_announce_leaving (get ("a"));
+  cf_target_pause_begin (&get ("a")->pause, 5, 1000);
+  put ("a", 200, FALSE);
+  ck_assert (!cf_target_is_leaving (get ("a")));
+  ck_assert_int_eq (cf_target_pause_ms (get ("a"), 1000), 0);
+  put ("b", 0, FALSE);
+  cf_target_announce_leaving (get ("b"));
+  cf_target_table_remove (&table, "b");
+  put_record ("b", "s", "1.1.1.2:1", 0, FALSE, 0);
+  ck_assert (!cf_target_is_leaving (get ("b")));
+}
+END_TEST
+
+START_TEST (memory_of_departed_instances_is_bounded)
+{
+  for (int i = 0; i < CF_DEPARTED_TARGETS_MAX + 10; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("t%d", i);
+
+      put (id, 100, FALSE);
+      cf_target_table_remove (&table, id);
+    }
+  ck_assert_uint_eq (g_hash_table_size (table.departed.by_instance),
+                     CF_DEPARTED_TARGETS_MAX);
+}
+END_TEST
+
 /* A write of the previous incarnation that the store delayed. */
 START_TEST (late_record_of_older_incarnation_is_dropped)
 {
@@ -157,6 +207,9 @@
 
   tcase_add_checked_fixture (t, setup, teardown);
   tcase_add_test (t, new_incarnation_has_fresh_state);
+  tcase_add_test (t, relisted_instance_is_still_leaving);
+  tcase_add_test (t, successor_of_leaving_instance_takes_requests);
+  tcase_add_test (t, memory_of_departed_instances_is_bounded);
   tcase_add_test (t, late_record_of_older_incarnation_is_dropped);
   tcase_add_test (t, older_incarnation_is_accepted_after_clock_step);
   tcase_add_test (t, record_without_incarnation_is_invalid);
