soak: targets that ask for pauses or say that they leave

Two kinds of faults that count as planned, so that the strict checks apply: a target that refuses everything with a Retry-After (odd values among them), and one that announces in its answers alone that it leaves, and is replaced at its address. From the targets' record of arrivals and the callers' of what they sent, t/soak-arrivals.c checks both rules of the platform for each gateway.

--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -62,8 +62,9 @@
 typedef struct
 {
   char id[48];
-  gint64 at_ms;   /**< on the machine's monotonic clock */
-  double pause_s; /**< the pause that the answer requested; 0: none */
+  char instance[48]; /**< id and start time of the target */
+  gint64 at_ms;      /**< on the machine's monotonic clock */
+  double pause_s;    /**< the pause that the answer requested; 0: none */
   gboolean said_leaving;
 } Arrival;
 
@@ -346,6 +347,8 @@
   Arrival a = { .at_ms = g_get_monotonic_time () / 1000 };
 
   g_strlcpy (a.id, id, sizeof a.id);
+  g_snprintf (a.instance, sizeof a.instance, "%s/%" G_GINT64_FORMAT, t->id,
+              t->started_ms);
   a.pause_s = t->pause_s ? g_ascii_strtod (t->pause_s, NULL) : 0;
   a.said_leaving = t->says_leaving;
   g_array_append_val (t->arrivals, a);
@@ -529,8 +532,9 @@
       const Arrival *a = &g_array_index (t->arrivals, Arrival, i);
 
       json_array_append_new (
-          list, json_pack ("{s:s,s:I,s:f,s:b}", "id", a->id, "at-ms", a->at_ms,
-                           "pause-s", a->pause_s, "leaving", a->said_leaving));
+          list, json_pack ("{s:s,s:s,s:I,s:f,s:b}", "id", a->id, "instance",
+                           a->instance, "at-ms", a->at_ms, "pause-s",
+                           a->pause_s, "leaving", a->said_leaving));
     }
   answer_json (t, c, list);
 }
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -42,8 +42,9 @@
  * POST /test/leave: from now on its answers say that it leaves, though its
  * store record does not; a restart ends that.
  *
- * GET /test/arrivals: each request that reached it: id, at-ms (monotonic
- * clock), pause-s (the pause that its answer requested; 0: none), and leaving.
+ * GET /test/arrivals: each request that reached it: id, instance, at-ms
+ * (monotonic clock), pause-s (the pause that its answer requested; 0: none),
+ * and leaving.
  *
  * POST /test/late-orders?tenths=N: N of every ten orders to a rank get no
  * answer and are executed a second later.
--- /dev/null
+++ b/t/soak-arrivals.c
@@ -0,0 +1,126 @@
+/*
+ * Checks which requests reached targets that had asked a gateway for a pause,
+ * or had told it that they leave.
+ */
+#include "platform-harness.h"
+#include "soak.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/** Requests that may reach a target from a gateway during a pause, not counting
+ * the first PAUSE_SLACK_MS. */
+#define PAUSE_REQUESTS_MAX 2
+#define PAUSE_SLACK_MS 500
+/** Time after an answer that says that its target leaves, from which on
+ * callers' requests are not sent there. */
+#define DRAIN_MS 2000
+
+/** Arrival: a request that reached a target. */
+typedef struct
+{
+  const char *id;
+  const char *instance;
+  gint64 at_ms;
+  double pause_s;
+  gboolean leaving;
+  SoakRequestInfo request;
+} Arrival;
+
+/* FALSE if no caller's record names the gateway that sent it. */
+static gboolean
+read_arrival (const json_t *o, Arrival *a)
+{
+  a->id = json_string_value (json_object_get (o, "id"));
+  a->instance = json_string_value (json_object_get (o, "instance"));
+  a->at_ms = json_integer_value (json_object_get (o, "at-ms"));
+  a->pause_s = json_real_value (json_object_get (o, "pause-s"));
+  a->leaving = json_is_true (json_object_get (o, "leaving"));
+  return soak_lookup_request (a->id, &a->request);
+}
+
+/* Whether @a and the later @b came from the same run of one gateway. */
+static gboolean
+is_same_sender (const Arrival *a, const Arrival *b)
+{
+  return a->request.gateway == b->request.gateway
+         && !soak_was_gateway_disturbed (a->request.gateway, a->at_ms,
+                                         b->at_ms);
+}
+
+/* Checks what reached the target after @all[@first], whose answer asked for a
+ * pause. */
+static void
+check_pause (const GArray *all, guint first)
+{
+  const Arrival *a = &g_array_index (all, Arrival, first);
+  gint64 end_ms = a->at_ms + (gint64)(a->pause_s * 1000);
+  int n = 0;
+
+  for (guint i = first + 1; i < all->len; i++)
+    {
+      const Arrival *b = &g_array_index (all, Arrival, i);
+
+      n += b->at_ms > a->at_ms + PAUSE_SLACK_MS && b->at_ms < end_ms
+           && strcmp (a->instance, b->instance) == 0 && is_same_sender (a, b);
+    }
+  if (n > PAUSE_REQUESTS_MAX)
+    soak_report_violation ("pause",
+                           "%s asked gateway %d for %.1f s at %" G_GINT64_FORMAT
+                           " and got %d requests",
+                           a->instance, a->request.gateway, a->pause_s,
+                           a->at_ms, n);
+}
+
+/* Checks what reached the target after @all[@first], whose answer said that it
+ * leaves. */
+static void
+check_leaving (const GArray *all, guint first)
+{
+  const Arrival *a = &g_array_index (all, Arrival, first);
+
+  if (!a->request.end_ms)
+    return;
+  for (guint i = first + 1; i < all->len; i++)
+    {
+      const Arrival *b = &g_array_index (all, Arrival, i);
+
+      if (b->request.sent_ms <= a->request.end_ms + DRAIN_MS
+          || strcmp (a->instance, b->instance) != 0 || !is_same_sender (a, b))
+        continue;
+      soak_report_violation (
+          "leaving", "id=%s reached %s, which had told gateway %d at id=%s",
+          b->id, a->instance, a->request.gateway, a->id);
+      return;
+    }
+}
+
+void
+soak_check_arrivals (int target_port)
+{
+  g_autofree char *text
+      = p_call_standin (target_port, "GET /test/arrivals", "");
+  json_t *list = json_loads (text, 0, NULL);
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (Arrival));
+  const json_t *o;
+  size_t i;
+
+  json_array_foreach (list, i, o)
+  {
+    Arrival a;
+
+    if (read_arrival (o, &a))
+      g_array_append_val (all, a);
+  }
+  for (guint k = 0; k < all->len; k++)
+    {
+      const Arrival *a = &g_array_index (all, Arrival, k);
+
+      if (a->pause_s > 0)
+        check_pause (all, k);
+      if (a->leaving)
+        check_leaving (all, k);
+    }
+  g_array_unref (all);
+  json_decref (list);
+}
--- a/t/soak-faults.c
+++ b/t/soak-faults.c
@@ -114,6 +114,13 @@
   g_free (p_call_standin (port, call, body));
 }
 
+static void
+record_disturbance (const Process *p)
+{
+  if (!p->is_agent)
+    soak_record_disturbance (p->n);
+}
+
 static void
 start_process (SoakFleet *f, Process *p)
 {
@@ -130,6 +137,7 @@
       = p->is_agent
             ? p_start_agent (base, target_port (f, SOAK_N_PLAIN_TARGETS + p->n))
             : p_start_gateway (base, p->n);
+  record_disturbance (p);
 }
 
 static void
@@ -215,6 +223,7 @@
 {
   if (!p->pid)
     return;
+  record_disturbance (p);
   p_signal (p->pid, SIGKILL);
   p->pid = 0;
   p->restart_ms = soak_now_ms () + ms;
@@ -225,6 +234,7 @@
 {
   p->n_freezes++;
   p->was_frozen = TRUE;
+  record_disturbance (p);
   send_signal (p, SIGSTOP);
 }
 
@@ -261,8 +271,10 @@
 static void
 unfreeze (Process *p)
 {
-  if (p->n_freezes > 0 && --p->n_freezes == 0)
-    send_signal (p, SIGCONT);
+  if (p->n_freezes == 0 || --p->n_freezes > 0)
+    return;
+  record_disturbance (p);
+  send_signal (p, SIGCONT);
 }
 
 static void
@@ -355,6 +367,18 @@
                   1 + fault->variant % FAULT_REQUESTS_MAX);
 }
 
+static void
+request_pauses (SoakFleet *f, const SoakFault *fault)
+{
+  static const char *const values[]
+      = { "0.3", "1", "2.5", "0.75", "0", "-1", "soon" };
+  g_autofree char *call
+      = g_strdup_printf ("POST /test/pause?s=%s",
+                         values[fault->variant % (int)G_N_ELEMENTS (values)]);
+
+  control_standin (target_port (f, fault->index), call, "");
+}
+
 static void
 inject_network_fault (SoakFleet *f, const SoakFault *fault)
 {
@@ -390,6 +414,12 @@
     case SOAK_DRAIN:
       control_standin (target_port (f, fault->index), "POST /test/drain", "");
       break;
+    case SOAK_LEAVE:
+      control_standin (target_port (f, fault->index), "POST /test/leave", "");
+      break;
+    case SOAK_PAUSE:
+      request_pauses (f, fault);
+      break;
     case SOAK_KILL:
       kill_and_restart_after (&f->gateways[fault->index], fault->duration_ms);
       break;
@@ -434,8 +464,12 @@
   switch (fault->kind)
     {
     case SOAK_DRAIN: /* restart under another id at the same address */
+    case SOAK_LEAVE:
       control_standin (target_port (f, fault->index), "POST /test/restart", "");
       break;
+    case SOAK_PAUSE:
+      control_standin (target_port (f, fault->index), "POST /test/pause", "");
+      break;
     case SOAK_FREEZE:
       unfreeze (&f->gateways[fault->index]);
       break;
@@ -554,6 +588,7 @@
           = p_call_standin (target_port (f, i), "GET /test/ran", "");
 
       record_runs (runs);
+      soak_check_arrivals (target_port (f, i));
     }
   if (soak_has_only_planned_faults ()
       && p_sum_runs (target_port (f, 0), n, "late") > 0)
--- a/t/soak-schedule.c
+++ b/t/soak-schedule.c
@@ -22,9 +22,9 @@
 #define LARGE_EVERY 8
 
 static const char *const kind_names[SOAK_N_KINDS]
-    = { "roll",   "hup",        "config",      "drain",  "kill",
-        "freeze", "store",      "forget",      "target", "crash",
-        "net",    "agent-kill", "agent-freeze" };
+    = { "roll",   "hup",   "config", "drain",      "leave",
+        "pause",  "kill",  "freeze", "store",      "forget",
+        "target", "crash", "net",    "agent-kill", "agent-freeze" };
 
 const char *
 soak_kind_name (SoakFaultKind k)
@@ -48,9 +48,11 @@
   switch (k)
     {
     case SOAK_DRAIN:
+    case SOAK_LEAVE:
     case SOAK_CRASH:
       /* Not the last plain target: it is listed at its proxy's address. */
       return choose_target (r, p, 1);
+    case SOAK_PAUSE:
     case SOAK_TARGET:
       return choose_target (r, p, 0);
     case SOAK_AGENT_KILL:
@@ -71,7 +73,7 @@
   f.kind = (SoakFaultKind)g_rand_int_range (r, 0, n_kinds);
   f.at_ms = g_rand_int_range (r, 0, SCHEDULE_MS);
   f.duration_ms = g_rand_int_range (r, 100, DURATION_MAX_MS);
-  if (f.kind == SOAK_DRAIN)
+  if (f.kind == SOAK_DRAIN || f.kind == SOAK_LEAVE)
     f.duration_ms += DRAIN_EXTRA_MS;
   f.index = choose_index (r, p, f.kind);
   f.variant = g_rand_int_range (r, 0, 60);
--- a/t/soak-verdict.c
+++ b/t/soak-verdict.c
@@ -41,7 +41,15 @@
   gint64 at_ms;
 } PlannedStop;
 
+/** Disturbance: an event that makes a gateway forget, or do nothing. */
+typedef struct
+{
+  int gateway;
+  gint64 at_ms;
+} Disturbance;
+
 static GMutex lock;
+static GArray *disturbances;     /* of Disturbance */
 static GHashTable *requests;     /* id -> RequestRecord */
 static GArray *unplanned_faults; /* of FaultSpan */
 static GArray *stops;            /* of PlannedStop */
@@ -92,6 +100,42 @@
   g_array_append_val (stops, stop);
 }
 
+void
+soak_record_disturbance (int gateway)
+{
+  Disturbance d = { gateway, soak_now_ms () };
+
+  if (!disturbances)
+    disturbances = g_array_new (FALSE, FALSE, sizeof (Disturbance));
+  g_array_append_val (disturbances, d);
+}
+
+gboolean
+soak_was_gateway_disturbed (int gateway, gint64 from_ms, gint64 to_ms)
+{
+  for (guint i = 0; disturbances && i < disturbances->len; i++)
+    {
+      const Disturbance *d = &g_array_index (disturbances, Disturbance, i);
+
+      if (d->gateway == gateway && d->at_ms >= from_ms && d->at_ms <= to_ms)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+gboolean
+soak_lookup_request (const char *id, SoakRequestInfo *info)
+{
+  const RequestRecord *r;
+
+  g_mutex_lock (&lock);
+  r = requests ? g_hash_table_lookup (requests, id) : NULL;
+  if (r)
+    *info = (SoakRequestInfo){ r->gateway, r->sent_ms, r->end_ms };
+  g_mutex_unlock (&lock);
+  return r != NULL;
+}
+
 gboolean
 soak_has_only_planned_faults (void)
 {
--- a/t/soak.h
+++ b/t/soak.h
@@ -47,6 +47,9 @@
   SOAK_HUP,    /**< SIGHUP to a gateway */
   SOAK_CONFIG, /**< a new version of the configuration */
   SOAK_DRAIN,  /**< a target drains and is restarted */
+  SOAK_LEAVE,  /**< a target says in its answers alone that it leaves, and is
+                    restarted */
+  SOAK_PAUSE,  /**< a target refuses all requests and asks for pauses */
   SOAK_KILL,   /**< SIGKILL to a gateway, and a restart */
   SOAK_FREEZE, /**< SIGSTOP to a gateway, later SIGCONT */
   SOAK_STORE,  /**< the store fails, is slow or returns stale data */
@@ -60,7 +63,7 @@
   SOAK_N_KINDS,
 } SoakFaultKind;
 
-#define SOAK_LAST_PLANNED SOAK_DRAIN
+#define SOAK_LAST_PLANNED SOAK_PAUSE
 
 /** SoakFault: one entry of a schedule. */
 typedef struct
@@ -126,6 +129,12 @@
  * to. */
 int soak_caller_port (int base, int n);
 
+/* soak-arrivals.c */
+
+/** soak_check_arrivals: checks what reached the target at @target_port after it
+ * had asked for pauses or had said that it leaves. */
+void soak_check_arrivals (int target_port);
+
 /* soak-shared.c: state that one gateway learns and all have to apply */
 
 /** soak_shared_start: sets up the targets; call it once they run. */
@@ -178,6 +187,25 @@
 /** soak_record_stop: gateway @gateway (from 1) is about to get SIGTERM. */
 void soak_record_stop (int gateway);
 
+/** soak_record_disturbance: gateway @gateway (from 1) was killed, started,
+ * frozen or woken. */
+void soak_record_disturbance (int gateway);
+
+/** soak_was_gateway_disturbed: whether that happened from @from_ms to
+ * @to_ms. */
+gboolean soak_was_gateway_disturbed (int gateway, gint64 from_ms, gint64 to_ms);
+
+/** SoakRequestInfo: what a caller recorded of a request. */
+typedef struct
+{
+  int gateway;
+  gint64 sent_ms;
+  gint64 end_ms; /**< 0: no answer yet */
+} SoakRequestInfo;
+
+/** soak_lookup_request: FALSE if no caller sent request @id. */
+gboolean soak_lookup_request (const char *id, SoakRequestInfo *info);
+
 /** soak_record_config: configuration version @version is about to be
  * written. */
 void soak_record_config (int version);
