store-watch: log what is read, and changes dropped for their revision

A configuration with a revision below the known one was dropped without a line, and nothing said at which revision, and in which era of the store, everything had been read (E1107, E1102). Nothing acts on the era yet.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -152,6 +152,11 @@
 {
   CfPolicy *p;
 
+  if (g->policy && rev < g->policy_rev)
+    cf_log (LOG_NOTICE, CF_EV_CONFIG_OLDER,
+            "rev=%" G_GINT64_FORMAT " in_force_rev=%" G_GINT64_FORMAT
+            " in_force=%" G_GINT64_FORMAT " source=%s",
+            rev, g->policy_rev, g->policy->version, source);
   if (g->policy && rev <= g->policy_rev)
     return;
   if (cf_platform_policy_parse (json, n, &p) != CF_OK)
--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -103,6 +103,11 @@
       w->page_after = g_strdup (last->key);
       return;
     }
+  cf_log (LOG_NOTICE, CF_EV_STORE_READ,
+          "prefix=%s era=%" G_GINT64_FORMAT " as_of=%" G_GINT64_FORMAT
+          " before=%" G_GINT64_FORMAT " keys=%u",
+          w->prefix, w->era, w->range_as_of, w->as_of,
+          g_hash_table_size (w->seen_keys));
   w->as_of = w->range_as_of;
   w->has_snapshot = TRUE;
   w->callbacks->snapshot (w->g, w->seen_keys, w->as_of);
@@ -167,6 +172,8 @@
   int status = (int)w->reader.parser.status_code;
   gboolean keep_alive = cf_http_reader_can_keep_alive (&w->reader);
 
+  w->era = cf_platform_store_parse_era (
+      cf_http_reader_header (&w->reader, CF_HDR_STORE_ERA));
   cf_http_reader_next (&w->reader);
   if (!keep_alive)
     disconnect (w);
@@ -346,6 +353,7 @@
   w->g = g;
   w->prefix = prefix;
   w->callbacks = callbacks;
+  w->era = CF_STORE_ERA_UNKNOWN;
   w->long_poll_ms = LONG_POLL_MS;
   w->output = g_string_new (NULL);
   w->body = g_string_new (NULL);
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -63,6 +63,7 @@
   GString *body;
   GHashTable *seen_keys; /**< keys read so far by the range in progress */
   char *page_after;   /**< last key of the previous page; %NULL for the first */
+  gint64 era;         /**< of the store, as its last answer stated it */
   gint64 as_of;       /**< changes are requested after this revision */
   gint64 range_as_of; /**< revision of the first page.  Later pages may be
                          newer, so changes are requested from this one on. */
--- a/log.c
+++ b/log.c
@@ -85,6 +85,8 @@
       return "quarantine";
     case CF_EV_STORE_LOST:
       return "store-lost";
+    case CF_EV_STORE_READ:
+      return "store-read";
     case CF_EV_STORE_BACK:
       return "store-back";
     case CF_EV_TARGET_LIST:
--- a/log.h
+++ b/log.h
@@ -41,6 +41,7 @@
   CF_EV_SLOW_PASS = 1219,    /**< a pass delayed streams beyond the objective */
   CF_EV_STORE_LOST = 1105,   /**< the metadata store does not answer */
   CF_EV_STORE_BACK = 1106,   /**< the metadata store answers again */
+  CF_EV_STORE_READ = 1107,   /**< all keys under a prefix were read */
   CF_EV_TARGET_LIST = 1305,  /**< a target was added, changed or removed */
   CF_EV_PEER = 1306, /**< a peer was found, lost or rejected, or sent data */
   CF_EV_VM_LEAVING = 1301,   /**< the VM list marks a target as leaving */
