t-store-era: a store that is restored from a copy

The stand-in of the store can be copied and restored: revisions go back and are given out again, a watch from a revision that it does not have gets 410, each restoration begins an era that all answers state, and what was lost is written again after a while. It may also be restored between two pages of a range, or state an era that is odd or none.

Seen: a configuration and a target's drain at revisions given out again are dropped, also by gateways that learn from peers; a target that had left is served; one that does not come back stays for good.

--- a/standins/fake-store.c
+++ b/standins/fake-store.c
@@ -41,6 +41,13 @@
   ev_timer timer;   /**< ends the wait without a change */
 } Watch;
 
+/** State: the contents of the store at one revision. */
+typedef struct
+{
+  GTree *items; /**< key -> Item; %NULL: none was taken */
+  gint64 rev;
+} State;
+
 struct FakeStore
 {
   struct ev_loop *loop;
@@ -50,7 +57,15 @@
   gint64 compacted_rev; /**< the history begins after this revision */
   GPtrArray *watches;   /**< of Watch */
   Mode mode;
-  guint n_calls; /**< counted in MODE_SOME */
+  guint n_calls;  /**< counted in MODE_SOME */
+  gint64 era;     /**< how often it was restored, plus one */
+  char *era_text; /**< (nullable): stated instead of @era; empty: none */
+  State copy;     /**< what the next restoration goes back to */
+  State lost;     /**< what there was before the last restoration */
+  ev_timer rewrite_timer; /**< writes again what was lost */
+  gint64 rewrite_ms;
+  gboolean restores_at_next_page; /**< restored before the next page of a range
+                                       that is not the first */
 };
 
 /** DelayedCall: a call that the store answers late, in slow mode. */
@@ -84,6 +99,47 @@
   return it;
 }
 
+static gint
+compare_keys (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  return strcmp (a, b);
+}
+
+static gboolean
+copy_item (gpointer key, gpointer value, gpointer tree)
+{
+  const Item *it = value;
+
+  g_tree_replace (tree, g_strdup (key),
+                  item_new (it->key, it->value, it->mod_rev, it->create_rev));
+  return FALSE;
+}
+
+static GTree *
+copy_items (GTree *items)
+{
+  GTree *copy = g_tree_new_full (compare_keys, NULL, g_free, item_free);
+
+  g_tree_foreach (items, copy_item, copy);
+  return copy;
+}
+
+/* Answers a call of the store's protocol. */
+static void
+answer (const FakeStore *s, FakeConn *c, int status, const char *headers,
+        const char *body, gssize n)
+{
+  GString *h = g_string_new (headers);
+
+  if (!s->era_text)
+    g_string_append_printf (h, PF_HDR_STORE_ERA ": %" G_GINT64_FORMAT "\r\n",
+                            s->era);
+  else if (s->era_text[0])
+    g_string_append_printf (h, PF_HDR_STORE_ERA ": %s\r\n", s->era_text);
+  fake_http_answer (c, status, h->str, body, n);
+  g_string_free (h, TRUE);
+}
+
 static json_t *
 item_to_json (const Item *it)
 {
@@ -103,11 +159,11 @@
 }
 
 static void
-answer_json (FakeConn *c, json_t *o)
+answer_json (const FakeStore *s, FakeConn *c, json_t *o)
 {
   char *text = json_dumps (o, JSON_COMPACT);
 
-  fake_http_answer (c, 200, "Content-Type: application/json\r\n", text, -1);
+  answer (s, c, 200, "Content-Type: application/json\r\n", text, -1);
   free (text);
   json_decref (o);
 }
@@ -135,7 +191,7 @@
 
   json_object_set_new (o, "events", events);
   json_object_set_new (o, "as-of", json_integer (s->rev));
-  answer_json (c, o);
+  answer_json (s, c, o);
 }
 
 /* Whether watches that wait get changes in the current mode. */
@@ -226,6 +282,107 @@
   write_value (s, key, value);
 }
 
+static void
+reset_watches (FakeStore *s)
+{
+  while (s->watches->len)
+    {
+      Watch *w = s->watches->pdata[0];
+      FakeConn *c = w->conn;
+
+      end_watch (w);
+      fake_http_reset (c);
+    }
+}
+
+static void
+compact_history (FakeStore *s)
+{
+  s->compacted_rev = s->rev;
+  g_ptr_array_set_size (s->history, 0);
+  reset_watches (s);
+}
+
+static void
+set_state (State *state, GTree *items, gint64 rev)
+{
+  g_clear_pointer (&state->items, g_tree_destroy);
+  state->items = items;
+  state->rev = rev;
+}
+
+/* Writes what there was of @key before the restoration, unless it is there, or
+ * has been written since. */
+static gboolean
+rewrite_item (gpointer key, gpointer value, gpointer data)
+{
+  FakeStore *s = data;
+  const Item *lost = value;
+  const Item *now = g_tree_lookup (s->items, key);
+
+  if (!now || (now->mod_rev <= s->copy.rev && strcmp (now->value, lost->value)))
+    write_base64 (s, key, lost->value);
+  return FALSE;
+}
+
+static gboolean
+collect_departed_key (gpointer key, gpointer value, gpointer keys)
+{
+  g_ptr_array_add (keys, key);
+  return FALSE;
+}
+
+/* Removes the items of the copy that had been removed before the restoration,
+ * as those of targets that no longer renew their leases. */
+static void
+remove_departed (FakeStore *s)
+{
+  GPtrArray *keys = g_ptr_array_new ();
+
+  g_tree_foreach (s->copy.items, collect_departed_key, keys);
+  for (guint i = 0; i < keys->len; i++)
+    {
+      const Item *now = g_tree_lookup (s->items, keys->pdata[i]);
+
+      if (now && now->mod_rev <= s->copy.rev
+          && !g_tree_lookup (s->lost.items, keys->pdata[i]))
+        write_base64 (s, keys->pdata[i], NULL);
+    }
+  g_ptr_array_free (keys, TRUE);
+}
+
+static void
+on_rewrite_due (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  FakeStore *s = t->data;
+
+  g_tree_foreach (s->lost.items, rewrite_item, s);
+  remove_departed (s);
+}
+
+/* Goes back to the copy.  What was written since is written again after
+ * @rewrite_ms; never, if that is 0. */
+static void
+restore_copy (FakeStore *s, gint64 rewrite_ms)
+{
+  if (!s->copy.items)
+    return;
+  ev_timer_stop (s->loop, &s->rewrite_timer);
+  set_state (&s->lost, s->items, s->rev);
+  s->items = copy_items (s->copy.items);
+  s->rev = s->copy.rev;
+  s->era++;
+  while (s->history->len
+         && ((Item *)s->history->pdata[s->history->len - 1])->mod_rev > s->rev)
+    g_ptr_array_set_size (s->history, (gint)s->history->len - 1);
+  s->compacted_rev = MIN (s->compacted_rev, s->rev);
+  reset_watches (s);
+  if (rewrite_ms == 0)
+    return;
+  ev_timer_set (&s->rewrite_timer, (double)rewrite_ms / 1000, 0);
+  ev_timer_start (s->loop, &s->rewrite_timer);
+}
+
 /** RangePage: one page of a range, as it is collected. */
 typedef struct
 {
@@ -260,11 +417,16 @@
   RangePage r = { prefix ? prefix : "", after, json_array (), FALSE };
   json_t *o = json_object ();
 
+  if (after && s->restores_at_next_page)
+    {
+      s->restores_at_next_page = FALSE;
+      restore_copy (s, s->rewrite_ms);
+    }
   g_tree_foreach (s->items, add_item_to_page, &r);
   json_object_set_new (o, "items", r.items);
   json_object_set_new (o, "has-more", json_boolean (r.has_more));
   json_object_set_new (o, "as-of", json_integer (s->rev));
-  answer_json (c, o);
+  answer_json (s, c, o);
   g_free (prefix);
   g_free (after);
 }
@@ -280,10 +442,10 @@
                        ? json_array ()
                        : changes_after (s, prefix ? prefix : "", after_rev);
 
-  if (after_rev < s->compacted_rev)
+  if (after_rev < s->compacted_rev || after_rev > s->rev)
     {
       json_decref (events);
-      fake_http_answer (c, 410, NULL, "", 0);
+      answer (s, c, 410, NULL, "", 0);
     }
   else if (json_array_size (events))
     answer_watch (s, c, events);
@@ -328,19 +490,21 @@
   notify_watches (s);
 }
 
+static gint64
+query_ms (const FakeConn *c, const char *name)
+{
+  g_autofree char *text = fake_http_query_param (c, name);
+
+  return text ? g_ascii_strtoll (text, NULL, 10) : 0;
+}
+
 static void
-compact_history (FakeStore *s)
+set_era_text (FakeStore *s, const FakeConn *c)
 {
-  s->compacted_rev = s->rev;
-  g_ptr_array_set_size (s->history, 0);
-  while (s->watches->len)
-    {
-      Watch *w = s->watches->pdata[0];
-      FakeConn *c = w->conn;
+  char *text = fake_http_query_param (c, "value");
 
-      end_watch (w);
-      fake_http_reset (c);
-    }
+  g_free (s->era_text);
+  s->era_text = text ? text : g_strdup ("");
 }
 
 static void
@@ -378,6 +542,17 @@
     set_mode (s, mode);
   else if (fake_http_has_path (c, "/test/forget"))
     compact_history (s);
+  else if (fake_http_has_path (c, "/test/copy"))
+    set_state (&s->copy, copy_items (s->items), s->rev);
+  else if (fake_http_has_path (c, "/test/restore"))
+    restore_copy (s, query_ms (c, "rewrite-ms"));
+  else if (fake_http_has_path (c, "/test/restore-at-page"))
+    {
+      s->restores_at_next_page = TRUE;
+      s->rewrite_ms = query_ms (c, "rewrite-ms");
+    }
+  else if (fake_http_has_path (c, "/test/era"))
+    set_era_text (s, c);
   else
     is_test_call = FALSE;
   if (is_test_call && !is_answered)
@@ -395,7 +570,7 @@
   else if (fake_http_has_path (c, PF_PATH_WATCH))
     start_watch (s, c);
   else
-    fake_http_answer (c, 404, NULL, "", 0);
+    answer (s, c, 404, NULL, "", 0);
 }
 
 static void
@@ -457,12 +632,12 @@
       if (s->n_calls++ % 2)
         answer_store_call (s, c);
       else
-        fake_http_answer (c, 503, NULL, "", 0);
+        answer (s, c, 503, NULL, "", 0);
       break;
     case MODE_SILENT:
       break;
     case MODE_BUSY:
-      fake_http_answer (c, 503, NULL, "", 0);
+      answer (s, c, 503, NULL, "", 0);
       break;
     case MODE_RESET:
       fake_http_reset (c);
@@ -470,12 +645,6 @@
     }
 }
 
-static gint
-compare_keys (gconstpointer a, gconstpointer b, gpointer unused)
-{
-  return strcmp (a, b);
-}
-
 FakeStore *
 fake_store_new (struct ev_loop *loop, const char *addr)
 {
@@ -485,6 +654,9 @@
   s->items = g_tree_new_full (compare_keys, NULL, g_free, item_free);
   s->history = g_ptr_array_new_with_free_func (item_free);
   s->watches = g_ptr_array_new ();
+  s->era = 1;
+  ev_timer_init (&s->rewrite_timer, on_rewrite_due, 0, 0);
+  s->rewrite_timer.data = s;
   fake_http_listen (loop, addr, on_request, s);
   return s;
 }
--- a/standins/fake-store.h
+++ b/standins/fake-store.h
@@ -14,15 +14,17 @@
  *   POST /test/delete?key=K
  *   POST /test/forget           compact the history up to the current revision
  *                               and reset the watches that wait
- *   POST /test/mode?mode=M      how the store answers from now on:
- *     up      normally
- *     silent  not at all
- *     busy    503
- *     reset   by a reset of the connection
- *     slow    each answer 300 ms late
- *     some    503 to every second call
- *     stale   a watch reports no changes, though its answer names the current
- *             revision; ranges are as in mode up
+ *   POST /test/copy             copy the contents
+ *   POST /test/restore?rewrite-ms=N   go back to the copy, in the next era;
+ * reset the watches that wait.  After N ms what was lost is written again, as
+ * by the operator and the targets; 0: never POST
+ * /test/restore-at-page?rewrite-ms=N   the same before the next page of a range
+ * that is not its first POST /test/era?value=V      answers state V as the era
+ * from now on; without V, none POST /test/mode?mode=M      how the store
+ * answers from now on: up      normally silent  not at all busy    503 reset by
+ * a reset of the connection slow    each answer 300 ms late some    503 to
+ * every second call stale   a watch reports no changes, though its answer names
+ * the current revision; ranges are as in mode up
  */
 typedef struct FakeStore FakeStore;
 
