--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -45,8 +45,9 @@
 static ev_prepare iteration_end;
 
 static void
-on_policy_item (CfGateway *g, const CfStoreItem *it)
+on_policy_item (CfGateway *g, const CfStoreRecord *r)
 {
+  const CfStoreItem *it = r->item;
   gsize n;
   const char *json;
 
@@ -60,19 +61,26 @@
   if (!it->value)
     return;
   json = g_bytes_get_data (it->value, &n);
-  cf_gateway_apply_policy (g, json, n, it->rev, "store");
+  cf_gateway_apply_policy (g, json, n, r->pos, "store");
 }
 
 static void
-on_policy_snapshot (CfGateway *g, GHashTable *seen, gint64 as_of)
+on_policy_snapshot (CfGateway *g, GHashTable *seen, CfStorePosition as_of)
 {
 }
 
 static void
-on_policy_confirmed (CfGateway *g, gint64 as_of)
+on_policy_confirmed (CfGateway *g, CfStorePosition as_of)
 {
 }
 
+static void
+on_policy_restored (CfGateway *g, gboolean keeps_order)
+{
+  if (!keeps_order)
+    g->policy_pos = CF_STORE_POSITION_NONE;
+}
+
 static void
 on_policy_reachability_changed (CfGateway *g, gboolean up)
 {
@@ -81,7 +89,7 @@
 
 static const CfStoreWatchCallbacks policy_callbacks
     = { on_policy_item, on_policy_snapshot, on_policy_confirmed,
-        on_policy_reachability_changed };
+        on_policy_reachability_changed, on_policy_restored };
 
 /* The event loop's own time follows the time of day and may jump; durations
  * and deadlines use the monotonic clock, read once per iteration. */
--- a/gateway/departed-targets.h
+++ b/gateway/departed-targets.h
@@ -19,8 +19,11 @@
 /** CfDepartedTarget: an instance that is no longer listed. */
 typedef struct
 {
-  gint64 departed_ms; /**< when it was removed from the list */
-  gboolean leaving;   /**< it had said that it leaves */
+  gint64 departed_ms;         /**< when it was removed from the list */
+  gboolean announced_leaving; /**< an answer had said that it leaves */
+  gboolean record_leaving;    /**< its last record said that it leaves */
+  gint64 seq;                 /**< of its last record */
+  guint generation;           /**< of the list that showed it last */
   CfTargetPause pause;
 } CfDepartedTarget;
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -96,6 +96,8 @@
   g->body_bytes_max
       = (gsize)g->settings.memory_mb * 1048576 / BODY_MEMORY_DIVISOR;
   g->callers_max = compute_callers_max (&g->settings);
+  g->policy_pos = CF_STORE_POSITION_NONE;
+  g->targets_pos = CF_STORE_POSITION_NONE;
   TAILQ_INIT (&g->callers);
   TAILQ_INIT (&g->probes);
   TAILQ_INIT (&g->unrouted);
@@ -134,10 +136,16 @@
                               g_get_monotonic_time ());
 }
 
+gboolean
+cf_gateway_has_target_list (const CfGateway *g)
+{
+  return g->targets_pos.rev != 0;
+}
+
 gboolean
 cf_gateway_can_route (const CfGateway *g)
 {
-  return g->policy && g->targets_rev != 0;
+  return g->policy && cf_gateway_has_target_list (g);
 }
 
 gboolean
@@ -146,51 +154,61 @@
   return g->policy && !g->stopping;
 }
 
+/* Handles a configuration whose version is not higher than that in force. */
+static void
+skip_policy (CfGateway *g, const CfPolicy *p, CfStorePosition pos,
+             const char *source)
+{
+  if (p->version < g->policy->version)
+    cf_log (LOG_NOTICE, CF_EV_CONFIG_OLDER,
+            "version=%" G_GINT64_FORMAT " in_force=%" G_GINT64_FORMAT
+            " rev=%" G_GINT64_FORMAT " era=%" G_GINT64_FORMAT " source=%s",
+            p->version, g->policy->version, pos.rev, pos.era, source);
+  else if (cf_store_position_is_older (g->policy_pos, pos))
+    g->policy_pos = pos;
+}
+
+static void
+put_policy_in_force (CfGateway *g, CfPolicy *p, const char *json, gsize n)
+{
+  if (!g->policy)
+    cf_log (LOG_NOTICE, CF_EV_READY, "ready=yes");
+  cf_policy_unref (g->policy);
+  g->policy = p;
+  if (g->policy_json)
+    g_bytes_unref (g->policy_json);
+  g->policy_json = g_bytes_new (json, n);
+  cf_target_table_services_changed (&g->targets);
+}
+
 void
-cf_gateway_apply_policy (CfGateway *g, const char *json, gsize n, gint64 rev,
-                         const char *source)
+cf_gateway_apply_policy (CfGateway *g, const char *json, gsize n,
+                         CfStorePosition pos, const char *source)
 {
   CfPolicy *p;
 
-  if (g->policy && rev < g->policy_rev)
-    cf_log (LOG_NOTICE, CF_EV_CONFIG_OLDER,
-            "rev=%" G_GINT64_FORMAT " in_force_rev=%" G_GINT64_FORMAT
-            " in_force=%" G_GINT64_FORMAT " source=%s",
-            rev, g->policy_rev, g->policy->version, source);
-  if (g->policy && rev <= g->policy_rev)
-    return;
   if (cf_platform_policy_parse (json, n, &p) != CF_OK)
     {
       cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
               "rev=%" G_GINT64_FORMAT " source=%s in_force=%" G_GINT64_FORMAT
               " error=\"%s\"",
-              rev, source, g->policy ? g->policy->version : 0,
+              pos.rev, source, g->policy ? g->policy->version : 0,
               cf_last_error ());
       return;
     }
   if (g->policy && p->version <= g->policy->version)
     {
-      cf_log (LOG_NOTICE, CF_EV_CONFIG_OLDER,
-              "version=%" G_GINT64_FORMAT " in_force=%" G_GINT64_FORMAT
-              " source=%s",
-              p->version, g->policy->version, source);
+      skip_policy (g, p, pos, source);
       cf_policy_unref (p);
       return;
     }
-  if (!g->policy)
-    cf_log (LOG_NOTICE, CF_EV_READY, "ready=yes");
-  cf_policy_unref (g->policy);
-  g->policy = p;
-  g->policy_rev = rev;
-  if (g->policy_json)
-    g_bytes_unref (g->policy_json);
-  g->policy_json = g_bytes_new (json, n);
+  put_policy_in_force (g, p, json, n);
+  g->policy_pos = pos;
   cf_log (LOG_NOTICE, CF_EV_CONFIG_ACCEPT,
           "version=%" G_GINT64_FORMAT " rev=%" G_GINT64_FORMAT
-          " source=%s routes=%u services=%u",
-          p->version, rev, source, p->routes->len,
+          " era=%" G_GINT64_FORMAT " source=%s routes=%u services=%u",
+          p->version, pos.rev, pos.era, source, p->routes->len,
           g_hash_table_size (p->services));
-  cf_target_table_services_changed (&g->targets);
 }
 
 static const char *
@@ -210,39 +228,39 @@
       return "restarted";
     case CF_TARGET_STALE:
       return "older-incarnation";
+    case CF_TARGET_DEPARTED:
+      return "departed";
     case CF_TARGET_BAD:
       return "bad";
     }
   return "unknown";
 }
 
-/* Whether the unreadable record of @id at @rev is seen for the first time.  The
+/* Whether the unreadable record of @id at @pos is seen for the first time.  The
  * list is read repeatedly, so the same record is seen again. */
 static gboolean
-is_newly_rejected (CfGateway *g, const char *id, gint64 rev)
+is_newly_rejected (CfGateway *g, const char *id, CfStorePosition pos)
 {
-  const gint64 *seen;
-  gint64 *stored_rev;
+  const CfStorePosition *seen;
 
   if (!g->rejected_records)
     g->rejected_records
         = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   seen = g_hash_table_lookup (g->rejected_records, id);
-  if (seen && *seen >= rev)
+  if (seen && !cf_store_position_is_older (*seen, pos))
     return FALSE;
   if (g_hash_table_size (g->rejected_records) >= REJECTED_RECORDS_MAX)
     g_hash_table_remove_all (g->rejected_records);
-  stored_rev = g_new (gint64, 1);
-  *stored_rev = rev;
-  g_hash_table_replace (g->rejected_records, g_strdup (id), stored_rev);
+  g_hash_table_replace (g->rejected_records, g_strdup (id),
+                        g_memdup2 (&pos, sizeof pos));
   return TRUE;
 }
 
 void
-cf_gateway_reject_target (CfGateway *g, const char *id, gint64 rev,
+cf_gateway_reject_target (CfGateway *g, const char *id, CfStorePosition pos,
                           const char *source, const char *reason)
 {
-  if (is_newly_rejected (g, id, rev))
+  if (is_newly_rejected (g, id, pos))
     {
       char *name = g_strescape (id, NULL);
 
@@ -250,10 +268,10 @@
       cf_log (LOG_ERR, CF_EV_TARGET_LIST,
               "target=\"%.*s\" outcome=bad rev=%" G_GINT64_FORMAT
               " source=%s error=\"%s\"",
-              REJECTED_ID_LOG_CHARS, name, rev, source, reason);
+              REJECTED_ID_LOG_CHARS, name, pos.rev, source, reason);
       g_free (name);
     }
-  cf_gateway_remove_target (g, id, rev, "unreadable");
+  cf_gateway_remove_target (g, id, pos, "unreadable");
 }
 
 static void
@@ -266,8 +284,8 @@
           "target=%s service=%s addr=%s outcome=%s rev=%" G_GINT64_FORMAT
           " incarnation=%" G_GINT64_FORMAT " source=%s",
           update->id, t ? t->record.service : "-", t ? t->record.addr : "-",
-          target_change_name (c), update->rev, t ? t->record.incarnation : 0,
-          source);
+          target_change_name (c), update->pos.rev,
+          t ? t->record.incarnation : 0, source);
 }
 
 /* Closes connections to @former, whose process has ended or which the list no
@@ -293,7 +311,7 @@
   if (cf_platform_target_parse (update->id, update->json, update->n, &r)
       != CF_OK)
     {
-      cf_gateway_reject_target (g, update->id, update->rev, source,
+      cf_gateway_reject_target (g, update->id, update->pos, source,
                                 cf_last_error ());
       return;
     }
@@ -311,37 +329,30 @@
 }
 
 void
-cf_gateway_remove_target (CfGateway *g, const char *id, gint64 rev,
+cf_gateway_remove_target (CfGateway *g, const char *id, CfStorePosition pos,
                           const char *source)
 {
   CfTarget *t = g_hash_table_lookup (g->targets.by_id, id);
 
-  if (!t || rev < t->rev)
+  if (!t || cf_store_position_is_older (pos, t->pos))
     return;
   cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
           "target=%s service=%s addr=%s outcome=gone rev=%" G_GINT64_FORMAT
-          " source=%s",
-          id, t->record.service, t->record.addr, rev, source);
+          " era=%" G_GINT64_FORMAT " source=%s",
+          id, t->record.service, t->record.addr, pos.rev, pos.era, source);
   cf_upstream_close_idle (t);
   cf_target_table_remove (&g->targets, id);
 }
 
 void
-cf_gateway_retain_targets (CfGateway *g, GHashTable *ids, gint64 as_of,
-                           const char *source)
+cf_gateway_note_targets_restored (CfGateway *g, gboolean keeps_order)
 {
-  GPtrArray *gone = g_ptr_array_new_with_free_func (g_free);
-  GHashTableIter it;
-  gpointer id;
-
-  g_hash_table_iter_init (&it, g->targets.by_id);
-  while (g_hash_table_iter_next (&it, &id, NULL))
-    if (!g_hash_table_contains (ids, id))
-      g_ptr_array_add (gone, g_strdup (id));
-  for (guint i = 0; i < gone->len; i++)
-    cf_gateway_remove_target (g, gone->pdata[i], as_of, source);
-  g_ptr_array_free (gone, TRUE);
-  g->targets_rev = as_of;
+  cf_target_table_store_restored (&g->targets, keeps_order, cf_gateway_now (g));
+  if (g->rejected_records)
+    g_hash_table_remove_all (g->rejected_records);
+  /* The list is still known, so its revision is not 0. */
+  if (!keeps_order && cf_gateway_has_target_list (g))
+    g->targets_pos = (CfStorePosition){ CF_STORE_ERA_UNKNOWN, 1 };
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "quarantine.h"
 #include "retry-budget.h"
 #include "stats.h"
+#include "store-position.h"
 #include "target.h"
 #include "wait-queue.h"
 
@@ -49,14 +50,16 @@
   gint64 now_ms; /**< monotonic time at the start of the iteration */
   gint64 started_ms;
   CfPlatformSettings settings;
-  CfPolicy *policy;          /**< configuration in force; %NULL: none yet */
-  gint64 policy_rev;         /**< store revision of @policy */
-  GBytes *policy_json;       /**< @policy as stored, for peers */
-  gboolean policy_store_up;  /**< the store answers the watch of the policy */
-  gboolean targets_store_up; /**< the store answers the watch of the targets */
+  CfPolicy *policy;           /**< configuration in force; %NULL: none yet */
+  CfStorePosition policy_pos; /**< of @policy in the store */
+  GBytes *policy_json;        /**< @policy as stored, for peers */
+  gboolean policy_store_up;   /**< the store answers the watch of the policy */
+  gboolean targets_store_up;  /**< the store answers the watch of the targets */
   CfTargetTable targets;
-  GHashTable *rejected_records; /**< id -> revision of its unreadable record */
-  gint64 targets_rev;           /**< store revision that @targets reflects */
+  GHashTable *rejected_records; /**< id -> #CfStorePosition of its unreadable
+                                     record */
+  CfStorePosition targets_pos;  /**< of the store's list that @targets
+                                     reflects; revision 0: none was read */
   gint64 targets_confirmed_ms;  /**< when the store last confirmed @targets */
   gboolean rate_limits_changed; /**< peers are to be notified of rate limits */
   guint fleet_size; /**< number of gateways that share the retry budget */
@@ -110,6 +113,9 @@
 CfLoopActivity cf_gateway_enter_activity (CfGateway *g,
                                           CfLoopActivity activity);
 
+/** cf_gateway_has_target_list: whether a list of targets was read. */
+gboolean cf_gateway_has_target_list (const CfGateway *g);
+
 /** cf_gateway_can_route: whether a configuration and a list of targets are
  * known. */
 gboolean cf_gateway_can_route (const CfGateway *g);
@@ -120,13 +126,13 @@
 
 /**
  * cf_gateway_apply_policy:
- * Puts configuration @json in force if it is valid and newer than the current
- * one.
- * @rev: store revision of @json
+ * Puts configuration @json in force if it is valid and its version is higher
+ * than that of the current one, wherever in the store it is.
+ * @pos: of @json in the store
  * @source: "store" or "peer", for the log
  */
 void cf_gateway_apply_policy (CfGateway *g, const char *json, gsize n,
-                              gint64 rev, const char *source);
+                              CfStorePosition pos, const char *source);
 
 /** cf_gateway_update_target: updates the targets from a target's record. */
 void cf_gateway_update_target (CfGateway *g, const CfTargetUpdate *update,
@@ -134,25 +140,26 @@
 
 /**
  * cf_gateway_reject_target:
- * Handles an unreadable record of @id at @rev: logs it once and removes the
+ * Handles an unreadable record of @id at @pos: logs it once and removes the
  * target if an earlier record listed it.  Requests in flight at the target
  * continue.
  */
-void cf_gateway_reject_target (CfGateway *g, const char *id, gint64 rev,
-                               const char *source, const char *reason);
+void cf_gateway_reject_target (CfGateway *g, const char *id,
+                               CfStorePosition pos, const char *source,
+                               const char *reason);
 
 /** cf_gateway_remove_target: removes target @id, unless its record is newer
- * than @rev. */
-void cf_gateway_remove_target (CfGateway *g, const char *id, gint64 rev,
-                               const char *source);
+ * than @pos. */
+void cf_gateway_remove_target (CfGateway *g, const char *id,
+                               CfStorePosition pos, const char *source);
 
 /**
- * cf_gateway_retain_targets:
- * Removes the targets that are not in @ids.
- * @ids: all targets listed as of store revision @as_of
+ * cf_gateway_note_targets_restored:
+ * The list of targets was restored from a copy: it may show targets that have
+ * left, and lack some that came since.
+ * @keeps_order: whether positions from before are older than those that follow
  */
-void cf_gateway_retain_targets (CfGateway *g, GHashTable *ids, gint64 as_of,
-                                const char *source);
+void cf_gateway_note_targets_restored (CfGateway *g, gboolean keeps_order);
 
 /** cf_gateway_update_slowdown: records the factor by which @t is slower than
  * usual, as reported by an agent or a peer. */
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -1,5 +1,6 @@
 #include "peer-frame.h"
 #include "peer-msg.h"
+#include "platform/platform-store.h"
 
 #include <string.h>
 
@@ -65,6 +66,19 @@
   return f->invalid || f->next >= f->end ? 0 : read_int (f);
 }
 
+/* Reads the era of a position.  Earlier versions do not send it. */
+static gint64
+read_era (Fields *f)
+{
+  gint64 era;
+
+  if (f->invalid || f->next >= f->end)
+    return CF_STORE_ERA_UNKNOWN;
+  era = read_int (f);
+  f->invalid |= era < CF_STORE_ERA_UNKNOWN;
+  return era;
+}
+
 /* Reads a number from 0 to @max. */
 static int
 read_bounded_int (Fields *f, int max)
@@ -144,8 +158,10 @@
 
       t.id = read_bytes (&item);
       t.json = read_bytes (&item);
-      t.rev = read_int (&item);
-      t.created = read_optional_int (&item);
+      t.pos.rev = read_int (&item);
+      t.created.rev = read_optional_int (&item);
+      t.pos.era = read_era (&item);
+      t.created.era = read_era (&item);
       array.invalid |= item.invalid;
       g_array_append_val (a, t);
     }
@@ -311,8 +327,8 @@
       break;
     case CF_PEER_GATEWAY_HELLO:
       m->u.gateway_hello.addr = read_bytes (f);
-      m->u.gateway_hello.policy_rev = read_int (f);
-      m->u.gateway_hello.targets_rev = read_int (f);
+      m->u.gateway_hello.policy_pos.rev = read_int (f);
+      m->u.gateway_hello.targets_pos.rev = read_int (f);
       m->u.gateway_hello.fleet_size = (guint)read_int (f);
       m->u.gateway_hello.want = (guint)read_int (f);
       /* Earlier versions do not send all of the following fields. */
@@ -329,14 +345,19 @@
       m->u.gateway_hello.n_ring_members = (guint)read_optional_int (f);
       if (!f->invalid && f->next < f->end)
         m->u.gateway_hello.leaving = read_instances (f);
+      m->u.gateway_hello.policy_pos.era = read_era (f);
+      m->u.gateway_hello.targets_pos.era = read_era (f);
+      m->u.gateway_hello.policy_version = read_optional_int (f);
       break;
     case CF_PEER_POLICY:
-      m->u.policy.rev = read_int (f);
+      m->u.policy.pos.rev = read_int (f);
       m->u.policy.json = read_bytes (f);
+      m->u.policy.pos.era = read_era (f);
       break;
     case CF_PEER_TARGETS:
-      m->u.targets.as_of = read_int (f);
+      m->u.targets.as_of.rev = read_int (f);
       m->u.targets.items = read_targets (f);
+      m->u.targets.as_of.era = read_era (f);
       break;
     case CF_PEER_CRASHES:
       m->u.crashes = read_crashes (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -59,11 +59,13 @@
     {
       const CfPeerTarget *t = &g_array_index (items, CfPeerTarget, i);
 
-      msgpack_pack_array (pk, 4);
+      msgpack_pack_array (pk, 6);
       put_bytes (pk, t->id);
       put_bytes (pk, t->json);
-      put_int (pk, t->rev);
-      put_int (pk, t->created);
+      put_int (pk, t->pos.rev);
+      put_int (pk, t->created.rev);
+      put_int (pk, t->pos.era);
+      put_int (pk, t->created.era);
     }
 }
 
@@ -212,10 +214,10 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      put_header (&pk, m, 11);
+      put_header (&pk, m, 14);
       put_bytes (&pk, m->u.gateway_hello.addr);
-      put_int (&pk, m->u.gateway_hello.policy_rev);
-      put_int (&pk, m->u.gateway_hello.targets_rev);
+      put_int (&pk, m->u.gateway_hello.policy_pos.rev);
+      put_int (&pk, m->u.gateway_hello.targets_pos.rev);
       put_int (&pk, m->u.gateway_hello.fleet_size);
       put_int (&pk, m->u.gateway_hello.want);
       put_slowdowns (&pk, m->u.gateway_hello.slowdowns);
@@ -224,16 +226,21 @@
       put_rate_limits (&pk, m->u.gateway_hello.rate_limits);
       put_int (&pk, m->u.gateway_hello.n_ring_members);
       put_instances (&pk, m->u.gateway_hello.leaving);
+      put_int (&pk, m->u.gateway_hello.policy_pos.era);
+      put_int (&pk, m->u.gateway_hello.targets_pos.era);
+      put_int (&pk, m->u.gateway_hello.policy_version);
       break;
     case CF_PEER_POLICY:
-      put_header (&pk, m, 2);
-      put_int (&pk, m->u.policy.rev);
+      put_header (&pk, m, 3);
+      put_int (&pk, m->u.policy.pos.rev);
       put_bytes (&pk, m->u.policy.json);
+      put_int (&pk, m->u.policy.pos.era);
       break;
     case CF_PEER_TARGETS:
-      put_header (&pk, m, 2);
-      put_int (&pk, m->u.targets.as_of);
+      put_header (&pk, m, 3);
+      put_int (&pk, m->u.targets.as_of.rev);
       put_targets (&pk, m->u.targets.items);
+      put_int (&pk, m->u.targets.as_of.era);
       break;
     case CF_PEER_CRASHES:
       put_header (&pk, m, 1);
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -4,6 +4,7 @@
 #include "peer-link.h"
 #include "quarantine.h"
 #include "rank.h"
+#include "store-position.h"
 
 #include <msgpack.h>
 
@@ -100,32 +101,33 @@
     struct
     {
       CfPeerBytes addr; /**< where the sender accepts links */
-      gint64 policy_rev;
-      gint64 targets_rev;
+      CfStorePosition policy_pos;
+      CfStorePosition targets_pos;
       guint fleet_size; /**< gateways known to the sender, including itself */
       guint want; /**< CF_PEER_WANT_ bits: what the receiver should send */
       GArray *slowdowns; /**< (nullable): of #CfPeerSlowdown: slow targets that
                                agents reported to the sender; owned */
       CfPeerBytes data_centre; /**< the sender's */
-      gint64 ring_start;    /**< where the receiver should start on the ring of
-                                 targets, in 1 / %CF_PEER_RING_UNITS; negative:
+      gint64 ring_start;     /**< where the receiver should start on the ring of
+                                  targets, in 1 / %CF_PEER_RING_UNITS; negative:
+                                  unknown */
+      GArray *rate_limits;   /**< (nullable): of #CfPeerRateLimit: limits that
+                                targets announced; owned */
+      guint n_ring_members;  /**< gateways that @ring_start was computed for; 0:
                                  unknown */
-      GArray *rate_limits;  /**< (nullable): of #CfPeerRateLimit: limits that
-                               targets announced; owned */
-      guint n_ring_members; /**< gateways that @ring_start was computed for; 0:
-                                unknown */
-      GArray *leaving;      /**< (nullable): of #CfPeerInstance: targets that
-                               said in answers that they leave; owned */
+      gint64 policy_version; /**< of its configuration; 0: unknown */
+      GArray *leaving;       /**< (nullable): of #CfPeerInstance: targets that
+                                said in answers that they leave; owned */
     } gateway_hello;
     struct
     {
-      gint64 rev;
+      CfStorePosition pos;
       CfPeerBytes json;
     } policy;
     struct
     {
-      gint64 as_of;  /**< the store's revision that the list is current for */
-      GArray *items; /**< of #CfPeerTarget, owned */
+      CfStorePosition as_of; /**< that the list is current for */
+      GArray *items;         /**< of #CfPeerTarget, owned */
     } targets;
     GArray *crashes; /**< of #CfPeerCrash, owned */
     struct
@@ -181,8 +183,8 @@
 {
   CfPeerBytes id;
   CfPeerBytes json;
-  gint64 rev;     /**< the store's revision of the record */
-  gint64 created; /**< revision that first wrote its key; 0: unknown */
+  CfStorePosition pos;     /**< of the record */
+  CfStorePosition created; /**< of the first record under its key */
 } CfPeerTarget;
 
 /** CfPeerCrash: a request during which targets crashed. */
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -6,6 +6,7 @@
 #include "peer-crashes.h"
 #include "platform/platform-target.h"
 #include "socket.h"
+#include "target-feed.h"
 #include "upstream.h"
 
 #include <math.h>
@@ -35,8 +36,9 @@
   int seed; /**< index of the seed it connects to; -1: accepted */
   gboolean up;
   char *addr; /**< where it accepts links; %NULL before its hello */
-  gint64 policy_rev;
-  gint64 targets_rev;
+  CfStorePosition policy_pos;
+  CfStorePosition targets_pos;
+  gint64 policy_version;    /**< 0: its release does not send it */
   gint64 hello_received_ms; /**< last hello, or when the link was set up */
 } Peer;
 
@@ -55,6 +57,19 @@
   gboolean seed_valid[CF_SEEDS_MAX];
 };
 
+/* Whether @p has a newer configuration.  Its version tells that also across
+ * eras of the store.  Earlier releases send only the revision; what they have
+ * is checked when it arrives. */
+static gboolean
+has_newer_policy (const Peer *p)
+{
+  const CfGateway *g = p->s->g;
+
+  if (p->policy_version == 0)
+    return p->policy_pos.rev > g->policy_pos.rev;
+  return !g->policy || p->policy_version > g->policy->version;
+}
+
 /* Returns the CF_PEER_WANT_ bits of what this gateway has to get from @p,
  * because the store cannot be reached or its update is overdue. */
 static guint
@@ -65,11 +80,10 @@
                      && g->now_ms - p->s->behind_since_ms >= STORE_GRACE_MS;
   guint wanted = 0;
 
-  if (p->policy_rev > g->policy_rev
-      && (!g->policy || !g->policy_store_up || overdue))
+  if (has_newer_policy (p) && (!g->policy || !g->policy_store_up || overdue))
     wanted |= CF_PEER_WANT_POLICY;
-  if (p->targets_rev > g->targets_rev
-      && (!g->targets_store_up || g->targets_rev == 0))
+  if (cf_store_position_is_older (g->targets_pos, p->targets_pos)
+      && (!g->targets_store_up || !cf_gateway_has_target_list (g)))
     wanted |= CF_PEER_WANT_TARGETS;
   return wanted;
 }
@@ -233,8 +247,9 @@
   m->u.gateway_hello.data_centre.n = strlen (dc);
   m->u.gateway_hello.addr.data = addr;
   m->u.gateway_hello.addr.n = strlen (addr);
-  m->u.gateway_hello.policy_rev = g->policy_rev;
-  m->u.gateway_hello.targets_rev = g->targets_rev;
+  m->u.gateway_hello.policy_pos = g->policy_pos;
+  m->u.gateway_hello.targets_pos = g->targets_pos;
+  m->u.gateway_hello.policy_version = g->policy ? g->policy->version : 0;
   m->u.gateway_hello.fleet_size = g->fleet_size;
   m->u.gateway_hello.slowdowns = collect_slowdowns (g);
   m->u.gateway_hello.rate_limits = collect_rate_limits (g);
@@ -272,7 +287,7 @@
 
   if (!g->policy_json)
     return;
-  m.u.policy.rev = g->policy_rev;
+  m.u.policy.pos = g->policy_pos;
   m.u.policy.json.data = g_bytes_get_data (g->policy_json, &m.u.policy.json.n);
   cf_peer_msg_send (p->link, &m);
 }
@@ -285,7 +300,7 @@
   GHashTableIter it;
   gpointer v;
 
-  m.u.targets.as_of = g->targets_rev;
+  m.u.targets.as_of = g->targets_pos;
   m.u.targets.items = g_array_new (FALSE, FALSE, sizeof (CfPeerTarget));
   g_hash_table_iter_init (&it, g->targets.by_id);
   while (g_hash_table_iter_next (&it, NULL, &v))
@@ -297,7 +312,7 @@
       item.id.n = strlen (t->record.id);
       item.json.data = t->json;
       item.json.n = strlen (t->json);
-      item.rev = t->rev;
+      item.pos = t->pos;
       item.created = t->created;
       g_array_append_val (m.u.targets.items, item);
     }
@@ -375,8 +390,9 @@
 
   g_free (p->addr);
   p->addr = g_strndup (m->u.gateway_hello.addr.data, m->u.gateway_hello.addr.n);
-  p->policy_rev = m->u.gateway_hello.policy_rev;
-  p->targets_rev = m->u.gateway_hello.targets_rev;
+  p->policy_pos = m->u.gateway_hello.policy_pos;
+  p->targets_pos = m->u.gateway_hello.targets_pos;
+  p->policy_version = m->u.gateway_hello.policy_version;
   p->hello_received_ms = g->now_ms;
   dc = g_strndup (m->u.gateway_hello.data_centre.data,
                   m->u.gateway_hello.data_centre.n);
@@ -390,7 +406,7 @@
     send_policy (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     send_targets (p);
-  ahead = p->policy_rev > g->policy_rev;
+  ahead = has_newer_policy (p);
   if (ahead && !p->s->behind_since_ms)
     p->s->behind_since_ms = g->now_ms;
   else if (!ahead)
@@ -408,25 +424,28 @@
   const GArray *items = m->u.targets.items;
   GHashTable *ids;
 
-  if (m->u.targets.as_of <= g->targets_rev)
+  if (!cf_store_position_is_older (g->targets_pos, m->u.targets.as_of))
     return;
+  cf_target_feed_begin_peer_list (g, m->u.targets.as_of);
   ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (guint i = 0; i < items->len; i++)
     {
       const CfPeerTarget *t = &g_array_index (items, CfPeerTarget, i);
       char *id = g_strndup (t->id.data, t->id.n);
 
-      CfTargetUpdate update
-          = { id, t->json.data, t->json.n, t->rev, t->created, g->now_ms };
+      CfTargetUpdate update = { id,         t->json.data, t->json.n, t->pos,
+                                t->created, g->now_ms,    FALSE };
 
       cf_gateway_update_target (g, &update, "peer");
       g_hash_table_add (ids, id);
     }
-  cf_gateway_retain_targets (g, ids, m->u.targets.as_of, "peer");
+  cf_target_feed_end_peer_list (g, ids, m->u.targets.as_of);
   g_hash_table_destroy (ids);
   cf_log (LOG_NOTICE, CF_EV_PEER,
-          "peer=%s outcome=taught targets=%u as_of=%" G_GINT64_FORMAT,
-          p->addr ? p->addr : "-", items->len, m->u.targets.as_of);
+          "peer=%s outcome=taught targets=%u as_of=%" G_GINT64_FORMAT
+          " era=%" G_GINT64_FORMAT,
+          p->addr ? p->addr : "-", items->len, m->u.targets.as_of.rev,
+          m->u.targets.as_of.era);
 }
 
 static void
@@ -441,7 +460,7 @@
       break;
     case CF_PEER_POLICY:
       cf_gateway_apply_policy (p->s->g, m->u.policy.json.data,
-                               m->u.policy.json.n, m->u.policy.rev, "peer");
+                               m->u.policy.json.n, m->u.policy.pos, "peer");
       break;
     case CF_PEER_TARGETS:
       take_targets (p, m);
--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -20,6 +20,9 @@
  * hundred gateways.  TCP keep-alive detects a silent connection in about 3 s.
  */
 #define LONG_POLL_MS 5000
+/** All gateways notice that the store was restored at the same time, and read
+ * everything again within this time. */
+#define RESTORED_READ_SPREAD_MS 100
 #define READ_BYTES 16384
 #define HEAD_MAX_BYTES 16384
 /** Limit of a response body.  Pages are about a megabyte, including base64. */
@@ -83,6 +86,76 @@
   w->has_snapshot = FALSE;
 }
 
+static CfStorePosition
+position (const CfStoreWatch *w, gint64 rev)
+{
+  return (CfStorePosition){ .era = w->era, .rev = rev };
+}
+
+static void
+report_item (const CfStoreWatch *w, const CfStoreItem *it)
+{
+  const CfStoreRecord r = { .item = it,
+                            .pos = position (w, it->rev),
+                            .created = position (w, it->created),
+                            .is_change = w->state == CF_WATCH_CHANGES };
+
+  w->callbacks->item (w->g, &r);
+}
+
+/* Handles that the store was restored from a copy: what was read of the range
+ * and the revision after which changes were requested are void. */
+static void
+handle_restored (CfStoreWatch *w, gint64 era, gboolean keeps_order)
+{
+  cf_log (LOG_WARNING, CF_EV_STORE_RESTORED,
+          "prefix=%s era=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+          " as_of=%" G_GINT64_FORMAT " ordered=%s action=read-all",
+          w->prefix, era, w->era, w->as_of, keeps_order ? "yes" : "no");
+  w->era = era;
+  reset_range (w);
+  w->callbacks->restored (w->g, keeps_order);
+}
+
+/* Reads the era from the head of an answer.  Calls follow one another, so an
+ * era that differs is that of the store now, also if it is lower.
+ * Returns: whether the store was restored. */
+static gboolean
+take_era (CfStoreWatch *w)
+{
+  gint64 era = cf_platform_store_parse_era (
+      cf_http_reader_header (&w->reader, CF_HDR_STORE_ERA));
+  gint64 before = w->era;
+
+  w->has_era = era != CF_STORE_ERA_UNKNOWN;
+  if (!w->has_era || era == before)
+    return FALSE;
+  if (before == CF_STORE_ERA_UNKNOWN)
+    {
+      w->era = era;
+      return FALSE;
+    }
+  handle_restored (w, era, era > before);
+  return TRUE;
+}
+
+/* Whether a store that does not state its era has gone back to an earlier
+ * revision. */
+static gboolean
+has_gone_back (const CfStoreWatch *w, const CfStoreReply *r)
+{
+  return !w->has_era && r->as_of < (w->page_after ? w->range_as_of : w->as_of);
+}
+
+/* Makes the first call after the store was restored, so late that the gateways
+ * do not all call at once. */
+static void
+schedule_read_all (CfStoreWatch *w)
+{
+  w->state = CF_WATCH_BATCHING;
+  set_timer (w, g_random_int_range (1, RESTORED_READ_SPREAD_MS));
+}
+
 static void
 take_page (CfStoreWatch *w, const CfStoreReply *r)
 {
@@ -93,7 +166,7 @@
       const CfStoreItem *it = r->items->pdata[i];
 
       g_hash_table_add (w->seen_keys, g_strdup (it->key));
-      w->callbacks->item (w->g, it);
+      report_item (w, it);
     }
   if (r->more && r->items->len > 0)
     {
@@ -110,7 +183,7 @@
           g_hash_table_size (w->seen_keys));
   w->as_of = w->range_as_of;
   w->has_snapshot = TRUE;
-  w->callbacks->snapshot (w->g, w->seen_keys, w->as_of);
+  w->callbacks->snapshot (w->g, w->seen_keys, position (w, w->as_of));
   reset_range (w);
   w->has_snapshot = TRUE;
 }
@@ -119,9 +192,9 @@
 take_changes (CfStoreWatch *w, const CfStoreReply *r)
 {
   for (guint i = 0; i < r->items->len; i++)
-    w->callbacks->item (w->g, r->items->pdata[i]);
+    report_item (w, r->items->pdata[i]);
   w->as_of = MAX (w->as_of, r->as_of);
-  w->callbacks->confirmed (w->g, w->as_of);
+  w->callbacks->confirmed (w->g, position (w, w->as_of));
 }
 
 /* Makes the next poll after events were received, with a delay if events are
@@ -141,8 +214,9 @@
   set_timer (w, delay_ms);
 }
 
+/* @is_void: the answer continues what was read before the store was restored */
 static void
-handle_reply (CfStoreWatch *w)
+handle_reply (CfStoreWatch *w, gboolean is_void)
 {
   CfStoreReply r;
   gboolean has_events;
@@ -154,6 +228,17 @@
     }
   set_reachability (w, CF_STORE_UP, "answered");
   w->backoff_ms = 0;
+  if (!is_void && has_gone_back (w, &r))
+    {
+      is_void = w->state != CF_WATCH_RANGE || w->page_after;
+      handle_restored (w, CF_STORE_ERA_UNKNOWN, FALSE);
+    }
+  if (is_void)
+    {
+      cf_store_reply_clear (&r);
+      schedule_read_all (w);
+      return;
+    }
   if (w->state == CF_WATCH_RANGE)
     take_page (w, &r);
   else
@@ -171,15 +256,15 @@
 {
   int status = (int)w->reader.parser.status_code;
   gboolean keep_alive = cf_http_reader_can_keep_alive (&w->reader);
+  gboolean begins_range = w->state == CF_WATCH_RANGE && !w->page_after;
+  gboolean restored = take_era (w);
 
-  w->era = cf_platform_store_parse_era (
-      cf_http_reader_header (&w->reader, CF_HDR_STORE_ERA));
   cf_http_reader_next (&w->reader);
   if (!keep_alive)
     disconnect (w);
   if (status == HTTP_STATUS_OK)
     {
-      handle_reply (w);
+      handle_reply (w, restored && !begins_range);
     }
   else if (status == HTTP_STATUS_GONE)
     {
@@ -367,6 +452,16 @@
   start_call (w);
 }
 
+void
+cf_store_watch_read_all (CfStoreWatch *w)
+{
+  reset_range (w);
+  if (w->state != CF_WATCH_CHANGES)
+    return;
+  disconnect (w);
+  start_call (w);
+}
+
 void
 cf_store_watch_stop (CfStoreWatch *w)
 {
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -4,6 +4,7 @@
 #include "gateway.h"
 #include "http-reader.h"
 #include "platform/platform-store.h"
+#include "store-position.h"
 
 /** CfWatchState: the state of a watch. */
 typedef enum
@@ -26,28 +27,41 @@
 
 typedef struct CfStoreWatch CfStoreWatch;
 
+/** CfStoreRecord: a key that was read or has changed, and where. */
+typedef struct
+{
+  const CfStoreItem *item;
+  CfStorePosition pos;     /**< of this change */
+  CfStorePosition created; /**< where the key was created */
+  gboolean is_change;      /**< it changed after all keys were read, and was not
+                                merely found then */
+} CfStoreRecord;
+
 /** CfStoreWatchCallbacks: events reported to the owner of a watch. */
 typedef struct
 {
   /** A key was read or has changed.  If it has no value, it was removed, or its
    * value is unreadable. */
-  void (*item) (CfGateway *g, const CfStoreItem *it);
-  /** All keys have been read as of revision @as_of; keys not in @seen_keys no
-   * longer exist. */
-  void (*snapshot) (CfGateway *g, GHashTable *seen_keys, gint64 as_of);
-  /** The store confirmed that the known state is current as of revision
-   * @as_of. */
-  void (*confirmed) (CfGateway *g, gint64 as_of);
+  void (*item) (CfGateway *g, const CfStoreRecord *r);
+  /** All keys have been read as of @as_of; keys not in @seen_keys no longer
+   * exist. */
+  void (*snapshot) (CfGateway *g, GHashTable *seen_keys, CfStorePosition as_of);
+  /** The store confirmed that the known state is current as of @as_of. */
+  void (*confirmed) (CfGateway *g, CfStorePosition as_of);
   /** The store started or stopped answering. */
   void (*reachability_changed) (CfGateway *g, gboolean up);
+  /** The store was restored from a copy; all keys are read again.  With
+   * @keeps_order, positions from before are older than those that follow; else
+   * they cannot be compared. */
+  void (*restored) (CfGateway *g, gboolean keeps_order);
 } CfStoreWatchCallbacks;
 
 /**
  * CfStoreWatch:
  * Watches the keys under a prefix of the metadata store: reads all keys, then
  * long-polls for changes after that revision, over one persistent connection.
- * If the store no longer has the history after that revision, reads all keys
- * again.
+ * If the store no longer has the history after that revision, or was restored
+ * from a copy, reads all keys again.
  */
 struct CfStoreWatch
 {
@@ -63,7 +77,8 @@
   GString *body;
   GHashTable *seen_keys; /**< keys read so far by the range in progress */
   char *page_after;   /**< last key of the previous page; %NULL for the first */
-  gint64 era;         /**< of the store, as its last answer stated it */
+  gint64 era;         /**< of the store, as its answers state it */
+  gboolean has_era;   /**< the last answer stated it */
   gint64 as_of;       /**< changes are requested after this revision */
   gint64 range_as_of; /**< revision of the first page.  Later pages may be
                          newer, so changes are requested from this one on. */
@@ -81,4 +96,7 @@
 void cf_store_watch_start (CfStoreWatch *w, CfGateway *g, const char *prefix,
                            const CfStoreWatchCallbacks *callbacks);
 
+/** cf_store_watch_read_all: reads all keys again. */
+void cf_store_watch_read_all (CfStoreWatch *w);
+
 void cf_store_watch_stop (CfStoreWatch *w);
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -14,20 +14,23 @@
  * store. */
 typedef struct
 {
-  gint64 rev;      /**< the store's revision at which it was missing */
+  CfStorePosition pos; /**< of the list in which it was missing */
   gint64 until_ms; /**< its target gets no work after this, even if the grace
-                        period is longer */
+                    period is longer */
 } MissingEntry;
 
-/** The grace period after an outage of the store. */
+/** The grace period after an outage or a restoration of the store. */
 static struct
 {
   GHashTable *missing; /**< id -> #MissingEntry */
-  gint64 since_ms;     /**< when the store was back */
+  gint64 since_ms;     /**< when the store was back, or restored */
   gint64 until_ms;     /**< the end of the grace period; 0: there was none */
   ev_timer timer;
 } grace;
 
+/** Reads the list again after a restoration. */
+static ev_timer reread_timer;
+
 static gboolean
 is_in_grace (const CfGateway *g)
 {
@@ -70,18 +73,19 @@
 }
 
 static void
-mark_missing (CfGateway *g, const char *id, gint64 rev, gint64 until_ms)
+mark_missing (CfGateway *g, const char *id, CfStorePosition pos,
+              gint64 until_ms, const char *source)
 {
   const MissingEntry *before = g_hash_table_lookup (grace.missing, id);
   MissingEntry *m;
 
   if (!is_in_grace (g))
     {
-      cf_gateway_remove_target (g, id, rev, "store");
+      cf_gateway_remove_target (g, id, pos, source);
       return;
     }
   m = g_new (MissingEntry, 1);
-  m->rev = rev;
+  m->pos = pos;
   m->until_ms = before ? MIN (before->until_ms, until_ms) : until_ms;
   g_hash_table_replace (grace.missing, g_strdup (id), m);
   cf_log (
@@ -94,55 +98,59 @@
 /* Handles the removal of an entry.  The entries that the store's first report
  * after an outage removes may have expired during the outage. */
 static void
-on_removed (CfGateway *g, const char *id, gint64 rev)
+on_removed (CfGateway *g, const char *id, CfStorePosition pos)
 {
   gboolean is_first_report = cf_gateway_now (g) == grace.since_ms;
 
-  mark_missing (g, id, rev,
-                is_first_report ? G_MAXINT64 : get_drain_end_ms (g));
+  mark_missing (g, id, pos, is_first_report ? G_MAXINT64 : get_drain_end_ms (g),
+                "store");
 }
 
 static void
-on_item (CfGateway *g, const CfStoreItem *it)
+on_item (CfGateway *g, const CfStoreRecord *r)
 {
+  const CfStoreItem *it = r->item;
   const char *id = cf_platform_target_id_from_key (it->key);
   CfTargetUpdate update = { .id = id };
 
   if (!id)
     {
-      cf_gateway_reject_target (g, it->key, it->rev, "store",
+      cf_gateway_reject_target (g, it->key, r->pos, "store",
                                 "the key contains no target id");
       return;
     }
   if (it->unreadable)
     {
       g_hash_table_remove (grace.missing, id);
-      cf_gateway_reject_target (g, id, it->rev, "store",
+      cf_gateway_reject_target (g, id, r->pos, "store",
                                 "the value is not base64");
       return;
     }
   if (!it->value)
     {
-      on_removed (g, id, it->rev);
+      on_removed (g, id, r->pos);
       return;
     }
   g_hash_table_remove (grace.missing, id);
   update.json = g_bytes_get_data (it->value, &update.n);
-  update.rev = it->rev;
-  update.created = it->created;
+  update.pos = r->pos;
+  update.created = r->created;
   update.now_ms = cf_gateway_now (g);
+  update.is_change = r->is_change;
   cf_gateway_update_target (g, &update, "store");
 }
 
 static void
-on_confirmed (CfGateway *g, gint64 as_of)
+on_confirmed (CfGateway *g, CfStorePosition as_of)
 {
-  g->targets_rev = as_of;
+  g->targets_pos = as_of;
   g->targets_confirmed_ms = cf_gateway_now (g);
 }
 
+/* Handles the targets whose ids, after @prefix, are not in @listed. */
 static void
-on_snapshot (CfGateway *g, GHashTable *seen, gint64 as_of)
+mark_all_missing (CfGateway *g, GHashTable *listed, const char *prefix,
+                  CfStorePosition as_of, const char *source)
 {
   GPtrArray *missing_ids = g_ptr_array_new_with_free_func (g_free);
   GHashTableIter it;
@@ -151,16 +159,46 @@
   g_hash_table_iter_init (&it, g->targets.by_id);
   while (g_hash_table_iter_next (&it, &id, NULL))
     {
-      char *key = g_strconcat (PF_KEY_TARGETS, id, NULL);
+      g_autofree char *key = g_strconcat (prefix, id, NULL);
 
-      if (!g_hash_table_contains (seen, key))
+      if (!g_hash_table_contains (listed, key))
         g_ptr_array_add (missing_ids, g_strdup (id));
-      g_free (key);
     }
   for (guint i = 0; i < missing_ids->len; i++)
-    mark_missing (g, missing_ids->pdata[i], as_of, G_MAXINT64);
+    mark_missing (g, missing_ids->pdata[i], as_of, G_MAXINT64, source);
   g_ptr_array_free (missing_ids, TRUE);
+}
+
+/* A list that was restored shows targets that have left until their leases have
+ * expired.  Those that are still listed then are alive, and are read again. */
+static void
+schedule_reread (CfGateway *g)
+{
+  gint64 ms
+      = g->targets.restored_ms + CF_TARGET_COPY_EXPIRY_MS - cf_gateway_now (g);
+
+  ev_timer_stop (g->loop, &reread_timer);
+  if (g->targets.n_kept_out == 0)
+    return;
+  ev_timer_set (&reread_timer, (double)MAX (ms, 1) / 1000, 0);
+  ev_timer_start (g->loop, &reread_timer);
+}
+
+static void
+on_reread_due (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  CfStoreWatch *w = t->data;
+
+  w->g->targets.n_kept_out = 0;
+  cf_store_watch_read_all (w);
+}
+
+static void
+on_snapshot (CfGateway *g, GHashTable *seen, CfStorePosition as_of)
+{
+  mark_all_missing (g, seen, PF_KEY_TARGETS, as_of, "store");
   on_confirmed (g, as_of);
+  schedule_reread (g);
 }
 
 static void
@@ -179,7 +217,7 @@
 
       if (get_due_ms (m) > now)
         continue;
-      cf_gateway_remove_target (g, id, m->rev,
+      cf_gateway_remove_target (g, id, m->pos,
                                 m->until_ms > now ? "lapsed" : "drained");
       g_hash_table_iter_remove (&it);
     }
@@ -187,18 +225,50 @@
 }
 
 static void
-on_reachability_changed (CfGateway *g, gboolean up)
+start_grace (CfGateway *g)
 {
-  g->targets_store_up = up;
-  if (!up || g_hash_table_size (g->targets.by_id) == 0)
+  if (g_hash_table_size (g->targets.by_id) == 0)
     return;
   grace.since_ms = cf_gateway_now (g);
   grace.until_ms = grace.since_ms + RETURN_GRACE_MS;
   start_timer (g);
 }
 
+static void
+on_reachability_changed (CfGateway *g, gboolean up)
+{
+  g->targets_store_up = up;
+  if (up)
+    start_grace (g);
+}
+
+/* Targets that came after the copy was taken are missing from the list until
+ * they write their records again. */
+static void
+on_restored (CfGateway *g, gboolean keeps_order)
+{
+  cf_gateway_note_targets_restored (g, keeps_order);
+  start_grace (g);
+}
+
 static const CfStoreWatchCallbacks feed_calls
-    = { on_item, on_snapshot, on_confirmed, on_reachability_changed };
+    = { on_item, on_snapshot, on_confirmed, on_reachability_changed,
+        on_restored };
+
+void
+cf_target_feed_begin_peer_list (CfGateway *g, CfStorePosition as_of)
+{
+  if (cf_store_position_is_later_era (as_of, g->targets_pos))
+    on_restored (g, TRUE);
+}
+
+void
+cf_target_feed_end_peer_list (CfGateway *g, GHashTable *ids,
+                              CfStorePosition as_of)
+{
+  mark_all_missing (g, ids, "", as_of, "peer");
+  g->targets_pos = as_of;
+}
 
 void
 cf_target_feed_start (CfStoreWatch *w, CfGateway *g)
@@ -207,5 +277,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ev_timer_init (&grace.timer, on_due, 0, 0);
   grace.timer.data = g;
+  ev_timer_init (&reread_timer, on_reread_due, 0, 0);
+  reread_timer.data = w;
   cf_store_watch_start (w, g, PF_KEY_TARGETS, &feed_calls);
 }
--- a/gateway/target-feed.h
+++ b/gateway/target-feed.h
@@ -5,7 +5,17 @@
 /**
  * cf_target_feed_start:
  * Keeps the gateway's table of targets up to date with the store's list.
- * Entries that expired during an outage of the store get a grace period to come
- * back before their target is dropped.
+ * Entries that expired during an outage of the store, or that are missing after
+ * it was restored from a copy, get a grace period to come back before their
+ * target is dropped.
  */
 void cf_target_feed_start (CfStoreWatch *w, CfGateway *g);
+
+/** cf_target_feed_begin_peer_list: called before the targets of a peer's list
+ * are put in the table.  @as_of: the position that the list is current for */
+void cf_target_feed_begin_peer_list (CfGateway *g, CfStorePosition as_of);
+
+/** cf_target_feed_end_peer_list: called after that; handles the targets that
+ * are not in @ids as if the store had reported their entries missing. */
+void cf_target_feed_end_peer_list (CfGateway *g, GHashTable *ids,
+                                   CfStorePosition as_of);
--- a/gateway/target-notice.c
+++ b/gateway/target-notice.c
@@ -27,7 +27,7 @@
   cf_log (LOG_NOTICE, CF_EV_TARGET_LIST,
           "target=%s service=%s addr=%s outcome=leaving rev=%" G_GINT64_FORMAT
           " incarnation=%" G_GINT64_FORMAT " source=answer",
-          t->record.id, t->record.service, t->record.addr, t->rev,
+          t->record.id, t->record.service, t->record.addr, t->pos.rev,
           t->record.incarnation);
   cf_upstream_close_idle (t);
 }
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -2,6 +2,7 @@
 
 #include "ablation.h"
 #include "net.h"
+#include "platform/platform-store.h"
 #include "socket.h"
 
 #include <math.h>
@@ -102,6 +103,9 @@
    * targets would all begin at the same one and overload a few at a time. */
   t->next_start = g_random_int ();
   cf_departed_targets_init (&t->departed);
+  t->generation = 0;
+  t->restored_ms = 0;
+  t->n_kept_out = 0;
   t->is_configured = NULL;
   t->is_configured_data = NULL;
 }
@@ -166,7 +170,7 @@
 
   if (configured != is_configured (t, other))
     return !configured;
-  return other->created > target->created;
+  return cf_store_position_is_older (target->created, other->created);
 }
 
 static void
@@ -174,6 +178,8 @@
 {
   CfTarget *other = g_hash_table_lookup (t->by_addr, target->record.addr);
 
+  if (other == target)
+    other = NULL;
   target->replaced = other && has_older_claim (t, target, other);
   if (target->replaced)
     return;
@@ -190,7 +196,10 @@
   CfDepartedTarget d = { 0 };
 
   d.departed_ms = cf_now_ms ();
-  d.leaving = target->announced_leaving;
+  d.announced_leaving = target->announced_leaving;
+  d.record_leaving = target->record.leaving;
+  d.seq = target->record.seq;
+  d.generation = target->generation;
   d.pause = target->pause;
   cf_departed_targets_add (&t->departed, &target->record, &d);
 }
@@ -203,7 +212,10 @@
 
   if (!d)
     return;
-  target->announced_leaving = d->leaving;
+  /* Within one generation the list itself says whether the target leaves. */
+  target->announced_leaving
+      = d->announced_leaving
+        || (d->record_leaving && d->generation != t->generation);
   target->pause = d->pause;
 }
 
@@ -215,8 +227,9 @@
   if (!target)
     return CF_TARGET_BAD;
   target->json = g_strndup (update->json, update->n);
-  target->rev = update->rev;
+  target->pos = update->pos;
   target->created = update->created;
+  target->generation = t->generation;
   restore_departed (t, target);
   claim_address (t, target);
   g_hash_table_insert (t->by_id, target->record.id, target);
@@ -224,12 +237,33 @@
   return CF_TARGET_NEW;
 }
 
+/* A restored list may show a target as it was before it began to leave. */
+static void
+keep_leaving (const CfTargetTable *t, CfTarget *target)
+{
+  if (target->generation != t->generation && target->record.leaving)
+    target->announced_leaving = TRUE;
+}
+
+/* A restored store shows what the copy holds with the revisions of then, which
+ * does not make it newer. */
+static void
+update_created (CfTargetTable *t, CfTarget *target, CfStorePosition created)
+{
+  if (created.rev == target->created.rev
+      || !cf_store_position_is_older (target->created, created))
+    return;
+  target->created = created;
+  claim_address (t, target);
+}
+
 static CfTargetChange
-update_target (CfTarget *target, CfTargetRecord *r,
+update_target (CfTargetTable *t, CfTarget *target, CfTargetRecord *r,
                const CfTargetUpdate *update)
 {
   CfTargetChange c = CF_TARGET_SAME;
 
+  keep_leaving (t, target);
   if (r->leaving && !target->record.leaving)
     c = CF_TARGET_LEAVING;
   else if (r->leaving != target->record.leaving
@@ -239,7 +273,10 @@
   target->record.slots = r->slots;
   target->record.warmup_ms = r->warmup_ms;
   target->record.incarnation = r->incarnation;
-  target->rev = update->rev;
+  target->record.seq = r->seq;
+  target->pos = update->pos;
+  target->generation = t->generation;
+  update_created (t, target, update->created);
   g_free (target->json);
   target->json = g_strndup (update->json, update->n);
   cf_target_record_clear (r);
@@ -272,6 +309,19 @@
          || strcmp (target->record.service, r->service) != 0;
 }
 
+/* Whether @r comes from the copy that the list was restored from, and is of an
+ * instance that had left the list before. */
+static gboolean
+is_departed (const CfTargetTable *t, const CfTargetRecord *r,
+             const CfTargetUpdate *update)
+{
+  const CfDepartedTarget *d = cf_departed_targets_lookup (&t->departed, r);
+
+  return d && d->generation != t->generation && !update->is_change
+         && r->seq <= d->seq
+         && update->now_ms - t->restored_ms < CF_TARGET_COPY_EXPIRY_MS;
+}
+
 CfTargetChange
 cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
                      const CfTargetUpdate *update)
@@ -279,7 +329,7 @@
   CfTarget *target = g_hash_table_lookup (t->by_id, r->id);
   CfTargetChange c = CF_TARGET_NEW;
 
-  if (target && update->rev < target->rev)
+  if (target && cf_store_position_is_older (update->pos, target->pos))
     {
       cf_target_record_clear (r);
       return CF_TARGET_SAME;
@@ -297,7 +347,13 @@
       return CF_TARGET_STALE;
     }
   if (target && !is_other_instance (target, r))
-    return update_target (target, r, update);
+    return update_target (t, target, r, update);
+  if (is_departed (t, r, update))
+    {
+      t->n_kept_out++;
+      cf_target_record_clear (r);
+      return CF_TARGET_DEPARTED;
+    }
   if (target)
     {
       if (target->record.incarnation)
@@ -307,6 +363,23 @@
   return add_target (t, r, update) == CF_TARGET_BAD ? CF_TARGET_BAD : c;
 }
 
+void
+cf_target_table_store_restored (CfTargetTable *t, gboolean keeps_order,
+                                gint64 now)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  t->generation++;
+  t->restored_ms = now;
+  t->n_kept_out = 0;
+  if (keeps_order)
+    return;
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    ((CfTarget *)v)->pos = CF_STORE_POSITION_NONE;
+}
+
 void
 cf_target_table_services_changed (CfTargetTable *t)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -4,6 +4,7 @@
 #include "outlier.h"
 #include "platform/platform-target.h"
 #include "rate-limit.h"
+#include "store-position.h"
 #include "target-pause.h"
 
 #include <glib.h>
@@ -29,8 +30,9 @@
   CfTargetRecord record;
   struct sockaddr_in addr;
   char *json;              /**< @record in the store's form, for peers */
-  gint64 rev;              /**< store revision of @record */
-  gint64 created;          /**< store revision at which it was first listed */
+  CfStorePosition pos;     /**< of @record in the store */
+  CfStorePosition created; /**< where it was first listed */
+  guint generation;        /**< of the table, when @record was received */
   gboolean replaced;       /**< another instance has its address now */
   gboolean listed;         /**< still on the platform's list */
   guint in_flight;         /**< this process's requests at it */
@@ -96,7 +98,10 @@
   GHashTable
       *by_service; /**< service -> GPtrArray of #CfTarget, sorted by id */
   CfDepartedTargets departed;
-  guint next_start; /**< where the next search for the least loaded begins */
+  guint generation;   /**< number of times that the list was restored */
+  gint64 restored_ms; /**< when it was last restored */
+  guint n_kept_out;   /**< records dropped as %CF_TARGET_DEPARTED since then */
+  guint next_start;   /**< where the next search for the least loaded begins */
   /** (nullable): whether @service is in the configuration.  A record of any
    * other service may be corrupt, and takes no address from a target. */
   gboolean (*is_configured) (const void *data, const char *service);
@@ -115,6 +120,8 @@
   CF_TARGET_UPDATED,   /**< another field changed */
   CF_TARGET_RESTARTED, /**< another incarnation replaced it under its id */
   CF_TARGET_STALE,     /**< a record of an older incarnation; dropped */
+  CF_TARGET_DEPARTED,  /**< a restored list's record of an instance that had
+                            left the list; dropped */
   /** The address cannot be parsed, or the incarnation is missing though earlier
    * records had one: the target is not added, or is removed. */
   CF_TARGET_BAD,
@@ -126,11 +133,16 @@
   const char *id;
   const char *json; /**< @n bytes */
   gsize n;
-  gint64 rev;     /**< store revision of the record */
-  gint64 created; /**< store revision at which it was first listed */
-  gint64 now_ms;  /**< when it was received, by the monotonic clock */
+  CfStorePosition pos;     /**< of the record in the store */
+  CfStorePosition created; /**< where it was first listed */
+  gint64 now_ms;           /**< when it was received, by the monotonic clock */
+  gboolean is_change; /**< the record was written after the list was read */
 } CfTargetUpdate;
 
+/** A restored list shows targets that have left for as long as their leases
+ * last, which is less than this. */
+#define CF_TARGET_COPY_EXPIRY_MS 8000
+
 /** If the list shows an older incarnation for this long, it is accepted: the
  * VM's clock was set back between two incarnations.  A delayed write of one
  * that has crashed since arrives within a few seconds, also from a slow store.
@@ -139,15 +151,24 @@
 
 /**
  * cf_target_table_put:
- * Adds or updates a target.  A record of an older revision than the known one
+ * Adds or updates a target.  A record of an older position than the known one
  * is dropped, as is one of an older incarnation until the list has shown that
- * for %CF_TARGET_OLDER_INCARNATION_MS.
+ * for %CF_TARGET_OLDER_INCARNATION_MS, and one that a restored list shows of an
+ * instance that had left before, unless the instance has written it since.
  * @r: taken over
  * @update: what @r was parsed from
  */
 CfTargetChange cf_target_table_put (CfTargetTable *t, CfTargetRecord *r,
                                     const CfTargetUpdate *update);
 
+/**
+ * cf_target_table_store_restored:
+ * The list was restored from a copy.
+ * @keeps_order: whether positions from before are older than those that follow
+ */
+void cf_target_table_store_restored (CfTargetTable *t, gboolean keeps_order,
+                                     gint64 now_ms);
+
 /**
  * cf_target_silence_ms:
  * Returns: for how long @t has had requests of this process without sending
--- a/log.c
+++ b/log.c
@@ -85,6 +85,8 @@
       return "quarantine";
     case CF_EV_STORE_LOST:
       return "store-lost";
+    case CF_EV_STORE_RESTORED:
+      return "store-restored";
     case CF_EV_STORE_READ:
       return "store-read";
     case CF_EV_STORE_BACK:
--- a/log.h
+++ b/log.h
@@ -42,7 +42,8 @@
   CF_EV_STORE_LOST = 1105,   /**< the metadata store does not answer */
   CF_EV_STORE_BACK = 1106,   /**< the metadata store answers again */
   CF_EV_STORE_READ = 1107,   /**< all keys under a prefix were read */
-  CF_EV_TARGET_LIST = 1305,  /**< a target was added, changed or removed */
+  CF_EV_STORE_RESTORED = 1108, /**< the store was restored from a copy */
+  CF_EV_TARGET_LIST = 1305,    /**< a target was added, changed or removed */
   CF_EV_PEER = 1306, /**< a peer was found, lost or rejected, or sent data */
   CF_EV_VM_LEAVING = 1301,   /**< the VM list marks a target as leaving */
   CF_EV_LINK_DOWN = 1302,    /**< a connection to an agent was lost */
--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -316,7 +316,7 @@
       break;
     case CF_PEER_TARGETS:
       {
-        CfPeerTarget t = { bytes, bytes, 4, 3 };
+        CfPeerTarget t = { bytes, bytes, { 1, 4 }, { 1, 3 } };
 
         m->u.targets.items = g_array_new (FALSE, FALSE, sizeof (CfPeerTarget));
         g_array_append_val (m->u.targets.items, t);
--- a/t/t-fleet.c
+++ b/t/t-fleet.c
@@ -49,7 +49,8 @@
               "{\"version\":%" G_GINT64_FORMAT ",\"routes\":[%s]}", version,
               broken ? "{}" : "");
 
-          cf_gateway_apply_policy (&g, json, strlen (json), version * 10,
+          cf_gateway_apply_policy (&g, json, strlen (json),
+                                   (CfStorePosition){ 1, version * 10 },
                                    i % 2 ? "store" : "peer");
           if (!broken)
             newest = MAX (newest, version);
@@ -61,6 +62,33 @@
 }
 END_TEST
 
+/* The store gives out revisions again after each restoration. */
+START_TEST (versions_never_decrease_across_eras)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      gint64 newest = 0;
+
+      gateway_init ();
+      for (int i = 0; i < 300; i++)
+        {
+          gint64 version = g_rand_int_range (rand, 1, 100);
+          CfStorePosition pos = { g_rand_int_range (rand, -1, 4),
+                                  g_rand_int_range (rand, 1, 50) };
+          g_autofree char *json = g_strdup_printf (
+              "{\"version\":%" G_GINT64_FORMAT ",\"routes\":[]}", version);
+
+          cf_gateway_apply_policy (&g, json, strlen (json), pos, "store");
+          newest = MAX (newest, version);
+          ck_assert_int_eq (g.policy->version, newest);
+        }
+      cf_gateway_clear (&g);
+      g_rand_free (rand);
+    }
+}
+END_TEST
+
 #define TARGETS 12
 
 /* Records arrive in any order; the reference model keeps the newest revision
@@ -90,14 +118,18 @@
 
           if (g_rand_int_range (rand, 0, 5) == 0)
             {
-              cf_gateway_remove_target (&g, id, record_rev, "store");
+              cf_gateway_remove_target (
+                  &g, id, (CfStorePosition){ 1, record_rev }, "store");
               if (present[t] && record_rev >= rev_of[t])
                 present[t] = FALSE;
             }
           else
             {
-              const CfTargetUpdate update
-                  = { id, json, strlen (json), record_rev, record_rev, 0 };
+              const CfTargetUpdate update = { .id = id,
+                                              .json = json,
+                                              .n = strlen (json),
+                                              .pos = { 1, record_rev },
+                                              .created = { 1, record_rev } };
 
               cf_gateway_update_target (&g, &update, "store");
               if (!present[t] || record_rev >= rev_of[t])
@@ -224,6 +256,7 @@
 
   tcase_set_timeout (t, 30);
   tcase_add_test (t, versions_never_decrease);
+  tcase_add_test (t, versions_never_decrease_across_eras);
   tcase_add_test (t, the_table_follows_the_newest_revisions);
   tcase_add_test (t, retries_stay_within_the_fleet_limit);
   tcase_add_test (t, each_gateway_has_a_distinct_place);
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -63,7 +63,7 @@
 START_TEST (gateway_hello_and_targets_round_trip)
 {
   CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
-  CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), 12, 7 };
+  CfPeerTarget t = { bytes ("i-1"), bytes ("{}"), { 3, 12 }, { 2, 7 } };
   CfPeerSlowdown slowdown = { bytes ("1.2.3.9:1"), 12000, 1783022913149 };
   CfPeerRateLimit rate_limit = { bytes ("i-2"), 1783022913149, 1100000, 40 };
   CfPeerInstance leaving = { bytes ("i-3"), 1783022913149 };
@@ -72,7 +72,8 @@
   msgpack_sbuffer buf;
 
   m.u.gateway_hello.addr = bytes ("1.2.3.4:5");
-  m.u.gateway_hello.policy_rev = 9;
+  m.u.gateway_hello.policy_pos = (CfStorePosition){ 3, 9 };
+  m.u.gateway_hello.policy_version = 41;
   m.u.gateway_hello.want = CF_PEER_WANT_TARGETS;
   m.u.gateway_hello.data_centre = bytes ("dc2");
   m.u.gateway_hello.ring_start = CF_PEER_RING_UNITS / 2;
@@ -92,7 +93,9 @@
       g_array_index (o.u.gateway_hello.leaving, CfPeerInstance, 0).incarnation,
       1783022913149);
   ck_assert_uint_eq (o.u.gateway_hello.want, CF_PEER_WANT_TARGETS);
-  ck_assert_int_eq (o.u.gateway_hello.policy_rev, 9);
+  ck_assert_int_eq (o.u.gateway_hello.policy_pos.rev, 9);
+  ck_assert_int_eq (o.u.gateway_hello.policy_pos.era, 3);
+  ck_assert_int_eq (o.u.gateway_hello.policy_version, 41);
   ck_assert_mem_eq (o.u.gateway_hello.data_centre.data, "dc2", 3);
   ck_assert_int_eq (o.u.gateway_hello.ring_start, CF_PEER_RING_UNITS / 2);
   ck_assert_uint_eq (o.u.gateway_hello.slowdowns->len, 1);
@@ -116,7 +119,7 @@
   cf_peer_msg_clear (&m);
   free_all (&o, &zone, &buf);
   m.kind = CF_PEER_TARGETS;
-  m.u.targets.as_of = 12;
+  m.u.targets.as_of = (CfStorePosition){ 3, 12 };
   m.u.targets.items = g_array_new (FALSE, FALSE, sizeof (CfPeerTarget));
   g_array_append_val (m.u.targets.items, t);
   pack_and_unpack (&m, &o, &zone, &buf);
@@ -125,13 +128,46 @@
       memcmp (g_array_index (o.u.targets.items, CfPeerTarget, 0).id.data, "i-1",
               3),
       0);
-  ck_assert_int_eq (g_array_index (o.u.targets.items, CfPeerTarget, 0).created,
-                    7);
+  ck_assert_int_eq (o.u.targets.as_of.era, 3);
+  ck_assert_int_eq (
+      g_array_index (o.u.targets.items, CfPeerTarget, 0).created.rev, 7);
+  ck_assert_int_eq (
+      g_array_index (o.u.targets.items, CfPeerTarget, 0).created.era, 2);
+  ck_assert_int_eq (g_array_index (o.u.targets.items, CfPeerTarget, 0).pos.era,
+                    3);
   free_all (&o, &zone, &buf);
   cf_peer_msg_clear (&m);
 }
 END_TEST
 
+/* Earlier releases send positions without an era. */
+START_TEST (positions_of_earlier_releases_have_no_era)
+{
+  msgpack_sbuffer buf;
+  msgpack_packer pk;
+  msgpack_unpacked zone;
+  CfPeerMsg o;
+
+  msgpack_sbuffer_init (&buf);
+  msgpack_packer_init (&pk, &buf, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, 3);
+  msgpack_pack_int (&pk, CF_PEER_TARGETS);
+  msgpack_pack_int (&pk, 12);
+  msgpack_pack_array (&pk, 1);
+  msgpack_pack_array (&pk, 4);
+  msgpack_pack_bin_with_body (&pk, "i-1", 3);
+  msgpack_pack_bin_with_body (&pk, "{}", 2);
+  msgpack_pack_int (&pk, 11);
+  msgpack_pack_int (&pk, 7);
+  ck_assert_int_eq (cf_peer_msg_unpack (buf.data, buf.size, &zone, &o), CF_OK);
+  ck_assert_int_eq (o.u.targets.as_of.rev, 12);
+  ck_assert_int_eq (o.u.targets.as_of.era, CF_STORE_ERA_UNKNOWN);
+  ck_assert_int_eq (g_array_index (o.u.targets.items, CfPeerTarget, 0).pos.era,
+                    CF_STORE_ERA_UNKNOWN);
+  free_all (&o, &zone, &buf);
+}
+END_TEST
+
 START_TEST (order_round_trip)
 {
   CfPeerMsg m = { .kind = CF_PEER_ORDER };
@@ -347,6 +383,7 @@
 
   tcase_add_test (t, rank_status_round_trip);
   tcase_add_test (t, gateway_hello_and_targets_round_trip);
+  tcase_add_test (t, positions_of_earlier_releases_have_no_era);
   tcase_add_test (t, order_round_trip);
   tcase_add_test (t, prepare_order_round_trip);
   tcase_add_test (t, expert_counts_take_one_byte_per_expert);
--- a/t/t-store-era.c
+++ b/t/t-store-era.c
@@ -2,6 +2,7 @@
  * A store that is restored from a copy: revisions go back and are given out
  * again, and what was written since the copy is lost until it is written again.
  */
+#include "gateway/store-position.h"
 #include "harness.h"
 #include "platform-harness.h"
 
@@ -18,10 +19,14 @@
 #define PROXY_PORT (BASE + 50)
 /** The platform's limit for a change to be in force. */
 #define APPLY_MS 2000
-/** Time for a change to reach gateways that can reach the store. */
-#define PROPAGATION_MS 300
+/** The platform's limit for a target that leaves to get no more requests. */
+#define DRAIN_MS 2000
+/** Usual time for a change to reach gateways that can reach the store. */
+#define PROPAGATION_MS 600
 /** The platform's limit for targets to write their records again. */
 #define REWRITE_LIMIT_MS 2000
+/** Longer than the leases of targets that a restored list shows. */
+#define LEASES_END_MS 9000
 /** Keys that fill more than one page of the store. */
 #define FILLER_KEYS 60
 #define ROUNDS 20
@@ -158,7 +163,7 @@
   call ("POST /test/copy", "");
   for (int version = 2; version <= 4; version++)
     put_config (version);
-  check_config (1, 4, PROPAGATION_MS);
+  check_config (1, 4, APPLY_MS);
   call ("POST /test/restore", "");
   sleep_ms (PROPAGATION_MS);
   for (int n = 1; n <= 2; n++)
@@ -173,7 +178,7 @@
 {
   call ("POST /test/copy", "");
   put_config (3);
-  check_config (1, 3, PROPAGATION_MS);
+  check_config (1, 3, APPLY_MS);
   call ("POST /test/restore?rewrite-ms=500", "");
   for (int i = 0; i < 20; i++)
     {
@@ -189,7 +194,7 @@
 {
   call ("POST /test/copy", "");
   put_config (2);
-  check_config (1, 2, PROPAGATION_MS);
+  check_config (1, 2, APPLY_MS);
   for (int n = 1; n <= 2; n++)
     p_signal (gateways[n], SIGSTOP);
   call ("POST /test/restore", "");
@@ -215,7 +220,7 @@
   call ("POST /test/restore", "");
   sleep_ms (PROPAGATION_MS);
   g_free (p_call_standin (DESK_1, "POST /test/drain", ""));
-  sleep_ms (PROPAGATION_MS);
+  sleep_ms (DRAIN_MS);
   for (int n = 1; n <= 2; n++)
     ck_assert_double_eq (count_served (n, DESK_1), 0);
 }
@@ -225,7 +230,7 @@
 {
   call ("POST /test/copy", "");
   remove_record (0);
-  sleep_ms (PROPAGATION_MS);
+  sleep_ms (DRAIN_MS);
   call ("POST /test/restore?rewrite-ms=3000", "");
   for (int i = 0; i < 3; i++)
     {
@@ -240,7 +245,7 @@
 {
   call ("POST /test/copy", "");
   g_free (p_call_standin (DESK_1, "POST /test/drain", ""));
-  sleep_ms (PROPAGATION_MS);
+  sleep_ms (DRAIN_MS);
   call ("POST /test/restore", "");
   sleep_ms (PROPAGATION_MS);
   for (int n = 1; n <= 2; n++)
@@ -254,7 +259,7 @@
 
   call ("POST /test/copy", "");
   remove_record (0);
-  sleep_ms (PROPAGATION_MS);
+  sleep_ms (DRAIN_MS);
   call ("POST /test/restore", "");
   sleep_ms (PROPAGATION_MS);
   put_record (0, record);
@@ -310,13 +315,14 @@
   call ("POST /test/copy", "");
   for (int version = 2; version <= 4; version++)
     put_config (version);
-  check_config (2, 4, PROPAGATION_MS);
+  check_config (2, 4, APPLY_MS);
   toggle_cut ();
   sleep_ms (PROPAGATION_MS);
   call ("POST /test/restore", "");
   put_config (5);
   g_free (p_call_standin (DESK_1, "POST /test/drain", ""));
   check_config (2, 5, APPLY_MS);
+  sleep_ms (APPLY_MS);
   ck_assert_double_eq (count_served (2, DESK_1), 0);
   toggle_cut ();
   sleep_ms (2 * APPLY_MS);
@@ -329,7 +335,7 @@
 {
   call ("POST /test/copy", "");
   put_config (4);
-  check_config (1, 4, PROPAGATION_MS);
+  check_config (1, 4, APPLY_MS);
   call ("POST /test/restore", "");
   sleep_ms (PROPAGATION_MS);
   restart_gateway (2);
@@ -353,7 +359,7 @@
   call ("POST /test/copy", "");
   put_record (1, record);
   put_config (2);
-  check_config (1, 2, PROPAGATION_MS);
+  check_config (1, 2, APPLY_MS);
   call ("POST /test/restore-at-page?rewrite-ms=300", "");
   call ("POST /test/forget", "");
   sleep_ms (2 * PROPAGATION_MS);
@@ -362,6 +368,7 @@
   for (int n = 1; n <= 2; n++)
     {
       check_config (n, 3, APPLY_MS);
+      sleep_ms (DRAIN_MS);
       ck_assert_double_eq (count_served (n, DESK_1), 0);
     }
 }
@@ -399,7 +406,7 @@
   call ("POST /test/copy", "");
   for (int version = 2; version <= 9; version++)
     put_config (version);
-  check_config (1, 9, PROPAGATION_MS);
+  check_config (1, 9, APPLY_MS);
   call ("POST /test/restore", "");
   sleep_ms (PROPAGATION_MS);
   put_config (10);
@@ -407,17 +414,80 @@
   for (int n = 1; n <= 2; n++)
     {
       check_config (n, 10, APPLY_MS);
+      sleep_ms (DRAIN_MS);
       ck_assert_double_eq (count_served (n, DESK_1), 0);
     }
 }
 END_TEST
 
+/* An instance whose lease the restored store does not let expire is alive. */
+START_TEST (target_that_stays_listed_is_served_again)
+{
+  call ("POST /test/copy", "");
+  remove_record (0);
+  sleep_ms (DRAIN_MS);
+  call ("POST /test/restore", "");
+  sleep_ms (PROPAGATION_MS);
+  ck_assert_double_eq (count_served (1, DESK_1), 0);
+  sleep_ms (LEASES_END_MS);
+  for (int n = 1; n <= 2; n++)
+    ck_assert_double_gt (count_served (n, DESK_1), 0);
+}
+END_TEST
+
+static gboolean
+is_older (gint64 era_a, gint64 rev_a, gint64 era_b, gint64 rev_b)
+{
+  return cf_store_position_is_older ((CfStorePosition){ era_a, rev_a },
+                                     (CfStorePosition){ era_b, rev_b });
+}
+
+START_TEST (positions_are_ordered_by_era_first)
+{
+  const gint64 none = CF_STORE_ERA_UNKNOWN;
+
+  ck_assert (is_older (1, 4, 1, 5));
+  ck_assert (!is_older (1, 5, 1, 5));
+  ck_assert (is_older (1, 99, 2, 5));
+  ck_assert (!is_older (2, 5, 1, 99));
+  ck_assert (is_older (0, 9, G_MAXINT64, 1));
+  /* What states its era replaces what does not. */
+  ck_assert (!is_older (2, 5, none, 99));
+  ck_assert (is_older (none, 4, 2, 5));
+  ck_assert (!is_older (none, 5, 2, 5));
+  ck_assert (is_older (none, 4, none, 5));
+  ck_assert (!cf_store_position_is_later_era ((CfStorePosition){ none, 9 },
+                                              (CfStorePosition){ 1, 1 }));
+  ck_assert (cf_store_position_is_later_era ((CfStorePosition){ 2, 1 },
+                                             (CfStorePosition){ 1, 9 }));
+}
+END_TEST
+
+START_TEST (eras_are_whole_numbers)
+{
+  const char *invalid[] = { NULL, "",    "-1",  "1.5",
+                            "x",  "1e3", "0x2", "9223372036854775808",
+                            "1 2" };
+
+  ck_assert_int_eq (cf_platform_store_parse_era ("0"), 0);
+  ck_assert_int_eq (cf_platform_store_parse_era ("9223372036854775807"),
+                    G_MAXINT64);
+  for (gsize i = 0; i < G_N_ELEMENTS (invalid); i++)
+    ck_assert_int_eq (cf_platform_store_parse_era (invalid[i]),
+                      CF_STORE_ERA_UNKNOWN);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *s = suite_create ("store-era");
+  TCase *table = tcase_create ("table");
   TCase *t = tcase_create ("restored");
 
+  tcase_add_test (table, positions_are_ordered_by_era_first);
+  tcase_add_test (table, eras_are_whole_numbers);
+  suite_add_tcase (s, table);
   tcase_set_tags (t, "restored");
   tcase_set_timeout (t, 60);
   tcase_add_checked_fixture (t, setup, teardown);
@@ -436,6 +506,7 @@
       t, gateway_cut_off_from_the_store_learns_from_a_peer_of_a_later_era);
   tcase_add_test (t, restarted_gateway_learns_the_newest_config_from_a_peer);
   tcase_add_test (t, list_read_across_a_restoration_is_read_again);
+  tcase_add_test (t, target_that_stays_listed_is_served_again);
   tcase_add_test (t, odd_eras_do_no_harm);
   tcase_add_test (t, restoration_is_noticed_without_an_era);
   suite_add_tcase (s, t);
--- a/t/t-target.c
+++ b/t/t-target.c
@@ -125,6 +125,104 @@
 }
 END_TEST
 
+/* Puts a record of instance "a" into a list that may have been restored. */
+static CfTargetChange
+put_restored (gint64 era, gint64 seq, gboolean leaving, gboolean is_change,
+              gint64 now)
+{
+  return t_put_target (&table, &(TTargetSpec){ .id = "a",
+                                               .leaving = leaving,
+                                               .incarnation = 100,
+                                               .seq = seq,
+                                               .is_change = is_change,
+                                               .era = era,
+                                               .rev = ++rev,
+                                               .now_ms = now });
+}
+
+static void
+restore_list (gboolean keeps_order, gint64 now)
+{
+  rev = 0;
+  cf_target_table_store_restored (&table, keeps_order, now);
+}
+
+START_TEST (departed_instance_in_a_restored_list_is_kept_out)
+{
+  put_restored (1, 7, FALSE, FALSE, 0);
+  cf_target_table_remove (&table, "a");
+  ck_assert_int_eq (put_restored (1, 7, FALSE, FALSE, 0), CF_TARGET_NEW);
+  cf_target_table_remove (&table, "a");
+  restore_list (TRUE, 1000);
+  ck_assert_int_eq (put_restored (2, 7, FALSE, FALSE, 1000),
+                    CF_TARGET_DEPARTED);
+  ck_assert_int_eq (put_restored (2, 3, FALSE, FALSE, 1000),
+                    CF_TARGET_DEPARTED);
+  ck_assert_ptr_null (get ("a"));
+  ck_assert_uint_eq (table.n_kept_out, 2);
+  ck_assert_int_eq (
+      put_restored (2, 7, FALSE, FALSE, 1000 + CF_TARGET_COPY_EXPIRY_MS),
+      CF_TARGET_NEW);
+}
+END_TEST
+
+START_TEST (departed_instance_that_writes_again_is_listed)
+{
+  put_restored (1, 7, FALSE, FALSE, 0);
+  cf_target_table_remove (&table, "a");
+  restore_list (TRUE, 1000);
+  ck_assert_int_eq (put_restored (2, 8, FALSE, FALSE, 1000), CF_TARGET_NEW);
+  cf_target_table_remove (&table, "a");
+  restore_list (TRUE, 2000);
+  ck_assert_int_eq (put_restored (3, 8, FALSE, TRUE, 2000), CF_TARGET_NEW);
+}
+END_TEST
+
+START_TEST (restored_list_does_not_end_a_drain)
+{
+  rev = 50;
+  put_restored (1, 7, TRUE, FALSE, 0);
+  restore_list (TRUE, 1000);
+  put_restored (2, 6, FALSE, FALSE, 1000);
+  ck_assert (cf_target_is_leaving (get ("a")));
+  put_restored (2, 6, FALSE, FALSE, 2000);
+  ck_assert (cf_target_is_leaving (get ("a")));
+  cf_target_table_remove (&table, "a");
+  restore_list (TRUE, 3000);
+  put_restored (3, 9, FALSE, TRUE, 3000);
+  ck_assert (cf_target_is_leaving (get ("a")));
+}
+END_TEST
+
+START_TEST (positions_of_before_do_not_count_after_an_unordered_restoration)
+{
+  rev = 50;
+  put_restored (7, 7, FALSE, FALSE, 0);
+  restore_list (FALSE, 1000);
+  ck_assert_int_eq (put_restored (2, 8, TRUE, FALSE, 1000), CF_TARGET_LEAVING);
+  restore_list (FALSE, 2000);
+  ck_assert_int_eq (put_restored (CF_STORE_ERA_UNKNOWN, 9, TRUE, FALSE, 2000),
+                    CF_TARGET_SAME);
+  ck_assert_int_eq (get ("a")->pos.rev, 1);
+}
+END_TEST
+
+/* The record that the next instance wrote was lost with the rest. */
+START_TEST (next_instance_keeps_its_address_in_a_restored_list)
+{
+  t_put_target (&table, &(TTargetSpec){ .id = "old", .era = 1, .rev = 1 });
+  t_put_target (&table, &(TTargetSpec){ .id = "new", .era = 1, .rev = 9 });
+  ck_assert (get ("old")->replaced);
+  restore_list (TRUE, 1000);
+  t_put_target (&table, &(TTargetSpec){ .id = "old", .era = 2, .rev = 1 });
+  ck_assert (!get ("new")->replaced);
+  ck_assert (get ("old")->replaced);
+  t_put_target (&table, &(TTargetSpec){ .id = "new", .era = 2, .rev = 2 });
+  ck_assert (!get ("new")->replaced);
+  ck_assert (get ("old")->replaced);
+}
+END_TEST
+
 /* A write of the previous incarnation that the store delayed. */
 START_TEST (late_record_of_older_incarnation_is_dropped)
 {
@@ -209,6 +307,12 @@
   tcase_add_test (t, new_incarnation_has_fresh_state);
   tcase_add_test (t, relisted_instance_is_still_leaving);
   tcase_add_test (t, successor_of_leaving_instance_takes_requests);
+  tcase_add_test (t, departed_instance_in_a_restored_list_is_kept_out);
+  tcase_add_test (t, departed_instance_that_writes_again_is_listed);
+  tcase_add_test (t, restored_list_does_not_end_a_drain);
+  tcase_add_test (
+      t, positions_of_before_do_not_count_after_an_unordered_restoration);
+  tcase_add_test (t, next_instance_keeps_its_address_in_a_restored_list);
   tcase_add_test (t, memory_of_departed_instances_is_bounded);
   tcase_add_test (t, late_record_of_older_incarnation_is_dropped);
   tcase_add_test (t, older_incarnation_is_accepted_after_clock_step);
--- a/t/target-harness.c
+++ b/t/target-harness.c
@@ -11,8 +11,13 @@
 CfTargetChange
 t_put_target (CfTargetTable *t, const TTargetSpec *spec)
 {
-  const CfTargetUpdate update
-      = { spec->id, "{}", 2, spec->rev, spec->rev, spec->now_ms };
+  const CfTargetUpdate update = { .id = spec->id,
+                                  .json = "{}",
+                                  .n = 2,
+                                  .pos = { spec->era, spec->rev },
+                                  .created = { spec->era, spec->rev },
+                                  .now_ms = spec->now_ms,
+                                  .is_change = spec->is_change };
   CfTargetRecord r = { 0 };
 
   r.id = g_strdup (spec->id);
@@ -22,6 +27,7 @@
   r.slots = spec->slots ? spec->slots : DEFAULT_SLOTS;
   r.leaving = spec->leaving;
   r.incarnation = spec->incarnation;
+  r.seq = spec->seq;
   return cf_target_table_put (t, &r, &update);
 }
 
--- a/t/target-harness.h
+++ b/t/target-harness.h
@@ -13,8 +13,11 @@
   gint64 slots;            /**< 0: 4 */
   gboolean leaving;
   gint64 incarnation;
-  gint64 rev;    /**< of the record, and of its first listing */
-  gint64 now_ms; /**< when the record is received */
+  gint64 seq;
+  gboolean is_change; /**< written after the list was read */
+  gint64 era;         /**< of the store */
+  gint64 rev;         /**< of the record, and of its first listing */
+  gint64 now_ms;      /**< when the record is received */
 } TTargetSpec;
 
 /** t_put_target: adds or updates the target as the list would. */
