soak: a store that is restored from a copy

A copy is taken as the fault begins and restored as it ends; the operator and the targets write again what was lost within 0.9 s. The checks are as before: versions do not go back, and are in force in time.

--- a/t/soak-faults.c
+++ b/t/soak-faults.c
@@ -23,6 +23,10 @@
 /** Time between the end of a planned stop and the restart. */
 #define RESTART_DELAY_MS 200
 #define FAULT_REQUESTS_MAX 20
+/** Time in which the operator and the targets write again what the store lost.
+ * What is written then is in force SOAK_CONFIG_APPLY_MS later, which is within
+ * the time that the fault excuses. */
+#define REWRITE_MAX_MS 900
 /** Longest time that a freeze is delayed until a rank holds a pass. */
 #define HOLD_WAIT_MS 250
 /** Start time (Unix ms) later than that of any stand-in, so that gateways
@@ -367,6 +371,17 @@
                   1 + fault->variant % FAULT_REQUESTS_MAX);
 }
 
+static void
+restore_store (SoakFleet *f, const SoakFault *fault)
+{
+  const int rewrite_ms[] = { 100, 400, REWRITE_MAX_MS };
+  g_autofree char *call = g_strdup_printf (
+      "POST /test/restore?rewrite-ms=%d",
+      rewrite_ms[fault->variant % (int)G_N_ELEMENTS (rewrite_ms)]);
+
+  control_standin (f->base, call, "");
+}
+
 static void
 request_pauses (SoakFleet *f, const SoakFault *fault)
 {
@@ -434,6 +449,9 @@
     case SOAK_FORGET:
       control_standin (f->base, "POST /test/forget", "");
       break;
+    case SOAK_RESTORE:
+      control_standin (f->base, "POST /test/copy", "");
+      break;
     case SOAK_TARGET:
       inject_target_fault (f, fault);
       break;
@@ -476,6 +494,9 @@
     case SOAK_STORE:
       set_store_mode (f, "up");
       break;
+    case SOAK_RESTORE:
+      restore_store (f, fault);
+      break;
     case SOAK_TARGET:
       wait_for_listener (target_port (f, fault->index));
       p_inject_fault (target_port (f, fault->index), 1, "none", 0);
--- a/t/soak-schedule.c
+++ b/t/soak-schedule.c
@@ -22,9 +22,9 @@
 #define LARGE_EVERY 8
 
 static const char *const kind_names[SOAK_N_KINDS]
-    = { "roll",   "hup",   "config", "drain",      "leave",
-        "pause",  "kill",  "freeze", "store",      "forget",
-        "target", "crash", "net",    "agent-kill", "agent-freeze" };
+    = { "roll",  "hup",    "config",     "drain",       "leave",   "pause",
+        "kill",  "freeze", "store",      "forget",      "restore", "target",
+        "crash", "net",    "agent-kill", "agent-freeze" };
 
 const char *
 soak_kind_name (SoakFaultKind k)
--- a/t/soak.h
+++ b/t/soak.h
@@ -43,21 +43,23 @@
 /** SoakFaultKind: the faults; planned operations come first. */
 typedef enum
 {
-  SOAK_ROLL,   /**< SIGTERM to a gateway, and a restart */
-  SOAK_HUP,    /**< SIGHUP to a gateway */
-  SOAK_CONFIG, /**< a new version of the configuration */
-  SOAK_DRAIN,  /**< a target drains and is restarted */
-  SOAK_LEAVE,  /**< a target says in its answers alone that it leaves, and is
-                    restarted */
-  SOAK_PAUSE,  /**< a target refuses all requests and asks for pauses */
-  SOAK_KILL,   /**< SIGKILL to a gateway, and a restart */
-  SOAK_FREEZE, /**< SIGSTOP to a gateway, later SIGCONT */
-  SOAK_STORE,  /**< the store fails, is slow or returns stale data */
-  SOAK_FORGET, /**< the store drops its history */
-  SOAK_TARGET, /**< a target fails its next requests */
-  SOAK_CRASH,  /**< a target crashes and restarts under the same id */
-  SOAK_NET,    /**< connections become silent in one or both directions, or are
-                    reset */
+  SOAK_ROLL,    /**< SIGTERM to a gateway, and a restart */
+  SOAK_HUP,     /**< SIGHUP to a gateway */
+  SOAK_CONFIG,  /**< a new version of the configuration */
+  SOAK_DRAIN,   /**< a target drains and is restarted */
+  SOAK_LEAVE,   /**< a target says in its answers alone that it leaves, and is
+                     restarted */
+  SOAK_PAUSE,   /**< a target refuses all requests and asks for pauses */
+  SOAK_KILL,    /**< SIGKILL to a gateway, and a restart */
+  SOAK_FREEZE,  /**< SIGSTOP to a gateway, later SIGCONT */
+  SOAK_STORE,   /**< the store fails, is slow or returns stale data */
+  SOAK_FORGET,  /**< the store drops its history */
+  SOAK_RESTORE, /**< the store goes back to a copy; what was lost is written
+                     again */
+  SOAK_TARGET,  /**< a target fails its next requests */
+  SOAK_CRASH,   /**< a target crashes and restarts under the same id */
+  SOAK_NET,     /**< connections become silent in one or both directions, or are
+                     reset */
   SOAK_AGENT_KILL,
   SOAK_AGENT_FREEZE,
   SOAK_N_KINDS,
