departed-targets: drop the oldest instance in constant time

The search for the oldest of 2,048 ran on each removal once the memory was full: millions of steps where a list of thousands is replaced.

--- a/gateway/departed-targets.c
+++ b/gateway/departed-targets.c
@@ -1,16 +1,27 @@
 #include "departed-targets.h"
 
+static void
+free_departed (gpointer data)
+{
+  CfDepartedTarget *t = data;
+
+  g_free (t->key);
+  g_free (t);
+}
+
 void
 cf_departed_targets_init (CfDepartedTargets *d)
 {
   d->by_instance
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_departed);
+  TAILQ_INIT (&d->by_time);
 }
 
 void
 cf_departed_targets_clear (CfDepartedTargets *d)
 {
   g_clear_pointer (&d->by_instance, g_hash_table_destroy);
+  TAILQ_INIT (&d->by_time);
 }
 
 static char *
@@ -21,38 +32,27 @@
 }
 
 static void
-drop_oldest (CfDepartedTargets *d)
+drop (CfDepartedTargets *d, CfDepartedTarget *t)
 {
-  const char *oldest = NULL;
-  gint64 oldest_ms = G_MAXINT64;
-  GHashTableIter it;
-  gpointer key;
-  gpointer value;
-
-  g_hash_table_iter_init (&it, d->by_instance);
-  while (g_hash_table_iter_next (&it, &key, &value))
-    {
-      const CfDepartedTarget *t = value;
-
-      if (t->departed_ms >= oldest_ms)
-        continue;
-      oldest = key;
-      oldest_ms = t->departed_ms;
-    }
-  if (oldest)
-    g_hash_table_remove (d->by_instance, oldest);
+  TAILQ_REMOVE (&d->by_time, t, link);
+  g_hash_table_remove (d->by_instance, t->key);
 }
 
-void
-cf_departed_targets_add (CfDepartedTargets *d, const CfTargetRecord *r,
-                         const CfDepartedTarget *t)
+CfDepartedTarget *
+cf_departed_targets_add (CfDepartedTargets *d, const CfTargetRecord *r)
 {
-  char *key = make_key (r);
+  CfDepartedTarget *t = g_new0 (CfDepartedTarget, 1);
+  CfDepartedTarget *before;
 
-  if (!g_hash_table_contains (d->by_instance, key)
-      && g_hash_table_size (d->by_instance) >= CF_DEPARTED_TARGETS_MAX)
-    drop_oldest (d);
-  g_hash_table_replace (d->by_instance, key, g_memdup2 (t, sizeof *t));
+  t->key = make_key (r);
+  before = g_hash_table_lookup (d->by_instance, t->key);
+  if (before)
+    drop (d, before);
+  else if (g_hash_table_size (d->by_instance) >= CF_DEPARTED_TARGETS_MAX)
+    drop (d, TAILQ_FIRST (&d->by_time));
+  g_hash_table_insert (d->by_instance, t->key, t);
+  TAILQ_INSERT_TAIL (&d->by_time, t, link);
+  return t;
 }
 
 const CfDepartedTarget *
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -1,8 +1,6 @@
 #include "target.h"
 
 #include "ablation.h"
-#include "net.h"
-#include "platform/platform-store.h"
 #include "socket.h"
 
 #include <math.h>
@@ -193,15 +191,13 @@
 static void
 remember_departed (CfTargetTable *t, const CfTarget *target)
 {
-  CfDepartedTarget d = { 0 };
+  CfDepartedTarget *d = cf_departed_targets_add (&t->departed, &target->record);
 
-  d.departed_ms = cf_now_ms ();
-  d.announced_leaving = target->announced_leaving;
-  d.record_leaving = target->record.leaving;
-  d.seq = target->record.seq;
-  d.generation = target->generation;
-  d.pause = target->pause;
-  cf_departed_targets_add (&t->departed, &target->record, &d);
+  d->announced_leaving = target->announced_leaving;
+  d->record_leaving = target->record.leaving;
+  d->seq = target->record.seq;
+  d->generation = target->generation;
+  d->pause = target->pause;
 }
 
 static void
