--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -143,6 +143,9 @@
 static void
 on_confirmed (CfGateway *g, CfStorePosition as_of)
 {
+  /* A peer may have told of a later era than the answer is of. */
+  if (cf_store_position_is_older (as_of, g->targets_pos))
+    return;
   g->targets_pos = as_of;
   g->targets_confirmed_ms = cf_gateway_now (g);
 }
