harness: stop the programs of a test in reverse order

t-session, beside load, found one line E1103 config-down more than its golden file has: t_stop_all() sent SIGTERM to the configuration service first and to the entry last, so that the entry could log the end of the service. Each program is now stopped before those that it uses.

--- a/t/harness.c
+++ b/t/harness.c
@@ -52,10 +52,14 @@
 void
 t_stop_all (void)
 {
-  for (guint i = 0; child_pids && i < child_pids->len; i++)
-    kill (g_array_index (child_pids, pid_t, i), SIGTERM);
-  for (guint i = 0; child_pids && i < child_pids->len; i++)
-    waitpid (g_array_index (child_pids, pid_t, i), NULL, 0);
+  /* The last one started may use those before it until it has ended. */
+  for (guint i = child_pids ? child_pids->len : 0; i > 0; i--)
+    {
+      pid_t pid = g_array_index (child_pids, pid_t, i - 1);
+
+      kill (pid, SIGTERM);
+      waitpid (pid, NULL, 0);
+    }
   if (child_pids)
     g_array_set_size (child_pids, 0);
 }
