--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -652,6 +652,9 @@
 crash (FakeTarget *t, FakeConn *c)
 {
   t->n_crashes++;
+  /* A process that has crashed accepts no connections by the time that its open
+   * ones are reset. */
+  fake_http_close_listener (t->listener, CRASH_DOWNTIME_S);
   while (t->requests)
     {
       PlainRequest *req = t->requests->data;
@@ -670,7 +673,6 @@
     }
   if (c)
     fake_http_reset (c);
-  fake_http_close_listener (t->listener, CRASH_DOWNTIME_S);
   restart_process (t, FALSE, RESTART_INTERVAL_MS);
 }
 
