--- a/explain.c
+++ b/explain.c
@@ -40,6 +40,9 @@
   { NULL, "rate-limited",
     "the service's targets limit the rate of requests, and this gateway's "
     "share of it was used up; E1218 shows the limits" },
+  { NULL, "targets-paused",
+    "all targets of the service had asked for a pause that lasts longer than "
+    "the request could wait; see E1220" },
   { NULL, "queue-full", "the service's queue was full" },
   { NULL, "more-urgent-waits",
     "requests of a more urgent priority filled the service's queue" },
