--- a/t/harness.h
+++ b/t/harness.h
@@ -18,8 +18,8 @@
 pid_t t_start_program (const char *name, const char *prog,
                        const char *settings);
 
-/** t_stop_all: sends SIGTERM to each program that t_start_program() started, the
- * last one first, and waits for its exit before it goes on to the next. */
+/** t_stop_all: sends SIGTERM to each program that t_start_program() started,
+ * the last one first, and waits for its exit before it goes on to the next. */
 void t_stop_all (void);
 
 /** t_wait_for_body: polls @url until its body contains @needle; FALSE on
