target-feed: believe the store over a peer that names a later era

A gateway that the store did not answer adopted a peer's list of an era that the store had stated once and took back (odd values of Store-Era). When the store answered again, everything it said was of an earlier era, and was dropped for good: a target that drained got requests.

An answer to a call that was made after the peer's list came is the newer word: all positions become void and the list is read again. An answer to an earlier call is late, and confirms nothing.

store_is_believed_though_a_peer_saw_a_later_era failed before.

--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -361,6 +361,7 @@
   g_string_assign (w->output, request);
   g_free (request);
   w->output_sent = 0;
+  w->call_sent_ms = cf_gateway_now (w->g);
   g_string_truncate (w->body, 0);
   w->g->stats.store_calls++;
   set_timer (w, RESPONSE_TIMEOUT_MS
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -85,6 +85,7 @@
   gboolean has_snapshot; /**< all keys were read since the last 410 Gone */
   CfStoreReachability reachability;
   gint64 long_poll_ms; /**< how long the store may wait for a change */
+  gint64 call_sent_ms; /**< when the last call was sent */
   CfWatchBatcher batcher;
   gint64 backoff_ms; /**< delay before the next retry */
 };
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -28,8 +28,13 @@
   ev_timer timer;
 } grace;
 
-/** Reads the list again after a restoration. */
-static ev_timer reread_timer;
+/** The watch of the list, and the lists that peers sent in its place. */
+static struct
+{
+  CfStoreWatch *watch;
+  gint64 peer_list_ms;   /**< when a peer's list was last adopted */
+  ev_timer reread_timer; /**< makes the watch read everything again */
+} list;
 
 static gboolean
 is_in_grace (const CfGateway *g)
@@ -140,16 +145,6 @@
   cf_gateway_update_target (g, &update, "store");
 }
 
-static void
-on_confirmed (CfGateway *g, CfStorePosition as_of)
-{
-  /* A peer may have told of a later era than the answer is of. */
-  if (cf_store_position_is_older (as_of, g->targets_pos))
-    return;
-  g->targets_pos = as_of;
-  g->targets_confirmed_ms = cf_gateway_now (g);
-}
-
 /* Handles the targets whose ids, after @prefix, are not in @listed. */
 static void
 mark_all_missing (CfGateway *g, GHashTable *listed, const char *prefix,
@@ -172,36 +167,68 @@
   g_ptr_array_free (missing_ids, TRUE);
 }
 
-/* A list that was restored shows targets that have left until their leases have
- * expired.  Those that are still listed then are alive, and are read again. */
 static void
-schedule_reread (CfGateway *g)
+schedule_reread (CfGateway *g, gint64 ms)
+{
+  ev_timer_stop (g->loop, &list.reread_timer);
+  ev_timer_set (&list.reread_timer, (double)MAX (ms, 1) / 1000, 0);
+  ev_timer_start (g->loop, &list.reread_timer);
+}
+
+static void
+on_reread_due (struct ev_loop *loop, ev_timer *t, int revents)
 {
-  gint64 ms
-      = g->targets.restored_ms + CF_TARGET_COPY_EXPIRY_MS - cf_gateway_now (g);
+  list.watch->g->targets.n_kept_out = 0;
+  cf_store_watch_read_all (list.watch);
+}
 
-  ev_timer_stop (g->loop, &reread_timer);
-  if (g->targets.n_kept_out == 0)
+static void
+start_grace (CfGateway *g)
+{
+  if (g_hash_table_size (g->targets.by_id) == 0)
     return;
-  ev_timer_set (&reread_timer, (double)MAX (ms, 1) / 1000, 0);
-  ev_timer_start (g->loop, &reread_timer);
+  grace.since_ms = cf_gateway_now (g);
+  grace.until_ms = grace.since_ms + RETURN_GRACE_MS;
+  start_timer (g);
 }
 
+/* Targets that came after the copy was taken are missing from the list until
+ * they write their records again. */
 static void
-on_reread_due (struct ev_loop *loop, ev_timer *t, int revents)
+on_restored (CfGateway *g, gboolean keeps_order)
 {
-  CfStoreWatch *w = t->data;
+  cf_gateway_note_targets_restored (g, keeps_order);
+  start_grace (g);
+}
 
-  w->g->targets.n_kept_out = 0;
-  cf_store_watch_read_all (w);
+/* A peer may have told of a later era than that of @as_of.  An answer to a call
+ * from before is late; if the store says so when asked afterwards, what the
+ * peer told is void. */
+static void
+on_confirmed (CfGateway *g, CfStorePosition as_of)
+{
+  if (!cf_store_position_is_later_era (g->targets_pos, as_of))
+    {
+      g->targets_pos = as_of;
+      g->targets_confirmed_ms = cf_gateway_now (g);
+    }
+  else if (list.watch->call_sent_ms > list.peer_list_ms)
+    {
+      on_restored (g, FALSE);
+      schedule_reread (g, 0);
+    }
 }
 
 static void
 on_snapshot (CfGateway *g, GHashTable *seen, CfStorePosition as_of)
 {
   mark_all_missing (g, seen, PF_KEY_TARGETS, as_of, "store");
+  /* A list that was restored shows targets that have left until their leases
+   * have expired.  Those that are still listed then are alive. */
+  if (g->targets.n_kept_out > 0)
+    schedule_reread (g, g->targets.restored_ms + CF_TARGET_COPY_EXPIRY_MS
+                            - cf_gateway_now (g));
   on_confirmed (g, as_of);
-  schedule_reread (g);
 }
 
 static void
@@ -227,16 +254,6 @@
   start_timer (g);
 }
 
-static void
-start_grace (CfGateway *g)
-{
-  if (g_hash_table_size (g->targets.by_id) == 0)
-    return;
-  grace.since_ms = cf_gateway_now (g);
-  grace.until_ms = grace.since_ms + RETURN_GRACE_MS;
-  start_timer (g);
-}
-
 static void
 on_reachability_changed (CfGateway *g, gboolean up)
 {
@@ -245,15 +262,6 @@
     start_grace (g);
 }
 
-/* Targets that came after the copy was taken are missing from the list until
- * they write their records again. */
-static void
-on_restored (CfGateway *g, gboolean keeps_order)
-{
-  cf_gateway_note_targets_restored (g, keeps_order);
-  start_grace (g);
-}
-
 static const CfStoreWatchCallbacks feed_calls
     = { on_item, on_snapshot, on_confirmed, on_reachability_changed,
         on_restored };
@@ -271,6 +279,7 @@
 {
   mark_all_missing (g, ids, "", as_of, "peer");
   g->targets_pos = as_of;
+  list.peer_list_ms = cf_gateway_now (g);
 }
 
 void
@@ -280,7 +289,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ev_timer_init (&grace.timer, on_due, 0, 0);
   grace.timer.data = g;
-  ev_timer_init (&reread_timer, on_reread_due, 0, 0);
-  reread_timer.data = w;
+  list.watch = w;
+  ev_timer_init (&list.reread_timer, on_reread_due, 0, 0);
   cf_store_watch_start (w, g, PF_KEY_TARGETS, &feed_calls);
 }
--- a/t/t-store-era.c
+++ b/t/t-store-era.c
@@ -374,6 +374,33 @@
 }
 END_TEST
 
+START_TEST (store_is_believed_though_a_peer_saw_a_later_era)
+{
+  call ("POST /test/era?value=2", "");
+  put_config (2);
+  check_config (2, 2, APPLY_MS);
+  toggle_cut ();
+  sleep_ms (PROPAGATION_MS);
+  call ("POST /test/era?value=9223372036854775807", "");
+  for (int version = 3; version <= 4; version++)
+    put_config (version);
+  put_record (0, "no record");
+  check_config (2, 4, APPLY_MS);
+  sleep_ms (APPLY_MS);
+  call ("POST /test/era?value=2", "");
+  toggle_cut ();
+  sleep_ms (2 * APPLY_MS);
+  g_free (p_call_standin (DESK_2, "POST /test/drain", ""));
+  g_free (p_call_standin (DESK_1, "POST /test/restart", ""));
+  sleep_ms (DRAIN_MS);
+  for (int n = 1; n <= 2; n++)
+    {
+      ck_assert_double_eq (count_served (n, DESK_2), 0);
+      ck_assert_double_gt (count_served (n, DESK_1), 0);
+    }
+}
+END_TEST
+
 START_TEST (odd_eras_do_no_harm)
 {
   const char *eras[] = { "?value=7",
@@ -507,6 +534,7 @@
   tcase_add_test (t, restarted_gateway_learns_the_newest_config_from_a_peer);
   tcase_add_test (t, list_read_across_a_restoration_is_read_again);
   tcase_add_test (t, target_that_stays_listed_is_served_again);
+  tcase_add_test (t, store_is_believed_though_a_peer_saw_a_later_era);
   tcase_add_test (t, odd_eras_do_no_harm);
   tcase_add_test (t, restoration_is_noticed_without_an_era);
   suite_add_tcase (s, t);
--- a/t/t-target.c
+++ b/t/t-target.c
@@ -194,6 +194,16 @@
 }
 END_TEST
 
+START_TEST (late_record_of_a_former_era_is_dropped)
+{
+  put_restored (2, 7, FALSE, FALSE, 0);
+  rev = 99;
+  put_restored (1, 8, TRUE, FALSE, 0);
+  ck_assert (!cf_target_is_leaving (get ("a")));
+  ck_assert_int_eq (get ("a")->pos.era, 2);
+}
+END_TEST
+
 START_TEST (positions_of_before_do_not_count_after_an_unordered_restoration)
 {
   rev = 50;
@@ -310,6 +320,7 @@
   tcase_add_test (t, departed_instance_in_a_restored_list_is_kept_out);
   tcase_add_test (t, departed_instance_that_writes_again_is_listed);
   tcase_add_test (t, restored_list_does_not_end_a_drain);
+  tcase_add_test (t, late_record_of_a_former_era_is_dropped);
   tcase_add_test (
       t, positions_of_before_do_not_count_after_an_unordered_restoration);
   tcase_add_test (t, next_instance_keeps_its_address_in_a_restored_list);
