--- a/t/t-target-pause.c
+++ b/t/t-target-pause.c
@@ -1,6 +1,6 @@
 /* Pauses that targets request by a 503 with Retry-After, and how a gateway
  * keeps them. */
-#include "gateway/target-pause.h"
+#include "gateway/target-notice.h"
 #include "harness.h"
 #include "platform-harness.h"
 
@@ -184,6 +184,41 @@
 }
 END_TEST
 
+/* Lets a target give an answer with @status and @headers; the pause that it
+ * requests by that. */
+static gint64
+pause_by_answer (CfTarget *t, int status, const char *headers)
+{
+  const CfHttpReaderCallbacks callbacks = { NULL, NULL, NULL };
+  g_autofree char *text = g_strdup_printf (
+      "HTTP/1.1 %d x\r\nContent-Length: 0\r\n%s\r\n", status, headers);
+  CfHttpReader r;
+  gsize used;
+
+  t->pause.until_ms = 0;
+  cf_http_reader_init (&r, HTTP_RESPONSE, &callbacks, NULL, 4096);
+  ck_assert (cf_http_reader_feed (&r, text, strlen (text), &used));
+  cf_target_take_notice (t, &r, 1000);
+  cf_http_reader_clear (&r);
+  return cf_target_pause_ms (t, 1000);
+}
+
+START_TEST (only_a_503_requests_a_pause)
+{
+  const int others[] = { 200, 202, 408, 421, 429, 500, 502, 504 };
+  CfTarget *t = cf_target_new_at ("1.1.1.1:1");
+
+  ck_assert_int_gt (pause_by_answer (t, 503, "Retry-After: 3\r\n"), 2999);
+  ck_assert_int_eq (pause_by_answer (t, 503, ""), 0);
+  for (gsize i = 0; i < G_N_ELEMENTS (others); i++)
+    ck_assert_int_eq (pause_by_answer (t, others[i], "Retry-After: 3\r\n"), 0);
+  ck_assert (!cf_target_is_leaving (t));
+  pause_by_answer (t, 404, "Server-Leaving: 1\r\n");
+  ck_assert (cf_target_is_leaving (t));
+  cf_target_unref (t);
+}
+END_TEST
+
 START_TEST (later_answer_does_not_shorten_a_pause)
 {
   CfTargetPause p = { 0 };
@@ -205,6 +240,7 @@
   TCase *t = tcase_create ("pause");
 
   tcase_add_test (table, odd_pauses_do_no_harm);
+  tcase_add_test (table, only_a_503_requests_a_pause);
   tcase_add_test (table, later_answer_does_not_shorten_a_pause);
   suite_add_tcase (s, table);
   tcase_set_tags (t, "pause");
