--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -429,6 +429,55 @@
 }
 END_TEST
 
+/** A fleet before a group that is large enough for many copies of a request to
+ * run at the same time. */
+#define MANY_RANKS 16
+#define COPIES 15
+/** Targets that copies of a request may reach after three have crashed. */
+#define LATE_CRASHES_MAX 3
+
+static void
+setup_large_group (void)
+{
+  p_start_platform (BASE, "--ranks", "16", NULL);
+  for (int n = 1; n <= N_GATEWAYS; n++)
+    gateways[n] = p_start_ready_gateway (BASE, n);
+  for (int i = 0; i < MANY_RANKS; i++)
+    g_free (p_call_standin (RANK_1 + i, "POST /test/crasher", "boom"));
+  usleep (PROPAGATION_MS * 1000);
+}
+
+static double
+count_rank_crashes (void)
+{
+  usleep (RESTART_MS * 1000);
+  return p_sum_runs (RANK_1, MANY_RANKS, "crashes");
+}
+
+/* Many callers send the request again at once, as when a group opens again. */
+START_TEST (copies_of_a_suspected_request_do_not_crash_targets_together)
+{
+  int fds[COPIES];
+
+  ck_assert_int_ne (send_attempt (1, 1, "POST /chat/a", "boom"), 200);
+  ck_assert_double_ge (count_rank_crashes (), 1);
+  usleep (PROPAGATION_MS * 1000);
+  for (int i = 0; i < COPIES; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("copy-%d", i);
+      g_autofree char *req = p_build_request (
+          "POST /chat/a", id, "Comfreypost-Token-Count: 10,80\r\n", "boom");
+
+      fds[i] = p_connect (p_front_port (BASE, 1 + i % N_GATEWAYS));
+      p_send (fds[i], req);
+    }
+  usleep (3000 * 1000);
+  for (int i = 0; i < COPIES; i++)
+    close (fds[i]);
+  ck_assert_double_le (count_rank_crashes (), CRASHES + LATE_CRASHES_MAX);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -436,6 +485,7 @@
   TCase *table = tcase_create ("table");
   TCase *t = tcase_create ("fleet");
   TCase *counting = tcase_create ("crashes");
+  TCase *copies = tcase_create ("copies");
 
   tcase_add_test (table, different_requests_have_different_digests);
   tcase_add_test (table, rank_that_times_out_waiting_has_not_crashed);
@@ -464,5 +514,11 @@
   tcase_add_test (counting, a_restarted_gateway_learns_of_crashes);
   tcase_add_test (counting, crashes_are_known_after_all_gateways_were_killed);
   suite_add_tcase (s, counting);
+  tcase_set_tags (copies, "copies");
+  tcase_set_timeout (copies, 30);
+  tcase_add_checked_fixture (copies, setup_large_group, p_stop_all);
+  tcase_add_test (copies,
+                  copies_of_a_suspected_request_do_not_crash_targets_together);
+  suite_add_tcase (s, copies);
   return t_run_suite (s);
 }
