gateway: send a request that crashed a target in turn

Cause: after a crash all copies of the request that callers send again wait for the group to open, and every gateway lets its copies in at once. They crash as many targets within milliseconds, and crashes at the same time count as one.

After the first crash on record the gateways send the request in turn: 400 ms each, at most 8 turns in a cycle, by the time of that crash and the order of the gateways, which all of them know; within a turn one copy at a time. Others wait as long as they might in the queue, or are refused with the time of the turn.

--- a/explain.c
+++ b/explain.c
@@ -40,6 +40,10 @@
   { NULL, "rate-limited",
     "the service's targets limit the rate of requests, and this gateway's "
     "share of it was used up; E1218 shows the limits" },
+  { NULL, "suspected",
+    "a target had crashed during an attempt of this request, so gateways send "
+    "it in turn, and the turn of this one came too late; E1217 names the "
+    "request" },
   { NULL, "targets-paused",
     "all targets of the service had asked for a pause that lasts longer than "
     "the request could wait; see E1220" },
--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -64,6 +64,11 @@
 #ifndef CF_WITHOUT_RATE_LIMITS
 #define CF_WITHOUT_RATE_LIMITS 0
 #endif
+/** A request during which a target has crashed is sent like any other until it
+ * is quarantined. */
+#ifndef CF_WITHOUT_SUSPECT_TURNS
+#define CF_WITHOUT_SUSPECT_TURNS 0
+#endif
 /** Pauses that targets request are ignored. */
 #ifndef CF_WITHOUT_TARGET_PAUSES
 #define CF_WITHOUT_TARGET_PAUSES 0
--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -2,6 +2,7 @@
 
 #include "ablation.h"
 #include "log.h"
+#include "suspect-turn.h"
 
 #include <stddef.h>
 
@@ -164,3 +165,102 @@
     while ((x = first_quarantined (service_state)))
       cf_exchange_refuse_quarantined (x);
 }
+
+/* Whether a target has crashed during it.  A stream that has sent events is not
+ * held back: what crashes a target does so before that. */
+static gboolean
+needs_turn (CfExchange *x)
+{
+  return !CF_WITHOUT_SUSPECT_TURNS && x->event_stream.n_events == 0
+         && cf_quarantine_crashes (x->gateway->quarantine, request_digest (x))
+                > 0;
+}
+
+/* How long it has to wait for a turn in which no other copy of it runs here. */
+static gint64
+turn_wait_ms (CfExchange *x)
+{
+  CfGateway *g = x->gateway;
+  gint64 since_ms
+      = cf_gateway_now (g)
+        - cf_quarantine_first_crash_ms (g->quarantine, request_digest (x));
+  gint64 wait_ms = cf_suspect_turn_wait_ms (since_ms, request_digest (x),
+                                            g->fleet_position);
+
+  if (wait_ms == 0 && g_hash_table_contains (g->suspects_running, &x->digest))
+    return cf_suspect_turn_cycle_ms (g->fleet_position);
+  return wait_ms;
+}
+
+static void
+on_turn (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  cf_exchange_send_or_queue (t->data);
+}
+
+static void
+wait_for_turn (CfExchange *x, gint64 wait_ms)
+{
+  struct ev_loop *loop = x->gateway->loop;
+
+  cf_wait_queue_remove (&x->service_state->queue, &x->waiter);
+  ev_timer_stop (loop, &x->silence_timer);
+  ev_timer_stop (loop, &x->turn_timer);
+  ev_timer_init (&x->turn_timer, on_turn, (double)wait_ms / 1000, 0);
+  x->turn_timer.data = x;
+  ev_timer_start (loop, &x->turn_timer);
+  log_quarantine (x, "waits");
+}
+
+/* Until when it may wait for a turn: as long as in the queue. */
+static gint64
+turn_limit_ms (const CfExchange *x)
+{
+  gint64 ms = cf_wait_queue_max_wait_ms (cf_exchange_caller_wait_ms (x),
+                                         cf_exchange_remaining_ms (x));
+
+  return cf_gateway_now (x->gateway)
+         + MIN (ms, cf_exchange_caller_remaining_ms (x));
+}
+
+gboolean
+cf_exchange_await_turn (CfExchange *x)
+{
+  gint64 wait_ms;
+
+  if (cf_quarantine_size (x->gateway->quarantine) == 0 || !needs_turn (x))
+    return FALSE;
+  wait_ms = turn_wait_ms (x);
+  if (wait_ms == 0)
+    return FALSE;
+  if (x->turn_limit_ms == 0)
+    x->turn_limit_ms = turn_limit_ms (x);
+  if (cf_gateway_now (x->gateway) + wait_ms <= x->turn_limit_ms)
+    wait_for_turn (x, wait_ms);
+  else if (x->may_have_run)
+    cf_exchange_fail (x, "suspected");
+  else
+    cf_exchange_refuse (x, "suspected", wait_ms);
+  return TRUE;
+}
+
+void
+cf_exchange_begin_suspect_run (CfExchange *x)
+{
+  CfGateway *g = x->gateway;
+
+  if (cf_quarantine_size (g->quarantine) == 0 || !needs_turn (x))
+    return;
+  x->is_suspect_run = TRUE;
+  g_hash_table_add (g->suspects_running,
+                    g_memdup2 (&x->digest, sizeof x->digest));
+}
+
+void
+cf_exchange_end_suspect_run (CfExchange *x)
+{
+  if (!x->is_suspect_run)
+    return;
+  x->is_suspect_run = FALSE;
+  g_hash_table_remove (x->gateway->suspects_running, &x->digest);
+}
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -59,8 +59,13 @@
                                          outage */
   gboolean target_may_have_crashed; /**< its target closed the connection
                                          before the answer was complete */
-  CfCrashWaiter crash_waiter;       /**< waits for the probe of its target */
-  CfRequestDigest digest;           /**< valid if @has_digest */
+  gboolean is_suspect_run; /**< its target runs it though a target has crashed
+                                during it */
+  gint64 turn_limit_ms;    /**< until when it may wait for a turn; 0: it has not
+                                waited */
+  ev_timer turn_timer;
+  CfCrashWaiter crash_waiter; /**< waits for the probe of its target */
+  CfRequestDigest digest;     /**< valid if @has_digest */
   gboolean has_digest;
 
   /* The answer being received. */
@@ -229,6 +234,21 @@
  */
 gboolean cf_exchange_refuse_quarantined (CfExchange *x);
 
+/**
+ * cf_exchange_await_turn:
+ * Called before each send.  A request during which a target has crashed waits
+ * for a turn of this gateway, or is refused if that comes too late.
+ * Returns: %TRUE if it waits, or was answered and is freed.
+ */
+gboolean cf_exchange_await_turn (CfExchange *x);
+
+/** cf_exchange_begin_suspect_run: notes that a target gets it, if a target has
+ * crashed during it. */
+void cf_exchange_begin_suspect_run (CfExchange *x);
+
+/** cf_exchange_end_suspect_run: ends what the above began, if anything. */
+void cf_exchange_end_suspect_run (CfExchange *x);
+
 /* Handling of the target's answer. */
 
 /** cf_exchange_discard_answer: drops what was received of an answer that is
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -43,11 +43,13 @@
          && cf_exchange_stop_slack_ms (x) > 0;
 }
 
-/* Called before each send.  TRUE if @x was answered instead, and is freed. */
+/* Called before each send.  TRUE if @x is not sent now: it was answered and is
+ * freed, or waits for a turn. */
 static gboolean
-refuse_before_send (CfExchange *x)
+is_kept_from_targets (CfExchange *x)
 {
-  return cf_exchange_refuse_quarantined (x) || cf_exchange_refuse_too_late (x);
+  return cf_exchange_refuse_quarantined (x) || cf_exchange_refuse_too_late (x)
+         || cf_exchange_await_turn (x);
 }
 
 static void
@@ -83,6 +85,7 @@
   x->target = cf_target_ref (t);
   cf_target_request_started (t, cf_gateway_now (x->gateway));
   cf_rate_limit_consume (&t->limit);
+  cf_exchange_begin_suspect_run (x);
   if (x->service_state->in_flight++ == 0)
     x->service_state->busy_since_ms = cf_gateway_now (x->gateway);
   x->sends++;
@@ -305,7 +308,7 @@
 {
   CfTarget *t;
 
-  if (refuse_before_send (x))
+  if (is_kept_from_targets (x))
     return;
   switch (pick_target (x, &t))
     {
@@ -392,7 +395,7 @@
   x = w->owner;
   if (pick_target (x, &t) != CF_PICK_OK)
     return FALSE;
-  if (refuse_before_send (x))
+  if (is_kept_from_targets (x))
     return TRUE;
   cf_histogram_add (&x->gateway->stats.queue_ms,
                     cf_gateway_now (x->gateway) - w->since_ms);
@@ -463,7 +466,7 @@
   gboolean outage = x->service_state->outage.since_ms != 0;
   CfTarget *t;
 
-  if (refuse_before_send (x))
+  if (is_kept_from_targets (x))
     return;
   x->queue_timed_out = outage;
   if (outage && pick_target (x, &t) == CF_PICK_OK)
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -46,6 +46,7 @@
     cf_upstream_cancel (up);
   if (!x->target)
     return;
+  cf_exchange_end_suspect_run (x);
   cf_target_request_ended (x->target);
   x->service_state->in_flight--;
   g_clear_pointer (&x->target, cf_target_unref);
@@ -82,6 +83,7 @@
     cf_wait_queue_remove (&x->service_state->queue, &x->waiter);
   cf_exchange_remove_unrouted (x);
   ev_timer_stop (g->loop, &x->deadline_timer);
+  ev_timer_stop (g->loop, &x->turn_timer);
   cf_exchange_release_target (x, TRUE);
   cf_crash_waiter_cancel (&x->crash_waiter);
   free_exchange (x);
@@ -252,6 +254,7 @@
   cf_event_stream_init (&x->event_stream);
   ev_timer_init (&x->deadline_timer, on_deadline, 0, 0);
   x->deadline_timer.data = x;
+  ev_timer_init (&x->turn_timer, NULL, 0, 0);
   ev_timer_init (&x->silence_timer, cf_exchange_on_silence_timer, 0, 0);
   x->silence_timer.data = x;
   g->n_exchanges++;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -105,6 +105,8 @@
   g->targets.is_configured = is_configured_service;
   g->targets.is_configured_data = g;
   g->quarantine = cf_quarantine_new ();
+  g->suspects_running = g_hash_table_new_full (
+      cf_request_digest_hash, cf_request_digest_equal, g_free, NULL);
   cf_gateway_service_state (g, "");
   cf_gateway_set_fleet_size (g, 0);
   cf_gateway_set_fleet_position (g, g_random_double (), g->fleet_size);
@@ -118,6 +120,7 @@
   g_clear_pointer (&g->rejected_records, g_hash_table_destroy);
   g_clear_pointer (&g->service_states, g_hash_table_destroy);
   g_clear_pointer (&g->quarantine, cf_quarantine_free);
+  g_clear_pointer (&g->suspects_running, g_hash_table_destroy);
   g_clear_pointer (&g->policy, cf_policy_unref);
   g_clear_pointer (&g->policy_json, g_bytes_unref);
   cf_platform_settings_clear (&g->settings);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -64,10 +64,12 @@
   gboolean rate_limits_changed; /**< peers are to be notified of rate limits */
   guint fleet_size; /**< number of gateways that share the retry budget */
   CfFleetPosition fleet_position; /**< of this gateway among all gateways */
-  double ring_start;          /**< start on the ring of targets, in [0, 1) */
-  GHashTable *service_states; /**< service -> #CfServiceState */
-  CfQuarantine *quarantine;   /**< requests that crash targets */
-  CfCrashProbeList probes;    /**< probes of targets that may have crashed */
+  double ring_start;            /**< start on the ring of targets, in [0, 1) */
+  GHashTable *service_states;   /**< service -> #CfServiceState */
+  CfQuarantine *quarantine;     /**< requests that crash targets */
+  GHashTable *suspects_running; /**< set of #CfRequestDigest: requests with a
+                                     crash on record that a target has now */
+  CfCrashProbeList probes;      /**< probes of targets that may have crashed */
   CfCallerList callers;
   guint n_callers;
   guint callers_max; /**< leaves descriptors for targets, peers, the store */
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -205,6 +205,14 @@
   return r ? r->n : 0;
 }
 
+gint64
+cf_quarantine_first_crash_ms (const CfQuarantine *q, const CfRequestDigest *d)
+{
+  const CfCrashRecord *r = g_hash_table_lookup (q->records, d);
+
+  return r && r->n > 0 ? r->crashes[0].lost_ms : -1;
+}
+
 gboolean
 cf_quarantine_check (CfQuarantine *q, const CfRequestDigest *d, gint64 now_ms)
 {
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -82,6 +82,11 @@
  * Returns %FALSE if there was none. */
 gboolean cf_quarantine_clear (CfQuarantine *q, const CfRequestDigest *d);
 
+/** cf_quarantine_first_crash_ms: when a target first crashed during the
+ * request; -1 if none has. */
+gint64 cf_quarantine_first_crash_ms (const CfQuarantine *q,
+                                     const CfRequestDigest *d);
+
 /** cf_quarantine_crashes: the number of consecutive crashes during the request.
  */
 guint cf_quarantine_crashes (const CfQuarantine *q, const CfRequestDigest *d);
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -4,6 +4,7 @@
  * reasons.
  */
 #include "gateway/peer-crashes.h"
+#include "gateway/suspect-turn.h"
 #include "harness.h"
 #include "platform-harness.h"
 
@@ -21,6 +22,9 @@
 #define N_GATEWAYS 5
 /** Target crashes after which a request is quarantined. */
 #define CRASHES 3
+/** Attempts to crash targets with.  Gateways send a suspected request in turn,
+ * so most attempts at one of them come too early or too late. */
+#define ATTEMPTS_MAX 40
 /** Time for an update to propagate from one gateway to all others. */
 #define PROPAGATION_MS 500
 /** Time until a crashed target has restarted and is listed again. */
@@ -64,7 +68,7 @@
 static void
 crash_targets (int n, int want)
 {
-  for (int k = 0; k < 2 * CRASHES && count_crashes () < want; k++)
+  for (int k = 0; k < ATTEMPTS_MAX && count_crashes () < want; k++)
     {
       send_attempt (n, k, "POST /order/a", "boom");
     }
@@ -478,6 +482,50 @@
 }
 END_TEST
 
+/* The shares of time of all gateways, at turns that do not overlap. */
+START_TEST (gateways_have_turns_of_their_own)
+{
+  const guint fleets[] = { 1, 3, 5, 8 };
+  const CfRequestDigest d = digest_of (77);
+
+  for (gsize f = 0; f < G_N_ELEMENTS (fleets); f++)
+    for (gint64 t = 0; t < 10000; t += 10)
+      {
+        guint n_may_send = 0;
+
+        for (guint i = 0; i < fleets[f]; i++)
+          {
+            CfFleetPosition p = { i, fleets[f] };
+            gint64 wait_ms = cf_suspect_turn_wait_ms (t, &d, p);
+
+            n_may_send += wait_ms == 0;
+            ck_assert_int_ge (wait_ms, 0);
+            ck_assert_int_le (wait_ms, cf_suspect_turn_cycle_ms (p));
+            ck_assert_int_eq (cf_suspect_turn_wait_ms (t + wait_ms, &d, p), 0);
+          }
+        ck_assert_uint_le (n_may_send, 1);
+      }
+}
+END_TEST
+
+START_TEST (turns_of_odd_times_and_fleets_come)
+{
+  const gint64 times[] = { -5, G_MININT64 / 2, G_MAXINT64 / 2 };
+  const CfFleetPosition positions[]
+      = { { 0, 0 }, { 7, 3 }, { 339, 340 }, { G_MAXUINT, G_MAXUINT } };
+  const CfRequestDigest d = digest_of (255);
+
+  for (gsize t = 0; t < G_N_ELEMENTS (times); t++)
+    for (gsize p = 0; p < G_N_ELEMENTS (positions); p++)
+      {
+        gint64 wait_ms = cf_suspect_turn_wait_ms (times[t], &d, positions[p]);
+
+        ck_assert_int_ge (wait_ms, 0);
+        ck_assert_int_le (wait_ms, cf_suspect_turn_cycle_ms (positions[p]));
+      }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -495,6 +543,8 @@
   tcase_add_test (table, number_of_records_is_bounded);
   tcase_add_test (table, evicted_request_is_not_announced_as_cleared);
   tcase_add_test (table, quarantine_expires);
+  tcase_add_test (table, gateways_have_turns_of_their_own);
+  tcase_add_test (table, turns_of_odd_times_and_fleets_come);
   tcase_add_test (table, peers_converge_and_stop_sending);
   tcase_add_test (table, repeated_request_is_kept_by_all_gateways);
   suite_add_tcase (s, table);
