target: let an instance come back that lapsed after a restoration

An instance that the copy lacked and that was dropped after its grace period counted as departed before the restoration, so that its record, read from the list later, was kept out for up to 8 s if its seq had not risen. It departed in the restored list, which therefore is newer.

--- a/gateway/departed-targets.h
+++ b/gateway/departed-targets.h
@@ -30,7 +30,7 @@
   gboolean announced_leaving; /**< an answer had said that it leaves */
   gboolean record_leaving;    /**< its last record said that it leaves */
   gint64 seq;                 /**< of its last record */
-  guint generation;           /**< of the list that showed it last */
+  guint generation;           /**< of the list when it departed */
   CfTargetPause pause;
 };
 
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -196,7 +196,7 @@
   d->announced_leaving = target->announced_leaving;
   d->record_leaving = target->record.leaving;
   d->seq = target->record.seq;
-  d->generation = target->generation;
+  d->generation = t->generation;
   d->pause = target->pause;
 }
 
--- a/t/t-target.c
+++ b/t/t-target.c
@@ -166,6 +166,16 @@
 }
 END_TEST
 
+/* The copy lacked it, so that its record was written after that. */
+START_TEST (instance_that_lapsed_after_a_restoration_may_come_back)
+{
+  put_restored (1, 7, FALSE, FALSE, 0);
+  restore_list (TRUE, 1000);
+  cf_target_table_remove (&table, "a");
+  ck_assert_int_eq (put_restored (2, 7, FALSE, FALSE, 4000), CF_TARGET_NEW);
+}
+END_TEST
+
 START_TEST (departed_instance_that_writes_again_is_listed)
 {
   put_restored (1, 7, FALSE, FALSE, 0);
@@ -318,6 +328,7 @@
   tcase_add_test (t, relisted_instance_is_still_leaving);
   tcase_add_test (t, successor_of_leaving_instance_takes_requests);
   tcase_add_test (t, departed_instance_in_a_restored_list_is_kept_out);
+  tcase_add_test (t, instance_that_lapsed_after_a_restoration_may_come_back);
   tcase_add_test (t, departed_instance_that_writes_again_is_listed);
   tcase_add_test (t, restored_list_does_not_end_a_drain);
   tcase_add_test (t, late_record_of_a_former_era_is_dropped);
