--- a/standins/fake-store.c
+++ b/standins/fake-store.c
@@ -320,7 +320,8 @@
   const Item *lost = value;
   const Item *now = g_tree_lookup (s->items, key);
 
-  if (!now || (now->mod_rev <= s->copy.rev && strcmp (now->value, lost->value)))
+  if (!now
+      || (now->mod_rev <= s->copy.rev && strcmp (now->value, lost->value) != 0))
     write_base64 (s, key, lost->value);
   return FALSE;
 }
