rank-agent: use expert counts that name no incarnation

A rank's answer with its counters need not name the rank's incarnation, its report does.

A number that its sender may leave out is a CfOptionalInt now, and what is missing conflicts with nothing. Taking a missing incarnation for "the same" without more was ruled out, since a rank may restart between its report and its counters: the answer's epoch, its step and a counter that is lower than before tell that, and two readings without any incarnation are compared only within one epoch. The coordinator and the agent had the same fault the other way: one status without an incarnation made them forget the known one, which hid the next restart.

A reading that is dropped leaves a line (E1505, once in 5 s for each kind) and counts; agents send their count to gateways. A leader whose ranks send statuses without demand for 3 s says so (E1506, groups_without_demand).

t-rank-groups' new case fails before in two of its three forms and passes with the change.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -132,6 +132,13 @@
   return g->now_ms;
 }
 
+void
+cf_gateway_drop_reading (CfGateway *g, CfReadingKind kind, const char *from,
+                         const char *reason)
+{
+  cf_reading_log_drop (&g->dropped, kind, from, reason, cf_gateway_now (g));
+}
+
 CfLoopActivity
 cf_gateway_enter_activity (CfGateway *g, CfLoopActivity activity)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "platform/platform-settings.h"
 #include "policy.h"
 #include "quarantine.h"
+#include "reading-log.h"
 #include "retry-budget.h"
 #include "stats.h"
 #include "store-position.h"
@@ -84,6 +85,8 @@
   gint64 stop_started_ms; /**< when @stopping was set */
   gint64 stop_deadline_ms; /**< when remaining requests are aborted */
   CfStats stats;
+  CfReadingLog dropped;        /**< what ranks, agents and peers sent in vain */
+  guint groups_without_demand; /**< led groups whose ranks send none */
   CfLoopWatch loop_watch;
 };
 
@@ -103,6 +106,11 @@
 /** cf_gateway_service_state: the state of @service, created on first use. */
 CfServiceState *cf_gateway_service_state (CfGateway *g, const char *service);
 
+/** cf_gateway_drop_reading: counts and logs something received from @from
+ * (nullable) that is not used. */
+void cf_gateway_drop_reading (CfGateway *g, CfReadingKind kind,
+                              const char *from, const char *reason);
+
 /** cf_gateway_now: the monotonic time in ms at the start of this event loop
  * iteration. */
 gint64 cf_gateway_now (const CfGateway *g);
--- a/gateway/map-coordinator-reports.c
+++ b/gateway/map-coordinator-reports.c
@@ -47,10 +47,32 @@
 static gboolean
 is_of_earlier_incarnation (const CfRankView *v, const CfRankStatus *s)
 {
-  return s->incarnation && s->incarnation < v->status.incarnation
+  return s->incarnation.is_set && v->status.incarnation.is_set
+         && s->incarnation.value < v->status.incarnation.value
          && s->epoch <= v->status.epoch;
 }
 
+/* Whether @s is from a later incarnation of the rank than the known one. */
+static gboolean
+is_of_later_incarnation (const CfRankView *v, const CfRankStatus *s)
+{
+  return s->incarnation.is_set && v->status.incarnation.is_set
+         && s->incarnation.value > v->status.incarnation.value;
+}
+
+/* Takes over @s.  A status of the same epoch that names no incarnation is of
+ * the known one: a rank that restarts breaks its group. */
+static void
+replace_status (CfRankView *v, const CfRankStatus *s)
+{
+  CfOptionalInt known = v->status.incarnation;
+  gboolean same_epoch = s->epoch == v->status.epoch;
+
+  v->status = *s;
+  if (!s->incarnation.is_set && same_epoch)
+    v->status.incarnation = known;
+}
+
 /* The rank restarted: it has forgotten all earlier orders, none of which is in
  * effect any more, and its status names the token that guards it now.  Later
  * statuses will show that its group re-formed; until then, no pending change
@@ -65,22 +87,22 @@
     cf_map_enter_state (c, CF_MAP_SETTLING, "rank-restarted", now);
 }
 
-static void
+static gboolean
 take_status (CfMapCoordinator *c, const CfRankStatus *s, gint64 token,
              gint64 as_of, gint64 now)
 {
   CfRankView *v;
 
   if (s->rank < 0 || s->rank >= c->shape.ranks || s->epoch < c->epoch)
-    return;
+    return FALSE;
   if (s->epoch > c->epoch)
     start_epoch (c, s->epoch, now);
   v = &c->ranks[s->rank];
   if (is_of_earlier_incarnation (v, s))
-    return;
-  if (s->incarnation > v->status.incarnation && v->status.incarnation)
+    return FALSE;
+  if (is_of_later_incarnation (v, s))
     handle_restart (c, s->rank, now);
-  v->status = *s;
+  replace_status (v, s);
   update_pass_time (c, s->step, now);
   if (c->fence && token > c->fence)
     lose_lead (c, now);
@@ -88,13 +110,14 @@
   v->as_of_ms = as_of;
   if (!s->open && c->state != CF_MAP_SETTLING)
     cf_map_enter_state (c, CF_MAP_SETTLING, "group-broken", now);
+  return TRUE;
 }
 
-void
+gboolean
 cf_map_coordinator_take_status (CfMapCoordinator *c, const CfRankStatus *s,
                                 gint64 token, gint64 now)
 {
-  take_status (c, s, token, now, now);
+  return take_status (c, s, token, now, now);
 }
 
 void
@@ -116,12 +139,14 @@
     c->ranks[rank].status.held = step;
 }
 
-void
+gboolean
 cf_map_coordinator_add_demand (CfMapCoordinator *c, const gint64 *increases,
                                guint n)
 {
-  if (n == cf_map_count_experts (c))
-    cf_expert_demand_add (&c->demand, increases);
+  if (n != cf_map_count_experts (c))
+    return FALSE;
+  cf_expert_demand_add (&c->demand, increases);
+  return TRUE;
 }
 
 /* Writes the rank's rows of all sets; FALSE if they don't fit the shape. */
@@ -150,15 +175,17 @@
   return set == c->shape.sets;
 }
 
-void
+gboolean
 cf_map_coordinator_take_lists (CfMapCoordinator *c, int rank, gint64 epoch,
                                gint64 version, const gint64 *experts, guint n)
 {
   if (rank < 0 || rank >= c->shape.ranks || epoch != c->epoch)
-    return;
+    return FALSE;
   c->ranks[rank].pending_since_ms = 0;
-  if (set_rows (c, rank, experts, n))
-    c->ranks[rank].lists_version = version;
+  if (!set_rows (c, rank, experts, n))
+    return FALSE;
+  c->ranks[rank].lists_version = version;
+  return TRUE;
 }
 
 static void
--- a/gateway/map-coordinator.h
+++ b/gateway/map-coordinator.h
@@ -132,9 +132,11 @@
  *
  * Takes in a rank's present status.  A status of an earlier epoch, or of an
  * earlier incarnation of the rank's target, is dropped.
+ * Returns: %FALSE if it was dropped.
  */
-void cf_map_coordinator_take_status (CfMapCoordinator *c, const CfRankStatus *s,
-                                     gint64 token, gint64 now_ms);
+gboolean cf_map_coordinator_take_status (CfMapCoordinator *c,
+                                         const CfRankStatus *s, gint64 token,
+                                         gint64 now_ms);
 
 /**
  * cf_map_coordinator_take_status_as_of:
@@ -158,19 +160,22 @@
  * cf_map_coordinator_add_demand:
  * @increases: by set and expert: how often it was chosen at a rank since the
  *   counts that were added before for this rank
- * @n: must be sets x experts, or @increases is ignored
+ * @n: must be sets x experts
+ * Returns: %FALSE if it is not; @increases is dropped then
  */
-void cf_map_coordinator_add_demand (CfMapCoordinator *c,
-                                    const gint64 *increases, guint n);
+gboolean cf_map_coordinator_add_demand (CfMapCoordinator *c,
+                                        const gint64 *increases, guint n);
 
 /**
  * cf_map_coordinator_take_lists:
  * @version: the map that the rank has in use
  * @experts: the experts that the rank holds, set by set; each set ends with -1
+ * Returns: %FALSE if they are of another epoch or do not fit the group's shape;
+ *   they are dropped then
  */
-void cf_map_coordinator_take_lists (CfMapCoordinator *c, int rank, gint64 epoch,
-                                    gint64 version, const gint64 *experts,
-                                    guint n);
+gboolean cf_map_coordinator_take_lists (CfMapCoordinator *c, int rank,
+                                        gint64 epoch, gint64 version,
+                                        const gint64 *experts, guint n);
 
 /** cf_map_coordinator_take_ack: takes in the result of the order last sent to
  * @rank. */
--- a/gateway/ops.c
+++ b/gateway/ops.c
@@ -45,6 +45,9 @@
                   (double)(cf_gateway_now (g) - g->targets_confirmed_ms));
   cf_stats_gauge (out, "suspected_requests",
                   cf_quarantine_size (g->quarantine));
+  cf_stats_gauge (out, "readings_dropped",
+                  (double)cf_reading_log_total (&g->dropped));
+  cf_stats_gauge (out, "groups_without_demand", g->groups_without_demand);
   cf_stats_gauge (out, "callers", g->n_callers);
   cf_stats_gauge (out, "requests_in_progress", g->n_exchanges);
   cf_stats_gauge (out, "request_bytes_held", (double)g->body_bytes);
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -141,7 +141,9 @@
   s->running = read_int (&array);
   s->waiting = read_int (&array);
   s->slowdown = (double)read_int (&array) / CF_PEER_THOUSANDTHS;
-  s->incarnation = read_optional_int (&array);
+  /* 0: the rank names none, or the sender's release does not send it. */
+  s->incarnation.value = read_optional_int (&array);
+  s->incarnation.is_set = s->incarnation.value != 0;
   f->invalid |= array.invalid;
 }
 
@@ -289,6 +291,7 @@
       g_array_unref (read_array (f));
       if (!f->invalid && f->next < f->end)
         m->u.rank_status.expert_counts = read_array (f);
+      m->u.rank_status.readings_dropped = (guint64)read_optional_int (f);
       break;
     case CF_PEER_HEARTBEAT:
       m->u.heartbeat.fence = read_int (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -48,7 +48,7 @@
   put_int (pk, s->running);
   put_int (pk, s->waiting);
   put_int (pk, (gint64)(s->slowdown * CF_PEER_THOUSANDTHS));
-  put_int (pk, s->incarnation);
+  put_int (pk, s->incarnation.is_set ? s->incarnation.value : 0);
 }
 
 static void
@@ -163,7 +163,7 @@
       put_bytes (&pk, m->u.agent_hello.target_addr);
       break;
     case CF_PEER_RANK_STATUS:
-      put_header (&pk, m, 6);
+      put_header (&pk, m, 7);
       put_status (&pk, &m->u.rank_status.status);
       put_int (&pk, m->u.rank_status.highest_fence);
       put_int (&pk, m->u.rank_status.seeds_up);
@@ -171,6 +171,7 @@
       /* Empty: earlier versions send the counts since the rank's start here. */
       put_array (&pk, NULL);
       put_array (&pk, m->u.rank_status.expert_counts);
+      put_int (&pk, (gint64)m->u.rank_status.readings_dropped);
       break;
     case CF_PEER_HEARTBEAT:
       put_header (&pk, m, 2);
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -57,6 +57,8 @@
                                     agent heartbeats; 0: none */
       GArray *expert_counts; /**< (nullable): of gint64, by expert: how often it
                                 was chosen since the previous report; owned */
+      guint64 readings_dropped; /**< readings of its rank that the agent has not
+                                     used since it started */
     } rank_status;
     struct
     {
--- a/gateway/rank-agent.c
+++ b/gateway/rank-agent.c
@@ -84,6 +84,7 @@
   m.u.rank_status.highest_fence = a->highest_fence;
   m.u.rank_status.seeds_up = seeds_up (a, now);
   m.u.rank_status.leader_fence = lead ? lead->fence : 0;
+  m.u.rank_status.readings_dropped = cf_reading_log_total (&a->dropped);
   for (int i = 0; i < a->n_seeds; i++)
     {
       CfSeed *s = &a->seeds[i];
@@ -126,12 +127,22 @@
 handle_new_epoch (CfRankAgent *a, const CfRankStatus *s)
 {
   a->copying_version = 0;
-  if (s->incarnation == a->status.incarnation)
+  if (!cf_optional_int_conflict (s->incarnation, a->status.incarnation))
     return;
   cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
           "target=%s outcome=restarted incarnation=%" G_GINT64_FORMAT
           " before=%" G_GINT64_FORMAT,
-          a->settings.target_addr, s->incarnation, a->status.incarnation);
+          a->settings.target_addr, s->incarnation.value,
+          a->status.incarnation.value);
+}
+
+/* Reports that name no incarnation are of the known one while the epoch lasts:
+ * a rank that restarts breaks its group. */
+static void
+keep_incarnation (const CfRankAgent *a, CfRankStatus *s)
+{
+  if (a->has_status && !s->incarnation.is_set && s->epoch == a->status.epoch)
+    s->incarnation = a->status.incarnation;
 }
 
 gboolean
@@ -144,12 +155,15 @@
     return FALSE;
   if (cf_platform_rank_parse_report (body->str, body->len, &s) != CF_OK)
     {
-      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "target=%s error=\"%s\"",
-              a->settings.target_addr, cf_last_error ());
+      cf_reading_log_drop (&a->dropped, CF_READING_RANK_REPORT,
+                           a->settings.target_addr, cf_last_error (),
+                           cf_now_ms ());
       return FALSE;
     }
+  keep_incarnation (a, &s);
   if (a->has_status
-      && (s.incarnation != a->status.incarnation || s.epoch != a->status.epoch))
+      && (cf_optional_int_conflict (s.incarnation, a->status.incarnation)
+          || s.epoch != a->status.epoch))
     handle_new_epoch (a, &s);
   a->status = s;
   a->has_status = TRUE;
@@ -197,29 +211,47 @@
 
   return s->map != t->map || s->prepared != t->prepared || s->armed != t->armed
          || s->held != t->held || s->epoch != t->epoch || s->open != t->open
-         || s->incarnation != t->incarnation;
+         || cf_optional_int_conflict (s->incarnation, t->incarnation);
+}
+
+static void
+drop_counts (CfRankAgent *a, const char *reason)
+{
+  cf_reading_log_drop (&a->dropped, CF_READING_EXPERT_COUNTS,
+                       a->settings.target_addr, reason, cf_now_ms ());
+}
+
+/* Returns the increases of the counters in an answer; %NULL if it has none that
+ * can be used.  The next read repeats both calls. */
+static GArray *
+take_counts (CfRankAgent *a, int status, const GString *body)
+{
+  CfExpertReading reading = { 0 };
+  GArray *increases = NULL;
+  CfReadingOutcome outcome;
+
+  if (status != 200)
+    drop_counts (a, status == 0 ? "no answer" : "refused");
+  else if (cf_platform_rank_parse_counts (body->str, body->len, &reading)
+           != CF_OK)
+    drop_counts (a, cf_last_error ());
+  else
+    {
+      outcome = cf_expert_counts_take (&a->counts, &reading, &a->status,
+                                       cf_now_ms (), &increases);
+      if (cf_reading_outcome_is_drop (outcome))
+        drop_counts (a, cf_reading_outcome_name (outcome));
+    }
+  cf_expert_reading_clear (&reading);
+  return increases;
 }
 
 static void
 on_counts (void *data, int status, const GString *body)
 {
   CfRankAgent *a = data;
-  GArray *counts = NULL;
-  GArray *increases = NULL;
-  gint64 incarnation = 0;
+  GArray *increases = take_counts (a, status, body);
 
-  if (status == 200
-      && cf_platform_rank_parse_counts (body->str, body->len, &incarnation,
-                                        &counts)
-             != CF_OK)
-    cf_log (LOG_WARNING, CF_EV_TARGET_FAIL, "target=%s error=\"%s\"",
-            a->settings.target_addr, cf_last_error ());
-  /* If the rank restarted between the two calls, the next read repeats both. */
-  if (counts && incarnation != a->status.incarnation)
-    g_clear_pointer (&counts, g_array_unref);
-  if (counts)
-    increases = cf_expert_counts_take_increases (&a->counts, counts,
-                                                 incarnation, cf_now_ms ());
   send_status (a, increases);
   if (increases)
     g_array_unref (increases);
@@ -288,10 +320,10 @@
                                        &m.u.lists.experts)
              != CF_OK)
     {
-      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
-              "target=%s call=lists status=%d error=\"%s\"",
-              s->agent->settings.target_addr, status,
-              status == 200 ? cf_last_error () : "");
+      cf_reading_log_drop (&s->agent->dropped, CF_READING_EXPERT_LISTS,
+                           s->agent->settings.target_addr,
+                           status == 200 ? cf_last_error () : "no answer",
+                           cf_now_ms ());
       return;
     }
   m.u.lists.epoch = s->agent->status.epoch;
--- a/gateway/rank-agent.h
+++ b/gateway/rank-agent.h
@@ -5,6 +5,7 @@
 #include "peer-link.h"
 #include "peer-msg.h"
 #include "platform/platform-settings.h"
+#include "reading-log.h"
 #include "target.h"
 
 typedef struct CfRankAgent CfRankAgent;
@@ -48,6 +49,7 @@
   CfMapHistory maps;        /**< of its group */
   CfQuarantine *quarantine; /**< replica for gateways that restart */
   CfExpertCounts counts;
+  CfReadingLog dropped;    /**< of its rank */
   gint64 copying_version;  /**< version the rank is copying; 0: none */
   gint64 copying_since_ms; /**< when that copy began */
   gboolean read_pending;   /**< a read of report and counters is in progress */
--- a/gateway/rank-service-order.c
+++ b/gateway/rank-service-order.c
@@ -66,8 +66,10 @@
   CfRankStatus st = { 0 };
 
   if (status == 200
-      && cf_platform_rank_parse_report (body->str, body->len, &st) == CF_OK
-      && strcmp (st.group, d->group->name) == 0)
+      && cf_platform_rank_parse_report (body->str, body->len, &st) != CF_OK)
+    cf_gateway_drop_reading (d->group->service->gateway, CF_READING_RANK_REPORT,
+                             d->group->target_addrs[d->rank], cf_last_error ());
+  else if (status == 200 && strcmp (st.group, d->group->name) == 0)
     cf_map_coordinator_take_status_as_of (&d->group->coordinator, &st,
                                           token_as_of (d, st.epoch, as_of),
                                           as_of, now);
--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "demand-watch.h"
 #include "map-coordinator.h"
 #include "hold-lease.h"
 #include "order-watch.h"
@@ -29,9 +30,10 @@
   gint64 leader_fence; /**< token of the leader that the agent follows; 0:
                             none */
   gint64 status_seen_ms;
-  gboolean lacks_base;    /**< it lacks the base map of the diffs */
-  gint64 broken_since_ms; /**< since when its group runs no passes; 0: it runs
-                               them */
+  gboolean lacks_base;      /**< it lacks the base map of the diffs */
+  guint64 readings_dropped; /**< by the agent, as it last said */
+  gint64 broken_since_ms;   /**< since when its group runs no passes; 0: it runs
+                                 them */
 } CfAgentLink;
 
 /** CfPrepareOrder: the order to prepare one version, in the forms in which it
@@ -84,6 +86,7 @@
   gboolean lease_announced; /**< a lease has announced to the other seeds that
                                  this gateway holds a pass */
   gint64 lease_sent_ms;
+  CfDemandWatch demand_watch;
 };
 
 struct CfRankService
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -277,6 +277,25 @@
   return changed;
 }
 
+/* Logs when the ranks of a led group begin or cease to send a status without
+ * demand: its maps cannot follow the demand then. */
+static void
+watch_demand (CfLedGroup *g)
+{
+  gint64 now = cf_gateway_now (g->service->gateway);
+  gboolean is_due = g->leads && g->coordinator.state == CF_MAP_IDLE;
+  CfDemandWatchChange c = cf_demand_watch_check (&g->demand_watch, is_due, now);
+
+  if (c == CF_DEMAND_UNCHANGED)
+    return;
+  cf_log (c == CF_DEMAND_MISSING ? LOG_WARNING : LOG_NOTICE, CF_EV_NO_DEMAND,
+          "group=%s outcome=%s dropped_by_agents=%" G_GUINT64_FORMAT
+          " dropped=%" G_GUINT64_FORMAT,
+          g->name, c == CF_DEMAND_MISSING ? "begins" : "over",
+          g->service->gateway->stats.agent_readings_dropped,
+          g->service->gateway->dropped.n_dropped[CF_READING_DEMAND]);
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *t, int revents)
 {
@@ -287,6 +306,7 @@
   gboolean has_more = FALSE;
   gint64 now = cf_gateway_now (s->gateway);
   gboolean heartbeat_due = now - s->heartbeat_sent_ms >= HEARTBEAT_MS;
+  guint n_without_demand = 0;
   GHashTableIter it;
   gpointer v;
 
@@ -303,9 +323,12 @@
         probe_silent_ranks (g);
       cf_map_coordinator_tick (&g->coordinator, now);
       cf_led_group_renew_lease (g);
+      watch_demand (g);
+      n_without_demand += g->demand_watch.is_missing;
       is_busy |= is_changing (g);
       has_more |= cf_map_coordinator_has_pending_work (&g->coordinator);
     }
+  s->gateway->groups_without_demand = n_without_demand;
   ev_timer_set (t, 0,
                 has_more  ? MORE_WORK_INTERVAL_S
                 : is_busy ? BUSY_INTERVAL_S
@@ -343,22 +366,54 @@
   CfTarget *t = cf_rank_service_target (a->service, a->target_addr);
   double slowdown = cf_rank_routing_slowdown (st, update_broken_time (a, st));
 
-  if (!t || cf_target_is_older_incarnation (t, st->incarnation))
+  if (!t
+      || (st->incarnation.is_set
+          && cf_target_is_older_incarnation (t, st->incarnation.value)))
     return;
   t->slowdown_observed_ms = cf_gateway_now (a->service->gateway);
   cf_gateway_update_slowdown (a->service->gateway, t, slowdown, "agent");
 }
 
+/* The agent counts from its own start. */
+static void
+count_agent_drops (CfAgentLink *a, guint64 readings_dropped)
+{
+  if (readings_dropped > a->readings_dropped)
+    a->service->gateway->stats.agent_readings_dropped
+        += readings_dropped - a->readings_dropped;
+  a->readings_dropped = readings_dropped;
+}
+
+static void
+take_demand (CfAgentLink *a, const GArray *expert_counts)
+{
+  gboolean has_counts = expert_counts && expert_counts->len;
+
+  cf_demand_watch_note_status (&a->group->demand_watch, has_counts,
+                               cf_gateway_now (a->service->gateway));
+  if (has_counts
+      && !cf_map_coordinator_add_demand (
+          &a->group->coordinator, (const gint64 *)(gpointer)expert_counts->data,
+          expert_counts->len))
+    cf_gateway_drop_reading (a->service->gateway, CF_READING_DEMAND,
+                             a->target_addr, "not of the group's shape");
+}
+
 static void
 take_status (CfAgentLink *a, const CfPeerMsg *m)
 {
   const CfRankStatus *st = &m->u.rank_status.status;
-  const GArray *expert_counts = m->u.rank_status.expert_counts;
   gint64 now = cf_gateway_now (a->service->gateway);
 
+  count_agent_drops (a, m->u.rank_status.readings_dropped);
   join_group (a, st);
   if (!a->group)
-    return;
+    {
+      cf_gateway_drop_reading (a->service->gateway, CF_READING_RANK_STATUS,
+                               a->target_addr,
+                               "no group, or no engine configured for it");
+      return;
+    }
   update_slowdown (a, st);
   update_pass_objective (a);
   a->status_seen_ms = now;
@@ -373,12 +428,12 @@
       = MAX (a->group->highest_fence, cf_map_version_fence (st->map));
   a->group->highest_fence
       = MAX (a->group->highest_fence, cf_map_version_fence (st->prepared));
-  cf_map_coordinator_take_status (&a->group->coordinator, st,
-                                  m->u.rank_status.highest_fence, now);
-  if (expert_counts && expert_counts->len)
-    cf_map_coordinator_add_demand (
-        &a->group->coordinator, (const gint64 *)(gpointer)expert_counts->data,
-        expert_counts->len);
+  if (!cf_map_coordinator_take_status (&a->group->coordinator, st,
+                                       m->u.rank_status.highest_fence, now))
+    cf_gateway_drop_reading (a->service->gateway, CF_READING_RANK_STATUS,
+                             a->target_addr,
+                             "of an earlier epoch or incarnation");
+  take_demand (a, m->u.rank_status.expert_counts);
   cf_map_coordinator_tick (&a->group->coordinator, now);
 }
 
@@ -402,6 +457,19 @@
   cf_map_coordinator_tick (&g->coordinator, now);
 }
 
+static void
+take_lists (CfAgentLink *a, const CfPeerMsg *m)
+{
+  if (!a->group
+      || !cf_map_coordinator_take_lists (
+          &a->group->coordinator, a->rank, m->u.lists.epoch, m->u.lists.version,
+          (const gint64 *)(gpointer)m->u.lists.experts->data,
+          m->u.lists.experts->len))
+    cf_gateway_drop_reading (a->service->gateway, CF_READING_EXPERT_LISTS,
+                             a->target_addr,
+                             "of another epoch or not of the group's shape");
+}
+
 static void
 handle_msg (void *owner, const CfPeerMsg *m)
 {
@@ -425,12 +493,7 @@
       take_ack (a, m);
       break;
     case CF_PEER_LISTS:
-      if (a->group)
-        cf_map_coordinator_take_lists (
-            &a->group->coordinator, a->rank, m->u.lists.epoch,
-            m->u.lists.version,
-            (const gint64 *)(gpointer)m->u.lists.experts->data,
-            m->u.lists.experts->len);
+      take_lists (a, m);
       break;
     default:
       break;
--- a/gateway/rank.h
+++ b/gateway/rank.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "group-map.h"
+#include "optional-int.h"
 
 /** Size of the buffer for a rank group's name, in bytes. */
 #define CF_GROUP_NAME_MAX 64
@@ -15,18 +16,18 @@
   char group[CF_GROUP_NAME_MAX]; /**< "" if it is in no group */
   gint64 epoch;                  /**< increases each time the group re-forms */
   int rank;
-  int size;           /**< ranks of the group */
-  gint64 incarnation; /**< of the reporting target; 0: it does not say */
-  gboolean open;      /**< the group is complete and runs passes */
-  gint64 step;        /**< the last pass that began */
-  gint64 map;         /**< version of the expert map in use */
-  gint64 prepared;    /**< version of which all experts have been copied */
-  gint64 armed;       /**< version to which it will switch */
-  gint64 held;        /**< pass that it will not begin until released */
-  gint64 running;     /**< requests */
-  gint64 waiting;     /**< requests */
-  double slowdown;    /**< slowdown factor: 1 is the usual speed, 2 means that
-                       its work takes twice as long */
+  int size;                  /**< ranks of the group */
+  CfOptionalInt incarnation; /**< of the reporting target */
+  gboolean open;             /**< the group is complete and runs passes */
+  gint64 step;               /**< the last pass that began */
+  gint64 map;                /**< version of the expert map in use */
+  gint64 prepared; /**< version of which all experts have been copied */
+  gint64 armed;    /**< version to which it will switch */
+  gint64 held;     /**< pass that it will not begin until released */
+  gint64 running;  /**< requests */
+  gint64 waiting;  /**< requests */
+  double slowdown; /**< slowdown factor: 1 is the usual speed, 2 means that
+                    its work takes twice as long */
 } CfRankStatus;
 
 /**
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -93,6 +93,8 @@
   print_counter (out, "store_errors_total", s->store_errors);
   print_counter (out, "callers_turned_away_total", s->callers_turned_away);
   print_counter (out, "records_rejected_total", s->records_rejected);
+  print_counter (out, "agent_readings_dropped_total",
+                 s->agent_readings_dropped);
   print_counter (out, "quarantine_refusals_total", s->quarantine_refusals);
   print_counter (out, "queued_total", s->queued);
   print_counter (out, "unrouted_total", s->unrouted);
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -42,10 +42,11 @@
   guint64 resumes; /**< streams resumed at another target */
   guint64 store_calls;
   guint64 store_errors;
-  guint64 records_rejected;    /**< unreadable target records */
-  guint64 callers_turned_away; /**< connections closed at the caller limit */
-  guint64 quarantine_refusals; /**< requests that crash targets, refused */
-  guint64 queued;              /**< requests that had to queue */
+  guint64 records_rejected;       /**< unreadable target records */
+  guint64 agent_readings_dropped; /**< of ranks, by their agents */
+  guint64 callers_turned_away;    /**< connections closed at the caller limit */
+  guint64 quarantine_refusals;    /**< requests that crash targets, refused */
+  guint64 queued;                 /**< requests that had to queue */
   guint64 unrouted;   /**< requests that waited for the configuration */
   guint64 begun_late; /**< queued requests sent too late for their objective */
   CfHistogram first_ms;     /**< time to the first event of a stream */
--- a/log.c
+++ b/log.c
@@ -117,6 +117,10 @@
       return "map-settle";
     case CF_EV_RANK_ORDER:
       return "rank-order";
+    case CF_EV_READING_DROPPED:
+      return "reading-dropped";
+    case CF_EV_NO_DEMAND:
+      return "no-demand";
     case CF_EV_GUARD_DUP:
       return "guard-duplicate";
     case CF_EV_DRAIN_BEGIN:
--- a/log.h
+++ b/log.h
@@ -45,22 +45,24 @@
   CF_EV_STORE_RESTORED = 1108, /**< the store was restored from a copy */
   CF_EV_TARGET_LIST = 1305,    /**< a target was added, changed or removed */
   CF_EV_PEER = 1306, /**< a peer was found, lost or rejected, or sent data */
-  CF_EV_VM_LEAVING = 1301,   /**< the VM list marks a target as leaving */
-  CF_EV_LINK_DOWN = 1302,    /**< a connection to an agent was lost */
-  CF_EV_LINK_UP = 1303,      /**< a connection to an agent was opened */
-  CF_EV_VMLIST_DOWN = 1304,  /**< the VM list did not answer */
-  CF_EV_AGENT_REFUSE = 1402, /**< the agent refused to run a request */
-  CF_EV_FENCE_STALE = 1403,  /**< an order with a stale fencing token */
-  CF_EV_GUARD_DUP = 1404,    /**< a duplicate of an at-most-once request */
-  CF_EV_DRAIN_BEGIN = 1405,  /**< drain began */
-  CF_EV_DRAIN_DONE = 1406,   /**< drain finished, nothing in flight */
-  CF_EV_TARGET_FAIL = 1407,  /**< a request failed at the target */
-  CF_EV_ORDER = 1408,        /**< an order was forwarded to the target */
-  CF_EV_GUARD_CLAIM = 1409,  /**< a duplicate guard's verdict on a claim */
-  CF_EV_PLACEMENT = 1501,    /**< an expert placement decision */
-  CF_EV_MAP_CHANGE = 1502,   /**< an expert map change ended */
-  CF_EV_MAP_SETTLE = 1503,   /**< a new leader settles a group's map */
-  CF_EV_RANK_ORDER = 1504,   /**< an order to a rank was not executed */
+  CF_EV_VM_LEAVING = 1301,      /**< the VM list marks a target as leaving */
+  CF_EV_LINK_DOWN = 1302,       /**< a connection to an agent was lost */
+  CF_EV_LINK_UP = 1303,         /**< a connection to an agent was opened */
+  CF_EV_VMLIST_DOWN = 1304,     /**< the VM list did not answer */
+  CF_EV_AGENT_REFUSE = 1402,    /**< the agent refused to run a request */
+  CF_EV_FENCE_STALE = 1403,     /**< an order with a stale fencing token */
+  CF_EV_GUARD_DUP = 1404,       /**< a duplicate of an at-most-once request */
+  CF_EV_DRAIN_BEGIN = 1405,     /**< drain began */
+  CF_EV_DRAIN_DONE = 1406,      /**< drain finished, nothing in flight */
+  CF_EV_TARGET_FAIL = 1407,     /**< a request failed at the target */
+  CF_EV_ORDER = 1408,           /**< an order was forwarded to the target */
+  CF_EV_GUARD_CLAIM = 1409,     /**< a duplicate guard's verdict on a claim */
+  CF_EV_PLACEMENT = 1501,       /**< an expert placement decision */
+  CF_EV_MAP_CHANGE = 1502,      /**< an expert map change ended */
+  CF_EV_MAP_SETTLE = 1503,      /**< a new leader settles a group's map */
+  CF_EV_RANK_ORDER = 1504,      /**< an order to a rank was not executed */
+  CF_EV_READING_DROPPED = 1505, /**< something received was not used */
+  CF_EV_NO_DEMAND = 1506,       /**< a leader gets no demand from its ranks */
 } CfEvent;
 
 /**
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -36,6 +36,7 @@
   int rank;
   gboolean draining;
   double drain_start_s;     /**< on the loop's clock */
+  char *omitted_fields;     /**< (nullable): comma-separated, see /test/omit */
   gint64 started_ms;        /**< Unix time at which this incarnation started */
   int n_running;            /**< requests that it runs now */
   int delayed_order_tenths; /**< of ten orders, this many are delayed */
@@ -435,21 +436,29 @@
   json_decref (o);
 }
 
+/* Whether @field is among those that /test/omit names. */
+static gboolean
+is_omitted (const FakeTarget *t, const char *field)
+{
+  return t->omitted_fields && strstr (t->omitted_fields, field);
+}
+
 static void
 answer_report (FakeTarget *t, FakeConn *c)
 {
   const CfRankStatus *s = &t->group->ranks[t->rank].status;
 
-  answer_json (t, c,
-               json_pack ("{s:s,s:[],s:b,s:i,s:I,s:I,s:{s:s,s:I,s:i,s:s},"
-                          "s:i,s:I,s:I,s:I,s:I,s:I,s:I}",
-                          "stage", "both", "models", "busy", 0, "seq", 0,
-                          "waiting", s->waiting, "running", s->running, "group",
-                          "name", s->group, "epoch", s->epoch, "rank", s->rank,
-                          "state", "open", "size", s->size, "step", s->step,
-                          "map", s->map, "prepared", s->prepared, "armed",
-                          s->armed, "held", s->held, PF_FIELD_STARTED,
-                          t->started_ms));
+  json_t *o = json_pack (
+      "{s:s,s:[],s:b,s:i,s:I,s:I,s:{s:s,s:I,s:i,s:s},"
+      "s:i,s:I,s:I,s:I,s:I,s:I}",
+      "stage", "both", "models", "busy", 0, "seq", 0, "waiting", s->waiting,
+      "running", s->running, "group", "name", s->group, "epoch", s->epoch,
+      "rank", s->rank, "state", "open", "size", s->size, "step", s->step, "map",
+      s->map, "prepared", s->prepared, "armed", s->armed, "held", s->held);
+
+  if (!is_omitted (t, "born-in-reports"))
+    json_object_set_new (o, PF_FIELD_STARTED, json_integer (t->started_ms));
+  answer_json (t, c, o);
 }
 
 static void
@@ -484,6 +493,7 @@
   FakeGroup *g = t->group;
   char *lists = fake_http_query_param (c, "lists");
   json_t *counts;
+  json_t *o;
 
   if (lists)
     {
@@ -495,10 +505,15 @@
   for (int i = 0; i < g->shape.sets * g->shape.experts; i++)
     json_array_append_new (counts,
                            json_integer (g->ranks[t->rank].expert_counts[i]));
-  answer_json (t, c,
-               json_pack ("{s:I,s:I,s:o,s:I}", "step",
-                          g->ranks[t->rank].status.step, "epoch", g->epoch,
-                          "counts", counts, PF_FIELD_STARTED, t->started_ms));
+  o = json_pack ("{s:o}", "counts", counts);
+  if (!is_omitted (t, "epoch-in-counts"))
+    json_object_set_new (o, "epoch", json_integer (g->epoch));
+  if (!is_omitted (t, "step-in-counts"))
+    json_object_set_new (o, "step",
+                         json_integer (g->ranks[t->rank].status.step));
+  if (!is_omitted (t, "born-in-counts"))
+    json_object_set_new (o, PF_FIELD_STARTED, json_integer (t->started_ms));
+  answer_json (t, c, o);
 }
 
 /* Calls under /test/ */
@@ -755,6 +770,12 @@
       g_free (tenths);
       fake_http_answer (c, 200, NULL, "", 0);
     }
+  else if (fake_http_has_path (c, "/test/omit"))
+    {
+      g_free (t->omitted_fields);
+      t->omitted_fields = fake_http_query_param (c, "fields");
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
   else if (fake_http_has_path (c, "/test/mute-orders"))
     {
       t->skips_order_answers = TRUE;
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -49,6 +49,9 @@
  * POST /test/late-orders?tenths=N: N of every ten orders to a rank get no
  * answer and are executed a second later.
  *
+ * POST /test/omit?fields=LIST: from now on a rank's answers leave out these
+ * fields: born-in-reports, born-in-counts, epoch-in-counts, step-in-counts.
+ *
  * POST /test/mute-orders: orders to a rank are executed but not answered.
  *
  * POST /test/drain: its store record and its answers say that it leaves.
--- a/t/t-coordinator.c
+++ b/t/t-coordinator.c
@@ -788,7 +788,7 @@
       = { .group = "g", .epoch = epoch, .size = RANKS, .open = TRUE };
 
   s.rank = rank;
-  s.incarnation = incarnation;
+  s.incarnation = (CfOptionalInt){ incarnation != 0, incarnation };
   s.prepared = prepared;
   cf_map_coordinator_take_status (c, &s, c->fence, now);
 }
@@ -816,15 +816,40 @@
   /* Sent before the crash, received after it. */
   report_start (c, 2, 100, 1, 77, ++now);
   ck_assert_int_eq (c->ranks[2].status.prepared, 0);
-  ck_assert_int_eq (c->ranks[2].status.incarnation, 200);
+  ck_assert_int_eq (c->ranks[2].status.incarnation.value, 200);
   /* The clock went back, but the epoch shows that this one is newer. */
   report_start (c, 2, 150, 2, 0, ++now);
-  ck_assert_int_eq (c->ranks[2].status.incarnation, 150);
+  ck_assert_int_eq (c->ranks[2].status.incarnation.value, 150);
   ck_assert_int_eq (c->epoch, 2);
   cf_map_coordinator_clear (c);
 }
 END_TEST
 
+/* A status without an incarnation hid the restart that the next one named. */
+START_TEST (a_restart_after_a_status_without_incarnation_is_seen)
+{
+  Leader *l = &w.leaders[0];
+  CfMapCoordinator *c = &l->c;
+  gint64 now = 1000;
+
+  memset (&w, 0, sizeof w);
+  new_leader (l);
+  cf_map_coordinator_start_leading (c, 8, 1, now);
+  for (int i = 0; i < 2 * RANKS; i++)
+    report_start (c, i % RANKS, 100, 1, 0, ++now);
+  cf_map_coordinator_tick (c, ++now);
+  ck_assert_int_eq (c->state, CF_MAP_IDLE);
+  report_start (c, 2, 0, 1, 0, ++now);
+  ck_assert_int_eq (c->state, CF_MAP_IDLE);
+  report_start (c, 2, 200, 1, 0, ++now);
+  ck_assert_int_eq (c->state, CF_MAP_SETTLING);
+  /* Late, from before the restart. */
+  report_start (c, 2, 100, 1, 77, ++now);
+  ck_assert_int_eq (c->ranks[2].status.prepared, 0);
+  cf_map_coordinator_clear (c);
+}
+END_TEST
+
 #define LARGE_RANKS 192
 
 static int n_prepare_orders;
@@ -965,6 +990,7 @@
   tcase_add_test (t, the_hold_of_a_frozen_leader_ends_soon);
   tcase_add_test (t, the_held_pass_depends_on_the_arming_time);
   tcase_add_test (t, what_was_known_of_a_restarted_rank_is_void);
+  tcase_add_test (t, a_restart_after_a_status_without_incarnation_is_seen);
   tcase_add_test (t, only_a_long_gap_makes_a_leader_settle_again);
   tcase_add_test (t, the_orders_of_a_large_group_are_spread_over_ticks);
   tcase_add_test (u, all_ranks_use_one_map_per_pass_without_fences);
--- a/t/t-decode-fuzz.c
+++ b/t/t-decode-fuzz.c
@@ -198,15 +198,16 @@
     {
       GString *c = corrupt (valid_counts, strlen (valid_counts), i);
       GString *l = corrupt (valid_lists, strlen (valid_lists), i);
+      CfExpertReading r;
       GArray *a = NULL;
       gint64 n;
 
-      if (cf_platform_rank_parse_counts (c->str, c->len, &n, &a) == CF_OK)
-        for (guint j = 0; j < a->len; j++)
-          ck_assert_int_ge (g_array_index (a, gint64, j), 0);
+      if (cf_platform_rank_parse_counts (c->str, c->len, &r) == CF_OK)
+        for (guint j = 0; j < r.counts->len; j++)
+          ck_assert_int_ge (g_array_index (r.counts, gint64, j), 0);
       else
-        ck_assert_ptr_null (a);
-      g_clear_pointer (&a, g_array_unref);
+        ck_assert_ptr_null (r.counts);
+      cf_expert_reading_clear (&r);
       if (cf_platform_rank_parse_lists (l->str, l->len, &n, &a) == CF_OK)
         ck_assert (
             n >= 0
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -46,6 +46,7 @@
   m.u.rank_status.status.held = 1LL << 40;
   m.u.rank_status.seeds_up = 5;
   m.u.rank_status.leader_fence = 24;
+  m.u.rank_status.readings_dropped = 7;
   m.u.rank_status.expert_counts = g_array_new (FALSE, FALSE, sizeof (gint64));
   g_array_append_val (m.u.rank_status.expert_counts, n);
   pack_and_unpack (&m, &o, &zone, &buf);
@@ -53,6 +54,7 @@
   ck_assert_int_eq (o.u.rank_status.status.held, 1LL << 40);
   ck_assert_uint_eq (o.u.rank_status.seeds_up, 5);
   ck_assert_int_eq (o.u.rank_status.leader_fence, 24);
+  ck_assert_uint_eq (o.u.rank_status.readings_dropped, 7);
   ck_assert_int_eq (g_array_index (o.u.rank_status.expert_counts, gint64, 0),
                     77);
   free_all (&o, &zone, &buf);
@@ -369,7 +371,7 @@
     msgpack_pack_int64 (&pk, 2);
   msgpack_pack_array (&pk, 0);
   ck_assert_int_eq (cf_peer_msg_unpack (buf.data, buf.size, &zone, &o), CF_OK);
-  ck_assert_int_eq (o.u.rank_status.status.incarnation, 0);
+  ck_assert (!o.u.rank_status.status.incarnation.is_set);
   ck_assert_int_eq (o.u.rank_status.status.waiting, 1);
   free_all (&o, &zone, &buf);
 }
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -343,11 +343,15 @@
                                  "{\"counts\":[1,-1]}",
                                  "{\"counts\":[1.5]}",
                                  "{\"counts\":[[[1]]]}",
-                                 "{\"counts\":[1],\"born\":\"x\"}" };
+                                 "{\"counts\":[1],\"born\":\"x\"}",
+                                 "{\"counts\":[1],\"born\":0}",
+                                 "{\"counts\":[1],\"epoch\":1.5}",
+                                 "{\"counts\":[1],\"step\":-1}" };
   const char *const lists[]
       = { "{}", "{\"map\":{\"version\":1,\"experts\":[[-1]]}}",
           "{\"map\":{\"version\":-1,\"experts\":[[1]]}}",
           "{\"map\":{\"version\":1,\"experts\":[1]}}" };
+  CfExpertReading r;
   CfRankStatus s;
   gint64 n;
   GArray *a;
@@ -360,10 +364,10 @@
   for (gsize i = 0; i < G_N_ELEMENTS (counts); i++)
     {
       ck_assert_msg (
-          cf_platform_rank_parse_counts (counts[i], strlen (counts[i]), &n, &a)
+          cf_platform_rank_parse_counts (counts[i], strlen (counts[i]), &r)
               == CF_ERR_PROTO,
           "accepted: %s", counts[i]);
-      ck_assert_ptr_null (a);
+      ck_assert_ptr_null (r.counts);
     }
   for (gsize i = 0; i < G_N_ELEMENTS (lists); i++)
     ck_assert_msg (
@@ -373,6 +377,32 @@
 }
 END_TEST
 
+/* A field that a rank leaves out is not set; it is not 0. */
+START_TEST (fields_missing_in_rank_answers_are_not_set)
+{
+  static const char *const counts[] = {
+    "{\"counts\":[]}",
+    "{\"counts\":[],\"born\":null,\"epoch\":null,\"step\":null}",
+  };
+  static const char report[] = "{\"born\":null,\"pace\":null}";
+  CfExpertReading r;
+  CfRankStatus s;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      ck_assert_int_eq (
+          cf_platform_rank_parse_counts (counts[i], strlen (counts[i]), &r),
+          CF_OK);
+      ck_assert (!r.incarnation.is_set && !r.epoch.is_set && !r.step.is_set);
+      cf_expert_reading_clear (&r);
+    }
+  ck_assert_int_eq (cf_platform_rank_parse_report (report, strlen (report), &s),
+                    CF_OK);
+  ck_assert (!s.incarnation.is_set);
+  ck_assert_double_eq (s.slowdown, 1);
+}
+END_TEST
+
 START_TEST (rank_reports_are_parsed_and_orders_built)
 {
   const char report[]
@@ -389,7 +419,7 @@
   CfRankStatus s;
   GArray *a;
   gint64 version;
-  gint64 incarnation;
+  CfExpertReading r;
   char *json;
 
   ck_assert_int_eq (cf_platform_rank_parse_report (report, strlen (report), &s),
@@ -398,7 +428,8 @@
   ck_assert_int_eq (s.size, 16);
   ck_assert_int_eq (s.held, 11);
   ck_assert (s.open);
-  ck_assert_int_eq (s.incarnation, 1783022913149);
+  ck_assert (s.incarnation.is_set);
+  ck_assert_int_eq (s.incarnation.value, 1783022913149);
   ck_assert_int_eq (
       cf_platform_rank_parse_lists (lists, strlen (lists), &version, &a),
       CF_OK);
@@ -406,12 +437,12 @@
   ck_assert_uint_eq (a->len, 5);
   ck_assert_int_eq (g_array_index (a, gint64, 2), -1);
   g_array_unref (a);
-  ck_assert_int_eq (
-      cf_platform_rank_parse_counts (counts, strlen (counts), &incarnation, &a),
-      CF_OK);
-  ck_assert_int_eq (incarnation, 1783022913149);
-  ck_assert_uint_eq (a->len, 4);
-  g_array_unref (a);
+  ck_assert_int_eq (cf_platform_rank_parse_counts (counts, strlen (counts), &r),
+                    CF_OK);
+  ck_assert_int_eq (r.incarnation.value, 1783022913149);
+  ck_assert (r.step.is_set && !r.epoch.is_set);
+  ck_assert_uint_eq (r.counts->len, 4);
+  cf_expert_reading_clear (&r);
   cf_group_map_row (m, 0, 0)[0] = 1;
   cf_group_map_row (m, 0, 1)[0] = 0;
   cf_group_map_row (m, 0, 1)[1] = 1;
@@ -551,6 +582,7 @@
   tcase_add_test (t, ids_are_safe_in_headers_and_paths);
   tcase_add_test (t, values_that_are_not_base64_are_unreadable);
   tcase_add_test (t, invalid_rank_reports_counts_and_lists_are_rejected);
+  tcase_add_test (t, fields_missing_in_rank_answers_are_not_set);
   tcase_add_test (t, rank_reports_are_parsed_and_orders_built);
   tcase_add_test (t, orders_do_not_depend_on_the_order_of_experts_in_a_row);
   tcase_add_test (t, headers_are_recognized_and_forwarded);
--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -364,6 +364,40 @@
 }
 END_TEST
 
+static const char *const omitted_fields[]
+    = { "born-in-counts", "born-in-counts,born-in-reports",
+        "born-in-counts,epoch-in-counts,step-in-counts" };
+
+/* Answers with counters that named no incarnation were all dropped, without a
+ * line, so that no map ever changed. */
+START_TEST (maps_change_though_counters_name_no_incarnation)
+{
+  g_autofree char *call
+      = g_strconcat ("POST /test/omit?fields=", omitted_fields[_i], NULL);
+  g_autofree char *log = g_strdup_printf ("t/out/gateway-%d-1.log", BASE_PORT);
+  int fds[8];
+
+  p_stop_all ();
+  p_start_platform (BASE_PORT, "--ranks", "4", "--step-ms", PASS_MS,
+                    "--shift-s", "0.4", NULL);
+  gateway = p_start_ready_gateway (BASE_PORT, 1);
+  for (int i = 0; i < N_RANKS; i++)
+    {
+      g_free (p_call_standin (FIRST_RANK_PORT + i, call, ""));
+      p_start_agent (BASE_PORT, FIRST_RANK_PORT + i);
+    }
+  p_start_streams (BASE_PORT, fds, G_N_ELEMENTS (fds));
+  ck_assert (p_wait_for_log_count (log, "why=changed", 2, 6000));
+  for (int i = 0; i < 2; i++)
+    g_free (
+        p_call_standin (FIRST_RANK_PORT + i, "POST /test/restart?same=1", ""));
+  ck_assert (p_wait_for_log_count (log, "why=changed", 4, 6000));
+  ck_assert_double_eq (sum_over_ranks ("mixed"), 0);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
 /* Restarted agents lack the base map of the next diff.  They say so and get the
  * map as a diff against the initial one, and maps go on changing. */
 START_TEST (restarted_agents_get_complete_maps)
@@ -411,6 +445,8 @@
   tcase_add_test (t, a_group_that_formed_anew_is_settled_soon);
   tcase_add_test (t, maps_reduce_skew_and_switch_at_one_pass);
   tcase_add_test (t, restarted_agents_get_complete_maps);
+  tcase_add_loop_test (t, maps_change_though_counters_name_no_incarnation, 0,
+                       G_N_ELEMENTS (omitted_fields));
   tcase_add_test (t, a_rank_restarts_under_its_id_during_a_change);
   suite_add_tcase (s, t);
   return t_run_suite (s);
