peer-service: log what peers say of other incarnations

A slowdown, a rate limit or an announcement that names another incarnation than the listed one, or no listed target, was dropped silently. It counts as a dropped reading (E1505) now.

--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -132,8 +132,11 @@
       CfTarget *t = cf_target_table_lookup_addr (&g->targets, addr);
 
       /* A report from an agent to this gateway takes precedence. */
-      if (t && !has_fresh_agent_report (g, t)
-          && !cf_target_is_older_incarnation (t, p->incarnation))
+      if (!t || cf_target_is_older_incarnation (t, p->incarnation))
+        cf_gateway_drop_reading (g, CF_READING_SLOWDOWN, addr,
+                                 t ? "of an earlier incarnation"
+                                   : "of no listed target");
+      else if (!has_fresh_agent_report (g, t))
         cf_gateway_update_slowdown (
             g, t, (double)p->thousandths / CF_PEER_THOUSANDTHS, "peer");
       g_free (addr);
@@ -188,17 +191,32 @@
   return a;
 }
 
+/* (nullable): the target that a peer's message of kind @kind names.  What it
+ * says of another incarnation is dropped. */
+static CfTarget *
+find_named_target (CfGateway *g, const CfPeerBytes *id, gint64 incarnation,
+                   CfReadingKind kind)
+{
+  g_autofree char *name = g_strndup (id->data, id->n);
+  CfTarget *t = g_hash_table_lookup (g->targets.by_id, name);
+
+  if (t && t->record.incarnation == incarnation)
+    return t;
+  cf_gateway_drop_reading (
+      g, kind, name, t ? "of another incarnation" : "of no listed target");
+  return NULL;
+}
+
 static void
 take_leaving (CfGateway *g, const GArray *leaving, const char *peer)
 {
   for (guint i = 0; leaving && i < leaving->len; i++)
     {
       const CfPeerInstance *one = &g_array_index (leaving, CfPeerInstance, i);
-      g_autofree char *id = g_strndup (one->id.data, one->id.n);
-      CfTarget *t = g_hash_table_lookup (g->targets.by_id, id);
+      CfTarget *t = find_named_target (g, &one->id, one->incarnation,
+                                       CF_READING_LEAVING);
 
-      if (!t || t->record.incarnation != one->incarnation
-          || !cf_target_announce_leaving (t))
+      if (!t || !cf_target_announce_leaving (t))
         continue;
       cf_log (
           LOG_NOTICE, CF_EV_TARGET_LIST,
@@ -211,12 +229,11 @@
 static void
 take_rate_limit (CfGateway *g, const CfPeerRateLimit *l, const char *peer)
 {
-  char *id = g_strndup (l->id.data, l->id.n);
-  CfTarget *t = g_hash_table_lookup (g->targets.by_id, id);
+  CfTarget *t
+      = find_named_target (g, &l->id, l->incarnation, CF_READING_RATE_LIMIT);
   double per_s = (double)l->millionths / CF_PEER_MILLIONTHS;
 
-  g_free (id);
-  if (!t || t->record.incarnation != l->incarnation
+  if (!t
       || !cf_rate_limit_update_from_peer (&t->limit, per_s,
                                           g->now_ms - l->age_ms))
     return;
