report: count dropped readings and missing demand

comfrey report lists the E1505 lines by kind and the groups whose leader got no demand (E1506), so that a map that never changes is seen there.

--- a/report.c
+++ b/report.c
@@ -13,6 +13,7 @@
   r->seconds
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   r->reasons = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  r->incidents = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void
@@ -20,6 +21,7 @@
 {
   g_hash_table_destroy (r->seconds);
   g_hash_table_destroy (r->reasons);
+  g_hash_table_destroy (r->incidents);
 }
 
 static CfReportSecond *
@@ -109,6 +111,33 @@
   s->pass_late += (guint)cf_log_line_number (line, "late", 0);
 }
 
+static void
+count_incident (CfReport *r, const char *what, char *subject)
+{
+  char *key = g_strconcat (what, " ", subject ? subject : "-", NULL);
+  gpointer n = g_hash_table_lookup (r->incidents, key);
+
+  g_hash_table_replace (r->incidents, key,
+                        GUINT_TO_POINTER (GPOINTER_TO_UINT (n) + 1));
+}
+
+static void
+add_missing_demand (CfReport *r, const char *line)
+{
+  g_autofree char *group = cf_log_line_field (line, "group");
+
+  if (strstr (line, "outcome=begins"))
+    count_incident (r, "no demand from group", group);
+}
+
+static void
+add_dropped_reading (CfReport *r, const char *line)
+{
+  g_autofree char *what = cf_log_line_field (line, "what");
+
+  count_incident (r, "dropped readings of", what);
+}
+
 static void
 add_line (CfReport *r, const char *line)
 {
@@ -125,6 +154,10 @@
     add_pass (r, event, time_s);
   else if (g_str_has_prefix (event, "E1502 ") && strstr (event, "why=changed"))
     get_second (r, time_s)->changes++;
+  else if (g_str_has_prefix (event, "E1505 "))
+    add_dropped_reading (r, event);
+  else if (g_str_has_prefix (event, "E1506 "))
+    add_missing_demand (r, event);
 }
 
 void
@@ -180,15 +213,15 @@
 }
 
 static void
-print_reasons (const CfReport *r, GString *out)
+print_counts (GHashTable *counts, GString *out)
 {
-  g_autoptr (GList) keys = g_hash_table_get_keys (r->reasons);
+  g_autoptr (GList) keys = g_hash_table_get_keys (counts);
 
   keys = g_list_sort (keys, (GCompareFunc)strcmp);
   for (GList *k = keys; k; k = k->next)
     g_string_append_printf (
         out, "%s: %u\n", (const char *)k->data,
-        GPOINTER_TO_UINT (g_hash_table_lookup (r->reasons, k->data)));
+        GPOINTER_TO_UINT (g_hash_table_lookup (counts, k->data)));
 }
 
 void
@@ -211,5 +244,6 @@
       add_up (&sum, s);
     }
   print_row (out, "sum", &sum);
-  print_reasons (r, out);
+  print_counts (r->reasons, out);
+  print_counts (r->incidents, out);
 }
--- a/report.h
+++ b/report.h
@@ -36,13 +36,14 @@
   guint pass_late;     /**< of these, the streams made late */
 } CfReportSecond;
 
-/** CfReport: all seconds, and the number of requests that ended for each
- * reason. */
+/** CfReport: all seconds, the number of requests that ended for each reason,
+ * and the lines about readings that were dropped or did not come. */
 typedef struct
 {
   CfReportObjectives objectives;
-  GHashTable *seconds; /**< GINT64 second -> #CfReportSecond */
-  GHashTable *reasons; /**< "outcome reason" -> count */
+  GHashTable *seconds;   /**< GINT64 second -> #CfReportSecond */
+  GHashTable *reasons;   /**< "outcome reason" -> count */
+  GHashTable *incidents; /**< description -> number of lines */
 } CfReport;
 
 void cf_report_init (CfReport *r, const CfReportObjectives *objectives);
--- a/t/t-report.c
+++ b/t/t-report.c
@@ -25,7 +25,13 @@
     "E1219 slow-pass service=s ms=131 streams=4 late=3 begun=1 "
     "begun_tokens=700 t=102.400\n" GW
     "E1219 slow-pass service=s ms=125 streams=6 late=2 begun=0 "
-    "begun_tokens=0 t=102.800\n"
+    "begun_tokens=0 t=102.800\n" GW
+    "E1505 reading-dropped what=expert-counts from=10.0.0.1:80 "
+    "reason=\"other-epoch\" dropped=3 t=102.900\n" GW
+    "E1506 no-demand group=g1 outcome=begins dropped_by_agents=9 dropped=0 "
+    "t=102.900\n" GW
+    "E1506 no-demand group=g1 outcome=over dropped_by_agents=9 dropped=0 "
+    "t=102.950\n"
     "a line of another program\n";
 
 START_TEST (each_second_counts_outcomes_and_causes)
@@ -46,6 +52,9 @@
       out->str, "     sum       1      1      1      1       0      1"));
   ck_assert_ptr_nonnull (strstr (out->str, "refused no-room: 1\n"));
   ck_assert_ptr_nonnull (strstr (out->str, "broken lost: 1\n"));
+  ck_assert_ptr_nonnull (
+      strstr (out->str, "dropped readings of expert-counts: 1\n"));
+  ck_assert_ptr_nonnull (strstr (out->str, "no demand from group g1: 1\n"));
   g_string_free (out, TRUE);
   cf_report_clear (&r);
 }
