gateway: keep requests from evacuated data centres

The operator evacuates a data centre by a key (op/evacuate/NAME) until it removes it.

The watch of the configuration covers the keys beside it now, so that the evacuations cost no call of their own and take effect as fast as a configuration. Targets of an evacuated data centre are left out wherever a target is chosen, so by first attempts, retries, resumes and queued requests alike; running requests end there, and orders to ranks still go to them, as a held pass would stop the group otherwise. If no target is left, requests are refused at once, also those that wait in the queue.

Hellos carry the set with its position in the store: a gateway whose store is silent, or late by 0.4 s, takes a newer set from a peer. Seeds pass a change on at once. A store that was restored from a copy may lack evacuations that were in force; they are kept for 8 s, in which the operator writes them again. The key alone counts, so that a value that cannot be read evacuates as well, and a key that names no data centre is dropped with a line.

Ruled out: a watch of its own (calls are priced, and grow with gateways), and a list of evacuated targets kept by each gateway, which a target that starts in the meantime would not be on.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -2,6 +2,7 @@
 #include "gateway/control.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
+#include "gateway/operator-feed.h"
 #include "gateway/ops.h"
 #include "gateway/peer-crashes.h"
 #include "gateway/signals.h"
@@ -35,7 +36,7 @@
 #define LOG_FLUSH_TIMEOUT_MS 200
 
 static CfGateway gw;
-static CfStoreWatch policy_watch;
+static CfStoreWatch operator_watch;
 static CfStoreWatch target_watch;
 static ev_io front_io;
 static CfRankService *ranks;
@@ -44,53 +45,6 @@
 static ev_check iteration_begin;
 static ev_prepare iteration_end;
 
-static void
-on_policy_item (CfGateway *g, const CfStoreRecord *r)
-{
-  const CfStoreItem *it = r->item;
-  gsize n;
-  const char *json;
-
-  if (strcmp (it->key, PF_KEY_CONFIG) != 0)
-    return;
-  if (it->unreadable)
-    cf_log (LOG_ERR, CF_EV_CONFIG_BAD,
-            "rev=%" G_GINT64_FORMAT " source=store in_force=%" G_GINT64_FORMAT
-            " error=\"the value is not base64\"",
-            it->rev, g->policy ? g->policy->version : 0);
-  if (!it->value)
-    return;
-  json = g_bytes_get_data (it->value, &n);
-  cf_gateway_apply_policy (g, json, n, r->pos, "store");
-}
-
-static void
-on_policy_snapshot (CfGateway *g, GHashTable *seen, CfStorePosition as_of)
-{
-}
-
-static void
-on_policy_confirmed (CfGateway *g, CfStorePosition as_of)
-{
-}
-
-static void
-on_policy_restored (CfGateway *g, gboolean keeps_order)
-{
-  if (!keeps_order)
-    g->policy_pos = CF_STORE_POSITION_NONE;
-}
-
-static void
-on_policy_reachability_changed (CfGateway *g, gboolean up)
-{
-  g->policy_store_up = up;
-}
-
-static const CfStoreWatchCallbacks policy_callbacks
-    = { on_policy_item, on_policy_snapshot, on_policy_confirmed,
-        on_policy_reachability_changed, on_policy_restored };
-
 /* The event loop's own time follows the time of day and may jump; durations
  * and deadlines use the monotonic clock, read once per iteration. */
 static void
@@ -155,7 +109,8 @@
 on_housekeeping (struct ev_loop *loop, ev_timer *w, int revents)
 {
   cf_exchange_route_unrouted (&gw);
-  cf_exchange_refuse_paused (&gw);
+  cf_operator_feed_tick (&gw);
+  cf_exchange_refuse_unservable (&gw);
   cf_exchange_dispatch_queued (&gw);
   replicate_crash_records (&gw);
   cf_peer_service_tick (peers);
@@ -246,7 +201,7 @@
       cf_log (LOG_ERR, CF_EV_STOP, "error=\"%s\"", cf_last_error ());
       return 1;
     }
-  cf_store_watch_start (&policy_watch, g, PF_KEY_CONFIG, &policy_callbacks);
+  cf_operator_feed_start (&operator_watch, g);
   cf_target_feed_start (&target_watch, g);
   ev_timer_init (&housekeeping, on_housekeeping, HOUSEKEEPING_INTERVAL_S,
                  HOUSEKEEPING_INTERVAL_S);
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -19,7 +19,7 @@
 /** Availability: whether a target can take a request. */
 typedef enum
 {
-  TARGET_EXCLUDED,     /**< leaving, replaced, or already tried */
+  TARGET_EXCLUDED,     /**< leaving, replaced, evacuated or already tried */
   TARGET_PAUSED,       /**< wants no requests of this gateway for a while */
   TARGET_RATE_LIMITED, /**< this gateway's share of its rate limit is used up */
   TARGET_FULL,         /**< has no free capacity now */
@@ -72,7 +72,8 @@
 static gboolean
 is_excluded (const CfTarget *t, const GPtrArray *tried)
 {
-  return cf_target_is_leaving (t) || t->replaced || was_tried (tried, t);
+  return cf_target_is_leaving (t) || t->replaced || t->evacuated
+         || was_tried (tried, t);
 }
 
 static Availability
@@ -116,6 +117,7 @@
   guint degraded_load;
   guint n_healthy; /* neither excluded, paused, rate-limited nor degraded */
   guint n_usable;  /* neither excluded nor paused */
+  guint n_open;    /* not evacuated */
   gboolean any_full;
   gboolean any_limited;
   gboolean any_paused;
@@ -132,6 +134,7 @@
 
   c->slots += usable ? t->record.slots : 0;
   c->n_usable += usable;
+  c->n_open += !t->evacuated;
   c->n_healthy
       += usable && availability != TARGET_RATE_LIMITED && !is_degraded (t, in);
   c->any_paused |= availability == TARGET_PAUSED;
@@ -193,7 +196,7 @@
   *out = c.best;
   /* While at least half of the targets are healthy, waiting for a free slot at
    * one of them is better than using a degraded one. */
-  if (!*out && c.n_healthy * 2 < n)
+  if (!*out && c.n_healthy * 2 < c.n_open)
     *out = c.degraded;
   if (*out)
     return CF_PICK_OK;
@@ -221,6 +224,18 @@
   return sum;
 }
 
+gboolean
+cf_balancer_has_target (const CfTargetTable *t, const char *service,
+                        const GPtrArray *tried)
+{
+  const GPtrArray *a = cf_target_table_service (t, service);
+
+  for (guint i = 0; a && i < a->len; i++)
+    if (!is_excluded (a->pdata[i], tried))
+      return TRUE;
+  return FALSE;
+}
+
 gint64
 cf_balancer_pause_ms (const CfTargetTable *t, const char *service,
                       const GPtrArray *tried, gint64 now_ms)
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -60,6 +60,15 @@
                                      CfFleetPosition fleet_position,
                                      gint64 now_ms);
 
+/**
+ * cf_balancer_has_target:
+ * @tried: (nullable): #CfTarget that are left out
+ * Returns: whether a target of @service takes new requests, now or once it has
+ *   capacity.
+ */
+gboolean cf_balancer_has_target (const CfTargetTable *t, const char *service,
+                                 const GPtrArray *tried);
+
 /**
  * cf_balancer_pause_ms:
  * @tried: (nullable): #CfTarget that are left out
@@ -74,12 +83,11 @@
  * Chooses the target with the fewest requests of this gateway per slot,
  * weighted by the target's slowdown; among equals one in the gateway's own data
  * centre, then the first one from @ring_start on.  Targets that are leaving,
- * replaced, already tried, ejected, slow, stalled, full, in a pause that they
- * requested, or whose rate limit allows this gateway no request now are passed
- * over.  When less than half of
- * the targets are healthy and none of them is free, an ejected, slow or stalled
- * one is used: an ejection may be wrong, and must not take a whole service
- * down.
+ * replaced, evacuated, already tried, ejected, slow, stalled, full, in a pause
+ * that they requested, or whose rate limit allows this gateway no request now
+ * are passed over.  When less than half of the targets are healthy and none of
+ * them is free, an ejected, slow or stalled one is used: an ejection may be
+ * wrong, and must not take a whole service down.
  *
  * @out: (out) (nullable): the target, not referenced
  */
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -256,7 +256,7 @@
             "target=%s per_s=%.3f source=answer id=%s", t->record.id, limit,
             x->id);
   if (cf_rate_limit_update (&t->limit, limit, cf_gateway_now (x->gateway)))
-    x->gateway->rate_limits_changed = TRUE;
+    x->gateway->hello_is_due = TRUE;
 }
 
 static void
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -177,6 +177,16 @@
                         cf_exchange_backoff_ms (x));
 }
 
+/* Ends a request that no target can take in time. */
+static void
+end_unservable (CfExchange *x, const char *reason, gint64 backoff_ms)
+{
+  if (x->may_have_run)
+    cf_exchange_fail (x, reason);
+  else
+    cf_exchange_refuse (x, reason, backoff_ms);
+}
+
 /* All remaining targets are at their rate limits: queues it if the limits let
  * it be sent in time, else refuses it at once with a Retry-After. */
 static void
@@ -191,10 +201,8 @@
 
   if (per_s > 0 && wait_ms <= (double)limit)
     enqueue (x);
-  else if (x->may_have_run)
-    cf_exchange_fail (x, "rate-limited");
   else
-    cf_exchange_refuse (x, "rate-limited", cf_exchange_backoff_ms (x));
+    end_unservable (x, "rate-limited", cf_exchange_backoff_ms (x));
 }
 
 /* How long it has to wait until the first of all targets that it may be sent to
@@ -211,10 +219,13 @@
 static void
 end_paused (CfExchange *x)
 {
-  if (x->may_have_run)
-    cf_exchange_fail (x, "targets-paused");
-  else
-    cf_exchange_refuse (x, "targets-paused", cf_exchange_backoff_ms (x));
+  end_unservable (x, "targets-paused", cf_exchange_backoff_ms (x));
+}
+
+static void
+end_without_target (CfExchange *x)
+{
+  end_unservable (x, "no-target", UNKNOWN_BACKOFF_MS);
 }
 
 /* All remaining targets pause: queues it if a pause ends in time, else refuses
@@ -328,10 +339,7 @@
       enqueue_if_pause_ends (x);
       break;
     case CF_PICK_NO_TARGET:
-      if (x->may_have_run)
-        cf_exchange_fail (x, "no-target");
-      else
-        cf_exchange_refuse (x, "no-target", UNKNOWN_BACKOFF_MS);
+      end_without_target (x);
       break;
     }
 }
@@ -434,9 +442,16 @@
   return (double)ms >= remaining_s * 1000 + PAUSE_TOLERANCE_MS;
 }
 
+static gboolean
+has_target (const CfExchange *x)
+{
+  return cf_balancer_has_target (&x->gateway->targets, x->service,
+                                 x->tried_targets);
+}
+
 /* (nullable): a queued request of any service that waits in vain. */
 static CfExchange *
-find_waiting_in_vain (const CfGateway *g)
+find_unservable (const CfGateway *g)
 {
   GHashTableIter it;
   gpointer service_state;
@@ -445,18 +460,21 @@
   g_hash_table_iter_init (&it, g->service_states);
   while (g_hash_table_iter_next (&it, NULL, &service_state))
     TAILQ_FOREACH (w, &((CfServiceState *)service_state)->queue.waiters, link)
-  if (is_wait_in_vain (w->owner))
+  if (!has_target (w->owner) || is_wait_in_vain (w->owner))
     return w->owner;
   return NULL;
 }
 
 void
-cf_exchange_refuse_paused (CfGateway *g)
+cf_exchange_refuse_unservable (CfGateway *g)
 {
   CfExchange *x;
 
-  while ((x = find_waiting_in_vain (g)))
-    end_paused (x);
+  while ((x = find_unservable (g)))
+    if (has_target (x))
+      end_paused (x);
+    else
+      end_without_target (x);
 }
 
 /* In an outage, the last attempt that may_probe() saved is used now. */
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -21,9 +21,10 @@
  * been put in quarantine. */
 void cf_exchange_refuse_all_quarantined (CfGateway *g);
 
-/** cf_exchange_refuse_paused: answers the queued requests whose targets all
- * pause for longer than the requests may wait. */
-void cf_exchange_refuse_paused (CfGateway *g);
+/** cf_exchange_refuse_unservable: answers the queued requests that have no
+ * target left, or whose targets all pause for longer than the requests may
+ * wait. */
+void cf_exchange_refuse_unservable (CfGateway *g);
 
 /** cf_exchange_end_at_shutdown: ends @x as the process exits: refuses it if it
  * has not run, fails it if it may have, and cuts off an answer that has
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -104,6 +104,8 @@
   cf_target_table_init (&g->targets);
   g->targets.is_configured = is_configured_service;
   g->targets.is_configured_data = g;
+  cf_evacuations_init (&g->evacuations);
+  g->targets.evacuations = &g->evacuations;
   g->quarantine = cf_quarantine_new ();
   g->suspects_running = g_hash_table_new_full (
       cf_request_digest_hash, cf_request_digest_equal, g_free, NULL);
@@ -117,6 +119,7 @@
 {
   cf_crash_probe_stop_all (g);
   cf_target_table_clear (&g->targets);
+  cf_evacuations_clear (&g->evacuations);
   g_clear_pointer (&g->rejected_records, g_hash_table_destroy);
   g_clear_pointer (&g->service_states, g_hash_table_destroy);
   g_clear_pointer (&g->quarantine, cf_quarantine_free);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "concurrency-limit.h"
+#include "evacuation.h"
 #include "loop-watch.h"
 #include "outage.h"
 #include "stream-latency.h"
@@ -62,8 +63,9 @@
   CfStorePosition targets_pos;  /**< of the store's list that @targets
                                      reflects; revision 0: none was read */
   gint64 targets_confirmed_ms;  /**< when the store last confirmed @targets */
-  gboolean rate_limits_changed; /**< peers are to be notified of rate limits */
-  guint fleet_size; /**< number of gateways that share the retry budget */
+  CfEvacuations evacuations;
+  gboolean hello_is_due; /**< peers are to be notified at once */
+  guint fleet_size;      /**< number of gateways that share the retry budget */
   CfFleetPosition fleet_position; /**< of this gateway among all gateways */
   double ring_start;            /**< start on the ring of targets, in [0, 1) */
   GHashTable *service_states;   /**< service -> #CfServiceState */
--- a/gateway/ops.c
+++ b/gateway/ops.c
@@ -48,6 +48,8 @@
   cf_stats_gauge (out, "readings_dropped",
                   (double)cf_reading_log_total (&g->dropped));
   cf_stats_gauge (out, "groups_without_demand", g->groups_without_demand);
+  cf_stats_gauge (out, "evacuated_data_centres",
+                  g_hash_table_size (g->evacuations.data_centres));
   cf_stats_gauge (out, "callers", g->n_callers);
   cf_stats_gauge (out, "requests_in_progress", g->n_exchanges);
   cf_stats_gauge (out, "request_bytes_held", (double)g->body_bytes);
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -234,6 +234,22 @@
   return a;
 }
 
+static GArray *
+read_names (Fields *f)
+{
+  Fields array = open_array (next_field (f));
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerBytes));
+
+  while (!array.invalid && array.next < array.end)
+    {
+      CfPeerBytes name = read_bytes (&array);
+
+      g_array_append_val (a, name);
+    }
+  f->invalid |= array.invalid;
+  return a;
+}
+
 /* A later version may send more crashes than fit; the rest is ignored. */
 static void
 read_crash (Fields *f, CfPeerCrash *c)
@@ -351,6 +367,10 @@
       m->u.gateway_hello.policy_pos.era = read_era (f);
       m->u.gateway_hello.targets_pos.era = read_era (f);
       m->u.gateway_hello.policy_version = read_optional_int (f);
+      if (!f->invalid && f->next < f->end)
+        m->u.gateway_hello.evacuated = read_names (f);
+      m->u.gateway_hello.evacuated_pos.rev = read_optional_int (f);
+      m->u.gateway_hello.evacuated_pos.era = read_era (f);
       break;
     case CF_PEER_POLICY:
       m->u.policy.pos.rev = read_int (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -121,6 +121,16 @@
     }
 }
 
+static void
+put_names (msgpack_packer *pk, const GArray *names)
+{
+  guint n = names ? names->len : 0;
+
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    put_bytes (pk, g_array_index (names, CfPeerBytes, i));
+}
+
 static void
 put_crashes (msgpack_packer *pk, const GArray *crashes)
 {
@@ -215,7 +225,7 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      put_header (&pk, m, 14);
+      put_header (&pk, m, 17);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_pos.rev);
       put_int (&pk, m->u.gateway_hello.targets_pos.rev);
@@ -230,6 +240,9 @@
       put_int (&pk, m->u.gateway_hello.policy_pos.era);
       put_int (&pk, m->u.gateway_hello.targets_pos.era);
       put_int (&pk, m->u.gateway_hello.policy_version);
+      put_names (&pk, m->u.gateway_hello.evacuated);
+      put_int (&pk, m->u.gateway_hello.evacuated_pos.rev);
+      put_int (&pk, m->u.gateway_hello.evacuated_pos.era);
       break;
     case CF_PEER_POLICY:
       put_header (&pk, m, 3);
@@ -287,6 +300,7 @@
       a = &m->u.gateway_hello.slowdowns;
       g_clear_pointer (&m->u.gateway_hello.rate_limits, g_array_unref);
       g_clear_pointer (&m->u.gateway_hello.leaving, g_array_unref);
+      g_clear_pointer (&m->u.gateway_hello.evacuated, g_array_unref);
       break;
     case CF_PEER_TARGETS:
       a = &m->u.targets.items;
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -120,6 +120,10 @@
       gint64 policy_version; /**< of its configuration; 0: unknown */
       GArray *leaving;       /**< (nullable): of #CfPeerInstance: targets that
                                 said in answers that they leave; owned */
+      GArray *evacuated;     /**< (nullable): of #CfPeerBytes: evacuated data
+                                centres; owned */
+      CfStorePosition evacuated_pos; /**< of the operator's records that
+                                          @evacuated reflects */
     } gateway_hello;
     struct
     {
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -3,6 +3,7 @@
 #include "ablation.h"
 #include "log.h"
 #include "membership.h"
+#include "operator-feed.h"
 #include "peer-crashes.h"
 #include "platform/platform-target.h"
 #include "socket.h"
@@ -240,7 +241,7 @@
   cf_log (LOG_NOTICE, CF_EV_RATE_LIMIT,
           "target=%s per_s=%.3f source=peer peer=%s", t->record.id, per_s,
           peer);
-  g->rate_limits_changed = TRUE;
+  g->hello_is_due = TRUE;
 }
 
 static void
@@ -271,6 +272,8 @@
   m->u.gateway_hello.slowdowns = collect_slowdowns (g);
   m->u.gateway_hello.rate_limits = collect_rate_limits (g);
   m->u.gateway_hello.leaving = collect_leaving (g);
+  m->u.gateway_hello.evacuated = cf_operator_feed_collect (g);
+  m->u.gateway_hello.evacuated_pos = g->evacuations.pos;
   m->u.gateway_hello.n_ring_members = cf_membership_size (s->membership);
 }
 
@@ -419,6 +422,8 @@
   take_slowdowns (g, m->u.gateway_hello.slowdowns);
   take_rate_limits (g, m->u.gateway_hello.rate_limits, p->addr);
   take_leaving (g, m->u.gateway_hello.leaving, p->addr);
+  cf_operator_feed_take_peer_set (g, m->u.gateway_hello.evacuated,
+                                  m->u.gateway_hello.evacuated_pos, p->addr);
   if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
     send_policy (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
@@ -627,11 +632,11 @@
       connect_seeds (s);
       cf_quarantine_expire (s->g->quarantine, now);
     }
-  /* A change of a target's rate limit is sent at once. */
-  if (now - s->hello_sent_ms < interval_ms && !s->g->rate_limits_changed)
+  /* Changes of targets' rate limits and of evacuations are sent at once. */
+  if (now - s->hello_sent_ms < interval_ms && !s->g->hello_is_due)
     return;
   s->hello_sent_ms = now;
-  s->g->rate_limits_changed = FALSE;
+  s->g->hello_is_due = FALSE;
   cf_gateway_expire_slowdowns (s->g);
   fill_hello (s, &m);
   TAILQ_FOREACH (p, &s->peers, entry)
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -106,6 +106,7 @@
   t->n_kept_out = 0;
   t->is_configured = NULL;
   t->is_configured_data = NULL;
+  t->evacuations = NULL;
 }
 
 void
@@ -215,6 +216,14 @@
   target->pause = d->pause;
 }
 
+static gboolean
+is_evacuated (const CfTargetTable *t, const CfTarget *target)
+{
+  return t->evacuations
+         && cf_evacuations_contains (t->evacuations,
+                                     target->record.data_centre);
+}
+
 static CfTargetChange
 add_target (CfTargetTable *t, CfTargetRecord *r, const CfTargetUpdate *update)
 {
@@ -226,6 +235,7 @@
   target->pos = update->pos;
   target->created = update->created;
   target->generation = t->generation;
+  target->evacuated = is_evacuated (t, target);
   restore_departed (t, target);
   claim_address (t, target);
   g_hash_table_insert (t->by_id, target->record.id, target);
@@ -376,6 +386,24 @@
     ((CfTarget *)v)->pos = CF_STORE_POSITION_NONE;
 }
 
+guint
+cf_target_table_update_evacuated (CfTargetTable *t)
+{
+  GHashTableIter it;
+  gpointer v;
+  guint n = 0;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      CfTarget *target = v;
+
+      target->evacuated = is_evacuated (t, target);
+      n += target->evacuated;
+    }
+  return n;
+}
+
 void
 cf_target_table_services_changed (CfTargetTable *t)
 {
@@ -466,7 +494,8 @@
     {
       const CfTarget *target = a->pdata[i];
 
-      if (!cf_target_is_leaving (target) && !target->replaced)
+      if (!cf_target_is_leaving (target) && !target->replaced
+          && !target->evacuated)
         slots += target->record.slots;
     }
   return slots;
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "departed-targets.h"
+#include "evacuation.h"
 #include "outlier.h"
 #include "platform/platform-target.h"
 #include "rate-limit.h"
@@ -35,6 +36,7 @@
   guint generation;        /**< of the table, when @record was received */
   gboolean replaced;       /**< another instance has its address now */
   gboolean listed;         /**< still on the platform's list */
+  gboolean evacuated;      /**< its data centre is to get no requests */
   guint in_flight;         /**< this process's requests at it */
   gint64 busy_since_ms;    /**< when @in_flight last rose from 0 */
   gint64 last_progress_ms; /**< when it last sent part of an answer */
@@ -106,6 +108,7 @@
    * other service may be corrupt, and takes no address from a target. */
   gboolean (*is_configured) (const void *data, const char *service);
   const void *is_configured_data;
+  const CfEvacuations *evacuations; /**< (nullable) */
 } CfTargetTable;
 
 void cf_target_table_init (CfTargetTable *t);
@@ -198,6 +201,10 @@
  */
 gboolean cf_target_set_slowdown (CfTarget *t, double slowdown, gint64 now_ms);
 
+/** cf_target_table_update_evacuated: applies a change of the evacuated data
+ * centres; returns the number of targets that are evacuated now. */
+guint cf_target_table_update_evacuated (CfTargetTable *t);
+
 /** cf_target_table_services_changed: reassigns the addresses after the set of
  * configured services has changed. */
 void cf_target_table_services_changed (CfTargetTable *t);
@@ -211,7 +218,7 @@
 gboolean cf_target_table_remove (CfTargetTable *t, const char *id);
 
 /** cf_target_table_slots: the sum of the slots of those targets of @service
- * that take new requests. */
+ * that take new requests and are not evacuated. */
 gint64 cf_target_table_slots (const CfTargetTable *t, const char *service);
 
 /** cf_target_table_service: (nullable): the targets of @service, sorted by id.
--- a/log.c
+++ b/log.c
@@ -95,6 +95,8 @@
       return "target-list";
     case CF_EV_PEER:
       return "peer";
+    case CF_EV_EVACUATION:
+      return "evacuation";
     case CF_EV_VM_LEAVING:
       return "vm-leaving";
     case CF_EV_LINK_DOWN:
--- a/log.h
+++ b/log.h
@@ -45,6 +45,7 @@
   CF_EV_STORE_RESTORED = 1108, /**< the store was restored from a copy */
   CF_EV_TARGET_LIST = 1305,    /**< a target was added, changed or removed */
   CF_EV_PEER = 1306, /**< a peer was found, lost or rejected, or sent data */
+  CF_EV_EVACUATION = 1307, /**< a data centre was evacuated or taken back */
   CF_EV_VM_LEAVING = 1301,      /**< the VM list marks a target as leaving */
   CF_EV_LINK_DOWN = 1302,       /**< a connection to an agent was lost */
   CF_EV_LINK_UP = 1303,         /**< a connection to an agent was opened */
--- a/standins/comfrey-fake-platform.c
+++ b/standins/comfrey-fake-platform.c
@@ -14,6 +14,7 @@
 static int port = 7500;
 static int n_plain = 2;
 static int n_ranks = 4;
+static int n_data_centres = 1;
 static int work_ms = 10;
 static double shift_s = 0;
 static double step_ms = 5;
@@ -24,6 +25,9 @@
   { "port", 0, 0, G_OPTION_ARG_INT, &port, "Port of the store", "N" },
   { "plain", 0, 0, G_OPTION_ARG_INT, &n_plain, "Number of plain targets", "N" },
   { "ranks", 0, 0, G_OPTION_ARG_INT, &n_ranks, "Number of ranks", "N" },
+  { "data-centres", 0, 0, G_OPTION_ARG_INT, &n_data_centres,
+    "Number of data centres, \"dc1\" and so on, that targets are in by turns",
+    "N" },
   { "work-ms", 0, 0, G_OPTION_ARG_INT, &work_ms,
     "Time that a plain request takes", "MS" },
   { "copy-ms", 0, 0, G_OPTION_ARG_DOUBLE, &copy_ms,
@@ -82,10 +86,15 @@
       char *id = g_strdup_printf ("%s-%d", i < n_plain ? "desk" : "rank",
                                   i < n_plain ? i : i - n_plain);
 
-      if (i < n_plain)
-        fake_target_new_plain (loop, store, id, "desk", addr, 6, work_ms);
-      else
-        fake_target_new_rank (loop, store, g, i - n_plain, id, "llm", addr, 12);
+      char *dc = g_strdup_printf ("dc%d", 1 + i % MAX (n_data_centres, 1));
+      FakeTarget *t = i < n_plain
+                          ? fake_target_new_plain (loop, store, id, "desk",
+                                                   addr, 6, work_ms)
+                          : fake_target_new_rank (loop, store, g, i - n_plain,
+                                                  id, "llm", addr, 12);
+
+      fake_target_set_data_centre (t, dc);
+      g_free (dc);
       g_free (addr);
       g_free (id);
     }
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -36,6 +36,7 @@
   int rank;
   gboolean draining;
   double drain_start_s;     /**< on the loop's clock */
+  char *data_centre;        /**< (nullable): "dc1" */
   char *omitted_fields;     /**< (nullable): comma-separated, see /test/omit */
   gint64 started_ms;        /**< Unix time at which this incarnation started */
   int n_running;            /**< requests that it runs now */
@@ -83,11 +84,11 @@
 publish_record (FakeTarget *t)
 {
   char *key = g_strconcat (PF_KEY_TARGETS, t->id, NULL);
-  json_t *o = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
-                         t->service, "addr", t->addr, "zone", "dc1", "version",
-                         "v1", "slots", t->slots, "state",
-                         t->draining ? "draining" : "ready", "cold-left-ms", 0,
-                         "seq", 1, PF_FIELD_STARTED, t->started_ms);
+  json_t *o = json_pack (
+      "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", t->service, "addr",
+      t->addr, "zone", t->data_centre ? t->data_centre : "dc1", "version", "v1",
+      "slots", t->slots, "state", t->draining ? "draining" : "ready",
+      "cold-left-ms", 0, "seq", 1, PF_FIELD_STARTED, t->started_ms);
   char *text = json_dumps (o, JSON_COMPACT);
 
   fake_store_put (t->store, key, text);
@@ -804,6 +805,14 @@
   return t;
 }
 
+void
+fake_target_set_data_centre (FakeTarget *t, const char *data_centre)
+{
+  g_free (t->data_centre);
+  t->data_centre = g_strdup (data_centre);
+  publish_record (t);
+}
+
 FakeTarget *
 fake_target_new_plain (struct ev_loop *loop, FakeStore *store, const char *id,
                        const char *service, const char *addr, int slots,
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -86,6 +86,9 @@
                                    const char *id, const char *service,
                                    const char *addr, int slots, int work_ms);
 
+/** fake_target_set_data_centre: moves @t, which is in "dc1" at first. */
+void fake_target_set_data_centre (FakeTarget *t, const char *data_centre);
+
 /** FakeGroupShape: the size and the speed of a rank group. */
 typedef struct
 {
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -69,6 +69,7 @@
   CfPeerSlowdown slowdown = { bytes ("1.2.3.9:1"), 12000, 1783022913149 };
   CfPeerRateLimit rate_limit = { bytes ("i-2"), 1783022913149, 1100000, 40 };
   CfPeerInstance leaving = { bytes ("i-3"), 1783022913149 };
+  CfPeerBytes evacuated = bytes ("dc3");
   CfPeerMsg o;
   msgpack_unpacked zone;
   msgpack_sbuffer buf;
@@ -89,7 +90,17 @@
   m.u.gateway_hello.leaving
       = g_array_new (FALSE, FALSE, sizeof (CfPeerInstance));
   g_array_append_val (m.u.gateway_hello.leaving, leaving);
+  m.u.gateway_hello.evacuated
+      = g_array_new (FALSE, FALSE, sizeof (CfPeerBytes));
+  g_array_append_val (m.u.gateway_hello.evacuated, evacuated);
+  m.u.gateway_hello.evacuated_pos = (CfStorePosition){ 3, 15 };
   pack_and_unpack (&m, &o, &zone, &buf);
+  ck_assert_uint_eq (o.u.gateway_hello.evacuated->len, 1);
+  ck_assert_mem_eq (
+      g_array_index (o.u.gateway_hello.evacuated, CfPeerBytes, 0).data, "dc3",
+      3);
+  ck_assert_int_eq (o.u.gateway_hello.evacuated_pos.rev, 15);
+  ck_assert_int_eq (o.u.gateway_hello.evacuated_pos.era, 3);
   ck_assert_uint_eq (o.u.gateway_hello.leaving->len, 1);
   ck_assert_int_eq (
       g_array_index (o.u.gateway_hello.leaving, CfPeerInstance, 0).incarnation,
