gateway: send cold targets no more than they tolerate

A target that has just started, or lost its caches, crashes if requests come much faster than its service states (cold-per-s). The platform bounds what one may get in a second from all gateways together: cold-per-s x cold-over + cold-slack. Gateways knew nothing of it.

A cold target gets a rate limit with owners, like that which targets state in their answers, for as long as its record or an answer says, and after a start for cold-start-s at least. A gateway that has just started leaves cold targets to others until a peer has told it the size of the fleet; a fleet that seems to shrink keeps its size for 10 s. A number that the service or an answer does not state limits nothing.

Ruled out: a share for every gateway, which at 24 gateways already lets 24 buckets of one request exceed the bound.

--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -69,6 +69,10 @@
 #ifndef CF_WITHOUT_SUSPECT_TURNS
 #define CF_WITHOUT_SUSPECT_TURNS 0
 #endif
+/** Cold targets get requests like any other. */
+#ifndef CF_WITHOUT_WARMUP
+#define CF_WITHOUT_WARMUP 0
+#endif
 /** Pauses that targets request are ignored. */
 #ifndef CF_WITHOUT_TARGET_PAUSES
 #define CF_WITHOUT_TARGET_PAUSES 0
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -70,25 +70,34 @@
 }
 
 static gboolean
-is_excluded (const CfTarget *t, const GPtrArray *tried)
+is_excluded (const CfTarget *t, const CfPickInput *in)
 {
   return cf_target_is_leaving (t) || t->replaced || t->evacuated
-         || was_tried (tried, t);
+         || was_tried (in->tried, t);
+}
+
+static gboolean
+may_send_by_rate (CfTarget *t, const CfPickInput *in)
+{
+  if (!CF_WITHOUT_RATE_LIMITS
+      && !cf_rate_limit_may_send (&t->limit, t->record.id, in->fleet_position,
+                                  in->now_ms))
+    return FALSE;
+  return cf_warmup_may_send (&t->warmup, in->warmup_rule, t->record.id,
+                             in->warmup_position, in->now_ms);
 }
 
 static Availability
 get_availability (CfTarget *t, const CfPickInput *in)
 {
-  if (is_excluded (t, in->tried))
+  if (is_excluded (t, in))
     return TARGET_EXCLUDED;
   if (cf_target_pause_ms (t, in->now_ms) > 0)
     return TARGET_PAUSED;
   if (t->in_flight >= get_max_in_flight (t, in)
       || in->now_ms < t->full_until_ms)
     return TARGET_FULL;
-  if (!CF_WITHOUT_RATE_LIMITS
-      && !cf_rate_limit_may_send (&t->limit, t->record.id, in->fleet_position,
-                                  in->now_ms))
+  if (!may_send_by_rate (t, in))
     return TARGET_RATE_LIMITED;
   return is_degraded (t, in) ? TARGET_DEGRADED : TARGET_AVAILABLE;
 }
@@ -205,50 +214,64 @@
   return c.any_limited ? CF_PICK_RATE_LIMITED : CF_PICK_NO_TARGET;
 }
 
+/* Returns the rate that this gateway may send @t; 0 if nothing limits it. */
+static double
+get_limited_rate (const CfTarget *t, const CfPickInput *in)
+{
+  gboolean is_cold = in->warmup_rule && in->warmup_rule->is_set
+                     && cf_warmup_is_cold (&t->warmup, in->now_ms);
+  double cold_share = 0;
+  double share = 0;
+
+  if (is_cold)
+    cold_share = cf_warmup_share_per_s (in->warmup_rule, t->record.id,
+                                        in->warmup_position);
+  if (t->limit.per_s > 0)
+    share = cf_rate_limit_share (&t->limit, t->record.id, in->fleet_position);
+  if (is_cold && t->limit.per_s > 0)
+    return MIN (share, cold_share);
+  return is_cold ? cold_share : share;
+}
+
 double
-cf_balancer_rate_limit_per_s (const CfTargetTable *t, const char *service,
-                              CfFleetPosition fleet_position, gint64 now_ms)
+cf_balancer_rate_limit_per_s (const CfTargetTable *t, const CfPickInput *in)
 {
-  const GPtrArray *a = cf_target_table_service (t, service);
+  const GPtrArray *a = cf_target_table_service (t, in->service);
   double sum = 0;
 
   for (guint i = 0; a && i < a->len; i++)
     {
       const CfTarget *one = a->pdata[i];
 
-      if (one->limit.per_s > 0 && !is_excluded (one, NULL)
-          && cf_target_pause_ms (one, now_ms) == 0)
-        sum += cf_rate_limit_share (&one->limit, one->record.id,
-                                    fleet_position);
+      if (!is_excluded (one, in) && cf_target_pause_ms (one, in->now_ms) == 0)
+        sum += get_limited_rate (one, in);
     }
   return sum;
 }
 
 gboolean
-cf_balancer_has_target (const CfTargetTable *t, const char *service,
-                        const GPtrArray *tried)
+cf_balancer_has_target (const CfTargetTable *t, const CfPickInput *in)
 {
-  const GPtrArray *a = cf_target_table_service (t, service);
+  const GPtrArray *a = cf_target_table_service (t, in->service);
 
   for (guint i = 0; a && i < a->len; i++)
-    if (!is_excluded (a->pdata[i], tried))
+    if (!is_excluded (a->pdata[i], in))
       return TRUE;
   return FALSE;
 }
 
 gint64
-cf_balancer_pause_ms (const CfTargetTable *t, const char *service,
-                      const GPtrArray *tried, gint64 now_ms)
+cf_balancer_pause_ms (const CfTargetTable *t, const CfPickInput *in)
 {
-  const GPtrArray *a = cf_target_table_service (t, service);
+  const GPtrArray *a = cf_target_table_service (t, in->service);
   gint64 first_ms = 0;
 
   for (guint i = 0; a && i < a->len; i++)
     {
       const CfTarget *one = a->pdata[i];
-      gint64 ms = cf_target_pause_ms (one, now_ms);
+      gint64 ms = cf_target_pause_ms (one, in->now_ms);
 
-      if (is_excluded (one, tried))
+      if (is_excluded (one, in))
         continue;
       if (ms == 0)
         return 0;
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -32,9 +32,12 @@
                                  below 1; %NULL: round robin */
   gboolean yields;          /**< leaves capacity to requests that can still meet
                                  their objective */
-  gint64 stall_timeout_ms;  /**< a target that has requests of this gateway and
-                                 sends nothing for longer is stalled; 0: stalls
-                                 are not detected */
+  const CfWarmupRule *warmup_rule; /**< (nullable): of the service */
+  CfFleetPosition warmup_position; /**< among the gateways that share the rates
+                                        of cold targets; 0 gateways: unknown */
+  gint64 stall_timeout_ms; /**< a target that has requests of this gateway and
+                                sends nothing for longer is stalled; 0: stalls
+                                are not detected */
 } CfPickInput;
 
 /**
@@ -50,33 +53,19 @@
 guint cf_balancer_max_in_flight (gint64 slots, gint64 max_conns,
                                  guint n_gateways);
 
-/**
- * cf_balancer_rate_limit_per_s:
- * Returns: requests per second that this gateway may send to those targets of
- *   @service that have a rate limit and do not pause.
- */
+/** cf_balancer_rate_limit_per_s: requests per second that this gateway may send
+ * to those targets of the service that have a rate limit or are cold, and do
+ * not pause. */
 double cf_balancer_rate_limit_per_s (const CfTargetTable *t,
-                                     const char *service,
-                                     CfFleetPosition fleet_position,
-                                     gint64 now_ms);
+                                     const CfPickInput *in);
 
-/**
- * cf_balancer_has_target:
- * @tried: (nullable): #CfTarget that are left out
- * Returns: whether a target of @service takes new requests, now or once it has
- *   capacity.
- */
-gboolean cf_balancer_has_target (const CfTargetTable *t, const char *service,
-                                 const GPtrArray *tried);
+/** cf_balancer_has_target: whether a target takes new requests, now or once it
+ * has capacity. */
+gboolean cf_balancer_has_target (const CfTargetTable *t, const CfPickInput *in);
 
-/**
- * cf_balancer_pause_ms:
- * @tried: (nullable): #CfTarget that are left out
- * Returns: the time until the first target of @service ends its pause; 0 if one
- *   of them does not pause, or if there is none that takes new requests.
- */
-gint64 cf_balancer_pause_ms (const CfTargetTable *t, const char *service,
-                             const GPtrArray *tried, gint64 now_ms);
+/** cf_balancer_pause_ms: the time until the first target ends its pause; 0 if
+ * one of them does not pause, or if there is none that takes new requests. */
+gint64 cf_balancer_pause_ms (const CfTargetTable *t, const CfPickInput *in);
 
 /**
  * cf_balancer_pick:
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -38,9 +38,10 @@
   const CfRoute *route; /**< owned by @policy */
   const char *service;  /**< owned by @policy */
   CfServiceState *service_state;
-  const char *org; /**< (nullable): organisation, owned by @policy */
-  char *id;        /**< request id of the caller's attempt, or "-" */
-  guint hash;      /**< of @id */
+  CfWarmupRule warmup_rule; /**< of its service */
+  const char *org;          /**< (nullable): organisation, owned by @policy */
+  char *id;                 /**< request id of the caller's attempt, or "-" */
+  guint hash;               /**< of @id */
   gint64 start_ms;
   gint64 deadline_ms; /**< by cf_gateway_now() */
   CfStreamSize size;
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -85,6 +85,7 @@
   x->target = cf_target_ref (t);
   cf_target_request_started (t, cf_gateway_now (x->gateway));
   cf_rate_limit_consume (&t->limit);
+  cf_warmup_consume (&t->warmup, cf_gateway_now (x->gateway));
   cf_exchange_begin_suspect_run (x);
   if (x->service_state->in_flight++ == 0)
     x->service_state->busy_since_ms = cf_gateway_now (x->gateway);
@@ -177,6 +178,41 @@
                         cf_exchange_backoff_ms (x));
 }
 
+/* Returns what a target is chosen by.  The result refers to @x. */
+static CfPickInput
+make_pick_input (const CfExchange *x)
+{
+  const CfService *sv = cf_policy_service (x->policy, x->service);
+  CfGateway *g = x->gateway;
+  CfPickInput in = { 0 };
+
+  in.service = x->service;
+  in.data_centre = g->settings.data_centre;
+  in.tried = x->tried_targets;
+  in.now_ms = cf_gateway_now (g);
+  in.n_gateways = g->fleet_size;
+  in.fleet_position = g->fleet_position;
+  in.in_flight = x->service_state->in_flight;
+  in.limit = cf_concurrency_limit_get (&x->service_state->limit);
+  in.max_conns = sv ? sv->max_conns : 0;
+  in.warmup_rule = &x->warmup_rule;
+  in.warmup_position = cf_gateway_warmup_position (g);
+  /* Just after an outage all requests are late, so there are none on time to
+   * leave slots for. */
+  in.yields
+      = !cf_outage_has_ended_recently (&x->service_state->outage, in.now_ms)
+        && cf_waiter_has_to_yield (&x->waiter, in.now_ms,
+                                   x->service_state->latency.pause_ms,
+                                   x->route->gap_objective_ms);
+  if (x->route->stream)
+    {
+      in.stall_timeout_ms
+          = cf_stream_latency_stall_timeout_ms (&x->service_state->latency);
+      in.ring_start = &g->ring_start;
+    }
+  return in;
+}
+
 /* Ends a request that no target can take in time. */
 static void
 end_unservable (CfExchange *x, const char *reason, gint64 backoff_ms)
@@ -193,8 +229,8 @@
 enqueue_if_rate_allows (CfExchange *x)
 {
   CfGateway *g = x->gateway;
-  double per_s = cf_balancer_rate_limit_per_s (
-      &g->targets, x->service, g->fleet_position, cf_gateway_now (g));
+  CfPickInput in = make_pick_input (x);
+  double per_s = cf_balancer_rate_limit_per_s (&g->targets, &in);
   double wait_ms = (x->service_state->queue.n + 1) * 1000.0 / per_s;
   gint64 limit = cf_wait_queue_max_wait_ms (cf_exchange_caller_wait_ms (x),
                                             cf_exchange_remaining_ms (x));
@@ -210,10 +246,9 @@
 static gint64
 pause_ms (const CfExchange *x)
 {
-  CfGateway *g = x->gateway;
+  CfPickInput in = make_pick_input (x);
 
-  return cf_balancer_pause_ms (&g->targets, x->service, x->tried_targets,
-                               cf_gateway_now (g));
+  return cf_balancer_pause_ms (&x->gateway->targets, &in);
 }
 
 static void
@@ -273,34 +308,10 @@
 static CfPickResult
 pick_target (CfExchange *x, CfTarget **t)
 {
-  const CfService *sv = cf_policy_service (x->policy, x->service);
-  CfPickInput in = { 0 };
+  CfPickInput in = make_pick_input (x);
 
   if (is_held_back (x))
     return pause_ms (x) > 0 ? CF_PICK_PAUSED : CF_PICK_FULL;
-
-  in.service = x->service;
-  in.data_centre = x->gateway->settings.data_centre;
-  in.tried = x->tried_targets;
-  in.now_ms = cf_gateway_now (x->gateway);
-  in.n_gateways = x->gateway->fleet_size;
-  in.fleet_position = x->gateway->fleet_position;
-  in.in_flight = x->service_state->in_flight;
-  in.limit = cf_concurrency_limit_get (&x->service_state->limit);
-  in.max_conns = sv ? sv->max_conns : 0;
-  /* Just after an outage all requests are late, so there are none on time to
-   * leave slots for. */
-  in.yields
-      = !cf_outage_has_ended_recently (&x->service_state->outage, in.now_ms)
-        && cf_waiter_has_to_yield (&x->waiter, in.now_ms,
-                                   x->service_state->latency.pause_ms,
-                                   x->route->gap_objective_ms);
-  if (x->route->stream)
-    {
-      in.stall_timeout_ms
-          = cf_stream_latency_stall_timeout_ms (&x->service_state->latency);
-      in.ring_start = &x->gateway->ring_start;
-    }
   return cf_balancer_pick (&x->gateway->targets, &in, t);
 }
 
@@ -445,8 +456,9 @@
 static gboolean
 has_target (const CfExchange *x)
 {
-  return cf_balancer_has_target (&x->gateway->targets, x->service,
-                                 x->tried_targets);
+  CfPickInput in = make_pick_input (x);
+
+  return cf_balancer_has_target (&x->gateway->targets, &in);
 }
 
 /* (nullable): a queued request of any service that waits in vain. */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -120,9 +120,8 @@
   CfGateway *g = x->gateway;
   gint64 retry_ms
       = cf_retry_after_ms (cf_exchange_remaining_ms (x), backoff_ms, x->hash);
-  gint64 pause_ms = x->service ? cf_balancer_pause_ms (&g->targets, x->service,
-                                                       NULL, cf_gateway_now (g))
-                               : 0;
+  CfPickInput in = { .service = x->service, .now_ms = cf_gateway_now (g) };
+  gint64 pause_ms = x->service ? cf_balancer_pause_ms (&g->targets, &in) : 0;
 
   if (retry_ms >= pause_ms)
     return retry_ms;
@@ -216,6 +215,23 @@
   return sv && sv->engine.stride > 0 ? &sv->engine : NULL;
 }
 
+static CfWarmupRule
+get_warmup_rule (const CfExchange *x)
+{
+  const CfService *sv = cf_policy_service (x->policy, x->service);
+  const CfPlatformSettings *set = &x->gateway->settings;
+  CfWarmupRule rule = { 0 };
+
+  if (!sv || !sv->warmup_thousandths_per_s.is_set)
+    return rule;
+  /* A service whose targets are never cold states a rate of 0. */
+  rule.is_set = sv->warmup_thousandths_per_s.value > 0 || sv->warmup_ms > 0;
+  rule.per_s = (double)sv->warmup_thousandths_per_s.value / 1000;
+  rule.max_factor = set->warmup_factor;
+  rule.slack = set->warmup_slack;
+  return rule;
+}
+
 static void
 start_routed (CfExchange *x)
 {
@@ -223,6 +239,7 @@
 
   x->service = cf_route_pick (x->route, x->hash);
   x->service_state = cf_gateway_service_state (x->gateway, x->service);
+  x->warmup_rule = get_warmup_rule (x);
   cf_platform_parse_token_count (
       cf_http_reader_header (&x->caller->reader, CF_HDR_TOKEN_COUNT),
       &x->size.prompt, &x->size.answer);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -28,6 +28,13 @@
 /** A target's slowdown expires after this time without a report; agents and
  * peers report it once a second. */
 #define SLOWDOWN_EXPIRY_MS 3500
+/** A fleet that seems to shrink is taken for its former size for this long: its
+ * seeds may have restarted and not heard from all gateways yet. */
+#define RECENT_FLEET_MS 10000
+/** Time after the start until all gateways have greeted the seeds... */
+#define FLEET_SETTLE_MS 1200
+/** ...and until a gateway that no seed has greeted acts as if alone. */
+#define FLEET_ALONE_MS 3000
 
 static void
 service_state_free (gpointer data)
@@ -313,6 +320,29 @@
     cf_upstream_close_idle (former);
 }
 
+/* A target that starts while this gateway runs is cold for as long as its
+ * service says, or longer, as its record says. */
+static void
+update_warmup (CfGateway *g, const CfTargetUpdate *update, CfTargetChange c)
+{
+  CfTarget *t = g_hash_table_lookup (g->targets.by_id, update->id);
+  gboolean has_started
+      = update->is_change && (c == CF_TARGET_NEW || c == CF_TARGET_RESTARTED);
+  const CfService *sv = t && g->policy
+                            ? cf_policy_service (g->policy, t->record.service)
+                            : NULL;
+  gint64 left_ms;
+
+  /* A record that was dropped says nothing of the target's present state. */
+  if (!t || cf_store_position_is_older (update->pos, t->pos)
+      || c == CF_TARGET_STALE || c == CF_TARGET_DEPARTED)
+    return;
+  left_ms = t->record.warmup_ms;
+  if (has_started && sv)
+    left_ms = MAX (left_ms, sv->warmup_ms);
+  cf_warmup_set (&t->warmup, left_ms, cf_gateway_now (g));
+}
+
 void
 cf_gateway_update_target (CfGateway *g, const CfTargetUpdate *update,
                           const char *source)
@@ -334,6 +364,7 @@
   c = cf_target_table_put (&g->targets, &r, update);
   if (c != CF_TARGET_SAME)
     log_target_change (g, update, c, source);
+  update_warmup (g, update, c);
   if (former && (!former->listed || c == CF_TARGET_LEAVING))
     close_former_connections (former, c);
   cf_target_unref (former);
@@ -403,6 +434,27 @@
   g->ring_start = ring_start;
   g->fleet_position.n = n;
   g->fleet_position.index = (guint)round (ring_start * n) % n;
+  if (n < g->recent_fleet.n
+      && cf_gateway_now (g) - g->recent_fleet_ms < RECENT_FLEET_MS)
+    n = g->recent_fleet.n;
+  else
+    g->recent_fleet_ms = cf_gateway_now (g);
+  g->recent_fleet.n = n;
+  g->recent_fleet.index = (guint)round (ring_start * n) % n;
+}
+
+/* A gateway that has just started takes the fleet for smaller than it is, and
+ * would send cold targets too much. */
+CfFleetPosition
+cf_gateway_warmup_position (const CfGateway *g)
+{
+  gint64 age_ms = cf_gateway_now (g) - g->started_ms;
+  CfFleetPosition unknown = { 0, 0 };
+
+  if (age_ms < FLEET_SETTLE_MS
+      || (!g->has_peer_fleet && age_ms < FLEET_ALONE_MS))
+    return unknown;
+  return g->recent_fleet;
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -67,6 +67,10 @@
   gboolean hello_is_due; /**< peers are to be notified at once */
   guint fleet_size;      /**< number of gateways that share the retry budget */
   CfFleetPosition fleet_position; /**< of this gateway among all gateways */
+  CfFleetPosition recent_fleet; /**< the largest fleet of the last seconds, and
+                                     this gateway's position in it */
+  gint64 recent_fleet_ms;       /**< when @recent_fleet was last confirmed */
+  gboolean has_peer_fleet;      /**< a peer has said how large the fleet is */
   double ring_start;            /**< start on the ring of targets, in [0, 1) */
   GHashTable *service_states;   /**< service -> #CfServiceState */
   CfQuarantine *quarantine;     /**< requests that crash targets */
@@ -190,6 +194,10 @@
 void cf_gateway_set_fleet_position (CfGateway *g, double ring_start,
                                     guint members);
 
+/** cf_gateway_warmup_position: this gateway's position in the fleet that shares
+ * the rates of cold targets; 0 gateways while the fleet is not known. */
+CfFleetPosition cf_gateway_warmup_position (const CfGateway *g);
+
 /** cf_gateway_set_fleet_size: sets the number of gateways that share the retry
  * budget; at least the number of seeds. */
 void cf_gateway_set_fleet_size (CfGateway *g, guint n);
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -389,6 +389,7 @@
   gint64 peer_ring_start = m->u.gateway_hello.ring_start;
   guint n;
 
+  g->has_peer_fleet = TRUE;
   cf_membership_expire (s->membership, MEMBER_TIMEOUT_MS, g->now_ms);
   n = cf_membership_size (s->membership);
   cf_gateway_set_fleet_size (g, MAX (n, peer_fleet_size));
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "optional-int.h"
+
 #include <glib.h>
 
 /**
@@ -70,6 +72,9 @@
 {
   char *name;
   gint64 max_conns; /**< connections that one target accepts in total */
+  gint64 warmup_ms; /**< how long a target is cold after its start */
+  CfOptionalInt warmup_thousandths_per_s; /**< requests that a cold target
+                                                tolerates, in 1/1000 per s */
   CfEngineModel engine;
 } CfService;
 
--- a/gateway/rate-limit.c
+++ b/gateway/rate-limit.c
@@ -67,7 +67,8 @@
                      CfFleetPosition fleet_position)
 {
   guint n = MAX (fleet_position.n, 1);
-  guint n_owners = (guint)CLAMP (l->per_s / MIN_SHARE_PER_S, 1.0, (double)n);
+  guint max = l->max_owners ? MIN (l->max_owners, n) : n;
+  guint n_owners = (guint)CLAMP (l->per_s / MIN_SHARE_PER_S, 1.0, (double)max);
   guint first = g_str_hash (id) % n;
   guint offset = (fleet_position.index % n + n - first) % n;
 
--- a/gateway/rate-limit.h
+++ b/gateway/rate-limit.h
@@ -20,6 +20,7 @@
                         gateway or a peer; 0: the target never stated one */
   double tokens;      /**< requests that may be sent now */
   gint64 refilled_ms; /**< when @tokens was last filled */
+  guint max_owners;   /**< gateways that may have a share; 0: any number */
 } CfRateLimit;
 
 /** CfFleetPosition: this gateway's position in the order of all @n gateways. */
--- a/gateway/target-notice.c
+++ b/gateway/target-notice.c
@@ -32,9 +32,29 @@
   cf_upstream_close_idle (t);
 }
 
+static void
+take_warmup (CfTarget *t, const CfHttpReader *r, gint64 now_ms)
+{
+  CfOptionalInt left_ms
+      = cf_platform_parse_warmup (cf_http_reader_header (r, CF_HDR_WARMUP));
+  gboolean was_cold = cf_warmup_is_cold (&t->warmup, now_ms);
+
+  if (!left_ms.is_set)
+    return;
+  cf_warmup_set (&t->warmup, left_ms.value, now_ms);
+  if (cf_warmup_is_cold (&t->warmup, now_ms) != was_cold)
+    cf_log (
+        LOG_NOTICE, CF_EV_TARGET_LIST,
+        "target=%s service=%s addr=%s outcome=%s warmup_ms=%" G_GINT64_FORMAT
+        " source=answer",
+        t->record.id, t->record.service, t->record.addr,
+        was_cold ? "warm" : "cold", left_ms.value);
+}
+
 void
 cf_target_take_notice (CfTarget *t, const CfHttpReader *r, gint64 now_ms)
 {
   take_leaving (t, r);
   take_pause (t, r, now_ms);
+  take_warmup (t, r, now_ms);
 }
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -7,6 +7,7 @@
 #include "rate-limit.h"
 #include "store-position.h"
 #include "target-pause.h"
+#include "warmup.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -51,6 +52,7 @@
   CfRateLimit limit;          /**< the rate that it accepts from all gateways */
   gboolean announced_leaving; /**< an answer said that it leaves, which it never
                                    takes back */
+  CfWarmup warmup;
   CfTargetPause pause;   /**< wants no requests of this gateway for a while */
   gint64 older_since_ms; /**< since when the list has shown an older
                               incarnation under its id; 0: it does not */
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -36,6 +36,7 @@
   int rank;
   gboolean draining;
   double drain_start_s;     /**< on the loop's clock */
+  int cold_ms;              /**< warm-up time left, as its record says */
   char *data_centre;        /**< (nullable): "dc1" */
   char *omitted_fields;     /**< (nullable): comma-separated, see /test/omit */
   gint64 started_ms;        /**< Unix time at which this incarnation started */
@@ -88,7 +89,7 @@
       "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", t->service, "addr",
       t->addr, "zone", t->data_centre ? t->data_centre : "dc1", "version", "v1",
       "slots", t->slots, "state", t->draining ? "draining" : "ready",
-      "cold-left-ms", 0, "seq", 1, PF_FIELD_STARTED, t->started_ms);
+      "cold-left-ms", t->cold_ms, "seq", 1, PF_FIELD_STARTED, t->started_ms);
   char *text = json_dumps (o, JSON_COMPACT);
 
   fake_store_put (t->store, key, text);
@@ -771,6 +772,15 @@
       g_free (tenths);
       fake_http_answer (c, 200, NULL, "", 0);
     }
+  else if (fake_http_has_path (c, "/test/cold"))
+    {
+      char *ms = fake_http_query_param (c, "ms");
+
+      t->cold_ms = ms ? atoi (ms) : 0;
+      g_free (ms);
+      publish_record (t);
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
   else if (fake_http_has_path (c, "/test/omit"))
     {
       g_free (t->omitted_fields);
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -49,6 +49,8 @@
  * POST /test/late-orders?tenths=N: N of every ten orders to a rank get no
  * answer and are executed a second later.
  *
+ * POST /test/cold?ms=N: its store record says that it stays cold for N ms.
+ *
  * POST /test/omit?fields=LIST: from now on a rank's answers leave out these
  * fields: born-in-reports, born-in-counts, epoch-in-counts, step-in-counts.
  *
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -41,6 +41,23 @@
   return cf_balancer_pick (&table, &in, t);
 }
 
+static double
+rate_limit_per_s (gint64 now)
+{
+  const CfPickInput in
+      = { .service = "s", .now_ms = now, .fleet_position = { 0, 1 } };
+
+  return cf_balancer_rate_limit_per_s (&table, &in);
+}
+
+static gint64
+pause_ms (const char *service, const GPtrArray *tried)
+{
+  const CfPickInput in = { .service = service, .tried = tried };
+
+  return cf_balancer_pause_ms (&table, &in);
+}
+
 static void
 setup (void)
 {
@@ -495,9 +512,7 @@
   cf_target_table_remove (&table, "b");
   cf_target_table_remove (&table, "c");
   ck_assert_int_eq (pick (102, NULL, &t), CF_PICK_RATE_LIMITED);
-  ck_assert_double_eq (
-      cf_balancer_rate_limit_per_s (&table, "s", (CfFleetPosition){ 0, 1 }, 0),
-      2);
+  ck_assert_double_eq (rate_limit_per_s (0), 2);
   ck_assert_int_eq (pick (700, NULL, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "a");
 }
@@ -529,22 +544,109 @@
 
   cf_target_pause_begin (&get ("a")->pause, 2, 0);
   cf_target_pause_begin (&get ("b")->pause, 1, 0);
-  ck_assert_int_eq (cf_balancer_pause_ms (&table, "s", NULL, 0), 0);
+  ck_assert_int_eq (pause_ms ("s", NULL), 0);
   cf_target_pause_begin (&get ("c")->pause, 3, 0);
   ck_assert_int_eq (pick (500, NULL, &t), CF_PICK_PAUSED);
-  ck_assert_int_ge (cf_balancer_pause_ms (&table, "s", NULL, 0), 1000);
-  ck_assert_int_lt (cf_balancer_pause_ms (&table, "s", NULL, 0), 1500);
+  ck_assert_int_ge (pause_ms ("s", NULL), 1000);
+  ck_assert_int_lt (pause_ms ("s", NULL), 1500);
   g_ptr_array_add (tried, get ("b"));
-  a_ms = cf_balancer_pause_ms (&table, "s", tried, 0);
+  a_ms = pause_ms ("s", tried);
   ck_assert_int_ge (a_ms, 2000);
   ck_assert_int_lt (a_ms, 2500);
   get ("a")->record.leaving = TRUE;
-  ck_assert_int_ge (cf_balancer_pause_ms (&table, "s", tried, 0), 3000);
-  ck_assert_int_eq (cf_balancer_pause_ms (&table, "none", NULL, 0), 0);
+  ck_assert_int_ge (pause_ms ("s", tried), 3000);
+  ck_assert_int_eq (pause_ms ("none", NULL), 0);
   g_ptr_array_free (tried, TRUE);
 }
 END_TEST
 
+static const CfWarmupRule cold_rule
+    = { .is_set = TRUE, .per_s = 2, .max_factor = 1.5, .slack = 5 };
+
+static CfPickResult
+pick_cold (gint64 now, CfFleetPosition position, CfTarget **t)
+{
+  const CfPickInput in = { .service = "s",
+                           .now_ms = now,
+                           .n_gateways = 1,
+                           .warmup_rule = &cold_rule,
+                           .warmup_position = position };
+
+  return cf_balancer_pick (&table, &in, t);
+}
+
+/* Cold targets are passed over while their rate is used up, and one that is
+ * left alone makes requests wait rather than crash it. */
+START_TEST (cold_target_gets_its_rate_only)
+{
+  const CfFleetPosition alone = { 0, 1 };
+  const CfFleetPosition unknown = { 0, 0 };
+  CfTarget *t;
+
+  cf_warmup_set (&get ("a")->warmup, 3000, 0);
+  for (int i = 0; i < 6; i++)
+    {
+      ck_assert_int_eq (pick_cold (1, alone, &t), CF_PICK_OK);
+      ck_assert_str_ne (t->record.id, "a");
+    }
+  cf_target_table_remove (&table, "b");
+  cf_target_table_remove (&table, "c");
+  ck_assert_int_eq (pick_cold (2, alone, &t), CF_PICK_RATE_LIMITED);
+  ck_assert_int_eq (pick_cold (2900, unknown, &t), CF_PICK_RATE_LIMITED);
+  ck_assert_int_eq (pick_cold (1500, alone, &t), CF_PICK_OK);
+  cf_warmup_consume (&t->warmup, 1500);
+  ck_assert_int_eq (pick_cold (1501, alone, &t), CF_PICK_RATE_LIMITED);
+  ck_assert_int_eq (pick_cold (3000, unknown, &t), CF_PICK_OK);
+}
+END_TEST
+
+START_TEST (evacuated_targets_are_not_picked)
+{
+  CfEvacuations e;
+  CfTarget *t;
+
+  cf_evacuations_init (&e);
+  table.evacuations = &e;
+  cf_evacuations_set (&e, "dc2", TRUE);
+  ck_assert_uint_eq (cf_target_table_update_evacuated (&table), 2);
+  for (int i = 0; i < 4; i++)
+    {
+      ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
+      ck_assert_str_eq (t->record.id, "a");
+    }
+  /* One that is listed later is evacuated as well. */
+  put ("d", "s", "dc2", "1.1.1.9:1", FALSE, 9);
+  ck_assert (get ("d")->evacuated);
+  cf_evacuations_set (&e, "dc1", TRUE);
+  cf_target_table_update_evacuated (&table);
+  ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_NO_TARGET);
+  cf_evacuations_set (&e, "dc2", FALSE);
+  cf_target_table_update_evacuated (&table);
+  ck_assert_int_eq (pick (0, NULL, &t), CF_PICK_OK);
+  ck_assert_str_ne (t->record.id, "a");
+  cf_evacuations_clear (&e);
+}
+END_TEST
+
+/* The targets of two evacuated data centres do not make those of the third,
+ * which are healthy, a minority that falls back on ejected ones. */
+START_TEST (evacuated_targets_do_not_count_as_unhealthy)
+{
+  CfEvacuations e;
+  CfTarget *t;
+
+  cf_evacuations_init (&e);
+  table.evacuations = &e;
+  put ("d", "s", "dc1", "1.1.1.9:1", FALSE, 9);
+  cf_evacuations_set (&e, "dc2", TRUE);
+  cf_target_table_update_evacuated (&table);
+  cf_outlier_eject (&get ("d")->outlier, 0);
+  get ("a")->full_until_ms = 100;
+  ck_assert_int_eq (pick (1, NULL, &t), CF_PICK_FULL);
+  cf_evacuations_clear (&e);
+}
+END_TEST
+
 /* A target that pauses cannot be sent the rate that it takes otherwise. */
 START_TEST (rate_of_paused_target_is_not_available)
 {
@@ -557,9 +659,7 @@
   cf_target_table_remove (&table, "b");
   cf_target_table_remove (&table, "c");
   ck_assert_int_eq (pick (200, NULL, &t), CF_PICK_PAUSED);
-  ck_assert_double_eq (cf_balancer_rate_limit_per_s (
-                           &table, "s", (CfFleetPosition){ 0, 1 }, 200),
-                       0);
+  ck_assert_double_eq (rate_limit_per_s (200), 0);
 }
 END_TEST
 
@@ -582,6 +682,9 @@
   tcase_add_test (t, slots_are_divided_among_gateways);
   tcase_add_test (t, rate_limited_target_is_skipped);
   tcase_add_test (t, paused_targets_are_not_picked);
+  tcase_add_test (t, cold_target_gets_its_rate_only);
+  tcase_add_test (t, evacuated_targets_are_not_picked);
+  tcase_add_test (t, evacuated_targets_do_not_count_as_unhealthy);
   tcase_add_test (t, first_end_of_all_pauses_is_known);
   tcase_add_test (t, rate_of_paused_target_is_not_available);
   tcase_add_test (t, only_newest_instance_at_address_gets_requests);
