balancer: keep requests in the homes of route and organisation

A route or an organisation may state home-regions; a request of either may run in these regions only, and of both where both state them. The fields were ignored. Targets elsewhere are left out like evacuated ones, so that a request without a target at home is refused at once. The platform's settings name the region of each data centre; targets of a data centre that they do not name are in no home. A list of another type makes the configuration invalid; a missing, null or empty one allows any region.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -19,7 +19,7 @@
 /** Availability: whether a target can take a request. */
 typedef enum
 {
-  TARGET_EXCLUDED,     /**< leaving, replaced, evacuated or already tried */
+  TARGET_EXCLUDED,     /**< leaving, replaced, evacuated, tried, not at home */
   TARGET_PAUSED,       /**< wants no requests of this gateway for a while */
   TARGET_RATE_LIMITED, /**< this gateway's share of its rate limit is used up */
   TARGET_FULL,         /**< has no free capacity now */
@@ -73,7 +73,8 @@
 is_excluded (const CfTarget *t, const CfPickInput *in)
 {
   return cf_target_is_leaving (t) || t->replaced || t->evacuated
-         || was_tried (in->tried, t);
+         || was_tried (in->tried, t)
+         || !cf_homes_allow (&in->homes, t->record.data_centre);
 }
 
 static gboolean
@@ -126,7 +127,7 @@
   guint degraded_load;
   guint n_healthy; /* neither excluded, paused, rate-limited nor degraded */
   guint n_usable;  /* neither excluded nor paused */
-  guint n_open;    /* not evacuated */
+  guint n_open;    /* neither evacuated nor outside of the homes */
   gboolean any_full;
   gboolean any_limited;
   gboolean any_paused;
@@ -143,7 +144,8 @@
 
   c->slots += usable ? t->record.slots : 0;
   c->n_usable += usable;
-  c->n_open += !t->evacuated;
+  c->n_open
+      += !t->evacuated && cf_homes_allow (&in->homes, t->record.data_centre);
   c->n_healthy
       += usable && availability != TARGET_RATE_LIMITED && !is_degraded (t, in);
   c->any_paused |= availability == TARGET_PAUSED;
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "homes.h"
 #include "target.h"
 
 /** CfPickResult: the result of choosing a target for a request. */
@@ -19,6 +20,7 @@
   const char *service;
   const char *data_centre; /**< (nullable): this gateway's; preferred among
                                 equally loaded targets */
+  CfHomes homes;           /**< regions that may run the request */
   const GPtrArray *tried;  /**< (nullable): #CfTarget that already had it */
   gint64 now_ms;           /**< by the monotonic clock */
   guint n_gateways;        /**< gateways that send to these targets */
@@ -72,11 +74,12 @@
  * Chooses the target with the fewest requests of this gateway per slot,
  * weighted by the target's slowdown; among equals one in the gateway's own data
  * centre, then the first one from @ring_start on.  Targets that are leaving,
- * replaced, evacuated, already tried, ejected, slow, stalled, full, in a pause
- * that they requested, or whose rate limit allows this gateway no request now
- * are passed over.  When less than half of the targets are healthy and none of
- * them is free, an ejected, slow or stalled one is used: an ejection may be
- * wrong, and must not take a whole service down.
+ * replaced, evacuated, outside of the request's homes, already tried, ejected,
+ * slow, stalled, full, in a pause that they requested, or whose rate limit
+ * allows this gateway no request now are passed over.  When less than half of
+ * the targets are healthy and none of them is free, an ejected, slow or stalled
+ * one is used: an ejection may be wrong, and must not take a whole service
+ * down.
  *
  * @out: (out) (nullable): the target, not referenced
  */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -188,6 +188,11 @@
 
   in.service = x->service;
   in.data_centre = g->settings.data_centre;
+  in.homes.route = (const char *const *)x->route->home_regions;
+  in.homes.org = x->org
+                     ? g_hash_table_lookup (x->policy->org_home_regions, x->org)
+                     : NULL;
+  in.homes.regions = g->settings.regions;
   in.tried = x->tried_targets;
   in.now_ms = cf_gateway_now (g);
   in.n_gateways = g->fleet_size;
--- a/gateway/policy.c
+++ b/gateway/policy.c
@@ -14,6 +14,7 @@
   for (guint i = 0; i < r->n_splits; i++)
     g_free (r->splits[i].service);
   g_free (r->splits);
+  g_strfreev (r->home_regions);
   g_free (r->name);
   g_free (r->host);
   g_free (r->prefix);
@@ -44,6 +45,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->org_priority
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  p->org_home_regions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                               (GDestroyNotify)g_strfreev);
   return p;
 }
 
@@ -63,6 +66,7 @@
   g_hash_table_destroy (p->services);
   g_hash_table_destroy (p->org_by_api_key);
   g_hash_table_destroy (p->org_priority);
+  g_hash_table_destroy (p->org_home_regions);
   g_ptr_array_free (p->routes, TRUE);
   g_free (p);
 }
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -37,6 +37,7 @@
                               none */
   gint64 priority;         /**< 0 is the most urgent */
   guint max_attempts;
+  char **home_regions; /**< (nullable): regions that may run its requests */
   CfSplit *splits;
   guint n_splits;
   guint total_weight;
@@ -101,7 +102,8 @@
   GHashTable *services;       /**< name -> #CfService, owned */
   GHashTable *org_by_api_key; /**< API key -> name of the organisation, owned */
   GHashTable *org_priority;   /**< organisation -> priority + 1; 0: not set */
-  gboolean requires_api_key;  /**< on routes that are not @keyless */
+  GHashTable *org_home_regions; /**< organisation -> GStrv, if it has any */
+  gboolean requires_api_key;    /**< on routes that are not @keyless */
   CfCallerLimits limits;
 } CfPolicy;
 
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -600,6 +600,37 @@
 }
 END_TEST
 
+/* A request never runs outside of the homes of its route and organisation. */
+START_TEST (targets_outside_of_homes_are_not_picked)
+{
+  static const char *const north[] = { "north", NULL };
+  static const char *const both[] = { "north", "south", NULL };
+  static const char *const south[] = { "south", NULL };
+  GHashTable *regions = g_hash_table_new (g_str_hash, g_str_equal);
+  CfPickInput in
+      = { .service = "s", .n_gateways = 1, .homes = { both, north, regions } };
+  CfTarget *t;
+
+  g_hash_table_insert (regions, "dc1", "north");
+  g_hash_table_insert (regions, "dc2", "south");
+  for (int i = 0; i < 4; i++)
+    {
+      ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+      ck_assert_str_eq (t->record.id, "a");
+    }
+  in.homes.route = south;
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_NO_TARGET);
+  ck_assert (!cf_balancer_has_target (&table, &in));
+  in.homes.org = NULL;
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  ck_assert_str_ne (t->record.id, "a");
+  /* A data centre that the settings do not name is nobody's home. */
+  g_hash_table_remove (regions, "dc2");
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_NO_TARGET);
+  g_hash_table_destroy (regions);
+}
+END_TEST
+
 START_TEST (evacuated_targets_are_not_picked)
 {
   CfEvacuations e;
@@ -683,6 +714,7 @@
   tcase_add_test (t, rate_limited_target_is_skipped);
   tcase_add_test (t, paused_targets_are_not_picked);
   tcase_add_test (t, cold_target_gets_its_rate_only);
+  tcase_add_test (t, targets_outside_of_homes_are_not_picked);
   tcase_add_test (t, evacuated_targets_are_not_picked);
   tcase_add_test (t, evacuated_targets_do_not_count_as_unhealthy);
   tcase_add_test (t, first_end_of_all_pauses_is_known);
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -93,6 +93,98 @@
       "\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k1\",\"k2\"],"
       "\"priority\":0}]}";
 
+START_TEST (homes_and_regions_are_parsed)
+{
+  static const char format[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+        "\"prefix\":\"/x/\",\"kind\":\"safe\",\"service\":\"s\"%s}],"
+        "\"tenants\":[{\"name\":\"t\",\"api-keys\":[]%s}]}";
+  static const char *const none[]
+      = { "", ",\"home-regions\":null", ",\"home-regions\":[]" };
+  static const char *const bad[]
+      = { ",\"home-regions\":\"r\"", ",\"home-regions\":[7]" };
+  static const char some[] = ",\"home-regions\":[\"r1\",\"r2\"]";
+  CfPlatformSettings s;
+  CfPolicy *p;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (none); i++)
+    {
+      g_autofree char *text = g_strdup_printf (format, none[i], none[i]);
+
+      ck_assert_int_eq (cf_platform_policy_parse (text, strlen (text), &p),
+                        CF_OK);
+      ck_assert_ptr_null (cf_policy_route (p, "h", "/x/")->home_regions);
+      ck_assert_uint_eq (g_hash_table_size (p->org_home_regions), 0);
+      cf_policy_unref (p);
+    }
+  for (gsize i = 0; i < 2 * G_N_ELEMENTS (bad); i++)
+    {
+      g_autofree char *text = g_strdup_printf (format, i % 2 ? bad[i / 2] : "",
+                                               i % 2 ? "" : bad[i / 2]);
+
+      ck_assert_int_eq (cf_platform_policy_parse (text, strlen (text), &p),
+                        CF_ERR_RECORD);
+    }
+  {
+    g_autofree char *text = g_strdup_printf (format, some, some);
+
+    ck_assert_int_eq (cf_platform_policy_parse (text, strlen (text), &p),
+                      CF_OK);
+    ck_assert_str_eq (cf_policy_route (p, "h", "/x/")->home_regions[1], "r2");
+    ck_assert_str_eq (
+        ((char **)g_hash_table_lookup (p->org_home_regions, "t"))[0], "r1");
+    cf_policy_unref (p);
+  }
+  ck_assert_int_eq (cf_platform_settings_parse ("ip=1.2.3.4\napp=1.2.3.4:5\n"
+                                                "zones.dc1=r1\nzones.dc2=\n",
+                                                CF_ROLE_RANK_AGENT, &s),
+                    CF_OK);
+  ck_assert_str_eq (g_hash_table_lookup (s.regions, "dc1"), "r1");
+  ck_assert_uint_eq (g_hash_table_size (s.regions), 1);
+  cf_platform_settings_clear (&s);
+}
+END_TEST
+
+/* A rate of 0 is stated; a missing one is not. */
+START_TEST (warmup_is_parsed)
+{
+  static const struct
+  {
+    const char *fields;
+    gboolean is_set;
+    gint64 thousandths;
+  } cases[] = {
+    { "", FALSE, 0 },
+    { ",\"cold-per-s\":null", FALSE, 0 },
+    { ",\"cold-per-s\":0.0", TRUE, 0 },
+    { ",\"cold-per-s\":32.5,\"cold-start-s\":3", TRUE, 32500 },
+  };
+  static const char *const bad_headers[]
+      = { NULL, "", "-1", "1.5", "x", "99999999999999999999", "86400001" };
+  CfPolicy *p;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"s\"%s}]}",
+          cases[i].fields);
+      const CfService *sv;
+
+      ck_assert_int_eq (cf_platform_policy_parse (text, strlen (text), &p),
+                        CF_OK);
+      sv = cf_policy_service (p, "s");
+      ck_assert_int_eq (sv->warmup_thousandths_per_s.is_set, cases[i].is_set);
+      ck_assert_int_eq (sv->warmup_thousandths_per_s.value,
+                        cases[i].thousandths);
+      cf_policy_unref (p);
+    }
+  for (gsize i = 0; i < G_N_ELEMENTS (bad_headers); i++)
+    ck_assert (!cf_platform_parse_warmup (bad_headers[i]).is_set);
+  ck_assert (cf_platform_parse_warmup ("0").is_set);
+  ck_assert_int_eq (cf_platform_parse_warmup ("2500").value, 2500);
+}
+END_TEST
+
 START_TEST (configuration_is_parsed)
 {
   CfPolicy *p;
@@ -575,6 +667,8 @@
   tcase_add_test (t, unused_settings_are_ignored);
   tcase_add_test (t, invalid_settings_name_the_field);
   tcase_add_test (t, configuration_is_parsed);
+  tcase_add_test (t, homes_and_regions_are_parsed);
+  tcase_add_test (t, warmup_is_parsed);
   tcase_add_test (t, invalid_configurations_are_rejected);
   tcase_add_test (t, store_replies_are_parsed);
   tcase_add_test (t, target_records_are_parsed);
