store-watch: make calls follow changes, not gateways and time

By a gateway: 17 calls for the first list (788 targets in pages of 50), some 20 for two watches that return every 5 s without a change, the rest for changes. The first grow with targets x gateways, the second with gateways x time.

- The first list may be stale, which costs a tenth a page.
The watch goes on from the oldest page's revision and brings what has changed since; later reads (history gone, store restored) stay exact, as does the configuration.
- A watch waits for as long as keeps the whole fleet at 7 idle calls a second, 5 s at least as before and 30 s, the protocol's bound, at most.
- What the short wait was for, an answer that is lost, is noticed through peers: hellos name the position of the newest record of a target that was read, and a gateway that lacks it for 0.7 s calls again.

Ruled out: a constant of 30 s for all, which leaves three gateways that lose the same answer without it for 30 s; reading everything through a few gateways, which puts the list x gateways on the seeds.

With it, the grace before a peer's configuration is used no longer begins anew whenever another peer is behind as well: with three seeds, of which one is ahead, it never ended.

--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -110,6 +110,7 @@
 {
   cf_exchange_route_unrouted (&gw);
   cf_operator_feed_tick (&gw);
+  cf_target_feed_tick (&gw);
   cf_exchange_refuse_unservable (&gw);
   cf_exchange_dispatch_queued (&gw);
   replicate_crash_records (&gw);
--- a/gateway/evacuation.c
+++ b/gateway/evacuation.c
@@ -13,6 +13,7 @@
   e->data_centres
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   e->pos = CF_STORE_POSITION_NONE;
+  e->peer_pos = CF_STORE_POSITION_NONE;
   e->missing_until_ms = 0;
   e->behind_since_ms = 0;
 }
@@ -72,12 +73,13 @@
 cf_evacuations_may_adopt (CfEvacuations *e, gboolean is_equal,
                           CfStorePosition pos, gboolean store_up, gint64 now_ms)
 {
+  /* A peer that is behind as well does not end the grace period. */
+  if (e->behind_since_ms && !cf_store_position_is_older (e->pos, e->peer_pos))
+    e->behind_since_ms = 0;
   if (is_equal || pos.rev == 0 || !cf_store_position_is_older (e->pos, pos))
-    {
-      e->behind_since_ms = 0;
-      return FALSE;
-    }
+    return FALSE;
   if (!e->behind_since_ms)
     e->behind_since_ms = now_ms;
+  e->peer_pos = pos;
   return !store_up || now_ms - e->behind_since_ms >= STORE_GRACE_MS;
 }
--- a/gateway/evacuation.h
+++ b/gateway/evacuation.h
@@ -13,8 +13,9 @@
                                 revision 0: none were read */
   gint64 missing_until_ms; /**< a restored store lacked some of the set; they
                                 are kept until then; 0: it lacks none */
-  gint64 behind_since_ms;  /**< since when a peer has had another, newer set; 0:
-                                none has */
+  CfStorePosition peer_pos; /**< the latest of a peer's set that differs */
+  gint64 behind_since_ms; /**< since when a peer has had another, newer set; 0:
+                               none has */
 } CfEvacuations;
 
 void cf_evacuations_init (CfEvacuations *e);
--- a/gateway/operator-feed.c
+++ b/gateway/operator-feed.c
@@ -219,5 +219,5 @@
 {
   feed.watch = w;
   feed.listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  cf_store_watch_start (w, g, PF_KEY_OPERATOR, &callbacks);
+  cf_store_watch_start (w, g, PF_KEY_OPERATOR, FALSE, &callbacks);
 }
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -122,8 +122,10 @@
                                 said in answers that they leave; owned */
       GArray *evacuated;     /**< (nullable): of #CfPeerBytes: evacuated data
                                 centres; owned */
-      CfStorePosition evacuated_pos; /**< of the operator's records that
-                                          @evacuated reflects */
+      CfStorePosition targets_change_pos; /**< of the newest record of a target
+                                               that the sender has read */
+      CfStorePosition evacuated_pos;      /**< of the operator's records that
+                                               @evacuated reflects */
     } gateway_hello;
     struct
     {
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -50,8 +50,9 @@
   CfMembership *membership;
   gint64 hello_sent_ms;
   gint64 connect_attempt_ms;
-  gint64 behind_since_ms; /**< when a peer was first seen to have a newer
-                             configuration; 0: none has */
+  gint64 newest_policy_version; /**< of any peer */
+  gint64 behind_since_ms;       /**< when a peer was first seen to have a newer
+                                   configuration; 0: none has */
   CfPeerMsgHandler hold_lease_handler; /**< (nullable) */
   void *hold_lease_owner;
   struct sockaddr_in seeds[CF_SEEDS_MAX];
@@ -274,6 +275,7 @@
   m->u.gateway_hello.leaving = collect_leaving (g);
   m->u.gateway_hello.evacuated = cf_operator_feed_collect (g);
   m->u.gateway_hello.evacuated_pos = g->evacuations.pos;
+  m->u.gateway_hello.targets_change_pos = cf_target_feed_change_pos ();
   m->u.gateway_hello.n_ring_members = cf_membership_size (s->membership);
 }
 
@@ -402,11 +404,27 @@
         n_ring_members ? n_ring_members : peer_fleet_size);
 }
 
+/* Notes since when any peer has had a newer configuration.  A peer that is
+ * behind as well does not end that. */
+static void
+update_behind (const Peer *p)
+{
+  CfPeerService *s = p->s;
+  gint64 version = s->g->policy ? s->g->policy->version : 0;
+  gboolean behind;
+
+  s->newest_policy_version = MAX (s->newest_policy_version, p->policy_version);
+  behind = has_newer_policy (p) || version < s->newest_policy_version;
+  if (!behind)
+    s->behind_since_ms = 0;
+  else if (!s->behind_since_ms)
+    s->behind_since_ms = s->g->now_ms;
+}
+
 static void
 take_hello (Peer *p, const CfPeerMsg *m)
 {
   CfGateway *g = p->s->g;
-  gboolean ahead;
   char *dc;
 
   g_free (p->addr);
@@ -429,11 +447,8 @@
     send_policy (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     send_targets (p);
-  ahead = has_newer_policy (p);
-  if (ahead && !p->s->behind_since_ms)
-    p->s->behind_since_ms = g->now_ms;
-  else if (!ahead)
-    p->s->behind_since_ms = 0;
+  cf_target_feed_take_peer_change (g, m->u.gateway_hello.targets_change_pos);
+  update_behind (p);
   if (compute_wanted (p))
     send_hello (p);
 }
--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -15,11 +15,17 @@
  * a store that is down gets about one call a second. */
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 800
-/** How long the store may wait for a change before it responds.  One call a
- * second from each gateway would exhaust the store's rate limits at a few
- * hundred gateways.  TCP keep-alive detects a silent connection in about 3 s.
- */
-#define LONG_POLL_MS 5000
+/** How long the store may wait for a change before it responds: longer in a
+ * larger fleet, so that the calls of all gateways do not grow with it.  TCP
+ * keep-alive detects a silent connection in about 3 s, and peers' hellos an
+ * answer that was lost. */
+#define LONG_POLL_MIN_MS 5000
+#define LONG_POLL_MAX_MS 30000
+/** Calls per second that the fleet makes on a watch without changes. */
+#define IDLE_CALLS_PER_S 7
+/** A call is repeated on a peer's word only if it is older than this, in which
+ * its answer should have come. */
+#define NUDGE_MIN_MS 400
 /** All gateways notice that the store was restored at the same time, and read
  * everything again within this time. */
 #define RESTORED_READ_SPREAD_MS 100
@@ -78,6 +84,13 @@
   set_timer (w, w->backoff_ms + jitter_ms);
 }
 
+gint64
+cf_store_watch_long_poll_ms (guint fleet_size)
+{
+  return CLAMP ((gint64)fleet_size * 1000 / IDLE_CALLS_PER_S, LONG_POLL_MIN_MS,
+                LONG_POLL_MAX_MS);
+}
+
 static void
 reset_range (CfStoreWatch *w)
 {
@@ -93,13 +106,14 @@
 }
 
 static void
-report_item (const CfStoreWatch *w, const CfStoreItem *it)
+report_item (CfStoreWatch *w, const CfStoreItem *it)
 {
   const CfStoreRecord r = { .item = it,
                             .pos = position (w, it->rev),
                             .created = position (w, it->created),
                             .is_change = w->state == CF_WATCH_CHANGES };
 
+  w->newest_rev = MAX (w->newest_rev, it->rev);
   w->callbacks->item (w->g, &r);
 }
 
@@ -113,6 +127,8 @@
           " as_of=%" G_GINT64_FORMAT " ordered=%s action=read-all",
           w->prefix, era, w->era, w->as_of, keeps_order ? "yes" : "no");
   w->era = era;
+  w->newest_rev = 0;
+  w->may_read_stale = FALSE;
   reset_range (w);
   w->callbacks->restored (w->g, keeps_order);
 }
@@ -144,7 +160,9 @@
 static gboolean
 has_gone_back (const CfStoreWatch *w, const CfStoreReply *r)
 {
-  return !w->has_era && r->as_of < (w->page_after ? w->range_as_of : w->as_of);
+  gint64 before = w->page_after ? w->range_as_of : w->as_of;
+
+  return !w->has_era && !w->may_read_stale && r->as_of < before;
 }
 
 /* Makes the first call after the store was restored, so late that the gateways
@@ -159,8 +177,7 @@
 static void
 take_page (CfStoreWatch *w, const CfStoreReply *r)
 {
-  if (!w->page_after)
-    w->range_as_of = r->as_of;
+  w->range_as_of = w->page_after ? MIN (w->range_as_of, r->as_of) : r->as_of;
   for (guint i = 0; i < r->items->len; i++)
     {
       const CfStoreItem *it = r->items->pdata[i];
@@ -183,6 +200,7 @@
           g_hash_table_size (w->seen_keys));
   w->as_of = w->range_as_of;
   w->has_snapshot = TRUE;
+  w->may_read_stale = FALSE;
   w->callbacks->snapshot (w->g, w->seen_keys, position (w, w->as_of));
   reset_range (w);
   w->has_snapshot = TRUE;
@@ -272,6 +290,7 @@
               "prefix=%s as_of=%" G_GINT64_FORMAT
               " outcome=history-gone action=read-all",
               w->prefix, w->as_of);
+      w->may_read_stale = FALSE;
       reset_range (w);
       start_call (w);
     }
@@ -341,7 +360,9 @@
 static gint64
 current_long_poll_ms (const CfStoreWatch *w)
 {
-  return w->reachability == CF_STORE_UP ? w->long_poll_ms : 0;
+  return w->reachability == CF_STORE_UP
+             ? cf_store_watch_long_poll_ms (w->g->fleet_size)
+             : 0;
 }
 
 /* Sends the next call on the established connection. */
@@ -356,8 +377,8 @@
     request = cf_platform_store_build_watch_request (addr, w->prefix, w->as_of,
                                                      current_long_poll_ms (w));
   else
-    request = cf_platform_store_build_range_request (addr, w->prefix,
-                                                     w->page_after);
+    request = cf_platform_store_build_range_request (
+        addr, w->prefix, w->page_after, w->may_read_stale);
   g_string_assign (w->output, request);
   g_free (request);
   w->output_sent = 0;
@@ -433,6 +454,7 @@
 
 void
 cf_store_watch_start (CfStoreWatch *w, CfGateway *g, const char *prefix,
+                      gboolean may_read_stale,
                       const CfStoreWatchCallbacks *callbacks)
 {
   memset (w, 0, sizeof *w);
@@ -440,7 +462,7 @@
   w->prefix = prefix;
   w->callbacks = callbacks;
   w->era = CF_STORE_ERA_UNKNOWN;
-  w->long_poll_ms = LONG_POLL_MS;
+  w->may_read_stale = may_read_stale;
   w->output = g_string_new (NULL);
   w->body = g_string_new (NULL);
   w->seen_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -463,6 +485,20 @@
   start_call (w);
 }
 
+void
+cf_store_watch_nudge (CfStoreWatch *w)
+{
+  if (w->state != CF_WATCH_CHANGES
+      || cf_gateway_now (w->g) - w->call_sent_ms < NUDGE_MIN_MS)
+    return;
+  cf_log (LOG_NOTICE, CF_EV_STORE_LOST,
+          "prefix=%s as_of=%" G_GINT64_FORMAT
+          " reason=\"a peer has a later change\" action=call-again",
+          w->prefix, w->as_of);
+  disconnect (w);
+  start_call (w);
+}
+
 void
 cf_store_watch_stop (CfStoreWatch *w)
 {
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -61,7 +61,8 @@
  * Watches the keys under a prefix of the metadata store: reads all keys, then
  * long-polls for changes after that revision, over one persistent connection.
  * If the store no longer has the history after that revision, or was restored
- * from a copy, reads all keys again.
+ * from a copy, reads all keys again.  The first read may be of a replica of the
+ * store that is some seconds behind.
  */
 struct CfStoreWatch
 {
@@ -84,8 +85,10 @@
                          newer, so changes are requested from this one on. */
   gboolean has_snapshot; /**< all keys were read since the last 410 Gone */
   CfStoreReachability reachability;
-  gint64 long_poll_ms; /**< how long the store may wait for a change */
-  gint64 call_sent_ms; /**< when the last call was sent */
+  gint64 newest_rev; /**< highest revision of a record that was read; 0: none */
+  gboolean may_read_stale; /**< the range may be some seconds old: the changes
+                                since follow with the first poll */
+  gint64 call_sent_ms;     /**< when the last call was sent */
   CfWatchBatcher batcher;
   gint64 backoff_ms; /**< delay before the next retry */
 };
@@ -93,10 +96,21 @@
 /**
  * cf_store_watch_start:
  * @prefix: of the keys to watch; not copied
+ * @may_read_stale: the first read of all keys may be some seconds old, which is
+ *   cheaper; the changes since follow at once
  */
 void cf_store_watch_start (CfStoreWatch *w, CfGateway *g, const char *prefix,
+                           gboolean may_read_stale,
                            const CfStoreWatchCallbacks *callbacks);
 
+/** cf_store_watch_long_poll_ms: how long the store may wait for a change before
+ * it answers one of @fleet_size gateways. */
+gint64 cf_store_watch_long_poll_ms (guint fleet_size);
+
+/** cf_store_watch_nudge: a peer knows of a later change; calls again if the
+ * answer to the call in progress seems to be lost. */
+void cf_store_watch_nudge (CfStoreWatch *w);
+
 /** cf_store_watch_read_all: reads all keys again. */
 void cf_store_watch_read_all (CfStoreWatch *w);
 
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -10,6 +10,10 @@
  * return; the rest is for the propagation. */
 #define RETURN_GRACE_MS (2000 + PROPAGATION_MS)
 
+/** Time for a change that a peer knows of to arrive from the store; polls are
+ * up to 500 ms apart while changes are frequent. */
+#define CHANGE_GRACE_MS 700
+
 /** MissingEntry: an entry that was found missing just after an outage of the
  * store. */
 typedef struct
@@ -32,8 +36,11 @@
 static struct
 {
   CfStoreWatch *watch;
-  gint64 peer_list_ms;   /**< when a peer's list was last adopted */
-  ev_timer reread_timer; /**< makes the watch read everything again */
+  gint64 peer_list_ms;      /**< when a peer's list was last adopted */
+  ev_timer reread_timer;    /**< makes the watch read everything again */
+  CfStorePosition peer_pos; /**< the latest change that a peer knows of */
+  gint64 behind_since_ms;   /**< since when the list has lacked it; 0: it does
+                                 not */
 } list;
 
 static gboolean
@@ -282,6 +289,39 @@
   list.peer_list_ms = cf_gateway_now (g);
 }
 
+CfStorePosition
+cf_target_feed_change_pos (void)
+{
+  const CfStoreWatch *w = list.watch;
+
+  return (CfStorePosition){ .era = w->era, .rev = w->newest_rev };
+}
+
+void
+cf_target_feed_take_peer_change (const CfGateway *g, CfStorePosition pos)
+{
+  if (!cf_store_position_is_older (g->targets_pos, pos))
+    return;
+  if (!list.behind_since_ms || cf_store_position_is_older (list.peer_pos, pos))
+    list.peer_pos = pos;
+  if (!list.behind_since_ms)
+    list.behind_since_ms = cf_gateway_now (g);
+}
+
+void
+cf_target_feed_tick (const CfGateway *g)
+{
+  if (!list.behind_since_ms)
+    return;
+  if (!cf_store_position_is_older (g->targets_pos, list.peer_pos))
+    list.behind_since_ms = 0;
+  else if (cf_gateway_now (g) - list.behind_since_ms >= CHANGE_GRACE_MS)
+    {
+      list.behind_since_ms = cf_gateway_now (g);
+      cf_store_watch_nudge (list.watch);
+    }
+}
+
 void
 cf_target_feed_start (CfStoreWatch *w, CfGateway *g)
 {
@@ -291,5 +331,5 @@
   grace.timer.data = g;
   list.watch = w;
   ev_timer_init (&list.reread_timer, on_reread_due, 0, 0);
-  cf_store_watch_start (w, g, PF_KEY_TARGETS, &feed_calls);
+  cf_store_watch_start (w, g, PF_KEY_TARGETS, TRUE, &feed_calls);
 }
--- a/standins/fake-store.c
+++ b/standins/fake-store.c
@@ -61,7 +61,14 @@
   gint64 era;     /**< how often it was restored, plus one */
   char *era_text; /**< (nullable): stated instead of @era; empty: none */
   State copy;     /**< what the next restoration goes back to */
-  State lost;     /**< what there was before the last restoration */
+  State replica;  /**< what calls get that accept stale answers */
+  struct
+  {
+    guint range;       /**< calls for a page */
+    guint stale_range; /**< the same, that accepted a stale answer */
+    guint watch;
+  } calls;
+  State lost;             /**< what there was before the last restoration */
   ev_timer rewrite_timer; /**< writes again what was lost */
   gint64 rewrite_ms;
   gboolean restores_at_next_page; /**< restored before the next page of a range
@@ -410,23 +417,37 @@
   return FALSE;
 }
 
+static gint64
+query_ms (const FakeConn *c, const char *name)
+{
+  g_autofree char *text = fake_http_query_param (c, name);
+
+  return text ? g_ascii_strtoll (text, NULL, 10) : 0;
+}
+
 static void
 answer_range (FakeStore *s, FakeConn *c)
 {
   char *prefix = fake_http_query_param (c, "prefix");
   char *after = fake_http_query_param (c, "after");
   RangePage r = { prefix ? prefix : "", after, json_array (), FALSE };
+  gboolean is_stale = query_ms (c, "stale-ok") == 1;
+  gboolean from_replica = is_stale && s->replica.items;
   json_t *o = json_object ();
 
+  s->calls.range += !is_stale;
+  s->calls.stale_range += is_stale;
   if (after && s->restores_at_next_page)
     {
       s->restores_at_next_page = FALSE;
       restore_copy (s, s->rewrite_ms);
     }
-  g_tree_foreach (s->items, add_item_to_page, &r);
+  g_tree_foreach (from_replica ? s->replica.items : s->items, add_item_to_page,
+                  &r);
   json_object_set_new (o, "items", r.items);
   json_object_set_new (o, "has-more", json_boolean (r.has_more));
-  json_object_set_new (o, "as-of", json_integer (s->rev));
+  json_object_set_new (o, "as-of",
+                       json_integer (from_replica ? s->replica.rev : s->rev));
   answer_json (s, c, o);
   g_free (prefix);
   g_free (after);
@@ -443,6 +464,7 @@
                        ? json_array ()
                        : changes_after (s, prefix ? prefix : "", after_rev);
 
+  s->calls.watch++;
   if (after_rev < s->compacted_rev || after_rev > s->rev)
     {
       json_decref (events);
@@ -491,14 +513,6 @@
   notify_watches (s);
 }
 
-static gint64
-query_ms (const FakeConn *c, const char *name)
-{
-  g_autofree char *text = fake_http_query_param (c, name);
-
-  return text ? g_ascii_strtoll (text, NULL, 10) : 0;
-}
-
 static void
 set_era_text (FakeStore *s, const FakeConn *c)
 {
@@ -519,6 +533,16 @@
   g_free (value);
 }
 
+static void
+answer_calls (FakeStore *s, FakeConn *c)
+{
+  g_autofree char *text
+      = g_strdup_printf ("{\"range\":%u,\"stale\":%u,\"watch\":%u}",
+                         s->calls.range, s->calls.stale_range, s->calls.watch);
+
+  fake_http_answer (c, 200, NULL, text, -1);
+}
+
 /* Handles a call under /test/; returns FALSE if @c carries another call. */
 static gboolean
 handle_test_call (FakeStore *s, FakeConn *c)
@@ -535,6 +559,11 @@
       answer_value (s, c, key);
       is_answered = TRUE;
     }
+  else if (fake_http_has_path (c, "/test/calls"))
+    {
+      answer_calls (s, c);
+      is_answered = TRUE;
+    }
   else if (fake_http_has_path (c, "/test/put-raw") && key)
     write_base64 (s, key, c->body->str);
   else if (fake_http_has_path (c, "/test/delete") && key)
@@ -543,6 +572,8 @@
     set_mode (s, mode);
   else if (fake_http_has_path (c, "/test/forget"))
     compact_history (s);
+  else if (fake_http_has_path (c, "/test/replica"))
+    set_state (&s->replica, copy_items (s->items), s->rev);
   else if (fake_http_has_path (c, "/test/copy"))
     set_state (&s->copy, copy_items (s->items), s->rev);
   else if (fake_http_has_path (c, "/test/restore"))
--- a/standins/fake-store.h
+++ b/standins/fake-store.h
@@ -15,6 +15,10 @@
  *   POST /test/forget           compact the history up to the current revision
  *                               and reset the watches that wait
  *   POST /test/copy             copy the contents
+ *   POST /test/replica          from now on, ranges that accept a stale answer
+ *                               show the contents of this moment
+ *   GET /test/calls             calls so far: range, stale (ranges that accept a
+ *                               stale answer), watch
  *   POST /test/restore?rewrite-ms=N   go back to the copy, in the next era;
  * reset the watches that wait.  After N ms what was lost is written again, as
  * by the operator and the targets; 0: never POST
