--- a/t/t-warmup.c
+++ b/t/t-warmup.c
@@ -10,7 +10,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define BASE 33000
+#define BASE 24000
 #define DESK_1 (BASE + 1)
 #define N_GATEWAYS 3
 #define WINDOW_MS 1000
