peer-service: read the first list from the store, not from seeds

A gateway without a list of targets asked every peer whose list was newer for all of it, also while it was reading the list from the store.

A list is asked for if the store has failed, has not answered at all for 0.4 s, or has not delivered the first list for 3 s; one peer is asked at a time, every 0.5 s.

t-store-calls: with a slow store a gateway that starts takes no peer's list (fails before), with a silent one it does.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -57,6 +57,7 @@
   GBytes *policy_json;        /**< @policy as stored, for peers */
   gboolean policy_store_up;   /**< the store answers the watch of the policy */
   gboolean targets_store_up;  /**< the store answers the watch of the targets */
+  gboolean targets_store_failed; /**< it has not answered it, at least once */
   CfTargetTable targets;
   GHashTable *rejected_records; /**< id -> #CfStorePosition of its unreadable
                                      record */
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -22,6 +22,10 @@
 /** Time for a new configuration to arrive from the store before a peer is asked
  * for it. */
 #define STORE_GRACE_MS 400
+/** Time in which the first list is read from a store that answers. */
+#define FIRST_LIST_TIMEOUT_MS 3000
+/** Time for a peer to send its list before another one is asked. */
+#define LIST_REQUEST_INTERVAL_MS 500
 /** A peer counts as part of the fleet for this time after its last hello. */
 #define MEMBER_TIMEOUT_MS 10000
 /** How long an agent's report of a slowdown is current.  Agents send one every
@@ -51,6 +55,7 @@
   gint64 hello_sent_ms;
   gint64 connect_attempt_ms;
   gint64 newest_policy_version; /**< of any peer */
+  gint64 targets_asked_ms;      /**< when a peer was last asked for its list */
   gint64 behind_since_ms;       /**< when a peer was first seen to have a newer
                                    configuration; 0: none has */
   CfPeerMsgHandler hold_lease_handler; /**< (nullable) */
@@ -72,6 +77,26 @@
   return !g->policy || p->policy_version > g->policy->version;
 }
 
+/* Whether to ask a peer for its list of targets, which is long: if the store
+ * does not answer, or is late with the first list.  One peer is asked at a
+ * time.  After a power failure all gateways start at once, and the seeds would
+ * send the list to each of them while each reads it from the store. */
+static gboolean
+needs_peer_list (const CfPeerService *s)
+{
+  const CfGateway *g = s->g;
+  gint64 age_ms = g->now_ms - g->started_ms;
+
+  if (s->targets_asked_ms
+      && g->now_ms - s->targets_asked_ms < LIST_REQUEST_INTERVAL_MS)
+    return FALSE;
+  if (cf_gateway_has_target_list (g))
+    return !g->targets_store_up;
+  if (g->targets_store_up)
+    return age_ms >= FIRST_LIST_TIMEOUT_MS;
+  return g->targets_store_failed || age_ms >= STORE_GRACE_MS;
+}
+
 /* Returns the CF_PEER_WANT_ bits of what this gateway has to get from @p,
  * because the store cannot be reached or its update is overdue. */
 static guint
@@ -85,7 +110,7 @@
   if (has_newer_policy (p) && (!g->policy || !g->policy_store_up || overdue))
     wanted |= CF_PEER_WANT_POLICY;
   if (cf_store_position_is_older (g->targets_pos, p->targets_pos)
-      && (!g->targets_store_up || !cf_gateway_has_target_list (g)))
+      && needs_peer_list (p->s))
     wanted |= CF_PEER_WANT_TARGETS;
   return wanted;
 }
@@ -288,6 +313,8 @@
   m->u.gateway_hello.ring_start
       = ring_start < 0 ? -1 : (gint64)(ring_start * CF_PEER_RING_UNITS);
   m->u.gateway_hello.want = compute_wanted (p);
+  if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
+    p->s->targets_asked_ms = p->s->g->now_ms;
   cf_peer_msg_send (p->link, m);
 }
 
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -265,6 +265,7 @@
 on_reachability_changed (CfGateway *g, gboolean up)
 {
   g->targets_store_up = up;
+  g->targets_store_failed |= !up;
   if (up)
     start_grace (g);
 }
--- a/t/t-store-calls.c
+++ b/t/t-store-calls.c
@@ -9,7 +9,7 @@
 #include <signal.h>
 #include <unistd.h>
 
-#define BASE 34000
+#define BASE 22000
 #define DESK_1 (BASE + 1)
 #define DESK_2 (BASE + 2)
 /** Gateway 2 reaches the store through this proxy. */
@@ -129,6 +129,51 @@
 }
 END_TEST
 
+static char *
+log_of (int n)
+{
+  return g_strdup_printf ("t/out/gateway-%d-%d.log", BASE, n);
+}
+
+/* After a power failure all gateways start at once.  Each asked a seed for its
+ * list of targets while it read the same list from the store, and the seeds
+ * held a copy for each. */
+START_TEST (lists_are_not_asked_of_peers_while_the_store_answers)
+{
+  for (int i = 0; i < FILLER_KEYS; i++)
+    {
+      g_autofree char *put
+          = g_strdup_printf ("POST /test/put?key=servers/filler-%03d", i);
+
+      g_free (call (put));
+    }
+  p_start_ready_gateway (BASE, 1);
+  /* A page takes 0.3 s, the list 2. */
+  g_free (call ("POST /test/mode?mode=slow"));
+  for (int n = 2; n <= 3; n++)
+    {
+      g_autofree char *log = log_of (n);
+
+      p_start_ready_gateway (BASE, n);
+      ck_assert (
+          p_wait_for_log (log, "E1107 store-read prefix=servers/", 4000));
+      ck_assert_uint_eq (p_count_in_log (log, "outcome=taught"), 0);
+    }
+}
+END_TEST
+
+START_TEST (lists_are_asked_of_peers_if_the_store_does_not_answer)
+{
+  g_autofree char *log = log_of (2);
+
+  p_start_ready_gateway (BASE, 1);
+  g_free (call ("POST /test/mode?mode=silent"));
+  p_start_ready_gateway (BASE, 2);
+  ck_assert (p_wait_for_log (log, "outcome=taught", 1500));
+  ck_assert_double_gt (count_served (2, DESK_1), 0);
+}
+END_TEST
+
 /* Calls of the whole fleet on a watch without changes grow with time alone
  * until the store's limit of 30 s a poll is reached. */
 START_TEST (idle_calls_do_not_grow_with_the_fleet)
@@ -165,6 +210,8 @@
   tcase_add_test (t, stale_first_list_is_brought_up_to_date);
   tcase_add_test (t, first_list_costs_little_more_than_two_calls);
   tcase_add_test (t, lost_answer_with_a_change_is_noticed_through_a_peer);
+  tcase_add_test (t, lists_are_not_asked_of_peers_while_the_store_answers);
+  tcase_add_test (t, lists_are_asked_of_peers_if_the_store_does_not_answer);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
