exchange: send requests past a rank group that fails

A gateway took the refusals of one rank group, and the silence of the streams that it has there, for an outage of the whole service: it held all requests back and sent one probe every 100 ms, again to the nearest targets, which are those of the same group. That holds while a service is one group.

Where a peer or a rank agent has told of two groups or more, requests for streams go to data centres in which no target has refused for that reason a short time ago, and in which not all requests of this gateway have stalled. With one group nothing changes. Ruled out: a list of each group's ranks at every gateway, which would grow with gateways x targets for what a refusal shows at once.

--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -69,6 +69,10 @@
 #ifndef CF_WITHOUT_SUSPECT_TURNS
 #define CF_WITHOUT_SUSPECT_TURNS 0
 #endif
+/** An outage of one rank group holds back requests that others could serve. */
+#ifndef CF_WITHOUT_GROUP_FAILOVER
+#define CF_WITHOUT_GROUP_FAILOVER 0
+#endif
 /** Cold targets get requests like any other. */
 #ifndef CF_WITHOUT_WARMUP
 #define CF_WITHOUT_WARMUP 0
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -69,12 +69,20 @@
          || is_stalled (t, in);
 }
 
+/* Whether requests like this one may go to the data centre of @t. */
+static gboolean
+is_open (const CfTarget *t, const CfPickInput *in)
+{
+  return !t->evacuated
+         && !cf_dc_set_contains (in->avoided, t->record.data_centre)
+         && cf_homes_allow (&in->homes, t->record.data_centre);
+}
+
 static gboolean
 is_excluded (const CfTarget *t, const CfPickInput *in)
 {
-  return cf_target_is_leaving (t) || t->replaced || t->evacuated
-         || was_tried (in->tried, t)
-         || !cf_homes_allow (&in->homes, t->record.data_centre);
+  return cf_target_is_leaving (t) || t->replaced || was_tried (in->tried, t)
+         || !is_open (t, in);
 }
 
 static gboolean
@@ -127,7 +135,7 @@
   guint degraded_load;
   guint n_healthy; /* neither excluded, paused, rate-limited nor degraded */
   guint n_usable;  /* neither excluded nor paused */
-  guint n_open;    /* neither evacuated nor outside of the homes */
+  guint n_open;    /* in data centres that the request may go to */
   gboolean any_full;
   gboolean any_limited;
   gboolean any_paused;
@@ -144,8 +152,7 @@
 
   c->slots += usable ? t->record.slots : 0;
   c->n_usable += usable;
-  c->n_open
-      += !t->evacuated && cf_homes_allow (&in->homes, t->record.data_centre);
+  c->n_open += is_open (t, in);
   c->n_healthy
       += usable && availability != TARGET_RATE_LIMITED && !is_degraded (t, in);
   c->any_paused |= availability == TARGET_PAUSED;
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dc-health.h"
 #include "homes.h"
 #include "target.h"
 
@@ -20,6 +21,7 @@
   const char *service;
   const char *data_centre; /**< (nullable): this gateway's; preferred among
                                 equally loaded targets */
+  const CfDcSet *avoided;  /**< (nullable): data centres to leave out */
   CfHomes homes;           /**< regions that may run the request */
   const GPtrArray *tried;  /**< (nullable): #CfTarget that already had it */
   gint64 now_ms;           /**< by the monotonic clock */
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -102,7 +102,11 @@
       return;
     }
   if (x->faulty_addr)
-    detect_outage (x);
+    {
+      cf_dc_health_record_refusal (&x->service_state->dc_health,
+                                   x->target->record.data_centre, now);
+      detect_outage (x);
+    }
   if (t && t != x->target)
     cf_exchange_record_failure (x, t, "named-faulty");
   else
@@ -118,6 +122,8 @@
   gint64 ms = cf_outage_record_answer (&x->service_state->outage, now);
 
   x->service_state->last_event_ms = now;
+  cf_dc_health_record_answer (&x->service_state->dc_health,
+                              x->target->record.data_centre);
   if (ms)
     cf_log (LOG_NOTICE, CF_EV_OUTAGE,
             "service=%s outcome=over ms=%" G_GINT64_FORMAT " id=%s", x->service,
@@ -404,12 +410,26 @@
     }
 }
 
+/* Ranks that have waited in vain for a lost one end their connections. */
+static void
+note_stalled_target (CfExchange *x)
+{
+  gint64 now = cf_gateway_now (x->gateway);
+
+  if (x->route->stream
+      && cf_target_silence_ms (x->target, now)
+             > x->gateway->settings.stall_ms / 2)
+    cf_dc_health_record_refusal (&x->service_state->dc_health,
+                                 x->target->record.data_centre, now);
+}
+
 void
 cf_exchange_on_upstream_failure (void *owner, CfUpstreamFailure f)
 {
   CfExchange *x = owner;
 
   x->upstream = NULL;
+  note_stalled_target (x);
   cf_exchange_record_failure (x, x->target, cf_upstream_failure_name (f));
   if (f == CF_FAILURE_UNSENT)
     x->sends--;
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -310,11 +310,32 @@
              || !may_probe (x));
 }
 
+/* Looks for a target in a data centre that no group fails in.  Without it, an
+ * outage of one rank group would hold back what the others can serve.  Where
+ * there is one group, there is nothing to choose. */
+static gboolean
+pick_elsewhere (const CfExchange *x, CfTarget **t)
+{
+  CfPickInput in = make_pick_input (x);
+  CfGateway *g = x->gateway;
+  CfDcSet avoided;
+
+  if (CF_WITHOUT_GROUP_FAILOVER || g->n_rank_groups < 2 || !x->route->stream)
+    return FALSE;
+  cf_dc_health_get_avoided (&x->service_state->dc_health,
+                            cf_target_table_service (&g->targets, x->service),
+                            in.stall_timeout_ms, in.now_ms, &avoided);
+  in.avoided = &avoided;
+  return avoided.n > 0 && cf_balancer_pick (&g->targets, &in, t) == CF_PICK_OK;
+}
+
 static CfPickResult
 pick_target (CfExchange *x, CfTarget **t)
 {
   CfPickInput in = make_pick_input (x);
 
+  if (pick_elsewhere (x, t))
+    return CF_PICK_OK;
   if (is_held_back (x))
     return pause_ms (x) > 0 ? CF_PICK_PAUSED : CF_PICK_FULL;
   return cf_balancer_pick (&x->gateway->targets, &in, t);
@@ -400,31 +421,37 @@
   return NULL;
 }
 
+/* (nullable): the queued request to be sent next, and its target.  In an outage
+ * that is one that another rank group can serve, or else a probe. */
+static CfWaiter *
+choose_waiter (const CfGateway *g, CfServiceState *s, CfTarget **t)
+{
+  CfWaiter *w = cf_wait_queue_first (&s->queue, cf_gateway_now (g),
+                                     cf_concurrency_limit_get (&s->limit));
+
+  if (s->outage.since_ms && (!w || !pick_elsewhere (w->owner, t)))
+    w = first_probe_candidate (s);
+  return w && pick_target (w->owner, t) == CF_PICK_OK ? w : NULL;
+}
+
 /* Sends the first request of the queue if a target has a free slot, or refuses
  * it if it must not be sent.  FALSE if none was taken from the queue. */
 static gboolean
 dispatch_first (CfGateway *g, CfServiceState *s)
 {
-  CfWaitQueue *q = &s->queue;
-  CfWaiter *w
-      = s->outage.since_ms
-            ? first_probe_candidate (s)
-            : cf_wait_queue_first (q, cf_gateway_now (g),
-                                   cf_concurrency_limit_get (&s->limit));
-  CfExchange *x;
   CfTarget *t;
+  CfWaiter *w = choose_waiter (g, s, &t);
+  CfExchange *x;
 
   if (!w)
     return FALSE;
   x = w->owner;
-  if (pick_target (x, &t) != CF_PICK_OK)
-    return FALSE;
   if (is_kept_from_targets (x))
     return TRUE;
   cf_histogram_add (&x->gateway->stats.queue_ms,
                     cf_gateway_now (x->gateway) - w->since_ms);
   g->stats.begun_late += cf_gateway_now (g) > w->objective_send_by_ms;
-  cf_wait_queue_remove (q, w);
+  cf_wait_queue_remove (&s->queue, w);
   ev_timer_stop (x->gateway->loop, &x->silence_timer);
   send_to (x, t);
   return TRUE;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -42,6 +42,7 @@
   CfServiceState *s = data;
 
   cf_retry_budget_clear (&s->budget);
+  cf_dc_health_clear (&s->dc_health);
   g_free (s);
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "concurrency-limit.h"
+#include "dc-health.h"
 #include "evacuation.h"
 #include "loop-watch.h"
 #include "outage.h"
@@ -33,6 +34,7 @@
   CfWaitQueue queue; /**< requests that wait for a target */
   CfRetryBudget budget;
   CfOutage outage;
+  CfDcHealth dc_health;
   CfStreamLatency latency; /**< recent latency of its streams */
   CfPassRecord pass;       /**< its latest pass, as observed here */
   CfConcurrencyLimit limit;
@@ -92,7 +94,9 @@
   gint64 stop_started_ms; /**< when @stopping was set */
   gint64 stop_deadline_ms; /**< when remaining requests are aborted */
   CfStats stats;
-  CfReadingLog dropped;        /**< what ranks, agents and peers sent in vain */
+  CfReadingLog dropped; /**< what ranks, agents and peers sent in vain */
+  guint n_rank_groups;  /**< rank groups known to this gateway or a peer; 0:
+                             unknown */
   guint groups_without_demand; /**< led groups whose ranks send none */
   CfLoopWatch loop_watch;
 };
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -373,6 +373,7 @@
       m->u.gateway_hello.evacuated_pos.era = read_era (f);
       m->u.gateway_hello.targets_change_pos.rev = read_optional_int (f);
       m->u.gateway_hello.targets_change_pos.era = read_era (f);
+      m->u.gateway_hello.n_rank_groups = (guint)read_optional_int (f);
       break;
     case CF_PEER_POLICY:
       m->u.policy.pos.rev = read_int (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -225,7 +225,7 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      put_header (&pk, m, 19);
+      put_header (&pk, m, 20);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_pos.rev);
       put_int (&pk, m->u.gateway_hello.targets_pos.rev);
@@ -245,6 +245,7 @@
       put_int (&pk, m->u.gateway_hello.evacuated_pos.era);
       put_int (&pk, m->u.gateway_hello.targets_change_pos.rev);
       put_int (&pk, m->u.gateway_hello.targets_change_pos.era);
+      put_int (&pk, m->u.gateway_hello.n_rank_groups);
       break;
     case CF_PEER_POLICY:
       put_header (&pk, m, 3);
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -122,6 +122,7 @@
                                 said in answers that they leave; owned */
       GArray *evacuated;     /**< (nullable): of #CfPeerBytes: evacuated data
                                 centres; owned */
+      guint n_rank_groups;   /**< rank groups known to the sender; 0: unknown */
       CfStorePosition targets_change_pos; /**< of the newest record of a target
                                                that the sender has read */
       CfStorePosition evacuated_pos;      /**< of the operator's records that
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -301,6 +301,7 @@
   m->u.gateway_hello.evacuated = cf_operator_feed_collect (g);
   m->u.gateway_hello.evacuated_pos = g->evacuations.pos;
   m->u.gateway_hello.targets_change_pos = cf_target_feed_change_pos ();
+  m->u.gateway_hello.n_rank_groups = g->n_rank_groups;
   m->u.gateway_hello.n_ring_members = cf_membership_size (s->membership);
 }
 
@@ -475,6 +476,7 @@
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     send_targets (p);
   cf_target_feed_take_peer_change (g, m->u.gateway_hello.targets_change_pos);
+  g->n_rank_groups = MAX (g->n_rank_groups, m->u.gateway_hello.n_rank_groups);
   update_behind (p);
   if (compute_wanted (p))
     send_hello (p);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -329,6 +329,8 @@
       has_more |= cf_map_coordinator_has_pending_work (&g->coordinator);
     }
   s->gateway->groups_without_demand = n_without_demand;
+  s->gateway->n_rank_groups
+      = MAX (s->gateway->n_rank_groups, g_hash_table_size (s->groups));
   ev_timer_set (t, 0,
                 has_more  ? MORE_WORK_INTERVAL_S
                 : is_busy ? BUSY_INTERVAL_S
--- a/standins/comfrey-fake-platform.c
+++ b/standins/comfrey-fake-platform.c
@@ -14,6 +14,7 @@
 static int port = 7500;
 static int n_plain = 2;
 static int n_ranks = 4;
+static int n_groups = 1;
 static int n_data_centres = 1;
 static int work_ms = 10;
 static double shift_s = 0;
@@ -24,7 +25,10 @@
 static const GOptionEntry option_entries[] = {
   { "port", 0, 0, G_OPTION_ARG_INT, &port, "Port of the store", "N" },
   { "plain", 0, 0, G_OPTION_ARG_INT, &n_plain, "Number of plain targets", "N" },
-  { "ranks", 0, 0, G_OPTION_ARG_INT, &n_ranks, "Number of ranks", "N" },
+  { "ranks", 0, 0, G_OPTION_ARG_INT, &n_ranks, "Number of ranks of a group",
+    "N" },
+  { "groups", 0, 0, G_OPTION_ARG_INT, &n_groups,
+    "Number of rank groups; of several, each is in one data centre", "N" },
   { "data-centres", 0, 0, G_OPTION_ARG_INT, &n_data_centres,
     "Number of data centres, \"dc1\" and so on, that targets are in by turns",
     "N" },
@@ -66,6 +70,44 @@
       "\"header-timeout-ms\":600,\"idle-timeout-ms\":3000},"
       "\"tenants\":[{\"name\":\"museum\",\"api-keys\":[\"key-museum\"]}]}";
 
+static void
+place_target (FakeTarget *t, int dc)
+{
+  g_autofree char *name
+      = g_strdup_printf ("dc%d", 1 + dc % MAX (n_data_centres, 1));
+
+  fake_target_set_data_centre (t, name);
+}
+
+static char *
+target_addr (int n)
+{
+  return g_strdup_printf ("127.0.0.1:%d", port + 1 + n);
+}
+
+static void
+start_plain_target (struct ev_loop *loop, FakeStore *store, int i)
+{
+  g_autofree char *addr = target_addr (i);
+  g_autofree char *id = g_strdup_printf ("desk-%d", i);
+
+  place_target (
+      fake_target_new_plain (loop, store, id, "desk", addr, 6, work_ms), i);
+}
+
+static void
+start_rank (struct ev_loop *loop, FakeStore *store, FakeGroup *g, int group,
+            int rank)
+{
+  int n = group * n_ranks + rank;
+  g_autofree char *addr = target_addr (n_plain + n);
+  g_autofree char *id = g_strdup_printf ("rank-%d", n);
+
+  place_target (
+      fake_target_new_rank (loop, store, g, rank, id, "llm", addr, 12),
+      n_groups > 1 ? group : n_plain + n);
+}
+
 static void
 start_targets (struct ev_loop *loop, FakeStore *store)
 {
@@ -78,25 +120,16 @@
                                  .per_seq_ms = per_seq_ms,
                                  .copy_ms = copy_ms,
                                  .shift_s = shift_s };
-  FakeGroup *g = n_ranks ? fake_group_new (loop, &shape) : NULL;
 
-  for (int i = 0; i < n_plain + n_ranks; i++)
+  for (int i = 0; i < n_plain; i++)
+    start_plain_target (loop, store, i);
+  for (int k = 0; n_ranks > 0 && k < n_groups; k++)
     {
-      char *addr = g_strdup_printf ("127.0.0.1:%d", port + 1 + i);
-      char *id = g_strdup_printf ("%s-%d", i < n_plain ? "desk" : "rank",
-                                  i < n_plain ? i : i - n_plain);
-
-      char *dc = g_strdup_printf ("dc%d", 1 + i % MAX (n_data_centres, 1));
-      FakeTarget *t = i < n_plain
-                          ? fake_target_new_plain (loop, store, id, "desk",
-                                                   addr, 6, work_ms)
-                          : fake_target_new_rank (loop, store, g, i - n_plain,
-                                                  id, "llm", addr, 12);
-
-      fake_target_set_data_centre (t, dc);
-      g_free (dc);
-      g_free (addr);
-      g_free (id);
+      g_autofree char *name = g_strdup_printf ("g%d", k);
+      FakeGroup *g = fake_group_new (loop, name, &shape);
+
+      for (int r = 0; r < n_ranks; r++)
+        start_rank (loop, store, g, k, r);
     }
 }
 
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -407,7 +407,8 @@
 }
 
 FakeGroup *
-fake_group_new (struct ev_loop *loop, const FakeGroupShape *shape)
+fake_group_new (struct ev_loop *loop, const char *name,
+                const FakeGroupShape *shape)
 {
   FakeGroup *g = g_new0 (FakeGroup, 1);
   const CfGroupShape map_shape = { .sets = shape->sets,
@@ -427,7 +428,7 @@
     {
       FakeRank *r = &g->ranks[i];
 
-      g_strlcpy (r->status.group, "g0", sizeof r->status.group);
+      g_strlcpy (r->status.group, name, sizeof r->status.group);
       r->status.rank = i;
       r->status.size = shape->ranks;
       r->status.epoch = 1;
--- a/standins/fake-store.h
+++ b/standins/fake-store.h
@@ -17,11 +17,10 @@
  *   POST /test/copy             copy the contents
  *   POST /test/replica          from now on, ranges that accept a stale answer
  *                               show the contents of this moment
- *   GET /test/calls             calls so far: range, stale (ranges that accept a
- *                               stale answer), watch
- *   POST /test/restore?rewrite-ms=N   go back to the copy, in the next era;
- * reset the watches that wait.  After N ms what was lost is written again, as
- * by the operator and the targets; 0: never POST
+ *   GET /test/calls             calls so far: range, stale (ranges that accept
+ * a stale answer), watch POST /test/restore?rewrite-ms=N   go back to the copy,
+ * in the next era; reset the watches that wait.  After N ms what was lost is
+ * written again, as by the operator and the targets; 0: never POST
  * /test/restore-at-page?rewrite-ms=N   the same before the next page of a range
  * that is not its first POST /test/era?value=V      answers state V as the era
  * from now on; without V, none POST /test/mode?mode=M      how the store
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -106,7 +106,8 @@
                           0: it does not */
 } FakeGroupShape;
 
-FakeGroup *fake_group_new (struct ev_loop *loop, const FakeGroupShape *shape);
+FakeGroup *fake_group_new (struct ev_loop *loop, const char *name,
+                           const FakeGroupShape *shape);
 
 /** fake_target_new_rank: starts the target of rank @rank of @g at @addr. */
 FakeTarget *fake_target_new_rank (struct ev_loop *loop, FakeStore *store,
