watch-batcher: batch the list's changes by the platform's drain time

While targets keep changing, a gateway polled their list every 0.5 s, a quarter of the shortest drain time (2 s), wherever the platform allows more. When 788 targets register in 5 s, that is ten calls of each of 208 gateways.

--- a/gateway/operator-feed.c
+++ b/gateway/operator-feed.c
@@ -217,7 +217,9 @@
 void
 cf_operator_feed_start (CfStoreWatch *w, CfGateway *g)
 {
+  const CfStoreWatchSettings settings = { 0 };
+
   feed.watch = w;
   feed.listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  cf_store_watch_start (w, g, PF_KEY_OPERATOR, FALSE, &callbacks);
+  cf_store_watch_start (w, g, PF_KEY_OPERATOR, &settings, &callbacks);
 }
--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -454,7 +454,7 @@
 
 void
 cf_store_watch_start (CfStoreWatch *w, CfGateway *g, const char *prefix,
-                      gboolean may_read_stale,
+                      const CfStoreWatchSettings *settings,
                       const CfStoreWatchCallbacks *callbacks)
 {
   memset (w, 0, sizeof *w);
@@ -462,7 +462,8 @@
   w->prefix = prefix;
   w->callbacks = callbacks;
   w->era = CF_STORE_ERA_UNKNOWN;
-  w->may_read_stale = may_read_stale;
+  w->may_read_stale = settings->may_read_stale;
+  cf_watch_batcher_init (&w->batcher, settings->time_limit_ms);
   w->output = g_string_new (NULL);
   w->body = g_string_new (NULL);
   w->seen_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -56,6 +56,16 @@
   void (*restored) (CfGateway *g, gboolean keeps_order);
 } CfStoreWatchCallbacks;
 
+/** CfStoreWatchSettings: how a watch reads its keys. */
+typedef struct
+{
+  gboolean may_read_stale; /**< the first read of all keys may be some seconds
+                                old, which is cheaper; the changes since follow
+                                at once */
+  gint64 time_limit_ms;    /**< time in which a change has to be in force; 0: as
+                                soon as possible */
+} CfStoreWatchSettings;
+
 /**
  * CfStoreWatch:
  * Watches the keys under a prefix of the metadata store: reads all keys, then
@@ -96,11 +106,10 @@
 /**
  * cf_store_watch_start:
  * @prefix: of the keys to watch; not copied
- * @may_read_stale: the first read of all keys may be some seconds old, which is
- *   cheaper; the changes since follow at once
+ * @settings: how it is read
  */
 void cf_store_watch_start (CfStoreWatch *w, CfGateway *g, const char *prefix,
-                           gboolean may_read_stale,
+                           const CfStoreWatchSettings *settings,
                            const CfStoreWatchCallbacks *callbacks);
 
 /** cf_store_watch_long_poll_ms: how long the store may wait for a change before
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -326,11 +326,14 @@
 void
 cf_target_feed_start (CfStoreWatch *w, CfGateway *g)
 {
+  const CfStoreWatchSettings settings
+      = { .may_read_stale = TRUE, .time_limit_ms = g->settings.drain_ms };
+
   grace.missing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ev_timer_init (&grace.timer, on_due, 0, 0);
   grace.timer.data = g;
   list.watch = w;
   ev_timer_init (&list.reread_timer, on_reread_due, 0, 0);
-  cf_store_watch_start (w, g, PF_KEY_TARGETS, TRUE, &feed_calls);
+  cf_store_watch_start (w, g, PF_KEY_TARGETS, &settings, &feed_calls);
 }
