soak: evacuate, chill, and leave fields out

Up to four of these come on top of each seed's schedule, drawn apart so that the rest of it stays what it was. Targets are in two data centres. Checked: no request reaches a target from 2 s after its data centre's evacuation on, and a cold plain target gets no more than 21 requests in any second.

--- a/standins/comfrey-fake-platform.c
+++ b/standins/comfrey-fake-platform.c
@@ -65,7 +65,8 @@
       "\"stride\":4,"
       "\"usual\":{\"prompt\":800,\"answer\":96},\"sets\":2,\"experts\":16,"
       "\"places\":6,\"spare\":2,\"form_ms\":600}},"
-      "{\"name\":\"desk\",\"max-conns\":96}],"
+      "{\"name\":\"desk\",\"max-conns\":96,\"cold-start-s\":0,"
+      "\"cold-per-s\":20}],"
       "\"limits\":{\"max-header-bytes\":4096,\"max-body-bytes\":65536,"
       "\"header-timeout-ms\":600,\"idle-timeout-ms\":3000},"
       "\"tenants\":[{\"name\":\"museum\",\"api-keys\":[\"key-museum\"]}]}";
--- a/t/soak-arrivals.c
+++ b/t/soak-arrivals.c
@@ -16,6 +16,18 @@
  * callers' requests are not sent there. */
 #define DRAIN_MS 2000
 
+/** Window: a time in which a data centre or a target was to get no, or few,
+ * requests. */
+typedef struct
+{
+  int key; /**< data centre, or port of the target */
+  gint64 from_ms;
+  gint64 to_ms;
+} Window;
+
+static GArray *evacuations; /* of Window */
+static GArray *colds;       /* of Window */
+
 /** Arrival: a request that reached a target. */
 typedef struct
 {
@@ -124,3 +136,98 @@
   g_array_unref (all);
   json_decref (list);
 }
+
+static void
+add_window (GArray **windows, int key, gint64 from_ms, gint64 to_ms)
+{
+  Window w = { key, from_ms, to_ms };
+
+  if (!*windows)
+    *windows = g_array_new (FALSE, FALSE, sizeof w);
+  g_array_append_val (*windows, w);
+}
+
+void
+soak_record_evacuation (int dc, gint64 from_ms, gint64 to_ms)
+{
+  add_window (&evacuations, dc, from_ms, to_ms);
+}
+
+void
+soak_record_cold (int target_port, gint64 from_ms, gint64 to_ms)
+{
+  add_window (&colds, target_port, from_ms, to_ms);
+}
+
+/* The stand-in places targets by turns; the last plain target is listed by
+ * hand, in the first data centre. */
+int
+soak_target_dc (int n)
+{
+  return n == SOAK_N_PLAIN_TARGETS - 1 ? 1 : 1 + n % 2;
+}
+
+/* Returns how many requests arrived from @from_ms on, before @to_ms. */
+static int
+count_arrivals (const json_t *list, gint64 from_ms, gint64 to_ms)
+{
+  const json_t *o;
+  size_t i;
+  int n = 0;
+
+  json_array_foreach (list, i, o)
+  {
+    gint64 at = json_integer_value (json_object_get (o, "at-ms"));
+
+    n += at >= from_ms && at < to_ms;
+  }
+  return n;
+}
+
+static void
+check_evacuations (const json_t *list, int n)
+{
+  for (guint i = 0; evacuations && i < evacuations->len; i++)
+    {
+      const Window *w = &g_array_index (evacuations, Window, i);
+      int got = count_arrivals (list, w->from_ms, w->to_ms);
+
+      if (w->key == soak_target_dc (n) && got > 0)
+        soak_report_violation ("evacuation",
+                               "target %d in dc%d got %d requests from "
+                               "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+                               n, w->key, got, w->from_ms, w->to_ms);
+    }
+}
+
+static void
+check_colds (const json_t *list, int port)
+{
+  for (guint i = 0; colds && i < colds->len; i++)
+    {
+      const Window *w = &g_array_index (colds, Window, i);
+
+      for (gint64 t = w->from_ms; w->key == port && t + 1000 <= w->to_ms;
+           t += 100)
+        if (count_arrivals (list, t, t + 1000) > SOAK_COLD_MAX_PER_S)
+          {
+            soak_report_violation ("cold",
+                                   "the cold target at port %d got %d requests "
+                                   "in the second from %" G_GINT64_FORMAT " on",
+                                   port, count_arrivals (list, t, t + 1000), t);
+            return;
+          }
+    }
+}
+
+void
+soak_check_placement (int n, int target_port)
+{
+  g_autofree char *text
+      = p_call_standin (target_port, "GET /test/arrivals", "");
+  json_t *list = json_loads (text, 0, NULL);
+
+  check_evacuations (list, n);
+  check_colds (list, target_port);
+  json_decref (list);
+}
--- a/t/soak-faults.c
+++ b/t/soak-faults.c
@@ -23,6 +23,8 @@
 /** Time between the end of a planned stop and the restart. */
 #define RESTART_DELAY_MS 200
 #define FAULT_REQUESTS_MAX 20
+/** Faults may begin and end this much later than planned. */
+#define TWIN_MARGIN_MS 1500
 /** Time in which the operator and the targets write again what the store lost.
  * What is written then is in force SOAK_CONFIG_APPLY_MS later, which is within
  * the time that the fault excuses. */
@@ -187,7 +189,8 @@
   f->config_version = 1;
   f->active_faults = g_array_new (FALSE, FALSE, sizeof (ActiveFault));
   p_start_platform (base, "--plain", plain, "--ranks", ranks, "--step-ms",
-                    PASS_MS, "--work-ms", WORK_MS, "--shift-s", "0.5", NULL);
+                    PASS_MS, "--work-ms", WORK_MS, "--shift-s", "0.5",
+                    "--data-centres", "2", NULL);
   f->first_config = p_call_standin (base, "GET /test/get?key=op/config", "");
   start_proxies (f);
   list_proxy_address (f);
@@ -409,6 +412,79 @@
     p_signal (f->proxies[fault->index], SIGUSR2);
 }
 
+/* Returns the data centre that @fault evacuates: one of the two, or one that
+ * does not exist. */
+static int
+evacuated_dc (const SoakFault *fault)
+{
+  return 1 + fault->variant % 3;
+}
+
+static void
+evacuate (SoakFleet *f, const SoakFault *fault)
+{
+  g_autofree char *call = g_strdup_printf (
+      "POST /test/put?key=op/evacuate/dc%d", evacuated_dc (fault));
+
+  control_standin (f->base, call, fault->variant % 2 ? "{}" : "");
+}
+
+/* Whether another fault of the plan sets and ends the same state as @fault
+ * meanwhile, so that nothing can be said of it. */
+static gboolean
+has_twin (const SoakFleet *f, const SoakFault *fault)
+{
+  for (guint i = 0; i < f->plan->faults->len; i++)
+    {
+      const SoakFault *o = &g_array_index (f->plan->faults, SoakFault, i);
+      gboolean same = fault->kind == SOAK_EVACUATE
+                          ? evacuated_dc (o) == evacuated_dc (fault)
+                          : o->index == fault->index;
+
+      if (o != fault && o->kind == fault->kind && same
+          && o->at_ms <= fault->at_ms + fault->duration_ms + TWIN_MARGIN_MS
+          && fault->at_ms <= o->at_ms + o->duration_ms + TWIN_MARGIN_MS)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+warm_up (SoakFleet *f, const ActiveFault *active)
+{
+  int port = target_port (f, active->fault->index);
+
+  if (!has_twin (f, active->fault))
+    soak_record_cold (port, active->from_ms + SOAK_COLD_MS, soak_now_ms ());
+  control_standin (port, "POST /test/cold?ms=0", "");
+}
+
+static void
+take_back (SoakFleet *f, const ActiveFault *active)
+{
+  int dc = evacuated_dc (active->fault);
+  g_autofree char *call
+      = g_strdup_printf ("POST /test/delete?key=op/evacuate/dc%d", dc);
+
+  if (!has_twin (f, active->fault))
+    soak_record_evacuation (dc, active->from_ms + SOAK_EVACUATE_MS,
+                            soak_now_ms ());
+  control_standin (f->base, call, "");
+}
+
+static void
+omit_fields (SoakFleet *f, const SoakFault *fault)
+{
+  static const char *const lists[]
+      = { "born-in-counts", "born-in-counts,epoch-in-counts,step-in-counts",
+          "born-in-reports", "born-in-reports,born-in-counts" };
+  g_autofree char *call
+      = g_strdup_printf ("POST /test/omit?fields=%s",
+                         lists[fault->variant % (int)G_N_ELEMENTS (lists)]);
+
+  control_standin (target_port (f, fault->index), call, "");
+}
+
 static void
 begin_fault (SoakFleet *f, const SoakFault *fault)
 {
@@ -469,6 +545,16 @@
       wait_for_held_pass (f, fault);
       freeze (&f->agents[fault->index]);
       break;
+    case SOAK_EVACUATE:
+      evacuate (f, fault);
+      break;
+    case SOAK_COLD:
+      control_standin (target_port (f, fault->index), "POST /test/cold?ms=9000",
+                       "");
+      break;
+    case SOAK_OMIT:
+      omit_fields (f, fault);
+      break;
     case SOAK_N_KINDS:
       break;
     }
@@ -507,10 +593,19 @@
     case SOAK_AGENT_FREEZE:
       unfreeze (&f->agents[fault->index]);
       break;
+    case SOAK_EVACUATE:
+      take_back (f, active);
+      break;
+    case SOAK_COLD:
+      warm_up (f, active);
+      break;
+    case SOAK_OMIT:
+      control_standin (target_port (f, fault->index), "POST /test/omit", "");
+      break;
     default:
       break;
     }
-  if (fault->kind > SOAK_LAST_PLANNED)
+  if (fault->kind > SOAK_LAST_PLANNED && fault->kind < SOAK_FIRST_ADDED)
     soak_record_unplanned_fault (active->from_ms, soak_now_ms ());
 }
 
@@ -610,6 +705,8 @@
 
       record_runs (runs);
       soak_check_arrivals (target_port (f, i));
+      if (soak_has_only_planned_faults ())
+        soak_check_placement (i, target_port (f, i));
     }
   if (soak_has_only_planned_faults ()
       && p_sum_runs (target_port (f, 0), n, "late") > 0)
--- a/t/soak-schedule.c
+++ b/t/soak-schedule.c
@@ -13,6 +13,9 @@
  * longer than gateways may take to stop sending requests to it. */
 #define DRAIN_EXTRA_MS 1500
 #define FAULTS_MIN 8
+/** Evacuations, cold targets and omitted fields in one seed. */
+#define ADDED_MAX 4
+#define ADDED_SEED 0x5eed
 #define FAULTS_MAX 20
 /** Every third seed has planned operations only, so that no unplanned fault
  * excuses a connection that is closed without an answer. */
@@ -22,9 +25,10 @@
 #define LARGE_EVERY 8
 
 static const char *const kind_names[SOAK_N_KINDS]
-    = { "roll",  "hup",    "config",     "drain",       "leave",   "pause",
-        "kill",  "freeze", "store",      "forget",      "restore", "target",
-        "crash", "net",    "agent-kill", "agent-freeze" };
+    = { "roll",         "hup",      "config", "drain", "leave",
+        "pause",        "kill",     "freeze", "store", "forget",
+        "restore",      "target",   "crash",  "net",   "agent-kill",
+        "agent-freeze", "evacuate", "cold",   "omit" };
 
 const char *
 soak_kind_name (SoakFaultKind k)
@@ -99,6 +103,33 @@
     }
 }
 
+/* Adds some of the faults that are chosen apart, so that the others are the
+ * same as before for each seed. */
+static void
+add_placement_faults (SoakPlan *p)
+{
+  GRand *r = g_rand_new_with_seed (p->seed ^ ADDED_SEED);
+  int n = g_rand_int_range (r, 0, ADDED_MAX + 1);
+
+  for (int i = 0; i < n; i++)
+    {
+      SoakFault f = { 0 };
+
+      f.kind
+          = (SoakFaultKind)g_rand_int_range (r, SOAK_FIRST_ADDED, SOAK_N_KINDS);
+      f.at_ms = g_rand_int_range (r, 0, SCHEDULE_MS);
+      f.duration_ms = g_rand_int_range (r, 100, DURATION_MAX_MS);
+      if (f.kind != SOAK_OMIT)
+        f.duration_ms += DRAIN_EXTRA_MS;
+      f.index = f.kind == SOAK_COLD
+                    ? g_rand_int_range (r, 0, SOAK_N_PLAIN_TARGETS - 1)
+                    : SOAK_N_PLAIN_TARGETS + g_rand_int_range (r, 0, p->ranks);
+      f.variant = g_rand_int_range (r, 0, 60);
+      g_array_append_val (p->faults, f);
+    }
+  g_rand_free (r);
+}
+
 static gint
 compare_time (gconstpointer a, gconstpointer b)
 {
@@ -127,10 +158,11 @@
   for (int i = 0; i < n; i++)
     {
       SoakFault f = generate_fault (
-          r, p, planned_only ? SOAK_LAST_PLANNED + 1 : SOAK_N_KINDS);
+          r, p, planned_only ? SOAK_LAST_PLANNED + 1 : SOAK_FIRST_ADDED);
 
       g_array_append_val (p->faults, f);
     }
+  add_placement_faults (p);
   g_array_sort (p->faults, compare_time);
   g_rand_free (r);
   return p;
--- a/t/soak.h
+++ b/t/soak.h
@@ -35,6 +35,14 @@
 #define SOAK_CUT_SENT_WITHIN_MS 3000
 #define SOAK_CUT_FROM_MS (SOAK_GRACE_MS * 5 / 6)
 
+/** Time after a data centre's evacuation until it gets no requests. */
+#define SOAK_EVACUATE_MS 2000
+/** Time after a target's record says that it is cold until gateways know. */
+#define SOAK_COLD_MS 1000
+/** Requests that a cold plain target may get in any second: the rate in the
+ * stand-in's configuration and the slack of t/platform-harness.c. */
+#define SOAK_COLD_MAX_PER_S 21
+
 #define SOAK_N_PLAIN_TARGETS 4
 #define SOAK_RANKS_MAX 16
 #define SOAK_GATEWAYS_MAX 6
@@ -62,10 +70,16 @@
                      reset */
   SOAK_AGENT_KILL,
   SOAK_AGENT_FREEZE,
+  SOAK_EVACUATE, /**< a data centre is evacuated */
+  SOAK_COLD,     /**< a target turns cold */
+  SOAK_OMIT,     /**< a rank leaves fields out of its answers */
   SOAK_N_KINDS,
 } SoakFaultKind;
 
 #define SOAK_LAST_PLANNED SOAK_PAUSE
+/** The faults from here on are planned too; they are chosen apart from the
+ * others. */
+#define SOAK_FIRST_ADDED SOAK_EVACUATE
 
 /** SoakFault: one entry of a schedule. */
 typedef struct
@@ -137,6 +151,20 @@
  * had asked for pauses or had said that it leaves. */
 void soak_check_arrivals (int target_port);
 
+/** soak_record_evacuation: the targets of data centre @dc (from 1) were to get
+ * no requests from @from_ms to @to_ms. */
+void soak_record_evacuation (int dc, gint64 from_ms, gint64 to_ms);
+
+/** soak_record_cold: the target at @target_port was cold. */
+void soak_record_cold (int target_port, gint64 from_ms, gint64 to_ms);
+
+/** soak_check_placement: checks that the target @n at @target_port got no
+ * requests while its data centre was evacuated, and few while it was cold. */
+void soak_check_placement (int n, int target_port);
+
+/** soak_target_dc: the data centre (from 1) of target @n. */
+int soak_target_dc (int n);
+
 /* soak-shared.c: state that one gateway learns and all have to apply */
 
 /** soak_shared_start: sets up the targets; call it once they run. */
