store-watch: read the list from a replica after lost history too

That read may be stale as the first one may. If the replica is older than what is left of the history, the poll after it is refused, and the next read is exact.

t-store-calls: stale pages after lost history, and a replica that is too old.

--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -23,6 +23,8 @@
 #define LONG_POLL_MAX_MS 30000
 /** Calls per second that the fleet makes on a watch without changes. */
 #define IDLE_CALLS_PER_S 7
+/** A poll that has waited for this long was accepted. */
+#define ACCEPTED_POLL_MS 400
 /** A call is repeated on a peer's word only if it is older than this, in which
  * its answer should have come. */
 #define NUDGE_MIN_MS 400
@@ -76,6 +78,10 @@
 {
   gint64 jitter_ms = g_random_int_range (0, 50);
 
+  /* The store would have refused a poll after a revision that it has lost. */
+  if (w->state == CF_WATCH_CHANGES
+      && cf_gateway_now (w->g) - w->call_sent_ms >= ACCEPTED_POLL_MS)
+    w->is_snapshot_stale = FALSE;
   disconnect (w);
   w->state = CF_WATCH_BACKOFF;
   w->g->stats.store_errors++;
@@ -200,6 +206,7 @@
           g_hash_table_size (w->seen_keys));
   w->as_of = w->range_as_of;
   w->has_snapshot = TRUE;
+  w->is_snapshot_stale = w->may_read_stale;
   w->may_read_stale = FALSE;
   w->callbacks->snapshot (w->g, w->seen_keys, position (w, w->as_of));
   reset_range (w);
@@ -212,6 +219,7 @@
   for (guint i = 0; i < r->items->len; i++)
     report_item (w, r->items->pdata[i]);
   w->as_of = MAX (w->as_of, r->as_of);
+  w->is_snapshot_stale = FALSE;
   w->callbacks->confirmed (w->g, position (w, w->as_of));
 }
 
@@ -290,7 +298,9 @@
               "prefix=%s as_of=%" G_GINT64_FORMAT
               " outcome=history-gone action=read-all",
               w->prefix, w->as_of);
-      w->may_read_stale = FALSE;
+      /* A replica may lack what the history has lost, too: then the next read
+       * is exact. */
+      w->may_read_stale = w->accepts_stale && !w->is_snapshot_stale;
       reset_range (w);
       start_call (w);
     }
@@ -462,6 +472,7 @@
   w->prefix = prefix;
   w->callbacks = callbacks;
   w->era = CF_STORE_ERA_UNKNOWN;
+  w->accepts_stale = settings->may_read_stale;
   w->may_read_stale = settings->may_read_stale;
   cf_watch_batcher_init (&w->batcher, settings->time_limit_ms);
   w->output = g_string_new (NULL);
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -59,9 +59,8 @@
 /** CfStoreWatchSettings: how a watch reads its keys. */
 typedef struct
 {
-  gboolean may_read_stale; /**< the first read of all keys may be some seconds
-                                old, which is cheaper; the changes since follow
-                                at once */
+  gboolean may_read_stale; /**< reads of all keys may be some seconds old, which
+                                is cheaper; the changes since follow at once */
   gint64 time_limit_ms;    /**< time in which a change has to be in force; 0: as
                                 soon as possible */
 } CfStoreWatchSettings;
@@ -71,8 +70,8 @@
  * Watches the keys under a prefix of the metadata store: reads all keys, then
  * long-polls for changes after that revision, over one persistent connection.
  * If the store no longer has the history after that revision, or was restored
- * from a copy, reads all keys again.  The first read may be of a replica of the
- * store that is some seconds behind.
+ * from a copy, reads all keys again.  A read of all keys may be of a replica of
+ * the store that is some seconds behind, except after a restoration.
  */
 struct CfStoreWatch
 {
@@ -96,9 +95,12 @@
   gboolean has_snapshot; /**< all keys were read since the last 410 Gone */
   CfStoreReachability reachability;
   gint64 newest_rev; /**< highest revision of a record that was read; 0: none */
-  gboolean may_read_stale; /**< the range may be some seconds old: the changes
-                                since follow with the first poll */
-  gint64 call_sent_ms;     /**< when the last call was sent */
+  gboolean accepts_stale;  /**< as #CfStoreWatchSettings.may_read_stale */
+  gboolean may_read_stale; /**< the range in progress may be some seconds old:
+                                the changes since follow with the first poll */
+  gboolean is_snapshot_stale; /**< no changes have followed the last range,
+                                   which may be stale, yet */
+  gint64 call_sent_ms;        /**< when the last call was sent */
   CfWatchBatcher batcher;
   gint64 backoff_ms; /**< delay before the next retry */
 };
--- a/t/t-store-calls.c
+++ b/t/t-store-calls.c
@@ -22,6 +22,8 @@
 /** The platform's limit for a target that leaves to get no more requests. */
 #define DRAIN_MS 2000
 #define PROPAGATION_MS 500
+/** Time for entries to come back after the store was away. */
+#define RETURN_GRACE_MS 2200
 #define ROUNDS 12
 
 static int n_requests;
@@ -102,6 +104,51 @@
 }
 END_TEST
 
+/* All gateways read the whole list again when the store has lost its history.
+ */
+START_TEST (lost_history_costs_stale_pages_only)
+{
+  pid_t gateway = p_start_ready_gateway (BASE, 1);
+  double range;
+
+  usleep (PROPAGATION_MS * 1000);
+  range = count_calls ("range");
+  p_signal (gateway, SIGSTOP);
+  /* The watch that waits still gets the first change. */
+  g_free (call ("POST /test/put?key=servers/filler"));
+  g_free (call ("POST /test/delete?key=servers/desk-0"));
+  g_free (call ("POST /test/forget"));
+  p_signal (gateway, SIGCONT);
+  /* The store has cut the watch, after which entries may come back. */
+  usleep ((RETURN_GRACE_MS + PROPAGATION_MS) * 1000);
+  ck_assert_double_eq (count_served (1, DESK_1), 0);
+  /* The operator's records are read exactly. */
+  ck_assert_double_le (count_calls ("range") - range, 1);
+  ck_assert_double_ge (count_calls ("stale"), 2);
+}
+END_TEST
+
+/* A replica that is older than the history is of no use. */
+START_TEST (list_is_exact_though_the_replica_is_older_than_the_history)
+{
+  g_autofree char *record = call ("GET /test/get?key=servers/desk-1");
+  pid_t gateway;
+
+  g_free (call ("POST /test/delete?key=servers/desk-1"));
+  g_free (call ("POST /test/replica"));
+  gateway = p_start_ready_gateway (BASE, 1);
+  usleep (PROPAGATION_MS * 1000);
+  p_signal (gateway, SIGSTOP);
+  g_free (call ("POST /test/delete?key=servers/desk-0"));
+  g_free (p_call_standin (BASE, "POST /test/put?key=servers/desk-1", record));
+  g_free (call ("POST /test/forget"));
+  p_signal (gateway, SIGCONT);
+  usleep ((RETURN_GRACE_MS + PROPAGATION_MS) * 1000);
+  ck_assert_double_eq (count_served (1, DESK_1), 0);
+  ck_assert_double_eq (count_served (1, DESK_2), ROUNDS);
+}
+END_TEST
+
 /* The connection of a watch goes silent for good, so that the answer with a
  * change never comes.  The next hello of a peer shows that there is one. */
 START_TEST (lost_answer_with_a_change_is_noticed_through_a_peer)
@@ -209,6 +256,9 @@
   tcase_add_checked_fixture (t, setup, p_stop_all);
   tcase_add_test (t, stale_first_list_is_brought_up_to_date);
   tcase_add_test (t, first_list_costs_little_more_than_two_calls);
+  tcase_add_test (t, lost_history_costs_stale_pages_only);
+  tcase_add_test (t,
+                  list_is_exact_though_the_replica_is_older_than_the_history);
   tcase_add_test (t, lost_answer_with_a_change_is_noticed_through_a_peer);
   tcase_add_test (t, lists_are_not_asked_of_peers_while_the_store_answers);
   tcase_add_test (t, lists_are_asked_of_peers_if_the_store_does_not_answer);
