t-evacuation: follow the grace period that other peers do not end

The grace before a peer's set is used goes on when another peer is behind as well; the check of that was written for the earlier form, in which it ended.

--- a/t/t-evacuation.c
+++ b/t/t-evacuation.c
@@ -289,10 +289,14 @@
   ck_assert (!cf_evacuations_may_adopt (&e, FALSE, at (9), FALSE, 1000));
   ck_assert (!cf_evacuations_may_adopt (&e, TRUE, at (11), FALSE, 1000));
   ck_assert (cf_evacuations_may_adopt (&e, FALSE, at (11), FALSE, 1000));
+  /* It was used. */
+  e.pos = at (11);
   ck_assert (!cf_evacuations_may_adopt (&e, FALSE, at (9), TRUE, 1500));
-  ck_assert (!cf_evacuations_may_adopt (&e, FALSE, at (11), TRUE, 2000));
-  ck_assert (!cf_evacuations_may_adopt (&e, FALSE, at (12), TRUE, 2300));
-  ck_assert (cf_evacuations_may_adopt (&e, FALSE, at (12), TRUE, 2400));
+  ck_assert (!cf_evacuations_may_adopt (&e, FALSE, at (12), TRUE, 2000));
+  ck_assert (!cf_evacuations_may_adopt (&e, FALSE, at (13), TRUE, 2300));
+  /* Another peer is behind as well. */
+  ck_assert (!cf_evacuations_may_adopt (&e, TRUE, at (11), TRUE, 2350));
+  ck_assert (cf_evacuations_may_adopt (&e, FALSE, at (13), TRUE, 2400));
   /* A release that does not send the set. */
   ck_assert (!cf_evacuations_may_adopt (&e, FALSE, CF_STORE_POSITION_NONE,
                                         FALSE, 9000));
