peer-service: send hellos often while there is no list of targets

Since a list is asked of a peer only when the store has been silent for 0.4 s, the next hello that could ask for it came up to a second later, and requests that wait for the list at a start were refused (t-gateway, gateway_without_store_learns_from_peer). Hellos are 0.1 s apart until requests can be routed, as they were until there was a configuration.

--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -16,8 +16,9 @@
 /** Interval between hellos.  A gateway that cannot reach the store is behind
  * its peers by at most this and one round trip. */
 #define HELLO_INTERVAL_MS 1000L
-/** Interval while this gateway has no configuration and so refuses callers. */
-#define HELLO_NO_CONFIG_INTERVAL_MS 100
+/** Interval while this gateway has no configuration or no list of targets, and
+ * so refuses callers. */
+#define HELLO_UNABLE_INTERVAL_MS 100
 #define RECONNECT_INTERVAL_MS 1000
 /** Time for a new configuration to arrive from the store before a peer is asked
  * for it. */
@@ -664,8 +665,8 @@
 cf_peer_service_tick (CfPeerService *s)
 {
   gint64 now = s->g->now_ms;
-  gint64 interval_ms
-      = s->g->policy ? HELLO_INTERVAL_MS : HELLO_NO_CONFIG_INTERVAL_MS;
+  gint64 interval_ms = cf_gateway_can_route (s->g) ? HELLO_INTERVAL_MS
+                                                   : HELLO_UNABLE_INTERVAL_MS;
   CfPeerMsg m;
   Peer *p;
 
