target-notice: log a warm-up time that cannot be read

An answer whose warm-up time is no number in range was ignored without a line; it leaves one a target now. A kind of reading that nothing used is gone.

--- a/gateway/reading-log.c
+++ b/gateway/reading-log.c
@@ -28,8 +28,6 @@
       return "leaving";
     case CF_READING_WARMUP:
       return "warm-up";
-    case CF_READING_HEALTH:
-      return "health";
     case CF_READING_EVACUATION:
       return "evacuation";
     case CF_N_READING_KINDS:
--- a/gateway/reading-log.h
+++ b/gateway/reading-log.h
@@ -13,8 +13,7 @@
   CF_READING_SLOWDOWN,      /**< of a target */
   CF_READING_RATE_LIMIT,    /**< of a target, told by a peer */
   CF_READING_LEAVING,       /**< that a target leaves, told by a peer */
-  CF_READING_WARMUP,        /**< of a target, told by a peer */
-  CF_READING_HEALTH,        /**< a target's answer to a health probe */
+  CF_READING_WARMUP,        /**< of a target, in an answer */
   CF_READING_EVACUATION,    /**< a record of an evacuation */
   CF_N_READING_KINDS,
 } CfReadingKind;
--- a/gateway/target-notice.c
+++ b/gateway/target-notice.c
@@ -1,6 +1,7 @@
 #include "target-notice.h"
 
 #include "log.h"
+#include "reading-log.h"
 #include "upstream.h"
 
 static void
@@ -40,7 +41,14 @@
   gboolean was_cold = cf_warmup_is_cold (&t->warmup, now_ms);
 
   if (!left_ms.is_set)
-    return;
+    {
+      if (cf_http_reader_header (r, CF_HDR_WARMUP)
+          && t->warmup.n_rejected++ == 0)
+        cf_log (LOG_WARNING, CF_EV_READING_DROPPED,
+                "what=%s from=%s reason=\"no time in ms\" dropped=1",
+                cf_reading_kind_name (CF_READING_WARMUP), t->record.id);
+      return;
+    }
   cf_warmup_set (&t->warmup, left_ms.value, now_ms);
   if (cf_warmup_is_cold (&t->warmup, now_ms) != was_cold)
     cf_log (
--- a/gateway/warmup.h
+++ b/gateway/warmup.h
@@ -24,6 +24,7 @@
 {
   gint64 until_ms;   /**< cold until then; 0: warm */
   CfRateLimit limit; /**< for this gateway, while it is cold */
+  guint n_rejected;  /**< answers whose warm-up time is invalid */
 } CfWarmup;
 
 /** cf_warmup_set: the target said that it stays cold for @left_ms; 0: it is
