--- a/gateway/store-watch.c
+++ b/gateway/store-watch.c
@@ -474,7 +474,6 @@
   w->era = CF_STORE_ERA_UNKNOWN;
   w->accepts_stale = settings->may_read_stale;
   w->may_read_stale = settings->may_read_stale;
-  cf_watch_batcher_init (&w->batcher, settings->time_limit_ms);
   w->output = g_string_new (NULL);
   w->body = g_string_new (NULL);
   w->seen_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/gateway/store-watch.h
+++ b/gateway/store-watch.h
@@ -61,8 +61,6 @@
 {
   gboolean may_read_stale; /**< reads of all keys may be some seconds old, which
                                 is cheaper; the changes since follow at once */
-  gint64 time_limit_ms;    /**< time in which a change has to be in force; 0: as
-                                soon as possible */
 } CfStoreWatchSettings;
 
 /**
--- a/gateway/target-feed.c
+++ b/gateway/target-feed.c
@@ -326,8 +326,7 @@
 void
 cf_target_feed_start (CfStoreWatch *w, CfGateway *g)
 {
-  const CfStoreWatchSettings settings
-      = { .may_read_stale = TRUE, .time_limit_ms = g->settings.drain_ms };
+  const CfStoreWatchSettings settings = { .may_read_stale = TRUE };
 
   grace.missing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/gateway/watch-batcher.h
+++ b/gateway/watch-batcher.h
@@ -5,7 +5,7 @@
 /**
  * CfWatchBatcher:
  * Limits the rate of watch polls.  While events are rare the next poll is made
- * at once.  While events keep coming, polls are an interval apart, so that each
+ * at once.  While events keep coming, polls are 500 ms apart, so that each
  * returns several events: when many targets start, each new record would
  * otherwise cost a call from every gateway.
  */
@@ -13,16 +13,12 @@
 {
   /** When the next poll is due, as in the generic cell rate algorithm. */
   gint64 theoretical_arrival_ms;
-  gint64 interval_ms;
 } CfWatchBatcher;
 
-/** cf_watch_batcher_init: @time_limit_ms: the time in which a change has to be
- * in force; 0: as short as possible */
-void cf_watch_batcher_init (CfWatchBatcher *b, gint64 time_limit_ms);
-
 /**
  * cf_watch_batcher_next_delay_ms:
  * Schedules the next poll after a poll that returned events.
- * Returns: delay before the next poll in ms, at most the interval.
+ * Returns: delay before the next poll in ms, at most the interval of
+ *   500 ms.
  */
 gint64 cf_watch_batcher_next_delay_ms (CfWatchBatcher *b, gint64 now_ms);
