--- a/report.c
+++ b/report.c
@@ -38,15 +38,23 @@
   return s;
 }
 
+/* Adds one to the count of "@what @subject" (nullable) in @counts. */
+static void
+count (GHashTable *counts, const char *what, const char *subject)
+{
+  char *key = g_strconcat (what, " ", subject ? subject : "-", NULL);
+  gpointer n = g_hash_table_lookup (counts, key);
+
+  g_hash_table_replace (counts, key,
+                        GUINT_TO_POINTER (GPOINTER_TO_UINT (n) + 1));
+}
+
 static void
 count_reason (CfReport *r, const char *outcome, const char *line)
 {
   g_autofree char *reason = cf_log_line_field (line, "reason");
-  char *key = g_strconcat (outcome, " ", reason ? reason : "-", NULL);
-  gpointer n = g_hash_table_lookup (r->reasons, key);
 
-  g_hash_table_replace (r->reasons, key,
-                        GUINT_TO_POINTER (GPOINTER_TO_UINT (n) + 1));
+  count (r->reasons, outcome, reason);
 }
 
 static void
@@ -111,23 +119,13 @@
   s->pass_late += (guint)cf_log_line_number (line, "late", 0);
 }
 
-static void
-count_incident (CfReport *r, const char *what, char *subject)
-{
-  char *key = g_strconcat (what, " ", subject ? subject : "-", NULL);
-  gpointer n = g_hash_table_lookup (r->incidents, key);
-
-  g_hash_table_replace (r->incidents, key,
-                        GUINT_TO_POINTER (GPOINTER_TO_UINT (n) + 1));
-}
-
 static void
 add_missing_demand (CfReport *r, const char *line)
 {
   g_autofree char *group = cf_log_line_field (line, "group");
 
   if (strstr (line, "outcome=begins"))
-    count_incident (r, "no demand from group", group);
+    count (r->incidents, "no demand from group", group);
 }
 
 static void
@@ -135,7 +133,7 @@
 {
   g_autofree char *what = cf_log_line_field (line, "what");
 
-  count_incident (r, "dropped readings of", what);
+  count (r->incidents, "dropped readings of", what);
 }
 
 static void
