exchange: log the framing of answers and the bytes after the last event

When a stream ended as complete in the middle of an event, E1205 could not tell whether the target's framing said so or the end of its connection had been taken for the end of the answer. It now gives framing= (length, chunked, close, none) and partial_bytes=. No change of behaviour.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -17,6 +17,45 @@
   return "unknown";
 }
 
+const char *
+cf_answer_framing_name (CfAnswerFraming f)
+{
+  switch (f)
+    {
+    case CF_FRAMING_NONE:
+      return "none";
+    case CF_FRAMING_LENGTH:
+      return "length";
+    case CF_FRAMING_CHUNKED:
+      return "chunked";
+    case CF_FRAMING_CLOSE:
+      return "close";
+    }
+  return "unknown";
+}
+
+/* The statuses below 200, 204 and 304 have no body, whatever their head says.
+ */
+static gboolean
+has_no_body (const CfHttpReader *r)
+{
+  int status = (int)r->parser.status_code;
+
+  return r->no_body || status < 200 || status == HTTP_STATUS_NO_CONTENT
+         || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
+CfAnswerFraming
+cf_answer_framing (const CfHttpReader *r)
+{
+  if (has_no_body (r))
+    return CF_FRAMING_NONE;
+  if (r->parser.flags & F_CHUNKED)
+    return CF_FRAMING_CHUNKED;
+  return r->parser.flags & F_CONTENTLENGTH ? CF_FRAMING_LENGTH
+                                           : CF_FRAMING_CLOSE;
+}
+
 CfAnswerKind
 cf_answer_classify (const CfHttpReader *r)
 {
--- a/gateway/answer.h
+++ b/gateway/answer.h
@@ -15,6 +15,20 @@
 
 const char *cf_answer_kind_name (CfAnswerKind k);
 
+/** CfAnswerFraming: what marks the end of an answer's body. */
+typedef enum
+{
+  CF_FRAMING_NONE,    /**< no head was received, or it says there is no body */
+  CF_FRAMING_LENGTH,  /**< the length in its head */
+  CF_FRAMING_CHUNKED, /**< the last chunk */
+  CF_FRAMING_CLOSE,   /**< the end of the connection */
+} CfAnswerFraming;
+
+const char *cf_answer_framing_name (CfAnswerFraming f);
+
+/** cf_answer_framing: the framing of the answer whose head @r has read. */
+CfAnswerFraming cf_answer_framing (const CfHttpReader *r);
+
 /** cf_answer_classify: classifies the answer whose head @r has read. */
 CfAnswerKind cf_answer_classify (const CfHttpReader *r);
 
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -274,6 +274,7 @@
   x->has_head = TRUE;
   cf_target_record_progress (x->target, cf_gateway_now (x->gateway));
   x->answer_kind = cf_answer_classify (r);
+  x->framing = cf_answer_framing (r);
   update_rate_limit (x, r);
   cf_target_take_notice (x->target, r, cf_gateway_now (x->gateway));
   if (!x->answer_started)
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -71,6 +71,7 @@
 
   /* The answer being received. */
   CfAnswerKind answer_kind;
+  CfAnswerFraming framing;
   int status;
   gboolean has_head;
   gboolean answer_started; /**< the answer's head went to the caller */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -90,6 +90,7 @@
   if (x->service_state->in_flight++ == 0)
     x->service_state->busy_since_ms = cf_gateway_now (x->gateway);
   x->sends++;
+  x->framing = CF_FRAMING_NONE;
   x->events_at_send = x->event_stream.n_events;
   x->sent_ms = cf_gateway_now (x->gateway);
   if (x->route->stream)
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -71,10 +71,13 @@
           "id=%s outcome=%s status=%d reason=%s target=%s sends=%u ran=%s "
           "ms=%" G_GINT64_FORMAT " events=%" G_GUINT64_FORMAT
           " first_ms=%" G_GINT64_FORMAT " expected_first_ms=%" G_GINT64_FORMAT
-          " longest_pause_ms=%" G_GINT64_FORMAT " config=%" G_GINT64_FORMAT,
+          " longest_pause_ms=%" G_GINT64_FORMAT
+          " framing=%s partial_bytes=%" G_GSIZE_FORMAT
+          " config=%" G_GINT64_FORMAT,
           x->id, cf_outcome_name (o), status, reason, cf_exchange_target_id (x),
           x->sends, run_state_name (x, o), ms, x->event_stream.n_events,
           x->first_event_ms, x->expected_first_ms, x->longest_pause_ms,
+          cf_answer_framing_name (x->framing), x->event_stream.partial->len,
           x->policy ? x->policy->version : 0);
   g->stats.outcomes[o]++;
   if (o == CF_OUTCOME_SUCCESS && !x->event_stream.n_events)
