standins: break streams off at any byte, in each framing

A rank's stream was always chunked and broke off by a reset only. Its end can now be marked by a length or by the end of its connection, and it breaks off after a given byte by a reset, by an orderly close, or as its framing ends a complete answer.

--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -73,37 +73,86 @@
   r->status.armed = 0;
 }
 
-/* Sends the next event of @st, and frees @st after its last event or if the
- * event is cut. */
-static void
-send_event (FakeRank *r, FakeStream *st)
+static char *
+format_event (int n)
 {
-  char *event = g_strdup_printf ("id: %d\ndata: token-%d\n\n", st->next_event,
-                                 st->next_event);
+  return g_strdup_printf ("id: %d\ndata: token-%d\n\n", n, n);
+}
 
-  if (!st->is_begun)
-    fake_http_begin_chunked (st->conn, 200, st->headers);
-  st->is_begun = TRUE;
-  if (st->next_event == st->cut_event)
+gsize
+fake_stream_length (int first, int last)
+{
+  gsize n = 0;
+
+  for (int i = first; i <= last; i++)
     {
-      FakeConn *c = st->conn;
+      g_autofree char *event = format_event (i);
 
-      fake_http_send_chunk (c, event, strlen (event) / 2);
-      g_free (event);
-      c->on_disconnect (c);
-      c->pending = NULL;
+      n += strlen (event);
+    }
+  return n;
+}
+
+/* Frees @st and breaks its answer off. */
+static void
+cut_stream (FakeStream *st)
+{
+  FakeConn *c = st->conn;
+  FakeCut cut = st->cut;
+
+  c->on_disconnect (c);
+  c->pending = NULL;
+  switch (cut)
+    {
+    case FAKE_CUT_NONE:
+    case FAKE_CUT_RESET:
       fake_http_reset (c);
-      return;
+      break;
+    case FAKE_CUT_CLOSE:
+      fake_http_close (c);
+      break;
+    case FAKE_CUT_END:
+      fake_http_end (c);
+      break;
     }
-  fake_http_send_chunk (st->conn, event, strlen (event));
-  g_free (event);
-  if (st->next_event++ >= st->last_event)
+}
+
+/* The length that the head of @st announces, if its framing is that. */
+static gsize
+announced_length (const FakeStream *st)
+{
+  return st->cut == FAKE_CUT_END
+             ? st->cut_at
+             : fake_stream_length (st->next_event, st->last_event);
+}
+
+/* Sends the next event of @st, and frees @st after its last event or if it
+ * breaks off. */
+static void
+send_event (FakeStream *st)
+{
+  g_autofree char *event = format_event (st->next_event);
+  gsize n = strlen (event);
+  gboolean is_cut = st->cut != FAKE_CUT_NONE && st->n_sent + n > st->cut_at;
+
+  if (!st->is_begun)
+    fake_http_begin (st->conn, 200, st->headers, st->framing,
+                     announced_length (st));
+  st->is_begun = TRUE;
+  if (is_cut)
+    n = st->cut_at - st->n_sent;
+  if (n > 0)
+    fake_http_send_part (st->conn, event, n);
+  st->n_sent += n;
+  if (is_cut)
+    cut_stream (st);
+  else if (st->next_event++ >= st->last_event)
     {
       FakeConn *c = st->conn;
 
       c->on_disconnect (c);
       c->pending = NULL;
-      fake_http_end_chunked (c);
+      fake_http_end (c);
     }
 }
 
@@ -183,7 +232,7 @@
           if (st->passes_to_start > 0)
             st->passes_to_start--;
           else
-            send_event (&g->ranks[i], st);
+            send_event (st);
           st = next;
         }
     }
--- a/standins/fake-group.h
+++ b/standins/fake-group.h
@@ -15,13 +15,18 @@
   FakeConn *conn;
   int next_event;
   int last_event;
-  gboolean is_begun;   /**< the head of the answer was sent */
-  char *headers;       /**< header lines of the answer */
-  int cut_event;       /**< resets the connection half-way through this event;
-                            -1: never */
+  gboolean is_begun; /**< the head of the answer was sent */
+  char *headers;     /**< header lines of the answer */
+  FakeFraming framing;
+  FakeCut cut;
+  gsize cut_at;        /**< it breaks off after this many bytes of its body */
+  gsize n_sent;        /**< bytes of its body sent so far */
   int passes_to_start; /**< passes until it writes its first event */
 };
 
+/** fake_stream_length: the bytes of the events from @first to @last. */
+gsize fake_stream_length (int first, int last);
+
 /** FakeRank: the state of one rank of the group. */
 typedef struct
 {
--- a/standins/fake-http.c
+++ b/standins/fake-http.c
@@ -113,35 +113,71 @@
   flush (c);
 }
 
+static void
+append_framing (FakeConn *c, gsize length)
+{
+  switch (c->framing)
+    {
+    case FAKE_FRAMING_CHUNKED:
+      g_string_append (c->out_buf, "Transfer-Encoding: chunked\r\n\r\n");
+      break;
+    case FAKE_FRAMING_LENGTH:
+      g_string_append_printf (
+          c->out_buf, "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n", length);
+      break;
+    case FAKE_FRAMING_CLOSE:
+      g_string_append (c->out_buf, "\r\n");
+      break;
+    }
+}
+
 void
-fake_http_begin_chunked (FakeConn *c, int status, const char *headers)
+fake_http_begin (FakeConn *c, int status, const char *headers,
+                 FakeFraming framing, gsize length)
 {
-  c->is_chunked = TRUE;
-  g_string_append_printf (c->out_buf,
-                          "HTTP/1.1 %d %s\r\n%s"
-                          "Transfer-Encoding: chunked\r\n\r\n",
-                          status, http_status_str ((enum http_status)status),
-                          headers);
+  c->framing = framing;
+  g_string_append_printf (c->out_buf, "HTTP/1.1 %d %s\r\n%s", status,
+                          http_status_str ((enum http_status)status), headers);
+  append_framing (c, length);
   flush (c);
 }
 
 void
-fake_http_send_chunk (FakeConn *c, const char *data, gsize n)
+fake_http_send_part (FakeConn *c, const char *data, gsize n)
 {
-  g_string_append_printf (c->out_buf, "%zx\r\n", n);
+  gboolean is_chunked = c->framing == FAKE_FRAMING_CHUNKED;
+
+  if (is_chunked)
+    g_string_append_printf (c->out_buf, "%zx\r\n", n);
   g_string_append_len (c->out_buf, data, (gssize)n);
-  g_string_append (c->out_buf, "\r\n");
+  if (is_chunked)
+    g_string_append (c->out_buf, "\r\n");
   flush (c);
 }
 
 void
-fake_http_end_chunked (FakeConn *c)
+fake_http_end (FakeConn *c)
 {
-  g_string_append (c->out_buf, "0\r\n\r\n");
+  if (c->framing == FAKE_FRAMING_CLOSE)
+    {
+      fake_http_close (c);
+      return;
+    }
+  if (c->framing == FAKE_FRAMING_CHUNKED)
+    g_string_append (c->out_buf, "0\r\n\r\n");
   finish_request (c);
   flush (c);
 }
 
+void
+fake_http_close (FakeConn *c)
+{
+  c->close_after = TRUE;
+  c->is_answering = FALSE;
+  c->pending = NULL;
+  flush (c);
+}
+
 void
 fake_http_send_raw (FakeConn *c, const char *data, gsize n)
 {
--- a/standins/fake-http.h
+++ b/standins/fake-http.h
@@ -11,6 +11,14 @@
  */
 typedef struct FakeConn FakeConn;
 
+/** FakeFraming: what marks the end of an answer that is sent in parts. */
+typedef enum
+{
+  FAKE_FRAMING_CHUNKED,
+  FAKE_FRAMING_LENGTH,
+  FAKE_FRAMING_CLOSE, /**< neither a length nor chunks */
+} FakeFraming;
+
 /** FakeRequestHandler: called with each complete request, which it answers
  * with the functions below, at once or later. */
 typedef void (*FakeRequestHandler) (void *data, FakeConn *c);
@@ -32,7 +40,7 @@
                                             while @pending is set */
   gboolean is_answering;               /**< the handler has a request that is
                                             not completely answered */
-  gboolean is_chunked;                 /**< an answer in chunks was begun */
+  FakeFraming framing;                 /**< of the answer sent in parts */
   gboolean close_after;                /**< close after the current answer */
   gboolean in_io; /**< on_io() runs; it frees the connection if closed */
   gboolean is_closed;
@@ -57,10 +65,16 @@
 void fake_http_answer (FakeConn *c, int status, const char *headers,
                        const char *body, gssize n);
 
-/** fake_http_begin_chunked: sends the head of an answer in chunks. */
-void fake_http_begin_chunked (FakeConn *c, int status, const char *headers);
-void fake_http_send_chunk (FakeConn *c, const char *data, gsize n);
-void fake_http_end_chunked (FakeConn *c);
+/**
+ * fake_http_begin: sends the head of an answer whose body follows in parts.
+ * @length: of the whole body, for %FAKE_FRAMING_LENGTH
+ */
+void fake_http_begin (FakeConn *c, int status, const char *headers,
+                      FakeFraming framing, gsize length);
+void fake_http_send_part (FakeConn *c, const char *data, gsize n);
+
+/** fake_http_end: ends the answer as its framing does. */
+void fake_http_end (FakeConn *c);
 
 /** fake_http_send_raw: sends bytes unchanged, for malformed answers. */
 void fake_http_send_raw (FakeConn *c, const char *data, gsize n);
@@ -69,6 +83,10 @@
  * call of @on_disconnect. */
 void fake_http_reset (FakeConn *c);
 
+/** fake_http_close: closes the connection in order once all is sent, whatever
+ * the answer lacks.  No call of @on_disconnect follows. */
+void fake_http_close (FakeConn *c);
+
 /** fake_http_query_param: (transfer full) (nullable): the value of the query
  * parameter @name of the request. */
 char *fake_http_query_param (const FakeConn *c, const char *name);
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -54,6 +54,9 @@
   guint64 n_crashes;
   char *fault; /**< kind of fault that the next @n_faults_left requests meet */
   int n_faults_left;
+  gboolean fault_spares_resumed; /**< requests that resume a stream meet none */
+  int fault_at;        /**< bytes of a body before it breaks off; -1: not set */
+  FakeFraming framing; /**< of a rank's streams */
   GHashTable *run_counts; /**< request id -> how often it ran */
   guint64 n_runs;
   guint64 n_repeated;     /**< request ids that ran more than once */
@@ -133,11 +136,13 @@
 }
 
 /* Counts down the remaining faults.  Returns: (nullable) (transfer full): the
- * kind of fault that the next request meets. */
+ * kind of fault that the request of @c meets. */
 static char *
-next_fault (FakeTarget *t)
+next_fault (FakeTarget *t, const FakeConn *c)
 {
-  if (t->n_faults_left <= 0)
+  if (t->n_faults_left <= 0
+      || (t->fault_spares_resumed
+          && cf_http_reader_header (&c->reader, CF_HDR_LAST_EVENT_ID)))
     return NULL;
   t->n_faults_left--;
   return g_strdup (t->fault);
@@ -192,9 +197,8 @@
     {
       text = g_strdup_printf ("HTTP/1.1 200 OK\r\n%s\r\nunframed %s", headers,
                               t->id);
-      c->close_after = TRUE;
-      c->is_answering = FALSE;
       fake_http_send_raw (c, text, strlen (text));
+      fake_http_close (c);
       g_free (text);
     }
   else
@@ -299,6 +303,26 @@
   t->n_running++;
 }
 
+static FakeCut
+parse_cut (const char *fault)
+{
+  if (g_strcmp0 (fault, "cut") == 0)
+    return FAKE_CUT_RESET;
+  if (g_strcmp0 (fault, "cut-close") == 0)
+    return FAKE_CUT_CLOSE;
+  return g_strcmp0 (fault, "cut-end") == 0 ? FAKE_CUT_END : FAKE_CUT_NONE;
+}
+
+/* Where a stream breaks off: as set, or half-way through its third event. */
+static gsize
+cut_position (const FakeTarget *t, int first_event)
+{
+  if (t->fault_at >= 0)
+    return (gsize)t->fault_at;
+  return fake_stream_length (first_event, first_event + 1)
+         + fake_stream_length (first_event + 2, first_event + 2) / 2;
+}
+
 static void
 start_stream (FakeTarget *t, FakeConn *c, const char *id, char *fault)
 {
@@ -313,7 +337,9 @@
       = comma ? (atoi (comma + 1) + TOKENS_PER_EVENT - 1) / TOKENS_PER_EVENT
               : DEFAULT_STREAM_EVENTS;
   st->headers = make_answer_headers (t, id, TRUE);
-  st->cut_event = g_strcmp0 (fault, "cut") == 0 ? st->next_event + 2 : -1;
+  st->framing = t->framing;
+  st->cut = parse_cut (fault);
+  st->cut_at = cut_position (t, st->next_event);
   if (g_strcmp0 (fault, "tardy") == 0)
     st->passes_to_start = (int)(TARDY_START_MS / t->group->shape.step_ms);
   g_free (fault);
@@ -385,7 +411,7 @@
     }
   fault = t->crash_body && strcmp (t->crash_body, c->body->str) == 0
               ? g_strdup ("crash")
-              : next_fault (t);
+              : next_fault (t, c);
   if (g_strcmp0 (fault, "broken") == 0)
     {
       refuse (t, c, id, 503, t->addr);
@@ -574,11 +600,32 @@
 set_fault (FakeTarget *t, FakeConn *c)
 {
   char *x = fake_http_query_param (c, "x");
+  char *at = fake_http_query_param (c, "at");
+  char *fresh = fake_http_query_param (c, "fresh");
 
   g_free (t->fault);
   t->fault = fake_http_query_param (c, "kind");
   t->n_faults_left = x ? atoi (x) : 1;
+  t->fault_at = at ? atoi (at) : -1;
+  t->fault_spares_resumed = fresh != NULL;
   g_free (x);
+  g_free (at);
+  g_free (fresh);
+  fake_http_answer (c, 200, NULL, "", 0);
+}
+
+static void
+set_framing (FakeTarget *t, FakeConn *c)
+{
+  char *as = fake_http_query_param (c, "as");
+
+  if (g_strcmp0 (as, "length") == 0)
+    t->framing = FAKE_FRAMING_LENGTH;
+  else if (g_strcmp0 (as, "close") == 0)
+    t->framing = FAKE_FRAMING_CLOSE;
+  else
+    t->framing = FAKE_FRAMING_CHUNKED;
+  g_free (as);
   fake_http_answer (c, 200, NULL, "", 0);
 }
 
@@ -715,6 +762,8 @@
     answer_run_ids (t, c);
   else if (fake_http_has_path (c, "/test/fault"))
     set_fault (t, c);
+  else if (fake_http_has_path (c, "/test/framing"))
+    set_framing (t, c);
   else if (fake_http_has_path (c, "/test/crasher"))
     {
       g_free (t->crash_body);
@@ -808,6 +857,7 @@
   t->service = g_strdup (service);
   t->addr = g_strdup (addr);
   t->slots = slots;
+  t->fault_at = -1;
   t->started_ms = g_get_real_time () / 1000;
   t->arrivals = g_array_new (FALSE, FALSE, sizeof (Arrival));
   t->run_counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -22,10 +22,18 @@
  *   unframed  answered without a length; closing the connection ends it
  *   hang      never answered
  *   cut       a stream is reset in the middle of an event
+ *   cut-close as cut, but the connection is closed in order
+ *   cut-end   as cut, but the answer ends as if it were complete, by its framing
  *   tardy     a stream begins 1 s late
  *   crash     the target crashes, as by /test/crash
- * The kinds from fail to unframed affect only plain services, and cut and tardy
- * affect only ranks; other targets run the requests normally.
+ * The kinds from fail to unframed affect only plain services, and the cuts and
+ * tardy affect only ranks; other targets run the requests normally.
+ *
+ * POST /test/fault?kind=cut...&x=N&at=B: a stream breaks off after B bytes of
+ * its body.  With &fresh=1, requests that resume a stream meet no fault.
+ *
+ * POST /test/framing?as=F: from now on F marks the end of a rank's streams:
+ * chunked (the default), length, or close (neither a length nor chunks).
  *
  * POST /test/crasher: from now on a request with the body of this call crashes
  * the target that runs it: all its connections in use are reset, and it
@@ -78,6 +86,15 @@
 typedef struct FakeTarget FakeTarget;
 typedef struct FakeGroup FakeGroup;
 
+/** FakeCut: how an answer breaks off. */
+typedef enum
+{
+  FAKE_CUT_NONE,
+  FAKE_CUT_RESET, /**< the connection is reset */
+  FAKE_CUT_CLOSE, /**< the connection is closed in order */
+  FAKE_CUT_END,   /**< it ends as its framing ends a complete answer */
+} FakeCut;
+
 /**
  * fake_target_new_plain: starts a target of a plain service at @addr.
  * @slots: requests that it runs at once, as its store record says; it accepts
