t-answer-end: streams that end inside an event, in each framing

A stream whose connection ends inside an event is passed on with the bytes of that event and a last chunk, if its head named no length (the incident's form); the same if a length or the last chunk ends it there.

--- /dev/null
+++ b/t/t-answer-end.c
@@ -0,0 +1,303 @@
+/*
+ * Runs the gateway process against targets whose answers end in all ways, and
+ * checks what the caller can tell of it: an answer that its target did not
+ * complete must not look complete.
+ */
+#include "harness.h"
+#include "platform-harness.h"
+
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BASE 21500
+#define RANK_1 (BASE + 3)
+#define N_RANKS 4
+/** Events of the streams, and the header that asks for them. */
+#define N_EVENTS 4
+#define TOKEN_COUNT "Comfreypost-Token-Count: 10,16\r\n"
+/** Length of an event of the stand-in with a number of one digit. */
+#define EVENT_BYTES 21
+#define ANSWER_TIMEOUT_MS 5000
+#define GATEWAY_LOG "t/out/gateway-21500-1.log"
+
+static int front;
+
+static void
+setup (void)
+{
+  p_start_platform (BASE, "--ranks", "4", "--step-ms", "2", NULL);
+  p_start_gateway (BASE, 1);
+  front = p_front_port (BASE, 1);
+  p_wait_until_ready (BASE, 1);
+}
+
+/** End: how an answer ended for its caller. */
+typedef enum
+{
+  END_COMPLETE,
+  END_CLOSED, /**< connection closed before the answer was complete */
+  END_RESET,  /**< connection reset before that */
+  END_NEVER,
+} End;
+
+/** Answer: an answer as its caller received it. */
+typedef struct
+{
+  int status;
+  End end;
+  char *body; /**< decoded */
+} Answer;
+
+static const char *const framings[] = { "chunked", "length", "close" };
+static const char *const cuts[] = { "cut", "cut-close", "cut-end" };
+
+/* Reads until the peer closes, or keeps the connection idle. */
+static End
+read_all (int fd, GString *s)
+{
+  struct pollfd p = { fd, POLLIN, 0 };
+  char buf[8192];
+  ssize_t n;
+
+  while (poll (&p, 1, ANSWER_TIMEOUT_MS) > 0)
+    {
+      n = recv (fd, buf, sizeof buf, 0);
+      if (n <= 0)
+        return n == 0 ? END_CLOSED : END_RESET;
+      g_string_append_len (s, buf, n);
+    }
+  return END_NEVER;
+}
+
+/* Decodes the chunks of @text into @body; whether it ends with the last one. */
+static gboolean
+decode_chunks (const char *text, GString *body)
+{
+  while (*text)
+    {
+      char *data;
+      gsize n = strtoul (text, &data, 16);
+
+      if (n == 0)
+        return strcmp (data, "\r\n\r\n") == 0;
+      data += 2;
+      g_string_append_len (body, data, (gssize)MIN (n, strlen (data)));
+      text = data + MIN (n + 2, strlen (data));
+    }
+  return FALSE;
+}
+
+static Answer
+parse_answer (const char *text, End end)
+{
+  const char *body = strstr (text, "\r\n\r\n");
+  GString *s = g_string_new (NULL);
+  Answer a = { p_parse_status (text), end, NULL };
+  const char *length = strstr (text, "Content-Length: ");
+  gboolean is_complete = FALSE;
+
+  if (body && strstr (text, "Transfer-Encoding: chunked"))
+    is_complete = decode_chunks (body + 4, s);
+  else if (body)
+    {
+      g_string_append (s, body + 4);
+      is_complete = length ? s->len == strtoul (length + 16, NULL, 10)
+                           : end == END_CLOSED;
+    }
+  if (is_complete)
+    a.end = END_COMPLETE;
+  a.body = g_string_free (s, FALSE);
+  return a;
+}
+
+/* Sends a request that asks the gateway to close the connection after it. */
+static Answer
+send_request (const char *method_and_path, const char *id, const char *version)
+{
+  g_autofree char *r = p_build_request (
+      method_and_path, id, TOKEN_COUNT "Connection: close\r\n", "");
+  char *minor = strstr (r, "HTTP/1.1\r\n");
+  g_autofree char *text = NULL;
+  GString *s = g_string_new (NULL);
+  int fd = p_connect (front);
+  Answer a;
+  End end;
+
+  memcpy (minor, version, strlen (version));
+  p_send (fd, r);
+  end = read_all (fd, s);
+  close (fd);
+  text = g_string_free (s, FALSE);
+  a = parse_answer (text, end);
+  return a;
+}
+
+/** Cut: how the streams of all ranks break off. */
+typedef struct
+{
+  const char *framing;
+  const char *how;
+  int at;              /**< bytes of the body that are sent */
+  gboolean fresh_only; /**< streams that are resumed are complete */
+} Cut;
+
+static void
+set_cut (const Cut *c)
+{
+  g_autofree char *framing
+      = g_strdup_printf ("POST /test/framing?as=%s", c->framing);
+  g_autofree char *fault
+      = g_strdup_printf ("POST /test/fault?kind=%s&x=1000&at=%d%s", c->how,
+                         c->at, c->fresh_only ? "&fresh=1" : "");
+
+  for (int i = 0; i < N_RANKS; i++)
+    {
+      g_free (p_call_standin (RANK_1 + i, framing, ""));
+      g_free (p_call_standin (RANK_1 + i, fault, ""));
+    }
+}
+
+static char *
+make_events (int n)
+{
+  GString *s = g_string_new (NULL);
+
+  for (int i = 1; i <= n; i++)
+    g_string_append_printf (s, "id: %d\ndata: token-%d\n\n", i, i);
+  return g_string_free (s, FALSE);
+}
+
+/* Checks that a stream of @n_events ends as complete only if it is. */
+static void
+check_stream (const Answer *a, const char *what)
+{
+  g_autofree char *whole = make_events (N_EVENTS);
+
+  ck_assert_msg (a->end != END_NEVER, "%s: no end", what);
+  if (a->status != 200)
+    return;
+  ck_assert_msg (g_str_has_prefix (whole, a->body),
+                 "%s: not the beginning of one stream: %s", what, a->body);
+  ck_assert_msg (strlen (a->body) % EVENT_BYTES == 0,
+                 "%s: a part of an event was forwarded: %s", what, a->body);
+  ck_assert_msg (a->end != END_COMPLETE || strcmp (a->body, whole) == 0,
+                 "%s: %zu of %zu bytes end as complete", what, strlen (a->body),
+                 strlen (whole));
+}
+
+static void
+play_cut (const char *path, const Cut *cut)
+{
+  g_autofree char *what = g_strdup_printf ("%s-%s-%s-%d", path + 6,
+                                           cut->framing, cut->how, cut->at);
+  Answer a;
+
+  set_cut (cut);
+  a = send_request (path, what, "HTTP/1.1");
+  check_stream (&a, what);
+  ck_assert_msg ((a.end == END_COMPLETE && a.status == 200) == cut->fresh_only,
+                 "%s: status %d, end %d", what, a.status, a.end);
+  g_free (a.body);
+}
+
+/* Sends a stream for every kind of cut and every @step-th position from @first
+ * to the end of the second event at which an event is incomplete. */
+static void
+play_cuts (const char *path, Cut cut, int first, int step)
+{
+  for (gsize c = 0; c < G_N_ELEMENTS (cuts); c++)
+    for (int at = first; at < 2 * EVENT_BYTES; at += step)
+      {
+        cut.how = cuts[c];
+        cut.at = at;
+        if (at % EVENT_BYTES != 0)
+          play_cut (path, &cut);
+      }
+}
+
+START_TEST (stream_cut_inside_an_event_ends_as_complete)
+{
+  play_cuts ("POST /talk/a", (Cut){ .framing = framings[_i] }, 1, 1);
+}
+END_TEST
+
+START_TEST (resumable_stream_cut_inside_an_event_ends_as_complete)
+{
+  play_cuts ("POST /chat/a", (Cut){ .framing = framings[_i] }, EVENT_BYTES + 1,
+             1);
+}
+END_TEST
+
+/* Few positions, since each resumption takes from the retry budget. */
+START_TEST (stream_cut_inside_an_event_is_not_resumed)
+{
+  Cut cut = { .framing = framings[_i], .fresh_only = TRUE };
+
+  play_cuts ("POST /chat/a", cut, EVENT_BYTES + 1, EVENT_BYTES - 2);
+}
+END_TEST
+
+START_TEST (stream_without_length_is_broken_off_at_its_end)
+{
+  g_autofree char *whole = make_events (N_EVENTS);
+
+  Cut none = { framings[_i], "none", 0, FALSE };
+  Answer a;
+
+  set_cut (&none);
+  a = send_request ("POST /talk/a", framings[_i], "HTTP/1.1");
+  ck_assert_int_eq (a.end, END_COMPLETE);
+  ck_assert_str_eq (a.body, whole);
+  g_free (a.body);
+}
+END_TEST
+
+START_TEST (log_does_not_tell_a_cut_stream_from_a_complete_one)
+{
+  g_autoptr (GRegex) lost = g_regex_new (
+      "E1407 .*id=logged .*outcome=lost .*framing=close partial_bytes=5\\b", 0,
+      0, NULL);
+  g_autofree char *log = NULL;
+  Cut cut = { "close", "cut-close", EVENT_BYTES + 5, FALSE };
+  Answer a;
+
+  set_cut (&cut);
+  a = send_request ("POST /talk/a", "logged", "HTTP/1.1");
+  g_free (a.body);
+  ck_assert (p_wait_for_log (GATEWAY_LOG, "E1205 answer id=logged ", 2000));
+  ck_assert (g_file_get_contents (GATEWAY_LOG, &log, NULL, NULL));
+  ck_assert_ptr_nonnull (strstr (log, "E1205 answer id=logged outcome=broken"));
+  ck_assert (g_regex_match (lost, log, 0, NULL));
+}
+END_TEST
+
+/* Adds a case that runs @test @n times, with _i from 0 on. */
+static void
+add_case (Suite *s, const char *tag, const TTest *test, gsize n)
+{
+  TCase *t = tcase_create (tag);
+
+  tcase_set_tags (t, tag);
+  tcase_set_timeout (t, 60);
+  tcase_add_checked_fixture (t, setup, p_stop_all);
+  tcase_add_loop_test (t, test, 0, (int)n);
+  suite_add_tcase (s, t);
+}
+
+int
+main (void)
+{
+  Suite *s = suite_create ("answer-end");
+  const gsize n_framings = G_N_ELEMENTS (framings);
+
+  add_case (s, "whole", stream_without_length_is_broken_off_at_its_end,
+            n_framings);
+  add_case (s, "cut", stream_cut_inside_an_event_ends_as_complete, n_framings);
+  add_case (s, "cut", resumable_stream_cut_inside_an_event_ends_as_complete,
+            n_framings);
+  add_case (s, "cut", stream_cut_inside_an_event_is_not_resumed, n_framings);
+  add_case (s, "cut", log_does_not_tell_a_cut_stream_from_a_complete_one, 1);
+  return t_run_suite (s);
+}
