exchange: break off streams that end inside an event

What callers saw: the beginning of a stream with the last event cut in two, status 200, the target's signature, framed as complete.

Cause: a stream with neither a length nor chunks ends with its connection. complete_success() took any end that the parser accepted for the end of the stream, passed on what was left of the incomplete event and appended the last chunk. The splitter of events knew that the last one was incomplete, and nothing asked it.

Ruled out: a resumption, a time limit or a stop of the gateway (sends=1, no E1204).

A stream that ends inside an event now counts as broken off, whatever its framing says, and is resumed where that is allowed; otherwise the caller's answer is broken off too. The same holds for one without a length that ends before its first event. Blank lines and comments after the last event are no part of one, and a body of another media type is not split into events. E1407 gives framing= and partial_bytes= of a lost answer.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -1,5 +1,7 @@
 #include "answer.h"
 
+#include <string.h>
+
 const char *
 cf_answer_kind_name (CfAnswerKind k)
 {
@@ -56,6 +58,21 @@
                                            : CF_FRAMING_CLOSE;
 }
 
+gboolean
+cf_answer_is_event_stream (const CfHttpReader *r)
+{
+  static const char type[] = "text/event-stream";
+
+  for (guint i = 0; i < r->headers->len; i++)
+    {
+      const CfHeader *h = &g_array_index (r->headers, CfHeader, i);
+
+      if (g_ascii_strcasecmp (h->name, "Content-Type") == 0)
+        return g_ascii_strncasecmp (h->value, type, strlen (type)) == 0;
+    }
+  return TRUE;
+}
+
 CfAnswerKind
 cf_answer_classify (const CfHttpReader *r)
 {
--- a/gateway/answer.h
+++ b/gateway/answer.h
@@ -29,6 +29,10 @@
 /** cf_answer_framing: the framing of the answer whose head @r has read. */
 CfAnswerFraming cf_answer_framing (const CfHttpReader *r);
 
+/** cf_answer_is_event_stream: whether the body may be an event stream, i.e.
+ * whether the head names no other media type. */
+gboolean cf_answer_is_event_stream (const CfHttpReader *r);
+
 /** cf_answer_classify: classifies the answer whose head @r has read. */
 CfAnswerKind cf_answer_classify (const CfHttpReader *r);
 
--- a/gateway/event-stream.c
+++ b/gateway/event-stream.c
@@ -94,8 +94,27 @@
   g_string_truncate (s->partial, 0);
 }
 
+/* Whether the line that @p points to is complete and either blank or a
+ * comment. */
+static gboolean
+is_ignored_line (const char *p, const char *nl)
+{
+  return nl && (*p == ':' || p == nl || (*p == '\r' && p + 1 == nl));
+}
+
 gboolean
-cf_event_stream_has_partial (const CfEventStream *s)
+cf_event_stream_is_inside_event (const CfEventStream *s)
 {
-  return s->partial->len > 0;
+  const char *p = s->partial->str;
+  const char *end = p + s->partial->len;
+
+  while (p < end)
+    {
+      const char *nl = memchr (p, '\n', (gsize)(end - p));
+
+      if (!is_ignored_line (p, nl))
+        return TRUE;
+      p = nl + 1;
+    }
+  return FALSE;
 }
--- a/gateway/event-stream.h
+++ b/gateway/event-stream.h
@@ -32,5 +32,6 @@
  * resumes the stream after @last_id. */
 void cf_event_stream_restart (CfEventStream *s);
 
-/** cf_event_stream_has_partial: whether an event is incomplete. */
-gboolean cf_event_stream_has_partial (const CfEventStream *s);
+/** cf_event_stream_is_inside_event: whether an event has begun and is
+ * incomplete.  Blank lines and comments are no part of an event. */
+gboolean cf_event_stream_is_inside_event (const CfEventStream *s);
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -275,6 +275,7 @@
   cf_target_record_progress (x->target, cf_gateway_now (x->gateway));
   x->answer_kind = cf_answer_classify (r);
   x->framing = cf_answer_framing (r);
+  x->is_event_stream = x->route->stream && cf_answer_is_event_stream (r);
   update_rate_limit (x, r);
   cf_target_take_notice (x->target, r, cf_gateway_now (x->gateway));
   if (!x->answer_started)
@@ -304,7 +305,7 @@
         x->answer_kind = CF_ANSWER_UNSIGNED;
       return;
     }
-  if (x->route->stream)
+  if (x->is_event_stream)
     forward_events (x, data, n);
   else
     forward_bytes (x, data, n);
@@ -328,18 +329,44 @@
   cf_exchange_finish (x, o, status, "answered");
 }
 
+/* Whether the end of the connection was the end of a stream without an event.
+ * Nothing shows that such a stream is complete, unless the caller has asked for
+ * the events after the last one. */
+static gboolean
+has_ended_before_first_event (const CfExchange *x)
+{
+  return x->framing == CF_FRAMING_CLOSE
+         && x->event_stream.n_events == x->events_at_send
+         && !cf_http_reader_header (&x->caller->reader, CF_HDR_LAST_EVENT_ID);
+}
+
+/* Whether a stream that has ended by its framing was broken off. */
+static gboolean
+is_stream_broken_off (const CfExchange *x)
+{
+  return cf_event_stream_is_inside_event (&x->event_stream)
+         || has_ended_before_first_event (x);
+}
+
 static void
 complete_success (CfExchange *x)
 {
+  if (x->is_event_stream && is_stream_broken_off (x))
+    {
+      cf_exchange_on_upstream_failure (x, x->framing == CF_FRAMING_CLOSE
+                                              ? CF_FAILURE_LOST
+                                              : CF_FAILURE_MALFORMED);
+      return;
+    }
   cf_outlier_record_success (&x->target->outlier);
   cf_exchange_clear_suspicion (x);
-  if (!x->route->stream)
+  if (!x->is_event_stream)
     {
       record_progress (x);
       finish_answer (x, CF_OUTCOME_SUCCESS);
       return;
     }
-  /* Bytes after the last complete event, if any, come from the target too. */
+  /* Comments after the last event, if any, come from the target too. */
   g_string_assign (x->held_body, x->event_stream.partial->str);
   if (!x->answer_started)
     start_answer (x, -1);
@@ -428,6 +455,7 @@
 cf_exchange_on_upstream_failure (void *owner, CfUpstreamFailure f)
 {
   CfExchange *x = owner;
+  gboolean waits_for_probe;
 
   x->upstream = NULL;
   note_stalled_target (x);
@@ -436,8 +464,9 @@
     x->sends--;
   else
     x->may_have_run = TRUE;
+  waits_for_probe = f == CF_FAILURE_LOST && cf_exchange_probe_lost_target (x);
   cf_exchange_discard_answer (x);
-  if (f == CF_FAILURE_LOST && cf_exchange_probe_lost_target (x))
+  if (waits_for_probe)
     return;
   cf_exchange_retry_or_end (x, cf_upstream_failure_name (f));
 }
--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -43,9 +43,11 @@
   cf_request_digest_print (request_digest (x), text);
   cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
           "id=%s target=%s outcome=lost request=%s events=%" G_GUINT64_FORMAT
-          " quiet_ms=%" G_GINT64_FORMAT,
+          " quiet_ms=%" G_GINT64_FORMAT
+          " framing=%s partial_bytes=%" G_GSIZE_FORMAT,
           x->id, x->target->record.id, text,
-          x->event_stream.n_events - x->events_at_send, silent_ms (x));
+          x->event_stream.n_events - x->events_at_send, silent_ms (x),
+          cf_answer_framing_name (x->framing), x->event_stream.partial->len);
 }
 
 static void
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -72,6 +72,7 @@
   /* The answer being received. */
   CfAnswerKind answer_kind;
   CfAnswerFraming framing;
+  gboolean is_event_stream; /**< its body is split into events */
   int status;
   gboolean has_head;
   gboolean answer_started; /**< the answer's head went to the caller */
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -351,6 +351,22 @@
   fake_group_start_passes (t->group);
 }
 
+/* Answers a request for a stream with a JSON document, in the framing of its
+ * streams. */
+static void
+answer_with_document (FakeTarget *t, FakeConn *c, const char *id)
+{
+  static const char document[] = "{\"text\":\"no stream\"}";
+  char *headers = make_answer_headers (t, id, TRUE);
+  char *all = g_strconcat (headers, "Content-Type: application/json\r\n", NULL);
+
+  fake_http_begin (c, 200, all, t->framing, strlen (document));
+  fake_http_send_part (c, document, strlen (document));
+  fake_http_end (c);
+  g_free (all);
+  g_free (headers);
+}
+
 /* Refuses a request that was not run.  @faulty: (nullable): the address of the
  * target at fault. */
 static void
@@ -443,6 +459,11 @@
       crash (t, c);
       g_free (fault);
     }
+  else if (t->group && g_strcmp0 (fault, "document") == 0)
+    {
+      answer_with_document (t, c, id);
+      g_free (fault);
+    }
   else if (t->group)
     start_stream (t, c, id, fault);
   else
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -23,11 +23,12 @@
  *   hang      never answered
  *   cut       a stream is reset in the middle of an event
  *   cut-close as cut, but the connection is closed in order
- *   cut-end   as cut, but the answer ends as if it were complete, by its framing
- *   tardy     a stream begins 1 s late
- *   crash     the target crashes, as by /test/crash
- * The kinds from fail to unframed affect only plain services, and the cuts and
- * tardy affect only ranks; other targets run the requests normally.
+ *   cut-end   as cut, but the answer ends as if it were complete, by its
+ * framing tardy     a stream begins 1 s late document  a stream's request is
+ * answered with a JSON document crash     the target crashes, as by /test/crash
+ * The kinds from fail to unframed affect only plain services, and the cuts,
+ * tardy and document affect only ranks; other targets run the requests
+ * normally.
  *
  * POST /test/fault?kind=cut...&x=N&at=B: a stream breaks off after B bytes of
  * its body.  With &fresh=1, requests that resume a stream meet no fault.
--- a/t/t-answer-end.c
+++ b/t/t-answer-end.c
@@ -254,6 +254,33 @@
 }
 END_TEST
 
+START_TEST (stream_without_length_or_event_ends_as_complete)
+{
+  for (gsize c = 0; c < G_N_ELEMENTS (cuts); c++)
+    {
+      Cut cut = { "close", cuts[c], 0, FALSE };
+
+      play_cut ("POST /talk/a", &cut);
+      play_cut ("POST /chat/a", &cut);
+    }
+}
+END_TEST
+
+/* Only an event stream can end inside an event. */
+START_TEST (document_on_a_route_for_streams_is_broken_off)
+{
+  Cut cut = { framings[_i], "document", 0, FALSE };
+  Answer a;
+
+  set_cut (&cut);
+  a = send_request ("POST /talk/a", framings[_i], "HTTP/1.1");
+  ck_assert_int_eq (a.status, 200);
+  ck_assert_int_eq (a.end, END_COMPLETE);
+  ck_assert_str_eq (a.body, "{\"text\":\"no stream\"}");
+  g_free (a.body);
+}
+END_TEST
+
 START_TEST (log_does_not_tell_a_cut_stream_from_a_complete_one)
 {
   g_autoptr (GRegex) lost = g_regex_new (
@@ -298,6 +325,9 @@
   add_case (s, "cut", resumable_stream_cut_inside_an_event_ends_as_complete,
             n_framings);
   add_case (s, "cut", stream_cut_inside_an_event_is_not_resumed, n_framings);
+  add_case (s, "cut", stream_without_length_or_event_ends_as_complete, 1);
+  add_case (s, "whole", document_on_a_route_for_streams_is_broken_off,
+            n_framings);
   add_case (s, "cut", log_does_not_tell_a_cut_stream_from_a_complete_one, 1);
   return t_run_suite (s);
 }
--- a/t/t-event-stream.c
+++ b/t/t-event-stream.c
@@ -22,7 +22,7 @@
       ck_assert_str_eq (out->str, stream);
       ck_assert_uint_eq (n, 3);
       ck_assert_int_eq (s.last_id, 3);
-      ck_assert (!cf_event_stream_has_partial (&s));
+      ck_assert (!cf_event_stream_is_inside_event (&s));
       g_string_free (out, TRUE);
       cf_event_stream_clear (&s);
     }
@@ -37,7 +37,7 @@
   cf_event_stream_init (&s);
   cf_event_stream_feed (&s, "id: 1\ndata: a\n\nid: 2\nda", 23, out);
   ck_assert_str_eq (out->str, "id: 1\ndata: a\n\n");
-  ck_assert (cf_event_stream_has_partial (&s));
+  ck_assert (cf_event_stream_is_inside_event (&s));
   /* Another target resumes; it may repeat events already received. */
   cf_event_stream_restart (&s);
   g_string_truncate (out, 0);
@@ -49,6 +49,37 @@
 }
 END_TEST
 
+START_TEST (comments_and_blank_lines_are_no_event)
+{
+  const struct
+  {
+    const char *tail;
+    gboolean is_inside;
+  } cases[] = {
+    { "", FALSE },          { "\n", FALSE },
+    { "\r\n", FALSE },      { ": kept alive\n", FALSE },
+    { ":\r\n\n", FALSE },   { ": kept al", TRUE },
+    { "\r", TRUE },         { "i", TRUE },
+    { "id: 2\n", TRUE },    { "id: 2\ndata: b\n", TRUE },
+    { ":\ndata: b", TRUE },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      CfEventStream s;
+      GString *out = g_string_new (NULL);
+
+      cf_event_stream_init (&s);
+      cf_event_stream_feed (&s, "id: 1\ndata: a\n\n", 15, out);
+      cf_event_stream_feed (&s, cases[i].tail, strlen (cases[i].tail), out);
+      ck_assert_msg (cf_event_stream_is_inside_event (&s) == cases[i].is_inside,
+                     "case %zu", i);
+      g_string_free (out, TRUE);
+      cf_event_stream_clear (&s);
+    }
+}
+END_TEST
+
 /* However often and wherever a stream breaks off, the caller receives each
  * event once, in order. */
 START_TEST (resumed_streams_are_complete)
@@ -93,6 +124,7 @@
 
   tcase_add_test (t, split_input_yields_the_same_events);
   tcase_add_test (t, a_partial_event_is_held_back);
+  tcase_add_test (t, comments_and_blank_lines_are_no_event);
   tcase_add_test (t, resumed_streams_are_complete);
   suite_add_tcase (s, t);
   return t_run_suite (s);
