soak: break streams off in each framing

Ranks end their streams by chunks, a length or their connection, and each seed with unplanned faults breaks some off inside an event: by a reset, an orderly close, or as the framing ends a complete answer. These faults are chosen apart, so the rest of each seed's schedule is as before.

--- a/t/soak-faults.c
+++ b/t/soak-faults.c
@@ -177,6 +177,17 @@
   control_standin (f->base, call, record);
 }
 
+/* Every third rank ends its streams by chunks, a length, or its connection. */
+static void
+set_stream_framing (const SoakFleet *f, int rank)
+{
+  static const char *const framings[] = { "chunked", "close", "length" };
+  g_autofree char *call
+      = g_strdup_printf ("POST /test/framing?as=%s", framings[rank % 3]);
+
+  control_standin (target_port (f, SOAK_N_PLAIN_TARGETS + rank), call, "");
+}
+
 SoakFleet *
 soak_fleet_start (const SoakPlan *p, int base)
 {
@@ -201,6 +212,7 @@
     }
   for (int i = 0; i < p->ranks; i++)
     {
+      set_stream_framing (f, i);
       f->agents[i].is_agent = TRUE;
       f->agents[i].n = i;
       start_process (f, &f->agents[i]);
@@ -357,17 +369,28 @@
   control_standin (f->base, call, "");
 }
 
+static const char *
+rank_fault (int variant)
+{
+  static const char *const kinds[SOAK_RANK_FAULTS]
+      = { NULL, "broken", "full", "moved" };
+  static const char *const cuts[] = { "cut", "cut-close", "cut-end" };
+  const char *kind = kinds[variant % SOAK_RANK_FAULTS];
+
+  return kind ? kind
+              : cuts[variant / SOAK_RANK_FAULTS % (int)G_N_ELEMENTS (cuts)];
+}
+
 static void
 inject_target_fault (SoakFleet *f, const SoakFault *fault)
 {
   static const char *const plain_faults[]
       = { "lost",    "hang",     "truncate", "fail",  "full",
           "garbage", "unsigned", "extra",    "moved", "broken" };
-  static const char *const rank_faults[] = { "cut", "broken", "full", "moved" };
   const char *kind
       = fault->index < SOAK_N_PLAIN_TARGETS
             ? plain_faults[fault->variant % (int)G_N_ELEMENTS (plain_faults)]
-            : rank_faults[fault->variant % (int)G_N_ELEMENTS (rank_faults)];
+            : rank_fault (fault->variant);
 
   wait_for_listener (target_port (f, fault->index));
   p_inject_fault (target_port (f, fault->index), 1, kind,
--- a/t/soak-schedule.c
+++ b/t/soak-schedule.c
@@ -16,6 +16,10 @@
 /** Evacuations, cold targets and omitted fields in one seed. */
 #define ADDED_MAX 4
 #define ADDED_SEED 0x5eed
+/** Faults that break streams off in one seed, and what their seed is made
+ * with. */
+#define CUTS_MAX 6
+#define CUTS_SEED 0xc07
 #define FAULTS_MAX 20
 /** Every third seed has planned operations only, so that no unplanned fault
  * excuses a connection that is closed without an answer. */
@@ -130,6 +134,26 @@
   g_rand_free (r);
 }
 
+/* Adds faults that break streams off, chosen apart like the ones above. */
+static void
+add_stream_cuts (SoakPlan *p)
+{
+  GRand *r = g_rand_new_with_seed (p->seed ^ CUTS_SEED);
+  int n = g_rand_int_range (r, 1, CUTS_MAX + 1);
+
+  for (int i = 0; i < n; i++)
+    {
+      SoakFault f = { .kind = SOAK_TARGET };
+
+      f.at_ms = g_rand_int_range (r, 0, SCHEDULE_MS);
+      f.duration_ms = g_rand_int_range (r, 100, DURATION_MAX_MS);
+      f.index = SOAK_N_PLAIN_TARGETS + g_rand_int_range (r, 0, p->ranks);
+      f.variant = SOAK_RANK_FAULTS * g_rand_int_range (r, 0, 12);
+      g_array_append_val (p->faults, f);
+    }
+  g_rand_free (r);
+}
+
 static gint
 compare_time (gconstpointer a, gconstpointer b)
 {
@@ -163,6 +187,8 @@
       g_array_append_val (p->faults, f);
     }
   add_placement_faults (p);
+  if (!planned_only)
+    add_stream_cuts (p);
   g_array_sort (p->faults, compare_time);
   g_rand_free (r);
   return p;
--- a/t/soak.h
+++ b/t/soak.h
@@ -81,6 +81,10 @@
  * others. */
 #define SOAK_FIRST_ADDED SOAK_EVACUATE
 
+/** Kinds of fault that a rank meets by SOAK_TARGET; those whose variant this
+ * number divides break streams off. */
+#define SOAK_RANK_FAULTS 4
+
 /** SoakFault: one entry of a schedule. */
 typedef struct
 {
