standins: answer with large documents, cut at any byte

A plain target only gave short answers, always with a length. It can now answer with a document of a set size in any framing that pauses or breaks off after a given byte. Its text names the target and the request, so that bytes of two answers can be told apart.

--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -56,8 +56,10 @@
   int n_faults_left;
   gboolean fault_spares_resumed; /**< requests that resume a stream meet none */
   int fault_at;        /**< bytes of a body before it breaks off; -1: not set */
-  FakeFraming framing; /**< of a rank's streams */
-  GHashTable *run_counts; /**< request id -> how often it ran */
+  FakeFraming framing; /**< of a rank's streams and a plain service's
+                            documents */
+  FakeDocumentShape document; /**< of a plain service's answers */
+  GHashTable *run_counts;     /**< request id -> how often it ran */
   guint64 n_runs;
   guint64 n_repeated;     /**< request ids that ran more than once */
   guint64 n_after_drain;  /**< requests after DRAIN_GRACE_S of drain */
@@ -206,6 +208,31 @@
   return TRUE;
 }
 
+static FakeCut
+parse_cut (const char *fault)
+{
+  if (g_strcmp0 (fault, "cut") == 0)
+    return FAKE_CUT_RESET;
+  if (g_strcmp0 (fault, "cut-close") == 0)
+    return FAKE_CUT_CLOSE;
+  return g_strcmp0 (fault, "cut-end") == 0 ? FAKE_CUT_END : FAKE_CUT_NONE;
+}
+
+static void
+answer_with_own_document (const FakeTarget *t, FakeConn *c, const char *fault,
+                          const char *headers)
+{
+  FakeDocumentShape shape = t->document;
+  g_autofree char *id
+      = g_strdup (cf_http_reader_header (&c->reader, CF_HDR_REQUEST_ID));
+
+  shape.framing = t->framing;
+  shape.cut = parse_cut (fault);
+  if (shape.cut != FAKE_CUT_NONE)
+    shape.cut_at = t->fault_at >= 0 ? (gsize)t->fault_at : shape.size / 2;
+  fake_document_send (c, &shape, headers, t->id, id);
+}
+
 static void
 answer_plain (FakeTarget *t, FakeConn *c, const char *fault)
 {
@@ -221,7 +248,11 @@
       cf_http_reader_header (&c->reader, CF_HDR_API_KEY) ? "shown" : "hidden",
       c->body->str);
 
-  if (!answer_with_fault (t, c, fault, headers))
+  if (answer_with_fault (t, c, fault, headers))
+    ;
+  else if (t->document.size > 0)
+    answer_with_own_document (t, c, fault, headers);
+  else
     fake_http_answer (c, 200, headers, body, -1);
   if (g_strcmp0 (fault, "extra") == 0)
     {
@@ -303,16 +334,6 @@
   t->n_running++;
 }
 
-static FakeCut
-parse_cut (const char *fault)
-{
-  if (g_strcmp0 (fault, "cut") == 0)
-    return FAKE_CUT_RESET;
-  if (g_strcmp0 (fault, "cut-close") == 0)
-    return FAKE_CUT_CLOSE;
-  return g_strcmp0 (fault, "cut-end") == 0 ? FAKE_CUT_END : FAKE_CUT_NONE;
-}
-
 /* Where a stream breaks off: as set, or half-way through its third event. */
 static gsize
 cut_position (const FakeTarget *t, int first_event)
@@ -650,6 +671,24 @@
   fake_http_answer (c, 200, NULL, "", 0);
 }
 
+/* The number of the query parameter @name; 0 if there is none. */
+static int
+int_param (const FakeConn *c, const char *name)
+{
+  g_autofree char *value = fake_http_query_param (c, name);
+
+  return value ? atoi (value) : 0;
+}
+
+static void
+set_document (FakeTarget *t, FakeConn *c)
+{
+  t->document.size = (gsize)int_param (c, "size");
+  t->document.cut_at = (gsize)int_param (c, "pause-at");
+  t->document.pause_ms = int_param (c, "pause-ms");
+  fake_http_answer (c, 200, NULL, "", 0);
+}
+
 /** DelayedOrder: an order that a rank executes later. */
 typedef struct
 {
@@ -785,6 +824,8 @@
     set_fault (t, c);
   else if (fake_http_has_path (c, "/test/framing"))
     set_framing (t, c);
+  else if (fake_http_has_path (c, "/test/document"))
+    set_document (t, c);
   else if (fake_http_has_path (c, "/test/crasher"))
     {
       g_free (t->crash_body);
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fake-document.h"
 #include "fake-store.h"
 
 /**
@@ -24,17 +25,24 @@
  *   cut       a stream is reset in the middle of an event
  *   cut-close as cut, but the connection is closed in order
  *   cut-end   as cut, but the answer ends as if it were complete, by its
- * framing tardy     a stream begins 1 s late document  a stream's request is
- * answered with a JSON document crash     the target crashes, as by /test/crash
- * The kinds from fail to unframed affect only plain services, and the cuts,
- * tardy and document affect only ranks; other targets run the requests
- * normally.
- *
- * POST /test/fault?kind=cut...&x=N&at=B: a stream breaks off after B bytes of
+ *             framing
+ *   tardy     a stream begins 1 s late
+ *   document  a stream's request is answered with a JSON document
+ *   crash     the target crashes, as by /test/crash
+ * The kinds from fail to unframed affect only plain services, and tardy and
+ * document affect only ranks; other targets run the requests normally.  Cuts
+ * affect ranks, and plain services that answer with documents.
+ *
+ * POST /test/fault?kind=cut...&x=N&at=B: an answer breaks off after B bytes of
  * its body.  With &fresh=1, requests that resume a stream meet no fault.
  *
- * POST /test/framing?as=F: from now on F marks the end of a rank's streams:
- * chunked (the default), length, or close (neither a length nor chunks).
+ * POST /test/framing?as=F: from now on F marks the end of a rank's streams and
+ * of a plain service's documents: chunked (the default), length, or close
+ * (neither a length nor chunks).
+ *
+ * POST /test/document?size=N&pause-at=B&pause-ms=P: from now on a plain service
+ * answers with documents of N bytes, with a pause of P ms after B bytes, or
+ * before the break-off; without N, with its short answers.
  *
  * POST /test/crasher: from now on a request with the body of this call crashes
  * the target that runs it: all its connections in use are reset, and it
@@ -87,15 +95,6 @@
 typedef struct FakeTarget FakeTarget;
 typedef struct FakeGroup FakeGroup;
 
-/** FakeCut: how an answer breaks off. */
-typedef enum
-{
-  FAKE_CUT_NONE,
-  FAKE_CUT_RESET, /**< the connection is reset */
-  FAKE_CUT_CLOSE, /**< the connection is closed in order */
-  FAKE_CUT_END,   /**< it ends as its framing ends a complete answer */
-} FakeCut;
-
 /**
  * fake_target_new_plain: starts a target of a plain service at @addr.
  * @slots: requests that it runs at once, as its store record says; it accepts
