--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,8 @@
 t/t-gateway t/t-network t/t-rank-groups t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover t/t-answer-end: GW_TEST_LDLIBS += t/platform-harness.o
 t/t-gateway t/t-network t/t-rank-groups t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover t/t-answer-end: t/platform-harness.o
 t/t-network: t/gateway-clock-step
+t/t-answer-end: GW_TEST_LDLIBS += t/received-answer.o
+t/t-answer-end: t/received-answer.o
 
 # The gateway with a wall clock that jumps: t/clock-step.c overrides the C
 # library's clock_gettime(), for the libraries that the program uses as well.
@@ -128,7 +130,7 @@
 t/t-demo: $(PROGRAMS) $(GW_PROGRAMS) $(SI_PROGRAMS)
 
 t/target-harness.o: $(wildcard gateway/*.h platform/*.h)
-t/harness.o t/platform-harness.o t/target-harness.o: t/%.o: t/%.c t/%.h
+t/harness.o t/platform-harness.o t/target-harness.o t/received-answer.o: t/%.o: t/%.c t/%.h
 	$(CC) $(ALL_CFLAGS) -I. $(shell pkg-config --cflags check) -c -o $@ $<
 
 # The fault soak: the seeds 1 to SEEDS, or one SEED (docs/SOAK.md).
--- a/t/t-answer-end.c
+++ b/t/t-answer-end.c
@@ -5,21 +5,17 @@
  */
 #include "harness.h"
 #include "platform-harness.h"
+#include "received-answer.h"
 
-#include <poll.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #define BASE 21500
 #define RANK_1 (BASE + 3)
 #define N_RANKS 4
-/** Events of the streams, and the header that asks for them. */
+/** Events of the streams. */
 #define N_EVENTS 4
-#define TOKEN_COUNT "Comfreypost-Token-Count: 10,16\r\n"
 /** Length of an event of the stand-in with a number of one digit. */
 #define EVENT_BYTES 21
-#define ANSWER_TIMEOUT_MS 5000
 #define GATEWAY_LOG "t/out/gateway-21500-1.log"
 
 static int front;
@@ -33,105 +29,14 @@
   p_wait_until_ready (BASE, 1);
 }
 
-/** End: how an answer ended for its caller. */
-typedef enum
-{
-  END_COMPLETE,
-  END_CLOSED, /**< connection closed before the answer was complete */
-  END_RESET,  /**< connection reset before that */
-  END_NEVER,
-} End;
-
-/** Answer: an answer as its caller received it. */
-typedef struct
-{
-  int status;
-  End end;
-  char *body; /**< decoded */
-} Answer;
-
 static const char *const framings[] = { "chunked", "length", "close" };
 static const char *const cuts[] = { "cut", "cut-close", "cut-end" };
 
-/* Reads until the peer closes, or keeps the connection idle. */
-static End
-read_all (int fd, GString *s)
-{
-  struct pollfd p = { fd, POLLIN, 0 };
-  char buf[8192];
-  ssize_t n;
-
-  while (poll (&p, 1, ANSWER_TIMEOUT_MS) > 0)
-    {
-      n = recv (fd, buf, sizeof buf, 0);
-      if (n <= 0)
-        return n == 0 ? END_CLOSED : END_RESET;
-      g_string_append_len (s, buf, n);
-    }
-  return END_NEVER;
-}
-
-/* Decodes the chunks of @text into @body; whether it ends with the last one. */
-static gboolean
-decode_chunks (const char *text, GString *body)
-{
-  while (*text)
-    {
-      char *data;
-      gsize n = strtoul (text, &data, 16);
-
-      if (n == 0)
-        return strcmp (data, "\r\n\r\n") == 0;
-      data += 2;
-      g_string_append_len (body, data, (gssize)MIN (n, strlen (data)));
-      text = data + MIN (n + 2, strlen (data));
-    }
-  return FALSE;
-}
-
-static Answer
-parse_answer (const char *text, End end)
-{
-  const char *body = strstr (text, "\r\n\r\n");
-  GString *s = g_string_new (NULL);
-  Answer a = { p_parse_status (text), end, NULL };
-  const char *length = strstr (text, "Content-Length: ");
-  gboolean is_complete = FALSE;
-
-  if (body && strstr (text, "Transfer-Encoding: chunked"))
-    is_complete = decode_chunks (body + 4, s);
-  else if (body)
-    {
-      g_string_append (s, body + 4);
-      is_complete = length ? s->len == strtoul (length + 16, NULL, 10)
-                           : end == END_CLOSED;
-    }
-  if (is_complete)
-    a.end = END_COMPLETE;
-  a.body = g_string_free (s, FALSE);
-  return a;
-}
-
-/* Sends a request that asks the gateway to close the connection after it. */
 static Answer
 send_request (const char *method_and_path, const char *id, const char *version)
 {
-  g_autofree char *r = p_build_request (
-      method_and_path, id, TOKEN_COUNT "Connection: close\r\n", "");
-  char *minor = strstr (r, "HTTP/1.1\r\n");
-  g_autofree char *text = NULL;
-  GString *s = g_string_new (NULL);
-  int fd = p_connect (front);
-  Answer a;
-  End end;
-
-  memcpy (minor, version, strlen (version));
-  p_send (fd, r);
-  end = read_all (fd, s);
-  close (fd);
-  text = g_string_free (s, FALSE);
-  a = parse_answer (text, end);
-  return a;
+  return received_answer_read (
+      received_answer_send (front, method_and_path, id, version));
 }
 
 /** Cut: how the streams of all ranks break off. */
@@ -199,7 +104,7 @@
   check_stream (&a, what);
   ck_assert_msg ((a.end == END_COMPLETE && a.status == 200) == cut->fresh_only,
                  "%s: status %d, end %d", what, a.status, a.end);
-  g_free (a.body);
+  received_answer_clear (&a);
 }
 
 /* Sends a stream for every kind of cut and every @step-th position from @first
@@ -250,7 +155,7 @@
   a = send_request ("POST /talk/a", framings[_i], "HTTP/1.1");
   ck_assert_int_eq (a.end, END_COMPLETE);
   ck_assert_str_eq (a.body, whole);
-  g_free (a.body);
+  received_answer_clear (&a);
 }
 END_TEST
 
@@ -277,7 +182,7 @@
   ck_assert_int_eq (a.status, 200);
   ck_assert_int_eq (a.end, END_COMPLETE);
   ck_assert_str_eq (a.body, "{\"text\":\"no stream\"}");
-  g_free (a.body);
+  received_answer_clear (&a);
 }
 END_TEST
 
@@ -292,7 +197,7 @@
 
   set_cut (&cut);
   a = send_request ("POST /talk/a", "logged", "HTTP/1.1");
-  g_free (a.body);
+  received_answer_clear (&a);
   ck_assert (p_wait_for_log (GATEWAY_LOG, "E1205 answer id=logged ", 2000));
   ck_assert (g_file_get_contents (GATEWAY_LOG, &log, NULL, NULL));
   ck_assert_ptr_nonnull (strstr (log, "E1205 answer id=logged outcome=broken"));
