exchange: break off empty streams without a length when resumed

Such an answer is now broken off for every caller; one who has all events and asks again is told so by an answer with a length or chunks.

Its cases now ask for the exact status and for cuts between events that chunks or a length show.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -330,14 +330,12 @@
 }
 
 /* Whether the end of the connection was the end of a stream without an event.
- * Nothing shows that such a stream is complete, unless the caller has asked for
- * the events after the last one. */
+ * Nothing shows that such a stream is complete. */
 static gboolean
 has_ended_before_first_event (const CfExchange *x)
 {
   return x->framing == CF_FRAMING_CLOSE
-         && x->event_stream.n_events == x->events_at_send
-         && !cf_http_reader_header (&x->caller->reader, CF_HDR_LAST_EVENT_ID);
+         && x->event_stream.n_events == x->events_at_send;
 }
 
 /* Whether a stream that has ended by its framing was broken off. */
--- a/t/t-answer-end.c
+++ b/t/t-answer-end.c
@@ -102,13 +102,25 @@
   set_cut (cut);
   a = send_request (path, what, "HTTP/1.1");
   check_stream (&a, what);
-  ck_assert_msg ((a.end == END_COMPLETE && a.status == 200) == cut->fresh_only,
-                 "%s: status %d, end %d", what, a.status, a.end);
+  ck_assert_msg (a.status == (cut->at < EVENT_BYTES ? 502 : 200),
+                 "%s: status %d", what, a.status);
+  ck_assert_msg (a.status == 502 || (a.end == END_COMPLETE) == cut->fresh_only,
+                 "%s: end %d", what, a.end);
   received_answer_clear (&a);
 }
 
+/* Whether a caller could tell that the stream is cut. */
+static gboolean
+is_visible (const Cut *cut)
+{
+  if (cut->at % EVENT_BYTES != 0 || strcmp (cut->how, "cut") == 0)
+    return TRUE;
+  return strcmp (cut->how, "cut-close") == 0
+         && strcmp (cut->framing, "close") != 0;
+}
+
 /* Sends a stream for every kind of cut and every @step-th position from @first
- * to the end of the second event at which an event is incomplete. */
+ * to the end of the second event that shows. */
 static void
 play_cuts (const char *path, Cut cut, int first, int step)
 {
@@ -117,7 +129,7 @@
       {
         cut.how = cuts[c];
         cut.at = at;
-        if (at % EVENT_BYTES != 0)
+        if (is_visible (&cut))
           play_cut (path, &cut);
       }
 }
@@ -172,6 +184,25 @@
 END_TEST
 
 /* Only an event stream can end inside an event. */
+START_TEST (resumption_cut_before_its_first_event_ends_as_complete)
+{
+  Cut cut = { "close", "cut-close", 0, FALSE };
+  g_autofree char *r
+      = p_build_request ("POST /talk/a", "resumed",
+                         "Last-Event-Id: 2\r\nConnection: close\r\n", "");
+  int fd = p_connect (front);
+  Answer a;
+
+  set_cut (&cut);
+  p_send (fd, r);
+  a = received_answer_read (fd);
+  ck_assert_int_ne (a.status, 0);
+  ck_assert_msg (a.end != END_COMPLETE || a.status != 200, "complete: %s",
+                 a.body);
+  received_answer_clear (&a);
+}
+END_TEST
+
 START_TEST (document_on_a_route_for_streams_is_broken_off)
 {
   Cut cut = { framings[_i], "document", 0, FALSE };
@@ -231,6 +262,8 @@
             n_framings);
   add_case (s, "cut", stream_cut_inside_an_event_is_not_resumed, n_framings);
   add_case (s, "cut", stream_without_length_or_event_ends_as_complete, 1);
+  add_case (s, "cut", resumption_cut_before_its_first_event_ends_as_complete,
+            1);
   add_case (s, "whole", document_on_a_route_for_streams_is_broken_off,
             n_framings);
   add_case (s, "cut", log_does_not_tell_a_cut_stream_from_a_complete_one, 1);
