exchange: log what was left of an event that broke off

A stream that its last chunk or its length ended inside an event was logged as reason=garbled, like bytes that are no HTTP, and E1205 gave partial_bytes=0, since the rest of the event is dropped before the line is written. The reason is now incomplete, and both E1205 and E1407 give the bytes that the last answer left. t-answer-end asks for the line: it failed before, 18 of 18 pass after.

--- a/explain.c
+++ b/explain.c
@@ -67,6 +67,10 @@
   { NULL, "garbled",
     "the target sent a malformed answer, and the request could not be sent "
     "again: again= and ran= of the last E1204 show why" },
+  { NULL, "incomplete",
+    "the target ended its stream in the middle of an event (partial_bytes= of "
+    "this line), and the request could not be sent again: again= and ran= of "
+    "the last E1204 show why" },
   { NULL, "unsent", "no target could be reached" },
   { NULL, "silent", "the target sent nothing for too long" },
   { NULL, "deadline",
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -25,6 +25,7 @@
 cf_exchange_discard_answer (CfExchange *x)
 {
   x->has_head = FALSE;
+  x->partial_bytes = x->event_stream.partial->len;
   g_string_truncate (x->held_body, 0);
   if (!x->answer_started)
     g_string_truncate (x->answer_head, 0);
@@ -353,7 +354,7 @@
     {
       cf_exchange_on_upstream_failure (x, x->framing == CF_FRAMING_CLOSE
                                               ? CF_FAILURE_LOST
-                                              : CF_FAILURE_MALFORMED);
+                                              : CF_FAILURE_INCOMPLETE);
       return;
     }
   cf_outlier_record_success (&x->target->outlier);
@@ -453,7 +454,6 @@
 cf_exchange_on_upstream_failure (void *owner, CfUpstreamFailure f)
 {
   CfExchange *x = owner;
-  gboolean waits_for_probe;
 
   x->upstream = NULL;
   note_stalled_target (x);
@@ -462,9 +462,8 @@
     x->sends--;
   else
     x->may_have_run = TRUE;
-  waits_for_probe = f == CF_FAILURE_LOST && cf_exchange_probe_lost_target (x);
   cf_exchange_discard_answer (x);
-  if (waits_for_probe)
+  if (f == CF_FAILURE_LOST && cf_exchange_probe_lost_target (x))
     return;
   cf_exchange_retry_or_end (x, cf_upstream_failure_name (f));
 }
--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -47,7 +47,7 @@
           " framing=%s partial_bytes=%" G_GSIZE_FORMAT,
           x->id, x->target->record.id, text,
           x->event_stream.n_events - x->events_at_send, silent_ms (x),
-          cf_answer_framing_name (x->framing), x->event_stream.partial->len);
+          cf_answer_framing_name (x->framing), x->partial_bytes);
 }
 
 static void
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -83,6 +83,8 @@
                                 answer names as at fault */
   double retry_after_s;    /**< the answer's Retry-After; 0: none */
   CfEventStream event_stream;
+  gsize partial_bytes;     /**< of the last answer that was discarded: received
+                                after its last complete event */
   gint64 last_event_ms;    /**< when the last event was forwarded; 0: none */
   gint64 first_event_ms;   /**< time from the request to the first event */
   gint64 longest_pause_ms; /**< between two events */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -91,6 +91,7 @@
     x->service_state->busy_since_ms = cf_gateway_now (x->gateway);
   x->sends++;
   x->framing = CF_FRAMING_NONE;
+  x->partial_bytes = 0;
   x->events_at_send = x->event_stream.n_events;
   x->sent_ms = cf_gateway_now (x->gateway);
   if (x->route->stream)
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -77,7 +77,7 @@
           x->id, cf_outcome_name (o), status, reason, cf_exchange_target_id (x),
           x->sends, run_state_name (x, o), ms, x->event_stream.n_events,
           x->first_event_ms, x->expected_first_ms, x->longest_pause_ms,
-          cf_answer_framing_name (x->framing), x->event_stream.partial->len,
+          cf_answer_framing_name (x->framing), x->partial_bytes,
           x->policy ? x->policy->version : 0);
   g->stats.outcomes[o]++;
   if (o == CF_OUTCOME_SUCCESS && !x->event_stream.n_events)
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -32,6 +32,8 @@
       return "lost";
     case CF_FAILURE_MALFORMED:
       return "garbled";
+    case CF_FAILURE_INCOMPLETE:
+      return "incomplete";
     }
   return "unknown";
 }
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -8,9 +8,11 @@
 /** CfUpstreamFailure: how a request to a target failed. */
 typedef enum
 {
-  CF_FAILURE_UNSENT,    /**< no byte of the request was sent: it did not run */
-  CF_FAILURE_LOST,      /**< the connection ended before the complete answer */
-  CF_FAILURE_MALFORMED, /**< the target sent no valid HTTP answer */
+  CF_FAILURE_UNSENT,     /**< no byte of the request was sent: it did not run */
+  CF_FAILURE_LOST,       /**< the connection ended before the complete answer */
+  CF_FAILURE_MALFORMED,  /**< the target sent no valid HTTP answer */
+  CF_FAILURE_INCOMPLETE, /**< the answer ended inside an event, though its
+                              framing is complete */
 } CfUpstreamFailure;
 
 const char *cf_upstream_failure_name (CfUpstreamFailure f);
--- a/t/t-answer-end.c
+++ b/t/t-answer-end.c
@@ -233,6 +233,14 @@
   ck_assert (g_file_get_contents (GATEWAY_LOG, &log, NULL, NULL));
   ck_assert_ptr_nonnull (strstr (log, "E1205 answer id=logged outcome=broken"));
   ck_assert (g_regex_match (lost, log, 0, NULL));
+  cut.framing = "chunked";
+  cut.how = "cut-end";
+  set_cut (&cut);
+  a = send_request ("POST /talk/a", "logged-2", "HTTP/1.1");
+  received_answer_clear (&a);
+  ck_assert (p_wait_for_log (GATEWAY_LOG, "E1205 answer id=logged-2 ", 2000));
+  ck_assert (p_wait_for_log (GATEWAY_LOG,
+                             "framing=chunked partial_bytes=5 config=1", 0));
 }
 END_TEST
 
