event-stream: do not count comments as events

A block of comments counted as an event, so a stream without a length that sent a comment and broke off passed for one with an event, and was ended as complete; its time to the first event was wrong as well. Comments are now forwarded without being counted. Those before the first event are held back up to the bound for other answers, since a request whose answer has begun cannot be retried without an event's id.

--- a/gateway/event-stream.c
+++ b/gateway/event-stream.c
@@ -54,11 +54,42 @@
   return -1;
 }
 
+/* Whether the line that @p points to is complete and either blank or a
+ * comment. */
+static gboolean
+is_ignored_line (const char *p, const char *nl)
+{
+  return nl && (*p == ':' || p == nl || (*p == '\r' && p + 1 == nl));
+}
+
+/* Whether the @n bytes at @p hold anything but blank lines and comments, the
+ * last line perhaps incomplete. */
+static gboolean
+has_fields (const char *p, gsize n)
+{
+  const char *end = p + n;
+
+  while (p < end)
+    {
+      const char *nl = memchr (p, '\n', (gsize)(end - p));
+
+      if (!is_ignored_line (p, nl))
+        return TRUE;
+      p = nl + 1;
+    }
+  return FALSE;
+}
+
 static guint
 append_event (CfEventStream *s, const char *p, gsize n, GString *out)
 {
   gint64 id = event_id (p, n);
 
+  if (!has_fields (p, n))
+    {
+      g_string_append_len (out, p, (gssize)n);
+      return 0;
+    }
   if (id >= 0 && id <= s->last_id)
     {
       s->n_dropped++;
@@ -94,27 +125,8 @@
   g_string_truncate (s->partial, 0);
 }
 
-/* Whether the line that @p points to is complete and either blank or a
- * comment. */
-static gboolean
-is_ignored_line (const char *p, const char *nl)
-{
-  return nl && (*p == ':' || p == nl || (*p == '\r' && p + 1 == nl));
-}
-
 gboolean
 cf_event_stream_is_inside_event (const CfEventStream *s)
 {
-  const char *p = s->partial->str;
-  const char *end = p + s->partial->len;
-
-  while (p < end)
-    {
-      const char *nl = memchr (p, '\n', (gsize)(end - p));
-
-      if (!is_ignored_line (p, nl))
-        return TRUE;
-      p = nl + 1;
-    }
-  return FALSE;
+  return has_fields (s->partial->str, s->partial->len);
 }
--- a/gateway/event-stream.h
+++ b/gateway/event-stream.h
@@ -22,7 +22,8 @@
 
 /**
  * cf_event_stream_feed:
- * @out: complete events are appended to it unchanged
+ * @out: complete events, and the comments between them, are appended to it
+ *   unchanged
  * Returns: the number of events appended.
  */
 guint cf_event_stream_feed (CfEventStream *s, const char *data, gsize n,
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -217,15 +217,27 @@
   record_progress (x);
 }
 
+/* Comments before the first event are held back, so that the request can still
+ * be retried. */
+static gboolean
+has_to_hold_comments (const CfExchange *x)
+{
+  return !x->answer_started && x->event_stream.n_events == 0
+         && x->held_body->len <= HELD_BODY_MAX;
+}
+
 static void
 forward_events (CfExchange *x, const char *data, gsize n)
 {
-  g_string_truncate (x->held_body, 0);
-  if (cf_event_stream_feed (&x->event_stream, data, n, x->held_body) == 0)
+  guint n_events
+      = cf_event_stream_feed (&x->event_stream, data, n, x->held_body);
+
+  if (x->held_body->len == 0 || has_to_hold_comments (x))
     return;
   if (!x->answer_started)
     start_answer (x, -1);
-  record_event (x);
+  if (n_events > 0)
+    record_event (x);
   cf_caller_append_body (x->caller, x->held_body->str, x->held_body->len);
   g_string_truncate (x->held_body, 0);
   if (x->route->retry_safety != CF_RETRY_UNSAFE)
@@ -366,7 +378,7 @@
       return;
     }
   /* Comments after the last event, if any, come from the target too. */
-  g_string_assign (x->held_body, x->event_stream.partial->str);
+  g_string_append (x->held_body, x->event_stream.partial->str);
   if (!x->answer_started)
     start_answer (x, -1);
   finish_answer (x, CF_OUTCOME_SUCCESS);
--- a/t/t-event-stream.c
+++ b/t/t-event-stream.c
@@ -80,6 +80,22 @@
 }
 END_TEST
 
+START_TEST (comments_count_as_events)
+{
+  CfEventStream s;
+  GString *out = g_string_new (NULL);
+
+  cf_event_stream_init (&s);
+  ck_assert_uint_eq (cf_event_stream_feed (&s, ": wait\n\n", 8, out), 0);
+  ck_assert_uint_eq (s.n_events, 0);
+  ck_assert_uint_eq (cf_event_stream_feed (&s, ":\nid: 1\n\n", 10, out), 1);
+  ck_assert_uint_eq (s.n_events, 1);
+  ck_assert_str_eq (out->str, ": wait\n\n:\nid: 1\n\n");
+  g_string_free (out, TRUE);
+  cf_event_stream_clear (&s);
+}
+END_TEST
+
 /* However often and wherever a stream breaks off, the caller receives each
  * event once, in order. */
 START_TEST (resumed_streams_are_complete)
@@ -124,6 +140,7 @@
 
   tcase_add_test (t, split_input_yields_the_same_events);
   tcase_add_test (t, a_partial_event_is_held_back);
+  tcase_add_test (t, comments_count_as_events);
   tcase_add_test (t, comments_and_blank_lines_are_no_event);
   tcase_add_test (t, resumed_streams_are_complete);
   suite_add_tcase (s, t);
