--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -194,6 +194,33 @@
 }
 END_TEST
 
+/* Once its silent requests had been retried elsewhere, a frozen VM looked like
+ * an idle one and got more of them than the targets that worked. */
+START_TEST (frozen_target_gets_one_request_after_its_retries)
+{
+  CfPickInput in = {
+    .service = "s", .now_ms = 1700, .n_gateways = 1, .stall_timeout_ms = 300
+  };
+  CfTarget *t;
+
+  t_set_in_flight (get ("a"), 4, 100);
+  t_set_in_flight (get ("b"), 3, 100);
+  t_set_in_flight (get ("c"), 3, 100);
+  cf_target_record_progress (get ("b"), 1650);
+  cf_target_record_progress (get ("c"), 1650);
+  t_set_in_flight (get ("a"), 0, 1700);
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a");
+  t_set_in_flight (get ("a"), 1, 1700);
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  ck_assert_str_ne (t->record.id, "a");
+  /* Its first event ends that. */
+  cf_target_record_progress (get ("a"), 1690);
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "a");
+}
+END_TEST
+
 /* Late requests do not use all of a target's capacity. */
 START_TEST (late_requests_leave_capacity)
 {
@@ -708,6 +735,7 @@
   tcase_add_test (t, slow_target_is_avoided_while_others_are_full);
   tcase_add_test (t, ranks_of_broken_group_are_avoided);
   tcase_add_test (t, stalled_targets_get_no_requests);
+  tcase_add_test (t, frozen_target_gets_one_request_after_its_retries);
   tcase_add_test (t, late_requests_leave_capacity);
   tcase_add_test (t, late_requests_leave_capacity_in_large_fleet);
   tcase_add_test (t, slots_are_divided_among_gateways);
