balancer: keep targets stalled after their retries

Cause: a target counts as stalled by the silence since its oldest request, and as idle once its requests have all been retried elsewhere.

The silence is kept until the target sends something.

t-balancer: frozen_target_gets_one_request_after_its_retries fails before. t-overload: mechanical, the end of a request has a time.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -54,11 +54,20 @@
   return in->yields ? (guint)MAX (share * YIELD_TARGET_FRACTION, 1) : share;
 }
 
+/* Whether the request is the one that shows whether @t, which had stalled, has
+ * recovered.  A retry is not: it has less time left and no further attempt. */
+static gboolean
+may_probe (const CfTarget *t, const CfPickInput *in)
+{
+  return t->in_flight == 0 && (!in->tried || in->tried->len == 0);
+}
+
 static gboolean
 is_stalled (const CfTarget *t, const CfPickInput *in)
 {
   return in->stall_timeout_ms > 0 && !CF_WITHOUT_STALL_CHECK
-         && cf_target_silence_ms (t, in->now_ms) > in->stall_timeout_ms;
+         && !may_probe (t, in)
+         && cf_target_unanswered_ms (t, in->now_ms) > in->stall_timeout_ms;
 }
 
 static gboolean
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -40,7 +40,9 @@
   CfFleetPosition warmup_position; /**< among the gateways that share the rates
                                         of cold targets; 0 gateways: unknown */
   gint64 stall_timeout_ms; /**< a target that has requests of this gateway and
-                                sends nothing for longer is stalled; 0: stalls
+                                has sent nothing for longer is stalled, until
+                                it sends something; once they have all ended,
+                                it gets one first attempt at a time.  0: stalls
                                 are not detected */
 } CfPickInput;
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -47,7 +47,7 @@
   if (!x->target)
     return;
   cf_exchange_end_suspect_run (x);
-  cf_target_request_ended (x->target);
+  cf_target_request_ended (x->target, cf_gateway_now (x->gateway));
   x->service_state->in_flight--;
   g_clear_pointer (&x->target, cf_target_unref);
 }
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -64,15 +64,19 @@
 }
 
 void
-cf_target_request_ended (CfTarget *t)
+cf_target_request_ended (CfTarget *t, gint64 now)
 {
-  t->in_flight--;
+  gint64 unanswered_ms = cf_target_unanswered_ms (t, now);
+
+  if (--t->in_flight == 0)
+    t->prior_silence_ms = MAX (unanswered_ms, 0);
 }
 
 void
 cf_target_record_progress (CfTarget *t, gint64 now)
 {
   t->last_progress_ms = now;
+  t->prior_silence_ms = 0;
 }
 
 static void
@@ -424,6 +428,12 @@
   return now - MAX (t->busy_since_ms, t->last_progress_ms);
 }
 
+gint64
+cf_target_unanswered_ms (const CfTarget *t, gint64 now)
+{
+  return t->prior_silence_ms + cf_target_silence_ms (t, now);
+}
+
 gboolean
 cf_target_announce_leaving (CfTarget *t)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -41,6 +41,9 @@
   guint in_flight;         /**< this process's requests at it */
   gint64 busy_since_ms;    /**< when @in_flight last rose from 0 */
   gint64 last_progress_ms; /**< when it last sent part of an answer */
+  gint64 prior_silence_ms; /**< for how long it had sent nothing when @in_flight
+                                last fell to 0; 0 if it has sent something
+                                since */
   CfUpstreamList idle;     /**< unused connections to it, last used first */
   CfUpstreamList busy;     /**< connections that carry a request */
   CfOutlier outlier;
@@ -84,7 +87,7 @@
 void cf_target_request_started (CfTarget *t, gint64 now_ms);
 
 /** cf_target_request_ended: counts the end of a request, answered or not. */
-void cf_target_request_ended (CfTarget *t);
+void cf_target_request_ended (CfTarget *t, gint64 now_ms);
 
 /** cf_target_record_progress: records that @t sent part of an answer. */
 void cf_target_record_progress (CfTarget *t, gint64 now_ms);
@@ -181,6 +184,13 @@
  */
 gint64 cf_target_silence_ms (const CfTarget *t, gint64 now_ms);
 
+/**
+ * cf_target_unanswered_ms:
+ * Like cf_target_silence_ms(), but includes the silence before, if its earlier
+ * requests were all cancelled: without an event since, it has not recovered.
+ */
+gint64 cf_target_unanswered_ms (const CfTarget *t, gint64 now_ms);
+
 /** cf_target_announce_leaving: records that @t said in an answer that it
  * leaves; %FALSE if that was known. */
 gboolean cf_target_announce_leaving (CfTarget *t);
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -201,16 +201,24 @@
   CfPickInput in = {
     .service = "s", .now_ms = 1700, .n_gateways = 1, .stall_timeout_ms = 300
   };
+  g_autoptr (GPtrArray) tried = g_ptr_array_new ();
   CfTarget *t;
 
   t_set_in_flight (get ("a"), 4, 100);
   t_set_in_flight (get ("b"), 3, 100);
   t_set_in_flight (get ("c"), 3, 100);
+  cf_target_record_progress (get ("a"), 500);
   cf_target_record_progress (get ("b"), 1650);
   cf_target_record_progress (get ("c"), 1650);
   t_set_in_flight (get ("a"), 0, 1700);
   ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
   ck_assert_str_eq (t->record.id, "a");
+  /* A retry is not sent there. */
+  g_ptr_array_add (tried, get ("b"));
+  in.tried = tried;
+  ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
+  ck_assert_str_eq (t->record.id, "c");
+  in.tried = NULL;
   t_set_in_flight (get ("a"), 1, 1700);
   ck_assert_int_eq (cf_balancer_pick (&table, &in, &t), CF_PICK_OK);
   ck_assert_str_ne (t->record.id, "a");
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -269,7 +269,7 @@
 }
 
 static void
-on_stream_end (Stream *s)
+on_stream_end (Stream *s, gint64 now)
 {
   gboolean on_time = !s->is_retry && s->first_ms <= scenario->objective_ms
                      && s->longest_ms <= scenario->gap_objective_ms;
@@ -278,7 +278,7 @@
     tally.on_time[get_arrival_second (s)]++;
   else
     tally.late[get_arrival_second (s)]++;
-  cf_target_request_ended (s->target);
+  cf_target_request_ended (s->target, now);
   s->gateway->in_flight--;
   n_writing[s->rank]--;
 }
@@ -311,10 +311,10 @@
 
 /* The caller gave up before the first event. */
 static void
-on_caller_timeout (Stream *s)
+on_caller_timeout (Stream *s, gint64 now)
 {
   tally.late[get_arrival_second (s)]++;
-  cf_target_request_ended (s->target);
+  cf_target_request_ended (s->target, now);
   s->gateway->in_flight--;
 }
 
@@ -353,7 +353,7 @@
       if (!s->has_slot && scenario->callers_time_out
           && end_ms - s->start_ms > FIRST_EVENT_TIMEOUT_MS)
         {
-          on_caller_timeout (s);
+          on_caller_timeout (s, now);
           g_ptr_array_remove_index (running, i);
           continue;
         }
@@ -382,7 +382,7 @@
           i++;
           continue;
         }
-      on_stream_end (s);
+      on_stream_end (s, now);
       g_ptr_array_remove_index (running, i);
     }
   return end_ms;
--- a/t/t-standstill.c
+++ b/t/t-standstill.c
@@ -112,7 +112,7 @@
                  && s->longest_ms <= GAP_OBJECTIVE_MS;
   else if (now - s->last_ms < CALLER_TIMEOUT_MS)
     return FALSE;
-  cf_target_request_ended (s->target);
+  cf_target_request_ended (s->target, now);
   return TRUE;
 }
 
--- a/t/target-harness.c
+++ b/t/target-harness.c
@@ -57,5 +57,5 @@
   while (t->in_flight < n)
     cf_target_request_started (t, now_ms);
   while (t->in_flight > n)
-    cf_target_request_ended (t);
+    cf_target_request_ended (t, now_ms);
 }
