exchange: tell callers of streams left at stalled ranks

Cause: 150 ms before its caller gives up, a stream without an event was answered 502 if its present target, or the whole service, sent nothing. A stream that had been retried elsewhere may still be held by its first target, which cannot read that it was cancelled and runs it when its VM wakes.

Any target that got the stream and has stalled since counts now, as the silence is kept after a cancellation.

--- a/gateway/exchange-silence.c
+++ b/gateway/exchange-silence.c
@@ -131,6 +131,20 @@
                     &x->service_state->latency);
 }
 
+/* Whether a target that got it, now or in an earlier attempt, has not sent
+ * anything for @ms.  It may still hold the request, and not be able to read
+ * that it was cancelled. */
+static gboolean
+is_any_attempt_stalled (const CfExchange *x, gint64 ms)
+{
+  gint64 now = cf_gateway_now (x->gateway);
+
+  for (guint i = 0; i < x->tried_targets->len; i++)
+    if (cf_target_unanswered_ms (x->tried_targets->pdata[i], now) > ms)
+      return TRUE;
+  return FALSE;
+}
+
 /* Whether its target, or its whole service, sends nothing. */
 static gboolean
 is_target_or_service_silent (const CfExchange *x)
@@ -143,13 +157,18 @@
                 > stall;
 }
 
-/* Whether a stream's caller gives up now, before its silent target answers. */
+/* Whether a stream's caller gives up now, while a target that cannot be
+ * notified may hold the request. */
 static gboolean
 is_caller_about_to_leave (const CfExchange *x)
 {
+  gint64 stall
+      = cf_stream_latency_stall_timeout_ms (&x->service_state->latency);
+
   return !CF_WITHOUT_STALL_CHECK
          && cf_exchange_caller_remaining_ms (x) <= TIMER_TOLERANCE_MS
-         && is_target_or_service_silent (x);
+         && (cf_exchange_is_service_silent (x, stall)
+             || is_any_attempt_stalled (x, stall));
 }
 
 /* Whether another target can send a first event before the caller gives up.  If
--- a/t/t-network.c
+++ b/t/t-network.c
@@ -432,6 +432,34 @@
 }
 END_TEST
 
+/* The first attempt reaches a rank that has stalled, the second one a rank that
+ * works on other streams only.  Its caller used to leave without an error,
+ * while the first rank still held the request. */
+START_TEST (caller_of_stream_left_at_stalled_rank_gets_error)
+{
+  g_autofree char *answer = NULL;
+  int working[N_RANKS - 1];
+  int stream;
+
+  p_start_ready_gateway (BASE, 1);
+  for (guint i = 0; i < G_N_ELEMENTS (working); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("w%u", i);
+
+      working[i] = begin_stream (id, 4000);
+      ck_assert (wait_for_rank_runs (i + 1, 2000));
+    }
+  p_inject_fault (RANK_1, N_RANKS, "hang", 1);
+  stream = begin_stream ("s", 10);
+  answer = p_read_answer (stream, CALLER_WAIT_MS);
+  ck_assert_int_eq (p_parse_status (answer), 502);
+  ck_assert_double_eq (rank_run_count (), N_RANKS + 1);
+  for (guint i = 0; i < G_N_ELEMENTS (working); i++)
+    close (working[i]);
+  close (stream);
+}
+END_TEST
+
 /* Delays the first event of a stream, from which the gateway learns that first
  * events take long. */
 static void
@@ -507,6 +535,7 @@
   tcase_add_test (t, paused_target_skips_cancelled_requests);
   tcase_add_test (t, stream_without_retry_budget_is_not_moved);
   tcase_add_test (t, caller_at_stalled_ranks_gets_error_in_time);
+  tcase_add_test (t, caller_of_stream_left_at_stalled_rank_gets_error);
   suite_add_tcase (s, t);
   tcase_set_timeout (busy_case, 40);
   tcase_add_checked_fixture (busy_case, setup_busy, p_stop_all);
