standins: let answers break off in the own interface

The stand-ins of the own interface answered with a length only, or dropped a whole answer. /test/break now frames the next answers of a path by a length, by chunks or by the end of the connection, and breaks them off after a given byte of the body; chunks and lengths then end with an error, the third kind as a complete answer does. Tried with curl against comfrey-fake-service in each of the six combinations: its exit status is 18 (partial file) for the first two kinds and 0 for the third.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,12 @@
 	$(AR) rcs $@ $^
 
 $(PROGRAMS): %: %.o libcomfrey.a
-	$(CC) $(ALL_CFLAGS) -o $@ $< libcomfrey.a $(LDLIBS)
+	$(CC) $(ALL_CFLAGS) -o $@ $< $(FAKE_OBJS) libcomfrey.a $(LDLIBS)
+
+FAKES = comfrey-fake-engine comfrey-fake-config comfrey-fake-vmlist \
+	comfrey-fake-service comfrey-fake-weights
+$(FAKES): fake-break.o
+$(FAKES): FAKE_OBJS = fake-break.o
 
 comfrey-fake-engine comfrey-bench: fake-ranks.o
 comfrey-fake-engine comfrey-bench: LDLIBS := fake-ranks.o libcomfrey.a $(LDLIBS)
--- a/comfrey-fake-config.c
+++ b/comfrey-fake-config.c
@@ -4,6 +4,7 @@
  * make it unavailable or stale through its /test paths.
  */
 #include "daemon.h"
+#include "fake-break.h"
 #include "http-server.h"
 #include "log.h"
 #include "net.h"
@@ -248,5 +249,5 @@
   service.history
       = g_ptr_array_new_with_free_func ((GDestroyNotify)json_decref);
   publish (records);
-  return cf_daemon_serve_http (settings.listen, on_http, NULL);
+  return fake_break_serve (settings.listen, on_http);
 }
--- a/comfrey-fake-engine.c
+++ b/comfrey-fake-engine.c
@@ -6,6 +6,7 @@
  * real engine, it serves HTTP.
  */
 #include "daemon.h"
+#include "fake-break.h"
 #include "fake-ranks.h"
 #include "http-server.h"
 #include "log.h"
@@ -462,5 +463,5 @@
   cf_log (LOG_INFO, CF_EV_START,
           "ranks=%" G_GINT64_FORMAT " experts=%" G_GINT64_FORMAT,
           engine.n_ranks, engine.experts);
-  return cf_daemon_serve_http (engine.listen, on_http, NULL);
+  return fake_break_serve (engine.listen, on_http);
 }
--- a/comfrey-fake-service.c
+++ b/comfrey-fake-service.c
@@ -4,6 +4,7 @@
  * idempotency key, so that tests can detect calls that ran twice.
  */
 #include "daemon.h"
+#include "fake-break.h"
 #include "http-server.h"
 #include "log.h"
 
@@ -102,5 +103,5 @@
   if (rc >= 0)
     return rc;
   runs_by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  return cf_daemon_serve_http (settings.listen, on_http, NULL);
+  return fake_break_serve (settings.listen, on_http);
 }
--- a/comfrey-fake-vmlist.c
+++ b/comfrey-fake-vmlist.c
@@ -3,6 +3,7 @@
  * change made with /test/vm becomes visible only after the lag.
  */
 #include "daemon.h"
+#include "fake-break.h"
 #include "http-server.h"
 #include "log.h"
 #include "net.h"
@@ -115,5 +116,5 @@
     return rc;
   vms_by_addr = g_hash_table_new (g_str_hash, g_str_equal);
   cf_log (LOG_INFO, CF_EV_START, "lag_ms=%" G_GINT64_FORMAT, settings.lag_ms);
-  return cf_daemon_serve_http (settings.listen, on_http, NULL);
+  return fake_break_serve (settings.listen, on_http);
 }
--- a/comfrey-fake-weights.c
+++ b/comfrey-fake-weights.c
@@ -5,6 +5,7 @@
  * that would wait too long is rejected at once and told when to retry.
  */
 #include "daemon.h"
+#include "fake-break.h"
 #include "http-server.h"
 #include "net.h"
 
@@ -118,5 +119,5 @@
       defaults, fields, G_N_ELEMENTS (fields), &store);
   if (rc >= 0)
     return rc;
-  return cf_daemon_serve_http (store.listen, on_http, NULL);
+  return fake_break_serve (store.listen, on_http);
 }
--- a/http-server.c
+++ b/http-server.c
@@ -25,6 +25,58 @@
   gboolean too_large;
 } Upload;
 
+/* A reply's body that is sent piece by piece. */
+typedef struct
+{
+  char *data;
+  size_t end; /* bytes to send */
+  gboolean is_cut;
+  CfHttpFraming framing;
+} Body;
+
+static ssize_t
+read_body (void *cls, uint64_t pos, char *buf, size_t max)
+{
+  const Body *b = cls;
+  size_t n = MIN (b->end - pos, max);
+
+  if (n == 0)
+    return b->is_cut && b->framing != CF_HTTP_CLOSE
+               ? MHD_CONTENT_READER_END_WITH_ERROR
+               : MHD_CONTENT_READER_END_OF_STREAM;
+  memcpy (buf, b->data + pos, n);
+  return (ssize_t)n;
+}
+
+static void
+free_body (void *cls)
+{
+  Body *b = cls;
+
+  g_free (b->data);
+  g_free (b);
+}
+
+/* Creates the response to @rep with the framing that a test asks for. */
+static struct MHD_Response *
+create_framed_response (const CfHttpReply *rep)
+{
+  size_t len = rep->body ? strlen (rep->body) : 0;
+  struct MHD_Response *r;
+  Body *b = g_new0 (Body, 1);
+
+  b->data = g_strdup (rep->body);
+  b->end = rep->is_cut ? MIN (rep->cut_after, len) : len;
+  b->is_cut = rep->is_cut;
+  b->framing = rep->framing;
+  r = MHD_create_response_from_callback (
+      rep->framing == CF_HTTP_LENGTH ? len : MHD_SIZE_UNKNOWN, 4096, read_body,
+      b, free_body);
+  if (rep->framing == CF_HTTP_CLOSE)
+    MHD_set_response_options (r, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
+  return r;
+}
+
 static enum MHD_Result
 send_reply (struct MHD_Connection *conn, CfHttpReply *rep)
 {
@@ -32,8 +84,11 @@
   enum MHD_Result ret;
   const char *body = rep->body ? rep->body : "";
 
-  r = MHD_create_response_from_buffer (strlen (body), (void *)body,
-                                       MHD_RESPMEM_MUST_COPY);
+  if (rep->framing == CF_HTTP_LENGTH && !rep->is_cut)
+    r = MHD_create_response_from_buffer (strlen (body), (void *)body,
+                                         MHD_RESPMEM_MUST_COPY);
+  else
+    r = create_framed_response (rep);
   MHD_add_response_header (r, "Content-Type",
                            rep->content_type ? rep->content_type
                                              : "application/json");
--- a/http-server.h
+++ b/http-server.h
@@ -20,6 +20,14 @@
   struct MHD_Connection *conn;
 } CfHttpRequest;
 
+/** CfHttpFraming: what marks the end of a reply's body. */
+typedef enum
+{
+  CF_HTTP_LENGTH,  /**< its Content-Length */
+  CF_HTTP_CHUNKED, /**< its last chunk */
+  CF_HTTP_CLOSE,   /**< the end of the connection only */
+} CfHttpFraming;
+
 /** CfHttpReply: the reply, which a handler fills in. */
 typedef struct
 {
@@ -29,6 +37,9 @@
   const char *content_type; /**< %NULL means application/json */
   gboolean close;           /**< tell the peer not to reuse the connection */
   int drop; /**< non-zero closes the connection without a reply (for tests) */
+  CfHttpFraming framing; /**< other than %CF_HTTP_LENGTH is for tests */
+  gboolean is_cut;       /**< close the connection in mid body (for tests) */
+  size_t cut_after;      /**< bytes of the body sent before that */
 } CfHttpReply;
 
 /**
