http-client: refuse answers that broke off unnoticed

An answer with neither a length nor chunks was taken for complete when its connection ended: libcurl reports no error for it, nor for one that breaks off in its head after the status line. The agent passed such an answer on with the target's status and kept it for retries of its key, and the entry sent it to its caller as a string with status 200 and ran=yes. Half of an engine's acknowledgement of an order counted as an acknowledgement.

Lengths and chunks were ruled out: libcurl reports each of them that ends early, also by a reset.

An answer without framing is now complete only if it is a JSON object or array, of which no beginning is valid JSON; others fail as CF_ERR_HTTP, so that the request is refused as ran=unknown and its key is not replayed.

--- a/http-client.c
+++ b/http-client.c
@@ -2,7 +2,9 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <jansson.h>
 #include <pthread.h>
+#include <string.h>
 
 static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
 static __thread CURL *thread_handle;
@@ -20,6 +22,53 @@
   return size * n;
 }
 
+/* Whether the answer's body ends with a length or a last chunk, whose absence
+ * libcurl reports, or there is none by definition. */
+static gboolean
+is_framed (CURL *h, long code)
+{
+  struct curl_header *coding = NULL;
+  curl_off_t length = -1;
+
+  if (code == 204 || code == 304)
+    return TRUE;
+  curl_easy_getinfo (h, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  if (length >= 0)
+    return TRUE;
+  return curl_easy_header (h, "Transfer-Encoding", 0, CURLH_HEADER, -1, &coding)
+             == CURLHE_OK
+         && strcasestr (coding->value, "chunked") != NULL;
+}
+
+/* Whether @body is an object or an array, of which no proper beginning is
+ * valid JSON. */
+static gboolean
+is_self_delimiting (const GString *body)
+{
+  json_t *o = json_loadb (body->str, body->len, 0, NULL);
+  gboolean ok = o != NULL;
+
+  json_decref (o);
+  return ok;
+}
+
+/* Checks that an answer did not break off unnoticed: if only the end of the
+ * connection marks its end, libcurl takes any part of it for the whole. */
+static CfStatus
+check_complete (CURL *h, const char *method, const char *url, long code,
+                const GString *body)
+{
+  if (is_framed (h, code) || is_self_delimiting (body))
+    return CF_OK;
+  return cf_fail (CF_ERR_HTTP,
+                  "check the peer's logs, and have it state a length or send "
+                  "chunks",
+                  "%s %s: the answer, status %ld, has neither a length nor "
+                  "chunks, and its connection ended after %zu bytes, which "
+                  "are not a complete JSON document",
+                  method, url, code, body->len);
+}
+
 static CfStatus
 perform (const char *method, const char *url, const char *body,
          const char *const *headers, long timeout_ms, gboolean once, long *code,
@@ -62,6 +111,7 @@
     {
     case CURLE_OK:
       curl_easy_getinfo (h, CURLINFO_RESPONSE_CODE, code);
+      st = check_complete (h, method, url, *code, reply);
       break;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
--- a/http-client.h
+++ b/http-client.h
@@ -16,9 +16,12 @@
  * peer are reused.  If a reused connection closes before any answer, the
  * request may be sent a second time: use this for repeatable requests only.
  *
- * Returns: %CF_OK if there was an answer with any status; %CF_ERR_NET if the
- * peer could not be reached (the request was not sent); %CF_ERR_TIMEOUT or
- * %CF_ERR_HTTP if it was sent and there was no complete answer.
+ * An answer whose end is marked only by the end of its connection is complete
+ * if it is a JSON object or array; of any other it is not known.
+ *
+ * Returns: %CF_OK if there was a complete answer with any status; %CF_ERR_NET
+ * if the peer could not be reached (the request was not sent); %CF_ERR_TIMEOUT
+ * or %CF_ERR_HTTP if it was sent and there was no complete answer.
  */
 CfStatus cf_http_call (const char *method, const char *url, const char *body,
                        const char *const *headers, long timeout_ms, long *code,
--- a/t/t-agent.c
+++ b/t/t-agent.c
@@ -475,6 +475,81 @@
 }
 END_TEST
 
+static const char *const framings[] = { "length", "chunked", "close" };
+
+/* Has the service break off its next answer to @path after 10 bytes. */
+static void
+break_next_answer (const char *base, const char *path, const char *framing)
+{
+  g_autofree char *url = g_strdup_printf (
+      "%s/test/break?path=%s&framing=%s&after=10", base, path, framing);
+  long code = 0;
+
+  ck_assert_int_eq (cf_http_call ("GET", url, NULL, NULL, 2000, &code, NULL),
+                    CF_OK);
+  ck_assert_int_eq (code, 200);
+}
+
+/* Makes a non-repeatable call, which must be refused with @reason as one that
+ * may have run. */
+static void
+check_refused_as_unknown (int fd, guint64 id, const char *key,
+                          const char *framing, const char *reason)
+{
+  CfMsg r;
+
+  send_request (fd, id, "/v1/call", key, "{\"note\":\"crew to row 6\"}");
+  ck_assert_int_eq (read_reply (fd, &r), CF_OK);
+  ck_assert_msg (r.kind == CF_MSG_REFUSAL, "%s: answered with '%s'", framing,
+                 r.u.answer.body);
+  ck_assert_int_eq (r.u.refusal.ran, CF_RAN_UNKNOWN);
+  ck_assert_str_eq (r.u.refusal.reason, reason);
+  cf_msg_clear (&r);
+}
+
+START_TEST (test_answer_that_broke_off_is_neither_passed_on_nor_kept)
+{
+  const char *framing = framings[_i];
+  g_autofree char *counts = NULL;
+  long code = 0;
+  int fd;
+
+  t_start_program ("a-service", "./comfrey-fake-service",
+                   "[service]\nlisten = \"127.0.0.1:17791\"\nwork_ms = 1\n");
+  ck_assert (t_wait_for_body (SERVICE "/test/counts", "{", 5000));
+  start_agent_with (SERVICE, "guard_quiet_ms = 0\n");
+  fd = connect_agent ();
+  break_next_answer (SERVICE, "/v1/call", framing);
+  check_refused_as_unknown (fd, 1, "shift-91", framing, "target-failed");
+  check_refused_as_unknown (fd, 2, "shift-91", framing, "fate-unknown");
+  ck_assert_int_eq (cf_http_call ("GET", SERVICE "/test/counts", NULL, NULL,
+                                  2000, &code, &counts),
+                    CF_OK);
+  ck_assert (strstr (counts, "\"shift-91\":1"));
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
+START_TEST (test_acknowledgement_that_broke_off_is_not_passed_on)
+{
+  const char *framing = framings[_i];
+  pid_t agent;
+  CfMsg r;
+  int fd = start_with_engine (&agent);
+
+  ck_assert (t_wait_for_body (ENGINE "/v1/load", "running", 5000));
+  break_next_answer (ENGINE, "/v1/order", framing);
+  send_order (fd, 1, 5, &r);
+  ck_assert_msg (r.kind == CF_MSG_REFUSAL, "%s: answered with '%s'", framing,
+                 r.u.answer.body);
+  ck_assert_int_eq (r.u.refusal.ran, CF_RAN_UNKNOWN);
+  cf_msg_clear (&r);
+  close (fd);
+  t_stop_all ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -483,6 +558,7 @@
   TCase *restart = tcase_create ("restart");
   TCase *order = tcase_create ("order");
   TCase *queue = tcase_create ("queue");
+  TCase *cut = tcase_create ("cut");
 
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_agent_refuses_stale_order_that_engine_accepts);
@@ -506,5 +582,13 @@
   tcase_add_test (queue, test_stop_starts_no_call_it_cannot_finish);
   tcase_add_test (queue, test_stop_refuses_queued_calls);
   suite_add_tcase (s, queue);
+  tcase_set_timeout (cut, 60);
+  tcase_add_loop_test (cut,
+                       test_answer_that_broke_off_is_neither_passed_on_nor_kept,
+                       0, G_N_ELEMENTS (framings));
+  tcase_add_loop_test (cut,
+                       test_acknowledgement_that_broke_off_is_not_passed_on, 0,
+                       G_N_ELEMENTS (framings));
+  suite_add_tcase (s, cut);
   return t_run_suite (s);
 }
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -580,6 +580,45 @@
 }
 END_TEST
 
+/* An answer of the engine: its framing, and where it breaks off. */
+static const struct
+{
+  const char *framing;
+  const char *after;
+  long code;
+  const char *ran;
+} engine_answers[] = {
+  { "length", "-1", 200, "yes" },   { "length", "10", 409, "unknown" },
+  { "chunked", "-1", 200, "yes" },  { "chunked", "10", 409, "unknown" },
+  { "close", "-1", 200, "yes" },    { "close", "10", 409, "unknown" },
+  { "close", "0", 409, "unknown" },
+};
+
+START_TEST (test_answer_that_broke_off_is_not_passed_on)
+{
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":2", 5000));
+  for (size_t i = 0; i < G_N_ELEMENTS (engine_answers); i++)
+    {
+      g_autofree char *url = g_strdup_printf (
+          "http://127.0.0.1:17590/test/break?path=/v1/generate&framing=%s"
+          "&after=%s",
+          engine_answers[i].framing, engine_answers[i].after);
+      g_autofree char *ran = NULL;
+      long code;
+
+      ck_assert (t_wait_for_body (url, "ok", 1000));
+      code = post (REQUEST, "ran", &ran, NULL);
+      ck_assert_msg (code == engine_answers[i].code, "%s, after %s: %ld",
+                     engine_answers[i].framing, engine_answers[i].after, code);
+      ck_assert_str_eq (ran, engine_answers[i].ran);
+    }
+  t_stop_all ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -600,6 +639,7 @@
   tcase_add_test (tc, test_request_too_large_for_a_frame_keeps_link_up);
   tcase_add_test (tc, test_leaving_target_is_excluded_within_bound);
   tcase_add_test (tc, test_silent_agent_is_excluded);
+  tcase_add_test (tc, test_answer_that_broke_off_is_not_passed_on);
   suite_add_tcase (s, tc);
   tcase_set_timeout (late, 60);
   tcase_set_tags (late, "late");
