--- a/fake-break.c
+++ b/fake-break.c
@@ -3,6 +3,7 @@
 #include "daemon.h"
 
 #include <pthread.h>
+#include <string.h>
 
 typedef struct
 {
@@ -10,8 +11,9 @@
   CfHttpHandler fn;
   char *path; /* whose answers break off */
   CfHttpFraming framing;
-  long after;   /* bytes of the body; -1: all of them */
-  gint64 count; /* answers still to break off */
+  gboolean is_framed_whole; /* the framing ends where the body is cut */
+  long after;               /* bytes of the body; -1: all of them */
+  gint64 count;             /* answers still to break off */
 } Breaker;
 
 static Breaker breaker = { .lock = PTHREAD_MUTEX_INITIALIZER };
@@ -27,7 +29,7 @@
 static gboolean
 parse_framing (const char *name, CfHttpFraming *out)
 {
-  if (g_strcmp0 (name, "length") == 0)
+  if (g_strcmp0 (name, "length") == 0 || g_strcmp0 (name, "short") == 0)
     *out = CF_HTTP_LENGTH;
   else if (g_strcmp0 (name, "chunked") == 0)
     *out = CF_HTTP_CHUNKED;
@@ -42,19 +44,20 @@
 set_break (Breaker *b, const CfHttpRequest *req, CfHttpReply *rep)
 {
   const char *path = cf_http_query_arg (req, "path");
+  const char *name = cf_http_query_arg (req, "framing");
   CfHttpFraming framing;
 
-  if (path == NULL
-      || !parse_framing (cf_http_query_arg (req, "framing"), &framing))
+  if (path == NULL || !parse_framing (name, &framing))
     {
       cf_http_reply_error (rep, 400, "bad-request",
-                           "give path and framing=length|chunked|close");
+                           "give path and framing=length|chunked|close|short");
       return;
     }
   pthread_mutex_lock (&b->lock);
   g_free (b->path);
   b->path = g_strdup (path);
   b->framing = framing;
+  b->is_framed_whole = g_str_equal (name, "short");
   b->after = query_int (req, "after", -1);
   b->count = query_int (req, "count", 1);
   pthread_mutex_unlock (&b->lock);
@@ -69,8 +72,11 @@
     {
       b->count--;
       rep->framing = b->framing;
-      rep->is_cut = b->after >= 0;
+      rep->is_cut = b->after >= 0 && !b->is_framed_whole;
       rep->cut_after = MAX (b->after, 0);
+      if (b->after >= 0 && b->is_framed_whole && rep->body
+          && strlen (rep->body) > rep->cut_after)
+        rep->body[rep->cut_after] = '\0';
     }
   pthread_mutex_unlock (&b->lock);
 }
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -580,6 +580,45 @@
 }
 END_TEST
 
+#define VM_LIST "http://127.0.0.1:17509"
+
+START_TEST (test_vm_list_that_broke_off_ends_no_leave)
+{
+  static const char *const framings[]
+      = { "length", "chunked", "close", "short" };
+  g_autofree char *log = NULL;
+
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":2", 5000));
+  ck_assert (t_wait_for_body (
+      VM_LIST "/test/vm?addr=127.0.0.1:17501&state=leaving", "ok", 1000));
+  ck_assert_int_ge (ms_until_excluded ("127.0.0.1:17501", 10000), 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (framings); i++)
+    {
+      g_autofree char *url = g_strdup_printf (
+          VM_LIST "/test/break?path=/v1/vms&framing=%s&after=10&count=100",
+          framings[i]);
+
+      ck_assert (t_wait_for_body (url, "ok", 1000));
+      /* Two polls. */
+      usleep (1100000);
+      for (int j = 0; j < 5; j++)
+        {
+          g_autofree char *target = NULL;
+
+          ck_assert_int_eq (post (REQUEST, "target", &target, NULL), 200);
+          ck_assert_msg (g_str_equal (target, "127.0.0.1:17502"),
+                         "%s: the leaving target got a request", framings[i]);
+        }
+    }
+  t_stop_all ();
+  log = t_read_log ("e-entry");
+  ck_assert (strstr (log, "E1304 vmlist-down"));
+}
+END_TEST
+
 /* An answer of the engine: its framing, and where it breaks off. */
 static const struct
 {
@@ -640,6 +679,7 @@
   tcase_add_test (tc, test_leaving_target_is_excluded_within_bound);
   tcase_add_test (tc, test_silent_agent_is_excluded);
   tcase_add_test (tc, test_answer_that_broke_off_is_not_passed_on);
+  tcase_add_test (tc, test_vm_list_that_broke_off_ends_no_leave);
   suite_add_tcase (s, tc);
   tcase_set_timeout (late, 60);
   tcase_set_tags (late, "late");
