t-config: versions that break off are not applied

A new version that breaks off in each framing, inside its first record or one byte before its end, leaves the one in force; it is applied once the service sends it whole.

--- a/t/t-config.c
+++ b/t/t-config.c
@@ -357,6 +357,44 @@
 }
 END_TEST
 
+START_TEST (test_version_that_broke_off_is_not_applied)
+{
+  static const char *const framings[]
+      = { "length", "chunked", "close", "short" };
+  /* Inside the first record, and one byte before the end of the document. */
+  int cuts[] = { 60, 0 };
+  g_autofree char *document = NULL;
+  int version = 1;
+  long code = 0;
+
+  start_two_entries (FALSE);
+  ck_assert_int_eq (cf_http_call ("GET", CONFIG "/v1/records", NULL, NULL, 2000,
+                                  &code, &document),
+                    CF_OK);
+  cuts[1] = (int)strlen (document) - 1;
+  for (size_t i = 0; i < G_N_ELEMENTS (framings) * G_N_ELEMENTS (cuts); i++)
+    {
+      g_autofree char *old
+          = g_strdup_printf ("\"config_version\":%d,", version);
+      g_autofree char *new
+          = g_strdup_printf ("\"config_version\":%d,", ++version);
+      g_autofree char *url = g_strdup_printf (
+          CONFIG "/test/break?path=/v1/watch&framing=%s&after=%d&count=1000",
+          framings[i / 2], cuts[i % 2]);
+
+      call ("GET", url, NULL);
+      call ("POST", CONFIG "/test/publish", group_and_intent);
+      usleep (500000);
+      ck_assert_msg (t_wait_for_body (ENTRY_A "/v1/health", old, 100),
+                     "%s: took a version that broke off", framings[i / 2]);
+      call ("GET", CONFIG "/test/break?path=/v1/watch&framing=length&count=0",
+            NULL);
+      ck_assert (t_wait_for_body (ENTRY_A "/v1/health", new, APPLY_MAX_MS));
+    }
+  t_stop_all ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -370,6 +408,7 @@
   tcase_add_test (tc, test_resumed_entry_with_old_version_is_refused);
   tcase_add_test (tc, test_version_from_a_peer_while_the_service_is_down);
   tcase_add_test (tc, test_concurrent_publishes);
+  tcase_add_test (tc, test_version_that_broke_off_is_not_applied);
   suite_add_tcase (s, tc);
   return t_run_suite (s);
 }
