agent-link: lose links that go silent inside a frame

The link's thread sends the heartbeats and reads the frames, and a read inside a frame had no limit. If an agent stopped in the middle of an answer without closing, no heartbeat was sent any more: the link counted as up for good, and each call on it ran to its deadline.

A read now fails after the 3 s in which a heartbeat has to be answered; E1302 says 'silent'. The wait for the first byte of a frame has no limit, as before.

Before, t-link failed: 'result 5 after 10000 ms' (CF_CALL_TIMEOUT); now the call is lost within 6 s. Half an answer followed by the end of the connection was lost before, too, and now has a test.

--- a/agent-link.c
+++ b/agent-link.c
@@ -116,8 +116,11 @@
 
   for (;;)
     {
-      struct timeval tv = { .tv_sec = SEND_TIMEOUT_MS / 1000 };
+      struct timeval send_timeout = { .tv_sec = SEND_TIMEOUT_MS / 1000 };
+      struct timeval read_timeout
+          = { .tv_sec = CF_LINK_SILENCE_TIMEOUT_MS / 1000 };
       struct pollfd pfd;
+      CfStatus st;
       CfMsg m;
       int fd;
 
@@ -133,7 +136,12 @@
               continue;
             }
           /* An agent that stops reading must not block a writer for ever. */
-          setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof tv);
+          setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &send_timeout,
+                      sizeof send_timeout);
+          /* Nor may one that goes silent inside a frame block this thread,
+           * which sends the heartbeats. */
+          setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &read_timeout,
+                      sizeof read_timeout);
           backoff = 100;
           pthread_mutex_lock (&l->lock);
           l->fd = fd;
@@ -156,11 +164,12 @@
           pthread_mutex_unlock (&l->lock);
           continue;
         }
-      if (cf_msg_read (fd, &m) != CF_OK)
+      st = cf_msg_read (fd, &m);
+      if (st != CF_OK)
         {
           pthread_mutex_lock (&l->lock);
           if (l->fd == fd)
-            drop_connection (l, "closed");
+            drop_connection (l, st == CF_ERR_TIMEOUT ? "silent" : "closed");
           pthread_mutex_unlock (&l->lock);
           continue;
         }
--- a/net.c
+++ b/net.c
@@ -157,6 +157,9 @@
 
       if (k < 0 && errno == EINTR)
         continue;
+      if (k < 0 && errno == EAGAIN)
+        return cf_fail (CF_ERR_TIMEOUT, "the connection is re-established",
+                        "read: %zu bytes are missing", n);
       if (k <= 0)
         return cf_fail (CF_ERR_NET, "the connection is re-established",
                         "read: %s", k < 0 ? strerror (errno) : "closed");
--- a/net.h
+++ b/net.h
@@ -27,7 +27,8 @@
 CfStatus cf_write_all (int fd, const void *buf, size_t n);
 
 /** cf_read_all: reads exactly @n bytes; fails with %CF_ERR_NET if the
- * connection is closed or broken. */
+ * connection is closed or broken, and with %CF_ERR_TIMEOUT if its SO_RCVTIMEO
+ * passes without a byte. */
 CfStatus cf_read_all (int fd, void *buf, size_t n);
 
 /** cf_now_ms: a monotonic clock in ms, for deadlines and durations. */
--- a/t/t-link.c
+++ b/t/t-link.c
@@ -23,6 +23,8 @@
   REVERSED_TWICE,   /* waits for all requests; answers last first, twice */
   STOPS_READING,    /* answers one ping, then reads no more, never closes */
   NO_ANSWER_TO_ONE, /* answers all requests but the first, at once */
+  HALF_THEN_CLOSES, /* sends half of its first answer, then closes */
+  HALF_THEN_SILENT, /* sends half of its first answer, then no more */
 } Behaviour;
 
 static struct
@@ -54,6 +56,18 @@
   send_answer (fd, 999999, "nobody's");
 }
 
+static void
+send_half_answer (int fd, const CfMsg *request)
+{
+  CfMsg a = { .kind = CF_MSG_ANSWER, .id = request->id };
+  g_autoptr (GByteArray) frame = NULL;
+
+  a.u.answer.code = 200;
+  a.u.answer.body = request->u.request.body;
+  frame = cf_msg_encode (&a);
+  cf_write_all (fd, frame->data, frame->len / 2);
+}
+
 static void *
 fake_agent (void *unused)
 {
@@ -72,6 +86,13 @@
           if (fake.behaviour == STOPS_READING)
             break;
         }
+      else if (fake.behaviour == HALF_THEN_CLOSES
+               || fake.behaviour == HALF_THEN_SILENT)
+        {
+          send_half_answer (fd, &m);
+          cf_msg_clear (&m);
+          break;
+        }
       else if (fake.behaviour == NO_ANSWER_TO_ONE && n > 0)
         {
           if (m.kind == CF_MSG_REQUEST)
@@ -86,6 +107,8 @@
           n = 0;
         }
     }
+  if (fake.behaviour == HALF_THEN_CLOSES)
+    close (fd);
   return NULL;
 }
 
@@ -203,6 +226,34 @@
 }
 END_TEST
 
+/* Makes a call to an agent that breaks off inside its answer; the link must be
+ * lost within @limit_ms. */
+static void
+check_lost_inside_answer (Behaviour behaviour, long long limit_ms)
+{
+  CfLink *l = start_link (behaviour);
+  Caller c = { .link = l, .body = "x", .deadline_ms = cf_now_ms () + 10000 };
+  long long t0 = cf_now_ms ();
+
+  call (&c);
+  ck_assert_msg (c.res == CF_CALL_LOST, "result %d after %lld ms", c.res,
+                 cf_now_ms () - t0);
+  ck_assert_msg (cf_now_ms () - t0 < limit_ms, "lost after %lld ms",
+                 cf_now_ms () - t0);
+}
+
+START_TEST (test_answer_is_lost_if_its_frame_breaks_off)
+{
+  check_lost_inside_answer (HALF_THEN_CLOSES, 1000);
+}
+END_TEST
+
+START_TEST (test_link_that_goes_silent_inside_a_frame_is_lost)
+{
+  check_lost_inside_answer (HALF_THEN_SILENT, 2LL * CF_LINK_SILENCE_TIMEOUT_MS);
+}
+END_TEST
+
 static gboolean
 not_wanted (void *unused)
 {
@@ -255,6 +306,8 @@
   tcase_add_test (tc, test_idle_link_is_pinged_at_its_interval);
   tcase_add_test (tc, test_each_caller_gets_its_own_answer);
   tcase_add_test (tc, test_link_to_agent_that_stops_reading_is_lost);
+  tcase_add_test (tc, test_answer_is_lost_if_its_frame_breaks_off);
+  tcase_add_test (tc, test_link_that_goes_silent_inside_a_frame_is_lost);
   suite_add_tcase (s, tc);
   tcase_set_timeout (busy, 60);
   tcase_set_tags (busy, "busy");
