agent: log why a target failed beside the request's id

From a request that was answered with 409 fate-unknown, the entry's log leads to its target, but E1407 there had the frame's id only, which each link counts for itself, and an order that failed had no line with its error at all. After a timeout the error was read after the cancellation, which may have replaced it.

E1407 and E1404 now have req, the id that the entry gave to the request; failed orders have E1407 with op and fence; the error is logged before the cancellation.

--- a/agent-jobs.c
+++ b/agent-jobs.c
@@ -138,6 +138,13 @@
   return now + MIN (longest, j->deadline_at_ms - now) >= stop_deadline;
 }
 
+/* The id that the entry gave to the request, for logs. */
+static const char *
+get_request_id (const CfMsg *m)
+{
+  return m->u.request.rid ? m->u.request.rid : "-";
+}
+
 /* Refuses @j, which was queued but never sent to the target. */
 static void
 refuse_unstarted (CfAgent *a, Job *j, const char *reason, gint64 retry_ms)
@@ -162,8 +169,8 @@
   g_autofree char *prio = g_strdup_printf (
       "X-Comfrey-Priority: %" G_GINT64_FORMAT, m->u.request.priority);
   long long remaining_ms = j->deadline_at_ms - cf_now_ms ();
-  g_autofree char *rid = g_strdup_printf (
-      "X-Request-Id: %s", m->u.request.rid ? m->u.request.rid : "-");
+  g_autofree char *rid
+      = g_strdup_printf ("X-Request-Id: %s", get_request_id (m));
   g_autofree char *deadline
       = g_strdup_printf ("X-Comfrey-Deadline-Ms: %lld", remaining_ms);
   g_autofree char *key_header
@@ -200,19 +207,19 @@
       if (key)
         cf_guard_remove (&a->guard, key);
       cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
-              "id=%" G_GUINT64_FORMAT " ran=no error=\"%s\"", m->id,
-              cf_last_error ());
+              "id=%" G_GUINT64_FORMAT " req=%s ran=no error=\"%s\"", m->id,
+              get_request_id (m), cf_last_error ());
       cf_agent_refuse (j->conn, m->id, CF_RAN_NO, CF_REASON_TARGET_UNREACHABLE,
                        1000);
       return;
     default:
       if (key)
         cf_guard_finish (&a->guard, key, FALSE, 0, NULL, cf_now_ms ());
+      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
+              "id=%" G_GUINT64_FORMAT " req=%s ran=unknown error=\"%s\"", m->id,
+              get_request_id (m), cf_last_error ());
       if (st == CF_ERR_TIMEOUT && m->u.request.rid)
         cancel_at_target (a, m->u.request.rid);
-      cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
-              "id=%" G_GUINT64_FORMAT " ran=unknown error=\"%s\"", m->id,
-              cf_last_error ());
       cf_agent_refuse (j->conn, m->id, CF_RAN_UNKNOWN, CF_REASON_TARGET_FAILED,
                        1000);
       return;
@@ -327,18 +334,18 @@
     case CF_GUARD_NEW:
       return TRUE;
     case CF_GUARD_DONE:
-      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "key=%s outcome=replay",
-              m->u.request.key);
+      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "req=%s key=%s outcome=replay",
+              get_request_id (m), m->u.request.key);
       cf_agent_answer (c, m->id, code, stored_answer);
       return FALSE;
     case CF_GUARD_RUNNING:
-      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "key=%s outcome=running",
-              m->u.request.key);
+      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "req=%s key=%s outcome=running",
+              get_request_id (m), m->u.request.key);
       cf_agent_refuse (c, m->id, CF_RAN_UNKNOWN, "running", 1000);
       return FALSE;
     case CF_GUARD_UNKNOWN:
-      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "key=%s outcome=unknown",
-              m->u.request.key);
+      cf_log (LOG_INFO, CF_EV_GUARD_DUP, "req=%s key=%s outcome=unknown",
+              get_request_id (m), m->u.request.key);
       cf_agent_refuse (c, m->id, CF_RAN_UNKNOWN, "fate-unknown", 0);
       return FALSE;
     case CF_GUARD_FULL:
--- a/agent-orders.c
+++ b/agent-orders.c
@@ -27,6 +27,17 @@
   cf_agent_refuse (c, m->id, CF_RAN_NO, CF_REASON_STALE_FENCE, 0);
 }
 
+/* Refuses an order to which the target gave no complete answer. */
+static void
+refuse_failed_order (CfAgentConn *c, const CfMsg *m, gint64 retry_ms)
+{
+  cf_log (LOG_WARNING, CF_EV_TARGET_FAIL,
+          "id=%" G_GUINT64_FORMAT " op=%s fence=%" G_GINT64_FORMAT
+          " ran=unknown error=\"%s\"",
+          m->id, m->u.order.op, m->u.order.fence, cf_last_error ());
+  cf_agent_refuse (c, m->id, CF_RAN_UNKNOWN, CF_REASON_TARGET_FAILED, retry_ms);
+}
+
 /* Runs a coordinator's order at this agent's rank. */
 static void
 take_rank_order (CfAgentConn *c, CfMsg *m)
@@ -51,7 +62,7 @@
       == CF_OK)
     cf_agent_answer (c, m->id, code, out);
   else
-    cf_agent_refuse (c, m->id, CF_RAN_UNKNOWN, CF_REASON_TARGET_FAILED, 0);
+    refuse_failed_order (c, m, 0);
 }
 
 /* Runs an order to the target as a whole, such as to load a model. */
@@ -78,7 +89,7 @@
   if (cf_http_call_once ("POST", url, body, NULL, TARGET_ORDER_TIMEOUT_MS,
                          &code, &out)
       != CF_OK)
-    cf_agent_refuse (c, m->id, CF_RAN_UNKNOWN, CF_REASON_TARGET_FAILED, 1000);
+    refuse_failed_order (c, m, 1000);
   else
     cf_agent_answer (c, m->id, code, out);
 }
--- a/t/t-agent.c
+++ b/t/t-agent.c
@@ -507,6 +507,22 @@
   cf_msg_clear (&r);
 }
 
+/* Stops all programs; the agent's log must name the cause of a failed call or
+ * order, beside what identifies it. */
+static void
+stop_and_check_cause_is_logged (const char *identity)
+{
+  g_autofree char *pattern = g_strdup_printf (
+      "E1407 target-fail .*%s .*error=\".*(partial|neither a length)",
+      identity);
+  g_autofree char *log = NULL;
+
+  t_stop_all ();
+  log = t_read_log ("a-agent");
+  ck_assert_msg (g_regex_match_simple (pattern, log, 0, 0), "no %s in:\n%s",
+                 pattern, log);
+}
+
 START_TEST (test_answer_that_broke_off_is_neither_passed_on_nor_kept)
 {
   const char *framing = framings[_i];
@@ -527,7 +543,7 @@
                     CF_OK);
   ck_assert (strstr (counts, "\"shift-91\":1"));
   close (fd);
-  t_stop_all ();
+  stop_and_check_cause_is_logged ("req=t-1");
 }
 END_TEST
 
@@ -546,7 +562,7 @@
   ck_assert_int_eq (r.u.refusal.ran, CF_RAN_UNKNOWN);
   cf_msg_clear (&r);
   close (fd);
-  t_stop_all ();
+  stop_and_check_cause_is_logged ("op=load-model fence=5");
 }
 END_TEST
 
