http-client: refuse answers that a string cannot hold

An answer is passed on as a string, so that a NUL byte in it counted as its end: the caller got the part before it with status 200. One that is not UTF-8 reached the caller as 200 without 'answer', as JSON cannot carry it.

Such an answer now fails as CF_ERR_HTTP and is refused as ran=unknown.

Before, t-entry failed: '200 with 'half'' for an answer of 9 bytes, 'half', NUL, 'rest'; t-http-client: 'not text: ok, code 200'. Now both pass.

--- a/http-client.c
+++ b/http-client.c
@@ -52,21 +52,29 @@
   return ok;
 }
 
-/* Checks that an answer did not break off unnoticed: if only the end of the
- * connection marks its end, libcurl takes any part of it for the whole. */
+/* Checks that an answer did not break off unnoticed, and that it can be handed
+ * on as a string. */
 static CfStatus
-check_complete (CURL *h, const char *method, const char *url, long code,
-                const GString *body)
+check_answer (CURL *h, const char *method, const char *url, long code,
+              const GString *body)
 {
-  if (is_framed (h, code) || is_self_delimiting (body))
-    return CF_OK;
-  return cf_fail (CF_ERR_HTTP,
-                  "check the peer's logs, and have it state a length or send "
-                  "chunks",
-                  "%s %s: the answer, status %ld, has neither a length nor "
-                  "chunks, and its connection ended after %zu bytes, which "
-                  "are not a complete JSON document",
-                  method, url, code, body->len);
+  /* If only the end of the connection marks the answer's end, libcurl takes any
+   * part of it for the whole. */
+  if (!is_framed (h, code) && !is_self_delimiting (body))
+    return cf_fail (CF_ERR_HTTP,
+                    "check the peer's logs, and have it state a length or send "
+                    "chunks",
+                    "%s %s: the answer, status %ld, has neither a length nor "
+                    "chunks, and its connection ended after %zu bytes, which "
+                    "are not a complete JSON document",
+                    method, url, code, body->len);
+  /* A NUL byte would end the string before the answer ends. */
+  if (!g_utf8_validate_len (body->str, body->len, NULL))
+    return cf_fail (CF_ERR_HTTP, "have the peer send text in UTF-8",
+                    "%s %s: the answer, status %ld, of %zu bytes is not text "
+                    "in UTF-8",
+                    method, url, code, body->len);
+  return CF_OK;
 }
 
 static CfStatus
@@ -111,7 +119,7 @@
     {
     case CURLE_OK:
       curl_easy_getinfo (h, CURLINFO_RESPONSE_CODE, code);
-      st = check_complete (h, method, url, *code, reply);
+      st = check_answer (h, method, url, *code, reply);
       break;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
--- a/http-client.h
+++ b/http-client.h
@@ -17,7 +17,8 @@
  * request may be sent a second time: use this for repeatable requests only.
  *
  * An answer whose end is marked only by the end of its connection is complete
- * if it is a JSON object or array; of any other it is not known.
+ * if it is a JSON object or array; of any other it is not known.  An answer
+ * that is not text in UTF-8, or has a NUL byte, fails with %CF_ERR_HTTP.
  *
  * Returns: %CF_OK if there was a complete answer with any status; %CF_ERR_NET
  * if the peer could not be reached (the request was not sent); %CF_ERR_TIMEOUT
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -580,6 +580,46 @@
 }
 END_TEST
 
+/* A target whose answer contains a NUL byte. */
+static void *
+serve_nul_byte (void *data)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf\0rest";
+  int fd = accept (GPOINTER_TO_INT (data), NULL, NULL);
+  char request[4096];
+
+  if (read (fd, request, sizeof request) > 0)
+    cf_write_all (fd, answer, sizeof answer - 1);
+  /* Until the agent closes it. */
+  while (read (fd, request, sizeof request) > 0)
+    continue;
+  close (fd);
+  return NULL;
+}
+
+START_TEST (test_answer_is_not_cut_at_a_nul_byte)
+{
+  g_autofree char *answer = NULL;
+  pthread_t t;
+  long code;
+  int fd;
+
+  start_platform ();
+  ck_assert_int_eq (cf_listen_tcp ("127.0.0.1:17590", &fd), CF_OK);
+  start_agent ("e-agent-1", "17501");
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":1", 5000));
+  pthread_create (&t, NULL, serve_nul_byte, GINT_TO_POINTER (fd));
+  code = post (REQUEST, "answer", &answer, NULL);
+  ck_assert_msg (code == 409, "%ld with '%s'", code, answer);
+  t_stop_all ();
+  pthread_join (t, NULL);
+  close (fd);
+}
+END_TEST
+
 #define VM_LIST "http://127.0.0.1:17509"
 
 START_TEST (test_vm_list_that_broke_off_ends_no_leave)
@@ -679,6 +719,7 @@
   tcase_add_test (tc, test_leaving_target_is_excluded_within_bound);
   tcase_add_test (tc, test_silent_agent_is_excluded);
   tcase_add_test (tc, test_answer_that_broke_off_is_not_passed_on);
+  tcase_add_test (tc, test_answer_is_not_cut_at_a_nul_byte);
   tcase_add_test (tc, test_vm_list_that_broke_off_ends_no_leave);
   suite_add_tcase (s, tc);
   tcase_set_timeout (late, 60);
--- a/t/t-http-client.c
+++ b/t/t-http-client.c
@@ -76,6 +76,7 @@
     END_FIN, NULL },
   { "cut after the coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
     END_FIN, NULL },
+  { "not text", LENGTH "{\"text\":\"\xff\"}", END_FIN, NULL },
   { "no body", "HTTP/1.1 204 No Content\r\n\r\n", END_FIN, "" },
 };
 
