--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
 	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
-TESTS = t/t-demo t/t-callers t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-outlier t/t-link t/t-http-client \
+TESTS = t/t-demo t/t-callers t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-outlier t/t-link t/t-http-client t/t-load \
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
 	t/t-session t/t-explain t/t-report t/t-decode-fuzz $(GW_TESTS)
 
--- a/comfrey-load.c
+++ b/comfrey-load.c
@@ -29,20 +29,22 @@
   gint64 answered, refused, lost, wrong_answers;
 } Session;
 
-/* Returns whether the answer contains its request's prompt or note.  If not,
- * it is the answer to another request. */
+/* Returns whether @reply is a complete answer with its request's prompt or
+ * note.  If it has another, it answers another request.  The stand-ins answer
+ * with objects: a string is part of one, as an entry passes it on. */
 static gboolean
-has_own_marker (json_t *req, const char *reply)
+is_own_answer (json_t *req, const char *reply)
 {
   json_t *body = json_object_get (req, "body");
   const char *marker = json_string_value (json_object_get (body, "prompt"));
   json_t *r = json_loads (reply, 0, NULL);
+  json_t *answer = direct_url ? r : json_object_get (r, "answer");
   g_autofree char *text = NULL;
   gboolean found;
 
   if (marker == NULL)
     marker = json_string_value (json_object_get (body, "note"));
-  text = json_dumps (json_object_get (r, "answer"), JSON_ENCODE_ANY);
+  text = json_is_object (answer) ? json_dumps (answer, 0) : NULL;
   found = marker && text && strstr (text, marker) != NULL;
   json_decref (r);
   return found;
@@ -93,7 +95,7 @@
       g_array_append_val (session->latencies_ms, ms);
       if (code == 0)
         session->lost++;
-      else if (code == 200 && (direct_url || has_own_marker (req, reply)))
+      else if (code == 200 && is_own_answer (req, reply))
         session->answered++;
       else if (code == 200)
         session->wrong_answers++;
@@ -126,7 +128,7 @@
       const char *key;
       json_t *o;
       json_t *v;
-      long code;
+      long code = 0;
 
       if (cf_http_call ("GET", url, NULL, NULL, 5000, &code, &reply) != CF_OK)
         {
@@ -134,6 +136,13 @@
           return -1;
         }
       o = json_loads (reply, 0, NULL);
+      if (code != 200 || !json_is_object (o))
+        {
+          fprintf (stderr, "comfrey-load: %s: status %ld, no counts in '%s'\n",
+                   url, code, reply);
+          json_decref (o);
+          return -1;
+        }
       json_object_foreach (o, key, v) if (json_integer_value (v) > 1) doubled++;
       json_decref (o);
     }
