t-entry: answers have a length, cut requests do not run

An answer has a length for callers of HTTP/1.0 and 1.1, so that a caller sees one that broke off. A request that ends before its length or its last chunk, or has neither, does not run, though what came is a whole JSON document.

--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -580,6 +580,80 @@
 }
 END_TEST
 
+START_TEST (test_answer_to_each_http_version_has_a_length)
+{
+  static const char *const versions[] = { "1.0", "1.1" };
+
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":2", 5000));
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      g_autofree char *request
+          = g_strdup_printf ("POST /v1/requests HTTP/%s\r\nHost: e\r\n"
+                             "Content-Length: %zu\r\n\r\n" REQUEST,
+                             versions[i], strlen (REQUEST));
+      size_t expected;
+      size_t len;
+      int fd = -1;
+
+      ck_assert_int_eq (cf_connect_tcp ("127.0.0.1:17580", 1000, &fd), CF_OK);
+      ck_assert_int_eq (cf_write_all (fd, request, strlen (request)), CF_OK);
+      len = read_body (fd, &expected);
+      ck_assert_msg (expected > 0 && len == expected,
+                     "HTTP/%s: %zu bytes, stated %zu", versions[i], len,
+                     expected);
+      close (fd);
+    }
+  t_stop_all ();
+}
+END_TEST
+
+/* Requests, each with a whole JSON document, that end before their framing
+ * does. */
+static const char *const broken_off_requests[] = {
+  "POST /v1/requests HTTP/1.1\r\nHost: e\r\nContent-Length: "
+  "1000\r\n\r\n" REQUEST,
+  "POST /v1/requests HTTP/1.1\r\nHost: e\r\nTransfer-Encoding: chunked\r\n"
+  "\r\n77\r\n" REQUEST,
+  "POST /v1/requests HTTP/1.1\r\nHost: e\r\nTransfer-Encoding: chunked\r\n"
+  "\r\n77\r\n" REQUEST "\r\n",
+  "POST /v1/requests HTTP/1.0\r\nHost: e\r\n\r\n" REQUEST,
+};
+
+START_TEST (test_request_that_broke_off_is_not_run)
+{
+  /* The chunks above state the length of the request. */
+  ck_assert_int_eq (strlen (REQUEST), 0x77);
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":2", 5000));
+  for (size_t i = 0; i < G_N_ELEMENTS (broken_off_requests); i++)
+    {
+      g_autofree char *seen = NULL;
+      char reply[4096] = "";
+      long code = 0;
+      int fd = -1;
+
+      ck_assert_int_eq (cf_connect_tcp ("127.0.0.1:17580", 1000, &fd), CF_OK);
+      ck_assert_int_eq (cf_write_all (fd, broken_off_requests[i],
+                                      strlen (broken_off_requests[i])),
+                        CF_OK);
+      shutdown (fd, SHUT_WR);
+      if (read (fd, reply, sizeof reply - 1) > 0)
+        ck_assert_msg (strstr (reply, " 400 "), "%zu: %s", i, reply);
+      close (fd);
+      ck_assert_int_eq (cf_http_call ("GET", "http://127.0.0.1:17590/test/seen",
+                                      NULL, NULL, 2000, &code, &seen),
+                        CF_OK);
+      ck_assert_msg (strstr (seen, "p1") == NULL, "%zu ran", i);
+    }
+  t_stop_all ();
+}
+END_TEST
+
 /* A target whose answer contains a NUL byte. */
 static void *
 serve_nul_byte (void *data)
@@ -718,6 +792,8 @@
   tcase_add_test (tc, test_request_too_large_for_a_frame_keeps_link_up);
   tcase_add_test (tc, test_leaving_target_is_excluded_within_bound);
   tcase_add_test (tc, test_silent_agent_is_excluded);
+  tcase_add_test (tc, test_answer_to_each_http_version_has_a_length);
+  tcase_add_test (tc, test_request_that_broke_off_is_not_run);
   tcase_add_test (tc, test_answer_that_broke_off_is_not_passed_on);
   tcase_add_test (tc, test_answer_is_not_cut_at_a_nul_byte);
   tcase_add_test (tc, test_vm_list_that_broke_off_ends_no_leave);
