config-watch: ask peers if a version breaks off late

An answer that came after half of the watch's wait counted as a watch that had timed out, also if it was not a valid version: the watch then went on at once, with the polls of the peers switched off. A service whose answers break off after a wait thus kept the entry from its peers' version for good.

An invalid answer is now its own result and is handled as a failed watch.

Before, t-config failed: 'the peer's version was not read within 9000 ms', with a service that answers half a version after 3 s; now it passes. Versions that are stale rather than invalid after a wait are handled as before.

--- a/config-watch.c
+++ b/config-watch.c
@@ -88,7 +88,8 @@
 {
   WATCH_NEWER,     /* a newer valid version was applied */
   WATCH_TIMED_OUT, /* the service held the request and had nothing newer */
-  WATCH_STALE,     /* an immediate answer that is not newer, or is invalid */
+  WATCH_STALE,     /* an immediate answer that is not newer */
+  WATCH_INVALID,   /* an answer that is not a valid version */
   WATCH_FAILED,    /* the service did not answer */
 } WatchResult;
 
@@ -97,7 +98,7 @@
 static WatchResult
 apply_document (CfConfigWatch *w, const char *from, const char *body)
 {
-  WatchResult res = WATCH_STALE;
+  WatchResult res = WATCH_INVALID;
   json_t *doc = json_loads (body, 0, NULL);
   json_t *version = json_object_get (doc, "version");
   json_t *records = json_object_get (doc, "records");
@@ -118,8 +119,7 @@
       goto out;
     }
   c->source = json_dumps (records, JSON_COMPACT);
-  if (cf_config_watch_apply_newer (w, c))
-    res = WATCH_NEWER;
+  res = cf_config_watch_apply_newer (w, c) ? WATCH_NEWER : WATCH_STALE;
 out:
   json_decref (doc);
   return res;
@@ -230,6 +230,7 @@
         case WATCH_STALE:
           /* A stale replica answers at once; to ask again without a delay
            * would waste the read budget that all readers share. */
+        case WATCH_INVALID:
         case WATCH_FAILED:
           cf_config_watch_poll_peers (w);
           usleep (backoff * 1000);
--- a/t/t-config.c
+++ b/t/t-config.c
@@ -5,6 +5,7 @@
  */
 #include "harness.h"
 #include "http-client.h"
+#include "http-server.h"
 #include "net.h"
 
 #include <check.h>
@@ -395,6 +396,45 @@
 }
 END_TEST
 
+/* A service whose answers are cut short after a long wait, while a peer, served
+ * at the same address, has version 1 from @peer_ready_ms on. */
+static void
+serve_cut_versions (void *data, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  const long long *peer_ready_ms = data;
+
+  if (g_str_equal (req->path, "/v1/watch"))
+    {
+      usleep (3000000);
+      rep->body = g_strdup ("{\"version\":1,\"reco");
+    }
+  else if (cf_now_ms () < *peer_ready_ms)
+    cf_http_reply_error (rep, 404, "nothing-newer", "no version yet");
+  else
+    rep->body = g_strdup ("{\"version\":1,\"records\":[]}");
+}
+
+START_TEST (test_peers_are_asked_if_versions_break_off_after_a_wait)
+{
+  long long peer_ready_ms = cf_now_ms () + 1000;
+  CfHttpServer *server = NULL;
+
+  ck_assert_int_eq (cf_http_server_start ("127.0.0.1:17600", serve_cut_versions,
+                                          &peer_ready_ms, &server),
+                    CF_OK);
+  t_start_program ("c-entry", "./comfrey-entry",
+                   "[entry]\nlisten = \"127.0.0.1:17680\"\n"
+                   "[config]\nurl = \"http://127.0.0.1:17600\"\n"
+                   "[peers]\nurls = [\"http://127.0.0.1:17600\"]\n"
+                   "[vmlist]\nurl = \"http://127.0.0.1:17609\"\n");
+  ck_assert_msg (t_wait_for_body (ENTRY "/v1/health", "\"config_version\":1",
+                                  APPLY_MAX_MS),
+                 "the peer's version was not read within %d ms", APPLY_MAX_MS);
+  t_stop_all ();
+  cf_http_server_stop (server);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -409,6 +449,7 @@
   tcase_add_test (tc, test_version_from_a_peer_while_the_service_is_down);
   tcase_add_test (tc, test_concurrent_publishes);
   tcase_add_test (tc, test_version_that_broke_off_is_not_applied);
+  tcase_add_test (tc, test_peers_are_asked_if_versions_break_off_after_a_wait);
   suite_add_tcase (s, tc);
   return t_run_suite (s);
 }
