--- a/t/t-config.c
+++ b/t/t-config.c
@@ -5,6 +5,7 @@
  */
 #include "harness.h"
 #include "http-client.h"
+#include "http-server.h"
 #include "net.h"
 
 #include <check.h>
@@ -357,6 +358,83 @@
 }
 END_TEST
 
+START_TEST (test_version_that_broke_off_is_not_applied)
+{
+  static const char *const framings[]
+      = { "length", "chunked", "close", "short" };
+  /* Inside the first record, and one byte before the end of the document. */
+  int cuts[] = { 60, 0 };
+  g_autofree char *document = NULL;
+  int version = 1;
+  long code = 0;
+
+  start_two_entries (FALSE);
+  ck_assert_int_eq (cf_http_call ("GET", CONFIG "/v1/records", NULL, NULL, 2000,
+                                  &code, &document),
+                    CF_OK);
+  cuts[1] = (int)strlen (document) - 1;
+  for (size_t i = 0; i < G_N_ELEMENTS (framings) * G_N_ELEMENTS (cuts); i++)
+    {
+      g_autofree char *old
+          = g_strdup_printf ("\"config_version\":%d,", version);
+      g_autofree char *new
+          = g_strdup_printf ("\"config_version\":%d,", ++version);
+      g_autofree char *url = g_strdup_printf (
+          CONFIG "/test/break?path=/v1/watch&framing=%s&after=%d&count=1000",
+          framings[i / 2], cuts[i % 2]);
+
+      call ("GET", url, NULL);
+      call ("POST", CONFIG "/test/publish", group_and_intent);
+      usleep (500000);
+      ck_assert_msg (t_wait_for_body (ENTRY_A "/v1/health", old, 100),
+                     "%s: took a version that broke off", framings[i / 2]);
+      call ("GET", CONFIG "/test/break?path=/v1/watch&framing=length&count=0",
+            NULL);
+      ck_assert (t_wait_for_body (ENTRY_A "/v1/health", new, APPLY_MAX_MS));
+    }
+  t_stop_all ();
+}
+END_TEST
+
+/* A service whose answers are cut short after a long wait, while a peer, served
+ * at the same address, has version 1 from @peer_ready_ms on. */
+static void
+serve_cut_versions (void *data, const CfHttpRequest *req, CfHttpReply *rep)
+{
+  const long long *peer_ready_ms = data;
+
+  if (g_str_equal (req->path, "/v1/watch"))
+    {
+      usleep (3000000);
+      rep->body = g_strdup ("{\"version\":1,\"reco");
+    }
+  else if (cf_now_ms () < *peer_ready_ms)
+    cf_http_reply_error (rep, 404, "nothing-newer", "no version yet");
+  else
+    rep->body = g_strdup ("{\"version\":1,\"records\":[]}");
+}
+
+START_TEST (test_peers_are_asked_if_versions_break_off_after_a_wait)
+{
+  long long peer_ready_ms = cf_now_ms () + 1000;
+  CfHttpServer *server = NULL;
+
+  ck_assert_int_eq (cf_http_server_start ("127.0.0.1:17600", serve_cut_versions,
+                                          &peer_ready_ms, &server),
+                    CF_OK);
+  t_start_program ("c-entry", "./comfrey-entry",
+                   "[entry]\nlisten = \"127.0.0.1:17680\"\n"
+                   "[config]\nurl = \"http://127.0.0.1:17600\"\n"
+                   "[peers]\nurls = [\"http://127.0.0.1:17600\"]\n"
+                   "[vmlist]\nurl = \"http://127.0.0.1:17609\"\n");
+  ck_assert_msg (t_wait_for_body (ENTRY "/v1/health", "\"config_version\":1",
+                                  APPLY_MAX_MS),
+                 "the peer's version was not read within %d ms", APPLY_MAX_MS);
+  t_stop_all ();
+  cf_http_server_stop (server);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -370,6 +448,8 @@
   tcase_add_test (tc, test_resumed_entry_with_old_version_is_refused);
   tcase_add_test (tc, test_version_from_a_peer_while_the_service_is_down);
   tcase_add_test (tc, test_concurrent_publishes);
+  tcase_add_test (tc, test_version_that_broke_off_is_not_applied);
+  tcase_add_test (tc, test_peers_are_asked_if_versions_break_off_after_a_wait);
   suite_add_tcase (s, tc);
   return t_run_suite (s);
 }
--- a/t/t-entry.c
+++ b/t/t-entry.c
@@ -580,6 +580,198 @@
 }
 END_TEST
 
+START_TEST (test_answer_to_each_http_version_has_a_length)
+{
+  static const char *const versions[] = { "1.0", "1.1" };
+
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":2", 5000));
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      g_autofree char *request
+          = g_strdup_printf ("POST /v1/requests HTTP/%s\r\nHost: e\r\n"
+                             "Content-Length: %zu\r\n\r\n" REQUEST,
+                             versions[i], strlen (REQUEST));
+      size_t expected;
+      size_t len;
+      int fd = -1;
+
+      ck_assert_int_eq (cf_connect_tcp ("127.0.0.1:17580", 1000, &fd), CF_OK);
+      ck_assert_int_eq (cf_write_all (fd, request, strlen (request)), CF_OK);
+      len = read_body (fd, &expected);
+      ck_assert_msg (expected > 0 && len == expected,
+                     "HTTP/%s: %zu bytes, stated %zu", versions[i], len,
+                     expected);
+      close (fd);
+    }
+  t_stop_all ();
+}
+END_TEST
+
+/* Requests, each with a whole JSON document, that end before their framing
+ * does. */
+static const char *const broken_off_requests[] = {
+  "POST /v1/requests HTTP/1.1\r\nHost: e\r\nContent-Length: "
+  "1000\r\n\r\n" REQUEST,
+  "POST /v1/requests HTTP/1.1\r\nHost: e\r\nTransfer-Encoding: chunked\r\n"
+  "\r\n77\r\n" REQUEST,
+  "POST /v1/requests HTTP/1.1\r\nHost: e\r\nTransfer-Encoding: chunked\r\n"
+  "\r\n77\r\n" REQUEST "\r\n",
+  "POST /v1/requests HTTP/1.0\r\nHost: e\r\n\r\n" REQUEST,
+};
+
+START_TEST (test_request_that_broke_off_is_not_run)
+{
+  /* The chunks above state the length of the request. */
+  ck_assert_int_eq (strlen (REQUEST), 0x77);
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":2", 5000));
+  for (size_t i = 0; i < G_N_ELEMENTS (broken_off_requests); i++)
+    {
+      g_autofree char *seen = NULL;
+      char reply[4096] = "";
+      long code = 0;
+      int fd = -1;
+
+      ck_assert_int_eq (cf_connect_tcp ("127.0.0.1:17580", 1000, &fd), CF_OK);
+      ck_assert_int_eq (cf_write_all (fd, broken_off_requests[i],
+                                      strlen (broken_off_requests[i])),
+                        CF_OK);
+      shutdown (fd, SHUT_WR);
+      if (read (fd, reply, sizeof reply - 1) > 0)
+        ck_assert_msg (strstr (reply, " 400 "), "%zu: %s", i, reply);
+      close (fd);
+      ck_assert_int_eq (cf_http_call ("GET", "http://127.0.0.1:17590/test/seen",
+                                      NULL, NULL, 2000, &code, &seen),
+                        CF_OK);
+      ck_assert_msg (strstr (seen, "p1") == NULL, "%zu ran", i);
+    }
+  t_stop_all ();
+}
+END_TEST
+
+/* A target whose answer contains a NUL byte. */
+static void *
+serve_nul_byte (void *data)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf\0rest";
+  int fd = accept (GPOINTER_TO_INT (data), NULL, NULL);
+  char request[4096];
+
+  if (read (fd, request, sizeof request) > 0)
+    cf_write_all (fd, answer, sizeof answer - 1);
+  /* Until the agent closes it. */
+  while (read (fd, request, sizeof request) > 0)
+    continue;
+  close (fd);
+  return NULL;
+}
+
+START_TEST (test_answer_is_not_cut_at_a_nul_byte)
+{
+  g_autofree char *answer = NULL;
+  pthread_t t;
+  long code;
+  int fd;
+
+  start_platform ();
+  ck_assert_int_eq (cf_listen_tcp ("127.0.0.1:17590", &fd), CF_OK);
+  start_agent ("e-agent-1", "17501");
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":1", 5000));
+  pthread_create (&t, NULL, serve_nul_byte, GINT_TO_POINTER (fd));
+  code = post (REQUEST, "answer", &answer, NULL);
+  ck_assert_msg (code == 409, "%ld with '%s'", code, answer);
+  t_stop_all ();
+  pthread_join (t, NULL);
+  close (fd);
+}
+END_TEST
+
+#define VM_LIST "http://127.0.0.1:17509"
+
+START_TEST (test_vm_list_that_broke_off_ends_no_leave)
+{
+  static const char *const framings[]
+      = { "length", "chunked", "close", "short" };
+  g_autofree char *log = NULL;
+
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":2", 5000));
+  ck_assert (t_wait_for_body (
+      VM_LIST "/test/vm?addr=127.0.0.1:17501&state=leaving", "ok", 1000));
+  ck_assert_int_ge (ms_until_excluded ("127.0.0.1:17501", 10000), 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (framings); i++)
+    {
+      g_autofree char *url = g_strdup_printf (
+          VM_LIST "/test/break?path=/v1/vms&framing=%s&after=10&count=100",
+          framings[i]);
+
+      ck_assert (t_wait_for_body (url, "ok", 1000));
+      /* Two polls. */
+      usleep (1100000);
+      for (int j = 0; j < 5; j++)
+        {
+          g_autofree char *target = NULL;
+
+          ck_assert_int_eq (post (REQUEST, "target", &target, NULL), 200);
+          ck_assert_msg (g_str_equal (target, "127.0.0.1:17502"),
+                         "%s: the leaving target got a request", framings[i]);
+        }
+    }
+  t_stop_all ();
+  log = t_read_log ("e-entry");
+  ck_assert (strstr (log, "E1304 vmlist-down"));
+}
+END_TEST
+
+/* An answer of the engine: its framing, and where it breaks off. */
+static const struct
+{
+  const char *framing;
+  const char *after;
+  long code;
+  const char *ran;
+} engine_answers[] = {
+  { "length", "-1", 200, "yes" },   { "length", "10", 409, "unknown" },
+  { "chunked", "-1", 200, "yes" },  { "chunked", "10", 409, "unknown" },
+  { "close", "-1", 200, "yes" },    { "close", "10", 409, "unknown" },
+  { "close", "0", 409, "unknown" },
+};
+
+START_TEST (test_answer_that_broke_off_is_not_passed_on)
+{
+  start_group ();
+  start_entry ();
+  ck_assert (t_wait_for_body (ENTRY "/v1/health",
+                              "\"config_version\":1,\"links_up\":2", 5000));
+  for (size_t i = 0; i < G_N_ELEMENTS (engine_answers); i++)
+    {
+      g_autofree char *url = g_strdup_printf (
+          "http://127.0.0.1:17590/test/break?path=/v1/generate&framing=%s"
+          "&after=%s",
+          engine_answers[i].framing, engine_answers[i].after);
+      g_autofree char *ran = NULL;
+      long code;
+
+      ck_assert (t_wait_for_body (url, "ok", 1000));
+      code = post (REQUEST, "ran", &ran, NULL);
+      ck_assert_msg (code == engine_answers[i].code, "%s, after %s: %ld",
+                     engine_answers[i].framing, engine_answers[i].after, code);
+      ck_assert_str_eq (ran, engine_answers[i].ran);
+    }
+  t_stop_all ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -600,6 +792,11 @@
   tcase_add_test (tc, test_request_too_large_for_a_frame_keeps_link_up);
   tcase_add_test (tc, test_leaving_target_is_excluded_within_bound);
   tcase_add_test (tc, test_silent_agent_is_excluded);
+  tcase_add_test (tc, test_answer_to_each_http_version_has_a_length);
+  tcase_add_test (tc, test_request_that_broke_off_is_not_run);
+  tcase_add_test (tc, test_answer_that_broke_off_is_not_passed_on);
+  tcase_add_test (tc, test_answer_is_not_cut_at_a_nul_byte);
+  tcase_add_test (tc, test_vm_list_that_broke_off_ends_no_leave);
   suite_add_tcase (s, tc);
   tcase_set_timeout (late, 60);
   tcase_set_tags (late, "late");
