exchange: don't continue an answer that has begun

What callers saw: on idempotent routes, the first bytes of a large answer followed by those of another attempt's, with a length as one complete answer: status 200, signed, as long as said.

Cause: an answer over the 64 KiB that are held back goes out as it arrives. When its connection broke, or it paused for longer than a target may be silent, cf_exchange_may_retry() allowed another attempt without asking whether the answer had begun. A resumed stream drops what the caller has by event ids; other bytes have no such mark.

An answer that has begun is now continued by another attempt only if what was sent are events. All retries ask cf_exchange_may_retry(), so the rule stands there alone: the answer ends with its own target's bytes or is broken off, and one that pauses goes on. Ruled out as a cause: unsafe routes and streams, which were broken off before as well.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -29,9 +29,20 @@
                                        : CF_NO_CAPACITY_FULL);
 }
 
+/* Whether another answer can continue what its caller has been sent: nothing,
+ * or events, whose ids tell what is left.  Other bytes of an answer have no such
+ * mark. */
+static gboolean
+can_be_continued (const CfExchange *x)
+{
+  return !x->answer_started || x->event_stream.n_events > 0;
+}
+
 gboolean
 cf_exchange_may_retry (CfExchange *x)
 {
+  if (!can_be_continued (x))
+    return FALSE;
   if (x->may_have_run && x->route->retry_safety == CF_RETRY_UNSAFE)
     return FALSE;
   if (cf_exchange_is_suspected (x))
