exchange: end broken answers without a retry line

An answer that had begun and broke off left E1204 with again=no and budget=not-asked, though no retry was possible, and an E1205 that names no target: it was released before. Such an answer now ends at once with one E1205 that names its target, and comfrey explain says what the absence of E1204 means.

--- a/explain.c
+++ b/explain.c
@@ -63,10 +63,12 @@
   { NULL, "lost",
     "the connection to the target broke before the answer was complete, and "
     "the request could not be sent again: again= and ran= of the last E1204 "
-    "show why" },
+    "show why; without one, the answer had begun, and no other can continue "
+    "it" },
   { NULL, "garbled",
     "the target sent a malformed answer, and the request could not be sent "
-    "again: again= and ran= of the last E1204 show why" },
+    "again: again= and ran= of the last E1204 show why; without one, the "
+    "answer had begun, and no other can continue it" },
   { NULL, "unsent", "no target could be reached" },
   { NULL, "silent", "the target sent nothing for too long" },
   { NULL, "deadline",
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -30,8 +30,8 @@
 }
 
 /* Whether another answer can continue what its caller has been sent: nothing,
- * or events, whose ids tell what is left.  Other bytes of an answer have no such
- * mark. */
+ * or events, whose ids tell what is left.  Other bytes of an answer have no
+ * such mark. */
 static gboolean
 can_be_continued (const CfExchange *x)
 {
@@ -400,6 +400,11 @@
   gboolean in_budget
       = again && cf_retry_budget_take (&x->service_state->budget);
 
+  if (!can_be_continued (x))
+    {
+      cf_exchange_fail (x, reason);
+      return;
+    }
   cf_log (LOG_NOTICE, CF_EV_RETRY,
           "id=%s reason=%s target=%s again=%s budget=%s ran=%s sends=%u "
           "left_ms=%" G_GINT64_FORMAT,
--- a/t/t-large-answer.c
+++ b/t/t-large-answer.c
@@ -135,14 +135,22 @@
   return p_count_in_log (GATEWAY_LOG, line);
 }
 
-/* Checks that nothing was spent on an attempt that cannot continue @id. */
+/* Checks that nothing was spent on an attempt that cannot continue @id, and
+ * that the log names its target. */
 static void
 check_sent_once (const char *id)
 {
   g_autofree char *end = g_strdup_printf ("E1205 answer id=%s ", id);
+  g_autofree char *named = g_strdup_printf (
+      "E1205 answer id=%s [^\n]*target=desk-[01] sends=1 ", id);
+  g_autofree char *log = NULL;
 
   ck_assert (p_wait_for_log (GATEWAY_LOG, end, 2000));
+  ck_assert (g_file_get_contents (GATEWAY_LOG, &log, NULL, NULL));
+  ck_assert_msg (g_regex_match_simple (named, log, 0, 0),
+                 "%s: the log does not name the target", id);
   ck_assert_int_eq (count_logged ("E1203 route", id), 1);
+  ck_assert_int_eq (count_logged ("E1204 retry", id), 0);
 }
 
 /* Plays answers of all targets that break off nine bytes before their end. */
