exchange: don't resume streams without event ids

What callers saw: a stream whose events carry no id, on a route that may be resumed, was resumed when it broke off: the next target began again, and the caller got the first events twice, framed as one complete stream.

Cause: a resumption asks for the events after the last id and drops those up to it; without an id neither happens. Text after "id:" that is no number counted as id 0, so that a second such event was dropped as sent before.

A stream is now resumed only if all events sent to the caller have a number as id, in the one predicate that all retries ask. An event with other text there counts as one without an id. The stand-in of ranks leaves ids out from a given event on, and may give resumed streams another fault.

--- a/gateway/event-stream.c
+++ b/gateway/event-stream.c
@@ -35,6 +35,19 @@
   return 0;
 }
 
+/* Returns the number after "id:" in the line from @p to @nl; -1 if it is none.
+ */
+static gint64
+parse_id (const char *p, const char *nl)
+{
+  char *end;
+  gint64 id = g_ascii_strtoll (p + 3, &end, 10);
+
+  if (end == p + 3 || end > nl || (*end != '\n' && *end != '\r'))
+    return -1;
+  return id;
+}
+
 /* Returns the number in the event's "id:" line; -1 if it has none. */
 static gint64
 event_id (const char *p, gsize n)
@@ -46,7 +59,7 @@
       const char *nl = memchr (p, '\n', (gsize)(end - p));
 
       if (end - p > 3 && memcmp (p, "id:", 3) == 0)
-        return g_ascii_strtoll (p + 3, NULL, 10);
+        return nl ? parse_id (p, nl) : -1;
       if (!nl)
         break;
       p = nl + 1;
@@ -66,6 +79,8 @@
     }
   if (id >= 0)
     s->last_id = id;
+  else
+    s->n_unnumbered++;
   s->n_events++;
   g_string_append_len (out, p, (gssize)n);
   return 1;
@@ -88,6 +103,12 @@
   return n_appended;
 }
 
+gboolean
+cf_event_stream_can_resume (const CfEventStream *s)
+{
+  return s->n_events > 0 && s->n_unnumbered == 0;
+}
+
 void
 cf_event_stream_restart (CfEventStream *s)
 {
--- a/gateway/event-stream.h
+++ b/gateway/event-stream.h
@@ -11,10 +11,11 @@
  */
 typedef struct
 {
-  GString *partial;  /**< bytes of the incomplete event */
-  gint64 last_id;    /**< id of the last event returned; -1: none */
-  guint64 n_events;  /**< events returned so far */
-  guint64 n_dropped; /**< events dropped: their id was not above @last_id */
+  GString *partial;     /**< bytes of the incomplete event */
+  gint64 last_id;       /**< id of the last event returned; -1: none */
+  guint64 n_events;     /**< events returned so far */
+  guint64 n_unnumbered; /**< those of them without an id */
+  guint64 n_dropped;    /**< events dropped: their id was not above @last_id */
 } CfEventStream;
 
 void cf_event_stream_init (CfEventStream *s);
@@ -28,6 +29,10 @@
 guint cf_event_stream_feed (CfEventStream *s, const char *data, gsize n,
                             GString *out);
 
+/** cf_event_stream_can_resume: whether another target can resume the stream:
+ * all events returned so far, one at least, have ids. */
+gboolean cf_event_stream_can_resume (const CfEventStream *s);
+
 /** cf_event_stream_restart: discards the incomplete event; another target
  * resumes the stream after @last_id. */
 void cf_event_stream_restart (CfEventStream *s);
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -30,12 +30,12 @@
 }
 
 /* Whether another answer can continue what its caller has been sent: nothing,
- * or events, whose ids tell what is left.  Other bytes of an answer have no
- * such mark. */
+ * or events whose ids tell what is left.  Other bytes of an answer have no such
+ * mark. */
 static gboolean
 can_be_continued (const CfExchange *x)
 {
-  return !x->answer_started || x->event_stream.n_events > 0;
+  return !x->answer_started || cf_event_stream_can_resume (&x->event_stream);
 }
 
 gboolean
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -73,20 +73,23 @@
   r->status.armed = 0;
 }
 
+/* Event @n; without an id if it is @unnumbered_from or a later one. */
 static char *
-format_event (int n)
+format_event (int n, int unnumbered_from)
 {
+  if (unnumbered_from > 0 && n >= unnumbered_from)
+    return g_strdup_printf ("data: token-%d\n\n", n);
   return g_strdup_printf ("id: %d\ndata: token-%d\n\n", n, n);
 }
 
 gsize
-fake_stream_length (int first, int last)
+fake_stream_length (int first, int last, int unnumbered_from)
 {
   gsize n = 0;
 
   for (int i = first; i <= last; i++)
     {
-      g_autofree char *event = format_event (i);
+      g_autofree char *event = format_event (i, unnumbered_from);
 
       n += strlen (event);
     }
@@ -123,7 +126,8 @@
 {
   return st->cut == FAKE_CUT_END
              ? st->cut_at
-             : fake_stream_length (st->next_event, st->last_event);
+             : fake_stream_length (st->next_event, st->last_event,
+                                   st->unnumbered_from);
 }
 
 /* Sends the next event of @st, and frees @st after its last event or if it
@@ -131,7 +135,7 @@
 static void
 send_event (FakeStream *st)
 {
-  g_autofree char *event = format_event (st->next_event);
+  g_autofree char *event = format_event (st->next_event, st->unnumbered_from);
   gsize n = strlen (event);
   gboolean is_cut = st->cut != FAKE_CUT_NONE && st->n_sent + n > st->cut_at;
 
--- a/standins/fake-group.h
+++ b/standins/fake-group.h
@@ -15,8 +15,9 @@
   FakeConn *conn;
   int next_event;
   int last_event;
-  gboolean is_begun; /**< the head of the answer was sent */
-  char *headers;     /**< header lines of the answer */
+  int unnumbered_from; /**< the first event without an id; 0: all have one */
+  gboolean is_begun;   /**< the head of the answer was sent */
+  char *headers;       /**< header lines of the answer */
   FakeFraming framing;
   FakeCut cut;
   gsize cut_at;        /**< it breaks off after this many bytes of its body */
@@ -24,8 +25,9 @@
   int passes_to_start; /**< passes until it writes its first event */
 };
 
-/** fake_stream_length: the bytes of the events from @first to @last. */
-gsize fake_stream_length (int first, int last);
+/** fake_stream_length: the bytes of the events from @first to @last, of which
+ * those from @unnumbered_from on, if it is not 0, have no id. */
+gsize fake_stream_length (int first, int last, int unnumbered_from);
 
 /** FakeRank: the state of one rank of the group. */
 typedef struct
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -54,7 +54,10 @@
   guint64 n_crashes;
   char *fault; /**< kind of fault that the next @n_faults_left requests meet */
   int n_faults_left;
-  gboolean fault_spares_resumed; /**< requests that resume a stream meet none */
+  char *resumed_fault; /**< (nullable): kind of fault that requests which resume
+                          a stream meet instead */
+  int unnumbered_from; /**< the first event of its streams without an id; 0: all
+                          have one */
   int fault_at;        /**< bytes of a body before it breaks off; -1: not set */
   FakeFraming framing; /**< of a rank's streams and a plain service's
                             documents */
@@ -142,10 +145,11 @@
 static char *
 next_fault (FakeTarget *t, const FakeConn *c)
 {
-  if (t->n_faults_left <= 0
-      || (t->fault_spares_resumed
-          && cf_http_reader_header (&c->reader, CF_HDR_LAST_EVENT_ID)))
+  if (t->n_faults_left <= 0)
     return NULL;
+  if (t->resumed_fault
+      && cf_http_reader_header (&c->reader, CF_HDR_LAST_EVENT_ID))
+    return g_strdup (t->resumed_fault);
   t->n_faults_left--;
   return g_strdup (t->fault);
 }
@@ -340,8 +344,8 @@
 {
   if (t->fault_at >= 0)
     return (gsize)t->fault_at;
-  return fake_stream_length (first_event, first_event + 1)
-         + fake_stream_length (first_event + 2, first_event + 2) / 2;
+  return fake_stream_length (first_event, first_event + 1, 0)
+         + fake_stream_length (first_event + 2, first_event + 2, 0) / 2;
 }
 
 static void
@@ -357,6 +361,7 @@
   st->last_event
       = comma ? (atoi (comma + 1) + TOKENS_PER_EVENT - 1) / TOKENS_PER_EVENT
               : DEFAULT_STREAM_EVENTS;
+  st->unnumbered_from = t->unnumbered_from;
   st->headers = make_answer_headers (t, id, TRUE);
   st->framing = t->framing;
   st->cut = parse_cut (fault);
@@ -643,16 +648,15 @@
 {
   char *x = fake_http_query_param (c, "x");
   char *at = fake_http_query_param (c, "at");
-  char *fresh = fake_http_query_param (c, "fresh");
 
   g_free (t->fault);
+  g_free (t->resumed_fault);
   t->fault = fake_http_query_param (c, "kind");
   t->n_faults_left = x ? atoi (x) : 1;
   t->fault_at = at ? atoi (at) : -1;
-  t->fault_spares_resumed = fresh != NULL;
+  t->resumed_fault = fake_http_query_param (c, "resumed");
   g_free (x);
   g_free (at);
-  g_free (fresh);
   fake_http_answer (c, 200, NULL, "", 0);
 }
 
@@ -826,6 +830,11 @@
     set_framing (t, c);
   else if (fake_http_has_path (c, "/test/document"))
     set_document (t, c);
+  else if (fake_http_has_path (c, "/test/unnumbered"))
+    {
+      t->unnumbered_from = int_param (c, "from");
+      fake_http_answer (c, 200, NULL, "", 0);
+    }
   else if (fake_http_has_path (c, "/test/crasher"))
     {
       g_free (t->crash_body);
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -34,12 +34,16 @@
  * affect ranks, and plain services that answer with documents.
  *
  * POST /test/fault?kind=cut...&x=N&at=B: an answer breaks off after B bytes of
- * its body.  With &fresh=1, requests that resume a stream meet no fault.
+ * its body.  With &resumed=K, requests that resume a stream meet fault K
+ * instead, which may be none.
  *
  * POST /test/framing?as=F: from now on F marks the end of a rank's streams and
  * of a plain service's documents: chunked (the default), length, or close
  * (neither a length nor chunks).
  *
+ * POST /test/unnumbered?from=N: from now on the events of a rank's streams have
+ * no ids from the Nth on; without N, all have one.
+ *
  * POST /test/document?size=N&pause-at=B&pause-ms=P: from now on a plain service
  * answers with documents of N bytes, with a pause of P ms after B bytes, or
  * before the break-off; without N, with its short answers.
--- a/t/t-answer-end.c
+++ b/t/t-answer-end.c
@@ -45,7 +45,8 @@
   const char *framing;
   const char *how;
   int at;              /**< bytes of the body that are sent */
-  gboolean fresh_only; /**< streams that are resumed are complete */
+  const char *resumed; /**< (nullable): fault of the streams that are resumed */
+  int unnumbered_from; /**< the first event without an id; 0: all have one */
 } Cut;
 
 static void
@@ -53,24 +54,32 @@
 {
   g_autofree char *framing
       = g_strdup_printf ("POST /test/framing?as=%s", c->framing);
-  g_autofree char *fault
-      = g_strdup_printf ("POST /test/fault?kind=%s&x=1000&at=%d%s", c->how,
-                         c->at, c->fresh_only ? "&fresh=1" : "");
+  g_autofree char *fault = g_strdup_printf (
+      "POST /test/fault?kind=%s&x=1000&at=%d%s%s", c->how, c->at,
+      c->resumed ? "&resumed=" : "", c->resumed ? c->resumed : "");
+  g_autofree char *unnumbered
+      = g_strdup_printf ("POST /test/unnumbered?from=%d", c->unnumbered_from);
 
   for (int i = 0; i < N_RANKS; i++)
     {
       g_free (p_call_standin (RANK_1 + i, framing, ""));
       g_free (p_call_standin (RANK_1 + i, fault, ""));
+      g_free (p_call_standin (RANK_1 + i, unnumbered, ""));
     }
 }
 
+/* The first @n events, without an id from @unnumbered_from on. */
 static char *
-make_events (int n)
+make_events (int n, int unnumbered_from)
 {
   GString *s = g_string_new (NULL);
 
   for (int i = 1; i <= n; i++)
-    g_string_append_printf (s, "id: %d\ndata: token-%d\n\n", i, i);
+    {
+      if (unnumbered_from == 0 || i < unnumbered_from)
+        g_string_append_printf (s, "id: %d\n", i);
+      g_string_append_printf (s, "data: token-%d\n\n", i);
+    }
   return g_string_free (s, FALSE);
 }
 
@@ -78,7 +87,7 @@
 static void
 check_stream (const Answer *a, const char *what)
 {
-  g_autofree char *whole = make_events (N_EVENTS);
+  g_autofree char *whole = make_events (N_EVENTS, 0);
 
   ck_assert_msg (a->end != END_NEVER, "%s: no end", what);
   if (a->status != 200)
@@ -102,7 +111,8 @@
   set_cut (cut);
   a = send_request (path, what, "HTTP/1.1");
   check_stream (&a, what);
-  ck_assert_msg ((a.end == END_COMPLETE && a.status == 200) == cut->fresh_only,
+  ck_assert_msg ((a.end == END_COMPLETE && a.status == 200)
+                     == (cut->resumed != NULL),
                  "%s: status %d, end %d", what, a.status, a.end);
   received_answer_clear (&a);
 }
@@ -138,7 +148,7 @@
 /* Few positions, since each resumption takes from the retry budget. */
 START_TEST (stream_cut_inside_an_event_is_not_resumed)
 {
-  Cut cut = { .framing = framings[_i], .fresh_only = TRUE };
+  Cut cut = { .framing = framings[_i], .resumed = "none" };
 
   play_cuts ("POST /chat/a", cut, EVENT_BYTES + 1, EVENT_BYTES - 2);
 }
@@ -146,9 +156,9 @@
 
 START_TEST (stream_without_length_is_broken_off_at_its_end)
 {
-  g_autofree char *whole = make_events (N_EVENTS);
+  g_autofree char *whole = make_events (N_EVENTS, 0);
 
-  Cut none = { framings[_i], "none", 0, FALSE };
+  Cut none = { .framing = framings[_i], .how = "none" };
   Answer a;
 
   set_cut (&none);
@@ -163,7 +173,7 @@
 {
   for (gsize c = 0; c < G_N_ELEMENTS (cuts); c++)
     {
-      Cut cut = { "close", cuts[c], 0, FALSE };
+      Cut cut = { .framing = "close", .how = cuts[c] };
 
       play_cut ("POST /talk/a", &cut);
       play_cut ("POST /chat/a", &cut);
@@ -174,7 +184,7 @@
 /* Only an event stream can end inside an event. */
 START_TEST (document_on_a_route_for_streams_is_broken_off)
 {
-  Cut cut = { framings[_i], "document", 0, FALSE };
+  Cut cut = { .framing = framings[_i], .how = "document" };
   Answer a;
 
   set_cut (&cut);
@@ -186,13 +196,42 @@
 }
 END_TEST
 
+/* Plays a resumable stream that breaks off after @n events and a half, and of
+ * which another attempt cannot be told to be the rest. */
+static void
+play_unresumable (const char *id, Cut cut, int n)
+{
+  g_autofree char *whole = make_events (N_EVENTS, cut.unnumbered_from);
+  g_autofree char *sent = make_events (n, cut.unnumbered_from);
+  Answer a;
+
+  cut.at = (int)strlen (sent) + 5;
+  set_cut (&cut);
+  a = send_request ("POST /chat/a", id, "HTTP/1.1");
+  ck_assert_int_eq (a.status, 200);
+  ck_assert_msg (a.end == END_CLOSED || a.end == END_RESET, "%s: end %d", id,
+                 a.end);
+  ck_assert_str_eq (a.body, sent);
+  received_answer_clear (&a);
+}
+
+START_TEST (stream_without_event_ids_is_resumed)
+{
+  play_unresumable (
+      "no-ids", (Cut){ framings[_i], "cut", 0, NULL, .unnumbered_from = 1 }, 2);
+  play_unresumable (
+      "one-id", (Cut){ framings[_i], "cut", 0, NULL, .unnumbered_from = 2 }, 2);
+  ck_assert_uint_eq (p_count_in_log (GATEWAY_LOG, "E1212 resume"), 0);
+}
+END_TEST
+
 START_TEST (log_does_not_tell_a_cut_stream_from_a_complete_one)
 {
   g_autoptr (GRegex) lost = g_regex_new (
       "E1407 .*id=logged .*outcome=lost .*framing=close partial_bytes=5\\b", 0,
       0, NULL);
   g_autofree char *log = NULL;
-  Cut cut = { "close", "cut-close", EVENT_BYTES + 5, FALSE };
+  Cut cut = { .framing = "close", .how = "cut-close", .at = EVENT_BYTES + 5 };
   Answer a;
 
   set_cut (&cut);
@@ -233,6 +272,7 @@
   add_case (s, "cut", stream_without_length_or_event_ends_as_complete, 1);
   add_case (s, "whole", document_on_a_route_for_streams_is_broken_off,
             n_framings);
+  add_case (s, "ids", stream_without_event_ids_is_resumed, n_framings);
   add_case (s, "cut", log_does_not_tell_a_cut_stream_from_a_complete_one, 1);
   return t_run_suite (s);
 }
--- a/t/t-event-stream.c
+++ b/t/t-event-stream.c
@@ -116,6 +116,34 @@
 }
 END_TEST
 
+START_TEST (events_without_a_number_as_id_are_resumed)
+{
+  static const char *const without[]
+      = { "data: a\n\n", "id:\ndata: a\n\n", "id: x1\ndata: a\n\n",
+          "id: 1x\ndata: a\n\n", "data: id: 1\n\n" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (without); i++)
+    {
+      CfEventStream s;
+      GString *out = g_string_new (NULL);
+
+      cf_event_stream_init (&s);
+      ck_assert (!cf_event_stream_can_resume (&s));
+      cf_event_stream_feed (&s, "id: 1\ndata: a\n\n", 15, out);
+      ck_assert (cf_event_stream_can_resume (&s));
+      for (int k = 0; k < 2; k++)
+        ck_assert_msg (
+            cf_event_stream_feed (&s, without[i], strlen (without[i]), out)
+                == 1,
+            "case %zu was dropped", i);
+      ck_assert_msg (!cf_event_stream_can_resume (&s), "case %zu", i);
+      ck_assert_int_eq (s.last_id, 1);
+      g_string_free (out, TRUE);
+      cf_event_stream_clear (&s);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -126,6 +154,7 @@
   tcase_add_test (t, a_partial_event_is_held_back);
   tcase_add_test (t, comments_and_blank_lines_are_no_event);
   tcase_add_test (t, resumed_streams_are_complete);
+  tcase_add_test (t, events_without_a_number_as_id_are_resumed);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
