exchange: resume streams with numbered events only

What callers saw: a stream that broke off was continued with the bytes of a JSON document, or with events without ids, and ended as complete.

Cause: the answer of the target that resumes a stream was taken for its rest, whatever its head named and whether or not its events had ids.

Such an answer now fails as malformed (E1407 outcome=rejected says why), and the stream is resumed at another target if attempts are left, else broken off. cf_upstream_reject() ends it within the callback that sees it, so that none of its bytes are passed on.

--- a/gateway/event-stream.c
+++ b/gateway/event-stream.c
@@ -72,7 +72,8 @@
 {
   gint64 id = event_id (p, n);
 
-  if (id >= 0 && id <= s->last_id)
+  s->lacks_id |= id < 0 && s->is_resumed;
+  if (s->lacks_id || (id >= 0 && id <= s->last_id))
     {
       s->n_dropped++;
       return 0;
@@ -113,6 +114,8 @@
 cf_event_stream_restart (CfEventStream *s)
 {
   g_string_truncate (s->partial, 0);
+  s->is_resumed = s->n_events > 0;
+  s->lacks_id = FALSE;
 }
 
 /* Whether the line that @p points to is complete and either blank or a
--- a/gateway/event-stream.h
+++ b/gateway/event-stream.h
@@ -15,7 +15,10 @@
   gint64 last_id;       /**< id of the last event returned; -1: none */
   guint64 n_events;     /**< events returned so far */
   guint64 n_unnumbered; /**< those of them without an id */
-  guint64 n_dropped;    /**< events dropped: their id was not above @last_id */
+  gboolean is_resumed;
+  gboolean lacks_id; /**< an event after the resumption has no id; it and those
+                          after it were dropped */
+  guint64 n_dropped; /**< events dropped: their id was not above @last_id */
 } CfEventStream;
 
 void cf_event_stream_init (CfEventStream *s);
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -216,11 +216,27 @@
   record_progress (x);
 }
 
+/* Breaks off an answer that cannot continue the stream which its caller has
+ * been sent. */
+static void
+reject_answer (CfExchange *x, const char *why)
+{
+  cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
+          "target=%s outcome=rejected why=%s id=%s", x->target->record.id, why,
+          x->id);
+  cf_upstream_reject (x->upstream);
+}
+
 static void
 forward_events (CfExchange *x, const char *data, gsize n)
 {
+  guint n_events;
+
   g_string_truncate (x->held_body, 0);
-  if (cf_event_stream_feed (&x->event_stream, data, n, x->held_body) == 0)
+  n_events = cf_event_stream_feed (&x->event_stream, data, n, x->held_body);
+  if (x->event_stream.lacks_id)
+    reject_answer (x, "event-without-id");
+  if (n_events == 0)
     return;
   if (!x->answer_started)
     start_answer (x, -1);
@@ -276,6 +292,9 @@
   x->answer_kind = cf_answer_classify (r);
   x->framing = cf_answer_framing (r);
   x->is_event_stream = x->route->stream && cf_answer_is_event_stream (r);
+  if (x->answer_started && x->answer_kind == CF_ANSWER_SUCCESS
+      && !x->is_event_stream)
+    reject_answer (x, "no-event-stream");
   update_rate_limit (x, r);
   cf_target_take_notice (x->target, r, cf_gateway_now (x->gateway));
   if (!x->answer_started)
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -149,7 +149,7 @@
 {
   CfUpstream *u = owner;
 
-  if (!u->skipping_answer && u->owner)
+  if (!u->skipping_answer && !u->is_rejected && u->owner)
     u->callbacks->on_body (u->owner, data, n);
 }
 
@@ -215,7 +215,7 @@
           close_connection (u);
           return;
         }
-      if (!cf_http_reader_feed (&u->reader, data, n, &used))
+      if (!cf_http_reader_feed (&u->reader, data, n, &used) || u->is_rejected)
         {
           fail (u, CF_FAILURE_MALFORMED);
           return;
@@ -388,6 +388,12 @@
   close_connection (u);
 }
 
+void
+cf_upstream_reject (CfUpstream *u)
+{
+  u->is_rejected = TRUE;
+}
+
 void
 cf_upstream_set_paused (CfUpstream *u, gboolean pause)
 {
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -50,6 +50,7 @@
   gboolean sent_any;        /**< some byte of @request was sent */
   gboolean skipping_answer; /**< an interim answer, or one with another
                                  request id */
+  gboolean is_rejected;     /**< its owner cannot use the answer */
   gboolean paused;
   gboolean in_read; /**< a read is in progress; at its end it frees the
                          connection if that has been closed */
@@ -76,6 +77,10 @@
  * work. */
 void cf_upstream_cancel (CfUpstream *u);
 
+/** cf_upstream_reject: called within @on_head or @on_body if the answer cannot
+ * be used: it fails as malformed, and no more of it is passed on. */
+void cf_upstream_reject (CfUpstream *u);
+
 /** cf_upstream_set_paused: stops or resumes reading, for a slow caller. */
 void cf_upstream_set_paused (CfUpstream *u, gboolean pause);
 
--- a/t/t-answer-end.c
+++ b/t/t-answer-end.c
@@ -225,6 +225,18 @@
 }
 END_TEST
 
+START_TEST (stream_is_continued_by_an_answer_that_does_not_fit)
+{
+  play_unresumable ("document", (Cut){ framings[_i], "cut", 0, "document", 0 },
+                    2);
+  ck_assert (p_wait_for_log (
+      GATEWAY_LOG, "outcome=rejected why=no-event-stream id=document", 2000));
+  play_unresumable ("ids-end", (Cut){ framings[_i], "cut", 0, "none", 3 }, 2);
+  ck_assert (p_wait_for_log (
+      GATEWAY_LOG, "outcome=rejected why=event-without-id id=ids-end", 2000));
+}
+END_TEST
+
 START_TEST (log_does_not_tell_a_cut_stream_from_a_complete_one)
 {
   g_autoptr (GRegex) lost = g_regex_new (
@@ -273,6 +285,8 @@
   add_case (s, "whole", document_on_a_route_for_streams_is_broken_off,
             n_framings);
   add_case (s, "ids", stream_without_event_ids_is_resumed, n_framings);
+  add_case (s, "ids", stream_is_continued_by_an_answer_that_does_not_fit,
+            n_framings);
   add_case (s, "cut", log_does_not_tell_a_cut_stream_from_a_complete_one, 1);
   return t_run_suite (s);
 }
--- a/t/t-event-stream.c
+++ b/t/t-event-stream.c
@@ -80,6 +80,27 @@
 }
 END_TEST
 
+START_TEST (a_resumed_event_without_id_is_returned)
+{
+  CfEventStream s;
+  GString *out = g_string_new (NULL);
+
+  cf_event_stream_init (&s);
+  cf_event_stream_feed (&s, "id: 1\ndata: a\n\n", 15, out);
+  for (int i = 0; i < 2; i++)
+    {
+      cf_event_stream_restart (&s);
+      ck_assert (!s.lacks_id);
+      cf_event_stream_feed (&s, "data: b\n\nid: 3\ndata: c\n\n", 24, out);
+      ck_assert_str_eq (out->str, "id: 1\ndata: a\n\n");
+      ck_assert (s.lacks_id);
+      ck_assert (cf_event_stream_can_resume (&s));
+    }
+  g_string_free (out, TRUE);
+  cf_event_stream_clear (&s);
+}
+END_TEST
+
 /* However often and wherever a stream breaks off, the caller receives each
  * event once, in order. */
 START_TEST (resumed_streams_are_complete)
@@ -154,6 +175,7 @@
   tcase_add_test (t, a_partial_event_is_held_back);
   tcase_add_test (t, comments_and_blank_lines_are_no_event);
   tcase_add_test (t, resumed_streams_are_complete);
+  tcase_add_test (t, a_resumed_event_without_id_is_returned);
   tcase_add_test (t, events_without_a_number_as_id_are_resumed);
   suite_add_tcase (s, t);
   return t_run_suite (s);
