--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -29,9 +29,20 @@
                                        : CF_NO_CAPACITY_FULL);
 }
 
+/* Whether another answer can continue what its caller has been sent: nothing,
+ * or events whose ids tell what is left.  Other bytes of an answer have no such
+ * mark. */
+static gboolean
+can_be_continued (const CfExchange *x)
+{
+  return !x->answer_started || cf_event_stream_can_resume (&x->event_stream);
+}
+
 gboolean
 cf_exchange_may_retry (CfExchange *x)
 {
+  if (!can_be_continued (x))
+    return FALSE;
   if (x->may_have_run && x->route->retry_safety == CF_RETRY_UNSAFE)
     return FALSE;
   if (cf_exchange_is_suspected (x))
@@ -390,6 +401,11 @@
   gboolean in_budget
       = again && cf_retry_budget_take (&x->service_state->budget);
 
+  if (!can_be_continued (x))
+    {
+      cf_exchange_fail (x, reason);
+      return;
+    }
   cf_log (LOG_NOTICE, CF_EV_RETRY,
           "id=%s reason=%s target=%s again=%s budget=%s ran=%s sends=%u "
           "left_ms=%" G_GINT64_FORMAT,
