upstream: read again on a connection that was paused

What callers saw: a request after a large answer to a slow caller got 504, though its target had answered at once.

Cause: reading is paused while a caller is slow. If the read that paused it also completed the answer, the connection became idle with reading still paused; the next request was sent on it and its answer never read, and a close by the target was not noticed.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -192,6 +192,7 @@
   if (keep)
     {
       u->owner = NULL;
+      cf_upstream_set_paused (u, FALSE);
       cf_http_reader_next (&u->reader);
       TAILQ_REMOVE (&u->target->busy, u, link);
       TAILQ_INSERT_HEAD (&u->target->idle, u, link);
