--- a/t/t-event-stream.c
+++ b/t/t-event-stream.c
@@ -96,6 +96,27 @@
 }
 END_TEST
 
+START_TEST (a_resumed_event_without_id_is_returned)
+{
+  CfEventStream s;
+  GString *out = g_string_new (NULL);
+
+  cf_event_stream_init (&s);
+  cf_event_stream_feed (&s, "id: 1\ndata: a\n\n", 15, out);
+  for (int i = 0; i < 2; i++)
+    {
+      cf_event_stream_restart (&s);
+      ck_assert (!s.lacks_id);
+      cf_event_stream_feed (&s, "data: b\n\nid: 3\ndata: c\n\n", 24, out);
+      ck_assert_str_eq (out->str, "id: 1\ndata: a\n\n");
+      ck_assert (s.lacks_id);
+      ck_assert (cf_event_stream_can_resume (&s));
+    }
+  g_string_free (out, TRUE);
+  cf_event_stream_clear (&s);
+}
+END_TEST
+
 /* However often and wherever a stream breaks off, the caller receives each
  * event once, in order. */
 START_TEST (resumed_streams_are_complete)
@@ -132,6 +153,34 @@
 }
 END_TEST
 
+START_TEST (events_without_a_number_as_id_are_resumed)
+{
+  static const char *const without[]
+      = { "data: a\n\n", "id:\ndata: a\n\n", "id: x1\ndata: a\n\n",
+          "id: 1x\ndata: a\n\n", "data: id: 1\n\n" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (without); i++)
+    {
+      CfEventStream s;
+      GString *out = g_string_new (NULL);
+
+      cf_event_stream_init (&s);
+      ck_assert (!cf_event_stream_can_resume (&s));
+      cf_event_stream_feed (&s, "id: 1\ndata: a\n\n", 15, out);
+      ck_assert (cf_event_stream_can_resume (&s));
+      for (int k = 0; k < 2; k++)
+        ck_assert_msg (
+            cf_event_stream_feed (&s, without[i], strlen (without[i]), out)
+                == 1,
+            "case %zu was dropped", i);
+      ck_assert_msg (!cf_event_stream_can_resume (&s), "case %zu", i);
+      ck_assert_int_eq (s.last_id, 1);
+      g_string_free (out, TRUE);
+      cf_event_stream_clear (&s);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -143,6 +192,8 @@
   tcase_add_test (t, comments_count_as_events);
   tcase_add_test (t, comments_and_blank_lines_are_no_event);
   tcase_add_test (t, resumed_streams_are_complete);
+  tcase_add_test (t, a_resumed_event_without_id_is_returned);
+  tcase_add_test (t, events_without_a_number_as_id_are_resumed);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
