exchange: log the priority of queued requests

From the logs of an overload it could not be told which priority was refused for lack of room: E1210 and E1205 name neither the route nor the priority, and a request that is refused before it is sent has no E1203.

t-gateway passes.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -170,8 +170,9 @@
     }
   x->gateway->stats.queued++;
   cf_log (LOG_INFO, CF_EV_QUEUE,
-          "id=%s service=%s waiting=%u in_flight=%u limit_ms=%" G_GINT64_FORMAT,
-          x->id, x->service, x->service_state->queue.n,
+          "id=%s service=%s priority=%" G_GINT64_FORMAT
+          " waiting=%u in_flight=%u limit_ms=%" G_GINT64_FORMAT,
+          x->id, x->service, x->waiter.priority, x->service_state->queue.n,
           x->service_state->in_flight, limit);
   cf_exchange_start_silence_timer (x, limit);
   if (evicted)
