caller: reset broken answers of HTTP/1.0 callers

What callers of HTTP/1.0 saw: the beginning of an answer or a stream, ended as if it were complete.

Cause: towards them an answer of unknown length ends with the connection, and one that broke off, met its deadline, or was cut by a stop of the gateway was closed in order as well.

Such a connection is now set to reset on close (SO_LINGER) from the head of the answer until all of it is sent. This one place covers each way in which the gateway gives up an answer, and kill -9. Answers with a length or chunks are closed as before.

--- a/gateway/caller.c
+++ b/gateway/caller.c
@@ -131,6 +131,20 @@
     ev_io_start (c->gateway->loop, &c->io);
 }
 
+/* Makes the kernel reset the connection when it is closed, or close it in order
+ * again.  A connection whose end marks the end of an answer is reset until all
+ * of the answer is sent, also if this process is killed. */
+static void
+set_resets_on_close (CfCaller *c, gboolean resets)
+{
+  const struct linger option = { resets, 0 };
+
+  if (c->resets_on_close == resets)
+    return;
+  c->resets_on_close = resets;
+  setsockopt (c->io.fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 /* Called when all output is sent.  Shuts down the sending side, unless the
  * connection stays open for another request. */
 static void
@@ -141,6 +155,7 @@
   if (!c->close_after_answer || c->exchange || c->lingering)
     return;
   c->lingering = TRUE;
+  set_resets_on_close (c, FALSE);
   shutdown (c->io.fd, SHUT_WR);
   set_timer (c, LINGER_S);
 }
@@ -184,6 +199,7 @@
       || !cf_http_reader_can_keep_alive (&c->reader) || (http10 && length < 0))
     c->close_after_answer = TRUE;
   c->chunked = length < 0 && !http10;
+  set_resets_on_close (c, length < 0 && http10);
   g_string_append_printf (c->output, "HTTP/1.1 %d %s\r\n", status,
                           http_status_str ((enum http_status)status));
   if (headers)
--- a/gateway/caller.h
+++ b/gateway/caller.h
@@ -25,6 +25,8 @@
   gboolean served;             /**< at least one answer was completed */
   CfExchange *exchange;        /**< exchange of the current request */
   gboolean chunked;            /**< the answer uses chunked encoding */
+  gboolean resets_on_close;    /**< the end of the connection would end the
+                                    answer, which is not complete yet */
   gboolean close_after_answer; /**< no further request is read */
   gboolean lingering;          /**< waits for the caller to close */
   gboolean body_too_large;     /**< over max-body-bytes */
@@ -54,7 +56,7 @@
 void cf_caller_flush (CfCaller *c);
 
 /** cf_caller_abort: closes the connection at once, so that the caller sees a
- * truncated answer. */
+ * truncated answer.  If its end would be the end of the answer, it is reset. */
 void cf_caller_abort (CfCaller *c);
 
 /** cf_caller_unsent_bytes: bytes of output that are not sent yet. */
--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -17,6 +17,7 @@
 /** Interval at which p_wait_for_log_count() reads the log. */
 #define LOG_POLL_MS 20
 #define DEFAULT_DRAIN_MS 2000
+#define DEFAULT_GRACE_S 5.0
 #define DEFAULT_MAX_FDS 1024
 
 static GArray *child_pids;
@@ -105,11 +106,12 @@
   return g_strdup_printf (
       "ip=127.0.0.1\nzone=dc1\nplatform.addr=127.0.0.1:%d\n"
       "seed-addrs=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
-      "limits.memory-mb=128\nbounds.grace-s=5\nbounds.stall_ms=400\n"
+      "limits.memory-mb=128\nbounds.grace-s=%g\nbounds.stall_ms=400\n"
       "bounds.require-fence=true\n%s"
       "bounds.drain-ms=%d\nlimits.max-fds=%d\n",
       p_overrides.store ? p_overrides.store : base,
       p_overrides.seed ? p_overrides.seed : base + 102, base + 202, base + 302,
+      p_overrides.grace_s > 0 ? p_overrides.grace_s : DEFAULT_GRACE_S,
       p_overrides.allow_one_retry
           ? "bounds.retry-slack=0\nbounds.retry-ratio=0\n"
           : "bounds.retry-slack=60\n",
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -45,6 +45,7 @@
   int seed;                 /**< port of the first seed */
   int max_fds;              /**< limit of file descriptors per process */
   int drain_ms;             /**< the platform's limit on the time to drain */
+  double grace_s;           /**< from SIGTERM to SIGKILL */
   gboolean allow_one_retry; /**< the retry budget allows one retry only */
   const char *gateway;      /**< (nullable): the gateway program */
   const char *log_dir;      /**< (nullable): directory of the logs; a process
--- a/t/t-answer-end.c
+++ b/t/t-answer-end.c
@@ -102,14 +102,14 @@
 }
 
 static void
-play_cut (const char *path, const Cut *cut)
+play_cut (const char *path, const Cut *cut, const char *version)
 {
   g_autofree char *what = g_strdup_printf ("%s-%s-%s-%d", path + 6,
                                            cut->framing, cut->how, cut->at);
   Answer a;
 
   set_cut (cut);
-  a = send_request (path, what, "HTTP/1.1");
+  a = send_request (path, what, version);
   check_stream (&a, what);
   ck_assert_msg ((a.end == END_COMPLETE && a.status == 200)
                      == (cut->resumed != NULL),
@@ -128,7 +128,7 @@
         cut.how = cuts[c];
         cut.at = at;
         if (at % EVENT_BYTES != 0)
-          play_cut (path, &cut);
+          play_cut (path, &cut, "HTTP/1.1");
       }
 }
 
@@ -145,6 +145,18 @@
 }
 END_TEST
 
+START_TEST (http_1_0_stream_that_breaks_off_ends_as_complete)
+{
+  for (gsize c = 0; c < G_N_ELEMENTS (cuts); c++)
+    {
+      Cut cut = { framings[_i], cuts[c], EVENT_BYTES + 3, NULL, 0 };
+
+      play_cut ("POST /talk/a", &cut, "HTTP/1.0");
+      play_cut ("POST /chat/a", &cut, "HTTP/1.0");
+    }
+}
+END_TEST
+
 /* Few positions, since each resumption takes from the retry budget. */
 START_TEST (stream_cut_inside_an_event_is_not_resumed)
 {
@@ -175,8 +187,8 @@
     {
       Cut cut = { .framing = "close", .how = cuts[c] };
 
-      play_cut ("POST /talk/a", &cut);
-      play_cut ("POST /chat/a", &cut);
+      play_cut ("POST /talk/a", &cut, "HTTP/1.1");
+      play_cut ("POST /chat/a", &cut, "HTTP/1.1");
     }
 }
 END_TEST
@@ -284,6 +296,8 @@
   add_case (s, "cut", stream_without_length_or_event_ends_as_complete, 1);
   add_case (s, "whole", document_on_a_route_for_streams_is_broken_off,
             n_framings);
+  add_case (s, "http-1.0", http_1_0_stream_that_breaks_off_ends_as_complete,
+            n_framings);
   add_case (s, "ids", stream_without_event_ids_is_resumed, n_framings);
   add_case (s, "ids", stream_is_continued_by_an_answer_that_does_not_fit,
             n_framings);
--- a/t/t-large-answer.c
+++ b/t/t-large-answer.c
@@ -303,6 +303,79 @@
 }
 END_TEST
 
+/* How an answer of large documents ends for a caller of HTTP/1.0, whose answer
+ * ends with its connection unless the target names a length. */
+static Answer
+send_old_request (const char *id, Document d)
+{
+  Answer a;
+
+  set_documents (d);
+  a = received_answer_read (
+      received_answer_send (front, "POST /quote/a", id, "HTTP/1.0"));
+  check_answer (&a, id);
+  return a;
+}
+
+START_TEST (http_1_0_answer_that_breaks_off_ends_as_complete)
+{
+  for (gsize e = 0; e < G_N_ELEMENTS (broken_ends); e++)
+    {
+      Document d
+          = { framings[_i], broken_ends[e], LARGE, LARGE - 9, SETTLE_MS };
+      Answer a = send_old_request (broken_ends[e], d);
+
+      ck_assert_int_eq (a.status, 200);
+      ck_assert_int_eq (a.end == END_COMPLETE, ends_unnoticed (&d));
+      received_answer_clear (&a);
+    }
+}
+END_TEST
+
+START_TEST (http_1_0_answer_at_its_deadline_ends_as_complete)
+{
+  Answer a = send_old_request (
+      "late", (Document){ framings[_i], NULL, LARGE, LARGE - 9, 1500 });
+
+  ck_assert_int_eq (a.status, 200);
+  ck_assert_int_ne (a.end, END_COMPLETE);
+  received_answer_clear (&a);
+}
+END_TEST
+
+START_TEST (http_1_0_answer_is_broken_off_at_its_end)
+{
+  Answer a = send_old_request (
+      "whole", (Document){ framings[_i], NULL, HELD_MAX * 8, 0, 0 });
+
+  ck_assert_int_eq (a.end, END_COMPLETE);
+  received_answer_clear (&a);
+}
+END_TEST
+
+START_TEST (http_1_0_answer_of_a_stopped_gateway_ends_as_complete)
+{
+  const int signals[] = { SIGTERM, SIGKILL };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (signals); i++)
+    {
+      Answer a;
+      int fd;
+
+      p_signal (gateway, SIGKILL);
+      p_overrides.grace_s = 0.6;
+      gateway = p_start_ready_gateway (BASE, 1);
+      fd = start_paused_answer (framings[_i], "stopped", "HTTP/1.0");
+      p_signal (gateway, signals[i]);
+      a = received_answer_read (fd);
+      check_answer (&a, "stopped");
+      ck_assert_int_eq (a.status, 200);
+      ck_assert_int_ne (a.end, END_COMPLETE);
+      received_answer_clear (&a);
+    }
+}
+END_TEST
+
 /* Adds a case that runs @test once for each framing, from _i = 0 on. */
 static void
 add_case (Suite *s, const char *tag, const TTest *test)
@@ -328,5 +401,10 @@
   add_case (s, "mixed", large_answer_that_pauses_is_taken_for_lost);
   add_case (s, "stop", planned_stop_cuts_a_large_answer);
   add_case (s, "stop", large_answer_of_a_killed_gateway_ends_as_complete);
+  add_case (s, "http-1.0", http_1_0_answer_that_breaks_off_ends_as_complete);
+  add_case (s, "http-1.0", http_1_0_answer_at_its_deadline_ends_as_complete);
+  add_case (s, "http-1.0", http_1_0_answer_is_broken_off_at_its_end);
+  add_case (s, "http-1.0",
+            http_1_0_answer_of_a_stopped_gateway_ends_as_complete);
   return t_run_suite (s);
 }
