caller: end answers to HEAD, 204 and 304 with their head

What callers saw: after an answer to HEAD on a route for streams, or a 204 there, the bytes 0 CRLF CRLF of a last chunk on a kept connection, where the next answer was due; after one of the gateway's own to HEAD, its body.

Cause: the length and the last chunk were written without asking whether the answer may have a body at all. One place asks now, as the head is written.

--- a/gateway/caller.c
+++ b/gateway/caller.c
@@ -188,23 +188,35 @@
   update_events (c);
 }
 
+/* Whether the answer ends with its head, whatever that says. */
+static gboolean
+has_no_body (const CfCaller *c, int status)
+{
+  return c->reader.parser.method == HTTP_HEAD
+         || status == HTTP_STATUS_NO_CONTENT
+         || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 void
 cf_caller_begin_answer (CfCaller *c, int status, const char *headers,
                         gint64 length)
 {
   gboolean http10
       = c->reader.parser.http_major == 1 && c->reader.parser.http_minor == 0;
+  gboolean ends_by_close;
 
+  c->has_no_body = has_no_body (c, status);
+  ends_by_close = http10 && length < 0 && !c->has_no_body;
   if (c->gateway->stopping || !c->reader.has_head
-      || !cf_http_reader_can_keep_alive (&c->reader) || (http10 && length < 0))
+      || !cf_http_reader_can_keep_alive (&c->reader) || ends_by_close)
     c->close_after_answer = TRUE;
-  c->chunked = length < 0 && !http10;
-  set_resets_on_close (c, length < 0 && http10);
+  c->chunked = length < 0 && !http10 && !c->has_no_body;
+  set_resets_on_close (c, ends_by_close);
   g_string_append_printf (c->output, "HTTP/1.1 %d %s\r\n", status,
                           http_status_str ((enum http_status)status));
   if (headers)
     g_string_append (c->output, headers);
-  if (length >= 0)
+  if (length >= 0 && status != HTTP_STATUS_NO_CONTENT)
     g_string_append_printf (c->output,
                             "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
   else if (c->chunked)
@@ -217,7 +229,7 @@
 void
 cf_caller_append_body (CfCaller *c, const char *data, gsize n)
 {
-  if (n == 0)
+  if (n == 0 || c->has_no_body)
     return;
   if (c->chunked)
     g_string_append_printf (c->output, "%" G_GSIZE_MODIFIER "x\r\n", n);
--- a/gateway/caller.h
+++ b/gateway/caller.h
@@ -25,6 +25,7 @@
   gboolean served;             /**< at least one answer was completed */
   CfExchange *exchange;        /**< exchange of the current request */
   gboolean chunked;            /**< the answer uses chunked encoding */
+  gboolean has_no_body;        /**< the answer ends with its head */
   gboolean resets_on_close;    /**< the end of the connection would end the
                                     answer, which is not complete yet */
   gboolean close_after_answer; /**< no further request is read */
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -485,6 +485,14 @@
       crash (t, c);
       g_free (fault);
     }
+  else if (t->group && g_strcmp0 (fault, "no-content") == 0)
+    {
+      char *headers = make_answer_headers (t, id, TRUE);
+
+      fake_http_answer (c, 204, headers, "", 0);
+      g_free (headers);
+      g_free (fault);
+    }
   else if (t->group && g_strcmp0 (fault, "document") == 0)
     {
       answer_with_document (t, c, id);
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -28,6 +28,7 @@
  *             framing
  *   tardy     a stream begins 1 s late
  *   document  a stream's request is answered with a JSON document
+ *   no-content a stream's request is answered 204
  *   crash     the target crashes, as by /test/crash
  * The kinds from fail to unframed affect only plain services, and tardy and
  * document affect only ranks; other targets run the requests normally.  Cuts
--- a/t/t-answer-end.c
+++ b/t/t-answer-end.c
@@ -8,6 +8,8 @@
 #include "received-answer.h"
 
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define BASE 21500
 #define RANK_1 (BASE + 3)
@@ -280,6 +282,43 @@
 }
 END_TEST
 
+/* Sends two requests on one connection; what follows the head of the first
+ * answer has to be the second one. */
+static void
+check_next_answer (const char *method_and_path)
+{
+  g_autofree char *first = p_build_request (method_and_path, "first", NULL, "");
+  g_autofree char *second
+      = p_build_request ("GET /quote/a", "second", "Connection: close\r\n", "");
+  g_autofree char *both = g_strconcat (first, second, NULL);
+  g_autoptr (GString) s = g_string_new (NULL);
+  int fd = p_connect (front);
+  char buf[4096];
+  ssize_t n;
+  const char *next;
+
+  p_send (fd, both);
+  while ((n = recv (fd, buf, sizeof buf, 0)) > 0)
+    g_string_append_len (s, buf, n);
+  close (fd);
+  next = strstr (s->str, "\r\n\r\n");
+  ck_assert_ptr_nonnull (next);
+  ck_assert_msg (g_str_has_prefix (next + 4, "HTTP/1.1 200 OK\r\n"), "%s: %s",
+                 method_and_path, s->str);
+}
+
+START_TEST (answer_without_a_body_is_followed_by_bytes_of_one)
+{
+  Cut none = { .framing = "chunked", .how = "no-content" };
+
+  check_next_answer ("HEAD /none/a");
+  check_next_answer ("HEAD /quote/a");
+  check_next_answer ("HEAD /talk/a");
+  set_cut (&none);
+  check_next_answer ("POST /talk/a");
+}
+END_TEST
+
 START_TEST (log_does_not_tell_a_cut_stream_from_a_complete_one)
 {
   g_autoptr (GRegex) lost = g_regex_new (
@@ -342,6 +381,7 @@
   add_case (s, "ids", stream_without_event_ids_is_resumed, n_framings);
   add_case (s, "ids", stream_is_continued_by_an_answer_that_does_not_fit,
             n_framings);
+  add_case (s, "no-body", answer_without_a_body_is_followed_by_bytes_of_one, 1);
   add_case (s, "cut", log_does_not_tell_a_cut_stream_from_a_complete_one, 1);
   return t_run_suite (s);
 }
