t-network: fix which rank a queued stream gets

Trace: all streams but one are closed at once, and the queued stream goes to the rank that first has room for it. The event loop handles closes that it reads together in reverse order, so that this was the rank whose stream goes on, in place of one that sends nothing; the later check for the 502 then does not apply.

The streams of the first rank are now closed first, and the rank is idle before the others are.

--- a/t/t-network.c
+++ b/t/t-network.c
@@ -469,6 +469,38 @@
   usleep (200000);
 }
 
+/* The rank that runs stream "b@n"; -1 if none does. */
+static int
+find_rank (int n)
+{
+  g_autofree char *key = g_strdup_printf ("\"b%d\":", n);
+
+  for (int i = 0; i < N_RANKS; i++)
+    {
+      g_autofree char *ids = p_call_standin (RANK_1 + i, "GET /test/ran", "");
+
+      if (strstr (ids, key))
+        return i;
+    }
+  return -1;
+}
+
+/* Waits until @rank runs no stream. */
+static gboolean
+wait_for_idle_rank (int rank)
+{
+  for (int i = 0; i < 100; i++)
+    {
+      g_autofree char *report
+          = p_call_standin (RANK_1 + rank, "GET /v1/report", "");
+
+      if (p_json_number (report, "running") == 0)
+        return TRUE;
+      usleep (1000);
+    }
+  return FALSE;
+}
+
 /* A stream that was queued reaches a rank that has stalled.  Another rank could
  * not send a first event before the caller leaves, so the stream is not
  * retried, and only one rank is left with work that no caller waits for. */
@@ -476,6 +508,7 @@
 {
   g_autofree char *answer = NULL;
   int busy[GATEWAY_SLOTS];
+  int ranks[GATEWAY_SLOTS];
   int stream;
 
   p_start_ready_gateway (BASE, 1);
@@ -493,6 +526,9 @@
         ck_assert (wait_for_rank_runs (2, 3000));
     }
   ck_assert (wait_for_rank_runs (GATEWAY_SLOTS, 3000));
+  for (int i = 0; i < GATEWAY_SLOTS; i++)
+    ranks[i] = find_rank (i);
+  ck_assert_int_ne (ranks[0], ranks[1]);
   usleep (300000);
   stream = begin_stream ("s3", 10);
   usleep (QUEUE_WAIT_MS * 1000);
@@ -500,10 +536,13 @@
   p_inject_fault (RANK_1, N_RANKS, "hang", 1);
   /* The queued stream gets the rank of the first, which sends nothing then; the
    * rank of the second does. */
-  close (busy[0]);
-  usleep (20000);
+  for (int i = 0; i < GATEWAY_SLOTS; i++)
+    if (ranks[i] == ranks[0])
+      close (busy[i]);
+  ck_assert (wait_for_idle_rank (ranks[0]));
   for (int i = 2; i < GATEWAY_SLOTS; i++)
-    close (busy[i]);
+    if (ranks[i] != ranks[0])
+      close (busy[i]);
   answer = p_read_answer (stream, CALLER_WAIT_MS - QUEUE_WAIT_MS - 20);
   ck_assert_int_eq (p_parse_status (answer), 502);
   ck_assert_double_eq (rank_run_count (), GATEWAY_SLOTS + 1);
