--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -4,6 +4,8 @@
 
 #include <jansson.h>
 #include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /** Fraction of a balanced pass's duration that the experts take.  The time of
@@ -418,6 +420,17 @@
 }
 
 /* Map 0 assigns the experts to the ranks round-robin. */
+/* Exits the program if the ranks have not enough places for all experts. */
+static void
+check_places (const FakeGroupShape *shape)
+{
+  if (shape->experts <= shape->ranks * shape->places)
+    return;
+  fprintf (stderr, "%d experts need more than %d ranks of %d places\n",
+           shape->experts, shape->ranks, shape->places);
+  exit (1);
+}
+
 static void
 assign_initial_map (FakeGroup *g)
 {
@@ -470,6 +483,7 @@
                                    .places = shape->places,
                                    .spare = shape->spare };
 
+  check_places (shape);
   g->loop = loop;
   g->shape = *shape;
   g->epoch = 1;
