soak: check documents, and take ports that no test uses

One of the plain targets answers with documents larger than what a gateway holds back, by a length or in chunks, and breaks some of them off; callers compare each byte with what that one target sent.

Ports from 19000 on are used by no test.

--- a/Makefile
+++ b/Makefile
@@ -145,10 +145,11 @@
 SEEDS ?= 50
 
 $(SOAK_OBJS): t/soak.h t/platform-harness.h t/harness.h
+$(SOAK_OBJS): ALL_CFLAGS += -I.
 
-t/soak: $(SOAK_OBJS) t/harness.o t/platform-harness.o libcomfrey.a $(GW_PROGRAMS) $(SI_PROGRAMS)
+t/soak: $(SOAK_OBJS) t/harness.o t/platform-harness.o target/obj/standins/fake-text.o libcomfrey.a $(GW_PROGRAMS) $(SI_PROGRAMS)
 	$(CC) $(ALL_CFLAGS) -o $@ $(SOAK_OBJS) t/harness.o t/platform-harness.o \
-		libcomfrey.a $(TEST_LDLIBS)
+		target/obj/standins/fake-text.o libcomfrey.a $(TEST_LDLIBS)
 
 soak: t/soak
 	t/soak $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
--- a/t/soak-callers.c
+++ b/t/soak-callers.c
@@ -4,6 +4,7 @@
  */
 #include "platform-harness.h"
 #include "soak.h"
+#include "standins/fake-text.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -15,6 +16,7 @@
 /** A caller's timeout for an answer: longer than the 800 ms timeout of the
  * routes for orders and quotes, and much longer than any stream takes. */
 #define ANSWER_TIMEOUT_MS 4000
+#define SIGNATURE "Comfreypost-Server-Signature: "
 #define TOKENS_PER_EVENT 4
 /** Callers use the routes of this many configuration versions, the newest
  * ones. */
@@ -227,6 +229,43 @@
   return TRUE;
 }
 
+/* The target that signed the answer. */
+static char *
+read_signer (const char *head)
+{
+  const char *at = strstr (head, SIGNATURE);
+
+  at = at ? at + strlen (SIGNATURE) : "";
+  return g_strndup (at, strcspn (at, "\r"));
+}
+
+/* Whether the document is complete.  What was received of it has to be what its
+ * one target sent. */
+static gboolean
+check_document (const CallerRequest *r, const char *head, const char *body,
+                const char *signer)
+{
+  g_autofree char *whole = fake_text_make (signer, r->id, SOAK_DOCUMENT_BYTES);
+  gboolean is_chunked = strstr (head, "Transfer-Encoding: chunked") != NULL;
+  gboolean ended = strlen (body) == SOAK_DOCUMENT_BYTES;
+  g_autofree char *text
+      = is_chunked ? decode_chunks (body, &ended) : g_strdup (body);
+
+  if (!text || !g_str_has_prefix (whole, text)
+      || (ended && strcmp (text, whole) != 0))
+    soak_report_violation ("own-answer",
+                           "id=%s %zu bytes, ended=%d, are not those of %s",
+                           r->id, text ? strlen (text) : 0, ended, signer);
+  return ended;
+}
+
+static gboolean
+is_document (const char *signer)
+{
+  return g_str_has_prefix (signer, "desk-")
+         && atoi (signer + strlen ("desk-")) == SOAK_DOCUMENT_TARGET;
+}
+
 /* Whether an answer with status 200 is complete.  What was received of it has
  * to belong to this request. */
 static gboolean
@@ -236,6 +275,7 @@
   g_autofree char *expected
       = g_strdup_printf ("Comfreypost-Request-Id: %s\r\n", r->id);
   g_autofree char *head = NULL;
+  g_autofree char *signer = NULL;
 
   if (!end)
     return FALSE;
@@ -243,8 +283,11 @@
   if (!strstr (head, expected)
       || !strstr (head, "Comfreypost-Server-Signature: "))
     soak_report_violation ("own-answer", "id=%s got: %s", r->id, head);
-  return r->class == SOAK_STREAM ? check_stream (r, end + 4)
-                                 : check_plain (r, head, end + 4);
+  if (r->class == SOAK_STREAM)
+    return check_stream (r, end + 4);
+  signer = read_signer (head);
+  return is_document (signer) ? check_document (r, head, end + 4, signer)
+                              : check_plain (r, head, end + 4);
 }
 
 /* Whether the status refuses a request that is valid in every configuration
--- a/t/soak-faults.c
+++ b/t/soak-faults.c
@@ -188,6 +188,21 @@
   control_standin (target_port (f, SOAK_N_PLAIN_TARGETS + rank), call, "");
 }
 
+/* In half of the seeds the documents have a length, in the others chunks. */
+static void
+serve_documents (const SoakFleet *f)
+{
+  int port = target_port (f, SOAK_DOCUMENT_TARGET);
+  g_autofree char *document
+      = g_strdup_printf ("POST /test/document?size=%d", SOAK_DOCUMENT_BYTES);
+
+  control_standin (port, document, "");
+  control_standin (port,
+                   f->plan->seed % 2 ? "POST /test/framing?as=length"
+                                     : "POST /test/framing?as=chunked",
+                   "");
+}
+
 SoakFleet *
 soak_fleet_start (const SoakPlan *p, int base)
 {
@@ -210,6 +225,7 @@
       f->gateways[i].n = i + 1;
       start_process (f, &f->gateways[i]);
     }
+  serve_documents (f);
   for (int i = 0; i < p->ranks; i++)
     {
       set_stream_framing (f, i);
@@ -381,16 +397,24 @@
               : cuts[variant / SOAK_RANK_FAULTS % (int)G_N_ELEMENTS (cuts)];
 }
 
-static void
-inject_target_fault (SoakFleet *f, const SoakFault *fault)
+static const char *
+plain_fault (const SoakFault *fault)
 {
-  static const char *const plain_faults[]
+  static const char *const kinds[]
       = { "lost",    "hang",     "truncate", "fail",  "full",
           "garbage", "unsigned", "extra",    "moved", "broken" };
-  const char *kind
-      = fault->index < SOAK_N_PLAIN_TARGETS
-            ? plain_faults[fault->variant % (int)G_N_ELEMENTS (plain_faults)]
-            : rank_fault (fault->variant);
+
+  if (fault->index == SOAK_DOCUMENT_TARGET)
+    return fault->variant % 2 ? "cut" : "cut-close";
+  return kinds[fault->variant % (int)G_N_ELEMENTS (kinds)];
+}
+
+static void
+inject_target_fault (SoakFleet *f, const SoakFault *fault)
+{
+  const char *kind = fault->index < SOAK_N_PLAIN_TARGETS
+                         ? plain_fault (fault)
+                         : rank_fault (fault->variant);
 
   wait_for_listener (target_port (f, fault->index));
   p_inject_fault (target_port (f, fault->index), 1, kind,
--- a/t/soak-schedule.c
+++ b/t/soak-schedule.c
@@ -16,7 +16,7 @@
 /** Evacuations, cold targets and omitted fields in one seed. */
 #define ADDED_MAX 4
 #define ADDED_SEED 0x5eed
-/** Faults that break streams off in one seed, and what their seed is made
+/** Faults that break answers off in one seed, and what their seed is made
  * with. */
 #define CUTS_MAX 6
 #define CUTS_SEED 0xc07
@@ -134,9 +134,10 @@
   g_rand_free (r);
 }
 
-/* Adds faults that break streams off, chosen apart like the ones above. */
+/* Adds faults that break streams and documents off, chosen apart like the ones
+ * above. */
 static void
-add_stream_cuts (SoakPlan *p)
+add_answer_cuts (SoakPlan *p)
 {
   GRand *r = g_rand_new_with_seed (p->seed ^ CUTS_SEED);
   int n = g_rand_int_range (r, 1, CUTS_MAX + 1);
@@ -147,7 +148,9 @@
 
       f.at_ms = g_rand_int_range (r, 0, SCHEDULE_MS);
       f.duration_ms = g_rand_int_range (r, 100, DURATION_MAX_MS);
-      f.index = SOAK_N_PLAIN_TARGETS + g_rand_int_range (r, 0, p->ranks);
+      f.index = i % 3 == 2
+                    ? SOAK_DOCUMENT_TARGET
+                    : SOAK_N_PLAIN_TARGETS + g_rand_int_range (r, 0, p->ranks);
       f.variant = SOAK_RANK_FAULTS * g_rand_int_range (r, 0, 12);
       g_array_append_val (p->faults, f);
     }
@@ -188,7 +191,7 @@
     }
   add_placement_faults (p);
   if (!planned_only)
-    add_stream_cuts (p);
+    add_answer_cuts (p);
   g_array_sort (p->faults, compare_time);
   g_rand_free (r);
   return p;
--- a/t/soak.c
+++ b/t/soak.c
@@ -14,7 +14,7 @@
 /** A seed normally takes 15 s; one that takes longer than this hangs. */
 #define SEED_TIMEOUT_S 90
 
-static int base_port = 31000;
+static int base_port = 19000;
 static int first_seed = 1;
 static int n_seeds = 1;
 static gboolean keep_logs;
--- a/t/soak.h
+++ b/t/soak.h
@@ -85,6 +85,11 @@
  * number divides break streams off. */
 #define SOAK_RANK_FAULTS 4
 
+/** The plain target that answers with documents, larger than what a gateway
+ * holds back; by SOAK_TARGET it meets cuts alone. */
+#define SOAK_DOCUMENT_TARGET 1
+#define SOAK_DOCUMENT_BYTES 200000
+
 /** SoakFault: one entry of a schedule. */
 typedef struct
 {
