gateway: log the prompt parts of requests that are lost

E1407 outcome=lost names a request by its digest. It now lists the shared parts, at most eight, from the header that names them; a malformed header counts as none.

No change of logic. t-platform (new case for the parser) and t-quarantine pass.

--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -8,6 +8,8 @@
 
 /** Back-off for callers of a quarantined request. */
 #define QUARANTINE_BACKOFF_MS CF_QUARANTINE_RETENTION_MS
+/** Bounds the length of a log line. */
+#define LOGGED_PARTS_MAX 8
 
 static const CfRequestDigest *
 request_digest (CfExchange *x)
@@ -35,19 +37,36 @@
       silent_ms (x), x->route->stream ? x->gateway->settings.stall_ms : 0);
 }
 
+/* The ids of the shared parts of its prompt, for the log. */
+static GString *
+format_shared_parts (const CfExchange *x)
+{
+  CfPromptPart parts[LOGGED_PARTS_MAX];
+  guint n = cf_platform_parse_shared_parts (
+      cf_http_reader_header (&x->caller->reader, CF_HDR_PROMPT_PARTS), parts,
+      LOGGED_PARTS_MAX);
+  GString *ids = g_string_new (n == 0 ? "-" : parts[0].id);
+
+  for (guint i = 1; i < n; i++)
+    g_string_append_printf (ids, ",%s", parts[i].id);
+  return ids;
+}
+
 static void
 log_lost_connection (CfExchange *x)
 {
   char text[CF_REQUEST_DIGEST_TEXT_SIZE];
+  GString *parts = format_shared_parts (x);
 
   cf_request_digest_print (request_digest (x), text);
   cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
-          "id=%s target=%s outcome=lost request=%s events=%" G_GUINT64_FORMAT
-          " quiet_ms=%" G_GINT64_FORMAT
+          "id=%s target=%s outcome=lost request=%s parts=%s "
+          "events=%" G_GUINT64_FORMAT " quiet_ms=%" G_GINT64_FORMAT
           " framing=%s partial_bytes=%" G_GSIZE_FORMAT,
-          x->id, x->target->record.id, text,
+          x->id, x->target->record.id, text, parts->str,
           x->event_stream.n_events - x->events_at_send, silent_ms (x),
           cf_answer_framing_name (x->framing), x->partial_bytes);
+  g_string_free (parts, TRUE);
 }
 
 static void
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -657,6 +657,42 @@
 }
 END_TEST
 
+START_TEST (shared_prompt_parts_are_parsed)
+{
+  static const struct
+  {
+    const char *value;
+    guint n;
+  } cases[] = {
+    { NULL, 0 },
+    { "", 0 },
+    { "5c1e:800", 0 },
+    { "5c1e:800,91BD3F06:410,e4402b7d:250", 2 },
+    { "5c1e:800, 91bd:410,e4:1", 2 },
+    { "a:1,b:2,c:3,d:4,e:5,f:6", 4 },
+    { "5c1e:800,", 0 },
+    { "5c1e:800,,e4:1", 0 },
+    { ",5c1e:800", 0 },
+    { "5c1e,91bd:410,e4:1", 0 },
+    { "5c1e:,91bd:410", 0 },
+    { "5c1e:-1,91bd:410", 0 },
+    { "xyz:1,91bd:410", 0 },
+    { "5c1e:800,91bd:410x", 0 },
+    { "00000000000000000000000000000000:1,1:1", 1 },
+    { "000000000000000000000000000000000:1,1:1", 0 },
+  };
+  CfPromptPart parts[4];
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    ck_assert_msg (cf_platform_parse_shared_parts (cases[i].value, parts, 4)
+                       == cases[i].n,
+                   "case %zu", i);
+  cf_platform_parse_shared_parts (cases[3].value, parts, 4);
+  ck_assert_str_eq (parts[0].id, "5c1e");
+  ck_assert_str_eq (parts[1].id, "91bd3f06");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -669,6 +705,7 @@
   tcase_add_test (t, configuration_is_parsed);
   tcase_add_test (t, homes_and_regions_are_parsed);
   tcase_add_test (t, warmup_is_parsed);
+  tcase_add_test (t, shared_prompt_parts_are_parsed);
   tcase_add_test (t, invalid_configurations_are_rejected);
   tcase_add_test (t, store_replies_are_parsed);
   tcase_add_test (t, target_records_are_parsed);
