Makefile: name the tests that run the platform's programs once

Their list stood four times, once for each rule that they need, so a new program had to be added in four places. No change of what is built.

--- a/Makefile
+++ b/Makefile
@@ -42,10 +42,15 @@
 SI_PROGRAMS = target/comfrey-fake-platform target/comfrey-callers \
 	target/comfrey-fault-proxy
 
+# Tests that run the programs of the platform.
+GW_PROCESS_TESTS = t/t-gateway t/t-network t/t-rank-groups \
+	t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving \
+	t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover \
+	t/t-answer-end t/t-large-answer
 # Tests that also link the modules of the gateway.
 GW_TESTS = t/t-platform t/t-http-reader t/t-event-stream t/t-balancer t/t-map-gain t/t-standstill t/t-order-watch t/t-hold-lease t/t-wait-queue t/t-target t/t-upstream t/t-outage t/t-concurrency-limit t/t-membership t/t-overload t/t-stream-latency t/t-expert-demand t/t-expert-counts t/t-demand-watch \
 	t/t-group-map t/t-watch-batcher t/t-pass-record t/t-loop-watch t/t-map-history t/t-peer-msg t/t-log-writer t/t-coordinator t/t-fleet \
-	t/t-gateway t/t-network t/t-rank-groups t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover t/t-answer-end t/t-large-answer
+	$(GW_PROCESS_TESTS)
 GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
 
 all: $(PROGRAMS) deploy $(SI_PROGRAMS) $(TESTS) t/soak
@@ -90,9 +95,9 @@
 	@$(CC) $(GW_CFLAGS) -c -o $@ $<
 
 
-t/t-gateway t/t-network t/t-rank-groups t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover t/t-answer-end t/t-large-answer: $(GW_PROGRAMS) $(SI_PROGRAMS)
-t/t-gateway t/t-network t/t-rank-groups t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover t/t-answer-end t/t-large-answer: GW_TEST_LDLIBS += t/platform-harness.o
-t/t-gateway t/t-network t/t-rank-groups t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover t/t-answer-end t/t-large-answer: t/platform-harness.o
+$(GW_PROCESS_TESTS): $(GW_PROGRAMS) $(SI_PROGRAMS)
+$(GW_PROCESS_TESTS): GW_TEST_LDLIBS += t/platform-harness.o
+$(GW_PROCESS_TESTS): t/platform-harness.o
 t/t-network: t/gateway-clock-step
 t/t-answer-end t/t-large-answer: GW_TEST_LDLIBS += t/received-answer.o
 t/t-answer-end t/t-large-answer: t/received-answer.o
