--- a/standins/comfrey-fake-platform.c
+++ b/standins/comfrey-fake-platform.c
@@ -17,6 +17,7 @@
 static int n_groups = 1;
 static int n_data_centres = 1;
 static int work_ms = 10;
+static double form_ms = 0;
 static double shift_s = 0;
 static double step_ms = 5;
 static double per_seq_ms = 0;
@@ -40,6 +41,9 @@
     "Duration of a pass at even load, without streams", "MS" },
   { "per-seq-ms", 0, 0, G_OPTION_ARG_DOUBLE, &per_seq_ms,
     "Added to a pass for each stream per rank, on average", "MS" },
+  { "form-ms", 0, 0, G_OPTION_ARG_DOUBLE, &form_ms,
+    "Time until a group that has lost a rank opens again; 0: it stays open",
+    "MS" },
   { "shift-s", 0, 0, G_OPTION_ARG_DOUBLE, &shift_s,
     "Interval at which demand moves to other experts; 0: never", "S" },
   { NULL },
@@ -124,7 +128,8 @@
                                  .step_ms = step_ms,
                                  .per_seq_ms = per_seq_ms,
                                  .copy_ms = copy_ms,
-                                 .shift_s = shift_s };
+                                 .shift_s = shift_s,
+                                 .form_ms = form_ms };
 
   for (int i = 0; i < n_plain; i++)
     start_plain_target (loop, store, i);
--- a/standins/fake-group.c
+++ b/standins/fake-group.c
@@ -260,7 +260,7 @@
 void
 fake_group_start_passes (FakeGroup *g)
 {
-  if (ev_is_active (&g->pass_timer))
+  if (ev_is_active (&g->pass_timer) || fake_group_is_closed (g))
     return;
   ev_timer_set (&g->pass_timer, 0, g->shape.step_ms / 1000);
   ev_timer_again (g->loop, &g->pass_timer);
@@ -472,6 +472,42 @@
   fake_group_start_passes (g);
 }
 
+/* The group has formed again: the streams that waited for it are reset. */
+static void
+on_open (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  FakeGroup *g = t->data;
+
+  for (int i = 0; i < g->shape.ranks; i++)
+    while (!TAILQ_EMPTY (&g->ranks[i].streams))
+      {
+        FakeStream *st = TAILQ_FIRST (&g->ranks[i].streams);
+
+        st->cut = FAKE_CUT_RESET;
+        cut_stream (st);
+      }
+  fake_group_restart_rank (g, g->lost_rank);
+}
+
+void
+fake_group_close (FakeGroup *g, int rank, const char *addr)
+{
+  if (g->shape.form_ms <= 0)
+    return;
+  g->lost_rank = rank;
+  g->lost_addr = addr;
+  ev_timer_stop (g->loop, &g->pass_timer);
+  ev_timer_stop (g->loop, &g->open_timer);
+  ev_timer_set (&g->open_timer, g->shape.form_ms / 1000, 0);
+  ev_timer_start (g->loop, &g->open_timer);
+}
+
+gboolean
+fake_group_is_closed (const FakeGroup *g)
+{
+  return ev_is_active (&g->open_timer);
+}
+
 FakeGroup *
 fake_group_new (struct ev_loop *loop, const char *name,
                 const FakeGroupShape *shape)
@@ -507,5 +543,7 @@
     }
   ev_timer_init (&g->pass_timer, on_pass_end, 0, 0);
   g->pass_timer.data = g;
+  ev_timer_init (&g->open_timer, on_open, 0, 0);
+  g->open_timer.data = g;
   return g;
 }
--- a/standins/fake-group.h
+++ b/standins/fake-group.h
@@ -23,6 +23,7 @@
   gsize cut_at;        /**< it breaks off after this many bytes of its body */
   gsize n_sent;        /**< bytes of its body sent so far */
   int passes_to_start; /**< passes until it writes its first event */
+  gboolean is_fatal;   /**< crashes the rank */
 };
 
 /** fake_stream_length: the bytes of the events from @first to @last, of which
@@ -51,7 +52,10 @@
   CfGroupMap *map; /**< in use; a rank that switches replaces its own rows */
   FakeRank *ranks;
   ev_timer pass_timer;
-  double start_s; /**< on the loop's clock */
+  ev_timer open_timer;   /**< active while the group forms again */
+  int lost_rank;         /**< the rank that it forms again for */
+  const char *lost_addr; /**< of @lost_rank */
+  double start_s;        /**< on the loop's clock */
   gint64 epoch;
   guint64 n_mixed; /**< passes begun while two ranks had different maps */
   guint64 n_passes;
@@ -70,6 +74,13 @@
  * held. */
 void fake_group_restart_rank (FakeGroup *g, int rank);
 
+/** fake_group_close: @rank at @addr has crashed: if the shape of the group says
+ * so, it is closed until it has formed again. */
+void fake_group_close (FakeGroup *g, int rank, const char *addr);
+
+/** fake_group_is_closed: whether the group forms again. */
+gboolean fake_group_is_closed (const FakeGroup *g);
+
 /** fake_group_start_passes: starts the group's passes unless they are running;
  * they stop by themselves once no rank has a stream. */
 void fake_group_start_passes (FakeGroup *g);
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -17,6 +17,10 @@
 #define DRAIN_GRACE_S 2.0
 /** Delay of an order under /test/late-orders. */
 #define ORDER_DELAY_S 1.0
+/** Time for which a rank begins to answer a prompt that crashes it. */
+#define FATAL_START_S 0.08
+/** Shared parts of a prompt that are looked at. */
+#define PROMPT_PARTS_MAX 32
 /** Time for which a crashed target refuses connections. */
 #define CRASH_DOWNTIME_S 0.2
 /** Default difference between the start times of successive incarnations. */
@@ -51,6 +55,8 @@
   gboolean says_leaving; /**< its answers say that it leaves */
   GArray *arrivals;      /**< of #Arrival: requests addressed to it */
   char *crash_body;      /**< (nullable): a request with this body crashes it */
+  char *crash_part;      /**< (nullable): a prompt with this part crashes it */
+  ev_timer crash_timer;  /**< active while it begins to answer such a prompt */
   guint64 n_crashes;
   char *fault; /**< kind of fault that the next @n_faults_left requests meet */
   int n_faults_left;
@@ -348,6 +354,52 @@
          + fake_stream_length (first_event + 2, first_event + 2, 0) / 2;
 }
 
+static gboolean
+has_fatal_part (const FakeTarget *t, const FakeConn *c)
+{
+  CfPromptPart parts[PROMPT_PARTS_MAX];
+  guint n = cf_platform_parse_shared_parts (
+      cf_http_reader_header (&c->reader, CF_HDR_PROMPT_PARTS), parts,
+      PROMPT_PARTS_MAX);
+
+  for (guint i = 0; i < n; i++)
+    if (g_strcmp0 (parts[i].id, t->crash_part) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Crashes if a stream is still there whose prompt does that, and the group does
+ * not wait for another rank. */
+static void
+on_crash_timer (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  FakeTarget *t = timer->data;
+  FakeStream *st;
+
+  if (fake_group_is_closed (t->group))
+    return;
+  TAILQ_FOREACH (st, &t->group->ranks[t->rank].streams, link)
+  if (st->is_fatal)
+    {
+      crash (t, NULL);
+      return;
+    }
+}
+
+/* Sends the head of its answer, and nothing after that. */
+static void
+start_fatal_stream (FakeTarget *t, FakeStream *st)
+{
+  st->is_fatal = TRUE;
+  st->is_begun = TRUE;
+  st->passes_to_start = G_MAXINT;
+  fake_http_begin (st->conn, 200, st->headers, FAKE_FRAMING_CHUNKED, 0);
+  if (ev_is_active (&t->crash_timer))
+    return;
+  ev_timer_set (&t->crash_timer, FATAL_START_S, 0);
+  ev_timer_start (t->loop, &t->crash_timer);
+}
+
 static void
 start_stream (FakeTarget *t, FakeConn *c, const char *id, char *fault)
 {
@@ -374,6 +426,8 @@
   t->n_running++;
   t->group->ranks[t->rank].status.running++;
   TAILQ_INSERT_TAIL (&t->group->ranks[t->rank].streams, st, link);
+  if (has_fatal_part (t, c))
+    start_fatal_stream (t, st);
   fake_group_start_passes (t->group);
 }
 
@@ -451,6 +505,11 @@
       refuse (t, c, id, 503, NULL);
       return;
     }
+  if (t->group && fake_group_is_closed (t->group))
+    {
+      refuse (t, c, id, 503, t->group->lost_addr);
+      return;
+    }
   fault = t->crash_body && strcmp (t->crash_body, c->body->str) == 0
               ? g_strdup ("crash")
               : next_fault (t, c);
@@ -809,6 +868,8 @@
     }
   if (c)
     fake_http_reset (c);
+  if (t->group)
+    fake_group_close (t->group, t->rank, t->addr);
   restart_process (t, FALSE, RESTART_INTERVAL_MS);
 }
 
@@ -846,7 +907,9 @@
   else if (fake_http_has_path (c, "/test/crasher"))
     {
       g_free (t->crash_body);
-      t->crash_body = g_strdup (c->body->str);
+      g_free (t->crash_part);
+      t->crash_body = c->body->len > 0 ? g_strdup (c->body->str) : NULL;
+      t->crash_part = fake_http_query_param (c, "part");
       fake_http_answer (c, 200, NULL, "", 0);
     }
   else if (fake_http_has_path (c, "/test/crash"))
@@ -935,6 +998,8 @@
   t->id = g_strdup (id);
   t->service = g_strdup (service);
   t->addr = g_strdup (addr);
+  ev_timer_init (&t->crash_timer, on_crash_timer, 0, 0);
+  t->crash_timer.data = t;
   t->slots = slots;
   t->fault_at = -1;
   t->started_ms = g_get_real_time () / 1000;
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -53,7 +53,14 @@
  * the target that runs it: all its connections in use are reset, and it
  * restarts under another id.
  *
- * POST /test/crash: the target crashes now, in the same way.
+ * POST /test/crasher?part=ID: from now on a prompt with this part, unless it is
+ * the last one, crashes the rank that begins to answer it, after the head and
+ * before the first event; without ID, none does.
+ *
+ * POST /test/crash: the target crashes now, in the same way.  A group that has
+ * lost a rank, and whose shape says how long it takes to form again, makes no
+ * passes until then and refuses requests with 503 and the rank's address; then
+ * it resets the streams that waited.
  *
  * POST /test/limit?per-s=X: from now on its answers carry a rate limit of X
  * requests a second; without X, none.
@@ -126,6 +133,8 @@
   double copy_ms;    /**< time to copy one expert */
   double shift_s;    /**< interval at which demand moves to other experts;
                           0: it does not */
+  double form_ms;    /**< time until the group opens again after a crash of a
+                          rank; 0: it stays open */
 } FakeGroupShape;
 
 FakeGroup *fake_group_new (struct ev_loop *loop, const char *name,
