gateway: quarantine the part of prompts that crashes targets

Cause: a gateway knows a request by the digest of organisation, path and body. These requests differ, and share a part of their prompts, so that each crash was the first one under its digest. Evidence is kept under an identity that is narrower than the cause.

Ruled out: lost evidence (no record was cleared) and copies of one request (the digests of all lost requests differ).

Change: the shared parts of a prompt are suspects beside the request, with records of their own that gateways exchange as before; the messages do not change. A part on which a target works for 200 ms past its first event is sound, and its record is cleared. Three crashes in a row without that quarantine it, at all gateways. A crash that something quarantined explains is no evidence against anything else, so that the parts which sound prompts share with the others are not quarantined too. Requests with a part that has a crash on record are sent in turn, and are no probes of an outage.

--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -56,6 +56,10 @@
 #ifndef CF_WITHOUT_CONCURRENCY_LIMIT
 #define CF_WITHOUT_CONCURRENCY_LIMIT 0
 #endif
+/** Parts of prompts that crash targets are not looked for. */
+#ifndef CF_WITHOUT_PART_QUARANTINE
+#define CF_WITHOUT_PART_QUARANTINE 0
+#endif
 /** Requests that crash targets are sent like any other. */
 #ifndef CF_WITHOUT_QUARANTINE
 #define CF_WITHOUT_QUARANTINE 0
--- a/gateway/crash-probe.c
+++ b/gateway/crash-probe.c
@@ -45,6 +45,12 @@
   w->probe = NULL;
 }
 
+void
+cf_lost_request_clear (CfLostRequest *l)
+{
+  g_clear_pointer (&l->suspects, g_array_unref);
+}
+
 static void
 free_probe (CfCrashProbe *p)
 {
@@ -57,26 +63,55 @@
   g_free (p);
 }
 
+static void
+log_quarantined (const CfCrashProbe *p, const CfSuspect *s)
+{
+  char text[CF_SUSPECT_TEXT_SIZE];
+  char digest[CF_REQUEST_DIGEST_TEXT_SIZE];
+
+  cf_suspect_print (s, text);
+  cf_request_digest_print (&s->digest, digest);
+  cf_log (LOG_WARNING, CF_EV_QUARANTINE,
+          "%s outcome=quarantined digest=%s crashes=%u target=%s", text, digest,
+          cf_quarantine_crashes (p->g->quarantine, &s->digest),
+          p->target->record.id);
+}
+
 static void
 add_crash (const CfCrashProbe *p, const CfLostRequest *l)
 {
-  CfQuarantine *q = p->g->quarantine;
   const CfTargetRecord *r = &p->target->record;
   CfCrash c = { .sent_ms = l->sent_ms, .lost_ms = l->lost_ms };
 
   c.target = g_strdup_printf ("%s/%" G_GINT64_FORMAT, r->id, r->incarnation);
-  if (cf_quarantine_merge (q, &l->digest, &c, 1, l->lost_ms))
+  for (guint i = 0; i < l->suspects->len; i++)
     {
-      char text[CF_REQUEST_DIGEST_TEXT_SIZE];
+      const CfSuspect *s = &g_array_index (l->suspects, CfSuspect, i);
 
-      cf_request_digest_print (&l->digest, text);
-      cf_log (LOG_WARNING, CF_EV_QUARANTINE,
-              "request=%s outcome=quarantined crashes=%u target=%s", text,
-              cf_quarantine_crashes (q, &l->digest), r->id);
+      if (cf_quarantine_merge (p->g->quarantine, &s->digest, &c, 1, l->lost_ms))
+        log_quarantined (p, s);
     }
   g_free (c.target);
 }
 
+/* Whether one of the suspects is quarantined: it was under way before. */
+static gboolean
+has_known_cause (const CfCrashProbe *p)
+{
+  for (guint i = 0; i < p->requests->len; i++)
+    {
+      const GArray *suspects
+          = g_array_index (p->requests, CfLostRequest, i).suspects;
+
+      for (guint k = 0; k < suspects->len; k++)
+        if (cf_quarantine_contains (
+                p->g->quarantine,
+                &g_array_index (suspects, CfSuspect, k).digest))
+          return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 finish_probe (CfCrashProbe *p, int err)
 {
@@ -86,7 +121,7 @@
           : err == ECONNREFUSED ? "crashed"
                                 : "unreachable",
           p->requests->len);
-  if (err == ECONNREFUSED)
+  if (err == ECONNREFUSED && !has_known_cause (p))
     for (guint i = 0; i < p->requests->len; i++)
       add_crash (p, &g_array_index (p->requests, CfLostRequest, i));
   notify_waiters (p, err == ECONNREFUSED);
@@ -126,9 +161,10 @@
 }
 
 static void
-add_request (CfCrashProbe *p, const CfLostRequest *l, CfCrashWaiter *w)
+add_request (CfCrashProbe *p, CfLostRequest *l, CfCrashWaiter *w)
 {
   g_array_append_val (p->requests, *l);
+  l->suspects = NULL;
   if (!w)
     return;
   w->probe = p;
@@ -153,6 +189,7 @@
   p->g = g;
   p->target = cf_target_ref (t);
   p->requests = g_array_new (FALSE, FALSE, sizeof (CfLostRequest));
+  g_array_set_clear_func (p->requests, (GDestroyNotify)cf_lost_request_clear);
   TAILQ_INIT (&p->waiters);
   TAILQ_INSERT_TAIL (&g->probes, p, link);
   ev_timer_init (&p->timer, on_timer, WAITER_TIMEOUT_S, 0);
@@ -165,7 +202,7 @@
 }
 
 gboolean
-cf_crash_probe_start (CfGateway *g, CfTarget *t, const CfLostRequest *l,
+cf_crash_probe_start (CfGateway *g, CfTarget *t, CfLostRequest *l,
                       CfCrashWaiter *w)
 {
   CfCrashProbe *p = find_probe (g, t);
@@ -173,7 +210,10 @@
   if (!p)
     p = new_probe (g, t);
   if (!p)
-    return FALSE;
+    {
+      cf_lost_request_clear (l);
+      return FALSE;
+    }
   add_request (p, l, w);
   return TRUE;
 }
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -214,6 +214,7 @@
       cf_histogram_add (&x->gateway->stats.pause_ms, pause);
     }
   x->last_event_ms = now;
+  cf_exchange_note_work (x);
   record_progress (x);
 }
 
@@ -386,6 +387,7 @@
       return;
     }
   cf_outlier_record_success (&x->target->outlier);
+  cf_exchange_mark_sound (x);
   cf_exchange_clear_suspicion (x);
   if (!x->is_event_stream)
     {
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -18,6 +18,7 @@
  * - exchange-stop.c: shutdown of this process,
  * - exchange-silence.c: targets that send nothing,
  * - exchange-crash.c: targets that crash,
+ * - exchange-suspects.c: requests that may crash targets,
  * - exchange-answer.c: handling of the target's answer.
  */
 
@@ -60,14 +61,17 @@
                                          outage */
   gboolean target_may_have_crashed; /**< its target closed the connection
                                          before the answer was complete */
-  gboolean is_suspect_run; /**< its target runs it though a target has crashed
-                                during it */
-  gint64 turn_limit_ms;    /**< until when it may wait for a turn; 0: it has not
-                                waited */
+  GArray *suspects;     /**< (nullable): of #CfSuspect: what of it may crash
+                             targets; see cf_exchange_suspects() */
+  guint64 suspects_run; /**< bit i: its target runs suspect i, which had a
+                             crash on record */
+  gint64 first_work_ms; /**< when its target first sent an event; 0: it has
+                             not */
+  gboolean is_sound;    /**< its target has worked on it without crashing */
+  gint64 turn_limit_ms; /**< until when it may wait for a turn; 0: it has not
+                             waited */
   ev_timer turn_timer;
   CfCrashWaiter crash_waiter; /**< waits for the probe of its target */
-  CfRequestDigest digest;     /**< valid if @has_digest */
-  gboolean has_digest;
 
   /* The answer being received. */
   CfAnswerKind answer_kind;
@@ -224,6 +228,19 @@
  */
 gboolean cf_exchange_probe_lost_target (CfExchange *x);
 
+/* Requests that may crash targets. */
+
+/** cf_exchange_suspects: what of it may be to blame if its target crashes: an
+ * array of #CfSuspect, which @x owns. */
+GArray *cf_exchange_suspects (CfExchange *x);
+
+/** cf_exchange_note_work: its target has sent an event. */
+void cf_exchange_note_work (CfExchange *x);
+
+/** cf_exchange_mark_sound: its target has worked on it without crashing, so the
+ * parts of its prompt do not crash targets. */
+void cf_exchange_mark_sound (CfExchange *x);
+
 /** cf_exchange_clear_suspicion: a target answered it without crashing. */
 void cf_exchange_clear_suspicion (CfExchange *x);
 
@@ -234,21 +251,22 @@
 /**
  * cf_exchange_refuse_quarantined:
  * Called before each send.
- * Returns: %TRUE if its request is in quarantine; it was answered, and is
- *   freed.
+ * Returns: %TRUE if its request, or a part of its prompt, is in quarantine; it
+ *   was answered, and is freed.
  */
 gboolean cf_exchange_refuse_quarantined (CfExchange *x);
 
 /**
  * cf_exchange_await_turn:
- * Called before each send.  A request during which a target has crashed waits
- * for a turn of this gateway, or is refused if that comes too late.
+ * Called before each send.  A request waits for a turn of this gateway if a
+ * target has crashed during it or during another one with the same part, or is
+ * refused if that comes too late.
  * Returns: %TRUE if it waits, or was answered and is freed.
  */
 gboolean cf_exchange_await_turn (CfExchange *x);
 
-/** cf_exchange_begin_suspect_run: notes that a target gets it, if a target has
- * crashed during it. */
+/** cf_exchange_begin_suspect_run: notes that a target gets it, for what of it
+ * has a crash on record. */
 void cf_exchange_begin_suspect_run (CfExchange *x);
 
 /** cf_exchange_end_suspect_run: ends what the above began, if anything. */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -104,6 +104,8 @@
   x->framing = CF_FRAMING_NONE;
   x->partial_bytes = 0;
   x->events_at_send = x->event_stream.n_events;
+  x->first_work_ms = 0;
+  x->is_sound = FALSE;
   x->sent_ms = cf_gateway_now (x->gateway);
   if (x->route->stream)
     x->expected_first_ms = cf_stream_latency_first_event_ms (
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -30,6 +30,7 @@
   g_string_free (x->answer_head, TRUE);
   g_string_free (x->held_body, TRUE);
   cf_event_stream_clear (&x->event_stream);
+  g_clear_pointer (&x->suspects, g_array_unref);
   g_free (x->faulty_addr);
   g_free (x->id);
   g_free (x);
--- a/gateway/peer-crashes.c
+++ b/gateway/peer-crashes.c
@@ -92,7 +92,7 @@
 
   if (p->n == 0)
     {
-      cf_quarantine_clear (q, &p->digest);
+      cf_quarantine_mark_sound (q, &p->digest, now_ms);
       return;
     }
   for (guint i = 0; i < p->n; i++)
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -1,5 +1,7 @@
 #include "quarantine.h"
 
+#include "sound-parts.h"
+
 #include <string.h>
 
 /** A rank that gives up waiting for another one has been silent for at least
@@ -12,6 +14,7 @@
   GHashTable *records; /* digest -> #CfCrashRecord */
   GHashTable *changed; /* #CfRequestDigest, owned -> whether the request was
                           quarantined when it was cleared */
+  CfSoundParts *sound;
 };
 
 static void
@@ -33,6 +36,7 @@
       cf_request_digest_hash, cf_request_digest_equal, NULL, free_record);
   q->changed = g_hash_table_new_full (cf_request_digest_hash,
                                       cf_request_digest_equal, g_free, NULL);
+  q->sound = cf_sound_parts_new ();
   return q;
 }
 
@@ -41,6 +45,7 @@
 {
   g_hash_table_destroy (q->records);
   g_hash_table_destroy (q->changed);
+  cf_sound_parts_free (q->sound);
   g_free (q);
 }
 
@@ -156,33 +161,132 @@
     }
 }
 
+static gboolean
+is_quarantined (const CfCrashRecord *r)
+{
+  return r->n == CF_QUARANTINE_CRASH_THRESHOLD;
+}
+
+/* Whether something quarantined, other than @d, crashed @target. */
+static gboolean
+is_explained (const CfQuarantine *q, const CfRequestDigest *d,
+              const char *target)
+{
+  GHashTableIter it;
+  gpointer r;
+
+  g_hash_table_iter_init (&it, q->records);
+  while (g_hash_table_iter_next (&it, NULL, &r))
+    if (is_quarantined (r) && has_target (r, target)
+        && !cf_request_digest_equal (&((CfCrashRecord *)r)->digest, d))
+      return TRUE;
+  return FALSE;
+}
+
+/* Removes from @r the crashes that @cause explains. */
+static void
+drop_explained (CfCrashRecord *r, const CfCrashRecord *cause)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < r->n; i++)
+    if (has_target (cause, r->crashes[i].target))
+      g_free (r->crashes[i].target);
+    else
+      r->crashes[n++] = r->crashes[i];
+  r->n = n;
+}
+
+/* @cause has been quarantined: its crashes are no evidence against others. */
+static void
+explain_crashes (CfQuarantine *q, const CfCrashRecord *cause)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, q->records);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      CfCrashRecord *r = v;
+
+      if (is_quarantined (r))
+        continue;
+      drop_explained (r, cause);
+      if (r->n > 0)
+        continue;
+      g_hash_table_remove (q->changed, &r->digest);
+      g_hash_table_iter_remove (&it);
+    }
+}
+
+/* The crashes of @r, and those of @crashes that are new and that nothing
+ * explains, in order of time. */
+static GPtrArray *
+collect_candidates (const CfQuarantine *q, const CfRequestDigest *d,
+                    const CfCrashRecord *r, const CfCrash *crashes, guint n)
+{
+  GPtrArray *candidates = g_ptr_array_new ();
+
+  for (guint i = 0; i < r->n; i++)
+    g_ptr_array_add (candidates, (gpointer)&r->crashes[i]);
+  for (guint i = 0; i < n; i++)
+    if (!has_target (r, crashes[i].target)
+        && !is_explained (q, d, crashes[i].target))
+      g_ptr_array_add (candidates, (gpointer)&crashes[i]);
+  g_ptr_array_sort (candidates, compare_lost);
+  return candidates;
+}
+
 gboolean
 cf_quarantine_merge (CfQuarantine *q, const CfRequestDigest *d,
                      const CfCrash *crashes, guint n, gint64 seen_ms)
 {
-  CfCrashRecord *r = get_or_add (q, d);
-  CfCrashRecord old = *r;
-  GPtrArray *candidates = g_ptr_array_new ();
+  CfCrashRecord *r = g_hash_table_lookup (q->records, d);
+  CfCrashRecord old = r ? *r : (CfCrashRecord){ 0 };
+  GPtrArray *candidates = collect_candidates (q, d, &old, crashes, n);
+  gboolean is_new_cause = FALSE;
 
+  if (candidates->len == 0)
+    goto out;
+  r = get_or_add (q, d);
   update_last_seen (q, r, seen_ms);
+  if (candidates->len == old.n || is_quarantined (&old))
+    goto out;
+  r->n = 0;
+  select_sequence (r, candidates);
   for (guint i = 0; i < old.n; i++)
-    g_ptr_array_add (candidates, &old.crashes[i]);
-  for (guint i = 0; i < n; i++)
-    if (!has_target (&old, crashes[i].target))
-      g_ptr_array_add (candidates, (gpointer)&crashes[i]);
-  if (candidates->len > old.n && old.n < CF_QUARANTINE_CRASH_THRESHOLD)
-    {
-      g_ptr_array_sort (candidates, compare_lost);
-      r->n = 0;
-      select_sequence (r, candidates);
-      for (guint i = 0; i < old.n; i++)
-        g_free (old.crashes[i].target);
-      if (r->n > old.n)
-        mark_changed (q, d, FALSE);
-    }
+    g_free (old.crashes[i].target);
+  if (r->n > old.n)
+    mark_changed (q, d, FALSE);
+  is_new_cause = is_quarantined (r);
+  if (is_new_cause)
+    explain_crashes (q, r);
+out:
   g_ptr_array_free (candidates, TRUE);
-  return old.n < CF_QUARANTINE_CRASH_THRESHOLD
-         && r->n == CF_QUARANTINE_CRASH_THRESHOLD;
+  return is_new_cause;
+}
+
+gboolean
+cf_quarantine_contains (const CfQuarantine *q, const CfRequestDigest *d)
+{
+  const CfCrashRecord *r = g_hash_table_lookup (q->records, d);
+
+  return r && is_quarantined (r);
+}
+
+gboolean
+cf_quarantine_mark_sound (CfQuarantine *q, const CfRequestDigest *d,
+                          gint64 now_ms)
+{
+  cf_sound_parts_add (q->sound, d, now_ms);
+  return cf_quarantine_clear (q, d);
+}
+
+gboolean
+cf_quarantine_is_sound (const CfQuarantine *q, const CfRequestDigest *d,
+                        gint64 now_ms)
+{
+  return cf_sound_parts_contains (q->sound, d, now_ms);
 }
 
 gboolean
@@ -192,7 +296,7 @@
 
   if (!r)
     return FALSE;
-  mark_changed (q, d, r->n == CF_QUARANTINE_CRASH_THRESHOLD);
+  mark_changed (q, d, is_quarantined (r));
   g_hash_table_remove (q->records, d);
   return TRUE;
 }
@@ -221,7 +325,7 @@
   if (!r)
     return FALSE;
   update_last_seen (q, r, now_ms);
-  return r->n == CF_QUARANTINE_CRASH_THRESHOLD;
+  return is_quarantined (r);
 }
 
 static gboolean
@@ -276,7 +380,7 @@
 gboolean
 cf_crash_record_is_or_was_quarantined (const CfCrashRecord *r)
 {
-  return r->n == CF_QUARANTINE_CRASH_THRESHOLD || r->was_quarantined;
+  return is_quarantined (r) || r->was_quarantined;
 }
 
 void
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request-digest.h"
+#include "suspects.h"
 
 /** Number of target crashes during a request that quarantine it. */
 #define CF_QUARANTINE_CRASH_THRESHOLD 3
@@ -18,14 +18,20 @@
 
 /**
  * CfQuarantine:
- * Records of requests during which targets crashed.  A request during which
- * several targets have crashed, and which none has answered, is assumed to be
- * the cause: it is quarantined and no longer sent.
+ * Records of requests, and of parts of prompts, during which targets crashed.
+ * One during which several targets have crashed, and on which none has worked
+ * without crashing, is assumed to be the cause: it is quarantined, and requests
+ * with it are no longer sent.  What is said of requests below holds for parts
+ * as well.
  *
  * Only consecutive crashes count as evidence, where each attempt was sent some
  * time after the previous crash.  Targets that crash together, as those of a
  * rack do, while each of them has a popular request, count as one crash.
  *
+ * A crash that something quarantined explains is no evidence against anything
+ * else: requests that differ may share both the part that crashes targets and
+ * others that do not.
+ *
  * Gateways exchange the crashes of each request and merge them; merging is
  * idempotent.  An answer to a request clears its record on all gateways, so
  * that a harmless one that was running when targets crashed does not stay
@@ -82,6 +88,21 @@
  * Returns %FALSE if there was none. */
 gboolean cf_quarantine_clear (CfQuarantine *q, const CfRequestDigest *d);
 
+/** cf_quarantine_mark_sound: a target works on part @d without crashing:
+ * removes its record, and remembers it.  Returns %FALSE if there was no record.
+ */
+gboolean cf_quarantine_mark_sound (CfQuarantine *q, const CfRequestDigest *d,
+                                   gint64 now_ms);
+
+/** cf_quarantine_is_sound: whether a target has worked on part @d recently
+ * without crashing. */
+gboolean cf_quarantine_is_sound (const CfQuarantine *q,
+                                 const CfRequestDigest *d, gint64 now_ms);
+
+/** cf_quarantine_contains: whether the request is quarantined. */
+gboolean cf_quarantine_contains (const CfQuarantine *q,
+                                 const CfRequestDigest *d);
+
 /** cf_quarantine_first_crash_ms: when a target first crashed during the
  * request; -1 if none has. */
 gint64 cf_quarantine_first_crash_ms (const CfQuarantine *q,
--- a/gateway/request-digest.c
+++ b/gateway/request-digest.c
@@ -23,6 +23,13 @@
   return d;
 }
 
+CfRequestDigest
+cf_prompt_part_digest (const char *id)
+{
+  /* The path of a request is never empty. */
+  return cf_request_digest (NULL, "", id, strlen (id));
+}
+
 void
 cf_request_digest_print (const CfRequestDigest *d,
                          char out[CF_REQUEST_DIGEST_TEXT_SIZE])
--- a/gateway/request-digest.h
+++ b/gateway/request-digest.h
@@ -27,6 +27,10 @@
 CfRequestDigest cf_request_digest (const char *org, const char *path,
                                    const char *body, gsize n);
 
+/** cf_prompt_part_digest: identifies the part @id of prompts; no request has
+ * the same digest. */
+CfRequestDigest cf_prompt_part_digest (const char *id);
+
 /** cf_request_digest_print: writes @d in hexadecimal to @out. */
 void cf_request_digest_print (const CfRequestDigest *d,
                               char out[CF_REQUEST_DIGEST_TEXT_SIZE]);
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -255,6 +255,65 @@
 }
 END_TEST
 
+/* Prompts that differ share a part that crashes targets, and in each crash also
+ * one that does not. */
+START_TEST (crashes_with_a_known_cause_are_no_evidence)
+{
+  CfQuarantine *q = cf_quarantine_new ();
+  CfRequestDigest cause = cf_prompt_part_digest ("dead");
+  CfRequestDigest other = cf_prompt_part_digest ("5000");
+  const char *const targets[] = { "i-1/1", "i-2/1", "i-3/1", "i-4/1", "i-5/1" };
+
+  for (int i = 0; i < CRASHES; i++)
+    {
+      add_crash (q, &cause, targets[i], 200 * (i + 1));
+      ck_assert (!add_crash (q, &other, targets[i], 200 * (i + 1)));
+    }
+  ck_assert (cf_quarantine_contains (q, &cause));
+  ck_assert_uint_eq (cf_quarantine_crashes (q, &other), 0);
+  ck_assert_uint_eq (cf_quarantine_size (q), 1);
+  add_crash (q, &other, targets[CRASHES], 2000);
+  add_crash (q, &other, targets[0], 2200);
+  ck_assert (!add_crash (q, &other, targets[CRASHES + 1], 2400));
+  ck_assert_uint_eq (cf_quarantine_crashes (q, &other), 2);
+  cf_quarantine_free (q);
+}
+END_TEST
+
+START_TEST (sound_part_has_no_record)
+{
+  CfQuarantine *q = cf_quarantine_new ();
+  CfRequestDigest d = cf_prompt_part_digest ("5000");
+
+  add_crash (q, &d, "i-1/1", 100);
+  ck_assert (!cf_quarantine_is_sound (q, &d, 200));
+  ck_assert (cf_quarantine_mark_sound (q, &d, 200));
+  ck_assert (cf_quarantine_is_sound (q, &d, 200));
+  ck_assert_uint_eq (cf_quarantine_size (q), 0);
+  ck_assert (!cf_quarantine_mark_sound (q, &d, 300));
+  cf_quarantine_free (q);
+}
+END_TEST
+
+START_TEST (suspects_are_the_request_and_its_shared_parts)
+{
+  g_autoptr (GArray) s = cf_suspects_new ("o", "/p", "b", 1, "A1:5,b2:6,c3:7");
+  g_autoptr (GArray) none = cf_suspects_new ("o", "/p", "b", 1, NULL);
+  CfRequestDigest a = cf_prompt_part_digest ("a1");
+  CfRequestDigest request = cf_request_digest ("o", "/p", "b", 1);
+  char text[CF_SUSPECT_TEXT_SIZE];
+
+  ck_assert_uint_eq (s->len, 3);
+  ck_assert_uint_eq (none->len, 1);
+  ck_assert (cf_request_digest_equal (&g_array_index (s, CfSuspect, 0).digest,
+                                      &request));
+  ck_assert (
+      cf_request_digest_equal (&g_array_index (s, CfSuspect, 1).digest, &a));
+  cf_suspect_print (&g_array_index (s, CfSuspect, 2), text);
+  ck_assert_str_eq (text, "part=b2");
+}
+END_TEST
+
 /* Many suspected requests, as an attacker may send, do not evict one that is
  * quarantined. */
 START_TEST (number_of_records_is_bounded)
@@ -540,6 +599,9 @@
   tcase_add_test (table, crashes_of_one_target_count_once);
   tcase_add_test (table, simultaneous_crashes_count_once);
   tcase_add_test (table, crashes_count_in_any_order);
+  tcase_add_test (table, crashes_with_a_known_cause_are_no_evidence);
+  tcase_add_test (table, sound_part_has_no_record);
+  tcase_add_test (table, suspects_are_the_request_and_its_shared_parts);
   tcase_add_test (table, number_of_records_is_bounded);
   tcase_add_test (table, evicted_request_is_not_announced_as_cleared);
   tcase_add_test (table, quarantine_expires);
