--- a/t/t-prompt-parts.c
+++ b/t/t-prompt-parts.c
@@ -34,12 +34,14 @@
 static pid_t gateways[N_GATEWAYS + 1];
 static int n_requests;
 
+/* @part: crashes targets from now on */
 static void
-make_part_fatal (void)
+make_part_fatal (const char *part)
 {
+  g_autofree char *call = g_strconcat ("POST /test/crasher?part=", part, NULL);
+
   for (int i = 0; i < N_RANKS; i++)
-    g_free (
-        p_call_standin (RANK_1 + i, "POST /test/crasher?part=" BAD_PART, ""));
+    g_free (p_call_standin (RANK_1 + i, call, ""));
 }
 
 static void
@@ -48,7 +50,7 @@
   p_start_platform (BASE, "--ranks", "8", "--form-ms", form_ms, NULL);
   for (int n = 1; n <= N_GATEWAYS; n++)
     gateways[n] = p_start_ready_gateway (BASE, n);
-  make_part_fatal ();
+  make_part_fatal (BAD_PART);
   n_requests = 0;
 }
 
@@ -138,6 +140,32 @@
 }
 END_TEST
 
+/* Targets have worked on the part before, as on all others of the prompt. */
+START_TEST (part_that_was_sound_before_is_quarantined)
+{
+  int n_ok = 0;
+
+  make_part_fatal ("0");
+  for (int i = 0; i < 2 * N_GATEWAYS; i++)
+    n_ok += send_one ("bad", BAD_PART) == 200
+            && send_one ("sound", "50d") == 200;
+  ck_assert_int_eq (n_ok, 2 * N_GATEWAYS);
+  make_part_fatal (BAD_PART);
+  for (int i = 0; i < N_BAD; i++)
+    {
+      send_one ("bad", BAD_PART);
+      usleep (RESTART_MS * 1000);
+      send_one ("sound", "50d");
+    }
+  for (int i = 0; i < N_GATEWAYS; i++)
+    {
+      ck_assert_int_eq (send_one ("bad", BAD_PART), 503);
+      ck_assert_int_eq (send_one ("sound", "50d"), 200);
+    }
+  ck_assert_double_le (count_crashes (), KNOWN_CRASHES);
+}
+END_TEST
+
 START_TEST (part_is_known_after_a_gateway_was_killed)
 {
   send_bad_requests (N_BAD);
@@ -271,6 +299,7 @@
   tcase_add_checked_fixture (single, setup, p_stop_all);
   tcase_add_test (single, part_that_crashes_targets_is_quarantined);
   tcase_add_test (single, requests_that_share_other_parts_are_served);
+  tcase_add_test (single, part_that_was_sound_before_is_quarantined);
   tcase_add_test (single, part_is_known_after_a_gateway_was_killed);
   tcase_add_test (single, part_is_known_after_all_gateways_were_killed);
   suite_add_tcase (s, single);
