--- a/explain.c
+++ b/explain.c
@@ -34,16 +34,17 @@
     "the target crashed before it sent any part of the answer; the request may "
     "have caused the crash, so this attempt does not try another target" },
   { NULL, "quarantined",
-    "targets crashed during three attempts of this request, so it is no longer "
-    "sent to any target; E1217 names the request, and E1407 outcome=lost with "
-    "the same request= names the attempts" },
+    "targets crashed during three attempts of this request, or three requests "
+    "that share a part of its prompt, so it is no longer sent to any target; "
+    "E1217 names the request or the part, and E1407 outcome=lost with the same "
+    "request=, or the part in parts=, names the attempts" },
   { NULL, "rate-limited",
     "the service's targets limit the rate of requests, and this gateway's "
     "share of it was used up; E1218 shows the limits" },
   { NULL, "suspected",
-    "a target had crashed during an attempt of this request, so gateways send "
-    "it in turn, and the turn of this one came too late; E1217 names the "
-    "request" },
+    "a target had crashed during an attempt of this request, or one that "
+    "shares a part of its prompt, so gateways send it in turn, and the turn of "
+    "this one came too late; E1217 names the request or the part" },
   { NULL, "targets-paused",
     "all targets of the service had asked for a pause that lasts longer than "
     "the request could wait; see E1220" },
