--- a/t/t-target-leaving.c
+++ b/t/t-target-leaving.c
@@ -4,6 +4,7 @@
 #include "platform-harness.h"
 
 #include <jansson.h>
+#include <signal.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -18,13 +19,14 @@
 #define ROUNDS 20
 
 static int n_requests;
+static pid_t gateways[3];
 
 static void
 setup (void)
 {
   p_start_platform (BASE, "--ranks", "4", NULL);
   for (int n = 1; n <= 2; n++)
-    p_start_ready_gateway (BASE, n);
+    gateways[n] = p_start_ready_gateway (BASE, n);
 }
 
 static int
@@ -117,6 +119,44 @@
 }
 END_TEST
 
+/** Time for which the only peer of a gateway that starts stands still. */
+#define PEER_DELAY_MS 150
+#define N_AT_START 4
+
+/* The store's list, which shows the target as ready, arrives before the hello
+ * of the peer that knows better. */
+START_TEST (started_gateway_asks_peers_which_targets_leave)
+{
+  size_t desk;
+  int fds[N_AT_START];
+
+  announce_leaving ();
+  usleep (PROPAGATION_MS * 1000);
+  p_signal (gateways[2], SIGKILL);
+  desk = count_arrivals (DESK_1);
+  p_signal (gateways[1], SIGSTOP);
+  gateways[2] = p_start_gateway (BASE, 2);
+  for (int i = 0; i < N_AT_START; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("start-%d", i);
+      g_autofree char *req = p_build_request ("GET /quote/a", id, NULL, "");
+
+      fds[i] = p_connect (p_front_port (BASE, 2));
+      p_send (fds[i], req);
+    }
+  usleep (PEER_DELAY_MS * 1000);
+  p_signal (gateways[1], SIGCONT);
+  for (int i = 0; i < N_AT_START; i++)
+    {
+      g_autofree char *a = p_read_answer (fds[i], 1000);
+
+      ck_assert_int_eq (p_parse_status (a), 200);
+      close (fds[i]);
+    }
+  ck_assert_uint_eq (count_arrivals (DESK_1), desk);
+}
+END_TEST
+
 START_TEST (next_instance_after_one_that_left_is_served)
 {
   const char *restarts[]
@@ -141,6 +181,7 @@
 {
   Suite *s = suite_create ("target-leaving");
   TCase *t = tcase_create ("leaving");
+  TCase *start = tcase_create ("start");
 
   tcase_set_timeout (t, 30);
   tcase_add_checked_fixture (t, setup, p_stop_all);
@@ -150,5 +191,10 @@
   tcase_add_test (t, other_gateways_send_no_requests_to_target_that_leaves);
   tcase_add_test (t, next_instance_after_one_that_left_is_served);
   suite_add_tcase (s, t);
+  tcase_set_tags (start, "start");
+  tcase_set_timeout (start, 30);
+  tcase_add_checked_fixture (start, setup, p_stop_all);
+  tcase_add_test (start, started_gateway_asks_peers_which_targets_leave);
+  suite_add_tcase (s, start);
   return t_run_suite (s);
 }
