--- a/gateway/crash-probe.c
+++ b/gateway/crash-probe.c
@@ -94,7 +94,8 @@
   g_free (c.target);
 }
 
-/* Whether one of the suspects is quarantined: it was under way before. */
+/* Whether one of the suspects is quarantined; its request was sent before that.
+ */
 static gboolean
 has_known_cause (const CfCrashProbe *p)
 {
