--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -23,18 +23,15 @@
       silent_ms (x), x->route->stream ? x->gateway->settings.stall_ms : 0);
 }
 
-/* The ids of the shared parts of its prompt, for the log. */
+/* The ids of the parts among @suspects, for the log. */
 static GString *
-format_shared_parts (const CfExchange *x)
+format_parts (const GArray *suspects)
 {
-  CfPromptPart parts[LOGGED_PARTS_MAX];
-  guint n = cf_platform_parse_shared_parts (
-      cf_http_reader_header (&x->caller->reader, CF_HDR_PROMPT_PARTS), parts,
-      LOGGED_PARTS_MAX);
-  GString *ids = g_string_new (n == 0 ? "-" : parts[0].id);
-
-  for (guint i = 1; i < n; i++)
-    g_string_append_printf (ids, ",%s", parts[i].id);
+  GString *ids = g_string_new (suspects->len == 1 ? "-" : NULL);
+
+  for (guint i = 1; i < suspects->len && i <= LOGGED_PARTS_MAX; i++)
+    g_string_append_printf (ids, "%s%s", i > 1 ? "," : "",
+                            g_array_index (suspects, CfSuspect, i).part_id);
   return ids;
 }
 
@@ -42,10 +39,11 @@
 log_lost_connection (CfExchange *x)
 {
   char text[CF_REQUEST_DIGEST_TEXT_SIZE];
-  GString *parts = format_shared_parts (x);
+  const GArray *suspects = cf_exchange_suspects (x);
+  GString *parts = format_parts (suspects);
 
-  cf_request_digest_print (
-      &g_array_index (cf_exchange_suspects (x), CfSuspect, 0).digest, text);
+  cf_request_digest_print (&g_array_index (suspects, CfSuspect, 0).digest,
+                           text);
   cf_log (LOG_NOTICE, CF_EV_TARGET_FAIL,
           "id=%s target=%s outcome=lost request=%s parts=%s "
           "events=%" G_GUINT64_FORMAT " quiet_ms=%" G_GINT64_FORMAT
--- a/gateway/exchange-suspects.c
+++ b/gateway/exchange-suspects.c
@@ -16,12 +16,14 @@
 GArray *
 cf_exchange_suspects (CfExchange *x)
 {
-  const CfHttpReader *r = &x->caller->reader;
-
-  if (!x->suspects)
-    x->suspects = cf_suspects_new (
-        x->org, cf_http_reader_request_target (r), x->caller->body->str,
-        x->caller->body->len, cf_http_reader_header (r, CF_HDR_PROMPT_PARTS));
+  const CfHttpReader *r;
+
+  if (x->suspects)
+    return x->suspects;
+  r = &x->caller->reader;
+  x->suspects = cf_suspects_new (
+      x->org, cf_http_reader_request_target (r), x->caller->body->str,
+      x->caller->body->len, cf_http_reader_header (r, CF_HDR_PROMPT_PARTS));
   return x->suspects;
 }
 
