--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -441,3 +441,12 @@
     }
   return sum;
 }
+
+void
+p_restart_gateways (int base, pid_t *gateways, int n)
+{
+  for (int i = 1; i <= n; i++)
+    p_signal (gateways[i], SIGKILL);
+  for (int i = 1; i <= n; i++)
+    gateways[i] = p_start_ready_gateway (base, i);
+}
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -26,6 +26,10 @@
 /** p_start_ready_gateway: starts gateway @n and waits until it is ready. */
 pid_t p_start_ready_gateway (int base, int n);
 
+/** p_restart_gateways: kills gateways 1 to @n, starts them again and waits
+ * until each is ready.  @gateways: their processes, from index 1 on */
+void p_restart_gateways (int base, pid_t *gateways, int n);
+
 /** p_wait_until_ready: waits until gateway @n is ready; fails the test after
  * 5 s. */
 void p_wait_until_ready (int base, int n);
--- a/t/t-prompt-parts.c
+++ b/t/t-prompt-parts.c
@@ -186,10 +186,7 @@
   usleep (2 * PROPAGATION_MS * 1000);
   send_bad_requests (N_BAD);
   usleep (PROPAGATION_MS * 1000);
-  for (int n = 1; n <= N_GATEWAYS; n++)
-    p_signal (gateways[n], SIGKILL);
-  for (int n = 1; n <= N_GATEWAYS; n++)
-    gateways[n] = p_start_ready_gateway (BASE, n);
+  p_restart_gateways (BASE, gateways, N_GATEWAYS);
   usleep (2 * PROPAGATION_MS * 1000);
   for (int i = 0; i < 2 * N_GATEWAYS; i++)
     ck_assert_int_eq (send_one ("bad", BAD_PART), 503);
--- a/t/t-quarantine.c
+++ b/t/t-quarantine.c
@@ -120,10 +120,7 @@
   usleep (2 * PROPAGATION_MS * 1000);
   crash_targets (1, CRASHES);
   usleep (PROPAGATION_MS * 1000);
-  for (int n = 1; n <= N_GATEWAYS; n++)
-    p_signal (gateways[n], SIGKILL);
-  for (int n = 1; n <= N_GATEWAYS; n++)
-    gateways[n] = p_start_ready_gateway (BASE, n);
+  p_restart_gateways (BASE, gateways, N_GATEWAYS);
   usleep (2 * PROPAGATION_MS * 1000);
   for (int n = 1; n <= N_GATEWAYS; n++)
     ck_assert_int_eq (send_attempt (n, 100, "POST /order/a", "boom"), 503);
