gateway: interfaces for contended capacity

Gateways divide a service as if all had equal demand, and know nothing of what the others admit (docs/design/contended-capacity.md). Adds the headers of the modules that change this, and the fields of the hello: demand by urgency and organisation, return times, and rank groups in one data centre. Nothing uses them yet; hellos carry them empty.

--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -28,9 +28,14 @@
   guint n_gateways;        /**< gateways that send to these targets */
   CfFleetPosition fleet_position; /**< this gateway's position among them */
   guint in_flight;                /**< this gateway's requests at the service */
-  guint limit;              /**< concurrency limit for @in_flight; 0: none */
-  gint64 max_conns;         /**< connections a target accepts from all
-                                 callers; 0: unlimited */
+  guint limit;            /**< concurrency limit for @in_flight; 0: none */
+  double share_fraction;  /**< this gateway's part of the service's slots, from
+                               0 to 1; 0: an even part */
+  double max_total;       /**< most requests for @in_flight by its share; 0:
+                               none */
+  gboolean prefers_local; /**< uses targets in @data_centre first */
+  gint64 max_conns;       /**< connections a target accepts from all
+                               callers; 0: unlimited */
   const double *ring_start; /**< (nullable): where among the targets the search
                                  for the least loaded one begins, from 0 to
                                  below 1; %NULL: round robin */
--- /dev/null
+++ b/gateway/fleet-demand.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "demand.h"
+
+/**
+ * CfFleetDemand:
+ * The demand of other gateways at one service.  Gateways have links only to
+ * seeds, so a gateway that is no seed knows the others through the sums that
+ * seeds send.  What was received is used for a few hello intervals only.
+ */
+typedef struct
+{
+  GHashTable *direct;  /**< (nullable): gateway -> its own table */
+  GHashTable *relayed; /**< (nullable): seed -> its sum over other gateways */
+} CfFleetDemand;
+
+void cf_fleet_demand_clear (CfFleetDemand *f);
+
+/** cf_fleet_demand_put_direct: gateway @addr states its own demand. */
+void cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
+                                 const CfDemandTable *own, gint64 now_ms);
+
+/** cf_fleet_demand_put_relayed: gateway @addr states the sum over @n_gateways
+ * gateways, without itself and this one. */
+void cf_fleet_demand_put_relayed (CfFleetDemand *f, const char *addr,
+                                  guint n_gateways, const CfDemandTable *others,
+                                  gint64 now_ms);
+
+/** cf_fleet_demand_remove: forgets what @addr has stated. */
+void cf_fleet_demand_remove (CfFleetDemand *f, const char *addr);
+
+/**
+ * cf_fleet_demand_sum_direct:
+ * @except: (nullable): gateway to leave out
+ * @out: (out): the sum of the tables received directly
+ * Returns: the number of gateways that it covers.
+ */
+guint cf_fleet_demand_sum_direct (const CfFleetDemand *f, const char *except,
+                                  gint64 now_ms, CfDemandTable *out);
+
+/**
+ * cf_fleet_demand_get_others:
+ * @out: (out): the demand of all other gateways, as far as it is known: direct
+ *   tables, or a relayed sum and its sender's own table, whichever covers more
+ * Returns: the number of gateways that it covers.
+ */
+guint cf_fleet_demand_get_others (const CfFleetDemand *f, gint64 now_ms,
+                                  CfDemandTable *out);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -2,16 +2,22 @@
 
 #include "concurrency-limit.h"
 #include "dc-health.h"
+#include "demand.h"
 #include "evacuation.h"
+#include "fleet-demand.h"
 #include "loop-watch.h"
+#include "org-usage.h"
 #include "outage.h"
 #include "stream-latency.h"
+#include "pass-limit.h"
 #include "pass-record.h"
 #include "platform/platform-settings.h"
 #include "policy.h"
 #include "quarantine.h"
 #include "reading-log.h"
 #include "retry-budget.h"
+#include "return-schedule.h"
+#include "share.h"
 #include "stats.h"
 #include "store-position.h"
 #include "target.h"
@@ -38,6 +44,13 @@
   CfStreamLatency latency; /**< recent latency of its streams */
   CfPassRecord pass;       /**< its latest pass, as observed here */
   CfConcurrencyLimit limit;
+  CfDemandMeter demand;       /**< of this gateway */
+  CfFleetDemand fleet_demand; /**< of the other gateways */
+  CfShare share;              /**< of its capacity; total 0: not computed */
+  double capacity;            /**< slots that @share divides; 0: unknown */
+  CfOrgUsage org_usage;
+  CfReturnSchedule returns;
+  CfPassLimit pass_limit;
   guint in_flight;      /**< requests of this gateway at its targets */
   gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
   gint64 last_event_ms; /**< when a target last sent part of an answer */
@@ -97,6 +110,8 @@
   CfReadingLog dropped; /**< what ranks, agents and peers sent in vain */
   guint n_rank_groups;  /**< rank groups known to this gateway or a peer; 0:
                              unknown */
+  guint n_local_rank_groups;   /**< of these, in one data centre each; 0:
+                                    unknown */
   guint groups_without_demand; /**< led groups whose ranks send none */
   CfLoopWatch loop_watch;
 };
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -250,6 +250,80 @@
   return a;
 }
 
+/* Values out of range are kept: whoever uses the table checks it.  Entries that
+ * do not fit are dropped. */
+static void
+read_demand_table (Fields *f, CfDemandTable *t)
+{
+  Fields array = open_array (next_field (f));
+
+  memset (t, 0, sizeof *t);
+  while (!array.invalid && array.next < array.end)
+    {
+      Fields item = open_array (next_field (&array));
+      CfDemand d;
+
+      d.urgency = read_int (&item);
+      d.org = (guint32)read_int (&item);
+      d.n_orgs = (guint)read_int (&item);
+      d.slots = (double)read_int (&item) / CF_PEER_THOUSANDTHS;
+      array.invalid |= item.invalid;
+      if (!array.invalid && t->n < CF_DEMAND_ENTRIES_MAX)
+        t->entries[t->n++] = d;
+    }
+  f->invalid |= array.invalid;
+}
+
+static GArray *
+read_demand (Fields *f)
+{
+  Fields array = open_array (next_field (f));
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerDemand));
+
+  while (!array.invalid && array.next < array.end)
+    {
+      Fields item = open_array (next_field (&array));
+      CfPeerDemand d;
+
+      d.service = read_bytes (&item);
+      read_demand_table (&item, &d.own);
+      read_demand_table (&item, &d.others);
+      d.n_others = (guint)read_bounded_int (&item, G_MAXINT);
+      array.invalid |= item.invalid;
+      if (a->len < CF_PEER_DEMAND_MAX)
+        g_array_append_val (a, d);
+    }
+  f->invalid |= array.invalid;
+  return a;
+}
+
+static GArray *
+read_returns (Fields *f)
+{
+  Fields array = open_array (next_field (f));
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerReturn));
+
+  while (!array.invalid && array.next < array.end)
+    {
+      Fields item = open_array (next_field (&array));
+      CfPeerReturn r = { 0 };
+      CfPeerBytes key;
+
+      r.service = read_bytes (&item);
+      key = read_bytes (&item);
+      r.due_in_ms = read_int (&item);
+      r.urgency = read_int (&item);
+      item.invalid |= key.n != sizeof r.key;
+      if (!item.invalid)
+        memcpy (&r.key, key.data, sizeof r.key);
+      array.invalid |= item.invalid;
+      if (a->len < CF_PEER_RETURNS_MAX)
+        g_array_append_val (a, r);
+    }
+  f->invalid |= array.invalid;
+  return a;
+}
+
 /* A later version may send more crashes than fit; the rest is ignored. */
 static void
 read_crash (Fields *f, CfPeerCrash *c)
@@ -374,6 +448,11 @@
       m->u.gateway_hello.targets_change_pos.rev = read_optional_int (f);
       m->u.gateway_hello.targets_change_pos.era = read_era (f);
       m->u.gateway_hello.n_rank_groups = (guint)read_optional_int (f);
+      if (!f->invalid && f->next < f->end)
+        m->u.gateway_hello.demand = read_demand (f);
+      if (!f->invalid && f->next < f->end)
+        m->u.gateway_hello.returns = read_returns (f);
+      m->u.gateway_hello.n_local_rank_groups = (guint)read_optional_int (f);
       break;
     case CF_PEER_POLICY:
       m->u.policy.pos.rev = read_int (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -131,6 +131,59 @@
     put_bytes (pk, g_array_index (names, CfPeerBytes, i));
 }
 
+static void
+put_demand_table (msgpack_packer *pk, const CfDemandTable *t)
+{
+  msgpack_pack_array (pk, t->n);
+  for (guint i = 0; i < t->n; i++)
+    {
+      const CfDemand *d = &t->entries[i];
+
+      msgpack_pack_array (pk, 4);
+      put_int (pk, d->urgency);
+      put_int (pk, d->org);
+      put_int (pk, d->n_orgs);
+      put_int (pk, (gint64)(d->slots * CF_PEER_THOUSANDTHS));
+    }
+}
+
+static void
+put_demand (msgpack_packer *pk, const GArray *demand)
+{
+  guint n = demand ? MIN (demand->len, CF_PEER_DEMAND_MAX) : 0;
+
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const CfPeerDemand *d = &g_array_index (demand, CfPeerDemand, i);
+
+      msgpack_pack_array (pk, 4);
+      put_bytes (pk, d->service);
+      put_demand_table (pk, &d->own);
+      put_demand_table (pk, &d->others);
+      put_int (pk, d->n_others);
+    }
+}
+
+static void
+put_returns (msgpack_packer *pk, const GArray *returns)
+{
+  guint n = returns ? MIN (returns->len, CF_PEER_RETURNS_MAX) : 0;
+
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const CfPeerReturn *r = &g_array_index (returns, CfPeerReturn, i);
+      CfPeerBytes key = { (const char *)&r->key, sizeof r->key };
+
+      msgpack_pack_array (pk, 4);
+      put_bytes (pk, r->service);
+      put_bytes (pk, key);
+      put_int (pk, r->due_in_ms);
+      put_int (pk, r->urgency);
+    }
+}
+
 static void
 put_crashes (msgpack_packer *pk, const GArray *crashes)
 {
@@ -225,7 +278,7 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      put_header (&pk, m, 20);
+      put_header (&pk, m, 23);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_pos.rev);
       put_int (&pk, m->u.gateway_hello.targets_pos.rev);
@@ -246,6 +299,9 @@
       put_int (&pk, m->u.gateway_hello.targets_change_pos.rev);
       put_int (&pk, m->u.gateway_hello.targets_change_pos.era);
       put_int (&pk, m->u.gateway_hello.n_rank_groups);
+      put_demand (&pk, m->u.gateway_hello.demand);
+      put_returns (&pk, m->u.gateway_hello.returns);
+      put_int (&pk, m->u.gateway_hello.n_local_rank_groups);
       break;
     case CF_PEER_POLICY:
       put_header (&pk, m, 3);
@@ -304,6 +360,8 @@
       g_clear_pointer (&m->u.gateway_hello.rate_limits, g_array_unref);
       g_clear_pointer (&m->u.gateway_hello.leaving, g_array_unref);
       g_clear_pointer (&m->u.gateway_hello.evacuated, g_array_unref);
+      g_clear_pointer (&m->u.gateway_hello.demand, g_array_unref);
+      g_clear_pointer (&m->u.gateway_hello.returns, g_array_unref);
       break;
     case CF_PEER_TARGETS:
       a = &m->u.targets.items;
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "demand.h"
 #include "error.h"
 #include "peer-link.h"
 #include "quarantine.h"
@@ -127,6 +128,10 @@
                                                that the sender has read */
       CfStorePosition evacuated_pos;      /**< of the operator's records that
                                                @evacuated reflects */
+      GArray *demand;  /**< (nullable): of #CfPeerDemand, by service; owned */
+      GArray *returns; /**< (nullable): of #CfPeerReturn; owned */
+      guint n_local_rank_groups; /**< rank groups known to the sender that are
+                                      in one data centre each; 0: unknown */
     } gateway_hello;
     struct
     {
@@ -187,6 +192,30 @@
   gint64 incarnation; /**< 0: unknown */
 } CfPeerInstance;
 
+/** Services in the demand of a hello. */
+#define CF_PEER_DEMAND_MAX 4
+/** Places in the returns of a hello. */
+#define CF_PEER_RETURNS_MAX 64
+
+/** CfPeerDemand: demand at one service, as the sender knows it. */
+typedef struct
+{
+  CfPeerBytes service;
+  CfDemandTable own;    /**< the sender's */
+  CfDemandTable others; /**< of the gateways that the sender knows directly,
+                             without the receiver */
+  guint n_others;       /**< how many gateways these are */
+} CfPeerDemand;
+
+/** CfPeerReturn: a time at which a refused caller may return. */
+typedef struct
+{
+  CfPeerBytes service;
+  guint64 key; /**< first bytes of the digest of its request */
+  gint64 due_in_ms;
+  gint64 urgency;
+} CfPeerReturn;
+
 /** CfPeerTarget: a target's record as it is in the store. */
 typedef struct
 {
--- /dev/null
+++ b/gateway/return-schedule.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "request-digest.h"
+
+#include <sys/queue.h>
+
+/** Bytes of a request's digest that identify a returning caller. */
+#define CF_RETURN_KEY_BYTES 8
+
+/** CfReturnState: what is known of the caller of a request that arrives. */
+typedef enum
+{
+  CF_RETURN_NEW,   /**< no place was given to it */
+  CF_RETURN_DUE,   /**< it returns at its time or soon after */
+  CF_RETURN_EARLY, /**< it returns before its time */
+} CfReturnState;
+
+/** CfReturnPlace: a time at which a refused caller may return. */
+typedef struct
+{
+  guint64 key; /**< first bytes of the request's digest */
+  gint64 due_ms;
+  gint64 urgency;
+  gboolean is_own; /**< given out by this gateway, not by a peer */
+} CfReturnPlace;
+
+/**
+ * CfReturnSchedule:
+ * Times at which callers that one service refused may return.  Each place is
+ * given out once, at a rate at which capacity is expected to be free.
+ */
+typedef struct
+{
+  GHashTable *by_key; /**< (nullable): key -> #CfReturnPlace */
+  gint64 last_due_ms; /**< latest place given out by this gateway */
+} CfReturnSchedule;
+
+/** CfReturnRequest: a refused request and the state that its place depends on.
+ */
+typedef struct
+{
+  guint64 key;
+  gint64 urgency;
+  gint64 now_ms;
+  gint64 opens_ms;     /**< when capacity begins to be free; not before now */
+  double drain_per_s;  /**< requests that this gateway's share ends per second;
+                            0: unknown */
+  guint n_ahead;       /**< waiting requests of the same or a higher urgency */
+  gint64 remaining_ms; /**< until the caller's deadline */
+} CfReturnRequest;
+
+void cf_return_schedule_clear (CfReturnSchedule *s);
+
+/** cf_return_key: the key of a request with digest @d. */
+guint64 cf_return_key (const CfRequestDigest *d);
+
+/**
+ * cf_return_schedule_assign:
+ * Gives the caller of a refused request a place, or the one that it has
+ * already. Returns: the time until then in ms: no more than callers accept.
+ */
+gint64 cf_return_schedule_assign (CfReturnSchedule *s,
+                                  const CfReturnRequest *r);
+
+/**
+ * cf_return_schedule_check:
+ * @wait_ms: (out): time left until its place, if it is early
+ */
+CfReturnState cf_return_schedule_check (CfReturnSchedule *s, guint64 key,
+                                        gint64 now_ms, gint64 *wait_ms);
+
+/** cf_return_schedule_remove: the caller with @key was served, or is being
+ * served. */
+void cf_return_schedule_remove (CfReturnSchedule *s, guint64 key);
+
+/** cf_return_schedule_put_peer: a peer gave out @p. */
+void cf_return_schedule_put_peer (CfReturnSchedule *s, const CfReturnPlace *p,
+                                  gint64 now_ms);
+
+/** cf_return_schedule_count: places due between @from_ms and @to_ms. */
+guint cf_return_schedule_count (const CfReturnSchedule *s, gint64 from_ms,
+                                gint64 to_ms);
+
+/** cf_return_schedule_expire: drops places that no caller came for. */
+void cf_return_schedule_expire (CfReturnSchedule *s, gint64 now_ms);
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -12,8 +12,10 @@
 struct CfWaiter
 {
   TAILQ_ENTRY (CfWaiter) link;
-  gint64 priority; /**< 0 is the most urgent */
-  gint64 since_ms; /**< when it was queued */
+  gint64 priority;   /**< urgency; 0 is the most urgent */
+  guint32 org;       /**< id of its organisation; see cf_demand_org_id() */
+  gboolean returned; /**< was refused before, and returned at its time */
+  gint64 since_ms;   /**< when it was queued */
   /** Latest time to send it so that it meets its objective. */
   gint64 objective_send_by_ms;
   /** Latest time to send it so that its answer is complete by its deadline. */
--- a/log.c
+++ b/log.c
@@ -79,6 +79,12 @@
       return "slow-pass";
     case CF_EV_TARGET_PAUSE:
       return "target-pause";
+    case CF_EV_SHARE:
+      return "share";
+    case CF_EV_RETURN:
+      return "return";
+    case CF_EV_PASS_LIMIT:
+      return "pass-limit";
     case CF_EV_RATE_LIMIT:
       return "rate-limit";
     case CF_EV_QUARANTINE:
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -153,6 +153,73 @@
 }
 END_TEST
 
+static const CfDemandTable two_entries
+    = { .n = 2, .entries = { { 0, 7, 1, 1.5 }, { 17, 0, 300, 40 } } };
+
+/* A field read in the wrong order would give a gateway another's demand. */
+START_TEST (demand_and_returns_round_trip)
+{
+  CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
+  CfPeerDemand d = { bytes ("llm"), two_entries, { 0 }, 12 };
+  CfPeerReturn r = { bytes ("llm"), G_MAXUINT64, 750, 17 };
+  const CfPeerDemand *got;
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+
+  m.u.gateway_hello.demand = g_array_new (FALSE, FALSE, sizeof d);
+  g_array_append_val (m.u.gateway_hello.demand, d);
+  m.u.gateway_hello.returns = g_array_new (FALSE, FALSE, sizeof r);
+  g_array_append_val (m.u.gateway_hello.returns, r);
+  m.u.gateway_hello.n_local_rank_groups = 3;
+  pack_and_unpack (&m, &o, &zone, &buf);
+  ck_assert_uint_eq (o.u.gateway_hello.demand->len, 1);
+  got = &g_array_index (o.u.gateway_hello.demand, CfPeerDemand, 0);
+  ck_assert_mem_eq (got->service.data, "llm", 3);
+  ck_assert_uint_eq (got->n_others, 12);
+  ck_assert_uint_eq (got->others.n, 0);
+  ck_assert_uint_eq (got->own.n, 2);
+  ck_assert_int_eq (got->own.entries[1].urgency, 17);
+  ck_assert_uint_eq (got->own.entries[1].n_orgs, 300);
+  ck_assert_double_eq_tol (got->own.entries[0].slots, 1.5, 0.001);
+  ck_assert (g_array_index (o.u.gateway_hello.returns, CfPeerReturn, 0).key
+             == G_MAXUINT64);
+  ck_assert_int_eq (
+      g_array_index (o.u.gateway_hello.returns, CfPeerReturn, 0).due_in_ms,
+      750);
+  ck_assert_uint_eq (o.u.gateway_hello.n_local_rank_groups, 3);
+  cf_peer_msg_clear (&m);
+  free_all (&o, &zone, &buf);
+}
+END_TEST
+
+/* A hello is bounded in bytes, whatever the demand. */
+START_TEST (demand_and_returns_are_bounded)
+{
+  CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
+  CfPeerDemand d = { bytes ("llm"), two_entries, { 0 }, 12 };
+  CfPeerReturn r = { bytes ("llm"), 1, 750, 17 };
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+
+  m.u.gateway_hello.demand = g_array_new (FALSE, FALSE, sizeof d);
+  m.u.gateway_hello.returns = g_array_new (FALSE, FALSE, sizeof r);
+  d.own.n = CF_DEMAND_ENTRIES_MAX;
+  d.others.n = CF_DEMAND_ENTRIES_MAX;
+  for (int i = 0; i < 10; i++)
+    g_array_append_val (m.u.gateway_hello.demand, d);
+  for (int i = 0; i < 100; i++)
+    g_array_append_val (m.u.gateway_hello.returns, r);
+  pack_and_unpack (&m, &o, &zone, &buf);
+  ck_assert_uint_eq (o.u.gateway_hello.demand->len, CF_PEER_DEMAND_MAX);
+  ck_assert_uint_eq (o.u.gateway_hello.returns->len, CF_PEER_RETURNS_MAX);
+  ck_assert_uint_le (buf.size, 6000);
+  cf_peer_msg_clear (&m);
+  free_all (&o, &zone, &buf);
+}
+END_TEST
+
 /* Earlier releases send positions without an era. */
 START_TEST (positions_of_earlier_releases_have_no_era)
 {
@@ -396,6 +463,8 @@
 
   tcase_add_test (t, rank_status_round_trip);
   tcase_add_test (t, gateway_hello_and_targets_round_trip);
+  tcase_add_test (t, demand_and_returns_round_trip);
+  tcase_add_test (t, demand_and_returns_are_bounded);
   tcase_add_test (t, positions_of_earlier_releases_have_no_era);
   tcase_add_test (t, order_round_trip);
   tcase_add_test (t, prepare_order_round_trip);
