return-schedule: give refused callers places in time

A refused caller was told a constant wait and was treated like a new one when it returned.

Callers get places at half of the rate at which requests end, after the waiting requests; they are recognised by the digest of their request, at other gateways through hellos. cf_wait_queue_backoff_ms() goes.

--- a/explain.c
+++ b/explain.c
@@ -49,6 +49,9 @@
     "all targets of the service had asked for a pause that lasts longer than "
     "the request could wait; see E1220" },
   { NULL, "queue-full", "the service's queue was full" },
+  { NULL, "returned-early",
+    "its caller had been refused and returned before the time that it was "
+    "told, while other requests waited; see E1222" },
   { NULL, "more-urgent-waits",
     "requests of a more urgent priority filled the service's queue" },
   { NULL, "stopping", "the gateway was shutting down; see E1405" },
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -15,6 +15,7 @@
  * - exchange-unrouted.c: requests that arrive before this process has a
  *   configuration and a list of targets,
  * - exchange-send.c: choice of a target, queueing and retries,
+ * - exchange-return.c: refusals for lack of capacity, and callers that return,
  * - exchange-stop.c: shutdown of this process,
  * - exchange-silence.c: targets that send nothing,
  * - exchange-crash.c: targets that crash,
@@ -68,6 +69,7 @@
   gint64 first_work_ms; /**< when its target first sent an event; 0: it has
                              not */
   gboolean is_sound;    /**< its target has worked on it without crashing */
+  gboolean is_return_checked; /**< cf_exchange_refuse_early() was called */
   gint64 turn_limit_ms; /**< until when it may wait for a turn; 0: it has not
                              waited */
   ev_timer turn_timer;
@@ -122,6 +124,10 @@
  * expected to be free in @backoff_ms. */
 void cf_exchange_refuse (CfExchange *x, const char *reason, gint64 backoff_ms);
 
+/** cf_exchange_refuse_for: the same; its caller is told to wait for exactly
+ * @wait_ms, or until the first of the service's targets ends its pause. */
+void cf_exchange_refuse_for (CfExchange *x, const char *reason, gint64 wait_ms);
+
 /** cf_exchange_fail: answers 502, or aborts an answer that has started, for a
  * request that may have run. */
 void cf_exchange_fail (CfExchange *x, const char *reason);
@@ -145,10 +151,6 @@
 
 /* Choice of a target, queueing and retries. */
 
-/** cf_exchange_backoff_ms: the minimum back-off for its caller if it is
- * refused, after which a slot may be free. */
-gint64 cf_exchange_backoff_ms (const CfExchange *x);
-
 /** cf_exchange_may_retry: whether it may be sent to another target. */
 gboolean cf_exchange_may_retry (CfExchange *x);
 
@@ -163,6 +165,27 @@
 /** cf_exchange_on_queue_timeout: it has been queued for as long as it may. */
 void cf_exchange_on_queue_timeout (CfExchange *x);
 
+/* Refusals for lack of capacity, and callers that return. */
+
+/** cf_exchange_refuse_full: refuses a request that did not run because its
+ * service has no capacity for it.  Its caller gets a time to return from the
+ * schedule of the service. */
+void cf_exchange_refuse_full (CfExchange *x, const char *reason);
+
+/** cf_exchange_refuse_rate_limited: the same if the service takes no more than
+ * @max_per_s requests a second from this gateway; 0: unknown. */
+void cf_exchange_refuse_rate_limited (CfExchange *x, const char *reason,
+                                      double max_per_s);
+
+/**
+ * cf_exchange_refuse_early:
+ * Called before a new request is sent or queued.  If its caller was refused
+ * before and returns at its time, the request takes precedence.
+ * Returns: %TRUE if its caller returned too early while others wait; it was
+ *   answered, and is freed.
+ */
+gboolean cf_exchange_refuse_early (CfExchange *x);
+
 /* Shutdown of this process. */
 
 /**
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -14,20 +14,8 @@
 /** Guards against refusing a request whose queue timeout and whose targets'
  * pause end together. */
 #define PAUSE_TOLERANCE_MS 1
-
-gint64
-cf_exchange_backoff_ms (const CfExchange *x)
-{
-  const CfServiceState *s = x->service_state;
-
-  if (cf_outage_is_long (&s->outage, cf_gateway_now (x->gateway)))
-    return cf_wait_queue_backoff_ms (CF_NO_CAPACITY_LONG_OUTAGE);
-  if (s->outage.since_ms != 0)
-    return cf_wait_queue_backoff_ms (CF_NO_CAPACITY_OUTAGE);
-  return cf_wait_queue_backoff_ms (cf_concurrency_limit_get (&s->limit) != 0
-                                       ? CF_NO_CAPACITY_OVERLOAD
-                                       : CF_NO_CAPACITY_FULL);
-}
+/** Minimum back-off while all targets pause; most pauses are longer. */
+#define PAUSE_BACKOFF_MS 400
 
 /* Whether another answer can continue what its caller has been sent: nothing,
  * or events whose ids tell what is left.  Other bytes of an answer have no such
@@ -159,6 +147,40 @@
                                                &x->size);
 }
 
+/* (nullable): the newest request in its queue that is as urgent and whose
+ * caller has not returned. */
+static CfWaiter *
+newest_unreturned (const CfExchange *x)
+{
+  CfWaiter *newest = NULL;
+  CfWaiter *w;
+
+  TAILQ_FOREACH (w, &x->service_state->queue.waiters, link)
+  if (w->priority == x->waiter.priority && !w->returned
+      && (!newest || w->since_ms >= newest->since_ms))
+    newest = w;
+  return newest;
+}
+
+/* Adds it to its queue.  If the queue is full, a less urgent request is evicted
+ * or, if its caller returned at its time, a new one of the same urgency. */
+static gboolean
+add_to_queue (CfExchange *x, CfWaiter **evicted)
+{
+  CfWaitQueue *q = &x->service_state->queue;
+  CfWaiter *newest;
+
+  if (cf_wait_queue_add (q, &x->waiter, max_queued (x), evicted))
+    return TRUE;
+  newest = x->waiter.returned ? newest_unreturned (x) : NULL;
+  if (!newest)
+    return FALSE;
+  cf_wait_queue_remove (q, newest);
+  cf_wait_queue_add (q, &x->waiter, max_queued (x), evicted);
+  *evicted = newest;
+  return TRUE;
+}
+
 /* Queues it until a target has a free slot.  If the queue is full, the least
  * urgent request is refused.  The wait is limited so that enough time remains
  * for the work itself. */
@@ -173,13 +195,12 @@
   x->waiter.since_ms = now;
   x->waiter.objective_send_by_ms = get_objective_send_by_ms (x);
   x->waiter.deadline_send_by_ms = get_deadline_send_by_ms (x);
-  if (!cf_wait_queue_add (&x->service_state->queue, &x->waiter, max_queued (x),
-                          &evicted))
+  if (!add_to_queue (x, &evicted))
     {
       if (x->may_have_run)
         cf_exchange_fail (x, "queue-full");
       else
-        cf_exchange_refuse (x, "queue-full", cf_exchange_backoff_ms (x));
+        cf_exchange_refuse_full (x, "queue-full");
       return;
     }
   x->gateway->stats.queued++;
@@ -190,8 +211,7 @@
           x->service_state->in_flight, limit);
   cf_exchange_start_silence_timer (x, limit);
   if (evicted)
-    cf_exchange_refuse (evicted->owner, "more-urgent-waits",
-                        cf_exchange_backoff_ms (x));
+    cf_exchange_refuse_full (evicted->owner, "more-urgent-waits");
 }
 
 /* Returns what a target is chosen by.  The result refers to @x. */
@@ -258,8 +278,10 @@
 
   if (per_s > 0 && wait_ms <= (double)limit)
     enqueue (x);
+  else if (x->may_have_run)
+    cf_exchange_fail (x, "rate-limited");
   else
-    end_unservable (x, "rate-limited", cf_exchange_backoff_ms (x));
+    cf_exchange_refuse_rate_limited (x, "rate-limited", per_s);
 }
 
 /* How long it has to wait until the first of all targets that it may be sent to
@@ -275,7 +297,7 @@
 static void
 end_paused (CfExchange *x)
 {
-  end_unservable (x, "targets-paused", cf_exchange_backoff_ms (x));
+  end_unservable (x, "targets-paused", PAUSE_BACKOFF_MS);
 }
 
 static void
@@ -372,7 +394,7 @@
 {
   CfTarget *t;
 
-  if (is_kept_from_targets (x))
+  if (is_kept_from_targets (x) || cf_exchange_refuse_early (x))
     return;
   switch (pick_target (x, &t))
     {
@@ -381,7 +403,7 @@
       break;
     case CF_PICK_FULL:
       if (is_wait_futile (x))
-        cf_exchange_refuse (x, "outage", cf_exchange_backoff_ms (x));
+        cf_exchange_refuse_full (x, "outage");
       else
         enqueue (x);
       break;
@@ -427,7 +449,7 @@
   else if (x->may_have_run)
     cf_exchange_fail (x, reason);
   else
-    cf_exchange_refuse (x, reason, cf_exchange_backoff_ms (x));
+    cf_exchange_refuse_full (x, reason);
 }
 
 /* (nullable): the first queued request that may probe an outage. */
@@ -560,6 +582,5 @@
   else if (x->may_have_run)
     cf_exchange_fail (x, "no-room");
   else
-    cf_exchange_refuse (x, outage ? "outage" : "no-room",
-                        cf_exchange_backoff_ms (x));
+    cf_exchange_refuse_full (x, outage ? "outage" : "no-room");
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -115,15 +115,13 @@
   cf_exchange_finish (x, o, status, reason);
 }
 
-/* Returns when the caller of a refused request should retry.  While all targets
- * of the service pause, that is not before the first of them takes requests,
- * even if the caller's deadline passes first. */
+/* Returns when the caller of a refused request should retry: in @retry_ms.
+ * While all targets of the service pause, that is not before the first of them
+ * takes requests, even if the caller's deadline passes first. */
 static gint64
-get_retry_ms (const CfExchange *x, gint64 backoff_ms)
+get_retry_ms (const CfExchange *x, gint64 retry_ms)
 {
   CfGateway *g = x->gateway;
-  gint64 retry_ms
-      = cf_retry_after_ms (cf_exchange_remaining_ms (x), backoff_ms, x->hash);
   CfPickInput in = { .service = x->service, .now_ms = cf_gateway_now (g) };
   gint64 pause_ms = x->service ? cf_balancer_pause_ms (&g->targets, &in) : 0;
 
@@ -133,10 +131,18 @@
 }
 
 void
-cf_exchange_refuse (CfExchange *x, const char *reason, gint64 backoff_ms)
+cf_exchange_refuse_for (CfExchange *x, const char *reason, gint64 wait_ms)
 {
   answer_locally (x, CF_OUTCOME_REFUSED, 503, reason,
-                  get_retry_ms (x, backoff_ms));
+                  get_retry_ms (x, wait_ms));
+}
+
+void
+cf_exchange_refuse (CfExchange *x, const char *reason, gint64 backoff_ms)
+{
+  cf_exchange_refuse_for (
+      x, reason,
+      cf_retry_after_ms (cf_exchange_remaining_ms (x), backoff_ms, x->hash));
 }
 
 void
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -43,6 +43,7 @@
 
   cf_retry_budget_clear (&s->budget);
   cf_dc_health_clear (&s->dc_health);
+  cf_return_schedule_clear (&s->returns);
   g_free (s);
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -80,8 +80,9 @@
                                      reflects; revision 0: none was read */
   gint64 targets_confirmed_ms;  /**< when the store last confirmed @targets */
   CfEvacuations evacuations;
-  gboolean hello_is_due; /**< peers are to be notified at once */
-  guint fleet_size;      /**< number of gateways that share the retry budget */
+  gboolean hello_is_due;    /**< peers are to be notified at once */
+  gboolean has_new_returns; /**< peers are to be told of times to return */
+  guint fleet_size; /**< number of gateways that share the retry budget */
   CfFleetPosition fleet_position; /**< of this gateway among all gateways */
   CfFleetPosition recent_fleet; /**< the largest fleet of the last seconds, and
                                      this gateway's position in it */
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -5,6 +5,7 @@
 #include "membership.h"
 #include "operator-feed.h"
 #include "peer-crashes.h"
+#include "peer-returns.h"
 #include "platform/platform-target.h"
 #include "socket.h"
 #include "target-feed.h"
@@ -19,6 +20,8 @@
 /** Interval while this gateway has no configuration or no list of targets, and
  * so refuses callers. */
 #define HELLO_UNABLE_INTERVAL_MS 100
+/** Minimum time between hellos that are sent early with times to return. */
+#define RETURNS_INTERVAL_MS 100
 #define RECONNECT_INTERVAL_MS 1000
 /** Time for a new configuration to arrive from the store before a peer is asked
  * for it. */
@@ -470,6 +473,7 @@
   take_slowdowns (g, m->u.gateway_hello.slowdowns);
   take_rate_limits (g, m->u.gateway_hello.rate_limits, p->addr);
   take_leaving (g, m->u.gateway_hello.leaving, p->addr);
+  cf_peer_returns_take (g, m->u.gateway_hello.returns, p->addr);
   cf_operator_feed_take_peer_set (g, m->u.gateway_hello.evacuated,
                                   m->u.gateway_hello.evacuated_pos, p->addr);
   if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
@@ -678,6 +682,8 @@
       connect_seeds (s);
       cf_quarantine_expire (s->g->quarantine, now);
     }
+  if (s->g->has_new_returns)
+    interval_ms = RETURNS_INTERVAL_MS;
   /* Changes of targets' rate limits and of evacuations are sent at once. */
   if (now - s->hello_sent_ms < interval_ms && !s->g->hello_is_due)
     return;
@@ -685,6 +691,7 @@
   s->g->hello_is_due = FALSE;
   cf_gateway_expire_slowdowns (s->g);
   fill_hello (s, &m);
+  m.u.gateway_hello.returns = cf_peer_returns_collect (s->g);
   TAILQ_FOREACH (p, &s->peers, entry)
   if (p->up)
     send_filled_hello (p, &m);
--- a/gateway/reading-log.h
+++ b/gateway/reading-log.h
@@ -15,6 +15,7 @@
   CF_READING_LEAVING,       /**< that a target leaves, told by a peer */
   CF_READING_WARMUP,        /**< of a target, in an answer */
   CF_READING_EVACUATION,    /**< a record of an evacuation */
+  CF_READING_RETURN,        /**< a time to return, told by a peer */
   CF_N_READING_KINDS,
 } CfReadingKind;
 
--- a/gateway/return-schedule.h
+++ b/gateway/return-schedule.h
@@ -6,6 +6,11 @@
 
 /** Bytes of a request's digest that identify a returning caller. */
 #define CF_RETURN_KEY_BYTES 8
+/** Longest time until a place.  A peer's place beyond it is an error of the
+ * peer. */
+#define CF_RETURN_AHEAD_MAX_MS 10000
+/** Most places of a service.  At 2,000 refusals a second, 2 s of callers. */
+#define CF_RETURN_PLACES_MAX 4096
 
 /** CfReturnState: what is known of the caller of a request that arrives. */
 typedef enum
@@ -21,18 +26,27 @@
   guint64 key; /**< first bytes of the request's digest */
   gint64 due_ms;
   gint64 urgency;
-  gboolean is_own; /**< given out by this gateway, not by a peer */
+  gboolean is_own;    /**< given out by this gateway, not by a peer */
+  gboolean is_unsent; /**< peers are still to be told of it */
 } CfReturnPlace;
 
+typedef struct CfReturnEntry CfReturnEntry;
+typedef TAILQ_HEAD (CfReturnEntryList, CfReturnEntry) CfReturnEntryList;
+
 /**
  * CfReturnSchedule:
  * Times at which callers that one service refused may return.  Each place is
  * given out once, at a rate at which capacity is expected to be free.
+ *
+ * It handles some thousand refusals a second: a place is found by a walk over
+ * those that are due before the longest wait that the caller accepts.  All
+ * zeros is an empty schedule.
  */
 typedef struct
 {
-  GHashTable *by_key; /**< (nullable): key -> #CfReturnPlace */
-  gint64 last_due_ms; /**< latest place given out by this gateway */
+  GHashTable *by_key;       /**< (nullable): key -> #CfReturnEntry */
+  GSequence *by_due;        /**< (nullable): of #CfReturnEntry, owned */
+  CfReturnEntryList unsent; /**< initialized with @by_key */
 } CfReturnSchedule;
 
 /** CfReturnRequest: a refused request and the state that its place depends on.
@@ -47,6 +61,8 @@
                             0: unknown */
   guint n_ahead;       /**< waiting requests of the same or a higher urgency */
   gint64 remaining_ms; /**< until the caller's deadline */
+  gboolean is_anonymous; /**< its caller cannot be recognised by @key: peers
+                              are not told of the place */
 } CfReturnRequest;
 
 void cf_return_schedule_clear (CfReturnSchedule *s);
@@ -64,7 +80,7 @@
 
 /**
  * cf_return_schedule_check:
- * @wait_ms: (out): time left until its place, if it is early
+ * @wait_ms: (out): time left until its place, if it is early; else 0
  */
 CfReturnState cf_return_schedule_check (CfReturnSchedule *s, guint64 key,
                                         gint64 now_ms, gint64 *wait_ms);
@@ -73,13 +89,28 @@
  * served. */
 void cf_return_schedule_remove (CfReturnSchedule *s, guint64 key);
 
-/** cf_return_schedule_put_peer: a peer gave out @p. */
+/**
+ * cf_return_schedule_put_peer:
+ * A peer gave out the place @p.  If the caller has one already, the later one
+ * counts: a caller gets another place only after it came for the former.
+ */
 void cf_return_schedule_put_peer (CfReturnSchedule *s, const CfReturnPlace *p,
                                   gint64 now_ms);
 
-/** cf_return_schedule_count: places due between @from_ms and @to_ms. */
+/**
+ * cf_return_schedule_take_unsent:
+ * @out: (out): a place that peers are still to be told of, and that lies ahead
+ * Returns: %FALSE if there is none.
+ */
+gboolean cf_return_schedule_take_unsent (CfReturnSchedule *s, gint64 now_ms,
+                                         CfReturnPlace *out);
+
+/** cf_return_schedule_count: places due from @from_ms until before @to_ms. */
 guint cf_return_schedule_count (const CfReturnSchedule *s, gint64 from_ms,
                                 gint64 to_ms);
 
+/** cf_return_schedule_is_empty: whether no place is left at @now_ms. */
+gboolean cf_return_schedule_is_empty (CfReturnSchedule *s, gint64 now_ms);
+
 /** cf_return_schedule_expire: drops places that no caller came for. */
 void cf_return_schedule_expire (CfReturnSchedule *s, gint64 now_ms);
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -99,6 +99,9 @@
   print_counter (out, "queued_total", s->queued);
   print_counter (out, "unrouted_total", s->unrouted);
   print_counter (out, "begun_late_total", s->begun_late);
+  print_counter (out, "returns_due_total", s->returns_due);
+  print_counter (out, "returns_early_total", s->returns_early);
+  print_counter (out, "returns_refused_total", s->returns_refused);
   print_histogram (out, "first_event_ms", &s->first_ms);
   print_histogram (out, "answer_ms", &s->whole_ms);
   print_histogram (out, "event_pause_ms", &s->pause_ms);
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -47,8 +47,11 @@
   guint64 callers_turned_away;    /**< connections closed at the caller limit */
   guint64 quarantine_refusals;    /**< requests that crash targets, refused */
   guint64 queued;                 /**< requests that had to queue */
-  guint64 unrouted;   /**< requests that waited for the configuration */
-  guint64 begun_late; /**< queued requests sent too late for their objective */
+  guint64 unrouted;    /**< requests that waited for the configuration */
+  guint64 begun_late;  /**< queued requests sent too late for their objective */
+  guint64 returns_due; /**< refused callers that returned at their time */
+  guint64 returns_early;    /**< likewise before their time */
+  guint64 returns_refused;  /**< refused again after they returned in time */
   CfHistogram first_ms;     /**< time to the first event of a stream */
   CfHistogram whole_ms;     /**< time to the end of any other answer */
   CfHistogram pause_ms;     /**< pause between two events of a stream */
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -16,18 +16,6 @@
  * estimate beyond the objective every request would be late on arrival, and the
  * queue would be first come, first served. */
 #define MAX_FIRST_EVENT_FRACTION 0.75
-/** Minimum back-off requested of callers when all targets are full. */
-#define FULL_BACKOFF_MS 400
-/** The same during an outage of the service: a rank is back 0.5 s after a crash
- * at the earliest, and its group opens 0.6 s after that.  Callers retry only
- * once or twice; if they retried earlier they would only be refused again. */
-#define OUTAGE_BACKOFF_MS 1000
-/** The same during a long outage: the longest back-off that a caller may be
- * given. */
-#define LONG_OUTAGE_BACKOFF_MS 4000
-/** The same in overload: longer than most bursts.  Callers retry only once or
- * twice; if they retried earlier they would only be refused again. */
-#define OVERLOAD_BACKOFF_MS 800
 /** Callers honour a Retry-After of up to a third of their remaining time. */
 #define RETRY_AFTER_FRACTION 0.32
 
@@ -151,23 +139,6 @@
   return (gint64)MIN (first_event_bound, deadline_bound);
 }
 
-gint64
-cf_wait_queue_backoff_ms (CfNoCapacity cause)
-{
-  switch (cause)
-    {
-    case CF_NO_CAPACITY_FULL:
-      return FULL_BACKOFF_MS;
-    case CF_NO_CAPACITY_OVERLOAD:
-      return OVERLOAD_BACKOFF_MS;
-    case CF_NO_CAPACITY_OUTAGE:
-      return OUTAGE_BACKOFF_MS;
-    case CF_NO_CAPACITY_LONG_OUTAGE:
-      return LONG_OUTAGE_BACKOFF_MS;
-    }
-  return FULL_BACKOFF_MS;
-}
-
 gint64
 cf_retry_after_ms (gint64 remaining_ms, gint64 backoff_ms, guint spread)
 {
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -97,19 +97,6 @@
 gint64 cf_wait_queue_max_wait_ms (gint64 first_event_timeout_ms,
                                   gint64 remaining_ms);
 
-/** CfNoCapacity: why a service has no capacity for a request. */
-typedef enum
-{
-  CF_NO_CAPACITY_FULL,        /**< its targets are full */
-  CF_NO_CAPACITY_OVERLOAD,    /**< more requests arrive than can be served */
-  CF_NO_CAPACITY_OUTAGE,      /**< its targets refuse all work */
-  CF_NO_CAPACITY_LONG_OUTAGE, /**< they have done so for long */
-} CfNoCapacity;
-
-/** cf_wait_queue_backoff_ms: how soon there may be capacity for a refused
- * request. */
-gint64 cf_wait_queue_backoff_ms (CfNoCapacity cause);
-
 /**
  * cf_retry_after_ms:
  * @remaining_ms: time left until the request's deadline
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -5,6 +5,7 @@
  */
 #include "gateway/balancer.h"
 #include "gateway/concurrency-limit.h"
+#include "gateway/return-schedule.h"
 #include "gateway/stream-latency.h"
 #include "gateway/wait-queue.h"
 #include "harness.h"
@@ -98,7 +99,9 @@
   CfWaitQueue queue;
   CfStreamLatency latency;
   CfConcurrencyLimit limit;
+  CfReturnSchedule returns;
   double ring_start;
+  double hold_ms; /* mean time from sending to the end; 0: unknown */
   guint in_flight;
 } Gateway;
 
@@ -132,6 +135,7 @@
       cf_wait_queue_init (&gateways[g].queue);
       gateways[g].latency = (CfStreamLatency){ 0 };
       gateways[g].limit = (CfConcurrencyLimit){ 0 };
+      gateways[g].hold_ms = 0;
       gateways[g].ring_start = (double)g / scenario->n_gateways;
       gateways[g].in_flight = 0;
       if (!with_random_start)
@@ -148,7 +152,10 @@
 clear_scenario (void)
 {
   for (int g = 0; g < scenario->n_gateways; g++)
-    cf_target_table_clear (&gateways[g].table);
+    {
+      cf_target_table_clear (&gateways[g].table);
+      cf_return_schedule_clear (&gateways[g].returns);
+    }
   g_ptr_array_free (running, TRUE);
   g_ptr_array_free (backing_off, TRUE);
 }
@@ -196,15 +203,24 @@
   return cf_concurrency_limit_get (&g->limit) != 0;
 }
 
+/* Gives the caller of @s a place at its gateway; returns the time until then.
+ */
+static gint64
+assign_return (const Stream *s, gint64 now)
+{
+  Gateway *g = s->gateway;
+  CfReturnRequest r = { .now_ms = now, .opens_ms = now };
+
+  r.key = ((guint64)g_random_int () << 32) | g_random_int ();
+  r.drain_per_s = g->hold_ms > 0 ? g->in_flight * 1000 / g->hold_ms : 0;
+  r.n_ahead = g->queue.n;
+  r.remaining_ms = s->start_ms + DEADLINE_MS - now;
+  return cf_return_schedule_assign (&g->returns, &r);
+}
+
 static void
 refuse (Stream *s, gint64 now)
 {
-  gint64 backoff_ms = cf_wait_queue_backoff_ms (is_overloaded (s->gateway)
-                                                    ? CF_NO_CAPACITY_OVERLOAD
-                                                    : CF_NO_CAPACITY_FULL);
-  gint64 retry_ms = cf_retry_after_ms (s->start_ms + DEADLINE_MS - now,
-                                       backoff_ms, g_random_int ());
-
   if (!scenario->callers_retry || s->is_retry)
     {
       tally.refused[get_arrival_second (s)]++;
@@ -212,11 +228,10 @@
       return;
     }
   s->is_retry = TRUE;
-  s->retry_at_ms = now + retry_ms;
+  s->retry_at_ms = now + assign_return (s, now);
   g_ptr_array_add (backing_off, s);
 }
 
-/* Gateways treat a retried request like a new one. */
 static void
 on_arrival (Gateway *g, Stream *s, gint64 now)
 {
@@ -225,6 +240,7 @@
                                                    &(CfStreamSize){ 0 });
 
   s->waiter.owner = s;
+  s->waiter.returned = s->is_retry;
   s->gateway = g;
   if (!s->is_retry)
     {
@@ -268,6 +284,14 @@
     }
 }
 
+static void
+add_hold (Gateway *g, gint64 ms)
+{
+  if (g->hold_ms == 0)
+    g->hold_ms = (double)ms;
+  g->hold_ms += ((double)ms - g->hold_ms) * 0.1;
+}
+
 static void
 on_stream_end (Stream *s, gint64 now)
 {
@@ -280,6 +304,7 @@
     tally.late[get_arrival_second (s)]++;
   cf_target_request_ended (s->target, now);
   s->gateway->in_flight--;
+  add_hold (s->gateway, now - s->sent_ms);
   n_writing[s->rank]--;
 }
 
--- a/t/t-wait-queue.c
+++ b/t/t-wait-queue.c
@@ -3,6 +3,7 @@
  * loses power, and callers retry while its backlog is worked off.
  */
 #include "gateway/outage.h"
+#include "gateway/return-schedule.h"
 #include "gateway/wait-queue.h"
 #include "harness.h"
 
@@ -20,6 +21,9 @@
 #define GAP_OBJECTIVE_MS 150
 #define EXPECTED_FIRST_MS 250
 #define TYPICAL_EVENTS 19
+#define MEAN_DURATION_MS (EXPECTED_FIRST_MS + TYPICAL_EVENTS * PASS_MS)
+/** When an outage is expected to end. */
+#define OUTAGE_WAIT_MS 1000
 #define STEP_MS 10
 /** When the power is lost, callers reach the gateways again, the group opens,
  * and the simulation ends. */
@@ -70,6 +74,7 @@
   Policy policy;
   CfWaitQueue queue;
   CfOutage outage;
+  CfReturnSchedule returns;
   GPtrArray *requests;
   GRand *rand;
   gint64 now;
@@ -97,21 +102,28 @@
     r->next_ms = sim->now;
 }
 
+/* Gives the caller of @r a place; returns the time until then. */
+static gint64
+assign_return (Simulation *sim, const Request *r)
+{
+  gint64 opens_ms = sim->outage.since_ms ? sim->now + OUTAGE_WAIT_MS : sim->now;
+  CfReturnRequest request = { .now_ms = sim->now, .opens_ms = opens_ms };
+
+  request.key
+      = ((guint64)g_rand_int (sim->rand) << 32) | g_rand_int (sim->rand);
+  request.drain_per_s = N_SLOTS * 1000.0 / MEAN_DURATION_MS;
+  request.n_ahead = sim->queue.n;
+  request.remaining_ms = r->deadline_ms - sim->now;
+  return cf_return_schedule_assign (&sim->returns, &request);
+}
+
 static void
 refuse (Simulation *sim, Request *r)
 {
-  gint64 remaining_ms = r->deadline_ms - sim->now;
-
   cf_wait_queue_remove (&sim->queue, &r->w);
   r->state = r->is_retry ? LOST : BACKING_OFF;
   r->is_retry = TRUE;
-  r->next_ms = sim->now
-               + cf_retry_after_ms (
-                   remaining_ms,
-                   cf_wait_queue_backoff_ms (sim->outage.since_ms != 0
-                                                 ? CF_NO_CAPACITY_OUTAGE
-                                                 : CF_NO_CAPACITY_FULL),
-                   g_rand_int (sim->rand));
+  r->next_ms = sim->now + assign_return (sim, r);
 }
 
 static void
@@ -233,6 +245,7 @@
       t.lost += r->state == LOST;
       t.on_time += r->state == SERVED && r->on_time;
     }
+  cf_return_schedule_clear (&sim.returns);
   g_rand_free (sim.rand);
   g_ptr_array_unref (sim.requests);
   return t;
