return-schedule: skip the time known to be taken

With refusals at twice the drain, the walk over the places of the next 1.2 s took 36 us for each refusal at 1,000 requests a second and 70 us at 4,000. The schedule remembers a span without a gap and the next walk starts behind it: 2 us (one urgency). With three urgencies and a rate that fluctuates by a tenth: 2 us at 1,000, 39 us at 4,000 (trial on a loop of 100,000 refusals).

A test compares the places with those of a plain search.

--- a/gateway/return-schedule.c
+++ b/gateway/return-schedule.c
@@ -10,6 +10,9 @@
 /** A gap of this many intervals is wide enough; sums of intervals are not
  * exact. */
 #define GAP_TOLERANCE 0.99
+/** A span without a gap counts as such for requests whose interval is shorter
+ * by up to this factor: the rate at which requests end fluctuates. */
+#define TAKEN_TOLERANCE 0.8
 /** Least wait: a hello with the place has to reach the other gateways first. */
 #define WAIT_MIN_MS 100
 /** Longest wait once capacity is free.  With up to a third of 8 s, the callers
@@ -82,6 +85,10 @@
 static void
 remove_entry (CfReturnSchedule *s, CfReturnEntry *e)
 {
+  CfReturnSpan *taken = &s->taken;
+
+  if (e->place.is_own && e->at_ms + taken->interval_ms > taken->from_ms)
+    taken->from_ms = e->at_ms + taken->interval_ms;
   if (e->place.is_unsent)
     TAILQ_REMOVE (&s->unsent, e, unsent_link);
   g_hash_table_remove (s->by_key, &e->place.key);
@@ -135,31 +142,61 @@
   return it;
 }
 
+/* Whether @taken has no gap at @at_ms for a request of @urgency. */
+static gboolean
+is_taken (const CfReturnSpan *taken, gint64 urgency, double at_ms,
+          double interval_ms)
+{
+  return at_ms >= taken->from_ms && at_ms < taken->to_ms
+         && urgency >= taken->urgency
+         && interval_ms >= taken->interval_ms * TAKEN_TOLERANCE;
+}
+
+/* Remembers that there is no gap in @found, unless a longer span is known, or
+ * one that is at least half as long for more urgent requests, which all less
+ * urgent ones can use as well. */
+static void
+note_taken (CfReturnSpan *taken, const CfReturnSpan *found)
+{
+  double found_ms = found->to_ms - found->from_ms;
+  double known_ms = taken->to_ms - MAX (taken->from_ms, found->from_ms);
+
+  if (found_ms >= known_ms * (found->urgency > taken->urgency ? 2 : 1))
+    *taken = *found;
+}
+
 /* Returns the first time from @from_ms on that is @interval_ms away from all
  * places that go before @r; any time from @limit_ms on if there is none before
  * that. */
 static double
-find_free_time (const CfReturnSchedule *s, const CfReturnRequest *r,
-                double from_ms, double interval_ms, double limit_ms)
+find_free_time (CfReturnSchedule *s, const CfReturnRequest *r, double from_ms,
+                double interval_ms, double limit_ms)
 {
-  double at_ms = from_ms;
+  CfReturnSpan found = { from_ms, from_ms, interval_ms, r->urgency };
   GSequenceIter *it;
 
   if (!s->by_due)
-    return at_ms;
-  for (it = search_due (s, from_ms - interval_ms);
-       !g_sequence_iter_is_end (it) && at_ms < limit_ms;
-       it = g_sequence_iter_next (it))
+    return from_ms;
+  it = search_due (s, from_ms - interval_ms);
+  while (!g_sequence_iter_is_end (it) && found.to_ms < limit_ms)
     {
       const CfReturnEntry *e = g_sequence_get (it);
 
-      if (!e->place.is_own || e->place.urgency > r->urgency)
-        continue;
-      if (e->at_ms - at_ms >= interval_ms * GAP_TOLERANCE)
+      if (is_taken (&s->taken, r->urgency, found.to_ms, interval_ms))
+        {
+          found.to_ms = s->taken.to_ms;
+          found.interval_ms = MAX (found.interval_ms, s->taken.interval_ms);
+          it = search_due (s, found.to_ms - interval_ms);
+          continue;
+        }
+      it = g_sequence_iter_next (it);
+      if (e->at_ms - found.to_ms >= interval_ms * GAP_TOLERANCE)
         break;
-      at_ms = MAX (at_ms, e->at_ms + interval_ms);
+      if (e->place.is_own && e->place.urgency <= r->urgency)
+        found.to_ms = MAX (found.to_ms, e->at_ms + interval_ms);
     }
-  return at_ms;
+  note_taken (&s->taken, &found);
+  return found.to_ms;
 }
 
 /* Returns the latest time that @r may get. */
@@ -175,7 +212,7 @@
 
 /* Returns when capacity is expected for @r, at @limit_ms at the latest. */
 static double
-find_time (const CfReturnSchedule *s, const CfReturnRequest *r, gint64 limit_ms)
+find_time (CfReturnSchedule *s, const CfReturnRequest *r, gint64 limit_ms)
 {
   double from_ms = (double)MAX (r->opens_ms, r->now_ms);
   double interval_ms;
--- a/gateway/return-schedule.h
+++ b/gateway/return-schedule.h
@@ -30,6 +30,16 @@
   gboolean is_unsent; /**< peers are still to be told of it */
 } CfReturnPlace;
 
+/** CfReturnSpan: a time without a gap between the places of an urgency and of
+ * higher ones. */
+typedef struct
+{
+  double from_ms;
+  double to_ms; /**< not after @from_ms: none is known */
+  double interval_ms;
+  gint64 urgency;
+} CfReturnSpan;
+
 typedef struct CfReturnEntry CfReturnEntry;
 typedef TAILQ_HEAD (CfReturnEntryList, CfReturnEntry) CfReturnEntryList;
 
@@ -38,15 +48,16 @@
  * Times at which callers that one service refused may return.  Each place is
  * given out once, at a rate at which capacity is expected to be free.
  *
- * It handles some thousand refusals a second: a place is found by a walk over
- * those that are due before the longest wait that the caller accepts.  All
- * zeros is an empty schedule.
+ * It handles some ten thousand refusals a second: a place is found by a walk
+ * over those that are due before the longest wait, and the walk skips the time
+ * that the former one found to be taken.  All zeros is an empty schedule.
  */
 typedef struct
 {
   GHashTable *by_key;       /**< (nullable): key -> #CfReturnEntry */
   GSequence *by_due;        /**< (nullable): of #CfReturnEntry, owned */
   CfReturnEntryList unsent; /**< initialized with @by_key */
+  CfReturnSpan taken;
 } CfReturnSchedule;
 
 /** CfReturnRequest: a refused request and the state that its place depends on.
--- a/t/t-return-schedule.c
+++ b/t/t-return-schedule.c
@@ -36,13 +36,20 @@
 }
 
 static gint64
-assign (guint64 key)
+assign_at_rate (guint64 key, double drain_per_s)
 {
   CfReturnRequest r = make_request (key);
 
+  r.drain_per_s = drain_per_s;
   return cf_return_schedule_assign (&schedule, &r);
 }
 
+static gint64
+assign (guint64 key)
+{
+  return assign_at_rate (key, DRAIN_PER_S);
+}
+
 static CfReturnState
 check (guint64 key, gint64 now_ms)
 {
@@ -90,11 +97,11 @@
   gint64 ms[51];
 
   for (guint64 key = 1; key <= 50; key++)
-    ms[key] = assign (key);
+    ms[key] = assign_at_rate (key, DRAIN_PER_S * 0.9);
   for (guint64 key = 2; key < 50; key += 2)
     {
       cf_return_schedule_remove (&schedule, key);
-      ck_assert_int_le (ABS (assign (100 + key) - ms[key]), 1);
+      ck_assert_int_eq (assign_at_rate (100 + key, DRAIN_PER_S * 0.9), ms[key]);
     }
 }
 END_TEST
@@ -199,6 +206,79 @@
 }
 END_TEST
 
+/** ModelPlace: a place of the reference model below. */
+typedef struct
+{
+  guint64 key;
+  gint64 urgency;
+  double at_ms;
+} ModelPlace;
+
+static int
+compare_model_places (gconstpointer a, gconstpointer b)
+{
+  double x = ((const ModelPlace *)a)->at_ms;
+  double y = ((const ModelPlace *)b)->at_ms;
+
+  return (x > y) - (x < y);
+}
+
+/* Returns the place that @r gets, without the limit on its wait. */
+static double
+find_model_place (GArray *places, const CfReturnRequest *r)
+{
+  double at_ms
+      = (double)r->now_ms + MAX (100, r->n_ahead * (double)INTERVAL_MS);
+
+  g_array_sort (places, compare_model_places);
+  for (guint i = 0; i < places->len; i++)
+    {
+      const ModelPlace *p = &g_array_index (places, ModelPlace, i);
+
+      if (p->urgency <= r->urgency && p->at_ms > at_ms - INTERVAL_MS * 0.99
+          && p->at_ms < at_ms + INTERVAL_MS * 0.99)
+        at_ms = p->at_ms + INTERVAL_MS;
+    }
+  return at_ms;
+}
+
+/* Guards against errors of the search, which skips the time that it knows to be
+ * taken. */
+START_TEST (places_are_as_in_a_plain_search)
+{
+  GRand *rand = g_rand_new_with_seed ((guint32)_i);
+  GArray *places = g_array_new (FALSE, FALSE, sizeof (ModelPlace));
+  CfReturnRequest r = make_request (0);
+
+  for (r.key = 1; r.key < 1500; r.key++)
+    {
+      ModelPlace p = { .key = r.key };
+      gint64 ms;
+
+      r.opens_ms = r.now_ms += g_rand_int_range (rand, 0, 10);
+      r.urgency = p.urgency = g_rand_int_range (rand, 0, 3);
+      r.n_ahead = (guint)g_rand_int_range (rand, 0, 20);
+      p.at_ms = MIN (find_model_place (places, &r),
+                     (double)(r.now_ms + MAX_WAIT_MS));
+      ms = cf_return_schedule_assign (&schedule, &r);
+      ck_assert_msg (ABS ((double)(r.now_ms + ms) - p.at_ms) <= 1,
+                     "caller %d: %d ms, not %.1f", (int)r.key, (int)ms,
+                     p.at_ms - (double)r.now_ms);
+      g_array_append_val (places, p);
+      if (g_rand_int_range (rand, 0, 3) > 0)
+        continue;
+      p = g_array_index (places, ModelPlace,
+                         g_rand_int_range (rand, 0, (gint32)places->len));
+      cf_return_schedule_remove (&schedule, p.key);
+      for (guint i = places->len; i-- > 0;)
+        if (g_array_index (places, ModelPlace, i).key == p.key)
+          g_array_remove_index (places, i);
+    }
+  g_array_unref (places);
+  g_rand_free (rand);
+}
+END_TEST
+
 START_TEST (caller_is_due_from_its_time_on)
 {
   gint64 ms = assign (1);
@@ -557,6 +637,7 @@
   tcase_add_test (t, places_are_spread_while_the_rate_is_unknown);
   tcase_add_test (t, more_urgent_callers_go_first);
   tcase_add_test (t, places_are_soon_when_capacity_is_free);
+  tcase_add_loop_test (t, places_are_as_in_a_plain_search, 0, 8);
   tcase_add_test (t, caller_is_due_from_its_time_on);
   tcase_add_test (t, served_caller_is_new_again);
   tcase_add_test (t, places_are_bounded);
