exchange-return: refuse early callers only behind as urgent ones

An early caller was also refused while only less urgent requests waited, behind which it would not have had to wait. A refused request without a body whose place was nearly due, or overdue, got that place too; it now has one of its own.

--- a/explain.c
+++ b/explain.c
@@ -51,7 +51,7 @@
   { NULL, "queue-full", "the service's queue was full" },
   { NULL, "returned-early",
     "its caller had been refused and returned before the time that it was "
-    "told, while other requests waited; see E1222" },
+    "told, while others that are as urgent waited; see E1222" },
   { NULL, "more-urgent-waits",
     "requests of a more urgent priority filled the service's queue" },
   { NULL, "stopping", "the gateway was shutting down; see E1405" },
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -181,8 +181,8 @@
  * cf_exchange_refuse_early:
  * Called before a new request is sent or queued.  If its caller was refused
  * before and returns at its time, the request takes precedence.
- * Returns: %TRUE if its caller returned too early while others wait; it was
- *   answered, and is freed.
+ * Returns: %TRUE if its caller returned too early while others of the same or a
+ *   higher urgency wait; it was answered, and is freed.
  */
 gboolean cf_exchange_refuse_early (CfExchange *x);
 
--- a/gateway/exchange-return.c
+++ b/gateway/exchange-return.c
@@ -105,7 +105,7 @@
   if (!may_be_shared (x)
       || cf_return_schedule_check (&x->service_state->returns, r->key,
                                    r->now_ms, &wait_ms)
-             != CF_RETURN_EARLY)
+             == CF_RETURN_NEW)
     return;
   r->is_anonymous = TRUE;
   r->key = ((guint64)g_random_int () << 32) | g_random_int ();
@@ -182,7 +182,7 @@
     return FALSE;
   log_return (x, "early", wait_ms);
   x->gateway->stats.returns_early++;
-  if (s->queue.n > 0)
+  if (count_ahead (x) > 0)
     {
       cf_exchange_refuse_for (x, "returned-early", wait_ms);
       return TRUE;
--- a/t/t-returns.c
+++ b/t/t-returns.c
@@ -88,13 +88,13 @@
   usleep (50000);
 }
 
-/* Sends the order of the caller that returns to gateway @n, with a new request
- * id; returns the status, and in @retry_ms the time to return, or -1. */
+/* Sends an order with @body, and with a new request id, to gateway @n; returns
+ * the status, and in @retry_ms the time to return, or -1. */
 static int
-send_order (int n, int *retry_ms)
+send_order (int n, const char *body, int *retry_ms)
 {
   g_autofree char *id = g_strdup_printf ("again-%d", n_sent++);
-  g_autofree char *req = p_build_request ("POST /order/a", id, NULL, BODY);
+  g_autofree char *req = p_build_request ("POST /order/a", id, NULL, body);
   g_autofree char *answer = p_round_trip (p_front_port (BASE, n), req);
   const char *header = strstr (answer, "Retry-After: ");
 
@@ -131,7 +131,7 @@
 
   start_pair (p);
   fill (p->from);
-  ck_assert_int_eq (send_order (p->from, &told_ms), 503);
+  ck_assert_int_eq (send_order (p->from, BODY, &told_ms), 503);
   refused_us = g_get_monotonic_time ();
   ck_assert_int_ge (told_ms, 400);
   usleep (HELLO_MS * 1000);
@@ -139,7 +139,7 @@
 
   fill (p->to);
   early_ms = ms_since (refused_us);
-  ck_assert_int_eq (send_order (p->to, &left_ms), 503);
+  ck_assert_int_eq (send_order (p->to, BODY, &left_ms), 503);
   check_log (p->to, "reason=returned-early");
   ck_assert_int_ge (left_ms, told_ms - early_ms - SLACK_MS);
   ck_assert_int_le (left_ms, told_ms - early_ms + SLACK_MS);
@@ -147,7 +147,7 @@
   usleep (MAX (told_ms - ms_since (refused_us) + 20, 0) * 1000);
   /* Newcomers fill the queue again, and one of them makes room. */
   fill (p->to);
-  ck_assert_int_eq (send_order (p->to, &left_ms), 200);
+  ck_assert_int_eq (send_order (p->to, BODY, &left_ms), 200);
   check_log (p->to, "reason=queue-full");
   check_log (p->to, "outcome=due");
   check_log (p->to, "reason=more-urgent-waits");
@@ -160,13 +160,31 @@
 
   start_pair (&pairs[0]);
   fill (1);
-  ck_assert_int_eq (send_order (1, &told_ms), 503);
+  ck_assert_int_eq (send_order (1, BODY, &told_ms), 503);
   usleep (HELLO_MS * 1000);
-  ck_assert_int_eq (send_order (2, &told_ms), 200);
+  ck_assert_int_eq (send_order (2, BODY, &told_ms), 200);
   check_log (2, "outcome=early");
 }
 END_TEST
 
+/* Guards against callers that are refused as early because others sent the same
+ * request, as is common for those without a body. */
+START_TEST (callers_without_a_body_are_not_taken_for_one)
+{
+  g_autofree char *log = NULL;
+  int told_ms;
+
+  start_pair (&pairs[0]);
+  fill (1);
+  for (int i = 0; i < 3; i++)
+    ck_assert_int_eq (send_order (1, "", &told_ms), 503);
+  log = g_strdup_printf ("t/out/gateway-%d-1.log", BASE);
+  ck_assert (p_wait_for_log_count (log, "reason=queue-full", 3, 1000));
+  ck_assert (p_wait_for_log_count (log, " return_ms=", 3, 1000));
+  ck_assert_uint_eq (p_count_in_log (log, "outcome=early"), 0);
+}
+END_TEST
+
 static void
 teardown (void)
 {
@@ -185,6 +203,7 @@
   tcase_add_checked_fixture (t, NULL, teardown);
   tcase_add_loop_test (t, place_is_honoured_at_another_gateway, 0,
                        G_N_ELEMENTS (pairs));
+  tcase_add_test (t, callers_without_a_body_are_not_taken_for_one);
   tcase_add_test (t, early_caller_is_served_while_nobody_waits);
   suite_add_tcase (s, t);
   return t_run_suite (s);
