gateway: divide a service's capacity by demand

Gateways divide a service's capacity evenly, so with 90 % of the connections at one of 8 gateways and demand for 30 of 64 slots only 0.333 of the requests are served (docs/design/contended-capacity.md).

Nothing calls them yet.

--- /dev/null
+++ b/gateway/demand.c
@@ -0,0 +1,447 @@
+#include "demand.h"
+
+#include <math.h>
+#include <string.h>
+
+/** No deployment has more organisations; more in an entry is a fault. */
+#define ORGS_MAX 1000000
+/** Organisations of which a meter keeps rates.  Merged entries come on top, one
+ * for each urgency; urgencies follow from the configuration. */
+#define METER_ORGS_MAX 256
+/** Rates are averaged over this time, so that a share follows a skew within
+ * half a second. */
+#define RATE_MEAN_MS 500.0
+/** Requests that hold slots for longer arrive less often, and half a second has
+ * too few of them for an average: rates are averaged over this part of the hold
+ * time, up to the given time. */
+#define RATE_MEAN_HOLDS 0.5
+#define RATE_MEAN_MAX_MS 4000.0
+/** A rate below one request in 20 s is forgotten. */
+#define RATE_MIN_PER_S 0.05
+/** Samples in the mean of hold times. */
+#define HOLD_SAMPLES 32
+
+/** RateKey: what a rate is of. */
+typedef struct
+{
+  gint64 urgency;
+  guint32 org;
+} RateKey;
+
+/** Rate: a smoothed arrival rate. */
+typedef struct
+{
+  RateKey key;
+  double per_s; /* at @updated_ms */
+  gint64 updated_ms;
+} Rate;
+
+guint32
+cf_demand_org_id (const char *org)
+{
+  guint32 h = 2166136261U; /* FNV-1a */
+
+  for (const char *c = org ? org : ""; *c; c++)
+    h = (h ^ (guint8)*c) * 16777619U;
+  return h == CF_DEMAND_OTHER_ORGS ? 1 : h;
+}
+
+static int
+compare_keys (const CfDemand *a, const CfDemand *b)
+{
+  if (a->urgency != b->urgency)
+    return a->urgency < b->urgency ? -1 : 1;
+  return (a->org > b->org) - (a->org < b->org);
+}
+
+/* Returns the index of the first entry that is not before @d. */
+static guint
+find_position (const CfDemandTable *t, const CfDemand *d)
+{
+  guint i = 0;
+
+  while (i < t->n && compare_keys (&t->entries[i], d) < 0)
+    i++;
+  return i;
+}
+
+static const CfDemand *
+find (const CfDemandTable *t, gint64 urgency, guint32 org)
+{
+  const CfDemand key = { .urgency = urgency, .org = org };
+  guint i = find_position (t, &key);
+
+  return i < t->n && compare_keys (&t->entries[i], &key) == 0 ? &t->entries[i]
+                                                              : NULL;
+}
+
+static void
+remove_entry (CfDemandTable *t, guint i)
+{
+  t->n--;
+  memmove (&t->entries[i], &t->entries[i + 1],
+           (t->n - i) * sizeof t->entries[0]);
+}
+
+static void
+insert_entry (CfDemandTable *t, guint i, const CfDemand *d)
+{
+  memmove (&t->entries[i + 1], &t->entries[i],
+           (t->n - i) * sizeof t->entries[0]);
+  t->entries[i] = *d;
+  t->n++;
+}
+
+/* True if entry @i is not the only one of its urgency. */
+static gboolean
+has_sibling (const CfDemandTable *t, guint i)
+{
+  gint64 u = t->entries[i].urgency;
+
+  return (i > 0 && t->entries[i - 1].urgency == u)
+         || (i + 1 < t->n && t->entries[i + 1].urgency == u);
+}
+
+/* Returns the index of the organisation with the least demand among those of
+ * @urgency, or, if that is negative, of all urgencies with several entries;
+ * @t->n if there is none. */
+static guint
+find_smallest_org (const CfDemandTable *t, gint64 urgency)
+{
+  guint min = t->n;
+
+  for (guint i = 0; i < t->n; i++)
+    {
+      const CfDemand *d = &t->entries[i];
+
+      if (d->org == CF_DEMAND_OTHER_ORGS
+          || (urgency < 0 ? !has_sibling (t, i) : d->urgency != urgency))
+        continue;
+      if (min == t->n || d->slots < t->entries[min].slots)
+        min = i;
+    }
+  return min;
+}
+
+/* Merges the organisation of entry @i into the merged entry of its urgency. */
+static void
+merge_org (CfDemandTable *t, guint i)
+{
+  CfDemand d = t->entries[i];
+  guint to;
+
+  remove_entry (t, i);
+  d.org = CF_DEMAND_OTHER_ORGS;
+  to = find_position (t, &d);
+  if (to < t->n && compare_keys (&t->entries[to], &d) == 0)
+    {
+      t->entries[to].slots += d.slots;
+      t->entries[to].n_orgs += d.n_orgs;
+    }
+  else
+    insert_entry (t, to, &d);
+}
+
+/* Merges the two least urgent entries. */
+static void
+merge_last_urgencies (CfDemandTable *t)
+{
+  CfDemand *last = &t->entries[t->n - 1];
+
+  last[-1].urgency = last->urgency;
+  last[-1].org = CF_DEMAND_OTHER_ORGS;
+  last[-1].n_orgs += last->n_orgs;
+  last[-1].slots += last->slots;
+  t->n--;
+}
+
+/* Removes one entry from a full table. */
+static void
+make_room (CfDemandTable *t)
+{
+  guint i = find_smallest_org (t, -1);
+  gint64 urgency;
+
+  if (i == t->n)
+    {
+      merge_last_urgencies (t);
+      return;
+    }
+  urgency = t->entries[i].urgency;
+  merge_org (t, i);
+  if (t->n == CF_DEMAND_ENTRIES_MAX)
+    merge_org (t, find_smallest_org (t, urgency));
+}
+
+void
+cf_demand_table_add (CfDemandTable *t, const CfDemand *d)
+{
+  guint i = find_position (t, d);
+
+  if (i < t->n && compare_keys (&t->entries[i], d) == 0)
+    {
+      t->entries[i].slots += d->slots;
+      t->entries[i].n_orgs = MAX (t->entries[i].n_orgs, d->n_orgs);
+      return;
+    }
+  if (t->n == CF_DEMAND_ENTRIES_MAX)
+    make_room (t);
+  insert_entry (t, find_position (t, d), d);
+}
+
+/* Returns the number of organisations of @urgency in @t, and the number of
+ * entries that are of one organisation. */
+static guint
+count_orgs (const CfDemandTable *t, gint64 urgency, guint *n_named)
+{
+  guint n = 0;
+
+  *n_named = 0;
+  for (guint i = 0; i < t->n; i++)
+    if (t->entries[i].urgency == urgency)
+      {
+        n += t->entries[i].n_orgs;
+        *n_named += t->entries[i].org != CF_DEMAND_OTHER_ORGS;
+      }
+  return n;
+}
+
+/* Returns the number of organisations of @urgency in two tables, if those that
+ * are merged in one are among those of the other. */
+static guint
+count_union (const CfDemandTable *a, const CfDemandTable *b, gint64 urgency)
+{
+  guint named_a;
+  guint named_b;
+  guint n_a = count_orgs (a, urgency, &named_a);
+  guint n_b = count_orgs (b, urgency, &named_b);
+  guint named = named_a;
+
+  for (guint i = 0; i < b->n; i++)
+    named += b->entries[i].urgency == urgency
+             && b->entries[i].org != CF_DEMAND_OTHER_ORGS
+             && !find (a, urgency, b->entries[i].org);
+  return MAX (named, MAX (n_a, n_b));
+}
+
+void
+cf_demand_table_merge (CfDemandTable *t, const CfDemandTable *from)
+{
+  const CfDemandTable before = *t;
+
+  for (guint i = 0; i < from->n; i++)
+    cf_demand_table_add (t, &from->entries[i]);
+  for (guint i = 0; i < t->n; i++)
+    {
+      CfDemand *d = &t->entries[i];
+      guint n = count_union (&before, from, d->urgency);
+      guint named;
+
+      if (d->org != CF_DEMAND_OTHER_ORGS)
+        continue;
+      count_orgs (t, d->urgency, &named);
+      d->n_orgs = n > named ? n - named : 1;
+    }
+}
+
+void
+cf_demand_table_merge_orgs (CfDemandTable *t)
+{
+  guint i = 0;
+
+  while (i < t->n)
+    if (t->entries[i].org != CF_DEMAND_OTHER_ORGS && has_sibling (t, i))
+      merge_org (t, i);
+    else
+      t->entries[i++].org = CF_DEMAND_OTHER_ORGS;
+}
+
+double
+cf_demand_table_total (const CfDemandTable *t)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < t->n; i++)
+    sum += t->entries[i].slots;
+  return sum;
+}
+
+/* Returns the entry that the entries of @urgency were merged into because the
+ * table has too many urgencies. */
+static const CfDemand *
+find_less_urgent (const CfDemandTable *t, gint64 urgency)
+{
+  if (t->n < CF_DEMAND_ENTRIES_MAX)
+    return NULL;
+  for (guint i = 0; i < t->n; i++)
+    if (t->entries[i].urgency == urgency)
+      return NULL;
+  for (guint i = 0; i < t->n; i++)
+    if (t->entries[i].urgency > urgency
+        && t->entries[i].org == CF_DEMAND_OTHER_ORGS)
+      return &t->entries[i];
+  return NULL;
+}
+
+double
+cf_demand_table_lookup (const CfDemandTable *t, gint64 urgency, guint32 org)
+{
+  const CfDemand *d = find (t, urgency, org);
+
+  if (!d)
+    d = find (t, urgency, CF_DEMAND_OTHER_ORGS);
+  if (!d)
+    d = find_less_urgent (t, urgency);
+  return d ? d->slots : 0;
+}
+
+static gboolean
+is_valid_entry (const CfDemand *d, double max_slots)
+{
+  return d->urgency >= 0 && isfinite (d->slots) && d->slots >= 0
+         && d->slots <= max_slots && d->n_orgs >= 1
+         && d->n_orgs <= (d->org == CF_DEMAND_OTHER_ORGS ? ORGS_MAX : 1);
+}
+
+gboolean
+cf_demand_table_is_valid (const CfDemandTable *t, double max_slots)
+{
+  if (t->n > CF_DEMAND_ENTRIES_MAX)
+    return FALSE;
+  for (guint i = 0; i < t->n; i++)
+    if (!is_valid_entry (&t->entries[i], max_slots)
+        || (i > 0 && compare_keys (&t->entries[i - 1], &t->entries[i]) >= 0))
+      return FALSE;
+  return cf_demand_table_total (t) <= max_slots;
+}
+
+static guint
+hash_key (gconstpointer p)
+{
+  const RateKey *k = p;
+
+  return k->org ^ ((guint)k->urgency * 0x9e3779b1U);
+}
+
+static gboolean
+keys_are_equal (gconstpointer a, gconstpointer b)
+{
+  const RateKey *x = a;
+  const RateKey *y = b;
+
+  return x->urgency == y->urgency && x->org == y->org;
+}
+
+void
+cf_demand_meter_clear (CfDemandMeter *m)
+{
+  g_clear_pointer (&m->rates, g_hash_table_unref);
+  *m = (CfDemandMeter){ 0 };
+}
+
+/* Returns the time over which rates are averaged. */
+static double
+get_mean_ms (const CfDemandMeter *m)
+{
+  return CLAMP (m->hold_ms * RATE_MEAN_HOLDS, RATE_MEAN_MS, RATE_MEAN_MAX_MS);
+}
+
+static void
+decay_rate (Rate *r, double mean_ms, gint64 now_ms)
+{
+  r->per_s *= exp (-(double)MAX (now_ms - r->updated_ms, 0) / mean_ms);
+  r->updated_ms = now_ms;
+}
+
+/* Returns the rate of @key, or of all organisations without a rate of their own
+ * if there are too many. */
+static Rate *
+get_rate (CfDemandMeter *m, RateKey key, gint64 now_ms)
+{
+  Rate *r = g_hash_table_lookup (m->rates, &key);
+
+  if (r)
+    return r;
+  if (m->n_orgs >= METER_ORGS_MAX && key.org != CF_DEMAND_OTHER_ORGS)
+    return get_rate (m, (RateKey){ key.urgency, CF_DEMAND_OTHER_ORGS }, now_ms);
+  r = g_new0 (Rate, 1);
+  r->key = key;
+  r->updated_ms = now_ms;
+  g_hash_table_insert (m->rates, &r->key, r);
+  m->n_orgs += key.org != CF_DEMAND_OTHER_ORGS;
+  return r;
+}
+
+void
+cf_demand_meter_add_arrival (CfDemandMeter *m, gint64 urgency, guint32 org,
+                             gint64 now_ms)
+{
+  double mean_ms = get_mean_ms (m);
+  Rate *r;
+
+  if (!m->rates)
+    m->rates = g_hash_table_new_full (hash_key, keys_are_equal, NULL, g_free);
+  m->urgency = urgency;
+  m->org = org;
+  r = get_rate (m, (RateKey){ urgency, org }, now_ms);
+  decay_rate (r, mean_ms, now_ms);
+  r->per_s += 1000 / mean_ms;
+}
+
+void
+cf_demand_meter_add_hold (CfDemandMeter *m, gint64 ms)
+{
+  m->n_holds = MIN (m->n_holds + 1, HOLD_SAMPLES);
+  m->hold_ms += ((double)MAX (ms, 1) - m->hold_ms) / m->n_holds;
+}
+
+/* Adds the rates as entries to @out; forgets those that have decayed. */
+static void
+read_rates (CfDemandMeter *m, gint64 now_ms, CfDemandTable *out)
+{
+  double mean_ms = get_mean_ms (m);
+  double hold_s = m->hold_ms > 0 ? m->hold_ms / 1000 : 1;
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, m->rates);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      Rate *r = value;
+      CfDemand d = { r->key.urgency, r->key.org, 1, 0 };
+
+      decay_rate (r, mean_ms, now_ms);
+      d.slots = r->per_s * hold_s;
+      if (r->per_s >= RATE_MIN_PER_S)
+        {
+          cf_demand_table_add (out, &d);
+          continue;
+        }
+      m->n_orgs -= d.org != CF_DEMAND_OTHER_ORGS;
+      g_hash_table_iter_remove (&it);
+    }
+}
+
+void
+cf_demand_meter_read (CfDemandMeter *m, guint in_flight, guint waiting,
+                      gint64 now_ms, CfDemandTable *out)
+{
+  gboolean is_known = m->hold_ms > 0;
+  double min_slots = is_known ? in_flight : in_flight + waiting;
+  double total;
+
+  out->n = 0;
+  if (m->rates)
+    read_rates (m, now_ms, out);
+  total = cf_demand_table_total (out);
+  if (out->n == 0 && min_slots > 0)
+    {
+      /* No request has arrived for a while, but earlier ones still run. */
+      const CfDemand d = { m->urgency, m->org, 1, min_slots };
+
+      cf_demand_table_add (out, &d);
+    }
+  else if (total < min_slots || !is_known)
+    for (guint i = 0; i < out->n; i++)
+      out->entries[i].slots *= min_slots / total;
+}
--- a/gateway/demand.h
+++ b/gateway/demand.h
@@ -19,7 +19,9 @@
 /**
  * CfDemandTable:
  * Demand at one service, sorted by urgency, then organisation.  If there are
- * more organisations than entries, those with the least demand are merged.
+ * more organisations than entries, those with the least demand are merged into
+ * the entry %CF_DEMAND_OTHER_ORGS of their urgency; if there are more urgencies
+ * than entries, the two least urgent ones are merged into the last.
  */
 typedef struct
 {
@@ -35,7 +37,12 @@
  * organisation, or as a new entry. */
 void cf_demand_table_add (CfDemandTable *t, const CfDemand *d);
 
-/** cf_demand_table_merge: adds all entries of @from to @t. */
+/**
+ * cf_demand_table_merge:
+ * Adds all entries of @from, the demand of another gateway, to @t.  Merged
+ * organisations of the two are assumed to be the same ones as far as their
+ * numbers allow, since callers usually use all gateways.
+ */
 void cf_demand_table_merge (CfDemandTable *t, const CfDemandTable *from);
 
 /** cf_demand_table_merge_orgs: reduces @t to one entry for each urgency. */
@@ -50,8 +57,9 @@
 double cf_demand_table_lookup (const CfDemandTable *t, gint64 urgency,
                                guint32 org);
 
-/** cf_demand_table_is_valid: whether all values received from a peer are in
- * range: numbers, not negative, at most @max_slots in total. */
+/** cf_demand_table_is_valid: whether a table received from a peer is sorted and
+ * all of its values are in range: numbers, not negative, at most @max_slots in
+ * total. */
 gboolean cf_demand_table_is_valid (const CfDemandTable *t, double max_slots);
 
 /**
@@ -63,7 +71,11 @@
 typedef struct
 {
   GHashTable *rates; /**< (nullable): of smoothed rates by urgency and org */
+  guint n_orgs;      /**< entries of @rates that are of one organisation */
   double hold_ms;    /**< mean time from sending to the end; 0: unknown */
+  guint n_holds;     /**< samples of @hold_ms, up to the number it averages */
+  gint64 urgency;    /**< of the latest request */
+  guint32 org;       /**< of the latest request */
 } CfDemandMeter;
 
 void cf_demand_meter_clear (CfDemandMeter *m);
@@ -76,5 +88,13 @@
  */
 void cf_demand_meter_add_hold (CfDemandMeter *m, gint64 ms);
 
-/** cf_demand_meter_read: writes the current demand to @out. */
-void cf_demand_meter_read (CfDemandMeter *m, gint64 now_ms, CfDemandTable *out);
+/**
+ * cf_demand_meter_read:
+ * Writes the current demand to @out, and forgets organisations whose rate has
+ * decayed.
+ * @in_flight: requests at targets; the demand is not less than that
+ * @waiting: requests waiting for a target; part of the demand while no hold
+ *   time is known
+ */
+void cf_demand_meter_read (CfDemandMeter *m, guint in_flight, guint waiting,
+                           gint64 now_ms, CfDemandTable *out);
--- /dev/null
+++ b/gateway/fleet-demand.c
@@ -0,0 +1,170 @@
+#include "fleet-demand.h"
+
+/** Gateways say hello at least once a second; two hellos may be lost. */
+#define TABLE_TIMEOUT_MS 2500
+/** Bounds the memory for addresses that peers state; the largest fleet has 208
+ * gateways. */
+#define GATEWAYS_MAX 1024
+
+/** Stated: what a gateway has stated. */
+typedef struct
+{
+  CfDemandTable table;
+  guint n_gateways; /* that @table covers */
+  gint64 received_ms;
+} Stated;
+
+void
+cf_fleet_demand_clear (CfFleetDemand *f)
+{
+  g_clear_pointer (&f->direct, g_hash_table_unref);
+  g_clear_pointer (&f->relayed, g_hash_table_unref);
+}
+
+static gboolean
+is_current (const Stated *s, gint64 now_ms)
+{
+  return now_ms - s->received_ms < TABLE_TIMEOUT_MS;
+}
+
+static gboolean
+is_expired_entry (gpointer addr, gpointer stated, gpointer now_ms)
+{
+  return !is_current (stated, *(const gint64 *)now_ms);
+}
+
+/* Returns what @addr has stated, to be overwritten; %NULL if there are too many
+ * gateways. */
+static Stated *
+get_stated (GHashTable **table, const char *addr, gint64 now_ms)
+{
+  Stated *s;
+
+  if (!*table)
+    *table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  s = g_hash_table_lookup (*table, addr);
+  if (s)
+    return s;
+  if (g_hash_table_size (*table) >= GATEWAYS_MAX)
+    g_hash_table_foreach_remove (*table, is_expired_entry, &now_ms);
+  if (g_hash_table_size (*table) >= GATEWAYS_MAX)
+    return NULL;
+  s = g_new0 (Stated, 1);
+  g_hash_table_insert (*table, g_strdup (addr), s);
+  return s;
+}
+
+static void
+put (GHashTable **table, const char *addr, guint n_gateways,
+     const CfDemandTable *t, gint64 now_ms)
+{
+  Stated *s = get_stated (table, addr, now_ms);
+
+  if (s)
+    *s = (Stated){ *t, n_gateways, now_ms };
+}
+
+void
+cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
+                            const CfDemandTable *own, gint64 now_ms)
+{
+  put (&f->direct, addr, 1, own, now_ms);
+}
+
+void
+cf_fleet_demand_put_relayed (CfFleetDemand *f, const char *addr,
+                             guint n_gateways, const CfDemandTable *others,
+                             gint64 now_ms)
+{
+  put (&f->relayed, addr, n_gateways, others, now_ms);
+}
+
+void
+cf_fleet_demand_remove (CfFleetDemand *f, const char *addr)
+{
+  if (f->direct)
+    g_hash_table_remove (f->direct, addr);
+  if (f->relayed)
+    g_hash_table_remove (f->relayed, addr);
+}
+
+guint
+cf_fleet_demand_sum_direct (const CfFleetDemand *f, const char *except,
+                            gint64 now_ms, CfDemandTable *out)
+{
+  GHashTableIter it;
+  gpointer addr;
+  gpointer value;
+  guint n = 0;
+
+  out->n = 0;
+  if (!f->direct)
+    return 0;
+  g_hash_table_iter_init (&it, f->direct);
+  while (g_hash_table_iter_next (&it, &addr, &value))
+    {
+      const Stated *s = value;
+
+      if (!is_current (s, now_ms) || g_strcmp0 (addr, except) == 0)
+        continue;
+      cf_demand_table_merge (out, &s->table);
+      n++;
+    }
+  return n;
+}
+
+/* Returns the table of @addr itself, if it is current. */
+static const Stated *
+get_direct (const CfFleetDemand *f, const char *addr, gint64 now_ms)
+{
+  const Stated *s = f->direct ? g_hash_table_lookup (f->direct, addr) : NULL;
+
+  return s && is_current (s, now_ms) ? s : NULL;
+}
+
+/* Finds the sum that, with its sender's own table, covers the most gateways; of
+ * several, the newest.  Returns the number of gateways. */
+static guint
+find_best_relayed (const CfFleetDemand *f, gint64 now_ms, const Stated **best,
+                   const Stated **sender)
+{
+  GHashTableIter it;
+  gpointer addr;
+  gpointer value;
+  guint n_best = 0;
+
+  if (!f->relayed)
+    return 0;
+  g_hash_table_iter_init (&it, f->relayed);
+  while (g_hash_table_iter_next (&it, &addr, &value))
+    {
+      const Stated *s = value;
+      const Stated *own = get_direct (f, addr, now_ms);
+      guint n = s->n_gateways + (own != NULL);
+
+      if (!is_current (s, now_ms) || n < n_best
+          || (n == n_best && *best && s->received_ms <= (*best)->received_ms))
+        continue;
+      n_best = n;
+      *best = s;
+      *sender = own;
+    }
+  return n_best;
+}
+
+guint
+cf_fleet_demand_get_others (const CfFleetDemand *f, gint64 now_ms,
+                            CfDemandTable *out)
+{
+  const Stated *best = NULL;
+  const Stated *sender = NULL;
+  guint n_direct = cf_fleet_demand_sum_direct (f, NULL, now_ms, out);
+  guint n_relayed = find_best_relayed (f, now_ms, &best, &sender);
+
+  if (n_relayed <= n_direct)
+    return n_direct;
+  *out = best->table;
+  if (sender)
+    cf_demand_table_merge (out, &sender->table);
+  return n_relayed;
+}
--- a/gateway/fleet-demand.h
+++ b/gateway/fleet-demand.h
@@ -6,7 +6,8 @@
  * CfFleetDemand:
  * The demand of other gateways at one service.  Gateways have links only to
  * seeds, so a gateway that is no seed knows the others through the sums that
- * seeds send.  What was received is used for a few hello intervals only.
+ * seeds send.  What was received is used for 2.5 s.  Tables have to be valid
+ * (cf_demand_table_is_valid()).
  */
 typedef struct
 {
--- /dev/null
+++ b/t/t-fleet-demand.c
@@ -0,0 +1,162 @@
+/* The demand of other gateways: stated directly or relayed, and how long it is
+ * used. */
+#include "gateway/fleet-demand.h"
+#include "harness.h"
+
+#define NOW 10000
+#define TIMEOUT_MS 2500
+
+static CfFleetDemand fleet;
+static CfDemandTable out;
+
+static void
+setup (void)
+{
+  fleet = (CfFleetDemand){ 0 };
+}
+
+static void
+teardown (void)
+{
+  cf_fleet_demand_clear (&fleet);
+}
+
+static CfDemandTable
+table_of (double slots)
+{
+  return (CfDemandTable){ .n = 1, .entries = { { 1, 7, 1, slots } } };
+}
+
+static void
+put_direct (const char *addr, double slots, gint64 now_ms)
+{
+  const CfDemandTable t = table_of (slots);
+
+  cf_fleet_demand_put_direct (&fleet, addr, &t, now_ms);
+}
+
+static void
+put_relayed (const char *addr, guint n, double slots, gint64 now_ms)
+{
+  const CfDemandTable t = table_of (slots);
+
+  cf_fleet_demand_put_relayed (&fleet, addr, n, &t, now_ms);
+}
+
+/* Checks the number of other gateways that are known, and their demand. */
+static void
+check_others (gint64 now_ms, guint n, double slots)
+{
+  ck_assert_uint_eq (cf_fleet_demand_get_others (&fleet, now_ms, &out), n);
+  ck_assert_double_eq_tol (cf_demand_table_total (&out), slots, 1e-9);
+}
+
+START_TEST (nothing_is_known_at_first)
+{
+  check_others (NOW, 0, 0);
+  ck_assert_uint_eq (cf_fleet_demand_sum_direct (&fleet, NULL, NOW, &out), 0);
+  cf_fleet_demand_remove (&fleet, "a");
+}
+END_TEST
+
+START_TEST (direct_tables_are_added_up)
+{
+  put_direct ("a", 1, NOW);
+  put_direct ("b", 2, NOW);
+  put_direct ("c", 4, NOW);
+  put_direct ("a", 8, NOW + 1);
+  check_others (NOW + 1, 3, 14);
+  ck_assert_uint_eq (cf_fleet_demand_sum_direct (&fleet, "b", NOW + 1, &out),
+                     2);
+  ck_assert_double_eq (cf_demand_table_total (&out), 12);
+}
+END_TEST
+
+/* A silent gateway's last table would give its share away for good. */
+START_TEST (tables_expire)
+{
+  put_direct ("a", 1, NOW);
+  put_direct ("b", 2, NOW + 1000);
+  put_relayed ("b", 5, 9, NOW);
+  check_others (NOW + TIMEOUT_MS - 1, 6, 11);
+  check_others (NOW + TIMEOUT_MS, 1, 2);
+  check_others (NOW + 1000 + TIMEOUT_MS, 0, 0);
+}
+END_TEST
+
+START_TEST (removed_gateway_is_forgotten)
+{
+  put_direct ("a", 1, NOW);
+  put_direct ("b", 2, NOW);
+  put_relayed ("a", 5, 9, NOW);
+  cf_fleet_demand_remove (&fleet, "a");
+  check_others (NOW, 1, 2);
+}
+END_TEST
+
+/* A gateway that is no seed hears of most others only through seeds.  Sums of
+ * several seeds count the same gateways: one of them is used. */
+START_TEST (relayed_sum_with_most_gateways_is_used)
+{
+  put_direct ("seed-1", 1, NOW);
+  put_direct ("seed-2", 2, NOW);
+  put_relayed ("seed-1", 5, 50, NOW);
+  put_relayed ("seed-2", 6, 60, NOW);
+  check_others (NOW, 7, 62);
+  cf_fleet_demand_remove (&fleet, "seed-2");
+  check_others (NOW, 6, 51);
+}
+END_TEST
+
+START_TEST (newest_of_equal_sums_is_used)
+{
+  put_relayed ("seed-1", 5, 50, NOW);
+  put_relayed ("seed-2", 5, 60, NOW + 1);
+  check_others (NOW + 1, 5, 60);
+  put_relayed ("seed-1", 5, 40, NOW + 2);
+  check_others (NOW + 2, 5, 40);
+}
+END_TEST
+
+START_TEST (direct_tables_precede_sums_of_as_many)
+{
+  put_direct ("a", 1, NOW);
+  put_direct ("b", 2, NOW);
+  put_relayed ("a", 1, 30, NOW + 1);
+  check_others (NOW + 1, 2, 3);
+}
+END_TEST
+
+/* Addresses are stated by peers: a faulty one may state any number of them. */
+START_TEST (gateways_are_bounded)
+{
+  for (int i = 0; i < 5000; i++)
+    {
+      g_autofree char *addr = g_strdup_printf ("g-%d", i);
+
+      put_direct (addr, 1, NOW);
+    }
+  ck_assert_uint_eq (g_hash_table_size (fleet.direct), 1024);
+  put_direct ("late", 3, NOW + TIMEOUT_MS);
+  check_others (NOW + TIMEOUT_MS, 1, 3);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("fleet-demand");
+  TCase *t = tcase_create ("sums");
+
+  tcase_add_checked_fixture (t, setup, teardown);
+  tcase_add_test (t, nothing_is_known_at_first);
+  tcase_add_test (t, direct_tables_are_added_up);
+  tcase_add_test (t, tables_expire);
+  tcase_add_test (t, removed_gateway_is_forgotten);
+  tcase_add_test (t, relayed_sum_with_most_gateways_is_used);
+  tcase_add_test (t, newest_of_equal_sums_is_used);
+  tcase_add_test (t, direct_tables_precede_sums_of_as_many);
+  tcase_add_test (t, gateways_are_bounded);
+  suite_add_tcase (s, t);
+  return t_run_suite (s);
+}
