gateway: exchange demand and use shares of services

Each gateway divided a service evenly, so that a skew of connections left slots idle that others needed.

The balancer uses the share for slots and connections where it differs from the even one by half or more; with several urgencies under contention it also limits the requests in flight. A notable change of demand causes an early hello, every 100 ms at most, and only if half of the capacity is wanted.

--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -81,6 +81,10 @@
 #ifndef CF_WITHOUT_WARMUP
 #define CF_WITHOUT_WARMUP 0
 #endif
+/** All gateways have equal shares of a service, whatever their demand. */
+#ifndef CF_WITHOUT_DEMAND_SHARES
+#define CF_WITHOUT_DEMAND_SHARES 0
+#endif
 /** Pauses that targets request are ignored. */
 #ifndef CF_WITHOUT_TARGET_PAUSES
 #define CF_WITHOUT_TARGET_PAUSES 0
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -7,6 +7,8 @@
 
 /** A gateway may use this multiple of an even share of a target's slots. */
 #define SHARE_HEADROOM 1.25
+/** Compensates for a fraction such as 1/3 being rounded down. */
+#define ROUNDING 1e-9
 /** The fraction of that share that yielding requests may fill. */
 #define YIELD_TARGET_FRACTION 0.6
 /** The fraction of the concurrency limit that yielding requests may fill. */
@@ -27,18 +29,24 @@
   TARGET_AVAILABLE,
 } Availability;
 
-guint
-cf_balancer_max_in_flight (gint64 slots, gint64 max_conns, guint n_gateways)
+/* @fraction: this gateway's part of the target's slots and connections */
+static guint
+compute_max_in_flight (gint64 slots, gint64 max_conns, double fraction)
 {
-  guint n_sharing = CF_WITHOUT_FLEET_SHARES ? 1 : MAX (n_gateways, 1);
-  double share = (double)slots * SHARE_HEADROOM / n_sharing;
-  double conn_share = floor ((double)max_conns / MAX (n_gateways, 1));
+  double slot_fraction = CF_WITHOUT_FLEET_SHARES ? 1 : fraction;
+  double share = (double)slots * SHARE_HEADROOM * slot_fraction;
 
   if (max_conns > 0)
-    share = MIN (share, conn_share);
+    share = MIN (share, floor ((double)max_conns * fraction + ROUNDING));
   return (guint)MAX (ceil (share), 1);
 }
 
+guint
+cf_balancer_max_in_flight (gint64 slots, gint64 max_conns, guint n_gateways)
+{
+  return compute_max_in_flight (slots, max_conns, 1.0 / MAX (n_gateways, 1));
+}
+
 static gboolean
 was_tried (const GPtrArray *tried, const CfTarget *t)
 {
@@ -48,8 +56,10 @@
 static guint
 get_max_in_flight (const CfTarget *t, const CfPickInput *in)
 {
-  guint share = cf_balancer_max_in_flight (t->record.slots, in->max_conns,
-                                           in->n_gateways);
+  double fraction = in->share_fraction > 0 ? in->share_fraction
+                                           : 1.0 / MAX (in->n_gateways, 1);
+  guint share
+      = compute_max_in_flight (t->record.slots, in->max_conns, fraction);
 
   return in->yields ? (guint)MAX (share * YIELD_TARGET_FRACTION, 1) : share;
 }
@@ -190,6 +200,8 @@
   double share = (double)c->slots / MAX (in->n_gateways, 1);
   double max_in_flight = G_MAXUINT;
 
+  if (in->max_total > 0 && in->in_flight >= ceil (in->max_total))
+    return TRUE;
   if (in->limit > 0)
     max_in_flight = in->yields ? in->limit * YIELD_LIMIT_FRACTION : in->limit;
   else if (in->yields && c->slots > 0)
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -2,6 +2,7 @@
 
 #include "ablation.h"
 #include "log.h"
+#include "service-share.h"
 #include "target-notice.h"
 
 #include <string.h>
@@ -165,9 +166,8 @@
       &s->latency, cf_exchange_engine_model (x), &x->size);
   e.objective_ms = x->route->objective_ms;
   e.in_flight = s->in_flight;
-  e.fair_share
-      = (double)cf_target_table_slots (&x->gateway->targets, x->service)
-        / MAX (x->gateway->fleet_size, 1);
+  e.fair_share = cf_service_share_slots (
+      x->gateway, s, cf_target_table_slots (&x->gateway->targets, x->service));
   if (cf_concurrency_limit_add_sample (&s->limit, &e))
     log_overload (x);
 }
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -4,6 +4,7 @@
 #include "balancer.h"
 #include "forward.h"
 #include "log.h"
+#include "service-share.h"
 
 /** Requests that may be queued for each slot of their service.  With more, the
  * last would exceed its queue timeout even at full speed. */
@@ -215,6 +216,8 @@
   in.fleet_position = g->fleet_position;
   in.in_flight = x->service_state->in_flight;
   in.limit = cf_concurrency_limit_get (&x->service_state->limit);
+  in.share_fraction = cf_service_share_fraction (g, x->service_state);
+  in.max_total = cf_service_share_max_total (x->service_state);
   in.max_conns = sv ? sv->max_conns : 0;
   in.warmup_rule = &x->warmup_rule;
   in.warmup_position = cf_gateway_warmup_position (g);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -81,6 +81,9 @@
           cf_answer_framing_name (x->framing), x->partial_bytes,
           x->policy ? x->policy->version : 0);
   g->stats.outcomes[o]++;
+  if (o == CF_OUTCOME_SUCCESS)
+    cf_demand_meter_add_hold (&x->service_state->demand,
+                              cf_gateway_now (g) - x->sent_ms);
   if (o == CF_OUTCOME_SUCCESS && !x->event_stream.n_events)
     cf_histogram_add (&g->stats.whole_ms, ms);
   if (x->service_state)
@@ -252,6 +255,8 @@
   cf_retry_budget_add_request (&x->service_state->budget);
   ev_timer_set (&x->deadline_timer, (double)allowed / 1000, 0);
   ev_timer_start (x->gateway->loop, &x->deadline_timer);
+  cf_demand_meter_add_arrival (&x->service_state->demand, x->waiter.priority,
+                               x->waiter.org, cf_gateway_now (x->gateway));
   cf_exchange_send_or_queue (x);
 }
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -43,6 +43,8 @@
 
   cf_retry_budget_clear (&s->budget);
   cf_dc_health_clear (&s->dc_health);
+  cf_demand_meter_clear (&s->demand);
+  cf_fleet_demand_clear (&s->fleet_demand);
   g_free (s);
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -33,6 +33,14 @@
 typedef TAILQ_HEAD (CfExchangeList, CfExchange) CfExchangeList;
 typedef TAILQ_HEAD (CfCrashProbeList, CfCrashProbe) CfCrashProbeList;
 
+/** CfShareLog: the share of a service as last logged. */
+typedef struct
+{
+  double total;
+  gboolean contended;
+  gint64 logged_ms;
+} CfShareLog;
+
 /** CfServiceState: what this process keeps for each service that it sends
  * requests to. */
 typedef struct
@@ -48,6 +56,12 @@
   CfFleetDemand fleet_demand; /**< of the other gateways */
   CfShare share;              /**< of its capacity; total 0: not computed */
   double capacity;            /**< slots that @share divides; 0: unknown */
+  CfDemandTable own_demand;   /**< as last read from @demand */
+  CfDemandTable others;       /**< the sum that @share was computed with */
+  double demand_sent;         /**< total of @own_demand in the last hello */
+  gboolean is_demand_notable; /**< differs from @demand_sent, in a service with
+                                   little capacity left */
+  CfShareLog share_log;
   CfOrgUsage org_usage;
   CfReturnSchedule returns;
   CfPassLimit pass_limit;
@@ -81,7 +95,9 @@
   gint64 targets_confirmed_ms;  /**< when the store last confirmed @targets */
   CfEvacuations evacuations;
   gboolean hello_is_due; /**< peers are to be notified at once */
-  guint fleet_size;      /**< number of gateways that share the retry budget */
+  gint64
+      demand_hello_ms; /**< when peers were last sent this gateway's demand */
+  guint fleet_size;    /**< number of gateways that share the retry budget */
   CfFleetPosition fleet_position; /**< of this gateway among all gateways */
   CfFleetPosition recent_fleet; /**< the largest fleet of the last seconds, and
                                      this gateway's position in it */
--- a/gateway/ops.c
+++ b/gateway/ops.c
@@ -2,6 +2,7 @@
 
 #include "http-reader.h"
 #include "log-writer.h"
+#include "service-share.h"
 #include "socket.h"
 
 #include <errno.h>
@@ -38,6 +39,7 @@
 print_metrics (CfGateway *g, GString *out)
 {
   cf_stats_print (&g->stats, out);
+  cf_service_share_print_metrics (g, out);
   cf_stats_gauge (out, "config_version",
                   g->policy ? (double)g->policy->version : 0);
   cf_stats_gauge (out, "targets", g_hash_table_size (g->targets.by_id));
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -6,6 +6,7 @@
 #include "operator-feed.h"
 #include "peer-crashes.h"
 #include "platform/platform-target.h"
+#include "service-share.h"
 #include "socket.h"
 #include "target-feed.h"
 #include "upstream.h"
@@ -314,6 +315,8 @@
 
   m->u.gateway_hello.ring_start
       = ring_start < 0 ? -1 : (gint64)(ring_start * CF_PEER_RING_UNITS);
+  g_clear_pointer (&m->u.gateway_hello.demand, g_array_unref);
+  m->u.gateway_hello.demand = cf_service_share_collect (p->s->g, p->addr);
   m->u.gateway_hello.want = compute_wanted (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     p->s->targets_asked_ms = p->s->g->now_ms;
@@ -470,6 +473,7 @@
   take_slowdowns (g, m->u.gateway_hello.slowdowns);
   take_rate_limits (g, m->u.gateway_hello.rate_limits, p->addr);
   take_leaving (g, m->u.gateway_hello.leaving, p->addr);
+  cf_service_share_take (g, m->u.gateway_hello.demand, p->addr);
   cf_operator_feed_take_peer_set (g, m->u.gateway_hello.evacuated,
                                   m->u.gateway_hello.evacuated_pos, p->addr);
   if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
@@ -689,6 +693,7 @@
   if (p->up)
     send_filled_hello (p, &m);
   cf_peer_msg_clear (&m);
+  cf_service_share_hello_sent (s->g);
 }
 
 CfPeerService *
--- a/gateway/reading-log.c
+++ b/gateway/reading-log.c
@@ -30,6 +30,8 @@
       return "warm-up";
     case CF_READING_EVACUATION:
       return "evacuation";
+    case CF_READING_SERVICE_DEMAND:
+      return "service-demand";
     case CF_N_READING_KINDS:
       break;
     }
--- a/gateway/reading-log.h
+++ b/gateway/reading-log.h
@@ -5,16 +5,17 @@
 /** CfReadingKind: what was received from a rank, an agent or a peer. */
 typedef enum
 {
-  CF_READING_RANK_REPORT,   /**< the state of a rank, read by its agent */
-  CF_READING_EXPERT_COUNTS, /**< its counters, read by its agent */
-  CF_READING_EXPERT_LISTS,  /**< the experts that it holds */
-  CF_READING_RANK_STATUS,   /**< its state, received by a leader */
-  CF_READING_DEMAND,        /**< increases of its counters, likewise */
-  CF_READING_SLOWDOWN,      /**< of a target */
-  CF_READING_RATE_LIMIT,    /**< of a target, told by a peer */
-  CF_READING_LEAVING,       /**< that a target leaves, told by a peer */
-  CF_READING_WARMUP,        /**< of a target, in an answer */
-  CF_READING_EVACUATION,    /**< a record of an evacuation */
+  CF_READING_RANK_REPORT,    /**< the state of a rank, read by its agent */
+  CF_READING_EXPERT_COUNTS,  /**< its counters, read by its agent */
+  CF_READING_EXPERT_LISTS,   /**< the experts that it holds */
+  CF_READING_RANK_STATUS,    /**< its state, received by a leader */
+  CF_READING_DEMAND,         /**< increases of its counters, likewise */
+  CF_READING_SLOWDOWN,       /**< of a target */
+  CF_READING_RATE_LIMIT,     /**< of a target, told by a peer */
+  CF_READING_LEAVING,        /**< that a target leaves, told by a peer */
+  CF_READING_WARMUP,         /**< of a target, in an answer */
+  CF_READING_EVACUATION,     /**< a record of an evacuation */
+  CF_READING_SERVICE_DEMAND, /**< of a peer at a service */
   CF_N_READING_KINDS,
 } CfReadingKind;
 
--- /dev/null
+++ b/gateway/service-share.c
@@ -0,0 +1,285 @@
+#include "service-share.h"
+
+#include "ablation.h"
+#include "log.h"
+
+#include <math.h>
+#include <string.h>
+
+/** Interval between early hellos for a change of demand. */
+#define EARLY_HELLO_MS 100
+/** Demand has changed notably if it differs from what was last sent by this
+ * fraction and this many slots: arrivals at random vary by less. */
+#define NOTABLE_FRACTION 0.25
+#define NOTABLE_SLOTS 3.0
+/** Below this fraction of the capacity nothing has to be divided: no early
+ * hellos, and demand is sent without organisations. */
+#define BUSY_FRACTION 0.5
+/** A share that differs from the even one by less than this factor is handled
+ * as even by the balancer.  Whole requests a target are its unit, so smaller
+ * differences would only make targets' loads uneven. */
+#define UNEVEN_FACTOR 1.5
+/** E1221 is logged for a change of the share by this fraction, and at most once
+ * in this time. */
+#define LOGGED_CHANGE_FRACTION 0.2
+#define LOG_INTERVAL_MS 500
+
+/* Slots that are to be divided: those of all usable targets, or fewer if passes
+ * would exceed the objective for pauses otherwise. */
+static double
+get_capacity (const CfGateway *g, const char *service)
+{
+  return (double)cf_target_table_slots (&g->targets, service);
+}
+
+static double
+get_even_share (const CfGateway *g, double slots)
+{
+  return slots / MAX (g->fleet_size, 1);
+}
+
+static void
+log_share (const CfGateway *g, const char *service, CfServiceState *s,
+           double demand, double fleet_demand, guint n_known)
+{
+  const CfShare *share = &s->share;
+  gboolean toggled = share->contended != s->share_log.contended;
+  double before = s->share_log.total;
+  gint64 now = cf_gateway_now (g);
+
+  if (!toggled
+      && fabs (share->total - before)
+             <= LOGGED_CHANGE_FRACTION * fmax (share->total, before))
+    return;
+  if (now - s->share_log.logged_ms < LOG_INTERVAL_MS
+      || (!share->contended && !s->share_log.contended))
+    return;
+  s->share_log.logged_ms = now;
+  s->share_log.total = share->total;
+  s->share_log.contended = share->contended;
+  cf_log (LOG_NOTICE, CF_EV_SHARE,
+          "service=%s outcome=%s share=%.1f demand=%.1f fleet_demand=%.1f "
+          "capacity=%.0f known=%u gateways=%u admitted=%" G_GINT64_FORMAT,
+          service, share->contended ? "contended" : "free", share->total,
+          demand, fleet_demand, s->capacity, n_known, g->fleet_size,
+          share->admitted_urgency);
+}
+
+/* Whether peers should hear of the demand @slots before the next hello. */
+static gboolean
+is_notable (const CfServiceState *s, double slots)
+{
+  double change = fabs (slots - s->demand_sent);
+
+  return change > NOTABLE_SLOTS
+         && change > NOTABLE_FRACTION * fmax (slots, s->demand_sent)
+         && fmax (slots, s->demand_sent) + cf_demand_table_total (&s->others)
+                > BUSY_FRACTION * s->capacity;
+}
+
+static void
+update_service (CfGateway *g, const char *service, CfServiceState *s)
+{
+  CfShareInput in = { 0 };
+
+  s->capacity = get_capacity (g, service);
+  cf_demand_meter_read (&s->demand, s->in_flight, s->queue.n,
+                        cf_gateway_now (g), &s->own_demand);
+  in.n_known = cf_fleet_demand_get_others (&s->fleet_demand, cf_gateway_now (g),
+                                           &s->others);
+  in.capacity = s->capacity;
+  in.n_gateways = g->fleet_size;
+  in.own = &s->own_demand;
+  in.others = &s->others;
+  cf_share_compute (&in, &s->share);
+  s->is_demand_notable = is_notable (s, cf_demand_table_total (&s->own_demand));
+  log_share (g, service, s, cf_demand_table_total (&s->own_demand),
+             cf_demand_table_total (&s->own_demand)
+                 + cf_demand_table_total (&s->others),
+             in.n_known);
+}
+
+void
+cf_service_share_update (CfGateway *g)
+{
+  GHashTableIter it;
+  gpointer name;
+  gpointer v;
+
+  if (CF_WITHOUT_DEMAND_SHARES)
+    return;
+  g_hash_table_iter_init (&it, g->service_states);
+  while (g_hash_table_iter_next (&it, &name, &v))
+    {
+      CfServiceState *s = v;
+
+      if (!*(const char *)name)
+        continue;
+      update_service (g, name, s);
+      if (s->is_demand_notable
+          && cf_gateway_now (g) - g->demand_hello_ms >= EARLY_HELLO_MS)
+        g->hello_is_due = TRUE;
+    }
+}
+
+void
+cf_service_share_hello_sent (CfGateway *g)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  g->demand_hello_ms = cf_gateway_now (g);
+  g_hash_table_iter_init (&it, g->service_states);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      CfServiceState *s = v;
+
+      s->demand_sent = cf_demand_table_total (&s->own_demand);
+    }
+}
+
+static gboolean
+is_busy (const CfServiceState *s)
+{
+  return cf_demand_table_total (&s->own_demand)
+             + cf_demand_table_total (&s->others)
+         > BUSY_FRACTION * s->capacity;
+}
+
+GArray *
+cf_service_share_collect (const CfGateway *g, const char *recipient)
+{
+  GArray *a = g_array_new (FALSE, TRUE, sizeof (CfPeerDemand));
+  GHashTableIter it;
+  gpointer name;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, g->service_states);
+  while (a->len < CF_PEER_DEMAND_MAX && g_hash_table_iter_next (&it, &name, &v))
+    {
+      const CfServiceState *s = v;
+      CfPeerDemand d = { .own = s->own_demand };
+
+      if (!*(const char *)name || CF_WITHOUT_DEMAND_SHARES)
+        continue;
+      d.service.data = name;
+      d.service.n = strlen (name);
+      d.n_others = cf_fleet_demand_sum_direct (&s->fleet_demand, recipient,
+                                               cf_gateway_now (g), &d.others);
+      if (!is_busy (s))
+        {
+          cf_demand_table_merge_orgs (&d.own);
+          cf_demand_table_merge_orgs (&d.others);
+        }
+      g_array_append_val (a, d);
+    }
+  return a;
+}
+
+/* The most that a table of a peer may state: what cannot be demand is an error
+ * of the sender.  Demand may exceed the slots by far in an overload. */
+static double
+get_max_demand (const CfServiceState *s)
+{
+  return 100 * fmax (s->capacity, 100);
+}
+
+static void
+take_service (CfGateway *g, CfServiceState *s, const CfPeerDemand *d,
+              const char *peer)
+{
+  double max = get_max_demand (s);
+  gint64 now = cf_gateway_now (g);
+
+  if (!cf_demand_table_is_valid (&d->own, max)
+      || !cf_demand_table_is_valid (&d->others, max))
+    {
+      cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
+                               "demand is out of range");
+      cf_fleet_demand_remove (&s->fleet_demand, peer);
+      return;
+    }
+  cf_fleet_demand_put_direct (&s->fleet_demand, peer, &d->own, now);
+  cf_fleet_demand_put_relayed (&s->fleet_demand, peer, d->n_others, &d->others,
+                               now);
+}
+
+void
+cf_service_share_take (CfGateway *g, const GArray *demand, const char *peer)
+{
+  for (guint i = 0; demand && i < demand->len; i++)
+    {
+      const CfPeerDemand *d = &g_array_index (demand, CfPeerDemand, i);
+      g_autofree char *name = g_strndup (d->service.data, d->service.n);
+
+      /* A service that is not configured would only take memory. */
+      if (g->policy && cf_policy_service (g->policy, name))
+        take_service (g, cf_gateway_service_state (g, name), d, peer);
+    }
+}
+
+double
+cf_service_share_fraction (const CfGateway *g, const CfServiceState *s)
+{
+  double even = get_even_share (g, s->capacity);
+
+  if (s->share.exact <= 0 || s->capacity <= 0)
+    return 0;
+  if (s->share.exact > even * UNEVEN_FACTOR)
+    return fmin (s->share.exact / s->capacity, 1);
+  if (s->share.contended && s->share.exact * UNEVEN_FACTOR < even)
+    return s->share.exact / s->capacity;
+  return 0;
+}
+
+double
+cf_service_share_max_total (const CfServiceState *s)
+{
+  gboolean is_limited = s->share.contended && s->share.n_urgencies > 1;
+
+  return is_limited ? fmax (s->share.exact, 1) : 0;
+}
+
+double
+cf_service_share_slots (const CfGateway *g, const CfServiceState *s,
+                        gint64 slots)
+{
+  double fraction = cf_service_share_fraction (g, s);
+
+  return fraction > 0 ? fraction * (double)slots
+                      : get_even_share (g, (double)slots);
+}
+
+static void
+print_gauge (GString *out, const char *name, const char *service, double value)
+{
+  g_string_append_printf (out, "comfrey_%s{service=\"%s\"} %g\n", name, service,
+                          value);
+}
+
+void
+cf_service_share_print_metrics (const CfGateway *g, GString *out)
+{
+  GHashTableIter it;
+  gpointer name;
+  gpointer v;
+
+  g_string_append (out, "# TYPE comfrey_demand_slots gauge\n"
+                        "# TYPE comfrey_fleet_demand_slots gauge\n"
+                        "# TYPE comfrey_share_slots gauge\n"
+                        "# TYPE comfrey_contended gauge\n");
+  g_hash_table_iter_init (&it, g->service_states);
+  while (g_hash_table_iter_next (&it, &name, &v))
+    {
+      const CfServiceState *s = v;
+      double own = cf_demand_table_total (&s->own_demand);
+
+      if (!*(const char *)name)
+        continue;
+      print_gauge (out, "demand_slots", name, own);
+      print_gauge (out, "fleet_demand_slots", name,
+                   own + cf_demand_table_total (&s->others));
+      print_gauge (out, "share_slots", name, s->share.total);
+      print_gauge (out, "contended", name, s->share.contended);
+    }
+}
