gateway: order of the wait queue by urgency and organisation

An organisation's priority replaced the route's, so organisations with equal priorities lost the order of their routes; and nothing divided a service among organisations. The urgency of a request now includes both priorities; among waiting requests of the same urgency the organisation with the fewest requests in flight relative to its slots goes first; when the queue is full, it is the largest organisation's newest request that is refused; less urgent levels keep a twentieth.

t-wait-queue, t-balancer and t-overload pass with only the calls adapted (the known-red cases of t-overload fail as before).

--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -103,6 +103,9 @@
 /** cf_exchange_remaining_ms: time left until its deadline. */
 gint64 cf_exchange_remaining_ms (const CfExchange *x);
 
+/** cf_exchange_urgency: 0 is the most urgent; see cf_waiter_urgency(). */
+gint64 cf_exchange_urgency (const CfExchange *x);
+
 /** cf_exchange_target_id: the id of its target, or "-". */
 const char *cf_exchange_target_id (const CfExchange *x);
 
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -98,6 +98,7 @@
   cf_rate_limit_consume (&t->limit);
   cf_warmup_consume (&t->warmup, cf_gateway_now (x->gateway));
   cf_exchange_begin_suspect_run (x);
+  cf_org_usage_add (&x->service_state->org_usage, x->waiter.org, 1, 0);
   if (x->service_state->in_flight++ == 0)
     x->service_state->busy_since_ms = cf_gateway_now (x->gateway);
   x->sends++;
@@ -159,6 +160,16 @@
                                                &x->size);
 }
 
+static CfQueueContext
+make_queue_context (const CfGateway *g, const CfServiceState *s)
+{
+  CfQueueContext c = { .now_ms = cf_gateway_now (g) };
+
+  c.overloaded = cf_concurrency_limit_get (&s->limit) != 0;
+  c.grants = s->share.total > 0 ? &s->share.grants : NULL;
+  return c;
+}
+
 /* Queues it until a target has a free slot.  If the queue is full, the least
  * urgent request is refused.  The wait is limited so that enough time remains
  * for the work itself. */
@@ -447,8 +458,8 @@
 static CfWaiter *
 choose_waiter (const CfGateway *g, CfServiceState *s, CfTarget **t)
 {
-  CfWaiter *w = cf_wait_queue_first (&s->queue, cf_gateway_now (g),
-                                     cf_concurrency_limit_get (&s->limit));
+  CfQueueContext c = make_queue_context (g, s);
+  CfWaiter *w = cf_wait_queue_first (&s->queue, &c);
 
   if (s->outage.since_ms && (!w || !pick_elsewhere (w->owner, t)))
     w = first_probe_candidate (s);
@@ -472,7 +483,7 @@
   cf_histogram_add (&x->gateway->stats.queue_ms,
                     cf_gateway_now (x->gateway) - w->since_ms);
   g->stats.begun_late += cf_gateway_now (g) > w->objective_send_by_ms;
-  cf_wait_queue_remove (&s->queue, w);
+  cf_wait_queue_take (&s->queue, w);
   ev_timer_stop (x->gateway->loop, &x->silence_timer);
   send_to (x, t);
   return TRUE;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -50,6 +50,7 @@
   cf_exchange_end_suspect_run (x);
   cf_target_request_ended (x->target, cf_gateway_now (x->gateway));
   x->service_state->in_flight--;
+  cf_org_usage_add (&x->service_state->org_usage, x->waiter.org, -1, 0);
   g_clear_pointer (&x->target, cf_target_unref);
 }
 
@@ -183,15 +184,25 @@
   return x->org || x->route->keyless || !x->policy->requires_api_key;
 }
 
-/* The organisation's priority if it has one, else the route's. */
-static gint64
-request_priority (const CfExchange *x)
+gint64
+cf_exchange_urgency (const CfExchange *x)
 {
+  gint64 priority = x->route->priority;
   gpointer org_priority = NULL;
 
   if (x->org)
     org_priority = g_hash_table_lookup (x->policy->org_priority, x->org);
-  return org_priority ? GPOINTER_TO_INT (org_priority) - 1 : x->route->priority;
+  return cf_waiter_urgency (
+      org_priority ? GPOINTER_TO_INT (org_priority) - 1 : priority, priority);
+}
+
+/* Returns the organisation that it counts for.  Without organisations to share
+ * slots among, all requests count for the same one. */
+static guint32
+get_org_id (const CfExchange *x)
+{
+  return cf_demand_org_id (cf_policy_has_several_orgs (x->policy) ? x->org
+                                                                  : NULL);
 }
 
 gint64
@@ -248,7 +259,8 @@
       cf_http_reader_header (&x->caller->reader, CF_HDR_TOKEN_COUNT),
       &x->size.prompt, &x->size.answer);
   x->deadline_ms = x->start_ms + allowed;
-  x->waiter.priority = request_priority (x);
+  x->waiter.priority = cf_exchange_urgency (x);
+  x->waiter.org = get_org_id (x);
   cf_retry_budget_add_request (&x->service_state->budget);
   ev_timer_set (&x->deadline_timer, (double)allowed / 1000, 0);
   ev_timer_start (x->gateway->loop, &x->deadline_timer);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -43,6 +43,7 @@
 
   cf_retry_budget_clear (&s->budget);
   cf_dc_health_clear (&s->dc_health);
+  cf_org_usage_clear (&s->org_usage);
   g_free (s);
 }
 
@@ -70,6 +71,7 @@
     return s;
   s = g_new0 (CfServiceState, 1);
   cf_wait_queue_init (&s->queue);
+  s->queue.usage = &s->org_usage;
   cf_retry_budget_init (&s->budget,
                         (gint64)(g->settings.retry_ratio * RETRY_SHARE * 100),
                         retry_slack (g));
--- a/gateway/org-usage.h
+++ b/gateway/org-usage.h
@@ -5,7 +5,8 @@
 /**
  * CfOrgUsage:
  * Requests of one service by organisation: in flight at targets and waiting.
- * An organisation without requests is not kept.
+ * An organisation without requests is not kept, so there are at most as many
+ * as requests in the process, which its limit of callers bounds.
  */
 typedef struct
 {
--- a/gateway/policy.c
+++ b/gateway/policy.c
@@ -135,6 +135,12 @@
   return r->splits[r->n_splits - 1].service;
 }
 
+gboolean
+cf_policy_has_several_orgs (const CfPolicy *p)
+{
+  return p->n_orgs > 1;
+}
+
 gint64
 cf_policy_gap_objective_ms (const CfPolicy *p, const char *service)
 {
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -103,6 +103,7 @@
   GHashTable *org_by_api_key; /**< API key -> name of the organisation, owned */
   GHashTable *org_priority;   /**< organisation -> priority + 1; 0: not set */
   GHashTable *org_home_regions; /**< organisation -> GStrv, if it has any */
+  guint n_orgs;
   gboolean requires_api_key;    /**< on routes that are not @keyless */
   CfCallerLimits limits;
 } CfPolicy;
@@ -134,6 +135,10 @@
  */
 const char *cf_route_pick (const CfRoute *r, guint hash);
 
+/** cf_policy_has_several_orgs: whether there are organisations among which the
+ * slots of a service are shared. */
+gboolean cf_policy_has_several_orgs (const CfPolicy *p);
+
 /** cf_policy_gap_objective_ms: the lowest objective for the pause between
  * events among the routes to @service; 0: none has one.  An engine writes an
  * event per pass, so the objective applies to each pass. */
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -97,6 +97,8 @@
                  s->agent_readings_dropped);
   print_counter (out, "quarantine_refusals_total", s->quarantine_refusals);
   print_counter (out, "queued_total", s->queued);
+  print_counter (out, "evicted_total", s->evicted);
+  print_counter (out, "requeued_total", s->requeued);
   print_counter (out, "unrouted_total", s->unrouted);
   print_counter (out, "begun_late_total", s->begun_late);
   print_histogram (out, "first_event_ms", &s->first_ms);
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -47,6 +47,8 @@
   guint64 callers_turned_away;    /**< connections closed at the caller limit */
   guint64 quarantine_refusals;    /**< requests that crash targets, refused */
   guint64 queued;                 /**< requests that had to queue */
+  guint64 evicted;    /**< queued requests refused to make room for another */
+  guint64 requeued;   /**< requests queued again after a full target refused */
   guint64 unrouted;   /**< requests that waited for the configuration */
   guint64 begun_late; /**< queued requests sent too late for their objective */
   CfHistogram first_ms;     /**< time to the first event of a stream */
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -2,6 +2,9 @@
 
 #include "ablation.h"
 
+#include <math.h>
+#include <string.h>
+
 /** A request may wait in the queue for this fraction of the time after which
  * callers give up without a first event; the rest is needed to process its
  * prompt along with others. */
@@ -16,6 +19,16 @@
  * estimate beyond the objective every request would be late on arrival, and the
  * queue would be first come, first served. */
 #define MAX_FIRST_EVENT_FRACTION 0.75
+/** One of this many requests taken from the queue while less urgent ones wait
+ * is one of those: the minimum share of less urgent requests. */
+#define FLOOR_INTERVAL 20
+/** Organisations whose load is kept during one search of the queue; more are
+ * computed again. */
+#define KNOWN_LOADS 32
+/** A request is refused on arrival if the requests ahead of it are expected to
+ * take this multiple of the time for which it may wait: the expected time is
+ * a mean, and some of those ahead give up. */
+#define HOPELESS_FACTOR 1.5
 /** Minimum back-off requested of callers when all targets are full. */
 #define FULL_BACKOFF_MS 400
 /** The same during an outage of the service: a rank is back 0.5 s after a crash
@@ -34,41 +47,149 @@
 void
 cf_wait_queue_init (CfWaitQueue *q)
 {
+  memset (q, 0, sizeof *q);
   TAILQ_INIT (&q->waiters);
-  q->n = 0;
 }
 
-/* Inserts @w behind all waiters that are as urgent or more urgent. */
+gint64
+cf_waiter_urgency (gint64 org_priority, gint64 route_priority)
+{
+  return org_priority * CF_URGENCY_FACTOR
+         + CLAMP (route_priority, 0, CF_URGENCY_FACTOR - 1);
+}
+
+static gboolean
+has_several_orgs (const CfWaitQueue *q)
+{
+  return q->usage && cf_org_usage_size (q->usage) > 1;
+}
+
+static void
+count_waiter (CfWaitQueue *q, const CfWaiter *w, int change)
+{
+  q->n += change;
+  if (w->returned)
+    q->n_returned += change;
+  if (q->usage)
+    cf_org_usage_add (q->usage, w->org, 0, change);
+}
+
+/* Inserts @w behind all waiters that are more urgent, or as urgent and came no
+ * later. */
 static void
 insert_in_order (CfWaitQueue *q, CfWaiter *w)
 {
   CfWaiter *other;
 
-  TAILQ_FOREACH (other, &q->waiters, link)
-  if (other->priority > w->priority)
+  TAILQ_FOREACH_REVERSE (other, &q->waiters, CfWaiterList, link)
+  if (other->priority < w->priority
+      || (other->priority == w->priority && other->since_ms <= w->since_ms))
     {
-      TAILQ_INSERT_BEFORE (other, w, link);
+      TAILQ_INSERT_AFTER (&q->waiters, other, w, link);
       return;
     }
-  TAILQ_INSERT_TAIL (&q->waiters, w, link);
+  TAILQ_INSERT_HEAD (&q->waiters, w, link);
+}
+
+static guint
+count_one_more (GHashTable *counts, guint32 org)
+{
+  gpointer key = GUINT_TO_POINTER (org);
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (counts, key)) + 1;
+
+  g_hash_table_insert (counts, key, GUINT_TO_POINTER (n));
+  return n;
+}
+
+/* Returns the organisation with the most waiters at the least urgent level, the
+ * new request @w included; of several that of @w, or of the newest waiter. */
+static guint32
+find_largest_org (const CfWaitQueue *q, const CfWaiter *w)
+{
+  const CfWaiter *other = TAILQ_LAST (&q->waiters, CfWaiterList);
+  gint64 level = other->priority;
+  guint32 largest = w->priority == level ? w->org : other->org;
+  GHashTable *counts;
+  guint max;
+
+  if (!has_several_orgs (q))
+    return other->org;
+  counts = g_hash_table_new (NULL, NULL);
+  if (w->priority == level)
+    count_one_more (counts, w->org);
+  for (; other && other->priority == level;
+       other = TAILQ_PREV (other, CfWaiterList, link))
+    count_one_more (counts, other->org);
+  max = GPOINTER_TO_UINT (
+      g_hash_table_lookup (counts, GUINT_TO_POINTER (largest)));
+  for (other = TAILQ_LAST (&q->waiters, CfWaiterList);
+       other && other->priority == level;
+       other = TAILQ_PREV (other, CfWaiterList, link))
+    {
+      guint n = GPOINTER_TO_UINT (
+          g_hash_table_lookup (counts, GUINT_TO_POINTER (other->org)));
+
+      if (n <= max)
+        continue;
+      largest = other->org;
+      max = n;
+    }
+  g_hash_table_unref (counts);
+  return largest;
+}
+
+/* Whether @w rather than @victim (nullable), of the same organisation and
+ * level, makes room. */
+static gboolean
+is_better_victim (const CfWaiter *w, const CfWaiter *victim)
+{
+  if (!victim)
+    return TRUE;
+  if (w->returned != victim->returned)
+    return !w->returned;
+  return w->since_ms > victim->since_ms;
+}
+
+/* Returns which of the waiters and the new request @w has no room in the full
+ * queue. */
+static CfWaiter *
+find_victim (const CfWaitQueue *q, CfWaiter *w)
+{
+  CfWaiter *other = TAILQ_LAST (&q->waiters, CfWaiterList);
+  CfWaiter *victim = NULL;
+  gint64 level;
+  guint32 org;
+
+  if (!other || w->priority > other->priority)
+    return w;
+  level = other->priority;
+  org = find_largest_org (q, w);
+  if (w->priority == level && (w->org == org || !has_several_orgs (q)))
+    victim = w;
+  for (; other && other->priority == level;
+       other = TAILQ_PREV (other, CfWaiterList, link))
+    if ((other->org == org || !has_several_orgs (q))
+        && is_better_victim (other, victim))
+      victim = other;
+  return victim;
 }
 
 gboolean
 cf_wait_queue_add (CfWaitQueue *q, CfWaiter *w, guint max, CfWaiter **evicted)
 {
-  CfWaiter *last = TAILQ_LAST (&q->waiters, CfWaiterList);
-
   *evicted = NULL;
   if (q->n >= max)
     {
-      if (!last || last->priority <= w->priority)
+      CfWaiter *victim = find_victim (q, w);
+
+      if (victim == w)
         return FALSE;
-      cf_wait_queue_remove (q, last);
-      *evicted = last;
+      cf_wait_queue_remove (q, victim);
+      *evicted = victim;
     }
   insert_in_order (q, w);
   w->queued = TRUE;
-  q->n++;
+  count_waiter (q, w, 1);
   return TRUE;
 }
 
@@ -79,46 +200,266 @@
     return;
   TAILQ_REMOVE (&q->waiters, w, link);
   w->queued = FALSE;
-  q->n--;
+  count_waiter (q, w, -1);
+}
+
+static gboolean
+is_floor_due (const CfWaitQueue *q)
+{
+  return q->n_before_floor >= FLOOR_INTERVAL - 1;
+}
+
+void
+cf_wait_queue_take (CfWaitQueue *q, CfWaiter *w)
+{
+  gint64 first = TAILQ_FIRST (&q->waiters)->priority;
+  gint64 last = TAILQ_LAST (&q->waiters, CfWaiterList)->priority;
+
+  cf_wait_queue_remove (q, w);
+  if (first == last)
+    return;
+  if (w->priority == last || (is_floor_due (q) && w->priority > first))
+    {
+      q->n_before_floor = 0;
+      q->floor_priority = w->priority;
+    }
+  else
+    q->n_before_floor++;
+}
+
+/** OrgLoad: what is known of one organisation while a waiter is chosen. */
+typedef struct
+{
+  gboolean is_known;
+  guint32 org;
+  gint64 priority;
+  double load; /* requests in flight relative to its slots */
+} OrgLoad;
+
+/** Chooser: the state of one search for the next waiter. */
+typedef struct
+{
+  const CfWaitQueue *q;
+  const CfQueueContext *c;
+  gboolean shares; /* organisations share the slots */
+  OrgLoad known[KNOWN_LOADS];
+} Chooser;
+
+/* Returns the slots granted to organisation @org; 0 if not known. */
+static double
+get_grant (const CfQueueContext *c, gint64 priority, guint32 org)
+{
+  double own = 0;
+  double merged = 0;
+
+  for (guint i = 0; c->grants && i < c->grants->n; i++)
+    {
+      const CfDemand *d = &c->grants->entries[i];
+
+      if (d->org == org)
+        own += d->slots;
+      else if (d->org == CF_DEMAND_OTHER_ORGS && d->urgency == priority)
+        merged = d->slots / MAX (d->n_orgs, 1);
+    }
+  return own > 0 ? own : merged;
+}
+
+/* Returns the weight of an organisation of @total slots that @n_orgs use. */
+static double
+get_weight (const CfQueueContext *c, gint64 priority, guint32 org, guint n_orgs)
+{
+  double grant = get_grant (c, priority, org);
+
+  if (grant <= 0 && c->grants)
+    grant = cf_demand_table_total (c->grants) / MAX (n_orgs, 1);
+  return MAX (grant + sqrt (MAX (grant, 0)), 1);
+}
+
+static double
+get_load (Chooser *ch, const CfWaiter *w)
+{
+  OrgLoad *known = &ch->known[w->org % KNOWN_LOADS];
+
+  if (!known->is_known || known->org != w->org
+      || known->priority != w->priority)
+    {
+      known->org = w->org;
+      known->priority = w->priority;
+      known->is_known = TRUE;
+      known->load = cf_org_usage_in_flight (ch->q->usage, w->org)
+                    / get_weight (ch->c, w->priority, w->org,
+                                  cf_org_usage_size (ch->q->usage));
+    }
+  return known->load;
+}
+
+/* Compares the organisations of two waiters of the same priority: negative if
+ * that of @a goes first, 0 if neither does. */
+static int
+compare_orgs (Chooser *ch, const CfWaiter *a, const CfWaiter *b)
+{
+  double load_a;
+  double load_b;
+
+  if (!ch->shares || a->org == b->org)
+    return 0;
+  load_a = get_load (ch, a);
+  load_b = get_load (ch, b);
+  return load_a < load_b ? -1 : load_a > load_b;
+}
+
+/* Whether @w, which came after @best (nullable), goes before it; both can meet
+ * their objective and have the same priority. */
+static gboolean
+goes_first (Chooser *ch, const CfWaiter *w, const CfWaiter *best)
+{
+  int order;
+
+  if (!best)
+    return TRUE;
+  order = compare_orgs (ch, w, best);
+  if (order != 0)
+    return order < 0;
+  if (w->returned != best->returned && (!ch->shares || w->org == best->org))
+    return w->returned;
+  return ch->c->overloaded;
 }
 
 /* Whether the late waiter @w is to be sent before @best (nullable): it can
- * still be answered by its deadline, and has less time to spare for that than
- * @best, which has the same priority. */
+ * still be answered by its deadline, and, of the same priority, its
+ * organisation goes first, or it has less time to spare. */
 static gboolean
-has_less_slack (const CfWaiter *w, const CfWaiter *best, gint64 now_ms)
+late_goes_first (Chooser *ch, const CfWaiter *w, const CfWaiter *best)
 {
-  if (now_ms > w->deadline_send_by_ms)
+  int order;
+
+  if (ch->c->now_ms > w->deadline_send_by_ms)
     return FALSE;
-  return !best
-         || (w->priority == best->priority
-             && w->deadline_send_by_ms < best->deadline_send_by_ms);
+  if (!best)
+    return TRUE;
+  if (w->priority != best->priority)
+    return FALSE;
+  order = compare_orgs (ch, w, best);
+  return order != 0 ? order < 0
+                    : w->deadline_send_by_ms < best->deadline_send_by_ms;
 }
 
-CfWaiter *
-cf_wait_queue_first (const CfWaitQueue *q, gint64 now_ms, gboolean overloaded)
+/* (nullable): the next of the waiters from @w on, with priorities of at most
+ * @max_priority, that can meet their objective or at least their deadline. */
+static CfWaiter *
+choose (const CfWaitQueue *q, const CfQueueContext *c, CfWaiter *w,
+        gint64 max_priority)
 {
+  Chooser ch = { .q = q, .c = c, .shares = has_several_orgs (q) };
+  gboolean is_in_order = !ch.shares && !q->n_returned && !c->overloaded;
   CfWaiter *on_time = NULL;
   CfWaiter *late = NULL;
-  CfWaiter *w;
 
-  TAILQ_FOREACH (w, &q->waiters, link)
+  for (; w && w->priority <= max_priority; w = TAILQ_NEXT (w, link))
+    {
+      if (on_time && w->priority > on_time->priority)
+        break;
+      if (c->now_ms > w->objective_send_by_ms)
+        {
+          if (late_goes_first (&ch, w, late))
+            late = w;
+          continue;
+        }
+      if (goes_first (&ch, w, on_time))
+        on_time = w;
+      if (is_in_order)
+        break;
+    }
+  return on_time ? on_time : late;
+}
+
+/* Returns the first waiter of the level whose minimum share is due: the levels
+ * below the most urgent one get it in turn, from the least urgent one on. */
+static CfWaiter *
+find_floor_level (const CfWaitQueue *q)
+{
+  CfWaiter *first = TAILQ_FIRST (&q->waiters);
+  CfWaiter *last = TAILQ_LAST (&q->waiters, CfWaiterList);
+  CfWaiter *w = last;
+  CfWaiter *before;
+
+  while (w && w->priority >= q->floor_priority)
+    w = TAILQ_PREV (w, CfWaiterList, link);
+  if (!w || w->priority == first->priority)
+    w = last;
+  while ((before = TAILQ_PREV (w, CfWaiterList, link))
+         && before->priority == w->priority)
+    w = before;
+  return w;
+}
+
+CfWaiter *
+cf_wait_queue_first (const CfWaitQueue *q, const CfQueueContext *c)
+{
+  CfWaiter *first = TAILQ_FIRST (&q->waiters);
+  CfWaiter *w = NULL;
+
+  if (!first)
+    return NULL;
+  if (is_floor_due (q))
+    {
+      CfWaiter *level = find_floor_level (q);
+
+      w = choose (q, c, level, level->priority);
+    }
+  if (!w)
+    w = choose (q, c, first, G_MAXINT64);
+  return w ? w : first;
+}
+
+/* Returns how long the waiters take that are sent before the new request @w.
+ * Late ones are not among them, since it is not late yet. */
+static double
+estimate_wait_ms (const CfWaitQueue *q, const CfWaiter *w, gint64 now_ms,
+                  const CfDrain *d, double part)
+{
+  const CfWaiter *other;
+  guint n_urgent = 0;
+  guint n_own = 0;
+
+  TAILQ_FOREACH (other, &q->waiters, link)
   {
-    if (on_time && w->priority > on_time->priority)
-      break;
-    if (now_ms > w->objective_send_by_ms)
-      {
-        if (has_less_slack (w, late, now_ms))
-          late = w;
-        continue;
-      }
-    on_time = w;
-    if (!overloaded)
+    if (other->priority > w->priority)
       break;
+    if (now_ms > other->objective_send_by_ms)
+      continue;
+    n_urgent += other->priority < w->priority;
+    n_own += other->priority == w->priority && other->org == w->org;
   }
-  if (on_time)
-    return on_time;
-  return late ? late : TAILQ_FIRST (&q->waiters);
+  return d->hold_ms * (n_urgent / d->slots + n_own / part);
+}
+
+gboolean
+cf_wait_queue_is_hopeless (const CfWaitQueue *q, const CfWaiter *w,
+                           const CfQueueContext *c, const CfDrain *d,
+                           gint64 limit_ms)
+{
+  double part = get_grant (c, w->priority, w->org);
+  double max_ms = (double)limit_ms * HOPELESS_FACTOR;
+
+  if (d->slots <= 0 || d->hold_ms <= 0 || c->overloaded || w->returned)
+    return FALSE;
+  if (has_several_orgs (q))
+    {
+      guint in_flight = cf_org_usage_in_flight (q->usage, w->org);
+
+      if (part <= 0)
+        part = d->slots / cf_org_usage_size (q->usage);
+      if (in_flight < part)
+        return FALSE;
+      part = in_flight;
+    }
+  else
+    part = d->slots;
+  /* Most queues are far too short for it: they need not be searched. */
+  if (d->hold_ms * q->n / MIN (part, d->slots) <= max_ms)
+    return FALSE;
+  return estimate_wait_ms (q, w, c->now_ms, d, part) > max_ms;
 }
 
 gint64
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -406,6 +406,14 @@
 }
 END_TEST
 
+static CfWaiter *
+first_at (const CfWaitQueue *q, gint64 now_ms, gboolean overloaded)
+{
+  CfQueueContext c = { .now_ms = now_ms, .overloaded = overloaded };
+
+  return cf_wait_queue_first (q, &c);
+}
+
 START_TEST (on_time_waiters_come_first)
 {
   CfWaitQueue q;
@@ -416,12 +424,12 @@
   cf_wait_queue_init (&q);
   cf_wait_queue_add (&q, &older, 9, &evicted);
   cf_wait_queue_add (&q, &newer, 9, &evicted);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, FALSE), &older);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 101, FALSE), &newer);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 401, FALSE), &older);
+  ck_assert_ptr_eq (first_at (&q, 100, FALSE), &older);
+  ck_assert_ptr_eq (first_at (&q, 101, FALSE), &newer);
+  ck_assert_ptr_eq (first_at (&q, 401, FALSE), &older);
   cf_wait_queue_remove (&q, &older);
   cf_wait_queue_remove (&q, &newer);
-  ck_assert_ptr_null (cf_wait_queue_first (&q, 401, FALSE));
+  ck_assert_ptr_null (first_at (&q, 401, FALSE));
 }
 END_TEST
 
@@ -440,10 +448,10 @@
   cf_wait_queue_add (&q, &older, 9, &evicted);
   cf_wait_queue_add (&q, &newer, 9, &evicted);
   cf_wait_queue_add (&q, &low, 9, &evicted);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, TRUE), &newer);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, FALSE), &older);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 401, TRUE), &low);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 501, TRUE), &late);
+  ck_assert_ptr_eq (first_at (&q, 100, TRUE), &newer);
+  ck_assert_ptr_eq (first_at (&q, 100, FALSE), &older);
+  ck_assert_ptr_eq (first_at (&q, 401, TRUE), &low);
+  ck_assert_ptr_eq (first_at (&q, 501, TRUE), &late);
 }
 END_TEST
 
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -246,10 +246,11 @@
 static void
 serve_waiters (Gateway *g, gint64 now)
 {
+  CfQueueContext c = { .now_ms = now, .overloaded = is_overloaded (g) };
   CfWaiter *w;
   CfWaiter *next;
 
-  while ((w = cf_wait_queue_first (&g->queue, now, is_overloaded (g))))
+  while ((w = cf_wait_queue_first (&g->queue, &c)))
     {
       Stream *s = w->owner;
 
--- a/t/t-wait-queue.c
+++ b/t/t-wait-queue.c
@@ -76,6 +76,14 @@
   guint running;
 } Simulation;
 
+static CfWaiter *
+first_at (const CfWaitQueue *q, gint64 now_ms, gboolean overloaded)
+{
+  CfQueueContext c = { .now_ms = now_ms, .overloaded = overloaded };
+
+  return cf_wait_queue_first (q, &c);
+}
+
 static void
 queue_request (Simulation *sim, Request *r)
 {
@@ -164,7 +172,7 @@
   CfWaiter *w;
 
   while (sim->running < N_SLOTS
-         && (w = cf_wait_queue_first (&sim->queue, sim->now, FALSE)))
+         && (w = first_at (&sim->queue, sim->now, FALSE)))
     {
       gboolean uses_all_slots
           = !sim->policy.always_yields
@@ -272,13 +280,13 @@
   cf_wait_queue_add (&q, &old, 9, &evicted);
   cf_wait_queue_add (&q, &last, 9, &evicted);
   cf_wait_queue_add (&q, &low, 9, &evicted);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, FALSE), &last);
+  ck_assert_ptr_eq (first_at (&q, 100, FALSE), &last);
   cf_wait_queue_remove (&q, &last);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, FALSE), &old);
+  ck_assert_ptr_eq (first_at (&q, 100, FALSE), &old);
   cf_wait_queue_remove (&q, &old);
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 100, FALSE), &low);
+  ck_assert_ptr_eq (first_at (&q, 100, FALSE), &low);
   /* None can be complete by its deadline: in order of arrival. */
-  ck_assert_ptr_eq (cf_wait_queue_first (&q, 1000, FALSE), &expired);
+  ck_assert_ptr_eq (first_at (&q, 1000, FALSE), &expired);
 }
 END_TEST
 
