exchange: queue again what a full target refused

A request that a full target refused ended with that refusal if it had no other target or the retry budget was spent, and the gateway went on sending the target more than it takes. Such a request now returns to its place in the queue, where it waits for a slot and, if need be, for the retry budget; the gateway keeps its requests at the target below the number at which it refused, and tests a higher one only with requests that can be sent again. Also refuses a new request whose organisation's part drains too slowly for it, logs organisation and grant in E1210, and answers 502 to an evicted request that may have run.

t-wait-queue, t-balancer, t-target, t-retry-budget, t-gateway, t-rate-limit and t-target-pause pass.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -51,6 +51,7 @@
   guint share = cf_balancer_max_in_flight (t->record.slots, in->max_conns,
                                            in->n_gateways);
 
+  share = MIN (share, cf_target_full_limit (t, in->tests_full, in->now_ms));
   return in->yields ? (guint)MAX (share * YIELD_TARGET_FRACTION, 1) : share;
 }
 
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -112,6 +112,8 @@
     cf_exchange_record_failure (x, t, "named-faulty");
   else
     x->target->full_until_ms = now + FULL_TARGET_PAUSE_MS;
+  if (!x->faulty_addr)
+    cf_exchange_note_full_target (x);
 }
 
 /* Records that a target of the service processes requests, which ends any
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -55,6 +55,10 @@
   CfTarget *target;
   GPtrArray *tried_targets; /**< of #CfTarget, referenced */
   guint sends;
+  guint target_in_flight; /**< requests of this process that its target had when
+                               it was sent, including it */
+  gboolean keeps_place;   /**< a full target refused it: it returns to its place
+                               in the queue */
   guint64 events_at_send; /**< events forwarded before it was last sent */
   gboolean may_have_run;
   gboolean queue_timed_out;         /**< its queue timeout expired during an
@@ -163,6 +167,10 @@
  * if the route and the retry budget allow it, else answers the caller. */
 void cf_exchange_retry_or_end (CfExchange *x, const char *reason);
 
+/** cf_exchange_note_full_target: its target refused it as full.  It may be sent
+ * there again, and keeps its place in the queue. */
+void cf_exchange_note_full_target (CfExchange *x);
+
 /** cf_exchange_on_queue_timeout: it has been queued for as long as it may. */
 void cf_exchange_on_queue_timeout (CfExchange *x);
 
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -95,6 +95,14 @@
                          cf_gateway_now (x->gateway));
   x->target = cf_target_ref (t);
   cf_target_request_started (t, cf_gateway_now (x->gateway));
+  x->target_in_flight = t->in_flight;
+  x->keeps_place = FALSE;
+  if (x->waiter.is_retry)
+    {
+      cf_retry_budget_take (&x->service_state->budget);
+      x->gateway->stats.retries++;
+      x->waiter.is_retry = FALSE;
+    }
   cf_rate_limit_consume (&t->limit);
   cf_warmup_consume (&t->warmup, cf_gateway_now (x->gateway));
   cf_exchange_begin_suspect_run (x);
@@ -161,18 +169,75 @@
 }
 
 static CfQueueContext
-make_queue_context (const CfGateway *g, const CfServiceState *s)
+make_queue_context (const CfGateway *g, CfServiceState *s)
 {
   CfQueueContext c = { .now_ms = cf_gateway_now (g) };
 
   c.overloaded = cf_concurrency_limit_get (&s->limit) != 0;
+  c.may_not_retry = !cf_retry_budget_has_token (&s->budget);
   c.grants = s->share.total > 0 ? &s->share.grants : NULL;
   return c;
 }
 
-/* Queues it until a target has a free slot.  If the queue is full, the least
- * urgent request is refused.  The wait is limited so that enough time remains
- * for the work itself. */
+/* Writes the slots granted to its organisation, for the log. */
+static const char *
+format_grant (const CfExchange *x, char *buf, gsize n)
+{
+  const CfShare *share = &x->service_state->share;
+
+  if (share->total <= 0)
+    return "-";
+  g_snprintf (buf, n, "%.1f",
+              cf_demand_table_lookup (&share->grants, x->waiter.priority,
+                                      x->waiter.org));
+  return buf;
+}
+
+static void
+log_queued (const CfExchange *x, gint64 limit)
+{
+  char grant[32];
+
+  cf_log (LOG_INFO, CF_EV_QUEUE,
+          "id=%s service=%s org=%s priority=%" G_GINT64_FORMAT
+          " waiting=%u in_flight=%u grant=%s limit_ms=%" G_GINT64_FORMAT,
+          x->id, x->service, x->org ? x->org : "-", x->waiter.priority,
+          x->service_state->queue.n, x->service_state->in_flight,
+          format_grant (x, grant, sizeof grant), limit);
+}
+
+/* Ends a request that no target can take in time. */
+static void
+end_unservable (CfExchange *x, const char *reason, gint64 backoff_ms)
+{
+  if (x->may_have_run)
+    cf_exchange_fail (x, reason);
+  else
+    cf_exchange_refuse (x, reason, backoff_ms);
+}
+
+/* Whether the requests ahead of it take much longer than it may wait.  A
+ * request that was sent before has waited already, and is not refused for this.
+ */
+static gboolean
+is_hopeless (const CfExchange *x, gint64 limit)
+{
+  CfServiceState *s = x->service_state;
+  CfQueueContext c = make_queue_context (x->gateway, s);
+  CfDrain d = { .hold_ms = s->demand.hold_ms };
+
+  if (x->sends > 0 || s->outage.since_ms)
+    return FALSE;
+  /* A gateway that was idle may use its part of the slots at once. */
+  d.slots = (double)cf_target_table_slots (&x->gateway->targets, x->service)
+            / MAX (x->gateway->fleet_size, 1);
+  d.slots = MAX (d.slots, s->in_flight);
+  return cf_wait_queue_is_hopeless (&s->queue, &x->waiter, &c, &d, limit);
+}
+
+/* Queues it until a target has a free slot.  If the queue is full, a request is
+ * refused, but not one that is more urgent than others.  The wait is limited so
+ * that enough time remains for the work itself. */
 static void
 enqueue (CfExchange *x)
 {
@@ -181,28 +246,34 @@
                                             cf_exchange_remaining_ms (x));
   CfWaiter *evicted;
 
-  x->waiter.since_ms = now;
+  if (!x->keeps_place)
+    x->waiter.since_ms = now;
   x->waiter.objective_send_by_ms = get_objective_send_by_ms (x);
   x->waiter.deadline_send_by_ms = get_deadline_send_by_ms (x);
+  if (is_hopeless (x, limit))
+    {
+      cf_exchange_refuse (x, "no-room", cf_exchange_backoff_ms (x));
+      return;
+    }
   if (!cf_wait_queue_add (&x->service_state->queue, &x->waiter, max_queued (x),
                           &evicted))
     {
-      if (x->may_have_run)
-        cf_exchange_fail (x, "queue-full");
-      else
-        cf_exchange_refuse (x, "queue-full", cf_exchange_backoff_ms (x));
+      end_unservable (x, "queue-full", cf_exchange_backoff_ms (x));
       return;
     }
   x->gateway->stats.queued++;
-  cf_log (LOG_INFO, CF_EV_QUEUE,
-          "id=%s service=%s priority=%" G_GINT64_FORMAT
-          " waiting=%u in_flight=%u limit_ms=%" G_GINT64_FORMAT,
-          x->id, x->service, x->waiter.priority, x->service_state->queue.n,
-          x->service_state->in_flight, limit);
+  x->gateway->stats.requeued += x->keeps_place;
+  log_queued (x, limit);
   cf_exchange_start_silence_timer (x, limit);
   if (evicted)
-    cf_exchange_refuse (evicted->owner, "more-urgent-waits",
-                        cf_exchange_backoff_ms (x));
+    {
+      x->gateway->stats.evicted++;
+      end_unservable (evicted->owner,
+                      evicted->priority > x->waiter.priority
+                          ? "more-urgent-waits"
+                          : "queue-full",
+                      cf_exchange_backoff_ms (x));
+    }
 }
 
 /* Returns what a target is chosen by.  The result refers to @x. */
@@ -245,16 +316,6 @@
   return in;
 }
 
-/* Ends a request that no target can take in time. */
-static void
-end_unservable (CfExchange *x, const char *reason, gint64 backoff_ms)
-{
-  if (x->may_have_run)
-    cf_exchange_fail (x, reason);
-  else
-    cf_exchange_refuse (x, reason, backoff_ms);
-}
-
 /* All remaining targets are at their rate limits: queues it if the limits let
  * it be sent in time, else refuses it at once with a Retry-After. */
 static void
@@ -337,6 +398,24 @@
              || !may_probe (x));
 }
 
+/* Whether it waits for the retry budget. */
+static gboolean
+lacks_token (const CfExchange *x)
+{
+  return x->waiter.is_retry
+         && !cf_retry_budget_has_token (&x->service_state->budget);
+}
+
+/* Whether it may be sent to a target that may refuse it as full.  Half of the
+ * retry budget is left for other failures, and the last attempt is not spent.
+ */
+static gboolean
+may_test_full (const CfExchange *x)
+{
+  return x->sends + 1 < x->route->max_attempts
+         && cf_retry_budget_has_surplus (&x->service_state->budget);
+}
+
 /* Looks for a target in a data centre that no group fails in.  Without it, an
  * outage of one rank group would hold back what the others can serve.  Where
  * there is one group, there is nothing to choose. */
@@ -353,6 +432,7 @@
                             cf_target_table_service (&g->targets, x->service),
                             in.stall_timeout_ms, in.now_ms, &avoided);
   in.avoided = &avoided;
+  in.tests_full = may_test_full (x);
   return avoided.n > 0 && cf_balancer_pick (&g->targets, &in, t) == CF_PICK_OK;
 }
 
@@ -361,6 +441,9 @@
 {
   CfPickInput in = make_pick_input (x);
 
+  if (lacks_token (x))
+    return CF_PICK_FULL;
+  in.tests_full = may_test_full (x);
   if (pick_elsewhere (x, t))
     return CF_PICK_OK;
   if (is_held_back (x))
@@ -415,6 +498,8 @@
   gboolean in_budget
       = again && cf_retry_budget_take (&x->service_state->budget);
 
+  gboolean awaits_budget = again && !in_budget && x->keeps_place;
+
   if (!can_be_continued (x))
     {
       cf_exchange_fail (x, reason);
@@ -424,9 +509,10 @@
           "id=%s reason=%s target=%s again=%s budget=%s ran=%s sends=%u "
           "left_ms=%" G_GINT64_FORMAT,
           x->id, reason, cf_exchange_target_id (x), again ? "yes" : "no",
-          !again      ? "not-asked"
-          : in_budget ? "ok"
-                      : "none",
+          !again          ? "not-asked"
+          : in_budget     ? "ok"
+          : awaits_budget ? "awaited"
+                          : "none",
           x->may_have_run ? "maybe" : "no", x->sends,
           cf_exchange_remaining_ms (x));
   cf_exchange_release_target (x, TRUE);
@@ -435,10 +521,22 @@
       x->gateway->stats.retries++;
       cf_exchange_send_or_queue (x);
     }
-  else if (x->may_have_run)
-    cf_exchange_fail (x, reason);
+  else if (awaits_budget)
+    {
+      x->waiter.is_retry = TRUE;
+      cf_exchange_send_or_queue (x);
+    }
   else
-    cf_exchange_refuse (x, reason, cf_exchange_backoff_ms (x));
+    end_unservable (x, reason, cf_exchange_backoff_ms (x));
+}
+
+void
+cf_exchange_note_full_target (CfExchange *x)
+{
+  cf_target_note_full (x->target, x->target_in_flight,
+                       cf_gateway_now (x->gateway));
+  g_ptr_array_remove (x->tried_targets, x->target);
+  x->keeps_place = TRUE;
 }
 
 /* (nullable): the first queued request that may probe an outage. */
@@ -448,7 +546,7 @@
   CfWaiter *w;
 
   TAILQ_FOREACH (w, &s->queue.waiters, link)
-  if (may_probe (w->owner))
+  if (may_probe (w->owner) && !lacks_token (w->owner))
     return w;
   return NULL;
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -261,6 +261,7 @@
   x->deadline_ms = x->start_ms + allowed;
   x->waiter.priority = cf_exchange_urgency (x);
   x->waiter.org = get_org_id (x);
+  x->waiter.since_ms = x->start_ms;
   cf_retry_budget_add_request (&x->service_state->budget);
   ev_timer_set (&x->deadline_timer, (double)allowed / 1000, 0);
   ev_timer_start (x->gateway->loop, &x->deadline_timer);
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -104,7 +104,7 @@
   GHashTable *org_priority;   /**< organisation -> priority + 1; 0: not set */
   GHashTable *org_home_regions; /**< organisation -> GStrv, if it has any */
   guint n_orgs;
-  gboolean requires_api_key;    /**< on routes that are not @keyless */
+  gboolean requires_api_key; /**< on routes that are not @keyless */
   CfCallerLimits limits;
 } CfPolicy;
 
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -6,6 +6,16 @@
 #include <math.h>
 #include <string.h>
 
+/** A target that refused a request as full gets one more every so many ms. With
+ * responses of 300 ms it is tested about once per response of each slot. */
+#define FULL_RAISE_MS 250
+/** After this time without a refusal, the last one says nothing any more: slots
+ * have become free, or requests of other gateways have ended. */
+#define FULL_MEMORY_MS 1000
+/** Both take so many times as long for requests that cannot be sent again: each
+ * refusal then ends a request, or makes it wait for the retry budget. */
+#define FULL_RARE_TESTS 8
+
 /** Smaller changes of a slowdown are ignored. */
 #define MIN_SLOWDOWN_CHANGE 0.1
 
@@ -72,6 +82,32 @@
     t->prior_silence_ms = MAX (unanswered_ms, 0);
 }
 
+guint
+cf_target_full_limit (const CfTarget *t, gboolean tests, gint64 now)
+{
+  gint64 ms = (now - t->full_since_ms) / (tests ? 1 : FULL_RARE_TESTS);
+
+  if (t->full_in_flight == 0 || ms >= FULL_MEMORY_MS)
+    return G_MAXUINT;
+  return MAX (t->full_in_flight - 1, 1) + (guint)(ms / FULL_RAISE_MS);
+}
+
+void
+cf_target_note_full (CfTarget *t, guint in_flight, gint64 now)
+{
+  guint limit = cf_target_full_limit (t, TRUE, now);
+
+  /* It runs no other request of this process: others fill it, or it refuses all
+   * work.  How many it takes of this process is not known then. */
+  if (t->in_flight <= 1)
+    t->full_in_flight = 0;
+  else if (in_flight <= limit)
+    t->full_in_flight = in_flight;
+  else
+    t->full_in_flight = limit + 1;
+  t->full_since_ms = now;
+}
+
 void
 cf_target_record_progress (CfTarget *t, gint64 now)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -52,7 +52,10 @@
   gint64 slowdown_observed_ms; /**< when an agent last reported it to this
                                     process; 0: never */
   gint64 full_until_ms;        /**< no requests until then, as it was full */
-  CfRateLimit limit;          /**< the rate that it accepts from all gateways */
+  guint full_in_flight; /**< with so many requests of this process it refused
+                             one as full; 0: it has not lately */
+  gint64 full_since_ms; /**< when it did so */
+  CfRateLimit limit;    /**< the rate that it accepts from all gateways */
   gboolean announced_leaving; /**< an answer said that it leaves, which it never
                                    takes back */
   CfWarmup warmup;
@@ -92,6 +95,24 @@
 /** cf_target_record_progress: records that @t sent part of an answer. */
 void cf_target_record_progress (CfTarget *t, gint64 now_ms);
 
+/**
+ * cf_target_note_full:
+ * @t refused a request as full.
+ * @in_flight: requests of this process that it had when that one was sent,
+ *   including it
+ */
+void cf_target_note_full (CfTarget *t, guint in_flight, gint64 now_ms);
+
+/**
+ * cf_target_full_limit:
+ * @tests: whether a request that @t refuses can be sent again, so that it can
+ *   be used to find out whether @t has more room
+ * Returns: how many requests of this process @t can have without refusing one
+ *   as full, as far as is known: fewer than when it refused one, and one more
+ *   every 250 ms since then (every 2 s without @tests).
+ */
+guint cf_target_full_limit (const CfTarget *t, gboolean tests, gint64 now_ms);
+
 /**
  * CfTargetTable:
  * All listed targets, by id, by address and by service.  The list keeps the
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -344,6 +344,12 @@
                     : w->deadline_send_by_ms < best->deadline_send_by_ms;
 }
 
+static gboolean
+is_passed_over (const CfWaiter *w, const CfQueueContext *c)
+{
+  return w->is_retry && c->may_not_retry;
+}
+
 /* (nullable): the next of the waiters from @w on, with priorities of at most
  * @max_priority, that can meet their objective or at least their deadline. */
 static CfWaiter *
@@ -359,6 +365,8 @@
     {
       if (on_time && w->priority > on_time->priority)
         break;
+      if (is_passed_over (w, c))
+        continue;
       if (c->now_ms > w->objective_send_by_ms)
         {
           if (late_goes_first (&ch, w, late))
@@ -409,7 +417,11 @@
     }
   if (!w)
     w = choose (q, c, first, G_MAXINT64);
-  return w ? w : first;
+  /* All are too late. */
+  for (; !w && first; first = TAILQ_NEXT (first, link))
+    if (!is_passed_over (first, c))
+      w = first;
+  return w;
 }
 
 /* Returns how long the waiters take that are sent before the new request @w.
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -22,6 +22,7 @@
   gint64 priority;   /**< urgency; 0 is the most urgent */
   guint32 org;       /**< id of its organisation; see cf_demand_org_id() */
   gboolean returned; /**< was refused before, and returned at its time */
+  gboolean is_retry; /**< sending it takes a token of the retry budget */
   gint64 since_ms;   /**< when it was queued, or, if a full target refused it,
                         when it was first to be sent */
   /** Latest time to send it so that it meets its objective. */
@@ -89,11 +90,13 @@
    * still meet their objective the newest goes first, since in order of arrival
    * each would be sent just as it becomes late. */
   gboolean overloaded;
+  gboolean may_not_retry;      /**< passes over waiters that are retries */
   const CfDemandTable *grants; /**< (nullable): slots for each organisation;
                                     %NULL: equal parts */
 } CfQueueContext;
 
-/** cf_wait_queue_first: (nullable): the waiter to be sent next. */
+/** cf_wait_queue_first: (nullable): the waiter to be sent next; %NULL if there
+ * is none, or all are passed over. */
 CfWaiter *cf_wait_queue_first (const CfWaitQueue *q, const CfQueueContext *c);
 
 /** CfDrain: how fast waiting requests can be sent. */
--- a/retry-budget.c
+++ b/retry-budget.c
@@ -43,6 +43,17 @@
   return has;
 }
 
+gboolean
+cf_retry_budget_has_surplus (CfRetryBudget *b)
+{
+  gboolean has;
+
+  pthread_mutex_lock (&b->lock);
+  has = b->tokens >= MAX (b->max / 2, 1);
+  pthread_mutex_unlock (&b->lock);
+  return has;
+}
+
 gboolean
 cf_retry_budget_take (CfRetryBudget *b)
 {
--- a/retry-budget.h
+++ b/retry-budget.h
@@ -36,6 +36,10 @@
 /** cf_retry_budget_has_token: whether cf_retry_budget_take() would succeed. */
 gboolean cf_retry_budget_has_token (CfRetryBudget *b);
 
+/** cf_retry_budget_has_surplus: whether it has a token and is at least half
+ * full, so that a request may be sent to a target that may refuse it. */
+gboolean cf_retry_budget_has_surplus (CfRetryBudget *b);
+
 /** cf_retry_budget_take: takes a token for a retry; %FALSE if there is none and
  * the retry may not be sent. */
 gboolean cf_retry_budget_take (CfRetryBudget *b);
