fake-platform: queue limit, slots, tiers of routes

The load of a contended service could not be played: plain targets ran twice their slots at once, all routes of the desk had one priority, and there was one organisation.

Without the options nothing changes.

--- a/standins/comfrey-fake-platform.c
+++ b/standins/comfrey-fake-platform.c
@@ -16,6 +16,9 @@
 static int n_ranks = 4;
 static int n_groups = 1;
 static int n_data_centres = 1;
+static int n_slots = 6;
+static int queue_max = -1;
+static gboolean has_tiers;
 static int work_ms = 10;
 static double form_ms = 0;
 static double shift_s = 0;
@@ -35,6 +38,18 @@
     "N" },
   { "work-ms", 0, 0, G_OPTION_ARG_INT, &work_ms,
     "Time that a plain request takes", "MS" },
+  { "slots", 0, 0, G_OPTION_ARG_INT, &n_slots,
+    "Requests that a plain target runs at once, as its record says", "N" },
+  { "queue", 0, 0, G_OPTION_ARG_INT, &queue_max,
+    "Further requests that a plain target queues; it refuses those beyond "
+    "(without this option it runs twice its slots at once)",
+    "N" },
+  { "tiers", 0, 0, G_OPTION_ARG_NONE, &has_tiers,
+    "Adds routes of the desk with priorities 0 (/urgent/), 1 (/shared/) and 2 "
+    "(/basic/), and the organisations small and large, which have equal "
+    "priorities, plain-a and plain-b, which have none; the key of each is "
+    "\"key-NAME\"",
+    NULL },
   { "copy-ms", 0, 0, G_OPTION_ARG_DOUBLE, &copy_ms,
     "Time in which a rank copies one expert", "MS" },
   { "step-ms", 0, 0, G_OPTION_ARG_DOUBLE, &step_ms,
@@ -49,7 +64,9 @@
   { NULL },
 };
 
-static const char initial_config[]
+/* The parts of the initial configuration between which --tiers adds routes and
+ * organisations. */
+static const char config_routes[]
     = "{\"version\":1,\"routes\":["
       "{\"name\":\"chat\",\"host\":\"demo.example\",\"prefix\":\"/chat/\","
       "\"kind\":\"streaming\",\"timeout-ms\":8000,\"aim-ms\":500,"
@@ -67,7 +84,9 @@
       "\"service\":\"desk\",\"max-attempts\":2,\"public\":false},"
       "{\"name\":\"open\",\"host\":\"demo.example\",\"prefix\":\"/open/\","
       "\"kind\":\"safe\",\"timeout-ms\":800,\"aim-ms\":150,\"priority\":2,"
-      "\"service\":\"desk\",\"max-attempts\":2,\"public\":true}],"
+      "\"service\":\"desk\",\"max-attempts\":2,\"public\":true}";
+static const char config_services[]
+    = "],"
       "\"services\":[{\"name\":\"llm\",\"max-conns\":200,\"engine\":{"
       "\"slots\":12,\"step_ms\":4,\"per_seq_ms\":0.9,\"read_per_s\":61400,"
       "\"stride\":4,"
@@ -77,7 +96,30 @@
       "\"cold-per-s\":20}],"
       "\"limits\":{\"max-header-bytes\":4096,\"max-body-bytes\":65536,"
       "\"header-timeout-ms\":600,\"idle-timeout-ms\":3000},"
-      "\"tenants\":[{\"name\":\"museum\",\"api-keys\":[\"key-museum\"]}]}";
+      "\"tenants\":[{\"name\":\"museum\",\"api-keys\":[\"key-museum\"]}";
+static const char config_end[] = "]}";
+
+#define TIER_ROUTE(name, priority)                                             \
+  ",{\"name\":\"" name "\",\"host\":\"demo.example\",\"prefix\":\"/" name      \
+  "/\",\"kind\":\"safe\",\"timeout-ms\":8000,\"aim-ms\":500,"                  \
+  "\"priority\":" priority                                                     \
+  ",\"service\":\"desk\",\"max-attempts\":2,\"public\":false}"
+#define TIER_ORG(name, priority)                                               \
+  ",{\"name\":\"" name "\",\"api-keys\":[\"key-" name "\"]" priority "}"
+
+static const char tier_routes[] = TIER_ROUTE ("urgent", "0")
+    TIER_ROUTE ("shared", "1") TIER_ROUTE ("basic", "2");
+static const char tier_orgs[] = TIER_ORG ("small", ",\"priority\":1")
+    TIER_ORG ("large", ",\"priority\":1") TIER_ORG ("plain-a", "")
+        TIER_ORG ("plain-b", "");
+
+static char *
+initial_config (void)
+{
+  return g_strconcat (config_routes, has_tiers ? tier_routes : "",
+                      config_services, has_tiers ? tier_orgs : "", config_end,
+                      NULL);
+}
 
 static void
 place_target (FakeTarget *t, int dc)
@@ -99,9 +141,11 @@
 {
   g_autofree char *addr = target_addr (i);
   g_autofree char *id = g_strdup_printf ("desk-%d", i);
+  FakeTarget *t
+      = fake_target_new_plain (loop, store, id, "desk", addr, n_slots, work_ms);
 
-  place_target (
-      fake_target_new_plain (loop, store, id, "desk", addr, 6, work_ms), i);
+  fake_target_set_queue (t, queue_max);
+  place_target (t, i);
 }
 
 static void
@@ -156,6 +200,7 @@
   struct ev_loop *loop = ev_default_loop (0);
   GError *err = NULL;
   ev_signal stop_signal;
+  g_autofree char *config = NULL;
   FakeStore *store;
   char *addr;
 
@@ -172,7 +217,8 @@
   addr = g_strdup_printf ("127.0.0.1:%d", port);
   store = fake_store_new (loop, addr);
   start_targets (loop, store);
-  fake_store_put (store, PF_KEY_CONFIG, initial_config);
+  config = initial_config ();
+  fake_store_put (store, PF_KEY_CONFIG, config);
   ev_signal_init (&stop_signal, on_stop_signal, SIGTERM);
   ev_signal_start (loop, &stop_signal);
   ev_run (loop, 0);
--- a/standins/fake-target.c
+++ b/standins/fake-target.c
@@ -34,8 +34,11 @@
   char *id;
   char *service;
   char *addr;
-  int slots;   /**< requests at once, as its record says; accepts twice this */
-  int work_ms; /**< time that a plain request takes */
+  int slots;     /**< requests at once, as its record says */
+  int queue_max; /**< requests that it accepts beyond its slots; they wait for a
+                    slot.  -1: it accepts twice its slots, and runs all */
+  GQueue queue;  /**< of #PlainRequest: those that wait, the oldest first */
+  int work_ms;   /**< time that a plain request takes */
   FakeGroup *group; /**< %NULL for a plain service */
   int rank;
   gboolean draining;
@@ -44,11 +47,11 @@
   char *data_centre;        /**< (nullable): "dc1" */
   char *omitted_fields;     /**< (nullable): comma-separated, see /test/omit */
   gint64 started_ms;        /**< Unix time at which this incarnation started */
-  int n_running;            /**< requests that it runs now */
+  int n_running;            /**< requests that it has accepted and not ended */
   int delayed_order_tenths; /**< of ten orders, this many are delayed */
   gboolean skips_order_answers; /**< executes orders without answering */
   int n_orders;
-  GList *requests;  /**< of #PlainRequest: those that run now */
+  GList *requests;  /**< of #PlainRequest: those that run or wait now */
   char *rate_limit; /**< (nullable): requests a second that answers carry */
   char *pause_s; /**< (nullable): it refuses all requests and asks for a pause
                     of so many seconds */
@@ -160,15 +163,35 @@
   return g_strdup (t->fault);
 }
 
+/* Requests that occupy a slot. */
+static int
+n_in_slots (const FakeTarget *t)
+{
+  return t->n_running - (int)t->queue.length;
+}
+
+/* Begins the work on @req, which a hung target never ends. */
+static void
+begin_plain_work (PlainRequest *req)
+{
+  if (g_strcmp0 (req->fault, "hang") != 0)
+    ev_timer_start (req->target->loop, &req->timer);
+}
+
 static void
 end_plain_request (PlainRequest *req)
 {
-  ev_timer_stop (req->target->loop, &req->timer);
-  req->target->n_running--;
-  req->target->requests = g_list_remove (req->target->requests, req);
+  FakeTarget *t = req->target;
+
+  ev_timer_stop (t->loop, &req->timer);
+  t->n_running--;
+  t->requests = g_list_remove (t->requests, req);
+  g_queue_remove (&t->queue, req);
   req->conn->pending = NULL;
   g_free (req->fault);
   g_free (req);
+  if (t->queue.length > 0 && n_in_slots (t) < t->slots)
+    begin_plain_work (g_queue_pop_head (&t->queue));
 }
 
 static void
@@ -300,7 +323,7 @@
 start_plain_request (FakeTarget *t, FakeConn *c, char *fault)
 {
   PlainRequest *req = g_new0 (PlainRequest, 1);
-  gboolean is_hung = g_strcmp0 (fault, "hang") == 0;
+  gboolean has_slot = t->queue_max < 0 || n_in_slots (t) < t->slots;
 
   req->target = t;
   req->conn = c;
@@ -311,8 +334,17 @@
   t->requests = g_list_prepend (t->requests, req);
   ev_timer_init (&req->timer, on_work_done, (double)t->work_ms / 1000, 0);
   req->timer.data = req;
-  if (!is_hung)
-    ev_timer_start (t->loop, &req->timer);
+  if (has_slot)
+    begin_plain_work (req);
+  else
+    g_queue_push_tail (&t->queue, req);
+}
+
+/* The number of requests that it accepts. */
+static int
+accepted_max (const FakeTarget *t)
+{
+  return t->queue_max < 0 ? t->slots * 2 : t->slots + t->queue_max;
 }
 
 /* Removes the stream of @c from its rank and frees it. */
@@ -525,7 +557,7 @@
       g_free (fault);
       return;
     }
-  if (t->n_running >= t->slots * 2 || g_strcmp0 (fault, "full") == 0)
+  if (t->n_running >= accepted_max (t) || g_strcmp0 (fault, "full") == 0)
     {
       refuse (t, c, id, 503, NULL);
       g_free (fault);
@@ -815,6 +847,7 @@
 static void
 silence_plain_requests (FakeTarget *t)
 {
+  g_queue_clear (&t->queue);
   for (GList *l = t->requests; l; l = l->next)
     ev_timer_stop (t->loop, &((PlainRequest *)l->data)->timer);
 }
@@ -1001,6 +1034,8 @@
   ev_timer_init (&t->crash_timer, on_crash_timer, 0, 0);
   t->crash_timer.data = t;
   t->slots = slots;
+  t->queue_max = -1;
+  g_queue_init (&t->queue);
   t->fault_at = -1;
   t->started_ms = g_get_real_time () / 1000;
   t->arrivals = g_array_new (FALSE, FALSE, sizeof (Arrival));
@@ -1017,6 +1052,12 @@
   publish_record (t);
 }
 
+void
+fake_target_set_queue (FakeTarget *t, int queue_max)
+{
+  t->queue_max = queue_max;
+}
+
 FakeTarget *
 fake_target_new_plain (struct ev_loop *loop, FakeStore *store, const char *id,
                        const char *service, const char *addr, int slots,
--- a/standins/fake-target.h
+++ b/standins/fake-target.h
@@ -110,7 +110,7 @@
 /**
  * fake_target_new_plain: starts a target of a plain service at @addr.
  * @slots: requests that it runs at once, as its store record says; it accepts
- *   twice as many
+ *   and runs twice as many unless fake_target_set_queue() is called
  * @work_ms: time that a request takes
  */
 FakeTarget *fake_target_new_plain (struct ev_loop *loop, FakeStore *store,
@@ -120,6 +120,14 @@
 /** fake_target_set_data_centre: moves @t, which is in "dc1" at first. */
 void fake_target_set_data_centre (FakeTarget *t, const char *data_centre);
 
+/**
+ * fake_target_set_queue: from now on @t, a target of a plain service, works on
+ * as many requests at once as it has slots.
+ * @queue_max: how many more it accepts, which wait in order of arrival; it
+ *   refuses further ones with 503, not run
+ */
+void fake_target_set_queue (FakeTarget *t, int queue_max);
+
 /** FakeGroupShape: the size and the speed of a rank group. */
 typedef struct
 {
