callers: send requests at a given rate

The callers sent the next request when one had ended, so they could not offer more than a service serves, and all gateways got equal parts.

--- a/Makefile
+++ b/Makefile
@@ -87,6 +87,7 @@
 		$(SI_SRCS:%.c=target/obj/%.o) target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
 
+target/comfrey-callers: target/obj/standins/callers-load.o
 target/comfrey-callers target/comfrey-fault-proxy: target/%: \
 		target/obj/standins/%.o target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
--- a/standins/comfrey-callers.c
+++ b/standins/comfrey-callers.c
@@ -1,8 +1,10 @@
 /*
  * Callers of the gateways, for the demo and for manual tests.  They send a
  * given number of requests (streams, orders that may run at most once, and
- * quotes), check each answer, and print one line with the totals.
+ * quotes), check each answer, and print one line with the totals.  With --rate
+ * they send requests at that rate instead; see callers-load.h.
  */
+#include "callers-load.h"
 #include "error.h"
 #include "gateway/event-stream.h"
 #include "gateway/upstream.h"
@@ -29,6 +31,7 @@
 /** Upper bound on Retry-After: no gateway asks a caller to retry after its
  * deadline. */
 #define MAX_RETRY_AFTER_S (REQUEST_DEADLINE_MS / 1000.0)
+#define DEFAULT_KEY "key-museum"
 #define STREAM_EVENTS 12
 #define STREAM_TOKENS (STREAM_EVENTS * 4)
 
@@ -138,21 +141,10 @@
 on_head (void *owner, const CfHttpReader *r)
 {
   Caller *c = owner;
-  const char *retry_after = NULL;
 
   c->status = (int)r->parser.status_code;
   c->is_signed = cf_http_reader_header (r, CF_HDR_SIGNATURE) != NULL;
-  for (guint i = 0; i < r->headers->len; i++)
-    {
-      const CfHeader *h = &g_array_index (r->headers, CfHeader, i);
-
-      if (g_ascii_strcasecmp (h->name, "Retry-After") == 0)
-        retry_after = h->value;
-    }
-  c->retry_after_s = retry_after ? g_ascii_strtod (retry_after, NULL) : 0;
-  /* Written so that NaN gives no delay, too. */
-  c->retry_after_s
-      = c->retry_after_s > 0 ? MIN (c->retry_after_s, MAX_RETRY_AFTER_S) : 0;
+  c->retry_after_s = callers_retry_after_s (r, MAX_RETRY_AFTER_S);
 }
 
 static void
@@ -237,7 +229,7 @@
                    "Authorization: Token %s\r\n%s\r\n",
                    c->class == CLASS_QUOTE ? "GET" : "POST",
                    class_paths[c->class], c->id, REQUEST_DEADLINE_MS,
-                   STREAM_TOKENS, api_key ? api_key : "key-museum",
+                   STREAM_TOKENS, api_key ? api_key : DEFAULT_KEY,
                    c->class == CLASS_QUOTE ? "" : "Content-Length: 0\r\n");
   c->upstream = cf_upstream_send (loop, c->gateway, request, c->id, FALSE,
                                   &upstream_callbacks, c);
@@ -323,6 +315,8 @@
     return "give --requests from 1 to " G_STRINGIFY (MAX_REQUESTS);
   if (n_callers < 1 || n_callers > MAX_CALLERS)
     return "give --callers from 1 to " G_STRINGIFY (MAX_CALLERS);
+  if (callers_load_is_requested ())
+    return callers_load_check_options (g_strv_length (gateways));
   return NULL;
 }
 
@@ -339,6 +333,7 @@
            "answer.\nExit status: 0 if all were answered or refused, 1 if "
            "any was lost or answered wrongly, 2 for invalid options.");
   g_option_context_add_main_entries (ctx, option_entries, NULL);
+  g_option_context_add_main_entries (ctx, callers_load_options, NULL);
   is_parsed = g_option_context_parse (ctx, argc, argv, &err);
   g_option_context_free (ctx);
   error = is_parsed ? check_options () : err->message;
@@ -392,19 +387,12 @@
   exit (1);
 }
 
-int
-main (int argc, char **argv)
+static int
+run_closed_loop (void)
 {
   Caller *callers;
   int rc;
 
-  if (!parse_options (&argc, &argv) || !create_gateway_targets ())
-    return 2;
-  signal (SIGPIPE, SIG_IGN);
-  ev_set_syserr_cb (on_loop_error);
-  loop = ev_default_loop (0);
-  if (!loop)
-    on_loop_error ("no event loop");
   latencies_ms = g_array_new (FALSE, FALSE, sizeof (gint64));
   callers = start_callers ();
   ev_run (loop, 0);
@@ -413,3 +401,19 @@
   g_free (callers);
   return rc;
 }
+
+int
+main (int argc, char **argv)
+{
+  if (!parse_options (&argc, &argv) || !create_gateway_targets ())
+    return 2;
+  signal (SIGPIPE, SIG_IGN);
+  ev_set_syserr_cb (on_loop_error);
+  loop = ev_default_loop (0);
+  if (!loop)
+    on_loop_error ("no event loop");
+  if (callers_load_is_requested ())
+    return callers_load_run (loop, gateway_targets, n_gateways,
+                             api_key ? api_key : DEFAULT_KEY);
+  return run_closed_loop ();
+}
