--- a/scripts/platform-processes.sh
+++ b/scripts/platform-processes.sh
@@ -11,6 +11,11 @@
 # control_addr N: its address for peers and agents
 control_addr() { echo "127.0.0.1:$((ports + 120 + $1))"; }
 
+# seed_addrs: the addresses of the first $n_seeds (default: 3) gateways
+seed_addrs() {
+	for n in $(seq "${n_seeds:-3}"); do control_addr "$n"; done | paste -sd, -
+}
+
 # write_platform_settings NAME: writes the settings that the platform would give
 # a process, with the lines of standard input first, and prints the file name
 write_platform_settings() {
@@ -18,7 +23,7 @@
 		cat
 		echo "ip=127.0.0.1"
 		echo "zone=dc1"
-		echo "seed-addrs=$(control_addr 1),$(control_addr 2),$(control_addr 3)"
+		echo "seed-addrs=$(seed_addrs)"
 		echo "platform.addr=127.0.0.1:$ports"
 		echo "limits.memory-mb=128"
 		echo "bounds.require-fence=true"
