report: count refusals by class, and shares by gateway

A report said how many requests a second were refused and why, not whose they were, nor what the gateways' shares of the service were.

Add tables of the answered and refused requests by gateway, service, organisation and urgency (E1203, E1210, E1222 joined with E1205 by id within a log), of shares (E1221), of callers told to return (E1222) and of pass limits (E1223). A table without entries is not printed. A request that is refused before E1210 and E1222 say of what class it is is shown with "-".

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 	vm-list.o outlier.o agent-link.o link-table.o claim.o admission.o \
 	retry-budget.o entry.o entry-request.o entry-route.o agent.o agent-settings.o agent-jobs.o \
 	agent-orders.o rank-group.o \
-	expert-map.o map-change.o placement.o daemon.o explain.o log-line.o report.o
+	expert-map.o map-change.o placement.o daemon.o explain.o log-line.o report.o \
+	report-contention.o
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
 	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
--- a/comfrey.c
+++ b/comfrey.c
@@ -148,7 +148,7 @@
       g_autofree char *text = read_file ("report", *f);
 
       if (text)
-        cf_report_read (&r, text);
+        cf_report_read (&r, *f, text);
       else
         rc = 2;
     }
@@ -181,7 +181,8 @@
       "  explain ID FILE...  show the log lines of one request in order of\n"
       "                time, and the cause of its outcome\n"
       "  report FILE...  count from gateways' logs, for each second, how\n"
-      "                requests ended, how many were late and why\n"
+      "                requests ended, how many were late and why; and how\n"
+      "                gateways divided services in contention\n"
       "  check FILE    check configuration records (schema 1 and 2)\n"
       "  status ADDR   show an agent's load, fencing token and counters\n"
       "  drain ADDR    tell an agent to accept no new work\n"
--- a/report.c
+++ b/report.c
@@ -14,6 +14,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   r->reasons = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   r->incidents = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cf_report_contention_init (&r->contention);
 }
 
 void
@@ -22,6 +23,7 @@
   g_hash_table_destroy (r->seconds);
   g_hash_table_destroy (r->reasons);
   g_hash_table_destroy (r->incidents);
+  cf_report_contention_clear (&r->contention);
 }
 
 static CfReportSecond *
@@ -137,13 +139,14 @@
 }
 
 static void
-add_line (CfReport *r, const char *line)
+add_line (CfReport *r, const char *file, const char *line)
 {
   const char *event = cf_log_line_event (line);
   double time_s = cf_log_line_number (line, "t", -1);
 
   if (!event || time_s < 0)
     return;
+  cf_report_contention_add (&r->contention, file, event);
   if (g_str_has_prefix (event, "E1205 "))
     add_answer (r, event, time_s);
   else if (g_str_has_prefix (event, "E1501 "))
@@ -159,12 +162,13 @@
 }
 
 void
-cf_report_read (CfReport *r, const char *text)
+cf_report_read (CfReport *r, const char *file, const char *text)
 {
   char **lines = g_strsplit (text, "\n", -1);
 
   for (char **l = lines; *l; l++)
-    add_line (r, *l);
+    add_line (r, file, *l);
+  cf_report_contention_end_log (&r->contention);
   g_strfreev (lines);
 }
 
@@ -244,4 +248,5 @@
   print_row (out, "sum", &sum);
   print_counts (r->reasons, out);
   print_counts (r->incidents, out);
+  cf_report_contention_print (&r->contention, out);
 }
--- a/report.h
+++ b/report.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "report-contention.h"
+
 #include <glib.h>
 
 /**
  * Summarizes gateways' log lines to show what limits a service:
  * for each second, how many requests were answered in time, how many were late
- * and why, how the others ended, and how the expert maps changed.
+ * and why, how the others ended, and how the expert maps changed; and how
+ * gateways divided services whose capacity did not suffice.
  */
 
 /** CfReportObjectives: latency objectives that an answer in time meets. */
@@ -44,14 +47,15 @@
   GHashTable *seconds;   /**< GINT64 second -> #CfReportSecond */
   GHashTable *reasons;   /**< "outcome reason" -> count */
   GHashTable *incidents; /**< description -> number of lines */
+  CfReportContention contention;
 } CfReport;
 
 void cf_report_init (CfReport *r, const CfReportObjectives *objectives);
 void cf_report_clear (CfReport *r);
 
-/** cf_report_read: adds the lines of a log. */
-void cf_report_read (CfReport *r, const char *text);
+/** cf_report_read: adds the lines of the log @file of one process. */
+void cf_report_read (CfReport *r, const char *file, const char *text);
 
-/** cf_report_print: appends one line per second, their totals, and the number
- * of requests per reason. */
+/** cf_report_print: appends one line per second, their totals, the number of
+ * requests per reason, and the tables of contention that have entries. */
 void cf_report_print (const CfReport *r, GString *out);
