rank-service: lead groups from their data centre

Each group could be led by any seed, so its agents' expert counts crossed data centres. Seeds now keep the data centre of each seed from its hello and order those in the data centre of most of the group's ranks first; the others follow as before. A seed elsewhere leaves the lead for 1.5 s, in the first 5 s after its start, to seeds whose data centre it does not know yet. Seeds that disagree return to the plain order once a group has had no leader for 3 s. A lead is still not handed over.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -120,6 +120,8 @@
   cf_gateway_service_state (g, "");
   cf_gateway_set_fleet_size (g, 0);
   cf_gateway_set_fleet_position (g, g_random_double (), g->fleet_size);
+  cf_gateway_note_data_centre (g, g->settings.control_addr,
+                               g->settings.data_centre);
 }
 
 void
@@ -134,6 +136,8 @@
   g_clear_pointer (&g->suspects_running, g_hash_table_destroy);
   g_clear_pointer (&g->policy, cf_policy_unref);
   g_clear_pointer (&g->policy_json, g_bytes_unref);
+  for (int i = 0; i < CF_SEEDS_MAX; i++)
+    g_clear_pointer (&g->seed_data_centres[i], g_free);
   cf_platform_settings_clear (&g->settings);
 }
 
@@ -444,6 +448,21 @@
   g->recent_fleet.index = (guint)round (ring_start * n) % n;
 }
 
+void
+cf_gateway_note_data_centre (CfGateway *g, const char *addr,
+                             const char *data_centre)
+{
+  for (int i = 0; i < CF_SEEDS_MAX && g->settings.seed_addrs[i]; i++)
+    {
+      if (g_strcmp0 (g->settings.seed_addrs[i], addr) != 0
+          || g_strcmp0 (g->seed_data_centres[i], data_centre) == 0)
+        continue;
+      g_free (g->seed_data_centres[i]);
+      g->seed_data_centres[i]
+          = data_centre && *data_centre ? g_strdup (data_centre) : NULL;
+    }
+}
+
 /* A gateway that has just started takes the fleet for smaller than it is, and
  * would send cold targets too much. */
 CfFleetPosition
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -110,8 +110,10 @@
   CfReadingLog dropped; /**< what ranks, agents and peers sent in vain */
   guint n_rank_groups;  /**< rank groups known to this gateway or a peer; 0:
                              unknown */
-  guint n_local_rank_groups;   /**< of these, in one data centre each; 0:
-                                    unknown */
+  guint n_local_rank_groups; /**< of these, in one data centre each; 0:
+                                  unknown */
+  char *seed_data_centres[CF_SEEDS_MAX]; /**< (nullable): by seed: as its last
+                                            hello said */
   guint groups_without_demand; /**< led groups whose ranks send none */
   CfLoopWatch loop_watch;
 };
@@ -214,6 +216,11 @@
 void cf_gateway_set_fleet_position (CfGateway *g, double ring_start,
                                     guint members);
 
+/** cf_gateway_note_data_centre: records that the gateway whose links arrive at
+ * @addr is in @data_centre, if it is a seed.  Empty texts mean unknown. */
+void cf_gateway_note_data_centre (CfGateway *g, const char *addr,
+                                  const char *data_centre);
+
 /** cf_gateway_warmup_position: this gateway's position in the fleet that shares
  * the rates of cold targets; 0 gateways while the fleet is not known. */
 CfFleetPosition cf_gateway_warmup_position (const CfGateway *g);
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -465,6 +465,7 @@
   dc = g_strndup (m->u.gateway_hello.data_centre.data,
                   m->u.gateway_hello.data_centre.n);
   cf_membership_record_heartbeat (p->s->membership, p->addr, dc, g->now_ms);
+  cf_gateway_note_data_centre (g, p->addr, dc);
   g_free (dc);
   update_fleet (p->s, m);
   take_slowdowns (g, m->u.gateway_hello.slowdowns);
--- a/gateway/rank-service-lead.c
+++ b/gateway/rank-service-lead.c
@@ -1,6 +1,7 @@
 #include "rank-service-parts.h"
 
 #include "log.h"
+#include "seed-order.h"
 
 #include <string.h>
 
@@ -13,6 +14,20 @@
 /** The token of a takeover is the next multiple of this plus the index of the
  * seed, so that no two seeds use the same one. */
 #define FENCE_STEP 8
+/** Time for which a seed of another data centre leaves the lead to a seed whose
+ * data centre it does not know.  The hellos that state it follow a connection
+ * attempt, which is made every second. */
+#define UNKNOWN_SEED_WAIT_MS 1500
+/** Age of this gateway from which a seed of unknown data centre counts as gone,
+ * so that nothing waits for it. */
+#define UNKNOWN_SEED_MAX_AGE_MS 5000
+/** A group that has had no leader for longer is led by the seeds in their plain
+ * order.  Seeds that disagree on data centres could otherwise wait for one
+ * another without end. */
+#define LOCAL_ORDER_MAX_MS 3000
+/** Interval at which the data centre of a group is determined again, since the
+ * list of targets may change. */
+#define DATA_CENTRE_INTERVAL_MS 1000
 
 /* Whether this leader has a recent status from most ranks. */
 static gboolean
@@ -30,26 +45,131 @@
   return votes * 2 > g->coordinator.shape.ranks;
 }
 
+/* (nullable): the data centre of the target of @rank. */
+static const char *
+rank_data_centre (const CfLedGroup *g, int rank)
+{
+  const CfTarget *t
+      = cf_rank_service_target (g->service, g->target_addrs[rank]);
+
+  return t ? t->record.data_centre : NULL;
+}
+
+static int
+count_ranks_in (const CfLedGroup *g, const char *data_centre)
+{
+  int n = 0;
+
+  for (int r = 0; r < g->coordinator.shape.ranks; r++)
+    n += g_strcmp0 (rank_data_centre (g, r), data_centre) == 0;
+  return n;
+}
+
+/* (nullable): the only data centre that more than half of the ranks can be in,
+ * found by cancelling out pairs of ranks in different ones. */
+static const char *
+majority_candidate (const CfLedGroup *g)
+{
+  const char *candidate = NULL;
+  int n = 0;
+
+  for (int r = 0; r < g->coordinator.shape.ranks; r++)
+    {
+      const char *dc = rank_data_centre (g, r);
+
+      if (n == 0)
+        candidate = dc;
+      n += g_strcmp0 (dc, candidate) == 0 ? 1 : -1;
+    }
+  return candidate;
+}
+
+void
+cf_led_group_update_data_centre (CfLedGroup *g)
+{
+  gint64 now = cf_gateway_now (g->service->gateway);
+  int n_ranks = g->coordinator.shape.ranks;
+  const char *dc;
+  int n;
+
+  if (g->data_centre_ms && now - g->data_centre_ms < DATA_CENTRE_INTERVAL_MS)
+    return;
+  g->data_centre_ms = now;
+  dc = majority_candidate (g);
+  n = dc ? count_ranks_in (g, dc) : 0;
+  g_free (g->data_centre);
+  g->data_centre = n * 2 > n_ranks ? g_strdup (dc) : NULL;
+  g->is_in_one_data_centre
+      = g->data_centre && n + count_ranks_in (g, NULL) == n_ranks;
+}
+
+static CfSeedOrder
+get_seed_order (const CfLedGroup *g)
+{
+  const CfGateway *gw = g->service->gateway;
+  gint64 leaderless_ms = g->leaderless_since_ms
+                             ? cf_gateway_now (gw) - g->leaderless_since_ms
+                             : 0;
+  CfSeedOrder o = { 0 };
+
+  o.n = MIN (g_strv_length (gw->settings.seed_addrs), CF_SEEDS_MAX);
+  o.first = g_str_hash (g->name) % MAX (o.n, 1);
+  o.data_centres = (const char *const *)gw->seed_data_centres;
+  if (leaderless_ms < LOCAL_ORDER_MAX_MS)
+    o.group_data_centre = g->data_centre;
+  return o;
+}
+
 /* Returns a bit mask of the seeds that come before this gateway in the order of
- * the group.  Each group starts the order at a different seed, so that no
- * gateway leads all groups. */
+ * the group. */
 static guint
 seeds_ahead (const CfLedGroup *g)
 {
-  guint n = MIN (g_strv_length (g->service->gateway->settings.seed_addrs),
-                 CF_SEEDS_MAX);
-  guint first = g_str_hash (g->name) % MAX (n, 1);
-  guint before = 0;
+  CfSeedOrder o = get_seed_order (g);
+
+  return cf_seed_order_ahead (&o, (guint)g->service->seed);
+}
+
+/* Counts the ranks with a recent status that follow no leader and can reach
+ * none of @seeds, a bit mask. */
+static int
+count_leaderless (const CfLedGroup *g, guint seeds)
+{
+  gint64 now = cf_gateway_now (g->service->gateway);
+  int n = 0;
 
-  for (guint i = 0; i < n; i++)
+  for (int r = 0; r < g->coordinator.shape.ranks; r++)
     {
-      guint seed = (first + i) % n;
+      const CfAgentLink *a = g->agents[r];
 
-      if ((int)seed == g->service->seed)
-        break;
-      before |= 1U << seed;
+      n += a && now - a->status_seen_ms < STATUS_MAX_AGE_MS
+           && a->leader_fence == 0 && (a->seeds_up & seeds) == 0;
     }
-  return before;
+  return n;
+}
+
+static void
+update_leaderless (CfLedGroup *g)
+{
+  if (count_leaderless (g, 0) * 2 <= g->coordinator.shape.ranks)
+    g->leaderless_since_ms = 0;
+  else if (!g->leaderless_since_ms)
+    g->leaderless_since_ms = cf_gateway_now (g->service->gateway);
+}
+
+/* Whether a seed in the group's data centre may just not have said yet where it
+ * is.  A lead that is taken too early stays where it is, since it is not handed
+ * over. */
+static gboolean
+is_local_seed_expected (const CfLedGroup *g)
+{
+  const CfGateway *gw = g->service->gateway;
+  gint64 now = cf_gateway_now (gw);
+  CfSeedOrder o = get_seed_order (g);
+
+  return now - gw->started_ms < UNKNOWN_SEED_MAX_AGE_MS
+         && now - g->leaderless_since_ms < UNKNOWN_SEED_WAIT_MS
+         && cf_seed_order_may_change (&o, (guint)g->service->seed);
 }
 
 /* Whether most ranks follow no leader and can reach no seed that precedes this
@@ -58,18 +178,9 @@
 static gboolean
 may_take_lead (const CfLedGroup *g)
 {
-  gint64 now = cf_gateway_now (g->service->gateway);
-  guint before = seeds_ahead (g);
-  int votes = 0;
-
-  for (int r = 0; r < g->coordinator.shape.ranks; r++)
-    {
-      const CfAgentLink *a = g->agents[r];
-
-      votes += a && now - a->status_seen_ms < STATUS_MAX_AGE_MS
-               && a->leader_fence == 0 && (a->seeds_up & before) == 0;
-    }
-  return votes * 2 > g->coordinator.shape.ranks;
+  return !is_local_seed_expected (g)
+         && count_leaderless (g, seeds_ahead (g)) * 2
+                > g->coordinator.shape.ranks;
 }
 
 /* Returns how many seeds are to take over before this gateway from the leader
@@ -139,9 +250,11 @@
 {
   gint64 now = cf_gateway_now (g->service->gateway);
   gboolean takes_over = g->coordinator.fence == 0 && may_take_over (g);
-  gboolean lead = g->coordinator.fence ? has_majority (g)
-                                       : takes_over || may_take_lead (g);
+  gboolean lead;
 
+  update_leaderless (g);
+  lead = g->coordinator.fence ? has_majority (g)
+                              : takes_over || may_take_lead (g);
   /* A gateway that is stopping leads only to end a hold if no other does. */
   lead = lead
          && (!g->service->gateway->stopping || takes_over
--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -87,6 +87,13 @@
                                  this gateway holds a pass */
   gint64 lease_sent_ms;
   CfDemandWatch demand_watch;
+  char *data_centre;              /**< (nullable): of most of its ranks */
+  gboolean is_in_one_data_centre; /**< all ranks whose target is known are in
+                                       @data_centre */
+  gint64 data_centre_ms; /**< when @data_centre was determined; 0: not since a
+                              rank moved */
+  gint64 leaderless_since_ms; /**< since when most ranks have followed no
+                                   leader; 0: they follow one */
 };
 
 struct CfRankService
@@ -105,6 +112,10 @@
 /** cf_rank_service_target: (nullable): the target at @addr. */
 CfTarget *cf_rank_service_target (const CfRankService *s, const char *addr);
 
+/** cf_led_group_update_data_centre: determines at intervals which data centre
+ * the ranks of @g are in. */
+void cf_led_group_update_data_centre (CfLedGroup *g);
+
 /** cf_led_group_decide_lead: takes the lead of @g if this gateway should have
  * it, and gives it up if not. */
 void cf_led_group_decide_lead (CfLedGroup *g);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -159,6 +159,7 @@
     {
       g_free (g->target_addrs[a->rank]);
       g->target_addrs[a->rank] = g_strdup (a->target_addr);
+      g->data_centre_ms = 0;
     }
 }
 
@@ -315,6 +316,7 @@
     {
       CfLedGroup *g = v;
 
+      cf_led_group_update_data_centre (g);
       if (s->seed >= 0)
         cf_led_group_decide_lead (g);
       heartbeat_due |= update_announcements (g);
--- a/t/platform-harness.c
+++ b/t/platform-harness.c
@@ -104,11 +104,12 @@
 common_settings (int base)
 {
   return g_strdup_printf (
-      "ip=127.0.0.1\nzone=dc1\nplatform.addr=127.0.0.1:%d\n"
+      "ip=127.0.0.1\nzone=%s\nplatform.addr=127.0.0.1:%d\n"
       "seed-addrs=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
       "limits.memory-mb=128\nbounds.grace-s=%g\nbounds.stall_ms=400\n"
       "bounds.require-fence=true\n%s"
       "bounds.drain-ms=%d\nlimits.max-fds=%d\n",
+      p_overrides.zone ? p_overrides.zone : "dc1",
       p_overrides.store ? p_overrides.store : base,
       p_overrides.seed ? p_overrides.seed : base + 102, base + 202, base + 302,
       p_overrides.grace_s > 0 ? p_overrides.grace_s : DEFAULT_GRACE_S,
--- a/t/platform-harness.h
+++ b/t/platform-harness.h
@@ -52,6 +52,7 @@
   double grace_s;           /**< from SIGTERM to SIGKILL */
   gboolean allow_one_retry; /**< the retry budget allows one retry only */
   const char *gateway;      /**< (nullable): the gateway program */
+  const char *zone;         /**< (nullable): data centre of the programs */
   const char *log_dir;      /**< (nullable): directory of the logs; a process
                                  started again appends to the log of its
                                  predecessor */
--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -121,6 +121,42 @@
 }
 END_TEST
 
+/* The agents' counts would cross data centres all the time if the seeds took
+ * the groups in an order that ignores where the ranks are, in which seed N
+ * leads group gN here: all three groups would be led from another one. */
+START_TEST (groups_are_led_from_their_data_centre)
+{
+  static const char *const zones[] = { "dc2", "dc3", "dc1" };
+
+  p_start_platform (BASE_PORT, "--ranks", "4", "--groups", "3",
+                    "--data-centres", "3", "--step-ms", PASS_MS, NULL);
+  for (int n = 1; n <= 3; n++)
+    {
+      p_overrides.zone = zones[n - 1];
+      p_start_gateway (BASE_PORT, n);
+    }
+  for (int i = 0; i < 3 * N_RANKS; i++)
+    p_start_agent (BASE_PORT, FIRST_RANK_PORT + i);
+  for (int n = 1; n <= 3; n++)
+    {
+      g_autofree char *log
+          = g_strdup_printf ("t/out/gateway-%d-%d.log", BASE_PORT, n);
+      g_autofree char *lead = g_strdup_printf (
+          "group=g%d from=settling to=settling why=took-the-lead", n % 3);
+
+      ck_assert_msg (p_wait_for_log (log, lead, 6000), "%s: no %s", log, lead);
+    }
+  usleep (1000000);
+  for (int n = 1; n <= 3; n++)
+    {
+      g_autofree char *log
+          = g_strdup_printf ("t/out/gateway-%d-%d.log", BASE_PORT, n);
+
+      ck_assert_uint_eq (p_count_in_log (log, "why=took-the-lead"), 1);
+    }
+}
+END_TEST
+
 /* The leader is killed while ranks copy experts for seconds.  Although nothing
  * changes at the ranks, the next leader gets their status at once. */
 START_TEST (a_leader_killed_during_a_change_is_succeeded)
@@ -433,6 +469,7 @@
 {
   Suite *s = suite_create ("rank-groups");
   TCase *t = tcase_create ("rank-groups");
+  TCase *several = tcase_create ("several-groups");
 
   tcase_set_timeout (t, 30);
   tcase_add_checked_fixture (t, setup, p_stop_all);
@@ -449,5 +486,9 @@
                        G_N_ELEMENTS (omitted_fields));
   tcase_add_test (t, a_rank_restarts_under_its_id_during_a_change);
   suite_add_tcase (s, t);
+  tcase_set_timeout (several, 30);
+  tcase_add_checked_fixture (several, NULL, p_stop_all);
+  tcase_add_test (several, groups_are_led_from_their_data_centre);
+  suite_add_tcase (s, several);
   return t_run_suite (s);
 }
