--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -22,6 +22,9 @@
 /** One of this many requests taken from the queue while less urgent ones wait
  * is one of those: the minimum share of less urgent requests. */
 #define FLOOR_INTERVAL 20
+/** The part of a full queue that levels below the most urgent one keep in all.
+ * Each keeps 1/FLOOR_INTERVAL of the queue, but at least one place. */
+#define LEVELS_FRACTION 0.25
 /** Organisations whose load is kept during one search of the queue; more are
  * computed again. */
 #define KNOWN_LOADS 32
@@ -58,10 +61,16 @@
          + CLAMP (route_priority, 0, CF_URGENCY_FACTOR - 1);
 }
 
+/* Whether several organisations have requests; @w (nullable): a new one. */
 static gboolean
-has_several_orgs (const CfWaitQueue *q)
+has_several_orgs (const CfWaitQueue *q, const CfWaiter *w)
 {
-  return q->usage && cf_org_usage_size (q->usage) > 1;
+  guint n = q->usage ? cf_org_usage_size (q->usage) : 0;
+
+  if (n == 1 && w)
+    n += cf_org_usage_in_flight (q->usage, w->org) == 0
+         && cf_org_usage_waiting (q->usage, w->org) == 0;
+  return n > 1;
 }
 
 static void
@@ -92,48 +101,44 @@
 }
 
 static guint
-count_one_more (GHashTable *counts, guint32 org)
+get_count (GHashTable *counts, guint32 org)
 {
-  gpointer key = GUINT_TO_POINTER (org);
-  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (counts, key)) + 1;
+  return GPOINTER_TO_UINT (
+      g_hash_table_lookup (counts, GUINT_TO_POINTER (org)));
+}
 
-  g_hash_table_insert (counts, key, GUINT_TO_POINTER (n));
-  return n;
+static void
+count_one_more (GHashTable *counts, guint32 org)
+{
+  g_hash_table_insert (counts, GUINT_TO_POINTER (org),
+                       GUINT_TO_POINTER (get_count (counts, org) + 1));
 }
 
-/* Returns the organisation with the most waiters at the least urgent level, the
- * new request @w included; of several that of @w, or of the newest waiter. */
+/* Returns the organisation with the most waiters at the level that @last is the
+ * last waiter of, the new request @w included; of several the one that @w or
+ * the newest waiter belongs to. */
 static guint32
-find_largest_org (const CfWaitQueue *q, const CfWaiter *w)
+find_largest_org (CfWaiter *last, const CfWaiter *w)
 {
-  const CfWaiter *other = TAILQ_LAST (&q->waiters, CfWaiterList);
-  gint64 level = other->priority;
-  guint32 largest = w->priority == level ? w->org : other->org;
-  GHashTable *counts;
+  gboolean is_at_level = w->priority == last->priority;
+  guint32 largest = is_at_level ? w->org : last->org;
+  GHashTable *counts = g_hash_table_new (NULL, NULL);
+  const CfWaiter *other;
   guint max;
 
-  if (!has_several_orgs (q))
-    return other->org;
-  counts = g_hash_table_new (NULL, NULL);
-  if (w->priority == level)
+  if (is_at_level)
     count_one_more (counts, w->org);
-  for (; other && other->priority == level;
+  for (other = last; other && other->priority == last->priority;
        other = TAILQ_PREV (other, CfWaiterList, link))
     count_one_more (counts, other->org);
-  max = GPOINTER_TO_UINT (
-      g_hash_table_lookup (counts, GUINT_TO_POINTER (largest)));
-  for (other = TAILQ_LAST (&q->waiters, CfWaiterList);
-       other && other->priority == level;
+  max = get_count (counts, largest);
+  for (other = last; other && other->priority == last->priority;
        other = TAILQ_PREV (other, CfWaiterList, link))
-    {
-      guint n = GPOINTER_TO_UINT (
-          g_hash_table_lookup (counts, GUINT_TO_POINTER (other->org)));
-
-      if (n <= max)
-        continue;
-      largest = other->org;
-      max = n;
-    }
+    if (get_count (counts, other->org) > max)
+      {
+        largest = other->org;
+        max = get_count (counts, largest);
+      }
   g_hash_table_unref (counts);
   return largest;
 }
@@ -150,26 +155,54 @@
   return w->since_ms > victim->since_ms;
 }
 
+/* Returns the last waiter of the level that makes room in a full queue of @max
+ * for the new request @w; %NULL if @w is the only one of its level.  It is the
+ * least urgent level, except that each level keeps a few places, without which
+ * it would not get its minimum share of slots. */
+static CfWaiter *
+find_victim_level (const CfWaitQueue *q, const CfWaiter *w, guint max)
+{
+  CfWaiter *last = TAILQ_LAST (&q->waiters, CfWaiterList);
+  gint64 first = MIN (TAILQ_FIRST (&q->waiters)->priority, w->priority);
+  gint64 level = MAX (last->priority, w->priority);
+  guint n_places = (guint)(max * LEVELS_FRACTION);
+  guint n_level_max = MAX (max / FLOOR_INTERVAL, 1);
+
+  for (;;)
+    {
+      CfWaiter *before = last;
+      guint n = w->priority == level;
+
+      for (; before && before->priority == level; n++)
+        before = TAILQ_PREV (before, CfWaiterList, link);
+      if (level == first || n > MIN (n_level_max, n_places))
+        return last && last->priority == level ? last : NULL;
+      n_places -= n;
+      last = before;
+      level = last && (w->priority >= level || last->priority > w->priority)
+                  ? last->priority
+                  : w->priority;
+    }
+}
+
 /* Returns which of the waiters and the new request @w has no room in the full
  * queue. */
 static CfWaiter *
-find_victim (const CfWaitQueue *q, CfWaiter *w)
+find_victim (const CfWaitQueue *q, CfWaiter *w, guint max)
 {
-  CfWaiter *other = TAILQ_LAST (&q->waiters, CfWaiterList);
+  CfWaiter *last = q->n ? find_victim_level (q, w, max) : NULL;
+  gboolean shares = has_several_orgs (q, w);
   CfWaiter *victim = NULL;
-  gint64 level;
   guint32 org;
 
-  if (!other || w->priority > other->priority)
+  if (!last)
     return w;
-  level = other->priority;
-  org = find_largest_org (q, w);
-  if (w->priority == level && (w->org == org || !has_several_orgs (q)))
+  org = shares ? find_largest_org (last, w) : w->org;
+  if (w->priority == last->priority && w->org == org)
     victim = w;
-  for (; other && other->priority == level;
+  for (CfWaiter *other = last; other && other->priority == last->priority;
        other = TAILQ_PREV (other, CfWaiterList, link))
-    if ((other->org == org || !has_several_orgs (q))
-        && is_better_victim (other, victim))
+    if ((other->org == org || !shares) && is_better_victim (other, victim))
       victim = other;
   return victim;
 }
@@ -180,7 +213,7 @@
   *evicted = NULL;
   if (q->n >= max)
     {
-      CfWaiter *victim = find_victim (q, w);
+      CfWaiter *victim = find_victim (q, w, max);
 
       if (victim == w)
         return FALSE;
@@ -356,7 +389,7 @@
 choose (const CfWaitQueue *q, const CfQueueContext *c, CfWaiter *w,
         gint64 max_priority)
 {
-  Chooser ch = { .q = q, .c = c, .shares = has_several_orgs (q) };
+  Chooser ch = { .q = q, .c = c, .shares = has_several_orgs (q, NULL) };
   gboolean is_in_order = !ch.shares && !q->n_returned && !c->overloaded;
   CfWaiter *on_time = NULL;
   CfWaiter *late = NULL;
@@ -425,13 +458,16 @@
 }
 
 /* Returns how long the waiters take that are sent before the new request @w.
- * Late ones are not among them, since it is not late yet. */
+ * Late ones are not among them, since it is not late yet; nor are more of the
+ * more urgent ones than are sent until the minimum share of its level is due.
+ */
 static double
 estimate_wait_ms (const CfWaitQueue *q, const CfWaiter *w, gint64 now_ms,
                   const CfDrain *d, double part)
 {
   const CfWaiter *other;
   guint n_urgent = 0;
+  guint n_level = 0;
   guint n_own = 0;
 
   TAILQ_FOREACH (other, &q->waiters, link)
@@ -441,8 +477,10 @@
     if (now_ms > other->objective_send_by_ms)
       continue;
     n_urgent += other->priority < w->priority;
+    n_level += other->priority == w->priority;
     n_own += other->priority == w->priority && other->org == w->org;
   }
+  n_urgent = MIN (n_urgent, (n_level + 1) * FLOOR_INTERVAL);
   return d->hold_ms * (n_urgent / d->slots + n_own / part);
 }
 
@@ -456,7 +494,7 @@
 
   if (d->slots <= 0 || d->hold_ms <= 0 || c->overloaded || w->returned)
     return FALSE;
-  if (has_several_orgs (q))
+  if (has_several_orgs (q, w))
     {
       guint in_flight = cf_org_usage_in_flight (q->usage, w->org);
 
--- a/t/t-wait-queue.c
+++ b/t/t-wait-queue.c
@@ -290,6 +290,489 @@
 }
 END_TEST
 
+#define WAITERS_MAX 5
+#define ORGS_MAX 3
+
+/* A queue, and in which order its waiters are to be sent.  Those without a
+ * priority, organisation or time have 0, 1 and arrival in the given order. */
+typedef struct
+{
+  const char *what;
+  CfWaiter w[WAITERS_MAX]; /* a, b, c, d, e */
+  guint n;
+  guint in_flight[ORGS_MAX]; /* [i]: of organisation i + 1 */
+  double grants[ORGS_MAX];   /* the same; 0: not known */
+  gboolean overloaded;
+  const char *order;
+} OrderCase;
+
+static const OrderCase orders[] = {
+  { .what = "one organisation: in order of arrival",
+    .n = 3,
+    .in_flight = { 5 },
+    .order = "abc" },
+  { .what = "fewest in flight first, in turn once they have as many",
+    .w = { { .org = 1 }, { .org = 1 }, { .org = 2 }, { .org = 2 } },
+    .n = 4,
+    .in_flight = { 2, 1 },
+    .order = "cadb" },
+  { .what = "relative to the slots granted",
+    .w = { { .org = 1 }, { .org = 1 }, { .org = 2 }, { .org = 2 } },
+    .n = 4,
+    .in_flight = { 2, 1 },
+    .grants = { 20, 1 },
+    .order = "abcd" },
+  { .what = "an organisation without a grant has an even part",
+    .w = { { .org = 1 }, { .org = 3 } },
+    .n = 2,
+    .in_flight = { 5, 0, 1 },
+    .grants = { 4, 4, 0 },
+    .order = "ba" },
+  { .what = "urgency before organisations",
+    .w = { { .org = 2, .priority = 1 }, { .org = 1 } },
+    .n = 2,
+    .in_flight = { 5, 0 },
+    .order = "ba" },
+  { .what = "returned first within an organisation only",
+    .w = { { .org = 1 },
+           { .org = 1, .returned = TRUE },
+           { .org = 2 },
+           { .org = 2, .returned = TRUE } },
+    .n = 4,
+    .in_flight = { 1, 0 },
+    .order = "dbca" },
+  { .what = "returned first with one organisation",
+    .w = { { .org = 1 }, { .returned = TRUE } },
+    .n = 2,
+    .order = "ba" },
+  { .what = "returned not before a more urgent one",
+    .w = { { .org = 1 }, { .returned = TRUE, .priority = 1 } },
+    .n = 2,
+    .order = "ab" },
+  { .what = "newest of the organisation that goes first, in overload",
+    .w = { { .org = 2 }, { .org = 2 }, { .org = 1 } },
+    .n = 3,
+    .in_flight = { 3, 0 },
+    .overloaded = TRUE,
+    .order = "bac" },
+  { .what = "a late one only when none is on time, whatever its organisation",
+    .w = { { .org = 2, .objective_send_by_ms = -1 }, { .org = 1 } },
+    .n = 2,
+    .in_flight = { 5, 0 },
+    .order = "ba" },
+  { .what = "of the late ones fewest in flight first, then least slack",
+    .w
+    = { { .org = 1, .objective_send_by_ms = -1, .deadline_send_by_ms = 10 },
+        { .org = 2, .objective_send_by_ms = -1, .deadline_send_by_ms = 30 },
+        { .org = 2, .objective_send_by_ms = -1, .deadline_send_by_ms = 20 } },
+    .n = 3,
+    .in_flight = { 5, 0 },
+    .order = "cba" },
+  { .what = "what a full target refused returns to its place",
+    .w = { { .since_ms = 5 }, { .since_ms = 7 }, { .since_ms = 6 } },
+    .n = 3,
+    .order = "acb" },
+};
+
+static void
+add_case (CfWaitQueue *q, const OrderCase *o, CfWaiter *w)
+{
+  CfWaiter *evicted;
+
+  memcpy (w, o->w, sizeof o->w);
+  for (guint i = 0; i < ORGS_MAX; i++)
+    cf_org_usage_add (q->usage, i + 1, (int)o->in_flight[i], 0);
+  for (guint i = 0; i < o->n; i++)
+    {
+      w[i].org = MAX (w[i].org, 1);
+      if (!w[i].objective_send_by_ms)
+        w[i].objective_send_by_ms = 100;
+      ck_assert (cf_wait_queue_add (q, &w[i], WAITERS_MAX, &evicted));
+    }
+}
+
+/* Guards against an organisation, or a caller that returns when told, waiting
+ * behind others that have more than their part. */
+START_TEST (waiters_are_sent_in_order)
+{
+  const OrderCase *o = &orders[_i];
+  CfOrgUsage usage = { 0 };
+  CfDemandTable grants = { 0 };
+  CfQueueContext c = { .overloaded = o->overloaded };
+  char order[WAITERS_MAX + 1] = "";
+  CfWaiter w[WAITERS_MAX];
+  CfWaiter *first;
+  CfWaitQueue q;
+
+  cf_wait_queue_init (&q);
+  q.usage = &usage;
+  for (guint i = 0; i < ORGS_MAX; i++)
+    if (o->grants[i] > 0)
+      cf_demand_table_add (
+          &grants,
+          &(CfDemand){ .org = i + 1, .n_orgs = 1, .slots = o->grants[i] });
+  c.grants = grants.n ? &grants : NULL;
+  add_case (&q, o, w);
+  for (guint i = 0; (first = cf_wait_queue_first (&q, &c)); i++)
+    {
+      order[i] = (char)('a' + (first - w));
+      cf_wait_queue_take (&q, first);
+      cf_org_usage_add (&usage, first->org, 1, 0);
+    }
+  ck_assert_msg (strcmp (order, o->order) == 0, "%s: %s, not %s", o->what,
+                 order, o->order);
+  cf_org_usage_clear (&usage);
+}
+END_TEST
+
+/* Guards against a request that waits for the retry budget holding up those
+ * behind it. */
+START_TEST (retries_without_budget_are_passed_over)
+{
+  CfQueueContext c = { .may_not_retry = TRUE };
+  CfWaiter retry = { .is_retry = TRUE, .objective_send_by_ms = 100 };
+  CfWaiter new = { .objective_send_by_ms = 100 };
+  CfWaiter *evicted;
+  CfWaitQueue q;
+
+  cf_wait_queue_init (&q);
+  cf_wait_queue_add (&q, &retry, 9, &evicted);
+  cf_wait_queue_add (&q, &new, 9, &evicted);
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, &c), &new);
+  cf_wait_queue_remove (&q, &new);
+  ck_assert_ptr_null (cf_wait_queue_first (&q, &c));
+  c.may_not_retry = FALSE;
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, &c), &retry);
+}
+END_TEST
+
+/* Guards against a class of requests being starved under the strict order. */
+START_TEST (one_in_twenty_is_less_urgent)
+{
+  static const guint expected[] = { 95, 3, 2 };
+  CfWaiter w[300] = { 0 };
+  guint taken[3] = { 0 };
+  CfWaiter *evicted;
+  CfWaitQueue q;
+
+  cf_wait_queue_init (&q);
+  for (guint i = 0; i < G_N_ELEMENTS (w); i++)
+    {
+      w[i].priority = i % 3;
+      w[i].objective_send_by_ms = 100;
+      cf_wait_queue_add (&q, &w[i], G_N_ELEMENTS (w), &evicted);
+    }
+  for (guint i = 0; i < 100; i++)
+    {
+      CfWaiter *first = first_at (&q, 0, FALSE);
+
+      taken[first->priority]++;
+      cf_wait_queue_take (&q, first);
+    }
+  ck_assert_uint_eq (taken[0], expected[0]);
+  ck_assert_uint_eq (taken[1] + taken[2], expected[1] + expected[2]);
+  ck_assert_uint_ge (MIN (taken[1], taken[2]), 2);
+}
+END_TEST
+
+/* A full queue, a new request, and which of them is refused ("n": the new
+ * one). */
+typedef struct
+{
+  const char *what;
+  CfWaiter w[WAITERS_MAX];
+  guint n;
+  CfWaiter new;
+  const char *refused;
+} EvictionCase;
+
+static const EvictionCase evictions[] = {
+  { .what = "one organisation: the new one",
+    .n = 2,
+    .new = { .org = 1 },
+    .refused = "n" },
+  { .what = "a less urgent one",
+    .n = 2,
+    .new = { .org = 2, .priority = 1 },
+    .refused = "n" },
+  { .what = "the newest of the largest organisation",
+    .w = { { .org = 1 }, { .org = 1 }, { .org = 2 } },
+    .n = 3,
+    .new = { .org = 3 },
+    .refused = "b" },
+  { .what = "the new one of the largest organisation",
+    .w = { { .org = 1 }, { .org = 1 }, { .org = 2 } },
+    .n = 3,
+    .new = { .org = 1 },
+    .refused = "n" },
+  { .what = "the new one makes its organisation as large as another",
+    .w = { { .org = 1 }, { .org = 1 }, { .org = 2 } },
+    .n = 3,
+    .new = { .org = 2 },
+    .refused = "n" },
+  { .what = "the largest at the least urgent level, not of all",
+    .w = { { .org = 1 },
+           { .org = 1 },
+           { .org = 1 },
+           { .org = 2, .priority = 1 },
+           { .org = 1, .priority = 1 } },
+    .n = 5,
+    .new = { .org = 2, .priority = 1 },
+    .refused = "n" },
+  { .what = "one that has not returned",
+    .w = { { .org = 1 }, { .org = 1, .returned = TRUE } },
+    .n = 2,
+    .new = { .org = 1, .returned = TRUE },
+    .refused = "a" },
+  { .what = "the new one if all have returned",
+    .w = { { .org = 1, .returned = TRUE }, { .org = 1, .returned = TRUE } },
+    .n = 2,
+    .new = { .org = 1, .returned = TRUE },
+    .refused = "n" },
+  { .what = "a newer one rather than one that a full target refused",
+    .w = { { .org = 1, .since_ms = 5 }, { .org = 1, .since_ms = 7 } },
+    .n = 2,
+    .new = { .org = 1, .since_ms = 6 },
+    .refused = "b" },
+  { .what = "the last one of a level keeps its place",
+    .w = { { .org = 1 },
+           { .org = 1 },
+           { .org = 1 },
+           { .org = 1 },
+           { .org = 1, .priority = 2 } },
+    .n = 5,
+    .new = { .org = 1 },
+    .refused = "n" },
+  { .what = "the first of a level gets a place, but not two levels of five",
+    .w = { { .org = 1 },
+           { .org = 1 },
+           { .org = 1 },
+           { .org = 1, .priority = 1 },
+           { .org = 1, .priority = 3 } },
+    .n = 5,
+    .new = { .org = 1, .priority = 2 },
+    .refused = "n" },
+  { .what = "the first of a level gets a place",
+    .w = { { .org = 1 }, { .org = 1 }, { .org = 2 }, { .org = 1 } },
+    .n = 4,
+    .new = { .org = 2, .priority = 2 },
+    .refused = "d" },
+};
+
+/* Guards against a large organisation's backlog keeping small ones out of a
+ * full queue. */
+START_TEST (largest_organisation_makes_room)
+{
+  const EvictionCase *e = &evictions[_i];
+  OrderCase o = { .n = e->n };
+  CfOrgUsage usage = { 0 };
+  CfWaiter w[WAITERS_MAX];
+  CfWaiter new = e->new;
+  CfWaiter *evicted;
+  CfWaitQueue q;
+  char refused[2] = "n";
+
+  memcpy (o.w, e->w, sizeof e->w);
+  cf_wait_queue_init (&q);
+  q.usage = &usage;
+  add_case (&q, &o, w);
+  ck_assert_int_eq (cf_wait_queue_add (&q, &new, e->n, &evicted),
+                    evicted != NULL);
+  if (evicted)
+    refused[0] = (char)('a' + (evicted - w));
+  ck_assert_msg (strcmp (refused, e->refused) == 0, "%s: %s, not %s", e->what,
+                 refused, e->refused);
+  ck_assert_uint_eq (q.n, e->n);
+  cf_org_usage_clear (&usage);
+}
+END_TEST
+
+#define HOLD_MS 300
+#define LOAD_SLOTS 8
+#define LOAD_END_MS 60000
+#define LOAD_DEADLINE_MS 1500
+#define LOAD_OBJECTIVE_MS 1000
+
+/* A kind of requests, and which fraction of them is to be served. */
+typedef struct
+{
+  gint64 priority;
+  guint32 org;
+  double load; /* relative to the capacity */
+  double grant;
+  double min_served;
+} Kind;
+
+/* Two kinds of requests at a service of LOAD_SLOTS slots. */
+typedef struct
+{
+  const char *what;
+  Kind kinds[2];
+} LoadCase;
+
+static const LoadCase loads[] = {
+  { "two urgencies", { { 0, 1, 0.65, 0, 0.95 }, { 2, 1, 0.65, 0, 0.4 } } },
+  /* A twentieth of the capacity is 0.077 of the load of 0.65; the less urgent
+   * level has a waiter for nine tenths of the time. */
+  { "urgent overload", { { 0, 1, 1.5, 0, 0.6 }, { 2, 1, 0.65, 0, 0.06 } } },
+  { "a small and a large organisation",
+    { { 0, 1, 0.1, 0, 0.95 }, { 0, 2, 2.5, 0, 0.3 } } },
+  { "the same with grants",
+    { { 0, 1, 0.1, 0.8, 0.95 }, { 0, 2, 2.5, 7.2, 0.3 } } },
+  { "equal organisations, all capacity is used",
+    { { 0, 1, 0.75, 0, 0.6 }, { 0, 2, 0.75, 0, 0.6 } } },
+  { "less than the capacity",
+    { { 0, 1, 0.3, 0, 0.99 }, { 2, 2, 0.3, 0, 0.99 } } },
+};
+
+typedef struct
+{
+  CfWaiter w;
+  guint kind;
+  gint64 end_ms; /* of the wait, or of the work */
+} LoadRequest;
+
+typedef struct
+{
+  const LoadCase *load;
+  CfWaitQueue queue;
+  CfOrgUsage usage;
+  CfQueueContext c;
+  GPtrArray *running;
+  GRand *rand;
+  guint n[2];
+  guint n_served[2];
+} LoadRun;
+
+static void
+remove_load_request (LoadRun *run, LoadRequest *r)
+{
+  cf_wait_queue_remove (&run->queue, &r->w);
+  g_free (r);
+}
+
+static void
+add_load_request (LoadRun *run, guint kind)
+{
+  const Kind *k = &run->load->kinds[kind];
+  CfDrain d = { .slots = run->running->len, .hold_ms = HOLD_MS };
+  gint64 now = run->c.now_ms;
+  gint64 limit
+      = cf_wait_queue_max_wait_ms (LOAD_OBJECTIVE_MS, LOAD_DEADLINE_MS);
+  LoadRequest *r = g_new0 (LoadRequest, 1);
+  CfWaiter *evicted = NULL;
+
+  run->n[kind]++;
+  r->kind = kind;
+  r->w.owner = r;
+  r->w.priority = k->priority;
+  r->w.org = k->org;
+  r->w.since_ms = now;
+  r->end_ms = now + limit;
+  r->w.objective_send_by_ms
+      = cf_waiter_objective_send_by_ms (now, LOAD_OBJECTIVE_MS, 0);
+  r->w.deadline_send_by_ms = now + LOAD_DEADLINE_MS;
+  if (cf_wait_queue_is_hopeless (&run->queue, &r->w, &run->c, &d, limit)
+      || !cf_wait_queue_add (&run->queue, &r->w, LOAD_SLOTS, &evicted))
+    g_free (r);
+  if (evicted)
+    g_free (evicted->owner);
+}
+
+static void
+end_load_requests (LoadRun *run)
+{
+  CfWaiter *next;
+
+  for (guint i = 0; i < run->running->len;)
+    {
+      LoadRequest *r = run->running->pdata[i];
+
+      if (r->end_ms > run->c.now_ms)
+        {
+          i++;
+          continue;
+        }
+      cf_org_usage_add (&run->usage, r->w.org, -1, 0);
+      g_ptr_array_remove_index_fast (run->running, i);
+    }
+  for (CfWaiter *w = TAILQ_FIRST (&run->queue.waiters); w; w = next)
+    {
+      next = TAILQ_NEXT (w, link);
+      if (((LoadRequest *)w->owner)->end_ms < run->c.now_ms)
+        remove_load_request (run, w->owner);
+    }
+}
+
+static void
+send_load_requests (LoadRun *run)
+{
+  CfWaiter *w;
+
+  while (run->running->len < LOAD_SLOTS
+         && (w = cf_wait_queue_first (&run->queue, &run->c)))
+    {
+      LoadRequest *r = w->owner;
+
+      cf_wait_queue_take (&run->queue, w);
+      cf_org_usage_add (&run->usage, w->org, 1, 0);
+      r->end_ms = run->c.now_ms + HOLD_MS;
+      run->n_served[r->kind]++;
+      g_ptr_array_add (run->running, r);
+    }
+}
+
+static void
+run_load (LoadRun *run)
+{
+  for (run->c.now_ms = 0; run->c.now_ms < LOAD_END_MS; run->c.now_ms++)
+    {
+      end_load_requests (run);
+      for (guint i = 0; i < 2; i++)
+        if (g_rand_double (run->rand)
+            < run->load->kinds[i].load * LOAD_SLOTS / HOLD_MS)
+          add_load_request (run, i);
+      send_load_requests (run);
+    }
+}
+
+/* Guards against urgent requests, or those of a small organisation, being
+ * refused while slots go to others. */
+START_TEST (load_is_served_in_order)
+{
+  LoadRun run = { .load = &loads[_i] };
+  CfDemandTable grants = { 0 };
+  CfWaiter *w;
+
+  cf_wait_queue_init (&run.queue);
+  run.queue.usage = &run.usage;
+  run.running = g_ptr_array_new_with_free_func (g_free);
+  run.rand = g_rand_new_with_seed (3);
+  for (guint i = 0; i < 2; i++)
+    if (run.load->kinds[i].grant > 0)
+      cf_demand_table_add (&grants,
+                           &(CfDemand){ .org = run.load->kinds[i].org,
+                                        .n_orgs = 1,
+                                        .slots = run.load->kinds[i].grant });
+  run.c.grants = grants.n ? &grants : NULL;
+  run_load (&run);
+  for (guint i = 0; i < 2; i++)
+    {
+      double served = (double)run.n_served[i] / run.n[i];
+
+      if (g_getenv ("T_TRACE"))
+        g_printerr ("%s: kind %u: %.3f\n", run.load->what, i, served);
+      ck_assert_msg (served >= run.load->kinds[i].min_served,
+                     "%s: kind %u: %.3f", run.load->what, i, served);
+    }
+  while ((w = TAILQ_FIRST (&run.queue.waiters)))
+    remove_load_request (&run, w->owner);
+  g_ptr_array_unref (run.running);
+  g_rand_free (run.rand);
+  cf_org_usage_clear (&run.usage);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -298,6 +781,12 @@
 
   tcase_add_test (t, fewer_requests_lost_than_in_order_of_arrival);
   tcase_add_test (t, late_waiter_with_least_slack_goes_first);
+  tcase_add_loop_test (t, waiters_are_sent_in_order, 0, G_N_ELEMENTS (orders));
+  tcase_add_test (t, retries_without_budget_are_passed_over);
+  tcase_add_test (t, one_in_twenty_is_less_urgent);
+  tcase_add_loop_test (t, largest_organisation_makes_room, 0,
+                       G_N_ELEMENTS (evictions));
+  tcase_add_loop_test (t, load_is_served_in_order, 0, G_N_ELEMENTS (loads));
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
