t-overload: loads of two urgencies and organisations

Nothing simulated the order of waiting streams of different urgencies and organisations through passes.

--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -16,6 +16,8 @@
 #define GATEWAYS_MAX 35
 #define RANKS_MAX 192
 #define DURATION_S 26
+#define COUNTED_FROM_S 4
+#define COUNTED_TO_S 18
 #define OUTAGE_START_MS 5000
 #define BURST_START_MS 5000
 #define FIRST_EVENT_TIMEOUT_MS 2400
@@ -25,6 +27,16 @@
 #define PEAK_FRACTION 0.83
 #define RECOVERY_S 3
 
+/* A kind of streams. */
+typedef struct
+{
+  double load; /* relative to the capacity */
+  gint64 priority;
+  guint32 org;
+} Kind;
+
+#define KINDS 2
+
 /* A simulated scenario: gateways in front of a rank group, and the load. */
 typedef struct
 {
@@ -49,6 +61,7 @@
   gint64 burst_end_ms;
   gboolean callers_time_out; /* after FIRST_EVENT_TIMEOUT_MS without an event */
   gboolean callers_retry;    /* once, when refused */
+  const Kind *kinds;         /* (nullable): KINDS of them */
 } Scenario;
 
 /* Engines with 12, 10 and 6 slots, and the objectives for their streams. */
@@ -89,6 +102,7 @@
   int rank;
   gboolean has_slot; /* it has one of the rank's slots */
   gboolean is_retry; /* it was refused once, and counts as late */
+  int kind;
   gint64 retry_at_ms;
 } Stream;
 
@@ -96,6 +110,7 @@
 {
   CfTargetTable table;
   CfWaitQueue queue;
+  CfOrgUsage usage;
   CfStreamLatency latency;
   CfConcurrencyLimit limit;
   double ring_start;
@@ -109,6 +124,10 @@
   int on_time[DURATION_S];
   int late[DURATION_S];
   int refused[DURATION_S];
+  /* Of the streams that arrive from COUNTED_FROM_S to COUNTED_TO_S. */
+  int arrived_by_kind[KINDS];
+  int on_time_by_kind[KINDS];
+  int served_by_kind[KINDS];
 } Tally;
 
 static const Scenario *scenario;
@@ -130,6 +149,7 @@
     {
       cf_target_table_init (&gateways[g].table);
       cf_wait_queue_init (&gateways[g].queue);
+      gateways[g].queue.usage = &gateways[g].usage;
       gateways[g].latency = (CfStreamLatency){ 0 };
       gateways[g].limit = (CfConcurrencyLimit){ 0 };
       gateways[g].ring_start = (double)g / scenario->n_gateways;
@@ -148,7 +168,10 @@
 clear_scenario (void)
 {
   for (int g = 0; g < scenario->n_gateways; g++)
-    cf_target_table_clear (&gateways[g].table);
+    {
+      cf_target_table_clear (&gateways[g].table);
+      cf_org_usage_clear (&gateways[g].usage);
+    }
   g_ptr_array_free (running, TRUE);
   g_ptr_array_free (backing_off, TRUE);
 }
@@ -178,6 +201,7 @@
   cf_target_request_started (s->target, now);
   s->gateway = g;
   g->in_flight++;
+  cf_org_usage_add (&g->usage, s->waiter.org, 1, 0);
   s->rank = atoi (s->target->record.id + 1);
   s->sent_ms = now;
   g_ptr_array_add (running, s);
@@ -190,6 +214,14 @@
   return (int)(s->start_ms / 1000);
 }
 
+static gboolean
+is_counted (const Stream *s)
+{
+  int second = get_arrival_second (s);
+
+  return second >= COUNTED_FROM_S && second < COUNTED_TO_S;
+}
+
 static gboolean
 is_overloaded (const Gateway *g)
 {
@@ -230,6 +262,7 @@
     {
       s->start_ms = now;
       tally.arrived[get_arrival_second (s)]++;
+      tally.arrived_by_kind[s->kind] += is_counted (s);
     }
   if (!is_outage (now) && !g->queue.n && send_to_target (g, s, now))
     return;
@@ -256,7 +289,7 @@
 
       if (!send_to_target (g, s, now))
         break;
-      cf_wait_queue_remove (&g->queue, w);
+      cf_wait_queue_take (&g->queue, w);
     }
   for (w = TAILQ_FIRST (&g->queue.waiters); w; w = next)
     {
@@ -269,6 +302,14 @@
     }
 }
 
+static void
+end_at_target (Stream *s, gint64 now)
+{
+  cf_target_request_ended (s->target, now);
+  s->gateway->in_flight--;
+  cf_org_usage_add (&s->gateway->usage, s->waiter.org, -1, 0);
+}
+
 static void
 on_stream_end (Stream *s, gint64 now)
 {
@@ -279,8 +320,9 @@
     tally.on_time[get_arrival_second (s)]++;
   else
     tally.late[get_arrival_second (s)]++;
-  cf_target_request_ended (s->target, now);
-  s->gateway->in_flight--;
+  tally.on_time_by_kind[s->kind] += on_time && is_counted (s);
+  tally.served_by_kind[s->kind] += is_counted (s);
+  end_at_target (s, now);
   n_writing[s->rank]--;
 }
 
@@ -315,8 +357,7 @@
 on_caller_timeout (Stream *s, gint64 now)
 {
   tally.late[get_arrival_second (s)]++;
-  cf_target_request_ended (s->target, now);
-  s->gateway->in_flight--;
+  end_at_target (s, now);
 }
 
 static void
@@ -398,6 +439,21 @@
   return scenario->per_s * (is_burst ? scenario->burst_factor : 1);
 }
 
+static Stream *
+new_stream (GRand *rand)
+{
+  Stream *s = g_new0 (Stream, 1);
+  const Kind *kinds = scenario->kinds;
+
+  if (!kinds)
+    return s;
+  s->kind
+      = g_rand_double (rand) * (kinds[0].load + kinds[1].load) >= kinds[0].load;
+  s->waiter.priority = kinds[s->kind].priority;
+  s->waiter.org = kinds[s->kind].org;
+  return s;
+}
+
 static void
 retry_callers (GRand *rand, gint64 now)
 {
@@ -431,7 +487,7 @@
         {
           on_arrival (
               &gateways[g_rand_int_range (rand, 0, scenario->n_gateways)],
-              g_new0 (Stream, 1), now);
+              new_stream (rand), now);
           n_prompts++;
         }
       retry_callers (rand, now);
@@ -638,6 +694,78 @@
 }
 END_TEST
 
+/* Loads of two kinds, of which the first is more urgent, or of a smaller
+ * organisation, and by which factor more of that kind are to be served than
+ * with the same load of one kind.  All slots of the few that a gateway has may
+ * be taken for longer than a stream can wait and be in time; then it goes
+ * behind all that can still be in time. */
+static const struct
+{
+  Kind kinds[KINDS];
+  double min_gain;
+} loads[] = {
+  { { { 0.65, 0, 1 }, { 0.65, 2, 1 } }, 1.08 },
+  { { { 0.1, 0, 1 }, { 2.5, 0, 2 } }, 1.3 },
+};
+
+/* The order may cost this part of all streams that are in time. */
+#define ORDER_COST_MAX 0.05
+
+/* Served streams, and those in time, as fractions of each kind. */
+typedef struct
+{
+  double served[KINDS];
+  double on_time[KINDS];
+} KindTally;
+
+static KindTally
+run_kinds (const Scenario *base, const Kind *kinds)
+{
+  Scenario spec = *base;
+  KindTally t;
+
+  spec.kinds = kinds;
+  spec.callers_time_out = TRUE;
+  spec.per_s = get_capacity (base) * (kinds[0].load + kinds[1].load);
+  run_with_all_mechanisms (&spec);
+  for (int i = 0; i < KINDS; i++)
+    {
+      t.served[i] = (double)tally.served_by_kind[i] / tally.arrived_by_kind[i];
+      t.on_time[i]
+          = (double)tally.on_time_by_kind[i] / tally.arrived_by_kind[i];
+    }
+  return t;
+}
+
+/* Guards against urgent requests, or those of a small organisation, being
+ * refused while slots go to others, and against an order that costs more than
+ * it gains. */
+START_TEST (contended_slots_go_to_urgent_and_small)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      const Kind *k = loads[i].kinds;
+      const Kind alike[KINDS] = { { k[0].load, 0, 1 }, { k[1].load, 0, 1 } };
+      KindTally before = run_kinds (&fleets[_i], alike);
+      KindTally after = run_kinds (&fleets[_i], k);
+      double sum_before
+          = before.on_time[0] * k[0].load + before.on_time[1] * k[1].load;
+      double sum_after
+          = after.on_time[0] * k[0].load + after.on_time[1] * k[1].load;
+
+      ck_assert_msg (after.served[0] >= before.served[0] * loads[i].min_gain
+                         && after.on_time[0] > before.on_time[0],
+                     "%d gateways, load %u: %.3f, then %.3f served, %.3f, then "
+                     "%.3f in time",
+                     fleets[_i].n_gateways, i, before.served[0],
+                     after.served[0], before.on_time[0], after.on_time[0]);
+      ck_assert_msg (sum_after >= sum_before * (1 - ORDER_COST_MAX),
+                     "%d gateways, load %u: %.3f, then %.3f in time",
+                     fleets[_i].n_gateways, i, sum_before, sum_after);
+    }
+}
+END_TEST
+
 static void
 add_fleets (Suite *s, const char *name, const TTest *test)
 {
@@ -663,5 +791,6 @@
   add_fleets (s, "burst", overload_ends_within_3_s_of_burst);
   add_fleets (s, "burst-above-peak", overload_above_usual_peak_ends_within_3_s);
   add_fleets (s, "twice-the-knee", goodput_at_twice_the_knee_is_kept);
+  add_fleets (s, "contended", contended_slots_go_to_urgent_and_small);
   return t_run_suite (s);
 }
