balancer: prefer targets in the own data centre

A third to a half of the sends crossed data centres at even load. Targets elsewhere now count as having more requests, by the gateway's share of their slots (at least one request, at most half of the slots): local ones are used first, and what is beyond spills gradually. This holds for services without rank groups, and where each rank group is in one data centre; seeds count these and state the number in hellos. Limits on requests in flight, rates, homes and evacuations are unchanged. A new metric counts sends to other data centres.

--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -81,6 +81,10 @@
 #ifndef CF_WITHOUT_WARMUP
 #define CF_WITHOUT_WARMUP 0
 #endif
+/** Targets in other data centres are used like local ones. */
+#ifndef CF_WITHOUT_LOCAL_TARGETS
+#define CF_WITHOUT_LOCAL_TARGETS 0
+#endif
 /** Pauses that targets request are ignored. */
 #ifndef CF_WITHOUT_TARGET_PAUSES
 #define CF_WITHOUT_TARGET_PAUSES 0
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -16,6 +16,19 @@
  * ejected one: in a rank group, all ranks wait for its part of each pass. */
 #define DEGRADED_SLOWDOWN 3.0
 
+/** By how much more of its slots this gateway may use a target in its own data
+ * centre than the least loaded one elsewhere: its share of the slots with
+ * headroom, so that even demand stays local as far as the limit on requests in
+ * flight allows... */
+#define LOCAL_MARGIN_SHARES SHARE_HEADROOM
+/** ...at least this many requests, for gateways whose share is less than
+ * one... */
+#define LOCAL_MARGIN_MIN_REQUESTS 1.0
+/** ...and at most this fraction of the slots.  A gateway with most of the
+ * demand would otherwise fill the local targets while those elsewhere are idle.
+ */
+#define LOCAL_MARGIN_MAX_FRACTION 0.5
+
 /** Availability: whether a target can take a request. */
 typedef enum
 {
@@ -120,19 +133,39 @@
   return is_degraded (t, in) ? TARGET_DEGRADED : TARGET_AVAILABLE;
 }
 
+static gboolean
+is_local (const CfTarget *t, const CfPickInput *in)
+{
+  return in->data_centre && t->record.data_centre
+         && strcmp (in->data_centre, t->record.data_centre) == 0;
+}
+
+/* Returns the number of requests that count as being at a target elsewhere in
+ * addition to those that are, so that local ones are preferred. */
+static double
+get_local_margin (const CfTarget *t, const CfPickInput *in)
+{
+  double slots = (double)t->record.slots;
+  double fraction = in->share_fraction > 0 ? in->share_fraction
+                                           : 1.0 / MAX (in->n_gateways, 1);
+  double margin
+      = MAX (slots * fraction * LOCAL_MARGIN_SHARES, LOCAL_MARGIN_MIN_REQUESTS);
+
+  return MIN (margin, slots * LOCAL_MARGIN_MAX_FRACTION);
+}
+
 /* Returns the load that @t would have with the request: in 1/1024 of its slots,
  * scaled by its slowdown, and doubled so that the lowest bit can break ties in
  * favour of a target in the gateway's own data centre. */
 static guint
 compute_load (const CfTarget *t, const CfPickInput *in)
 {
-  double share = (t->in_flight + 1) * t->slowdown / (double)t->record.slots;
-  guint load = (guint)(share * 1024) * 2 + 1;
+  gboolean local = is_local (t, in);
+  double load = (t->in_flight + 1) * t->slowdown;
 
-  if (in->data_centre && t->record.data_centre
-      && strcmp (in->data_centre, t->record.data_centre) == 0)
-    load--;
-  return load;
+  if (in->prefers_local && !local && !CF_WITHOUT_LOCAL_TARGETS)
+    load += get_local_margin (t, in);
+  return (guint)(load / (double)t->record.slots * 1024) * 2 + !local;
 }
 
 /* Selection: the result of comparing all targets of a service. */
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -33,7 +33,8 @@
                                0 to 1; 0: an even part */
   double max_total;       /**< most requests for @in_flight by its share; 0:
                                none */
-  gboolean prefers_local; /**< uses targets in @data_centre first */
+  gboolean prefers_local; /**< uses targets in @data_centre first, up to a
+                               margin; %FALSE: only among equally loaded ones */
   gint64 max_conns;       /**< connections a target accepts from all
                                callers; 0: unlimited */
   const double *ring_start; /**< (nullable): where among the targets the search
@@ -82,13 +83,16 @@
  * cf_balancer_pick:
  * Chooses the target with the fewest requests of this gateway per slot,
  * weighted by the target's slowdown; among equals one in the gateway's own data
- * centre, then the first one from @ring_start on.  Targets that are leaving,
- * replaced, evacuated, outside of the request's homes, already tried, ejected,
- * slow, stalled, full, in a pause that they requested, or whose rate limit
- * allows this gateway no request now are passed over.  When less than half of
- * the targets are healthy and none of them is free, an ejected, slow or stalled
- * one is used: an ejection may be wrong, and must not take a whole service
- * down.
+ * centre, then the first one from @ring_start on.  With @prefers_local, targets
+ * elsewhere count as having more requests by this gateway's share of their
+ * slots, at least one request and at most half of the slots: local ones are
+ * used first, and beyond that both take their part of what is added.  Targets
+ * that are leaving, replaced, evacuated, outside of the request's homes,
+ * already tried, ejected, slow, stalled, full, in a pause that they requested,
+ * or whose rate limit allows this gateway no request now are passed over.  When
+ * less than half of the targets are healthy and none of them is free, an
+ * ejected, slow or stalled one is used: an ejection may be wrong, and must not
+ * take a whole service down.
  *
  * @out: (out) (nullable): the target, not referenced
  */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -5,6 +5,8 @@
 #include "forward.h"
 #include "log.h"
 
+#include <string.h>
+
 /** Requests that may be queued for each slot of their service.  With more, the
  * last would exceed its queue timeout even at full speed. */
 #define QUEUED_PER_SLOT 1
@@ -63,6 +65,14 @@
          || cf_exchange_await_turn (x);
 }
 
+/* Whether @t is known to be in another data centre than this gateway. */
+static gboolean
+is_elsewhere (const CfGateway *g, const CfTarget *t)
+{
+  return g->settings.data_centre && t->record.data_centre
+         && strcmp (g->settings.data_centre, t->record.data_centre) != 0;
+}
+
 static void
 send_to (CfExchange *x, CfTarget *t)
 {
@@ -111,6 +121,7 @@
     x->expected_first_ms = cf_stream_latency_first_event_ms (
         &x->service_state->latency, cf_exchange_engine_model (x), &x->size);
   x->gateway->stats.sends++;
+  x->gateway->stats.sends_other_dc += is_elsewhere (x->gateway, t);
   g_ptr_array_add (x->tried_targets, cf_target_ref (t));
   x->upstream = cf_upstream_send (x->gateway->loop, t, req, x->id, head_only,
                                   &cf_exchange_upstream_callbacks, x);
@@ -194,6 +205,19 @@
                         cf_exchange_backoff_ms (x));
 }
 
+/* Whether targets in this gateway's data centre are used first.  The ranks of a
+ * group step together, so those of a group that is spread over data centres
+ * have to be loaded evenly. */
+static gboolean
+prefers_local (const CfGateway *g, const CfService *sv)
+{
+  if (!g->settings.data_centre)
+    return FALSE;
+  return !sv || sv->engine.sets == 0
+         || (g->n_rank_groups > 0
+             && g->n_local_rank_groups >= g->n_rank_groups);
+}
+
 /* Returns what a target is chosen by.  The result refers to @x. */
 static CfPickInput
 make_pick_input (const CfExchange *x)
@@ -204,6 +228,7 @@
 
   in.service = x->service;
   in.data_centre = g->settings.data_centre;
+  in.prefers_local = prefers_local (g, sv);
   in.homes.route = (const char *const *)x->route->home_regions;
   in.homes.org = x->org
                      ? g_hash_table_lookup (x->policy->org_home_regions, x->org)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -110,8 +110,11 @@
   CfReadingLog dropped; /**< what ranks, agents and peers sent in vain */
   guint n_rank_groups;  /**< rank groups known to this gateway or a peer; 0:
                              unknown */
-  guint n_local_rank_groups; /**< of these, in one data centre each; 0:
-                                  unknown */
+  guint n_local_rank_groups;   /**< of these, in one data centre each; 0:
+                                    unknown */
+  gboolean counts_rank_groups; /**< agents of all known groups report to this
+                                    gateway, so that it does not take
+                                    @n_local_rank_groups from peers */
   char *seed_data_centres[CF_SEEDS_MAX]; /**< (nullable): by seed: as its last
                                             hello said */
   guint groups_without_demand; /**< led groups whose ranks send none */
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -303,6 +303,7 @@
   m->u.gateway_hello.evacuated_pos = g->evacuations.pos;
   m->u.gateway_hello.targets_change_pos = cf_target_feed_change_pos ();
   m->u.gateway_hello.n_rank_groups = g->n_rank_groups;
+  m->u.gateway_hello.n_local_rank_groups = g->n_local_rank_groups;
   m->u.gateway_hello.n_ring_members = cf_membership_size (s->membership);
 }
 
@@ -450,6 +451,20 @@
     s->behind_since_ms = s->g->now_ms;
 }
 
+/* A peer that knows fewer groups does not know how many are in one data centre
+ * each. */
+static void
+take_rank_groups (CfGateway *g, const CfPeerMsg *m)
+{
+  guint n = m->u.gateway_hello.n_rank_groups;
+
+  if (n > g->n_rank_groups)
+    g->counts_rank_groups = FALSE;
+  if (n > 0 && n >= g->n_rank_groups && !g->counts_rank_groups)
+    g->n_local_rank_groups = m->u.gateway_hello.n_local_rank_groups;
+  g->n_rank_groups = MAX (g->n_rank_groups, n);
+}
+
 static void
 take_hello (Peer *p, const CfPeerMsg *m)
 {
@@ -478,7 +493,7 @@
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     send_targets (p);
   cf_target_feed_take_peer_change (g, m->u.gateway_hello.targets_change_pos);
-  g->n_rank_groups = MAX (g->n_rank_groups, m->u.gateway_hello.n_rank_groups);
+  take_rank_groups (g, m);
   update_behind (p);
   if (compute_wanted (p))
     send_hello (p);
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -297,6 +297,20 @@
           g->service->gateway->dropped.n_dropped[CF_READING_DEMAND]);
 }
 
+/* The ranks of a group report to all seeds, so that a seed that has reports
+ * from all groups knows where they are. */
+static void
+update_group_counts (const CfRankService *s, guint n_local)
+{
+  CfGateway *g = s->gateway;
+  guint n = g_hash_table_size (s->groups);
+
+  g->n_rank_groups = MAX (g->n_rank_groups, n);
+  g->counts_rank_groups = n > 0 && n == g->n_rank_groups;
+  if (g->counts_rank_groups)
+    g->n_local_rank_groups = n_local;
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *t, int revents)
 {
@@ -308,6 +322,7 @@
   gint64 now = cf_gateway_now (s->gateway);
   gboolean heartbeat_due = now - s->heartbeat_sent_ms >= HEARTBEAT_MS;
   guint n_without_demand = 0;
+  guint n_local = 0;
   GHashTableIter it;
   gpointer v;
 
@@ -327,12 +342,12 @@
       cf_led_group_renew_lease (g);
       watch_demand (g);
       n_without_demand += g->demand_watch.is_missing;
+      n_local += g->is_in_one_data_centre;
       is_busy |= is_changing (g);
       has_more |= cf_map_coordinator_has_pending_work (&g->coordinator);
     }
   s->gateway->groups_without_demand = n_without_demand;
-  s->gateway->n_rank_groups
-      = MAX (s->gateway->n_rank_groups, g_hash_table_size (s->groups));
+  update_group_counts (s, n_local);
   ev_timer_set (t, 0,
                 has_more  ? MORE_WORK_INTERVAL_S
                 : is_busy ? BUSY_INTERVAL_S
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -87,6 +87,7 @@
                             "%" G_GUINT64_FORMAT "\n",
                             cf_outcome_name (i), s->outcomes[i]);
   print_counter (out, "sends_total", s->sends);
+  print_counter (out, "sends_other_dc_total", s->sends_other_dc);
   print_counter (out, "retries_total", s->retries);
   print_counter (out, "resumes_total", s->resumes);
   print_counter (out, "store_calls_total", s->store_calls);
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -37,9 +37,10 @@
 {
   guint64 requests;
   guint64 outcomes[CF_N_OUTCOMES];
-  guint64 sends;   /**< requests sent, including retries and resumes */
-  guint64 retries; /**< requests sent again after a failure */
-  guint64 resumes; /**< streams resumed at another target */
+  guint64 sends;          /**< requests sent, including retries and resumes */
+  guint64 sends_other_dc; /**< of @sends, to another data centre */
+  guint64 retries;        /**< requests sent again after a failure */
+  guint64 resumes;        /**< streams resumed at another target */
   guint64 store_calls;
   guint64 store_errors;
   guint64 records_rejected;       /**< unreadable target records */
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -728,6 +728,333 @@
 }
 END_TEST
 
+/* A fleet with targets and gateways in several data centres.  Each gateway sees
+ * only its own requests. */
+#define CENTRES 3
+#define GATEWAYS 2
+#define TARGETS 4
+#define SLOTS 12
+
+typedef struct
+{
+  CfTargetTable tables[CENTRES][GATEWAYS];
+  GRand *rand;
+  guint n_local;
+  guint n_sent;
+  guint n_full;
+} Fleet;
+
+static Fleet fleet;
+
+static CfTarget *
+fleet_target (int centre, int gateway, int at, int target)
+{
+  g_autofree char *id = g_strdup_printf ("t-%d-%d", at, target);
+
+  return t_get_target (&fleet.tables[centre][gateway], id);
+}
+
+static void
+add_fleet_target (CfTargetTable *table_of_gateway, int at, int target)
+{
+  g_autofree char *dc = g_strdup_printf ("dc%d", at);
+  g_autofree char *id = g_strdup_printf ("t-%d-%d", at, target);
+  g_autofree char *addr = g_strdup_printf ("1.1.%d.%d:1", at, target);
+
+  t_put_target (table_of_gateway, &(TTargetSpec){ .id = id,
+                                                  .data_centre = dc,
+                                                  .addr = addr,
+                                                  .slots = SLOTS,
+                                                  .rev = 1 });
+}
+
+/* Sets up a fleet without targets in data centre @empty; -1: none is empty. */
+static void
+fleet_init (int empty)
+{
+  memset (&fleet, 0, sizeof fleet);
+  fleet.rand = g_rand_new_with_seed (1);
+  for (int c = 0; c < CENTRES; c++)
+    for (int g = 0; g < GATEWAYS; g++)
+      {
+        cf_target_table_init (&fleet.tables[c][g]);
+        for (int at = 0; at < CENTRES; at++)
+          for (int i = 0; i < TARGETS && at != empty; i++)
+            add_fleet_target (&fleet.tables[c][g], at, i);
+      }
+}
+
+static void
+fleet_clear (void)
+{
+  for (int c = 0; c < CENTRES; c++)
+    for (int g = 0; g < GATEWAYS; g++)
+      cf_target_table_clear (&fleet.tables[c][g]);
+  g_rand_free (fleet.rand);
+}
+
+static void
+fleet_evacuate (int at, gboolean evacuated)
+{
+  for (int c = 0; c < CENTRES; c++)
+    for (int g = 0; g < GATEWAYS; g++)
+      for (int i = 0; i < TARGETS; i++)
+        fleet_target (c, g, at, i)->evacuated = evacuated;
+}
+
+static guint
+fleet_in_flight (int centre, int gateway)
+{
+  const GPtrArray *a
+      = cf_target_table_service (&fleet.tables[centre][gateway], "s");
+  guint n = 0;
+
+  for (guint i = 0; i < a->len; i++)
+    n += ((CfTarget *)a->pdata[i])->in_flight;
+  return n;
+}
+
+/* Ends one of the gateway's requests, each with the same probability. */
+static void
+fleet_end_one (int centre, int gateway)
+{
+  const GPtrArray *a
+      = cf_target_table_service (&fleet.tables[centre][gateway], "s");
+  guint n = fleet_in_flight (centre, gateway);
+  guint left = n ? (guint)g_rand_int_range (fleet.rand, 0, (gint32)n) : 0;
+
+  for (guint i = 0; n && i < a->len; i++)
+    {
+      CfTarget *t = a->pdata[i];
+
+      if (left < t->in_flight)
+        {
+          cf_target_request_ended (t, 0);
+          return;
+        }
+      left -= t->in_flight;
+    }
+}
+
+static void
+fleet_send_one (int centre, int gateway, const CfWarmupRule *rule, gint64 now)
+{
+  g_autofree char *dc = g_strdup_printf ("dc%d", centre);
+  double ring_start
+      = (gateway * CENTRES + centre) / (double)(CENTRES * GATEWAYS);
+  const CfPickInput in
+      = { .service = "s",
+          .data_centre = dc,
+          .now_ms = now,
+          .n_gateways = CENTRES * GATEWAYS,
+          .fleet_position = { 0, 1 },
+          .warmup_position
+          = { (guint)(gateway * CENTRES + centre), CENTRES * GATEWAYS },
+          .warmup_rule = rule,
+          .ring_start = &ring_start,
+          .prefers_local = TRUE };
+  CfTarget *t;
+
+  if (cf_balancer_pick (&fleet.tables[centre][gateway], &in, &t) != CF_PICK_OK)
+    {
+      fleet.n_full++;
+      return;
+    }
+  cf_target_request_started (t, now);
+  if (rule)
+    cf_warmup_consume (&t->warmup, now);
+  fleet.n_sent++;
+  fleet.n_local += strcmp (t->record.data_centre, dc) == 0;
+}
+
+/* Keeps as many requests in flight as @demand says, as a fraction of the slots
+ * of one data centre, by the data centre of the gateways; @rounds requests of
+ * each gateway end and others take their place. */
+static void
+fleet_run (const double *demand, int rounds)
+{
+  fleet.n_local = fleet.n_sent = fleet.n_full = 0;
+  for (int r = 0; r < rounds; r++)
+    for (int c = 0; c < CENTRES; c++)
+      for (int g = 0; g < GATEWAYS; g++)
+        {
+          guint wanted = (guint)(demand[c] * TARGETS * SLOTS / GATEWAYS);
+          guint n = fleet_in_flight (c, g);
+
+          if (n >= wanted)
+            fleet_end_one (c, g);
+          for (n = fleet_in_flight (c, g); n < wanted; n++)
+            fleet_send_one (c, g, NULL, 0);
+        }
+}
+
+/* Returns the most requests that any target in @at has of all gateways. */
+static guint
+fleet_peak (int at)
+{
+  guint peak = 0;
+
+  for (int i = 0; i < TARGETS; i++)
+    {
+      guint n = 0;
+
+      for (int c = 0; c < CENTRES; c++)
+        for (int g = 0; g < GATEWAYS; g++)
+          n += fleet_target (c, g, at, i)->in_flight;
+      peak = MAX (peak, n);
+    }
+  return peak;
+}
+
+/* Loads of the three data centres' gateways, and the part of the sends that
+ * stays local.  Without the preference, it was 0.57 and 0.44 in the second and
+ * the third case. */
+static const struct
+{
+  double demand[CENTRES];
+  double min_local;
+  double max_local;
+} locality_cases[] = {
+  { { 0.1, 0.1, 0.1 }, 0.99, 1 },   /* little demand */
+  { { 0.3, 0.3, 0.3 }, 0.99, 1 },   /* even demand */
+  { { 0.4, 0.4, 0.4 }, 0.95, 1 },   /* even demand near the gateways' shares */
+  { { 0.64, 0.18, 0.18 }, 0.9, 1 }, /* one has 1.6 times its part of 0.4 */
+  { { 0.9, 0.9, 0.9 }, 0.3, 0.7 },  /* shares of local targets are used up */
+};
+
+START_TEST (demand_stays_local_until_shares_are_used)
+{
+  const double *demand = locality_cases[_i].demand;
+  double local;
+
+  fleet_init (-1);
+  fleet_run (demand, 200);
+  fleet_run (demand, 500);
+  local = (double)fleet.n_local / fleet.n_sent;
+  ck_assert_uint_gt (fleet.n_sent, 1000);
+  ck_assert_msg (local >= locality_cases[_i].min_local
+                     && local <= locality_cases[_i].max_local,
+                 "local: %.3f", local);
+  ck_assert_uint_eq (fleet.n_full, 0);
+  for (int at = 0; at < CENTRES; at++)
+    ck_assert_uint_le (fleet_peak (at), SLOTS + 1);
+  fleet_clear ();
+}
+END_TEST
+
+/* One gateway with the demand of several would otherwise fill the local targets
+ * while those elsewhere are idle. */
+START_TEST (overflow_spills_gradually)
+{
+  const CfPickInput in = {
+    .service = "s", .data_centre = "dc0", .n_gateways = 1, .prefers_local = TRUE
+  };
+  guint local[CENTRES * TARGETS * SLOTS + 1] = { 0 };
+
+  fleet_init (-1);
+  for (guint n = 1; n < G_N_ELEMENTS (local); n++)
+    {
+      CfTarget *t;
+
+      ck_assert_int_eq (cf_balancer_pick (&fleet.tables[0][0], &in, &t),
+                        CF_PICK_OK);
+      cf_target_request_started (t, 0);
+      local[n] = local[n - 1] + (strcmp (t->record.data_centre, "dc0") == 0);
+      /* What spills never exceeds local use by more than an even spread. */
+      ck_assert_uint_ge (local[n] * CENTRES, n);
+    }
+  ck_assert_uint_eq (local[TARGETS * SLOTS / 2], TARGETS * SLOTS / 2);
+  ck_assert_uint_lt (local[TARGETS * SLOTS], TARGETS * SLOTS * 7 / 10);
+  ck_assert_uint_le (local[CENTRES * TARGETS * SLOTS], TARGETS * SLOTS * 5 / 4);
+  fleet_clear ();
+}
+END_TEST
+
+/* Slow local targets hold requests longer; the preference must not keep
+ * requests at them. */
+START_TEST (slow_local_targets_lose_their_preference)
+{
+  const double demand[CENTRES] = { 0.3, 0, 0 };
+
+  fleet_init (-1);
+  for (int g = 0; g < GATEWAYS; g++)
+    for (int i = 0; i < TARGETS; i++)
+      fleet_target (0, g, 0, i)->slowdown = 2.5;
+  fleet_run (demand, 200);
+  fleet_run (demand, 500);
+  ck_assert_uint_lt (fleet.n_local, fleet.n_sent * 7 / 10);
+  ck_assert_uint_gt (fleet.n_local, 0);
+  fleet_clear ();
+}
+END_TEST
+
+START_TEST (demand_of_an_empty_centre_is_spread_evenly)
+{
+  const double demand[CENTRES] = { 0.3, 0, 0 };
+  guint n = 0;
+
+  fleet_init (0);
+  fleet_run (demand, 1);
+  ck_assert_uint_eq (fleet.n_local, 0);
+  for (int at = 1; at < CENTRES; at++)
+    for (int i = 0; i < TARGETS; i++)
+      n += fleet_target (0, 0, at, i)->in_flight == 0;
+  ck_assert_uint_le (n, 1);
+  fleet_clear ();
+}
+END_TEST
+
+/* When an evacuated centre is taken back, its gateways return to its empty
+ * targets; gateways elsewhere have no reason to. */
+START_TEST (a_returning_centre_is_not_overrun)
+{
+  const double demand[CENTRES] = { 0.3, 0.3, 0.3 };
+
+  fleet_init (-1);
+  fleet_evacuate (0, TRUE);
+  fleet_run (demand, 200);
+  ck_assert_uint_eq (fleet_peak (0), 0);
+  ck_assert_uint_eq (fleet.n_full, 0);
+  fleet_evacuate (0, FALSE);
+  for (int r = 0; r < 50; r++)
+    {
+      fleet_run (demand, 1);
+      ck_assert_uint_le (fleet_peak (0), SLOTS / 2);
+      for (int c = 1; c < CENTRES; c++)
+        for (int g = 0; g < GATEWAYS; g++)
+          for (int i = 0; i < TARGETS; i++)
+            ck_assert_uint_eq (fleet_target (c, g, 0, i)->in_flight, 0);
+    }
+  ck_assert_uint_ge (fleet_peak (0), 3);
+  fleet_clear ();
+}
+END_TEST
+
+/* The rates of cold targets are commitments, also to local gateways. */
+START_TEST (cold_local_targets_get_their_rate_only)
+{
+  const CfWarmupRule rule
+      = { .is_set = TRUE, .per_s = 2, .max_factor = 1, .slack = 2 };
+  guint n = 0;
+
+  fleet_init (-1);
+  for (int g = 0; g < GATEWAYS; g++)
+    for (int i = 0; i < TARGETS; i++)
+      cf_warmup_set (&fleet_target (0, g, 0, i)->warmup, 3000, 0);
+  for (gint64 now = 1; now <= 2000; now += 20)
+    for (int g = 0; g < GATEWAYS; g++)
+      {
+        fleet_send_one (0, g, &rule, now);
+        fleet_end_one (0, g);
+      }
+  n = fleet.n_local;
+  ck_assert_uint_gt (n, 0);
+  ck_assert_uint_le (n, 2 * 2 * TARGETS + TARGETS);
+  ck_assert_uint_eq (fleet.n_full, 0);
+  fleet_clear ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -737,6 +1064,13 @@
   tcase_add_checked_fixture (t, setup, teardown);
   tcase_add_test (t, least_loaded_target_is_picked);
   tcase_add_test (t, load_is_spread_evenly);
+  tcase_add_loop_test (t, demand_stays_local_until_shares_are_used, 0,
+                       G_N_ELEMENTS (locality_cases));
+  tcase_add_test (t, overflow_spills_gradually);
+  tcase_add_test (t, slow_local_targets_lose_their_preference);
+  tcase_add_test (t, demand_of_an_empty_centre_is_spread_evenly);
+  tcase_add_test (t, a_returning_centre_is_not_overrun);
+  tcase_add_test (t, cold_local_targets_get_their_rate_only);
   tcase_add_test (t, gateways_load_targets_evenly);
   tcase_add_test (t, slow_target_gets_fewer_requests);
   tcase_add_test (t, slow_target_is_avoided_while_others_are_full);
--- a/t/t-group-failover.c
+++ b/t/t-group-failover.c
@@ -79,6 +79,32 @@
 }
 END_TEST
 
+/* Traffic between data centres is expensive, and about half of the streams
+ * would go to the other group if both were used alike. */
+START_TEST (requests_stay_in_the_data_centre)
+{
+  int fds[4];
+  g_autofree char *metrics = NULL;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      g_autofree char *req = build_stream ();
+
+      fds[i] = p_connect (p_front_port (BASE, 1));
+      p_send (fds[i], req);
+    }
+  ck_assert_int_ge (count_in_time (N_STREAMS), N_STREAMS - 1);
+  ck_assert_double_gt (p_sum_runs (RANK_1, N_RANKS, "runs"), N_STREAMS);
+  ck_assert_double_eq (p_sum_runs (RANK_1 + N_RANKS, N_RANKS, "runs"), 0);
+  metrics = p_round_trip (p_front_port (BASE, 1) + 3,
+                          "GET /metrics HTTP/1.1\r\n\r\n");
+  ck_assert_ptr_nonnull (
+      strstr (metrics, "\ncomfrey_sends_other_dc_total 0\n"));
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
 /* All streams of a gateway are at the group that stalls. */
 START_TEST (requests_go_to_another_group_while_one_stalls)
 {
@@ -169,6 +195,7 @@
   tcase_add_checked_fixture (t, setup, p_stop_all);
   tcase_add_test (t, requests_go_to_another_group_while_one_is_broken);
   tcase_add_test (t, requests_go_to_another_group_while_one_stalls);
+  tcase_add_test (t, requests_stay_in_the_data_centre);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
