pass-limit: limit streams to keep passes punctual

A shift of demand doubles the duration of passes, and at full slots every stream is then late. For services with an engine model and routes of different priorities, the pass limit is the number of streams per rank at which a pass meets the objective although passes are as slow, relative to the model, as the slowest of the last 5 to 10 s. Not below three quarters of the throughput; none if 0.6 of it would miss the objective. Pauses over 1 s are stalls. The streams per rank are this gateway's requests in flight times gateways by ranks, that is, demand is taken to be even. E1223 logs when the limit begins, changes by a tenth or ends.

Nothing applies the limit yet.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -172,6 +172,39 @@
     log_overload (x);
 }
 
+/* Returns the mean number of streams at a rank of its service.  This gateway
+ * sees only its own, and takes those of the other gateways to be as many. */
+static double
+estimate_streams_per_rank (const CfExchange *x, guint n_ranks)
+{
+  return (double)x->service_state->in_flight * MAX (x->gateway->fleet_size, 1)
+         / MAX (n_ranks, 1);
+}
+
+/* Adds a pass to those that the pass limit is computed from, and logs changes
+ * of the limit. */
+static void
+update_pass_limit (CfExchange *x, const CfPassRecord *p)
+{
+  const CfEngineModel *e = cf_exchange_engine_model (x);
+  guint n_ranks
+      = cf_target_table_count_usable (&x->gateway->targets, x->service);
+  gint64 now = cf_gateway_now (x->gateway);
+  CfPassLimit *l = &x->service_state->pass_limit;
+  double limit;
+
+  if (!e || !cf_policy_has_urgency_levels (x->policy, x->service))
+    return;
+  cf_pass_limit_add_pass (l, e, cf_pass_record_mean_ms (p),
+                          estimate_streams_per_rank (x, n_ranks), now);
+  limit = cf_pass_limit_get (
+      l, e, cf_policy_gap_objective_ms (x->policy, x->service), now);
+  if (cf_pass_limit_report (l, limit))
+    cf_log (LOG_NOTICE, CF_EV_PASS_LIMIT,
+            "service=%s limit=%.1f slowness=%.2f ranks=%u", x->service, limit,
+            cf_pass_limit_slowness (l, now), n_ranks);
+}
+
 /* Adds an event to the record of passes, and logs the pass that this shows to
  * have ended if it made streams late. */
 static void
@@ -183,7 +216,10 @@
   e.now_ms = cf_gateway_now (x->gateway);
   e.gap_objective_ms = x->route->gap_objective_ms;
   e.prompt_tokens = x->size.prompt;
-  if (!cf_pass_record_add (&x->service_state->pass, &e, &p) || p.late == 0)
+  if (!cf_pass_record_add (&x->service_state->pass, &e, &p))
+    return;
+  update_pass_limit (x, &p);
+  if (p.late == 0)
     return;
   cf_log (LOG_INFO, CF_EV_SLOW_PASS,
           "service=%s ms=%" G_GINT64_FORMAT " streams=%u late=%u begun=%u "
--- a/gateway/pass-limit.h
+++ b/gateway/pass-limit.h
@@ -6,7 +6,11 @@
  * CfPassLimit:
  * Limits the streams at engines that write in passes, so that a pass stays
  * within the objective for the pause between events, also the first passes
- * after a shift of demand.
+ * after a shift of demand.  The engine's model says how long a pass takes with
+ * a number of streams; passes are expected to be as slow, relative to it, as
+ * the slowest of the last 5 to 10 s.  A shift of demand doubles the duration of
+ * passes until the experts are placed again, and the next shift is to meet
+ * engines that have room for it.
  */
 typedef struct
 {
@@ -14,21 +18,34 @@
                            in the current window and the previous one; 0: none
                            was observed */
   gint64 window_start_ms;
+  double reported; /**< limit of the last report; 0: none was in force */
 } CfPassLimit;
 
 /**
  * cf_pass_limit_add_pass:
- * @pass_ms: duration of an observed pass
+ * @pass_ms: duration of an observed pass; one of more than a second is a stall,
+ *   not a pass, and is ignored
  * @streams_per_rank: mean number of streams at a rank during it
  */
 void cf_pass_limit_add_pass (CfPassLimit *l, const CfEngineModel *e,
                              double pass_ms, double streams_per_rank,
                              gint64 now_ms);
 
+/** cf_pass_limit_slowness: how many times longer than by the model passes are
+ * expected to take; at least 1. */
+double cf_pass_limit_slowness (const CfPassLimit *l, gint64 now_ms);
+
 /**
  * cf_pass_limit_get:
  * @objective_ms: for the pause between events
- * Returns: the number of streams per rank; 0: no limit.
+ * Returns: the number of streams per rank at which a pass still takes no longer
+ *   than the objective, but not fewer than three quarters of the engine's
+ *   throughput need; 0: no limit, as all slots can be used, or the objective
+ *   would be missed even with 0.6 of the throughput.
  */
 double cf_pass_limit_get (const CfPassLimit *l, const CfEngineModel *e,
                           gint64 objective_ms, gint64 now_ms);
+
+/** cf_pass_limit_report: whether @limit, in streams per rank, came into force,
+ * was lifted, or has changed by a tenth since this last returned %TRUE. */
+gboolean cf_pass_limit_report (CfPassLimit *l, double limit);
--- a/gateway/pass-record.c
+++ b/gateway/pass-record.c
@@ -6,6 +6,14 @@
  * passes take 50 ms or more. */
 #define SAME_PASS_MS 20
 
+double
+cf_pass_record_mean_ms (const CfPassRecord *p)
+{
+  guint n = p->streams - p->begun;
+
+  return n ? (double)p->sum_ms / n : 0;
+}
+
 gboolean
 cf_pass_record_add (CfPassRecord *p, const CfPassEvent *e, CfPassRecord *done)
 {
@@ -22,6 +30,7 @@
     }
   p->streams++;
   p->longest_ms = MAX (p->longest_ms, e->pause_ms);
+  p->sum_ms += e->pause_ms;
   p->late += e->gap_objective_ms > 0 && e->pause_ms > e->gap_objective_ms;
   if (e->pause_ms == 0)
     {
--- a/gateway/pass-record.h
+++ b/gateway/pass-record.h
@@ -13,12 +13,17 @@
 {
   gint64 began_ms;     /**< time of its first event; 0: none yet */
   gint64 longest_ms;   /**< longest pause that ended with an event of it */
+  gint64 sum_ms;       /**< sum of the pauses that ended with an event of it */
   guint streams;       /**< events, one for each stream of this gateway */
   guint late;          /**< events after a pause longer than the objective */
   guint begun;         /**< events that were the first of their stream */
   gint64 begun_tokens; /**< prompt tokens of the streams that began */
 } CfPassRecord;
 
+/** cf_pass_record_mean_ms: the mean pause that ended with an event of the pass,
+ * which is its duration; 0: all its streams began with it. */
+double cf_pass_record_mean_ms (const CfPassRecord *p);
+
 /** CfPassEvent: an event of a stream. */
 typedef struct
 {
--- a/gateway/policy.c
+++ b/gateway/policy.c
@@ -41,6 +41,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   p->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  p->urgency_services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   p->org_by_api_key
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->org_priority
@@ -64,6 +66,7 @@
     return;
   g_hash_table_destroy (p->by_host_prefix);
   g_hash_table_destroy (p->services);
+  g_hash_table_destroy (p->urgency_services);
   g_hash_table_destroy (p->org_by_api_key);
   g_hash_table_destroy (p->org_priority);
   g_hash_table_destroy (p->org_home_regions);
@@ -135,6 +138,41 @@
   return r->splits[r->n_splits - 1].service;
 }
 
+/* Records the priority of @r for the services that it leads to.
+ * @first_priorities: service -> priority of the first route to it */
+static void
+note_priority (CfPolicy *p, const CfRoute *r, GHashTable *first_priorities)
+{
+  for (guint i = 0; i < r->n_splits; i++)
+    {
+      char *service = r->splits[i].service;
+      const gint64 *first = g_hash_table_lookup (first_priorities, service);
+
+      if (r->splits[i].weight == 0 && r->total_weight > 0)
+        continue;
+      if (!first)
+        g_hash_table_insert (first_priorities, service, (gpointer)&r->priority);
+      else if (*first != r->priority)
+        g_hash_table_add (p->urgency_services, g_strdup (service));
+    }
+}
+
+void
+cf_policy_find_urgency_services (CfPolicy *p)
+{
+  GHashTable *first_priorities = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < p->routes->len; i++)
+    note_priority (p, p->routes->pdata[i], first_priorities);
+  g_hash_table_destroy (first_priorities);
+}
+
+gboolean
+cf_policy_has_urgency_levels (const CfPolicy *p, const char *service)
+{
+  return g_hash_table_contains (p->urgency_services, service);
+}
+
 gint64
 cf_policy_gap_objective_ms (const CfPolicy *p, const char *service)
 {
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -97,9 +97,11 @@
 {
   gint ref_count;
   gint64 version;
-  GPtrArray *routes;          /**< of #CfRoute, owned */
-  GHashTable *by_host_prefix; /**< "host prefix" -> #CfRoute */
-  GHashTable *services;       /**< name -> #CfService, owned */
+  GPtrArray *routes;            /**< of #CfRoute, owned */
+  GHashTable *by_host_prefix;   /**< "host prefix" -> #CfRoute */
+  GHashTable *services;         /**< name -> #CfService, owned */
+  GHashTable *urgency_services; /**< set of names: services that routes with
+                                     different priorities lead to */
   GHashTable *org_by_api_key; /**< API key -> name of the organisation, owned */
   GHashTable *org_priority;   /**< organisation -> priority + 1; 0: not set */
   GHashTable *org_home_regions; /**< organisation -> GStrv, if it has any */
@@ -134,6 +136,14 @@
  */
 const char *cf_route_pick (const CfRoute *r, guint hash);
 
+/** cf_policy_find_urgency_services: determines which services are reached by
+ * routes with different priorities; called once all routes are complete. */
+void cf_policy_find_urgency_services (CfPolicy *p);
+
+/** cf_policy_has_urgency_levels: whether routes with different priorities lead
+ * to @service. */
+gboolean cf_policy_has_urgency_levels (const CfPolicy *p, const char *service);
+
 /** cf_policy_gap_objective_ms: the lowest objective for the pause between
  * events among the routes to @service; 0: none has one.  An engine writes an
  * event per pass, so the objective applies to each pass. */
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -494,6 +494,12 @@
   return TRUE;
 }
 
+static gboolean
+is_usable (const CfTarget *t)
+{
+  return !cf_target_is_leaving (t) && !t->replaced && !t->evacuated;
+}
+
 gint64
 cf_target_table_slots (const CfTargetTable *t, const char *service)
 {
@@ -504,13 +510,23 @@
     {
       const CfTarget *target = a->pdata[i];
 
-      if (!cf_target_is_leaving (target) && !target->replaced
-          && !target->evacuated)
+      if (is_usable (target))
         slots += target->record.slots;
     }
   return slots;
 }
 
+guint
+cf_target_table_count_usable (const CfTargetTable *t, const char *service)
+{
+  const GPtrArray *a = cf_target_table_service (t, service);
+  guint n = 0;
+
+  for (guint i = 0; a && i < a->len; i++)
+    n += is_usable (a->pdata[i]);
+  return n;
+}
+
 const GPtrArray *
 cf_target_table_service (const CfTargetTable *t, const char *service)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -233,6 +233,10 @@
  * that take new requests and are not evacuated. */
 gint64 cf_target_table_slots (const CfTargetTable *t, const char *service);
 
+/** cf_target_table_count_usable: the number of those targets. */
+guint cf_target_table_count_usable (const CfTargetTable *t,
+                                    const char *service);
+
 /** cf_target_table_service: (nullable): the targets of @service, sorted by id.
  */
 const GPtrArray *cf_target_table_service (const CfTargetTable *t,
--- a/t/t-pass-record.c
+++ b/t/t-pass-record.c
@@ -19,6 +19,8 @@
   ck_assert_uint_eq (done.late, 2);
   ck_assert_uint_eq (done.begun, 1);
   ck_assert_int_eq (done.begun_tokens, 700);
+  ck_assert_double_eq_tol (cf_pass_record_mean_ms (&done),
+                           (90 + 130 + 125) / 3.0, 1e-9);
   ck_assert_uint_eq (p.streams, 1);
   ck_assert_uint_eq (p.late, 0);
 }
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -218,6 +218,30 @@
 }
 END_TEST
 
+/* The order by priority and the pass limit change nothing for services whose
+ * routes all have the same priority. */
+START_TEST (services_with_several_priorities_are_known)
+{
+  static const char text[]
+      = "{\"version\":1,\"routes\":["
+        "{\"host\":\"h\",\"prefix\":\"/a/\",\"kind\":\"safe\",\"priority\":0,"
+        "\"service\":\"s1\"},"
+        "{\"host\":\"h\",\"prefix\":\"/b/\",\"kind\":\"safe\",\"priority\":0,"
+        "\"service\":\"s1\"},"
+        "{\"host\":\"h\",\"prefix\":\"/c/\",\"kind\":\"safe\",\"priority\":1,"
+        "\"service\":\"s2\"},"
+        "{\"host\":\"h\",\"prefix\":\"/d/\",\"kind\":\"safe\",\"priority\":2,"
+        "\"service\":\"s2\"}],\"services\":[{\"name\":\"s1\"}]}";
+  CfPolicy *p;
+
+  ck_assert_int_eq (cf_platform_policy_parse (text, strlen (text), &p), CF_OK);
+  ck_assert (!cf_policy_has_urgency_levels (p, "s1"));
+  ck_assert (cf_policy_has_urgency_levels (p, "s2"));
+  ck_assert (!cf_policy_has_urgency_levels (p, "s3"));
+  cf_policy_unref (p);
+}
+END_TEST
+
 START_TEST (invalid_configurations_are_rejected)
 {
   const char *const bad[] = {
@@ -703,6 +727,7 @@
   tcase_add_test (t, unused_settings_are_ignored);
   tcase_add_test (t, invalid_settings_name_the_field);
   tcase_add_test (t, configuration_is_parsed);
+  tcase_add_test (t, services_with_several_priorities_are_known);
   tcase_add_test (t, homes_and_regions_are_parsed);
   tcase_add_test (t, warmup_is_parsed);
   tcase_add_test (t, shared_prompt_parts_are_parsed);
