explain: name what a refused request competed with

The cause of a refusal was a fixed sentence; what was ahead of the request and what share the gateway had were left to the reader.

Add to the causes more-urgent-waits, queue-full, no-room and returned-early the fields of E1210 and the last E1221 of that gateway and service before the answer, and to any cause what E1222 says of the caller's return. Also explain the reasons outage and returned-early, which had no sentence.

--- a/explain.c
+++ b/explain.c
@@ -51,6 +51,12 @@
   { NULL, "queue-full", "the service's queue was full" },
   { NULL, "more-urgent-waits",
     "requests of a more urgent priority filled the service's queue" },
+  { NULL, "returned-early",
+    "the caller had been told when to return and returned before that time, "
+    "while other requests waited" },
+  { NULL, "outage",
+    "the service's targets refused all work since one that they depend on was "
+    "away; see E1213" },
   { NULL, "stopping", "the gateway was shutting down; see E1405" },
   { NULL, "cut-by-stop",
     "the gateway exited before the answer was complete; E1214 of this request, "
@@ -95,24 +101,43 @@
   g_free (l);
 }
 
-/* Adds a line "...]: E1203 route id=..." if it is about @id.  A log collector
- * may have put a prefix before the program's name. */
-static void
-add_line (CfTimeline *t, const char *id, const char *file, const char *line)
+/* Returns the entry of a line; @at: its part from the event number on. */
+static CfTimelineEntry *
+new_entry (const char *file, const char *line, const char *at)
 {
-  const char *at = cf_log_line_event (line);
-  g_autofree char *line_id = cf_log_line_field (line, "id");
-  CfTimelineEntry *l;
+  CfTimelineEntry *l = g_new0 (CfTimelineEntry, 1);
 
-  if (!at || g_strcmp0 (line_id, id) != 0)
-    return;
-  l = g_new0 (CfTimelineEntry, 1);
   l->time_s = cf_log_line_number (line, "t", 0);
   l->file = g_strdup (file);
   l->event = g_strndup (at, strcspn (at, " "));
   l->text = g_strdup (at + strlen (l->event)
                       + strspn (at + strlen (l->event), " "));
-  g_ptr_array_add (t->lines, l);
+  return l;
+}
+
+/* Adds a line "...]: E1203 route id=..." if it is about @id, or about a share.
+ * A log collector may have put a prefix before the program's name. */
+static void
+add_line (CfTimeline *t, const char *id, const char *file, const char *line)
+{
+  const char *at = cf_log_line_event (line);
+  g_autofree char *line_id = cf_log_line_field (line, "id");
+
+  if (!at)
+    return;
+  if (g_strcmp0 (line_id, id) == 0)
+    g_ptr_array_add (t->lines, new_entry (file, line, at));
+  else if (g_str_has_prefix (at, "E1221 "))
+    g_ptr_array_add (t->shares, new_entry (file, line, at));
+}
+
+static void
+create_arrays (CfTimeline *t)
+{
+  if (t->lines)
+    return;
+  t->lines = g_ptr_array_new_with_free_func (entry_free);
+  t->shares = g_ptr_array_new_with_free_func (entry_free);
 }
 
 void
@@ -121,8 +146,7 @@
 {
   char **lines = g_strsplit (text, "\n", -1);
 
-  if (!t->lines)
-    t->lines = g_ptr_array_new_with_free_func (entry_free);
+  create_arrays (t);
   for (char **l = lines; *l; l++)
     add_line (t, id, file, *l);
   g_strfreev (lines);
@@ -167,6 +191,142 @@
                               reason ? reason : "-");
 }
 
+/* Returns the last change of the share of @service at the gateway that logged
+ * @answer, up to then.  (nullable) */
+static const CfTimelineEntry *
+find_share (const CfTimeline *t, const CfTimelineEntry *answer,
+            const char *service)
+{
+  const CfTimelineEntry *found = NULL;
+
+  for (guint i = 0; i < t->shares->len; i++)
+    {
+      const CfTimelineEntry *l = t->shares->pdata[i];
+      g_autofree char *its_service = cf_log_line_field (l->text, "service");
+
+      if (l->time_s <= answer->time_s && strcmp (l->file, answer->file) == 0
+          && g_strcmp0 (its_service, service) == 0)
+        found = l;
+    }
+  return found;
+}
+
+/* Appends "@before VALUE@after" if @l (nullable) has the field @name. */
+static void
+append_field (GString *out, const CfTimelineEntry *l, const char *before,
+              const char *name, const char *after)
+{
+  g_autofree char *value = l ? cf_log_line_field (l->text, name) : NULL;
+
+  if (value && strcmp (value, "-") != 0)
+    g_string_append_printf (out, "%s%s%s", before, value, after);
+}
+
+/* Appends what was ahead of a request when it was queued. */
+static void
+append_queue (GString *out, const CfTimelineEntry *queued)
+{
+  if (!queued)
+    return;
+  append_field (out, queued,
+                "; requests waiting when it was queued: ", "waiting",
+                " (with it)");
+  append_field (out, queued, ", in flight: ", "in_flight", "");
+  append_field (out, queued, "; its urgency was ", "priority",
+                " (0 is the most urgent)");
+  append_field (out, queued, ", its organisation ", "org", "");
+  append_field (out, queued, " with a share of ", "grant", " slots");
+}
+
+/* Appends the share that the gateway had of the service. */
+static void
+append_share (GString *out, const CfTimelineEntry *share)
+{
+  if (!share)
+    return;
+  append_field (out, share, "; this gateway's share was ", "share", "");
+  append_field (out, share, " of ", "capacity", " slots");
+  append_field (out, share, " for a demand of ", "demand", "");
+  append_field (out, share, " (", "fleet_demand", " in the fleet)");
+  append_field (out, share, ", known of ", "known", " other gateways");
+  append_field (out, share, "; the least urgent level admitted was ",
+                "admitted", "");
+}
+
+/* Appends when the caller was told to return, and when it had returned. */
+static void
+append_returns (GString *out, const CfTimeline *t)
+{
+  for (guint i = 0; i < t->lines->len; i++)
+    {
+      const CfTimelineEntry *l = t->lines->pdata[i];
+      g_autofree char *outcome = cf_log_line_field (l->text, "outcome");
+
+      if (strcmp (l->event, "E1222") != 0)
+        continue;
+      if (g_strcmp0 (outcome, "due") == 0)
+        g_string_append (out, "; its caller had been refused before and "
+                              "returned when told");
+      else if (g_strcmp0 (outcome, "early") == 0)
+        append_field (out, l,
+                      "; its caller had been refused before and "
+                      "returned ",
+                      "wait_ms", " ms before the time told");
+      append_field (out, l, "; its caller was told to return after ",
+                    "return_ms", " ms");
+      append_field (out, l, ", behind ", "ahead", " others");
+    }
+}
+
+/* Whether the capacity of a service did not suffice for a request that ended
+ * for @reason. */
+static gboolean
+is_contention (const char *reason)
+{
+  static const char *const reasons[]
+      = { "more-urgent-waits", "queue-full", "no-room", "returned-early" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (reasons); i++)
+    if (g_strcmp0 (reason, reasons[i]) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns the service of the request, if a line names it.  (nullable) */
+static char *
+find_service (const CfTimeline *t)
+{
+  char *service = NULL;
+
+  for (guint i = 0; i < t->lines->len && !service; i++)
+    {
+      const CfTimelineEntry *l = t->lines->pdata[i];
+
+      service = cf_log_line_field (l->text, "service");
+    }
+  return service;
+}
+
+/* Adds to the cause what the request competed with, and when its caller was
+ * told to return. */
+static void
+extend_cause (CfTimeline *t, const CfTimelineEntry *answer)
+{
+  const CfTimelineEntry *queued = find_last (t, "E1210");
+  g_autofree char *reason = cf_log_line_field (answer->text, "reason");
+  g_autofree char *service = find_service (t);
+  GString *out = g_string_new (t->cause);
+
+  if (is_contention (reason))
+    {
+      append_queue (out, queued);
+      append_share (out, find_share (t, answer, service));
+    }
+  append_returns (out, t);
+  g_free (t->cause);
+  t->cause = g_string_free (out, FALSE);
+}
+
 /* Finds the newest line about a decision, which shows the data it was based on:
  * any line but the answer (E1205) and a caller that left (E1211). */
 static void
@@ -186,12 +346,15 @@
 {
   const CfTimelineEntry *answer;
 
-  if (!t->lines)
-    t->lines = g_ptr_array_new_with_free_func (entry_free);
+  create_arrays (t);
   g_ptr_array_sort (t->lines, by_time);
+  g_ptr_array_sort (t->shares, by_time);
   answer = find_last (t, "E1205");
   if (answer)
-    find_cause (t, answer);
+    {
+      find_cause (t, answer);
+      extend_cause (t, answer);
+    }
   else if (t->lines->len)
     t->cause = g_strdup ("no final answer is logged: the process exited, "
                          "or the line was dropped (E1005)");
@@ -227,7 +390,10 @@
 cf_timeline_clear (CfTimeline *t)
 {
   if (t->lines)
-    g_ptr_array_free (t->lines, TRUE);
+    {
+      g_ptr_array_free (t->lines, TRUE);
+      g_ptr_array_free (t->shares, TRUE);
+    }
   g_free (t->cause);
   g_free (t->decision);
   memset (t, 0, sizeof *t);
--- a/explain.h
+++ b/explain.h
@@ -20,9 +20,11 @@
 /** CfTimeline: the lines in order of time, and the cause of the outcome. */
 typedef struct
 {
-  GPtrArray *lines; /**< of #CfTimelineEntry */
-  char *cause;      /**< a sentence that explains the outcome */
-  char *decision;   /**< last decision line, with the data it was based on */
+  GPtrArray *lines;  /**< of #CfTimelineEntry */
+  GPtrArray *shares; /**< of #CfTimelineEntry: changes of gateways' shares
+                        (E1221), which concern many requests */
+  char *cause;       /**< a sentence that explains the outcome */
+  char *decision;    /**< last decision line, with the data it was based on */
 } CfTimeline;
 
 /**
--- a/t/t-explain.c
+++ b/t/t-explain.c
@@ -60,6 +60,102 @@
 }
 END_TEST
 
+#define GW "<6>comfrey-gateway[7]: "
+
+static const char contended_log[] = GW
+    "E1221 share service=s outcome=begins share=9.0 demand=20.0 "
+    "fleet_demand=70.0 capacity=64.0 known=6 gateways=8 admitted=257 "
+    "t=100.000\n" GW
+    "E1221 share service=other outcome=begins share=7.0 demand=1.0 "
+    "fleet_demand=2.0 capacity=3.0 known=7 gateways=8 admitted=0 t=100.050\n" GW
+    "E1210 queue id=w service=s org=large priority=258 waiting=12 in_flight=9 "
+    "grant=4.0 limit_ms=300 t=100.100\n" GW
+    "E1222 return id=w return_ms=400 ahead=5 t=100.200\n" GW
+    "E1205 answer id=w outcome=refused status=503 reason=more-urgent-waits "
+    "target=- sends=0 ran=no ms=100 t=100.200\n" GW
+    "E1221 share service=s outcome=over share=8.0 demand=2.0 "
+    "fleet_demand=3.0 capacity=64.0 known=7 gateways=8 admitted=- "
+    "t=100.300\n" GW
+    "E1222 return id=e outcome=early wait_ms=150 t=100.400\n" GW
+    "E1205 answer id=e outcome=refused status=503 reason=returned-early "
+    "target=- sends=0 ran=no ms=0 t=100.400\n" GW
+    "E1222 return id=d outcome=due wait_ms=0 t=100.600\n" GW
+    "E1210 queue id=d service=s org=- priority=2 waiting=1 in_flight=9 "
+    "grant=- limit_ms=300 t=100.600\n" GW
+    "E1205 answer id=d outcome=success status=200 reason=answered target=t-1 "
+    "sends=1 ran=yes ms=100 t=100.700\n" GW
+    "E1210 queue id=n service=s priority=2 waiting=1 in_flight=9 "
+    "limit_ms=300 t=99.000\n" GW
+    "E1205 answer id=n outcome=refused status=503 reason=no-room target=- "
+    "sends=0 ran=no ms=300 t=99.300\n" GW
+    "E1205 answer id=q outcome=refused status=503 reason=queue-full target=- "
+    "sends=0 ran=no ms=0 t=100.250\n";
+
+/* The cause of request @id by the log above and that of another gateway. */
+static char *
+explain_contended (const char *id)
+{
+  static const char other_log[]
+      = GW "E1221 share service=s outcome=changed share=1.5 demand=1.0 "
+           "fleet_demand=70.0 capacity=64.0 known=6 gateways=8 admitted=257 "
+           "t=100.150\n";
+  CfTimeline t = { 0 };
+  char *cause;
+
+  cf_timeline_read_log (&t, id, "other.log", other_log);
+  cf_timeline_read_log (&t, id, "gw.log", contended_log);
+  cf_timeline_finish (&t);
+  cause = g_strdup (t.cause);
+  cf_timeline_clear (&t);
+  return cause;
+}
+
+/* Guards against an explanation by the share of another gateway or service, or
+ * by one that came into force after the refusal. */
+START_TEST (refusals_name_what_was_ahead_and_the_share)
+{
+  g_autofree char *cause = explain_contended ("w");
+
+  ck_assert_str_eq (
+      cause,
+      "requests of a more urgent priority filled the service's queue; "
+      "requests waiting when it was queued: 12 (with it), in flight: 9; "
+      "its urgency was 258 (0 is the most urgent), its organisation large with "
+      "a share of 4.0 slots; this gateway's share was 9.0 of 64.0 slots for a "
+      "demand of 20.0 (70.0 in the fleet), known of 6 other gateways; the "
+      "least urgent level admitted was 257; its caller was told to return "
+      "after 400 ms, behind 5 others");
+}
+END_TEST
+
+START_TEST (missing_lines_are_left_out)
+{
+  g_autofree char *no_share = explain_contended ("n");
+  g_autofree char *not_queued = explain_contended ("q");
+
+  ck_assert_str_eq (
+      no_share,
+      "all targets of the service were busy or did not answer for as long as "
+      "the request could wait; see E1210 and E1502; requests waiting "
+      "when it was queued: 1 (with it), in flight: 9; its urgency was 2 "
+      "(0 is the most urgent)");
+  ck_assert_str_eq (not_queued, "the service's queue was full");
+}
+END_TEST
+
+START_TEST (returns_are_explained)
+{
+  g_autofree char *early = explain_contended ("e");
+  g_autofree char *due = explain_contended ("d");
+
+  ck_assert_ptr_nonnull (
+      strstr (early, "while other requests waited; its caller had been refused "
+                     "before and returned 150 ms before the time told"));
+  ck_assert_str_eq (due, "the request was answered; its caller had been "
+                         "refused before and returned when told");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -68,6 +164,9 @@
 
   tcase_add_test (tc, only_lines_of_the_request_are_shown_in_order);
   tcase_add_test (tc, unknown_ids_and_reasons_are_reported);
+  tcase_add_test (tc, refusals_name_what_was_ahead_and_the_share);
+  tcase_add_test (tc, missing_lines_are_left_out);
+  tcase_add_test (tc, returns_are_explained);
   suite_add_tcase (s, tc);
   return t_run_suite (s);
 }
