--- a/explain.c
+++ b/explain.c
@@ -242,6 +242,9 @@
 static void
 append_share (GString *out, const CfTimelineEntry *share)
 {
+  g_autofree char *outcome
+      = share ? cf_log_line_field (share->text, "outcome") : NULL;
+
   if (!share)
     return;
   append_field (out, share, "; this gateway's share was ", "share", "");
@@ -249,8 +252,10 @@
   append_field (out, share, " for a demand of ", "demand", "");
   append_field (out, share, " (", "fleet_demand", " in the fleet)");
   append_field (out, share, ", known of ", "known", " other gateways");
-  append_field (out, share, "; the least urgent level admitted was ",
-                "admitted", "");
+  /* Without contention all levels are admitted. */
+  if (g_strcmp0 (outcome, "contended") == 0)
+    append_field (out, share, "; the least urgent level admitted was ",
+                  "admitted", "");
 }
 
 /* Appends when the caller was told to return, and when it had returned. */
--- a/report-contention.c
+++ b/report-contention.c
@@ -159,10 +159,11 @@
   CfShareSummary *s = get_share (c, gateway, event);
   g_autofree char *outcome = cf_log_line_field (event, "outcome");
   g_autofree char *admitted = cf_log_line_field (event, "admitted");
+  gboolean contended = g_strcmp0 (outcome, "contended") == 0;
   double fleet = cf_log_line_number (event, "fleet_demand", 0);
 
   s->changes++;
-  s->contended += g_strcmp0 (outcome, "begins") == 0;
+  s->contended += contended;
   s->last_slots = cf_log_line_number (event, "share", 0);
   s->min_slots = MIN (s->min_slots, s->last_slots);
   s->max_slots = MAX (s->max_slots, s->last_slots);
@@ -173,7 +174,8 @@
       = MIN (s->min_known, (guint)cf_log_line_number (event, "known", 0));
   s->max_gateways
       = MAX (s->max_gateways, (guint)cf_log_line_number (event, "gateways", 0));
-  if (admitted && g_ascii_isdigit (admitted[0]))
+  /* Without contention all levels are admitted. */
+  if (contended && admitted && g_ascii_isdigit (admitted[0]))
     s->min_admitted
         = MIN (s->min_admitted, g_ascii_strtoll (admitted, NULL, 10));
 }
@@ -302,7 +304,7 @@
   if (keys)
     g_string_append (out,
                      "\nshares in slots, by gateway and service\n"
-                     " changes  begins   share  lowest highest  demand   fleet "
+                     " changes contend   share  lowest highest  demand   fleet "
                      "capacity known gateways admitted\n");
   for (GList *k = keys; k; k = k->next)
     {
--- a/report-contention.h
+++ b/report-contention.h
@@ -23,7 +23,7 @@
 typedef struct
 {
   guint changes;
-  guint contended; /**< changes whose outcome is that contention began */
+  guint contended; /**< changes at which demand exceeded the capacity */
   double last_slots;
   double min_slots;
   double max_slots;
--- a/t/t-explain.c
+++ b/t/t-explain.c
@@ -63,17 +63,17 @@
 #define GW "<6>comfrey-gateway[7]: "
 
 static const char contended_log[] = GW
-    "E1221 share service=s outcome=begins share=9.0 demand=20.0 "
+    "E1221 share service=s outcome=contended share=9.0 demand=20.0 "
     "fleet_demand=70.0 capacity=64.0 known=6 gateways=8 admitted=257 "
     "t=100.000\n" GW
-    "E1221 share service=other outcome=begins share=7.0 demand=1.0 "
+    "E1221 share service=other outcome=contended share=7.0 demand=1.0 "
     "fleet_demand=2.0 capacity=3.0 known=7 gateways=8 admitted=0 t=100.050\n" GW
     "E1210 queue id=w service=s org=large priority=258 waiting=12 in_flight=9 "
     "grant=4.0 limit_ms=300 t=100.100\n" GW
     "E1222 return id=w return_ms=400 ahead=5 t=100.200\n" GW
     "E1205 answer id=w outcome=refused status=503 reason=more-urgent-waits "
     "target=- sends=0 ran=no ms=100 t=100.200\n" GW
-    "E1221 share service=s outcome=over share=8.0 demand=2.0 "
+    "E1221 share service=s outcome=free share=8.0 demand=2.0 "
     "fleet_demand=3.0 capacity=64.0 known=7 gateways=8 admitted=- "
     "t=100.300\n" GW
     "E1222 return id=e outcome=early wait_ms=150 t=100.400\n" GW
@@ -88,6 +88,10 @@
     "limit_ms=300 t=99.000\n" GW
     "E1205 answer id=n outcome=refused status=503 reason=no-room target=- "
     "sends=0 ran=no ms=300 t=99.300\n" GW
+    "E1210 queue id=f service=s org=o priority=2 waiting=2 in_flight=9 "
+    "limit_ms=300 t=100.800\n" GW
+    "E1205 answer id=f outcome=refused status=503 reason=no-room target=- "
+    "sends=0 ran=no ms=300 t=101.100\n" GW
     "E1205 answer id=q outcome=refused status=503 reason=queue-full target=- "
     "sends=0 ran=no ms=0 t=100.250\n";
 
@@ -96,7 +100,7 @@
 explain_contended (const char *id)
 {
   static const char other_log[]
-      = GW "E1221 share service=s outcome=changed share=1.5 demand=1.0 "
+      = GW "E1221 share service=s outcome=contended share=1.5 demand=1.0 "
            "fleet_demand=70.0 capacity=64.0 known=6 gateways=8 admitted=257 "
            "t=100.150\n";
   CfTimeline t = { 0 };
@@ -132,6 +136,7 @@
 {
   g_autofree char *no_share = explain_contended ("n");
   g_autofree char *not_queued = explain_contended ("q");
+  g_autofree char *free_share = explain_contended ("f");
 
   ck_assert_str_eq (
       no_share,
@@ -140,6 +145,9 @@
       "when it was queued: 1 (with it), in flight: 9; its urgency was 2 "
       "(0 is the most urgent)");
   ck_assert_str_eq (not_queued, "the service's queue was full");
+  ck_assert (g_str_has_suffix (
+      free_share, "this gateway's share was 8.0 of 64.0 slots for a demand of "
+                  "2.0 (3.0 in the fleet), known of 7 other gateways"));
 }
 END_TEST
 
--- a/t/t-report.c
+++ b/t/t-report.c
@@ -95,12 +95,12 @@
     "E1222 return id=e outcome=due wait_ms=0 t=100.600\n" GW
     "E1222 return id=f outcome=early wait_ms=200 t=100.600\n" GW
     "E1222 return id=f return_ms=200 ahead=1 t=100.600\n" GW
-    "E1221 share service=s outcome=begins share=12.5 demand=20 "
+    "E1221 share service=s outcome=contended share=12.5 demand=20 "
     "fleet_demand=70 capacity=64 known=6 gateways=8 admitted=258 t=100.1\n" GW
-    "E1221 share service=s outcome=changed share=20.0 demand=30 "
+    "E1221 share service=s outcome=contended share=20.0 demand=30 "
     "fleet_demand=60 capacity=60 known=7 gateways=8 admitted=257 t=100.2\n" GW
-    "E1221 share service=s outcome=over share=8 demand=2 fleet_demand=9 "
-    "capacity=64 known=7 gateways=8 admitted=- t=100.3\n" GW
+    "E1221 share service=s outcome=free share=8 demand=2 fleet_demand=9 "
+    "capacity=64 known=7 gateways=8 admitted=0 t=100.3\n" GW
     "E1223 pass-limit service=s limit=40 slowness=1.2 ranks=8 t=100.1\n" GW
     "E1223 pass-limit service=s limit=0 slowness=1.0 ranks=8 t=100.9\n";
 /* Ids are those of callers and may be the same in another log. */
@@ -145,7 +145,7 @@
   cf_report_read (&r, "gw-1.log", contended_log);
   cf_report_print (&r, out);
   ck_assert_ptr_nonnull (
-      strstr (out->str, "\n       3       1     8.0     8.0    20.0    30.0"
+      strstr (out->str, "\n       3       2     8.0     8.0    20.0    30.0"
                         "    70.0     64.0     6        8      257  gw-1.log s"
                         "\n"));
   ck_assert_ptr_nonnull (strstr (
