make: build anew when the flags change

The objects under target/obj/ did not depend on the flags, so that "make deploy WITHOUT=..." after a normal build changed nothing and the old program was measured.

Checked: the gateway differs with WITHOUT=CF_WITHOUT_RESUME, is the same as before without it, and is not built again by the same flags, nor with -Werror.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # the parts of the library that they use.  All of this is built under target/.
 #
 # WITHOUT lists mechanisms to leave out of this build, to measure the effect of
-# each (gateway/ablation.h).  Run `make clean` after changing it.
+# each (gateway/ablation.h).
 GW_PKGS = glib-2.0 jansson msgpack ck
 GW_SRCS = $(wildcard gateway/*.c) $(wildcard platform/*.c) \
 	error.c log.c log-writer.c net.c outlier.c retry-budget.c
@@ -93,7 +93,14 @@
 		target/obj/standins/%.o target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
 
-target/obj/%.o: %.c *.h gateway/*.h platform/*.h $(wildcard standins/*.h)
+# The flags of the last build.  It is written only if they change, so that then
+# all objects are built again.  -Werror is left out, since it changes no object.
+target/flags: FORCE
+	@mkdir -p $(dir $@)
+	@printf '%s\n' '$(filter-out -Werror,$(CC) $(GW_CFLAGS))' >$@.$$$$; \
+		cmp -s $@.$$$$ $@ && rm $@.$$$$ || mv $@.$$$$ $@
+
+target/obj/%.o: %.c *.h gateway/*.h platform/*.h $(wildcard standins/*.h) target/flags
 	@mkdir -p $(dir $@)
 	@$(CC) $(GW_CFLAGS) -c -o $@ $<
 
@@ -117,7 +124,7 @@
 SAN_FLAGS = -O1 -g -fsanitize=address,undefined,float-cast-overflow -fno-sanitize-recover=all
 SAN_OBJS = $(GW_SRCS:%.c=target/san/%.o)
 
-target/san/%.o: %.c *.h gateway/*.h platform/*.h
+target/san/%.o: %.c *.h gateway/*.h platform/*.h target/flags
 	@mkdir -p $(dir $@)
 	@$(CC) $(GW_CFLAGS) $(SAN_FLAGS) -c -o $@ $<
 
@@ -213,4 +220,6 @@
 	@echo "make tidy     check the sources with clang-tidy"
 	@echo "make clean    remove the built files, except for target/"
 
-.PHONY: all deploy test soak soak-ci demo demo-own bench style tidy clean help
+FORCE:
+
+.PHONY: FORCE all deploy test soak soak-ci demo demo-own bench style tidy clean help
