t-skew: load of a fleet at one of its gateways

Guards against a division of slots that leaves the flooded gateway only its even part. 4 or 8 gateways, 8 targets of 6 slots, 300 ms per answer, demand for half of the slots, nine of ten requests at one gateway, which is also killed in one test and changes every second in another.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving \
 	t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover \
 	t/t-answer-end t/t-large-answer \
-	t/t-prompt-parts
+	t/t-prompt-parts t/t-skew
 # Tests that also link the modules of the gateway.
 GW_TESTS = t/t-platform t/t-sound-parts t/t-http-reader t/t-event-stream t/t-balancer t/t-map-gain t/t-standstill t/t-order-watch t/t-hold-lease t/t-wait-queue t/t-target t/t-upstream t/t-outage t/t-concurrency-limit t/t-membership t/t-overload t/t-stream-latency t/t-expert-demand t/t-expert-counts t/t-demand-watch t/t-demand t/t-fleet-demand t/t-share \
 	t/t-group-map t/t-watch-batcher t/t-pass-record t/t-loop-watch t/t-map-history t/t-peer-msg t/t-log-writer t/t-coordinator t/t-fleet \
