--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 	vm-list.o outlier.o agent-link.o link-table.o claim.o admission.o \
 	retry-budget.o entry.o entry-request.o entry-route.o agent.o agent-settings.o agent-jobs.o \
 	agent-orders.o rank-group.o \
-	expert-map.o map-change.o placement.o daemon.o explain.o log-line.o report.o
+	expert-map.o map-change.o placement.o daemon.o explain.o log-line.o report.o \
+	report-contention.o
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
 	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
@@ -49,7 +50,7 @@
 	t/t-answer-end t/t-large-answer \
 	t/t-prompt-parts t/t-skew
 # Tests that also link the modules of the gateway.
-GW_TESTS = t/t-platform t/t-sound-parts t/t-http-reader t/t-event-stream t/t-balancer t/t-map-gain t/t-standstill t/t-order-watch t/t-hold-lease t/t-wait-queue t/t-target t/t-upstream t/t-outage t/t-concurrency-limit t/t-membership t/t-overload t/t-stream-latency t/t-expert-demand t/t-expert-counts t/t-demand-watch t/t-demand t/t-fleet-demand t/t-share \
+GW_TESTS = t/t-platform t/t-sound-parts t/t-http-reader t/t-event-stream t/t-balancer t/t-map-gain t/t-standstill t/t-order-watch t/t-hold-lease t/t-wait-queue t/t-target t/t-upstream t/t-outage t/t-concurrency-limit t/t-membership t/t-overload t/t-stream-latency t/t-expert-demand t/t-expert-counts t/t-demand-watch t/t-demand t/t-fleet-demand t/t-share t/t-seed-order \
 	t/t-group-map t/t-watch-batcher t/t-pass-record t/t-loop-watch t/t-map-history t/t-peer-msg t/t-log-writer t/t-coordinator t/t-fleet \
 	$(GW_PROCESS_TESTS)
 GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
@@ -87,6 +88,7 @@
 		$(SI_SRCS:%.c=target/obj/%.o) target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
 
+target/comfrey-callers: target/obj/standins/callers-load.o
 target/comfrey-callers target/comfrey-fault-proxy: target/%: \
 		target/obj/standins/%.o target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -55,6 +55,10 @@
   CfTarget *target;
   GPtrArray *tried_targets; /**< of #CfTarget, referenced */
   guint sends;
+  guint target_in_flight; /**< requests of this process that its target had when
+                               it was sent, including it */
+  gboolean keeps_place;   /**< a full target refused it: it returns to its place
+                               in the queue */
   guint64 events_at_send; /**< events forwarded before it was last sent */
   gboolean may_have_run;
   gboolean queue_timed_out;         /**< its queue timeout expired during an
@@ -103,6 +107,9 @@
 /** cf_exchange_remaining_ms: time left until its deadline. */
 gint64 cf_exchange_remaining_ms (const CfExchange *x);
 
+/** cf_exchange_urgency: 0 is the most urgent; see cf_waiter_urgency(). */
+gint64 cf_exchange_urgency (const CfExchange *x);
+
 /** cf_exchange_target_id: the id of its target, or "-". */
 const char *cf_exchange_target_id (const CfExchange *x);
 
@@ -160,6 +167,10 @@
  * if the route and the retry budget allow it, else answers the caller. */
 void cf_exchange_retry_or_end (CfExchange *x, const char *reason);
 
+/** cf_exchange_note_full_target: its target refused it as full.  It may be sent
+ * there again, and keeps its place in the queue. */
+void cf_exchange_note_full_target (CfExchange *x);
+
 /** cf_exchange_on_queue_timeout: it has been queued for as long as it may. */
 void cf_exchange_on_queue_timeout (CfExchange *x);
 
