--- a/gateway/ablation.h
+++ b/gateway/ablation.h
@@ -81,15 +81,13 @@
 #ifndef CF_WITHOUT_WARMUP
 #define CF_WITHOUT_WARMUP 0
 #endif
-<<<<<<< HEAD
 /** All gateways have equal shares of a service, whatever their demand. */
 #ifndef CF_WITHOUT_DEMAND_SHARES
 #define CF_WITHOUT_DEMAND_SHARES 0
-=======
+#endif
 /** Targets in other data centres are used like local ones. */
 #ifndef CF_WITHOUT_LOCAL_TARGETS
 #define CF_WITHOUT_LOCAL_TARGETS 0
->>>>>>> locality
 #endif
 /** Pauses that targets request are ignored. */
 #ifndef CF_WITHOUT_TARGET_PAUSES
--- a/gateway/balancer.h
+++ b/gateway/balancer.h
@@ -33,15 +33,11 @@
                                0 to 1; 0: an even part */
   double max_total;       /**< most requests for @in_flight by its share; 0:
                                none */
-<<<<<<< HEAD
   gboolean tests_full;    /**< may send a target that was full one request
                                more than it took; see
                                cf_target_full_limit() */
-  gboolean prefers_local; /**< uses targets in @data_centre first */
-=======
   gboolean prefers_local; /**< uses targets in @data_centre first, up to a
                                margin; %FALSE: only among equally loaded ones */
->>>>>>> locality
   gint64 max_conns;       /**< connections a target accepts from all
                                callers; 0: unlimited */
   const double *ring_start; /**< (nullable): where among the targets the search
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -241,8 +241,8 @@
   if (x->sends > 0 || s->outage.since_ms)
     return FALSE;
   /* A gateway that was idle may use its part of the slots at once. */
-  d.slots = (double)cf_target_table_slots (&x->gateway->targets, x->service)
-            / MAX (x->gateway->fleet_size, 1);
+  d.slots = cf_service_share_slots (
+      x->gateway, s, cf_target_table_slots (&x->gateway->targets, x->service));
   d.slots = MAX (d.slots, s->in_flight);
   return cf_wait_queue_is_hopeless (&s->queue, &x->waiter, &c, &d, limit);
 }
--- a/gateway/policy.c
+++ b/gateway/policy.c
@@ -138,12 +138,6 @@
   return r->splits[r->n_splits - 1].service;
 }
 
-<<<<<<< HEAD
-gboolean
-cf_policy_has_several_orgs (const CfPolicy *p)
-{
-  return p->n_orgs > 1;
-=======
 /* Records the priority of @r for the services that it leads to.
  * @first_priorities: service -> priority of the first route to it */
 static void
@@ -177,7 +171,12 @@
 cf_policy_has_urgency_levels (const CfPolicy *p, const char *service)
 {
   return g_hash_table_contains (p->urgency_services, service);
->>>>>>> locality
+}
+
+gboolean
+cf_policy_has_several_orgs (const CfPolicy *p)
+{
+  return p->n_orgs > 1;
 }
 
 gint64
--- a/gateway/policy.h
+++ b/gateway/policy.h
@@ -137,11 +137,10 @@
  */
 const char *cf_route_pick (const CfRoute *r, guint hash);
 
-<<<<<<< HEAD
 /** cf_policy_has_several_orgs: whether there are organisations among which the
  * slots of a service are shared. */
 gboolean cf_policy_has_several_orgs (const CfPolicy *p);
-=======
+
 /** cf_policy_find_urgency_services: determines which services are reached by
  * routes with different priorities; called once all routes are complete. */
 void cf_policy_find_urgency_services (CfPolicy *p);
@@ -149,7 +148,6 @@
 /** cf_policy_has_urgency_levels: whether routes with different priorities lead
  * to @service. */
 gboolean cf_policy_has_urgency_levels (const CfPolicy *p, const char *service);
->>>>>>> locality
 
 /** cf_policy_gap_objective_ms: the lowest objective for the pause between
  * events among the routes to @service; 0: none has one.  An engine writes an
