service-share: divide what the pass limit allows

With streams for all slots, passes exceed the objective for pauses after each shift of demand, and most streams that run then are late. The capacity of a service with several urgencies is now what its pass limit allows, and the requests in flight are bounded by the share of it.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -201,6 +201,8 @@
                           estimate_streams_per_rank (x, n_ranks), now);
   limit = cf_pass_limit_get (
       l, e, cf_policy_gap_objective_ms (x->policy, x->service), now);
+  x->service_state->max_streams_per_rank = limit;
+  x->service_state->pass_ms = now;
   if (cf_pass_limit_report (l, limit))
     cf_log (LOG_NOTICE, CF_EV_PASS_LIMIT,
             "service=%s limit=%.1f slowness=%.2f ranks=%u", x->service, limit,
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -185,7 +185,9 @@
 {
   CfQueueContext c = { .now_ms = cf_gateway_now (g) };
 
-  c.overloaded = cf_concurrency_limit_get (&s->limit) != 0;
+  c.overloaded
+      = cf_concurrency_limit_get (&s->limit) != 0
+        || (s->share.contended && cf_service_share_max_total (g, s) > 0);
   c.may_not_retry = !cf_retry_budget_has_token (&s->budget);
   c.grants = s->share.total > 0 ? &s->share.grants : NULL;
   return c;
@@ -324,7 +326,7 @@
   in.in_flight = x->service_state->in_flight;
   in.limit = cf_concurrency_limit_get (&x->service_state->limit);
   in.share_fraction = cf_service_share_fraction (g, x->service_state);
-  in.max_total = cf_service_share_max_total (x->service_state);
+  in.max_total = cf_service_share_max_total (g, x->service_state);
   in.max_conns = sv ? sv->max_conns : 0;
   in.warmup_rule = &x->warmup_rule;
   in.warmup_position = cf_gateway_warmup_position (g);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -65,9 +65,11 @@
   CfOrgUsage org_usage;
   CfReturnSchedule returns;
   CfPassLimit pass_limit;
-  guint in_flight;      /**< requests of this gateway at its targets */
-  gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
-  gint64 last_event_ms; /**< when a target last sent part of an answer */
+  double max_streams_per_rank; /**< by @pass_limit; 0: unlimited */
+  gint64 pass_ms;              /**< when the last pass was observed */
+  guint in_flight;             /**< requests of this gateway at its targets */
+  gint64 busy_since_ms;        /**< when @in_flight last rose from 0 */
+  gint64 last_event_ms;        /**< when a target last sent part of an answer */
 } CfServiceState;
 
 /**
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -19,17 +19,32 @@
  * as even by the balancer.  Whole requests a target are its unit, so smaller
  * differences would only make targets' loads uneven. */
 #define UNEVEN_FACTOR 1.5
+/** A pass limit is in force for this time after the last pass. */
+#define PASS_LIMIT_TIMEOUT_MS 2000
 /** E1221 is logged for a change of the share by this fraction, and at most once
  * in this time. */
 #define LOGGED_CHANGE_FRACTION 0.2
 #define LOG_INTERVAL_MS 500
 
+/* Whether a pass limit is in force.  Without passes there are no streams to
+ * limit, and what limited earlier ones may be over. */
+static gboolean
+has_pass_limit (const CfGateway *g, const CfServiceState *s)
+{
+  return s->max_streams_per_rank > 0
+         && cf_gateway_now (g) - s->pass_ms < PASS_LIMIT_TIMEOUT_MS;
+}
+
 /* Slots that are to be divided: those of all usable targets, or fewer if passes
  * would exceed the objective for pauses otherwise. */
 static double
-get_capacity (const CfGateway *g, const char *service)
+get_capacity (const CfGateway *g, const char *service, const CfServiceState *s)
 {
-  return (double)cf_target_table_slots (&g->targets, service);
+  double slots = (double)cf_target_table_slots (&g->targets, service);
+  guint n = cf_target_table_count_usable (&g->targets, service);
+
+  return has_pass_limit (g, s) ? fmin (slots, s->max_streams_per_rank * n)
+                               : slots;
 }
 
 static double
@@ -82,7 +97,7 @@
 {
   CfShareInput in = { 0 };
 
-  s->capacity = get_capacity (g, service);
+  s->capacity = get_capacity (g, service, s);
   cf_demand_meter_read (&s->demand, s->in_flight, s->queue.n,
                         cf_gateway_now (g), &s->own_demand);
   in.n_known = cf_fleet_demand_get_others (&s->fleet_demand, cf_gateway_now (g),
@@ -233,9 +248,10 @@
 }
 
 double
-cf_service_share_max_total (const CfServiceState *s)
+cf_service_share_max_total (const CfGateway *g, const CfServiceState *s)
 {
-  gboolean is_limited = s->share.contended && s->share.n_urgencies > 1;
+  gboolean is_limited = (s->share.contended && s->share.n_urgencies > 1)
+                        || has_pass_limit (g, s);
 
   return is_limited ? fmax (s->share.exact, 1) : 0;
 }
--- a/gateway/service-share.h
+++ b/gateway/service-share.h
@@ -35,7 +35,7 @@
 
 /** cf_service_share_max_total: the most requests that this gateway may have in
  * flight at the service; 0: its share does not limit them. */
-double cf_service_share_max_total (const CfServiceState *s);
+double cf_service_share_max_total (const CfGateway *g, const CfServiceState *s);
 
 /** cf_service_share_slots: the slots of the service that count as this
  * gateway's; an even part of @slots unless demand is uneven. */
