--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -17,20 +17,8 @@
 /** Guards against refusing a request whose queue timeout and whose targets'
  * pause end together. */
 #define PAUSE_TOLERANCE_MS 1
-
-gint64
-cf_exchange_backoff_ms (const CfExchange *x)
-{
-  const CfServiceState *s = x->service_state;
-
-  if (cf_outage_is_long (&s->outage, cf_gateway_now (x->gateway)))
-    return cf_wait_queue_backoff_ms (CF_NO_CAPACITY_LONG_OUTAGE);
-  if (s->outage.since_ms != 0)
-    return cf_wait_queue_backoff_ms (CF_NO_CAPACITY_OUTAGE);
-  return cf_wait_queue_backoff_ms (cf_concurrency_limit_get (&s->limit) != 0
-                                       ? CF_NO_CAPACITY_OVERLOAD
-                                       : CF_NO_CAPACITY_FULL);
-}
+/** Minimum back-off while all targets pause; most pauses are longer. */
+#define PAUSE_BACKOFF_MS 400
 
 /* Whether another answer can continue what its caller has been sent: nothing,
  * or events whose ids tell what is left.  Other bytes of an answer have no such
@@ -220,6 +208,16 @@
           format_grant (x, grant, sizeof grant), limit);
 }
 
+/* Ends a request for which there is no capacity in time. */
+static void
+end_for_lack_of_capacity (CfExchange *x, const char *reason)
+{
+  if (x->may_have_run)
+    cf_exchange_fail (x, reason);
+  else
+    cf_exchange_refuse_full (x, reason);
+}
+
 /* Ends a request that no target can take in time. */
 static void
 end_unservable (CfExchange *x, const char *reason, gint64 backoff_ms)
@@ -266,13 +264,13 @@
   x->waiter.deadline_send_by_ms = get_deadline_send_by_ms (x);
   if (is_hopeless (x, limit))
     {
-      cf_exchange_refuse (x, "no-room", cf_exchange_backoff_ms (x));
+      cf_exchange_refuse_full (x, "no-room");
       return;
     }
   if (!cf_wait_queue_add (&x->service_state->queue, &x->waiter, max_queued (x),
                           &evicted))
     {
-      end_unservable (x, "queue-full", cf_exchange_backoff_ms (x));
+      end_for_lack_of_capacity (x, "queue-full");
       return;
     }
   x->gateway->stats.queued++;
@@ -282,11 +280,10 @@
   if (evicted)
     {
       x->gateway->stats.evicted++;
-      end_unservable (evicted->owner,
-                      evicted->priority > x->waiter.priority
-                          ? "more-urgent-waits"
-                          : "queue-full",
-                      cf_exchange_backoff_ms (x));
+      end_for_lack_of_capacity (evicted->owner,
+                                evicted->priority > x->waiter.priority
+                                    ? "more-urgent-waits"
+                                    : "queue-full");
     }
 }
 
@@ -360,8 +357,10 @@
 
   if (per_s > 0 && wait_ms <= (double)limit)
     enqueue (x);
+  else if (x->may_have_run)
+    cf_exchange_fail (x, "rate-limited");
   else
-    end_unservable (x, "rate-limited", cf_exchange_backoff_ms (x));
+    cf_exchange_refuse_rate_limited (x, "rate-limited", per_s);
 }
 
 /* How long it has to wait until the first of all targets that it may be sent to
@@ -377,7 +376,7 @@
 static void
 end_paused (CfExchange *x)
 {
-  end_unservable (x, "targets-paused", cf_exchange_backoff_ms (x));
+  end_unservable (x, "targets-paused", PAUSE_BACKOFF_MS);
 }
 
 static void
@@ -496,7 +495,7 @@
 {
   CfTarget *t;
 
-  if (is_kept_from_targets (x))
+  if (is_kept_from_targets (x) || cf_exchange_refuse_early (x))
     return;
   switch (pick_target (x, &t))
     {
@@ -505,7 +504,7 @@
       break;
     case CF_PICK_FULL:
       if (is_wait_futile (x))
-        cf_exchange_refuse (x, "outage", cf_exchange_backoff_ms (x));
+        cf_exchange_refuse_full (x, "outage");
       else
         enqueue (x);
       break;
@@ -557,7 +556,7 @@
       cf_exchange_send_or_queue (x);
     }
   else
-    end_unservable (x, reason, cf_exchange_backoff_ms (x));
+    end_for_lack_of_capacity (x, reason);
 }
 
 void
@@ -699,6 +698,5 @@
   else if (x->may_have_run)
     cf_exchange_fail (x, "no-room");
   else
-    cf_exchange_refuse (x, outage ? "outage" : "no-room",
-                        cf_exchange_backoff_ms (x));
+    cf_exchange_refuse_full (x, outage ? "outage" : "no-room");
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -96,7 +96,8 @@
                                      reflects; revision 0: none was read */
   gint64 targets_confirmed_ms;  /**< when the store last confirmed @targets */
   CfEvacuations evacuations;
-  gboolean hello_is_due; /**< peers are to be notified at once */
+  gboolean hello_is_due;    /**< peers are to be notified at once */
+  gboolean has_new_returns; /**< peers are to be told of times to return */
   gint64
       demand_hello_ms; /**< when peers were last sent this gateway's demand */
   guint fleet_size;    /**< number of gateways that share the retry budget */
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -5,6 +5,7 @@
  */
 #include "gateway/balancer.h"
 #include "gateway/concurrency-limit.h"
+#include "gateway/return-schedule.h"
 #include "gateway/stream-latency.h"
 #include "gateway/wait-queue.h"
 #include "harness.h"
@@ -113,7 +114,9 @@
   CfOrgUsage usage;
   CfStreamLatency latency;
   CfConcurrencyLimit limit;
+  CfReturnSchedule returns;
   double ring_start;
+  double hold_ms; /* mean time from sending to the end; 0: unknown */
   guint in_flight;
 } Gateway;
 
@@ -152,6 +155,7 @@
       gateways[g].queue.usage = &gateways[g].usage;
       gateways[g].latency = (CfStreamLatency){ 0 };
       gateways[g].limit = (CfConcurrencyLimit){ 0 };
+      gateways[g].hold_ms = 0;
       gateways[g].ring_start = (double)g / scenario->n_gateways;
       gateways[g].in_flight = 0;
       if (!with_random_start)
@@ -171,6 +175,7 @@
     {
       cf_target_table_clear (&gateways[g].table);
       cf_org_usage_clear (&gateways[g].usage);
+      cf_return_schedule_clear (&gateways[g].returns);
     }
   g_ptr_array_free (running, TRUE);
   g_ptr_array_free (backing_off, TRUE);
@@ -228,15 +233,24 @@
   return cf_concurrency_limit_get (&g->limit) != 0;
 }
 
+/* Gives the caller of @s a place at its gateway; returns the time until then.
+ */
+static gint64
+assign_return (const Stream *s, gint64 now)
+{
+  Gateway *g = s->gateway;
+  CfReturnRequest r = { .now_ms = now, .opens_ms = now };
+
+  r.key = ((guint64)g_random_int () << 32) | g_random_int ();
+  r.drain_per_s = g->hold_ms > 0 ? g->in_flight * 1000 / g->hold_ms : 0;
+  r.n_ahead = g->queue.n;
+  r.remaining_ms = s->start_ms + DEADLINE_MS - now;
+  return cf_return_schedule_assign (&g->returns, &r);
+}
+
 static void
 refuse (Stream *s, gint64 now)
 {
-  gint64 backoff_ms = cf_wait_queue_backoff_ms (is_overloaded (s->gateway)
-                                                    ? CF_NO_CAPACITY_OVERLOAD
-                                                    : CF_NO_CAPACITY_FULL);
-  gint64 retry_ms = cf_retry_after_ms (s->start_ms + DEADLINE_MS - now,
-                                       backoff_ms, g_random_int ());
-
   if (!scenario->callers_retry || s->is_retry)
     {
       tally.refused[get_arrival_second (s)]++;
@@ -244,11 +258,10 @@
       return;
     }
   s->is_retry = TRUE;
-  s->retry_at_ms = now + retry_ms;
+  s->retry_at_ms = now + assign_return (s, now);
   g_ptr_array_add (backing_off, s);
 }
 
-/* Gateways treat a retried request like a new one. */
 static void
 on_arrival (Gateway *g, Stream *s, gint64 now)
 {
@@ -257,6 +270,7 @@
                                                    &(CfStreamSize){ 0 });
 
   s->waiter.owner = s;
+  s->waiter.returned = s->is_retry;
   s->gateway = g;
   if (!s->is_retry)
     {
@@ -302,6 +316,14 @@
     }
 }
 
+static void
+add_hold (Gateway *g, gint64 ms)
+{
+  if (g->hold_ms == 0)
+    g->hold_ms = (double)ms;
+  g->hold_ms += ((double)ms - g->hold_ms) * 0.1;
+}
+
 static void
 end_at_target (Stream *s, gint64 now)
 {
@@ -323,6 +345,7 @@
   tally.on_time_by_kind[s->kind] += on_time && is_counted (s);
   tally.served_by_kind[s->kind] += is_counted (s);
   end_at_target (s, now);
+  add_hold (s->gateway, now - s->sent_ms);
   n_writing[s->rank]--;
 }
 
