concurrency-limit: learn the time without a queue

The limit took effect for a service whose answers begin after 300 ms, with an objective of 500 ms and no queue: without an engine model the time without a queue was taken to be two pauses between events. It is now at least the shortest time seen of streams sent while this gateway had no more in flight than the lowest limit. Others do not count: with them, a limit whose own queue never empties was lifted again and again. It is kept while no such stream is sent.

--- a/gateway/concurrency-limit.h
+++ b/gateway/concurrency-limit.h
@@ -9,15 +9,21 @@
  * they can then be neither reordered nor refused; the limit keeps the backlog
  * in the gateways.  It is controlled by the time from sending to the first
  * event: each decision uses the mean over a few streams that were sent after
- * the previous decision.
+ * the previous decision.  The shortest time of streams that were sent while
+ * few were in flight is taken for the service's own, not for a queue, as far as
+ * the objective allows.
  */
 typedef struct
 {
-  double limit;      /**< requests in flight; 0: unlimited */
-  gint64 decided_ms; /**< when the last decision was made */
-  double sum_ms;     /**< sum of the samples since then */
-  guint n;           /**< number of these samples */
-  double mean_ms;    /**< mean of the samples of the last decision */
+  double limit;         /**< requests in flight; 0: unlimited */
+  gint64 decided_ms;    /**< when the last decision was made */
+  double sum_ms;        /**< sum of the samples since then */
+  guint n;              /**< number of these samples */
+  double mean_ms;       /**< mean of the samples of the last decision */
+  double fastest_ms[2]; /**< shortest time to a first event, of streams sent
+                             while few were in flight, in the last window with
+                             such streams and the one before; 0: none */
+  gint64 window_start_ms;
 } CfConcurrencyLimit;
 
 /** CfFirstEventSample: the arrival of a stream's first event. */
@@ -29,7 +35,8 @@
                             target with a free slot; 0: not known */
   gint64 objective_ms; /**< latency objective for the first event */
   guint in_flight;     /**< this gateway's requests at the service */
-  double fair_share;   /**< the service's slots per gateway */
+  guint in_flight_at_send; /**< the same when it was sent, itself included */
+  double fair_share;       /**< the service's slots per gateway */
 } CfFirstEventSample;
 
 /**
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -165,6 +165,7 @@
       &s->latency, cf_exchange_engine_model (x), &x->size);
   e.objective_ms = x->route->objective_ms;
   e.in_flight = s->in_flight;
+  e.in_flight_at_send = x->in_flight_at_send;
   e.fair_share
       = (double)cf_target_table_slots (&x->gateway->targets, x->service)
         / MAX (x->gateway->fleet_size, 1);
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -47,6 +47,8 @@
   gint64 deadline_ms; /**< by cf_gateway_now() */
   CfStreamSize size;
   gint64 sent_ms;           /**< when it was last sent to a target */
+  guint in_flight_at_send;  /**< requests of this gateway at its service then,
+                                 itself included */
   gint64 expected_first_ms; /**< expected time from then to the first event */
   ev_timer deadline_timer;
   ev_timer silence_timer; /**< limits the target's silence, or the wait in the
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -117,6 +117,7 @@
   x->first_work_ms = 0;
   x->is_sound = FALSE;
   x->sent_ms = cf_gateway_now (x->gateway);
+  x->in_flight_at_send = x->service_state->in_flight;
   if (x->route->stream)
     x->expected_first_ms = cf_stream_latency_first_event_ms (
         &x->service_state->latency, cf_exchange_engine_model (x), &x->size);
--- a/gateway/pass-limit.c
+++ b/gateway/pass-limit.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-#define WINDOW_MS 5000
+#define WINDOW_MS 5000L
 /** Longer pauses are stalls: a group that forms again, or a rank that waits. */
 #define MAX_PASS_MS 1000
 /** Part of the throughput with all slots that a limit leaves.  With less, the
--- a/t/t-overload.c
+++ b/t/t-overload.c
@@ -80,8 +80,9 @@
   CfWaiter waiter;
   gint64 start_ms;
   gint64 sent_ms;
-  gint64 last_ms;    /* when its last event came */
-  gint64 longest_ms; /* longest pause between two events */
+  guint in_flight_at_send; /* at its gateway */
+  gint64 last_ms;          /* when its last event came */
+  gint64 longest_ms;       /* longest pause between two events */
   gint64 first_ms;
   int events;
   CfTarget *target;
@@ -180,6 +181,7 @@
   g->in_flight++;
   s->rank = atoi (s->target->record.id + 1);
   s->sent_ms = now;
+  s->in_flight_at_send = g->in_flight;
   g_ptr_array_add (running, s);
   return TRUE;
 }
@@ -328,6 +330,7 @@
       = cf_stream_latency_unqueued_ms (&g->latency, NULL, &(CfStreamSize){ 0 });
   e.objective_ms = scenario->objective_ms;
   e.in_flight = g->in_flight;
+  e.in_flight_at_send = s->in_flight_at_send;
   e.fair_share
       = (double)scenario->ranks * scenario->slots / scenario->n_gateways;
   cf_concurrency_limit_add_sample (&g->limit, &e);
