t-rank-groups: check when the pass limit applies

No test showed that passes reach the pass limit, and that it leaves services alone whose routes all have the same priority. The new one runs 60 ms passes against a model of 16 ms, with one priority and then with two: no E1223 before, one after.

--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -121,6 +121,40 @@
 }
 END_TEST
 
+/* By the configured model, a pass takes 16 ms or more; those of the stand-in
+ * take 60 ms, so that the slots in use are to be limited.  That is so only for
+ * services that routes with different priorities lead to. */
+START_TEST (slow_passes_limit_services_with_several_priorities)
+{
+  static const char route[]
+      = "{\"host\":\"demo.example\",\"prefix\":\"/%s/\",\"kind\":"
+        "\"streaming\",\"timeout-ms\":8000,\"aim-ms\":500,\"priority\":%d,"
+        "\"service\":\"llm\",\"max-attempts\":2,\"resumable\":true,"
+        "\"gap-aim-ms\":120}";
+  g_autofree char *chat = g_strdup_printf (route, "chat", 1);
+  g_autofree char *talk = g_strdup_printf (route, "talk", 2);
+  g_autofree char *config = g_strdup_printf (
+      "{\"version\":2,\"routes\":[%s,%s],\"services\":[{\"name\":\"llm\","
+      "\"engine\":{\"slots\":12,\"step_ms\":4,\"per_seq_ms\":0.9,"
+      "\"stride\":4,\"sets\":2,\"experts\":16,\"places\":6,\"spare\":2}}]}",
+      chat, talk);
+  g_autofree char *log = g_strdup_printf ("t/out/gateway-%d-1.log", BASE_PORT);
+  int fds[4];
+
+  p_start_streams (BASE_PORT, fds, G_N_ELEMENTS (fds));
+  usleep (1000000);
+  ck_assert_uint_eq (p_count_in_log (log, "E1223"), 0);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+  g_free (p_call_standin (BASE_PORT, "POST /test/put?key=op/config", config));
+  ck_assert (p_wait_for_log (log, "config-accept version=2", 3000));
+  p_start_streams (BASE_PORT, fds, G_N_ELEMENTS (fds));
+  ck_assert (p_wait_for_log (log, "E1223 pass-limit service=llm limit=", 3000));
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
 /* The agents' counts would cross data centres all the time if the seeds took
  * the groups in an order that ignores where the ranks are, in which seed N
  * leads group gN here: all three groups would be led from another one. */
@@ -476,6 +510,7 @@
   tcase_add_test (t, requests_wait_while_a_group_forms);
   tcase_add_test (t, a_group_that_stays_broken_refuses_at_once);
   tcase_add_test (t, a_stopping_leader_hands_over_the_lead);
+  tcase_add_test (t, slow_passes_limit_services_with_several_priorities);
   tcase_add_test (t, a_leader_killed_during_a_change_is_succeeded);
   tcase_add_test (t, maps_change_although_orders_are_late);
   tcase_add_test (t, a_change_ends_soon_without_order_answers);
