--- a/t/t-callers.c
+++ b/t/t-callers.c
@@ -14,6 +14,7 @@
 #include "harness.h"
 
 #include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -95,6 +96,26 @@
   { "--gateway 127.0.0.1:9 127.0.0.1:10", "127.0.0.1:10" },
   { "--gateway 127.0.0.1:9 --nonsense", "nonsense" },
   { "--gateway", "gateway" },
+  { "--gateway 127.0.0.1:9 --rate 5", "--duration" },
+  { "--gateway 127.0.0.1:9 --duration 5", "--rate" },
+  { "--gateway 127.0.0.1:9 --rate -5 --duration 1", "--rate" },
+  { "--gateway 127.0.0.1:9 --rate nan --duration 1", "--rate" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1e9", "--duration" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --weight 1 --weight 1",
+    "--weight" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --weight 0", "--weight" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --weight -1", "--weight" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --weight inf", "--weight" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --mix /a", "--mix" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --mix a=1", "--mix" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --mix /a=0", "--mix" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --mix '/a b=1'", "--mix" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --early 1.5", "--early" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --move-s -1", "--move-s" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --burst-rate -1",
+    "--burst-rate" },
+  { "--gateway 127.0.0.1:9 --rate 5 --duration 1 --deadline-ms 0",
+    "--deadline-ms" },
 };
 
 START_TEST (invalid_arguments_are_reported)
@@ -164,9 +185,10 @@
 
 /* Starts a process that answers each connection with the next of @answers and
  * then resets it.  After the last one the process exits, which closes the
- * listening socket. */
+ * listening socket.  It writes the requests to @record_fd unless that is -1. */
 static pid_t
-serve_answers (int listener, const char *const *answers)
+serve_and_record_answers (int listener, const char *const *answers,
+                          int record_fd)
 {
   const struct linger abort_on_close = { 1, 0 };
   pid_t pid = fork ();
@@ -181,7 +203,10 @@
       int fd = accept (listener, NULL, NULL);
       char buf[4096];
 
-      (void)!read (fd, buf, sizeof buf);
+      ssize_t n = read (fd, buf, sizeof buf);
+
+      if (n > 0 && record_fd >= 0)
+        (void)!write (record_fd, buf, (size_t)n);
       (void)!write (fd, *answers, strlen (*answers));
       usleep (20000);
       setsockopt (fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
@@ -191,6 +216,12 @@
   _exit (0);
 }
 
+static pid_t
+serve_answers (int listener, const char *const *answers)
+{
+  return serve_and_record_answers (listener, answers, -1);
+}
+
 #define STREAM_HEAD                                                            \
   "HTTP/1.1 200 OK\r\nSignature: a\r\nContent-Type: text/event-stream\r\n"     \
   "Transfer-Encoding: chunked\r\n\r\n"
@@ -257,6 +288,179 @@
 }
 END_TEST
 
+/* The value of "@name=N" after @after in @output. */
+static int
+get_count (const char *output, const char *after, const char *name)
+{
+  g_autofree char *key = g_strdup_printf (" %s=", name);
+  const char *line = strstr (output, after);
+  const char *at = line ? strstr (line, key) : NULL;
+
+  ck_assert_msg (at != NULL, "\"%s\" lacks %s%s", output, after, key);
+  return (int)g_ascii_strtoll (at + strlen (key), NULL, 10);
+}
+
+/* Two gateways that refuse connections, so that each request ends at once. */
+#define LOAD "--gateway 127.0.0.1:9 --gateway 127.0.0.1:10 --duration 1 "
+
+/* Guards against loads other than asked for: a weight that is not that of its
+ * gateway or kind, one that does not move, and a burst outside its time.  The
+ * bounds are four standard deviations from the means. */
+START_TEST (requests_arrive_as_asked)
+{
+  RunResult even = run_tool (LOAD "--rate 400 --mix /a@k=3 --mix /b=1");
+  RunResult uneven = run_tool (LOAD "--rate 400 --weight 0 --weight 3");
+  RunResult moving
+      = run_tool (LOAD "--rate 400 --weight 0 --weight 3 --move-s 0.5");
+  RunResult burst = run_tool (LOAD "--rate 100 --burst-at 0.2 --burst-for 0.5 "
+                                   "--burst-rate 400");
+  RunResult late_burst = run_tool (LOAD "--rate 100 --burst-at 2 --burst-for 1 "
+                                        "--burst-rate 400");
+
+  ck_assert_int_eq (even.status, 1);
+  ck_assert_int_lt (abs (get_count (even.output, "kind=/a@k", "sent") - 300),
+                    70);
+  ck_assert_int_lt (abs (get_count (even.output, "kind=/b", "sent") - 100), 40);
+  ck_assert_int_lt (
+      abs (get_count (even.output, "gateway=127.0.0.1:10", "lost") - 200), 57);
+  ck_assert_int_eq (get_count (uneven.output, "gateway=127.0.0.1:9", "sent"),
+                    0);
+  ck_assert_int_lt (
+      abs (get_count (moving.output, "gateway=127.0.0.1:9", "sent") - 200), 57);
+  ck_assert_int_lt (
+      abs (get_count (moving.output, "gateway=127.0.0.1:10", "sent") - 200),
+      57);
+  ck_assert_int_lt (abs (get_count (burst.output, "kind=", "sent") - 300), 70);
+  ck_assert_int_lt (abs (get_count (late_burst.output, "kind=", "sent") - 100),
+                    40);
+  clear_result (&even);
+  clear_result (&uneven);
+  clear_result (&moving);
+  clear_result (&burst);
+  clear_result (&late_burst);
+}
+END_TEST
+
+#define SIGNED_ANSWER                                                          \
+  "HTTP/1.1 200 OK\r\nComfreypost-Server-Signature: a\r\nContent-Length: "     \
+  "0\r\n"                                                                      \
+  "Connection: close\r\n\r\n"
+/** Exactly one request arrives. */
+#define ONE_REQUEST "--rate 10 --duration 0.1 --seed 10 --deadline-ms 900 "
+
+/* Runs the tool for one request to a gateway with these answers.  Returns its
+ * output, and the requests that the gateway got. */
+static char *
+run_one_request (const char *args, const char *const *answers, char **requests)
+{
+  g_autofree char *all_args = NULL;
+  char buf[16384];
+  RunResult result;
+  int fds[2];
+  int port;
+  pid_t pid;
+  ssize_t n;
+
+  ck_assert_int_eq (pipe (fds), 0);
+  pid = serve_and_record_answers (listen_on_free_port (&port), answers, fds[1]);
+  close (fds[1]);
+  all_args = g_strdup_printf ("--gateway 127.0.0.1:%d " ONE_REQUEST "%s", port,
+                              args);
+  result = run_tool (all_args);
+  ck_assert_msg (result.status == 0, "status %d: %s%s", result.status,
+                 result.output, result.error_output);
+  waitpid (pid, NULL, 0);
+  n = read (fds[0], buf, sizeof buf);
+  close (fds[0]);
+  *requests = g_strndup (buf, (gsize)MAX (n, 0));
+  g_free (result.error_output);
+  return result.output;
+}
+
+/* The header @name of the request that begins at @request. */
+static char *
+get_header (const char *request, const char *name)
+{
+  g_autofree char *key = g_strdup_printf ("\r\n%s: ", name);
+  const char *at = strstr (request, key);
+
+  ck_assert_msg (at != NULL, "\"%s\" lacks %s", request, name);
+  at += strlen (key);
+  return g_strndup (at, strcspn (at, "\r"));
+}
+
+/* Guards against a returning caller that gateways cannot recognise, or whose
+ * deadline begins anew. */
+START_TEST (refused_caller_returns_when_told)
+{
+  static const char *const answers[]
+      = { BUSY_ANSWER ("0.2"), SIGNED_ANSWER, NULL };
+  g_autofree char *requests = NULL;
+  g_autofree char *output
+      = run_one_request ("--return --mix /a@k=1", answers, &requests);
+  const char *second = strstr (requests + 1, "POST /a ");
+  g_autofree char *first_id = get_header (requests, "Comfreypost-Request-Id");
+  g_autofree char *first_body = NULL;
+  g_autofree char *second_id = NULL;
+  g_autofree char *second_left = NULL;
+
+  ck_assert_ptr_nonnull (strstr (
+      output, "kind=/a@k sent=1 served=1 in_time=1 refused=0 returned=1 "
+              "refused_after_return=0 early=0 lost=0 "));
+  ck_assert_ptr_nonnull (
+      strstr (output, " sent=2 served=1 in_time=1 refused=1 returned=1 "));
+  ck_assert_int_ge (get_count (output, "kind=", "p50_ms"), 200);
+  ck_assert_ptr_nonnull (second);
+  second_id = get_header (second, "Comfreypost-Request-Id");
+  second_left = get_header (second, "Comfreypost-Deadline-Ms");
+  ck_assert_str_ne (first_id, second_id);
+  ck_assert_int_le (atoi (second_left), 700);
+  first_body = g_strndup (strstr (requests, "\r\n\r\n"),
+                          (gsize)(second - strstr (requests, "\r\n\r\n")));
+  ck_assert_str_eq (first_body, strstr (second, "\r\n\r\n"));
+}
+END_TEST
+
+/* A caller waits for a third of its remaining time at most, and does not return
+ * more than twice. */
+START_TEST (refused_caller_gives_up)
+{
+  static const char *const answers[]
+      = { BUSY_ANSWER ("30"), BUSY_ANSWER ("0"), BUSY_ANSWER ("0"), NULL };
+  g_autofree char *requests = NULL;
+  g_autofree char *output = run_one_request ("--return", answers, &requests);
+
+  ck_assert_ptr_nonnull (
+      strstr (output, "kind=/quote/a sent=1 served=0 in_time=0 refused=1 "
+                      "returned=2 refused_after_return=2 early=0 lost=0 "));
+}
+END_TEST
+
+START_TEST (refused_caller_returns_early)
+{
+  static const char *const answers[]
+      = { BUSY_ANSWER ("30"), BUSY_ANSWER ("0.1"), SIGNED_ANSWER, NULL };
+  g_autofree char *requests = NULL;
+  g_autofree char *output = run_one_request ("--early 1", answers, &requests);
+
+  ck_assert_ptr_nonnull (
+      strstr (output, "returns=early sent=1 served=1 in_time=1 refused=0 "
+                      "returned=2 refused_after_return=1 early=2 lost=0 "));
+  ck_assert_int_lt (get_count (output, "kind=", "p50_ms"), 290);
+}
+END_TEST
+
+START_TEST (refused_caller_does_not_return_by_default)
+{
+  static const char *const answers[] = { BUSY_ANSWER ("0"), NULL };
+  g_autofree char *requests = NULL;
+  g_autofree char *output = run_one_request ("", answers, &requests);
+
+  ck_assert_ptr_nonnull (strstr (output, " sent=1 served=0 in_time=0 refused=1 "
+                                         "returned=0 "));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -272,6 +476,11 @@
   tcase_add_test (t, gateway_dies_mid_stream);
   tcase_add_test (t, gateway_never_answers);
   tcase_add_test (t, retry_after_is_invalid);
+  tcase_add_test (t, requests_arrive_as_asked);
+  tcase_add_test (t, refused_caller_returns_when_told);
+  tcase_add_test (t, refused_caller_gives_up);
+  tcase_add_test (t, refused_caller_returns_early);
+  tcase_add_test (t, refused_caller_does_not_return_by_default);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
