t-fake-target: check the queue of plain targets

Measurements of contention rest on a target that runs as many requests as it has slots and refuses what its queue cannot hold.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 	target/comfrey-fault-proxy
 
 # Tests that run the programs of the platform.
-GW_PROCESS_TESTS = t/t-gateway t/t-network t/t-rank-groups \
+GW_PROCESS_TESTS = t/t-gateway t/t-fake-target t/t-network t/t-rank-groups \
 	t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving \
 	t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover \
 	t/t-answer-end t/t-large-answer \
