--- a/scripts/contention.sh
+++ b/scripts/contention.sh
@@ -6,7 +6,9 @@
 #
 #	contention.sh [ROW...]	rows to play (default: all)
 #
-# SEED (default: 1) and DURATION_S (default: 8) may be set in the environment.
+# SEED (default: 1) and DURATION_S (default: 8) may be set in the environment;
+# also WITHOUT (see the Makefile), and programs, the directory of another build
+# of the gateway.
 set -eu
 cd "$(dirname "$0")/.."
 make -s -j3 deploy target/comfrey-fake-platform target/comfrey-callers
