service-share: state absent demand, follow skews sooner

A gateway without requests for a service did not state its demand, so peers took it as unknown and kept its even share free; a lost gateway's demand was counted for 2.5 s; of more than 4 services, always the same 4 were sent. A flooded gateway's rate rises over half a second, while its callers of the route "quote" wait only 90 ms.

Hellos state the demand of all services of the configuration, the busiest 4 first; what a gateway has stated is dropped when its link is lost; the demand is at least the requests in flight and waiting, as demand of the least urgent level as far as rates do not explain it. The check of t-demand that waiting requests do not count is replaced accordingly.

--- a/gateway/demand.c
+++ b/gateway/demand.c
@@ -422,26 +422,58 @@
     }
 }
 
+/* Scales the entries from @begin on so that the total of @t is @total, if it is
+ * less. */
+static void
+raise_total (CfDemandTable *t, guint begin, double total)
+{
+  double missing = total - cf_demand_table_total (t);
+  double sum = 0;
+
+  for (guint i = begin; i < t->n; i++)
+    sum += t->entries[i].slots;
+  if (missing > 0 && sum > 0)
+    for (guint i = begin; i < t->n; i++)
+      t->entries[i].slots *= 1 + missing / sum;
+}
+
+/* Returns the index of the first entry of the least urgent level. */
+static guint
+find_last_level (const CfDemandTable *t)
+{
+  guint i = t->n;
+
+  while (i > 0 && t->entries[i - 1].urgency == t->entries[t->n - 1].urgency)
+    i--;
+  return i;
+}
+
+/* Scales the rates of @out, which are not demand without a hold time, to the
+ * requests present. */
+static void
+set_total (CfDemandTable *out, double total)
+{
+  double sum = cf_demand_table_total (out);
+
+  for (guint i = 0; i < out->n; i++)
+    out->entries[i].slots *= total / sum;
+}
+
 void
 cf_demand_meter_read (CfDemandMeter *m, guint in_flight, guint waiting,
                       gint64 now_ms, CfDemandTable *out)
 {
-  gboolean is_known = m->hold_ms > 0;
-  double min_slots = is_known ? in_flight : in_flight + waiting;
-  double total;
+  /* Earlier requests may still run when none has arrived for a while. */
+  const CfDemand latest = { m->urgency, m->org, 1, in_flight + waiting };
 
   out->n = 0;
   if (m->rates)
     read_rates (m, now_ms, out);
-  total = cf_demand_table_total (out);
-  if (out->n == 0 && min_slots > 0)
-    {
-      /* No request has arrived for a while, but earlier ones still run. */
-      const CfDemand d = { m->urgency, m->org, 1, min_slots };
-
-      cf_demand_table_add (out, &d);
-    }
-  else if (total < min_slots || !is_known)
-    for (guint i = 0; i < out->n; i++)
-      out->entries[i].slots *= min_slots / total;
+  if (out->n == 0 && latest.slots > 0)
+    cf_demand_table_add (out, &latest);
+  else if (m->hold_ms <= 0)
+    set_total (out, latest.slots);
+  raise_total (out, 0, in_flight);
+  /* More urgent requests do not wait while less urgent ones run. */
+  raise_total (out, find_last_level (out), latest.slots);
 }
--- a/gateway/demand.h
+++ b/gateway/demand.h
@@ -92,9 +92,11 @@
  * cf_demand_meter_read:
  * Writes the current demand to @out, and forgets organisations whose rate has
  * decayed.
- * @in_flight: requests at targets; the demand is not less than that
- * @waiting: requests waiting for a target; part of the demand while no hold
- *   time is known
+ * @in_flight: requests at targets
+ * @waiting: requests waiting for a slot
+ * The demand is not less than both together: a share then follows a sudden
+ * skew before the rates do, within the time that requests may wait.  What the
+ * rates lack for those that wait is demand of the least urgent level.
  */
 void cf_demand_meter_read (CfDemandMeter *m, guint in_flight, guint waiting,
                            gint64 now_ms, CfDemandTable *out);
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -586,6 +586,8 @@
   if (p->up)
     cf_log (LOG_NOTICE, CF_EV_PEER, "peer=%s outcome=down",
             p->addr ? p->addr : "-");
+  if (p->addr)
+    cf_service_share_forget (p->s->g, p->addr);
   remove_peer (p);
 }
 
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -24,6 +24,13 @@
 #define LOGGED_CHANGE_FRACTION 0.2
 #define LOG_INTERVAL_MS 500
 
+/** NamedState: a service and its state. */
+typedef struct
+{
+  const char *name;
+  const CfServiceState *state;
+} NamedState;
+
 /* Slots that are to be divided: those of all usable targets, or fewer if passes
  * would exceed the objective for pauses otherwise. */
 static double
@@ -99,6 +106,21 @@
              in.n_known);
 }
 
+/* Creates the states of services that this gateway has no requests for: without
+ * one, it would not state that it has no demand. */
+static void
+create_states (CfGateway *g)
+{
+  GHashTableIter it;
+  gpointer name;
+
+  if (!g->policy)
+    return;
+  g_hash_table_iter_init (&it, g->policy->services);
+  while (g_hash_table_iter_next (&it, &name, NULL))
+    cf_gateway_service_state (g, name);
+}
+
 void
 cf_service_share_update (CfGateway *g)
 {
@@ -108,6 +130,7 @@
 
   if (CF_WITHOUT_DEMAND_SHARES)
     return;
+  create_states (g);
   g_hash_table_iter_init (&it, g->service_states);
   while (g_hash_table_iter_next (&it, &name, &v))
     {
@@ -146,33 +169,81 @@
          > BUSY_FRACTION * s->capacity;
 }
 
-GArray *
-cf_service_share_collect (const CfGateway *g, const char *recipient)
+/* The part of its capacity that the demand for a service is. */
+static double
+get_load (const CfServiceState *s)
 {
-  GArray *a = g_array_new (FALSE, TRUE, sizeof (CfPeerDemand));
+  double demand = cf_demand_table_total (&s->own_demand)
+                  + cf_demand_table_total (&s->others);
+
+  return demand / fmax (s->capacity, 1);
+}
+
+static int
+compare_loads (gconstpointer a, gconstpointer b)
+{
+  double x = get_load (((const NamedState *)a)->state);
+  double y = get_load (((const NamedState *)b)->state);
+
+  return (x < y) - (x > y);
+}
+
+/* Returns the services of the configuration, the busiest first.  Those without
+ * demand are included: peers would take their demand for unknown. */
+static GArray *
+list_services (const CfGateway *g)
+{
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (NamedState));
   GHashTableIter it;
   gpointer name;
   gpointer v;
 
   g_hash_table_iter_init (&it, g->service_states);
-  while (a->len < CF_PEER_DEMAND_MAX && g_hash_table_iter_next (&it, &name, &v))
+  while (g_hash_table_iter_next (&it, &name, &v))
     {
-      const CfServiceState *s = v;
-      CfPeerDemand d = { .own = s->own_demand };
+      const NamedState n = { name, v };
+
+      if (g->policy && cf_policy_service (g->policy, name))
+        g_array_append_val (a, n);
+    }
+  g_array_sort (a, compare_loads);
+  return a;
+}
+
+static CfPeerDemand
+make_demand (const CfGateway *g, const NamedState *n, const char *recipient)
+{
+  const CfServiceState *s = n->state;
+  CfPeerDemand d = { .own = s->own_demand };
+
+  d.service.data = n->name;
+  d.service.n = strlen (n->name);
+  d.n_others = cf_fleet_demand_sum_direct (&s->fleet_demand, recipient,
+                                           cf_gateway_now (g), &d.others);
+  if (!is_busy (s))
+    {
+      cf_demand_table_merge_orgs (&d.own);
+      cf_demand_table_merge_orgs (&d.others);
+    }
+  return d;
+}
+
+GArray *
+cf_service_share_collect (const CfGateway *g, const char *recipient)
+{
+  GArray *a = g_array_new (FALSE, TRUE, sizeof (CfPeerDemand));
+  GArray *services = list_services (g);
+
+  for (guint i = 0;
+       !CF_WITHOUT_DEMAND_SHARES && i < services->len && i < CF_PEER_DEMAND_MAX;
+       i++)
+    {
+      CfPeerDemand d = make_demand (g, &g_array_index (services, NamedState, i),
+                                    recipient);
 
-      if (!*(const char *)name || CF_WITHOUT_DEMAND_SHARES)
-        continue;
-      d.service.data = name;
-      d.service.n = strlen (name);
-      d.n_others = cf_fleet_demand_sum_direct (&s->fleet_demand, recipient,
-                                               cf_gateway_now (g), &d.others);
-      if (!is_busy (s))
-        {
-          cf_demand_table_merge_orgs (&d.own);
-          cf_demand_table_merge_orgs (&d.others);
-        }
       g_array_append_val (a, d);
     }
+  g_array_unref (services);
   return a;
 }
 
@@ -218,6 +289,17 @@
     }
 }
 
+void
+cf_service_share_forget (CfGateway *g, const char *peer)
+{
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, g->service_states);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    cf_fleet_demand_remove (&((CfServiceState *)v)->fleet_demand, peer);
+}
+
 double
 cf_service_share_fraction (const CfGateway *g, const CfServiceState *s)
 {
--- a/gateway/service-share.h
+++ b/gateway/service-share.h
@@ -20,8 +20,8 @@
 /**
  * cf_service_share_collect:
  * @recipient: (nullable): address of the gateway that the hello is sent to
- * Returns: (transfer full): #CfPeerDemand of the services that have demand.
- *   It refers to @g.
+ * Returns: (transfer full): #CfPeerDemand of the busiest services.  It
+ *   refers to @g.
  */
 GArray *cf_service_share_collect (const CfGateway *g, const char *recipient);
 
@@ -29,6 +29,10 @@
 void cf_service_share_take (CfGateway *g, const GArray *demand,
                             const char *peer);
 
+/** cf_service_share_forget: the link to gateway @peer is lost; what it stated
+ * is no longer used. */
+void cf_service_share_forget (CfGateway *g, const char *peer);
+
 /** cf_service_share_fraction: this gateway's part of the service's slots, from
  * 0 to 1; 0: an even part. */
 double cf_service_share_fraction (const CfGateway *g, const CfServiceState *s);
--- a/t/t-demand.c
+++ b/t/t-demand.c
@@ -241,7 +241,7 @@
 {
   cf_demand_meter_add_hold (&meter, 300);
   arrive (7, 100, 0, 1000);
-  cf_demand_meter_read (&meter, 8, 100, 1000, &table);
+  cf_demand_meter_read (&meter, 8, 0, 1000, &table);
   ck_assert_double_eq_tol (cf_demand_table_total (&table), 8, 1e-6);
   cf_demand_meter_read (&meter, 5, 0, 1000000, &table);
   ck_assert_double_eq_tol (cf_demand_table_lookup (&table, 0, 7), 5, 1e-6);
@@ -250,6 +250,21 @@
 }
 END_TEST
 
+/* Rates take half a second to follow a skew; refusals begin earlier. */
+START_TEST (waiting_requests_are_demand_of_least_urgent_level)
+{
+  cf_demand_meter_add_hold (&meter, 300);
+  cf_demand_meter_add_arrival (&meter, 0, 7, 1000);
+  cf_demand_meter_add_arrival (&meter, 2, 7, 1000);
+  cf_demand_meter_add_arrival (&meter, 2, 8, 1000);
+  cf_demand_meter_read (&meter, 6, 10, 1000, &table);
+  ck_assert_double_eq_tol (cf_demand_table_total (&table), 16, 1e-6);
+  ck_assert_double_eq_tol (cf_demand_table_lookup (&table, 0, 7), 2, 1e-6);
+  ck_assert_double_eq_tol (cf_demand_table_lookup (&table, 2, 7), 7, 1e-6);
+  ck_assert_double_eq_tol (cf_demand_table_lookup (&table, 2, 8), 7, 1e-6);
+}
+END_TEST
+
 /* Names of organisations are taken from requests: any number may come. */
 START_TEST (organisations_are_bounded_and_forgotten)
 {
@@ -292,6 +307,7 @@
   tcase_add_test (m, demand_of_rare_long_requests_is_smooth);
   tcase_add_test (m, demand_without_hold_time_is_requests_present);
   tcase_add_test (m, demand_is_at_least_requests_in_flight);
+  tcase_add_test (m, waiting_requests_are_demand_of_least_urgent_level);
   tcase_add_test (m, organisations_are_bounded_and_forgotten);
   suite_add_tcase (s, m);
   return t_run_suite (s);
