--- a/gateway/demand.h
+++ b/gateway/demand.h
@@ -45,6 +45,10 @@
  */
 void cf_demand_table_merge (CfDemandTable *t, const CfDemandTable *from);
 
+/** cf_demand_table_subtract: takes the demand of @part out of @t, a sum that
+ * @part was merged into. */
+void cf_demand_table_subtract (CfDemandTable *t, const CfDemandTable *part);
+
 /** cf_demand_table_merge_orgs: reduces @t to one entry for each urgency. */
 void cf_demand_table_merge_orgs (CfDemandTable *t);
 
@@ -92,9 +96,11 @@
  * cf_demand_meter_read:
  * Writes the current demand to @out, and forgets organisations whose rate has
  * decayed.
- * @in_flight: requests at targets; the demand is not less than that
- * @waiting: requests waiting for a target; part of the demand while no hold
- *   time is known
+ * @in_flight: requests at targets
+ * @waiting: requests waiting for a slot
+ * The demand is not less than both together: a share then follows a sudden
+ * skew before the rates do, within the time that requests may wait.  What the
+ * rates lack for those that wait is demand of the least urgent level.
  */
 void cf_demand_meter_read (CfDemandMeter *m, guint in_flight, guint waiting,
                            gint64 now_ms, CfDemandTable *out);
