exchange: send queued requests when a full target's pause ends

A request that the only target refused as full for a moment could wait for the next regular check, up to 50 ms, which calls with an objective of 150 ms do not have: it ended with no-room. The queue is looked at right after the pause.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -79,6 +79,24 @@
              || strcmp (x->faulty_addr, x->target->record.addr) == 0);
 }
 
+static void
+on_full_pause_end (int revents, void *gateway)
+{
+  cf_exchange_dispatch_queued (gateway);
+}
+
+/* Its target gets no requests for a while.  Queued ones are sent right after
+ * that: calls with short objectives cannot wait for the next regular check. */
+static void
+pause_full_target (CfExchange *x)
+{
+  CfGateway *g = x->gateway;
+
+  x->target->full_until_ms = cf_gateway_now (g) + FULL_TARGET_PAUSE_MS;
+  ev_once (g->loop, -1, 0, (FULL_TARGET_PAUSE_MS + 1) / 1000.0,
+           on_full_pause_end, g);
+}
+
 /* Handles an answer that says "not run": another incarnation has the target's
  * address, or another target, whose address the answer gives, is at fault, or
  * the target itself accepts no work now. */
@@ -111,7 +129,7 @@
   if (t && t != x->target)
     cf_exchange_record_failure (x, t, "named-faulty");
   else
-    x->target->full_until_ms = now + FULL_TARGET_PAUSE_MS;
+    pause_full_target (x);
   if (!x->faulty_addr)
     cf_exchange_note_full_target (x);
 }
--- a/t/t-gateway.c
+++ b/t/t-gateway.c
@@ -188,6 +188,33 @@
 }
 END_TEST
 
+static void
+setup_one_desk (void)
+{
+  p_start_platform (BASE, "--plain", "1", "--ranks", "0", NULL);
+  gateway = p_start_gateway (BASE, 1);
+  front = p_front_port (BASE, 1);
+  p_wait_until_ready (BASE, 1);
+}
+
+/* Guards against a request that ends with the refusal of the only target, which
+ * is full for a moment. */
+START_TEST (request_that_full_target_refused_is_queued_again)
+{
+  g_autofree char *a = NULL;
+  g_autofree char *b = NULL;
+
+  p_inject_fault (DESK_1, 1, "full", 1);
+  a = send_request ("GET /quote/a", "q1", NULL, "");
+  ck_assert_msg (p_parse_status (a) == 200, "%s", a);
+  /* Its second attempt is its last. */
+  p_inject_fault (DESK_1, 1, "full", 2);
+  b = send_request ("GET /quote/a", "q2", NULL, "");
+  ck_assert_int_eq (p_parse_status (b), 503);
+  ck_assert_double_eq (p_sum_runs (DESK_1, 1, "runs"), 1);
+}
+END_TEST
+
 START_TEST (answer_without_length_is_complete)
 {
   g_autofree char *a = NULL;
@@ -997,5 +1024,9 @@
   tcase_add_test (t, registrations_are_batched_into_few_store_calls);
   tcase_add_test (t, callers_do_not_use_up_file_descriptors);
   suite_add_tcase (s, t);
+  t = tcase_create ("one-desk");
+  tcase_add_checked_fixture (t, setup_one_desk, p_stop_all);
+  tcase_add_test (t, request_that_full_target_refused_is_queued_again);
+  suite_add_tcase (s, t);
   return t_run_suite (s);
 }
--- a/t/t-target.c
+++ b/t/t-target.c
@@ -317,6 +317,37 @@
 }
 END_TEST
 
+/* Guards against a gateway that goes on sending a target more than it takes, or
+ * that does not find out that it takes more again. */
+START_TEST (full_target_gets_fewer_requests_for_a_while)
+{
+  static const struct
+  {
+    gint64 ms; /* since the refusal */
+    gboolean tests;
+    guint limit;
+  } cases[] = {
+    { 0, TRUE, 8 },     { 249, TRUE, 8 },          { 250, TRUE, 9 },
+    { 500, TRUE, 10 },  { 1000, TRUE, G_MAXUINT }, { 0, FALSE, 8 },
+    { 1000, FALSE, 8 }, { 2000, FALSE, 9 },        { 8000, FALSE, G_MAXUINT }
+  };
+  CfTarget t = { .in_flight = 9 };
+
+  ck_assert_uint_eq (cf_target_full_limit (&t, TRUE, 100), G_MAXUINT);
+  cf_target_note_full (&t, 10, 100);
+  cf_target_note_full (&t, 9, 100);
+  cf_target_note_full (&t, 10, 100);
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    ck_assert_uint_eq (
+        cf_target_full_limit (&t, cases[i].tests, 100 + cases[i].ms),
+        cases[i].limit);
+  /* It refused the only request of this process. */
+  t.in_flight = 1;
+  cf_target_note_full (&t, 1, 200);
+  ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 200), G_MAXUINT);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -324,6 +355,7 @@
   TCase *t = tcase_create ("target");
 
   tcase_add_checked_fixture (t, setup, teardown);
+  tcase_add_test (t, full_target_gets_fewer_requests_for_a_while);
   tcase_add_test (t, new_incarnation_has_fresh_state);
   tcase_add_test (t, relisted_instance_is_still_leaving);
   tcase_add_test (t, successor_of_leaving_instance_takes_requests);
--- a/t/t-wait-queue.c
+++ b/t/t-wait-queue.c
@@ -587,6 +587,136 @@
 }
 END_TEST
 
+/* Guards against routes of an organisation that lose their order, and against a
+ * route that is less urgent than those of the next organisation. */
+START_TEST (urgency_orders_organisations_then_routes)
+{
+  static const gint64 expected[][3]
+      = { { 0, 0, 0 }, { 0, 2, 2 }, { 1, 0, 16 }, { 0, 99, 15 }, { 3, 1, 49 } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (expected); i++)
+    ck_assert_int_eq (cf_waiter_urgency (expected[i][0], expected[i][1]),
+                      expected[i][2]);
+}
+END_TEST
+
+/* Waiting and running requests, and whether a new one of organisation 1 and
+ * priority 1 is refused on arrival, if it may wait for 200 ms and requests take
+ * 100 ms.  More than 300 ms of work has to be ahead of it. */
+typedef struct
+{
+  const char *what;
+  CfWaiter w; /* every waiter */
+  guint n;
+  guint in_flight[ORGS_MAX];
+  double grant; /* of organisation 1; 0: not known */
+  CfDrain drain;
+  gboolean overloaded;
+  gboolean is_hopeless;
+} HopelessCase;
+
+static const HopelessCase hopeless[] = {
+  { .what = "more of its own ahead than drain in time",
+    .w = { .org = 1, .priority = 1 },
+    .n = 7,
+    .in_flight = { 2 },
+    .drain = { 2, 100 },
+    .is_hopeless = TRUE },
+  { .what = "as many as drain in time",
+    .w = { .org = 1, .priority = 1 },
+    .n = 6,
+    .in_flight = { 2 },
+    .drain = { 2, 100 } },
+  { .what = "unknown hold time",
+    .w = { .org = 1, .priority = 1 },
+    .n = 50,
+    .in_flight = { 2 },
+    .drain = { 2, 0 } },
+  { .what = "unknown slots",
+    .w = { .org = 1, .priority = 1 },
+    .n = 50,
+    .drain = { 0, 100 } },
+  { .what = "the newest goes first",
+    .w = { .org = 1, .priority = 1 },
+    .n = 50,
+    .in_flight = { 2 },
+    .drain = { 2, 100 },
+    .overloaded = TRUE },
+  { .what = "all ahead are late, and go behind",
+    .w = { .org = 1, .priority = 1, .objective_send_by_ms = -1 },
+    .n = 50,
+    .in_flight = { 2 },
+    .drain = { 2, 100 } },
+  { .what = "all ahead are less urgent",
+    .w = { .org = 1, .priority = 2 },
+    .n = 50,
+    .in_flight = { 2 },
+    .drain = { 2, 100 } },
+  { .what = "more urgent ones, up to its minimum share",
+    .w = { .org = 1, .priority = 0 },
+    .n = 50,
+    .in_flight = { 2 },
+    .drain = { 2, 100 },
+    .is_hopeless = TRUE },
+  { .what = "more urgent ones, but its minimum share is due before",
+    .w = { .org = 1, .priority = 0 },
+    .n = 50,
+    .in_flight = { 8 },
+    .drain = { 8, 100 } },
+  { .what = "another organisation's backlog, and less than its part in flight",
+    .w = { .org = 2, .priority = 1 },
+    .n = 50,
+    .in_flight = { 1, 7 },
+    .drain = { 8, 100 } },
+  { .what = "another organisation's backlog, and its part in flight",
+    .w = { .org = 2, .priority = 1 },
+    .n = 50,
+    .in_flight = { 4, 4 },
+    .drain = { 8, 100 } },
+  { .what = "its own backlog, with more than its grant in flight",
+    .w = { .org = 1, .priority = 1 },
+    .n = 10,
+    .in_flight = { 2, 6 },
+    .grant = 1.5,
+    .drain = { 8, 100 },
+    .is_hopeless = TRUE },
+};
+
+/* Guards against requests that wait in vain, and against refusing those that
+ * would be sent. */
+START_TEST (hopeless_requests_are_recognised)
+{
+  const HopelessCase *h = &hopeless[_i];
+  CfDemandTable grants = { 0 };
+  CfQueueContext c = { .overloaded = h->overloaded };
+  CfWaiter new = { .org = 1, .priority = 1, .objective_send_by_ms = 100 };
+  CfOrgUsage usage = { 0 };
+  CfWaiter w[50];
+  CfWaiter *evicted;
+  CfWaitQueue q;
+
+  cf_wait_queue_init (&q);
+  q.usage = &usage;
+  for (guint i = 0; i < ORGS_MAX; i++)
+    cf_org_usage_add (&usage, i + 1, (int)h->in_flight[i], 0);
+  for (guint i = 0; i < h->n; i++)
+    {
+      w[i] = h->w;
+      if (!w[i].objective_send_by_ms)
+        w[i].objective_send_by_ms = 100;
+      cf_wait_queue_add (&q, &w[i], G_N_ELEMENTS (w), &evicted);
+    }
+  if (h->grant > 0)
+    cf_demand_table_add (
+        &grants, &(CfDemand){ .urgency = 1, .org = 1, .slots = h->grant });
+  c.grants = grants.n ? &grants : NULL;
+  ck_assert_msg (cf_wait_queue_is_hopeless (&q, &new, &c, &h->drain, 200)
+                     == h->is_hopeless,
+                 "%s", h->what);
+  cf_org_usage_clear (&usage);
+}
+END_TEST
+
 #define HOLD_MS 300
 #define LOAD_SLOTS 8
 #define LOAD_END_MS 60000
@@ -782,6 +912,9 @@
   tcase_add_test (t, fewer_requests_lost_than_in_order_of_arrival);
   tcase_add_test (t, late_waiter_with_least_slack_goes_first);
   tcase_add_loop_test (t, waiters_are_sent_in_order, 0, G_N_ELEMENTS (orders));
+  tcase_add_test (t, urgency_orders_organisations_then_routes);
+  tcase_add_loop_test (t, hopeless_requests_are_recognised, 0,
+                       G_N_ELEMENTS (hopeless));
   tcase_add_test (t, retries_without_budget_are_passed_over);
   tcase_add_test (t, one_in_twenty_is_less_urgent);
   tcase_add_loop_test (t, largest_organisation_makes_room, 0,
