--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -4,6 +4,9 @@
 #include "balancer.h"
 #include "forward.h"
 #include "log.h"
+#include "service-share.h"
+
+#include <string.h>
 
 /** Requests that may be queued for each slot of their service.  With more, the
  * last would exceed its queue timeout even at full speed. */
@@ -63,6 +66,14 @@
          || cf_exchange_await_turn (x);
 }
 
+/* Whether @t is known to be in another data centre than this gateway. */
+static gboolean
+is_elsewhere (const CfGateway *g, const CfTarget *t)
+{
+  return g->settings.data_centre && t->record.data_centre
+         && strcmp (g->settings.data_centre, t->record.data_centre) != 0;
+}
+
 static void
 send_to (CfExchange *x, CfTarget *t)
 {
@@ -120,6 +131,7 @@
     x->expected_first_ms = cf_stream_latency_first_event_ms (
         &x->service_state->latency, cf_exchange_engine_model (x), &x->size);
   x->gateway->stats.sends++;
+  x->gateway->stats.sends_other_dc += is_elsewhere (x->gateway, t);
   g_ptr_array_add (x->tried_targets, cf_target_ref (t));
   x->upstream = cf_upstream_send (x->gateway->loop, t, req, x->id, head_only,
                                   &cf_exchange_upstream_callbacks, x);
@@ -173,7 +185,9 @@
 {
   CfQueueContext c = { .now_ms = cf_gateway_now (g) };
 
-  c.overloaded = cf_concurrency_limit_get (&s->limit) != 0;
+  c.overloaded
+      = cf_concurrency_limit_get (&s->limit) != 0
+        || (s->share.contended && cf_service_share_max_total (g, s) > 0);
   c.may_not_retry = !cf_retry_budget_has_token (&s->budget);
   c.grants = s->share.total > 0 ? &s->share.grants : NULL;
   return c;
@@ -229,8 +243,8 @@
   if (x->sends > 0 || s->outage.since_ms)
     return FALSE;
   /* A gateway that was idle may use its part of the slots at once. */
-  d.slots = (double)cf_target_table_slots (&x->gateway->targets, x->service)
-            / MAX (x->gateway->fleet_size, 1);
+  d.slots = cf_service_share_slots (
+      x->gateway, s, cf_target_table_slots (&x->gateway->targets, x->service));
   d.slots = MAX (d.slots, s->in_flight);
   return cf_wait_queue_is_hopeless (&s->queue, &x->waiter, &c, &d, limit);
 }
@@ -276,6 +290,19 @@
     }
 }
 
+/* Whether targets in this gateway's data centre are used first.  The ranks of a
+ * group step together, so those of a group that is spread over data centres
+ * have to be loaded evenly. */
+static gboolean
+prefers_local (const CfGateway *g, const CfService *sv)
+{
+  if (!g->settings.data_centre)
+    return FALSE;
+  return !sv || sv->engine.sets == 0
+         || (g->n_rank_groups > 0
+             && g->n_local_rank_groups >= g->n_rank_groups);
+}
+
 /* Returns what a target is chosen by.  The result refers to @x. */
 static CfPickInput
 make_pick_input (const CfExchange *x)
@@ -286,6 +313,7 @@
 
   in.service = x->service;
   in.data_centre = g->settings.data_centre;
+  in.prefers_local = prefers_local (g, sv);
   in.homes.route = (const char *const *)x->route->home_regions;
   in.homes.org = x->org
                      ? g_hash_table_lookup (x->policy->org_home_regions, x->org)
@@ -297,6 +325,8 @@
   in.fleet_position = g->fleet_position;
   in.in_flight = x->service_state->in_flight;
   in.limit = cf_concurrency_limit_get (&x->service_state->limit);
+  in.share_fraction = cf_service_share_fraction (g, x->service_state);
+  in.max_total = cf_service_share_max_total (g, x->service_state);
   in.max_conns = sv ? sv->max_conns : 0;
   in.warmup_rule = &x->warmup_rule;
   in.warmup_position = cf_gateway_warmup_position (g);
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -6,6 +6,7 @@
 #include "operator-feed.h"
 #include "peer-crashes.h"
 #include "platform/platform-target.h"
+#include "service-share.h"
 #include "socket.h"
 #include "target-feed.h"
 #include "upstream.h"
@@ -303,6 +304,7 @@
   m->u.gateway_hello.evacuated_pos = g->evacuations.pos;
   m->u.gateway_hello.targets_change_pos = cf_target_feed_change_pos ();
   m->u.gateway_hello.n_rank_groups = g->n_rank_groups;
+  m->u.gateway_hello.n_local_rank_groups = g->n_local_rank_groups;
   m->u.gateway_hello.n_ring_members = cf_membership_size (s->membership);
 }
 
@@ -314,6 +316,8 @@
 
   m->u.gateway_hello.ring_start
       = ring_start < 0 ? -1 : (gint64)(ring_start * CF_PEER_RING_UNITS);
+  g_clear_pointer (&m->u.gateway_hello.demand, g_array_unref);
+  m->u.gateway_hello.demand = cf_service_share_collect (p->s->g, p->addr);
   m->u.gateway_hello.want = compute_wanted (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     p->s->targets_asked_ms = p->s->g->now_ms;
@@ -450,6 +454,20 @@
     s->behind_since_ms = s->g->now_ms;
 }
 
+/* A peer that knows fewer groups does not know how many are in one data centre
+ * each. */
+static void
+take_rank_groups (CfGateway *g, const CfPeerMsg *m)
+{
+  guint n = m->u.gateway_hello.n_rank_groups;
+
+  if (n > g->n_rank_groups)
+    g->counts_rank_groups = FALSE;
+  if (n > 0 && n >= g->n_rank_groups && !g->counts_rank_groups)
+    g->n_local_rank_groups = m->u.gateway_hello.n_local_rank_groups;
+  g->n_rank_groups = MAX (g->n_rank_groups, n);
+}
+
 static void
 take_hello (Peer *p, const CfPeerMsg *m)
 {
@@ -465,11 +483,13 @@
   dc = g_strndup (m->u.gateway_hello.data_centre.data,
                   m->u.gateway_hello.data_centre.n);
   cf_membership_record_heartbeat (p->s->membership, p->addr, dc, g->now_ms);
+  cf_gateway_note_data_centre (g, p->addr, dc);
   g_free (dc);
   update_fleet (p->s, m);
   take_slowdowns (g, m->u.gateway_hello.slowdowns);
   take_rate_limits (g, m->u.gateway_hello.rate_limits, p->addr);
   take_leaving (g, m->u.gateway_hello.leaving, p->addr);
+  cf_service_share_take (g, m->u.gateway_hello.demand, p->addr);
   cf_operator_feed_take_peer_set (g, m->u.gateway_hello.evacuated,
                                   m->u.gateway_hello.evacuated_pos, p->addr);
   if (m->u.gateway_hello.want & CF_PEER_WANT_POLICY)
@@ -477,7 +497,7 @@
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     send_targets (p);
   cf_target_feed_take_peer_change (g, m->u.gateway_hello.targets_change_pos);
-  g->n_rank_groups = MAX (g->n_rank_groups, m->u.gateway_hello.n_rank_groups);
+  take_rank_groups (g, m);
   update_behind (p);
   if (compute_wanted (p))
     send_hello (p);
@@ -689,6 +709,7 @@
   if (p->up)
     send_filled_hello (p, &m);
   cf_peer_msg_clear (&m);
+  cf_service_share_hello_sent (s->g);
 }
 
 CfPeerService *
