exchange-send: name evictions for returned callers

A newcomer that makes room for a caller that returned at its time was logged like one that met a full queue, so the log did not say for whom. The reason is now returned-waits; t-returns checks for it.

--- a/explain.c
+++ b/explain.c
@@ -51,6 +51,9 @@
   { NULL, "queue-full", "the service's queue was full" },
   { NULL, "more-urgent-waits",
     "requests of a more urgent priority filled the service's queue" },
+  { NULL, "returned-waits",
+    "the service's queue was full, and a caller that had been refused before "
+    "and returned when told goes first" },
   { NULL, "returned-early",
     "the caller had been told when to return and returned before that time, "
     "while other requests waited" },
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -248,6 +248,16 @@
   return cf_wait_queue_is_hopeless (&s->queue, &x->waiter, &c, &d, limit);
 }
 
+/* Why @evicted makes room for it. */
+static const char *
+get_eviction_reason (const CfExchange *x, const CfWaiter *evicted)
+{
+  if (evicted->priority > x->waiter.priority)
+    return "more-urgent-waits";
+  return x->waiter.returned && !evicted->returned ? "returned-waits"
+                                                  : "queue-full";
+}
+
 /* Queues it until a target has a free slot.  If the queue is full, a request is
  * refused, but not one that is more urgent than others.  The wait is limited so
  * that enough time remains for the work itself. */
@@ -282,9 +292,7 @@
     {
       x->gateway->stats.evicted++;
       end_for_lack_of_capacity (evicted->owner,
-                                evicted->priority > x->waiter.priority
-                                    ? "more-urgent-waits"
-                                    : "queue-full");
+                                get_eviction_reason (x, evicted));
     }
 }
 
--- a/t/t-returns.c
+++ b/t/t-returns.c
@@ -150,7 +150,7 @@
   ck_assert_int_eq (send_order (p->to, &left_ms), 200);
   check_log (p->to, "reason=queue-full");
   check_log (p->to, "outcome=due");
-  check_log (p->to, "reason=more-urgent-waits");
+  check_log (p->to, "reason=returned-waits");
 }
 END_TEST
 
