service-share: refresh shares before a request is queued

A burst at one gateway met the even part of the slots until the next periodic update, up to 50 ms later, and callers were refused while the fleet was idle. A request that finds no capacity now recomputes the share first, every 10 ms at most. The pass limit takes the streams per rank from the demand of the fleet in place of this gateway's own, which varied by half between gateways. E1222 names the service, organisation and urgency.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -193,13 +193,20 @@
     log_overload (x);
 }
 
-/* Returns the mean number of streams at a rank of its service.  This gateway
- * sees only its own, and takes those of the other gateways to be as many. */
+/* Returns the mean number of streams at a rank of its service.  Of the other
+ * gateways their demand is known, of which no more than the capacity is at the
+ * ranks; those of unknown demand are taken to have as much as the rest. */
 static double
 estimate_streams_per_rank (const CfExchange *x, guint n_ranks)
 {
-  return (double)x->service_state->in_flight * MAX (x->gateway->fleet_size, 1)
-         / MAX (n_ranks, 1);
+  const CfServiceState *s = x->service_state;
+  guint n_known = s->n_others + 1;
+  double known = s->in_flight + cf_demand_table_total (&s->others);
+  double all = known * MAX (x->gateway->fleet_size, n_known) / n_known;
+
+  if (s->capacity > 0)
+    all = MIN (all, s->capacity);
+  return all / MAX (n_ranks, 1);
 }
 
 /* Adds a pass to those that the pass limit is computed from, and logs changes
--- a/gateway/exchange-return.c
+++ b/gateway/exchange-return.c
@@ -128,7 +128,9 @@
   x->gateway->has_new_returns |= !r.is_anonymous;
   x->gateway->stats.returns_refused += x->waiter.returned;
   cf_log (LOG_INFO, CF_EV_RETURN,
-          "id=%s return_ms=%" G_GINT64_FORMAT " ahead=%u", x->id, wait_ms,
+          "id=%s service=%s org=%s priority=%" G_GINT64_FORMAT
+          " return_ms=%" G_GINT64_FORMAT " ahead=%u",
+          x->id, x->service, x->org ? x->org : "-", x->waiter.priority, wait_ms,
           r.n_ahead);
   cf_exchange_refuse_for (x, reason, wait_ms);
 }
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -502,11 +502,16 @@
 void
 cf_exchange_send_or_queue (CfExchange *x)
 {
+  CfPickResult result;
   CfTarget *t;
 
   if (is_kept_from_targets (x) || cf_exchange_refuse_early (x))
     return;
-  switch (pick_target (x, &t))
+  result = pick_target (x, &t);
+  if (result == CF_PICK_FULL
+      && cf_service_share_refresh (x->gateway, x->service, x->service_state))
+    result = pick_target (x, &t);
+  switch (result)
     {
     case CF_PICK_OK:
       send_to (x, t);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -58,6 +58,8 @@
   double capacity;            /**< slots that @share divides; 0: unknown */
   CfDemandTable own_demand;   /**< as last read from @demand */
   CfDemandTable others;       /**< the sum that @share was computed with */
+  guint n_others;             /**< gateways that @others covers */
+  gint64 share_ms;            /**< when @share was computed */
   double demand_sent;         /**< total of @own_demand in the last hello */
   gboolean is_demand_notable; /**< differs from @demand_sent, in a service with
                                    little capacity left */
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -19,6 +19,8 @@
  * as even by the balancer.  Whole requests a target are its unit, so smaller
  * differences would only make targets' loads uneven. */
 #define UNEVEN_FACTOR 1.5
+/** Least time between two computations of a share. */
+#define REFRESH_INTERVAL_MS 10
 /** A pass limit is in force for this time after the last pass. */
 #define PASS_LIMIT_TIMEOUT_MS 2000
 /** E1221 is logged for a change of the share by this fraction, and at most once
@@ -107,8 +109,10 @@
   s->capacity = get_capacity (g, service, s);
   cf_demand_meter_read (&s->demand, s->in_flight, s->queue.n,
                         cf_gateway_now (g), &s->own_demand);
-  in.n_known = cf_fleet_demand_get_others (&s->fleet_demand, cf_gateway_now (g),
-                                           &s->others);
+  s->n_others = cf_fleet_demand_get_others (&s->fleet_demand,
+                                            cf_gateway_now (g), &s->others);
+  s->share_ms = cf_gateway_now (g);
+  in.n_known = s->n_others;
   in.capacity = s->capacity;
   in.n_gateways = g->fleet_size;
   in.own = &s->own_demand;
@@ -121,6 +125,16 @@
              in.n_known);
 }
 
+gboolean
+cf_service_share_refresh (CfGateway *g, const char *service, CfServiceState *s)
+{
+  if (CF_WITHOUT_DEMAND_SHARES
+      || cf_gateway_now (g) - s->share_ms < REFRESH_INTERVAL_MS)
+    return FALSE;
+  update_service (g, service, s);
+  return TRUE;
+}
+
 /* Creates the states of services that this gateway has no requests for: without
  * one, it would not state that it has no demand. */
 static void
--- a/gateway/service-share.h
+++ b/gateway/service-share.h
@@ -14,6 +14,12 @@
  * one. */
 void cf_service_share_update (CfGateway *g);
 
+/** cf_service_share_refresh: recomputes the share of @service before a request
+ * is queued, so that a burst at one gateway does not wait for the next periodic
+ * update.  Returns: %FALSE if it is recent. */
+gboolean cf_service_share_refresh (CfGateway *g, const char *service,
+                                   CfServiceState *s);
+
 /** cf_service_share_hello_sent: hellos with the present demand were sent. */
 void cf_service_share_hello_sent (CfGateway *g);
 
--- a/t/t-returns.c
+++ b/t/t-returns.c
@@ -7,10 +7,13 @@
 #include <unistd.h>
 
 #define BASE 18400
-/** A target that runs 6 requests has room for 3 of each of three gateways, and
- * a gateway queues 6. */
-#define FILL 9
-#define WORK_MS "600"
+/** A target that runs 6 requests has room for 8 of a gateway with all the
+ * demand, and a gateway queues 6. */
+#define FILL 15
+/** In this time a gateway's share follows its demand. */
+#define SHARE_MS 60
+/** No order ends between the refusal of a caller and its return. */
+#define WORK_MS "1500"
 /** Body of the order whose caller returns.  Its digest gives the longest wait
  * while the rate at which requests end is unknown. */
 #define BODY "same"
@@ -44,7 +47,7 @@
 
 static pid_t gateways[6];
 static int n_sent;
-static int fds[64];
+static int fds[128];
 static int n_fds;
 
 static void
@@ -80,9 +83,14 @@
   p_send (fds[n_fds++], req);
 }
 
+/* Fills gateway @n.  Its share grows with the first orders, so that there is
+ * room again for as many as it had queued. */
 static void
 fill (int n)
 {
+  for (int i = 0; i < FILL; i++)
+    begin_order (n);
+  usleep (SHARE_MS * 1000);
   for (int i = 0; i < FILL; i++)
     begin_order (n);
   usleep (50000);
