rank-service: hand the lead over to the data centre

A lead that another data centre's seed had taken stayed there, for good after a restart of all gateways one by one. A leader elsewhere now gives up the lead, between changes, once most ranks have reached a seed of the group's data centre for 10 s, and says so in a heartbeat at once.

--- a/gateway/rank-service-lead.c
+++ b/gateway/rank-service-lead.c
@@ -25,6 +25,10 @@
  * order.  Seeds that disagree on data centres could otherwise wait for one
  * another without end. */
 #define LOCAL_ORDER_MAX_MS 3000
+/** Time for which a seed of the group's data centre has to be within reach
+ * before the lead is handed over to it, so that a seed that restarts again and
+ * again does not move the lead each time. */
+#define HAND_OVER_MS 10000
 /** Interval at which the data centre of a group is determined again, since the
  * list of targets may change. */
 #define DATA_CENTRE_INTERVAL_MS 1000
@@ -158,8 +162,7 @@
 }
 
 /* Whether a seed in the group's data centre may just not have said yet where it
- * is.  A lead that is taken too early stays where it is, since it is not handed
- * over. */
+ * is.  A lead that is taken too early stays elsewhere for HAND_OVER_MS. */
 static gboolean
 is_local_seed_expected (const CfLedGroup *g)
 {
@@ -172,9 +175,58 @@
          && cf_seed_order_may_change (&o, (guint)g->service->seed);
 }
 
+static gboolean
+do_most_ranks_reach (const CfLedGroup *g, guint seed)
+{
+  gint64 now = cf_gateway_now (g->service->gateway);
+  int n = 0;
+
+  for (int r = 0; r < g->coordinator.shape.ranks; r++)
+    {
+      const CfAgentLink *a = g->agents[r];
+
+      n += a && now - a->status_seen_ms < STATUS_MAX_AGE_MS
+           && (a->seeds_up >> seed & 1);
+    }
+  return n * 2 > g->coordinator.shape.ranks;
+}
+
+/* Whether this gateway leads from another data centre than the group's, and a
+ * seed that is there can lead. */
+static gboolean
+is_local_seed_able (const CfLedGroup *g)
+{
+  CfSeedOrder o = get_seed_order (g);
+  guint local = cf_seed_order_local (&o);
+
+  if (g->coordinator.fence == 0 || local >> g->service->seed & 1)
+    return FALSE;
+  for (guint i = 0; i < o.n; i++)
+    if ((local >> i & 1) && do_most_ranks_reach (g, i))
+      return TRUE;
+  return FALSE;
+}
+
+/* Whether to leave the lead to a seed of the group's data centre.  The group
+ * has no leader for a moment then, so that this is done only between changes.
+ */
+static gboolean
+should_hand_over (CfLedGroup *g)
+{
+  gint64 now = cf_gateway_now (g->service->gateway);
+
+  if (!is_local_seed_able (g))
+    g->local_seed_since_ms = 0;
+  else if (!g->local_seed_since_ms)
+    g->local_seed_since_ms = now;
+  return g->local_seed_since_ms && g->coordinator.state == CF_MAP_IDLE
+         && now - g->local_seed_since_ms >= HAND_OVER_MS;
+}
+
 /* Whether most ranks follow no leader and can reach no seed that precedes this
  * gateway.  A seed that returns does not replace the current leader, as this
- * would cost the group a second or more in the middle of a change. */
+ * would cost the group a second or more in the middle of a change; a leader
+ * elsewhere hands over by itself (should_hand_over()). */
 static gboolean
 may_take_lead (const CfLedGroup *g)
 {
@@ -264,6 +316,14 @@
   if (g->coordinator.fenced_ms
       && now - g->coordinator.fenced_ms < LEAD_RETRY_MS)
     lead = FALSE;
+  if (should_hand_over (g))
+    {
+      cf_log (LOG_NOTICE, CF_EV_MAP_SETTLE,
+              "group=%s outcome=handed-over fence=%" G_GINT64_FORMAT, g->name,
+              g->coordinator.fence);
+      g->local_seed_since_ms = 0;
+      lead = FALSE;
+    }
   if (lead && g->coordinator.fence == 0)
     {
       gint64 fence
--- a/gateway/rank-service-parts.h
+++ b/gateway/rank-service-parts.h
@@ -79,7 +79,7 @@
                                  coordinator's pass_objective_ms was read */
   gboolean leads;           /**< this gateway leads the group */
   gint64 lead_since_ms;     /**< when it last took the lead */
-  gboolean lead_announced;  /**< a heartbeat has announced that this gateway
+  gboolean lead_announced;  /**< the last heartbeat announced that this gateway
                                leads... */
   gboolean settling_announced; /**< ...and that it settles */
   CfHoldLease lease;           /**< another leader's */
@@ -92,6 +92,9 @@
                                        @data_centre */
   gint64 data_centre_ms; /**< when @data_centre was determined; 0: not since a
                               rank moved */
+  gint64 local_seed_since_ms; /**< since when most ranks have reached a seed of
+                                   @data_centre while this gateway, which is
+                                   elsewhere, leads; 0: not now */
   gint64 leaderless_since_ms; /**< since when most ranks have followed no
                                    leader; 0: they follow one */
 };
--- a/gateway/rank-service.c
+++ b/gateway/rank-service.c
@@ -264,14 +264,14 @@
 }
 
 /* Returns whether a heartbeat has to announce to the agents that this gateway
- * now leads, or that it now settles and needs the status of every rank; marks
- * that as announced. */
+ * now leads, or has ceased to, or that it now settles and needs the status of
+ * every rank; marks that as announced. */
 static gboolean
 update_announcements (CfLedGroup *g)
 {
   gboolean settles = g->leads && g->coordinator.state == CF_MAP_SETTLING;
   gboolean changed
-      = (g->leads && !g->lead_announced) || (settles && !g->settling_announced);
+      = g->leads != g->lead_announced || (settles && !g->settling_announced);
 
   g->lead_announced = g->leads;
   g->settling_announced = settles;
--- a/gateway/seed-order.c
+++ b/gateway/seed-order.c
@@ -26,6 +26,17 @@
   return ahead;
 }
 
+guint
+cf_seed_order_local (const CfSeedOrder *o)
+{
+  guint local = 0;
+
+  for (guint i = 0; i < o->n; i++)
+    if (is_local (o, i))
+      local |= 1U << i;
+  return local;
+}
+
 gboolean
 cf_seed_order_may_change (const CfSeedOrder *o, guint seed)
 {
--- a/gateway/seed-order.h
+++ b/gateway/seed-order.h
@@ -22,6 +22,10 @@
 /** cf_seed_order_ahead: a bit mask of the seeds that precede @seed. */
 guint cf_seed_order_ahead (const CfSeedOrder *o, guint seed);
 
+/** cf_seed_order_local: a bit mask of the seeds that are in the group's data
+ * centre. */
+guint cf_seed_order_local (const CfSeedOrder *o);
+
 /** cf_seed_order_may_change: whether @seed is outside the group's data centre
  * and a seed whose data centre is unknown may turn out to be inside. */
 gboolean cf_seed_order_may_change (const CfSeedOrder *o, guint seed);
--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -191,6 +191,43 @@
 }
 END_TEST
 
+/* After a restart of all gateways one by one, the group of the last one would
+ * otherwise be led from another data centre for good. */
+START_TEST (lead_is_handed_over_to_the_data_centre)
+{
+  static const char lead[] = "group=g0 from=settling to=settling why=took-the";
+  g_autofree char *log_1
+      = g_strdup_printf ("t/out/gateway-%d-1.log", BASE_PORT);
+  g_autofree char *log_3
+      = g_strdup_printf ("t/out/gateway-%d-3.log", BASE_PORT);
+  int fds[3][8];
+  gboolean handed_over = FALSE;
+
+  p_start_platform (BASE_PORT, "--ranks", "4", "--data-centres", "1", "--plain",
+                    "2", "--step-ms", PASS_MS, "--shift-s", "0.4", NULL);
+  p_overrides.zone = "dc2";
+  p_start_ready_gateway (BASE_PORT, 1);
+  for (int i = 0; i < N_RANKS; i++)
+    p_start_agent (BASE_PORT, FIRST_RANK_PORT + i);
+  ck_assert (p_wait_for_log (log_1, lead, 6000));
+  p_overrides.zone = "dc1";
+  p_start_gateway (BASE_PORT, 3);
+  /* Maps change all the time.  Streams end after 8 s. */
+  for (int i = 0; i < 3 && !handed_over; i++)
+    {
+      p_start_streams (BASE_PORT, fds[i], G_N_ELEMENTS (fds[i]));
+      handed_over
+          = p_wait_for_log (log_1, "group=g0 outcome=handed-over", 6000);
+    }
+  ck_assert (handed_over);
+  ck_assert (p_wait_for_log (log_3, lead, 1500));
+  usleep (1000000);
+  ck_assert_uint_eq (p_count_in_log (log_1, lead), 1);
+  ck_assert_uint_eq (p_count_in_log (log_3, lead), 1);
+  ck_assert_double_eq (sum_over_ranks ("mixed"), 0);
+}
+END_TEST
+
 /* The leader is killed while ranks copy experts for seconds.  Although nothing
  * changes at the ranks, the next leader gets their status at once. */
 START_TEST (a_leader_killed_during_a_change_is_succeeded)
@@ -521,9 +558,10 @@
                        G_N_ELEMENTS (omitted_fields));
   tcase_add_test (t, a_rank_restarts_under_its_id_during_a_change);
   suite_add_tcase (s, t);
-  tcase_set_timeout (several, 30);
+  tcase_set_timeout (several, 40);
   tcase_add_checked_fixture (several, NULL, p_stop_all);
   tcase_add_test (several, groups_are_led_from_their_data_centre);
+  tcase_add_test (several, lead_is_handed_over_to_the_data_centre);
   suite_add_tcase (s, several);
   return t_run_suite (s);
 }
--- a/t/t-seed-order.c
+++ b/t/t-seed-order.c
@@ -21,6 +21,7 @@
   const char *const dcs[N] = { "dc1", "dc2", "dc1" };
   CfSeedOrder o = make_order (dcs, 0, "dc2");
 
+  ck_assert_uint_eq (cf_seed_order_local (&o), 1U << 1);
   ck_assert_uint_eq (cf_seed_order_ahead (&o, 1), 0);
   ck_assert_uint_eq (cf_seed_order_ahead (&o, 0), 1U << 1);
   ck_assert_uint_eq (cf_seed_order_ahead (&o, 2), 1U << 1 | 1U << 0);
@@ -40,6 +41,7 @@
     {
       CfSeedOrder o = make_order (dcs, 1, group_dcs[i]);
 
+      ck_assert_uint_eq (cf_seed_order_local (&o), 0);
       ck_assert_uint_eq (cf_seed_order_ahead (&o, 1), 0);
       ck_assert_uint_eq (cf_seed_order_ahead (&o, 2), 1U << 1);
       ck_assert_uint_eq (cf_seed_order_ahead (&o, 0), 1U << 1 | 1U << 2);
