t-group-failover: include a gateway that is no seed

Only seeds hear from rank agents; no test showed that other gateways learn from hellos that each group is in one data centre.

--- a/t/t-group-failover.c
+++ b/t/t-group-failover.c
@@ -79,29 +79,41 @@
 }
 END_TEST
 
-/* Traffic between data centres is expensive, and about half of the streams
- * would go to the other group if both were used alike. */
-START_TEST (requests_stay_in_the_data_centre)
+static gboolean
+sends_stay_local (int gateway)
 {
-  int fds[4];
-  g_autofree char *metrics = NULL;
+  g_autofree char *metrics = p_round_trip (p_front_port (BASE, gateway) + 3,
+                                           "GET /metrics HTTP/1.1\r\n\r\n");
 
-  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
-    {
-      g_autofree char *req = build_stream ();
+  return strstr (metrics, "\ncomfrey_sends_other_dc_total 0\n") != NULL;
+}
 
-      fds[i] = p_connect (p_front_port (BASE, 1));
-      p_send (fds[i], req);
-    }
+/* Traffic between data centres is expensive, and about half of the streams
+ * would go to the other group if both were used alike.  Gateway 4 is no seed,
+ * and knows from the others that each group is in one data centre. */
+START_TEST (requests_stay_in_the_data_centre)
+{
+  static const int gateways[] = { 1, 4 };
+  int fds[2][4];
+
+  p_start_ready_gateway (BASE, 4);
+  usleep (1500000);
+  for (int k = 0; k < 2; k++)
+    for (int i = 0; i < 4; i++)
+      {
+        g_autofree char *req = build_stream ();
+
+        fds[k][i] = p_connect (p_front_port (BASE, gateways[k]));
+        p_send (fds[k][i], req);
+      }
   ck_assert_int_ge (count_in_time (N_STREAMS), N_STREAMS - 1);
-  ck_assert_double_gt (p_sum_runs (RANK_1, N_RANKS, "runs"), N_STREAMS);
+  ck_assert_double_ge (p_sum_runs (RANK_1, N_RANKS, "runs"), N_STREAMS + 8);
   ck_assert_double_eq (p_sum_runs (RANK_1 + N_RANKS, N_RANKS, "runs"), 0);
-  metrics = p_round_trip (p_front_port (BASE, 1) + 3,
-                          "GET /metrics HTTP/1.1\r\n\r\n");
-  ck_assert_ptr_nonnull (
-      strstr (metrics, "\ncomfrey_sends_other_dc_total 0\n"));
-  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
-    close (fds[i]);
+  ck_assert (sends_stay_local (1));
+  ck_assert (sends_stay_local (4));
+  for (int k = 0; k < 2; k++)
+    for (int i = 0; i < 4; i++)
+      close (fds[k][i]);
 }
 END_TEST
 
