--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 	vm-list.o outlier.o agent-link.o link-table.o claim.o admission.o \
 	retry-budget.o entry.o entry-request.o entry-route.o agent.o agent-settings.o agent-jobs.o \
 	agent-orders.o rank-group.o \
-	expert-map.o map-change.o placement.o daemon.o explain.o log-line.o report.o
+	expert-map.o map-change.o placement.o daemon.o explain.o log-line.o report.o \
+	report-contention.o
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
 	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
@@ -26,7 +27,7 @@
 # the parts of the library that they use.  All of this is built under target/.
 #
 # WITHOUT lists mechanisms to leave out of this build, to measure the effect of
-# each (gateway/ablation.h).  Run `make clean` after changing it.
+# each (gateway/ablation.h).
 GW_PKGS = glib-2.0 jansson msgpack ck
 GW_SRCS = $(wildcard gateway/*.c) $(wildcard platform/*.c) \
 	error.c log.c log-writer.c net.c outlier.c retry-budget.c
@@ -43,14 +44,20 @@
 	target/comfrey-fault-proxy
 
 # Tests that run the programs of the platform.
-GW_PROCESS_TESTS = t/t-gateway t/t-network t/t-rank-groups \
+GW_PROCESS_TESTS = t/t-gateway t/t-fake-target t/t-network t/t-rank-groups \
 	t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving \
 	t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover \
 	t/t-answer-end t/t-large-answer \
-	t/t-prompt-parts t/t-returns
+	t/t-prompt-parts t/t-skew t/t-returns
 # Tests that also link the modules of the gateway.
-GW_TESTS = t/t-platform t/t-sound-parts t/t-http-reader t/t-event-stream t/t-balancer t/t-map-gain t/t-standstill t/t-order-watch t/t-hold-lease t/t-wait-queue t/t-return-schedule t/t-target t/t-upstream t/t-outage t/t-concurrency-limit t/t-membership t/t-overload t/t-stream-latency t/t-expert-demand t/t-expert-counts t/t-demand-watch \
-	t/t-group-map t/t-watch-batcher t/t-pass-record t/t-loop-watch t/t-map-history t/t-peer-msg t/t-log-writer t/t-coordinator t/t-fleet \
+GW_TESTS = t/t-platform t/t-sound-parts t/t-http-reader t/t-event-stream t/t-balancer \
+	t/t-map-gain t/t-standstill t/t-order-watch t/t-hold-lease t/t-wait-queue \
+	t/t-target t/t-upstream t/t-outage t/t-concurrency-limit t/t-membership \
+	t/t-overload t/t-stream-latency t/t-expert-demand t/t-expert-counts \
+	t/t-demand-watch t/t-demand t/t-fleet-demand t/t-share t/t-seed-order \
+	t/t-org-usage t/t-group-map t/t-watch-batcher t/t-pass-record t/t-loop-watch \
+	t/t-map-history t/t-peer-msg t/t-log-writer t/t-coordinator t/t-fleet \
+	t/t-pass-limit t/t-return-schedule \
 	$(GW_PROCESS_TESTS)
 GW_TEST_LDLIBS = target/libcomfrey-gateway.a -lev -lhttp_parser
 
@@ -87,11 +94,19 @@
 		$(SI_SRCS:%.c=target/obj/%.o) target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
 
+target/comfrey-callers: target/obj/standins/callers-load.o
 target/comfrey-callers target/comfrey-fault-proxy: target/%: \
 		target/obj/standins/%.o target/libcomfrey-gateway.a
 	$(CC) $(GW_CFLAGS) -o $@ $^ $(GW_LDLIBS)
 
-target/obj/%.o: %.c *.h gateway/*.h platform/*.h $(wildcard standins/*.h)
+# The flags of the last build.  It is written only if they change, so that then
+# all objects are built again.  -Werror is left out, since it changes no object.
+target/flags: FORCE
+	@mkdir -p $(dir $@)
+	@printf '%s\n' '$(filter-out -Werror,$(CC) $(GW_CFLAGS))' >$@.$$$$; \
+		cmp -s $@.$$$$ $@ && rm $@.$$$$ || mv $@.$$$$ $@
+
+target/obj/%.o: %.c *.h gateway/*.h platform/*.h $(wildcard standins/*.h) target/flags
 	@mkdir -p $(dir $@)
 	@$(CC) $(GW_CFLAGS) -c -o $@ $<
 
@@ -115,7 +130,7 @@
 SAN_FLAGS = -O1 -g -fsanitize=address,undefined,float-cast-overflow -fno-sanitize-recover=all
 SAN_OBJS = $(GW_SRCS:%.c=target/san/%.o)
 
-target/san/%.o: %.c *.h gateway/*.h platform/*.h
+target/san/%.o: %.c *.h gateway/*.h platform/*.h target/flags
 	@mkdir -p $(dir $@)
 	@$(CC) $(GW_CFLAGS) $(SAN_FLAGS) -c -o $@ $<
 
@@ -211,4 +226,6 @@
 	@echo "make tidy     check the sources with clang-tidy"
 	@echo "make clean    remove the built files, except for target/"
 
-.PHONY: all deploy test soak soak-ci demo demo-own bench style tidy clean help
+FORCE:
+
+.PHONY: FORCE all deploy test soak soak-ci demo demo-own bench style tidy clean help
--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -7,6 +7,8 @@
 
 /** A gateway may use this multiple of an even share of a target's slots. */
 #define SHARE_HEADROOM 1.25
+/** Compensates for a fraction such as 1/3 being rounded down. */
+#define ROUNDING 1e-9
 /** The fraction of that share that yielding requests may fill. */
 #define YIELD_TARGET_FRACTION 0.6
 /** The fraction of the concurrency limit that yielding requests may fill. */
@@ -16,6 +18,19 @@
  * ejected one: in a rank group, all ranks wait for its part of each pass. */
 #define DEGRADED_SLOWDOWN 3.0
 
+/** By how much more of its slots this gateway may use a target in its own data
+ * centre than the least loaded one elsewhere: its share of the slots with
+ * headroom, so that even demand stays local as far as the limit on requests in
+ * flight allows... */
+#define LOCAL_MARGIN_SHARES SHARE_HEADROOM
+/** ...at least this many requests, for gateways whose share is less than
+ * one... */
+#define LOCAL_MARGIN_MIN_REQUESTS 1.0
+/** ...and at most this fraction of the slots.  A gateway with most of the
+ * demand would otherwise fill the local targets while those elsewhere are idle.
+ */
+#define LOCAL_MARGIN_MAX_FRACTION 0.5
+
 /** Availability: whether a target can take a request. */
 typedef enum
 {
@@ -27,18 +42,24 @@
   TARGET_AVAILABLE,
 } Availability;
 
-guint
-cf_balancer_max_in_flight (gint64 slots, gint64 max_conns, guint n_gateways)
+/* @fraction: this gateway's part of the target's slots and connections */
+static guint
+compute_max_in_flight (gint64 slots, gint64 max_conns, double fraction)
 {
-  guint n_sharing = CF_WITHOUT_FLEET_SHARES ? 1 : MAX (n_gateways, 1);
-  double share = (double)slots * SHARE_HEADROOM / n_sharing;
-  double conn_share = floor ((double)max_conns / MAX (n_gateways, 1));
+  double slot_fraction = CF_WITHOUT_FLEET_SHARES ? 1 : fraction;
+  double share = (double)slots * SHARE_HEADROOM * slot_fraction;
 
   if (max_conns > 0)
-    share = MIN (share, conn_share);
+    share = MIN (share, floor ((double)max_conns * fraction + ROUNDING));
   return (guint)MAX (ceil (share), 1);
 }
 
+guint
+cf_balancer_max_in_flight (gint64 slots, gint64 max_conns, guint n_gateways)
+{
+  return compute_max_in_flight (slots, max_conns, 1.0 / MAX (n_gateways, 1));
+}
+
 static gboolean
 was_tried (const GPtrArray *tried, const CfTarget *t)
 {
@@ -48,9 +69,12 @@
 static guint
 get_max_in_flight (const CfTarget *t, const CfPickInput *in)
 {
-  guint share = cf_balancer_max_in_flight (t->record.slots, in->max_conns,
-                                           in->n_gateways);
+  double fraction = in->share_fraction > 0 ? in->share_fraction
+                                           : 1.0 / MAX (in->n_gateways, 1);
+  guint share
+      = compute_max_in_flight (t->record.slots, in->max_conns, fraction);
 
+  share = MIN (share, cf_target_full_limit (t, in->tests_full, in->now_ms));
   return in->yields ? (guint)MAX (share * YIELD_TARGET_FRACTION, 1) : share;
 }
 
@@ -120,19 +144,39 @@
   return is_degraded (t, in) ? TARGET_DEGRADED : TARGET_AVAILABLE;
 }
 
+static gboolean
+is_local (const CfTarget *t, const CfPickInput *in)
+{
+  return in->data_centre && t->record.data_centre
+         && strcmp (in->data_centre, t->record.data_centre) == 0;
+}
+
+/* Returns the number of requests that count as being at a target elsewhere in
+ * addition to those that are, so that local ones are preferred. */
+static double
+get_local_margin (const CfTarget *t, const CfPickInput *in)
+{
+  double slots = (double)t->record.slots;
+  double fraction = in->share_fraction > 0 ? in->share_fraction
+                                           : 1.0 / MAX (in->n_gateways, 1);
+  double margin
+      = MAX (slots * fraction * LOCAL_MARGIN_SHARES, LOCAL_MARGIN_MIN_REQUESTS);
+
+  return MIN (margin, slots * LOCAL_MARGIN_MAX_FRACTION);
+}
+
 /* Returns the load that @t would have with the request: in 1/1024 of its slots,
  * scaled by its slowdown, and doubled so that the lowest bit can break ties in
  * favour of a target in the gateway's own data centre. */
 static guint
 compute_load (const CfTarget *t, const CfPickInput *in)
 {
-  double share = (t->in_flight + 1) * t->slowdown / (double)t->record.slots;
-  guint load = (guint)(share * 1024) * 2 + 1;
+  gboolean local = is_local (t, in);
+  double load = (t->in_flight + 1) * t->slowdown;
 
-  if (in->data_centre && t->record.data_centre
-      && strcmp (in->data_centre, t->record.data_centre) == 0)
-    load--;
-  return load;
+  if (in->prefers_local && !local && !CF_WITHOUT_LOCAL_TARGETS)
+    load += get_local_margin (t, in);
+  return (guint)(load / (double)t->record.slots * 1024) * 2 + !local;
 }
 
 /* Selection: the result of comparing all targets of a service. */
@@ -190,6 +234,8 @@
   double share = (double)c->slots / MAX (in->n_gateways, 1);
   double max_in_flight = G_MAXUINT;
 
+  if (in->max_total > 0 && in->in_flight >= ceil (in->max_total))
+    return TRUE;
   if (in->limit > 0)
     max_in_flight = in->yields ? in->limit * YIELD_LIMIT_FRACTION : in->limit;
   else if (in->yields && c->slots > 0)
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -2,6 +2,7 @@
 
 #include "ablation.h"
 #include "log.h"
+#include "service-share.h"
 #include "target-notice.h"
 
 #include <string.h>
@@ -79,6 +80,24 @@
              || strcmp (x->faulty_addr, x->target->record.addr) == 0);
 }
 
+static void
+on_full_pause_end (int revents, void *gateway)
+{
+  cf_exchange_dispatch_queued (gateway);
+}
+
+/* Its target gets no requests for a while.  Queued ones are sent right after
+ * that: calls with short objectives cannot wait for the next regular check. */
+static void
+pause_full_target (CfExchange *x)
+{
+  CfGateway *g = x->gateway;
+
+  x->target->full_until_ms = cf_gateway_now (g) + FULL_TARGET_PAUSE_MS;
+  ev_once (g->loop, -1, 0, (FULL_TARGET_PAUSE_MS + 1) / 1000.0,
+           on_full_pause_end, g);
+}
+
 /* Handles an answer that says "not run": another incarnation has the target's
  * address, or another target, whose address the answer gives, is at fault, or
  * the target itself accepts no work now. */
@@ -111,7 +130,9 @@
   if (t && t != x->target)
     cf_exchange_record_failure (x, t, "named-faulty");
   else
-    x->target->full_until_ms = now + FULL_TARGET_PAUSE_MS;
+    pause_full_target (x);
+  if (!x->faulty_addr)
+    cf_exchange_note_full_target (x);
 }
 
 /* Records that a target of the service processes requests, which ends any
@@ -165,13 +186,55 @@
       &s->latency, cf_exchange_engine_model (x), &x->size);
   e.objective_ms = x->route->objective_ms;
   e.in_flight = s->in_flight;
-  e.fair_share
-      = (double)cf_target_table_slots (&x->gateway->targets, x->service)
-        / MAX (x->gateway->fleet_size, 1);
+  e.in_flight_at_send = x->in_flight_at_send;
+  e.fair_share = cf_service_share_slots (
+      x->gateway, s, cf_target_table_slots (&x->gateway->targets, x->service));
   if (cf_concurrency_limit_add_sample (&s->limit, &e))
     log_overload (x);
 }
 
+/* Returns the mean number of streams at a rank of its service.  Of the other
+ * gateways their demand is known, of which no more than the capacity is at the
+ * ranks; those of unknown demand are taken to have as much as the rest. */
+static double
+estimate_streams_per_rank (const CfExchange *x, guint n_ranks)
+{
+  const CfServiceState *s = x->service_state;
+  guint n_known = s->n_others + 1;
+  double known = s->in_flight + cf_demand_table_total (&s->others);
+  double all = known * MAX (x->gateway->fleet_size, n_known) / n_known;
+
+  if (s->capacity > 0)
+    all = MIN (all, s->capacity);
+  return all / MAX (n_ranks, 1);
+}
+
+/* Adds a pass to those that the pass limit is computed from, and logs changes
+ * of the limit. */
+static void
+update_pass_limit (CfExchange *x, const CfPassRecord *p)
+{
+  const CfEngineModel *e = cf_exchange_engine_model (x);
+  guint n_ranks
+      = cf_target_table_count_usable (&x->gateway->targets, x->service);
+  gint64 now = cf_gateway_now (x->gateway);
+  CfPassLimit *l = &x->service_state->pass_limit;
+  double limit;
+
+  if (!e || !cf_policy_has_urgency_levels (x->policy, x->service))
+    return;
+  cf_pass_limit_add_pass (l, e, cf_pass_record_mean_ms (p),
+                          estimate_streams_per_rank (x, n_ranks), now);
+  limit = cf_pass_limit_get (
+      l, e, cf_policy_gap_objective_ms (x->policy, x->service), now);
+  x->service_state->max_streams_per_rank = limit;
+  x->service_state->pass_ms = now;
+  if (cf_pass_limit_report (l, limit))
+    cf_log (LOG_NOTICE, CF_EV_PASS_LIMIT,
+            "service=%s limit=%.1f slowness=%.2f ranks=%u", x->service, limit,
+            cf_pass_limit_slowness (l, now), n_ranks);
+}
+
 /* Adds an event to the record of passes, and logs the pass that this shows to
  * have ended if it made streams late. */
 static void
@@ -183,7 +246,10 @@
   e.now_ms = cf_gateway_now (x->gateway);
   e.gap_objective_ms = x->route->gap_objective_ms;
   e.prompt_tokens = x->size.prompt;
-  if (!cf_pass_record_add (&x->service_state->pass, &e, &p) || p.late == 0)
+  if (!cf_pass_record_add (&x->service_state->pass, &e, &p))
+    return;
+  update_pass_limit (x, &p);
+  if (p.late == 0)
     return;
   cf_log (LOG_INFO, CF_EV_SLOW_PASS,
           "service=%s ms=%" G_GINT64_FORMAT " streams=%u late=%u begun=%u "
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -4,6 +4,9 @@
 #include "balancer.h"
 #include "forward.h"
 #include "log.h"
+#include "service-share.h"
+
+#include <string.h>
 
 /** Requests that may be queued for each slot of their service.  With more, the
  * last would exceed its queue timeout even at full speed. */
@@ -51,6 +54,14 @@
          || cf_exchange_await_turn (x);
 }
 
+/* Whether @t is known to be in another data centre than this gateway. */
+static gboolean
+is_elsewhere (const CfGateway *g, const CfTarget *t)
+{
+  return g->settings.data_centre && t->record.data_centre
+         && strcmp (g->settings.data_centre, t->record.data_centre) != 0;
+}
+
 static void
 send_to (CfExchange *x, CfTarget *t)
 {
@@ -83,9 +94,18 @@
                          cf_gateway_now (x->gateway));
   x->target = cf_target_ref (t);
   cf_target_request_started (t, cf_gateway_now (x->gateway));
+  x->target_in_flight = t->in_flight;
+  x->keeps_place = FALSE;
+  if (x->waiter.is_retry)
+    {
+      cf_retry_budget_take (&x->service_state->budget);
+      x->gateway->stats.retries++;
+      x->waiter.is_retry = FALSE;
+    }
   cf_rate_limit_consume (&t->limit);
   cf_warmup_consume (&t->warmup, cf_gateway_now (x->gateway));
   cf_exchange_begin_suspect_run (x);
+  cf_org_usage_add (&x->service_state->org_usage, x->waiter.org, 1, 0);
   if (x->service_state->in_flight++ == 0)
     x->service_state->busy_since_ms = cf_gateway_now (x->gateway);
   x->sends++;
@@ -95,10 +115,12 @@
   x->first_work_ms = 0;
   x->is_sound = FALSE;
   x->sent_ms = cf_gateway_now (x->gateway);
+  x->in_flight_at_send = x->service_state->in_flight;
   if (x->route->stream)
     x->expected_first_ms = cf_stream_latency_first_event_ms (
         &x->service_state->latency, cf_exchange_engine_model (x), &x->size);
   x->gateway->stats.sends++;
+  x->gateway->stats.sends_other_dc += is_elsewhere (x->gateway, t);
   g_ptr_array_add (x->tried_targets, cf_target_ref (t));
   x->upstream = cf_upstream_send (x->gateway->loop, t, req, x->id, head_only,
                                   &cf_exchange_upstream_callbacks, x);
@@ -147,43 +169,98 @@
                                                &x->size);
 }
 
-/* (nullable): the newest request in its queue that is as urgent and whose
- * caller has not returned. */
-static CfWaiter *
-newest_unreturned (const CfExchange *x)
+static CfQueueContext
+make_queue_context (const CfGateway *g, CfServiceState *s)
 {
-  CfWaiter *newest = NULL;
-  CfWaiter *w;
+  CfQueueContext c = { .now_ms = cf_gateway_now (g) };
+
+  c.overloaded
+      = cf_concurrency_limit_get (&s->limit) != 0
+        || (s->share.contended && cf_service_share_max_total (g, s) > 0);
+  c.may_not_retry = !cf_retry_budget_has_token (&s->budget);
+  c.grants = s->share.total > 0 ? &s->share.grants : NULL;
+  return c;
+}
+
+/* Writes the slots granted to its organisation, for the log. */
+static const char *
+format_grant (const CfExchange *x, char *buf, gsize n)
+{
+  const CfShare *share = &x->service_state->share;
+
+  if (share->total <= 0)
+    return "-";
+  g_snprintf (buf, n, "%.1f",
+              cf_demand_table_lookup (&share->grants, x->waiter.priority,
+                                      x->waiter.org));
+  return buf;
+}
+
+static void
+log_queued (const CfExchange *x, gint64 limit)
+{
+  char grant[32];
+
+  cf_log (LOG_INFO, CF_EV_QUEUE,
+          "id=%s service=%s org=%s priority=%" G_GINT64_FORMAT
+          " waiting=%u in_flight=%u grant=%s limit_ms=%" G_GINT64_FORMAT,
+          x->id, x->service, x->org ? x->org : "-", x->waiter.priority,
+          x->service_state->queue.n, x->service_state->in_flight,
+          format_grant (x, grant, sizeof grant), limit);
+}
 
-  TAILQ_FOREACH (w, &x->service_state->queue.waiters, link)
-  if (w->priority == x->waiter.priority && !w->returned
-      && (!newest || w->since_ms >= newest->since_ms))
-    newest = w;
-  return newest;
+/* Ends a request for which there is no capacity in time. */
+static void
+end_for_lack_of_capacity (CfExchange *x, const char *reason)
+{
+  if (x->may_have_run)
+    cf_exchange_fail (x, reason);
+  else
+    cf_exchange_refuse_full (x, reason);
 }
 
-/* Adds it to its queue.  If the queue is full, a less urgent request is evicted
- * or, if its caller returned at its time, a new one of the same urgency. */
+/* Ends a request that no target can take in time. */
+static void
+end_unservable (CfExchange *x, const char *reason, gint64 backoff_ms)
+{
+  if (x->may_have_run)
+    cf_exchange_fail (x, reason);
+  else
+    cf_exchange_refuse (x, reason, backoff_ms);
+}
+
+/* Whether the requests ahead of it take much longer than it may wait.  A
+ * request that was sent before has waited already, and is not refused for this.
+ */
 static gboolean
-add_to_queue (CfExchange *x, CfWaiter **evicted)
+is_hopeless (const CfExchange *x, gint64 limit)
 {
-  CfWaitQueue *q = &x->service_state->queue;
-  CfWaiter *newest;
+  CfServiceState *s = x->service_state;
+  CfQueueContext c = make_queue_context (x->gateway, s);
+  CfDrain d = { .hold_ms = s->demand.hold_ms };
 
-  if (cf_wait_queue_add (q, &x->waiter, max_queued (x), evicted))
-    return TRUE;
-  newest = x->waiter.returned ? newest_unreturned (x) : NULL;
-  if (!newest)
+  if (x->sends > 0 || s->outage.since_ms)
     return FALSE;
-  cf_wait_queue_remove (q, newest);
-  cf_wait_queue_add (q, &x->waiter, max_queued (x), evicted);
-  *evicted = newest;
-  return TRUE;
+  /* A gateway that was idle may use its part of the slots at once. */
+  d.slots = cf_service_share_slots (
+      x->gateway, s, cf_target_table_slots (&x->gateway->targets, x->service));
+  d.slots = MAX (d.slots, s->in_flight);
+  return cf_wait_queue_is_hopeless (&s->queue, &x->waiter, &c, &d, limit);
+}
+
+/* Why @evicted makes room for it. */
+static const char *
+get_eviction_reason (const CfExchange *x, const CfWaiter *evicted)
+{
+  if (evicted->priority > x->waiter.priority)
+    return "more-urgent-waits";
+  return x->waiter.returned && !evicted->returned ? "returned-waits"
+                                                  : "queue-full";
 }
 
-/* Queues it until a target has a free slot.  If the queue is full, the least
- * urgent request is refused.  The wait is limited so that enough time remains
- * for the work itself. */
+/* Queues it until a target has a free slot.  If the queue is full, a request is
+ * refused, but not one that is more urgent than others.  The wait is limited so
+ * that enough time remains for the work itself. */
 static void
 enqueue (CfExchange *x)
 {
@@ -192,26 +269,44 @@
                                             cf_exchange_remaining_ms (x));
   CfWaiter *evicted;
 
-  x->waiter.since_ms = now;
+  if (!x->keeps_place)
+    x->waiter.since_ms = now;
   x->waiter.objective_send_by_ms = get_objective_send_by_ms (x);
   x->waiter.deadline_send_by_ms = get_deadline_send_by_ms (x);
-  if (!add_to_queue (x, &evicted))
+  if (is_hopeless (x, limit))
     {
-      if (x->may_have_run)
-        cf_exchange_fail (x, "queue-full");
-      else
-        cf_exchange_refuse_full (x, "queue-full");
+      cf_exchange_refuse_full (x, "no-room");
+      return;
+    }
+  if (!cf_wait_queue_add (&x->service_state->queue, &x->waiter, max_queued (x),
+                          &evicted))
+    {
+      end_for_lack_of_capacity (x, "queue-full");
       return;
     }
   x->gateway->stats.queued++;
-  cf_log (LOG_INFO, CF_EV_QUEUE,
-          "id=%s service=%s priority=%" G_GINT64_FORMAT
-          " waiting=%u in_flight=%u limit_ms=%" G_GINT64_FORMAT,
-          x->id, x->service, x->waiter.priority, x->service_state->queue.n,
-          x->service_state->in_flight, limit);
+  x->gateway->stats.requeued += x->keeps_place;
+  log_queued (x, limit);
   cf_exchange_start_silence_timer (x, limit);
   if (evicted)
-    cf_exchange_refuse_full (evicted->owner, "more-urgent-waits");
+    {
+      x->gateway->stats.evicted++;
+      end_for_lack_of_capacity (evicted->owner,
+                                get_eviction_reason (x, evicted));
+    }
+}
+
+/* Whether targets in this gateway's data centre are used first.  The ranks of a
+ * group step together, so those of a group that is spread over data centres
+ * have to be loaded evenly. */
+static gboolean
+prefers_local (const CfGateway *g, const CfService *sv)
+{
+  if (!g->settings.data_centre)
+    return FALSE;
+  return !sv || sv->engine.sets == 0
+         || (g->n_rank_groups > 0
+             && g->n_local_rank_groups >= g->n_rank_groups);
 }
 
 /* Returns what a target is chosen by.  The result refers to @x. */
@@ -224,6 +319,7 @@
 
   in.service = x->service;
   in.data_centre = g->settings.data_centre;
+  in.prefers_local = prefers_local (g, sv);
   in.homes.route = (const char *const *)x->route->home_regions;
   in.homes.org = x->org
                      ? g_hash_table_lookup (x->policy->org_home_regions, x->org)
@@ -235,6 +331,8 @@
   in.fleet_position = g->fleet_position;
   in.in_flight = x->service_state->in_flight;
   in.limit = cf_concurrency_limit_get (&x->service_state->limit);
+  in.share_fraction = cf_service_share_fraction (g, x->service_state);
+  in.max_total = cf_service_share_max_total (g, x->service_state);
   in.max_conns = sv ? sv->max_conns : 0;
   in.warmup_rule = &x->warmup_rule;
   in.warmup_position = cf_gateway_warmup_position (g);
@@ -254,16 +352,6 @@
   return in;
 }
 
-/* Ends a request that no target can take in time. */
-static void
-end_unservable (CfExchange *x, const char *reason, gint64 backoff_ms)
-{
-  if (x->may_have_run)
-    cf_exchange_fail (x, reason);
-  else
-    cf_exchange_refuse (x, reason, backoff_ms);
-}
-
 /* All remaining targets are at their rate limits: queues it if the limits let
  * it be sent in time, else refuses it at once with a Retry-After. */
 static void
@@ -348,6 +436,24 @@
              || !may_probe (x));
 }
 
+/* Whether it waits for the retry budget. */
+static gboolean
+lacks_token (const CfExchange *x)
+{
+  return x->waiter.is_retry
+         && !cf_retry_budget_has_token (&x->service_state->budget);
+}
+
+/* Whether it may be sent to a target that may refuse it as full.  Half of the
+ * retry budget is left for other failures, and the last attempt is not spent.
+ */
+static gboolean
+may_test_full (const CfExchange *x)
+{
+  return x->sends + 1 < x->route->max_attempts
+         && cf_retry_budget_has_surplus (&x->service_state->budget);
+}
+
 /* Looks for a target in a data centre that no group fails in.  Without it, an
  * outage of one rank group would hold back what the others can serve.  Where
  * there is one group, there is nothing to choose. */
@@ -364,6 +470,7 @@
                             cf_target_table_service (&g->targets, x->service),
                             in.stall_timeout_ms, in.now_ms, &avoided);
   in.avoided = &avoided;
+  in.tests_full = may_test_full (x);
   return avoided.n > 0 && cf_balancer_pick (&g->targets, &in, t) == CF_PICK_OK;
 }
 
@@ -372,6 +479,9 @@
 {
   CfPickInput in = make_pick_input (x);
 
+  if (lacks_token (x))
+    return CF_PICK_FULL;
+  in.tests_full = may_test_full (x);
   if (pick_elsewhere (x, t))
     return CF_PICK_OK;
   if (is_held_back (x))
@@ -392,11 +502,16 @@
 void
 cf_exchange_send_or_queue (CfExchange *x)
 {
+  CfPickResult result;
   CfTarget *t;
 
   if (is_kept_from_targets (x) || cf_exchange_refuse_early (x))
     return;
-  switch (pick_target (x, &t))
+  result = pick_target (x, &t);
+  if (result == CF_PICK_FULL
+      && cf_service_share_refresh (x->gateway, x->service, x->service_state))
+    result = pick_target (x, &t);
+  switch (result)
     {
     case CF_PICK_OK:
       send_to (x, t);
@@ -426,6 +541,8 @@
   gboolean in_budget
       = again && cf_retry_budget_take (&x->service_state->budget);
 
+  gboolean awaits_budget = again && !in_budget && x->keeps_place;
+
   if (!can_be_continued (x))
     {
       cf_exchange_fail (x, reason);
@@ -435,9 +552,10 @@
           "id=%s reason=%s target=%s again=%s budget=%s ran=%s sends=%u "
           "left_ms=%" G_GINT64_FORMAT,
           x->id, reason, cf_exchange_target_id (x), again ? "yes" : "no",
-          !again      ? "not-asked"
-          : in_budget ? "ok"
-                      : "none",
+          !again          ? "not-asked"
+          : in_budget     ? "ok"
+          : awaits_budget ? "awaited"
+                          : "none",
           x->may_have_run ? "maybe" : "no", x->sends,
           cf_exchange_remaining_ms (x));
   cf_exchange_release_target (x, TRUE);
@@ -446,10 +564,22 @@
       x->gateway->stats.retries++;
       cf_exchange_send_or_queue (x);
     }
-  else if (x->may_have_run)
-    cf_exchange_fail (x, reason);
+  else if (awaits_budget)
+    {
+      x->waiter.is_retry = TRUE;
+      cf_exchange_send_or_queue (x);
+    }
   else
-    cf_exchange_refuse_full (x, reason);
+    end_for_lack_of_capacity (x, reason);
+}
+
+void
+cf_exchange_note_full_target (CfExchange *x)
+{
+  cf_target_note_full (x->target, x->target_in_flight,
+                       cf_gateway_now (x->gateway));
+  g_ptr_array_remove (x->tried_targets, x->target);
+  x->keeps_place = TRUE;
 }
 
 /* (nullable): the first queued request that may probe an outage. */
@@ -459,7 +589,7 @@
   CfWaiter *w;
 
   TAILQ_FOREACH (w, &s->queue.waiters, link)
-  if (may_probe (w->owner))
+  if (may_probe (w->owner) && !lacks_token (w->owner))
     return w;
   return NULL;
 }
@@ -469,8 +599,8 @@
 static CfWaiter *
 choose_waiter (const CfGateway *g, CfServiceState *s, CfTarget **t)
 {
-  CfWaiter *w = cf_wait_queue_first (&s->queue, cf_gateway_now (g),
-                                     cf_concurrency_limit_get (&s->limit));
+  CfQueueContext c = make_queue_context (g, s);
+  CfWaiter *w = cf_wait_queue_first (&s->queue, &c);
 
   if (s->outage.since_ms && (!w || !pick_elsewhere (w->owner, t)))
     w = first_probe_candidate (s);
@@ -494,7 +624,7 @@
   cf_histogram_add (&x->gateway->stats.queue_ms,
                     cf_gateway_now (x->gateway) - w->since_ms);
   g->stats.begun_late += cf_gateway_now (g) > w->objective_send_by_ms;
-  cf_wait_queue_remove (&s->queue, w);
+  cf_wait_queue_take (&s->queue, w);
   ev_timer_stop (x->gateway->loop, &x->silence_timer);
   send_to (x, t);
   return TRUE;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -43,6 +43,9 @@
 
   cf_retry_budget_clear (&s->budget);
   cf_dc_health_clear (&s->dc_health);
+  cf_demand_meter_clear (&s->demand);
+  cf_fleet_demand_clear (&s->fleet_demand);
+  cf_org_usage_clear (&s->org_usage);
   cf_return_schedule_clear (&s->returns);
   g_free (s);
 }
@@ -71,6 +74,7 @@
     return s;
   s = g_new0 (CfServiceState, 1);
   cf_wait_queue_init (&s->queue);
+  s->queue.usage = &s->org_usage;
   cf_retry_budget_init (&s->budget,
                         (gint64)(g->settings.retry_ratio * RETRY_SHARE * 100),
                         retry_slack (g));
@@ -121,6 +125,8 @@
   cf_gateway_service_state (g, "");
   cf_gateway_set_fleet_size (g, 0);
   cf_gateway_set_fleet_position (g, g_random_double (), g->fleet_size);
+  cf_gateway_note_data_centre (g, g->settings.control_addr,
+                               g->settings.data_centre);
 }
 
 void
@@ -135,6 +141,8 @@
   g_clear_pointer (&g->suspects_running, g_hash_table_destroy);
   g_clear_pointer (&g->policy, cf_policy_unref);
   g_clear_pointer (&g->policy_json, g_bytes_unref);
+  for (int i = 0; i < CF_SEEDS_MAX; i++)
+    g_clear_pointer (&g->seed_data_centres[i], g_free);
   cf_platform_settings_clear (&g->settings);
 }
 
@@ -445,6 +453,21 @@
   g->recent_fleet.index = (guint)round (ring_start * n) % n;
 }
 
+void
+cf_gateway_note_data_centre (CfGateway *g, const char *addr,
+                             const char *data_centre)
+{
+  for (int i = 0; i < CF_SEEDS_MAX && g->settings.seed_addrs[i]; i++)
+    {
+      if (g_strcmp0 (g->settings.seed_addrs[i], addr) != 0
+          || g_strcmp0 (g->seed_data_centres[i], data_centre) == 0)
+        continue;
+      g_free (g->seed_data_centres[i]);
+      g->seed_data_centres[i]
+          = data_centre && *data_centre ? g_strdup (data_centre) : NULL;
+    }
+}
+
 /* A gateway that has just started takes the fleet for smaller than it is, and
  * would send cold targets too much. */
 CfFleetPosition
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -33,6 +33,14 @@
 typedef TAILQ_HEAD (CfExchangeList, CfExchange) CfExchangeList;
 typedef TAILQ_HEAD (CfCrashProbeList, CfCrashProbe) CfCrashProbeList;
 
+/** CfShareLog: the share of a service as last logged. */
+typedef struct
+{
+  double total;
+  gboolean contended;
+  gint64 logged_ms;
+} CfShareLog;
+
 /** CfServiceState: what this process keeps for each service that it sends
  * requests to. */
 typedef struct
@@ -48,12 +56,22 @@
   CfFleetDemand fleet_demand; /**< of the other gateways */
   CfShare share;              /**< of its capacity; total 0: not computed */
   double capacity;            /**< slots that @share divides; 0: unknown */
+  CfDemandTable own_demand;   /**< as last read from @demand */
+  CfDemandTable others;       /**< the sum that @share was computed with */
+  guint n_others;             /**< gateways that @others covers */
+  gint64 share_ms;            /**< when @share was computed */
+  double demand_sent;         /**< total of @own_demand in the last hello */
+  gboolean is_demand_notable; /**< differs from @demand_sent, in a service with
+                                   little capacity left */
+  CfShareLog share_log;
   CfOrgUsage org_usage;
   CfReturnSchedule returns;
   CfPassLimit pass_limit;
-  guint in_flight;      /**< requests of this gateway at its targets */
-  gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
-  gint64 last_event_ms; /**< when a target last sent part of an answer */
+  double max_streams_per_rank; /**< by @pass_limit; 0: unlimited */
+  gint64 pass_ms;              /**< when the last pass was observed */
+  guint in_flight;             /**< requests of this gateway at its targets */
+  gint64 busy_since_ms;        /**< when @in_flight last rose from 0 */
+  gint64 last_event_ms;        /**< when a target last sent part of an answer */
 } CfServiceState;
 
 /**
@@ -82,7 +100,9 @@
   CfEvacuations evacuations;
   gboolean hello_is_due;    /**< peers are to be notified at once */
   gboolean has_new_returns; /**< peers are to be told of times to return */
-  guint fleet_size; /**< number of gateways that share the retry budget */
+  gint64
+      demand_hello_ms; /**< when peers were last sent this gateway's demand */
+  guint fleet_size;    /**< number of gateways that share the retry budget */
   CfFleetPosition fleet_position; /**< of this gateway among all gateways */
   CfFleetPosition recent_fleet; /**< the largest fleet of the last seconds, and
                                      this gateway's position in it */
@@ -113,6 +133,11 @@
                              unknown */
   guint n_local_rank_groups;   /**< of these, in one data centre each; 0:
                                     unknown */
+  gboolean counts_rank_groups; /**< agents of all known groups report to this
+                                    gateway, so that it does not take
+                                    @n_local_rank_groups from peers */
+  char *seed_data_centres[CF_SEEDS_MAX]; /**< (nullable): by seed: as its last
+                                            hello said */
   guint groups_without_demand; /**< led groups whose ranks send none */
   CfLoopWatch loop_watch;
 };
@@ -215,6 +240,11 @@
 void cf_gateway_set_fleet_position (CfGateway *g, double ring_start,
                                     guint members);
 
+/** cf_gateway_note_data_centre: records that the gateway whose links arrive at
+ * @addr is in @data_centre, if it is a seed.  Empty texts mean unknown. */
+void cf_gateway_note_data_centre (CfGateway *g, const char *addr,
+                                  const char *data_centre);
+
 /** cf_gateway_warmup_position: this gateway's position in the fleet that shares
  * the rates of cold targets; 0 gateways while the fleet is not known. */
 CfFleetPosition cf_gateway_warmup_position (const CfGateway *g);
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -87,6 +87,7 @@
                             "%" G_GUINT64_FORMAT "\n",
                             cf_outcome_name (i), s->outcomes[i]);
   print_counter (out, "sends_total", s->sends);
+  print_counter (out, "sends_other_dc_total", s->sends_other_dc);
   print_counter (out, "retries_total", s->retries);
   print_counter (out, "resumes_total", s->resumes);
   print_counter (out, "store_calls_total", s->store_calls);
@@ -97,6 +98,8 @@
                  s->agent_readings_dropped);
   print_counter (out, "quarantine_refusals_total", s->quarantine_refusals);
   print_counter (out, "queued_total", s->queued);
+  print_counter (out, "evicted_total", s->evicted);
+  print_counter (out, "requeued_total", s->requeued);
   print_counter (out, "unrouted_total", s->unrouted);
   print_counter (out, "begun_late_total", s->begun_late);
   print_counter (out, "returns_due_total", s->returns_due);
--- a/gateway/stats.h
+++ b/gateway/stats.h
@@ -37,9 +37,10 @@
 {
   guint64 requests;
   guint64 outcomes[CF_N_OUTCOMES];
-  guint64 sends;   /**< requests sent, including retries and resumes */
-  guint64 retries; /**< requests sent again after a failure */
-  guint64 resumes; /**< streams resumed at another target */
+  guint64 sends;          /**< requests sent, including retries and resumes */
+  guint64 sends_other_dc; /**< of @sends, to another data centre */
+  guint64 retries;        /**< requests sent again after a failure */
+  guint64 resumes;        /**< streams resumed at another target */
   guint64 store_calls;
   guint64 store_errors;
   guint64 records_rejected;       /**< unreadable target records */
@@ -47,6 +48,8 @@
   guint64 callers_turned_away;    /**< connections closed at the caller limit */
   guint64 quarantine_refusals;    /**< requests that crash targets, refused */
   guint64 queued;                 /**< requests that had to queue */
+  guint64 evicted;     /**< queued requests refused to make room for another */
+  guint64 requeued;    /**< requests queued again after a full target refused */
   guint64 unrouted;    /**< requests that waited for the configuration */
   guint64 begun_late;  /**< queued requests sent too late for their objective */
   guint64 returns_due; /**< refused callers that returned at their time */
--- a/t/t-group-failover.c
+++ b/t/t-group-failover.c
@@ -79,6 +79,44 @@
 }
 END_TEST
 
+static gboolean
+sends_stay_local (int gateway)
+{
+  g_autofree char *metrics = p_round_trip (p_front_port (BASE, gateway) + 3,
+                                           "GET /metrics HTTP/1.1\r\n\r\n");
+
+  return strstr (metrics, "\ncomfrey_sends_other_dc_total 0\n") != NULL;
+}
+
+/* Traffic between data centres is expensive, and about half of the streams
+ * would go to the other group if both were used alike.  Gateway 4 is no seed,
+ * and knows from the others that each group is in one data centre. */
+START_TEST (requests_stay_in_the_data_centre)
+{
+  static const int gateways[] = { 1, 4 };
+  int fds[2][4];
+
+  p_start_ready_gateway (BASE, 4);
+  usleep (1500000);
+  for (int k = 0; k < 2; k++)
+    for (int i = 0; i < 4; i++)
+      {
+        g_autofree char *req = build_stream ();
+
+        fds[k][i] = p_connect (p_front_port (BASE, gateways[k]));
+        p_send (fds[k][i], req);
+      }
+  ck_assert_int_ge (count_in_time (N_STREAMS), N_STREAMS - 1);
+  ck_assert_double_ge (p_sum_runs (RANK_1, N_RANKS, "runs"), N_STREAMS + 8);
+  ck_assert_double_eq (p_sum_runs (RANK_1 + N_RANKS, N_RANKS, "runs"), 0);
+  ck_assert (sends_stay_local (1));
+  ck_assert (sends_stay_local (4));
+  for (int k = 0; k < 2; k++)
+    for (int i = 0; i < 4; i++)
+      close (fds[k][i]);
+}
+END_TEST
+
 /* All streams of a gateway are at the group that stalls. */
 START_TEST (requests_go_to_another_group_while_one_stalls)
 {
@@ -169,6 +207,7 @@
   tcase_add_checked_fixture (t, setup, p_stop_all);
   tcase_add_test (t, requests_go_to_another_group_while_one_is_broken);
   tcase_add_test (t, requests_go_to_another_group_while_one_stalls);
+  tcase_add_test (t, requests_stay_in_the_data_centre);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
--- a/t/t-rank-groups.c
+++ b/t/t-rank-groups.c
@@ -121,6 +121,113 @@
 }
 END_TEST
 
+/* By the configured model, a pass takes 16 ms or more; those of the stand-in
+ * take 60 ms, so that the slots in use are to be limited.  That is so only for
+ * services that routes with different priorities lead to. */
+START_TEST (slow_passes_limit_services_with_several_priorities)
+{
+  static const char route[]
+      = "{\"host\":\"demo.example\",\"prefix\":\"/%s/\",\"kind\":"
+        "\"streaming\",\"timeout-ms\":8000,\"aim-ms\":500,\"priority\":%d,"
+        "\"service\":\"llm\",\"max-attempts\":2,\"resumable\":true,"
+        "\"gap-aim-ms\":120}";
+  g_autofree char *chat = g_strdup_printf (route, "chat", 1);
+  g_autofree char *talk = g_strdup_printf (route, "talk", 2);
+  g_autofree char *config = g_strdup_printf (
+      "{\"version\":2,\"routes\":[%s,%s],\"services\":[{\"name\":\"llm\","
+      "\"engine\":{\"slots\":12,\"step_ms\":4,\"per_seq_ms\":0.9,"
+      "\"stride\":4,\"sets\":2,\"experts\":16,\"places\":6,\"spare\":2}}]}",
+      chat, talk);
+  g_autofree char *log = g_strdup_printf ("t/out/gateway-%d-1.log", BASE_PORT);
+  int fds[4];
+
+  p_start_streams (BASE_PORT, fds, G_N_ELEMENTS (fds));
+  usleep (1000000);
+  ck_assert_uint_eq (p_count_in_log (log, "E1223"), 0);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+  g_free (p_call_standin (BASE_PORT, "POST /test/put?key=op/config", config));
+  ck_assert (p_wait_for_log (log, "config-accept version=2", 3000));
+  p_start_streams (BASE_PORT, fds, G_N_ELEMENTS (fds));
+  ck_assert (p_wait_for_log (log, "E1223 pass-limit service=llm limit=", 3000));
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+}
+END_TEST
+
+/* The agents' counts would cross data centres all the time if the seeds took
+ * the groups in an order that ignores where the ranks are, in which seed N
+ * leads group gN here: all three groups would be led from another one. */
+START_TEST (groups_are_led_from_their_data_centre)
+{
+  static const char *const zones[] = { "dc2", "dc3", "dc1" };
+
+  p_start_platform (BASE_PORT, "--ranks", "4", "--groups", "3",
+                    "--data-centres", "3", "--step-ms", PASS_MS, NULL);
+  for (int n = 1; n <= 3; n++)
+    {
+      p_overrides.zone = zones[n - 1];
+      p_start_gateway (BASE_PORT, n);
+    }
+  for (int i = 0; i < 3 * N_RANKS; i++)
+    p_start_agent (BASE_PORT, FIRST_RANK_PORT + i);
+  for (int n = 1; n <= 3; n++)
+    {
+      g_autofree char *log
+          = g_strdup_printf ("t/out/gateway-%d-%d.log", BASE_PORT, n);
+      g_autofree char *lead = g_strdup_printf (
+          "group=g%d from=settling to=settling why=took-the-lead", n % 3);
+
+      ck_assert_msg (p_wait_for_log (log, lead, 6000), "%s: no %s", log, lead);
+    }
+  usleep (1000000);
+  for (int n = 1; n <= 3; n++)
+    {
+      g_autofree char *log
+          = g_strdup_printf ("t/out/gateway-%d-%d.log", BASE_PORT, n);
+
+      ck_assert_uint_eq (p_count_in_log (log, "why=took-the-lead"), 1);
+    }
+}
+END_TEST
+
+/* After a restart of all gateways one by one, the group of the last one would
+ * otherwise be led from another data centre for good. */
+START_TEST (lead_is_handed_over_to_the_data_centre)
+{
+  static const char lead[] = "group=g0 from=settling to=settling why=took-the";
+  g_autofree char *log_1
+      = g_strdup_printf ("t/out/gateway-%d-1.log", BASE_PORT);
+  g_autofree char *log_3
+      = g_strdup_printf ("t/out/gateway-%d-3.log", BASE_PORT);
+  int fds[3][8];
+  gboolean handed_over = FALSE;
+
+  p_start_platform (BASE_PORT, "--ranks", "4", "--data-centres", "1", "--plain",
+                    "2", "--step-ms", PASS_MS, "--shift-s", "0.4", NULL);
+  p_overrides.zone = "dc2";
+  p_start_ready_gateway (BASE_PORT, 1);
+  for (int i = 0; i < N_RANKS; i++)
+    p_start_agent (BASE_PORT, FIRST_RANK_PORT + i);
+  ck_assert (p_wait_for_log (log_1, lead, 6000));
+  p_overrides.zone = "dc1";
+  p_start_gateway (BASE_PORT, 3);
+  /* Maps change all the time.  Streams end after 8 s. */
+  for (int i = 0; i < 3 && !handed_over; i++)
+    {
+      p_start_streams (BASE_PORT, fds[i], G_N_ELEMENTS (fds[i]));
+      handed_over
+          = p_wait_for_log (log_1, "group=g0 outcome=handed-over", 6000);
+    }
+  ck_assert (handed_over);
+  ck_assert (p_wait_for_log (log_3, lead, 1500));
+  usleep (1000000);
+  ck_assert_uint_eq (p_count_in_log (log_1, lead), 1);
+  ck_assert_uint_eq (p_count_in_log (log_3, lead), 1);
+  ck_assert_double_eq (sum_over_ranks ("mixed"), 0);
+}
+END_TEST
+
 /* The leader is killed while ranks copy experts for seconds.  Although nothing
  * changes at the ranks, the next leader gets their status at once. */
 START_TEST (a_leader_killed_during_a_change_is_succeeded)
@@ -433,12 +540,14 @@
 {
   Suite *s = suite_create ("rank-groups");
   TCase *t = tcase_create ("rank-groups");
+  TCase *several = tcase_create ("several-groups");
 
   tcase_set_timeout (t, 30);
   tcase_add_checked_fixture (t, setup, p_stop_all);
   tcase_add_test (t, requests_wait_while_a_group_forms);
   tcase_add_test (t, a_group_that_stays_broken_refuses_at_once);
   tcase_add_test (t, a_stopping_leader_hands_over_the_lead);
+  tcase_add_test (t, slow_passes_limit_services_with_several_priorities);
   tcase_add_test (t, a_leader_killed_during_a_change_is_succeeded);
   tcase_add_test (t, maps_change_although_orders_are_late);
   tcase_add_test (t, a_change_ends_soon_without_order_answers);
@@ -449,5 +558,10 @@
                        G_N_ELEMENTS (omitted_fields));
   tcase_add_test (t, a_rank_restarts_under_its_id_during_a_change);
   suite_add_tcase (s, t);
+  tcase_set_timeout (several, 40);
+  tcase_add_checked_fixture (several, NULL, p_stop_all);
+  tcase_add_test (several, groups_are_led_from_their_data_centre);
+  tcase_add_test (several, lead_is_handed_over_to_the_data_centre);
+  suite_add_tcase (s, several);
   return t_run_suite (s);
 }
