--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -6,6 +6,8 @@
 #include "log.h"
 #include "service-share.h"
 
+#include <string.h>
+
 /** Requests that may be queued for each slot of their service.  With more, the
  * last would exceed its queue timeout even at full speed. */
 #define QUEUED_PER_SLOT 1
@@ -15,20 +17,8 @@
 /** Guards against refusing a request whose queue timeout and whose targets'
  * pause end together. */
 #define PAUSE_TOLERANCE_MS 1
-
-gint64
-cf_exchange_backoff_ms (const CfExchange *x)
-{
-  const CfServiceState *s = x->service_state;
-
-  if (cf_outage_is_long (&s->outage, cf_gateway_now (x->gateway)))
-    return cf_wait_queue_backoff_ms (CF_NO_CAPACITY_LONG_OUTAGE);
-  if (s->outage.since_ms != 0)
-    return cf_wait_queue_backoff_ms (CF_NO_CAPACITY_OUTAGE);
-  return cf_wait_queue_backoff_ms (cf_concurrency_limit_get (&s->limit) != 0
-                                       ? CF_NO_CAPACITY_OVERLOAD
-                                       : CF_NO_CAPACITY_FULL);
-}
+/** Minimum back-off while all targets pause; most pauses are longer. */
+#define PAUSE_BACKOFF_MS 400
 
 /* Whether another answer can continue what its caller has been sent: nothing,
  * or events whose ids tell what is left.  Other bytes of an answer have no such
@@ -64,6 +54,14 @@
          || cf_exchange_await_turn (x);
 }
 
+/* Whether @t is known to be in another data centre than this gateway. */
+static gboolean
+is_elsewhere (const CfGateway *g, const CfTarget *t)
+{
+  return g->settings.data_centre && t->record.data_centre
+         && strcmp (g->settings.data_centre, t->record.data_centre) != 0;
+}
+
 static void
 send_to (CfExchange *x, CfTarget *t)
 {
@@ -121,6 +119,7 @@
     x->expected_first_ms = cf_stream_latency_first_event_ms (
         &x->service_state->latency, cf_exchange_engine_model (x), &x->size);
   x->gateway->stats.sends++;
+  x->gateway->stats.sends_other_dc += is_elsewhere (x->gateway, t);
   g_ptr_array_add (x->tried_targets, cf_target_ref (t));
   x->upstream = cf_upstream_send (x->gateway->loop, t, req, x->id, head_only,
                                   &cf_exchange_upstream_callbacks, x);
@@ -174,7 +173,9 @@
 {
   CfQueueContext c = { .now_ms = cf_gateway_now (g) };
 
-  c.overloaded = cf_concurrency_limit_get (&s->limit) != 0;
+  c.overloaded
+      = cf_concurrency_limit_get (&s->limit) != 0
+        || (s->share.contended && cf_service_share_max_total (g, s) > 0);
   c.may_not_retry = !cf_retry_budget_has_token (&s->budget);
   c.grants = s->share.total > 0 ? &s->share.grants : NULL;
   return c;
@@ -207,6 +208,16 @@
           format_grant (x, grant, sizeof grant), limit);
 }
 
+/* Ends a request for which there is no capacity in time. */
+static void
+end_for_lack_of_capacity (CfExchange *x, const char *reason)
+{
+  if (x->may_have_run)
+    cf_exchange_fail (x, reason);
+  else
+    cf_exchange_refuse_full (x, reason);
+}
+
 /* Ends a request that no target can take in time. */
 static void
 end_unservable (CfExchange *x, const char *reason, gint64 backoff_ms)
@@ -230,8 +241,8 @@
   if (x->sends > 0 || s->outage.since_ms)
     return FALSE;
   /* A gateway that was idle may use its part of the slots at once. */
-  d.slots = (double)cf_target_table_slots (&x->gateway->targets, x->service)
-            / MAX (x->gateway->fleet_size, 1);
+  d.slots = cf_service_share_slots (
+      x->gateway, s, cf_target_table_slots (&x->gateway->targets, x->service));
   d.slots = MAX (d.slots, s->in_flight);
   return cf_wait_queue_is_hopeless (&s->queue, &x->waiter, &c, &d, limit);
 }
@@ -253,13 +264,13 @@
   x->waiter.deadline_send_by_ms = get_deadline_send_by_ms (x);
   if (is_hopeless (x, limit))
     {
-      cf_exchange_refuse (x, "no-room", cf_exchange_backoff_ms (x));
+      cf_exchange_refuse_full (x, "no-room");
       return;
     }
   if (!cf_wait_queue_add (&x->service_state->queue, &x->waiter, max_queued (x),
                           &evicted))
     {
-      end_unservable (x, "queue-full", cf_exchange_backoff_ms (x));
+      end_for_lack_of_capacity (x, "queue-full");
       return;
     }
   x->gateway->stats.queued++;
@@ -269,14 +280,26 @@
   if (evicted)
     {
       x->gateway->stats.evicted++;
-      end_unservable (evicted->owner,
-                      evicted->priority > x->waiter.priority
-                          ? "more-urgent-waits"
-                          : "queue-full",
-                      cf_exchange_backoff_ms (x));
+      end_for_lack_of_capacity (evicted->owner,
+                                evicted->priority > x->waiter.priority
+                                    ? "more-urgent-waits"
+                                    : "queue-full");
     }
 }
 
+/* Whether targets in this gateway's data centre are used first.  The ranks of a
+ * group step together, so those of a group that is spread over data centres
+ * have to be loaded evenly. */
+static gboolean
+prefers_local (const CfGateway *g, const CfService *sv)
+{
+  if (!g->settings.data_centre)
+    return FALSE;
+  return !sv || sv->engine.sets == 0
+         || (g->n_rank_groups > 0
+             && g->n_local_rank_groups >= g->n_rank_groups);
+}
+
 /* Returns what a target is chosen by.  The result refers to @x. */
 static CfPickInput
 make_pick_input (const CfExchange *x)
@@ -287,6 +310,7 @@
 
   in.service = x->service;
   in.data_centre = g->settings.data_centre;
+  in.prefers_local = prefers_local (g, sv);
   in.homes.route = (const char *const *)x->route->home_regions;
   in.homes.org = x->org
                      ? g_hash_table_lookup (x->policy->org_home_regions, x->org)
@@ -299,7 +323,7 @@
   in.in_flight = x->service_state->in_flight;
   in.limit = cf_concurrency_limit_get (&x->service_state->limit);
   in.share_fraction = cf_service_share_fraction (g, x->service_state);
-  in.max_total = cf_service_share_max_total (x->service_state);
+  in.max_total = cf_service_share_max_total (g, x->service_state);
   in.max_conns = sv ? sv->max_conns : 0;
   in.warmup_rule = &x->warmup_rule;
   in.warmup_position = cf_gateway_warmup_position (g);
@@ -333,8 +357,10 @@
 
   if (per_s > 0 && wait_ms <= (double)limit)
     enqueue (x);
+  else if (x->may_have_run)
+    cf_exchange_fail (x, "rate-limited");
   else
-    end_unservable (x, "rate-limited", cf_exchange_backoff_ms (x));
+    cf_exchange_refuse_rate_limited (x, "rate-limited", per_s);
 }
 
 /* How long it has to wait until the first of all targets that it may be sent to
@@ -350,7 +376,7 @@
 static void
 end_paused (CfExchange *x)
 {
-  end_unservable (x, "targets-paused", cf_exchange_backoff_ms (x));
+  end_unservable (x, "targets-paused", PAUSE_BACKOFF_MS);
 }
 
 static void
@@ -469,7 +495,7 @@
 {
   CfTarget *t;
 
-  if (is_kept_from_targets (x))
+  if (is_kept_from_targets (x) || cf_exchange_refuse_early (x))
     return;
   switch (pick_target (x, &t))
     {
@@ -478,7 +504,7 @@
       break;
     case CF_PICK_FULL:
       if (is_wait_futile (x))
-        cf_exchange_refuse (x, "outage", cf_exchange_backoff_ms (x));
+        cf_exchange_refuse_full (x, "outage");
       else
         enqueue (x);
       break;
@@ -530,7 +556,7 @@
       cf_exchange_send_or_queue (x);
     }
   else
-    end_unservable (x, reason, cf_exchange_backoff_ms (x));
+    end_for_lack_of_capacity (x, reason);
 }
 
 void
@@ -672,6 +698,5 @@
   else if (x->may_have_run)
     cf_exchange_fail (x, "no-room");
   else
-    cf_exchange_refuse (x, outage ? "outage" : "no-room",
-                        cf_exchange_backoff_ms (x));
+    cf_exchange_refuse_full (x, outage ? "outage" : "no-room");
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -46,6 +46,7 @@
   cf_demand_meter_clear (&s->demand);
   cf_fleet_demand_clear (&s->fleet_demand);
   cf_org_usage_clear (&s->org_usage);
+  cf_return_schedule_clear (&s->returns);
   g_free (s);
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -65,9 +65,11 @@
   CfOrgUsage org_usage;
   CfReturnSchedule returns;
   CfPassLimit pass_limit;
-  guint in_flight;      /**< requests of this gateway at its targets */
-  gint64 busy_since_ms; /**< when @in_flight last rose from 0 */
-  gint64 last_event_ms; /**< when a target last sent part of an answer */
+  double max_streams_per_rank; /**< by @pass_limit; 0: unlimited */
+  gint64 pass_ms;              /**< when the last pass was observed */
+  guint in_flight;             /**< requests of this gateway at its targets */
+  gint64 busy_since_ms;        /**< when @in_flight last rose from 0 */
+  gint64 last_event_ms;        /**< when a target last sent part of an answer */
 } CfServiceState;
 
 /**
@@ -94,7 +96,8 @@
                                      reflects; revision 0: none was read */
   gint64 targets_confirmed_ms;  /**< when the store last confirmed @targets */
   CfEvacuations evacuations;
-  gboolean hello_is_due; /**< peers are to be notified at once */
+  gboolean hello_is_due;    /**< peers are to be notified at once */
+  gboolean has_new_returns; /**< peers are to be told of times to return */
   gint64
       demand_hello_ms; /**< when peers were last sent this gateway's demand */
   guint fleet_size;    /**< number of gateways that share the retry budget */
@@ -126,8 +129,11 @@
   CfReadingLog dropped; /**< what ranks, agents and peers sent in vain */
   guint n_rank_groups;  /**< rank groups known to this gateway or a peer; 0:
                              unknown */
-  guint n_local_rank_groups; /**< of these, in one data centre each; 0:
-                                  unknown */
+  guint n_local_rank_groups;   /**< of these, in one data centre each; 0:
+                                    unknown */
+  gboolean counts_rank_groups; /**< agents of all known groups report to this
+                                    gateway, so that it does not take
+                                    @n_local_rank_groups from peers */
   char *seed_data_centres[CF_SEEDS_MAX]; /**< (nullable): by seed: as its last
                                             hello said */
   guint groups_without_demand; /**< led groups whose ranks send none */
--- a/gateway/reading-log.c
+++ b/gateway/reading-log.c
@@ -32,6 +32,8 @@
       return "evacuation";
     case CF_READING_SERVICE_DEMAND:
       return "service-demand";
+    case CF_READING_RETURN:
+      return "return";
     case CF_N_READING_KINDS:
       break;
     }
--- a/gateway/stats.c
+++ b/gateway/stats.c
@@ -87,6 +87,7 @@
                             "%" G_GUINT64_FORMAT "\n",
                             cf_outcome_name (i), s->outcomes[i]);
   print_counter (out, "sends_total", s->sends);
+  print_counter (out, "sends_other_dc_total", s->sends_other_dc);
   print_counter (out, "retries_total", s->retries);
   print_counter (out, "resumes_total", s->resumes);
   print_counter (out, "store_calls_total", s->store_calls);
@@ -101,6 +102,9 @@
   print_counter (out, "requeued_total", s->requeued);
   print_counter (out, "unrouted_total", s->unrouted);
   print_counter (out, "begun_late_total", s->begun_late);
+  print_counter (out, "returns_due_total", s->returns_due);
+  print_counter (out, "returns_early_total", s->returns_early);
+  print_counter (out, "returns_refused_total", s->returns_refused);
   print_histogram (out, "first_event_ms", &s->first_ms);
   print_histogram (out, "answer_ms", &s->whole_ms);
   print_histogram (out, "event_pause_ms", &s->pause_ms);
