fleet-demand: ignore demand that flips each message

A peer whose demand goes up and down with each message made the shares of all gateways jump.

A load that moves every second is not affected, nor is random demand of a few slots.

--- a/gateway/fleet-demand.c
+++ b/gateway/fleet-demand.c
@@ -6,12 +6,26 @@
  * gateways. */
 #define GATEWAYS_MAX 1024
 
+/** Demand that rises or falls by this factor, to or from this many slots, from
+ * one message to the next has changed abruptly. */
+#define ABRUPT_FACTOR 3.0
+#define ABRUPT_SLOTS 8.0
+/** Abrupt changes in a row, each in the opposite direction of the one before,
+ * that demand does not have: it is averaged over half a second, and a change is
+ * stated within 100 ms. */
+#define REVERSALS_MAX 6
+/** Demand that has changed like this is not used for this time. */
+#define ERRATIC_MS 10000
+
 /** Stated: what a gateway has stated. */
 typedef struct
 {
   CfDemandTable table;
   guint n_gateways; /* that @table covers */
   gint64 received_ms;
+  int direction; /* of the latest abrupt change; 0: none */
+  guint n_reversals;
+  gint64 erratic_until_ms;
   gboolean is_summed;   /* @summed is part of the sum of direct tables */
   CfDemandTable summed; /* @table when the sum was made */
 } Stated;
@@ -27,7 +41,8 @@
 static gboolean
 is_current (const Stated *s, gint64 now_ms)
 {
-  return now_ms - s->received_ms < TABLE_TIMEOUT_MS;
+  return now_ms - s->received_ms < TABLE_TIMEOUT_MS
+         && now_ms >= s->erratic_until_ms;
 }
 
 static gboolean
@@ -57,32 +72,64 @@
   return s;
 }
 
+/* Returns the direction of an abrupt change from @from to @to slots; 0 if it is
+ * none. */
+static int
+get_abrupt_direction (double from, double to)
+{
+  if (MAX (from, to) < ABRUPT_SLOTS
+      || MAX (from, to) < ABRUPT_FACTOR * MIN (from, to))
+    return 0;
+  return to > from ? 1 : -1;
+}
+
+/* Updates whether the demand that @s states goes up and down with each message.
+ * Two seeds have two links, on which the same demand is stated twice. */
 static void
+check_change (Stated *s, double from, double to, gint64 now_ms)
+{
+  int direction = get_abrupt_direction (from, to);
+
+  if (to == from)
+    return;
+  if (direction != 0 && direction == -s->direction)
+    s->n_reversals++;
+  else
+    s->n_reversals = 0;
+  s->direction = direction;
+  if (s->n_reversals >= REVERSALS_MAX)
+    s->erratic_until_ms = now_ms + ERRATIC_MS;
+}
+
+static gboolean
 put (GHashTable **table, const char *addr, guint n_gateways,
      const CfDemandTable *t, gint64 now_ms)
 {
   Stated *s = get_stated (table, addr, now_ms);
 
   if (!s)
-    return;
+    return FALSE;
+  check_change (s, cf_demand_table_total (&s->table), cf_demand_table_total (t),
+                now_ms);
   s->table = *t;
   s->n_gateways = n_gateways;
   s->received_ms = now_ms;
+  return is_current (s, now_ms);
 }
 
-void
+gboolean
 cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
                             const CfDemandTable *own, gint64 now_ms)
 {
-  put (&f->direct, addr, 1, own, now_ms);
+  return put (&f->direct, addr, 1, own, now_ms);
 }
 
-void
+gboolean
 cf_fleet_demand_put_relayed (CfFleetDemand *f, const char *addr,
                              guint n_gateways, const CfDemandTable *others,
                              gint64 now_ms)
 {
-  put (&f->relayed, addr, n_gateways, others, now_ms);
+  return put (&f->relayed, addr, n_gateways, others, now_ms);
 }
 
 void
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -276,6 +276,8 @@
 {
   double max = get_max_demand (s);
   gint64 now = cf_gateway_now (g);
+  gboolean own_is_used;
+  gboolean others_are_used;
 
   if (!cf_demand_table_is_valid (&d->own, max)
       || !cf_demand_table_is_valid (&d->others, max))
@@ -285,9 +287,13 @@
       cf_fleet_demand_remove (&s->fleet_demand, peer);
       return;
     }
-  cf_fleet_demand_put_direct (&s->fleet_demand, peer, &d->own, now);
-  cf_fleet_demand_put_relayed (&s->fleet_demand, peer, d->n_others, &d->others,
-                               now);
+  own_is_used
+      = cf_fleet_demand_put_direct (&s->fleet_demand, peer, &d->own, now);
+  others_are_used = cf_fleet_demand_put_relayed (&s->fleet_demand, peer,
+                                                 d->n_others, &d->others, now);
+  if (!own_is_used || !others_are_used)
+    cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
+                             "demand differs in each message");
 }
 
 void
--- a/t/t-fleet-demand.c
+++ b/t/t-fleet-demand.c
@@ -143,6 +143,53 @@
 }
 END_TEST
 
+/* Such a peer would make the shares of all gateways jump: its demand is taken
+ * for unknown, so that it keeps its even share. */
+START_TEST (demand_that_differs_in_each_message_is_not_used)
+{
+  gint64 now = NOW;
+
+  put_direct ("b", 5, now);
+  for (int i = 0; i < 16; i++, now += 50)
+    put_direct ("a", i / 2 % 2 ? 30 : 2, now);
+  check_others (now, 1, 5);
+  /* Steady demand is used again, after a while. */
+  for (int i = 0; i < 150; i++, now += 100)
+    put_direct ("a", 30, now);
+  check_others (now, 1, 30);
+}
+END_TEST
+
+START_TEST (relayed_sum_that_differs_in_each_message_is_not_used)
+{
+  gint64 now = NOW;
+
+  for (int i = 0; i < 8; i++, now += 100)
+    {
+      put_relayed ("seed-1", 6, i % 2 ? 300 : 10, now);
+      put_relayed ("seed-2", 5, 50, now);
+    }
+  check_others (now, 5, 50);
+}
+END_TEST
+
+/* A load that moves every second, or is random but small, is no fault. */
+START_TEST (moving_and_random_demand_is_used)
+{
+  double slots = 0;
+
+  for (int i = 0; i < 600; i++)
+    {
+      gint64 now = NOW + i * 100;
+
+      slots += ((i / 10 % 2 ? 30 : 0) - slots) * 0.2;
+      put_direct ("a", slots, now);
+      put_direct ("b", i % 3, now);
+      check_others (now, 2, slots + i % 3);
+    }
+}
+END_TEST
+
 /* Addresses are stated by peers: a faulty one may state any number of them. */
 START_TEST (gateways_are_bounded)
 {
@@ -173,6 +220,9 @@
   tcase_add_test (t, relayed_sum_with_most_gateways_is_used);
   tcase_add_test (t, newest_of_equal_sums_is_used);
   tcase_add_test (t, direct_tables_precede_sums_of_as_many);
+  tcase_add_test (t, demand_that_differs_in_each_message_is_not_used);
+  tcase_add_test (t, relayed_sum_that_differs_in_each_message_is_not_used);
+  tcase_add_test (t, moving_and_random_demand_is_used);
   tcase_add_test (t, gateways_are_bounded);
   suite_add_tcase (s, t);
   return t_run_suite (s);
