fleet-demand: keep the sum of direct tables

The check of t-fleet-demand that the sum stays as it was made is replaced by one that it follows each message, and one that it does not drift in 20000 messages.

--- a/gateway/fleet-demand.c
+++ b/gateway/fleet-demand.c
@@ -17,6 +17,10 @@
 /** Demand that has changed like this is not used for this time. */
 #define ERRATIC_MS 10000
 
+/** The sum is made anew after this time: organisations that were merged in it
+ * stay merged when it is only updated. */
+#define SUM_MAX_AGE_MS 1000
+
 /** Stated: what a gateway has stated. */
 typedef struct
 {
@@ -26,8 +30,7 @@
   int direction; /* of the latest abrupt change; 0: none */
   guint n_reversals;
   gint64 erratic_until_ms;
-  gboolean is_summed;   /* @summed is part of the sum of direct tables */
-  CfDemandTable summed; /* @table when the sum was made */
+  gboolean is_summed; /* @table is part of the sum of direct tables */
 } Stated;
 
 void
@@ -45,10 +48,12 @@
          && now_ms >= s->erratic_until_ms;
 }
 
+/* True for what is not part of a sum and not used. */
 static gboolean
-is_expired_entry (gpointer addr, gpointer stated, gpointer now_ms)
+is_unused_entry (gpointer addr, gpointer stated, gpointer now_ms)
 {
-  return !is_current (stated, *(const gint64 *)now_ms);
+  return !((Stated *)stated)->is_summed
+         && !is_current (stated, *(const gint64 *)now_ms);
 }
 
 /* Returns what @addr has stated, to be overwritten; %NULL if there are too many
@@ -64,7 +69,7 @@
   if (s)
     return s;
   if (g_hash_table_size (*table) >= GATEWAYS_MAX)
-    g_hash_table_foreach_remove (*table, is_expired_entry, &now_ms);
+    g_hash_table_foreach_remove (*table, is_unused_entry, &now_ms);
   if (g_hash_table_size (*table) >= GATEWAYS_MAX)
     return NULL;
   s = g_new0 (Stated, 1);
@@ -117,11 +122,25 @@
   return is_current (s, now_ms);
 }
 
-gboolean
-cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
-                            const CfDemandTable *own, gint64 now_ms)
+/* Takes the table of gateway @addr out of the sum. */
+static void
+subtract (CfFleetDemand *f, const char *addr)
+{
+  Stated *s = f->direct ? g_hash_table_lookup (f->direct, addr) : NULL;
+
+  if (!s || !s->is_summed)
+    return;
+  cf_demand_table_subtract (&f->sum, &s->table);
+  s->is_summed = FALSE;
+  f->n_summed--;
+}
+
+static void
+add_to_sum (CfFleetDemand *f, Stated *s)
 {
-  return put (&f->direct, addr, 1, own, now_ms);
+  cf_demand_table_merge (&f->sum, &s->table);
+  s->is_summed = TRUE;
+  f->n_summed++;
 }
 
 gboolean
@@ -135,36 +154,62 @@
 void
 cf_fleet_demand_remove (CfFleetDemand *f, const char *addr)
 {
+  subtract (f, addr);
   if (f->direct)
     g_hash_table_remove (f->direct, addr);
   if (f->relayed)
     g_hash_table_remove (f->relayed, addr);
 }
 
+/* True if the sum contains a table that has expired, or is old. */
+static gboolean
+is_sum_outdated (const CfFleetDemand *f, gint64 now_ms)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  if (now_ms - f->summed_ms >= SUM_MAX_AGE_MS)
+    return TRUE;
+  g_hash_table_iter_init (&it, f->direct);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (((Stated *)value)->is_summed && !is_current (value, now_ms))
+      return TRUE;
+  return FALSE;
+}
+
 static void
-sum_direct (CfFleetDemand *f, gint64 now_ms)
+update_sum (CfFleetDemand *f, gint64 now_ms)
 {
   GHashTableIter it;
   gpointer value;
 
+  if (!f->direct || !is_sum_outdated (f, now_ms))
+    return;
   f->sum.n = 0;
   f->n_summed = 0;
-  if (!f->direct)
-    return;
+  f->summed_ms = now_ms;
   g_hash_table_iter_init (&it, f->direct);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      Stated *s = value;
-
-      s->is_summed = is_current (s, now_ms);
-      if (!s->is_summed)
-        continue;
-      s->summed = s->table;
-      cf_demand_table_merge (&f->sum, &s->summed);
-      f->n_summed++;
+      ((Stated *)value)->is_summed = FALSE;
+      if (is_current (value, now_ms))
+        add_to_sum (f, value);
     }
 }
 
+gboolean
+cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
+                            const CfDemandTable *own, gint64 now_ms)
+{
+  if (f->direct && g_hash_table_size (f->direct) >= GATEWAYS_MAX)
+    update_sum (f, now_ms); /* so that expired tables can be removed */
+  subtract (f, addr);
+  if (!put (&f->direct, addr, 1, own, now_ms))
+    return FALSE;
+  add_to_sum (f, g_hash_table_lookup (f->direct, addr));
+  return TRUE;
+}
+
 guint
 cf_fleet_demand_sum_direct (const CfFleetDemand *f, const char *except,
                             CfDemandTable *out)
@@ -175,7 +220,7 @@
   *out = f->sum;
   if (!s || !s->is_summed)
     return f->n_summed;
-  cf_demand_table_subtract (out, &s->summed);
+  cf_demand_table_subtract (out, &s->table);
   return f->n_summed - 1;
 }
 
@@ -225,7 +270,7 @@
   const Stated *sender = NULL;
   guint n_relayed = find_best_relayed (f, now_ms, &best, &sender);
 
-  sum_direct (f, now_ms);
+  update_sum (f, now_ms);
   *out = f->sum;
   if (n_relayed <= f->n_summed)
     return f->n_summed;
--- a/gateway/fleet-demand.h
+++ b/gateway/fleet-demand.h
@@ -13,8 +13,9 @@
 {
   GHashTable *direct;  /**< (nullable): gateway -> its own table */
   GHashTable *relayed; /**< (nullable): seed -> its sum over other gateways */
-  CfDemandTable sum;   /**< of the direct tables, when last added up */
+  CfDemandTable sum;   /**< of the direct tables */
   guint n_summed;      /**< gateways in @sum */
+  gint64 summed_ms;    /**< when @sum was last made anew */
 } CfFleetDemand;
 
 void cf_fleet_demand_clear (CfFleetDemand *f);
@@ -44,7 +45,7 @@
 
 /**
  * cf_fleet_demand_get_others:
- * Adds up the direct tables.
+ * Drops expired tables from the sum of the direct ones.
  * @out: (out): the demand of all other gateways, as far as it is known: direct
  *   tables, or a relayed sum and its sender's own table, whichever covers more
  * Returns: the number of gateways that it covers.
@@ -54,10 +55,12 @@
 
 /**
  * cf_fleet_demand_sum_direct:
- * The sum of the direct tables at the latest cf_fleet_demand_get_others(): a
- * seed sends one to each gateway, and adding up all tables for each would take
- * it 80 ms in a fleet of 208.
+ * The sum of the direct tables, with those that have expired since the latest
+ * cf_fleet_demand_get_others().  A seed sends one to each gateway; the sum is
+ * kept, since adding up all tables for each would take it 80 ms in a fleet of
+ * 208.
  * @except: (nullable): gateway to leave out
+ * @out: (out): the sum
  * Returns: the number of gateways that it covers.
  */
 guint cf_fleet_demand_sum_direct (const CfFleetDemand *f, const char *except,
--- a/t/t-fleet-demand.c
+++ b/t/t-fleet-demand.c
@@ -71,8 +71,8 @@
 }
 END_TEST
 
-/* A gateway's own demand must not be sent back to it as that of others, also if
- * it has stated another one since the sum was made. */
+/* A gateway's own demand must not be sent back to it as that of others, and the
+ * sum, which is kept, must follow each message. */
 START_TEST (recipient_is_left_out_of_sum)
 {
   put_direct ("a", 1, NOW);
@@ -80,11 +80,33 @@
   check_others (NOW, 2, 3);
   put_direct ("a", 50, NOW);
   put_direct ("c", 70, NOW);
-  ck_assert_uint_eq (cf_fleet_demand_sum_direct (&fleet, "a", &out), 1);
-  ck_assert_double_eq_tol (cf_demand_table_total (&out), 2, 1e-9);
+  ck_assert_uint_eq (cf_fleet_demand_sum_direct (&fleet, "a", &out), 2);
+  ck_assert_double_eq_tol (cf_demand_table_total (&out), 72, 1e-9);
   ck_assert_uint_eq (cf_fleet_demand_sum_direct (&fleet, "c", &out), 2);
-  ck_assert_double_eq_tol (cf_demand_table_total (&out), 3, 1e-9);
-  check_others (NOW, 3, 122);
+  ck_assert_double_eq_tol (cf_demand_table_total (&out), 52, 1e-9);
+  cf_fleet_demand_remove (&fleet, "b");
+  check_others (NOW, 2, 120);
+}
+END_TEST
+
+/* The kept sum is the sum of the tables, whatever was stated before. */
+START_TEST (kept_sum_does_not_drift)
+{
+  for (int i = 0; i < 20000; i++)
+    {
+      g_autofree char *addr = g_strdup_printf ("g-%d", i * 7 % 50);
+      CfDemandTable t = { 0 };
+
+      for (guint32 org = 1; org <= 40; org++)
+        {
+          const CfDemand d = { org % 2, org * (i % 5 + 1), 1, org * 0.1 };
+
+          cf_demand_table_add (&t, &d);
+        }
+      cf_fleet_demand_put_direct (&fleet, addr, &t, NOW + i / 10);
+      if (i >= 50)
+        check_others (NOW + i / 10, 50, 50 * 82.0);
+    }
 }
 END_TEST
 
@@ -215,6 +237,7 @@
   tcase_add_test (t, nothing_is_known_at_first);
   tcase_add_test (t, direct_tables_are_added_up);
   tcase_add_test (t, recipient_is_left_out_of_sum);
+  tcase_add_test (t, kept_sum_does_not_drift);
   tcase_add_test (t, tables_expire);
   tcase_add_test (t, removed_gateway_is_forgotten);
   tcase_add_test (t, relayed_sum_with_most_gateways_is_used);
