wait-queue: let a blocked minimum share be skipped

Cause: while the minimum share of a less urgent level was due, only its waiter was tried. A late one that has to leave slots free got no target then, and urgent requests behind it that could be sent waited with it.

Change: if that waiter gets no target, the queue is asked again with CfQueueContext.skips_floor, outside of outages. The minimum share stays due.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -604,6 +604,13 @@
 
   if (s->outage.since_ms && (!w || !pick_elsewhere (w->owner, t)))
     w = first_probe_candidate (s);
+  if (!w || pick_target (w->owner, t) == CF_PICK_OK)
+    return w;
+  if (s->outage.since_ms || !cf_wait_queue_is_floor_due (&s->queue))
+    return NULL;
+  /* A late request may have to leave slots free that others may use. */
+  c.skips_floor = TRUE;
+  w = cf_wait_queue_first (&s->queue, &c);
   return w && pick_target (w->owner, t) == CF_PICK_OK ? w : NULL;
 }
 
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -224,8 +224,8 @@
   count_waiter (q, w, -1);
 }
 
-static gboolean
-is_floor_due (const CfWaitQueue *q)
+gboolean
+cf_wait_queue_is_floor_due (const CfWaitQueue *q)
 {
   return q->n_before_floor >= FLOOR_INTERVAL - 1;
 }
@@ -239,7 +239,8 @@
   cf_wait_queue_remove (q, w);
   if (first == last)
     return;
-  if (w->priority == last || (is_floor_due (q) && w->priority > first))
+  if (w->priority == last
+      || (cf_wait_queue_is_floor_due (q) && w->priority > first))
     {
       q->n_before_floor = 0;
       q->floor_priority = w->priority;
@@ -430,7 +431,7 @@
 
   if (!first)
     return NULL;
-  if (is_floor_due (q))
+  if (cf_wait_queue_is_floor_due (q) && !c->skips_floor)
     {
       CfWaiter *level = find_floor_level (q);
 
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -91,6 +91,8 @@
    * each would be sent just as it becomes late. */
   gboolean overloaded;
   gboolean may_not_retry;      /**< passes over waiters that are retries */
+  gboolean skips_floor;        /**< ignores the minimum share, as the waiter
+                                    that it favours cannot be sent now */
   const CfDemandTable *grants; /**< (nullable): slots for each organisation;
                                     %NULL: equal parts */
 } CfQueueContext;
@@ -99,6 +101,10 @@
  * is none, or all are passed over. */
 CfWaiter *cf_wait_queue_first (const CfWaitQueue *q, const CfQueueContext *c);
 
+/** cf_wait_queue_is_floor_due: whether the minimum share of less urgent levels
+ * determines what cf_wait_queue_first() returns. */
+gboolean cf_wait_queue_is_floor_due (const CfWaitQueue *q);
+
 /** CfDrain: how fast waiting requests can be sent. */
 typedef struct
 {
--- a/t/t-wait-queue.c
+++ b/t/t-wait-queue.c
@@ -488,6 +488,38 @@
 }
 END_TEST
 
+/* Guards against urgent requests that are held up by a less urgent one whose
+ * minimum share is due and that cannot be sent. */
+START_TEST (minimum_share_can_be_skipped)
+{
+  CfWaiter w[25] = { 0 };
+  CfWaiter late = { .priority = 2, .deadline_send_by_ms = 100 };
+  CfQueueContext c = { .now_ms = 50 };
+  CfWaiter *evicted;
+  CfWaitQueue q;
+
+  cf_wait_queue_init (&q);
+  cf_wait_queue_add (&q, &late, 99, &evicted);
+  for (guint i = 0; i < G_N_ELEMENTS (w); i++)
+    {
+      w[i].objective_send_by_ms = 100;
+      cf_wait_queue_add (&q, &w[i], 99, &evicted);
+    }
+  for (guint i = 0; i < 19; i++)
+    {
+      ck_assert (!cf_wait_queue_is_floor_due (&q));
+      cf_wait_queue_take (&q, cf_wait_queue_first (&q, &c));
+    }
+  ck_assert (cf_wait_queue_is_floor_due (&q));
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, &c), &late);
+  c.skips_floor = TRUE;
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, &c), &w[19]);
+  cf_wait_queue_take (&q, &w[19]);
+  c.skips_floor = FALSE;
+  ck_assert_ptr_eq (cf_wait_queue_first (&q, &c), &late);
+}
+END_TEST
+
 /* A full queue, a new request, and which of them is refused ("n": the new
  * one). */
 typedef struct
@@ -930,6 +962,7 @@
                        G_N_ELEMENTS (hopeless));
   tcase_add_test (t, retries_without_budget_are_passed_over);
   tcase_add_test (t, one_in_twenty_is_less_urgent);
+  tcase_add_test (t, minimum_share_can_be_skipped);
   tcase_add_loop_test (t, largest_organisation_makes_room, 0,
                        G_N_ELEMENTS (evictions));
   tcase_add_loop_test (t, load_is_served_in_order, 0, G_N_ELEMENTS (loads));
