exchange-send: send waiting requests before new ones

Cause: a new request looked for a target without looking at the queue. Where room had opened since the last regular check (rate tokens, the raise of a full limit, a grown share), a less urgent newcomer took it from those that waited.

Change: while the queue would put a waiter before the new request (urgency, organisation, return, lateness as for queued ones), waiters that can be sent are sent first: before the first pick, and again after the share was recomputed. It costs one failed pick at most, and nothing while nobody waits.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -258,21 +258,27 @@
                                                   : "queue-full";
 }
 
+/* Sets the times that its place in the queue depends on. */
+static void
+set_waiter_times (CfExchange *x)
+{
+  if (!x->keeps_place)
+    x->waiter.since_ms = cf_gateway_now (x->gateway);
+  x->waiter.objective_send_by_ms = get_objective_send_by_ms (x);
+  x->waiter.deadline_send_by_ms = get_deadline_send_by_ms (x);
+}
+
 /* Queues it until a target has a free slot.  If the queue is full, a request is
  * refused, but not one that is more urgent than others.  The wait is limited so
  * that enough time remains for the work itself. */
 static void
 enqueue (CfExchange *x)
 {
-  gint64 now = cf_gateway_now (x->gateway);
   gint64 limit = cf_wait_queue_max_wait_ms (cf_exchange_caller_wait_ms (x),
                                             cf_exchange_remaining_ms (x));
   CfWaiter *evicted;
 
-  if (!x->keeps_place)
-    x->waiter.since_ms = now;
-  x->waiter.objective_send_by_ms = get_objective_send_by_ms (x);
-  x->waiter.deadline_send_by_ms = get_deadline_send_by_ms (x);
+  set_waiter_times (x);
   if (is_hopeless (x, limit))
     {
       cf_exchange_refuse_full (x, "no-room");
@@ -499,41 +505,6 @@
                                cf_gateway_now (x->gateway));
 }
 
-void
-cf_exchange_send_or_queue (CfExchange *x)
-{
-  CfPickResult result;
-  CfTarget *t;
-
-  if (is_kept_from_targets (x) || cf_exchange_refuse_early (x))
-    return;
-  result = pick_target (x, &t);
-  if (result == CF_PICK_FULL
-      && cf_service_share_refresh (x->gateway, x->service, x->service_state))
-    result = pick_target (x, &t);
-  switch (result)
-    {
-    case CF_PICK_OK:
-      send_to (x, t);
-      break;
-    case CF_PICK_FULL:
-      if (is_wait_futile (x))
-        cf_exchange_refuse_full (x, "outage");
-      else
-        enqueue (x);
-      break;
-    case CF_PICK_RATE_LIMITED:
-      enqueue_if_rate_allows (x);
-      break;
-    case CF_PICK_PAUSED:
-      enqueue_if_pause_ends (x);
-      break;
-    case CF_PICK_NO_TARGET:
-      end_without_target (x);
-      break;
-    }
-}
-
 void
 cf_exchange_retry_or_end (CfExchange *x, const char *reason)
 {
@@ -637,6 +608,75 @@
   return TRUE;
 }
 
+/* Whether a queued request of its service is to be sent before @x. */
+static gboolean
+is_preceded (CfExchange *x)
+{
+  CfServiceState *s = x->service_state;
+  CfQueueContext c;
+
+  if (s->queue.n == 0 || x->gateway->exiting)
+    return FALSE;
+  c = make_queue_context (x->gateway, s);
+  set_waiter_times (x);
+  return !cf_wait_queue_would_be_first (&s->queue, &x->waiter, &c);
+}
+
+/* Sends the queued requests that precede @x and can be sent now: rate tokens, a
+ * raised limit or a grown share may have made room for them since the last
+ * regular check.  @x is not queued, so that this cannot end it. */
+static void
+dispatch_before (CfExchange *x)
+{
+  while (is_preceded (x) && dispatch_first (x->gateway, x->service_state))
+    ;
+}
+
+/* Picks a target for @x, after the queued requests that precede it. */
+static CfPickResult
+pick_in_turn (CfExchange *x, CfTarget **t)
+{
+  CfPickResult result;
+
+  dispatch_before (x);
+  result = pick_target (x, t);
+  if (result != CF_PICK_FULL
+      || !cf_service_share_refresh (x->gateway, x->service, x->service_state))
+    return result;
+  dispatch_before (x);
+  return pick_target (x, t);
+}
+
+void
+cf_exchange_send_or_queue (CfExchange *x)
+{
+  CfTarget *t;
+
+  if (is_kept_from_targets (x) || cf_exchange_refuse_early (x))
+    return;
+  switch (pick_in_turn (x, &t))
+    {
+    case CF_PICK_OK:
+      send_to (x, t);
+      break;
+    case CF_PICK_FULL:
+      if (is_wait_futile (x))
+        cf_exchange_refuse_full (x, "outage");
+      else
+        enqueue (x);
+      break;
+    case CF_PICK_RATE_LIMITED:
+      enqueue_if_rate_allows (x);
+      break;
+    case CF_PICK_PAUSED:
+      enqueue_if_pause_ends (x);
+      break;
+    case CF_PICK_NO_TARGET:
+      end_without_target (x);
+      break;
+    }
+}
+
 void
 cf_exchange_dispatch_queued (CfGateway *g)
 {
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -446,6 +446,19 @@
   return w;
 }
 
+gboolean
+cf_wait_queue_would_be_first (CfWaitQueue *q, CfWaiter *w,
+                              const CfQueueContext *c)
+{
+  CfWaiter *evicted;
+  const CfWaiter *first;
+
+  cf_wait_queue_add (q, w, G_MAXUINT, &evicted);
+  first = cf_wait_queue_first (q, c);
+  cf_wait_queue_remove (q, w);
+  return first == w;
+}
+
 /* Returns how long the waiters take that are sent before the new request @w.
  * Late ones are not among them, since it is not late yet; nor are more of the
  * more urgent ones than are sent until the minimum share of its level is due.
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -101,6 +101,11 @@
  * is none, or all are passed over. */
 CfWaiter *cf_wait_queue_first (const CfWaitQueue *q, const CfQueueContext *c);
 
+/** cf_wait_queue_would_be_first: whether @w, which is not queued, would be sent
+ * next if it were queued now. */
+gboolean cf_wait_queue_would_be_first (CfWaitQueue *q, CfWaiter *w,
+                                       const CfQueueContext *c);
+
 /** cf_wait_queue_is_floor_due: whether the minimum share of less urgent levels
  * determines what cf_wait_queue_first() returns. */
 gboolean cf_wait_queue_is_floor_due (const CfWaitQueue *q);
--- a/t/t-wait-queue.c
+++ b/t/t-wait-queue.c
@@ -520,6 +520,71 @@
 }
 END_TEST
 
+/* A queue with one waiter of priority 1 and organisation 1, and whether a new
+ * request goes before it. */
+typedef struct
+{
+  const char *what;
+  CfWaiter w;
+  CfWaiter new;
+  gboolean overloaded;
+  gboolean goes_first;
+} NewcomerCase;
+
+static const NewcomerCase newcomers[] = {
+  { .what = "less urgent", .new = { .priority = 2 } },
+  { .what = "as urgent", .new = { .priority = 1 } },
+  { .what = "more urgent", .new = { .priority = 0 }, .goes_first = TRUE },
+  { .what = "of a smaller organisation",
+    .new = { .priority = 1, .org = 2 },
+    .goes_first = TRUE },
+  { .what = "returned at its time",
+    .new = { .priority = 1, .returned = TRUE },
+    .goes_first = TRUE },
+  { .what = "as urgent in overload",
+    .new = { .priority = 1 },
+    .overloaded = TRUE,
+    .goes_first = TRUE },
+  { .what = "less urgent in overload",
+    .new = { .priority = 2 },
+    .overloaded = TRUE },
+  { .what = "in time while the other is late",
+    .w = { .objective_send_by_ms = 10 },
+    .new = { .priority = 2 },
+    .goes_first = TRUE },
+};
+
+/* Guards against new requests that take capacity which has become free for
+ * those that wait, and against waiters that are sent before more urgent new
+ * requests. */
+START_TEST (new_request_takes_its_turn)
+{
+  const NewcomerCase *n = &newcomers[_i];
+  CfQueueContext c = { .now_ms = 50, .overloaded = n->overloaded };
+  CfOrgUsage usage = { 0 };
+  CfWaiter w = n->w;
+  CfWaiter new = n->new;
+  CfWaiter *evicted;
+  CfWaitQueue q;
+
+  cf_wait_queue_init (&q);
+  q.usage = &usage;
+  cf_org_usage_add (&usage, 1, 5, 0);
+  w.priority = w.org = 1;
+  w.objective_send_by_ms = w.objective_send_by_ms ?: 100;
+  new.org = new.org ?: 1;
+  new.since_ms = 50;
+  new.objective_send_by_ms = 150;
+  cf_wait_queue_add (&q, &w, 9, &evicted);
+  ck_assert_msg (cf_wait_queue_would_be_first (&q, &new, &c) == n->goes_first,
+                 "%s", n->what);
+  ck_assert (!new.queued);
+  ck_assert_uint_eq (q.n, 1);
+  ck_assert_uint_eq (cf_org_usage_waiting (&usage, 1), 1);
+  cf_org_usage_clear (&usage);
+}
+END_TEST
+
 /* A full queue, a new request, and which of them is refused ("n": the new
  * one). */
 typedef struct
@@ -963,6 +1028,8 @@
   tcase_add_test (t, retries_without_budget_are_passed_over);
   tcase_add_test (t, one_in_twenty_is_less_urgent);
   tcase_add_test (t, minimum_share_can_be_skipped);
+  tcase_add_loop_test (t, new_request_takes_its_turn, 0,
+                       G_N_ELEMENTS (newcomers));
   tcase_add_loop_test (t, largest_organisation_makes_room, 0,
                        G_N_ELEMENTS (evictions));
   tcase_add_loop_test (t, load_is_served_in_order, 0, G_N_ELEMENTS (loads));
