target: forget a full limit 1 s after the last refusal

Cause: FULL_RARE_TESTS stretched the memory of a refusal as well as the raise, so that callers whose request cannot be sent again were kept one below the refused number for up to 8 s while others passed. Accepted requests did not raise the limit. A refusal of the only request that this process had when it was sent, but not later, set a limit of 1.

Change: the memory is 1 s for all. Requests that cannot be sent again do not raise the limit: a raise each 2 s would never come. A target that begins to answer a request which was sent after its last refusal, with at least as many in flight as it had refused, raises the limit to one more. A refusal with MIN (then, now) of one in flight sets no limit, and lifts one only if it is the only request now.

The check of the only request is a case of its own, with the number then and now.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -372,6 +372,8 @@
   if (x->answer_started && x->answer_kind == CF_ANSWER_SUCCESS
       && !x->is_event_stream)
     reject_answer (x, "no-event-stream");
+  if (x->answer_kind != CF_ANSWER_NOT_RUN)
+    cf_target_note_accepted (x->target, x->target_in_flight, x->sent_ms);
   update_rate_limit (x, r);
   cf_target_take_notice (x->target, r, cf_gateway_now (x->gateway));
   if (!x->answer_started)
--- a/gateway/target.c
+++ b/gateway/target.c
@@ -12,9 +12,6 @@
 /** After this time without a refusal, the last one says nothing any more: slots
  * have become free, or requests of other gateways have ended. */
 #define FULL_MEMORY_MS 1000
-/** Both take so many times as long for requests that cannot be sent again: each
- * refusal then ends a request, or makes it wait for the retry budget. */
-#define FULL_RARE_TESTS 8
 
 /** Smaller changes of a slowdown are ignored. */
 #define MIN_SLOWDOWN_CHANGE 0.1
@@ -85,11 +82,14 @@
 guint
 cf_target_full_limit (const CfTarget *t, gboolean tests, gint64 now)
 {
-  gint64 ms = (now - t->full_since_ms) / (tests ? 1 : FULL_RARE_TESTS);
+  gint64 ms = now - t->full_since_ms;
 
   if (t->full_in_flight == 0 || ms >= FULL_MEMORY_MS)
     return G_MAXUINT;
-  return MAX (t->full_in_flight - 1, 1) + (guint)(ms / FULL_RAISE_MS);
+  /* A refusal would end a request that cannot be sent again, or make it wait
+   * for the retry budget. */
+  return MAX (t->full_in_flight - 1, 1)
+         + (tests ? (guint)(ms / FULL_RAISE_MS) : 0);
 }
 
 void
@@ -99,15 +99,24 @@
 
   /* It runs no other request of this process: others fill it, or it refuses all
    * work.  How many it takes of this process is not known then. */
-  if (t->in_flight <= 1)
-    t->full_in_flight = 0;
-  else if (in_flight <= limit)
-    t->full_in_flight = in_flight;
-  else
-    t->full_in_flight = limit + 1;
+  if (MIN (in_flight, t->in_flight) <= 1)
+    {
+      if (t->in_flight <= 1)
+        t->full_in_flight = 0;
+      return;
+    }
+  t->full_in_flight = in_flight <= limit ? in_flight : limit + 1;
   t->full_since_ms = now;
 }
 
+void
+cf_target_note_accepted (CfTarget *t, guint in_flight, gint64 sent_ms)
+{
+  if (t->full_in_flight > 0 && in_flight >= t->full_in_flight
+      && sent_ms > t->full_since_ms)
+    t->full_in_flight = in_flight + 1;
+}
+
 void
 cf_target_record_progress (CfTarget *t, gint64 now)
 {
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -103,13 +103,22 @@
  */
 void cf_target_note_full (CfTarget *t, guint in_flight, gint64 now_ms);
 
+/**
+ * cf_target_note_accepted:
+ * @t began to answer a request that it did not refuse.  If it was sent after
+ * the last refusal, @t takes at least as many as it had then.
+ * @in_flight: as for cf_target_note_full()
+ * @sent_ms: when the request was sent
+ */
+void cf_target_note_accepted (CfTarget *t, guint in_flight, gint64 sent_ms);
+
 /**
  * cf_target_full_limit:
  * @tests: whether a request that @t refuses can be sent again, so that it can
  *   be used to find out whether @t has more room
  * Returns: how many requests of this process @t can have without refusing one
- *   as full, as far as is known: fewer than when it refused one, and one more
- *   every 250 ms since then (every 2 s without @tests).
+ *   as full, as far as is known: fewer than when it refused one, and with
+ *   @tests one more every 250 ms since then; %G_MAXUINT 1 s after it did so.
  */
 guint cf_target_full_limit (const CfTarget *t, gboolean tests, gint64 now_ms);
 
--- a/t/t-target.c
+++ b/t/t-target.c
@@ -326,11 +326,16 @@
     gint64 ms; /* since the refusal */
     gboolean tests;
     guint limit;
-  } cases[] = {
-    { 0, TRUE, 8 },     { 249, TRUE, 8 },          { 250, TRUE, 9 },
-    { 500, TRUE, 10 },  { 1000, TRUE, G_MAXUINT }, { 0, FALSE, 8 },
-    { 1000, FALSE, 8 }, { 2000, FALSE, 9 },        { 8000, FALSE, G_MAXUINT }
-  };
+  } cases[] = { { 0, TRUE, 8 },
+                { 249, TRUE, 8 },
+                { 250, TRUE, 9 },
+                { 500, TRUE, 10 },
+                { 999, TRUE, 11 },
+                { 1000, TRUE, G_MAXUINT },
+                { 0, FALSE, 8 },
+                { 999, FALSE, 8 },
+                { 1000, FALSE, G_MAXUINT },
+                { 8000, FALSE, G_MAXUINT } };
   CfTarget t = { .in_flight = 9 };
 
   ck_assert_uint_eq (cf_target_full_limit (&t, TRUE, 100), G_MAXUINT);
@@ -341,13 +346,46 @@
     ck_assert_uint_eq (
         cf_target_full_limit (&t, cases[i].tests, 100 + cases[i].ms),
         cases[i].limit);
-  /* It refused the only request of this process. */
-  t.in_flight = 1;
+}
+END_TEST
+
+/* Guards against a limit that is lost, or set, by a refusal of the only request
+ * that this process had at the target when it was sent, or has now. */
+START_TEST (refusal_of_the_only_request_sets_no_limit)
+{
+  CfTarget t = { .in_flight = 9 };
+
+  cf_target_note_full (&t, 1, 100);
+  ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 100), G_MAXUINT);
+  cf_target_note_full (&t, 9, 100);
   cf_target_note_full (&t, 1, 200);
+  ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 200), 8);
+  t.in_flight = 1;
+  cf_target_note_full (&t, 5, 200);
   ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 200), G_MAXUINT);
 }
 END_TEST
 
+/* Guards against a target that is kept below what it has shown to take. */
+START_TEST (accepted_request_raises_the_full_limit)
+{
+  CfTarget t = { .in_flight = 9 };
+
+  cf_target_note_accepted (&t, 20, 50);
+  ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 50), G_MAXUINT);
+  cf_target_note_full (&t, 9, 100);
+  cf_target_note_accepted (&t, 8, 150);
+  ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 150), 8);
+  /* Sent before the refusal. */
+  cf_target_note_accepted (&t, 12, 90);
+  ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 150), 8);
+  cf_target_note_accepted (&t, 9, 150);
+  ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 150), 9);
+  cf_target_note_full (&t, 10, 200);
+  ck_assert_uint_eq (cf_target_full_limit (&t, FALSE, 200), 9);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -356,6 +394,8 @@
 
   tcase_add_checked_fixture (t, setup, teardown);
   tcase_add_test (t, full_target_gets_fewer_requests_for_a_while);
+  tcase_add_test (t, refusal_of_the_only_request_sets_no_limit);
+  tcase_add_test (t, accepted_request_raises_the_full_limit);
   tcase_add_test (t, new_incarnation_has_fresh_state);
   tcase_add_test (t, relisted_instance_is_still_leaving);
   tcase_add_test (t, successor_of_leaving_instance_takes_requests);
