return-schedule: keep own places against echoes

Cause: a copy of the own place that came back from a peer more than 50 ms late replaced it. The place then lay after the time that the caller had been told, so that it counted as early when it came as told.

Change: an own place is replaced only by one of a peer that is at least the least wait (100 ms) later.

--- a/gateway/return-schedule.c
+++ b/gateway/return-schedule.c
@@ -277,6 +277,18 @@
     remove_entry (s, e);
 }
 
+/* Whether the place @p of a peer is another one than @known.  The same place
+ * comes back from several peers, a little later each time; an own one has made
+ * more hops then, and another one is at least a first wait away. */
+static gboolean
+is_later_place (const CfReturnPlace *p, const CfReturnPlace *known)
+{
+  gint64 later_ms = p->due_ms - known->due_ms;
+
+  return known->is_own ? later_ms >= WAIT_MIN_MS
+                       : later_ms > EARLY_TOLERANCE_MS;
+}
+
 void
 cf_return_schedule_put_peer (CfReturnSchedule *s, const CfReturnPlace *p,
                              gint64 now_ms)
@@ -286,8 +298,7 @@
 
   cf_return_schedule_expire (s, now_ms);
   e = lookup (s, p->key);
-  /* The same place comes back from several peers, a little later each time. */
-  if (e && p->due_ms - e->place.due_ms <= EARLY_TOLERANCE_MS)
+  if (e && !is_later_place (p, &e->place))
     return;
   if (e)
     remove_entry (s, e);
--- a/t/t-return-schedule.c
+++ b/t/t-return-schedule.c
@@ -351,6 +351,23 @@
 }
 END_TEST
 
+/* Guards against a late copy of an own place that moves it, so that its caller
+ * counts as early when it comes as told. */
+START_TEST (own_place_is_not_moved_by_its_echo)
+{
+  gint64 ms = assign (1);
+
+  put_peer (1, ms + 51, TRUE);
+  put_peer (1, ms + 99, TRUE);
+  ck_assert_int_eq (check (1, NOW_MS + ms - 50), CF_RETURN_DUE);
+  ck_assert_int_gt (assign (2), ms);
+  /* Another place, which a peer gave to the same caller. */
+  put_peer (1, ms + 100, FALSE);
+  ck_assert_int_eq (check (1, NOW_MS + ms), CF_RETURN_EARLY);
+  ck_assert_int_eq (check (1, NOW_MS + ms + 50), CF_RETURN_DUE);
+}
+END_TEST
+
 /* Guards against places that go in a circle, or that peers do not get. */
 START_TEST (places_are_sent_to_peers_once)
 {
@@ -642,6 +659,7 @@
   tcase_add_test (t, served_caller_is_new_again);
   tcase_add_test (t, places_are_bounded);
   tcase_add_test (t, place_from_a_peer_is_honoured);
+  tcase_add_test (t, own_place_is_not_moved_by_its_echo);
   tcase_add_test (t, places_are_sent_to_peers_once);
   tcase_add_test (t, places_out_of_range_are_dropped);
   tcase_add_test (t, only_seeds_forward_and_only_from_gateways_without_links);
