exchange-return: keep callers of like requests apart

Cause: callers of an organisation that sent the same non-empty body got one place, and one without an organisation that had never been refused was refused as early for the place of another. An early caller was told the rest of the wait even if it accepts less.

Change: a place that exists when a request is refused is another caller's, whatever the body; the request gets one of its own. Without an organisation a request counts as shared and is not refused as early.

Test: callers_without_a_body_are_not_taken_for_one becomes a loop over requests without a body and without an organisation. It waits for the log lines of its own requests: the count it waited for was reached by those that fill the queue.

--- a/gateway/exchange-return.c
+++ b/gateway/exchange-return.c
@@ -11,12 +11,13 @@
 /** The same in a long outage: the longest wait that callers may be given. */
 #define LONG_OUTAGE_BACKOFF_MS 4000
 
-/* Whether another caller may send the same request, as is common for those
- * without a body. */
+/* Whether another caller is likely to send the same request, as is common for
+ * those without a body, and for those of callers that no organisation tells
+ * apart. */
 static gboolean
 may_be_shared (const CfExchange *x)
 {
-  return x->caller->body->len == 0;
+  return x->caller->body->len == 0 || !x->org;
 }
 
 /* The key by which it is recognised when its caller returns. */
@@ -96,16 +97,17 @@
 }
 
 /* Several callers may send the same request.  One of them is recognised when it
- * returns; the others get places of their own. */
+ * returns; the others get places of their own.  A caller's own place was
+ * removed when it came for it, so a place that is there now is another
+ * caller's. */
 static void
 make_anonymous_if_taken (const CfExchange *x, CfReturnRequest *r)
 {
   gint64 wait_ms;
 
-  if (!may_be_shared (x)
-      || cf_return_schedule_check (&x->service_state->returns, r->key,
-                                   r->now_ms, &wait_ms)
-             == CF_RETURN_NEW)
+  if (cf_return_schedule_check (&x->service_state->returns, r->key, r->now_ms,
+                                &wait_ms)
+      == CF_RETURN_NEW)
     return;
   r->is_anonymous = TRUE;
   r->key = ((guint64)g_random_int () << 32) | g_random_int ();
@@ -182,6 +184,8 @@
     }
   if (may_be_shared (x))
     return FALSE;
+  /* If the place is another caller's, this one may accept less. */
+  wait_ms = cf_retry_after_ms (cf_exchange_remaining_ms (x), wait_ms, 0);
   log_return (x, "early", wait_ms);
   x->gateway->stats.returns_early++;
   if (count_ahead (x) > 0)
--- a/t/t-returns.c
+++ b/t/t-returns.c
@@ -28,7 +28,10 @@
     = "{\"version\":2,\"routes\":["
       "{\"name\":\"order\",\"host\":\"demo.example\",\"prefix\":\"/order/\","
       "\"kind\":\"unsafe\",\"timeout-ms\":8000,\"aim-ms\":6000,\"priority\":2,"
-      "\"service\":\"desk\",\"max-attempts\":1,\"public\":false}],"
+      "\"service\":\"desk\",\"max-attempts\":1,\"public\":false},"
+      "{\"name\":\"open\",\"host\":\"demo.example\",\"prefix\":\"/open/\","
+      "\"kind\":\"unsafe\",\"timeout-ms\":8000,\"aim-ms\":6000,\"priority\":2,"
+      "\"service\":\"desk\",\"max-attempts\":1,\"public\":true}],"
       "\"services\":[{\"name\":\"desk\",\"max-conns\":96,\"cold-start-s\":0,"
       "\"cold-per-s\":20}],"
       "\"limits\":{\"max-header-bytes\":4096,\"max-body-bytes\":65536,"
@@ -96,13 +99,28 @@
   usleep (50000);
 }
 
-/* Sends an order with @body, and with a new request id, to gateway @n; returns
- * the status, and in @retry_ms the time to return, or -1. */
+/** Order: a request that is not the only one of its kind. */
+typedef struct
+{
+  const char *path;
+  const char *key; /* (nullable): API key of its organisation */
+  const char *body;
+  int deadline_ms;
+} Order;
+
+/* Sends @o with a new request id to gateway @n; returns the status, and in
+ * @retry_ms the time to return, or -1. */
 static int
-send_order (int n, const char *body, int *retry_ms)
+send_like (int n, const Order *o, int *retry_ms)
 {
-  g_autofree char *id = g_strdup_printf ("again-%d", n_sent++);
-  g_autofree char *req = p_build_request ("POST /order/a", id, NULL, body);
+  g_autofree char *auth
+      = o->key ? g_strdup_printf ("Authorization: Token %s\r\n", o->key)
+               : g_strdup ("");
+  g_autofree char *req = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: demo.example\r\n"
+      "Comfreypost-Request-Id: again-%d\r\nComfreypost-Deadline-Ms: %d\r\n"
+      "%sContent-Length: %zu\r\n\r\n%s",
+      o->path, n_sent++, o->deadline_ms, auth, strlen (o->body), o->body);
   g_autofree char *answer = p_round_trip (p_front_port (BASE, n), req);
   const char *header = strstr (answer, "Retry-After: ");
 
@@ -111,6 +129,14 @@
   return p_parse_status (answer);
 }
 
+static int
+send_order (int n, const char *body, int *retry_ms)
+{
+  Order o = { "/order/a", "key-museum", body, 5000 };
+
+  return send_like (n, &o, retry_ms);
+}
+
 /* Waits until the log of gateway @n contains @needle. */
 static void
 check_log (int n, const char *needle)
@@ -175,24 +201,48 @@
 }
 END_TEST
 
+/* Without a body, and with one but without an organisation. */
+static const Order shared_orders[] = { { "/order/a", "key-museum", "", 5000 },
+                                       { "/open/a", NULL, BODY, 5000 } };
+
 /* Guards against callers that are refused as early because others sent the same
- * request, as is common for those without a body. */
-START_TEST (callers_without_a_body_are_not_taken_for_one)
+ * request. */
+START_TEST (callers_that_nothing_tells_apart_are_not_taken_for_one)
 {
-  g_autofree char *log = NULL;
+  g_autofree char *log = g_strdup_printf ("t/out/gateway-%d-1.log", BASE);
   int told_ms;
 
   start_pair (&pairs[0]);
   fill (1);
   for (int i = 0; i < 3; i++)
-    ck_assert_int_eq (send_order (1, "", &told_ms), 503);
-  log = g_strdup_printf ("t/out/gateway-%d-1.log", BASE);
-  ck_assert (p_wait_for_log_count (log, "reason=queue-full", 3, 1000));
-  ck_assert (p_wait_for_log_count (log, " return_ms=", 3, 1000));
+    {
+      g_autofree char *answer = g_strdup_printf (
+          "id=again-%d outcome=refused status=503 reason=queue-full", n_sent);
+
+      ck_assert_int_eq (send_like (1, &shared_orders[_i], &told_ms), 503);
+      check_log (1, answer);
+    }
   ck_assert_uint_eq (p_count_in_log (log, "outcome=early"), 0);
 }
 END_TEST
 
+/* Guards against a caller that is told the wait of another one, which has more
+ * time left, and gives up. */
+START_TEST (early_caller_is_told_what_it_accepts)
+{
+  Order hurried = { "/order/a", "key-museum", BODY, 900 };
+  int told_ms;
+
+  start_pair (&pairs[0]);
+  fill (1);
+  ck_assert_int_eq (send_order (1, BODY, &told_ms), 503);
+  ck_assert_int_ge (told_ms, 400);
+  ck_assert_int_eq (send_like (1, &hurried, &told_ms), 503);
+  check_log (1, "reason=returned-early");
+  ck_assert_int_le (told_ms, hurried.deadline_ms / 3);
+}
+END_TEST
+
 static void
 teardown (void)
 {
@@ -211,7 +261,10 @@
   tcase_add_checked_fixture (t, NULL, teardown);
   tcase_add_loop_test (t, place_is_honoured_at_another_gateway, 0,
                        G_N_ELEMENTS (pairs));
-  tcase_add_test (t, callers_without_a_body_are_not_taken_for_one);
+  tcase_add_loop_test (t,
+                       callers_that_nothing_tells_apart_are_not_taken_for_one,
+                       0, G_N_ELEMENTS (shared_orders));
+  tcase_add_test (t, early_caller_is_told_what_it_accepts);
   tcase_add_test (t, early_caller_is_served_while_nobody_waits);
   suite_add_tcase (s, t);
   return t_run_suite (s);
