exchange-send: count the wait from the first queueing

Cause: a request that a full target had refused returned to its place in the queue with a full wait, so that several refusals in turn could keep it for much longer than callers accept.

Change: with keeps_place, the time since it was first queued is taken off its limit, and it is refused at once if nothing is left.

There is no test of its own: the limit depends on the times of a whole exchange.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -268,17 +268,34 @@
   x->waiter.deadline_send_by_ms = get_deadline_send_by_ms (x);
 }
 
+/* Returns for how long it may be queued from now on.  The wait of one that
+ * keeps its place began when it was first queued. */
+static gint64
+get_wait_limit_ms (const CfExchange *x)
+{
+  gint64 limit = cf_wait_queue_max_wait_ms (cf_exchange_caller_wait_ms (x),
+                                            cf_exchange_remaining_ms (x));
+
+  if (x->keeps_place)
+    limit -= cf_gateway_now (x->gateway) - x->waiter.since_ms;
+  return limit;
+}
+
 /* Queues it until a target has a free slot.  If the queue is full, a request is
  * refused, but not one that is more urgent than others.  The wait is limited so
  * that enough time remains for the work itself. */
 static void
 enqueue (CfExchange *x)
 {
-  gint64 limit = cf_wait_queue_max_wait_ms (cf_exchange_caller_wait_ms (x),
-                                            cf_exchange_remaining_ms (x));
+  gint64 limit = get_wait_limit_ms (x);
   CfWaiter *evicted;
 
   set_waiter_times (x);
+  if (x->keeps_place && limit <= 0)
+    {
+      end_for_lack_of_capacity (x, "no-room");
+      return;
+    }
   if (is_hopeless (x, limit))
     {
       cf_exchange_refuse_full (x, "no-room");
