wait-queue: give the minimum share to a usable level

Cause: a level whose only waiters await the retry budget, or cannot be answered by their deadline, stayed the one whose turn it was. The other less urgent levels got no minimum share as long as it waited.

Change: if a level has no waiter to be sent, the next one in turn gets the minimum share.

--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -403,26 +403,56 @@
   return on_time ? on_time : late;
 }
 
-/* Returns the first waiter of the level whose minimum share is due: the levels
- * below the most urgent one get it in turn, from the least urgent one on. */
+/* Returns the first waiter of the level of @w. */
 static CfWaiter *
-find_floor_level (const CfWaitQueue *q)
+find_level_start (CfWaiter *w)
 {
-  CfWaiter *first = TAILQ_FIRST (&q->waiters);
-  CfWaiter *last = TAILQ_LAST (&q->waiters, CfWaiterList);
-  CfWaiter *w = last;
   CfWaiter *before;
 
-  while (w && w->priority >= q->floor_priority)
-    w = TAILQ_PREV (w, CfWaiterList, link);
-  if (!w || w->priority == first->priority)
-    w = last;
   while ((before = TAILQ_PREV (w, CfWaiterList, link))
          && before->priority == w->priority)
     w = before;
   return w;
 }
 
+/* (nullable): the next waiter of the first level that has one to be sent, from
+ * that of @w (nullable) on towards more urgent ones, above @min_priority. */
+static CfWaiter *
+choose_from_levels (const CfWaitQueue *q, const CfQueueContext *c, CfWaiter *w,
+                    gint64 min_priority)
+{
+  CfWaiter *chosen = NULL;
+
+  while (!chosen && w && w->priority > min_priority)
+    {
+      CfWaiter *level = find_level_start (w);
+
+      chosen = choose (q, c, level, level->priority);
+      w = TAILQ_PREV (level, CfWaiterList, link);
+    }
+  return chosen;
+}
+
+/* (nullable): the waiter that gets the minimum share.  The levels below the
+ * most urgent one get it in turn, from the least urgent one on; those that have
+ * nothing to be sent lose theirs. */
+static CfWaiter *
+choose_for_floor (const CfWaitQueue *q, const CfQueueContext *c)
+{
+  gint64 first = TAILQ_FIRST (&q->waiters)->priority;
+  CfWaiter *last = TAILQ_LAST (&q->waiters, CfWaiterList);
+  CfWaiter *w = last;
+  CfWaiter *chosen;
+
+  while (w && w->priority >= q->floor_priority)
+    w = TAILQ_PREV (w, CfWaiterList, link);
+  chosen = choose_from_levels (q, c, w, first);
+  if (!chosen)
+    chosen
+        = choose_from_levels (q, c, last, MAX (first, q->floor_priority - 1));
+  return chosen;
+}
+
 CfWaiter *
 cf_wait_queue_first (const CfWaitQueue *q, const CfQueueContext *c)
 {
@@ -432,11 +462,7 @@
   if (!first)
     return NULL;
   if (cf_wait_queue_is_floor_due (q) && !c->skips_floor)
-    {
-      CfWaiter *level = find_floor_level (q);
-
-      w = choose (q, c, level, level->priority);
-    }
+    w = choose_for_floor (q, c);
   if (!w)
     w = choose (q, c, first, G_MAXINT64);
   /* All are too late. */
--- a/t/t-wait-queue.c
+++ b/t/t-wait-queue.c
@@ -520,6 +520,38 @@
 }
 END_TEST
 
+/* Guards against a level whose requests cannot be sent, and that keeps the
+ * minimum share from the other levels. */
+START_TEST (minimum_share_goes_to_a_level_that_can_use_it)
+{
+  CfQueueContext c = { .now_ms = 50, .may_not_retry = TRUE };
+  CfWaiter w[60] = { 0 };
+  CfWaiter retry = { .priority = 3, .is_retry = TRUE };
+  guint n_less_urgent = 0;
+  CfWaiter *evicted;
+  CfWaitQueue q;
+
+  cf_wait_queue_init (&q);
+  retry.objective_send_by_ms = 100;
+  cf_wait_queue_add (&q, &retry, 99, &evicted);
+  for (guint i = 0; i < G_N_ELEMENTS (w); i++)
+    {
+      w[i].priority = i < 3;
+      w[i].objective_send_by_ms = 100;
+      cf_wait_queue_add (&q, &w[i], 99, &evicted);
+    }
+  for (guint i = 0; i < 40; i++)
+    {
+      CfWaiter *first = cf_wait_queue_first (&q, &c);
+
+      n_less_urgent += first->priority > 0;
+      cf_wait_queue_take (&q, first);
+    }
+  ck_assert_uint_eq (n_less_urgent, 2);
+  ck_assert (retry.queued);
+}
+END_TEST
+
 /* A queue with one waiter of priority 1 and organisation 1, and whether a new
  * request goes before it. */
 typedef struct
@@ -1028,6 +1060,7 @@
   tcase_add_test (t, retries_without_budget_are_passed_over);
   tcase_add_test (t, one_in_twenty_is_less_urgent);
   tcase_add_test (t, minimum_share_can_be_skipped);
+  tcase_add_test (t, minimum_share_goes_to_a_level_that_can_use_it);
   tcase_add_loop_test (t, new_request_takes_its_turn, 0,
                        G_N_ELEMENTS (newcomers));
   tcase_add_loop_test (t, largest_organisation_makes_room, 0,
