peer-returns: take turns among services in hellos

Cause: a hello carries 64 places. Those of the service that came first in the table filled it, and peers did not learn of those of others. Places were sent until they were due, when peers cannot use them any more.

Change: while more wait than fit, each hello begins with another service. Places due within 50 ms are dropped: with the least wait of 100 ms as the bound, first places, which are 100 ms ahead, would never be sent.

Test: the check that a past place is dropped asks for 50 ms ahead as well, and that one of 51 ms is sent.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -100,6 +100,7 @@
   CfEvacuations evacuations;
   gboolean hello_is_due;    /**< peers are to be notified at once */
   gboolean has_new_returns; /**< peers are to be told of times to return */
+  guint returns_start;      /**< which of the services goes first in that */
   gint64
       demand_hello_ms; /**< when peers were last sent this gateway's demand */
   guint fleet_size;    /**< number of gateways that share the retry budget */
--- a/gateway/peer-returns.c
+++ b/gateway/peer-returns.c
@@ -25,20 +25,25 @@
 GArray *
 cf_peer_returns_collect (CfGateway *g)
 {
+  g_autofree gpointer *services = NULL;
   GArray *a;
-  GHashTableIter it;
-  gpointer service;
-  gpointer state;
+  guint n;
 
   if (!g->has_new_returns)
     return NULL;
   a = g_array_new (FALSE, FALSE, sizeof (CfPeerReturn));
   g->has_new_returns = FALSE;
-  g_hash_table_iter_init (&it, g->service_states);
-  while (g_hash_table_iter_next (&it, &service, &state))
-    if (!append_places (a, service, &((CfServiceState *)state)->returns,
-                        cf_gateway_now (g)))
-      g->has_new_returns = TRUE;
+  services = g_hash_table_get_keys_as_array (g->service_states, &n);
+  for (guint i = 0; i < n; i++)
+    {
+      const char *service = services[(g->returns_start + i) % n];
+      CfServiceState *s = g_hash_table_lookup (g->service_states, service);
+
+      if (!append_places (a, service, &s->returns, cf_gateway_now (g)))
+        g->has_new_returns = TRUE;
+    }
+  /* Otherwise the places of one service could keep out those of the others. */
+  g->returns_start += g->has_new_returns;
   return a;
 }
 
--- a/gateway/return-schedule.c
+++ b/gateway/return-schedule.c
@@ -317,7 +317,7 @@
       TAILQ_REMOVE (&s->unsent, e, unsent_link);
       e->place.is_unsent = FALSE;
       *out = e->place;
-      if (out->due_ms >= now_ms)
+      if (out->due_ms - now_ms > EARLY_TOLERANCE_MS)
         return TRUE;
     }
   return FALSE;
--- a/gateway/return-schedule.h
+++ b/gateway/return-schedule.h
@@ -110,7 +110,8 @@
 
 /**
  * cf_return_schedule_take_unsent:
- * @out: (out): a place that peers are still to be told of, and that lies ahead
+ * @out: (out): a place that peers are still to be told of.  Those due within
+ *   50 ms are dropped: most callers come before peers know the place.
  * Returns: %FALSE if there is none.
  */
 gboolean cf_return_schedule_take_unsent (CfReturnSchedule *s, gint64 now_ms,
--- a/t/t-return-schedule.c
+++ b/t/t-return-schedule.c
@@ -390,9 +390,12 @@
   ck_assert (!cf_return_schedule_take_unsent (&schedule, NOW_MS, &p));
   put_peer (3, 310, TRUE);
   ck_assert (!cf_return_schedule_take_unsent (&schedule, NOW_MS, &p));
-  /* Of no use to peers: its time has passed. */
-  put_peer (6, 10, TRUE);
-  ck_assert (!cf_return_schedule_take_unsent (&schedule, NOW_MS + 11, &p));
+  /* Of no use to peers: its caller comes before they know it. */
+  put_peer (6, 150, TRUE);
+  put_peer (7, 151, TRUE);
+  ck_assert (cf_return_schedule_take_unsent (&schedule, NOW_MS + 100, &p));
+  ck_assert_uint_eq (p.key, 7);
+  ck_assert (!cf_return_schedule_take_unsent (&schedule, NOW_MS + 100, &p));
 }
 END_TEST
 
@@ -402,7 +405,8 @@
       "listen.control=%s\nplatform.addr=1.1.1.9:1\n"
       "seed-addrs=1.1.1.1:1,1.1.1.2:1,1.1.1.3:1\n";
 static const char policy[] = "{\"version\":1,\"routes\":[],\"services\":["
-                             "{\"name\":\"s\",\"max-conns\":9}]}";
+                             "{\"name\":\"s\",\"max-conns\":9},"
+                             "{\"name\":\"r\",\"max-conns\":9}]}";
 
 static CfGateway gateway;
 static CfServiceState *state;
@@ -506,6 +510,33 @@
 }
 END_TEST
 
+/* Guards against a service whose places fill each hello, so that peers never
+ * learn of those of another service. */
+START_TEST (services_go_first_in_turn)
+{
+  guint n_of_r[2] = { 0 };
+
+  init_gateway ("1.1.1.1:1");
+  for (guint i = 0; i < 2 * CF_PEER_RETURNS_MAX; i++)
+    {
+      take ("s", i, 500, 0, "1.1.1.4:1");
+      take ("r", i, 500, 0, "1.1.1.4:1");
+    }
+  for (guint hello = 0; hello < 2; hello++)
+    {
+      GArray *a = cf_peer_returns_collect (&gateway);
+
+      ck_assert_uint_eq (a->len, CF_PEER_RETURNS_MAX);
+      for (guint i = 0; i < a->len; i++)
+        n_of_r[hello]
+            += *g_array_index (a, CfPeerReturn, i).service.data == 'r';
+      g_array_unref (a);
+    }
+  ck_assert_uint_eq (n_of_r[0] + n_of_r[1], CF_PEER_RETURNS_MAX);
+  cf_gateway_clear (&gateway);
+}
+END_TEST
+
 /* Simulation of one gateway in front of a service with SLOTS slots. */
 #define QUEUE_MAX SLOTS
 /** How long a request may be queued. */
@@ -664,6 +695,7 @@
   tcase_add_test (t, places_out_of_range_are_dropped);
   tcase_add_test (t, only_seeds_forward_and_only_from_gateways_without_links);
   tcase_add_test (t, hello_carries_a_bounded_number_of_places);
+  tcase_add_test (t, services_go_first_in_turn);
   tcase_add_test (t, callers_that_return_after_a_burst_are_served);
   suite_add_tcase (s, t);
   return t_run_suite (s);
