exchange-send: name refusals on arrival no-room-in-time

Cause: reason=no-room meant both that a request was refused on arrival, since those ahead of it take too long, and that it had waited in vain.

Change: the former is no-room-in-time, with a sentence in comfrey explain. It and returned-waits count as contention there, so that the share and the queue are named. The column no-room of comfrey report counts both.

--- a/explain.c
+++ b/explain.c
@@ -30,6 +30,9 @@
   { NULL, "no-room",
     "all targets of the service were busy or did not answer for as long as the "
     "request could wait; see E1210 and E1502" },
+  { NULL, "no-room-in-time",
+    "the requests ahead of it in the service's queue were expected to take "
+    "longer than it could wait, so it was refused on arrival" },
   { NULL, "target-crashed",
     "the target crashed before it sent any part of the answer; the request may "
     "have caused the crash, so this attempt does not try another target" },
@@ -292,7 +295,8 @@
 is_contention (const char *reason)
 {
   static const char *const reasons[]
-      = { "more-urgent-waits", "queue-full", "no-room", "returned-early" };
+      = { "more-urgent-waits", "returned-waits",  "queue-full",
+          "no-room",           "no-room-in-time", "returned-early" };
 
   for (gsize i = 0; i < G_N_ELEMENTS (reasons); i++)
     if (g_strcmp0 (reason, reasons[i]) == 0)
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -298,7 +298,7 @@
     }
   if (is_hopeless (x, limit))
     {
-      cf_exchange_refuse_full (x, "no-room");
+      cf_exchange_refuse_full (x, "no-room-in-time");
       return;
     }
   if (!cf_wait_queue_add (&x->service_state->queue, &x->waiter, max_queued (x),
--- a/report-contention.c
+++ b/report-contention.c
@@ -120,7 +120,8 @@
       n->refused++;
       n->more_urgent += g_strcmp0 (reason, "more-urgent-waits") == 0;
       n->queue_full += g_strcmp0 (reason, "queue-full") == 0;
-      n->no_room += g_strcmp0 (reason, "no-room") == 0;
+      n->no_room += g_strcmp0 (reason, "no-room") == 0
+                    || g_strcmp0 (reason, "no-room-in-time") == 0;
     }
   else if (g_strcmp0 (outcome, "success") == 0)
     get_class (c, gateway, k)->answered++;
--- a/t/t-explain.c
+++ b/t/t-explain.c
@@ -93,7 +93,15 @@
     "E1205 answer id=f outcome=refused status=503 reason=no-room target=- "
     "sends=0 ran=no ms=300 t=101.100\n" GW
     "E1205 answer id=q outcome=refused status=503 reason=queue-full target=- "
-    "sends=0 ran=no ms=0 t=100.250\n";
+    "sends=0 ran=no ms=0 t=100.250\n" GW
+    "E1222 return id=h service=s org=o priority=2 return_ms=300 ahead=7 "
+    "t=100.800\n" GW
+    "E1205 answer id=h outcome=refused status=503 reason=no-room-in-time "
+    "target=- sends=0 ran=no ms=0 t=100.800\n" GW
+    "E1210 queue id=r service=s org=o priority=2 waiting=8 in_flight=9 "
+    "limit_ms=300 t=100.800\n" GW
+    "E1205 answer id=r outcome=refused status=503 reason=returned-waits "
+    "target=- sends=0 ran=no ms=10 t=100.810\n";
 
 /* The cause of request @id by the log above and that of another gateway. */
 static char *
@@ -151,6 +159,25 @@
 }
 END_TEST
 
+/* Guards against a refusal on arrival that is explained as a wait in vain, and
+ * against refusals for lack of capacity that do not name the share. */
+START_TEST (refusals_on_arrival_are_told_from_waits)
+{
+  g_autofree char *on_arrival = explain_contended ("h");
+  g_autofree char *evicted = explain_contended ("r");
+
+  ck_assert_str_eq (
+      on_arrival,
+      "the requests ahead of it in the service's queue were expected to take "
+      "longer than it could wait, so it was refused on arrival; this gateway's "
+      "share was 8.0 of 64.0 slots for a demand of 2.0 (3.0 in the fleet), "
+      "known of 7 other gateways; its caller was told to return after 300 ms, "
+      "behind 7 others");
+  ck_assert_ptr_nonnull (strstr (evicted, "returned when told goes first"));
+  ck_assert_ptr_nonnull (strstr (evicted, "share was 8.0 of 64.0 slots"));
+}
+END_TEST
+
 START_TEST (returns_are_explained)
 {
   g_autofree char *early = explain_contended ("e");
@@ -174,6 +201,7 @@
   tcase_add_test (tc, unknown_ids_and_reasons_are_reported);
   tcase_add_test (tc, refusals_name_what_was_ahead_and_the_share);
   tcase_add_test (tc, missing_lines_are_left_out);
+  tcase_add_test (tc, refusals_on_arrival_are_told_from_waits);
   tcase_add_test (tc, returns_are_explained);
   suite_add_tcase (s, tc);
   return t_run_suite (s);
--- a/t/t-report.c
+++ b/t/t-report.c
@@ -105,8 +105,8 @@
     "E1223 pass-limit service=s limit=0 slowness=1.0 ranks=8 t=100.9\n";
 /* Ids are those of callers and may be the same in another log. */
 static const char other_log[]
-    = GW "E1205 answer id=b outcome=refused status=503 reason=no-room ms=0 "
-         "events=0 t=100.300\n";
+    = GW "E1205 answer id=b outcome=refused status=503 reason=no-room-in-time "
+         "ms=0 events=0 t=100.300\n";
 
 START_TEST (refusals_are_counted_by_class_and_gateway)
 {
