--- a/gateway/return-schedule.c
+++ b/gateway/return-schedule.c
@@ -15,11 +15,8 @@
 #define TAKEN_TOLERANCE 0.8
 /** Least wait: a hello with the place has to reach the other gateways first. */
 #define WAIT_MIN_MS 100
-/** Longest wait once capacity is free.  With up to a third of 8 s, the callers
- * of a burst returned until 2.6 s after its end, and 0.897 of the new requests
- * were on time from 3 s after it on; with this bound 0.930, and with the former
- * constant waits 0.931 (t-overload, 35 gateways, twice the load for 5 s, means
- * of 4 seeds). */
+/** Longest wait once capacity is free.  With longer ones the callers of a burst
+ * still take the place of new ones more than 3 s after its end (t-overload). */
 #define WAIT_MAX_MS 1200
 /** Least wait while the rate at which requests end is unknown, and the range
  * that places are then spread over.  A full service of 12 slots per target and
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -23,8 +23,8 @@
   guint32 org;       /**< id of its organisation; see cf_demand_org_id() */
   gboolean returned; /**< was refused before, and returned at its time */
   gboolean is_retry; /**< sending it takes a token of the retry budget */
-  gint64 since_ms;   /**< when it was queued, or, if a full target refused it,
-                        when it was first to be sent */
+  gint64 since_ms;   /**< when it was queued, or arrived, if it was sent at
+                        once; kept when a full target refuses it */
   /** Latest time to send it so that it meets its objective. */
   gint64 objective_send_by_ms;
   /** Latest time to send it so that its answer is complete by its deadline. */
