--- a/gateway/return-schedule.c
+++ b/gateway/return-schedule.c
@@ -15,11 +15,8 @@
 #define TAKEN_TOLERANCE 0.8
 /** Least wait: a hello with the place has to reach the other gateways first. */
 #define WAIT_MIN_MS 100
-/** Longest wait once capacity is free.  With up to a third of 8 s, the callers
- * of a burst returned until 2.6 s after its end, and 0.897 of the new requests
- * were on time from 3 s after it on; with this bound 0.930, and with the former
- * constant waits 0.931 (t-overload, 35 gateways, twice the load for 5 s, means
- * of 4 seeds). */
+/** Longest wait once capacity is free.  With longer ones the callers of a burst
+ * still take the place of new ones more than 3 s after its end (t-overload). */
 #define WAIT_MAX_MS 1200
 /** Least wait while the rate at which requests end is unknown, and the range
  * that places are then spread over.  A full service of 12 slots per target and
@@ -277,6 +274,18 @@
     remove_entry (s, e);
 }
 
+/* Whether the place @p of a peer is another one than @known.  The same place
+ * comes back from several peers, a little later each time; an own one has made
+ * more hops then, and another one is at least a first wait away. */
+static gboolean
+is_later_place (const CfReturnPlace *p, const CfReturnPlace *known)
+{
+  gint64 later_ms = p->due_ms - known->due_ms;
+
+  return known->is_own ? later_ms >= WAIT_MIN_MS
+                       : later_ms > EARLY_TOLERANCE_MS;
+}
+
 void
 cf_return_schedule_put_peer (CfReturnSchedule *s, const CfReturnPlace *p,
                              gint64 now_ms)
@@ -286,8 +295,7 @@
 
   cf_return_schedule_expire (s, now_ms);
   e = lookup (s, p->key);
-  /* The same place comes back from several peers, a little later each time. */
-  if (e && p->due_ms - e->place.due_ms <= EARLY_TOLERANCE_MS)
+  if (e && !is_later_place (p, &e->place))
     return;
   if (e)
     remove_entry (s, e);
@@ -306,7 +314,7 @@
       TAILQ_REMOVE (&s->unsent, e, unsent_link);
       e->place.is_unsent = FALSE;
       *out = e->place;
-      if (out->due_ms >= now_ms)
+      if (out->due_ms - now_ms > EARLY_TOLERANCE_MS)
         return TRUE;
     }
   return FALSE;
--- a/gateway/wait-queue.h
+++ b/gateway/wait-queue.h
@@ -23,8 +23,8 @@
   guint32 org;       /**< id of its organisation; see cf_demand_org_id() */
   gboolean returned; /**< was refused before, and returned at its time */
   gboolean is_retry; /**< sending it takes a token of the retry budget */
-  gint64 since_ms;   /**< when it was queued, or, if a full target refused it,
-                        when it was first to be sent */
+  gint64 since_ms;   /**< when it was queued, or arrived, if it was sent at
+                        once; kept when a full target refuses it */
   /** Latest time to send it so that it meets its objective. */
   gint64 objective_send_by_ms;
   /** Latest time to send it so that its answer is complete by its deadline. */
@@ -91,6 +91,8 @@
    * each would be sent just as it becomes late. */
   gboolean overloaded;
   gboolean may_not_retry;      /**< passes over waiters that are retries */
+  gboolean skips_floor;        /**< ignores the minimum share, as the waiter
+                                    that it favours cannot be sent now */
   const CfDemandTable *grants; /**< (nullable): slots for each organisation;
                                     %NULL: equal parts */
 } CfQueueContext;
@@ -99,6 +101,15 @@
  * is none, or all are passed over. */
 CfWaiter *cf_wait_queue_first (const CfWaitQueue *q, const CfQueueContext *c);
 
+/** cf_wait_queue_would_be_first: whether @w, which is not queued, would be sent
+ * next if it were queued now. */
+gboolean cf_wait_queue_would_be_first (CfWaitQueue *q, CfWaiter *w,
+                                       const CfQueueContext *c);
+
+/** cf_wait_queue_is_floor_due: whether the minimum share of less urgent levels
+ * determines what cf_wait_queue_first() returns. */
+gboolean cf_wait_queue_is_floor_due (const CfWaitQueue *q);
+
 /** CfDrain: how fast waiting requests can be sent. */
 typedef struct
 {
