pass-limit: count streams from before a limit

The streams at the ranks were capped at the capacity, which the pass limit has already reduced. Streams sent before the limit were left out, passes seemed slower than they are for their streams, and the limit lifted itself. The cap is now raised as far as this gateway has more in flight than its share.

--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -193,20 +193,19 @@
     log_overload (x);
 }
 
-/* Returns the mean number of streams at a rank of its service.  Of the other
- * gateways their demand is known, of which no more than the capacity is at the
- * ranks; those of unknown demand are taken to have as much as the rest. */
+/* Returns the mean number of streams at a rank of its service. */
 static double
 estimate_streams_per_rank (const CfExchange *x, guint n_ranks)
 {
   const CfServiceState *s = x->service_state;
-  guint n_known = s->n_others + 1;
-  double known = s->in_flight + cf_demand_table_total (&s->others);
-  double all = known * MAX (x->gateway->fleet_size, n_known) / n_known;
-
-  if (s->capacity > 0)
-    all = MIN (all, s->capacity);
-  return all / MAX (n_ranks, 1);
+  CfStreamsInput in = { .in_flight = s->in_flight };
+
+  in.others_demand = cf_demand_table_total (&s->others);
+  in.n_others = s->n_others;
+  in.n_gateways = x->gateway->fleet_size;
+  in.capacity = s->capacity;
+  in.share = s->share.total;
+  return cf_pass_limit_estimate_streams (&in) / MAX (n_ranks, 1);
 }
 
 /* Adds a pass to those that the pass limit is computed from, and logs changes
--- a/gateway/pass-limit.c
+++ b/gateway/pass-limit.c
@@ -94,6 +94,17 @@
   return limit < e->slots ? MAX (limit, 1) : 0;
 }
 
+double
+cf_pass_limit_estimate_streams (const CfStreamsInput *in)
+{
+  guint n_known = in->n_others + 1;
+  double known = in->in_flight + in->others_demand;
+  double all = known * MAX (in->n_gateways, n_known) / n_known;
+  double excess = MAX (1, in->in_flight / MAX (in->share, 1));
+
+  return in->capacity > 0 ? MIN (all, in->capacity * excess) : all;
+}
+
 gboolean
 cf_pass_limit_report (CfPassLimit *l, double limit)
 {
--- a/gateway/pass-limit.h
+++ b/gateway/pass-limit.h
@@ -46,6 +46,28 @@
 double cf_pass_limit_get (const CfPassLimit *l, const CfEngineModel *e,
                           gint64 objective_ms, gint64 now_ms);
 
+/** CfStreamsInput: what the number of streams at a service is estimated
+ * from. */
+typedef struct
+{
+  double in_flight;     /**< streams of this gateway */
+  double others_demand; /**< slots that other gateways want */
+  guint n_others;       /**< gateways that @others_demand covers */
+  guint n_gateways;     /**< in the fleet, this one included */
+  double capacity;      /**< slots that are divided; 0: unknown */
+  double share;         /**< slots of @capacity that are this gateway's */
+} CfStreamsInput;
+
+/**
+ * cf_pass_limit_estimate_streams:
+ * Gateways of unknown demand are taken to have as much as the rest.  No more
+ * than the capacity is at the ranks, or in proportion as much more as this
+ * gateway has more in flight than its share: streams that were sent before a
+ * pass limit reduced the capacity continue.
+ * Returns: the number of streams at all ranks of the service.
+ */
+double cf_pass_limit_estimate_streams (const CfStreamsInput *in);
+
 /** cf_pass_limit_report: whether @limit, in streams per rank, came into force,
  * was lifted, or has changed by a tenth since this last returned %TRUE. */
 gboolean cf_pass_limit_report (CfPassLimit *l, double limit);
--- a/t/t-pass-limit.c
+++ b/t/t-pass-limit.c
@@ -141,6 +141,33 @@
 }
 END_TEST
 
+/* Two gateways with 48 streams each at 8 ranks, whose 96 slots a limit has
+ * reduced to 60.  Guards against leaving out those that still run: the passes
+ * seemed too slow for a limit to help, and the limit was lifted. */
+START_TEST (streams_from_before_a_limit_count)
+{
+  CfStreamsInput in = { 48, 48, 1, 2, 60, 30 };
+
+  ck_assert_double_eq_tol (cf_pass_limit_estimate_streams (&in), 96, 1e-9);
+  /* Once they have ended, no more than the capacity is at the ranks. */
+  in.in_flight = 30;
+  ck_assert_double_eq_tol (cf_pass_limit_estimate_streams (&in), 60, 1e-9);
+}
+END_TEST
+
+START_TEST (streams_of_other_gateways_are_estimated)
+{
+  CfStreamsInput in = { 10, 20, 1, 4, 0, 0 };
+
+  ck_assert_double_eq_tol (cf_pass_limit_estimate_streams (&in), 60, 1e-9);
+  in.capacity = 40;
+  in.share = 10;
+  ck_assert_double_eq_tol (cf_pass_limit_estimate_streams (&in), 40, 1e-9);
+  in = (CfStreamsInput){ 10, 20, 3, 1, 96, 48 };
+  ck_assert_double_eq_tol (cf_pass_limit_estimate_streams (&in), 30, 1e-9);
+}
+END_TEST
+
 START_TEST (changes_of_a_tenth_are_reported)
 {
   static const struct
@@ -173,6 +200,8 @@
   tcase_add_test (t, stalls_and_invalid_values_are_ignored);
   tcase_add_test (t, streams_beyond_slots_do_not_count);
   tcase_add_test (t, incomplete_models_set_no_limit);
+  tcase_add_test (t, streams_from_before_a_limit_count);
+  tcase_add_test (t, streams_of_other_gateways_are_estimated);
   tcase_add_test (t, changes_of_a_tenth_are_reported);
   suite_add_tcase (s, t);
   return t_run_suite (s);
