service-share: relay changed demand early

A seed sent an early hello only when its own demand changed, so that a change at another gateway reached the rest with the next regular hello, up to 1 s later. Seeds now also compare what they relay to each gateway, within the same thresholds and the same 100 ms. The sum of all tables alone does not show demand that moves between gateways; the new test fails with it.

--- a/gateway/fleet-demand.c
+++ b/gateway/fleet-demand.c
@@ -1,5 +1,7 @@
 #include "fleet-demand.h"
 
+#include <math.h>
+
 /** Gateways say hello at least once a second; two hellos may be lost. */
 #define TABLE_TIMEOUT_MS 2500
 /** Bounds the memory for addresses that peers state; the largest fleet has 208
@@ -31,6 +33,7 @@
   guint n_reversals;
   gint64 erratic_until_ms;
   gboolean is_summed; /* @table is part of the sum of direct tables */
+  double slots_sent;  /* total of @table in the sum that was last sent */
 } Stated;
 
 void
@@ -224,6 +227,50 @@
   return f->n_summed - 1;
 }
 
+static double
+get_summed_slots (const Stated *s)
+{
+  return s->is_summed ? cf_demand_table_total (&s->table) : 0;
+}
+
+void
+cf_fleet_demand_note_sent (CfFleetDemand *f)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  f->slots_sent = cf_demand_table_total (&f->sum);
+  if (!f->direct)
+    return;
+  g_hash_table_iter_init (&it, f->direct);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    ((Stated *)value)->slots_sent = get_summed_slots (value);
+}
+
+gboolean
+cf_fleet_demand_has_changed (const CfFleetDemand *f, double min_slots,
+                             double min_fraction)
+{
+  double total = cf_demand_table_total (&f->sum);
+  GHashTableIter it;
+  gpointer value;
+
+  if (!f->direct)
+    return FALSE;
+  g_hash_table_iter_init (&it, f->direct);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const Stated *s = value;
+      double now = total - get_summed_slots (s);
+      double sent = f->slots_sent - s->slots_sent;
+      double change = fabs (now - sent);
+
+      if (change > min_slots && change > min_fraction * MAX (now, sent))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Returns the table of @addr itself, if it is current. */
 static const Stated *
 get_direct (const CfFleetDemand *f, const char *addr, gint64 now_ms)
--- a/gateway/fleet-demand.h
+++ b/gateway/fleet-demand.h
@@ -16,6 +16,7 @@
   CfDemandTable sum;   /**< of the direct tables */
   guint n_summed;      /**< gateways in @sum */
   gint64 summed_ms;    /**< when @sum was last made anew */
+  double slots_sent;   /**< total of @sum when it was last sent */
 } CfFleetDemand;
 
 void cf_fleet_demand_clear (CfFleetDemand *f);
@@ -65,3 +66,16 @@
  */
 guint cf_fleet_demand_sum_direct (const CfFleetDemand *f, const char *except,
                                   CfDemandTable *out);
+
+/** cf_fleet_demand_note_sent: the sums of the direct tables were sent. */
+void cf_fleet_demand_note_sent (CfFleetDemand *f);
+
+/**
+ * cf_fleet_demand_has_changed:
+ * Whether the sum for one of the gateways, without its own table, differs by
+ * more than @min_slots slots and by more than the fraction @min_fraction from
+ * what was last sent.  The sum of all tables does not show demand that moves
+ * from one gateway to another.
+ */
+gboolean cf_fleet_demand_has_changed (const CfFleetDemand *f, double min_slots,
+                                      double min_fraction);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -61,8 +61,9 @@
   guint n_others;             /**< gateways that @others covers */
   gint64 share_ms;            /**< when @share was computed */
   double demand_sent;         /**< total of @own_demand in the last hello */
-  gboolean is_demand_notable; /**< differs from @demand_sent, in a service with
-                                   little capacity left */
+  gboolean is_demand_notable; /**< it, or what is relayed, differs from what
+                                   was last sent, in a service with little
+                                   capacity left */
   CfShareLog share_log;
   CfOrgUsage org_usage;
   CfReturnSchedule returns;
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -89,16 +89,33 @@
           share->admitted_urgency);
 }
 
-/* Whether peers should hear of the demand @slots before the next hello. */
+/* Whether this gateway relays the demand of others: only seeds have links to
+ * all of them. */
 static gboolean
-is_notable (const CfServiceState *s, double slots)
+is_seed (const CfGateway *g)
+{
+  const char *addr = g->settings.control_addr;
+
+  return addr && g->settings.seed_addrs
+         && g_strv_contains ((const char *const *)g->settings.seed_addrs, addr);
+}
+
+/* Whether peers should hear of the demand @slots of this gateway, or of what it
+ * relays, before the next hello. */
+static gboolean
+is_notable (const CfGateway *g, const CfServiceState *s, double slots)
 {
   double change = fabs (slots - s->demand_sent);
+  double others
+      = fmax (cf_demand_table_total (&s->others), s->fleet_demand.slots_sent);
 
-  return change > NOTABLE_SLOTS
-         && change > NOTABLE_FRACTION * fmax (slots, s->demand_sent)
-         && fmax (slots, s->demand_sent) + cf_demand_table_total (&s->others)
-                > BUSY_FRACTION * s->capacity;
+  if (fmax (slots, s->demand_sent) + others <= BUSY_FRACTION * s->capacity)
+    return FALSE;
+  return (change > NOTABLE_SLOTS
+          && change > NOTABLE_FRACTION * fmax (slots, s->demand_sent))
+         || (is_seed (g)
+             && cf_fleet_demand_has_changed (&s->fleet_demand, NOTABLE_SLOTS,
+                                             NOTABLE_FRACTION));
 }
 
 static void
@@ -118,7 +135,8 @@
   in.own = &s->own_demand;
   in.others = &s->others;
   cf_share_compute (&in, &s->share);
-  s->is_demand_notable = is_notable (s, cf_demand_table_total (&s->own_demand));
+  s->is_demand_notable
+      = is_notable (g, s, cf_demand_table_total (&s->own_demand));
   log_share (g, service, s, cf_demand_table_total (&s->own_demand),
              cf_demand_table_total (&s->own_demand)
                  + cf_demand_table_total (&s->others),
@@ -187,6 +205,7 @@
       CfServiceState *s = v;
 
       s->demand_sent = cf_demand_table_total (&s->own_demand);
+      cf_fleet_demand_note_sent (&s->fleet_demand);
     }
 }
 
--- a/t/t-fleet-demand.c
+++ b/t/t-fleet-demand.c
@@ -212,6 +212,29 @@
 }
 END_TEST
 
+/* Guards against a seed that relays demand late: the sum of all tables does not
+ * change when demand moves between two gateways, but what each is sent does. */
+START_TEST (moved_demand_changes_what_is_relayed)
+{
+  ck_assert (!cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  put_direct ("a", 30, NOW);
+  put_direct ("b", 2, NOW);
+  put_direct ("c", 2, NOW);
+  ck_assert (cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  cf_fleet_demand_note_sent (&fleet);
+  ck_assert (!cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  put_direct ("b", 5, NOW + 1);
+  ck_assert (!cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  put_direct ("a", 2, NOW + 2);
+  put_direct ("b", 30, NOW + 2);
+  ck_assert (cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  cf_fleet_demand_note_sent (&fleet);
+  ck_assert (!cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  cf_fleet_demand_remove (&fleet, "b");
+  ck_assert (cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+}
+END_TEST
+
 /* Addresses are stated by peers: a faulty one may state any number of them. */
 START_TEST (gateways_are_bounded)
 {
@@ -246,6 +269,7 @@
   tcase_add_test (t, demand_that_differs_in_each_message_is_not_used);
   tcase_add_test (t, relayed_sum_that_differs_in_each_message_is_not_used);
   tcase_add_test (t, moving_and_random_demand_is_used);
+  tcase_add_test (t, moved_demand_changes_what_is_relayed);
   tcase_add_test (t, gateways_are_bounded);
   suite_add_tcase (s, t);
   return t_run_suite (s);
--- a/t/t-skew.c
+++ b/t/t-skew.c
@@ -1,6 +1,6 @@
-/* Nearly all connections are at one gateway of a fleet, with demand for half of
- * the slots.  Guards against a division of slots that leaves this gateway only
- * its even part: it refuses requests while slots are free. */
+/* Nearly all connections are at one gateway of a fleet, with demand for half to
+ * three quarters of the slots.  Guards against a division of slots that leaves
+ * this gateway only its even part: it refuses requests while slots are free. */
 #include "harness.h"
 #include "platform-harness.h"
 
@@ -15,8 +15,8 @@
 /** As the stand-in's records of plain targets say. */
 #define SLOTS_PER_TARGET 6
 #define WORK_MS 300
-/** Demand for half of the slots, in requests. */
-#define REQUESTS_PER_S (N_TARGETS * SLOTS_PER_TARGET * 500 / WORK_MS)
+/** Rate with demand for all of the slots. */
+#define FULL_REQUESTS_PER_S (N_TARGETS * SLOTS_PER_TARGET * 1000 / WORK_MS)
 /** Of so many requests, all but one go to the flooded gateway. */
 #define SKEW 10
 /** A gateway that has just started learns of its peers within half a second,
@@ -43,9 +43,10 @@
   gboolean in_time; /* served in time */
 } Call;
 
-/** Load: which gateways requests are sent to. */
+/** Load: how many requests are sent, and to which gateways. */
 typedef struct
 {
+  int percent; /* of the slots that there is demand for */
   int flooded;
   int n_gateways;
   int dead;         /* gateway that is not running; 0: none */
@@ -137,25 +138,35 @@
 send_load (const Load *l, int ms)
 {
   gint64 begin_us = g_get_monotonic_time ();
+  int per_s = FULL_REQUESTS_PER_S * l->percent / 100;
   int i = 0;
 
-  while (i < REQUESTS_PER_S * ms / 1000)
+  while (i < per_s * ms / 1000)
     {
       gint64 elapsed_us = g_get_monotonic_time () - begin_us;
 
-      if (elapsed_us * REQUESTS_PER_S / 1000000 >= i)
+      if (elapsed_us * per_s / 1000000 >= i)
         begin_call (l, i++, elapsed_us >= l->settle_ms * 1000);
       read_answers ();
     }
 }
 
+static gboolean
+is_any_call_open (void)
+{
+  for (int i = 0; i < n_calls; i++)
+    if (calls[i].fd >= 0)
+      return TRUE;
+  return FALSE;
+}
+
 /* Waits for the remaining answers as long as they could be in time. */
 static void
 end_calls (void)
 {
   gint64 end_us = g_get_monotonic_time () + IN_TIME_MS * 1000L;
 
-  while (g_get_monotonic_time () < end_us)
+  while (g_get_monotonic_time () < end_us && is_any_call_open ())
     read_answers ();
   for (int i = 0; i < n_calls; i++)
     if (calls[i].fd >= 0)
@@ -191,7 +202,7 @@
 START_TEST (flooded_seed_of_four_is_served)
 {
   start_fleet (4);
-  send_load (&(Load){ 1, 4, 0, SETTLE_MS }, SETTLE_MS + LOAD_MS);
+  send_load (&(Load){ 50, 1, 4, 0, SETTLE_MS }, SETTLE_MS + LOAD_MS);
   check_served ();
 }
 END_TEST
@@ -200,7 +211,7 @@
 START_TEST (flooded_gateway_of_eight_is_served)
 {
   start_fleet (8);
-  send_load (&(Load){ 8, 8, 0, SETTLE_MS }, SETTLE_MS + LOAD_MS);
+  send_load (&(Load){ 50, 8, 8, 0, SETTLE_MS }, SETTLE_MS + LOAD_MS);
   check_served ();
 }
 END_TEST
@@ -209,22 +220,30 @@
 START_TEST (load_of_lost_gateway_is_served_by_next)
 {
   start_fleet (8);
-  send_load (&(Load){ 1, 8, 0, G_MAXINT }, SETTLE_MS);
+  send_load (&(Load){ 50, 1, 8, 0, G_MAXINT }, SETTLE_MS);
   p_signal (gateways[1], SIGKILL);
-  send_load (&(Load){ 5, 8, 1, FOLLOW_MS }, FOLLOW_MS + LOAD_MS);
+  send_load (&(Load){ 50, 5, 8, 1, FOLLOW_MS }, FOLLOW_MS + LOAD_MS);
   check_served ();
 }
 END_TEST
 
 /* The callers move to the next gateway every second. */
-START_TEST (moving_load_is_served)
+static void
+check_moving_load (int percent)
 {
   start_fleet (8);
-  send_load (&(Load){ 5, 8, 0, G_MAXINT }, SETTLE_MS);
+  send_load (&(Load){ percent, 5, 8, 0, G_MAXINT }, SETTLE_MS);
   for (int g = 6; g <= 8; g++)
-    send_load (&(Load){ g, 8, 0, FOLLOW_MS }, 1000);
+    send_load (&(Load){ percent, g, 8, 0, FOLLOW_MS }, 1000);
   check_served ();
 }
+
+START_TEST (moving_load_is_served) { check_moving_load (50); }
+END_TEST
+
+/* Guards against seeds that relay a change of demand only with their next
+ * regular hello, up to a second later. */
+START_TEST (moving_load_of_three_quarters_is_served) { check_moving_load (75); }
 END_TEST
 
 int
@@ -239,6 +258,7 @@
   tcase_add_test (t, flooded_gateway_of_eight_is_served);
   tcase_add_test (t, load_of_lost_gateway_is_served_by_next);
   tcase_add_test (t, moving_load_is_served);
+  tcase_add_test (t, moving_load_of_three_quarters_is_served);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
