share: keep the dead band in one place

Production never set others_uneven, so that no gateway ran the protocol that t-share tested, and the balancer had a second band. The total is now the exact share; cf_share_fraction() decides whether it is used: from 1.5 times the even share on, and until it is below 1.3 again. A share of 0 under contention was handled as an even one and now counts as one slot.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -55,6 +55,7 @@
   CfDemandMeter demand;       /**< of this gateway */
   CfFleetDemand fleet_demand; /**< of the other gateways */
   CfShare share;              /**< of its capacity; total 0: not computed */
+  gboolean is_share_uneven;   /**< @share is used instead of an even one */
   double capacity;            /**< slots that @share divides; 0: unknown */
   CfDemandTable own_demand;   /**< as last read from @demand */
   CfDemandTable others;       /**< the sum that @share was computed with */
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -15,10 +15,6 @@
 /** Below this fraction of the capacity nothing has to be divided: no early
  * hellos, and demand is sent without organisations. */
 #define BUSY_FRACTION 0.5
-/** A share that differs from the even one by less than this factor is handled
- * as even by the balancer.  Whole requests a target are its unit, so smaller
- * differences would only make targets' loads uneven. */
-#define UNEVEN_FACTOR 1.5
 /** Least time between two computations of a share. */
 #define REFRESH_INTERVAL_MS 10
 /** A pass limit is in force for this time after the last pass. */
@@ -118,6 +114,19 @@
                                              NOTABLE_FRACTION));
 }
 
+static CfShareBand
+make_band (const CfGateway *g, const CfServiceState *s)
+{
+  CfShareBand b = { .total = s->share.total, .capacity = s->capacity };
+
+  b.n_gateways = g->fleet_size;
+  b.n_urgencies = s->share.n_urgencies;
+  b.contended = s->share.contended;
+  b.was_uneven = s->is_share_uneven;
+  b.has_pass_limit = has_pass_limit (g, s);
+  return b;
+}
+
 static void
 update_service (CfGateway *g, const char *service, CfServiceState *s)
 {
@@ -135,6 +144,7 @@
   in.own = &s->own_demand;
   in.others = &s->others;
   cf_share_compute (&in, &s->share);
+  s->is_share_uneven = cf_service_share_fraction (g, s) > 0;
   s->is_demand_notable
       = is_notable (g, s, cf_demand_table_total (&s->own_demand));
   log_share (g, service, s, cf_demand_table_total (&s->own_demand),
@@ -357,24 +367,17 @@
 double
 cf_service_share_fraction (const CfGateway *g, const CfServiceState *s)
 {
-  double even = get_even_share (g, s->capacity);
-
-  if (s->share.exact <= 0 || s->capacity <= 0)
-    return 0;
-  if (s->share.exact > even * UNEVEN_FACTOR)
-    return fmin (s->share.exact / s->capacity, 1);
-  if (s->share.contended && s->share.exact * UNEVEN_FACTOR < even)
-    return s->share.exact / s->capacity;
-  return 0;
+  const CfShareBand b = make_band (g, s);
+
+  return cf_share_fraction (&b);
 }
 
 double
 cf_service_share_max_total (const CfGateway *g, const CfServiceState *s)
 {
-  gboolean is_limited = (s->share.contended && s->share.n_urgencies > 1)
-                        || has_pass_limit (g, s);
+  const CfShareBand b = make_band (g, s);
 
-  return is_limited ? fmax (s->share.exact, 1) : 0;
+  return cf_share_max_total (&b);
 }
 
 double
--- a/gateway/share.c
+++ b/gateway/share.c
@@ -1,15 +1,21 @@
 #include "share.h"
 
-#include <math.h>
-
 /** Part of the capacity that each urgency with demand gets in any case, so that
  * none is starved. */
 #define FLOOR_FRACTION 0.05
 /** All floors together are at most this part of the capacity. */
 #define FLOORS_MAX_FRACTION 0.5
-/** Differences of the share from the even share up to this fraction are within
- * the variance of arrivals that are smoothed over half a second. */
-#define DEAD_BAND 0.2
+/** A share that differs from the even one by less than this factor is handled
+ * as even by the balancer.  Whole requests a target are its unit, so smaller
+ * differences would only make targets' loads uneven. */
+#define UNEVEN_FACTOR 1.5
+/** An uneven share is handled as even again below this factor, so that one near
+ * the limit does not change between the two with each arrival. */
+#define EVEN_AGAIN_FACTOR 1.3
+/** A gateway may always have this many requests in flight, or its even share if
+ * that is less: with a share of no slots it would refuse requests that a free
+ * slot could serve. */
+#define MIN_SLOTS 1.0
 /** Rounding errors of sums. */
 #define ROUNDING 1e-9
 
@@ -165,8 +171,28 @@
   out->contended = demand > capacity + ROUNDING;
   granted = divide (&fleet, capacity, out);
   compute_grants (in->own, &fleet, &granted, &out->grants);
-  out->exact = cf_demand_table_total (&out->grants)
+  out->total = cf_demand_table_total (&out->grants)
                + MAX (capacity - demand, 0) / n_known;
-  out->is_uneven = fabs (out->exact - even) > DEAD_BAND * even + ROUNDING;
-  out->total = out->is_uneven || in->others_uneven ? out->exact : even;
+}
+
+double
+cf_share_fraction (const CfShareBand *b)
+{
+  double even = b->capacity / MAX (b->n_gateways, 1);
+  double factor = b->was_uneven ? EVEN_AGAIN_FACTOR : UNEVEN_FACTOR;
+  gboolean is_large = b->total >= even * factor - ROUNDING;
+  gboolean is_small = b->contended && b->total * factor <= even + ROUNDING;
+
+  if (b->capacity <= 0 || (!is_large && !is_small))
+    return 0;
+  return MIN (MAX (b->total, MIN (MIN_SLOTS, even)) / b->capacity, 1);
+}
+
+double
+cf_share_max_total (const CfShareBand *b)
+{
+  gboolean is_limited
+      = (b->contended && b->n_urgencies > 1) || b->has_pass_limit;
+
+  return is_limited ? MAX (b->total, MIN_SLOTS) : 0;
 }
--- a/t/t-share.c
+++ b/t/t-share.c
@@ -31,40 +31,49 @@
   cf_demand_table_add (&own[gateway], &d);
 }
 
-static void
-compute_one (guint gateway, guint n, double capacity, gboolean others_uneven)
-{
-  CfDemandTable others = { 0 };
-  CfShareInput in
-      = { capacity, n, n - 1, &own[gateway], &others, others_uneven };
-
-  for (guint g = 0; g < n; g++)
-    if (g != gateway)
-      cf_demand_table_merge (&others, &own[g]);
-  cf_share_compute (&in, &shares[gateway]);
-}
-
 /* Computes the shares of @n gateways with the same view; returns the sum of
  * their totals. */
 static double
 compute_all (guint n, double capacity)
 {
-  gboolean uneven = FALSE;
   double sum = 0;
 
-  for (guint g = 0; g < n; g++)
-    {
-      compute_one (g, n, capacity, FALSE);
-      uneven = uneven || shares[g].is_uneven;
-    }
-  for (guint g = 0; g < n; g++)
+  for (guint gateway = 0; gateway < n; gateway++)
     {
-      compute_one (g, n, capacity, uneven);
-      sum += shares[g].total;
+      CfDemandTable others = { 0 };
+      CfShareInput in = { capacity, n, n - 1, &own[gateway], &others };
+
+      for (guint g = 0; g < n; g++)
+        if (g != gateway)
+          cf_demand_table_merge (&others, &own[g]);
+      cf_share_compute (&in, &shares[gateway]);
+      sum += shares[gateway].total;
     }
   return sum;
 }
 
+static CfShareBand
+band_of (guint gateway, guint n, double capacity)
+{
+  const CfShare *share = &shares[gateway];
+  CfShareBand b = { .total = share->total, .capacity = capacity };
+
+  b.n_gateways = n;
+  b.n_urgencies = share->n_urgencies;
+  b.contended = share->contended;
+  return b;
+}
+
+/* Returns the part of the slots that a gateway of @n uses. */
+static double
+get_part (guint gateway, guint n, double capacity)
+{
+  const CfShareBand b = band_of (gateway, n, capacity);
+  double fraction = cf_share_fraction (&b);
+
+  return fraction > 0 ? fraction : 1.0 / n;
+}
+
 static double
 granted (guint gateway, gint64 urgency, guint32 org)
 {
@@ -181,7 +190,7 @@
 START_TEST (gateways_of_unknown_demand_keep_even_part)
 {
   const CfDemandTable others = { .n = 1, .entries = { { 0, ORG, 1, 1 } } };
-  CfShareInput in = { 64, 8, 3, &own[0], &others, FALSE };
+  CfShareInput in = { 64, 8, 3, &own[0], &others };
 
   add (0, URGENT, ORG, 1000);
   cf_share_compute (&in, &shares[0]);
@@ -194,7 +203,7 @@
 START_TEST (gateway_alone_with_its_view_keeps_even_share)
 {
   const CfDemandTable others = { 0 };
-  CfShareInput in = { 64, 8, 0, &own[0], &others, TRUE };
+  CfShareInput in = { 64, 8, 0, &own[0], &others };
 
   add (0, URGENT, ORG, 1000);
   cf_share_compute (&in, &shares[0]);
@@ -207,6 +216,8 @@
 }
 END_TEST
 
+/* Guards against parts that change with the variance of arrivals, also after
+ * demand was uneven. */
 START_TEST (even_demand_gives_even_share)
 {
   const double factors[] = { 1, 0.85, 1.15, 1 };
@@ -220,26 +231,65 @@
           add (g, URGENT, ORG, 16 * factors[g] * loads[l] / 2);
           add (g, NORMAL, ORG, 16 * factors[g] * loads[l] / 2);
         }
-      compute_all (4, 64);
+      ck_assert_double_eq_tol (compute_all (4, 64), 64, TOLERANCE);
       for (guint g = 0; g < 4; g++)
-        ck_assert_double_eq (shares[g].total, 16);
+        {
+          CfShareBand b = band_of (g, 4, 64);
+
+          ck_assert_double_eq (cf_share_fraction (&b), 0);
+          b.was_uneven = TRUE;
+          ck_assert_double_eq (cf_share_fraction (&b), 0);
+          ck_assert_double_eq_tol (b.total, 16, 16 * 0.2);
+        }
     }
 }
 END_TEST
 
-/* One gateway is outside the dead band, the others inside: rounding these up
- * to the even share would exceed the capacity. */
-START_TEST (dead_band_does_not_exceed_capacity)
+/* One gateway is outside the dead band, the others inside: these keep the even
+ * part, but the totals still add up to the capacity. */
+START_TEST (dead_band_does_not_change_totals)
 {
+  double parts = 0;
+
   add (0, URGENT, ORG, 200);
   for (guint g = 1; g < 8; g++)
     add (g, URGENT, ORG, 85);
   ck_assert_double_eq_tol (compute_all (8, 64), 64, TOLERANCE);
-  ck_assert (shares[0].is_uneven);
-  ck_assert (!shares[1].is_uneven);
+  ck_assert_double_eq_tol (get_part (0, 8, 64), 200.0 / 795, TOLERANCE);
+  for (guint g = 0; g < 8; g++)
+    {
+      parts += get_part (g, 8, 64);
+      ck_assert_double_eq_tol (shares[g].total, 64.0 * (g ? 85 : 200) / 795,
+                               TOLERANCE);
+    }
+  ck_assert_double_eq_tol (parts, 200.0 / 795 + 7.0 / 8, TOLERANCE);
 }
 END_TEST
 
+/* Sums over gateways of what the balancer uses. */
+typedef struct
+{
+  double parts;     /* of the slots */
+  double max_total; /* of limited gateways */
+  double raised;    /* slots by which smaller shares are raised to one */
+} Sums;
+
+static Sums
+sum_of_bands (guint n, double capacity)
+{
+  Sums sums = { 0 };
+
+  for (guint g = 0; g < n; g++)
+    {
+      const CfShareBand b = band_of (g, n, capacity);
+
+      sums.parts += get_part (g, n, capacity);
+      sums.max_total += cf_share_max_total (&b);
+      sums.raised += MAX (1 - b.total, 0);
+    }
+  return sums;
+}
+
 /* The skew moves from each gateway to the next, in steps. */
 START_TEST (moving_skew_does_not_exceed_capacity)
 {
@@ -250,6 +300,7 @@
       {
         double demand = loads[l] * 64;
         guint from = (guint)at;
+        Sums sums;
 
         setup ();
         for (guint g = 0; g < GATEWAYS_MAX; g++)
@@ -257,10 +308,72 @@
         add (from, URGENT, ORG, 0.8 * demand * (1 - (at - from)));
         add (from + 1, URGENT, ORG, 0.8 * demand * (at - from));
         ck_assert_double_le (compute_all (GATEWAYS_MAX, 64), 64 + TOLERANCE);
+        sums = sum_of_bands (GATEWAYS_MAX, 64);
+        ck_assert_double_le (sums.max_total, 64 + sums.raised + TOLERANCE);
+        /* Parts in the band are at most 1.5 shares, and at least a share
+         * divided by 1.5; without contention the other gateways keep an even
+         * part beside the flooded one. */
+        ck_assert_double_le (sums.parts, shares[0].contended ? 1.5 : 2);
+        ck_assert_double_ge (sums.parts, 1 / 1.5);
       }
 }
 END_TEST
 
+/* Shares of a fleet of four that has 64 slots: the even one is 16. */
+static const struct
+{
+  double total;
+  gboolean contended;
+  gboolean was_uneven;
+  double fraction;
+} bands[] = {
+  { 23.9, FALSE, FALSE, 0 },
+  { 24, FALSE, FALSE, 24.0 / 64 },
+  { 20.8, FALSE, TRUE, 20.8 / 64 },
+  { 20.7, FALSE, TRUE, 0 },
+  { 80, TRUE, FALSE, 1 },
+  { 8, FALSE, FALSE, 0 }, /* without contention not below the even share */
+  { 8, FALSE, TRUE, 0 },
+  { 10.7, TRUE, FALSE, 0 },
+  { 10.6, TRUE, FALSE, 10.6 / 64 },
+  { 12.4, TRUE, FALSE, 0 },
+  { 12.3, TRUE, TRUE, 12.3 / 64 },
+  { 12.4, TRUE, TRUE, 0 },
+  { 0.5, TRUE, FALSE, 1.0 / 64 },
+  { 0, TRUE, FALSE, 1.0 / 64 }, /* no demand here: not an even part */
+  { 0, FALSE, FALSE, 0 },
+};
+
+START_TEST (band_has_hysteresis)
+{
+  CfShareBand b = { .capacity = 64, .n_gateways = 4, .n_urgencies = 1 };
+
+  b.total = bands[_i].total;
+  b.contended = bands[_i].contended;
+  b.was_uneven = bands[_i].was_uneven;
+  ck_assert_double_eq_tol (cf_share_fraction (&b), bands[_i].fraction,
+                           TOLERANCE);
+}
+END_TEST
+
+START_TEST (totals_limit_only_contended_levels)
+{
+  CfShareBand b = { 12, 64, 4, 2, FALSE, FALSE, FALSE };
+
+  ck_assert_double_eq (cf_share_max_total (&b), 0);
+  b.contended = TRUE;
+  ck_assert_double_eq (cf_share_max_total (&b), 12);
+  b.total = 0;
+  ck_assert_double_eq (cf_share_max_total (&b), 1);
+  b.n_urgencies = 1;
+  ck_assert_double_eq (cf_share_max_total (&b), 0);
+  b.total = 12;
+  b.has_pass_limit = TRUE;
+  b.contended = FALSE;
+  ck_assert_double_eq (cf_share_max_total (&b), 12);
+}
+END_TEST
+
 /* 300 small organisations have one merged entry beside a large one. */
 START_TEST (hundreds_of_organisations_are_served_fairly)
 {
@@ -316,8 +429,10 @@
   tcase_add_test (t, gateways_of_unknown_demand_keep_even_part);
   tcase_add_test (t, gateway_alone_with_its_view_keeps_even_share);
   tcase_add_test (t, even_demand_gives_even_share);
-  tcase_add_test (t, dead_band_does_not_exceed_capacity);
+  tcase_add_test (t, dead_band_does_not_change_totals);
   tcase_add_test (t, moving_skew_does_not_exceed_capacity);
+  tcase_add_loop_test (t, band_has_hysteresis, 0, G_N_ELEMENTS (bands));
+  tcase_add_test (t, totals_limit_only_contended_levels);
   tcase_add_test (t, hundreds_of_organisations_are_served_fairly);
   tcase_add_test (t, organisations_of_merged_entry_keep_order_of_urgencies);
   suite_add_tcase (s, t);
