balancer: keep skewed shares within max-conns

With demand at one gateway, it used that part of a target's connections while all others kept 1/n, nearly twice the maximum together; targets reset the excess. A gateway now gets at most an even part of the connections, unless the maximum is at least 3 times the slots and no less than the largest sum of the shares of slots, rounded up (16 gateways and 6 slots: 22 of 18 connections).

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -7,6 +7,11 @@
 
 /** A gateway may use this multiple of an even share of a target's slots. */
 #define SHARE_HEADROOM 1.25
+/** From this multiple of the slots on, connections are divided like slots: the
+ * shares of slots together stay below 2.5 times the slots (parts add up to less
+ * than 2, times the headroom), so they cannot exceed a larger maximum.  The
+ * rest is for gateways whose views differ for a moment. */
+#define SAFE_CONNS_FACTOR 3
 /** Compensates for a fraction such as 1/3 being rounded down. */
 #define ROUNDING 1e-9
 /** The fraction of that share that yielding requests may fill. */
@@ -42,22 +47,48 @@
   TARGET_AVAILABLE,
 } Availability;
 
+/* Returns the most requests that all gateways together may have at a target by
+ * their shares of its slots, each rounded up: those of a gateway with nearly
+ * all demand, and an even share for each other one. */
+static double
+get_max_sum_of_shares (gint64 slots, guint n_gateways)
+{
+  double all = (double)slots * SHARE_HEADROOM;
+
+  return ceil (all) + (n_gateways - 1) * ceil (all / n_gateways);
+}
+
+/* Returns the connections to a target that count as this gateway's.  More than
+ * an even part only if the shares of slots keep the sum below the maximum. */
+static double
+get_conn_share (gint64 slots, gint64 max_conns, double fraction,
+                guint n_gateways)
+{
+  if ((double)max_conns < MAX ((double)slots * SAFE_CONNS_FACTOR,
+                               get_max_sum_of_shares (slots, n_gateways)))
+    fraction = MIN (fraction, 1.0 / n_gateways);
+  return floor ((double)max_conns * fraction + ROUNDING);
+}
+
 /* @fraction: this gateway's part of the target's slots and connections */
 static guint
-compute_max_in_flight (gint64 slots, gint64 max_conns, double fraction)
+compute_max_in_flight (gint64 slots, gint64 max_conns, double fraction,
+                       guint n_gateways)
 {
   double slot_fraction = CF_WITHOUT_FLEET_SHARES ? 1 : fraction;
   double share = (double)slots * SHARE_HEADROOM * slot_fraction;
 
   if (max_conns > 0)
-    share = MIN (share, floor ((double)max_conns * fraction + ROUNDING));
+    share = MIN (share, get_conn_share (slots, max_conns, fraction,
+                                        MAX (n_gateways, 1)));
   return (guint)MAX (ceil (share), 1);
 }
 
 guint
 cf_balancer_max_in_flight (gint64 slots, gint64 max_conns, guint n_gateways)
 {
-  return compute_max_in_flight (slots, max_conns, 1.0 / MAX (n_gateways, 1));
+  return compute_max_in_flight (slots, max_conns, 1.0 / MAX (n_gateways, 1),
+                                n_gateways);
 }
 
 static gboolean
@@ -71,8 +102,8 @@
 {
   double fraction = in->share_fraction > 0 ? in->share_fraction
                                            : 1.0 / MAX (in->n_gateways, 1);
-  guint share
-      = compute_max_in_flight (t->record.slots, in->max_conns, fraction);
+  guint share = compute_max_in_flight (t->record.slots, in->max_conns, fraction,
+                                       in->n_gateways);
 
   share = MIN (share, cf_target_full_limit (t, in->tests_full, in->now_ms));
   return in->yields ? (guint)MAX (share * YIELD_TARGET_FRACTION, 1) : share;
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -278,6 +278,53 @@
 }
 END_TEST
 
+/* Returns the number of requests that a gateway with @in sends a target of
+ * @slots slots before it takes it for full. */
+static guint
+count_until_full (const CfPickInput *in, gint64 slots)
+{
+  CfTargetTable targets;
+  CfTarget *t;
+  guint n = 0;
+
+  cf_target_table_init (&targets);
+  t_put_targets (&targets, 1, slots);
+  for (; cf_balancer_pick (&targets, in, &t) == CF_PICK_OK; n++)
+    cf_target_request_started (t, 0);
+  cf_target_table_clear (&targets);
+  return n;
+}
+
+/* One gateway of the fleet has nine tenths of the slots, the others an even
+ * part. */
+static const struct
+{
+  gint64 slots;
+  gint64 max_conns;
+  guint n_gateways;
+  guint n_flooded; /* requests of the flooded gateway */
+} conns[] = {
+  { 12, 13, 8, 1 }, { 12, 35, 8, 4 }, { 12, 36, 8, 14 }, { 12, 408, 8, 14 },
+  { 6, 18, 8, 7 },  { 6, 18, 16, 1 }, { 40, 80, 8, 10 },
+};
+
+/* Guards against a skew that makes targets reset connections. */
+START_TEST (skewed_shares_do_not_exceed_connections)
+{
+  CfPickInput in = { .service = "s" };
+  guint n_flooded;
+  guint n_other;
+
+  in.n_gateways = conns[_i].n_gateways;
+  in.max_conns = conns[_i].max_conns;
+  n_other = count_until_full (&in, conns[_i].slots);
+  in.share_fraction = 0.9;
+  n_flooded = count_until_full (&in, conns[_i].slots);
+  ck_assert_uint_eq (n_flooded, conns[_i].n_flooded);
+  ck_assert_uint_le (n_flooded + (in.n_gateways - 1) * n_other, in.max_conns);
+}
+END_TEST
+
 /* After a crash, the entry of the previous instance stays listed for a while.
  */
 START_TEST (only_newest_instance_at_address_gets_requests)
@@ -1088,6 +1135,8 @@
   tcase_add_test (t, late_requests_leave_capacity);
   tcase_add_test (t, late_requests_leave_capacity_in_large_fleet);
   tcase_add_test (t, slots_are_divided_among_gateways);
+  tcase_add_loop_test (t, skewed_shares_do_not_exceed_connections, 0,
+                       G_N_ELEMENTS (conns));
   tcase_add_test (t, rate_limited_target_is_skipped);
   tcase_add_test (t, paused_targets_are_not_picked);
   tcase_add_test (t, cold_target_gets_its_rate_only);
