service-share: check what a limit and a sum rest on

A pass limit without a computed share limited the gateway to one request in flight; it now sets no limit then. A relayed sum over more gateways than the fleet has by more than 2 is dropped and logged: it took the place of the direct tables. Demand that is not used since too many gateways have stated some was logged as differing in each message; it has a message of its own.

That the sum is dropped has no test, since it needs a gateway.

--- a/gateway/fleet-demand.c
+++ b/gateway/fleet-demand.c
@@ -109,20 +109,21 @@
     s->erratic_until_ms = now_ms + ERRATIC_MS;
 }
 
-static gboolean
+static CfFleetDemandResult
 put (GHashTable **table, const char *addr, guint n_gateways,
      const CfDemandTable *t, gint64 now_ms)
 {
   Stated *s = get_stated (table, addr, now_ms);
 
   if (!s)
-    return FALSE;
+    return CF_FLEET_DEMAND_TOO_MANY;
   check_change (s, cf_demand_table_total (&s->table), cf_demand_table_total (t),
                 now_ms);
   s->table = *t;
   s->n_gateways = n_gateways;
   s->received_ms = now_ms;
-  return is_current (s, now_ms);
+  return is_current (s, now_ms) ? CF_FLEET_DEMAND_USED
+                                : CF_FLEET_DEMAND_ERRATIC;
 }
 
 /* Takes the table of gateway @addr out of the sum. */
@@ -146,7 +147,7 @@
   f->n_summed++;
 }
 
-gboolean
+CfFleetDemandResult
 cf_fleet_demand_put_relayed (CfFleetDemand *f, const char *addr,
                              guint n_gateways, const CfDemandTable *others,
                              gint64 now_ms)
@@ -200,17 +201,19 @@
     }
 }
 
-gboolean
+CfFleetDemandResult
 cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
                             const CfDemandTable *own, gint64 now_ms)
 {
+  CfFleetDemandResult result;
+
   if (f->direct && g_hash_table_size (f->direct) >= GATEWAYS_MAX)
     update_sum (f, now_ms); /* so that expired tables can be removed */
   subtract (f, addr);
-  if (!put (&f->direct, addr, 1, own, now_ms))
-    return FALSE;
-  add_to_sum (f, g_hash_table_lookup (f->direct, addr));
-  return TRUE;
+  result = put (&f->direct, addr, 1, own, now_ms);
+  if (result == CF_FLEET_DEMAND_USED)
+    add_to_sum (f, g_hash_table_lookup (f->direct, addr));
+  return result;
 }
 
 guint
--- a/gateway/fleet-demand.h
+++ b/gateway/fleet-demand.h
@@ -21,25 +21,30 @@
 
 void cf_fleet_demand_clear (CfFleetDemand *f);
 
-/**
- * cf_fleet_demand_put_direct:
- * Gateway @addr states its own demand.
- * Returns: whether it is used.  It is not if what the gateway states goes up
- * and down with each message, or if there are too many gateways.
- */
-gboolean cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
-                                     const CfDemandTable *own, gint64 now_ms);
+/** CfFleetDemandResult: whether what a gateway has stated is used. */
+typedef enum
+{
+  CF_FLEET_DEMAND_USED,
+  CF_FLEET_DEMAND_ERRATIC, /**< it goes up and down with each message */
+  CF_FLEET_DEMAND_TOO_MANY /**< too many gateways have stated demand */
+} CfFleetDemandResult;
+
+/** cf_fleet_demand_put_direct: gateway @addr states its own demand. */
+CfFleetDemandResult cf_fleet_demand_put_direct (CfFleetDemand *f,
+                                                const char *addr,
+                                                const CfDemandTable *own,
+                                                gint64 now_ms);
 
 /**
  * cf_fleet_demand_put_relayed:
  * Gateway @addr states the sum over @n_gateways gateways, without itself and
  * this one.
- * Returns: as cf_fleet_demand_put_direct().
  */
-gboolean cf_fleet_demand_put_relayed (CfFleetDemand *f, const char *addr,
-                                      guint n_gateways,
-                                      const CfDemandTable *others,
-                                      gint64 now_ms);
+CfFleetDemandResult cf_fleet_demand_put_relayed (CfFleetDemand *f,
+                                                 const char *addr,
+                                                 guint n_gateways,
+                                                 const CfDemandTable *others,
+                                                 gint64 now_ms);
 
 /** cf_fleet_demand_remove: forgets what @addr has stated. */
 void cf_fleet_demand_remove (CfFleetDemand *f, const char *addr);
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -15,6 +15,9 @@
 /** Below this fraction of the capacity nothing has to be divided: no early
  * hellos, and demand is sent without organisations. */
 #define BUSY_FRACTION 0.5
+/** A seed may know of so many gateways more than the size of the fleet, which
+ * this gateway learns later. */
+#define RELAYED_EXCESS_MAX 2
 /** Least time between two computations of a share. */
 #define REFRESH_INTERVAL_MS 10
 /** A pass limit is in force for this time after the last pass. */
@@ -313,14 +316,39 @@
   return 100 * fmax (s->capacity, 100);
 }
 
+/* Logs why what @peer has stated is not used. */
+static void
+report_result (CfGateway *g, const char *peer, CfFleetDemandResult result)
+{
+  if (result == CF_FLEET_DEMAND_ERRATIC)
+    cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
+                             "demand differs in each message");
+  if (result == CF_FLEET_DEMAND_TOO_MANY)
+    cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
+                             "too many gateways state demand");
+}
+
+static void
+take_relayed (CfGateway *g, CfServiceState *s, const CfPeerDemand *d,
+              const char *peer)
+{
+  if (d->n_others > g->fleet_size + RELAYED_EXCESS_MAX)
+    {
+      cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
+                               "sum covers more gateways than the fleet has");
+      return;
+    }
+  report_result (g, peer,
+                 cf_fleet_demand_put_relayed (&s->fleet_demand, peer,
+                                              d->n_others, &d->others,
+                                              cf_gateway_now (g)));
+}
+
 static void
 take_service (CfGateway *g, CfServiceState *s, const CfPeerDemand *d,
               const char *peer)
 {
   double max = get_max_demand (s);
-  gint64 now = cf_gateway_now (g);
-  gboolean own_is_used;
-  gboolean others_are_used;
 
   if (!cf_demand_table_is_valid (&d->own, max)
       || !cf_demand_table_is_valid (&d->others, max))
@@ -330,13 +358,10 @@
       cf_fleet_demand_remove (&s->fleet_demand, peer);
       return;
     }
-  own_is_used
-      = cf_fleet_demand_put_direct (&s->fleet_demand, peer, &d->own, now);
-  others_are_used = cf_fleet_demand_put_relayed (&s->fleet_demand, peer,
-                                                 d->n_others, &d->others, now);
-  if (!own_is_used || !others_are_used)
-    cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
-                             "demand differs in each message");
+  report_result (g, peer,
+                 cf_fleet_demand_put_direct (&s->fleet_demand, peer, &d->own,
+                                             cf_gateway_now (g)));
+  take_relayed (g, s, d, peer);
 }
 
 void
--- a/gateway/share.c
+++ b/gateway/share.c
@@ -188,11 +188,18 @@
   return MIN (MAX (b->total, MIN (MIN_SLOTS, even)) / b->capacity, 1);
 }
 
+/* Whether a share was computed.  One of no slots of a known capacity was. */
+static gboolean
+is_computed (const CfShareBand *b)
+{
+  return b->total > 0 || b->capacity > 0;
+}
+
 double
 cf_share_max_total (const CfShareBand *b)
 {
   gboolean is_limited
       = (b->contended && b->n_urgencies > 1) || b->has_pass_limit;
 
-  return is_limited ? MAX (b->total, MIN_SLOTS) : 0;
+  return is_limited && is_computed (b) ? MAX (b->total, MIN_SLOTS) : 0;
 }
--- a/gateway/share.h
+++ b/gateway/share.h
@@ -55,5 +55,5 @@
 double cf_share_fraction (const CfShareBand *b);
 
 /** cf_share_max_total: the most requests that this gateway may have in flight
- * at the service; 0: its share does not limit them. */
+ * at the service; 0: its share does not limit them, or was not computed. */
 double cf_share_max_total (const CfShareBand *b);
--- a/t/t-fleet-demand.c
+++ b/t/t-fleet-demand.c
@@ -27,12 +27,12 @@
   return (CfDemandTable){ .n = 1, .entries = { { 1, 7, 1, slots } } };
 }
 
-static void
+static CfFleetDemandResult
 put_direct (const char *addr, double slots, gint64 now_ms)
 {
   const CfDemandTable t = table_of (slots);
 
-  cf_fleet_demand_put_direct (&fleet, addr, &t, now_ms);
+  return cf_fleet_demand_put_direct (&fleet, addr, &t, now_ms);
 }
 
 static void
@@ -174,6 +174,8 @@
   put_direct ("b", 5, now);
   for (int i = 0; i < 16; i++, now += 50)
     put_direct ("a", i / 2 % 2 ? 30 : 2, now);
+  ck_assert_int_eq (put_direct ("a", 2, now), CF_FLEET_DEMAND_ERRATIC);
+  ck_assert_int_eq (put_direct ("b", 5, now), CF_FLEET_DEMAND_USED);
   check_others (now, 1, 5);
   /* Steady demand is used again, after a while. */
   for (int i = 0; i < 150; i++, now += 100)
@@ -245,6 +247,7 @@
       put_direct (addr, 1, NOW);
     }
   ck_assert_uint_eq (g_hash_table_size (fleet.direct), 1024);
+  ck_assert_int_eq (put_direct ("other", 3, NOW), CF_FLEET_DEMAND_TOO_MANY);
   put_direct ("late", 3, NOW + TIMEOUT_MS);
   check_others (NOW + TIMEOUT_MS, 1, 3);
 }
--- a/t/t-share.c
+++ b/t/t-share.c
@@ -371,6 +371,10 @@
   b.has_pass_limit = TRUE;
   b.contended = FALSE;
   ck_assert_double_eq (cf_share_max_total (&b), 12);
+  /* Without a share, a pass limit must not leave a single request. */
+  b.total = 0;
+  b.capacity = 0;
+  ck_assert_double_eq (cf_share_max_total (&b), 0);
 }
 END_TEST
 
