balancer: give yielding requests the uneven share

Requests that can no longer meet their objective were limited to an even part of all slots, although the gateway's part of each target may be larger or smaller.

--- a/gateway/balancer.c
+++ b/gateway/balancer.c
@@ -97,13 +97,19 @@
   return tried && g_ptr_array_find ((GPtrArray *)tried, t, NULL);
 }
 
+/* Returns this gateway's part of the service's slots, from 0 to 1. */
+static double
+get_fraction (const CfPickInput *in)
+{
+  return in->share_fraction > 0 ? in->share_fraction
+                                : 1.0 / MAX (in->n_gateways, 1);
+}
+
 static guint
 get_max_in_flight (const CfTarget *t, const CfPickInput *in)
 {
-  double fraction = in->share_fraction > 0 ? in->share_fraction
-                                           : 1.0 / MAX (in->n_gateways, 1);
-  guint share = compute_max_in_flight (t->record.slots, in->max_conns, fraction,
-                                       in->n_gateways);
+  guint share = compute_max_in_flight (t->record.slots, in->max_conns,
+                                       get_fraction (in), in->n_gateways);
 
   share = MIN (share, cf_target_full_limit (t, in->tests_full, in->now_ms));
   return in->yields ? (guint)MAX (share * YIELD_TARGET_FRACTION, 1) : share;
@@ -188,10 +194,8 @@
 get_local_margin (const CfTarget *t, const CfPickInput *in)
 {
   double slots = (double)t->record.slots;
-  double fraction = in->share_fraction > 0 ? in->share_fraction
-                                           : 1.0 / MAX (in->n_gateways, 1);
-  double margin
-      = MAX (slots * fraction * LOCAL_MARGIN_SHARES, LOCAL_MARGIN_MIN_REQUESTS);
+  double margin = MAX (slots * get_fraction (in) * LOCAL_MARGIN_SHARES,
+                       LOCAL_MARGIN_MIN_REQUESTS);
 
   return MIN (margin, slots * LOCAL_MARGIN_MAX_FRACTION);
 }
@@ -262,7 +266,7 @@
 static gboolean
 is_at_total_limit (const Selection *c, const CfPickInput *in)
 {
-  double share = (double)c->slots / MAX (in->n_gateways, 1);
+  double share = (double)c->slots * get_fraction (in);
   double max_in_flight = G_MAXUINT;
 
   if (in->max_total > 0 && in->in_flight >= ceil (in->max_total))
--- a/t/t-balancer.c
+++ b/t/t-balancer.c
@@ -258,6 +258,15 @@
   ck_assert_int_eq (cf_balancer_pick (&targets, &in, &t), CF_PICK_OK);
   in.in_flight = 25;
   ck_assert_int_eq (cf_balancer_pick (&targets, &in, &t), CF_PICK_FULL);
+  /* A gateway with a larger share of the slots has as much more of them for
+   * yielding requests. */
+  in.share_fraction = 2 / 35.0;
+  ck_assert_int_eq (cf_balancer_pick (&targets, &in, &t), CF_PICK_OK);
+  in.in_flight = 49;
+  ck_assert_int_eq (cf_balancer_pick (&targets, &in, &t), CF_PICK_OK);
+  in.in_flight = 50;
+  ck_assert_int_eq (cf_balancer_pick (&targets, &in, &t), CF_PICK_FULL);
+  in.share_fraction = 0;
   in.yields = FALSE;
   ck_assert_int_eq (cf_balancer_pick (&targets, &in, &t), CF_PICK_OK);
   cf_target_table_clear (&targets);
