--- a/gateway/fleet-demand.c
+++ b/gateway/fleet-demand.c
@@ -1,5 +1,7 @@
 #include "fleet-demand.h"
 
+#include <math.h>
+
 /** Gateways say hello at least once a second; two hellos may be lost. */
 #define TABLE_TIMEOUT_MS 2500
 /** Bounds the memory for addresses that peers state; the largest fleet has 208
@@ -31,6 +33,7 @@
   guint n_reversals;
   gint64 erratic_until_ms;
   gboolean is_summed; /* @table is part of the sum of direct tables */
+  double slots_sent;  /* total of @table in the sum that was last sent */
 } Stated;
 
 void
@@ -106,20 +109,21 @@
     s->erratic_until_ms = now_ms + ERRATIC_MS;
 }
 
-static gboolean
+static CfFleetDemandResult
 put (GHashTable **table, const char *addr, guint n_gateways,
      const CfDemandTable *t, gint64 now_ms)
 {
   Stated *s = get_stated (table, addr, now_ms);
 
   if (!s)
-    return FALSE;
+    return CF_FLEET_DEMAND_TOO_MANY;
   check_change (s, cf_demand_table_total (&s->table), cf_demand_table_total (t),
                 now_ms);
   s->table = *t;
   s->n_gateways = n_gateways;
   s->received_ms = now_ms;
-  return is_current (s, now_ms);
+  return is_current (s, now_ms) ? CF_FLEET_DEMAND_USED
+                                : CF_FLEET_DEMAND_ERRATIC;
 }
 
 /* Takes the table of gateway @addr out of the sum. */
@@ -143,7 +147,7 @@
   f->n_summed++;
 }
 
-gboolean
+CfFleetDemandResult
 cf_fleet_demand_put_relayed (CfFleetDemand *f, const char *addr,
                              guint n_gateways, const CfDemandTable *others,
                              gint64 now_ms)
@@ -197,17 +201,19 @@
     }
 }
 
-gboolean
+CfFleetDemandResult
 cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
                             const CfDemandTable *own, gint64 now_ms)
 {
+  CfFleetDemandResult result;
+
   if (f->direct && g_hash_table_size (f->direct) >= GATEWAYS_MAX)
     update_sum (f, now_ms); /* so that expired tables can be removed */
   subtract (f, addr);
-  if (!put (&f->direct, addr, 1, own, now_ms))
-    return FALSE;
-  add_to_sum (f, g_hash_table_lookup (f->direct, addr));
-  return TRUE;
+  result = put (&f->direct, addr, 1, own, now_ms);
+  if (result == CF_FLEET_DEMAND_USED)
+    add_to_sum (f, g_hash_table_lookup (f->direct, addr));
+  return result;
 }
 
 guint
@@ -224,6 +230,50 @@
   return f->n_summed - 1;
 }
 
+static double
+get_summed_slots (const Stated *s)
+{
+  return s->is_summed ? cf_demand_table_total (&s->table) : 0;
+}
+
+void
+cf_fleet_demand_note_sent (CfFleetDemand *f)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  f->slots_sent = cf_demand_table_total (&f->sum);
+  if (!f->direct)
+    return;
+  g_hash_table_iter_init (&it, f->direct);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    ((Stated *)value)->slots_sent = get_summed_slots (value);
+}
+
+gboolean
+cf_fleet_demand_has_changed (const CfFleetDemand *f, double min_slots,
+                             double min_fraction)
+{
+  double total = cf_demand_table_total (&f->sum);
+  GHashTableIter it;
+  gpointer value;
+
+  if (!f->direct)
+    return FALSE;
+  g_hash_table_iter_init (&it, f->direct);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const Stated *s = value;
+      double now = total - get_summed_slots (s);
+      double sent = f->slots_sent - s->slots_sent;
+      double change = fabs (now - sent);
+
+      if (change > min_slots && change > min_fraction * MAX (now, sent))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Returns the table of @addr itself, if it is current. */
 static const Stated *
 get_direct (const CfFleetDemand *f, const char *addr, gint64 now_ms)
--- a/gateway/fleet-demand.h
+++ b/gateway/fleet-demand.h
@@ -16,29 +16,35 @@
   CfDemandTable sum;   /**< of the direct tables */
   guint n_summed;      /**< gateways in @sum */
   gint64 summed_ms;    /**< when @sum was last made anew */
+  double slots_sent;   /**< total of @sum when it was last sent */
 } CfFleetDemand;
 
 void cf_fleet_demand_clear (CfFleetDemand *f);
 
-/**
- * cf_fleet_demand_put_direct:
- * Gateway @addr states its own demand.
- * Returns: whether it is used.  It is not if what the gateway states goes up
- * and down with each message, or if there are too many gateways.
- */
-gboolean cf_fleet_demand_put_direct (CfFleetDemand *f, const char *addr,
-                                     const CfDemandTable *own, gint64 now_ms);
+/** CfFleetDemandResult: whether what a gateway has stated is used. */
+typedef enum
+{
+  CF_FLEET_DEMAND_USED,
+  CF_FLEET_DEMAND_ERRATIC, /**< it goes up and down with each message */
+  CF_FLEET_DEMAND_TOO_MANY /**< too many gateways have stated demand */
+} CfFleetDemandResult;
+
+/** cf_fleet_demand_put_direct: gateway @addr states its own demand. */
+CfFleetDemandResult cf_fleet_demand_put_direct (CfFleetDemand *f,
+                                                const char *addr,
+                                                const CfDemandTable *own,
+                                                gint64 now_ms);
 
 /**
  * cf_fleet_demand_put_relayed:
  * Gateway @addr states the sum over @n_gateways gateways, without itself and
  * this one.
- * Returns: as cf_fleet_demand_put_direct().
  */
-gboolean cf_fleet_demand_put_relayed (CfFleetDemand *f, const char *addr,
-                                      guint n_gateways,
-                                      const CfDemandTable *others,
-                                      gint64 now_ms);
+CfFleetDemandResult cf_fleet_demand_put_relayed (CfFleetDemand *f,
+                                                 const char *addr,
+                                                 guint n_gateways,
+                                                 const CfDemandTable *others,
+                                                 gint64 now_ms);
 
 /** cf_fleet_demand_remove: forgets what @addr has stated. */
 void cf_fleet_demand_remove (CfFleetDemand *f, const char *addr);
@@ -65,3 +71,16 @@
  */
 guint cf_fleet_demand_sum_direct (const CfFleetDemand *f, const char *except,
                                   CfDemandTable *out);
+
+/** cf_fleet_demand_note_sent: the sums of the direct tables were sent. */
+void cf_fleet_demand_note_sent (CfFleetDemand *f);
+
+/**
+ * cf_fleet_demand_has_changed:
+ * Whether the sum for one of the gateways, without its own table, differs by
+ * more than @min_slots slots and by more than the fraction @min_fraction from
+ * what was last sent.  The sum of all tables does not show demand that moves
+ * from one gateway to another.
+ */
+gboolean cf_fleet_demand_has_changed (const CfFleetDemand *f, double min_slots,
+                                      double min_fraction);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -55,14 +55,16 @@
   CfDemandMeter demand;       /**< of this gateway */
   CfFleetDemand fleet_demand; /**< of the other gateways */
   CfShare share;              /**< of its capacity; total 0: not computed */
+  gboolean is_share_uneven;   /**< @share is used instead of an even one */
   double capacity;            /**< slots that @share divides; 0: unknown */
   CfDemandTable own_demand;   /**< as last read from @demand */
   CfDemandTable others;       /**< the sum that @share was computed with */
   guint n_others;             /**< gateways that @others covers */
   gint64 share_ms;            /**< when @share was computed */
   double demand_sent;         /**< total of @own_demand in the last hello */
-  gboolean is_demand_notable; /**< differs from @demand_sent, in a service with
-                                   little capacity left */
+  gboolean is_demand_notable; /**< it, or what is relayed, differs from what
+                                   was last sent, in a service with little
+                                   capacity left */
   CfShareLog share_log;
   CfOrgUsage org_usage;
   CfReturnSchedule returns;
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -15,10 +15,9 @@
 /** Below this fraction of the capacity nothing has to be divided: no early
  * hellos, and demand is sent without organisations. */
 #define BUSY_FRACTION 0.5
-/** A share that differs from the even one by less than this factor is handled
- * as even by the balancer.  Whole requests a target are its unit, so smaller
- * differences would only make targets' loads uneven. */
-#define UNEVEN_FACTOR 1.5
+/** A seed may know of so many gateways more than the size of the fleet, which
+ * this gateway learns later. */
+#define RELAYED_EXCESS_MAX 2
 /** Least time between two computations of a share. */
 #define REFRESH_INTERVAL_MS 10
 /** A pass limit is in force for this time after the last pass. */
@@ -89,16 +88,46 @@
           share->admitted_urgency);
 }
 
-/* Whether peers should hear of the demand @slots before the next hello. */
+/* Whether this gateway relays the demand of others: only seeds have links to
+ * all of them. */
 static gboolean
-is_notable (const CfServiceState *s, double slots)
+is_seed (const CfGateway *g)
+{
+  const char *addr = g->settings.control_addr;
+
+  return addr && g->settings.seed_addrs
+         && g_strv_contains ((const char *const *)g->settings.seed_addrs, addr);
+}
+
+/* Whether peers should hear of the demand @slots of this gateway, or of what it
+ * relays, before the next hello. */
+static gboolean
+is_notable (const CfGateway *g, const CfServiceState *s, double slots)
 {
   double change = fabs (slots - s->demand_sent);
+  double others
+      = fmax (cf_demand_table_total (&s->others), s->fleet_demand.slots_sent);
 
-  return change > NOTABLE_SLOTS
-         && change > NOTABLE_FRACTION * fmax (slots, s->demand_sent)
-         && fmax (slots, s->demand_sent) + cf_demand_table_total (&s->others)
-                > BUSY_FRACTION * s->capacity;
+  if (fmax (slots, s->demand_sent) + others <= BUSY_FRACTION * s->capacity)
+    return FALSE;
+  return (change > NOTABLE_SLOTS
+          && change > NOTABLE_FRACTION * fmax (slots, s->demand_sent))
+         || (is_seed (g)
+             && cf_fleet_demand_has_changed (&s->fleet_demand, NOTABLE_SLOTS,
+                                             NOTABLE_FRACTION));
+}
+
+static CfShareBand
+make_band (const CfGateway *g, const CfServiceState *s)
+{
+  CfShareBand b = { .total = s->share.total, .capacity = s->capacity };
+
+  b.n_gateways = g->fleet_size;
+  b.n_urgencies = s->share.n_urgencies;
+  b.contended = s->share.contended;
+  b.was_uneven = s->is_share_uneven;
+  b.has_pass_limit = has_pass_limit (g, s);
+  return b;
 }
 
 static void
@@ -118,7 +147,9 @@
   in.own = &s->own_demand;
   in.others = &s->others;
   cf_share_compute (&in, &s->share);
-  s->is_demand_notable = is_notable (s, cf_demand_table_total (&s->own_demand));
+  s->is_share_uneven = cf_service_share_fraction (g, s) > 0;
+  s->is_demand_notable
+      = is_notable (g, s, cf_demand_table_total (&s->own_demand));
   log_share (g, service, s, cf_demand_table_total (&s->own_demand),
              cf_demand_table_total (&s->own_demand)
                  + cf_demand_table_total (&s->others),
@@ -187,6 +218,7 @@
       CfServiceState *s = v;
 
       s->demand_sent = cf_demand_table_total (&s->own_demand);
+      cf_fleet_demand_note_sent (&s->fleet_demand);
     }
 }
 
@@ -284,14 +316,39 @@
   return 100 * fmax (s->capacity, 100);
 }
 
+/* Logs why what @peer has stated is not used. */
+static void
+report_result (CfGateway *g, const char *peer, CfFleetDemandResult result)
+{
+  if (result == CF_FLEET_DEMAND_ERRATIC)
+    cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
+                             "demand differs in each message");
+  if (result == CF_FLEET_DEMAND_TOO_MANY)
+    cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
+                             "too many gateways state demand");
+}
+
+static void
+take_relayed (CfGateway *g, CfServiceState *s, const CfPeerDemand *d,
+              const char *peer)
+{
+  if (d->n_others > g->fleet_size + RELAYED_EXCESS_MAX)
+    {
+      cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
+                               "sum covers more gateways than the fleet has");
+      return;
+    }
+  report_result (g, peer,
+                 cf_fleet_demand_put_relayed (&s->fleet_demand, peer,
+                                              d->n_others, &d->others,
+                                              cf_gateway_now (g)));
+}
+
 static void
 take_service (CfGateway *g, CfServiceState *s, const CfPeerDemand *d,
               const char *peer)
 {
   double max = get_max_demand (s);
-  gint64 now = cf_gateway_now (g);
-  gboolean own_is_used;
-  gboolean others_are_used;
 
   if (!cf_demand_table_is_valid (&d->own, max)
       || !cf_demand_table_is_valid (&d->others, max))
@@ -301,13 +358,10 @@
       cf_fleet_demand_remove (&s->fleet_demand, peer);
       return;
     }
-  own_is_used
-      = cf_fleet_demand_put_direct (&s->fleet_demand, peer, &d->own, now);
-  others_are_used = cf_fleet_demand_put_relayed (&s->fleet_demand, peer,
-                                                 d->n_others, &d->others, now);
-  if (!own_is_used || !others_are_used)
-    cf_gateway_drop_reading (g, CF_READING_SERVICE_DEMAND, peer,
-                             "demand differs in each message");
+  report_result (g, peer,
+                 cf_fleet_demand_put_direct (&s->fleet_demand, peer, &d->own,
+                                             cf_gateway_now (g)));
+  take_relayed (g, s, d, peer);
 }
 
 void
@@ -338,24 +392,17 @@
 double
 cf_service_share_fraction (const CfGateway *g, const CfServiceState *s)
 {
-  double even = get_even_share (g, s->capacity);
-
-  if (s->share.exact <= 0 || s->capacity <= 0)
-    return 0;
-  if (s->share.exact > even * UNEVEN_FACTOR)
-    return fmin (s->share.exact / s->capacity, 1);
-  if (s->share.contended && s->share.exact * UNEVEN_FACTOR < even)
-    return s->share.exact / s->capacity;
-  return 0;
+  const CfShareBand b = make_band (g, s);
+
+  return cf_share_fraction (&b);
 }
 
 double
 cf_service_share_max_total (const CfGateway *g, const CfServiceState *s)
 {
-  gboolean is_limited = (s->share.contended && s->share.n_urgencies > 1)
-                        || has_pass_limit (g, s);
+  const CfShareBand b = make_band (g, s);
 
-  return is_limited ? fmax (s->share.exact, 1) : 0;
+  return cf_share_max_total (&b);
 }
 
 double
--- a/t/t-fleet-demand.c
+++ b/t/t-fleet-demand.c
@@ -27,12 +27,12 @@
   return (CfDemandTable){ .n = 1, .entries = { { 1, 7, 1, slots } } };
 }
 
-static void
+static CfFleetDemandResult
 put_direct (const char *addr, double slots, gint64 now_ms)
 {
   const CfDemandTable t = table_of (slots);
 
-  cf_fleet_demand_put_direct (&fleet, addr, &t, now_ms);
+  return cf_fleet_demand_put_direct (&fleet, addr, &t, now_ms);
 }
 
 static void
@@ -174,6 +174,8 @@
   put_direct ("b", 5, now);
   for (int i = 0; i < 16; i++, now += 50)
     put_direct ("a", i / 2 % 2 ? 30 : 2, now);
+  ck_assert_int_eq (put_direct ("a", 2, now), CF_FLEET_DEMAND_ERRATIC);
+  ck_assert_int_eq (put_direct ("b", 5, now), CF_FLEET_DEMAND_USED);
   check_others (now, 1, 5);
   /* Steady demand is used again, after a while. */
   for (int i = 0; i < 150; i++, now += 100)
@@ -212,6 +214,29 @@
 }
 END_TEST
 
+/* Guards against a seed that relays demand late: the sum of all tables does not
+ * change when demand moves between two gateways, but what each is sent does. */
+START_TEST (moved_demand_changes_what_is_relayed)
+{
+  ck_assert (!cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  put_direct ("a", 30, NOW);
+  put_direct ("b", 2, NOW);
+  put_direct ("c", 2, NOW);
+  ck_assert (cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  cf_fleet_demand_note_sent (&fleet);
+  ck_assert (!cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  put_direct ("b", 5, NOW + 1);
+  ck_assert (!cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  put_direct ("a", 2, NOW + 2);
+  put_direct ("b", 30, NOW + 2);
+  ck_assert (cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  cf_fleet_demand_note_sent (&fleet);
+  ck_assert (!cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+  cf_fleet_demand_remove (&fleet, "b");
+  ck_assert (cf_fleet_demand_has_changed (&fleet, 3, 0.25));
+}
+END_TEST
+
 /* Addresses are stated by peers: a faulty one may state any number of them. */
 START_TEST (gateways_are_bounded)
 {
@@ -222,6 +247,7 @@
       put_direct (addr, 1, NOW);
     }
   ck_assert_uint_eq (g_hash_table_size (fleet.direct), 1024);
+  ck_assert_int_eq (put_direct ("other", 3, NOW), CF_FLEET_DEMAND_TOO_MANY);
   put_direct ("late", 3, NOW + TIMEOUT_MS);
   check_others (NOW + TIMEOUT_MS, 1, 3);
 }
@@ -246,6 +272,7 @@
   tcase_add_test (t, demand_that_differs_in_each_message_is_not_used);
   tcase_add_test (t, relayed_sum_that_differs_in_each_message_is_not_used);
   tcase_add_test (t, moving_and_random_demand_is_used);
+  tcase_add_test (t, moved_demand_changes_what_is_relayed);
   tcase_add_test (t, gateways_are_bounded);
   suite_add_tcase (s, t);
   return t_run_suite (s);
