peer-service: leave a seed's demand out of its hello

The first hello on a link to a seed is sent before the seed has said its address, so that the sum in it contained the seed's own demand. The seed's configured address is used until then.

No test of its own, since it needs a gateway.

--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -311,6 +311,16 @@
   m->u.gateway_hello.n_ring_members = cf_membership_size (s->membership);
 }
 
+/* Returns the address of the gateway at the other end; that of the seed until
+ * it has said hello.  (nullable) */
+static const char *
+get_addr (const Peer *p)
+{
+  if (p->addr || p->seed < 0)
+    return p->addr;
+  return p->s->g->settings.seed_addrs[p->seed];
+}
+
 static void
 send_filled_hello (const Peer *p, CfPeerMsg *m)
 {
@@ -320,7 +330,7 @@
   m->u.gateway_hello.ring_start
       = ring_start < 0 ? -1 : (gint64)(ring_start * CF_PEER_RING_UNITS);
   g_clear_pointer (&m->u.gateway_hello.demand, g_array_unref);
-  m->u.gateway_hello.demand = cf_service_share_collect (p->s->g, p->addr);
+  m->u.gateway_hello.demand = cf_service_share_collect (p->s->g, get_addr (p));
   m->u.gateway_hello.want = compute_wanted (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     p->s->targets_asked_ms = p->s->g->now_ms;
