fleet-demand: allow demand that moves each second

A load that moves each second reverses with each regular hello, which come once a second, and was not used for 10 s after six of them. Changes between messages more than 300 ms apart are no longer counted.

--- a/gateway/fleet-demand.c
+++ b/gateway/fleet-demand.c
@@ -16,6 +16,10 @@
  * that demand does not have: it is averaged over half a second, and a change is
  * stated within 100 ms. */
 #define REVERSALS_MAX 6
+/** Changes between messages that are further apart than this are not counted.
+ * Regular hellos come once a second, as does a load that moves each second;
+ * changed demand is stated every 100 ms, of which two messages may be lost. */
+#define MESSAGE_INTERVAL_MAX_MS 300
 /** Demand that has changed like this is not used for this time. */
 #define ERRATIC_MS 10000
 
@@ -98,6 +102,12 @@
 {
   int direction = get_abrupt_direction (from, to);
 
+  if (now_ms - s->received_ms > MESSAGE_INTERVAL_MAX_MS)
+    {
+      s->n_reversals = 0;
+      s->direction = 0;
+      return;
+    }
   if (to == from)
     return;
   if (direction != 0 && direction == -s->direction)
--- a/t/t-fleet-demand.c
+++ b/t/t-fleet-demand.c
@@ -214,6 +214,21 @@
 }
 END_TEST
 
+/* Guards against taking a load that moves each second for an erratic one if
+ * messages come once a second. */
+START_TEST (demand_that_moves_each_second_is_used)
+{
+  for (int i = 0; i < 30; i++)
+    {
+      gint64 now = NOW + i * 1000;
+      double slots = i % 2 ? 30 : 2;
+
+      ck_assert_int_eq (put_direct ("a", slots, now), CF_FLEET_DEMAND_USED);
+      check_others (now, 1, slots);
+    }
+}
+END_TEST
+
 /* Guards against a seed that relays demand late: the sum of all tables does not
  * change when demand moves between two gateways, but what each is sent does. */
 START_TEST (moved_demand_changes_what_is_relayed)
@@ -272,6 +287,7 @@
   tcase_add_test (t, demand_that_differs_in_each_message_is_not_used);
   tcase_add_test (t, relayed_sum_that_differs_in_each_message_is_not_used);
   tcase_add_test (t, moving_and_random_demand_is_used);
+  tcase_add_test (t, demand_that_moves_each_second_is_used);
   tcase_add_test (t, moved_demand_changes_what_is_relayed);
   tcase_add_test (t, gateways_are_bounded);
   suite_add_tcase (s, t);
