service-share: log that a pass limit has lapsed

E1223 was logged for a limit that a pass lifted, but not for one that was no longer used after 2 s without passes. It is now logged as lifted then, once.

The message itself has no test, since it needs passes of a rank group that then end; t-pass-limit covers that a lifted limit is reported once.

--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -55,6 +55,18 @@
                                : slots;
 }
 
+/* Logs that a pass limit has lapsed, if it was logged as in force. */
+static void
+report_lapsed_pass_limit (const CfGateway *g, const char *service,
+                          CfServiceState *s)
+{
+  if (!has_pass_limit (g, s) && cf_pass_limit_report (&s->pass_limit, 0))
+    cf_log (LOG_NOTICE, CF_EV_PASS_LIMIT,
+            "service=%s limit=0.0 slowness=%.2f ranks=%u", service,
+            cf_pass_limit_slowness (&s->pass_limit, cf_gateway_now (g)),
+            cf_target_table_count_usable (&g->targets, service));
+}
+
 static double
 get_even_share (const CfGateway *g, double slots)
 {
@@ -135,6 +147,7 @@
 {
   CfShareInput in = { 0 };
 
+  report_lapsed_pass_limit (g, service, s);
   s->capacity = get_capacity (g, service, s);
   cf_demand_meter_read (&s->demand, s->in_flight, s->queue.n,
                         cf_gateway_now (g), &s->own_demand);
