concurrency-limit: correct the comment on its base

It said that the time without a queue is unknown without a model of the engine. It is then two pauses between events; it is unknown only until the first pause is seen, and nothing is decided until then. Comments only.

--- a/gateway/concurrency-limit.c
+++ b/gateway/concurrency-limit.c
@@ -10,11 +10,11 @@
  * passes alone take longer than the objective allows, a lower limit would gain
  * nothing. */
 #define ACCEPTED_UNQUEUED_FACTOR 1.3
-/** Without a model of the engine, the time without a queue is not known, and is
- * assumed to be the shortest one seen.  If requests of other gateways are
- * queued all along, that time contains the queue; it is therefore accepted only
- * up to this fraction of the objective, which leaves a fifth for the wait in
- * the gateway. */
+/** Without a model of the engine, the expected time without a queue is that of
+ * two pauses between events, which leaves out the prompt.  The shortest time
+ * seen is therefore accepted too.  If requests of other gateways are queued all
+ * along, that time contains the queue; it is accepted only up to this fraction
+ * of the objective, which leaves a fifth for the wait in the gateway. */
 #define ACCEPTED_FASTEST_FRACTION 0.8
 /** The shortest time is taken from one to two windows. */
 #define WINDOW_MS 5000L
@@ -111,7 +111,9 @@
   gboolean was_limited = l->limit > 0;
 
   note_fastest (l, e);
-  /* Requests sent before the last decision do not show its effect. */
+  /* Requests sent before the last decision do not show its effect.  Without a
+   * model and before the first pause between events, nothing is known of the
+   * time without a queue, and nothing is decided. */
   if (CF_WITHOUT_CONCURRENCY_LIMIT || e->sent_ms < l->decided_ms
       || e->unqueued_ms <= 0)
     return FALSE;
