fleet-demand: name types by what they hold

Renames Stated to StatedDemand and put to put_stated, and Work in demand.c to OverfullTable. No change of behaviour: t-demand 17 of 17, t-fleet-demand 15 of 15.

--- a/gateway/demand.c
+++ b/gateway/demand.c
@@ -38,12 +38,12 @@
   gint64 updated_ms;
 } Rate;
 
-/** Work: a table that may have more entries while they are added. */
+/** OverfullTable: a table that may have more entries while they are added. */
 typedef struct
 {
   guint n;
   CfDemand entries[2 * CF_DEMAND_ENTRIES_MAX];
-} Work;
+} OverfullTable;
 
 guint32
 cf_demand_org_id (const char *org)
@@ -112,7 +112,7 @@
  * @urgency, or, if that is negative, of all urgencies with several entries;
  * @w->n if there is none. */
 static guint
-find_smallest_org (const Work *w, gint64 urgency)
+find_smallest_org (const OverfullTable *w, gint64 urgency)
 {
   guint min = w->n;
 
@@ -151,7 +151,7 @@
 
 /* Merges the two least urgent entries. */
 static void
-merge_last_urgencies (Work *w)
+merge_last_urgencies (OverfullTable *w)
 {
   CfDemand *last = &w->entries[w->n - 1];
 
@@ -164,7 +164,7 @@
 
 /* Removes one entry. */
 static void
-merge_one (Work *w)
+merge_one (OverfullTable *w)
 {
   guint n = w->n;
   guint i = find_smallest_org (w, -1);
@@ -183,7 +183,7 @@
 
 /* Writes @w to @t, with merged entries if it has too many. */
 static void
-store (Work *w, CfDemandTable *t)
+store (OverfullTable *w, CfDemandTable *t)
 {
   while (w->n > CF_DEMAND_ENTRIES_MAX)
     merge_one (w);
@@ -195,7 +195,7 @@
 cf_demand_table_add (CfDemandTable *t, const CfDemand *d)
 {
   guint i = find_position (t->entries, t->n, d);
-  Work w;
+  OverfullTable w;
 
   if (i < t->n && compare_keys (&t->entries[i], d) == 0)
     {
@@ -226,7 +226,7 @@
 /* Sets the number of organisations of a level's merged entry, if it has one:
  * those that are merged in one table may be among those of the other. */
 static void
-end_level (Work *w, const LevelMerge *l)
+end_level (OverfullTable *w, const LevelMerge *l)
 {
   guint n = MAX (l->n_named, MAX (l->n_left, l->n_right));
 
@@ -236,7 +236,8 @@
 
 /* Appends the entry that is @a, @b, or, if both are given, their sum. */
 static void
-append_entry (Work *w, LevelMerge *l, const CfDemand *a, const CfDemand *b)
+append_entry (OverfullTable *w, LevelMerge *l, const CfDemand *a,
+              const CfDemand *b)
 {
   CfDemand d = a ? *a : *b;
 
@@ -259,7 +260,7 @@
   LevelMerge level = { 0 };
   guint i = 0;
   guint j = 0;
-  Work w;
+  OverfullTable w;
 
   w.n = 0;
   while (i < t->n || j < from->n)
--- a/gateway/fleet-demand.c
+++ b/gateway/fleet-demand.c
@@ -27,7 +27,7 @@
  * stay merged when it is only updated. */
 #define SUM_MAX_AGE_MS 1000
 
-/** Stated: what a gateway has stated. */
+/** StatedDemand: what a gateway has stated. */
 typedef struct
 {
   CfDemandTable table;
@@ -38,7 +38,7 @@
   gint64 erratic_until_ms;
   gboolean is_summed; /* @table is part of the sum of direct tables */
   double slots_sent;  /* total of @table in the sum that was last sent */
-} Stated;
+} StatedDemand;
 
 void
 cf_fleet_demand_clear (CfFleetDemand *f)
@@ -49,7 +49,7 @@
 }
 
 static gboolean
-is_current (const Stated *s, gint64 now_ms)
+is_current (const StatedDemand *s, gint64 now_ms)
 {
   return now_ms - s->received_ms < TABLE_TIMEOUT_MS
          && now_ms >= s->erratic_until_ms;
@@ -59,16 +59,16 @@
 static gboolean
 is_unused_entry (gpointer addr, gpointer stated, gpointer now_ms)
 {
-  return !((Stated *)stated)->is_summed
+  return !((StatedDemand *)stated)->is_summed
          && !is_current (stated, *(const gint64 *)now_ms);
 }
 
 /* Returns what @addr has stated, to be overwritten; %NULL if there are too many
  * gateways. */
-static Stated *
+static StatedDemand *
 get_stated (GHashTable **table, const char *addr, gint64 now_ms)
 {
-  Stated *s;
+  StatedDemand *s;
 
   if (!*table)
     *table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -79,7 +79,7 @@
     g_hash_table_foreach_remove (*table, is_unused_entry, &now_ms);
   if (g_hash_table_size (*table) >= GATEWAYS_MAX)
     return NULL;
-  s = g_new0 (Stated, 1);
+  s = g_new0 (StatedDemand, 1);
   g_hash_table_insert (*table, g_strdup (addr), s);
   return s;
 }
@@ -98,7 +98,7 @@
 /* Updates whether the demand that @s states goes up and down with each message.
  * Two seeds have two links, on which the same demand is stated twice. */
 static void
-check_change (Stated *s, double from, double to, gint64 now_ms)
+check_change (StatedDemand *s, double from, double to, gint64 now_ms)
 {
   int direction = get_abrupt_direction (from, to);
 
@@ -120,10 +120,10 @@
 }
 
 static CfFleetDemandResult
-put (GHashTable **table, const char *addr, guint n_gateways,
-     const CfDemandTable *t, gint64 now_ms)
+put_stated (GHashTable **table, const char *addr, guint n_gateways,
+            const CfDemandTable *t, gint64 now_ms)
 {
-  Stated *s = get_stated (table, addr, now_ms);
+  StatedDemand *s = get_stated (table, addr, now_ms);
 
   if (!s)
     return CF_FLEET_DEMAND_TOO_MANY;
@@ -140,7 +140,7 @@
 static void
 subtract (CfFleetDemand *f, const char *addr)
 {
-  Stated *s = f->direct ? g_hash_table_lookup (f->direct, addr) : NULL;
+  StatedDemand *s = f->direct ? g_hash_table_lookup (f->direct, addr) : NULL;
 
   if (!s || !s->is_summed)
     return;
@@ -150,7 +150,7 @@
 }
 
 static void
-add_to_sum (CfFleetDemand *f, Stated *s)
+add_to_sum (CfFleetDemand *f, StatedDemand *s)
 {
   cf_demand_table_merge (&f->sum, &s->table);
   s->is_summed = TRUE;
@@ -162,7 +162,7 @@
                              guint n_gateways, const CfDemandTable *others,
                              gint64 now_ms)
 {
-  return put (&f->relayed, addr, n_gateways, others, now_ms);
+  return put_stated (&f->relayed, addr, n_gateways, others, now_ms);
 }
 
 void
@@ -186,7 +186,7 @@
     return TRUE;
   g_hash_table_iter_init (&it, f->direct);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (((Stated *)value)->is_summed && !is_current (value, now_ms))
+    if (((StatedDemand *)value)->is_summed && !is_current (value, now_ms))
       return TRUE;
   return FALSE;
 }
@@ -205,7 +205,7 @@
   g_hash_table_iter_init (&it, f->direct);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      ((Stated *)value)->is_summed = FALSE;
+      ((StatedDemand *)value)->is_summed = FALSE;
       if (is_current (value, now_ms))
         add_to_sum (f, value);
     }
@@ -220,7 +220,7 @@
   if (f->direct && g_hash_table_size (f->direct) >= GATEWAYS_MAX)
     update_sum (f, now_ms); /* so that expired tables can be removed */
   subtract (f, addr);
-  result = put (&f->direct, addr, 1, own, now_ms);
+  result = put_stated (&f->direct, addr, 1, own, now_ms);
   if (result == CF_FLEET_DEMAND_USED)
     add_to_sum (f, g_hash_table_lookup (f->direct, addr));
   return result;
@@ -230,7 +230,7 @@
 cf_fleet_demand_sum_direct (const CfFleetDemand *f, const char *except,
                             CfDemandTable *out)
 {
-  const Stated *s
+  const StatedDemand *s
       = f->direct && except ? g_hash_table_lookup (f->direct, except) : NULL;
 
   *out = f->sum;
@@ -241,7 +241,7 @@
 }
 
 static double
-get_summed_slots (const Stated *s)
+get_summed_slots (const StatedDemand *s)
 {
   return s->is_summed ? cf_demand_table_total (&s->table) : 0;
 }
@@ -257,7 +257,7 @@
     return;
   g_hash_table_iter_init (&it, f->direct);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    ((Stated *)value)->slots_sent = get_summed_slots (value);
+    ((StatedDemand *)value)->slots_sent = get_summed_slots (value);
 }
 
 gboolean
@@ -273,7 +273,7 @@
   g_hash_table_iter_init (&it, f->direct);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      const Stated *s = value;
+      const StatedDemand *s = value;
       double now = total - get_summed_slots (s);
       double sent = f->slots_sent - s->slots_sent;
       double change = fabs (now - sent);
@@ -285,10 +285,11 @@
 }
 
 /* Returns the table of @addr itself, if it is current. */
-static const Stated *
+static const StatedDemand *
 get_direct (const CfFleetDemand *f, const char *addr, gint64 now_ms)
 {
-  const Stated *s = f->direct ? g_hash_table_lookup (f->direct, addr) : NULL;
+  const StatedDemand *s
+      = f->direct ? g_hash_table_lookup (f->direct, addr) : NULL;
 
   return s && is_current (s, now_ms) ? s : NULL;
 }
@@ -296,8 +297,8 @@
 /* Finds the sum that, with its sender's own table, covers the most gateways; of
  * several, the newest.  Returns the number of gateways. */
 static guint
-find_best_relayed (const CfFleetDemand *f, gint64 now_ms, const Stated **best,
-                   const Stated **sender)
+find_best_relayed (const CfFleetDemand *f, gint64 now_ms,
+                   const StatedDemand **best, const StatedDemand **sender)
 {
   GHashTableIter it;
   gpointer addr;
@@ -309,8 +310,8 @@
   g_hash_table_iter_init (&it, f->relayed);
   while (g_hash_table_iter_next (&it, &addr, &value))
     {
-      const Stated *s = value;
-      const Stated *own = get_direct (f, addr, now_ms);
+      const StatedDemand *s = value;
+      const StatedDemand *own = get_direct (f, addr, now_ms);
       guint n = s->n_gateways + (own != NULL);
 
       if (!is_current (s, now_ms) || n < n_best
@@ -326,8 +327,8 @@
 guint
 cf_fleet_demand_get_others (CfFleetDemand *f, gint64 now_ms, CfDemandTable *out)
 {
-  const Stated *best = NULL;
-  const Stated *sender = NULL;
+  const StatedDemand *best = NULL;
+  const StatedDemand *sender = NULL;
   guint n_relayed = find_best_relayed (f, now_ms, &best, &sender);
 
   update_sum (f, now_ms);
