soak: add skews, bursts, urgencies and organisations

The soak sent all plain requests with one priority and for one organisation, spread evenly over the gateways, so that it did not cover shares of contended capacity.

Send part of the quotes on routes with priorities 0 and 2 for a small and a large organisation. Add two kinds of fault: a skew sends most callers to one gateway, and a burst sends plain requests at twice to three times the rate so far, with refused callers that return to another gateway. Give plain targets two slots so that bursts need most of them. Check that 0.9 of the urgent requests sent 3 to 6 s after the last fault are served, in all seeds, and that no request of any kind ran that was answered 429 or 503.

The faults drawn apart (evacuations, cold targets, omitted fields) and the callers' requests of a seed differ from before; its other faults are the same. A seed waits up to 6 s longer.

--- a/t/soak-callers.c
+++ b/t/soak-callers.c
@@ -14,13 +14,21 @@
 #include <unistd.h>
 
 /** A caller's timeout for an answer: longer than the 800 ms timeout of the
- * routes for orders and quotes, and much longer than any stream takes. */
+ * routes for orders and quotes (the urgent and basic ones have 8 s), and much
+ * longer than any stream takes. */
 #define ANSWER_TIMEOUT_MS 4000
 #define SIGNATURE "Comfreypost-Server-Signature: "
+#define RETRY_AFTER "Retry-After: "
 #define TOKENS_PER_EVENT 4
 /** Callers use the routes of this many configuration versions, the newest
  * ones. */
 #define VERSIONS_USED 3
+/** Percentage of new connections that a skew sends to its gateway. */
+#define SKEWED_PERCENT 90
+/** One in this many refused callers returns at once. */
+#define RETURN_AT_ONCE_EVERY 4
+/** Times that the caller of a burst is refused until it gives up. */
+#define REFUSALS_MAX 5
 #define EVENTS_MIN 4
 #define EVENTS_MAX 30
 
@@ -35,6 +43,8 @@
   int version;       /**< newest configuration version that a request on this
                         connection was served by */
   gint64 version_ms; /**< when that version first served one */
+  int refused_by;    /**< gateway that a return avoids; 0: none */
+  gulong return_us;  /**< how long the last refusal asked to wait */
   GRand *rand;
 } Caller;
 
@@ -44,6 +54,7 @@
   SoakRequestClass class;
   char id[40];
   char method_and_path[80];
+  const char *org;
   int events;
   int version; /**< the only configuration version that has this path; 0: all
                   have it */
@@ -55,6 +66,39 @@
 static gint is_stopping;
 static gint n_sent[SOAK_N_CLASSES];
 static gint n_served[SOAK_N_CLASSES];
+static gint n_usual; /* plain requests, those of bursts not counted */
+static gint64 start_ms;
+
+/* The skew or burst that callers follow now, or NULL. */
+static const SoakFault *
+current_load (SoakFaultKind kind)
+{
+  gint64 at_ms = soak_now_ms () - start_ms;
+
+  for (guint i = 0; i < plan->faults->len; i++)
+    {
+      const SoakFault *f = &g_array_index (plan->faults, SoakFault, i);
+
+      if (f->kind == kind && f->at_ms <= at_ms
+          && at_ms < f->at_ms + f->duration_ms)
+        return f;
+    }
+  return NULL;
+}
+
+/* The gateway that most callers prefer in a skew; in half of the skews it is
+ * another one half way.  0: none. */
+static int
+draw_skewed_gateway (Caller *c)
+{
+  const SoakFault *f = current_load (SOAK_SKEW);
+  gint64 half_ms = f ? start_ms + f->at_ms + f->duration_ms / 2 : 0;
+  gboolean has_moved = f && f->variant % 2 && soak_now_ms () >= half_ms;
+
+  if (!f || g_rand_int_range (c->rand, 0, 100) >= SKEWED_PERCENT)
+    return 0;
+  return 1 + (f->index + has_moved) % plan->gateways;
+}
 
 static void
 disconnect (Caller *c)
@@ -71,9 +115,12 @@
 static gboolean
 ensure_connection (Caller *c)
 {
+  int skewed = draw_skewed_gateway (c);
   char byte;
   ssize_t n;
 
+  if (skewed && skewed != c->gateway)
+    disconnect (c);
   if (c->fd >= 0)
     {
       n = recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -85,23 +132,49 @@
             c->index, c->gateway);
       disconnect (c);
     }
-  c->gateway = 1 + g_rand_int_range (c->rand, 0, plan->gateways);
+  c->gateway
+      = skewed ? skewed : 1 + g_rand_int_range (c->rand, 0, plan->gateways);
+  if (c->gateway == c->refused_by)
+    c->gateway = 1 + c->gateway % plan->gateways;
   c->fd = p_connect (soak_caller_port (base_port, c->gateway));
   return c->fd >= 0;
 }
 
 static void
-generate_request (Caller *c, CallerRequest *r)
+assign_id (Caller *c, CallerRequest *r)
 {
-  r->class = (SoakRequestClass)g_rand_int_range (c->rand, 0, SOAK_N_CLASSES);
-  r->events = g_rand_int_range (c->rand, EVENTS_MIN, EVENTS_MAX);
   g_snprintf (r->id, sizeof r->id, "s%u-%d-%d", plan->seed, c->index,
               c->serial++);
+}
+
+/* Requests of the urgent and basic routes come from two organisations, a
+ * quarter of them from the small one. */
+static void
+generate_quote (Caller *c, CallerRequest *r)
+{
+  const char *route = r->class == SOAK_URGENT    ? "urgent"
+                      : g_rand_boolean (c->rand) ? "basic"
+                                                 : "quote";
+
+  if (strcmp (route, "quote") != 0)
+    r->org = g_rand_int_range (c->rand, 0, 4) == 0 ? "small" : "large";
+  g_snprintf (r->method_and_path, sizeof r->method_and_path, "GET /%s/%s",
+              route, r->id);
+}
+
+/* @n_classes: how many of the classes are drawn from */
+static void
+generate_request (Caller *c, CallerRequest *r, int n_classes)
+{
+  r->class = (SoakRequestClass)g_rand_int_range (c->rand, 0, n_classes);
+  r->org = "museum";
+  r->events = g_rand_int_range (c->rand, EVENTS_MIN, EVENTS_MAX);
+  assign_id (c, r);
   switch (r->class)
     {
     case SOAK_QUOTE:
-      g_snprintf (r->method_and_path, sizeof r->method_and_path,
-                  "GET /quote/%s", r->id);
+    case SOAK_URGENT:
+      generate_quote (c, r);
       break;
     case SOAK_ORDER:
       g_snprintf (r->method_and_path, sizeof r->method_and_path,
@@ -133,10 +206,13 @@
 {
   g_autofree char *token_count = g_strdup_printf (
       "Comfreypost-Token-Count: 10,%d\r\n", r->events * TOKENS_PER_EVENT);
+  g_autofree char *request = p_build_request (
+      r->method_and_path, r->id, r->class == SOAK_STREAM ? token_count : NULL,
+      request_body (r));
+  g_autofree char *key = g_strdup_printf ("Token key-%s", r->org);
+  g_auto (GStrv) parts = g_strsplit (request, "Token key-museum", 2);
 
-  return p_build_request (r->method_and_path, r->id,
-                          r->class == SOAK_STREAM ? token_count : NULL,
-                          request_body (r));
+  return g_strjoinv (key, parts);
 }
 
 /* Decodes a body in chunked transfer encoding, up to the first malformed chunk.
@@ -218,8 +294,8 @@
             ? strtoul (content_length + strlen ("Content-Length: "), NULL, 10)
             : 0;
   g_autofree char *expected
-      = g_strdup_printf (" %s org=museum key=hidden body=%s",
-                         r->method_and_path, request_body (r));
+      = g_strdup_printf (" %s org=%s key=hidden body=%s", r->method_and_path,
+                         r->org, request_body (r));
 
   if (!content_length || strlen (body) < n)
     return FALSE;
@@ -342,24 +418,84 @@
   return is_complete && !strstr (answer, "Connection: close");
 }
 
-static void
-send_one_request (Caller *c)
+/* The wait that a refusal asks for. */
+static gulong
+parse_return_us (const char *answer)
+{
+  const char *at = strstr (answer, RETRY_AFTER);
+
+  at = at ? at + strlen (RETRY_AFTER) : "0";
+  return (gulong)(g_ascii_strtod (at, NULL) * G_USEC_PER_SEC);
+}
+
+/* Sends the request and checks its answer; returns the status. */
+static int
+send_request (Caller *c, const CallerRequest *r)
 {
   g_autofree char *request = NULL;
   g_autofree char *answer = NULL;
   gint64 sent_ms = soak_now_ms ();
-  CallerRequest r = { 0 };
+  int status;
 
-  generate_request (c, &r);
-  request = build_request (&r);
-  g_atomic_int_inc (&n_sent[r.class]);
-  soak_record_sent (r.id, r.class, c->gateway, r.version);
+  request = build_request (r);
+  g_atomic_int_inc (&n_sent[r->class]);
+  soak_record_sent (r->id, r->class, c->gateway, r->version);
   p_send (c->fd, request);
   answer = p_read_answer (c->fd, ANSWER_TIMEOUT_MS);
-  if (r.class == SOAK_VERSION && p_parse_status (answer) == 200)
-    check_version (c, &r, sent_ms);
-  if (!take_answer (&r, answer, soak_now_ms () - sent_ms < ANSWER_TIMEOUT_MS))
+  status = p_parse_status (answer);
+  c->return_us = parse_return_us (answer);
+  if (r->class == SOAK_VERSION && status == 200)
+    check_version (c, r, sent_ms);
+  if (!take_answer (r, answer, soak_now_ms () - sent_ms < ANSWER_TIMEOUT_MS))
     disconnect (c);
+  return status;
+}
+
+/* Sends a plain request; if it is refused, returns with it at the time told or
+ * at once, to another gateway. */
+static void
+send_until_served (Caller *c)
+{
+  CallerRequest r = { 0 };
+
+  generate_request (c, &r, SOAK_URGENT + 1);
+  for (int i = 0; i < REFUSALS_MAX && ensure_connection (c); i++)
+    {
+      int status = send_request (c, &r);
+
+      if (status != 429 && status != 503)
+        break;
+      if (g_rand_int_range (c->rand, 0, RETURN_AT_ONCE_EVERY) != 0)
+        g_usleep (c->return_us);
+      c->refused_by = c->gateway;
+      disconnect (c);
+      assign_id (c, &r);
+    }
+  c->refused_by = 0;
+  disconnect (c);
+}
+
+/* Sends plain requests in bursts: as often as a usual caller has done so far,
+ * or up to twice as often. */
+static gpointer
+run_burst_caller (gpointer data)
+{
+  Caller *c = data;
+
+  while (!g_atomic_int_get (&is_stopping))
+    {
+      const SoakFault *burst = current_load (SOAK_BURST);
+      double factor = 1 + (burst ? burst->variant % 11 / 10.0 : 0);
+      double usual_ms = (double)(soak_now_ms () - start_ms) * plan->callers
+                        / (1 + g_atomic_int_get (&n_usual));
+
+      g_usleep (
+          (gulong)g_rand_double_range (c->rand, 0, 2000 * usual_ms / factor));
+      if (current_load (SOAK_BURST))
+        send_until_served (c);
+    }
+  g_rand_free (c->rand);
+  return NULL;
 }
 
 static gpointer
@@ -369,8 +505,14 @@
 
   while (!g_atomic_int_get (&is_stopping))
     {
+      CallerRequest r = { 0 };
+
       if (ensure_connection (c))
-        send_one_request (c);
+        {
+          generate_request (c, &r, SOAK_N_CLASSES);
+          g_atomic_int_add (&n_usual, r.class != SOAK_STREAM);
+          send_request (c, &r);
+        }
       g_usleep ((gulong)g_rand_int_range (c->rand, 5, 40) * 1000);
     }
   disconnect (c);
@@ -384,15 +526,18 @@
   plan = p;
   base_port = base;
   callers = g_array_new (FALSE, TRUE, sizeof (Caller));
-  g_array_set_size (callers, (guint)p->callers);
-  for (int i = 0; i < p->callers; i++)
+  start_ms = soak_now_ms ();
+  /* As many callers again send only in bursts. */
+  g_array_set_size (callers, 2 * (guint)p->callers);
+  for (int i = 0; i < 2 * p->callers; i++)
     {
       Caller *c = &g_array_index (callers, Caller, i);
 
       c->index = i;
       c->fd = -1;
       c->rand = g_rand_new_with_seed (p->seed * 1000 + (guint32)i);
-      c->thread = g_thread_new ("caller", run_caller, c);
+      c->thread = g_thread_new (
+          "caller", i < p->callers ? run_caller : run_burst_caller, c);
     }
 }
 
--- a/t/soak-faults.c
+++ b/t/soak-faults.c
@@ -17,6 +17,8 @@
 #define PASS_MS "60"
 /** Long enough for faults to hit a plain target while it runs requests. */
 #define WORK_MS "40"
+/** Slots of a plain target: few, so that bursts and skews need most of them. */
+#define PLAIN_SLOTS "2"
 #define POLL_INTERVAL_US 10000
 /** Attempts to connect to a target that restarts; a second in all. */
 #define CONNECT_ATTEMPTS 100
@@ -168,7 +170,8 @@
 {
   g_autofree char *record = g_strdup_printf (
       "{\"service\":\"desk\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"dc1\","
-      "\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold-left-ms\":0,"
+      "\"version\":\"v1\",\"slots\":" PLAIN_SLOTS
+      ",\"state\":\"ready\",\"cold-left-ms\":0,"
       "\"seq\":9,\"born\":" FUTURE_START_MS "}",
       proxy_port (f->base, PROXY_DESK));
   g_autofree char *call = g_strdup_printf ("POST /test/put?key=servers/desk-%d",
@@ -216,7 +219,8 @@
   f->active_faults = g_array_new (FALSE, FALSE, sizeof (ActiveFault));
   p_start_platform (base, "--plain", plain, "--ranks", ranks, "--step-ms",
                     PASS_MS, "--work-ms", WORK_MS, "--shift-s", "0.5",
-                    "--data-centres", "2", NULL);
+                    "--data-centres", "2", "--tiers", "--slots", PLAIN_SLOTS,
+                    NULL);
   f->first_config = p_call_standin (base, "GET /test/get?key=op/config", "");
   start_proxies (f);
   list_proxy_address (f);
@@ -602,6 +606,8 @@
     case SOAK_OMIT:
       omit_fields (f, fault);
       break;
+    case SOAK_SKEW: /* callers follow the plan themselves */
+    case SOAK_BURST:
     case SOAK_N_KINDS:
       break;
     }
--- a/t/soak-schedule.c
+++ b/t/soak-schedule.c
@@ -13,8 +13,8 @@
  * longer than gateways may take to stop sending requests to it. */
 #define DRAIN_EXTRA_MS 1500
 #define FAULTS_MIN 8
-/** Evacuations, cold targets and omitted fields in one seed. */
-#define ADDED_MAX 4
+/** Evacuations, cold targets, omitted fields, skews and bursts in one seed. */
+#define ADDED_MAX 6
 #define ADDED_SEED 0x5eed
 /** Faults that break answers off in one seed, and what their seed is made
  * with. */
@@ -29,10 +29,10 @@
 #define LARGE_EVERY 8
 
 static const char *const kind_names[SOAK_N_KINDS]
-    = { "roll",         "hup",      "config", "drain", "leave",
-        "pause",        "kill",     "freeze", "store", "forget",
-        "restore",      "target",   "crash",  "net",   "agent-kill",
-        "agent-freeze", "evacuate", "cold",   "omit" };
+    = { "roll",  "hup",    "config",     "drain",        "leave",    "pause",
+        "kill",  "freeze", "store",      "forget",       "restore",  "target",
+        "crash", "net",    "agent-kill", "agent-freeze", "evacuate", "cold",
+        "omit",  "skew",   "burst" };
 
 const char *
 soak_kind_name (SoakFaultKind k)
@@ -125,9 +125,15 @@
       f.duration_ms = g_rand_int_range (r, 100, DURATION_MAX_MS);
       if (f.kind != SOAK_OMIT)
         f.duration_ms += DRAIN_EXTRA_MS;
+      if (f.kind == SOAK_SKEW)
+        f.duration_ms = g_rand_int_range (r, 2000, 4001);
+      if (f.kind == SOAK_BURST)
+        f.duration_ms = g_rand_int_range (r, 1000, 2001);
       f.index = f.kind == SOAK_COLD
                     ? g_rand_int_range (r, 0, SOAK_N_PLAIN_TARGETS - 1)
                     : SOAK_N_PLAIN_TARGETS + g_rand_int_range (r, 0, p->ranks);
+      if (f.kind == SOAK_SKEW)
+        f.index = g_rand_int_range (r, 0, p->gateways);
       f.variant = g_rand_int_range (r, 0, 60);
       g_array_append_val (p->faults, f);
     }
--- a/t/soak-verdict.c
+++ b/t/soak-verdict.c
@@ -56,6 +56,7 @@
 static guint n_violations;
 static gint64 written_ms[VERSIONS_MAX]; /* by configuration version */
 static gint newest_version = 1;
+static gint64 calm_ms; /* from then on the urgent route is checked */
 
 gint64
 soak_now_ms (void)
@@ -155,6 +156,13 @@
   return g_atomic_int_get (&newest_version);
 }
 
+gint64
+soak_record_calm (void)
+{
+  calm_ms = soak_now_ms () + SOAK_CALM_MS;
+  return calm_ms + SOAK_CALM_CHECK_MS;
+}
+
 void
 soak_record_sent (const char *id, SoakRequestClass class, int gateway,
                   int version)
@@ -270,7 +278,8 @@
   if (r->class == SOAK_ORDER && r->runs > 1)
     soak_report_violation ("at-most-once", "id=%s gateway=%d runs=%d", id,
                            r->gateway, r->runs);
-  if (r->class == SOAK_ORDER && r->runs > 0 && means_not_run (r->status))
+  if (r->runs > 0 && means_not_run (r->status)
+      && (r->class == SOAK_ORDER || r->status == 503 || r->status == 429))
     soak_report_violation ("true-refusal", "id=%s gateway=%d status=%d runs=%d",
                            id, r->gateway, r->status, r->runs);
   if (r->status == 200 && r->runs == 0)
@@ -290,9 +299,18 @@
                            r->runs);
 }
 
+static gboolean
+is_calm_and_urgent (const RequestRecord *r)
+{
+  return r->class == SOAK_URGENT && r->sent_ms >= calm_ms
+         && r->sent_ms < calm_ms + SOAK_CALM_CHECK_MS;
+}
+
 guint
 soak_check_requests (void)
 {
+  int n_urgent = 0;
+  int n_served = 0;
   GHashTableIter it;
   gpointer id;
   gpointer record;
@@ -300,7 +318,16 @@
   g_mutex_lock (&lock);
   g_hash_table_iter_init (&it, requests);
   while (g_hash_table_iter_next (&it, &id, &record))
-    check_request (id, record);
+    {
+      check_request (id, record);
+      n_urgent += is_calm_and_urgent (record);
+      n_served += is_calm_and_urgent (record)
+                  && ((const RequestRecord *)record)->status == 200;
+    }
+  printf ("  urgent after load sent=%d served=%d\n", n_urgent, n_served);
+  if (!n_urgent || n_served < SOAK_CALM_SERVED_MIN * n_urgent)
+    soak_report_violation ("urgent-after-load", "%d of %d are served", n_served,
+                           n_urgent);
   g_mutex_unlock (&lock);
   return (guint)g_atomic_int_get ((gint *)&n_violations);
 }
--- a/t/soak.c
+++ b/t/soak.c
@@ -11,7 +11,7 @@
 #include <stdio.h>
 #include <unistd.h>
 
-/** A seed normally takes 15 s; one that takes longer than this hangs. */
+/** A seed normally takes 20 s; one that takes longer than this hangs. */
 #define SEED_TIMEOUT_S 90
 
 static int base_port = 19000;
@@ -41,11 +41,14 @@
 run_plan (const SoakPlan *p, SoakResult *r)
 {
   SoakFleet *f = soak_fleet_start (p, base_port);
+  gint64 calm_until_ms;
 
   soak_shared_start (p, base_port);
   soak_callers_start (p, base_port);
   soak_fleet_run_plan (f);
+  calm_until_ms = soak_record_calm ();
   soak_callers_wait_for_recovery ();
+  g_usleep ((gulong)MAX (calm_until_ms - soak_now_ms (), 0) * 1000);
   soak_shared_check ();
   soak_callers_stop (r);
   soak_fleet_check_targets (f);
--- a/t/soak.h
+++ b/t/soak.h
@@ -17,6 +17,11 @@
 /** A connection may be closed without an answer this soon after a request was
  * sent on it, if no target ran the request. */
 #define SOAK_CLOSE_RACE_MS 200
+/** Time after the last fault in which the urgent route has to be served again;
+ * checked for SOAK_CALM_CHECK_MS, in which some 30 urgent requests are sent. */
+#define SOAK_CALM_MS 3000
+#define SOAK_CALM_CHECK_MS 3000
+#define SOAK_CALM_SERVED_MIN 0.9
 /** Time after the last fault in which at least a quarter of the requests has to
  * be served again. */
 #define SOAK_RECOVERY_MS 12000
@@ -73,6 +78,8 @@
   SOAK_EVACUATE, /**< a data centre is evacuated */
   SOAK_COLD,     /**< a target turns cold */
   SOAK_OMIT,     /**< a rank leaves fields out of its answers */
+  SOAK_SKEW,     /**< most new requests go to one gateway */
+  SOAK_BURST,    /**< more plain requests than usual */
   SOAK_N_KINDS,
 } SoakFaultKind;
 
@@ -192,7 +199,8 @@
 /** SoakRequestClass: the kinds of requests that callers send. */
 typedef enum
 {
-  SOAK_QUOTE,   /**< may be retried */
+  SOAK_QUOTE,   /**< may be retried; half of them use the basic route */
+  SOAK_URGENT,  /**< a quote on the route with priority 0 */
   SOAK_ORDER,   /**< may run at most once */
   SOAK_STREAM,  /**< may be resumed */
   SOAK_VERSION, /**< a quote on a route that one configuration version has */
@@ -256,6 +264,10 @@
  * far. */
 gboolean soak_has_only_planned_faults (void);
 
+/** soak_record_calm: the last fault has ended; returns the time until which
+ * callers have to go on. */
+gint64 soak_record_calm (void);
+
 /** soak_record_sent: a caller is about to send request @id; @version: the only
  * configuration version that has its route, or 0 if all have it. */
 void soak_record_sent (const char *id, SoakRequestClass class, int gateway,
