--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -445,7 +445,8 @@
   g_string_append (out, "# TYPE comfrey_demand_slots gauge\n"
                         "# TYPE comfrey_fleet_demand_slots gauge\n"
                         "# TYPE comfrey_share_slots gauge\n"
-                        "# TYPE comfrey_contended gauge\n");
+                        "# TYPE comfrey_contended gauge\n"
+                        "# TYPE comfrey_pass_limit_slots gauge\n");
   g_hash_table_iter_init (&it, g->service_states);
   while (g_hash_table_iter_next (&it, &name, &v))
     {
@@ -459,5 +460,7 @@
                    own + cf_demand_table_total (&s->others));
       print_gauge (out, "share_slots", name, s->share.total);
       print_gauge (out, "contended", name, s->share.contended);
+      print_gauge (out, "pass_limit_slots", name,
+                   has_pass_limit (g, s) ? s->capacity : 0);
     }
 }
