--- a/t/soak-callers.c
+++ b/t/soak-callers.c
@@ -38,13 +38,14 @@
   GThread *thread;
   int index;
   int serial;
-  int gateway;       /**< from 1 */
-  int fd;            /**< -1: not connected */
-  int version;       /**< newest configuration version that a request on this
-                        connection was served by */
-  gint64 version_ms; /**< when that version first served one */
-  int refused_by;    /**< gateway that a return avoids; 0: none */
-  gulong return_us;  /**< how long the last refusal asked to wait */
+  int gateway;        /**< from 1 */
+  int fd;             /**< -1: not connected */
+  int version;        /**< newest configuration version that a request on this
+                         connection was served by */
+  gint64 version_ms;  /**< when that version first served one */
+  gboolean is_skewed; /**< connected to the gateway of a skew */
+  int refused_by;     /**< gateway that a return avoids; 0: none */
+  gulong return_us;   /**< how long the last refusal asked to wait */
   GRand *rand;
 } Caller;
 
@@ -119,7 +120,7 @@
   char byte;
   ssize_t n;
 
-  if (skewed && skewed != c->gateway)
+  if (skewed ? skewed != c->gateway : c->is_skewed)
     disconnect (c);
   if (c->fd >= 0)
     {
@@ -134,6 +135,7 @@
     }
   c->gateway
       = skewed ? skewed : 1 + g_rand_int_range (c->rand, 0, plan->gateways);
+  c->is_skewed = skewed != 0;
   if (c->gateway == c->refused_by)
     c->gateway = 1 + c->gateway % plan->gateways;
   c->fd = p_connect (soak_caller_port (base_port, c->gateway));
