gateway: tell seeds apart and sum demand in one place

Two modules had the same test whether an address is a seed's, and the sum of this gateway's demand and the others' stood in four places. One comment of the wait queue named parameters that do not exist. No change of behaviour.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -528,7 +528,6 @@
   gboolean again = cf_exchange_may_retry (x);
   gboolean in_budget
       = again && cf_retry_budget_take (&x->service_state->budget);
-
   gboolean awaits_budget = again && !in_budget && x->keeps_place;
 
   if (!can_be_continued (x))
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -453,6 +453,13 @@
   g->recent_fleet.index = (guint)round (ring_start * n) % n;
 }
 
+gboolean
+cf_gateway_is_seed (const CfGateway *g, const char *addr)
+{
+  return addr && g->settings.seed_addrs
+         && g_strv_contains ((const char *const *)g->settings.seed_addrs, addr);
+}
+
 void
 cf_gateway_note_data_centre (CfGateway *g, const char *addr,
                              const char *data_centre)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -243,6 +243,10 @@
 void cf_gateway_set_fleet_position (CfGateway *g, double ring_start,
                                     guint members);
 
+/** cf_gateway_is_seed: whether the gateway whose links arrive at @addr
+ * (nullable) is a seed. */
+gboolean cf_gateway_is_seed (const CfGateway *g, const char *addr);
+
 /** cf_gateway_note_data_centre: records that the gateway whose links arrive at
  * @addr is in @data_centre, if it is a seed.  Empty texts mean unknown. */
 void cf_gateway_note_data_centre (CfGateway *g, const char *addr,
--- a/gateway/peer-returns.c
+++ b/gateway/peer-returns.c
@@ -47,13 +47,6 @@
   return a;
 }
 
-static gboolean
-is_seed (const CfGateway *g, const char *addr)
-{
-  return addr && g->settings.seed_addrs
-         && g_strv_contains ((const char *const *)g->settings.seed_addrs, addr);
-}
-
 static gboolean
 is_valid (const CfPeerReturn *r)
 {
@@ -90,8 +83,8 @@
 void
 cf_peer_returns_take (CfGateway *g, const GArray *returns, const char *peer)
 {
-  gboolean is_forwarded
-      = is_seed (g, g->settings.control_addr) && !is_seed (g, peer);
+  gboolean is_forwarded = cf_gateway_is_seed (g, g->settings.control_addr)
+                          && !cf_gateway_is_seed (g, peer);
 
   for (guint i = 0; returns && i < returns->len; i++)
     {
--- a/gateway/service-share.c
+++ b/gateway/service-share.c
@@ -73,9 +73,16 @@
   return slots / MAX (g->fleet_size, 1);
 }
 
+/* The demand of this gateway and of those that it knows of, in slots. */
+static double
+get_fleet_demand (const CfServiceState *s)
+{
+  return cf_demand_table_total (&s->own_demand)
+         + cf_demand_table_total (&s->others);
+}
+
 static void
-log_share (const CfGateway *g, const char *service, CfServiceState *s,
-           double demand, double fleet_demand, guint n_known)
+log_share (const CfGateway *g, const char *service, CfServiceState *s)
 {
   const CfShare *share = &s->share;
   gboolean toggled = share->contended != s->share_log.contended;
@@ -96,23 +103,12 @@
           "service=%s outcome=%s share=%.1f demand=%.1f fleet_demand=%.1f "
           "capacity=%.0f known=%u gateways=%u admitted=%" G_GINT64_FORMAT,
           service, share->contended ? "contended" : "free", share->total,
-          demand, fleet_demand, s->capacity, n_known, g->fleet_size,
-          share->admitted_urgency);
-}
-
-/* Whether this gateway relays the demand of others: only seeds have links to
- * all of them. */
-static gboolean
-is_seed (const CfGateway *g)
-{
-  const char *addr = g->settings.control_addr;
-
-  return addr && g->settings.seed_addrs
-         && g_strv_contains ((const char *const *)g->settings.seed_addrs, addr);
+          cf_demand_table_total (&s->own_demand), get_fleet_demand (s),
+          s->capacity, s->n_others, g->fleet_size, share->admitted_urgency);
 }
 
 /* Whether peers should hear of the demand @slots of this gateway, or of what it
- * relays, before the next hello. */
+ * relays, before the next hello.  Only seeds relay: they have links to all. */
 static gboolean
 is_notable (const CfGateway *g, const CfServiceState *s, double slots)
 {
@@ -124,7 +120,7 @@
     return FALSE;
   return (change > NOTABLE_SLOTS
           && change > NOTABLE_FRACTION * fmax (slots, s->demand_sent))
-         || (is_seed (g)
+         || (cf_gateway_is_seed (g, g->settings.control_addr)
              && cf_fleet_demand_has_changed (&s->fleet_demand, NOTABLE_SLOTS,
                                              NOTABLE_FRACTION));
 }
@@ -163,10 +159,7 @@
   s->is_share_uneven = cf_service_share_fraction (g, s) > 0;
   s->is_demand_notable
       = is_notable (g, s, cf_demand_table_total (&s->own_demand));
-  log_share (g, service, s, cf_demand_table_total (&s->own_demand),
-             cf_demand_table_total (&s->own_demand)
-                 + cf_demand_table_total (&s->others),
-             in.n_known);
+  log_share (g, service, s);
 }
 
 gboolean
@@ -238,19 +231,14 @@
 static gboolean
 is_busy (const CfServiceState *s)
 {
-  return cf_demand_table_total (&s->own_demand)
-             + cf_demand_table_total (&s->others)
-         > BUSY_FRACTION * s->capacity;
+  return get_fleet_demand (s) > BUSY_FRACTION * s->capacity;
 }
 
 /* The part of its capacity that the demand for a service is. */
 static double
 get_load (const CfServiceState *s)
 {
-  double demand = cf_demand_table_total (&s->own_demand)
-                  + cf_demand_table_total (&s->others);
-
-  return demand / fmax (s->capacity, 1);
+  return get_fleet_demand (s) / fmax (s->capacity, 1);
 }
 
 static int
@@ -451,13 +439,12 @@
   while (g_hash_table_iter_next (&it, &name, &v))
     {
       const CfServiceState *s = v;
-      double own = cf_demand_table_total (&s->own_demand);
 
       if (!*(const char *)name)
         continue;
-      print_gauge (out, "demand_slots", name, own);
-      print_gauge (out, "fleet_demand_slots", name,
-                   own + cf_demand_table_total (&s->others));
+      print_gauge (out, "demand_slots", name,
+                   cf_demand_table_total (&s->own_demand));
+      print_gauge (out, "fleet_demand_slots", name, get_fleet_demand (s));
       print_gauge (out, "share_slots", name, s->share.total);
       print_gauge (out, "contended", name, s->share.contended);
       print_gauge (out, "pass_limit_slots", name,
--- a/gateway/wait-queue.c
+++ b/gateway/wait-queue.c
@@ -286,7 +286,8 @@
   return own > 0 ? own : merged;
 }
 
-/* Returns the weight of an organisation of @total slots that @n_orgs use. */
+/* Returns the weight of an organisation: its granted slots and their square
+ * root; an even part of all grants, among @n_orgs, if it has none. */
 static double
 get_weight (const CfQueueContext *c, gint64 priority, guint32 org, guint n_orgs)
 {
