gateway: log and count what each retry budget allows

The report of the exceeded retry budget could not be explained from logs or metrics: they tell neither what a budget held at the start of a process, nor how many attempts were repeated, nor why.

E1224 logs both for each service, and once in a retry window with retries; metrics count first and repeated attempts (by cause) and retries denied for lack of a token. bounds.retry-window-s is read for this. A test of t-platform named it as a setting that is not used; it names bounds.recover-s in its place.

No decision is changed.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 PROGRAMS = comfrey comfrey-entry comfrey-agent comfrey-fake-engine \
 	comfrey-fake-config comfrey-fake-vmlist comfrey-fake-service \
 	comfrey-fake-weights comfrey-load comfrey-bench comfrey-slopes
-TESTS = t/t-demo t/t-callers t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-retry-budget t/t-guard t/t-outlier t/t-link t/t-http-client t/t-load \
+TESTS = t/t-demo t/t-callers t/t-records t/t-settings t/t-log t/t-wire t/t-route t/t-admission t/t-guard t/t-outlier t/t-link t/t-http-client t/t-load \
 	t/t-entry t/t-agent t/t-config t/t-once t/t-map t/t-placement t/t-rebalance t/t-fuzz \
 	t/t-session t/t-explain t/t-report t/t-decode-fuzz $(GW_TESTS)
 
@@ -50,7 +50,7 @@
 	t/t-answer-end t/t-large-answer \
 	t/t-prompt-parts t/t-skew t/t-returns
 # Tests that also link the modules of the gateway.
-GW_TESTS = t/t-platform t/t-sound-parts t/t-http-reader t/t-event-stream t/t-balancer \
+GW_TESTS = t/t-platform t/t-retry-budget t/t-sound-parts t/t-http-reader t/t-event-stream t/t-balancer \
 	t/t-map-gain t/t-standstill t/t-order-watch t/t-hold-lease t/t-wait-queue \
 	t/t-target t/t-upstream t/t-outage t/t-concurrency-limit t/t-membership \
 	t/t-overload t/t-stream-latency t/t-expert-demand t/t-expert-counts \
--- a/comfrey-gateway.c
+++ b/comfrey-gateway.c
@@ -5,6 +5,7 @@
 #include "gateway/operator-feed.h"
 #include "gateway/ops.h"
 #include "gateway/peer-crashes.h"
+#include "gateway/service-retries.h"
 #include "gateway/service-share.h"
 #include "gateway/signals.h"
 #include "gateway/socket.h"
@@ -113,6 +114,7 @@
   cf_operator_feed_tick (&gw);
   cf_target_feed_tick (&gw);
   cf_service_share_update (&gw);
+  cf_service_retries_tick (&gw);
   cf_exchange_refuse_unservable (&gw);
   cf_exchange_dispatch_queued (&gw);
   replicate_crash_records (&gw);
--- a/gateway/exchange-answer.c
+++ b/gateway/exchange-answer.c
@@ -479,12 +479,12 @@
     {
       x->may_have_run = TRUE;
       cf_exchange_discard_answer (x);
-      cf_exchange_retry_or_end (x, "target-failed");
+      cf_exchange_retry_or_end (x, CF_RETRY_CAUSE_FAILED, "target-failed");
       return;
     }
   if (x->route->retry_safety != CF_RETRY_UNSAFE && x->status >= 500
       && cf_exchange_may_retry (x)
-      && cf_retry_budget_take (&x->service_state->budget))
+      && cf_exchange_take_retry (x, CF_RETRY_CAUSE_FAILED))
     {
       x->may_have_run = TRUE;
       cf_log (LOG_NOTICE, CF_EV_RETRY,
@@ -523,13 +523,13 @@
     case CF_ANSWER_NOT_RUN:
       handle_refusal (x);
       cf_exchange_discard_answer (x);
-      cf_exchange_retry_or_end (x, "target-refused");
+      cf_exchange_retry_or_end (x, CF_RETRY_CAUSE_REFUSED, "target-refused");
       break;
     case CF_ANSWER_UNSIGNED:
       cf_exchange_record_failure (x, x->target, "unsigned");
       x->may_have_run = TRUE;
       cf_exchange_discard_answer (x);
-      cf_exchange_retry_or_end (x, "unsigned-answer");
+      cf_exchange_retry_or_end (x, CF_RETRY_CAUSE_INVALID, "unsigned-answer");
       break;
     }
 }
@@ -547,6 +547,21 @@
                                  x->target->record.data_centre, now);
 }
 
+static CfRetryCause
+get_retry_cause (CfUpstreamFailure f)
+{
+  switch (f)
+    {
+    case CF_FAILURE_MALFORMED:
+    case CF_FAILURE_INCOMPLETE:
+      return CF_RETRY_CAUSE_INVALID;
+    case CF_FAILURE_UNSENT:
+    case CF_FAILURE_LOST:
+      break;
+    }
+  return CF_RETRY_CAUSE_LOST;
+}
+
 void
 cf_exchange_on_upstream_failure (void *owner, CfUpstreamFailure f)
 {
@@ -556,13 +571,14 @@
   note_stalled_target (x);
   cf_exchange_record_failure (x, x->target, cf_upstream_failure_name (f));
   if (f == CF_FAILURE_UNSENT)
-    x->sends--;
+    cf_exchange_note_unsent (x);
   else
     x->may_have_run = TRUE;
   cf_exchange_discard_answer (x);
   if (f == CF_FAILURE_LOST && cf_exchange_probe_lost_target (x))
     return;
-  cf_exchange_retry_or_end (x, cf_upstream_failure_name (f));
+  cf_exchange_retry_or_end (x, get_retry_cause (f),
+                            cf_upstream_failure_name (f));
 }
 
 const CfUpstreamCallbacks cf_exchange_upstream_callbacks
--- a/gateway/exchange-crash.c
+++ b/gateway/exchange-crash.c
@@ -63,7 +63,7 @@
   if (crashed)
     cf_exchange_fail (x, "target-crashed");
   else
-    cf_exchange_retry_or_end (x, "lost");
+    cf_exchange_retry_or_end (x, CF_RETRY_CAUSE_LOST, "lost");
 }
 
 /* Whether a retry has to wait for the result of the probe.  A request that has
--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -58,6 +58,7 @@
   CfTarget *target;
   GPtrArray *tried_targets; /**< of #CfTarget, referenced */
   guint sends;
+  CfRetryCause retry_cause; /**< why it was sent, or is to be sent, again */
   guint target_in_flight; /**< requests of this process that its target had when
                                it was sent, including it */
   gboolean keeps_place;   /**< a full target refused it: it returns to its place
@@ -169,7 +170,15 @@
 
 /** cf_exchange_retry_or_end: the current attempt failed; tries another target
  * if the route and the retry budget allow it, else answers the caller. */
-void cf_exchange_retry_or_end (CfExchange *x, const char *reason);
+void cf_exchange_retry_or_end (CfExchange *x, CfRetryCause cause,
+                               const char *reason);
+
+/** cf_exchange_take_retry: takes a token of the retry budget; %FALSE if there
+ * is none. */
+gboolean cf_exchange_take_retry (CfExchange *x, CfRetryCause cause);
+
+/** cf_exchange_note_unsent: the current attempt has not reached its target. */
+void cf_exchange_note_unsent (CfExchange *x);
 
 /** cf_exchange_note_full_target: its target refused it as full.  It may be sent
  * there again, and keeps its place in the queue. */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -108,6 +108,10 @@
   cf_org_usage_add (&x->service_state->org_usage, x->waiter.org, 1, 0);
   if (x->service_state->in_flight++ == 0)
     x->service_state->busy_since_ms = cf_gateway_now (x->gateway);
+  if (x->sends == 0)
+    cf_retry_record_add_first (&x->service_state->retries);
+  else
+    cf_retry_record_add_repeat (&x->service_state->retries, x->retry_cause);
   x->sends++;
   x->framing = CF_FRAMING_NONE;
   x->partial_bytes = 0;
@@ -523,11 +527,30 @@
 }
 
 void
-cf_exchange_retry_or_end (CfExchange *x, const char *reason)
+cf_exchange_note_unsent (CfExchange *x)
+{
+  x->sends--;
+  if (x->sends == 0)
+    cf_retry_record_remove_first (&x->service_state->retries);
+  else
+    cf_retry_record_remove_repeat (&x->service_state->retries, x->retry_cause);
+}
+
+gboolean
+cf_exchange_take_retry (CfExchange *x, CfRetryCause cause)
+{
+  x->retry_cause = cause;
+  if (cf_retry_budget_take (&x->service_state->budget))
+    return TRUE;
+  cf_retry_record_add_denied (&x->service_state->retries);
+  return FALSE;
+}
+
+void
+cf_exchange_retry_or_end (CfExchange *x, CfRetryCause cause, const char *reason)
 {
   gboolean again = cf_exchange_may_retry (x);
-  gboolean in_budget
-      = again && cf_retry_budget_take (&x->service_state->budget);
+  gboolean in_budget = again && cf_exchange_take_retry (x, cause);
   gboolean awaits_budget = again && !in_budget && x->keeps_place;
 
   if (!can_be_continued (x))
--- a/gateway/exchange-silence.c
+++ b/gateway/exchange-silence.c
@@ -203,7 +203,7 @@
     return FALSE;
   cf_exchange_record_failure (x, x->target, "stands-still");
   cf_exchange_discard_answer (x);
-  cf_exchange_retry_or_end (x, "stands-still");
+  cf_exchange_retry_or_end (x, CF_RETRY_CAUSE_SILENT, "stands-still");
   return TRUE;
 }
 
@@ -253,5 +253,5 @@
     }
   cf_exchange_record_failure (x, x->target, "silent");
   cf_exchange_discard_answer (x);
-  cf_exchange_retry_or_end (x, "silent");
+  cf_exchange_retry_or_end (x, CF_RETRY_CAUSE_SILENT, "silent");
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -5,6 +5,7 @@
 #include "log.h"
 #include "net.h"
 #include "platform/platform-policy.h"
+#include "service-retries.h"
 #include "upstream.h"
 
 #include <math.h>
@@ -79,6 +80,8 @@
                         (gint64)(g->settings.retry_ratio * RETRY_SHARE * 100),
                         retry_slack (g));
   g_hash_table_insert (g->service_states, g_strdup (service), s);
+  if (*service)
+    cf_service_retries_log_start (g, service, s);
   return s;
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "quarantine.h"
 #include "reading-log.h"
 #include "retry-budget.h"
+#include "retry-record.h"
 #include "return-schedule.h"
 #include "share.h"
 #include "stats.h"
@@ -47,6 +48,7 @@
 {
   CfWaitQueue queue; /**< requests that wait for a target */
   CfRetryBudget budget;
+  CfRetryRecord retries; /**< attempts at its targets */
   CfOutage outage;
   CfDcHealth dc_health;
   CfStreamLatency latency; /**< recent latency of its streams */
--- a/gateway/ops.c
+++ b/gateway/ops.c
@@ -2,6 +2,7 @@
 
 #include "http-reader.h"
 #include "log-writer.h"
+#include "service-retries.h"
 #include "service-share.h"
 #include "socket.h"
 
@@ -40,6 +41,7 @@
 {
   cf_stats_print (&g->stats, out);
   cf_service_share_print_metrics (g, out);
+  cf_service_retries_print_metrics (g, out);
   cf_stats_gauge (out, "config_version",
                   g->policy ? (double)g->policy->version : 0);
   cf_stats_gauge (out, "targets", g_hash_table_size (g->targets.by_id));
--- a/log.c
+++ b/log.c
@@ -85,6 +85,8 @@
       return "return";
     case CF_EV_PASS_LIMIT:
       return "pass-limit";
+    case CF_EV_RETRY_BUDGET:
+      return "retry-budget";
     case CF_EV_RATE_LIMIT:
       return "rate-limit";
     case CF_EV_QUARANTINE:
--- a/log.h
+++ b/log.h
@@ -42,6 +42,7 @@
   CF_EV_SHARE = 1221,        /**< this gateway's share of a service changed */
   CF_EV_RETURN = 1222,       /**< a caller was told when to return, or did */
   CF_EV_PASS_LIMIT = 1223,   /**< the pass limit of a service changed */
+  CF_EV_RETRY_BUDGET = 1224, /**< retries of a service, and what is left */
   CF_EV_STORE_LOST = 1105,   /**< the metadata store does not answer */
   CF_EV_STORE_BACK = 1106,   /**< the metadata store answers again */
   CF_EV_STORE_READ = 1107,   /**< all keys under a prefix were read */
--- a/retry-budget.c
+++ b/retry-budget.c
@@ -54,6 +54,17 @@
   return has;
 }
 
+double
+cf_retry_budget_tokens (CfRetryBudget *b)
+{
+  double tokens;
+
+  pthread_mutex_lock (&b->lock);
+  tokens = b->tokens;
+  pthread_mutex_unlock (&b->lock);
+  return tokens;
+}
+
 gboolean
 cf_retry_budget_take (CfRetryBudget *b)
 {
--- a/retry-budget.h
+++ b/retry-budget.h
@@ -40,6 +40,9 @@
  * full, so that a request may be sent to a target that may refuse it. */
 gboolean cf_retry_budget_has_surplus (CfRetryBudget *b);
 
+/** cf_retry_budget_tokens: the number of retries that may be sent now. */
+double cf_retry_budget_tokens (CfRetryBudget *b);
+
 /** cf_retry_budget_take: takes a token for a retry; %FALSE if there is none and
  * the retry may not be sent. */
 gboolean cf_retry_budget_take (CfRetryBudget *b);
--- a/t/t-platform.c
+++ b/t/t-platform.c
@@ -28,6 +28,7 @@
   ck_assert_uint_eq (g_strv_length (s.seed_addrs), 2);
   ck_assert_int_eq (s.grace_ms, 8000);
   ck_assert_int_eq (s.retry_slack, 88);
+  ck_assert_int_eq (s.retry_window_ms, 10000);
   ck_assert_int_eq (s.memory_mb, 260);
   ck_assert (s.ranks_check_fence);
   cf_platform_settings_clear (&s);
@@ -38,9 +39,8 @@
  * is an error. */
 START_TEST (unused_settings_are_ignored)
 {
-  static const char *const fields[]
-      = { "limits.cpu-share", "heartbeat-ms", "bounds.retry-window-s",
-          "some.new.field" };
+  static const char *const fields[] = { "limits.cpu-share", "heartbeat-ms",
+                                        "bounds.recover-s", "some.new.field" };
 
   for (gsize i = 0; i < G_N_ELEMENTS (fields); i++)
     {
--- a/t/t-retry-budget.c
+++ b/t/t-retry-budget.c
@@ -1,7 +1,8 @@
 /*
  * The retry budget: retries stay within their share of the requests, with some
- * slack for processes that get few requests.
+ * slack for processes that get few requests.  The record of what it allowed.
  */
+#include "gateway/retry-record.h"
 #include "harness.h"
 #include "retry-budget.h"
 
@@ -51,6 +52,35 @@
 }
 END_TEST
 
+/* Guards against a log without the retries of a window, or with a line for
+ * each quiet one. */
+START_TEST (test_only_windows_with_retries_are_reported)
+{
+  CfRetryRecord r = { 0 };
+  CfRetryCounts c;
+
+  ck_assert (!cf_retry_record_end_window (&r, 10000, 1000, &c));
+  cf_retry_record_add_first (&r);
+  cf_retry_record_add_first (&r);
+  cf_retry_record_add_repeat (&r, CF_RETRY_CAUSE_SILENT);
+  cf_retry_record_add_denied (&r);
+  cf_retry_record_remove_first (&r);
+  ck_assert (!cf_retry_record_end_window (&r, 10000, 10999, &c));
+  ck_assert (cf_retry_record_end_window (&r, 10000, 11000, &c));
+  ck_assert_uint_eq (c.first, 1);
+  ck_assert_uint_eq (cf_retry_counts_repeats (&c), 1);
+  ck_assert_uint_eq (c.repeats[CF_RETRY_CAUSE_SILENT], 1);
+  ck_assert_uint_eq (c.denied, 1);
+  cf_retry_record_add_first (&r);
+  ck_assert (!cf_retry_record_end_window (&r, 10000, 21000, &c));
+  /* An attempt of an earlier window turns out not to have been sent. */
+  cf_retry_record_remove_repeat (&r, CF_RETRY_CAUSE_SILENT);
+  ck_assert_uint_eq (r.window.repeats[CF_RETRY_CAUSE_SILENT], 0);
+  ck_assert_uint_eq (r.total.repeats[CF_RETRY_CAUSE_SILENT], 0);
+  ck_assert_uint_eq (r.total.first, 2);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -59,6 +89,7 @@
 
   tcase_add_test (tc, test_retries_stay_within_share_of_requests);
   tcase_add_test (tc, test_surplus_leaves_half_of_slack);
+  tcase_add_test (tc, test_only_windows_with_retries_are_reported);
   suite_add_tcase (s, tc);
   return t_run_suite (s);
 }
