t-retry-restarts: restarts that exceed the retry budget, red

Gateways that are killed again and again while all targets fail retry more than the fleet may: 196 repeats in a window of 10 s for 306 requests with two gateways killed at a time, 273 for 272 requests with all four; 91 and 87 are allowed.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	t/t-planned-stop t/t-quarantine t/t-rate-limit t/t-target-pause t/t-target-leaving \
 	t/t-store-era t/t-evacuation t/t-warmup t/t-store-calls t/t-group-failover \
 	t/t-answer-end t/t-large-answer \
-	t/t-prompt-parts t/t-skew t/t-returns
+	t/t-prompt-parts t/t-skew t/t-returns t/t-retry-restarts
 # Tests that also link the modules of the gateway.
 GW_TESTS = t/t-platform t/t-retry-budget t/t-sound-parts t/t-http-reader t/t-event-stream t/t-balancer \
 	t/t-map-gain t/t-standstill t/t-order-watch t/t-hold-lease t/t-wait-queue \
