retry-budget: count tokens of retries that wait to be sent

A token was taken when a retry was decided. The retry may then wait in a queue, while requests earn the bucket another token; once targets have room again, more retries are sent at once than the capacity allows. And a retry that was refused in the queue used up a token without being sent.

Tokens of such retries are held: they take up capacity until the retry is sent, and are returned if it is not.

t-retry-budget: test_held_tokens_take_up_capacity fails with the former cf_retry_budget_take() in place of cf_retry_budget_hold() (100 tokens taken from a bucket of 5).

--- a/gateway/exchange-parts.h
+++ b/gateway/exchange-parts.h
@@ -59,6 +59,7 @@
   GPtrArray *tried_targets; /**< of #CfTarget, referenced */
   guint sends;
   CfRetryCause retry_cause; /**< why it was sent, or is to be sent, again */
+  gboolean holds_retry;     /**< it has a token to be sent again */
   guint target_in_flight; /**< requests of this process that its target had when
                                it was sent, including it */
   gboolean keeps_place;   /**< a full target refused it: it returns to its place
@@ -173,8 +174,8 @@
 void cf_exchange_retry_or_end (CfExchange *x, CfRetryCause cause,
                                const char *reason);
 
-/** cf_exchange_take_retry: takes a token of the retry budget; %FALSE if there
- * is none. */
+/** cf_exchange_take_retry: takes a token of the retry budget, which is returned
+ * if it ends before it is sent again; %FALSE if there is none. */
 gboolean cf_exchange_take_retry (CfExchange *x, CfRetryCause cause);
 
 /** cf_exchange_note_unsent: the current attempt has not reached its target. */
--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -96,6 +96,11 @@
   cf_target_request_started (t, cf_gateway_now (x->gateway));
   x->target_in_flight = t->in_flight;
   x->keeps_place = FALSE;
+  if (x->holds_retry)
+    {
+      cf_retry_budget_spend (&x->service_state->budget);
+      x->holds_retry = FALSE;
+    }
   if (x->waiter.is_retry)
     {
       cf_retry_budget_take (&x->service_state->budget);
@@ -540,10 +545,10 @@
 cf_exchange_take_retry (CfExchange *x, CfRetryCause cause)
 {
   x->retry_cause = cause;
-  if (cf_retry_budget_take (&x->service_state->budget))
-    return TRUE;
-  cf_retry_record_add_denied (&x->service_state->retries);
-  return FALSE;
+  x->holds_retry = cf_retry_budget_hold (&x->service_state->budget);
+  if (!x->holds_retry)
+    cf_retry_record_add_denied (&x->service_state->retries);
+  return x->holds_retry;
 }
 
 void
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -89,6 +89,8 @@
     cf_histogram_add (&g->stats.whole_ms, ms);
   if (x->service_state)
     cf_wait_queue_remove (&x->service_state->queue, &x->waiter);
+  if (x->holds_retry)
+    cf_retry_budget_release (&x->service_state->budget);
   cf_exchange_remove_unrouted (x);
   ev_timer_stop (g->loop, &x->deadline_timer);
   ev_timer_stop (g->loop, &x->turn_timer);
--- a/t/t-retry-budget.c
+++ b/t/t-retry-budget.c
@@ -52,6 +52,66 @@
 }
 END_TEST
 
+/* Guards against retries that wait in a queue while their tokens are earned
+ * again, so that more are sent at once than the capacity allows. */
+START_TEST (test_held_tokens_take_up_capacity)
+{
+  CfRetryBudget b;
+  int held = 0;
+
+  cf_retry_budget_init (&b, 100, 5);
+  for (int i = 0; i < 100; i++)
+    {
+      cf_retry_budget_add_request (&b);
+      held += cf_retry_budget_hold (&b);
+    }
+  ck_assert_int_eq (held, 5);
+  cf_retry_budget_release (&b);
+  ck_assert (cf_retry_budget_hold (&b));
+  cf_retry_budget_spend (&b);
+  cf_retry_budget_add_request (&b);
+  ck_assert (cf_retry_budget_hold (&b));
+  ck_assert (!cf_retry_budget_has_token (&b));
+  cf_retry_budget_clear (&b);
+}
+END_TEST
+
+/* Guards against a grant that, with tokens spent just before, exceeds what a
+ * full bucket would have allowed. */
+START_TEST (test_grants_count_what_was_held_before)
+{
+  CfRetryBudget b;
+
+  cf_retry_budget_init_empty (&b, 100, 10);
+  ck_assert (!cf_retry_budget_take (&b));
+  ck_assert_double_eq (cf_retry_budget_grant (&b, 4, 10), 4);
+  while (cf_retry_budget_take (&b))
+    ;
+  cf_retry_budget_add_request (&b);
+  ck_assert (cf_retry_budget_take (&b));
+  ck_assert_double_eq (cf_retry_budget_grant (&b, 10, 10), 6);
+  ck_assert_double_eq (cf_retry_budget_grant (&b, 10, 10), 0);
+  cf_retry_budget_clear (&b);
+}
+END_TEST
+
+START_TEST (test_reserved_tokens_are_not_spent)
+{
+  CfRetryBudget b;
+  int taken = 0;
+
+  cf_retry_budget_init (&b, 0, 8);
+  cf_retry_budget_set_reserve (&b, 5);
+  while (cf_retry_budget_take (&b) || cf_retry_budget_hold (&b))
+    taken++;
+  ck_assert_int_eq (taken, 3);
+  ck_assert (!cf_retry_budget_has_surplus (&b));
+  cf_retry_budget_set_reserve (&b, 4);
+  ck_assert (cf_retry_budget_has_surplus (&b));
+  cf_retry_budget_clear (&b);
+}
+END_TEST
+
 /* Guards against a log without the retries of a window, or with a line for
  * each quiet one. */
 START_TEST (test_only_windows_with_retries_are_reported)
@@ -89,6 +149,9 @@
 
   tcase_add_test (tc, test_retries_stay_within_share_of_requests);
   tcase_add_test (tc, test_surplus_leaves_half_of_slack);
+  tcase_add_test (tc, test_held_tokens_take_up_capacity);
+  tcase_add_test (tc, test_grants_count_what_was_held_before);
+  tcase_add_test (tc, test_reserved_tokens_are_not_spent);
   tcase_add_test (tc, test_only_windows_with_retries_are_reported);
   suite_add_tcase (s, tc);
   return t_run_suite (s);
