gateway: keep the retry budget over restarts

Callers of planner-model had their failed requests retried more often than the fleet may: each process began with a full bucket, a quarter to a third of the fleet's slack, whatever its predecessor had spent.

A bucket is now empty at the start. A gateway reserves tokens for its successor and states them in its hellos; seeds keep the latest statement and pass it on to the next process at that address, which needs the answers of all other seeds. What is not known to be left is withheld for a window. The slack is divided by the largest fleet of the last 10 minutes, so that a gateway that is cut off does not take a larger share, and one that has heard no peer has a tenth of it, or nothing.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -11,9 +11,6 @@
 #include <math.h>
 #include <string.h>
 
-/** Share of the fleet's retry allowance that the gateways use together.  The
- * rest is a margin for gateways that underestimate the size of the fleet. */
-#define RETRY_SHARE 0.8
 /** Most unreadable records whose revision is kept, so that each is logged only
  * once.  A full table is emptied, after which each is logged once more. */
 #define REJECTED_RECORDS_MAX 1024
@@ -51,17 +48,6 @@
   g_free (s);
 }
 
-static gint64
-retry_slack (const CfGateway *g)
-{
-  double slack
-      = (double)g->settings.retry_slack * RETRY_SHARE / MAX (g->fleet_size, 1);
-
-  return (gint64)MAX (slack, 1);
-}
-
-/* Retries are not counted for the fleet as a whole, so each gateway uses an
- * equal share of the slack; the ratio applies to its own requests. */
 CfServiceState *
 cf_gateway_service_state (CfGateway *g, const char *service)
 {
@@ -76,12 +62,8 @@
   s = g_new0 (CfServiceState, 1);
   cf_wait_queue_init (&s->queue);
   s->queue.usage = &s->org_usage;
-  cf_retry_budget_init (&s->budget,
-                        (gint64)(g->settings.retry_ratio * RETRY_SHARE * 100),
-                        retry_slack (g));
+  cf_service_retries_init (g, service, s);
   g_hash_table_insert (g->service_states, g_strdup (service), s);
-  if (*service)
-    cf_service_retries_log_start (g, service, s);
   return s;
 }
 
@@ -125,8 +107,9 @@
   g->quarantine = cf_quarantine_new ();
   g->suspects_running = g_hash_table_new_full (
       cf_request_digest_hash, cf_request_digest_equal, g_free, NULL);
-  cf_gateway_service_state (g, "");
   cf_gateway_set_fleet_size (g, 0);
+  cf_service_retries_start (g);
+  cf_gateway_service_state (g, "");
   cf_gateway_set_fleet_position (g, g_random_double (), g->fleet_size);
   cf_gateway_note_data_centre (g, g->settings.control_addr,
                                g->settings.data_centre);
@@ -140,6 +123,7 @@
   cf_evacuations_clear (&g->evacuations);
   g_clear_pointer (&g->rejected_records, g_hash_table_destroy);
   g_clear_pointer (&g->service_states, g_hash_table_destroy);
+  cf_service_retries_clear (g);
   g_clear_pointer (&g->quarantine, cf_quarantine_free);
   g_clear_pointer (&g->suspects_running, g_hash_table_destroy);
   g_clear_pointer (&g->policy, cf_policy_unref);
@@ -495,15 +479,6 @@
 void
 cf_gateway_set_fleet_size (CfGateway *g, guint n)
 {
-  GHashTableIter it;
-  gpointer s;
-
   /* Peers are unknown at the start, so all seeds count as running. */
-  n = MAX (n, MAX (g_strv_length (g->settings.seed_addrs), 1));
-  if (n == g->fleet_size)
-    return;
-  g->fleet_size = n;
-  g_hash_table_iter_init (&it, g->service_states);
-  while (g_hash_table_iter_next (&it, NULL, &s))
-    cf_retry_budget_set_slack (&((CfServiceState *)s)->budget, retry_slack (g));
+  g->fleet_size = MAX (n, MAX (g_strv_length (g->settings.seed_addrs), 1));
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "quarantine.h"
 #include "reading-log.h"
 #include "retry-budget.h"
+#include "retry-handover.h"
 #include "retry-record.h"
 #include "return-schedule.h"
 #include "share.h"
@@ -48,7 +49,8 @@
 {
   CfWaitQueue queue; /**< requests that wait for a target */
   CfRetryBudget budget;
-  CfRetryRecord retries; /**< attempts at its targets */
+  CfRetryReserve reserve; /**< the part of @budget left to a successor */
+  CfRetryRecord retries;  /**< attempts at its targets */
   CfOutage outage;
   CfDcHealth dc_health;
   CfStreamLatency latency; /**< recent latency of its streams */
@@ -78,6 +80,25 @@
   gint64 last_event_ms;        /**< when a target last sent part of an answer */
 } CfServiceState;
 
+/** CfFleetRetries: how this process shares the fleet's retry budget with other
+ * gateways, and with the processes before and after it. */
+typedef struct
+{
+  gint64 run;             /**< identifies this process; see retry-handover.h */
+  gint64 seq;             /**< of its latest statement of reserves */
+  GArray *stated;         /**< of #CfRetryReserveItem: that statement */
+  gboolean is_due;        /**< seeds are to be sent it at once */
+  CfRetryLedger *ledger;  /**< (nullable): of other gateways; seeds only */
+  GHashTable *to_pass_on; /**< address -> GArray of #CfRetryReserveItem: for
+                               the process that has started there */
+  CfRetryInheritance inheritance;
+  gboolean is_complete; /**< nothing is withheld for what a predecessor may
+                             have spent */
+  double share;         /**< slack of this gateway at each service */
+  guint fleet_size_max; /**< the largest fleet that this process has known */
+  gint64 fleet_size_max_ms; /**< when it was last that large */
+} CfFleetRetries;
+
 /**
  * CfGateway:
  * The state of the gateway process: settings, newest configuration, targets,
@@ -107,7 +128,8 @@
   guint returns_start;      /**< which of the services goes first in that */
   gint64
       demand_hello_ms; /**< when peers were last sent this gateway's demand */
-  guint fleet_size;    /**< number of gateways that share the retry budget */
+  guint fleet_size;    /**< number of gateways that are known to run */
+  CfFleetRetries retries;
   CfFleetPosition fleet_position; /**< of this gateway among all gateways */
   CfFleetPosition recent_fleet; /**< the largest fleet of the last seconds, and
                                      this gateway's position in it */
--- a/gateway/peer-msg-unpack.c
+++ b/gateway/peer-msg-unpack.c
@@ -324,6 +324,40 @@
   return a;
 }
 
+static GArray *
+read_retry_reserves (Fields *f)
+{
+  Fields array = open_array (next_field (f));
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (CfPeerRetryReserve));
+
+  while (!array.invalid && array.next < array.end)
+    {
+      Fields item = open_array (next_field (&array));
+      CfPeerRetryReserve r;
+
+      r.service = read_bytes (&item);
+      r.thousandths = read_int (&item);
+      array.invalid |= item.invalid || r.thousandths < 0;
+      if (a->len < CF_PEER_RETRIES_MAX)
+        g_array_append_val (a, r);
+    }
+  f->invalid |= array.invalid;
+  return a;
+}
+
+static void
+read_retries (Fields *f, CfPeerRetries *r)
+{
+  Fields fields = open_array (next_field (f));
+
+  r->run = read_int (&fields);
+  r->seq = read_int (&fields);
+  r->ack = read_int (&fields);
+  r->reserves = read_retry_reserves (&fields);
+  r->inherited = read_retry_reserves (&fields);
+  f->invalid |= fields.invalid;
+}
+
 /* A later version may send more crashes than fit; the rest is ignored. */
 static void
 read_crash (Fields *f, CfPeerCrash *c)
@@ -453,6 +487,8 @@
       if (!f->invalid && f->next < f->end)
         m->u.gateway_hello.returns = read_returns (f);
       m->u.gateway_hello.n_local_rank_groups = (guint)read_optional_int (f);
+      if (!f->invalid && f->next < f->end)
+        read_retries (f, &m->u.gateway_hello.retries);
       break;
     case CF_PEER_POLICY:
       m->u.policy.pos.rev = read_int (f);
--- a/gateway/peer-msg.c
+++ b/gateway/peer-msg.c
@@ -184,6 +184,34 @@
     }
 }
 
+static void
+put_retry_reserves (msgpack_packer *pk, const GArray *reserves)
+{
+  guint n = reserves ? MIN (reserves->len, CF_PEER_RETRIES_MAX) : 0;
+
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const CfPeerRetryReserve *r
+          = &g_array_index (reserves, CfPeerRetryReserve, i);
+
+      msgpack_pack_array (pk, 2);
+      put_bytes (pk, r->service);
+      put_int (pk, r->thousandths);
+    }
+}
+
+static void
+put_retries (msgpack_packer *pk, const CfPeerRetries *r)
+{
+  msgpack_pack_array (pk, 5);
+  put_int (pk, r->run);
+  put_int (pk, r->seq);
+  put_int (pk, r->ack);
+  put_retry_reserves (pk, r->reserves);
+  put_retry_reserves (pk, r->inherited);
+}
+
 static void
 put_crashes (msgpack_packer *pk, const GArray *crashes)
 {
@@ -278,7 +306,7 @@
       put_array (&pk, m->u.lists.experts);
       break;
     case CF_PEER_GATEWAY_HELLO:
-      put_header (&pk, m, 23);
+      put_header (&pk, m, 24);
       put_bytes (&pk, m->u.gateway_hello.addr);
       put_int (&pk, m->u.gateway_hello.policy_pos.rev);
       put_int (&pk, m->u.gateway_hello.targets_pos.rev);
@@ -302,6 +330,7 @@
       put_demand (&pk, m->u.gateway_hello.demand);
       put_returns (&pk, m->u.gateway_hello.returns);
       put_int (&pk, m->u.gateway_hello.n_local_rank_groups);
+      put_retries (&pk, &m->u.gateway_hello.retries);
       break;
     case CF_PEER_POLICY:
       put_header (&pk, m, 3);
@@ -362,6 +391,8 @@
       g_clear_pointer (&m->u.gateway_hello.evacuated, g_array_unref);
       g_clear_pointer (&m->u.gateway_hello.demand, g_array_unref);
       g_clear_pointer (&m->u.gateway_hello.returns, g_array_unref);
+      g_clear_pointer (&m->u.gateway_hello.retries.reserves, g_array_unref);
+      g_clear_pointer (&m->u.gateway_hello.retries.inherited, g_array_unref);
       break;
     case CF_PEER_TARGETS:
       a = &m->u.targets.items;
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -39,6 +39,19 @@
   gsize n;
 } CfPeerBytes;
 
+/** CfPeerRetries: the retry tokens that a gateway reserves for the process that
+ * follows it; see retry-handover.h. */
+typedef struct
+{
+  gint64 run; /**< identifies the sender's process; 0: its release has none */
+  gint64 seq; /**< of this message, rising; 0: unknown */
+  gint64 ack; /**< highest @seq that came from the receiver; 0: none */
+  GArray *reserves;  /**< (nullable): of #CfPeerRetryReserve: the sender's;
+                          owned */
+  GArray *inherited; /**< (nullable): likewise: those of the process that the
+                          receiver follows; owned */
+} CfPeerRetries;
+
 /** CfPeerMsg: a message between two gateways, or a gateway and a rank agent. */
 typedef struct
 {
@@ -132,6 +145,7 @@
       GArray *returns; /**< (nullable): of #CfPeerReturn; owned */
       guint n_local_rank_groups; /**< rank groups known to the sender that are
                                       in one data centre each; 0: unknown */
+      CfPeerRetries retries;
     } gateway_hello;
     struct
     {
@@ -160,6 +174,8 @@
 /** Bits of @want in a gateway's hello. */
 #define CF_PEER_WANT_POLICY 1U
 #define CF_PEER_WANT_TARGETS 2U
+#define CF_PEER_WANT_ACK 4U /**< a hello at once, which acknowledges this one  \
+                             */
 
 /** Fractions are sent in thousandths. */
 #define CF_PEER_THOUSANDTHS 1000.0
@@ -194,6 +210,8 @@
 
 /** Services in the demand of a hello. */
 #define CF_PEER_DEMAND_MAX 4
+/** Services in each list of retry tokens of a hello. */
+#define CF_PEER_RETRIES_MAX 8
 /** Places in the returns of a hello. */
 #define CF_PEER_RETURNS_MAX 64
 
@@ -207,6 +225,13 @@
   guint n_others;       /**< how many gateways these are */
 } CfPeerDemand;
 
+/** CfPeerRetryReserve: retry tokens reserved at one service. */
+typedef struct
+{
+  CfPeerBytes service;
+  gint64 thousandths; /**< of a token */
+} CfPeerRetryReserve;
+
 /** CfPeerReturn: a time at which a refused caller may return. */
 typedef struct
 {
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -7,6 +7,7 @@
 #include "peer-crashes.h"
 #include "peer-returns.h"
 #include "platform/platform-target.h"
+#include "service-retries.h"
 #include "service-share.h"
 #include "socket.h"
 #include "target-feed.h"
@@ -48,7 +49,8 @@
   char *addr; /**< where it accepts links; %NULL before its hello */
   CfStorePosition policy_pos;
   CfStorePosition targets_pos;
-  gint64 policy_version;    /**< 0: its release does not send it */
+  gint64 policy_version; /**< 0: its release does not send it */
+  gint64 retries_seq; /**< of its latest statement of reserved retry tokens */
   gint64 hello_received_ms; /**< last hello, or when the link was set up */
 } Peer;
 
@@ -321,11 +323,35 @@
   return p->s->g->settings.seed_addrs[p->seed];
 }
 
+static gboolean
+is_seed (const Peer *p)
+{
+  return cf_gateway_is_seed (p->s->g, get_addr (p));
+}
+
+/* Returns (nullable) the list that @r->inherited refers to. */
+static GArray *
+fill_retries (const Peer *p, CfPeerRetries *r)
+{
+  CfGateway *g = p->s->g;
+  GArray *inherited = cf_service_retries_steal_inherited (g, p->addr);
+
+  r->run = g->retries.run;
+  r->seq = g->retries.seq;
+  r->ack = p->retries_seq;
+  g_clear_pointer (&r->reserves, g_array_unref);
+  g_clear_pointer (&r->inherited, g_array_unref);
+  r->reserves = cf_service_retries_pack (g->retries.stated);
+  r->inherited = cf_service_retries_pack (inherited);
+  return inherited;
+}
+
 static void
 send_filled_hello (const Peer *p, CfPeerMsg *m)
 {
   double ring_start
       = p->addr ? cf_membership_ring_start (p->s->membership, p->addr) : -1;
+  GArray *inherited;
 
   m->u.gateway_hello.ring_start
       = ring_start < 0 ? -1 : (gint64)(ring_start * CF_PEER_RING_UNITS);
@@ -334,7 +360,12 @@
   m->u.gateway_hello.want = compute_wanted (p);
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     p->s->targets_asked_ms = p->s->g->now_ms;
+  if (is_seed (p) && cf_service_retries_is_ack_needed (p->s->g))
+    m->u.gateway_hello.want |= CF_PEER_WANT_ACK;
+  inherited = fill_retries (p, &m->u.gateway_hello.retries);
   cf_peer_msg_send (p->link, m);
+  if (inherited)
+    g_array_unref (inherited);
 }
 
 static void
@@ -485,6 +516,7 @@
 take_hello (Peer *p, const CfPeerMsg *m)
 {
   CfGateway *g = p->s->g;
+  gboolean has_to_reply = m->u.gateway_hello.want & CF_PEER_WANT_ACK;
   char *dc;
 
   g_free (p->addr);
@@ -492,6 +524,7 @@
   p->policy_pos = m->u.gateway_hello.policy_pos;
   p->targets_pos = m->u.gateway_hello.targets_pos;
   p->policy_version = m->u.gateway_hello.policy_version;
+  p->retries_seq = m->u.gateway_hello.retries.seq;
   p->hello_received_ms = g->now_ms;
   dc = g_strndup (m->u.gateway_hello.data_centre.data,
                   m->u.gateway_hello.data_centre.n);
@@ -513,7 +546,9 @@
   cf_target_feed_take_peer_change (g, m->u.gateway_hello.targets_change_pos);
   take_rank_groups (g, m);
   update_behind (p);
-  if (compute_wanted (p))
+  has_to_reply
+      |= cf_service_retries_take (g, p->addr, &m->u.gateway_hello.retries);
+  if (has_to_reply || compute_wanted (p))
     send_hello (p);
 }
 
@@ -697,6 +732,29 @@
     }
 }
 
+static gboolean
+has_seed_up (const CfPeerService *s)
+{
+  Peer *p;
+
+  TAILQ_FOREACH (p, &s->peers, entry)
+  if (p->up && is_seed (p))
+    return TRUE;
+  return FALSE;
+}
+
+/* Only seeds keep the reserves of others, so other peers are not told early. */
+static void
+notify_seeds_of_reserves (CfPeerService *s)
+{
+  Peer *p;
+
+  s->g->retries.is_due = FALSE;
+  TAILQ_FOREACH (p, &s->peers, entry)
+  if (p->up && is_seed (p))
+    send_hello (p);
+}
+
 void
 cf_peer_service_tick (CfPeerService *s)
 {
@@ -714,6 +772,8 @@
       connect_seeds (s);
       cf_quarantine_expire (s->g->quarantine, now);
     }
+  if (s->g->retries.is_due)
+    notify_seeds_of_reserves (s);
   if (s->g->has_new_returns)
     interval_ms = RETURNS_INTERVAL_MS;
   /* Changes of targets' rate limits and of evacuations are sent at once. */
@@ -722,6 +782,8 @@
   s->hello_sent_ms = now;
   s->g->hello_is_due = FALSE;
   cf_gateway_expire_slowdowns (s->g);
+  if (has_seed_up (s))
+    cf_service_retries_state (s->g);
   fill_hello (s, &m);
   m.u.gateway_hello.returns = cf_peer_returns_collect (s->g);
   TAILQ_FOREACH (p, &s->peers, entry)
--- a/t/t-fleet.c
+++ b/t/t-fleet.c
@@ -6,6 +6,7 @@
  */
 #include "gateway/gateway.h"
 #include "gateway/peer-msg.h"
+#include "gateway/service-retries.h"
 #include "harness.h"
 
 #include <string.h>
@@ -175,7 +176,10 @@
       int window = WINDOW_MS / STEP_MS;
 
       gateway_init ();
+      g.now_ms = g.started_ms + g.settings.retry_window_ms;
+      g.has_peer_fleet = TRUE;
       cf_gateway_set_fleet_size (&g, GATEWAYS);
+      cf_service_retries_tick (&g);
       for (int i = 0; i < GATEWAYS; i++)
         b[i] = cf_gateway_service_state (&g, "s")->budget;
       for (int s = 0; s < n_steps; s++)
@@ -239,8 +243,13 @@
   int taken = 0;
 
   gateway_init ();
+  g.now_ms = g.started_ms + g.settings.retry_window_ms;
+  g.has_peer_fleet = TRUE;
   b = &cf_gateway_service_state (&g, "s")->budget;
+  cf_service_retries_tick (&g);
+  ck_assert_double_ge (cf_retry_budget_tokens (b), 2);
   cf_gateway_set_fleet_size (&g, 44);
+  cf_service_retries_tick (&g);
   while (cf_retry_budget_take (b))
     taken++;
   ck_assert_int_eq (taken, 1);
--- a/t/t-peer-msg.c
+++ b/t/t-peer-msg.c
@@ -193,6 +193,45 @@
 }
 END_TEST
 
+/* Guards against a successor that is given tokens of another service, and
+ * against hellos of any size. */
+START_TEST (retry_reserves_round_trip)
+{
+  CfPeerMsg m = { .kind = CF_PEER_GATEWAY_HELLO };
+  CfPeerRetries *r = &m.u.gateway_hello.retries;
+  CfPeerRetryReserve reserve = { bytes ("llm"), 8000 };
+  CfPeerRetryReserve inherited = { bytes ("desk"), 3000 };
+  const CfPeerRetryReserve *got;
+  CfPeerMsg o;
+  msgpack_unpacked zone;
+  msgpack_sbuffer buf;
+
+  *r = (CfPeerRetries){ .run = G_MAXINT64, .seq = 7, .ack = 5 };
+  r->reserves = g_array_new (FALSE, FALSE, sizeof reserve);
+  r->inherited = g_array_new (FALSE, FALSE, sizeof reserve);
+  g_array_append_val (r->reserves, reserve);
+  for (int i = 0; i < 20; i++)
+    g_array_append_val (r->inherited, inherited);
+  pack_and_unpack (&m, &o, &zone, &buf);
+  ck_assert_int_eq (o.u.gateway_hello.retries.run, G_MAXINT64);
+  ck_assert_int_eq (o.u.gateway_hello.retries.seq, 7);
+  ck_assert_int_eq (o.u.gateway_hello.retries.ack, 5);
+  ck_assert_uint_eq (o.u.gateway_hello.retries.reserves->len, 1);
+  got = &g_array_index (o.u.gateway_hello.retries.reserves, CfPeerRetryReserve,
+                        0);
+  ck_assert_mem_eq (got->service.data, "llm", 3);
+  ck_assert_int_eq (got->thousandths, 8000);
+  ck_assert_uint_eq (o.u.gateway_hello.retries.inherited->len,
+                     CF_PEER_RETRIES_MAX);
+  got = &g_array_index (o.u.gateway_hello.retries.inherited, CfPeerRetryReserve,
+                        0);
+  ck_assert_mem_eq (got->service.data, "desk", 4);
+  ck_assert_int_eq (got->thousandths, 3000);
+  cf_peer_msg_clear (&m);
+  free_all (&o, &zone, &buf);
+}
+END_TEST
+
 /* A hello is bounded in bytes, whatever the demand. */
 START_TEST (demand_and_returns_are_bounded)
 {
@@ -464,6 +503,7 @@
   tcase_add_test (t, rank_status_round_trip);
   tcase_add_test (t, gateway_hello_and_targets_round_trip);
   tcase_add_test (t, demand_and_returns_round_trip);
+  tcase_add_test (t, retry_reserves_round_trip);
   tcase_add_test (t, demand_and_returns_are_bounded);
   tcase_add_test (t, positions_of_earlier_releases_have_no_era);
   tcase_add_test (t, order_round_trip);
--- a/t/t-retry-restarts.c
+++ b/t/t-retry-restarts.c
@@ -1,5 +1,5 @@
-/* The retry budget of a fleet whose gateways are restarted while its targets
- * fail. */
+/* The retry budget of a fleet whose gateways are restarted while, or before,
+ * its targets fail. */
 #include "harness.h"
 #include "platform-harness.h"
 
@@ -21,6 +21,10 @@
 /** Time between two restarts of gateways. */
 #define RESTART_INTERVAL_MS 1200
 #define N_RESTARTS 6
+/** Time from the start of a gateway until all seeds have answered it. */
+#define ROLL_SETTLE_MS 300
+/** Failures at each gateway after a roll; less than its share of the slack. */
+#define N_FIRST_FAILURES 4
 /** More faults than there are attempts in a test. */
 #define ALWAYS 100000
 
@@ -38,6 +42,7 @@
 setup (void)
 {
   request_ms = g_array_new (FALSE, FALSE, sizeof (gint64));
+  p_overrides.retry_window_s = RETRY_WINDOW_MS / 1000.0;
   p_start_platform (BASE, "--ranks", "0", "--plain", G_STRINGIFY (N_TARGETS),
                     NULL);
   for (int n = 1; n <= N_GATEWAYS; n++)
@@ -216,6 +221,30 @@
 }
 END_TEST
 
+/* Guards against gateways that have nothing to retry with after a planned stop,
+ * since they do not know what their predecessors have left. */
+START_TEST (first_failures_after_planned_roll_are_retried)
+{
+  GArray *repeats;
+
+  send_requests (RETRY_WINDOW_MS + RESTART_INTERVAL_MS);
+  for (int n = 1; n <= N_GATEWAYS; n++)
+    {
+      p_stop (gateways[n]);
+      gateways[n] = p_start_ready_gateway (BASE, n);
+      send_request (n);
+    }
+  usleep (ROLL_SETTLE_MS * 1000);
+  p_inject_fault (DESK_1, N_TARGETS, "fail", ALWAYS);
+  for (int i = 0; i < N_FIRST_FAILURES; i++)
+    for (int n = 1; n <= N_GATEWAYS; n++)
+      send_request (n);
+  repeats = list_repeats ();
+  ck_assert_uint_eq (repeats->len, N_FIRST_FAILURES * N_GATEWAYS);
+  g_array_unref (repeats);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -227,6 +256,7 @@
   tcase_add_checked_fixture (t, setup, teardown);
   tcase_add_test (t, gateways_killed_in_series_keep_retry_budget);
   tcase_add_test (t, fleet_killed_at_once_keeps_retry_budget);
+  tcase_add_test (t, first_failures_after_planned_roll_are_retried);
   suite_add_tcase (s, t);
   return t_run_suite (s);
 }
