rate-limit: begin without tokens when a peer tells of a limit

A gateway that learned from a peer's hello of a rate that a target names earned tokens from the time of the answer that the peer had heard, up to a full bucket. Each restart of an owner so gave it one more request at once: 18 in 10 s to a target that takes one a second, with a restart every 1.2 s.

Same class as the retry budget: an allowance of the fleet that begins full with each process.

The other cases pass the time at which a peer's limit is received, and check what they did.

--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -269,7 +269,7 @@
 
   if (!t
       || !cf_rate_limit_update_from_peer (&t->limit, per_s,
-                                          g->now_ms - l->age_ms))
+                                          g->now_ms - l->age_ms, g->now_ms))
     return;
   cf_log (LOG_NOTICE, CF_EV_RATE_LIMIT,
           "target=%s per_s=%.3f source=peer peer=%s", t->record.id, per_s,
--- a/gateway/rate-limit.c
+++ b/gateway/rate-limit.c
@@ -23,14 +23,14 @@
 }
 
 static gboolean
-set_rate (CfRateLimit *l, double per_s, gint64 received_ms)
+set_rate (CfRateLimit *l, double per_s, gint64 received_ms, gint64 now_ms)
 {
   double before = l->per_s;
 
   if (before == 0)
     {
       l->tokens = 0;
-      l->refilled_ms = received_ms;
+      l->refilled_ms = now_ms;
     }
   l->per_s = per_s;
   l->received_ms = received_ms;
@@ -42,16 +42,16 @@
 {
   if (per_s == 0 && l->received_ms == 0)
     return FALSE;
-  return set_rate (l, per_s, now_ms);
+  return set_rate (l, per_s, now_ms, now_ms);
 }
 
 gboolean
 cf_rate_limit_update_from_peer (CfRateLimit *l, double per_s,
-                                gint64 received_ms)
+                                gint64 received_ms, gint64 now_ms)
 {
   if (l->received_ms != 0 && received_ms <= l->received_ms + PEER_SKEW_MS)
     return FALSE;
-  return set_rate (l, per_s, received_ms);
+  return set_rate (l, per_s, received_ms, now_ms);
 }
 
 gboolean
--- a/gateway/rate-limit.h
+++ b/gateway/rate-limit.h
@@ -40,12 +40,13 @@
 
 /**
  * cf_rate_limit_update_from_peer:
- * Records the limit that a peer has from an answer.
+ * Records the limit that a peer has from an answer.  If none was known, tokens
+ * are earned from now on: an earlier process may have used those of before.
  * @received_ms: when the answer arrived there, by this gateway's clock
  * Returns: as cf_rate_limit_update()
  */
 gboolean cf_rate_limit_update_from_peer (CfRateLimit *l, double per_s,
-                                         gint64 received_ms);
+                                         gint64 received_ms, gint64 now_ms);
 
 /** cf_rate_limit_is_announced: whether hello messages include the limit, for
  * peers that missed the change. */
--- a/t/t-rate-limit.c
+++ b/t/t-rate-limit.c
@@ -219,20 +219,44 @@
 }
 END_TEST
 
+/* Guards against restarts that add to the rate: an owner hears again and again
+ * from a peer of a limit that is older than its process. */
+START_TEST (restarts_in_series_do_not_add_to_rate)
+{
+  const CfFleetPosition alone = { 0, 1 };
+  int sent = 0;
+
+  for (gint64 start_ms = 10000; start_ms < 20000; start_ms += 1200)
+    {
+      CfRateLimit l = { 0 };
+
+      for (gint64 now = start_ms; now < start_ms + 1200; now += 10)
+        {
+          cf_rate_limit_update_from_peer (&l, 1, start_ms - 5000, now);
+          if (!cf_rate_limit_may_send (&l, "i", alone, now))
+            continue;
+          cf_rate_limit_consume (&l);
+          sent++;
+        }
+    }
+  ck_assert_int_le (sent, 10);
+}
+END_TEST
+
 START_TEST (newest_limit_wins)
 {
   CfRateLimit l = { 0 };
 
   ck_assert (!cf_rate_limit_update (&l, 0, 1000));
-  ck_assert (cf_rate_limit_update_from_peer (&l, 1.1, 2000));
-  ck_assert (!cf_rate_limit_update_from_peer (&l, 1.1, 3000));
+  ck_assert (cf_rate_limit_update_from_peer (&l, 1.1, 2000, 2000));
+  ck_assert (!cf_rate_limit_update_from_peer (&l, 1.1, 3000, 3000));
   ck_assert (cf_rate_limit_update (&l, 0, 4000));
   /* A peer repeats the previous limit, delayed by the transit of two messages.
    */
-  ck_assert (!cf_rate_limit_update_from_peer (&l, 1.1, 4010));
+  ck_assert (!cf_rate_limit_update_from_peer (&l, 1.1, 4010, 4010));
   ck_assert_double_eq (l.per_s, 0);
   ck_assert (cf_rate_limit_is_announced (&l, 5000));
-  ck_assert (cf_rate_limit_update_from_peer (&l, 1.1, 5000));
+  ck_assert (cf_rate_limit_update_from_peer (&l, 1.1, 5000, 5000));
   ck_assert (cf_rate_limit_may_send (&l, "i", (CfFleetPosition){ 0, 1 }, 6000));
   cf_rate_limit_consume (&l);
   ck_assert (
@@ -249,6 +273,7 @@
 
   tcase_add_test (table, shares_add_up_to_rate);
   tcase_add_test (table, no_window_exceeds_rate);
+  tcase_add_test (table, restarts_in_series_do_not_add_to_rate);
   tcase_add_test (table, newest_limit_wins);
   suite_add_tcase (s, table);
   tcase_set_timeout (t, 30);
