peer-service: wait for the first hellos before requests are sent

Requests wait until each seed with a connection has sent a hello, for 0.3 s at most. Seeds are contacted as the process starts, not 50 ms later, and waiting ends as soon as a connection is refused, so that a gateway without peers serves its first request as soon as before: waiting for the periodic check instead made t-planned-stop (room) fail, as its requests were still waiting when SIGTERM came.

Three cases of t-target-leaving assumed that streams sent one after another reach every rank that leaves. Whether they do depends on where the gateway begins on the ring: in the trace of a failure it began at rank-1, used rank-3 from the third stream on, and met rank-0 for the first time when a peer's hello moved its start, which the check then counted. The cases now send four streams at once and assert that each rank was reached, so that the check that follows says what it is meant to say.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -162,7 +162,7 @@
 gboolean
 cf_gateway_can_route (const CfGateway *g)
 {
-  return g->policy && cf_gateway_has_target_list (g);
+  return g->policy && cf_gateway_has_target_list (g) && !g->awaits_peers;
 }
 
 gboolean
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -135,9 +135,11 @@
                                      this gateway's position in it */
   gint64 recent_fleet_ms;       /**< when @recent_fleet was last confirmed */
   gboolean has_peer_fleet;      /**< a peer has said how large the fleet is */
-  double ring_start;            /**< start on the ring of targets, in [0, 1) */
-  GHashTable *service_states;   /**< service -> #CfServiceState */
-  CfQuarantine *quarantine;     /**< requests that crash targets */
+  gboolean awaits_peers;      /**< this process has just started, and peers are
+                                   still to tell it what they know of targets */
+  double ring_start;          /**< start on the ring of targets, in [0, 1) */
+  GHashTable *service_states; /**< service -> #CfServiceState */
+  CfQuarantine *quarantine;   /**< requests that crash targets */
   GHashTable *suspects_running; /**< set of #CfRequestDigest: requests with a
                                      crash on record that a target has now */
   CfCrashProbeList probes;      /**< probes of targets that may have crashed */
--- a/gateway/peer-msg.h
+++ b/gateway/peer-msg.h
@@ -174,8 +174,9 @@
 /** Bits of @want in a gateway's hello. */
 #define CF_PEER_WANT_POLICY 1U
 #define CF_PEER_WANT_TARGETS 2U
-#define CF_PEER_WANT_ACK 4U /**< a hello at once, which acknowledges this one  \
-                             */
+#define CF_PEER_WANT_ACK                                                       \
+  4U /**< a hello at once, which acknowledges this one                         \
+      */
 
 /** Fractions are sent in thousandths. */
 #define CF_PEER_THOUSANDTHS 1000.0
--- a/gateway/peer-service.c
+++ b/gateway/peer-service.c
@@ -1,6 +1,7 @@
 #include "peer-service.h"
 
 #include "ablation.h"
+#include "exchange.h"
 #include "log.h"
 #include "membership.h"
 #include "operator-feed.h"
@@ -32,6 +33,9 @@
 #define FIRST_LIST_TIMEOUT_MS 3000
 /** Time for a peer to send its list before another one is asked. */
 #define LIST_REQUEST_INTERVAL_MS 500
+/** For how long after its start a gateway waits for the first hellos of seeds.
+ */
+#define FIRST_HELLO_TIMEOUT_MS 300
 /** A peer counts as part of the fleet for this time after its last hello. */
 #define MEMBER_TIMEOUT_MS 10000
 /** How long an agent's report of a slowdown is current.  Agents send one every
@@ -512,6 +516,30 @@
   g->n_rank_groups = MAX (g->n_rank_groups, n);
 }
 
+/* Whether a seed may still tell this gateway, which has just started, which
+ * targets leave, pause or name a rate.  The store's list does not say so. */
+static gboolean
+is_first_hello_missing (const CfPeerService *s)
+{
+  Peer *p;
+
+  if (s->g->now_ms - s->g->started_ms >= FIRST_HELLO_TIMEOUT_MS)
+    return FALSE;
+  TAILQ_FOREACH (p, &s->peers, entry)
+  if (p->seed >= 0 && !p->addr)
+    return TRUE;
+  return FALSE;
+}
+
+static void
+update_awaits_peers (CfPeerService *s)
+{
+  if (!s->g->awaits_peers || is_first_hello_missing (s))
+    return;
+  s->g->awaits_peers = FALSE;
+  cf_exchange_route_unrouted (s->g);
+}
+
 static void
 take_hello (Peer *p, const CfPeerMsg *m)
 {
@@ -544,6 +572,7 @@
   if (m->u.gateway_hello.want & CF_PEER_WANT_TARGETS)
     send_targets (p);
   cf_target_feed_take_peer_change (g, m->u.gateway_hello.targets_change_pos);
+  update_awaits_peers (p->s);
   take_rank_groups (g, m);
   update_behind (p);
   has_to_reply
@@ -646,13 +675,15 @@
 on_down (void *owner, CfPeerLink *l)
 {
   Peer *p = owner;
+  CfPeerService *s = p->s;
 
   if (p->up)
     cf_log (LOG_NOTICE, CF_EV_PEER, "peer=%s outcome=down",
             p->addr ? p->addr : "-");
   if (p->addr)
-    cf_service_share_forget (p->s->g, p->addr);
+    cf_service_share_forget (s->g, p->addr);
   remove_peer (p);
+  update_awaits_peers (s);
 }
 
 static const CfPeerLinkCallbacks link_callbacks = { on_up, on_frame, on_down };
@@ -772,6 +803,7 @@
       connect_seeds (s);
       cf_quarantine_expire (s->g->quarantine, now);
     }
+  update_awaits_peers (s);
   if (s->g->retries.is_due)
     notify_seeds_of_reserves (s);
   if (s->g->has_new_returns)
@@ -807,5 +839,8 @@
         = g_strcmp0 (g->settings.seed_addrs[i], own_addr) != 0
           && cf_socket_parse_address (g->settings.seed_addrs[i], &s->seeds[i])
                  == CF_OK;
+  g->awaits_peers = TRUE;
+  s->connect_attempt_ms = g->now_ms;
+  connect_seeds (s);
   return s;
 }
--- a/t/t-target-leaving.c
+++ b/t/t-target-leaving.c
@@ -71,13 +71,42 @@
   return n;
 }
 
+/* Sends as many streams at once as there are ranks, so that each gets one. */
+static void
+send_concurrent_streams (void)
+{
+  int fds[N_RANKS];
+
+  for (int i = 0; i < N_RANKS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("l-%d", n_requests++);
+      g_autofree char *req = p_build_request (
+          "POST /chat/a", id, "Comfreypost-Token-Count: 10,8\r\n", "");
+
+      fds[i] = p_connect (p_front_port (BASE, 1));
+      p_send (fds[i], req);
+    }
+  for (int i = 0; i < N_RANKS; i++)
+    {
+      g_autofree char *a = p_read_answer (fds[i], 1000);
+
+      ck_assert_int_eq (p_parse_status (a), 200);
+      close (fds[i]);
+    }
+}
+
+/* Gateway 1 is told by each target that leaves: where it begins to look for a
+ * target decides whether requests one after the other reach all of them. */
 static void
 announce_leaving (void)
 {
   call (DESK_1, "POST /test/leave");
   for (int i = 0; i < N_RANKS - 1; i++)
     call (RANK_1 + i, "POST /test/leave");
+  send_concurrent_streams ();
   ck_assert_int_eq (send_requests (1, ROUNDS), 0);
+  for (int i = 0; i < N_RANKS - 1; i++)
+    ck_assert_uint_gt (count_arrivals (RANK_1 + i), 0);
 }
 
 /* Checks that the targets that leave get nothing from @gateway. */
