service-retries: print the reserved tokens

The metrics page named comfrey_retry_tokens_reserved without a value, and a retry that waits in the queue for a token counted as denied.

t-retry-restarts asks a gateway for each metric; it failed for retry_tokens_reserved before.

--- a/gateway/exchange-send.c
+++ b/gateway/exchange-send.c
@@ -546,7 +546,8 @@
 {
   x->retry_cause = cause;
   x->holds_retry = cf_retry_budget_hold (&x->service_state->budget);
-  if (!x->holds_retry)
+  /* One that keeps its place in the queue waits there for a token. */
+  if (!x->holds_retry && !x->keeps_place)
     cf_retry_record_add_denied (&x->service_state->retries);
   return x->holds_retry;
 }
--- a/gateway/service-retries.c
+++ b/gateway/service-retries.c
@@ -71,7 +71,7 @@
 {
   CfFleetRetries *r = &g->retries;
 
-  r->run = 1 + (((gint64)g_random_int () << 31) | (g_random_int () >> 1));
+  r->run = ((gint64)g_random_int () << 31) | (g_random_int () >> 1) | 1;
   r->stated = cf_retry_reserve_list_new ();
   r->to_pass_on = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          (GDestroyNotify)g_array_unref);
@@ -424,19 +424,34 @@
     }
 }
 
+static void
+print_counter (GString *out, const char *name, const char *service,
+               guint64 value)
+{
+  g_string_append_printf (out,
+                          "comfrey_%s_total{service=\"%s\"} "
+                          "%" G_GUINT64_FORMAT "\n",
+                          name, service, value);
+}
+
+static void
+print_gauge (GString *out, const char *suffix, const char *service,
+             double value)
+{
+  g_string_append_printf (out, "comfrey_retry_tokens%s{service=\"%s\"} %g\n",
+                          suffix, service, value);
+}
+
 static void
 print_service (GString *out, const char *service, CfServiceState *s)
 {
   const CfRetryCounts *c = &s->retries.total;
 
-  g_string_append_printf (
-      out,
-      "comfrey_first_attempts_total{service=\"%s\"} "
-      "%" G_GUINT64_FORMAT "\ncomfrey_retries_denied_total{service=\"%s\"} "
-      "%" G_GUINT64_FORMAT "\ncomfrey_retry_tokens{service=\"%s\"} %g\n"
-      "comfrey_retry_tokens_max{service=\"%s\"} %g\n",
-      service, c->first, service, c->denied, service,
-      cf_retry_budget_tokens (&s->budget), service, s->budget.max);
+  print_counter (out, "first_attempts", service, c->first);
+  print_counter (out, "retries_denied", service, c->denied);
+  print_gauge (out, "", service, cf_retry_budget_tokens (&s->budget));
+  print_gauge (out, "_reserved", service, s->reserve.bound);
+  print_gauge (out, "_max", service, s->budget.max);
   for (guint i = 0; i < CF_N_RETRY_CAUSES; i++)
     g_string_append_printf (out,
                             "comfrey_repeated_attempts_total{service=\"%s\","
--- a/t/t-retry-restarts.c
+++ b/t/t-retry-restarts.c
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 #include <signal.h>
+#include <string.h>
 #include <unistd.h>
 
 #define BASE 15000
@@ -154,6 +155,26 @@
 }
 END_TEST
 
+/* Guards against a metric that the operator's page names and no gateway has. */
+static void
+check_metrics (int n)
+{
+  const char *const names[]
+      = { "first_attempts_total",  "repeated_attempts_total",
+          "retries_denied_total",  "retry_tokens",
+          "retry_tokens_reserved", "retry_tokens_max" };
+  g_autofree char *page
+      = p_call_standin (p_front_port (BASE, n) + 3, "GET /metrics", "");
+
+  for (gsize i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      g_autofree char *sample
+          = g_strdup_printf ("comfrey_%s{service=\"desk\"", names[i]);
+
+      ck_assert_msg (strstr (page, sample) != NULL, "no %s", sample);
+    }
+}
+
 /* Guards against gateways that have nothing to retry with after a planned stop,
  * since they do not know what their predecessors have left. */
 START_TEST (first_failures_after_planned_roll_are_retried)
@@ -172,6 +193,7 @@
       send_request (n);
   ck_assert_uint_eq (find_worst_window ().n_repeats,
                      N_FIRST_FAILURES * N_GATEWAYS);
+  check_metrics (1);
 }
 END_TEST
 
