--- a/review/common.h
+++ b/review/common.h
@@ -17,6 +17,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -706,6 +707,8 @@
     {
       int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
+      /* A case that is ended by a signal leaves no program behind. */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       dup2 (fd, 1);
       dup2 (fd, 2);
       setenv ("COMFREYPOST_CONFIG", conf, 1);
