--- a/review/common.h
+++ b/review/common.h
@@ -412,6 +412,7 @@
   char key[128];
   char *value; /* NULL: removed */
   long rev, created;
+  long at_ms;
 } Event;
 
 #define EVENTS_MAX 20000
@@ -422,20 +423,42 @@
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t store_changed = PTHREAD_COND_INITIALIZER;
 static Server store;
-/* A watch that waits is cut, by an orderly close of its channel, after a random
- * time between these; 0: none is cut. */
-static volatile long watch_cut_min_ms, watch_cut_max_ms;
-static unsigned store_seed = 1;
-
+/* Until then watches hear of no change. */
+static volatile long quiet_until_ms;
+/* Changes up to this revision are forgotten: a watch from before gets 410. */
+static volatile long history_floor;
+/* How often the history was dropped; that cuts the watches that wait. */
+static volatile int n_drops;
+/* A read with stale-ok shows the state of so long ago. */
+static volatile long stale_ms;
+
+/* The newest of the first @n events of @key. */
 static inline Event *
-newest_event (const char *key)
+newest_event_of (const char *key, int n)
 {
-  for (int i = n_events - 1; i >= 0; i--)
+  for (int i = n - 1; i >= 0; i--)
     if (strcmp (events[i].key, key) == 0)
       return &events[i];
   return NULL;
 }
 
+static inline Event *
+newest_event (const char *key)
+{
+  return newest_event_of (key, n_events);
+}
+
+/* The store forgets its history and cuts the watches that wait. */
+static inline void
+store_drop_history (void)
+{
+  pthread_mutex_lock (&store_lock);
+  history_floor = store_rev;
+  n_drops++;
+  pthread_cond_broadcast (&store_changed);
+  pthread_mutex_unlock (&store_lock);
+}
+
 /* Writes @value under @key, or removes it (NULL).  The return is the ack. */
 static inline void
 store_put (const char *key, const char *value)
@@ -451,6 +474,7 @@
   snprintf (e->key, sizeof e->key, "%s", key);
   e->value = value ? strdup (value) : NULL;
   e->rev = ++store_rev;
+  e->at_ms = now_ms ();
   e->created = before && before->value ? before->created : e->rev;
   n_events++;
   pthread_cond_broadcast (&store_changed);
@@ -542,27 +566,30 @@
 }
 
 static inline bool
-answer_range (Chan *c, const char *prefix)
+answer_range (Chan *c, const char *prefix, long age_ms)
 {
   char *out = NULL;
   size_t len = 0;
   bool first = true;
   bool ok;
+  int n;
 
   pthread_mutex_lock (&store_lock);
+  for (n = n_events; n > 1 && now_ms () - events[n - 1].at_ms < age_ms; n--)
+    ;
   add_text (&out, &len, "{\"items\":[%s", "", 0, 0);
-  for (int i = 0; i < n_events; i++)
+  for (int i = 0; i < n; i++)
     {
       const Event *e = &events[i];
 
       if (strncmp (e->key, prefix, strlen (prefix)) != 0 || !e->value
-          || newest_event (e->key) != e)
+          || newest_event_of (e->key, n) != e)
         continue;
       add_event (&out, &len, e, first);
       first = false;
     }
-  add_text (&out, &len, "%s],\"has-more\":false,\"as-of\":%ld}", "", store_rev,
-            0);
+  add_text (&out, &len, "%s],\"has-more\":false,\"as-of\":%ld}", "",
+            n > 0 ? events[n - 1].rev : store_rev, 0);
   pthread_mutex_unlock (&store_lock);
   ok = answer (c, 200, out, "Content-Type: application/json\r\n");
   free (out);
@@ -573,17 +600,20 @@
 answer_watch (Chan *c, const char *prefix, long after, long wait_ms)
 {
   long until = now_ms () + wait_ms;
-  long cut = 0;
   char *out = NULL;
   size_t len = 0;
   bool first = true;
   bool ok;
+  int drops;
 
   pthread_mutex_lock (&store_lock);
-  if (watch_cut_max_ms)
-    cut = now_ms () + watch_cut_min_ms
-          + (long)(uniform (&store_seed)
-                   * (double)(watch_cut_max_ms - watch_cut_min_ms));
+  drops = n_drops;
+  if (after < history_floor)
+    {
+      pthread_mutex_unlock (&store_lock);
+      rec ("GONE watch of %s after=%ld", prefix, after);
+      return answer (c, 410, "{}", "Content-Type: application/json\r\n");
+    }
   for (;;)
     {
       struct timespec t;
@@ -591,14 +621,14 @@
 
       for (int i = n_events - 1; i >= 0 && events[i].rev > after; i--)
         n += strncmp (events[i].key, prefix, strlen (prefix)) == 0;
-      if (n > 0 || now_ms () >= until)
-        break;
-      if (cut && now_ms () >= cut)
+      if (n_drops != drops)
         {
           pthread_mutex_unlock (&store_lock);
-          rec ("CUT watch of %s", prefix);
+          rec ("CUT watch of %s after=%ld", prefix, after);
           return false;
         }
+      if ((n > 0 && now_ms () >= quiet_until_ms) || now_ms () >= until)
+        break;
       clock_gettime (CLOCK_REALTIME, &t);
       t.tv_nsec += 10000000L;
       if (t.tv_nsec >= 1000000000L)
@@ -626,11 +656,12 @@
 static inline bool
 handle_store (Chan *c)
 {
-  char prefix[128] = "", after[32] = "0", wait[32] = "0";
+  char prefix[128] = "", after[32] = "0", wait[32] = "0", stale[8];
 
   query (c, "prefix", prefix, sizeof prefix);
   if (strncmp (c->head, "GET /v1/kv-range", 16) == 0)
-    return answer_range (c, prefix);
+    return answer_range (
+        c, prefix, query (c, "stale-ok", stale, sizeof stale) ? stale_ms : 0);
   if (strncmp (c->head, "GET /v1/kv-watch", 16) == 0)
     {
       query (c, "after", after, sizeof after);
@@ -797,6 +828,19 @@
   return ok;
 }
 
+static inline void
+await_ready (const Gateway *g)
+{
+  long until = now_ms () + 10000;
+
+  while (!is_ready (g))
+    {
+      if (now_ms () > until)
+        cannot_run ("a gateway is not ready after 10 s");
+      sleep_ms (50);
+    }
+}
+
 static inline void
 start_gateways (Gateway *g, int n)
 {
@@ -813,16 +857,7 @@
   for (int i = 0; i < n; i++)
     start_gateway (&g[i], i, seeds);
   for (int i = 0; i < n; i++)
-    {
-      long until = now_ms () + 10000;
-
-      while (!is_ready (&g[i]))
-        {
-          if (now_ms () > until)
-            cannot_run ("a gateway is not ready after 10 s");
-          sleep_ms (50);
-        }
-    }
+    await_ready (&g[i]);
 }
 
 /* Ends the programs and removes the temporary folder, unless KEEP is set. */
