--- a/review/common.h
+++ b/review/common.h
@@ -412,7 +412,6 @@
   char key[128];
   char *value; /* NULL: removed */
   long rev, created;
-  long at_ms;
 } Event;
 
 #define EVENTS_MAX 20000
@@ -423,42 +422,15 @@
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t store_changed = PTHREAD_COND_INITIALIZER;
 static Server store;
-/* Until then watches hear of no change. */
-static volatile long quiet_until_ms;
-/* Changes up to this revision are forgotten: a watch from before gets 410. */
-static volatile long history_floor;
-/* How often the history was dropped; that cuts the watches that wait. */
-static volatile int n_drops;
-/* A read with stale-ok shows the state of so long ago. */
-static volatile long stale_ms;
-
-/* The newest of the first @n events of @key. */
 static inline Event *
-newest_event_of (const char *key, int n)
+newest_event (const char *key)
 {
-  for (int i = n - 1; i >= 0; i--)
+  for (int i = n_events - 1; i >= 0; i--)
     if (strcmp (events[i].key, key) == 0)
       return &events[i];
   return NULL;
 }
 
-static inline Event *
-newest_event (const char *key)
-{
-  return newest_event_of (key, n_events);
-}
-
-/* The store forgets its history and cuts the watches that wait. */
-static inline void
-store_drop_history (void)
-{
-  pthread_mutex_lock (&store_lock);
-  history_floor = store_rev;
-  n_drops++;
-  pthread_cond_broadcast (&store_changed);
-  pthread_mutex_unlock (&store_lock);
-}
-
 /* Writes @value under @key, or removes it (NULL).  The return is the ack. */
 static inline void
 store_put (const char *key, const char *value)
@@ -474,7 +446,6 @@
   snprintf (e->key, sizeof e->key, "%s", key);
   e->value = value ? strdup (value) : NULL;
   e->rev = ++store_rev;
-  e->at_ms = now_ms ();
   e->created = before && before->value ? before->created : e->rev;
   n_events++;
   pthread_cond_broadcast (&store_changed);
@@ -566,30 +537,27 @@
 }
 
 static inline bool
-answer_range (Chan *c, const char *prefix, long age_ms)
+answer_range (Chan *c, const char *prefix)
 {
   char *out = NULL;
   size_t len = 0;
   bool first = true;
   bool ok;
-  int n;
 
   pthread_mutex_lock (&store_lock);
-  for (n = n_events; n > 1 && now_ms () - events[n - 1].at_ms < age_ms; n--)
-    ;
   add_text (&out, &len, "{\"items\":[%s", "", 0, 0);
-  for (int i = 0; i < n; i++)
+  for (int i = 0; i < n_events; i++)
     {
       const Event *e = &events[i];
 
       if (strncmp (e->key, prefix, strlen (prefix)) != 0 || !e->value
-          || newest_event_of (e->key, n) != e)
+          || newest_event (e->key) != e)
         continue;
       add_event (&out, &len, e, first);
       first = false;
     }
-  add_text (&out, &len, "%s],\"has-more\":false,\"as-of\":%ld}", "",
-            n > 0 ? events[n - 1].rev : store_rev, 0);
+  add_text (&out, &len, "%s],\"has-more\":false,\"as-of\":%ld}", "", store_rev,
+            0);
   pthread_mutex_unlock (&store_lock);
   ok = answer (c, 200, out, "Content-Type: application/json\r\n");
   free (out);
@@ -604,16 +572,8 @@
   size_t len = 0;
   bool first = true;
   bool ok;
-  int drops;
 
   pthread_mutex_lock (&store_lock);
-  drops = n_drops;
-  if (after < history_floor)
-    {
-      pthread_mutex_unlock (&store_lock);
-      rec ("GONE watch of %s after=%ld", prefix, after);
-      return answer (c, 410, "{}", "Content-Type: application/json\r\n");
-    }
   for (;;)
     {
       struct timespec t;
@@ -621,13 +581,7 @@
 
       for (int i = n_events - 1; i >= 0 && events[i].rev > after; i--)
         n += strncmp (events[i].key, prefix, strlen (prefix)) == 0;
-      if (n_drops != drops)
-        {
-          pthread_mutex_unlock (&store_lock);
-          rec ("CUT watch of %s after=%ld", prefix, after);
-          return false;
-        }
-      if ((n > 0 && now_ms () >= quiet_until_ms) || now_ms () >= until)
+      if (n > 0 || now_ms () >= until)
         break;
       clock_gettime (CLOCK_REALTIME, &t);
       t.tv_nsec += 10000000L;
@@ -656,12 +610,11 @@
 static inline bool
 handle_store (Chan *c)
 {
-  char prefix[128] = "", after[32] = "0", wait[32] = "0", stale[8];
+  char prefix[128] = "", after[32] = "0", wait[32] = "0";
 
   query (c, "prefix", prefix, sizeof prefix);
   if (strncmp (c->head, "GET /v1/kv-range", 16) == 0)
-    return answer_range (
-        c, prefix, query (c, "stale-ok", stale, sizeof stale) ? stale_ms : 0);
+    return answer_range (c, prefix);
   if (strncmp (c->head, "GET /v1/kv-watch", 16) == 0)
     {
       query (c, "after", after, sizeof after);
