--- a/review/common.h
+++ b/review/common.h
@@ -744,8 +744,8 @@
   size_t len = 0;
 
   for (int i = 0; i < n && i < 3 && len < size; i++)
-    len += (size_t)snprintf (out + len, size - len, "%s%.31s:%d",
-                             i ? "," : "", g[i].ip, g[i].control);
+    len += (size_t)snprintf (out + len, size - len, "%s%.31s:%d", i ? "," : "",
+                             g[i].ip, g[i].control);
 }
 
 static inline void
