--- a/review/5/silent-store.c
+++ b/review/4/silent-store.c
@@ -1,4 +1,4 @@
-/* The operator and callers of case 5.
+/* The operator and callers of case 4.
  *
  *	silent-store STORE-PORT FRONT-PORT...
  *
